--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The auburnsaddle daemon.
--- /dev/null
+++ b/crates/standins/src/bin/platform.rs
@@ -0,0 +1,3 @@
+//! Program entry point.
+
+fn main() {}
