Serve a call end to end through separate processes

Cause: the decisions had no edges. The daemon now has a control thread, traffic threads, an h2 peer protocol with bincode, a store client and an HTTP front; the stand-ins provide store, list of hosts and runners; the tool applies objects.

Ruled out: a boxed response body (dynamic dispatch on the request path) in favour of an enum; the legacy client's own retry of cancelled requests, which would retry outside the budget.

Not done yet: leases and watches (the store is polled), takeover under load, tasks, idempotency keys.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,20 @@
-//! Program entry point.
+//! The auburnsaddle command-line tool.
 
-fn main() {}
+mod client;
+mod commands;
+
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    match commands::run(pico_args::Arguments::from_env()).await {
+        Ok(output) => {
+            println!("{output}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("auburnsaddle: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -0,0 +1,302 @@
+//! Dispatch of calls: a slot from the owner, then the call to the runner.
+
+use std::time::{Duration, Instant};
+
+use auburnsaddle_core::{
+    CallOutcome, CallRequest, GrantResult, HostEntry, NotRunReason, RequestId, ServiceSpec,
+    ShardName, TeamId, UnknownReason, UrgencyClass,
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use tokio::sync::oneshot;
+
+use super::{
+    body::RelayBody,
+    messages::{CallCommand, GrantedSlot, SlotReply},
+};
+use crate::{
+    control::{ControlEvent, ControlHandle, RoutingSnapshot},
+    peers::{PeerClient, PeerReply, PeerRequest},
+};
+
+/// Response header with which a runner says that it ran nothing.
+const NOT_RUN_HEADER: &str = "auburnsaddle-not-run";
+
+/// A call as received from a caller, its body read.
+#[derive(Clone, Debug)]
+pub(crate) struct CallHead {
+    /// Identifier of the request, carried through all processes.
+    pub(crate) request: RequestId,
+    /// The team that is charged.
+    pub(crate) team: Option<TeamId>,
+    /// Urgency, if the caller named one.
+    pub(crate) urgency: Option<UrgencyClass>,
+    /// Time until the caller's deadline.
+    pub(crate) remaining: Duration,
+    /// Method of the request.
+    pub(crate) method: Method,
+    /// Path and query for the runner.
+    pub(crate) path: String,
+    /// Headers for the runner.
+    pub(crate) headers: HeaderMap,
+    /// The whole body.
+    pub(crate) body: Bytes,
+}
+
+/// A runner's answer, streamed.
+pub(crate) type CallReply = Response<RelayBody>;
+
+/// Sends calls to runners.
+#[derive(Clone, Debug)]
+pub(crate) struct CallDispatcher {
+    control: ControlHandle,
+    peers: PeerClient,
+    runners: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Returns a slot to its owner when dropped.
+#[derive(Debug)]
+pub(crate) struct SlotGuard {
+    dispatcher: CallDispatcher,
+    slot: GrantedSlot,
+    result: GrantResult,
+}
+
+/// Tells the owner that a waiting requester went away, unless disarmed.
+#[derive(Debug)]
+struct CancelGuard {
+    control: ControlHandle,
+    shard: ShardName,
+    request: RequestId,
+    armed: bool,
+}
+
+impl CallDispatcher {
+    /// Returns a dispatcher without connections.
+    pub(crate) fn new(control: ControlHandle, peers: PeerClient) -> Self {
+        let runners = Client::builder(TokioExecutor::new())
+            .http2_only(true)
+            // Retries are decided here, within a budget, and at no other layer.
+            .retry_canceled_requests(false)
+            .build_http();
+        Self {
+            control,
+            peers,
+            runners,
+        }
+    }
+
+    /// Sends a call of a service to a runner.
+    pub(crate) async fn dispatch(
+        &self,
+        service: &ServiceSpec,
+        head: CallHead,
+    ) -> CallOutcome<CallReply> {
+        let snapshot = self.control.snapshot();
+        let Some(shard) = choose_shard(&snapshot, service) else {
+            return CallOutcome::NotRun(NotRunReason::NoTarget);
+        };
+        let call = CallRequest {
+            request: head.request,
+            team: head.team.clone(),
+            urgency: head.urgency.unwrap_or(service.urgency),
+            remaining: head.remaining,
+        };
+        let started_at = Instant::now();
+        let waiting = self.request_slot(&snapshot, shard, call);
+        let slot = match tokio::time::timeout(head.remaining, waiting).await {
+            Ok(Ok(slot)) => slot,
+            Ok(Err(reason)) => return CallOutcome::NotRun(reason),
+            Err(_) => return CallOutcome::NotRun(NotRunReason::DeadlineUnmeetable),
+        };
+        let remaining = head.remaining.saturating_sub(started_at.elapsed());
+        match tokio::time::timeout(remaining, self.send_call(slot, head)).await {
+            Ok(outcome) => outcome,
+            Err(_) => CallOutcome::Unknown(UnknownReason::DeadlinePassed),
+        }
+    }
+
+    /// Asks the owner of a shard for a slot, here or at a peer.
+    async fn request_slot(
+        &self,
+        snapshot: &RoutingSnapshot,
+        shard: ShardName,
+        call: CallRequest,
+    ) -> SlotReply {
+        let owner = snapshot.owners.get(&shard).ok_or(NotRunReason::NoOwner)?;
+        if owner.daemon == snapshot.daemon {
+            return self.queue_call(shard, call).await;
+        }
+        let address = snapshot
+            .peer_address(&owner.daemon)
+            .ok_or(NotRunReason::NoOwner)?;
+        match self
+            .peers
+            .send(address, &PeerRequest::RequestSlot(shard, call))
+            .await
+        {
+            Ok(PeerReply::Slot(reply)) => reply,
+            Ok(PeerReply::Noted) => Err(NotRunReason::NoOwner),
+            Err(error) => {
+                log::warn!("asking {} for a slot failed: {error}", owner.daemon);
+                Err(NotRunReason::NoOwner)
+            }
+        }
+    }
+
+    /// Queues a call at a shard that this daemon owns.
+    pub(crate) async fn queue_call(&self, shard: ShardName, call: CallRequest) -> SlotReply {
+        let (reply, receiver) = oneshot::channel();
+        let mut guard = CancelGuard {
+            control: self.control.clone(),
+            shard: shard.clone(),
+            request: call.request,
+            armed: true,
+        };
+        let command = CallCommand::Request { shard, call, reply };
+        self.control.send(ControlEvent::Calls(command)).await;
+        let reply = receiver.await.unwrap_or(Err(NotRunReason::Draining));
+        guard.armed = false;
+        reply
+    }
+
+    async fn send_call(&self, slot: GrantedSlot, head: CallHead) -> CallOutcome<CallReply> {
+        let snapshot = self.control.snapshot();
+        let mut guard = SlotGuard {
+            dispatcher: self.clone(),
+            slot,
+            result: GrantResult::Failed,
+        };
+        let host = snapshot.hosts.get(&guard.slot.grant.runner);
+        let Some(request) = host.and_then(|host| runner_request(host, &guard.slot, head)) else {
+            return guard.not_run(NotRunReason::TargetUnreachable);
+        };
+        match self.runners.request(request).await {
+            Ok(response) if response.headers().contains_key(NOT_RUN_HEADER) => {
+                guard.not_run(NotRunReason::RejectedByTarget)
+            }
+            Ok(response) => CallOutcome::Completed(relay(response, guard)),
+            Err(error) if error.is_connect() => guard.not_run(NotRunReason::TargetUnreachable),
+            Err(error) if is_unprocessed(&error) => guard.not_run(NotRunReason::RejectedByTarget),
+            Err(_) => CallOutcome::Unknown(UnknownReason::ConnectionLost),
+        }
+    }
+
+    async fn return_slot(self, slot: GrantedSlot, result: GrantResult) {
+        let snapshot = self.control.snapshot();
+        let GrantedSlot {
+            shard,
+            epoch,
+            grant,
+        } = slot;
+        let Some(owner) = snapshot.owners.get(&shard) else {
+            return;
+        };
+        if owner.daemon == snapshot.daemon {
+            let command = CallCommand::Return {
+                shard,
+                epoch,
+                grant: grant.grant,
+                result,
+            };
+            self.control.send(ControlEvent::Calls(command)).await;
+            return;
+        }
+        let Some(address) = snapshot.peer_address(&owner.daemon) else {
+            return;
+        };
+        let request = PeerRequest::ReturnSlot(shard, epoch, grant.grant, result);
+        if let Err(error) = self.peers.send(address, &request).await {
+            log::warn!("returning a slot to {} failed: {error}", owner.daemon);
+        }
+    }
+}
+
+impl SlotGuard {
+    /// Notes that the whole answer arrived.
+    pub(super) const fn note_answered(&mut self) {
+        self.result = GrantResult::Answered;
+    }
+
+    fn not_run(&mut self, reason: NotRunReason) -> CallOutcome<CallReply> {
+        self.result = GrantResult::Rejected;
+        CallOutcome::NotRun(reason)
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let returned = self
+            .dispatcher
+            .clone()
+            .return_slot(self.slot.clone(), self.result);
+        tokio::spawn(returned);
+    }
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if self.armed {
+            let control = self.control.clone();
+            let command = CallCommand::Cancel {
+                shard: self.shard.clone(),
+                request: self.request,
+            };
+            tokio::spawn(async move { control.send(ControlEvent::Calls(command)).await });
+        }
+    }
+}
+
+/// Chooses the shard of this daemon's zone, or the first one with an owner.
+fn choose_shard(snapshot: &RoutingSnapshot, service: &ServiceSpec) -> Option<ShardName> {
+    let zones = snapshot.runner_zones(&service.name);
+    let local = zones.iter().find(|zone| **zone == snapshot.zone);
+    let zone = local.or_else(|| zones.first())?;
+    Some(ShardName::Call(service.name.clone(), zone.clone()))
+}
+
+/// Returns the request for a runner, or `None` if its address is malformed.
+fn runner_request(
+    host: &HostEntry,
+    slot: &GrantedSlot,
+    head: CallHead,
+) -> Option<Request<Full<Bytes>>> {
+    let uri: Uri = format!("http://{}{}", host.address, head.path)
+        .parse()
+        .ok()?;
+    let mut request = Request::new(Full::new(head.body));
+    *request.method_mut() = head.method;
+    *request.uri_mut() = uri;
+    *request.headers_mut() = head.headers;
+    let headers = request.headers_mut();
+    headers.insert(
+        "auburnsaddle-shard",
+        HeaderValue::from_str(&slot.shard.to_string()).ok()?,
+    );
+    headers.insert("auburnsaddle-epoch", HeaderValue::from(slot.epoch));
+    let id = format!("{:032x}", head.request);
+    headers.insert("auburnsaddle-request-id", HeaderValue::from_str(&id).ok()?);
+    Some(request)
+}
+
+fn relay(response: Response<Incoming>, guard: SlotGuard) -> CallReply {
+    response.map(|body| RelayBody::new(body, guard))
+}
+
+/// Tells whether the protocol says that the target ran nothing.
+fn is_unprocessed(error: &hyper_util::client::legacy::Error) -> bool {
+    let mut cause = std::error::Error::source(error);
+    while let Some(inner) = cause {
+        match inner.downcast_ref::<h2::Error>() {
+            Some(reset) if reset.reason() == Some(h2::Reason::REFUSED_STREAM) => return true,
+            _ => cause = inner.source(),
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/daemon/src/calls/mod.rs
@@ -0,0 +1,16 @@
+/*!
+Short calls: the owned queues and the dispatch of calls to runners.
+
+The daemon that receives a call asks the owner of the call shard for a slot and
+sends the call to the granted runner itself; the owner never carries bodies.
+*/
+
+mod body;
+mod dispatch;
+mod messages;
+mod state;
+
+pub(crate) use body::RelayBody;
+pub(crate) use dispatch::{CallDispatcher, CallHead};
+pub(crate) use messages::{CallCommand, SlotReply};
+pub(crate) use state::CallShards;
--- /dev/null
+++ b/crates/daemon/src/control/effects.rs
@@ -0,0 +1,100 @@
+//! Effects that the control thread hands to the traffic threads.
+
+use std::net::SocketAddr;
+
+use auburnsaddle_core::{Heartbeat, OwnerRecord, ShardName};
+use tokio::runtime::Handle;
+
+use super::messages::{ControlEvent, ControlHandle};
+use crate::{
+    ownership::{claim_transaction, read_owner},
+    peers::{PeerClient, PeerRequest},
+    store::{StoreClient, TxnOutcome},
+};
+
+/// Something to be done outside the control thread.
+#[derive(Clone, Debug)]
+pub(super) enum ControlEffect {
+    /// Sends a heartbeat to peers.
+    SendHeartbeat {
+        /// The peers.
+        addresses: Vec<SocketAddr>,
+        /// The message.
+        heartbeat: Heartbeat,
+    },
+    /// Replaces an owner by compare-and-swap.
+    ClaimShard {
+        /// The shard.
+        shard: ShardName,
+        /// The record that must be in the store.
+        expected: Option<OwnerRecord>,
+        /// The record to write.
+        next: OwnerRecord,
+    },
+}
+
+/// Carries out effects on the traffic threads.
+#[derive(Clone, Debug)]
+pub(super) struct EffectRunner<S> {
+    pub(super) traffic: Handle,
+    pub(super) control: ControlHandle,
+    pub(super) peers: PeerClient,
+    pub(super) store: S,
+}
+
+impl<S: StoreClient> EffectRunner<S> {
+    /// Starts an effect; its result comes back as an event.
+    pub(super) fn start(&self, effect: ControlEffect) {
+        match effect {
+            ControlEffect::SendHeartbeat {
+                addresses,
+                heartbeat,
+            } => {
+                for address in addresses {
+                    self.send_heartbeat(address, heartbeat.clone());
+                }
+            }
+            ControlEffect::ClaimShard {
+                shard,
+                expected,
+                next,
+            } => {
+                self.claim_shard(shard, expected, next);
+            }
+        }
+    }
+
+    fn send_heartbeat(&self, address: SocketAddr, heartbeat: Heartbeat) {
+        let peers = self.peers.clone();
+        self.traffic.spawn(async move {
+            if let Err(error) = peers
+                .send(address, &PeerRequest::Heartbeat(heartbeat))
+                .await
+            {
+                log::debug!("heartbeat was not sent: {error}");
+            }
+        });
+    }
+
+    fn claim_shard(&self, shard: ShardName, expected: Option<OwnerRecord>, next: OwnerRecord) {
+        let control = self.control.clone();
+        let store = self.store.clone();
+        self.traffic.spawn(async move {
+            let transaction = claim_transaction(&shard, expected.as_ref(), &next);
+            let record = match store.commit(transaction).await {
+                Ok(TxnOutcome::Committed) => Some(next),
+                Ok(TxnOutcome::Conflict(entries)) => entries
+                    .iter()
+                    .find_map(read_owner)
+                    .map(|(_, record)| record),
+                Err(error) => {
+                    log::warn!("claiming shard {shard}: {error}");
+                    None
+                }
+            };
+            control
+                .send(ControlEvent::ClaimAnswered(shard, record))
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/messages.rs
@@ -0,0 +1,118 @@
+//! Events for the control thread and the snapshot that it publishes.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use arc_swap::ArcSwap;
+use auburnsaddle_core::{
+    ConfigVersion, DaemonId, Heartbeat, HostEntry, HostId, HostKind, HostState, MemberRecord,
+    ObjectSet, OwnerRecord, ServiceId, ShardName, ZoneId,
+};
+use serde::Serialize;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    calls::CallCommand,
+    publication::{PublishError, PublishedConfig},
+    store::{StoreEntry, StoreTxn},
+};
+
+/// Something that the control thread acts on.
+#[derive(Debug)]
+pub(crate) enum ControlEvent {
+    /// A command for the owned call queues.
+    Calls(CallCommand),
+    /// A heartbeat arrived.
+    Heartbeat(Heartbeat),
+    /// The list of hosts was read.
+    HostsRead(Vec<HostEntry>),
+    /// The control keys of the store were read.
+    StoreRead(Vec<StoreEntry>),
+    /// A compare-and-swap of an owner was answered; `None` if its effect is
+    /// unknown.
+    ClaimAnswered(ShardName, Option<OwnerRecord>),
+    /// An operator publishes objects over a base version.
+    Publish {
+        /// The version that the operator saw.
+        base: ConfigVersion,
+        /// All objects.
+        objects: ObjectSet,
+        /// Receives the transaction to commit.
+        reply: oneshot::Sender<Result<StoreTxn, PublishError>>,
+    },
+    /// A configuration was committed.
+    ConfigRead(PublishedConfig),
+}
+
+/// What traffic needs to know of the control state.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct RoutingSnapshot {
+    /// This daemon.
+    pub(crate) daemon: DaemonId,
+    /// This daemon's zone.
+    pub(crate) zone: ZoneId,
+    /// The version in force.
+    pub(crate) config_version: ConfigVersion,
+    /// The objects in force.
+    pub(crate) objects: Arc<ObjectSet>,
+    /// All registered daemons except this one.
+    pub(crate) members: BTreeMap<DaemonId, MemberRecord>,
+    /// The versions in force at the other daemons, as heard.
+    pub(crate) peer_versions: BTreeMap<DaemonId, ConfigVersion>,
+    /// The peers that are not heard.
+    pub(crate) suspected: BTreeSet<DaemonId>,
+    /// The owner of each shard.
+    pub(crate) owners: BTreeMap<ShardName, OwnerRecord>,
+    /// The platform's list of hosts.
+    pub(crate) hosts: BTreeMap<HostId, HostEntry>,
+}
+
+/// Access to the control thread for traffic.
+#[derive(Clone, Debug)]
+pub(crate) struct ControlHandle {
+    sender: mpsc::Sender<ControlEvent>,
+    snapshot: Arc<ArcSwap<RoutingSnapshot>>,
+}
+
+impl ControlHandle {
+    /// Returns a handle that sends into `sender`.
+    pub(crate) const fn new(
+        sender: mpsc::Sender<ControlEvent>,
+        snapshot: Arc<ArcSwap<RoutingSnapshot>>,
+    ) -> Self {
+        Self { sender, snapshot }
+    }
+
+    /// Sends an event, waiting while the channel is full. After the end of the
+    /// control thread the event is dropped, which closes its reply channel.
+    pub(crate) async fn send(&self, event: ControlEvent) {
+        let _ = self.sender.send(event).await;
+    }
+
+    /// Returns the latest snapshot.
+    pub(crate) fn snapshot(&self) -> Arc<RoutingSnapshot> {
+        self.snapshot.load_full()
+    }
+}
+
+impl RoutingSnapshot {
+    /// Returns the peer address of a registered daemon.
+    pub(crate) fn peer_address(&self, daemon: &DaemonId) -> Option<SocketAddr> {
+        self.members.get(daemon)?.peer_address.parse().ok()
+    }
+
+    /// Returns the zones with live runners of a service, in order.
+    pub(crate) fn runner_zones(&self, service: &ServiceId) -> Vec<ZoneId> {
+        let zones: BTreeSet<_> = self
+            .hosts
+            .values()
+            .filter(|host| host.kind == HostKind::Runner && host.state == HostState::Live)
+            .filter(|host| host.service.as_ref() == Some(service))
+            .map(|host| host.zone.clone())
+            .collect();
+        zones.into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,16 @@
+/*!
+The control thread, which owns all control state of the daemon.
+
+[`run`] starts the traffic threads and the control thread. Traffic sends
+[`ControlEvent`]s over a bounded channel; the control thread applies them one by
+one, publishes a [`RoutingSnapshot`] after each change and hands effects such as
+store transactions back to the traffic threads.
+*/
+
+mod effects;
+mod messages;
+mod process;
+mod state;
+
+pub(crate) use messages::{ControlEvent, ControlHandle, RoutingSnapshot};
+pub use process::{DaemonError, run};
--- /dev/null
+++ b/crates/daemon/src/control/process.rs
@@ -0,0 +1,230 @@
+//! Start and end of the daemon's threads.
+
+use std::{io, sync::Arc, thread, time::Duration};
+
+use arc_swap::ArcSwap;
+use auburnsaddle_core::MemberRecord;
+use log::LevelFilter;
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    sync::mpsc,
+    time::MissedTickBehavior,
+};
+
+use super::{
+    effects::EffectRunner,
+    messages::{ControlEvent, ControlHandle, RoutingSnapshot},
+    state::ControlState,
+};
+use crate::{
+    calls::CallDispatcher,
+    front::{FrontService, serve_front},
+    hosts::{HostClient, HostSource},
+    membership::{MEMBER_PREFIX, register_transaction},
+    ownership::OWNER_PREFIX,
+    peers::{PeerClient, serve_peers},
+    publication::CONFIG_KEY,
+    settings::DaemonSettings,
+    store::{HttpStore, StoreClient},
+    telemetry::{ProcessClock, init_logger},
+};
+
+/// Events that may wait for the control thread; senders wait beyond that.
+const CONTROL_QUEUE: usize = 4_096;
+
+/// Time between looks at deadlines.
+const TIMER_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A daemon that could not start.
+#[derive(Debug, Snafu)]
+#[non_exhaustive]
+pub enum DaemonError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}; choose another address"))]
+    Listen {
+        /// The address.
+        address: String,
+        /// The cause.
+        source: io::Error,
+    },
+    /// A thread or runtime could not be started.
+    #[snafu(display("cannot start threads: {source}; raise the process's thread limit"))]
+    Threads {
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// Runs a daemon until it is terminated.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be listened on or a thread cannot be
+/// started.
+pub fn run(settings: &DaemonSettings) -> Result<(), DaemonError> {
+    init_logger(&settings.name, LevelFilter::Info);
+    let traffic = Builder::new_multi_thread()
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .context(ThreadsSnafu)?;
+    let front = listen(&traffic, &settings.listen.to_string())?;
+    let peer_listener = listen(&traffic, &settings.peer_listen.to_string())?;
+    let record = MemberRecord {
+        daemon: settings.name.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        peer_address: local_address(&peer_listener)?,
+        caller_address: local_address(&front)?,
+    };
+    log::info!(
+        "serving callers on {} and peers on {}",
+        record.caller_address,
+        record.peer_address
+    );
+    let (sender, receiver) = mpsc::channel(CONTROL_QUEUE);
+    let snapshot = Arc::new(ArcSwap::from_pointee(RoutingSnapshot::default()));
+    let control = ControlHandle::new(sender, Arc::clone(&snapshot));
+    let peers = PeerClient::default();
+    let store = HttpStore::new(settings.store);
+    let dispatcher = CallDispatcher::new(control.clone(), peers.clone());
+    let service = FrontService::new(control.clone(), dispatcher, store.clone());
+    traffic.spawn(serve_peers(peer_listener, service.clone()));
+    traffic.spawn(poll_hosts(
+        control.clone(),
+        HostClient::new(settings.hosts),
+        settings.poll_interval,
+    ));
+    traffic.spawn(poll_store(
+        control.clone(),
+        store.clone(),
+        record.clone(),
+        settings.poll_interval,
+    ));
+    let effects = EffectRunner {
+        traffic: traffic.handle().clone(),
+        control,
+        peers,
+        store,
+    };
+    let state = ControlState::new(record);
+    let interval = settings.heartbeat_interval;
+    let thread = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control_thread(state, receiver, &effects, &snapshot, interval))
+        .context(ThreadsSnafu)?;
+    traffic.block_on(serve_front(front, service));
+    drop(thread);
+    Ok(())
+}
+
+fn listen(traffic: &Runtime, address: &str) -> Result<TcpListener, DaemonError> {
+    traffic
+        .block_on(TcpListener::bind(address))
+        .context(ListenSnafu { address })
+}
+
+fn local_address(listener: &TcpListener) -> Result<String, DaemonError> {
+    let address = listener.local_addr().context(ListenSnafu {
+        address: "a bound socket",
+    })?;
+    Ok(address.to_string())
+}
+
+/// Applies events one by one on a single-threaded runtime of its own.
+fn control_thread<S: StoreClient>(
+    mut state: ControlState,
+    mut receiver: mpsc::Receiver<ControlEvent>,
+    effects: &EffectRunner<S>,
+    snapshot: &ArcSwap<RoutingSnapshot>,
+    heartbeat_interval: Duration,
+) {
+    let runtime = match Builder::new_current_thread().enable_time().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("cannot start the control thread: {error}");
+            return;
+        }
+    };
+    let clock = ProcessClock::start();
+    runtime.block_on(async {
+        let mut timer = interval(TIMER_INTERVAL);
+        let mut heartbeat = interval(heartbeat_interval);
+        loop {
+            let actions = tokio::select! {
+                event = receiver.recv() => match event {
+                    Some(event) => {
+                        let publish = !matches!(event, ControlEvent::Calls(_));
+                        let actions = state.handle(event, clock.now());
+                        if publish {
+                            snapshot.store(Arc::new(state.snapshot(clock.now())));
+                        }
+                        actions
+                    }
+                    None => return,
+                },
+                _ = timer.tick() => state.fire_timers(clock.now()),
+                _ = heartbeat.tick() => {
+                    snapshot.store(Arc::new(state.snapshot(clock.now())));
+                    vec![state.heartbeat(clock.now())]
+                }
+            };
+            for effect in actions {
+                effects.start(effect);
+            }
+        }
+    });
+}
+
+fn interval(period: Duration) -> tokio::time::Interval {
+    let mut interval = tokio::time::interval(period);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    interval
+}
+
+async fn poll_hosts<H: HostSource>(control: ControlHandle, source: H, period: Duration) {
+    let mut interval = interval(period);
+    loop {
+        interval.tick().await;
+        match source.read().await {
+            Ok(entries) => control.send(ControlEvent::HostsRead(entries)).await,
+            Err(error) => log::warn!("{error}"),
+        }
+    }
+}
+
+/// Registers the daemon, then reads the control keys again and again.
+async fn poll_store<S: StoreClient>(
+    control: ControlHandle,
+    store: S,
+    record: MemberRecord,
+    period: Duration,
+) {
+    let mut interval = interval(period);
+    let mut registered = false;
+    loop {
+        interval.tick().await;
+        if !registered {
+            match store.commit(register_transaction(&record)).await {
+                Ok(_) => registered = true,
+                Err(error) => log::warn!("registering the daemon: {error}"),
+            }
+        }
+        let mut entries = Vec::new();
+        let mut failed = false;
+        for prefix in [MEMBER_PREFIX, OWNER_PREFIX, CONFIG_KEY] {
+            match store.read_prefix(prefix).await {
+                Ok(read) => entries.extend(read),
+                Err(error) => {
+                    log::warn!("reading {prefix}: {error}");
+                    failed = true;
+                }
+            }
+        }
+        if !failed {
+            control.send(ControlEvent::StoreRead(entries)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/messages.rs
@@ -0,0 +1,144 @@
+//! Answers to callers and operators.
+
+use std::collections::BTreeMap;
+
+use auburnsaddle_core::{ConfigVersion, DaemonId, NotRunReason, ObjectSet, UnknownReason};
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use super::body::FrontBody;
+
+/// Response header with the outcome of a request that was not answered.
+const OUTCOME_HEADER: &str = "auburnsaddle-outcome";
+
+/// Seconds after which a caller may try again.
+const RETRY_AFTER_SECONDS: &str = "1";
+
+/// An answer of the front.
+pub(crate) type FrontResponse = Response<FrontBody>;
+
+/// The JSON body of an error answer.
+#[derive(Debug, Serialize)]
+pub(super) struct ErrorBody<'a> {
+    /// What went wrong.
+    error: &'a str,
+    /// What to do next.
+    remedy: &'a str,
+}
+
+/// An operator's request to publish objects.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct PublishRequest {
+    /// The version that the operator saw.
+    pub(super) base: ConfigVersion,
+    /// All objects.
+    pub(super) objects: ObjectSet,
+}
+
+/// The version that was published.
+#[derive(Debug, Serialize)]
+pub(super) struct PublishReply {
+    /// Its number.
+    pub(super) version: ConfigVersion,
+}
+
+/// The configuration in force.
+#[derive(Debug, Serialize)]
+pub(super) struct ConfigReply {
+    /// Its version.
+    pub(super) version: ConfigVersion,
+    /// All objects.
+    pub(super) objects: ObjectSet,
+}
+
+/// Which version is in force where.
+#[derive(Debug, Serialize)]
+pub(super) struct StatusReply {
+    /// The daemon that answers.
+    pub(super) daemon: DaemonId,
+    /// Versions by daemon.
+    pub(super) versions: BTreeMap<DaemonId, ConfigVersion>,
+    /// Owners by shard.
+    pub(super) owners: BTreeMap<String, DaemonId>,
+}
+
+/// Returns a JSON answer.
+pub(super) fn json_response<T: Serialize>(status: StatusCode, value: &T) -> FrontResponse {
+    let (status, bytes) = match serde_json::to_vec(value) {
+        Ok(bytes) => (status, bytes),
+        Err(error) => (
+            StatusCode::INTERNAL_SERVER_ERROR,
+            error.to_string().into_bytes(),
+        ),
+    };
+    let mut response = Response::new(FrontBody::Full(Full::new(Bytes::from(bytes))));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// A request that the front rejects, with its remedy.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("{error}; {remedy}"))]
+pub(super) struct FrontError {
+    status: StatusCode,
+    error: String,
+    remedy: &'static str,
+}
+
+impl FrontError {
+    /// Returns an error with a status, what went wrong and what to do next.
+    pub(super) fn new(status: StatusCode, error: &str, remedy: &'static str) -> Self {
+        Self {
+            status,
+            error: error.to_owned(),
+            remedy,
+        }
+    }
+}
+
+impl From<FrontError> for FrontResponse {
+    fn from(error: FrontError) -> Self {
+        json_response(
+            error.status,
+            &ErrorBody {
+                error: &error.error,
+                remedy: error.remedy,
+            },
+        )
+    }
+}
+
+/// Returns the answer to a request that was certainly not run.
+pub(super) fn not_run_response(reason: NotRunReason) -> FrontResponse {
+    let error = format!("not run: {reason}");
+    let mut response = FrontResponse::from(FrontError::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        &error,
+        reason.remedy(),
+    ));
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static("not-run"));
+    headers.insert(
+        header::RETRY_AFTER,
+        HeaderValue::from_static(RETRY_AFTER_SECONDS),
+    );
+    response
+}
+
+/// Returns the answer to a request that may have run.
+pub(super) fn unknown_response(reason: UnknownReason) -> FrontResponse {
+    let error = format!("outcome unknown: {reason}");
+    let remedy = "ask the service whether the request ran before sending it again";
+    let mut response =
+        FrontResponse::from(FrontError::new(StatusCode::GATEWAY_TIMEOUT, &error, remedy));
+    response
+        .headers_mut()
+        .insert(OUTCOME_HEADER, HeaderValue::from_static("unknown"));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/hosts/client.rs
@@ -0,0 +1,82 @@
+//! The list's HTTP client.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use auburnsaddle_core::HostEntry;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use snafu::Snafu;
+
+/// Time after which a reading counts as failed.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest list in bytes: 6,200 hosts at about 300 bytes, with room to spare.
+const LIST_LIMIT: usize = 8 << 20;
+
+/// A list of hosts that could not be read.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("reading the list of hosts failed: {message}; check the address in --hosts"))]
+pub(crate) struct HostListError {
+    message: String,
+}
+
+/// Where the list of hosts comes from.
+pub(crate) trait HostSource: Clone + Send + Sync + 'static {
+    /// Reads the whole list.
+    fn read(&self) -> impl Future<Output = Result<Vec<HostEntry>, HostListError>> + Send;
+}
+
+/// A list of hosts served over HTTP as JSON.
+#[derive(Clone, Debug)]
+pub(crate) struct HostClient {
+    address: SocketAddr,
+    client: Client<HttpConnector, Empty<Bytes>>,
+}
+
+impl HostClient {
+    /// Returns a client that connects on first use.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    async fn fetch(&self) -> Result<Vec<HostEntry>, String> {
+        let request = Request::get(format!("http://{}/hosts", self.address))
+            .body(Empty::new())
+            .map_err(|error| error.to_string())?;
+        let response = self
+            .client
+            .request(request)
+            .await
+            .map_err(|error| error.to_string())?;
+        if !response.status().is_success() {
+            return Err(format!("status {}", response.status()));
+        }
+        let body = Limited::new(response.into_body(), LIST_LIMIT);
+        let bytes = body
+            .collect()
+            .await
+            .map_err(|error| error.to_string())?
+            .to_bytes();
+        serde_json::from_slice(&bytes).map_err(|error| error.to_string())
+    }
+}
+
+impl HostSource for HostClient {
+    async fn read(&self) -> Result<Vec<HostEntry>, HostListError> {
+        match tokio::time::timeout(READ_TIMEOUT, self.fetch()).await {
+            Ok(Ok(entries)) => Ok(entries),
+            Ok(Err(message)) => Err(HostListError { message }),
+            Err(_) => Err(HostListError {
+                message: "timed out".to_owned(),
+            }),
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,49 @@
-//! The auburnsaddle daemon.
+/*!
+The auburnsaddle daemon: the edges around the decisions of `auburnsaddle-core`.
+
+One *control thread* owns all control state: configuration, peers, owners and
+the queues of the shards that this daemon owns. *Traffic threads* carry HTTP,
+peer streams and store calls. They read the published [`routing
+snapshot`](control) and send events to the control thread over a bounded
+channel, so no lock is held across an await and no decision runs concurrently
+with another one.
+
+# Slices
+
+* `settings`: flags and environment variables.
+* `telemetry`: logs as JSON lines.
+* `store`: the platform's key-value store.
+* `hosts`: the platform's list of hosts.
+* `peers`: `h2` streams with `bincode` messages between daemons.
+* `membership`, `ownership`, `publication`, `calls`: the control state of each
+  decision slice and its messages.
+* `control`: the control thread.
+* `front`: HTTP for callers and operators.
+
+# Use
+
+The binary `auburnsaddled` reads its settings and calls [`run`]:
+
+```no_run
+use auburnsaddle_daemon::{DaemonSettings, run};
+
+let settings = DaemonSettings::from_environment()?;
+run(&settings)?;
+# Ok::<(), Box<dyn std::error::Error>>(())
+```
+*/
+
+mod calls;
+mod control;
+mod front;
+mod hosts;
+mod membership;
+mod ownership;
+mod peers;
+mod publication;
+mod settings;
+mod store;
+mod telemetry;
+
+pub use control::{DaemonError, run};
+pub use settings::{DaemonSettings, SettingsError};
--- /dev/null
+++ b/crates/daemon/src/membership/state.rs
@@ -0,0 +1,37 @@
+//! The registrations in the store.
+
+use auburnsaddle_core::MemberRecord;
+
+use crate::store::{StoreEntry, StorePut, StoreTxn};
+
+/// Store prefix of the registrations.
+pub(crate) const MEMBER_PREFIX: &str = "members/";
+
+/// Decodes the registrations; a corrupted one is logged and passed over.
+pub(crate) fn read_members(entries: &[StoreEntry]) -> Vec<MemberRecord> {
+    let members = entries
+        .iter()
+        .filter(|entry| entry.key.starts_with(MEMBER_PREFIX));
+    members
+        .filter_map(|entry| match serde_json::from_slice(&entry.value) {
+            Ok(record) => Some(record),
+            Err(error) => {
+                log::error!(
+                    "registration {} is malformed: {error}; delete the key",
+                    entry.key
+                );
+                None
+            }
+        })
+        .collect()
+}
+
+/// Returns the transaction that registers this daemon.
+pub(crate) fn register_transaction(record: &MemberRecord) -> StoreTxn {
+    let value = serde_json::to_vec(record).expect("a registration has only text keys");
+    let key = format!("{MEMBER_PREFIX}{}", record.daemon);
+    StoreTxn {
+        puts: vec![StorePut { key, value }],
+        ..StoreTxn::default()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ownership/mod.rs
@@ -0,0 +1,5 @@
+//! Owner records in the store and their replacement by compare-and-swap.
+
+mod state;
+
+pub(crate) use state::{OWNER_PREFIX, claim_transaction, read_owner, read_owners};
--- /dev/null
+++ b/crates/daemon/src/peers/server.rs
@@ -0,0 +1,93 @@
+//! Connections from other daemons.
+
+use std::future::{Future, poll_fn};
+
+use bytes::Bytes;
+use h2::{Reason, RecvStream, server::SendResponse};
+use http::{Request, Response};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{
+    codec::{decode, encode, read_body},
+    messages::{PeerError, PeerReply, PeerRequest},
+};
+
+/// Answers requests of other daemons.
+pub(crate) trait PeerHandler: Clone + Send + Sync + 'static {
+    /// Answers one request; dropped if the peer resets the stream.
+    fn handle(&self, request: PeerRequest) -> impl Future<Output = PeerReply> + Send;
+}
+
+/// Accepts connections of other daemons until the task is aborted.
+pub(crate) async fn serve_peers<H: PeerHandler>(listener: TcpListener, handler: H) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_connection(stream, handler.clone()));
+            }
+            Err(error) => {
+                log::warn!("accepting a peer connection failed: {error}");
+                // Out of file descriptors, for one, does not end at once.
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H: PeerHandler>(stream: TcpStream, handler: H) {
+    // Without the option a small reply would wait for a delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let mut connection = match h2::server::handshake(stream).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::debug!("peer handshake failed: {error}");
+            return;
+        }
+    };
+    while let Some(accepted) = connection.accept().await {
+        match accepted {
+            Ok((request, respond)) => {
+                tokio::spawn(serve_stream(request, respond, handler.clone()));
+            }
+            Err(error) => {
+                log::debug!("peer connection ended: {error}");
+                return;
+            }
+        }
+    }
+}
+
+async fn serve_stream<H: PeerHandler>(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    handler: H,
+) {
+    let message = match read_body(request.into_body())
+        .await
+        .and_then(|body| decode(&body))
+    {
+        Ok(message) => message,
+        Err(error) => {
+            log::warn!("peer request rejected: {error}");
+            respond.send_reset(Reason::PROTOCOL_ERROR);
+            return;
+        }
+    };
+    let reply = tokio::select! {
+        reply = handler.handle(message) => reply,
+        _ = poll_fn(|context| respond.poll_reset(context)) => return,
+    };
+    if let Err(error) = send_reply(&mut respond, &reply) {
+        log::debug!("peer reply was not sent: {error}");
+    }
+}
+
+fn send_reply(respond: &mut SendResponse<Bytes>, reply: &PeerReply) -> Result<(), PeerError> {
+    let body = encode(reply)?;
+    let sent = respond
+        .send_response(Response::new(()), false)
+        .and_then(|mut stream| stream.send_data(body, true));
+    sent.map_err(|error| PeerError::Interrupted {
+        message: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/store/wire.rs
@@ -0,0 +1,182 @@
+//! The JSON messages of the store's HTTP interface.
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use serde::{Deserialize, Serialize};
+
+use super::messages::{StoreCompare, StoreEntry, StoreError, StorePut, StoreTxn};
+
+#[derive(Debug, Serialize)]
+pub(super) struct RangeRequest {
+    key: String,
+    range_end: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct RangeReply {
+    kvs: Vec<KeyValue>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct KeyValue {
+    key: String,
+    value: String,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct TxnRequest {
+    compare: Vec<CompareItem>,
+    success: Vec<OperationItem>,
+    failure: Vec<OperationItem>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(untagged)]
+enum CompareItem {
+    Value {
+        key: String,
+        target: &'static str,
+        result: &'static str,
+        value: String,
+    },
+    Version {
+        key: String,
+        target: &'static str,
+        result: &'static str,
+        version: &'static str,
+    },
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum OperationItem {
+    RequestPut { key: String, value: String },
+    RequestRange(RangeRequest),
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct TxnReply {
+    pub(super) succeeded: bool,
+    responses: Vec<ResponseItem>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct ResponseItem {
+    response_range: Option<RangeReply>,
+}
+
+impl RangeRequest {
+    /// Returns a request for all keys with a prefix.
+    pub(super) fn prefix(prefix: &str) -> Self {
+        let mut end = prefix.as_bytes().to_vec();
+        if let Some(last) = end.last_mut() {
+            // Keys are ASCII, so the last byte has a successor.
+            *last += 1;
+        }
+        Self {
+            key: BASE64_STANDARD.encode(prefix),
+            range_end: BASE64_STANDARD.encode(end),
+        }
+    }
+
+    fn key(key: &str) -> Self {
+        Self {
+            key: BASE64_STANDARD.encode(key),
+            range_end: String::new(),
+        }
+    }
+}
+
+impl From<StoreTxn> for TxnRequest {
+    fn from(transaction: StoreTxn) -> Self {
+        let reads = transaction.reads_on_conflict.iter();
+        Self {
+            compare: transaction
+                .compares
+                .into_iter()
+                .map(CompareItem::from)
+                .collect(),
+            success: transaction
+                .puts
+                .into_iter()
+                .map(OperationItem::from)
+                .collect(),
+            failure: reads
+                .map(|key| OperationItem::RequestRange(RangeRequest::key(key)))
+                .collect(),
+        }
+    }
+}
+
+impl From<StoreCompare> for CompareItem {
+    fn from(compare: StoreCompare) -> Self {
+        match compare {
+            StoreCompare::Absent(key) => Self::Version {
+                key: BASE64_STANDARD.encode(key),
+                target: "VERSION",
+                result: "EQUAL",
+                version: "0",
+            },
+            StoreCompare::ValueEquals(key, value) => Self::Value {
+                key: BASE64_STANDARD.encode(key),
+                target: "VALUE",
+                result: "EQUAL",
+                value: BASE64_STANDARD.encode(value),
+            },
+        }
+    }
+}
+
+impl From<StorePut> for OperationItem {
+    fn from(put: StorePut) -> Self {
+        Self::RequestPut {
+            key: BASE64_STANDARD.encode(put.key),
+            value: BASE64_STANDARD.encode(put.value),
+        }
+    }
+}
+
+impl RangeReply {
+    /// Decodes the entries.
+    pub(super) fn into_entries(self) -> Result<Vec<StoreEntry>, StoreError> {
+        self.kvs.into_iter().map(KeyValue::into_entry).collect()
+    }
+}
+
+impl TxnReply {
+    /// Decodes the entries of all ranges that were read.
+    pub(super) fn into_entries(self) -> Result<Vec<StoreEntry>, StoreError> {
+        let ranges = self
+            .responses
+            .into_iter()
+            .filter_map(|response| response.response_range);
+        ranges
+            .flat_map(|range| range.kvs)
+            .map(KeyValue::into_entry)
+            .collect()
+    }
+}
+
+impl KeyValue {
+    fn into_entry(self) -> Result<StoreEntry, StoreError> {
+        let key = decode(&self.key)?;
+        let key = String::from_utf8(key).map_err(|error| StoreError::Malformed {
+            message: error.to_string(),
+        })?;
+        Ok(StoreEntry {
+            key,
+            value: decode(&self.value)?,
+        })
+    }
+}
+
+fn decode(text: &str) -> Result<Vec<u8>, StoreError> {
+    BASE64_STANDARD
+        .decode(text)
+        .map_err(|error| StoreError::Malformed {
+            message: error.to_string(),
+        })
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/logger.rs
@@ -0,0 +1,69 @@
+//! A logger that writes JSON lines to standard error.
+
+use std::{
+    io::Write,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use log::{LevelFilter, Log, Metadata, Record};
+use serde_json::json;
+use simplelog::{CombinedLogger, Config, SharedLogger};
+
+/// Writes each record as one JSON object on a line.
+///
+/// `simplelog` has no JSON output, so this logger takes part in its
+/// [`CombinedLogger`] instead.
+struct JsonLogger {
+    daemon: String,
+    level: LevelFilter,
+}
+
+/// Installs the logger of the process; a second call has no effect.
+pub(crate) fn init_logger(daemon: &str, level: LevelFilter) {
+    let logger = JsonLogger {
+        daemon: daemon.to_owned(),
+        level,
+    };
+    // Fails only if a logger is installed already, as in tests.
+    let _ = CombinedLogger::init(vec![Box::new(logger)]);
+}
+
+impl Log for JsonLogger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let elapsed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let line = json!({
+            "time_unix_ms": u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+            "level": record.level().as_str(),
+            "daemon": self.daemon,
+            "module": record.target(),
+            "message": record.args().to_string(),
+        });
+        // A closed standard error must not end the daemon.
+        let _ = writeln!(std::io::stderr().lock(), "{line}");
+    }
+
+    fn flush(&self) {}
+}
+
+impl SharedLogger for JsonLogger {
+    fn level(&self) -> LevelFilter {
+        self.level
+    }
+
+    fn config(&self) -> Option<&Config> {
+        None
+    }
+
+    fn as_log(self: Box<Self>) -> Box<dyn Log> {
+        self
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,13 @@
-//! Small stand-ins for the platform, for tests and the quick start.
+/*!
+Small stand-ins for what the platform provides, for tests and the quick start.
+
+* [`platform`]: the key-value store and the list of hosts.
+* [`target`]: runners and workers.
+
+They keep everything in memory and speak the protocols that the daemon speaks
+to the real platform. Nothing here is shipped.
+*/
+
+pub mod http;
+pub mod platform;
+pub mod target;
--- /dev/null
+++ b/crates/standins/src/platform/messages.rs
@@ -0,0 +1,107 @@
+//! The store's requests and replies.
+
+use serde::{Deserialize, Serialize};
+
+/// Reads a key or a range of keys.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct RangeRequest {
+    /// First key, in base64.
+    pub key: String,
+    /// First key after the range, in base64; empty for the single key.
+    pub range_end: String,
+}
+
+/// A stored key.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct KeyValue {
+    /// Key, in base64.
+    pub key: String,
+    /// Value, in base64.
+    pub value: String,
+    /// Store revision of the last change, as a decimal number.
+    pub mod_revision: String,
+}
+
+/// The keys of a range.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct RangeReply {
+    /// The entries in key order.
+    pub kvs: Vec<KeyValue>,
+}
+
+/// Compares, then applies one of two lists of operations.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct TxnRequest {
+    /// All must hold for `success` to be applied.
+    pub compare: Vec<CompareItem>,
+    /// Applied if all comparisons hold.
+    pub success: Vec<OperationItem>,
+    /// Applied otherwise.
+    pub failure: Vec<OperationItem>,
+}
+
+/// One comparison; only equality is supported.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct CompareItem {
+    /// Key, in base64.
+    pub key: String,
+    /// `VALUE`, `VERSION` or `MOD`.
+    pub target: String,
+    /// Expected value in base64, for the target `VALUE`.
+    pub value: Option<String>,
+    /// Expected number of changes since creation, for the target `VERSION`.
+    pub version: Option<String>,
+    /// Expected revision, for the target `MOD`.
+    pub mod_revision: Option<String>,
+}
+
+/// One operation; exactly one field is present.
+#[expect(
+    clippy::struct_field_names,
+    reason = "the names are those of the protocol"
+)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct OperationItem {
+    /// Writes a key.
+    pub request_put: Option<PutRequest>,
+    /// Deletes a range.
+    pub request_delete_range: Option<RangeRequest>,
+    /// Reads a range.
+    pub request_range: Option<RangeRequest>,
+}
+
+/// Writes a key.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct PutRequest {
+    /// Key, in base64.
+    pub key: String,
+    /// Value, in base64.
+    pub value: String,
+    /// Lease under which the key lives, as a decimal number; `0` for none.
+    pub lease: String,
+}
+
+/// The result of a transaction.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct TxnReply {
+    /// Whether all comparisons held.
+    pub succeeded: bool,
+    /// One response for each applied operation.
+    pub responses: Vec<ResponseItem>,
+}
+
+/// The response to one operation of a transaction.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct ResponseItem {
+    /// The entries read by a range operation.
+    pub response_range: Option<RangeReply>,
+}
