Check operators' objects as one set

Cause: the parser stopped at the first bad field, knew no work objects and checked no references, so a broken set could be published.

Batch runs, gang jobs and long-running tasks share one type (WorkSpec), since they have the same fields; the table tells them apart. Every table entry is parsed by itself, so that one malformed object does not hide the problems of the others; references to a malformed object are not reported a second time. Ruled out: parsing a file as a whole (gives line numbers, but ends at the first error of the file).

Serde attributes move from fields to containers, also in the list of hosts, where an entry without a state now counts as leaving.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,13 +1,14 @@
 //! The commands of the tool.
 
-use std::{fs, io, path::Path};
-
-use auburnsaddle_core::{ObjectError, ObjectSet};
+use auburnsaddle_core::{ObjectProblem, ObjectSet};
 use hyper::Method;
 use serde_json::{Value, json};
-use snafu::{ResultExt, Snafu};
+use snafu::Snafu;
 
-use crate::client::{ClientError, DaemonClient};
+use crate::{
+    client::{ClientError, DaemonClient},
+    files::{FileError, read_objects},
+};
 
 /// A command that failed.
 #[derive(Debug, Snafu)]
@@ -19,18 +20,16 @@
         message: String,
     },
     /// A file cannot be read.
-    #[snafu(display("cannot read {path}: {source}; check the path and its permissions"))]
-    Read {
-        /// The path.
-        path: String,
+    #[snafu(transparent)]
+    File {
         /// The cause.
-        source: io::Error,
+        source: FileError,
     },
     /// The objects are not valid.
-    #[snafu(transparent)]
+    #[snafu(display("{}", lines(problems)))]
     Objects {
-        /// The cause.
-        source: ObjectError,
+        /// Everything that is wrong.
+        problems: Vec<ObjectProblem>,
     },
     /// The daemon did not carry the command out.
     #[snafu(transparent)]
@@ -49,7 +48,7 @@
     let command = arguments.subcommand().ok().flatten().unwrap_or_default();
     match command.as_str() {
         "check" => {
-            read_objects(&directory(&mut arguments)?)?;
+            valid_objects(&directory(&mut arguments)?)?;
             Ok("the objects are valid".to_owned())
         }
         "apply" => apply(&client, &directory(&mut arguments)?).await,
@@ -66,7 +65,7 @@
 }
 
 async fn apply(client: &DaemonClient, directory: &str) -> Result<String, CommandError> {
-    let objects = read_objects(directory)?;
+    let objects = valid_objects(directory)?;
     let current = client
         .send(Method::GET, "/admin/config", &Value::Null)
         .await?;
@@ -83,28 +82,19 @@
         })
 }
 
-fn read_objects(directory: &str) -> Result<ObjectSet, CommandError> {
-    let mut paths = Vec::new();
-    for entry in fs::read_dir(directory).context(ReadSnafu { path: directory })? {
-        let path = entry.context(ReadSnafu { path: directory })?.path();
-        if path
-            .extension()
-            .is_some_and(|extension| extension == "toml")
-        {
-            paths.push(path);
-        }
-    }
-    paths.sort();
-    let mut objects = ObjectSet::default();
-    for path in paths {
-        let name = path.display().to_string();
-        objects.merge(&name, ObjectSet::parse(&name, &read(&path)?)?)?;
+/// Reads a directory and rejects a set that cannot be published.
+fn valid_objects(directory: &str) -> Result<ObjectSet, CommandError> {
+    let report = read_objects(directory)?;
+    if report.is_valid() {
+        Ok(report.set)
+    } else {
+        Err(CommandError::Objects {
+            problems: report.problems,
+        })
     }
-    Ok(objects)
 }
 
-fn read(path: &Path) -> Result<String, CommandError> {
-    fs::read_to_string(path).context(ReadSnafu {
-        path: path.display().to_string(),
-    })
+fn lines(problems: &[ObjectProblem]) -> String {
+    let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
+    lines.join("\n")
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod commands;
+mod files;
 
 use std::process::ExitCode;
 
--- a/crates/core/src/hosts/messages.rs
+++ b/crates/core/src/hosts/messages.rs
@@ -5,8 +5,11 @@
 use crate::types::{HostId, ObjectName, PoolId, RackId, ResourceVector, ZoneId};
 
 /// One line of the platform's list.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
+///
+/// An entry without a state counts as leaving, so that an incomplete line
+/// attracts no work.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
 pub struct HostEntry {
     /// Unique name of the target.
     pub name: HostId,
@@ -15,7 +18,6 @@
     /// The pool to which the host belongs.
     pub pool: PoolId,
     /// The service that a runner answers; empty for a worker.
-    #[serde(default)]
     pub service: Option<ObjectName>,
     /// The host's availability zone.
     pub zone: ZoneId,
@@ -26,29 +28,29 @@
     /// Whether the host takes new work.
     pub state: HostState,
     /// The resources of a worker; zero for a runner.
-    #[serde(default)]
     pub capacity: ResourceVector,
     /// The slots of a runner; zero for a worker.
-    #[serde(default)]
     pub slots: u32,
 }
 
 /// What a target serves.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostKind {
     /// Short calls of one service.
     Runner,
     /// Tasks.
+    #[default]
     Worker,
 }
 
 /// Whether a host takes new work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostState {
     /// The host takes new work.
     Live,
     /// The host is about to leave and takes no new work.
+    #[default]
     Leaving,
 }
--- a/crates/core/src/objects/state.rs
+++ b/crates/core/src/objects/state.rs
@@ -5,113 +5,134 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    messages::{ObjectError, ObjectErrorKind},
+    messages::{ObjectKind, ObjectRef},
     spec::{MarketSpec, PoolSpec, ServiceSpec, TeamSpec},
+    work::WorkSpec,
 };
 use crate::types::{ObjectName, PoolId, ServiceId, TeamId};
 
 /// All objects of one configuration version, by kind and name.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct ObjectSet {
+    /// Batch runs by name.
+    pub batches: BTreeMap<ObjectName, WorkSpec>,
+    /// Gang jobs by name.
+    pub gangs: BTreeMap<ObjectName, WorkSpec>,
     /// Markets by name.
     pub markets: BTreeMap<ObjectName, MarketSpec>,
     /// Pools by name.
     pub pools: BTreeMap<PoolId, PoolSpec>,
     /// Services by name.
     pub services: BTreeMap<ServiceId, ServiceSpec>,
+    /// Long-running tasks by name.
+    pub tasks: BTreeMap<ObjectName, WorkSpec>,
     /// Teams by name.
     pub teams: BTreeMap<TeamId, TeamSpec>,
 }
 
-/// The layout of one TOML file.
-#[derive(Debug, Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct ObjectFile {
-    market: Vec<MarketSpec>,
-    pool: Vec<PoolSpec>,
-    service: Vec<ServiceSpec>,
-    team: Vec<TeamSpec>,
+/// An object of any kind.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ObjectSpec {
+    /// A batch run.
+    Batch(WorkSpec),
+    /// A gang job.
+    Gang(WorkSpec),
+    /// A market.
+    Market(MarketSpec),
+    /// A pool of hosts.
+    Pool(PoolSpec),
+    /// A service.
+    Service(ServiceSpec),
+    /// A long-running task.
+    Task(WorkSpec),
+    /// A team.
+    Team(TeamSpec),
 }
 
-impl ObjectSet {
-    /// Reads the objects of one TOML file.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`ObjectErrorKind::Syntax`] if the text is not valid, and
-    /// [`ObjectErrorKind::Duplicate`] if two objects share kind and name.
-    pub fn parse(file: &str, text: &str) -> Result<Self, ObjectError> {
-        let parsed: ObjectFile = toml::from_str(text).map_err(|error| ObjectError {
-            file: file.to_owned(),
-            kind: ObjectErrorKind::Syntax {
-                message: error.to_string().trim_end().to_owned(),
-            },
-        })?;
-        let mut set = Self::default();
-        for market in parsed.market {
-            insert(
-                &mut set.markets,
-                "market",
-                &market.name.clone(),
-                market,
-                file,
-            )?;
-        }
-        for pool in parsed.pool {
-            insert(&mut set.pools, "pool", &pool.name.clone(), pool, file)?;
+impl ObjectSpec {
+    /// Returns the kind and name of the object.
+    #[must_use]
+    pub fn reference(&self) -> ObjectRef {
+        let (kind, name) = match self {
+            Self::Batch(work) => (ObjectKind::Batch, &work.name),
+            Self::Gang(work) => (ObjectKind::Gang, &work.name),
+            Self::Market(market) => (ObjectKind::Market, &market.name),
+            Self::Pool(pool) => (ObjectKind::Pool, &pool.name),
+            Self::Service(service) => (ObjectKind::Service, &service.name),
+            Self::Task(work) => (ObjectKind::Task, &work.name),
+            Self::Team(team) => (ObjectKind::Team, &team.name),
+        };
+        ObjectRef {
+            kind,
+            name: name.clone(),
         }
-        for service in parsed.service {
-            insert(
-                &mut set.services,
-                "service",
-                &service.name.clone(),
-                service,
-                file,
-            )?;
-        }
-        for team in parsed.team {
-            insert(&mut set.teams, "team", &team.name.clone(), team, file)?;
-        }
-        Ok(set)
     }
+}
 
-    /// Adds the objects of another file.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`ObjectErrorKind::Duplicate`] if both define the same object.
-    pub fn merge(&mut self, file: &str, other: Self) -> Result<(), ObjectError> {
-        for (name, market) in other.markets {
-            insert(&mut self.markets, "market", &name, market, file)?;
-        }
-        for (name, pool) in other.pools {
-            insert(&mut self.pools, "pool", &name, pool, file)?;
+impl ObjectSet {
+    /// Adds an object and tells whether it replaced one.
+    pub fn insert(&mut self, object: ObjectSpec) -> bool {
+        let name = object.reference().name;
+        match object {
+            ObjectSpec::Batch(work) => self.batches.insert(name, work).is_some(),
+            ObjectSpec::Gang(work) => self.gangs.insert(name, work).is_some(),
+            ObjectSpec::Market(market) => self.markets.insert(name, market).is_some(),
+            ObjectSpec::Pool(pool) => self.pools.insert(name, pool).is_some(),
+            ObjectSpec::Service(service) => self.services.insert(name, service).is_some(),
+            ObjectSpec::Task(work) => self.tasks.insert(name, work).is_some(),
+            ObjectSpec::Team(team) => self.teams.insert(name, team).is_some(),
         }
-        for (name, service) in other.services {
-            insert(&mut self.services, "service", &name, service, file)?;
+    }
+
+    /// Removes an object and tells whether it was there.
+    pub fn remove(&mut self, object: &ObjectRef) -> bool {
+        let name = &object.name;
+        match object.kind {
+            ObjectKind::Batch => self.batches.remove(name).is_some(),
+            ObjectKind::Gang => self.gangs.remove(name).is_some(),
+            ObjectKind::Market => self.markets.remove(name).is_some(),
+            ObjectKind::Pool => self.pools.remove(name).is_some(),
+            ObjectKind::Service => self.services.remove(name).is_some(),
+            ObjectKind::Task => self.tasks.remove(name).is_some(),
+            ObjectKind::Team => self.teams.remove(name).is_some(),
         }
-        for (name, team) in other.teams {
-            insert(&mut self.teams, "team", &name, team, file)?;
+    }
+
+    /// Tells whether an object is in the set.
+    #[must_use]
+    pub fn contains(&self, object: &ObjectRef) -> bool {
+        let name = &object.name;
+        match object.kind {
+            ObjectKind::Batch => self.batches.contains_key(name),
+            ObjectKind::Gang => self.gangs.contains_key(name),
+            ObjectKind::Market => self.markets.contains_key(name),
+            ObjectKind::Pool => self.pools.contains_key(name),
+            ObjectKind::Service => self.services.contains_key(name),
+            ObjectKind::Task => self.tasks.contains_key(name),
+            ObjectKind::Team => self.teams.contains_key(name),
         }
-        Ok(())
     }
-}
 
-fn insert<T>(
-    objects: &mut BTreeMap<ObjectName, T>,
-    kind: &str,
-    name: &ObjectName,
-    object: T,
-    file: &str,
-) -> Result<(), ObjectError> {
-    match objects.insert(name.clone(), object) {
-        None => Ok(()),
-        Some(_) => Err(ObjectError {
-            file: file.to_owned(),
-            kind: ObjectErrorKind::Duplicate {
-                object: format!("{kind} `{name}`"),
-            },
-        }),
+    /// Returns all objects by kind and name.
+    #[must_use]
+    pub fn objects(&self) -> BTreeMap<ObjectRef, ObjectSpec> {
+        let batches = self.batches.values().cloned().map(ObjectSpec::Batch);
+        let gangs = self.gangs.values().cloned().map(ObjectSpec::Gang);
+        let markets = self.markets.values().cloned().map(ObjectSpec::Market);
+        let pools = self.pools.values().cloned().map(ObjectSpec::Pool);
+        let services = self.services.values().cloned().map(ObjectSpec::Service);
+        let tasks = self.tasks.values().cloned().map(ObjectSpec::Task);
+        let teams = self.teams.values().cloned().map(ObjectSpec::Team);
+        batches
+            .chain(gangs)
+            .chain(markets)
+            .chain(pools)
+            .chain(services)
+            .chain(tasks)
+            .chain(teams)
+            .map(|object| (object.reference(), object))
+            .collect()
     }
 }
