Publish configuration versions as deltas with digests

Cause: the whole set was one store value (config/current) read by every daemon at every poll, without digest or check, and the loser of a race was not told what had changed.

ConfigState in core accepts only the next version, and only if its digest matches and the whole set passes the check. A daemon polls the head alone and fetches what it lacks from the store, or from the peer whose heartbeat names a higher version. A lost response is resolved by reading the delta back.

Conclusion: corrupted, invalid, repeated and reordered versions leave the last good version in force; two publishers on one base give one winner.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 mod membership;
 mod objects;
 mod ownership;
+mod publication;
 mod types;
 
 pub use calls::{CallAction, CallConfig, CallEvent, CallQueue, CallRequest};
@@ -66,6 +67,10 @@
 pub use objects::{ObjectKind, ObjectLoader, ObjectProblem, ObjectProblemKind, ObjectRef};
 pub use objects::{ObjectReport, ServiceSpec, TeamSpec, WorkSpec};
 pub use ownership::{OwnerRecord, OwnerTable, OwnershipAction, OwnershipEvent};
+pub use publication::{ConfigAction, ConfigDelta, ConfigDigest, ConfigEvent, ConfigHead};
+pub use publication::{ConfigPull, ConfigReply, ConfigSnapshot, ConfigSource, ConfigState};
+pub use publication::{ConfigUpdate, ErrorReply, PublishError, PublishReply, PublishRequest};
+pub use publication::{RejectReason, SNAPSHOT_INTERVAL, StatusReply, digest_objects};
 pub use types::{Attempt, ConfigVersion, DaemonId, Epoch, GrantId, HostId, ObjectName};
 pub use types::{CallOutcome, NotRunReason, ResourceVector, ShardName, UnknownReason};
 pub use types::{PoolId, RackId, RegionId, RequestId, RunnerId, ServiceId, TaskId, TeamId};
--- /dev/null
+++ b/crates/core/src/publication/tests.rs
@@ -0,0 +1,174 @@
+//! Tests of configuration versions.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use super::{
+    ConfigAction, ConfigEvent, ConfigPull, ConfigSource, ConfigState, ConfigUpdate, PublishError,
+    RejectReason, SNAPSHOT_INTERVAL, digest_objects,
+};
+use crate::{
+    objects::{ObjectLoader, ObjectSet},
+    types::ConfigVersion,
+};
+
+fn set_with_teams(count: u64) -> ObjectSet {
+    let mut loader = ObjectLoader::default();
+    for index in 0..count {
+        let text = format!("[[team]]\nname = 'team-{index}'\nquota = {{ cpu_milli = 1 }}\n");
+        loader.add("teams.toml", &text);
+    }
+    loader.finish().set
+}
+
+fn deltas(updates: &[ConfigUpdate]) -> ConfigPull {
+    ConfigPull {
+        snapshot: None,
+        deltas: updates.iter().map(|update| update.delta.clone()).collect(),
+    }
+}
+
+fn fetch(state: &mut ConfigState, pull: ConfigPull) -> Vec<ConfigAction> {
+    state.handle(ConfigEvent::Fetched(pull), Duration::ZERO)
+}
+
+/// Returns a state at a version, and the updates that led there.
+fn published(versions: u64) -> (ConfigState, Vec<ConfigUpdate>) {
+    let mut state = ConfigState::default();
+    let mut updates = Vec::new();
+    for version in 0..versions {
+        let update = state.prepare(version, set_with_teams(version + 1)).unwrap();
+        fetch(&mut state, deltas(std::slice::from_ref(&update)));
+        updates.push(update);
+    }
+    (state, updates)
+}
+
+/// Guards against a corrupted delta that is taken into force.
+#[test]
+fn corrupted_deltas_leave_the_last_good_version() {
+    let (mut state, _) = published(2);
+    let mut update = state.prepare(2, set_with_teams(9)).unwrap();
+    update.delta.delta.puts.pop();
+
+    let actions = fetch(&mut state, deltas(&[update]));
+
+    assert_eq!(
+        actions,
+        [ConfigAction::Rejected(3, RejectReason::Corrupted)]
+    );
+    assert_eq!((state.version(), state.objects().teams.len()), (2, 2));
+}
+
+/// Guards against an invalid set with a matching digest that is taken into
+/// force.
+#[test]
+fn invalid_sets_leave_the_last_good_version() {
+    let (mut state, _) = published(1);
+    let mut update = state.prepare(1, set_with_teams(2)).unwrap();
+    let mut objects = set_with_teams(2);
+    for team in objects.teams.values_mut() {
+        team.weight = 0;
+    }
+    update.delta.delta = crate::objects::ObjectDelta::between(state.objects(), &objects);
+    update.delta.digest = digest_objects(2, &objects);
+
+    let actions = fetch(&mut state, deltas(&[update]));
+
+    assert!(
+        matches!(
+            actions[..],
+            [ConfigAction::Rejected(2, RejectReason::CheckFailed { .. })]
+        ),
+        "{actions:?}"
+    );
+    assert_eq!(state.version(), 1);
+}
+
+/// Guards against a conflict that does not tell what the other operator did.
+#[test]
+fn the_loser_of_a_race_learns_the_changed_objects() {
+    let (state, _) = published(3);
+
+    let error = state.prepare(1, set_with_teams(7)).unwrap_err();
+
+    let PublishError::Conflict { found, changes, .. } = error else {
+        panic!("no conflict: {error:?}");
+    };
+    let changes: Vec<_> = changes.iter().map(ToString::to_string).collect();
+    assert_eq!(found, 3);
+    assert_eq!(changes, ["added team `team-1`", "added team `team-2`"]);
+}
+
+/// Guards against a start that needs every delta since the first version.
+#[test]
+fn every_32nd_version_has_a_snapshot() {
+    let (state, updates) = published(SNAPSHOT_INTERVAL + 2);
+    let snapshots = updates.iter().filter_map(|update| update.snapshot.clone());
+    let snapshots: Vec<_> = snapshots.collect();
+    let mut late = ConfigState::default();
+
+    fetch(
+        &mut late,
+        ConfigPull {
+            snapshot: snapshots.last().cloned(),
+            ..deltas(&updates[32..])
+        },
+    );
+
+    assert_eq!(snapshots.len(), 1);
+    assert_eq!(late.head(), state.head());
+}
+
+/// Guards against a peer whose history does not reach back far enough.
+#[test]
+fn a_peer_without_the_deltas_sends_its_whole_set() {
+    let (state, updates) = published(SNAPSHOT_INTERVAL + 2);
+    let mut middle = ConfigState::default();
+    fetch(
+        &mut middle,
+        ConfigPull {
+            snapshot: updates[31].snapshot.clone(),
+            ..deltas(&updates[32..])
+        },
+    );
+    let mut new = ConfigState::default();
+
+    fetch(&mut new, middle.pull(0));
+
+    assert_eq!(new.head(), state.head());
+}
+
+/// Guards against a flood of fetches while one is on its way, and against
+/// waiting for ever for one that was lost.
+#[test]
+fn a_lost_fetch_is_repeated_after_its_timeout() {
+    let mut state = ConfigState::default();
+    let seen = || ConfigEvent::VersionSeen(5, ConfigSource::Store(5));
+
+    let counts: Vec<_> = [0, 1_999, 2_000]
+        .map(|millis| state.handle(seen(), Duration::from_millis(millis)).len())
+        .into();
+
+    assert_eq!(counts, [1, 0, 1]);
+}
+
+proptest! {
+    /// Guards against a version that reverts when deltas are lost, repeated or
+    /// out of order.
+    #[test]
+    fn versions_never_revert(order in prop::collection::vec(0..6_usize, 0..30)) {
+        let (_, updates) = published(6);
+        let mut state = ConfigState::default();
+        let mut highest: ConfigVersion = 0;
+
+        for index in order {
+            fetch(&mut state, deltas(&updates[index..=index]));
+
+            prop_assert!(state.version() >= highest);
+            highest = state.version();
+            prop_assert_eq!(state.objects().teams.len() as u64, highest);
+        }
+    }
+}
--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -142,7 +142,7 @@
             .await
         {
             Ok(PeerReply::Slot(reply)) => reply,
-            Ok(PeerReply::Noted) => Err(NotRunReason::NoOwner),
+            Ok(PeerReply::Noted | PeerReply::Config(_)) => Err(NotRunReason::NoOwner),
             Err(error) => {
                 log::warn!("asking {} for a slot failed: {error}", owner.daemon);
                 Err(NotRunReason::NoOwner)
--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 
-use auburnsaddle_core::{Heartbeat, OwnerRecord, ShardName};
+use auburnsaddle_core::{ConfigVersion, Heartbeat, OwnerRecord, ShardName};
 use tokio::runtime::Handle;
 
 use super::messages::{ControlEvent, ControlHandle};
 use crate::{
     ownership::{claim_transaction, read_owner},
-    peers::{PeerClient, PeerRequest},
+    peers::{PeerClient, PeerReply, PeerRequest},
+    publication::fetch_versions,
     store::{StoreClient, TxnOutcome},
 };
 
@@ -31,6 +32,20 @@
         /// The record to write.
         next: OwnerRecord,
     },
+    /// Reads configuration versions from the store.
+    FetchConfig {
+        /// The version in force.
+        from: ConfigVersion,
+        /// The newest version.
+        head: ConfigVersion,
+    },
+    /// Asks a peer for configuration versions.
+    PullConfig {
+        /// The version in force.
+        from: ConfigVersion,
+        /// The peer.
+        address: SocketAddr,
+    },
 }
 
 /// Carries out effects on the traffic threads.
@@ -61,6 +76,8 @@
             } => {
                 self.claim_shard(shard, expected, next);
             }
+            ControlEffect::FetchConfig { from, head } => self.fetch_config(from, head),
+            ControlEffect::PullConfig { from, address } => self.pull_config(from, address),
         }
     }
 
@@ -76,6 +93,31 @@
         });
     }
 
+    fn fetch_config(&self, from: ConfigVersion, head: ConfigVersion) {
+        let control = self.control.clone();
+        let store = self.store.clone();
+        self.traffic.spawn(async move {
+            match fetch_versions(&store, from, head).await {
+                Ok(pull) => control.send(ControlEvent::ConfigFetched(pull)).await,
+                Err(error) => log::warn!("reading configuration version {head}: {error}"),
+            }
+        });
+    }
+
+    fn pull_config(&self, from: ConfigVersion, address: SocketAddr) {
+        let control = self.control.clone();
+        let peers = self.peers.clone();
+        self.traffic.spawn(async move {
+            match peers.send(address, &PeerRequest::PullConfig(from)).await {
+                Ok(PeerReply::Config(pull)) => {
+                    control.send(ControlEvent::ConfigFetched(pull)).await;
+                }
+                Ok(_) => log::warn!("peer {address} sent no configuration"),
+                Err(error) => log::warn!("pulling the configuration: {error}"),
+            }
+        });
+    }
+
     fn claim_shard(&self, shard: ShardName, expected: Option<OwnerRecord>, next: OwnerRecord) {
         let control = self.control.clone();
         let store = self.store.clone();
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -8,17 +8,13 @@
 
 use arc_swap::ArcSwap;
 use auburnsaddle_core::{
-    ConfigVersion, DaemonId, Heartbeat, HostEntry, HostId, HostKind, HostState, MemberRecord,
-    ObjectSet, OwnerRecord, ServiceId, ShardName, ZoneId,
+    ConfigPull, ConfigUpdate, ConfigVersion, DaemonId, Heartbeat, HostEntry, HostId, HostKind,
+    HostState, MemberRecord, ObjectSet, OwnerRecord, PublishError, ServiceId, ShardName, ZoneId,
 };
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{
-    calls::CallCommand,
-    publication::{PublishError, PublishedConfig},
-    store::{StoreEntry, StoreTxn},
-};
+use crate::{calls::CallCommand, store::StoreEntry};
 
 /// Something that the control thread acts on.
 #[derive(Debug)]
@@ -40,11 +36,13 @@
         base: ConfigVersion,
         /// All objects.
         objects: ObjectSet,
-        /// Receives the transaction to commit.
-        reply: oneshot::Sender<Result<StoreTxn, PublishError>>,
+        /// Receives the version to write.
+        reply: oneshot::Sender<Result<Box<ConfigUpdate>, PublishError>>,
     },
-    /// A configuration was committed.
-    ConfigRead(PublishedConfig),
+    /// Configuration versions were fetched or written.
+    ConfigFetched(ConfigPull),
+    /// A peer asks for the configuration versions after the one named.
+    ConfigPulled(ConfigVersion, oneshot::Sender<ConfigPull>),
 }
 
 /// What traffic needs to know of the control state.
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -25,7 +25,7 @@
     membership::{MEMBER_PREFIX, register_transaction},
     ownership::OWNER_PREFIX,
     peers::{PeerClient, serve_peers},
-    publication::CONFIG_KEY,
+    publication::HEAD_KEY,
     settings::DaemonSettings,
     store::{HttpStore, StoreClient},
     telemetry::{ProcessClock, init_logger},
@@ -214,7 +214,7 @@
         }
         let mut entries = Vec::new();
         let mut failed = false;
-        for prefix in [MEMBER_PREFIX, OWNER_PREFIX, CONFIG_KEY] {
+        for prefix in [MEMBER_PREFIX, OWNER_PREFIX, HEAD_KEY] {
             match store.read_prefix(prefix).await {
                 Ok(read) => entries.extend(read),
                 Err(error) => {
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -7,8 +7,9 @@
 };
 
 use auburnsaddle_core::{
-    DaemonId, Heartbeat, HostKind, HostTable, MemberRecord, OwnerTable, OwnershipAction,
-    OwnershipEvent, PeerConfig, PeerTable, RunnerEntry, ShardName, ZoneId,
+    ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Heartbeat,
+    HostKind, HostTable, MemberRecord, OwnerTable, OwnershipAction, OwnershipEvent, PeerConfig,
+    PeerTable, RunnerEntry, ShardName, ZoneId,
 };
 
 use super::{
@@ -16,10 +17,7 @@
     messages::{ControlEvent, RoutingSnapshot},
 };
 use crate::{
-    calls::CallShards,
-    membership::read_members,
-    ownership::read_owners,
-    publication::{CONFIG_KEY, PublishedConfig, publish_transaction, read_config},
+    calls::CallShards, membership::read_members, ownership::read_owners, publication::read_head,
     store::StoreEntry,
 };
 
@@ -27,7 +25,7 @@
 #[derive(Debug)]
 pub(super) struct ControlState {
     record: MemberRecord,
-    config: PublishedConfig,
+    config: ConfigState,
     hosts: HostTable,
     peers: PeerTable,
     owners: OwnerTable,
@@ -38,7 +36,7 @@
     /// Returns the state of a daemon that knows only itself.
     pub(super) fn new(record: MemberRecord) -> Self {
         Self {
-            config: PublishedConfig::default(),
+            config: ConfigState::default(),
             hosts: HostTable::default(),
             peers: PeerTable::new(PeerConfig::default()),
             owners: OwnerTable::new(record.daemon.clone()),
@@ -55,8 +53,10 @@
                 Vec::new()
             }
             ControlEvent::Heartbeat(heartbeat) => {
+                let source = ConfigSource::Peer(heartbeat.daemon.clone());
+                let event = ConfigEvent::VersionSeen(heartbeat.config_version, source);
                 self.peers.note_heartbeat(heartbeat, now);
-                Vec::new()
+                self.apply_config(event, now)
             }
             ControlEvent::HostsRead(entries) => {
                 if self.hosts.replace(entries) {
@@ -79,12 +79,14 @@
                 reply,
             } => {
                 // The operator's connection may have closed meanwhile.
-                let _ = reply.send(publish_transaction(&self.config, base, objects));
+                let _ = reply.send(self.config.prepare(base, objects).map(Box::new));
                 Vec::new()
             }
-            ControlEvent::ConfigRead(config) => {
-                self.note_config(config);
-                self.refresh(now)
+            ControlEvent::ConfigFetched(pull) => self.apply_config(ConfigEvent::Fetched(pull), now),
+            ControlEvent::ConfigPulled(from, reply) => {
+                // The peer's stream may have closed meanwhile.
+                let _ = reply.send(self.config.pull(from));
+                Vec::new()
             }
         }
     }
@@ -100,7 +102,7 @@
     pub(super) fn heartbeat(&self, now: Duration) -> ControlEffect {
         let heartbeat = Heartbeat {
             daemon: self.record.daemon.clone(),
-            config_version: self.config.version,
+            config_version: self.config.version(),
             suspected: self.peers.suspected(now),
             draining: false,
         };
@@ -120,8 +122,8 @@
         RoutingSnapshot {
             daemon: self.record.daemon.clone(),
             zone: self.record.zone.clone(),
-            config_version: self.config.version,
-            objects: Arc::new(self.config.objects.clone()),
+            config_version: self.config.version(),
+            objects: Arc::clone(self.config.objects()),
             members: peers()
                 .map(|peer| (peer.record.daemon.clone(), peer.record.clone()))
                 .collect(),
@@ -143,27 +145,53 @@
     }
 
     fn note_store(&mut self, entries: &[StoreEntry], now: Duration) -> Vec<ControlEffect> {
-        let entry = entries.iter().find(|entry| entry.key == CONFIG_KEY);
-        if let Some(config) = entry.and_then(read_config) {
-            self.note_config(config);
-        }
+        let mut effects = match read_head(entries) {
+            Some(head) => {
+                let source = ConfigSource::Store(head.version);
+                self.apply_config(ConfigEvent::VersionSeen(head.version, source), now)
+            }
+            None => Vec::new(),
+        };
         let members: Vec<_> = read_members(entries)
             .into_iter()
             .filter(|record| record.daemon != self.record.daemon)
             .collect();
         self.peers.set_members(members, now);
-        let mut effects =
-            self.apply_ownership(OwnershipEvent::CandidatesChanged(self.candidates()), now);
+        let candidates = OwnershipEvent::CandidatesChanged(self.candidates());
+        effects.extend(self.apply_ownership(candidates, now));
         effects.extend(self.refresh(now));
         effects.extend(self.apply_ownership(OwnershipEvent::OwnersRead(read_owners(entries)), now));
         effects
     }
 
-    /// Takes over a configuration; an older one never replaces a newer one.
-    fn note_config(&mut self, config: PublishedConfig) {
-        if config.version > self.config.version {
-            log::info!("configuration version {} is in force", config.version);
-            self.config = config;
+    fn apply_config(&mut self, event: ConfigEvent, now: Duration) -> Vec<ControlEffect> {
+        let mut effects = Vec::new();
+        for action in self.config.handle(event, now) {
+            match action {
+                ConfigAction::Fetch { from, source } => {
+                    effects.extend(self.fetch_effect(from, source));
+                }
+                ConfigAction::InForce(version) => {
+                    log::info!("configuration version {version} is in force");
+                    effects.extend(self.refresh(now));
+                }
+                ConfigAction::Rejected(version, reason) => {
+                    log::error!("configuration version {version} was rejected: {reason}");
+                }
+            }
+        }
+        effects
+    }
+
+    fn fetch_effect(&self, from: ConfigVersion, source: ConfigSource) -> Option<ControlEffect> {
+        match source {
+            ConfigSource::Store(head) => Some(ControlEffect::FetchConfig { from, head }),
+            ConfigSource::Peer(daemon) => {
+                let mut peers = self.peers.iter();
+                let peer = peers.find(|peer| peer.record.daemon == daemon)?;
+                let address = peer.record.peer_address.parse().ok()?;
+                Some(ControlEffect::PullConfig { from, address })
+            }
         }
     }
 
@@ -240,7 +268,7 @@
                     .clone()
                     .map(|service| (service, host.zone.clone()))
             })
-            .filter(|(service, _)| self.config.objects.services.contains_key(service))
+            .filter(|(service, _)| self.config.objects().services.contains_key(service))
             .map(|(service, zone)| ShardName::Call(service, zone))
             .collect()
     }
--- a/crates/daemon/src/front/admin.rs
+++ b/crates/daemon/src/front/admin.rs
@@ -1,22 +1,22 @@
 //! Requests of operators.
 
-use auburnsaddle_core::ConfigVersion;
+use auburnsaddle_core::{
+    ConfigPull, ConfigReply, ConfigUpdate, ConfigVersion, PublishError, PublishReply,
+    PublishRequest, StatusReply,
+};
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
 use super::{
-    messages::{
-        ConfigReply, FrontError, FrontResponse, PublishReply, PublishRequest, StatusReply,
-        json_response,
-    },
+    messages::{FrontError, FrontResponse, json_response},
     service::FrontService,
 };
 use crate::{
     control::ControlEvent,
-    publication::{CONFIG_KEY, read_config},
-    store::{StoreClient, StoreTxn, TxnOutcome},
+    publication::{CommitResult, commit_update, fetch_versions},
+    store::StoreClient,
 };
 
 /// Largest set of objects in bytes; a store value holds 1 MB.
@@ -56,6 +56,7 @@
             owners: owners
                 .map(|(shard, owner)| (shard.to_string(), owner.daemon.clone()))
                 .collect(),
+            suspected: snapshot.suspected.clone(),
         };
         json_response(StatusCode::OK, &reply)
     }
@@ -70,29 +71,44 @@
     }
 
     async fn publish(&self, request: Request<Incoming>) -> Result<FrontResponse, FrontError> {
-        let body = Limited::new(request.into_body(), OBJECTS_LIMIT)
-            .collect()
-            .await;
-        let body = body.map_err(|error| {
-            let remedy = "send all objects in at most 1 MiB";
-            FrontError::new(StatusCode::BAD_REQUEST, &error.to_string(), remedy)
-        })?;
-        let PublishRequest { base, objects } =
-            serde_json::from_slice(&body.to_bytes()).map_err(|error| {
-                let remedy = "correct the named field";
-                FrontError::new(StatusCode::BAD_REQUEST, &error.to_string(), remedy)
-            })?;
+        let request = read_publication(request).await?;
+        let base = request.base;
+        let update = self.prepare(request.clone()).await?;
+        match commit_update(&self.store, &update).await {
+            CommitResult::Committed => {
+                let version = update.head.version;
+                self.take_in_force(*update).await;
+                Ok(json_response(StatusCode::OK, &PublishReply { version }))
+            }
+            CommitResult::Lost(head) => {
+                let head = head.map_or(base, |head| head.version);
+                self.catch_up(base, head).await;
+                // The base is no longer in force now, which gives the conflict
+                // with the objects changed since.
+                match self.prepare(request).await {
+                    Err(error) => Err(error),
+                    Ok(_) => Err(unreadable_head(head)),
+                }
+            }
+            CommitResult::Unknown(error) => Err(FrontError::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &format!("it is not known whether the version was written: {error}"),
+                "apply again when the store is back; a version is never published twice",
+            )),
+        }
+    }
+
+    /// Has the control thread prepare the next version.
+    async fn prepare(&self, request: PublishRequest) -> Result<Box<ConfigUpdate>, FrontError> {
         let (reply, receiver) = oneshot::channel();
-        self.control
-            .send(ControlEvent::Publish {
-                base,
-                objects,
-                reply,
-            })
-            .await;
+        let event = ControlEvent::Publish {
+            base: request.base,
+            objects: request.objects,
+            reply,
+        };
+        self.control.send(event).await;
         match receiver.await {
-            Ok(Ok(transaction)) => self.commit(base, transaction).await,
-            Ok(Err(error)) => Err(conflict(&error.to_string())),
+            Ok(prepared) => prepared.map_err(publish_error),
             Err(_) => Err(FrontError::new(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "the daemon is stopping",
@@ -101,40 +117,68 @@
         }
     }
 
-    async fn commit(
-        &self,
-        base: ConfigVersion,
-        transaction: StoreTxn,
-    ) -> Result<FrontResponse, FrontError> {
-        match self.store.commit(transaction).await {
-            Ok(TxnOutcome::Committed) => {
-                self.reload().await;
-                let reply = PublishReply { version: base + 1 };
-                Ok(json_response(StatusCode::OK, &reply))
-            }
-            Ok(TxnOutcome::Conflict(_)) => Err(conflict("another operator published first")),
-            Err(error) => Err(FrontError::new(
-                StatusCode::SERVICE_UNAVAILABLE,
-                &error.to_string(),
-                "see with `auburnsaddle status` whether the version is in force, then apply again",
-            )),
+    /// Takes a committed version in force without waiting for a poll.
+    async fn take_in_force(&self, update: ConfigUpdate) {
+        let pull = ConfigPull {
+            snapshot: None,
+            deltas: vec![update.delta],
+        };
+        self.control.send(ControlEvent::ConfigFetched(pull)).await;
+    }
+
+    async fn catch_up(&self, from: ConfigVersion, head: ConfigVersion) {
+        match fetch_versions(&self.store, from, head).await {
+            Ok(pull) => self.control.send(ControlEvent::ConfigFetched(pull)).await,
+            Err(error) => log::warn!("reading configuration version {head}: {error}"),
         }
     }
 
-    /// Takes the committed configuration in force without waiting for a poll.
-    async fn reload(&self) {
-        match self.store.read_prefix(CONFIG_KEY).await {
-            Ok(entries) => {
-                for config in entries.iter().filter_map(read_config) {
-                    self.control.send(ControlEvent::ConfigRead(config)).await;
-                }
-            }
-            Err(error) => log::warn!("reading the committed configuration: {error}"),
+    /// Returns the configuration versions after `from` for a peer.
+    pub(super) async fn pull_config(&self, from: ConfigVersion) -> ConfigPull {
+        let (reply, receiver) = oneshot::channel();
+        let event = ControlEvent::ConfigPulled(from, reply);
+        self.control.send(event).await;
+        receiver.await.unwrap_or_default()
+    }
+}
+
+async fn read_publication(request: Request<Incoming>) -> Result<PublishRequest, FrontError> {
+    let body = Limited::new(request.into_body(), OBJECTS_LIMIT);
+    let body = body.collect().await.map_err(|error| {
+        let remedy = "send all objects in at most 1 MiB";
+        FrontError::new(StatusCode::BAD_REQUEST, &error.to_string(), remedy)
+    })?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|error| {
+        let remedy = "correct the named field";
+        FrontError::new(StatusCode::BAD_REQUEST, &error.to_string(), remedy)
+    })
+}
+
+fn publish_error(error: PublishError) -> FrontError {
+    let message = error.to_string();
+    match error {
+        PublishError::Invalid { problems } => {
+            let remedy = "correct the objects and apply again";
+            let problems = problems.iter().map(ToString::to_string).collect();
+            FrontError::new(StatusCode::UNPROCESSABLE_ENTITY, &message, remedy)
+                .with_details(problems)
+        }
+        PublishError::Conflict { changes, .. } => {
+            let remedy = "merge the changes since the base and apply again";
+            let changes = changes.iter().map(ToString::to_string).collect();
+            FrontError::new(StatusCode::CONFLICT, &message, remedy).with_details(changes)
+        }
+        _ => {
+            let remedy = "there is nothing to do";
+            FrontError::new(StatusCode::CONFLICT, &message, remedy)
         }
     }
 }
 
-fn conflict(error: &str) -> FrontError {
-    let remedy = "read the configuration in force, merge it and apply again";
-    FrontError::new(StatusCode::CONFLICT, error, remedy)
+fn unreadable_head(version: ConfigVersion) -> FrontError {
+    FrontError::new(
+        StatusCode::CONFLICT,
+        &format!("version {version} was published first, but cannot be read from the store"),
+        "apply again; if this stays, see \"A corrupted version\" in docs/operations.md",
+    )
 }
--- a/crates/daemon/src/front/messages.rs
+++ b/crates/daemon/src/front/messages.rs
@@ -1,12 +1,10 @@
 //! Answers to callers and operators.
 
-use std::collections::BTreeMap;
-
-use auburnsaddle_core::{ConfigVersion, DaemonId, NotRunReason, ObjectSet, UnknownReason};
+use auburnsaddle_core::{ErrorReply, NotRunReason, UnknownReason};
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use snafu::Snafu;
 
 use super::body::FrontBody;
@@ -20,52 +18,6 @@
 /// An answer of the front.
 pub(crate) type FrontResponse = Response<FrontBody>;
 
-/// The JSON body of an error answer.
-#[derive(Debug, Serialize)]
-pub(super) struct ErrorBody<'a> {
-    /// What went wrong.
-    error: &'a str,
-    /// What to do next.
-    remedy: &'a str,
-}
-
-/// An operator's request to publish objects.
-#[derive(Debug, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct PublishRequest {
-    /// The version that the operator saw.
-    pub(super) base: ConfigVersion,
-    /// All objects.
-    pub(super) objects: ObjectSet,
-}
-
-/// The version that was published.
-#[derive(Debug, Serialize)]
-pub(super) struct PublishReply {
-    /// Its number.
-    pub(super) version: ConfigVersion,
-}
-
-/// The configuration in force.
-#[derive(Debug, Serialize)]
-pub(super) struct ConfigReply {
-    /// Its version.
-    pub(super) version: ConfigVersion,
-    /// All objects.
-    pub(super) objects: ObjectSet,
-}
-
-/// Which version is in force where.
-#[derive(Debug, Serialize)]
-pub(super) struct StatusReply {
-    /// The daemon that answers.
-    pub(super) daemon: DaemonId,
-    /// Versions by daemon.
-    pub(super) versions: BTreeMap<DaemonId, ConfigVersion>,
-    /// Owners by shard.
-    pub(super) owners: BTreeMap<String, DaemonId>,
-}
-
 /// Returns a JSON answer.
 pub(super) fn json_response<T: Serialize>(status: StatusCode, value: &T) -> FrontResponse {
     let (status, bytes) = match serde_json::to_vec(value) {
@@ -89,6 +41,7 @@
     status: StatusCode,
     error: String,
     remedy: &'static str,
+    details: Vec<String>,
 }
 
 impl FrontError {
@@ -98,17 +51,25 @@
             status,
             error: error.to_owned(),
             remedy,
+            details: Vec::new(),
         }
     }
+
+    /// Adds details, one to a line.
+    pub(super) fn with_details(mut self, details: Vec<String>) -> Self {
+        self.details = details;
+        self
+    }
 }
 
 impl From<FrontError> for FrontResponse {
     fn from(error: FrontError) -> Self {
         json_response(
             error.status,
-            &ErrorBody {
-                error: &error.error,
-                remedy: error.remedy,
+            &ErrorReply {
+                error: error.error,
+                remedy: error.remedy.to_owned(),
+                details: error.details,
             },
         )
     }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -112,6 +112,7 @@
                 self.control.send(ControlEvent::Calls(command)).await;
                 PeerReply::Noted
             }
+            PeerRequest::PullConfig(from) => PeerReply::Config(self.pull_config(from).await),
         }
     }
 }
--- a/crates/daemon/src/peers/messages.rs
+++ b/crates/daemon/src/peers/messages.rs
@@ -1,6 +1,8 @@
 //! Requests and replies between daemons.
 
-use auburnsaddle_core::{CallRequest, Epoch, GrantId, GrantResult, Heartbeat, ShardName};
+use auburnsaddle_core::{
+    CallRequest, ConfigPull, ConfigVersion, Epoch, GrantId, GrantResult, Heartbeat, ShardName,
+};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -16,6 +18,8 @@
     RequestSlot(ShardName, CallRequest),
     /// Returns a slot.
     ReturnSlot(ShardName, Epoch, GrantId, GrantResult),
+    /// Asks for the configuration versions after the one named.
+    PullConfig(ConfigVersion),
 }
 
 /// The reply to a [`PeerRequest`].
@@ -25,6 +29,8 @@
     Noted,
     /// The slot that was asked for, or why there is none.
     Slot(SlotReply),
+    /// The configuration versions that were asked for.
+    Config(ConfigPull),
 }
 
 /// A message that was not exchanged with a peer.
--- a/crates/daemon/src/publication/messages.rs
+++ b/crates/daemon/src/publication/messages.rs
@@ -1,32 +1,16 @@
-//! Messages of publication.
+//! Results of publication.
 
-use auburnsaddle_core::{ConfigVersion, ObjectSet};
-use serde::{Deserialize, Serialize};
-use snafu::Snafu;
+use auburnsaddle_core::ConfigHead;
 
-/// A configuration as kept in the store.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-pub(crate) struct PublishedConfig {
-    /// Number of the version; zero before the first publication.
-    pub(crate) version: ConfigVersion,
-    /// All objects.
-    pub(crate) objects: ObjectSet,
-}
+use crate::store::StoreError;
 
-/// A configuration that was not published.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
-#[non_exhaustive]
-pub(crate) enum PublishError {
-    /// Another operator published first.
-    #[snafu(display(
-        "version {found} is in force instead of the base version {base}; \
-         merge its changes and apply again"
-    ))]
-    Conflict {
-        /// The version that the operator saw.
-        base: ConfigVersion,
-        /// The version in force.
-        found: ConfigVersion,
-    },
+/// What became of a version that was sent to the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum CommitResult {
+    /// The version is in the store.
+    Committed,
+    /// Another version was published first; the head if it could be read.
+    Lost(Option<ConfigHead>),
+    /// The store could not be asked whether the version was written.
+    Unknown(StoreError),
 }
--- a/crates/daemon/src/publication/mod.rs
+++ b/crates/daemon/src/publication/mod.rs
@@ -1,7 +1,17 @@
-//! The configuration in force and its publication through the store.
+/*!
+Publication of configuration versions through the store and between peers.
+
+The store holds `config/head`, one `config/delta/<n>` for each version and, at
+every 32nd version, `config/snapshot/<n>/<part>`. A version is published by one
+transaction that compares the head.
+*/
 
 mod messages;
 mod state;
+#[cfg(test)]
+mod tests;
+mod transfer;
 
-pub(crate) use messages::{PublishError, PublishedConfig};
-pub(crate) use state::{CONFIG_KEY, publish_transaction, read_config};
+pub(crate) use messages::CommitResult;
+pub(crate) use state::{HEAD_KEY, read_head};
+pub(crate) use transfer::{commit_update, fetch_versions};
--- /dev/null
+++ b/crates/daemon/src/publication/tests.rs
@@ -0,0 +1,209 @@
+//! Tests of publication through the store.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use auburnsaddle_core::{
+    ConfigEvent, ConfigPull, ConfigState, ConfigUpdate, ObjectSet, ServiceSpec, TeamSpec,
+};
+
+use super::{CommitResult, commit_update, fetch_versions};
+use crate::store::{StoreClient, StoreCompare, StoreEntry, StoreError, StoreTxn, TxnOutcome};
+
+/// What the store does with the next transaction.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum StoreFault {
+    #[default]
+    None,
+    ResponseLost,
+    RequestLost,
+}
+
+/// A store in memory that can lose a request or its response.
+#[derive(Clone, Debug, Default)]
+struct FakeStore {
+    values: Arc<Mutex<BTreeMap<String, Vec<u8>>>>,
+    fault: StoreFault,
+}
+
+impl FakeStore {
+    fn with_fault(&self, fault: StoreFault) -> Self {
+        Self {
+            values: Arc::clone(&self.values),
+            fault,
+        }
+    }
+
+    fn apply(&self, transaction: StoreTxn) -> TxnOutcome {
+        let mut values = self.values.lock().unwrap();
+        let holds = transaction.compares.iter().all(|compare| match compare {
+            StoreCompare::Absent(key) => !values.contains_key(key),
+            StoreCompare::ValueEquals(key, value) => values.get(key) == Some(value),
+        });
+        if !holds {
+            let keys = transaction.reads_on_conflict.into_iter();
+            let entries = keys.filter_map(|key| {
+                let value = values.get(&key)?.clone();
+                Some(StoreEntry { key, value })
+            });
+            return TxnOutcome::Conflict(entries.collect());
+        }
+        let puts = transaction.puts.into_iter();
+        values.extend(puts.map(|put| (put.key, put.value)));
+        TxnOutcome::Committed
+    }
+}
+
+impl StoreClient for FakeStore {
+    async fn read_prefix(&self, prefix: &str) -> Result<Vec<StoreEntry>, StoreError> {
+        let values = self.values.lock().unwrap();
+        let found = values.iter().filter(|(key, _)| key.starts_with(prefix));
+        let entries = found.map(|(key, value)| StoreEntry {
+            key: key.clone(),
+            value: value.clone(),
+        });
+        Ok(entries.collect())
+    }
+
+    async fn commit(&self, transaction: StoreTxn) -> Result<TxnOutcome, StoreError> {
+        match self.fault {
+            StoreFault::None => return Ok(self.apply(transaction)),
+            StoreFault::ResponseLost => drop(self.apply(transaction)),
+            StoreFault::RequestLost => {}
+        }
+        Err(StoreError::Unavailable {
+            message: "lost".to_owned(),
+        })
+    }
+}
+
+fn set_with_teams(count: u64) -> ObjectSet {
+    let mut set = ObjectSet::default();
+    for index in 0..count {
+        let mut team = TeamSpec {
+            name: format!("team-{index}").into(),
+            ..TeamSpec::default()
+        };
+        team.quota.cpu_milli = 1;
+        set.teams.insert(team.name.clone(), team);
+    }
+    set
+}
+
+fn update(state: &ConfigState, teams: u64) -> ConfigUpdate {
+    state
+        .prepare(state.version(), set_with_teams(teams))
+        .unwrap()
+}
+
+fn take(state: &mut ConfigState, pull: ConfigPull) {
+    state.handle(ConfigEvent::Fetched(pull), Duration::ZERO);
+}
+
+async fn publish(store: &FakeStore, state: &mut ConfigState, versions: u64) {
+    for teams in 1..=versions {
+        let update = update(state, teams);
+        assert_eq!(commit_update(store, &update).await, CommitResult::Committed);
+        let deltas = vec![update.delta];
+        take(
+            state,
+            ConfigPull {
+                snapshot: None,
+                deltas,
+            },
+        );
+    }
+}
+
+/// Guards against reporting a failure for a version that is in force.
+#[tokio::test(start_paused = true)]
+async fn a_lost_response_is_resolved_by_reading_back() {
+    let store = FakeStore::default();
+    let update = update(&ConfigState::default(), 1);
+
+    let result = commit_update(&store.with_fault(StoreFault::ResponseLost), &update).await;
+
+    assert_eq!(result, CommitResult::Committed);
+}
+
+/// Guards against reporting success for a version that was never written.
+#[tokio::test(start_paused = true)]
+async fn a_lost_request_is_not_reported_as_published() {
+    let store = FakeStore::default();
+    let update = update(&ConfigState::default(), 1);
+
+    let result = commit_update(&store.with_fault(StoreFault::RequestLost), &update).await;
+
+    assert!(matches!(result, CommitResult::Unknown(_)), "{result:?}");
+}
+
+/// Guards against two operators who both publish on the same base, also when
+/// the loser's response is lost.
+#[tokio::test(start_paused = true)]
+async fn one_of_two_publications_wins() {
+    let store = FakeStore::default();
+    let state = ConfigState::default();
+    let (first, second) = (update(&state, 1), update(&state, 2));
+
+    let won = commit_update(&store, &first).await;
+    let lost = commit_update(&store, &second).await;
+    let also_lost = commit_update(&store.with_fault(StoreFault::ResponseLost), &second).await;
+
+    assert_eq!(won, CommitResult::Committed);
+    assert_eq!(lost, CommitResult::Lost(Some(first.head.clone())));
+    assert_eq!(also_lost, CommitResult::Lost(Some(first.head)));
+}
+
+/// Guards against a daemon that cannot catch up from the store, over few
+/// versions by deltas or over many by a snapshot.
+#[tokio::test]
+async fn missed_versions_are_read_from_the_store() {
+    let store = FakeStore::default();
+    let mut state = ConfigState::default();
+    publish(&store, &mut state, 70).await;
+    let mut late = ConfigState::default();
+
+    let many = fetch_versions(&store, 0, 70).await.unwrap();
+    let few = fetch_versions(&store, 67, 70).await.unwrap();
+    take(&mut late, many.clone());
+
+    assert_eq!(many.snapshot.map(|snapshot| snapshot.version), Some(64));
+    assert_eq!((many.deltas.len(), few.deltas.len()), (6, 3));
+    assert_eq!(late.head(), state.head());
+}
+
+/// Guards against a snapshot part that is too large for the store.
+#[tokio::test]
+async fn snapshots_are_split_into_parts() {
+    let store = FakeStore::default();
+    let mut state = ConfigState::default();
+    publish(&store, &mut state, 31).await;
+    let mut set = set_with_teams(1);
+    let service = ServiceSpec::default();
+    for index in 0..3_000 {
+        let name: std::sync::Arc<str> = format!("team-{index:050}").into();
+        let mut team = set.teams["team-0"].clone();
+        team.name = name.clone();
+        team.weight = u32::try_from(service.slots_per_runner).unwrap();
+        set.teams.insert(name, team);
+    }
+    let update = state.prepare(31, set).unwrap();
+
+    commit_update(&store, &update).await;
+    let mut late = ConfigState::default();
+    take(&mut late, fetch_versions(&store, 0, 32).await.unwrap());
+
+    let values = store.values.lock().unwrap();
+    let parts = values
+        .iter()
+        .filter(|(key, _)| key.starts_with("config/snapshot/"));
+    let sizes: Vec<_> = parts.map(|(_, value)| value.len()).collect();
+    assert!(
+        sizes.len() > 1 && sizes.iter().all(|size| *size <= 512 << 10),
+        "{sizes:?}"
+    );
+    assert_eq!(late.head(), update.head);
+}
--- /dev/null
+++ b/crates/daemon/src/publication/transfer.rs
@@ -0,0 +1,98 @@
+//! Writing versions to the store and reading them back.
+
+use std::time::Duration;
+
+use auburnsaddle_core::{ConfigPull, ConfigUpdate, ConfigVersion, SNAPSHOT_INTERVAL};
+use futures::future::try_join_all;
+
+use super::{
+    messages::CommitResult,
+    state::{
+        HEAD_KEY, delta_key, publish_transaction, read_delta, read_head, read_snapshot,
+        snapshot_prefix,
+    },
+};
+use crate::store::{StoreClient, StoreError, TxnOutcome};
+
+/// Times that a lost response is looked up; each call has a timeout of its own.
+const READ_BACK_ATTEMPTS: u32 = 3;
+
+/// Time between two look-ups, in which a slow write may take effect.
+const READ_BACK_DELAY: Duration = Duration::from_millis(250);
+
+/// Publishes a version. A lost response is resolved by reading back.
+pub(crate) async fn commit_update<S: StoreClient>(
+    store: &S,
+    update: &ConfigUpdate,
+) -> CommitResult {
+    match store.commit(publish_transaction(update)).await {
+        Ok(TxnOutcome::Committed) => CommitResult::Committed,
+        Ok(TxnOutcome::Conflict(entries)) => CommitResult::Lost(read_head(&entries)),
+        Err(error) => {
+            log::warn!("publishing version {}: {error}", update.head.version);
+            read_back(store, update, error).await
+        }
+    }
+}
+
+async fn read_back<S: StoreClient>(
+    store: &S,
+    update: &ConfigUpdate,
+    mut error: StoreError,
+) -> CommitResult {
+    let version = update.head.version;
+    for _ in 0..READ_BACK_ATTEMPTS {
+        match store.read_prefix(&delta_key(version)).await {
+            Ok(entries) if read_delta(&entries, version).as_ref() == Some(&update.delta) => {
+                return CommitResult::Committed;
+            }
+            Ok(entries) if !entries.is_empty() => {
+                let head = store.read_prefix(HEAD_KEY).await.unwrap_or_default();
+                return CommitResult::Lost(read_head(&head));
+            }
+            Ok(_) => {}
+            Err(failure) => error = failure,
+        }
+        tokio::time::sleep(READ_BACK_DELAY).await;
+    }
+    CommitResult::Unknown(error)
+}
+
+/// Reads the versions after `from` up to the head's.
+///
+/// Deltas are read one by one while there are few; otherwise the latest
+/// snapshot and the deltas after it are read.
+pub(crate) async fn fetch_versions<S: StoreClient>(
+    store: &S,
+    from: ConfigVersion,
+    head: ConfigVersion,
+) -> Result<ConfigPull, StoreError> {
+    if head.saturating_sub(from) < SNAPSHOT_INTERVAL {
+        return Ok(ConfigPull {
+            snapshot: None,
+            ..fetch_deltas(store, from, head).await?
+        });
+    }
+    let base = head - head % SNAPSHOT_INTERVAL;
+    let parts = store.read_prefix(&snapshot_prefix(base)).await?;
+    Ok(ConfigPull {
+        snapshot: read_snapshot(&parts),
+        ..fetch_deltas(store, base, head).await?
+    })
+}
+
+async fn fetch_deltas<S: StoreClient>(
+    store: &S,
+    from: ConfigVersion,
+    head: ConfigVersion,
+) -> Result<ConfigPull, StoreError> {
+    let reads = (from + 1..=head).map(|version| async move {
+        let entries = store.read_prefix(&delta_key(version)).await?;
+        Ok::<_, StoreError>(read_delta(&entries, version))
+    });
+    let deltas = try_join_all(reads).await?;
+    Ok(ConfigPull {
+        snapshot: None,
+        deltas: deltas.into_iter().flatten().collect(),
+    })
+}
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -10,4 +10,5 @@
 mod wire;
 
 pub(crate) use client::HttpStore;
-pub(crate) use messages::{StoreClient, StoreCompare, StoreEntry, StorePut, StoreTxn, TxnOutcome};
+pub(crate) use messages::{StoreClient, StoreCompare, StoreEntry, StoreError};
+pub(crate) use messages::{StorePut, StoreTxn, TxnOutcome};
