Give the tool its commands, outputs and exit codes

Cause: the tool knew check, apply and status, printed JSON only, stopped at the first unreachable daemon and had one exit code for all failures.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,95 +1,178 @@
-//! HTTP requests to a daemon.
+//! HTTP requests to daemons, with failover.
 
+use std::time::Duration;
+
+use auburnsaddle_core::ErrorReply;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use serde::{Serialize, de::DeserializeOwned};
 use serde_json::Value;
 use snafu::Snafu;
 
-/// A request that a daemon did not answer with success.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+/// Time to establish a connection before the next daemon is tried.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A request that no daemon answered with success.
+#[derive(Debug, Snafu)]
 pub(crate) enum ClientError {
-    /// The daemon was not reached.
-    #[snafu(display("{address} did not answer: {message}; name a running daemon in --daemon"))]
+    /// No daemon was reached; the request was not run.
+    #[snafu(display(
+        "no daemon was reached: {}; name running daemons in --daemon", causes.join(", ")
+    ))]
     Unreachable {
-        /// The daemon's address.
+        /// One cause for each daemon.
+        causes: Vec<String>,
+    },
+    /// The connection broke after the request was sent.
+    #[snafu(display(
+        "{address} broke off: {message}; the request may have run, look before repeating it"
+    ))]
+    Interrupted {
+        /// The daemon.
         address: String,
         /// The cause.
         message: String,
     },
-    /// The daemon rejected the request.
-    #[snafu(display("{message}"))]
+    /// A daemon rejected the request.
+    #[snafu(display("{}", describe(reply)))]
     Rejected {
+        /// The HTTP status.
+        status: StatusCode,
         /// The daemon's error and remedy.
+        reply: ErrorReply,
+    },
+    /// The answer is not what this tool expects.
+    #[snafu(display("unexpected answer: {message}; use a tool of the daemons' version"))]
+    Malformed {
+        /// The parser's message.
         message: String,
     },
 }
 
-/// Sends requests to one daemon.
+fn describe(reply: &ErrorReply) -> String {
+    let mut lines = vec![format!("{}; {}", reply.error, reply.remedy)];
+    lines.extend(reply.details.iter().map(|detail| format!("  {detail}")));
+    lines.join("\n")
+}
+
+/// Sends requests to the first daemon that can be reached.
 pub(crate) struct DaemonClient {
-    address: String,
+    addresses: Vec<String>,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
+/// One attempt that did not succeed.
+enum AttemptError {
+    /// Nothing was sent, so another daemon can be tried.
+    NotSent(String),
+    Final(ClientError),
+}
+
 impl DaemonClient {
     /// Returns a client that connects on first use.
-    pub(crate) fn new(address: String) -> Self {
+    pub(crate) fn new(addresses: Vec<String>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         Self {
-            address,
-            client: Client::builder(TokioExecutor::new()).build_http(),
+            addresses,
+            client: Client::builder(TokioExecutor::new()).build(connector),
         }
     }
 
+    /// Reads a path.
+    pub(crate) async fn get<R: DeserializeOwned>(&self, path: &str) -> Result<R, ClientError> {
+        self.send(Method::GET, path, &Value::Null).await
+    }
+
     /// Sends a request with a JSON body and returns the JSON answer.
-    pub(crate) async fn send(
+    ///
+    /// Another daemon is tried only if the connection was never established,
+    /// so that no request runs twice.
+    pub(crate) async fn send<Q, R>(
         &self,
         method: Method,
         path: &str,
-        body: &Value,
-    ) -> Result<Value, ClientError> {
-        let body = if body.is_null() {
-            String::new()
-        } else {
-            body.to_string()
-        };
+        body: &Q,
+    ) -> Result<R, ClientError>
+    where
+        Q: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let body = serde_json::to_vec(body).map_err(|error| malformed(&error))?;
+        let body = if body == b"null" { Vec::new() } else { body };
+        let mut causes = Vec::new();
+        for address in &self.addresses {
+            match self.attempt(address, &method, path, body.clone()).await {
+                Ok(answer) => {
+                    return serde_json::from_slice(&answer).map_err(|error| malformed(&error));
+                }
+                Err(AttemptError::Final(error)) => return Err(error),
+                Err(AttemptError::NotSent(cause)) => causes.push(format!("{address}: {cause}")),
+            }
+        }
+        Err(ClientError::Unreachable { causes })
+    }
+
+    async fn attempt(
+        &self,
+        address: &str,
+        method: &Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Bytes, AttemptError> {
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.address))
+            .uri(format!("http://{address}{path}"))
+            .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
-            .map_err(|error| self.unreachable(&error))?;
-        let response = self
-            .client
-            .request(request)
-            .await
-            .map_err(|error| self.unreachable(&error))?;
+            .map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        let response = self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                AttemptError::NotSent(root_cause(&error))
+            } else {
+                interrupted(address, &error)
+            }
+        })?;
         let status = response.status();
-        let collected = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|error| self.unreachable(&error))?;
-        let value = serde_json::from_slice(&collected.to_bytes()).unwrap_or_default();
+        let collected = response.into_body().collect().await;
+        let bytes = collected
+            .map_err(|error| interrupted(address, &error))?
+            .to_bytes();
         if status.is_success() {
-            return Ok(value);
+            return Ok(bytes);
         }
-        Err(ClientError::Rejected {
-            message: rejection(&value),
-        })
+        let reply = serde_json::from_slice(&bytes).unwrap_or_else(|_| ErrorReply {
+            error: format!("the daemon answered {status}"),
+            remedy: "see the daemon's log".to_owned(),
+            details: Vec::new(),
+        });
+        Err(AttemptError::Final(ClientError::Rejected { status, reply }))
     }
+}
 
-    fn unreachable<E: std::error::Error>(&self, error: &E) -> ClientError {
-        ClientError::Unreachable {
-            address: self.address.clone(),
-            message: error.to_string(),
-        }
+fn interrupted<E: std::error::Error>(address: &str, error: &E) -> AttemptError {
+    AttemptError::Final(ClientError::Interrupted {
+        address: address.to_owned(),
+        message: error.to_string(),
+    })
+}
+
+fn malformed(error: &serde_json::Error) -> ClientError {
+    ClientError::Malformed {
+        message: error.to_string(),
     }
 }
 
-fn rejection(value: &Value) -> String {
-    let field = |name| value.get(name).and_then(Value::as_str).unwrap_or_default();
-    format!("{}; {}", field("error"), field("remedy"))
+/// Returns the innermost cause, which names the failed system call.
+fn root_cause<E: std::error::Error>(error: &E) -> String {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
 }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,23 +1,30 @@
 //! The commands of the tool.
 
-use auburnsaddle_core::{ObjectProblem, ObjectSet};
-use hyper::Method;
+use auburnsaddle_core::{
+    ConfigReply, ObjectDelta, ObjectProblem, ObjectSet, PublishReply, PublishRequest, StatusReply,
+};
+use hyper::{Method, StatusCode};
+use serde::Serialize;
 use serde_json::{Value, json};
 use snafu::Snafu;
 
 use crate::{
+    arguments::{Command, CommandLine, OutputFormat, UsageError},
     client::{ClientError, DaemonClient},
     files::{FileError, read_objects},
+    help,
+    output::{status_table, task_table},
+    tasks,
 };
 
 /// A command that failed.
 #[derive(Debug, Snafu)]
 pub(crate) enum CommandError {
     /// The command line cannot be used.
-    #[snafu(display("{message}; use `check DIR`, `apply DIR` or `status`"))]
+    #[snafu(transparent)]
     Usage {
-        /// What is wrong.
-        message: String,
+        /// The cause.
+        source: UsageError,
     },
     /// A file cannot be read.
     #[snafu(transparent)]
@@ -31,7 +38,7 @@
         /// Everything that is wrong.
         problems: Vec<ObjectProblem>,
     },
-    /// The daemon did not carry the command out.
+    /// No daemon carried the command out.
     #[snafu(transparent)]
     Client {
         /// The cause.
@@ -39,59 +46,128 @@
     },
 }
 
-/// Runs the command of a command line and returns what to print.
-pub(crate) async fn run(mut arguments: pico_args::Arguments) -> Result<String, CommandError> {
-    let address: String = arguments
-        .value_from_str("--daemon")
-        .unwrap_or_else(|_| "127.0.0.1:7480".to_owned());
-    let client = DaemonClient::new(address);
-    let command = arguments.subcommand().ok().flatten().unwrap_or_default();
-    match command.as_str() {
-        "check" => {
-            valid_objects(&directory(&mut arguments)?)?;
-            Ok("the objects are valid".to_owned())
+impl CommandError {
+    /// Returns the exit code, as listed in the help.
+    pub(crate) const fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage { .. } => 2,
+            Self::Objects { .. } => 3,
+            Self::Client { source } => client_code(source),
+            Self::File { .. } => 1,
+        }
+    }
+}
+
+const fn client_code(error: &ClientError) -> u8 {
+    match error {
+        ClientError::Unreachable { .. } => 5,
+        ClientError::Rejected { status, .. } => match *status {
+            StatusCode::UNPROCESSABLE_ENTITY => 3,
+            StatusCode::CONFLICT => 4,
+            _ => 1,
+        },
+        ClientError::Interrupted { .. } | ClientError::Malformed { .. } => 1,
+    }
+}
+
+/// Runs a command and returns what to print.
+pub(crate) async fn run(line: CommandLine) -> Result<String, CommandError> {
+    let client = DaemonClient::new(line.daemons);
+    let output = line.output;
+    match line.command {
+        Command::Help(None) => Ok(help::overview()),
+        Command::Help(Some(command)) => Ok(help::explain(command)),
+        Command::Version => Ok(format!("auburnsaddle {}", env!("CARGO_PKG_VERSION"))),
+        Command::Check(directory) => check(&directory, output),
+        Command::Apply { directory, dry_run } => apply(&client, &directory, dry_run, output).await,
+        Command::Status => {
+            let status: StatusReply = client.get("/admin/status").await?;
+            Ok(render(output, &status, status_table))
         }
-        "apply" => apply(&client, &directory(&mut arguments)?).await,
-        "status" => {
-            let status = client
-                .send(Method::GET, "/admin/status", &Value::Null)
-                .await?;
-            Ok(format!("{status:#}"))
+        Command::Dump => {
+            let dump: Value = client.get("/admin/dump").await?;
+            Ok(format!("{dump:#}"))
+        }
+        command => {
+            let answer = tasks::run(&client, command).await?;
+            Ok(render(output, &answer, task_table))
         }
-        _ => Err(CommandError::Usage {
-            message: format!("`{command}` is no command"),
-        }),
     }
 }
 
-async fn apply(client: &DaemonClient, directory: &str) -> Result<String, CommandError> {
+fn render<T: Serialize>(output: OutputFormat, value: &T, table: fn(&T) -> String) -> String {
+    match output {
+        OutputFormat::Json => format!("{:#}", json!(value)),
+        OutputFormat::Table => table(value),
+    }
+}
+
+fn check(directory: &str, output: OutputFormat) -> Result<String, CommandError> {
+    let objects = valid_objects(directory)?;
+    let report = json!({ "valid": true, "objects": objects.objects().len() });
+    Ok(render(output, &report, |report| {
+        format!("{} objects are valid", report["objects"])
+    }))
+}
+
+async fn apply(
+    client: &DaemonClient,
+    directory: &str,
+    dry_run: bool,
+    output: OutputFormat,
+) -> Result<String, CommandError> {
     let objects = valid_objects(directory)?;
-    let current = client
-        .send(Method::GET, "/admin/config", &Value::Null)
-        .await?;
-    let body = json!({ "base": current["version"], "objects": objects });
-    let reply = client.send(Method::POST, "/admin/config", &body).await?;
-    Ok(format!("published version {}", reply["version"]))
+    let current: ConfigReply = client.get("/admin/config").await?;
+    let delta = ObjectDelta::between(&current.objects, &objects);
+    let changes = delta.changes(&current.objects);
+    let changes: Vec<_> = changes.iter().map(ToString::to_string).collect();
+    let mut version = current.version;
+    // A first, empty set is published too, so that the daemons have a version.
+    let differs = !delta.is_empty() || version == 0;
+    if differs && !dry_run {
+        let request = PublishRequest {
+            base: current.version,
+            objects,
+        };
+        let path = "/admin/config";
+        let reply: PublishReply = client.send(Method::POST, path, &request).await?;
+        version = reply.version;
+    }
+    let result = json!({
+        "base": current.version,
+        "version": version,
+        "published": version > current.version,
+        "changes": changes,
+    });
+    Ok(render(output, &result, apply_text))
 }
 
-fn directory(arguments: &mut pico_args::Arguments) -> Result<String, CommandError> {
-    arguments
-        .free_from_str()
-        .map_err(|error| CommandError::Usage {
-            message: error.to_string(),
-        })
+fn apply_text(result: &Value) -> String {
+    let changes = result["changes"].as_array().cloned().unwrap_or_default();
+    let changes = changes.iter().filter_map(Value::as_str);
+    let mut lines: Vec<String> = changes.map(ToOwned::to_owned).collect();
+    let version = &result["version"];
+    lines.push(match result["published"].as_bool() {
+        Some(true) => format!("published version {version}"),
+        _ if lines.is_empty() => format!("version {version} has the same objects already"),
+        _ => format!("nothing was published; version {version} stays in force"),
+    });
+    lines.join("\n")
 }
 
-/// Reads a directory and rejects a set that cannot be published.
+/// Reads a directory and rejects a set that cannot be published. Warnings go
+/// to the standard error stream.
 fn valid_objects(directory: &str) -> Result<ObjectSet, CommandError> {
     let report = read_objects(directory)?;
-    if report.is_valid() {
-        Ok(report.set)
-    } else {
-        Err(CommandError::Objects {
+    if !report.is_valid() {
+        return Err(CommandError::Objects {
             problems: report.problems,
-        })
+        });
+    }
+    for problem in &report.problems {
+        eprintln!("warning: {problem}");
     }
+    Ok(report.set)
 }
 
 fn lines(problems: &[ObjectProblem]) -> String {
--- /dev/null
+++ b/crates/cli/src/help.rs
@@ -0,0 +1,132 @@
+//! Help texts.
+
+use std::fmt::Write;
+
+/// The help of one command.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) struct CommandHelp {
+    /// Name of the command.
+    pub(crate) name: &'static str,
+    /// Its arguments.
+    pub(crate) arguments: &'static str,
+    /// What it does, in one line.
+    pub(crate) summary: &'static str,
+    /// What else there is to know.
+    pub(crate) details: &'static str,
+}
+
+/// All commands in the order of the help.
+pub(crate) const COMMANDS: &[CommandHelp] = &[
+    CommandHelp {
+        name: "check",
+        arguments: "DIR",
+        summary: "check all objects below DIR as one set",
+        details: "Reads every .toml file of DIR and its subdirectories, without a daemon, and\n\
+                  prints all problems with file, object and remedy.",
+    },
+    CommandHelp {
+        name: "apply",
+        arguments: "DIR [--dry-run]",
+        summary: "check the objects below DIR and publish them as the next version",
+        details: "Objects that are in force but not below DIR are removed. With --dry-run the\n\
+                  differences are printed and nothing is published. If another operator\n\
+                  published meanwhile, nothing is published and the objects changed since are\n\
+                  printed (exit code 4).",
+    },
+    CommandHelp {
+        name: "status",
+        arguments: "",
+        summary: "show the version in force at each daemon, shard owners, suspected peers",
+        details: "The view is that of the daemon that answers.",
+    },
+    CommandHelp {
+        name: "get",
+        arguments: "ID",
+        summary: "show a task",
+        details: "",
+    },
+    CommandHelp {
+        name: "list",
+        arguments: "[--label KEY=VALUE]... [--team TEAM]",
+        summary: "list tasks",
+        details: "With several labels a task must have all of them.",
+    },
+    CommandHelp {
+        name: "watch",
+        arguments: "ID",
+        summary: "print the events of a task until it ends",
+        details: "",
+    },
+    CommandHelp {
+        name: "submit",
+        arguments: "OBJECT [--label KEY=VALUE]... [--count N]",
+        summary: "submit the work of a batch, gang or task object",
+        details: "--count replaces the count of the object.",
+    },
+    CommandHelp {
+        name: "cancel",
+        arguments: "ID | --label KEY=VALUE",
+        summary: "cancel one task, or all tasks with a label",
+        details: "",
+    },
+    CommandHelp {
+        name: "resolve",
+        arguments: "ID",
+        summary: "state that the attempt of an unresolved task has stopped",
+        details: "Only for a task that waits for a worker which will not come back. The task may\n\
+                  then be started again: if the attempt is still running, it runs twice.",
+    },
+    CommandHelp {
+        name: "dump",
+        arguments: "",
+        summary: "print the whole state of a daemon as JSON",
+        details: "",
+    },
+    CommandHelp {
+        name: "help",
+        arguments: "[COMMAND]",
+        summary: "explain the tool or one command",
+        details: "",
+    },
+];
+
+const OPTIONS: &str = "\
+Options:
+  --daemon ADDRESS[,ADDRESS...]  daemons to try in turn, as HOST:PORT
+                                 [AUBURNSADDLE_DAEMON, default 127.0.0.1:7480]
+  --output table|json            form of the output
+                                 [AUBURNSADDLE_OUTPUT, default table]
+  -h, --help                     explain the tool or the command
+  -V, --version                  print the version
+
+Exit codes:
+  0  done
+  1  failed
+  2  the command line cannot be used
+  3  the objects are not valid
+  4  another operator published first
+  5  no daemon was reached
+";
+
+/// Returns the help of the whole tool.
+pub(crate) fn overview() -> String {
+    let mut text = "Usage: auburnsaddle [OPTIONS] COMMAND\n\nCommands:\n".to_owned();
+    for command in COMMANDS {
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "  {:8} {}", command.name, command.summary);
+    }
+    text + "\n" + OPTIONS.trim_end()
+}
+
+/// Returns the help of one command.
+pub(crate) fn explain(command: &CommandHelp) -> String {
+    let mut text = format!("Usage: auburnsaddle [OPTIONS] {}", command.name);
+    if !command.arguments.is_empty() {
+        text = text + " " + command.arguments;
+    }
+    text = text + "\n\n" + command.summary + ".\n";
+    if !command.details.is_empty() {
+        text = text + "\n" + command.details + "\n";
+    }
+    text + "\n" + OPTIONS.trim_end()
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,21 +1,41 @@
-//! The auburnsaddle command-line tool.
+/*!
+The auburnsaddle command-line tool.
 
+It checks and publishes operators' objects, shows the state of the daemons and
+submits, lists and cancels tasks. `auburnsaddle help` lists the commands, the
+environment variables and the exit codes.
+*/
+
+mod arguments;
 mod client;
 mod commands;
 mod files;
+mod help;
+mod output;
+mod tasks;
+#[cfg(test)]
+mod tests;
 
 use std::process::ExitCode;
 
+use commands::CommandError;
+
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    match commands::run(pico_args::Arguments::from_env()).await {
+    match run().await {
         Ok(output) => {
             println!("{output}");
             ExitCode::SUCCESS
         }
         Err(error) => {
             eprintln!("auburnsaddle: {error}");
-            ExitCode::FAILURE
+            ExitCode::from(error.exit_code())
         }
     }
 }
+
+async fn run() -> Result<String, CommandError> {
+    let environment = |name: &str| std::env::var(name).ok();
+    let line = arguments::parse(pico_args::Arguments::from_env(), environment)?;
+    commands::run(line).await
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,85 @@
+//! Output as tables for shells, without decoration.
+
+use auburnsaddle_core::StatusReply;
+use serde_json::{Map, Value};
+
+/// Columns of a table of tasks that come first, in this order.
+const TASK_COLUMNS: [&str; 7] = [
+    "id", "object", "team", "state", "attempt", "worker", "reason",
+];
+
+/// Returns rows as columns of equal width, two spaces apart.
+pub(crate) fn table(header: &[&str], rows: &[Vec<String>]) -> String {
+    let header = header.iter().map(|cell| cell.to_uppercase()).collect();
+    let lines: Vec<Vec<String>> = std::iter::once(header).chain(rows.to_vec()).collect();
+    let columns = lines.iter().map(Vec::len).max().unwrap_or_default();
+    let width = |column: usize| {
+        let cells = lines.iter().filter_map(|line| line.get(column));
+        cells
+            .map(|cell: &String| cell.chars().count())
+            .max()
+            .unwrap_or_default()
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let texts = lines.iter().map(|line| {
+        let cells = line.iter().zip(&widths);
+        let cells = cells.map(|(cell, width)| format!("{:width$}", or_dash(cell)));
+        let text: Vec<_> = cells.collect();
+        text.join("  ").trim_end().to_owned()
+    });
+    texts.collect::<Vec<_>>().join("\n")
+}
+
+/// An empty cell would shift the columns for tools such as `awk`.
+fn or_dash(cell: &str) -> &str {
+    if cell.is_empty() { "-" } else { cell }
+}
+
+/// Returns the status of the daemons.
+pub(crate) fn status_table(status: &StatusReply) -> String {
+    let daemons: Vec<_> = status
+        .versions
+        .iter()
+        .map(|(daemon, version)| {
+            let is_suspected = status.suspected.contains(daemon);
+            let state = if is_suspected { "suspected" } else { "alive" };
+            vec![daemon.to_string(), version.to_string(), state.to_owned()]
+        })
+        .collect();
+    let shards: Vec<_> = status
+        .owners
+        .iter()
+        .map(|(shard, owner)| vec![shard.clone(), owner.to_string()])
+        .collect();
+    table(&["daemon", "version", "state"], &daemons) + "\n\n" + &table(&["shard", "owner"], &shards)
+}
+
+/// Returns tasks as a table, from an answer that is a list, holds a list in
+/// `tasks`, or is one task.
+pub(crate) fn task_table(answer: &Value) -> String {
+    let single = std::slice::from_ref(answer);
+    let tasks = answer
+        .as_array()
+        .or_else(|| answer.get("tasks")?.as_array())
+        .map_or(single, Vec::as_slice);
+    let objects: Vec<_> = tasks.iter().filter_map(Value::as_object).collect();
+    let has = |column: &&str| objects.iter().any(|task| task.contains_key(*column));
+    let columns: Vec<&str> = TASK_COLUMNS.into_iter().filter(has).collect();
+    if columns.is_empty() {
+        return format!("{answer:#}");
+    }
+    let row = |task: &&Map<String, Value>| {
+        let cells = columns.iter().map(|column| cell(task.get(*column)));
+        cells.collect()
+    };
+    let rows: Vec<Vec<String>> = objects.iter().map(row).collect();
+    table(&columns, &rows)
+}
+
+fn cell(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => String::new(),
+        Some(Value::String(text)) => text.clone(),
+        Some(value) => value.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/tests.rs
@@ -0,0 +1,166 @@
+//! Tests of the command line and of the output.
+
+use std::ffi::OsString;
+
+use auburnsaddle_core::StatusReply;
+use expect_test::expect;
+use serde_json::json;
+
+use crate::{
+    arguments::{Command, CommandLine, LabelPair, UsageError, parse},
+    client::{ClientError, DaemonClient},
+    commands::{self, CommandError},
+    output::{status_table, task_table},
+    tasks::percent_encode,
+};
+
+fn parse_texts(texts: &[&str]) -> Result<CommandLine, UsageError> {
+    let arguments = texts.iter().map(OsString::from).collect();
+    parse(pico_args::Arguments::from_vec(arguments), |_| None)
+}
+
+fn status() -> StatusReply {
+    StatusReply {
+        daemon: "daemon-1".into(),
+        versions: [("daemon-1".into(), 12), ("daemon-10".into(), 9)].into(),
+        owners: [("pool/general".to_owned(), "daemon-1".into())].into(),
+        suspected: ["daemon-10".into()].into(),
+    }
+}
+
+/// Guards against a table that shell tools cannot split into columns.
+#[test]
+fn status_is_an_aligned_table() {
+    let text = status_table(&status());
+
+    expect![[r"
+        DAEMON     VERSION  STATE
+        daemon-1   12       alive
+        daemon-10  9        suspected
+
+        SHARD         OWNER
+        pool/general  daemon-1"]]
+    .assert_eq(&text);
+}
+
+/// Guards against a missing value that shifts the columns after it.
+#[test]
+fn missing_values_are_dashes() {
+    let answer = json!({ "tasks": [
+        { "id": "1", "state": "queued", "worker": null, "reason": "no-target" },
+        { "id": "2", "state": "running", "worker": "w-7" },
+    ]});
+
+    let text = task_table(&answer);
+
+    expect![[r"
+        ID  STATE    WORKER  REASON
+        1   queued   -       no-target
+        2   running  w-7     -"]]
+    .assert_eq(&text);
+}
+
+/// Guards against options that are taken for operands or lost.
+#[test]
+fn options_may_stand_before_or_after_the_operand() {
+    let line = parse_texts(&[
+        "--daemon",
+        "a:1,b:2",
+        "submit",
+        "photos",
+        "--label",
+        "fair=north",
+        "--count",
+        "3",
+    ]);
+
+    let line = line.unwrap();
+    let label = LabelPair {
+        key: "fair".to_owned(),
+        value: "north".to_owned(),
+    };
+    assert_eq!(line.daemons, ["a:1", "b:2"]);
+    assert_eq!(
+        line.command,
+        Command::Submit {
+            object: "photos".to_owned(),
+            labels: vec![label],
+            count: Some(3),
+        }
+    );
+}
+
+/// Guards against a mistyped command line that does something else.
+#[test]
+fn bad_command_lines_are_rejected_with_a_remedy() {
+    let lines: [&[&str]; 7] = [
+        &[],
+        &["frob"],
+        &["check"],
+        &["cancel", "--label", "north"],
+        &["get", "../admin/dump"],
+        &["status", "--output", "xml"],
+        &["apply", "dir", "--dryrun"],
+    ];
+
+    let errors = lines.map(|line| parse_texts(line).unwrap_err().to_string());
+
+    expect![[r"
+        no command is given; see `auburnsaddle help`
+        `frob` is no command; see `auburnsaddle help`
+        DIR is missing; see `auburnsaddle help`
+        --label `north` is not written as KEY=VALUE; see `auburnsaddle help`
+        `../admin/dump` is no task id; see `auburnsaddle help`
+        --output `xml` is neither json nor table; see `auburnsaddle help`
+        `--dryrun` is not expected; see `auburnsaddle help`"]]
+    .assert_eq(&errors.join("\n"));
+}
+
+/// Guards against an environment variable that overrides an option.
+#[test]
+fn options_win_over_the_environment() {
+    let arguments = ["--daemon", "a:1", "status"].map(OsString::from).into();
+
+    let line = parse(pico_args::Arguments::from_vec(arguments), |_| {
+        Some("json".to_owned())
+    });
+
+    assert_eq!(line.unwrap().daemons, ["a:1"]);
+}
+
+/// Guards against a label that changes the meaning of the query.
+#[test]
+fn query_values_are_encoded() {
+    let text = percent_encode("fair=north & south");
+
+    assert_eq!(text, "fair%3Dnorth%20%26%20south");
+}
+
+/// Guards against help texts that drift from the commands.
+#[tokio::test]
+async fn each_command_has_help() {
+    let line = parse_texts(&["help", "cancel"]).unwrap();
+
+    let text = commands::run(line).await.unwrap();
+
+    expect![[r"
+        Usage: auburnsaddle [OPTIONS] cancel ID | --label KEY=VALUE
+
+        cancel one task, or all tasks with a label."]]
+    .assert_eq(text.split("\n\nOptions").next().unwrap_or_default());
+}
+
+/// Guards against an unreachable daemon that looks like another failure.
+#[tokio::test]
+async fn unreachable_daemons_have_their_own_exit_code() {
+    // Port 1 of the loopback interface has no listener.
+    let client = DaemonClient::new(vec!["127.0.0.1:1".to_owned(), "127.0.0.1:1".to_owned()]);
+
+    let source = client.get::<serde_json::Value>("/").await.unwrap_err();
+
+    let ClientError::Unreachable { causes } = &source else {
+        panic!("{source}");
+    };
+    assert_eq!(causes.len(), 2);
+    assert_eq!(CommandError::Client { source }.exit_code(), 5);
+}
