Drive the daemon's settings from one table; add examples and operators' pages

Cause: settings had neither help nor bounds, names could hold characters that break store keys, and operators had no reference and one partial example.

Error texts now name the value and its bounds, so the two earlier tests of settings are replaced by stricter ones (all problems word for word; an environment variable that is used as well as one that is overridden).

Conclusion: a setting cannot be added without its documentation.

--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -150,6 +150,19 @@
     .assert_eq(text.split("\n\nOptions").next().unwrap_or_default());
 }
 
+/// Guards against examples that no longer pass the check.
+#[tokio::test]
+async fn the_examples_are_valid() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+
+    for name in ["jegue-vale", "rehandling-authority"] {
+        let line = parse_texts(&["check", &format!("{root}/{name}")]).unwrap();
+        let result = commands::run(line).await;
+
+        assert!(result.is_ok(), "{name}: {result:?}");
+    }
+}
+
 /// Guards against an unreachable daemon that looks like another failure.
 #[tokio::test]
 async fn unreachable_daemons_have_their_own_exit_code() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,10 +25,11 @@
 The binary `auburnsaddled` reads its settings and calls [`run`]:
 
 ```no_run
-use auburnsaddle_daemon::{DaemonSettings, run};
+use auburnsaddle_daemon::{DaemonCommand, run};
 
-let settings = DaemonSettings::from_environment()?;
-run(&settings)?;
+if let DaemonCommand::Run(settings) = DaemonCommand::from_environment()? {
+    run(&settings)?;
+}
 # Ok::<(), Box<dyn std::error::Error>>(())
 ```
 */
@@ -46,4 +47,4 @@
 mod telemetry;
 
 pub use control::{DaemonError, run};
-pub use settings::{DaemonSettings, SettingsError};
+pub use settings::{CallerLimits, DaemonCommand, DaemonSettings, SettingsError};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,14 +2,22 @@
 
 use std::process::ExitCode;
 
-use auburnsaddle_daemon::{DaemonSettings, run};
+use auburnsaddle_daemon::{DaemonCommand, run};
 
 /// Exit code for settings that cannot be used.
 const EXIT_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
-    let settings = match DaemonSettings::from_environment() {
-        Ok(settings) => settings,
+    let settings = match DaemonCommand::from_environment() {
+        Ok(DaemonCommand::Run(settings)) => settings,
+        Ok(DaemonCommand::CheckSettings) => {
+            println!("the settings are valid");
+            return ExitCode::SUCCESS;
+        }
+        Ok(DaemonCommand::Print(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
         Err(error) => {
             eprintln!("auburnsaddled: {error}");
             return ExitCode::from(EXIT_SETTINGS);
--- /dev/null
+++ b/crates/daemon/src/settings/reader.rs
@@ -0,0 +1,160 @@
+//! Reading of settings from flags and environment variables.
+
+use std::{collections::BTreeMap, ffi::OsString, fmt::Display, str::FromStr, time::Duration};
+
+use super::{
+    messages::SettingsError,
+    table::{SETTINGS, SettingSpec},
+};
+
+/// Reads settings one by one and collects what is wrong with them.
+pub(super) struct SettingsReader {
+    arguments: pico_args::Arguments,
+    environment: BTreeMap<String, String>,
+    problems: Vec<String>,
+}
+
+impl SettingsReader {
+    pub(super) fn new(arguments: Vec<OsString>, environment: BTreeMap<String, String>) -> Self {
+        Self {
+            arguments: pico_args::Arguments::from_vec(arguments),
+            environment,
+            problems: Vec::new(),
+        }
+    }
+
+    /// Tells whether a flag without a value is given under one of its names.
+    pub(super) fn has_flag(&mut self, names: &[&'static str]) -> bool {
+        names.iter().any(|name| self.arguments.contains(*name))
+    }
+
+    /// Returns a value; `unset` stands in after a problem was noted.
+    pub(super) fn read<T>(&mut self, flag: &'static str, unset: T) -> T
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some((spec, text)) = self.text(flag) else {
+            return unset;
+        };
+        match text.parse() {
+            Ok(value) => value,
+            Err(error) => {
+                self.note_value(spec, &text, &format!("{error}; write {}", spec.value));
+                unset
+            }
+        }
+    }
+
+    /// Returns a comma-separated list.
+    pub(super) fn read_list<T>(&mut self, flag: &'static str) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some((spec, text)) = self.text(flag) else {
+            return Vec::new();
+        };
+        let mut values = Vec::new();
+        for part in text.split(',').filter(|part| !part.is_empty()) {
+            match part.trim().parse() {
+                Ok(value) => values.push(value),
+                Err(error) => {
+                    self.note_value(spec, part, &format!("{error}; write {}", spec.value));
+                }
+            }
+        }
+        values
+    }
+
+    /// Returns a name that can be part of a store key.
+    pub(super) fn read_name(&mut self, flag: &'static str) -> String {
+        let Some((spec, text)) = self.text(flag) else {
+            return String::new();
+        };
+        let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+        if !text.is_empty() && text.bytes().all(allowed) {
+            return text;
+        }
+        self.note_value(spec, &text, "use characters of a-z, 0-9 and `-`");
+        String::new()
+    }
+
+    /// Returns a whole number within the bounds of its setting.
+    pub(super) fn read_number(&mut self, flag: &'static str) -> u64 {
+        let Some((spec, text)) = self.text(flag) else {
+            return 0;
+        };
+        let (min, max) = spec.bounds.unwrap_or((0, u64::MAX));
+        match text.parse() {
+            Ok(value) if (min..=max).contains(&value) => value,
+            _ => {
+                self.note_value(
+                    spec,
+                    &text,
+                    &format!("use a whole number from {min} to {max}"),
+                );
+                min
+            }
+        }
+    }
+
+    /// Returns a time given in whole milliseconds.
+    pub(super) fn read_duration(&mut self, flag: &'static str) -> Duration {
+        Duration::from_millis(self.read_number(flag))
+    }
+
+    /// Notes a problem that concerns several settings.
+    pub(super) fn note(&mut self, problem: String) {
+        self.problems.push(problem);
+    }
+
+    /// Returns the settings if nothing is wrong.
+    pub(super) fn finish<T>(mut self, settings: T) -> Result<T, SettingsError> {
+        for argument in self.arguments.finish() {
+            let text = argument.to_string_lossy();
+            self.problems.push(format!(
+                "`{text}` is no setting or is given twice; remove it, or see --help"
+            ));
+        }
+        if self.problems.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError {
+                problems: self.problems,
+            })
+        }
+    }
+
+    /// Returns the text of the flag, its environment variable or its default.
+    fn text(&mut self, flag: &'static str) -> Option<(&'static SettingSpec, String)> {
+        let spec = SETTINGS
+            .iter()
+            .find(|spec| spec.flag == flag)
+            .expect("each setting that is read is in the table");
+        let variable = spec.variable();
+        let given = match self.arguments.opt_value_from_str::<_, String>(flag) {
+            Ok(given) => given,
+            Err(error) => {
+                let value = spec.value;
+                self.note(format!("{flag}: {error}; pass {flag} {value}"));
+                return None;
+            }
+        };
+        let given = given
+            .or_else(|| self.environment.get(&variable).cloned())
+            .or_else(|| spec.default.map(ToOwned::to_owned));
+        if given.is_none() {
+            let value = spec.value;
+            self.note(format!(
+                "{flag} is missing; pass {flag} {value} or set {variable}"
+            ));
+        }
+        given.map(|text| (spec, text))
+    }
+
+    fn note_value(&mut self, spec: &SettingSpec, text: &str, remedy: &str) {
+        let flag = spec.flag;
+        self.note(format!("{flag} `{text}`: {remedy}"));
+    }
+}
--- a/crates/daemon/src/settings/state.rs
+++ b/crates/daemon/src/settings/state.rs
@@ -1,13 +1,11 @@
 //! The daemon's settings.
 
-use std::{
-    collections::BTreeMap, ffi::OsString, fmt::Display, net::SocketAddr, str::FromStr,
-    time::Duration,
-};
+use std::{collections::BTreeMap, ffi::OsString, net::SocketAddr, time::Duration};
 
 use auburnsaddle_core::{DaemonId, RegionId, ZoneId};
+use log::LevelFilter;
 
-use super::messages::SettingsError;
+use super::{messages::SettingsError, reader::SettingsReader, table::help_text};
 
 /// Everything that a daemon is told at its start.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -22,35 +20,64 @@
     pub listen: SocketAddr,
     /// Address for other daemons.
     pub peer_listen: SocketAddr,
+    /// Peers to ask when the store is away at the start.
+    pub peers: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Address of the platform's list of hosts.
     pub hosts: SocketAddr,
+    /// The least severe messages that are logged.
+    pub log_level: LevelFilter,
     /// Time between heartbeats to each peer.
     pub heartbeat_interval: Duration,
     /// Time between readings of the store's control keys and the list of hosts.
     pub poll_interval: Duration,
+    /// Time over which records are gathered into one write.
+    pub commit_interval: Duration,
+    /// Limits for callers.
+    pub limits: CallerLimits,
 }
 
-/// Reads settings one by one and collects what is wrong with them.
-struct SettingsReader {
-    arguments: pico_args::Arguments,
-    environment: BTreeMap<String, String>,
-    problems: Vec<String>,
+/// Limits that protect the daemon from its callers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// Largest header block of a request, in bytes.
+    pub header_bytes: u64,
+    /// Time in which the headers of a request must arrive.
+    pub header_timeout: Duration,
+    /// Time in which the body of a request must arrive.
+    pub body_timeout: Duration,
+    /// Connections that are open at the same time.
+    pub connections: u64,
 }
 
-impl DaemonSettings {
-    /// Reads the settings of this process.
+/// What the command line of the daemon asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DaemonCommand {
+    /// Runs the daemon.
+    Run(Box<DaemonSettings>),
+    /// Checks the settings only; they are valid.
+    CheckSettings,
+    /// Prints a text.
+    Print(String),
+}
+
+impl DaemonCommand {
+    /// Reads the command line and the environment of this process.
     ///
     /// # Errors
     ///
     /// Returns all settings that are missing or malformed, in one error.
     pub fn from_environment() -> Result<Self, SettingsError> {
         let arguments = std::env::args_os().skip(1).collect();
-        Self::read(arguments, std::env::vars().collect())
+        // Variables that are not valid Unicode cannot be settings.
+        let variables = std::env::vars_os().filter_map(|(name, value)| {
+            Some((name.into_string().ok()?, value.into_string().ok()?))
+        });
+        Self::read(arguments, variables.collect())
     }
 
-    /// Reads settings from arguments and environment variables.
+    /// Reads a command line and environment variables.
     ///
     /// # Errors
     ///
@@ -59,99 +86,54 @@
         arguments: Vec<OsString>,
         environment: BTreeMap<String, String>,
     ) -> Result<Self, SettingsError> {
-        let mut reader = SettingsReader {
-            arguments: pico_args::Arguments::from_vec(arguments),
-            environment,
-            problems: Vec::new(),
-        };
-        let unset = SocketAddr::from(([127, 0, 0, 1], 0));
-        let settings = Self {
-            name: reader.required("--name", String::new()).into(),
-            region: reader.required("--region", String::new()).into(),
-            zone: reader.required("--zone", String::new()).into(),
-            listen: reader.optional("--listen", SocketAddr::from(([127, 0, 0, 1], 7480))),
-            peer_listen: reader.optional("--peer-listen", SocketAddr::from(([127, 0, 0, 1], 7481))),
-            store: reader.required("--store", unset),
-            hosts: reader.required("--hosts", unset),
-            heartbeat_interval: Duration::from_millis(
-                reader.optional("--heartbeat-interval-ms", 500),
-            ),
-            poll_interval: Duration::from_millis(reader.optional("--poll-interval-ms", 500)),
-        };
-        reader.finish(settings)
-    }
-}
-
-impl SettingsReader {
-    fn required<T>(&mut self, flag: &'static str, unset: T) -> T
-    where
-        T: FromStr,
-        T::Err: Display,
-    {
-        if let Some(value) = self.value(flag) {
-            return value;
-        }
-        let variable = variable_name(flag);
-        self.problems.push(format!(
-            "{flag} is missing; pass {flag} VALUE or set {variable}"
-        ));
-        unset
-    }
-
-    fn optional<T>(&mut self, flag: &'static str, default: T) -> T
-    where
-        T: FromStr,
-        T::Err: Display,
-    {
-        self.value(flag).unwrap_or(default)
-    }
-
-    /// Returns the value of a flag or of its environment variable.
-    fn value<T>(&mut self, flag: &'static str) -> Option<T>
-    where
-        T: FromStr,
-        T::Err: Display,
-    {
-        let text = match self.arguments.opt_value_from_str::<_, String>(flag) {
-            Ok(Some(text)) => Some(text),
-            Ok(None) => self.environment.get(&variable_name(flag)).cloned(),
-            Err(error) => {
-                self.problems
-                    .push(format!("{flag}: {error}; pass {flag} VALUE"));
-                None
-            }
-        }?;
-        match text.parse() {
-            Ok(value) => Some(value),
-            Err(error) => {
-                self.problems
-                    .push(format!("{flag} `{text}`: {error}; correct the value"));
-                None
-            }
+        let mut reader = SettingsReader::new(arguments, environment);
+        if reader.has_flag(&["-h", "--help"]) {
+            return Ok(Self::Print(help_text()));
         }
-    }
-
-    fn finish(mut self, settings: DaemonSettings) -> Result<DaemonSettings, SettingsError> {
-        for argument in self.arguments.finish() {
-            let text = argument.to_string_lossy();
-            self.problems
-                .push(format!("`{text}` is no setting; remove it"));
+        if reader.has_flag(&["-V", "--version"]) {
+            let version = env!("CARGO_PKG_VERSION");
+            return Ok(Self::Print(format!("auburnsaddled {version}")));
         }
-        if self.problems.is_empty() {
-            Ok(settings)
-        } else {
-            Err(SettingsError {
-                problems: self.problems,
-            })
+        let check_only = reader.has_flag(&["--check-settings"]);
+        let settings = DaemonSettings::read_from(&mut reader);
+        let settings = reader.finish(settings)?;
+        if check_only {
+            return Ok(Self::CheckSettings);
         }
+        Ok(Self::Run(Box::new(settings)))
     }
 }
 
-/// Returns the environment variable of a flag.
-fn variable_name(flag: &str) -> String {
-    let name = flag
-        .trim_start_matches('-')
-        .replace('-', "_")
-        .to_uppercase();
-    format!("AUBURNSADDLE_{name}")
+impl DaemonSettings {
+    fn read_from(reader: &mut SettingsReader) -> Self {
+        let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = Self {
+            name: reader.read_name("--name").into(),
+            region: reader.read_name("--region").into(),
+            zone: reader.read_name("--zone").into(),
+            listen: reader.read("--listen", unset),
+            peer_listen: reader.read("--peer-listen", unset),
+            peers: reader.read_list("--peers"),
+            store: reader.read("--store", unset),
+            hosts: reader.read("--hosts", unset),
+            log_level: reader.read("--log-level", LevelFilter::Info),
+            heartbeat_interval: reader.read_duration("--heartbeat-interval-ms"),
+            poll_interval: reader.read_duration("--poll-interval-ms"),
+            commit_interval: reader.read_duration("--commit-interval-ms"),
+            limits: CallerLimits {
+                header_bytes: reader.read_number("--header-limit"),
+                header_timeout: reader.read_duration("--header-timeout-ms"),
+                body_timeout: reader.read_duration("--body-timeout-ms"),
+                connections: reader.read_number("--connection-limit"),
+            },
+        };
+        // Port 0 asks the system for any free port, so it cannot clash.
+        if settings.listen == settings.peer_listen && settings.listen.port() != 0 {
+            reader.note(format!(
+                "--listen and --peer-listen are both {}; use two addresses",
+                settings.listen
+            ));
+        }
+        settings
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/settings/table.rs
@@ -0,0 +1,217 @@
+//! The table of all settings, which drives parsing, help and documentation.
+
+use std::fmt::Write;
+
+/// One setting.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct SettingSpec {
+    /// The flag; the environment variable is derived from it.
+    pub(super) flag: &'static str,
+    /// Placeholder of the value, with its unit.
+    pub(super) value: &'static str,
+    /// The value if none is given; `None` for a required setting.
+    pub(super) default: Option<&'static str>,
+    /// Smallest and largest value of a number.
+    pub(super) bounds: Option<(u64, u64)>,
+    /// What the setting does.
+    pub(super) meaning: &'static str,
+}
+
+/// All settings in the order of the help.
+pub(super) const SETTINGS: &[SettingSpec] = &[
+    required("--name", "NAME", "unique name of this daemon"),
+    required("--region", "NAME", "region of this daemon"),
+    required("--zone", "NAME", "availability zone of this daemon"),
+    required("--store", "IP:PORT", "address of the platform's store"),
+    required(
+        "--hosts",
+        "IP:PORT",
+        "address of the platform's list of hosts",
+    ),
+    optional(
+        "--listen",
+        "IP:PORT",
+        "127.0.0.1:7480",
+        "address for callers and operators",
+    ),
+    optional(
+        "--peer-listen",
+        "IP:PORT",
+        "127.0.0.1:7481",
+        "address for other daemons",
+    ),
+    optional(
+        "--peers",
+        "IP:PORT,...",
+        "",
+        "peers to ask when the store is away at the start",
+    ),
+    optional(
+        "--log-level",
+        "LEVEL",
+        "info",
+        "off, error, warn, info, debug or trace",
+    ),
+    number(
+        "--heartbeat-interval-ms",
+        "MILLISECONDS",
+        "500",
+        (50, 10_000),
+        "time between heartbeats to each peer",
+    ),
+    number(
+        "--poll-interval-ms",
+        "MILLISECONDS",
+        "500",
+        (50, 60_000),
+        "time between readings of the store's control keys and the list of hosts",
+    ),
+    number(
+        "--commit-interval-ms",
+        "MILLISECONDS",
+        "50",
+        (5, 5_000),
+        "time over which records are gathered into one write to the store",
+    ),
+    number(
+        "--header-limit",
+        "BYTES",
+        "16384",
+        (1_024, 1 << 20),
+        "largest header block of a request",
+    ),
+    number(
+        "--header-timeout-ms",
+        "MILLISECONDS",
+        "5000",
+        (100, 600_000),
+        "time in which the headers of a request must arrive",
+    ),
+    number(
+        "--body-timeout-ms",
+        "MILLISECONDS",
+        "30000",
+        (100, 3_600_000),
+        "time in which the body of a request must arrive",
+    ),
+    number(
+        "--connection-limit",
+        "CONNECTIONS",
+        "10000",
+        (1, 1_000_000),
+        "connections of callers that are open at the same time",
+    ),
+];
+
+const fn required(flag: &'static str, value: &'static str, meaning: &'static str) -> SettingSpec {
+    SettingSpec {
+        flag,
+        value,
+        default: None,
+        bounds: None,
+        meaning,
+    }
+}
+
+const fn optional(
+    flag: &'static str,
+    value: &'static str,
+    default: &'static str,
+    meaning: &'static str,
+) -> SettingSpec {
+    SettingSpec {
+        flag,
+        value,
+        default: Some(default),
+        bounds: None,
+        meaning,
+    }
+}
+
+const fn number(
+    flag: &'static str,
+    value: &'static str,
+    default: &'static str,
+    bounds: (u64, u64),
+    meaning: &'static str,
+) -> SettingSpec {
+    SettingSpec {
+        flag,
+        value,
+        default: Some(default),
+        bounds: Some(bounds),
+        meaning,
+    }
+}
+
+impl SettingSpec {
+    /// Returns the environment variable.
+    pub(super) fn variable(&self) -> String {
+        let name = self.flag.trim_start_matches('-').replace('-', "_");
+        format!("AUBURNSADDLE_{}", name.to_uppercase())
+    }
+
+    /// Returns what the help says about the default and the bounds.
+    fn default_text(&self) -> String {
+        let default = match self.default {
+            None => "required".to_owned(),
+            Some("") => "default none".to_owned(),
+            Some(text) => format!("default {text}"),
+        };
+        match self.bounds {
+            None => default,
+            Some((min, max)) => format!("{default}, {min} to {max}"),
+        }
+    }
+}
+
+/// Returns the help of the daemon.
+pub(super) fn help_text() -> String {
+    let mut text = "Usage: auburnsaddled --name NAME --region NAME --zone NAME \
+                    --store IP:PORT --hosts IP:PORT [SETTINGS]\n\nSettings:\n"
+        .to_owned();
+    for spec in SETTINGS {
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            text,
+            "  {} {}\n      {}\n      [{}, {}]",
+            spec.flag,
+            spec.value,
+            spec.meaning,
+            spec.variable(),
+            spec.default_text()
+        );
+    }
+    text + "
+Other flags:
+  --check-settings  check the settings and exit
+  -h, --help        explain the settings and exit
+  -V, --version     print the version and exit
+
+A flag wins over its environment variable. No setting holds a secret.
+
+Exit codes:
+  0  stopped as asked, or the settings are valid
+  1  could not start
+  2  settings cannot be used"
+}
+
+/// Returns the settings as a table for the operators' page.
+#[cfg(test)]
+pub(super) fn markdown_table() -> String {
+    let mut text = "| flag | environment variable | value | default | meaning |\n\
+                    |---|---|---|---|---|\n"
+        .to_owned();
+    for spec in SETTINGS {
+        let _ = writeln!(
+            text,
+            "| `{}` | `{}` | {} | {} | {} |",
+            spec.flag,
+            spec.variable(),
+            spec.value,
+            spec.default_text(),
+            spec.meaning
+        );
+    }
+    text
+}
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -1,41 +1,128 @@
 //! Tests of the settings.
 
-use std::{collections::BTreeMap, ffi::OsString};
+use std::{collections::BTreeMap, ffi::OsString, time::Duration};
 
-use super::DaemonSettings;
+use expect_test::expect;
 
-fn arguments(texts: &[&str]) -> Vec<OsString> {
-    texts.iter().map(OsString::from).collect()
+use super::{DaemonCommand, DaemonSettings, SettingsError, table};
+
+const REQUIRED: [&str; 10] = [
+    "--name",
+    "a",
+    "--region",
+    "r",
+    "--zone",
+    "z",
+    "--store",
+    "127.0.0.1:1",
+    "--hosts",
+    "127.0.0.1:1",
+];
+
+fn read(texts: &[&str], environment: &[(&str, &str)]) -> Result<DaemonCommand, SettingsError> {
+    let arguments = texts.iter().map(OsString::from).collect();
+    let environment: BTreeMap<String, String> = environment
+        .iter()
+        .map(|(name, value)| (format!("AUBURNSADDLE_{name}"), (*value).to_owned()))
+        .collect();
+    DaemonCommand::read(arguments, environment)
+}
+
+fn settings(texts: &[&str], environment: &[(&str, &str)]) -> DaemonSettings {
+    match read(&[&REQUIRED, texts].concat(), environment) {
+        Ok(DaemonCommand::Run(settings)) => *settings,
+        other => panic!("no settings: {other:?}"),
+    }
 }
 
 /// Guards against a daemon that reports one bad setting at a time.
 #[test]
 fn all_bad_settings_are_named_at_once() {
-    let flags = arguments(&[
-        "--name", "a", "--region", "r", "--store", "nowhere", "--frob",
-    ]);
+    let error = read(
+        &[
+            "--name",
+            "A b",
+            "--region",
+            "r",
+            "--store",
+            "nowhere",
+            "--frob",
+            "--poll-interval-ms",
+            "0",
+            "--peers",
+            "127.0.0.1:1,x",
+            "--log-level",
+            "loud",
+        ],
+        &[],
+    )
+    .unwrap_err();
 
-    let error = DaemonSettings::read(flags, BTreeMap::new()).unwrap_err();
-
-    let flags = ["--zone", "--store", "--hosts", "--frob"];
-    assert!(
-        flags.iter().all(|flag| error.to_string().contains(flag)),
-        "{error}"
-    );
+    expect![[r"
+        8 setting(s) cannot be used:
+          --name `A b`: use characters of a-z, 0-9 and `-`
+          --zone is missing; pass --zone NAME or set AUBURNSADDLE_ZONE
+          --peers `x`: invalid socket address syntax; write IP:PORT,...
+          --store `nowhere`: invalid socket address syntax; write IP:PORT
+          --hosts is missing; pass --hosts IP:PORT or set AUBURNSADDLE_HOSTS
+          --log-level `loud`: attempted to convert a string that doesn't match an existing log level; write LEVEL
+          --poll-interval-ms `0`: use a whole number from 50 to 60000
+          `--frob` is no setting or is given twice; remove it, or see --help"]]
+    .assert_eq(&error.to_string());
 }
 
-/// Guards against an environment variable that overrides a flag.
+/// Guards against an environment variable that overrides a flag, and against
+/// one that is ignored.
 #[test]
 fn flags_win_over_the_environment() {
-    let flags = arguments(&["--name", "a", "--region", "r", "--zone", "z"]);
-    let environment = [
-        ("NAME", "b"),
-        ("STORE", "127.0.0.1:1"),
-        ("HOSTS", "127.0.0.1:1"),
-    ]
-    .map(|(name, value)| (format!("AUBURNSADDLE_{name}"), value.to_owned()));
-
-    let settings = DaemonSettings::read(flags, environment.into()).unwrap();
+    let settings = settings(&[], &[("NAME", "b"), ("COMMIT_INTERVAL_MS", "300")]);
 
     assert_eq!(&*settings.name, "a");
+    assert_eq!(settings.commit_interval, Duration::from_millis(300));
+}
+
+/// Guards against a default in the table that is itself malformed.
+#[test]
+fn defaults_are_valid() {
+    let settings = settings(&[], &[]);
+
+    assert_eq!(settings.listen.port(), 7480);
+    assert_eq!(settings.limits.connections, 10_000);
+    assert!(settings.peers.is_empty());
+}
+
+/// Guards against a check of settings that starts the daemon.
+#[test]
+fn checking_settings_does_not_run_the_daemon() {
+    let command = read(&[&REQUIRED[..], &["--check-settings"]].concat(), &[]);
+
+    assert_eq!(command, Ok(DaemonCommand::CheckSettings));
+}
+
+/// Guards against two listeners on one address.
+#[test]
+fn listeners_need_two_addresses() {
+    let flags = ["--listen", "127.0.0.1:7481"];
+
+    let error = read(&[&REQUIRED[..], &flags].concat(), &[]).unwrap_err();
+
+    assert!(error.to_string().contains("use two addresses"), "{error}");
+}
+
+/// Guards against a setting that the help or the operators' page leaves out.
+#[test]
+fn all_settings_are_documented() {
+    let page = include_str!("../../../../docs/operations.md");
+    let help = table::help_text();
+
+    let missing = table::SETTINGS
+        .iter()
+        .find(|spec| !help.contains(spec.flag) || !help.contains(&spec.variable()));
+
+    assert_eq!(missing, None);
+    assert!(
+        page.contains(&table::markdown_table()),
+        "copy this table to docs/operations.md:\n{}",
+        table::markdown_table()
+    );
 }
