Fetch from a peer what is unreadable in the store; apply on a stated base

Cause: a daemon that found a corrupted delta in the store could go on asking the store, since both sources had the same timeout. apply always took the version in force at its start as base, so an operator could not say which version a dry run had shown. Markets were checked against the region of services only.

The region check of markets covers batch runs, gang jobs and long-running tasks.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -1,5 +1,6 @@
 //! The command line: global options, commands and their arguments.
 
+use auburnsaddle_core::ConfigVersion;
 use snafu::Snafu;
 
 use crate::help::{COMMANDS, CommandHelp};
@@ -59,7 +60,12 @@
     /// Checks the objects of a directory.
     Check(String),
     /// Publishes the objects of a directory, or shows what would change.
-    Apply { directory: String, dry_run: bool },
+    Apply {
+        directory: String,
+        dry_run: bool,
+        /// The version on which the objects are based, if not the one in force.
+        base: Option<ConfigVersion>,
+    },
     /// Shows versions, owners and suspected peers.
     Status,
     /// Shows a task.
@@ -149,6 +155,7 @@
         "check" => Ok(Command::Check(operand(arguments, "DIR")?)),
         "apply" => Ok(Command::Apply {
             dry_run: arguments.contains("--dry-run"),
+            base: number(arguments, "--base")?,
             directory: operand(arguments, "DIR")?,
         }),
         "status" => Ok(Command::Status),
@@ -160,7 +167,7 @@
         "watch" => Ok(Command::Watch(task_id(arguments)?)),
         "submit" => Ok(Command::Submit {
             labels: labels(arguments)?,
-            count: count(arguments)?,
+            count: positive(arguments, "--count")?,
             object: operand(arguments, "OBJECT")?,
         }),
         "cancel" => match labels(arguments)?.as_slice() {
@@ -218,11 +225,24 @@
     }
 }
 
-fn count(arguments: &mut pico_args::Arguments) -> Result<Option<u64>, UsageError> {
-    match option(arguments, "--count")?.map(|text| text.parse()) {
+fn number(
+    arguments: &mut pico_args::Arguments,
+    flag: &'static str,
+) -> Result<Option<u64>, UsageError> {
+    match option(arguments, flag)?.map(|text| text.parse()) {
         None => Ok(None),
-        Some(Ok(count)) if count > 0 => Ok(Some(count)),
-        Some(_) => Err(UsageError::new("--count is not a positive whole number")),
+        Some(Ok(number)) => Ok(Some(number)),
+        Some(Err(_)) => Err(UsageError::new(&format!("{flag} is not a whole number"))),
+    }
+}
+
+fn positive(
+    arguments: &mut pico_args::Arguments,
+    flag: &'static str,
+) -> Result<Option<u64>, UsageError> {
+    match number(arguments, flag)? {
+        Some(0) => Err(UsageError::new(&format!("{flag} is not positive"))),
+        number => Ok(number),
     }
 }
 
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,7 +1,8 @@
 //! The commands of the tool.
 
 use auburnsaddle_core::{
-    ConfigReply, ObjectDelta, ObjectProblem, ObjectSet, PublishReply, PublishRequest, StatusReply,
+    ConfigReply, ConfigVersion, ObjectDelta, ObjectProblem, ObjectSet, PublishReply,
+    PublishRequest, StatusReply,
 };
 use hyper::{Method, StatusCode};
 use serde::Serialize;
@@ -79,7 +80,14 @@
         Command::Help(Some(command)) => Ok(help::explain(command)),
         Command::Version => Ok(format!("auburnsaddle {}", env!("CARGO_PKG_VERSION"))),
         Command::Check(directory) => check(&directory, output),
-        Command::Apply { directory, dry_run } => apply(&client, &directory, dry_run, output).await,
+        Command::Apply {
+            directory,
+            dry_run,
+            base,
+        } => {
+            let result = apply(&client, &directory, dry_run, base).await?;
+            Ok(render(output, &result, apply_text))
+        }
         Command::Status => {
             let status: StatusReply = client.get("/admin/status").await?;
             Ok(render(output, &status, status_table))
@@ -114,8 +122,8 @@
     client: &DaemonClient,
     directory: &str,
     dry_run: bool,
-    output: OutputFormat,
-) -> Result<String, CommandError> {
+    base: Option<ConfigVersion>,
+) -> Result<Value, CommandError> {
     let objects = valid_objects(directory)?;
     let current: ConfigReply = client.get("/admin/config").await?;
     let delta = ObjectDelta::between(&current.objects, &objects);
@@ -126,20 +134,19 @@
     let differs = !delta.is_empty() || version == 0;
     if differs && !dry_run {
         let request = PublishRequest {
-            base: current.version,
+            base: base.unwrap_or(current.version),
             objects,
         };
         let path = "/admin/config";
         let reply: PublishReply = client.send(Method::POST, path, &request).await?;
         version = reply.version;
     }
-    let result = json!({
+    Ok(json!({
         "base": current.version,
         "version": version,
         "published": version > current.version,
         "changes": changes,
-    });
-    Ok(render(output, &result, apply_text))
+    }))
 }
 
 fn apply_text(result: &Value) -> String {
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -26,12 +26,13 @@
     },
     CommandHelp {
         name: "apply",
-        arguments: "DIR [--dry-run]",
+        arguments: "DIR [--dry-run] [--base VERSION]",
         summary: "check the objects below DIR and publish them as the next version",
         details: "Objects that are in force but not below DIR are removed. With --dry-run the\n\
                   differences are printed and nothing is published. If another operator\n\
-                  published meanwhile, nothing is published and the objects changed since are\n\
-                  printed (exit code 4).",
+                  published since the base version, nothing is published and the objects changed\n\
+                  since are printed (exit code 4). The base is the version in force when the\n\
+                  command starts, or the one in --base, such as that shown by a dry run.",
     },
     CommandHelp {
         name: "status",
--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -93,7 +93,7 @@
 /// Guards against a mistyped command line that does something else.
 #[test]
 fn bad_command_lines_are_rejected_with_a_remedy() {
-    let lines: [&[&str]; 7] = [
+    let lines: [&[&str]; 9] = [
         &[],
         &["frob"],
         &["check"],
@@ -101,6 +101,8 @@
         &["get", "../admin/dump"],
         &["status", "--output", "xml"],
         &["apply", "dir", "--dryrun"],
+        &["apply", "dir", "--base", "-1"],
+        &["submit", "photos", "--count", "0"],
     ];
 
     let errors = lines.map(|line| parse_texts(line).unwrap_err().to_string());
@@ -112,7 +114,9 @@
         --label `north` is not written as KEY=VALUE; see `auburnsaddle help`
         `../admin/dump` is no task id; see `auburnsaddle help`
         --output `xml` is neither json nor table; see `auburnsaddle help`
-        `--dryrun` is not expected; see `auburnsaddle help`"]]
+        `--dryrun` is not expected; see `auburnsaddle help`
+        --base is not a whole number; see `auburnsaddle help`
+        --count is not positive; see `auburnsaddle help`"]]
     .assert_eq(&errors.join("\n"));
 }
 
--- a/crates/core/src/objects/check.rs
+++ b/crates/core/src/objects/check.rs
@@ -122,13 +122,34 @@
         self.check_references(ObjectKind::Gang, &market.gangs);
         self.check_references(ObjectKind::Task, &market.tasks);
         self.check_references(ObjectKind::Team, &market.teams);
-        for name in &market.services {
-            let service = self.set.services.get(name);
-            let pool = service.and_then(|service| self.set.pools.get(&service.pool));
-            match pool {
+        self.check_regions(market);
+    }
+
+    /// Checks that everything a market uses lies in its region.
+    fn check_regions(&mut self, market: &MarketSpec) {
+        let set = self.set;
+        let services = market.services.iter().map(|name| {
+            let service = set.services.get(name);
+            (
+                ObjectKind::Service,
+                name,
+                service.map(|service| &service.pool),
+            )
+        });
+        let work = [
+            (ObjectKind::Batch, &market.batches, &set.batches),
+            (ObjectKind::Gang, &market.gangs, &set.gangs),
+            (ObjectKind::Task, &market.tasks, &set.tasks),
+        ];
+        let work = work.into_iter().flat_map(|(kind, names, specs)| {
+            let names = names.iter();
+            names.map(move |name| (kind, name, specs.get(name).map(|work| &work.pool)))
+        });
+        for (kind, name, pool) in services.chain(work) {
+            match pool.and_then(|pool| set.pools.get(pool)) {
                 Some(pool) if pool.region != market.region => {
                     self.note(ObjectProblemKind::OtherRegion {
-                        target: ObjectRef::new(ObjectKind::Service, name),
+                        target: ObjectRef::new(kind, name),
                         found: pool.region.to_string(),
                         expected: market.region.to_string(),
                     });
--- a/crates/core/src/objects/tests.rs
+++ b/crates/core/src/objects/tests.rs
@@ -112,6 +112,21 @@
     expect!["all teams together are guaranteed 9000 cpu_milli of 8000 in all pools; lower guarantees or declare more hosts"].assert_eq(&found);
 }
 
+/// Guards against a market that depends on another region, which it would lose
+/// in a partition.
+#[test]
+fn markets_use_objects_of_their_own_region() {
+    let text =
+        work("batch", "count", "") + "[[market]]\nname = 'far'\nregion = 'r2'\nbatches = ['count']";
+
+    let found = problems(&text);
+
+    expect![
+        "a.toml: market `far`: uses batch `count` in region `r1`; use an object of region `r2`"
+    ]
+    .assert_eq(&found);
+}
+
 /// Guards against work that must run in one place on targets that cannot
 /// report what they run.
 #[test]
--- a/crates/core/src/publication/messages.rs
+++ b/crates/core/src/publication/messages.rs
@@ -94,7 +94,7 @@
 #[non_exhaustive]
 pub enum RejectReason {
     /// The set does not match its digest.
-    #[snafu(display("the digest does not match; apply the objects again from version control"))]
+    #[snafu(display("the digest does not match; wait for a peer to pass the version on"))]
     Corrupted,
     /// The set does not pass the check.
     #[snafu(display("{problem}; apply corrected objects"))]
--- a/crates/core/src/publication/state.rs
+++ b/crates/core/src/publication/state.rs
@@ -23,8 +23,10 @@
 /// changes at 2,300 a day.
 const HISTORY_LENGTH: usize = 288;
 
-/// Time after which an unanswered fetch is repeated. It is below half of the
-/// 7 s in which a version must be in force, so that one loss is tolerated.
+/// Time after which a fetch without result is repeated from another kind of
+/// source; the same kind is asked again after twice this time. One loss is thus made good
+/// within the 7 s in which a version must be in force, and a version that is
+/// corrupted in the store is fetched from a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The configuration in force.
@@ -34,7 +36,14 @@
     digest: ConfigDigest,
     objects: Arc<ObjectSet>,
     history: BTreeMap<ConfigVersion, RecordedChange>,
-    fetching_since: Option<Duration>,
+    fetch: Option<FetchAttempt>,
+}
+
+/// The latest fetch, until it brings a version into force.
+#[derive(Clone, Debug)]
+struct FetchAttempt {
+    since: Duration,
+    source: ConfigSource,
 }
 
 #[derive(Clone, Debug)]
@@ -177,12 +186,16 @@
         now: Duration,
     ) -> Vec<ConfigAction> {
         let is_waiting = self
-            .fetching_since
-            .is_some_and(|since| now < since.saturating_add(FETCH_TIMEOUT));
+            .fetch
+            .as_ref()
+            .is_some_and(|fetch| now < fetch.retry_at(&source));
         if version <= self.version || is_waiting {
             return Vec::new();
         }
-        self.fetching_since = Some(now);
+        self.fetch = Some(FetchAttempt {
+            since: now,
+            source: source.clone(),
+        });
         vec![ConfigAction::Fetch {
             from: self.version,
             source,
@@ -206,7 +219,7 @@
         // A fetch without progress counts as under way until its timeout, so
         // that a corrupted version is not read again at every poll.
         if self.version > before {
-            self.fetching_since = None;
+            self.fetch = None;
             actions.push(ConfigAction::InForce(self.version));
         }
         actions
@@ -249,6 +262,18 @@
     }
 }
 
+impl FetchAttempt {
+    /// Returns when a fetch from `source` may follow this one.
+    fn retry_at(&self, source: &ConfigSource) -> Duration {
+        let wait = match (&self.source, source) {
+            (ConfigSource::Store(_), ConfigSource::Store(_))
+            | (ConfigSource::Peer(_), ConfigSource::Peer(_)) => 2 * FETCH_TIMEOUT,
+            _ => FETCH_TIMEOUT,
+        };
+        self.since.saturating_add(wait)
+    }
+}
+
 fn verify(
     version: ConfigVersion,
     digest: &ConfigDigest,
--- a/crates/daemon/src/publication/state.rs
+++ b/crates/daemon/src/publication/state.rs
@@ -88,8 +88,8 @@
         Ok(value) => Some(value),
         Err(error) => {
             log::error!(
-                "store value {key} is malformed: {error}; the version in force stays, apply the \
-                 objects again from version control"
+                "store value {key} is malformed: {error}; the version in force stays until a peer \
+                 passes the value on, see \"A corrupted version\" in docs/operations.md"
             );
             None
         }
