Bound the size of a configuration pull between peers

Cause: 288 deltas of any size could exceed the 1 MB limit of a peer message, and the daemon that is behind would then never catch up from that peer.

The whole set takes the place of deltas that hold more objects than the set. Ruled out: several pulls of a few deltas each (one delta may already be as large as the set, and more round trips for no gain).

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -112,7 +112,7 @@
 
 fn check(directory: &str, output: OutputFormat) -> Result<String, CommandError> {
     let objects = valid_objects(directory)?;
-    let report = json!({ "valid": true, "objects": objects.objects().len() });
+    let report = json!({ "valid": true, "objects": objects.len() });
     Ok(render(output, &report, |report| {
         format!("{} objects are valid", report["objects"])
     }))
--- a/crates/core/src/objects/delta.rs
+++ b/crates/core/src/objects/delta.rs
@@ -102,6 +102,12 @@
         changes
     }
 
+    /// Returns the number of objects that differ.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.puts.len() + self.removals.len()
+    }
+
     /// Tells whether nothing differs.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/core/src/objects/state.rs
+++ b/crates/core/src/objects/state.rs
@@ -115,6 +115,19 @@
         }
     }
 
+    /// Returns the number of objects.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        let work = self.batches.len() + self.gangs.len() + self.tasks.len();
+        work + self.markets.len() + self.pools.len() + self.services.len() + self.teams.len()
+    }
+
+    /// Tells whether the set has no objects.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Returns all objects by kind and name.
     #[must_use]
     pub fn objects(&self) -> BTreeMap<ObjectRef, ObjectSpec> {
--- a/crates/core/src/publication/state.rs
+++ b/crates/core/src/publication/state.rs
@@ -29,6 +29,10 @@
 /// corrupted in the store is fetched from a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Objects that a peer gets in deltas even if the whole set is smaller; deltas
+/// leave it the list of changes for conflicts.
+const MIN_PULL_OBJECTS: usize = 256;
+
 /// The configuration in force.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigState {
@@ -127,23 +131,29 @@
     }
 
     /// Returns the versions after `from` for a daemon that is behind.
+    ///
+    /// The whole set takes the place of deltas that do not reach back, or that
+    /// hold more objects than the set, so that the message stays bounded.
     #[must_use]
     pub fn pull(&self, from: ConfigVersion) -> ConfigPull {
-        let first = self.history.keys().next().copied();
-        let reaches_back = first.is_some_and(|first| first <= from.saturating_add(1));
         if from >= self.version {
             return ConfigPull::default();
         }
-        if !reaches_back {
+        let later = self.history.range(from + 1..);
+        let deltas: Vec<_> = later.map(|(_, recorded)| recorded.delta.clone()).collect();
+        let reaches_back = deltas
+            .first()
+            .is_some_and(|first| first.version == from + 1);
+        let size: usize = deltas.iter().map(|delta| delta.delta.len()).sum();
+        if reaches_back && size <= self.objects.len().max(MIN_PULL_OBJECTS) {
             return ConfigPull {
-                snapshot: Some(self.snapshot()),
-                deltas: Vec::new(),
+                snapshot: None,
+                deltas,
             };
         }
-        let later = self.history.range(from + 1..);
         ConfigPull {
-            snapshot: None,
-            deltas: later.map(|(_, recorded)| recorded.delta.clone()).collect(),
+            snapshot: Some(self.snapshot()),
+            deltas: Vec::new(),
         }
     }
 
--- a/crates/core/src/publication/tests.rs
+++ b/crates/core/src/publication/tests.rs
@@ -140,6 +140,22 @@
     assert_eq!(new.head(), state.head());
 }
 
+/// Guards against a pull that is larger than a peer message may be.
+#[test]
+fn large_deltas_are_replaced_by_the_whole_set() {
+    let (mut state, _) = published(2);
+    for (base, teams) in [(2, 200), (3, 1), (4, 200)] {
+        let update = state.prepare(base, set_with_teams(teams)).unwrap();
+        fetch(&mut state, deltas(&[update]));
+    }
+
+    let pulls = [state.pull(2), state.pull(3), state.pull(5)];
+
+    let shapes = pulls.map(|pull| (pull.snapshot.is_some(), pull.deltas.len()));
+    assert_eq!(shapes, [(true, 0), (true, 0), (false, 0)]);
+    assert_eq!(state.pull(4).deltas.len(), 1);
+}
+
 /// Guards against a flood of fetches while one is on its way, against waiting
 /// for ever for one that was lost, and against asking the store alone for a
 /// version that is corrupted there.
