Read from the next daemon when one stays silent

A read without an answer within 5 s goes to the next daemon; a write is never repeated, since it may have run, and fails after 60 s.

Conclusion: reads fail over from a silent daemon as from a dead one.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -11,12 +11,19 @@
     rt::TokioExecutor,
 };
 use serde::{Serialize, de::DeserializeOwned};
-use serde_json::Value;
 use snafu::Snafu;
 
 /// Time to establish a connection before the next daemon is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for an answer to a read before the next daemon is tried. A paused
+/// daemon still accepts connections, so that only time tells.
+pub(crate) const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for an answer to a write or a long poll. A daemon needs up to 11 s
+/// to resolve the lost response of the store.
+const WRITE_TIMEOUT: Duration = Duration::from_mins(1);
+
 /// A request that no daemon answered with success.
 #[derive(Debug, Snafu)]
 pub(crate) enum ClientError {
@@ -63,30 +70,46 @@
 /// Sends requests to the first daemon that can be reached.
 pub(crate) struct DaemonClient {
     addresses: Vec<String>,
+    read_timeout: Duration,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
 /// One attempt that did not succeed.
 enum AttemptError {
-    /// Nothing was sent, so another daemon can be tried.
-    NotSent(String),
+    /// Nothing was sent, or only a read, so another daemon can be tried.
+    Repeatable(String),
     Final(ClientError),
 }
 
 impl DaemonClient {
     /// Returns a client that connects on first use.
-    pub(crate) fn new(addresses: Vec<String>) -> Self {
+    pub(crate) fn new(addresses: Vec<String>, read_timeout: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         Self {
             addresses,
+            read_timeout,
             client: Client::builder(TokioExecutor::new()).build(connector),
         }
     }
 
-    /// Reads a path.
+    /// Reads a path, from another daemon if one breaks off or stays silent.
     pub(crate) async fn get<R: DeserializeOwned>(&self, path: &str) -> Result<R, ClientError> {
-        self.send(Method::GET, path, &Value::Null).await
+        let mut causes = Vec::new();
+        for address in &self.addresses {
+            let attempt = self.attempt(address, &Method::GET, path, Vec::new(), self.read_timeout);
+            match attempt.await {
+                Ok(answer) => {
+                    return serde_json::from_slice(&answer).map_err(|error| malformed(&error));
+                }
+                Err(AttemptError::Final(ClientError::Interrupted { message, .. })) => {
+                    causes.push(format!("{address}: {message}"));
+                }
+                Err(AttemptError::Final(error)) => return Err(error),
+                Err(AttemptError::Repeatable(cause)) => causes.push(format!("{address}: {cause}")),
+            }
+        }
+        Err(ClientError::Unreachable { causes })
     }
 
     /// Sends a request with a JSON body and returns the JSON answer.
@@ -107,12 +130,13 @@
         let body = if body == b"null" { Vec::new() } else { body };
         let mut causes = Vec::new();
         for address in &self.addresses {
-            match self.attempt(address, &method, path, body.clone()).await {
+            let attempt = self.attempt(address, &method, path, body.clone(), WRITE_TIMEOUT);
+            match attempt.await {
                 Ok(answer) => {
                     return serde_json::from_slice(&answer).map_err(|error| malformed(&error));
                 }
                 Err(AttemptError::Final(error)) => return Err(error),
-                Err(AttemptError::NotSent(cause)) => causes.push(format!("{address}: {cause}")),
+                Err(AttemptError::Repeatable(cause)) => causes.push(format!("{address}: {cause}")),
             }
         }
         Err(ClientError::Unreachable { causes })
@@ -124,16 +148,31 @@
         method: &Method,
         path: &str,
         body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Bytes, AttemptError> {
+        let exchange = self.exchange(address, method, path, body);
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(elapsed) => Err(interrupted(address, &elapsed)),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: &str,
+        method: &Method,
+        path: &str,
+        body: Vec<u8>,
     ) -> Result<Bytes, AttemptError> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
-            .map_err(|error| AttemptError::NotSent(error.to_string()))?;
+            .map_err(|error| AttemptError::Repeatable(error.to_string()))?;
         let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
-                AttemptError::NotSent(root_cause(&error))
+                AttemptError::Repeatable(root_cause(&error))
             } else {
                 interrupted(address, &error)
             }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     arguments::{Command, CommandLine, OutputFormat, UsageError},
-    client::{ClientError, DaemonClient},
+    client::{ClientError, DaemonClient, READ_TIMEOUT},
     files::{FileError, read_objects},
     help,
     output::{status_table, task_table},
@@ -73,7 +73,7 @@
 
 /// Runs a command and returns what to print.
 pub(crate) async fn run(line: CommandLine) -> Result<String, CommandError> {
-    let client = DaemonClient::new(line.daemons);
+    let client = DaemonClient::new(line.daemons, READ_TIMEOUT);
     let output = line.output;
     match line.command {
         Command::Help(None) => Ok(help::overview()),
--- a/crates/cli/src/tasks.rs
+++ b/crates/cli/src/tasks.rs
@@ -63,7 +63,8 @@
     let mut after = 0;
     loop {
         let path = format!("{TASKS_PATH}/{id}/watch?after={after}");
-        let event: Value = client.get(&path).await?;
+        // A long poll: silence for a while is no failure.
+        let event: Value = client.send(Method::GET, &path, &Value::Null).await?;
         after = event["sequence"].as_u64().unwrap_or(after + 1);
         if event["final"].as_bool().unwrap_or(true) {
             return Ok(event);
--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the command line and of the output.
 
-use std::ffi::OsString;
+use std::{ffi::OsString, net::TcpListener, time::Duration};
 
 use auburnsaddle_core::StatusReply;
 use expect_test::expect;
@@ -8,7 +8,7 @@
 
 use crate::{
     arguments::{Command, CommandLine, LabelPair, UsageError, parse},
-    client::{ClientError, DaemonClient},
+    client::{ClientError, DaemonClient, READ_TIMEOUT},
     commands::{self, CommandError},
     output::{status_table, task_table},
     tasks::percent_encode,
@@ -171,7 +171,8 @@
 #[tokio::test]
 async fn unreachable_daemons_have_their_own_exit_code() {
     // Port 1 of the loopback interface has no listener.
-    let client = DaemonClient::new(vec!["127.0.0.1:1".to_owned(), "127.0.0.1:1".to_owned()]);
+    let addresses = vec!["127.0.0.1:1".to_owned(), "127.0.0.1:1".to_owned()];
+    let client = DaemonClient::new(addresses, READ_TIMEOUT);
 
     let source = client.get::<serde_json::Value>("/").await.unwrap_err();
 
@@ -181,3 +182,23 @@
     assert_eq!(causes.len(), 2);
     assert_eq!(CommandError::Client { source }.exit_code(), 5);
 }
+
+/// Guards against a read that waits for ever for a paused daemon.
+#[tokio::test]
+async fn reads_go_on_to_the_next_daemon_when_one_stays_silent() {
+    // Connections wait in the backlog, as with a paused process.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addresses = vec![
+        silent.local_addr().unwrap().to_string(),
+        "127.0.0.1:1".to_owned(),
+    ];
+    let client = DaemonClient::new(addresses, Duration::from_millis(100));
+
+    let error = client.get::<serde_json::Value>("/").await.unwrap_err();
+
+    let ClientError::Unreachable { causes } = &error else {
+        panic!("{error}");
+    };
+    assert!(causes[0].contains("deadline has elapsed"), "{causes:?}");
+    assert_eq!(causes.len(), 2);
+}
