--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,7 +1,7 @@
 //! The commands of the tool.
 
 use auburnsaddle_core::{
-    ConfigReply, ConfigVersion, ObjectDelta, ObjectProblem, ObjectSet, PublishReply,
+    ConfigReply, ConfigVersion, ObjectDelta, ObjectProblem, ObjectReport, ObjectSet, PublishReply,
     PublishRequest, StatusReply,
 };
 use hyper::{Method, StatusCode};
@@ -39,6 +39,12 @@
         /// Everything that is wrong.
         problems: Vec<ObjectProblem>,
     },
+    /// The objects are not valid, and the problems are listed as JSON.
+    #[snafu(display("{text}"))]
+    Report {
+        /// The list.
+        text: String,
+    },
     /// No daemon carried the command out.
     #[snafu(transparent)]
     Client {
@@ -52,7 +58,7 @@
     pub(crate) const fn exit_code(&self) -> u8 {
         match self {
             Self::Usage { .. } => 2,
-            Self::Objects { .. } => 3,
+            Self::Objects { .. } | Self::Report { .. } => 3,
             Self::Client { source } => client_code(source),
             Self::File { .. } => 1,
         }
@@ -79,7 +85,10 @@
         Command::Help(None) => Ok(help::overview()),
         Command::Help(Some(command)) => Ok(help::explain(command)),
         Command::Version => Ok(format!("auburnsaddle {}", env!("CARGO_PKG_VERSION"))),
-        Command::Check(directory) => check(&directory, output),
+        Command::Check(directory) => {
+            let report = read_objects(&directory)?;
+            check(report, output)
+        }
         Command::Apply {
             directory,
             dry_run,
@@ -110,12 +119,36 @@
     }
 }
 
-fn check(directory: &str, output: OutputFormat) -> Result<String, CommandError> {
-    let objects = valid_objects(directory)?;
-    let report = json!({ "valid": true, "objects": objects.len() });
-    Ok(render(output, &report, |report| {
-        format!("{} objects are valid", report["objects"])
-    }))
+/// Returns the result of a check. As JSON it lists the problems too, and the
+/// exit code alone tells that there are any.
+fn check(report: ObjectReport, output: OutputFormat) -> Result<String, CommandError> {
+    if output == OutputFormat::Table {
+        let objects = valid_objects(report)?;
+        return Ok(format!("{} objects are valid", objects.len()));
+    }
+    let problems = report.problems.iter().map(problem_value);
+    let text = format!(
+        "{:#}",
+        json!({
+            "valid": report.is_valid(),
+            "objects": report.set.len(),
+            "problems": problems.collect::<Vec<_>>(),
+        })
+    );
+    if report.is_valid() {
+        Ok(text)
+    } else {
+        Err(CommandError::Report { text })
+    }
+}
+
+fn problem_value(problem: &ObjectProblem) -> Value {
+    json!({
+        "file": problem.file,
+        "object": problem.object,
+        "message": problem.kind.to_string(),
+        "warning": problem.kind.is_warning(),
+    })
 }
 
 async fn apply(
@@ -124,7 +157,7 @@
     dry_run: bool,
     base: Option<ConfigVersion>,
 ) -> Result<Value, CommandError> {
-    let objects = valid_objects(directory)?;
+    let objects = valid_objects(read_objects(directory)?)?;
     let current: ConfigReply = client.get("/admin/config").await?;
     let delta = ObjectDelta::between(&current.objects, &objects);
     let changes = delta.changes(&current.objects);
@@ -162,10 +195,9 @@
     lines.join("\n")
 }
 
-/// Reads a directory and rejects a set that cannot be published. Warnings go
-/// to the standard error stream.
-fn valid_objects(directory: &str) -> Result<ObjectSet, CommandError> {
-    let report = read_objects(directory)?;
+/// Rejects a set that cannot be published. Warnings go to the standard error
+/// stream.
+fn valid_objects(report: ObjectReport) -> Result<ObjectSet, CommandError> {
     if !report.is_valid() {
         return Err(CommandError::Objects {
             problems: report.problems,
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -22,7 +22,8 @@
         arguments: "DIR",
         summary: "check all objects below DIR as one set",
         details: "Reads every .toml file of DIR and its subdirectories, without a daemon, and\n\
-                  prints all problems with file, object and remedy.",
+                  prints all problems with file, object and remedy. With --output json the\n\
+                  problems are part of the output.",
     },
     CommandHelp {
         name: "apply",
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -28,7 +28,10 @@
             ExitCode::SUCCESS
         }
         Err(error) => {
-            eprintln!("auburnsaddle: {error}");
+            match &error {
+                CommandError::Report { text } => println!("{text}"),
+                error => eprintln!("auburnsaddle: {error}"),
+            }
             ExitCode::from(error.exit_code())
         }
     }
--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the command line and of the output.
 
-use std::{ffi::OsString, net::TcpListener, time::Duration};
+use std::{ffi::OsString, fs, net::TcpListener, time::Duration};
 
 use auburnsaddle_core::StatusReply;
 use expect_test::expect;
@@ -167,6 +167,43 @@
     }
 }
 
+fn directory_with(name: &str, text: &str) -> String {
+    let directory = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+    fs::create_dir_all(directory.join("nested")).unwrap();
+    fs::write(directory.join("nested/a.toml"), text).unwrap();
+    directory.display().to_string()
+}
+
+/// Guards against files of subdirectories that are passed over, and against
+/// problems that a program cannot read.
+#[tokio::test]
+async fn problems_are_listed_as_json() {
+    let directory = directory_with("auburnsaddle-check", "[[team]]\nname = 'crew'");
+    let line = parse_texts(&["--output", "json", "check", &directory]).unwrap();
+
+    let error = commands::run(line).await.unwrap_err();
+
+    fs::remove_dir_all(&directory).unwrap();
+    assert_eq!(error.exit_code(), 3);
+    expect![[r#"
+        {
+          "objects": 1,
+          "problems": [
+            {
+              "file": "DIR/nested/a.toml",
+              "message": "`quota` is missing; add it",
+              "object": {
+                "kind": "team",
+                "name": "crew"
+              },
+              "warning": false
+            }
+          ],
+          "valid": false
+        }"#]]
+    .assert_eq(&error.to_string().replace(&directory, "DIR"));
+}
+
 /// Guards against an unreachable daemon that looks like another failure.
 #[tokio::test]
 async fn unreachable_daemons_have_their_own_exit_code() {
