--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -4,7 +4,6 @@
 
 use arc_swap::ArcSwap;
 use auburnsaddle_core::MemberRecord;
-use log::LevelFilter;
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::TcpListener,
@@ -25,7 +24,7 @@
     membership::{MEMBER_PREFIX, register_transaction},
     ownership::OWNER_PREFIX,
     peers::{PeerClient, serve_peers},
-    publication::CONFIG_KEY,
+    publication::HEAD_KEY,
     settings::DaemonSettings,
     store::{HttpStore, StoreClient},
     telemetry::{ProcessClock, init_logger},
@@ -64,7 +63,7 @@
 /// Returns an error if an address cannot be listened on or a thread cannot be
 /// started.
 pub fn run(settings: &DaemonSettings) -> Result<(), DaemonError> {
-    init_logger(&settings.name, LevelFilter::Info);
+    init_logger(&settings.name, settings.log_level);
     let traffic = Builder::new_multi_thread()
         .thread_name("traffic")
         .enable_all()
@@ -214,7 +213,7 @@
         }
         let mut entries = Vec::new();
         let mut failed = false;
-        for prefix in [MEMBER_PREFIX, OWNER_PREFIX, CONFIG_KEY] {
+        for prefix in [MEMBER_PREFIX, OWNER_PREFIX, HEAD_KEY] {
             match store.read_prefix(prefix).await {
                 Ok(read) => entries.extend(read),
                 Err(error) => {
