Test that a misspelt object field is rejected

Cause: the earlier test of unknown fields went with the parser that it tested. Ruled out: relying on the syntax test, which asserts other errors only.

--- a/crates/core/src/objects/tests.rs
+++ b/crates/core/src/objects/tests.rs
@@ -173,3 +173,13 @@
         ["removed batch `a`", "changed batch `b`", "added task `c`"]
     );
 }
+
+/// Guards against a misspelt field that is ignored.
+#[test]
+fn unknown_fields_are_rejected() {
+    let text = "[[pool]]\nname = 'other'\nregion = 'r1'\nzones = ['z1']\nzonse = []";
+
+    let found = problems(text);
+
+    assert!(found.contains("unknown field `zonse`"), "{found}");
+}
