Hold, limit and hand over shard ownership

A takeover began at the first confirmation of a death, all shards at once, and a drain, a fence and a lost claim response had no handling. The owner table now holds a takeover for 0.5 s, delays each by up to 200 ms from the generator handed in, keeps at most 8 between claim and activation, reads back unanswered claims, steps down on a fence before anything else, hands over by compare-and-swap after a flush (drain, and one shard per 10 s when another daemon became the successor), and counts leases from before their request was sent.

An owner record that names this daemon but was not claimed by this process is claimed again with a higher epoch: adopting it would let messages of an earlier process or of a fenced ownership pass as current. Stopping dispatch after a pause until the record has been read was ruled out, because an owner in epoch mode must continue through a store outage; targets fence it.

The takeover test expected a claim in the same instant as the confirmation, which the hold forbids; its replacement checks that instant, the hold, the delay and the same claim.

Store leases in the daemon are not connected yet.

--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -4,13 +4,16 @@
 The store is the only judge: an owner is replaced by compare-and-swap on its
 record, and each replacement raises the epoch by one. Targets reject an epoch
 lower than the highest one that they have seen, so a former owner that was
-paused or cut off cannot start work.
+paused or partitioned cannot start work. Where targets cannot compare epochs
+the owner also holds a store lease and checks it before each dispatch.
 */
 
+mod held;
 mod messages;
 mod state;
+mod successor;
 #[cfg(test)]
 mod tests;
 
-pub use messages::{OwnerRecord, OwnershipAction, OwnershipEvent};
-pub use state::OwnerTable;
+pub use messages::{OwnerRecord, OwnershipAction, OwnershipEvent, ShardPhase};
+pub use state::{OwnerTable, OwnershipConfig};
--- a/crates/daemon/src/calls/state.rs
+++ b/crates/daemon/src/calls/state.rs
@@ -38,6 +38,13 @@
         );
     }
 
+    /// Tells whether this daemon has the queue of a shard under an epoch.
+    pub(crate) fn owns(&self, shard: &ShardName, epoch: Epoch) -> bool {
+        self.queues
+            .get(shard)
+            .is_some_and(|owned| owned.epoch == epoch)
+    }
+
     /// Drops the queue of a shard; its waiting calls were not run.
     pub(crate) fn lose(&mut self, shard: &ShardName) {
         for (_, reply) in self
--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -7,7 +7,7 @@
 
 use super::messages::{ControlEvent, ControlHandle};
 use crate::{
-    ownership::{claim_transaction, read_owner},
+    ownership::{OWNER_PREFIX, claim_transaction, read_owner, read_owners},
     peers::{PeerClient, PeerRequest},
     store::{StoreClient, TxnOutcome},
 };
@@ -31,6 +31,8 @@
         /// The record to write.
         next: OwnerRecord,
     },
+    /// Reads one owner record.
+    ReadOwner(ShardName),
 }
 
 /// Carries out effects on the traffic threads.
@@ -61,6 +63,7 @@
             } => {
                 self.claim_shard(shard, expected, next);
             }
+            ControlEffect::ReadOwner(shard) => self.read_owner(shard),
         }
     }
 
@@ -76,6 +79,22 @@
         });
     }
 
+    fn read_owner(&self, shard: ShardName) {
+        let control = self.control.clone();
+        let store = self.store.clone();
+        self.traffic.spawn(async move {
+            let prefix = format!("{OWNER_PREFIX}{shard}");
+            // A failed reading is repeated by the owner table.
+            match store.read_prefix(&prefix).await {
+                Ok(entries) => {
+                    let record = read_owners(&entries).remove(&shard);
+                    control.send(ControlEvent::OwnerRead(shard, record)).await;
+                }
+                Err(error) => log::warn!("reading the owner of shard {shard}: {error}"),
+            }
+        });
+    }
+
     fn claim_shard(&self, shard: ShardName, expected: Option<OwnerRecord>, next: OwnerRecord) {
         let control = self.control.clone();
         let store = self.store.clone();
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -34,6 +34,8 @@
     /// A compare-and-swap of an owner was answered; `None` if its effect is
     /// unknown.
     ClaimAnswered(ShardName, Option<OwnerRecord>),
+    /// One owner record was read, or none was found.
+    OwnerRead(ShardName, Option<OwnerRecord>),
     /// An operator publishes objects over a base version.
     Publish {
         /// The version that the operator saw.
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -1,15 +1,16 @@
 //! All control state, and the application of events to it.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
 use auburnsaddle_core::{
     DaemonId, Heartbeat, HostKind, HostTable, MemberRecord, OwnerTable, OwnershipAction,
-    OwnershipEvent, PeerConfig, PeerTable, RunnerEntry, ShardName, ZoneId,
+    OwnershipConfig, OwnershipEvent, PeerConfig, PeerTable, RunnerEntry, ShardName, ZoneId,
 };
+use rand::rngs::StdRng;
 
 use super::{
     effects::ControlEffect,
@@ -30,7 +31,7 @@
     config: PublishedConfig,
     hosts: HostTable,
     peers: PeerTable,
-    owners: OwnerTable,
+    owners: OwnerTable<StdRng>,
     calls: CallShards,
 }
 
@@ -41,7 +42,11 @@
             config: PublishedConfig::default(),
             hosts: HostTable::default(),
             peers: PeerTable::new(PeerConfig::default()),
-            owners: OwnerTable::new(record.daemon.clone()),
+            owners: OwnerTable::new(
+                record.daemon.clone(),
+                OwnershipConfig::default(),
+                rand::make_rng(),
+            ),
             calls: CallShards::default(),
             record,
         }
@@ -73,6 +78,9 @@
                 };
                 self.apply_ownership(event, now)
             }
+            ControlEvent::OwnerRead(shard, record) => {
+                self.apply_ownership(OwnershipEvent::OwnerRead { shard, record }, now)
+            }
             ControlEvent::Publish {
                 base,
                 objects,
@@ -93,7 +101,9 @@
     pub(super) fn fire_timers(&mut self, now: Duration) -> Vec<ControlEffect> {
         self.calls.fire_timers(now);
         let dead = self.dead_daemons(now);
-        self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now)
+        let mut effects = self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now);
+        effects.extend(self.apply_ownership(OwnershipEvent::TimerFired, now));
+        effects
     }
 
     /// Returns the heartbeat of this daemon and its receivers.
@@ -180,33 +190,72 @@
             .set_runners(|shard| live_runners(hosts, shard), now);
     }
 
+    /// Applies an event to the owner table, then the reports that follow from
+    /// its actions at once, until none is left.
     fn apply_ownership(&mut self, event: OwnershipEvent, now: Duration) -> Vec<ControlEffect> {
         let mut effects = Vec::new();
-        for action in self.owners.handle(event, now) {
-            match action {
-                OwnershipAction::Claim {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for action in self.owners.handle(event, now) {
+                let (effect, follow_up) = self.carry_out(action, now);
+                effects.extend(effect);
+                events.extend(follow_up);
+            }
+        }
+        effects
+    }
+
+    /// Carries out an action; returns its effect outside the control thread
+    /// and the report that follows at once.
+    ///
+    /// A call shard has no journal, and its runners learn the epoch from the
+    /// calls themselves, so replay, claims and flush end immediately.
+    fn carry_out(
+        &mut self,
+        action: OwnershipAction,
+        now: Duration,
+    ) -> (Option<ControlEffect>, Option<OwnershipEvent>) {
+        match action {
+            OwnershipAction::Claim {
+                shard,
+                expected,
+                next,
+            } => {
+                let effect = ControlEffect::ClaimShard {
                     shard,
                     expected,
                     next,
-                } => {
-                    effects.push(ControlEffect::ClaimShard {
-                        shard,
-                        expected,
-                        next,
-                    });
-                }
-                OwnershipAction::Acquired { shard, epoch } => {
-                    log::info!("acquired shard {shard} under epoch {epoch}");
+                };
+                (Some(effect), None)
+            }
+            OwnershipAction::ReadOwner(shard) => (Some(ControlEffect::ReadOwner(shard)), None),
+            OwnershipAction::Acquired { shard, epoch } => {
+                log::info!("acquired shard {shard} under epoch {epoch}");
+                (None, Some(OwnershipEvent::Replayed(shard, epoch)))
+            }
+            OwnershipAction::ClaimTargets(shard, epoch) => {
+                (None, Some(OwnershipEvent::TargetsClaimed(shard, epoch)))
+            }
+            OwnershipAction::Activated(shard, epoch) => {
+                if !self.calls.owns(&shard, epoch) {
                     self.calls.acquire(shard, epoch);
                     self.refresh_runners(now);
                 }
-                OwnershipAction::Lost(shard) => {
-                    log::warn!("lost shard {shard} to another daemon");
-                    self.calls.lose(&shard);
-                }
+                (None, None)
+            }
+            OwnershipAction::Flush(shard, epoch) => {
+                (None, Some(OwnershipEvent::Flushed(shard, epoch)))
+            }
+            OwnershipAction::Lost(shard) => {
+                log::warn!("lost shard {shard} to another daemon");
+                self.calls.lose(&shard);
+                (None, None)
+            }
+            // No shard is declared to be in lease mode yet.
+            OwnershipAction::RequestLease { .. } | OwnershipAction::ReleaseLease(..) => {
+                (None, None)
             }
         }
-        effects
     }
 
     fn candidates(&self) -> BTreeMap<DaemonId, ZoneId> {
