--- /dev/null
+++ b/crates/core/src/journal/mod.rs
@@ -0,0 +1,29 @@
+/*!
+Durable records in group commits.
+
+The records of all shards that a daemon owns go to the store in one transaction
+per commit interval, one segment per shard, each guarded by the shard's owner
+epoch. One transaction is under way at a time. A transaction whose response was
+lost is read back and, if it did not take effect, sent again unchanged, so a
+late first copy has no further effect.
+
+Segments are folded into a snapshot: its parts are written one by one, then a
+manifest that names the parts and the last segment that they cover. Replay
+ignores parts that no manifest names and segments that the manifest covers, so
+a late copy of a deleted value has no effect either.
+*/
+
+mod compaction;
+mod messages;
+mod replay;
+mod state;
+#[cfg(test)]
+mod tests;
+mod value;
+
+pub use messages::{BatchNumber, JournalAction, JournalBatch, JournalEvent, JournalRecord};
+pub use messages::{JournalKey, RecordId, RecordKind, SegmentBody, SegmentWrite};
+pub use messages::{SegmentPosition, SnapshotManifest};
+pub use replay::{JournalReplay, replay_journal};
+pub use state::{JournalConfig, RecordLog};
+pub use value::{JournalCodec, JournalError, open_value, seal_value};
--- /dev/null
+++ b/crates/core/src/journal/replay.rs
@@ -0,0 +1,108 @@
+//! Reading the journal of a shard after a takeover.
+
+use std::collections::BTreeMap;
+
+use super::{
+    messages::{JournalKey, JournalRecord, SegmentPosition, SnapshotManifest},
+    value::{JournalCodec, JournalError, open_value},
+};
+use crate::types::ShardName;
+
+/// Before the first segment of any epoch.
+const START: SegmentPosition = SegmentPosition {
+    epoch: 0,
+    sequence: 0,
+};
+
+/// The records of a shard, oldest first.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct JournalReplay {
+    /// The records of the snapshot and of all later segments.
+    pub records: Vec<JournalRecord>,
+}
+
+/// Reads all values of a shard's journal. Parts that the manifest does not
+/// name and segments that it covers are ignored.
+///
+/// # Errors
+///
+/// Returns an error if a value is corrupted, or if a part or segment is
+/// missing; the shard must then not be served, as accepted work would be lost.
+pub fn replay_journal<C: JournalCodec>(
+    codec: &C,
+    shard: &ShardName,
+    values: &BTreeMap<JournalKey, Vec<u8>>,
+) -> Result<JournalReplay, JournalError> {
+    let manifest = read_manifest(codec, shard, values)?;
+    let mut replay = JournalReplay::default();
+    let mut last = START;
+    if let Some(manifest) = manifest {
+        last = manifest.through;
+        for key in manifest.parts {
+            let value = values.get(&key).ok_or(JournalError::MissingPart { key })?;
+            replay
+                .records
+                .extend(read_records(codec, shard, key, value)?);
+        }
+    }
+    for (key, value) in values {
+        match *key {
+            JournalKey::Segment(at) if at > last => {
+                check_order(last, at)?;
+                replay
+                    .records
+                    .extend(read_records(codec, shard, *key, value)?);
+                last = at;
+            }
+            _ => {}
+        }
+    }
+    Ok(replay)
+}
+
+/// Segments of an epoch are committed one after the other, so a gap means that
+/// a value is missing.
+fn check_order(last: SegmentPosition, at: SegmentPosition) -> Result<(), JournalError> {
+    let sequence = if at.epoch == last.epoch {
+        last.sequence + 1
+    } else {
+        1
+    };
+    let expected = SegmentPosition { sequence, ..at };
+    if at == expected {
+        Ok(())
+    } else {
+        Err(JournalError::MissingSegment { at: expected })
+    }
+}
+
+fn read_manifest<C: JournalCodec>(
+    codec: &C,
+    shard: &ShardName,
+    values: &BTreeMap<JournalKey, Vec<u8>>,
+) -> Result<Option<SnapshotManifest>, JournalError> {
+    let key = JournalKey::Manifest;
+    let Some(value) = values.get(&key) else {
+        return Ok(None);
+    };
+    let manifest = codec.decode_manifest(open_value(value)?)?;
+    if manifest.shard == *shard {
+        Ok(Some(manifest))
+    } else {
+        Err(JournalError::Misplaced { key })
+    }
+}
+
+fn read_records<C: JournalCodec>(
+    codec: &C,
+    shard: &ShardName,
+    key: JournalKey,
+    value: &[u8],
+) -> Result<Vec<JournalRecord>, JournalError> {
+    let body = codec.decode_segment(open_value(value)?)?;
+    if body.shard == *shard && body.key == key {
+        Ok(body.records)
+    } else {
+        Err(JournalError::Misplaced { key })
+    }
+}
--- /dev/null
+++ b/crates/core/src/journal/tests.rs
@@ -0,0 +1,381 @@
+//! Tests of the journal over a small store that loses, repeats and delays.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use proptest::prelude::*;
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{
+    JournalAction, JournalBatch, JournalCodec, JournalConfig, JournalError, JournalEvent,
+    JournalKey, JournalRecord, RecordId, RecordKind, RecordLog, SegmentBody, SegmentPosition,
+    SnapshotManifest, replay_journal, seal_value,
+};
+use crate::types::ShardName;
+
+#[derive(Clone, Debug)]
+struct TestCodec;
+
+fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard()).expect("plain data")
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, JournalError> {
+    bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+        .map(|(value, _)| value)
+        .map_err(|error| JournalError::Malformed {
+            message: error.to_string(),
+        })
+}
+
+impl JournalCodec for TestCodec {
+    fn encode_segment(&self, body: &SegmentBody) -> Vec<u8> {
+        encode(body)
+    }
+
+    fn encode_manifest(&self, manifest: &SnapshotManifest) -> Vec<u8> {
+        encode(manifest)
+    }
+
+    fn decode_segment(&self, bytes: &[u8]) -> Result<SegmentBody, JournalError> {
+        decode(bytes)
+    }
+
+    fn decode_manifest(&self, bytes: &[u8]) -> Result<SnapshotManifest, JournalError> {
+        decode(bytes)
+    }
+}
+
+fn shard(index: u8) -> ShardName {
+    ShardName::Key("r1".into(), index)
+}
+
+fn record(payload: Vec<u8>) -> JournalRecord {
+    JournalRecord {
+        kind: RecordKind::TaskAccepted,
+        payload,
+    }
+}
+
+fn numbered(id: RecordId) -> JournalRecord {
+    record(id.to_be_bytes().to_vec())
+}
+
+fn opened(shard: ShardName) -> JournalEvent {
+    JournalEvent::Opened {
+        shard,
+        epoch: 1,
+        manifest: None,
+        keys: Vec::new(),
+    }
+}
+
+fn log(shards: u8) -> RecordLog<TestCodec> {
+    let mut log = RecordLog::new("a".into(), JournalConfig::for_daemons(8), TestCodec);
+    for index in 0..shards {
+        log.handle(opened(shard(index)), Duration::ZERO);
+    }
+    log
+}
+
+fn tick(log: &mut RecordLog<TestCodec>, seconds: u64) -> Vec<JournalAction> {
+    log.handle(JournalEvent::TimerFired, Duration::from_secs(seconds))
+}
+
+fn only_batch(actions: &[JournalAction]) -> JournalBatch {
+    match actions {
+        [JournalAction::Commit(batch)] => batch.clone(),
+        other => panic!("one commit expected, found {other:?}"),
+    }
+}
+
+/// The values of one shard with its owner's epoch, and what may still arrive.
+struct World {
+    log: RecordLog<TestCodec>,
+    values: BTreeMap<JournalKey, Vec<u8>>,
+    owned: bool,
+    sent: Vec<JournalAction>,
+    late: Vec<JournalAction>,
+    live: Vec<RecordId>,
+    durable: Vec<RecordId>,
+    not_written: Vec<RecordId>,
+    snapshots: usize,
+    now: Duration,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            log: log(1),
+            values: BTreeMap::new(),
+            owned: true,
+            sent: Vec::new(),
+            late: Vec::new(),
+            live: Vec::new(),
+            durable: Vec::new(),
+            not_written: Vec::new(),
+            snapshots: 0,
+            now: Duration::ZERO,
+        }
+    }
+
+    fn append(&mut self) {
+        let next = self.live.last().map_or(1, |id| id + 1);
+        if let Ok(id) = self.log.append(&shard(0), numbered(next)) {
+            assert_eq!(id, next);
+            self.live.push(id);
+        }
+    }
+
+    fn handle(&mut self, event: JournalEvent) {
+        for action in self.log.handle(event, self.now) {
+            match action {
+                JournalAction::Durable(ids) => self.durable.extend(ids),
+                JournalAction::Failed {
+                    records,
+                    maybe_written: false,
+                } => self.not_written.extend(records),
+                action => self.sent.push(action),
+            }
+        }
+    }
+
+    /// Applies a request to the store and returns the response.
+    fn store(&mut self, action: JournalAction) -> Option<JournalEvent> {
+        match action {
+            JournalAction::Commit(batch) if self.owned => {
+                for write in batch.segments {
+                    self.values
+                        .insert(JournalKey::Segment(write.at), write.value);
+                }
+                Some(JournalEvent::Committed(batch.number))
+            }
+            JournalAction::Commit(batch) => {
+                Some(JournalEvent::GuardFailed(batch.number, [shard(0)].into()))
+            }
+            JournalAction::ReadBack(number, _, at) => {
+                let value = self.values.get(&JournalKey::Segment(at)).cloned();
+                Some(JournalEvent::ReadBack(number, value))
+            }
+            JournalAction::TakeSnapshot(shard, epoch) => {
+                let records: Vec<_> = self.live.iter().map(|id| numbered(*id)).collect();
+                let parts = records.chunks(10).map(<[_]>::to_vec).collect();
+                Some(JournalEvent::SnapshotTaken(shard, epoch, parts))
+            }
+            JournalAction::WritePart {
+                shard, key, value, ..
+            } if self.owned => {
+                self.values.insert(key, value);
+                Some(JournalEvent::PartWritten(shard, key))
+            }
+            JournalAction::WriteManifest {
+                shard,
+                epoch,
+                expected,
+                value,
+                deletes,
+            } if self.owned => {
+                if self.values.get(&JournalKey::Manifest) == expected.as_ref() {
+                    self.values.retain(|key, _| !deletes.contains(key));
+                    self.values.insert(JournalKey::Manifest, value);
+                    self.snapshots += 1;
+                }
+                let current = self.values.get(&JournalKey::Manifest).cloned();
+                Some(JournalEvent::ManifestAnswered(shard, epoch, current))
+            }
+            _ => None,
+        }
+    }
+
+    /// Delivers the oldest request; `fate` says what is lost or delayed.
+    fn deliver(&mut self, fate: u8) {
+        if self.sent.is_empty() {
+            return;
+        }
+        let action = self.sent.remove(0);
+        let lost = match &action {
+            JournalAction::Commit(batch) => Some(JournalEvent::ResponseLost(batch.number)),
+            JournalAction::ReadBack(number, ..) => Some(JournalEvent::ResponseLost(*number)),
+            JournalAction::WritePart { .. } | JournalAction::WriteManifest { .. } => {
+                Some(JournalEvent::SnapshotWriteLost(shard(0)))
+            }
+            _ => None,
+        };
+        if fate != 1 {
+            self.late.push(action.clone());
+        }
+        let response = match fate {
+            // The request is delayed beyond its timeout, or the response is lost.
+            0 if lost.is_some() => lost,
+            2 if lost.is_some() => self.store(action).and(lost),
+            _ => self.store(action),
+        };
+        if let Some(event) = response {
+            self.handle(event);
+        }
+    }
+
+    fn apply(&mut self, step: u8, choice: usize) {
+        match step {
+            0..10 => self.append(),
+            10..12 => self.deliver(0),
+            12..14 => self.deliver(2),
+            14..28 => self.deliver(1),
+            28..38 => {
+                self.now += Duration::from_millis(300);
+                self.handle(JournalEvent::TimerFired);
+            }
+            // A copy of an earlier request arrives late.
+            38..40 => {
+                if let Some(index) = choice.checked_rem(self.late.len()) {
+                    let action = self.late[index].clone();
+                    self.store(action);
+                }
+            }
+            _ => self.owned = !choice.is_multiple_of(40) && self.owned,
+        }
+    }
+
+    fn replayed(&self) -> Vec<RecordId> {
+        let replay = replay_journal(&TestCodec, &shard(0), &self.values).expect("a sound journal");
+        let payloads = replay.records.into_iter().map(|record| record.payload);
+        payloads
+            .map(|bytes| RecordId::from_be_bytes(bytes.try_into().expect("eight bytes")))
+            .collect()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Guards against records that are lost or repeated when responses are
+    /// lost, copies come late, snapshots are written and the owner is fenced.
+    #[test]
+    fn durable_records_are_replayed_exactly_once(
+        steps in prop::collection::vec((0_u8..41, any::<usize>()), 1..1_500),
+    ) {
+        let mut world = World::new();
+
+        for (step, choice) in steps {
+            world.apply(step, choice);
+        }
+
+        let replayed = world.replayed();
+        prop_assert!(replayed.is_sorted_by(|before, after| before < after));
+        prop_assert!(world.durable.iter().all(|id| replayed.contains(id)));
+        prop_assert!(!world.not_written.iter().any(|id| replayed.contains(id)));
+    }
+}
+
+/// Guards against an exploration that never compacts, and against segments
+/// that stay after their snapshot.
+#[test]
+fn compaction_bounds_the_segments() {
+    let mut world = World::new();
+
+    for _ in 0..400 {
+        world.append();
+        world.apply(28, 0);
+        world.deliver(1);
+        world.append();
+        world.deliver(1);
+    }
+
+    let segment = |key: &&JournalKey| matches!(key, JournalKey::Segment(_));
+    let segments = world.values.keys().filter(segment).count();
+    assert!(world.snapshots >= 3, "{} snapshots", world.snapshots);
+    assert!(segments <= 100, "{segments} segments");
+    assert_eq!(world.replayed().len(), world.durable.len());
+}
+
+/// Guards against a fenced shard that blocks the commits of the others.
+#[test]
+fn guard_failure_drops_only_the_fenced_shard() {
+    let mut log = log(2);
+    let first = log.append(&shard(0), numbered(1)).expect("open");
+    let second = log.append(&shard(1), numbered(2)).expect("open");
+    let batch = only_batch(&tick(&mut log, 1));
+
+    let failed = JournalEvent::GuardFailed(batch.number, [shard(0)].into());
+    let actions = log.handle(failed, Duration::from_secs(1));
+    let JournalAction::Commit(again) = &actions[2] else {
+        panic!("a commit expected, found {actions:?}");
+    };
+    let done = log.handle(
+        JournalEvent::Committed(again.number),
+        Duration::from_secs(1),
+    );
+
+    let lost = JournalAction::Failed {
+        records: vec![first],
+        maybe_written: false,
+    };
+    assert_eq!(actions[..2], [lost, JournalAction::Fenced(shard(0), 1)]);
+    assert_eq!(again.segments, batch.segments[1..]);
+    assert_eq!(done, vec![JournalAction::Durable(vec![second])]);
+    assert_eq!(
+        log.append(&shard(0), numbered(3)),
+        Err(JournalError::NotOpen)
+    );
+}
+
+/// Guards against transactions above the size limit, against more than one
+/// batch under way, and against unbounded memory in a store outage.
+#[test]
+fn batches_and_the_backlog_are_bounded() {
+    let mut log = log(3);
+    let large = || record(vec![0; 100 << 10]);
+    let mut rejected = None;
+    for index in (0..3).cycle().take(60) {
+        rejected = rejected.or(log.append(&shard(index), large()).err());
+    }
+
+    let batch = only_batch(&tick(&mut log, 1));
+    let meanwhile = tick(&mut log, 2);
+
+    let bytes: usize = batch.segments.iter().map(|write| write.value.len()).sum();
+    assert!(bytes <= 512 << 10, "{bytes} bytes");
+    assert_eq!(meanwhile, vec![]);
+    assert_eq!(rejected, Some(JournalError::Backlog));
+    assert!(log.pending_bytes() <= 4 << 20);
+}
+
+/// Guards against a write rate that grows with the number of daemons.
+#[test]
+fn interval_grows_with_the_daemons() {
+    let intervals = [1, 8, 48].map(|count| JournalConfig::for_daemons(count).commit_interval);
+
+    assert_eq!(intervals, [50, 50, 300].map(Duration::from_millis));
+}
+
+/// Guards against replay of a corrupted, misplaced or missing value as if it
+/// were sound.
+#[test]
+fn unsound_values_are_rejected() {
+    let at = |sequence| SegmentPosition { epoch: 1, sequence };
+    let key = |sequence| JournalKey::Segment(at(sequence));
+    let body = SegmentBody {
+        shard: shard(0),
+        daemon: "a".into(),
+        key: key(1),
+        records: vec![numbered(1)],
+    };
+    let value = seal_value(&encode(&body));
+    let replay = |sequence, value: Vec<u8>| {
+        let values = [(key(sequence), value)].into();
+        replay_journal(&TestCodec, &shard(0), &values).map(|replay| replay.records.len())
+    };
+    let mut flipped = value.clone();
+    *flipped.last_mut().expect("not empty") ^= 1;
+    let mut newer = value.clone();
+    newer[0] = 2;
+
+    assert_eq!(replay(1, value.clone()), Ok(1));
+    assert_eq!(replay(1, flipped), Err(JournalError::WrongChecksum));
+    assert_eq!(
+        replay(1, newer),
+        Err(JournalError::UnknownFormat { found: 2 })
+    );
+    assert_eq!(replay(1, value[..5].to_vec()), Err(JournalError::Truncated));
+    let missing = JournalError::MissingSegment { at: at(1) };
+    assert_eq!(replay(2, value), Err(missing));
+}
--- /dev/null
+++ b/crates/core/src/journal/value.rs
@@ -0,0 +1,130 @@
+//! Sealing of stored values with a format version and a checksum.
+
+use sha2::{Digest, Sha256};
+use snafu::{Snafu, ensure};
+
+use super::messages::{JournalKey, SegmentBody, SegmentPosition, SnapshotManifest};
+
+/// Version of the format of stored values.
+const FORMAT_VERSION: u8 = 1;
+
+/// Bytes of the SHA-256 digest that are kept: enough against accidental
+/// corruption, and small beside the 40 bytes of a record.
+const CHECKSUM_BYTES: usize = 8;
+
+const HEADER_BYTES: usize = 1 + CHECKSUM_BYTES;
+
+/// A journal that cannot be replayed or appended to.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(visibility(pub(super)))]
+#[non_exhaustive]
+pub enum JournalError {
+    /// More bytes wait for a commit than are allowed.
+    #[snafu(display("too many records wait for the store; try again when it is back"))]
+    Backlog,
+    /// The record is larger than a transaction may be.
+    #[snafu(display("a record of {bytes} bytes is too large; send less in one request"))]
+    RecordTooLarge {
+        /// Size of the payload.
+        bytes: usize,
+    },
+    /// The shard is not owned by this daemon.
+    #[snafu(display("the shard is not open here; send the request to its owner"))]
+    NotOpen,
+    /// The value is shorter than its header.
+    #[snafu(display("a stored value is cut off; restore the key from a backup"))]
+    Truncated,
+    /// The value has a format that this version does not know.
+    #[snafu(display("format version {found} is unknown; run the version that wrote it"))]
+    UnknownFormat {
+        /// The version found.
+        found: u8,
+    },
+    /// The checksum does not match.
+    #[snafu(display("a stored value has a wrong checksum; restore the key from a backup"))]
+    WrongChecksum,
+    /// The codec rejects the content.
+    #[snafu(display("a stored value is malformed: {message}; restore the key from a backup"))]
+    Malformed {
+        /// The codec's message.
+        message: String,
+    },
+    /// The content belongs to another key.
+    #[snafu(display("the value of {key} was written for another key; restore it"))]
+    Misplaced {
+        /// The key under which the value was found.
+        key: JournalKey,
+    },
+    /// A part of the snapshot is missing.
+    #[snafu(display("snapshot part {key} is missing; restore it from a backup"))]
+    MissingPart {
+        /// The key.
+        key: JournalKey,
+    },
+    /// A segment is missing.
+    #[snafu(display(
+        "segment {}/{} is missing; restore it from a backup",
+        at.epoch,
+        at.sequence
+    ))]
+    MissingSegment {
+        /// The segment.
+        at: SegmentPosition,
+    },
+}
+
+/// The encoding of journal values, chosen outside this crate.
+pub trait JournalCodec {
+    /// Encodes a segment or a snapshot part.
+    fn encode_segment(&self, body: &SegmentBody) -> Vec<u8>;
+
+    /// Encodes a manifest.
+    fn encode_manifest(&self, manifest: &SnapshotManifest) -> Vec<u8>;
+
+    /// Decodes a segment or a snapshot part.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`JournalError::Malformed`] if the bytes are no segment.
+    fn decode_segment(&self, bytes: &[u8]) -> Result<SegmentBody, JournalError>;
+
+    /// Decodes a manifest.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`JournalError::Malformed`] if the bytes are no manifest.
+    fn decode_manifest(&self, bytes: &[u8]) -> Result<SnapshotManifest, JournalError>;
+}
+
+/// Returns an encoded value with its format version and checksum in front.
+#[must_use]
+pub fn seal_value(encoded: &[u8]) -> Vec<u8> {
+    let mut value = Vec::with_capacity(HEADER_BYTES + encoded.len());
+    value.push(FORMAT_VERSION);
+    value.extend(checksum(encoded));
+    value.extend(encoded);
+    value
+}
+
+/// Checks a stored value and returns what was encoded.
+///
+/// # Errors
+///
+/// Returns an error if the value is cut off, has an unknown format or a wrong
+/// checksum.
+pub fn open_value(value: &[u8]) -> Result<&[u8], JournalError> {
+    let (header, encoded) = value
+        .split_at_checked(HEADER_BYTES)
+        .ok_or(JournalError::Truncated)?;
+    let found = header[0];
+    ensure!(found == FORMAT_VERSION, UnknownFormatSnafu { found });
+    ensure!(header[1..] == checksum(encoded), WrongChecksumSnafu);
+    Ok(encoded)
+}
+
+fn checksum(encoded: &[u8]) -> [u8; CHECKSUM_BYTES] {
+    let digest = Sha256::digest(encoded);
+    let mut checksum = [0; CHECKSUM_BYTES];
+    checksum.copy_from_slice(&digest[..CHECKSUM_BYTES]);
+    checksum
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,6 +52,7 @@
 
 mod calls;
 mod hosts;
+mod journal;
 mod membership;
 mod objects;
 mod ownership;
@@ -60,6 +61,10 @@
 pub use calls::{CallAction, CallConfig, CallEvent, CallQueue, CallRequest};
 pub use calls::{GrantResult, RunnerEntry, SlotGrant};
 pub use hosts::{HostEntry, HostKind, HostState, HostTable};
+pub use journal::{BatchNumber, JournalAction, JournalBatch, JournalCodec, JournalConfig};
+pub use journal::{JournalError, JournalEvent, JournalKey, JournalRecord, JournalReplay};
+pub use journal::{RecordId, RecordKind, RecordLog, SegmentBody, SegmentPosition, SegmentWrite};
+pub use journal::{SnapshotManifest, open_value, replay_journal, seal_value};
 pub use membership::{Heartbeat, MemberRecord, PeerConfig, PeerState, PeerTable};
 pub use objects::{FencingMode, ObjectError, ObjectErrorKind, ObjectSet};
 pub use objects::{MarketSpec, PoolSpec, ServiceSpec, TeamSpec};
