Explore ownership with processes that are paused for longer

A trial in which the owner counted its lease 1 s past the store's expiry passed the lease property: a schedule rarely kept one daemon still for a whole lease while another went on. Steps that pause and resume a process close the gap; the trial is now caught.

--- a/crates/core/tests/ownership_schedules.rs
+++ b/crates/core/tests/ownership_schedules.rs
@@ -1,6 +1,6 @@
 //! Three owner tables with a small store and a small target, explored under
-//! schedules of pauses, clock drift, losses, delays, repeated and reordered
-//! deliveries and mistaken suspicions.
+//! schedules of paused processes, clock drift, losses, delays, repeated and
+//! reordered deliveries and mistaken suspicions.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -40,6 +40,8 @@
     Watch(usize),
     Dispatch(usize),
     Drain(usize),
+    Pause(usize),
+    Resume,
 }
 
 struct World {
@@ -50,6 +52,7 @@
     highest: Epoch,
     admitted: Vec<(Epoch, usize)>,
     now: Duration,
+    paused: Option<usize>,
 }
 
 fn name(index: usize) -> DaemonId {
@@ -88,6 +91,7 @@
             highest: 0,
             admitted: Vec::new(),
             now: Duration::ZERO,
+            paused: None,
         }
     }
 
@@ -127,6 +131,8 @@
             }
             Step::Dispatch(daemon) => self.dispatch(daemon),
             Step::Drain(daemon) => self.handle(daemon, OwnershipEvent::DrainRequested),
+            Step::Pause(daemon) => self.paused = Some(daemon),
+            Step::Resume => self.paused = None,
         }
     }
 
@@ -154,6 +160,10 @@
     }
 
     fn handle(&mut self, daemon: usize, event: OwnershipEvent) {
+        if self.paused == Some(daemon) {
+            self.messages.push(Message::ToDaemon(daemon, event));
+            return;
+        }
         let now = self.clock(daemon);
         for action in self.tables[daemon].handle(event, now) {
             let message = match action {
@@ -251,12 +261,14 @@
         4 => any::<usize>().prop_map(Step::Repeat),
         4 => any::<usize>().prop_map(Step::Lose),
         12 => daemon.clone().prop_map(Step::Tick),
-        12 => (1_u64..1_500).prop_map(Step::Wait),
+        12 => (1_u64..2_500).prop_map(Step::Wait),
         8 => daemon.clone().prop_map(Step::Suspect),
         3 => daemon.clone().prop_map(Step::Trust),
         8 => daemon.clone().prop_map(Step::Watch),
         16 => daemon.clone().prop_map(Step::Dispatch),
-        1 => daemon.prop_map(Step::Drain),
+        1 => daemon.clone().prop_map(Step::Drain),
+        2 => daemon.prop_map(Step::Pause),
+        1 => Just(Step::Resume),
     ]
 }
 
