Add idempotency keys

Nothing kept a second copy of a keyed request from running again. The key table takes a key through slot, durable intent, one dispatch and durable outcome; copies wait or get the recorded response, another fingerprint is rejected, and an intent found after a takeover is resolved by asking its runner. A full shard or a store outage rejects new keys as not run.

The slot is asked for before the intent is written, because the intent names the runner that the next owner asks. A runner that does not know a key leaves the outcome unknown: the call may still arrive, so "not known" was ruled out as proof of not run. Retention restarts at a takeover, since no wall clock is recorded; keys are kept longer, never shorter.

--- /dev/null
+++ b/crates/core/src/keys/tests.rs
@@ -0,0 +1,333 @@
+//! Tests of idempotency keys.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use proptest::prelude::*;
+
+use super::{
+    KeyAction, KeyConfig, KeyDigest, KeyEvent, KeyOutcome, KeyRecord, KeyReply, KeyRequest,
+    KeyResponse, KeyTable, RunnerAnswer,
+};
+use crate::types::{CallOutcome, NotRunReason, RequestId, UnknownReason};
+
+const KEY: KeyDigest = [1; 16];
+const FINGERPRINT: KeyDigest = [2; 16];
+
+fn request(request: RequestId, key: KeyDigest) -> KeyEvent {
+    KeyEvent::Requested(KeyRequest {
+        request,
+        key,
+        fingerprint: FINGERPRINT,
+        remaining: Duration::from_secs(5),
+    })
+}
+
+fn response(bytes: usize) -> KeyResponse {
+    KeyResponse {
+        status: 200,
+        body: Some(vec![7; bytes]),
+    }
+}
+
+fn intent(key: KeyDigest) -> KeyRecord {
+    KeyRecord::Intent {
+        key,
+        fingerprint: FINGERPRINT,
+        runner: "runner-1".into(),
+    }
+}
+
+fn outcome(key: KeyDigest, response: KeyResponse) -> KeyRecord {
+    let outcome = KeyOutcome::Completed(response);
+    KeyRecord::Outcome { key, outcome }
+}
+
+fn table(records: Vec<KeyRecord>) -> KeyTable {
+    KeyTable::replay(KeyConfig::default(), records, Duration::ZERO)
+}
+
+fn handle(table: &mut KeyTable, event: KeyEvent) -> Vec<KeyAction> {
+    table.handle(event, Duration::ZERO)
+}
+
+/// Returns a table whose call of [`KEY`], asked for by request 1, is running.
+fn running_table() -> KeyTable {
+    let mut table = table(Vec::new());
+    handle(&mut table, request(1, KEY));
+    handle(&mut table, KeyEvent::SlotGranted(KEY, "runner-1".into()));
+    handle(&mut table, KeyEvent::IntentDurable(KEY));
+    table
+}
+
+/// Guards against a dispatch before its intent is durable, and against a
+/// response that is released before it is recorded.
+#[test]
+fn records_come_before_dispatch_and_response() {
+    let mut table = table(Vec::new());
+
+    let asked = handle(&mut table, request(1, KEY));
+    let granted = handle(&mut table, KeyEvent::SlotGranted(KEY, "runner-1".into()));
+    let durable = handle(&mut table, KeyEvent::IntentDurable(KEY));
+    let ended = KeyEvent::CallEnded(KEY, CallOutcome::Completed(response(1)));
+    let ended = handle(&mut table, ended);
+    let released = handle(&mut table, KeyEvent::OutcomeDurable(KEY));
+
+    assert_eq!(asked, vec![KeyAction::RequestSlot(1, KEY)]);
+    assert_eq!(granted, vec![KeyAction::Record(intent(KEY))]);
+    assert_eq!(durable, vec![KeyAction::Dispatch(1, KEY)]);
+    assert_eq!(ended, vec![KeyAction::Record(outcome(KEY, response(1)))]);
+    let reply = KeyReply::Completed(response(1));
+    assert_eq!(released, vec![KeyAction::Reply(1, reply)]);
+}
+
+/// Guards against a second dispatch of a running call, and against a caller
+/// that waits beyond its deadline.
+#[test]
+fn duplicates_wait_until_their_deadline() {
+    let mut table = running_table();
+
+    let second = handle(&mut table, request(2, KEY));
+    let overdue = table.handle(KeyEvent::TimerFired, Duration::from_secs(5));
+
+    let replies = [1, 2].map(|request| KeyAction::Reply(request, KeyReply::StillRunning));
+    assert_eq!(second, vec![]);
+    assert_eq!(overdue, replies);
+}
+
+/// Guards against one key for two different requests.
+#[test]
+fn other_fingerprint_is_rejected() {
+    let mut table = running_table();
+
+    let other = KeyRequest {
+        request: 2,
+        key: KEY,
+        fingerprint: [3; 16],
+        remaining: Duration::from_secs(5),
+    };
+    let actions = handle(&mut table, KeyEvent::Requested(other));
+
+    let reply = KeyReply::FingerprintMismatch;
+    assert_eq!(actions, vec![KeyAction::Reply(2, reply)]);
+}
+
+/// Guards against a new dispatch of an intent found after a takeover.
+#[test]
+fn intent_after_takeover_is_resolved_by_asking() {
+    let mut table = table(vec![intent(KEY)]);
+
+    let asked = handle(&mut table, request(1, KEY));
+    let unknown = handle(
+        &mut table,
+        KeyEvent::RunnerAnswered(KEY, RunnerAnswer::NotKnown),
+    );
+    let again = handle(&mut table, request(2, KEY));
+    let answer = RunnerAnswer::Completed(response(1));
+    handle(&mut table, KeyEvent::RunnerAnswered(KEY, answer));
+    let released = handle(&mut table, KeyEvent::OutcomeDurable(KEY));
+
+    let query = KeyAction::QueryRunner(KEY, "runner-1".into());
+    let reply = KeyReply::Unknown(UnknownReason::OwnerLost);
+    assert_eq!(asked, vec![query.clone()]);
+    assert_eq!(unknown, vec![KeyAction::Reply(1, reply)]);
+    assert_eq!(again, vec![query]);
+    let reply = KeyReply::Completed(response(1));
+    assert_eq!(released, vec![KeyAction::Reply(2, reply)]);
+}
+
+/// Guards against a keyed call that runs in a store outage without a record,
+/// and against an outage that hides recorded responses.
+#[test]
+fn store_outage_rejects_new_keys_only() {
+    let mut table = table(vec![intent(KEY), outcome(KEY, response(1))]);
+    handle(&mut table, KeyEvent::StoreChanged { available: false });
+
+    let known = handle(&mut table, request(1, KEY));
+    let new = handle(&mut table, request(2, [9; 16]));
+
+    let replayed = KeyReply::Replayed(response(1));
+    let rejected = KeyReply::NotRun(NotRunReason::StoreUnavailable);
+    assert_eq!(known, vec![KeyAction::Reply(1, replayed)]);
+    assert_eq!(new, vec![KeyAction::Reply(2, rejected)]);
+}
+
+/// Guards against bodies beyond their memory, and against keys that are
+/// forgotten early to make room.
+#[test]
+fn bodies_are_dropped_and_keys_are_not() {
+    let digest = |index: u32| {
+        let mut key = KeyDigest::default();
+        key[..4].copy_from_slice(&index.to_be_bytes());
+        key
+    };
+    let records = (0..16_384).flat_map(|index| {
+        let key = digest(index);
+        [intent(key), outcome(key, response(2 << 10))]
+    });
+    let mut table = table(records.collect());
+
+    let oldest = handle(&mut table, request(1, digest(0)));
+    let new = handle(&mut table, request(2, [255; 16]));
+    let later = Duration::from_hours(24);
+    table.handle(KeyEvent::TimerFired, later);
+
+    let rejected = KeyReply::NotRun(NotRunReason::QueueFull);
+    assert_eq!(
+        oldest,
+        vec![KeyAction::Reply(1, KeyReply::BodyDropped(200))]
+    );
+    assert_eq!(new, vec![KeyAction::Reply(2, rejected)]);
+    assert!(table.is_empty());
+    assert_eq!(table.kept_bytes(), 0);
+}
+
+/// Successive owners of a key shard; the former ones still act on what
+/// reaches them late.
+struct World {
+    tables: Vec<KeyTable>,
+    actions: Vec<(usize, KeyAction)>,
+    events: Vec<(usize, KeyEvent)>,
+    journal: Vec<KeyRecord>,
+    may_have_run: BTreeMap<KeyDigest, usize>,
+    requests: Vec<KeyDigest>,
+    wrong_not_run: usize,
+    now: Duration,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            tables: vec![table(Vec::new())],
+            actions: Vec::new(),
+            events: Vec::new(),
+            journal: Vec::new(),
+            may_have_run: BTreeMap::new(),
+            requests: Vec::new(),
+            wrong_not_run: 0,
+            now: Duration::ZERO,
+        }
+    }
+
+    fn apply(&mut self, step: u8, choice: usize, fate: u8) {
+        let owner = self.tables.len() - 1;
+        match step {
+            0..3 => {
+                let key = [u8::from(choice.is_multiple_of(2)); 16];
+                let at = if fate == 0 {
+                    choice % (owner + 1)
+                } else {
+                    owner
+                };
+                let index = self.requests.len();
+                self.requests.push(key);
+                self.handle(at, request(index as RequestId, key));
+            }
+            3..13 if !self.actions.is_empty() => {
+                let (at, action) = self.actions.remove(choice % self.actions.len());
+                self.perform(at, action, fate);
+            }
+            13..23 if !self.events.is_empty() => {
+                let (at, event) = self.events.remove(choice % self.events.len());
+                self.handle(at, event);
+            }
+            23 => {
+                self.now += Duration::from_secs(2);
+                self.handle(owner, KeyEvent::TimerFired);
+            }
+            24 if fate == 0 => {
+                let config = KeyConfig::default();
+                let table = KeyTable::replay(config, self.journal.clone(), self.now);
+                self.tables.push(table);
+            }
+            25 => {
+                let available = fate != 0;
+                self.handle(owner, KeyEvent::StoreChanged { available });
+            }
+            _ => {}
+        }
+    }
+
+    fn handle(&mut self, at: usize, event: KeyEvent) {
+        let owner = at + 1 == self.tables.len();
+        for action in self.tables[at].handle(event, self.now) {
+            if let KeyAction::Reply(request, KeyReply::NotRun(_)) = action {
+                let key = self.requests[usize::try_from(request).expect("an index")];
+                let ran = owner && self.may_have_run.contains_key(&key);
+                self.wrong_not_run += usize::from(ran);
+            }
+            self.actions.push((at, action));
+        }
+    }
+
+    fn perform(&mut self, at: usize, action: KeyAction, fate: u8) {
+        let event = match action {
+            KeyAction::RequestSlot(_, key) if fate == 0 => {
+                KeyEvent::SlotRejected(key, NotRunReason::NoTarget)
+            }
+            KeyAction::RequestSlot(_, key) => KeyEvent::SlotGranted(key, "runner-1".into()),
+            KeyAction::Record(record) => self.write(at, record),
+            KeyAction::Dispatch(_, key) => self.run(key, fate),
+            KeyAction::QueryRunner(key, _) => {
+                let answer = match fate {
+                    0 => RunnerAnswer::NotKnown,
+                    1 => RunnerAnswer::Running,
+                    _ if self.may_have_run.contains_key(&key) => {
+                        RunnerAnswer::Completed(response(1))
+                    }
+                    _ => RunnerAnswer::NotKnown,
+                };
+                KeyEvent::RunnerAnswered(key, answer)
+            }
+            KeyAction::Reply(..) | KeyAction::ReturnSlot(_) => return,
+        };
+        self.events.push((at, event));
+    }
+
+    /// Writes a record if its writer is still the owner.
+    fn write(&mut self, at: usize, record: KeyRecord) -> KeyEvent {
+        let durable = at + 1 == self.tables.len();
+        let event = match (&record, durable) {
+            (KeyRecord::Intent { key, .. }, true) => KeyEvent::IntentDurable(*key),
+            (KeyRecord::Intent { key, .. }, false) => KeyEvent::IntentFailed(*key),
+            (KeyRecord::Outcome { key, .. }, true) => KeyEvent::OutcomeDurable(*key),
+            (KeyRecord::Outcome { key, .. }, false) => KeyEvent::OutcomeFailed(*key),
+        };
+        if durable {
+            self.journal.push(record);
+        }
+        event
+    }
+
+    fn run(&mut self, key: KeyDigest, fate: u8) -> KeyEvent {
+        let outcome = match fate {
+            0 => CallOutcome::NotRun(NotRunReason::RejectedByTarget),
+            1 => CallOutcome::Unknown(UnknownReason::ConnectionLost),
+            _ => CallOutcome::Completed(response(1)),
+        };
+        if fate != 0 {
+            *self.may_have_run.entry(key).or_default() += 1;
+        }
+        KeyEvent::CallEnded(key, outcome)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_000))]
+
+    /// Guards against a key that is dispatched again after a call that may
+    /// have run, and against callers told that such a call was not run, over
+    /// takeovers with replay, fenced owners and lost calls.
+    #[test]
+    fn a_key_runs_at_most_once(
+        steps in prop::collection::vec((0_u8..26, any::<usize>(), 0_u8..5), 1..300),
+    ) {
+        let mut world = World::new();
+
+        for (step, choice, fate) in steps {
+            world.apply(step, choice, fate);
+        }
+
+        prop_assert!(world.may_have_run.values().all(|count| *count <= 1));
+        prop_assert_eq!(world.wrong_not_run, 0);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,6 +53,7 @@
 mod calls;
 mod hosts;
 mod journal;
+mod keys;
 mod membership;
 mod objects;
 mod ownership;
@@ -65,6 +66,8 @@
 pub use journal::{JournalError, JournalEvent, JournalKey, JournalRecord, JournalReplay};
 pub use journal::{RecordId, RecordKind, RecordLog, SegmentBody, SegmentPosition, SegmentWrite};
 pub use journal::{SnapshotManifest, open_value, replay_journal, seal_value};
+pub use keys::{KeyAction, KeyConfig, KeyDigest, KeyEvent, KeyOutcome, KeyRecord, KeyReply};
+pub use keys::{KeyRequest, KeyResponse, KeyTable, RunnerAnswer, digest_key, key_shard_index};
 pub use membership::{Heartbeat, MemberRecord, PeerConfig, PeerState, PeerTable};
 pub use objects::{FencingMode, ObjectError, ObjectErrorKind, ObjectSet};
 pub use objects::{MarketSpec, PoolSpec, ServiceSpec, TeamSpec};
