--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -7,7 +7,7 @@
 
 use super::messages::{ControlEvent, ControlHandle};
 use crate::{
-    ownership::{claim_transaction, read_owner},
+    ownership::{OWNER_PREFIX, claim_transaction, read_owner, read_owners},
     peers::{PeerClient, PeerReply, PeerRequest},
     publication::fetch_versions,
     store::{StoreClient, TxnOutcome},
@@ -46,6 +46,8 @@
         /// The peer.
         address: SocketAddr,
     },
+    /// Reads one owner record.
+    ReadOwner(ShardName),
 }
 
 /// Carries out effects on the traffic threads.
@@ -78,6 +80,7 @@
             }
             ControlEffect::FetchConfig { from, head } => self.fetch_config(from, head),
             ControlEffect::PullConfig { from, address } => self.pull_config(from, address),
+            ControlEffect::ReadOwner(shard) => self.read_owner(shard),
         }
     }
 
@@ -118,6 +121,22 @@
         });
     }
 
+    fn read_owner(&self, shard: ShardName) {
+        let control = self.control.clone();
+        let store = self.store.clone();
+        self.traffic.spawn(async move {
+            let prefix = format!("{OWNER_PREFIX}{shard}");
+            // A failed reading is repeated by the owner table.
+            match store.read_prefix(&prefix).await {
+                Ok(entries) => {
+                    let record = read_owners(&entries).remove(&shard);
+                    control.send(ControlEvent::OwnerRead(shard, record)).await;
+                }
+                Err(error) => log::warn!("reading the owner of shard {shard}: {error}"),
+            }
+        });
+    }
+
     fn claim_shard(&self, shard: ShardName, expected: Option<OwnerRecord>, next: OwnerRecord) {
         let control = self.control.clone();
         let store = self.store.clone();
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -1,16 +1,17 @@
 //! All control state, and the application of events to it.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
 use auburnsaddle_core::{
     ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Heartbeat,
-    HostKind, HostTable, MemberRecord, OwnerTable, OwnershipAction, OwnershipEvent, PeerConfig,
-    PeerTable, RunnerEntry, ShardName, ZoneId,
+    HostKind, HostTable, MemberRecord, OwnedDigest, OwnerTable, OwnershipAction, OwnershipConfig,
+    OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry, ShardName, ZoneId, digest_owned,
 };
+use rand::rngs::StdRng;
 
 use super::{
     effects::ControlEffect,
@@ -21,6 +22,9 @@
     store::StoreEntry,
 };
 
+/// Heartbeats within the region for each one between regions: 500 ms and 5 s.
+const RELAY_HEARTBEATS: u32 = 10;
+
 /// The control state of a daemon, changed by the control thread alone.
 #[derive(Debug)]
 pub(super) struct ControlState {
@@ -28,8 +32,9 @@
     config: ConfigState,
     hosts: HostTable,
     peers: PeerTable,
-    owners: OwnerTable,
+    owners: OwnerTable<StdRng>,
     calls: CallShards,
+    heartbeats: u32,
 }
 
 impl ControlState {
@@ -38,9 +43,14 @@
         Self {
             config: ConfigState::default(),
             hosts: HostTable::default(),
-            peers: PeerTable::new(PeerConfig::default()),
-            owners: OwnerTable::new(record.daemon.clone()),
+            peers: PeerTable::new(PeerConfig::default(), record.region.clone()),
+            owners: OwnerTable::new(
+                record.daemon.clone(),
+                OwnershipConfig::default(),
+                rand::make_rng(),
+            ),
             calls: CallShards::default(),
+            heartbeats: 0,
             record,
         }
     }
@@ -73,6 +83,9 @@
                 };
                 self.apply_ownership(event, now)
             }
+            ControlEvent::OwnerRead(shard, record) => {
+                self.apply_ownership(OwnershipEvent::OwnerRead { shard, record }, now)
+            }
             ControlEvent::Publish {
                 base,
                 objects,
@@ -94,20 +107,27 @@
     /// Acts on the passing of time.
     pub(super) fn fire_timers(&mut self, now: Duration) -> Vec<ControlEffect> {
         self.calls.fire_timers(now);
+        self.peers.note_timer(now);
         let dead = self.dead_daemons(now);
-        self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now)
+        let mut effects = self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now);
+        effects.extend(self.apply_ownership(OwnershipEvent::TimerFired, now));
+        effects
     }
 
     /// Returns the heartbeat of this daemon and its receivers.
-    pub(super) fn heartbeat(&self, now: Duration) -> ControlEffect {
+    pub(super) fn heartbeat(&mut self, now: Duration) -> ControlEffect {
+        self.heartbeats = self.heartbeats.wrapping_add(1);
         let heartbeat = Heartbeat {
             daemon: self.record.daemon.clone(),
             config_version: self.config.version(),
             suspected: self.peers.suspected(now),
             draining: false,
+            owned_digest: self.owned_digest(),
+            loads: BTreeMap::new(),
         };
-        let peers = self.peers.iter();
-        let addresses = peers
+        let addresses = self
+            .heartbeat_receivers()
+            .into_iter()
             .filter_map(|peer| peer.record.peer_address.parse().ok())
             .collect();
         ControlEffect::SendHeartbeat {
@@ -116,6 +136,28 @@
         }
     }
 
+    /// Returns the peers of the region and, with every tenth heartbeat, one
+    /// peer of each other region.
+    fn heartbeat_receivers(&self) -> Vec<&PeerState> {
+        let mut receivers: Vec<_> = self.peers.region_peers().collect();
+        if self.heartbeats.is_multiple_of(RELAY_HEARTBEATS) {
+            let rank = receivers
+                .iter()
+                .filter(|peer| peer.record.daemon < self.record.daemon)
+                .count();
+            receivers.extend(self.peers.relay_peers(rank));
+        }
+        receivers
+    }
+
+    fn owned_digest(&self) -> OwnedDigest {
+        let owned = self.owners.iter().filter_map(|(shard, _)| {
+            let epoch = self.owners.owned_epoch(shard)?;
+            Some((shard, epoch))
+        });
+        digest_owned(owned)
+    }
+
     /// Returns what traffic needs to know.
     pub(super) fn snapshot(&self, now: Duration) -> RoutingSnapshot {
         let peers = || self.peers.iter();
@@ -208,37 +250,76 @@
             .set_runners(|shard| live_runners(hosts, shard), now);
     }
 
+    /// Applies an event to the owner table, then the reports that follow from
+    /// its actions at once, until none is left.
     fn apply_ownership(&mut self, event: OwnershipEvent, now: Duration) -> Vec<ControlEffect> {
         let mut effects = Vec::new();
-        for action in self.owners.handle(event, now) {
-            match action {
-                OwnershipAction::Claim {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for action in self.owners.handle(event, now) {
+                let (effect, follow_up) = self.carry_out(action, now);
+                effects.extend(effect);
+                events.extend(follow_up);
+            }
+        }
+        effects
+    }
+
+    /// Carries out an action; returns its effect outside the control thread
+    /// and the report that follows at once.
+    ///
+    /// A call shard has no journal, and its runners learn the epoch from the
+    /// calls themselves, so replay, claims and flush end immediately.
+    fn carry_out(
+        &mut self,
+        action: OwnershipAction,
+        now: Duration,
+    ) -> (Option<ControlEffect>, Option<OwnershipEvent>) {
+        match action {
+            OwnershipAction::Claim {
+                shard,
+                expected,
+                next,
+            } => {
+                let effect = ControlEffect::ClaimShard {
                     shard,
                     expected,
                     next,
-                } => {
-                    effects.push(ControlEffect::ClaimShard {
-                        shard,
-                        expected,
-                        next,
-                    });
-                }
-                OwnershipAction::Acquired { shard, epoch } => {
-                    log::info!("acquired shard {shard} under epoch {epoch}");
+                };
+                (Some(effect), None)
+            }
+            OwnershipAction::ReadOwner(shard) => (Some(ControlEffect::ReadOwner(shard)), None),
+            OwnershipAction::Acquired { shard, epoch } => {
+                log::info!("acquired shard {shard} under epoch {epoch}");
+                (None, Some(OwnershipEvent::Replayed(shard, epoch)))
+            }
+            OwnershipAction::ClaimTargets(shard, epoch) => {
+                (None, Some(OwnershipEvent::TargetsClaimed(shard, epoch)))
+            }
+            OwnershipAction::Activated(shard, epoch) => {
+                if !self.calls.owns(&shard, epoch) {
                     self.calls.acquire(shard, epoch);
                     self.refresh_runners(now);
                 }
-                OwnershipAction::Lost(shard) => {
-                    log::warn!("lost shard {shard} to another daemon");
-                    self.calls.lose(&shard);
-                }
+                (None, None)
+            }
+            OwnershipAction::Flush(shard, epoch) => {
+                (None, Some(OwnershipEvent::Flushed(shard, epoch)))
+            }
+            OwnershipAction::Lost(shard) => {
+                log::warn!("lost shard {shard} to another daemon");
+                self.calls.lose(&shard);
+                (None, None)
+            }
+            // No shard is declared to be in lease mode yet.
+            OwnershipAction::RequestLease { .. } | OwnershipAction::ReleaseLease(..) => {
+                (None, None)
             }
         }
-        effects
     }
 
     fn candidates(&self) -> BTreeMap<DaemonId, ZoneId> {
-        let peers = self.peers.iter().filter(|peer| !peer.draining);
+        let peers = self.peers.region_peers().filter(|peer| !peer.draining);
         let own = (self.record.daemon.clone(), self.record.zone.clone());
         peers
             .map(|peer| (peer.record.daemon.clone(), peer.record.zone.clone()))
