Complete the stand-ins: leases, watches, faults, workers, runner behaviours

Cause: the daemon's store client needs leases and watches, and process tests need faults to be switched on from outside. The platform stand-in had only ranges and transactions, and there was no worker.

The store keeps revisions, a change log with compaction, and leases whose keys vanish at their expiry; a watch is one streamed response for several ranges and counts as one call. The worker fences by epoch, admits by capacity, starts each attempt once and logs every start and end. Runners answer in parts, cut responses off, refuse streams and answer queries by key.

Ruled out: a timer task per store that looks for expired leases at a fixed interval; one sleep per grant or renewal needs no periodic wake-up.

The fault switches have no tests of their own yet.

--- a/crates/standins/src/bin/platform.rs
+++ b/crates/standins/src/bin/platform.rs
@@ -14,8 +14,8 @@
     let listener = TcpListener::bind(address).await?;
     println!("listening on {}", listener.local_addr()?);
     let shared = platform::SharedPlatform::default();
-    serve(listener, move |request| {
-        platform::handle(Arc::clone(&shared), request)
+    serve(listener, Arc::default(), move |request| {
+        platform::handle(shared.clone(), request)
     })
     .await
 }
--- a/crates/standins/src/bin/target.rs
+++ b/crates/standins/src/bin/target.rs
@@ -1,14 +1,11 @@
-//! Serves one runner.
+//! Serves one runner or, with `--role worker`, one worker.
 
-use std::{
-    io,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{io, sync::Arc};
 
 use auburnsaddle_standins::{
     http::serve,
-    target::{RunnerState, handle_call},
+    runner::{self, SharedRunner},
+    worker::{self, ResourceAmounts, SharedWorker},
 };
 use tokio::net::TcpListener;
 
@@ -18,14 +15,41 @@
     let address: String = arguments
         .value_from_str("--listen")
         .unwrap_or_else(|_| "127.0.0.1:0".to_owned());
-    let slots = arguments.value_from_str("--slots").unwrap_or(8);
-    let work_ms = arguments.value_from_str("--work-ms").unwrap_or(20);
+    let role: String = arguments
+        .value_from_str("--role")
+        .unwrap_or_else(|_| "runner".to_owned());
     let listener = TcpListener::bind(address).await?;
     println!("listening on {}", listener.local_addr()?);
-    let runner = Arc::new(Mutex::new(RunnerState::new(slots)));
-    let work_time = Duration::from_millis(work_ms);
-    serve(listener, move |request| {
-        handle_call(Arc::clone(&runner), work_time, request)
+    if role == "worker" {
+        serve_worker(listener, &mut arguments).await
+    } else {
+        serve_runner(listener, &mut arguments).await
+    }
+}
+
+async fn serve_worker(
+    listener: TcpListener,
+    arguments: &mut pico_args::Arguments,
+) -> io::Result<()> {
+    let worker = SharedWorker::new(ResourceAmounts {
+        cpu_milli: arguments.value_from_str("--cpu-milli").unwrap_or(32_000),
+        memory_mib: arguments.value_from_str("--memory-mib").unwrap_or(131_072),
+        accelerators: arguments.value_from_str("--accelerators").unwrap_or(0),
+    });
+    serve(listener, Arc::default(), move |request| {
+        worker::handle(worker.clone(), request)
+    })
+    .await
+}
+
+async fn serve_runner(
+    listener: TcpListener,
+    arguments: &mut pico_args::Arguments,
+) -> io::Result<()> {
+    let runner = SharedRunner::new(arguments.value_from_str("--slots").unwrap_or(8));
+    runner.lock().behaviour.work_ms = arguments.value_from_str("--work-ms").unwrap_or(20);
+    serve(listener, runner.connections(), move |request| {
+        runner::handle(runner.clone(), request)
     })
     .await
 }
--- a/crates/standins/src/platform/messages.rs
+++ b/crates/standins/src/platform/messages.rs
@@ -22,12 +22,24 @@
     pub value: String,
     /// Store revision of the last change, as a decimal number.
     pub mod_revision: String,
+    /// Lease under which the key lives, as a decimal number; `0` for none.
+    pub lease: String,
+}
+
+/// The state of the store at the time of a reply.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct ReplyHeader {
+    /// Store revision, as a decimal number.
+    pub revision: String,
 }
 
 /// The keys of a range.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 pub struct RangeReply {
+    /// The state of the store.
+    pub header: ReplyHeader,
     /// The entries in key order.
     pub kvs: Vec<KeyValue>,
 }
@@ -76,6 +88,14 @@
     pub request_range: Option<RangeRequest>,
 }
 
+impl OperationItem {
+    /// Tells whether the operation changes the store.
+    #[must_use]
+    pub const fn is_write(&self) -> bool {
+        self.request_put.is_some() || self.request_delete_range.is_some()
+    }
+}
+
 /// Writes a key.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
@@ -92,6 +112,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 pub struct TxnReply {
+    /// The state of the store.
+    pub header: ReplyHeader,
     /// Whether all comparisons held.
     pub succeeded: bool,
     /// One response for each applied operation.
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -3,53 +3,49 @@
 
 The store speaks the JSON form of a widely used key-value store's HTTP
 interface: keys and values are base64 texts and 64-bit numbers are strings.
+Tests read the call counters with `GET /control/calls`, set
+[`StoreFaults`] with `PUT /control/faults` and forget the history with `POST
+/control/compact`.
 */
 
+mod changes;
+mod faults;
+mod leases;
 mod messages;
+mod serve;
 mod state;
-
-use std::sync::{Arc, Mutex, PoisonError};
-
-use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
-use serde::de::DeserializeOwned;
-
-pub use messages::{KeyValue, RangeReply, RangeRequest, TxnReply, TxnRequest};
-pub use state::{PlatformState, StoreState};
-
-use crate::http::{FullResponse, json, read_body, text};
-
-/// The state that all connections share.
-pub type SharedPlatform = Arc<Mutex<PlatformState>>;
-
-/// Answers one request.
-pub async fn handle(platform: SharedPlatform, request: Request<Incoming>) -> FullResponse {
-    let method = request.method().clone();
-    let path = request.uri().path().to_owned();
-    let body = match read_body(request.into_body()).await {
-        Ok(body) => body,
-        Err(response) => return response,
-    };
-    let mut state = platform.lock().unwrap_or_else(PoisonError::into_inner);
-    match (&method, path.as_str()) {
-        (&Method::POST, "/v3/kv/range") => respond(&body, |range| json(&state.store.range(&range))),
-        (&Method::POST, "/v3/kv/txn") => respond(&body, |txn| json(&state.store.txn(txn))),
-        (&Method::GET, "/hosts") => json(&state.hosts),
-        (&Method::PUT, "/hosts") => respond(&body, |hosts| {
-            state.hosts = hosts;
-            text(StatusCode::NO_CONTENT, "")
-        }),
-        _ => text(StatusCode::NOT_FOUND, "no such path"),
-    }
+mod watch_messages;
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Instant,
+};
+
+pub use changes::ChangeLog;
+pub use faults::{CallCounts, StoreFaults};
+pub use leases::{LeaseId, LeaseTable};
+pub use messages::{KeyValue, RangeReply, RangeRequest, ReplyHeader, TxnReply, TxnRequest};
+pub use serve::handle;
+pub use state::StoreState;
+pub use watch_messages::{ChangeItem, LeaseMessage, StreamItem, WatchRange, WatchReply};
+
+/// Everything that the platform keeps.
+#[derive(Debug, Default)]
+pub struct PlatformState {
+    /// The key-value store.
+    pub store: StoreState,
+    /// The list of hosts that readers see.
+    pub hosts: Vec<serde_json::Value>,
+    /// What the store does wrong.
+    pub faults: StoreFaults,
+    /// The calls so far.
+    pub calls: CallCounts,
+    next_hosts: Option<(Instant, Vec<serde_json::Value>)>,
 }
 
-fn respond<T, F>(body: &[u8], apply: F) -> FullResponse
-where
-    T: DeserializeOwned,
-    F: FnOnce(T) -> FullResponse,
-{
-    match serde_json::from_slice(body) {
-        Ok(value) => apply(value),
-        Err(error) => text(StatusCode::BAD_REQUEST, &error.to_string()),
-    }
+/// The state that all connections share, with a signal for each change.
+#[derive(Clone, Debug, Default)]
+pub struct SharedPlatform {
+    state: Arc<Mutex<PlatformState>>,
+    changed: tokio::sync::watch::Sender<()>,
 }
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -1,36 +1,33 @@
-//! The stored keys and the list of hosts.
+//! The stored keys with their revisions and leases.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Instant};
 
 use base64::{Engine, prelude::BASE64_STANDARD};
-use serde_json::Value;
 
-use super::messages::{
-    CompareItem, KeyValue, OperationItem, PutRequest, RangeReply, RangeRequest, ResponseItem,
-    TxnReply, TxnRequest,
+use super::{
+    changes::ChangeLog,
+    leases::{LeaseId, LeaseTable},
+    messages::{
+        CompareItem, KeyValue, OperationItem, PutRequest, RangeReply, RangeRequest, ReplyHeader,
+        ResponseItem, TxnReply, TxnRequest,
+    },
 };
 
-/// Everything that the platform keeps.
-#[derive(Debug, Default)]
-pub struct PlatformState {
-    /// The key-value store.
-    pub store: StoreState,
-    /// The list of hosts, as it was put.
-    pub hosts: Vec<Value>,
-}
-
 /// A value with its change counters.
 #[derive(Clone, Debug)]
 struct StoredValue {
     value: Vec<u8>,
     version: u64,
     mod_revision: u64,
+    lease: LeaseId,
 }
 
 /// The key-value store.
 #[derive(Debug, Default)]
 pub struct StoreState {
     entries: BTreeMap<Vec<u8>, StoredValue>,
+    changes: ChangeLog,
+    leases: LeaseTable,
     revision: u64,
 }
 
@@ -46,9 +43,77 @@
                 key: BASE64_STANDARD.encode(key),
                 value: BASE64_STANDARD.encode(&stored.value),
                 mod_revision: stored.mod_revision.to_string(),
+                lease: stored.lease.to_string(),
             })
             .collect();
-        RangeReply { kvs }
+        RangeReply {
+            header: self.header(),
+            kvs,
+        }
+    }
+
+    /// Returns the current revision.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the header of a reply.
+    #[must_use]
+    pub fn header(&self) -> ReplyHeader {
+        ReplyHeader {
+            revision: self.revision.to_string(),
+        }
+    }
+
+    /// Returns the leases, to be granted and kept alive.
+    pub const fn leases(&mut self) -> &mut LeaseTable {
+        &mut self.leases
+    }
+
+    /// Returns the changes since a revision.
+    #[must_use]
+    pub const fn changes(&self) -> &ChangeLog {
+        &self.changes
+    }
+
+    /// Forgets the history up to the current revision.
+    pub fn compact(&mut self) {
+        self.changes.compact(self.revision);
+    }
+
+    /// Deletes the keys of leases that have expired.
+    pub fn expire_leases(&mut self, now: Instant) {
+        for lease in self.leases.take_expired(now) {
+            self.delete_leased(lease);
+        }
+    }
+
+    /// Ends a lease and deletes its keys.
+    pub fn revoke(&mut self, lease: LeaseId) {
+        self.leases.remove(lease);
+        self.delete_leased(lease);
+    }
+
+    fn delete_leased(&mut self, lease: LeaseId) {
+        let leased: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, stored)| stored.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !leased.is_empty() {
+            self.revision += 1;
+        }
+        for key in leased {
+            self.delete(&key);
+        }
+    }
+
+    fn delete(&mut self, key: &[u8]) {
+        if self.entries.remove(key).is_some() {
+            self.changes.note(self.revision, key, None);
+        }
     }
 
     /// Applies a transaction atomically.
@@ -59,12 +124,15 @@
         } else {
             request.failure
         };
-        self.revision += 1;
+        if operations.iter().any(OperationItem::is_write) {
+            self.revision += 1;
+        }
         let responses = operations
             .into_iter()
             .map(|operation| self.apply(operation))
             .collect();
         TxnReply {
+            header: self.header(),
             succeeded,
             responses,
         }
@@ -100,7 +168,7 @@
                 ..
             } => {
                 for key in self.keys_in(&range) {
-                    self.entries.remove(&key);
+                    self.delete(&key);
                 }
             }
             OperationItem {
@@ -119,15 +187,14 @@
     fn put(&mut self, put: &PutRequest) {
         let key = decode(&put.key);
         let version = self.entries.get(&key).map_or(0, |stored| stored.version) + 1;
-        let value = decode(&put.value);
-        self.entries.insert(
-            key,
-            StoredValue {
-                value,
-                version,
-                mod_revision: self.revision,
-            },
-        );
+        let stored = StoredValue {
+            value: decode(&put.value),
+            version,
+            mod_revision: self.revision,
+            lease: put.lease.parse().unwrap_or(0),
+        };
+        self.changes.note(self.revision, &key, Some(&stored.value));
+        self.entries.insert(key, stored);
     }
 
     fn keys_in(&self, request: &RangeRequest) -> Vec<Vec<u8>> {
@@ -149,6 +216,6 @@
 }
 
 /// Decodes base64; an invalid text names no key, so it is read as empty.
-fn decode(text: &str) -> Vec<u8> {
+pub(super) fn decode(text: &str) -> Vec<u8> {
     BASE64_STANDARD.decode(text).unwrap_or_default()
 }
--- a/crates/standins/src/target/state.rs
+++ b/crates/standins/src/runner/state.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use super::messages::{KeyReply, RunnerBehaviour};
+
 /// Why a runner rejects a call before running it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AdmissionError {
@@ -25,20 +27,27 @@
 /// Slots, epochs and the log of starts of one runner.
 #[derive(Debug)]
 pub struct RunnerState {
+    /// How the runner answers.
+    pub behaviour: RunnerBehaviour,
     slots: u32,
     busy: u32,
+    busy_peak: u32,
     epochs: BTreeMap<String, u64>,
+    keys: BTreeMap<String, Option<String>>,
     starts: Vec<String>,
 }
 
 impl RunnerState {
     /// Returns a runner with free slots.
     #[must_use]
-    pub const fn new(slots: u32) -> Self {
+    pub fn new(slots: u32) -> Self {
         Self {
+            behaviour: RunnerBehaviour::default(),
             slots,
             busy: 0,
+            busy_peak: 0,
             epochs: BTreeMap::new(),
+            keys: BTreeMap::new(),
             starts: Vec::new(),
         }
     }
@@ -56,6 +65,7 @@
             () => {
                 *highest = epoch;
                 self.busy += 1;
+                self.busy_peak = self.busy_peak.max(self.busy);
                 self.starts.push(request.to_owned());
                 Ok(())
             }
@@ -67,6 +77,33 @@
         self.busy -= 1;
     }
 
+    /// Returns the calls that run at present and the most that ran at once.
+    #[must_use]
+    pub const fn busy(&self) -> (u32, u32) {
+        (self.busy, self.busy_peak)
+    }
+
+    /// Notes the outcome of a call with an idempotency key; `None` while it runs.
+    pub fn note_key(&mut self, key: String, body: Option<String>) {
+        if !key.is_empty() {
+            self.keys.insert(key, body);
+        }
+    }
+
+    /// Answers a query by idempotency key.
+    #[must_use]
+    pub fn query(&self, key: &str) -> KeyReply {
+        let (state, body) = match self.keys.get(key) {
+            None => ("unknown", ""),
+            Some(None) => ("running", ""),
+            Some(Some(body)) => ("completed", body.as_str()),
+        };
+        KeyReply {
+            state: state.to_owned(),
+            body: body.to_owned(),
+        }
+    }
+
     /// Returns the request ids of all calls that were started, in order.
     #[must_use]
     pub fn starts(&self) -> &[String] {
--- /dev/null
+++ b/crates/standins/src/worker/state.rs
@@ -0,0 +1,252 @@
+//! Admission, leases and completions of one worker.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use super::messages::{
+    AttemptRequest, ClaimReply, ClaimRequest, CompletionEvent, LogLine, ResourceAmounts,
+    RunningTask, StartRequest, SyncReply, SyncRequest, WorkerFaults,
+};
+
+/// How long the result of a finished attempt is remembered.
+const FINISHED_MEMORY: Duration = Duration::from_mins(10);
+
+/// Why a worker rejects a request before acting on it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RejectReason {
+    /// A newer owner of the shard is known.
+    Fenced,
+    /// The free resources do not hold the attempt.
+    Full,
+    /// The worker was told to reject every start.
+    Refused,
+}
+
+impl RejectReason {
+    /// Returns the value of the `Auburnsaddle-Not-Run` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Fenced => "fenced",
+            Self::Full => "full",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+type AttemptKey = (String, u32);
+
+#[derive(Debug)]
+struct RunningAttempt {
+    resources: ResourceAmounts,
+    lease_ends_at: Instant,
+    ends_at: Instant,
+    fails: bool,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub struct WorkerState {
+    /// What the worker does wrong.
+    pub faults: WorkerFaults,
+    capacity: ResourceAmounts,
+    origin: Instant,
+    epochs: BTreeMap<String, u64>,
+    running: BTreeMap<AttemptKey, RunningAttempt>,
+    finished: BTreeMap<AttemptKey, Instant>,
+    completions: Vec<CompletionEvent>,
+    log: Vec<LogLine>,
+}
+
+impl WorkerState {
+    /// Returns a worker that runs nothing.
+    #[must_use]
+    pub fn new(capacity: ResourceAmounts, now: Instant) -> Self {
+        Self {
+            faults: WorkerFaults::default(),
+            capacity,
+            origin: now,
+            epochs: BTreeMap::new(),
+            running: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            completions: Vec::new(),
+            log: Vec::new(),
+        }
+    }
+
+    /// Makes a new owner known and lists what runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RejectReason::Fenced`] if a newer owner is known.
+    pub fn claim(&mut self, claim: &ClaimRequest) -> Result<ClaimReply, RejectReason> {
+        self.check_epoch(&claim.shard, claim.epoch)?;
+        let running = self.running.iter();
+        Ok(ClaimReply {
+            capacity: self.capacity,
+            running: running
+                .map(|((task, attempt), running)| RunningTask {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    resources: running.resources,
+                })
+                .collect(),
+        })
+    }
+
+    /// Starts an attempt; one that runs or has finished is not started again.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the start is rejected; nothing ran in that case.
+    pub fn start(&mut self, start: StartRequest, now: Instant) -> Result<(), RejectReason> {
+        self.check_epoch(&start.shard, start.epoch)?;
+        let key = (start.task, start.attempt);
+        if self.running.contains_key(&key) || self.finished.contains_key(&key) {
+            return Ok(());
+        }
+        if self.faults.refuse {
+            return Err(RejectReason::Refused);
+        }
+        let occupied = self.occupied().plus(start.resources);
+        if !occupied.fits_in(self.capacity) {
+            return Err(RejectReason::Full);
+        }
+        let run_time = if self.faults.fail_all {
+            Duration::ZERO
+        } else {
+            Duration::from_millis(start.payload.run_ms)
+        };
+        let attempt = RunningAttempt {
+            resources: start.resources,
+            lease_ends_at: now + Duration::from_millis(start.lease_ms),
+            ends_at: now + run_time,
+            fails: self.faults.fail_all || start.payload.fails,
+        };
+        self.running.insert(key.clone(), attempt);
+        self.note(&key, "start", now);
+        Ok(())
+    }
+
+    /// Stops an attempt and tells whether it was running.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RejectReason::Fenced`] if a newer owner is known.
+    pub fn stop(&mut self, request: AttemptRequest, now: Instant) -> Result<bool, RejectReason> {
+        self.check_epoch(&request.shard, request.epoch)?;
+        let key = (request.task, request.attempt);
+        let found = self.running.contains_key(&key);
+        if found {
+            self.finish(key, "stopped", now);
+        }
+        Ok(found)
+    }
+
+    /// Tells whether an attempt runs, to be checkpointed or throttled.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RejectReason::Fenced`] if a newer owner is known.
+    pub fn find(&mut self, request: AttemptRequest) -> Result<bool, RejectReason> {
+        self.check_epoch(&request.shard, request.epoch)?;
+        let key = (request.task, request.attempt);
+        Ok(self.running.contains_key(&key))
+    }
+
+    /// Renews all leases and returns the news.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RejectReason::Fenced`] if a newer owner is known.
+    pub fn sync(&mut self, sync: &SyncRequest, now: Instant) -> Result<SyncReply, RejectReason> {
+        self.check_epoch(&sync.shard, sync.epoch)?;
+        for attempt in self.running.values_mut() {
+            attempt.lease_ends_at = now + Duration::from_millis(sync.lease_ms);
+        }
+        Ok(SyncReply {
+            usage: self.occupied(),
+            completions: self.completions_after(sync.after),
+        })
+    }
+
+    /// Returns the completions after a position.
+    #[must_use]
+    pub fn completions_after(&self, sequence: u64) -> Vec<CompletionEvent> {
+        let known = usize::try_from(sequence).unwrap_or(usize::MAX);
+        self.completions.iter().skip(known).cloned().collect()
+    }
+
+    /// Ends the attempts whose run time or lease is over.
+    pub fn advance(&mut self, now: Instant) {
+        while let Some((key, at)) = self.next_end().filter(|(_, at)| *at <= now) {
+            let result = match &self.running[&key] {
+                attempt if attempt.lease_ends_at < attempt.ends_at => "lease-expired",
+                attempt if attempt.fails => "failed",
+                _ => "succeeded",
+            };
+            self.finish(key, result, at);
+        }
+        self.finished
+            .retain(|_, ended_at| now.saturating_duration_since(*ended_at) < FINISHED_MEMORY);
+    }
+
+    /// Returns when the next attempt ends, if nothing else happens.
+    #[must_use]
+    pub fn next_change(&self) -> Option<Instant> {
+        self.next_end().map(|(_, at)| at)
+    }
+
+    /// Returns all starts and ends so far.
+    #[must_use]
+    pub fn log(&self) -> &[LogLine] {
+        &self.log
+    }
+
+    fn next_end(&self) -> Option<(AttemptKey, Instant)> {
+        let ends = self.running.iter();
+        ends.map(|(key, attempt)| (key.clone(), attempt.ends_at.min(attempt.lease_ends_at)))
+            .min_by_key(|(_, at)| *at)
+    }
+
+    fn finish(&mut self, key: AttemptKey, result: &str, at: Instant) {
+        self.running.remove(&key);
+        self.note(&key, result, at);
+        self.completions.push(CompletionEvent {
+            sequence: self.completions.len() as u64 + 1,
+            task: key.0.clone(),
+            attempt: key.1,
+            result: result.to_owned(),
+        });
+        self.finished.insert(key, at);
+    }
+
+    fn note(&mut self, key: &AttemptKey, event: &str, at: Instant) {
+        let since_start = at.saturating_duration_since(self.origin);
+        self.log.push(LogLine {
+            at_ms: u64::try_from(since_start.as_millis()).unwrap_or(u64::MAX),
+            event: event.to_owned(),
+            task: key.0.clone(),
+            attempt: key.1,
+            occupied: self.occupied(),
+        });
+    }
+
+    fn occupied(&self) -> ResourceAmounts {
+        let attempts = self.running.values();
+        attempts.fold(ResourceAmounts::default(), |sum, attempt| {
+            sum.plus(attempt.resources)
+        })
+    }
+
+    fn check_epoch(&mut self, shard: &str, epoch: u64) -> Result<(), RejectReason> {
+        let highest = self.epochs.entry(shard.to_owned()).or_insert(0);
+        if epoch < *highest && !self.faults.no_fencing {
+            return Err(RejectReason::Fenced);
+        }
+        *highest = epoch.max(*highest);
+        Ok(())
+    }
+}
