Follow the store by a watch, drain on SIGTERM, export metrics and a dump

Cause: each daemon read all control keys every 500 ms in three calls, registered without a lease, and ended on SIGTERM in the middle of responses.

Store: leases, deletions, readings of several ranges in one call, and one watch on all control keys with a whole reading every 5 s as fallback. Calls are spaced to this daemon's share of the store's rates (20 writes and 50 reads a second by default), counted by kind, and repeated with a random growing wait. Calls per daemon in quiet operation by construction, not measured: 6 reads a second before; one reading every 5 s and one renewal every 3 s now.

GET /metrics and GET /admin/dump; a caller's Auburnsaddle-Request-Id is kept if it is a UUID. The front limits header count, header size, header time, body time and connections.

Ruled out: giving up ownership by a store write of its own. Ending the registration makes peers take over at once, since an unregistered owner counts as dead, and needs no new kind of record. hyper-util's server-auto feature is needed for a graceful end of connections of either HTTP version; it adds no crate.

--- /dev/null
+++ b/crates/daemon/src/control/feed.rs
@@ -0,0 +1,161 @@
+//! Keeps the control state current with the platform: the registration of this
+//! daemon, the control keys of the store and the list of hosts.
+
+use std::time::Duration;
+
+use auburnsaddle_core::MemberRecord;
+use tokio::sync::watch;
+
+use super::{
+    messages::{ControlEvent, ControlHandle},
+    process::interval,
+};
+use crate::{
+    hosts::HostSource,
+    membership::{MEMBER_PREFIX, register_transaction},
+    ownership::OWNER_PREFIX,
+    publication::CONFIG_KEY,
+    store::{
+        LeaseId, StoreBackoff, StoreClient, StoreError, StoreRange, StoreTxn, StoreView, StoreWatch,
+    },
+};
+
+/// Duration of the lease of a registration.
+const MEMBER_LEASE: Duration = Duration::from_secs(10);
+
+/// Time between renewals; two may fail before the lease expires.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Time between whole readings, which bounds the effect of a watch that hangs.
+const READ_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Reads the list of hosts again and again.
+pub(super) async fn poll_hosts<H: HostSource>(control: ControlHandle, source: H, period: Duration) {
+    let mut interval = interval(period);
+    loop {
+        interval.tick().await;
+        match source.read().await {
+            Ok(entries) => control.send(ControlEvent::HostsRead(entries)).await,
+            Err(error) => log::warn!("{error}"),
+        }
+    }
+}
+
+/// Keeps the daemon registered under a lease until `stop` changes, then
+/// deregisters it by ending the lease.
+pub(super) async fn keep_registered<S: StoreClient>(
+    store: S,
+    record: MemberRecord,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut lease = None;
+    let mut backoff = StoreBackoff::default();
+    loop {
+        let wait = match renew_registration(&store, &record, lease).await {
+            Ok(renewed) => {
+                lease = Some(renewed);
+                backoff = StoreBackoff::default();
+                RENEWAL_INTERVAL
+            }
+            Err(error) => {
+                log::warn!("registering the daemon: {error}");
+                backoff.next(rand::random())
+            }
+        };
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            _ = stop.changed() => break,
+        }
+    }
+    let Some(lease) = lease else {
+        return;
+    };
+    if let Err(error) = store.revoke_lease(lease).await {
+        log::warn!("deregistering the daemon: {error}; its lease expires by itself");
+    }
+}
+
+/// Renews a lease, or registers under a new one if there is none any more.
+async fn renew_registration<S: StoreClient>(
+    store: &S,
+    record: &MemberRecord,
+    lease: Option<LeaseId>,
+) -> Result<LeaseId, StoreError> {
+    if let Some(lease) = lease
+        && store.renew_lease(lease).await?
+    {
+        return Ok(lease);
+    }
+    let lease = store.grant_lease(MEMBER_LEASE).await?;
+    let transaction = StoreTxn {
+        lease: Some(lease),
+        ..register_transaction(record)
+    };
+    store.commit(transaction).await?;
+    Ok(lease)
+}
+
+/// Sends the control keys to the control thread after each change.
+pub(super) async fn follow_store<S: StoreClient>(control: ControlHandle, store: S) {
+    let ranges = control_ranges();
+    let mut view = StoreView::default();
+    let mut backoff = StoreBackoff::default();
+    loop {
+        let mut connected = false;
+        let error = follow_watch(&control, &store, &ranges, &mut view, &mut connected).await;
+        if connected {
+            backoff = StoreBackoff::default();
+        }
+        log::warn!("following the store: {error}");
+        tokio::time::sleep(backoff.next(rand::random())).await;
+    }
+}
+
+/// Reads all keys, then follows a watch until it fails.
+async fn follow_watch<S: StoreClient>(
+    control: &ControlHandle,
+    store: &S,
+    ranges: &[StoreRange],
+    view: &mut StoreView,
+    connected: &mut bool,
+) -> StoreError {
+    match store.read_ranges(ranges).await {
+        Ok(reading) => view.replace(reading, true),
+        Err(error) => return error,
+    }
+    control.send(ControlEvent::StoreRead(view.entries())).await;
+    let mut watch = match store.watch(ranges, view.revision() + 1).await {
+        Ok(watch) => watch,
+        Err(error) => return error,
+    };
+    *connected = true;
+    let mut reading = interval(READ_INTERVAL);
+    // The first tick is immediate, and all keys have just been read.
+    reading.tick().await;
+    loop {
+        let changed = tokio::select! {
+            changes = watch.next() => match changes {
+                Ok(changes) => view.apply(changes),
+                Err(error) => return error,
+            },
+            _ = reading.tick() => match store.read_ranges(ranges).await {
+                Ok(reading) => {
+                    view.replace(reading, false);
+                    true
+                }
+                Err(error) => return error,
+            },
+        };
+        if changed {
+            control.send(ControlEvent::StoreRead(view.entries())).await;
+        }
+    }
+}
+
+fn control_ranges() -> Vec<StoreRange> {
+    vec![
+        StoreRange::Prefix(MEMBER_PREFIX.to_owned()),
+        StoreRange::Prefix(OWNER_PREFIX.to_owned()),
+        StoreRange::Key(CONFIG_KEY.to_owned()),
+    ]
+}
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -45,6 +45,11 @@
     },
     /// A configuration was committed.
     ConfigRead(PublishedConfig),
+    /// The daemon is stopping: it claims no shard any more and says so in its
+    /// heartbeats.
+    DrainStarted,
+    /// Asks for the whole control state as text.
+    DumpRequested(oneshot::Sender<String>),
 }
 
 /// What traffic needs to know of the control state.
@@ -92,6 +97,11 @@
         let _ = self.sender.send(event).await;
     }
 
+    /// Returns the number of events that wait for the control thread.
+    pub(crate) fn queue_depth(&self) -> usize {
+        self.sender.max_capacity() - self.sender.capacity()
+    }
+
     /// Returns the latest snapshot.
     pub(crate) fn snapshot(&self) -> Arc<RoutingSnapshot> {
         self.snapshot.load_full()
@@ -104,6 +114,12 @@
         self.members.get(daemon)?.peer_address.parse().ok()
     }
 
+    /// Returns the number of shards that this daemon owns.
+    pub(crate) fn owned_shards(&self) -> usize {
+        let owners = self.owners.values();
+        owners.filter(|owner| owner.daemon == self.daemon).count()
+    }
+
     /// Returns the zones with live runners of a service, in order.
     pub(crate) fn runner_zones(&self, service: &ServiceId) -> Vec<ZoneId> {
         let zones: BTreeSet<_> = self
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -7,7 +7,9 @@
 store transactions back to the traffic threads.
 */
 
+mod drain;
 mod effects;
+mod feed;
 mod messages;
 mod process;
 mod state;
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -9,26 +9,25 @@
 use tokio::{
     net::TcpListener,
     runtime::{Builder, Runtime},
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::MissedTickBehavior,
 };
 
 use super::{
+    drain::{Drain, terminated},
     effects::EffectRunner,
+    feed::{follow_store, keep_registered, poll_hosts},
     messages::{ControlEvent, ControlHandle, RoutingSnapshot},
     state::ControlState,
 };
 use crate::{
     calls::CallDispatcher,
     front::{FrontService, serve_front},
-    hosts::{HostClient, HostSource},
-    membership::{MEMBER_PREFIX, register_transaction},
-    ownership::OWNER_PREFIX,
+    hosts::HostClient,
     peers::{PeerClient, serve_peers},
-    publication::CONFIG_KEY,
     settings::DaemonSettings,
-    store::{HttpStore, StoreClient},
-    telemetry::{ProcessClock, init_logger},
+    store::{HttpStore, StoreClient, StoreRates},
+    telemetry::{ProcessClock, ProcessMetrics, init_logger},
 };
 
 /// Events that may wait for the control thread; senders wait beyond that.
@@ -88,24 +87,35 @@
     let snapshot = Arc::new(ArcSwap::from_pointee(RoutingSnapshot::default()));
     let control = ControlHandle::new(sender, Arc::clone(&snapshot));
     let peers = PeerClient::default();
-    let store = HttpStore::new(settings.store);
+    let store = HttpStore::new(
+        settings.store,
+        StoreRates {
+            writes: settings.store_writes,
+            reads: settings.store_reads,
+        },
+    );
     let dispatcher = CallDispatcher::new(control.clone(), peers.clone());
-    let service = FrontService::new(control.clone(), dispatcher, store.clone());
+    let metrics = ProcessMetrics::new(store.counts());
+    let service = FrontService::new(
+        control.clone(),
+        dispatcher,
+        store.clone(),
+        metrics,
+        settings.max_connections,
+    );
     traffic.spawn(serve_peers(peer_listener, service.clone()));
     traffic.spawn(poll_hosts(
         control.clone(),
         HostClient::new(settings.hosts),
         settings.poll_interval,
     ));
-    traffic.spawn(poll_store(
-        control.clone(),
-        store.clone(),
-        record.clone(),
-        settings.poll_interval,
-    ));
+    let (stop, stopped) = watch::channel(false);
+    let registration = keep_registered(store.clone(), record.clone(), stopped);
+    let registration = traffic.spawn(registration);
+    traffic.spawn(follow_store(control.clone(), store.clone()));
     let effects = EffectRunner {
         traffic: traffic.handle().clone(),
-        control,
+        control: control.clone(),
         peers,
         store,
     };
@@ -115,8 +125,24 @@
         .name("control".to_owned())
         .spawn(move || control_thread(state, receiver, &effects, &snapshot, interval))
         .context(ThreadsSnafu)?;
-    traffic.block_on(serve_front(front, service));
+    let drain = Drain {
+        control,
+        stop,
+        registration,
+    };
+    traffic.block_on(async {
+        let deadline = settings.drain_deadline;
+        let graceful = serve_front(front, service, terminated()).await;
+        if tokio::time::timeout(deadline, drain.finish(graceful))
+            .await
+            .is_err()
+        {
+            log::warn!("draining took longer than {deadline:?}; see --drain-deadline-ms");
+        }
+    });
+    log::info!("stopped");
     drop(thread);
+    traffic.shutdown_background();
     Ok(())
 }
 
@@ -178,53 +204,9 @@
     });
 }
 
-fn interval(period: Duration) -> tokio::time::Interval {
+/// Returns a timer that does not catch up on missed ticks.
+pub(super) fn interval(period: Duration) -> tokio::time::Interval {
     let mut interval = tokio::time::interval(period);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     interval
 }
-
-async fn poll_hosts<H: HostSource>(control: ControlHandle, source: H, period: Duration) {
-    let mut interval = interval(period);
-    loop {
-        interval.tick().await;
-        match source.read().await {
-            Ok(entries) => control.send(ControlEvent::HostsRead(entries)).await,
-            Err(error) => log::warn!("{error}"),
-        }
-    }
-}
-
-/// Registers the daemon, then reads the control keys again and again.
-async fn poll_store<S: StoreClient>(
-    control: ControlHandle,
-    store: S,
-    record: MemberRecord,
-    period: Duration,
-) {
-    let mut interval = interval(period);
-    let mut registered = false;
-    loop {
-        interval.tick().await;
-        if !registered {
-            match store.commit(register_transaction(&record)).await {
-                Ok(_) => registered = true,
-                Err(error) => log::warn!("registering the daemon: {error}"),
-            }
-        }
-        let mut entries = Vec::new();
-        let mut failed = false;
-        for prefix in [MEMBER_PREFIX, OWNER_PREFIX, CONFIG_KEY] {
-            match store.read_prefix(prefix).await {
-                Ok(read) => entries.extend(read),
-                Err(error) => {
-                    log::warn!("reading {prefix}: {error}");
-                    failed = true;
-                }
-            }
-        }
-        if !failed {
-            control.send(ControlEvent::StoreRead(entries)).await;
-        }
-    }
-}
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -32,6 +32,7 @@
     peers: PeerTable,
     owners: OwnerTable,
     calls: CallShards,
+    draining: bool,
 }
 
 impl ControlState {
@@ -43,6 +44,7 @@
             peers: PeerTable::new(PeerConfig::default()),
             owners: OwnerTable::new(record.daemon.clone()),
             calls: CallShards::default(),
+            draining: false,
             record,
         }
     }
@@ -86,6 +88,18 @@
                 self.note_config(config);
                 self.refresh(now)
             }
+            ControlEvent::DrainStarted => {
+                self.draining = true;
+                let event = OwnershipEvent::CandidatesChanged(self.candidates());
+                let mut effects = self.apply_ownership(event, now);
+                effects.push(self.heartbeat(now));
+                effects
+            }
+            ControlEvent::DumpRequested(reply) => {
+                // The operator's connection may have closed meanwhile.
+                let _ = reply.send(format!("{self:#?}"));
+                Vec::new()
+            }
         }
     }
 
@@ -102,7 +116,7 @@
             daemon: self.record.daemon.clone(),
             config_version: self.config.version,
             suspected: self.peers.suspected(now),
-            draining: false,
+            draining: self.draining,
         };
         let peers = self.peers.iter();
         let addresses = peers
@@ -212,9 +226,10 @@
     fn candidates(&self) -> BTreeMap<DaemonId, ZoneId> {
         let peers = self.peers.iter().filter(|peer| !peer.draining);
         let own = (self.record.daemon.clone(), self.record.zone.clone());
+        let own = (!self.draining).then_some(own);
         peers
             .map(|peer| (peer.record.daemon.clone(), peer.record.zone.clone()))
-            .chain([own])
+            .chain(own)
             .collect()
     }
 
--- a/crates/daemon/src/front/messages.rs
+++ b/crates/daemon/src/front/messages.rs
@@ -66,6 +66,22 @@
     pub(super) owners: BTreeMap<String, DaemonId>,
 }
 
+/// The state of the whole process.
+#[derive(Debug, Serialize)]
+pub(super) struct DumpReply {
+    /// The state of the control thread in debug form.
+    pub(super) control: String,
+    /// Events that wait for the control thread.
+    pub(super) queue_depth: usize,
+    /// Calls to the store by kind.
+    pub(super) store_calls: BTreeMap<&'static str, u64>,
+}
+
+/// Returns an answer of plain text.
+pub(super) fn text_response(text: String) -> FrontResponse {
+    Response::new(FrontBody::Full(Full::new(Bytes::from(text))))
+}
+
 /// Returns a JSON answer.
 pub(super) fn json_response<T: Serialize>(status: StatusCode, value: &T) -> FrontResponse {
     let (status, bytes) = match serde_json::to_vec(value) {
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -1,46 +1,84 @@
 //! Requests of callers and peers.
 
-use std::{convert::Infallible, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    pin::pin,
+    time::{Duration, Instant},
+};
 
-use auburnsaddle_core::{CallOutcome, ServiceSpec};
+use auburnsaddle_core::{CallOutcome, RequestId, ServiceSpec};
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
-    rt::{TokioExecutor, TokioIo},
-    server::conn::auto,
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::oneshot,
 };
-use tokio::net::{TcpListener, TcpStream};
+use uuid::Uuid;
 
 use super::{
     body::FrontBody,
-    messages::{FrontError, FrontResponse, not_run_response, unknown_response},
+    messages::{
+        DumpReply, FrontError, FrontResponse, json_response, not_run_response, text_response,
+        unknown_response,
+    },
 };
 use crate::{
     calls::{CallCommand, CallDispatcher, CallHead},
     control::{ControlEvent, ControlHandle},
     peers::{PeerHandler, PeerReply, PeerRequest},
     store::StoreClient,
+    telemetry::ProcessMetrics,
 };
 
 const SERVICE_PREFIX: &str = "/v1/services/";
 
+/// Time for the head of a request; a slower caller holds a connection idle.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Most headers of a request.
+const MAX_HEADERS: usize = 100;
+
+/// Largest head of an HTTP/1.1 request in bytes.
+const MAX_HEADER_BYTES: usize = 64 << 10;
+
+/// Largest head of an HTTP/2 request in bytes.
+const MAX_HEADER_LIST_BYTES: u32 = 64 << 10;
+
 /// Serves callers, operators and peers.
 #[derive(Clone, Debug)]
 pub(crate) struct FrontService<S> {
     pub(super) control: ControlHandle,
     dispatcher: CallDispatcher,
     pub(super) store: S,
+    pub(super) metrics: ProcessMetrics,
+    max_connections: usize,
 }
 
 impl<S: StoreClient> FrontService<S> {
     /// Returns the service of a daemon.
-    pub(crate) const fn new(control: ControlHandle, dispatcher: CallDispatcher, store: S) -> Self {
+    pub(crate) const fn new(
+        control: ControlHandle,
+        dispatcher: CallDispatcher,
+        store: S,
+        metrics: ProcessMetrics,
+        max_connections: usize,
+    ) -> Self {
         Self {
             control,
             dispatcher,
             store,
+            metrics,
+            max_connections,
         }
     }
 
@@ -48,6 +86,8 @@
         let path = request.uri().path().to_owned();
         let result = match path.as_str() {
             path if path.starts_with(SERVICE_PREFIX) => self.handle_call(request).await,
+            "/metrics" => Ok(self.metrics_page()),
+            "/admin/dump" => Ok(self.dump().await),
             path if path.starts_with("/admin/") => self.handle_admin(request).await,
             _ => Err(FrontError::new(
                 StatusCode::NOT_FOUND,
@@ -58,6 +98,26 @@
         result.unwrap_or_else(FrontResponse::from)
     }
 
+    fn metrics_page(&self) -> FrontResponse {
+        let snapshot = self.control.snapshot();
+        let page = self
+            .metrics
+            .page(self.control.queue_depth(), snapshot.owned_shards());
+        text_response(page)
+    }
+
+    /// Returns the state of the control thread and what it published.
+    async fn dump(&self) -> FrontResponse {
+        let (reply, receiver) = oneshot::channel();
+        self.control.send(ControlEvent::DumpRequested(reply)).await;
+        let dump = DumpReply {
+            control: receiver.await.unwrap_or_default(),
+            queue_depth: self.control.queue_depth(),
+            store_calls: self.metrics.store_calls(),
+        };
+        json_response(StatusCode::OK, &dump)
+    }
+
     async fn handle_call(&self, request: Request<Incoming>) -> Result<FrontResponse, FrontError> {
         let snapshot = self.control.snapshot();
         let target = request
@@ -74,8 +134,9 @@
         })?;
         let (parts, body) = request.into_parts();
         let remaining = deadline(&parts.headers, service)?;
+        let request_id = request_id(&parts.headers)?;
         let head = CallHead {
-            request: rand::random(),
+            request: request_id,
             team: header_text(&parts.headers, "auburnsaddle-team").map(Into::into),
             urgency: None,
             remaining,
@@ -84,7 +145,13 @@
             headers: forwarded_headers(&parts.headers),
             body: read_limited(body, service).await?,
         };
-        Ok(match self.dispatcher.dispatch(service, head).await {
+        let id = format!("{request_id:032x}");
+        let received_at = Instant::now();
+        let outcome = self.dispatcher.dispatch(service, head).await;
+        self.metrics
+            .note_call(outcome_name(&outcome), received_at.elapsed());
+        log::debug!(request_id = id.as_str(), outcome = outcome_name(&outcome); "call answered");
+        Ok(match outcome {
             CallOutcome::Completed(reply) => reply.map(|body| FrontBody::Relay(Box::new(body))),
             CallOutcome::NotRun(reason) => not_run_response(reason),
             CallOutcome::Unknown(reason) => unknown_response(reason),
@@ -116,13 +183,26 @@
     }
 }
 
-/// Accepts connections of callers and operators until the task is aborted.
-pub(crate) async fn serve_front<S: StoreClient>(listener: TcpListener, service: FrontService<S>) {
+/// Accepts connections of callers and operators until `stopped` is ready. The
+/// returned value lets the open connections finish their requests.
+pub(crate) async fn serve_front<S: StoreClient, F: Future<Output = ()>>(
+    listener: TcpListener,
+    service: FrontService<S>,
+    stopped: F,
+) -> GracefulShutdown {
+    let graceful = GracefulShutdown::new();
+    let mut stopped = pin!(stopped);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, service.clone()));
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut stopped => return graceful,
+        };
+        match accepted {
+            Ok((stream, _)) if graceful.count() < service.max_connections => {
+                serve_connection(stream, service.clone(), &graceful);
             }
+            // Closing at once tells the caller to try another daemon.
+            Ok(_) => log::warn!("a caller was turned away; see --max-connections"),
             Err(error) => {
                 log::warn!("accepting a connection failed: {error}");
                 // Out of file descriptors, for one, does not end at once.
@@ -132,20 +212,37 @@
     }
 }
 
-async fn serve_connection<S: StoreClient>(stream: TcpStream, service: FrontService<S>) {
+fn serve_connection<S: StoreClient>(
+    stream: TcpStream,
+    service: FrontService<S>,
+    graceful: &GracefulShutdown,
+) {
     // Without the option a small answer would wait for a delayed acknowledgement.
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.handle_request(request).await) }
     });
-    let builder = auto::Builder::new(TokioExecutor::new());
-    if let Err(error) = builder
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(MAX_HEADER_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(MAX_HEADER_LIST_BYTES);
+    let connection = builder
         .serve_connection(TokioIo::new(stream), service)
-        .await
-    {
-        log::debug!("a caller's connection ended: {error}");
-    }
+        .into_owned();
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("a caller's connection ended: {error}");
+        }
+    });
 }
 
 /// Splits `/v1/services/NAME/PATH` into the name and the path for the runner.
@@ -159,7 +256,15 @@
 
 async fn read_limited(body: Incoming, service: &ServiceSpec) -> Result<Bytes, FrontError> {
     let limit = usize::try_from(service.max_body_bytes).unwrap_or(usize::MAX);
-    match Limited::new(body, limit).collect().await {
+    let collecting = Limited::new(body, limit).collect();
+    let Ok(collected) = tokio::time::timeout(BODY_TIMEOUT, collecting).await else {
+        return Err(FrontError::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time",
+            "send the request again, its body without pauses",
+        ));
+    };
+    match collected {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(FrontError::new(
             StatusCode::PAYLOAD_TOO_LARGE,
@@ -174,6 +279,32 @@
     }
 }
 
+/// Returns the identifier that the caller gave its request, or a new one.
+fn request_id(headers: &HeaderMap) -> Result<RequestId, FrontError> {
+    let Some(value) = headers.get("auburnsaddle-request-id") else {
+        return Ok(rand::random());
+    };
+    let text = value.to_str().ok();
+    // A UUID has 32 digits and, in its usual form, hyphens between them.
+    text.and_then(|text| Uuid::try_parse(text).ok())
+        .map(|id| id.as_u128())
+        .ok_or_else(|| {
+            FrontError::new(
+                StatusCode::BAD_REQUEST,
+                "Auburnsaddle-Request-Id is not a UUID",
+                "send 32 hexadecimal digits, or leave the header out",
+            )
+        })
+}
+
+const fn outcome_name<T>(outcome: &CallOutcome<T>) -> &'static str {
+    match outcome {
+        CallOutcome::Completed(_) => "completed",
+        CallOutcome::NotRun(_) => "not-run",
+        CallOutcome::Unknown(_) => "unknown",
+    }
+}
+
 fn deadline(headers: &HeaderMap, service: &ServiceSpec) -> Result<Duration, FrontError> {
     match header_text(headers, "auburnsaddle-deadline-ms").map(str::parse) {
         None => Ok(service.deadline()),
--- a/crates/daemon/src/ownership/state.rs
+++ b/crates/daemon/src/ownership/state.rs
@@ -51,6 +51,7 @@
             value: encode(next),
         }],
         reads_on_conflict: vec![key],
+        ..StoreTxn::default()
     }
 }
 
--- a/crates/daemon/src/publication/state.rs
+++ b/crates/daemon/src/publication/state.rs
@@ -49,6 +49,7 @@
             value: encode(&next),
         }],
         reads_on_conflict: vec![CONFIG_KEY.to_owned()],
+        ..StoreTxn::default()
     })
 }
 
--- a/crates/daemon/src/settings/state.rs
+++ b/crates/daemon/src/settings/state.rs
@@ -28,8 +28,16 @@
     pub hosts: SocketAddr,
     /// Time between heartbeats to each peer.
     pub heartbeat_interval: Duration,
-    /// Time between readings of the store's control keys and the list of hosts.
+    /// Time between readings of the list of hosts.
     pub poll_interval: Duration,
+    /// This daemon's share of the store's writes per second.
+    pub store_writes: u32,
+    /// This daemon's share of the store's reads per second.
+    pub store_reads: u32,
+    /// Longest time that a drain may take.
+    pub drain_deadline: Duration,
+    /// Most connections of callers and operators at once.
+    pub max_connections: usize,
 }
 
 /// Reads settings one by one and collects what is wrong with them.
@@ -77,6 +85,10 @@
                 reader.optional("--heartbeat-interval-ms", 500),
             ),
             poll_interval: Duration::from_millis(reader.optional("--poll-interval-ms", 500)),
+            store_writes: reader.optional("--store-writes-per-second", 20),
+            store_reads: reader.optional("--store-reads-per-second", 50),
+            drain_deadline: Duration::from_millis(reader.optional("--drain-deadline-ms", 30_000)),
+            max_connections: reader.optional("--max-connections", 4_096),
         };
         reader.finish(settings)
     }
--- /dev/null
+++ b/crates/daemon/src/store/watch_wire.rs
@@ -0,0 +1,145 @@
+//! The JSON messages of leases and watches.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    messages::{LeaseId, StoreChange, StoreError, StoreRange, StoreRevision},
+    wire::{KeyValue, RangeRequest, number},
+};
+
+/// Kind of a change that deletes a key; any other kind writes it.
+const DELETE: &str = "DELETE";
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub(super) struct GrantRequest {
+    ttl: String,
+    id: String,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub(super) struct LeaseRequest {
+    id: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, rename_all = "UPPERCASE")]
+pub(super) struct LeaseReply {
+    id: String,
+    ttl: String,
+}
+
+/// One object of a streamed reply.
+#[derive(Debug, Deserialize)]
+pub(super) struct StreamItem<T> {
+    pub(super) result: T,
+}
+
+#[derive(Debug, Serialize)]
+struct WatchRequest {
+    create_request: WatchRange,
+}
+
+#[derive(Debug, Serialize)]
+struct WatchRange {
+    key: String,
+    range_end: String,
+    start_revision: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct WatchReply {
+    canceled: bool,
+    compact_revision: String,
+    events: Vec<ChangeItem>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct ChangeItem {
+    r#type: String,
+    kv: KeyValue,
+}
+
+impl GrantRequest {
+    pub(super) fn new(seconds: u64) -> Self {
+        Self {
+            ttl: seconds.to_string(),
+            id: "0".to_owned(),
+        }
+    }
+}
+
+impl LeaseRequest {
+    pub(super) fn new(lease: LeaseId) -> Self {
+        Self {
+            id: lease.to_string(),
+        }
+    }
+}
+
+impl LeaseReply {
+    /// Returns the lease that was granted.
+    pub(super) fn lease(&self) -> Result<LeaseId, StoreError> {
+        number(&self.id)
+    }
+
+    /// Tells whether the lease is alive; an expired one has no time to live.
+    pub(super) fn is_alive(&self) -> Result<bool, StoreError> {
+        Ok(number(&self.ttl)? > 0)
+    }
+}
+
+/// Returns the body of a watch: one object for each range.
+pub(super) fn watch_body(
+    ranges: &[StoreRange],
+    start: StoreRevision,
+) -> Result<Vec<u8>, serde_json::Error> {
+    let mut body = Vec::new();
+    for range in ranges {
+        let RangeRequest { key, range_end } = range.into();
+        let create_request = WatchRange {
+            key,
+            range_end,
+            start_revision: start.to_string(),
+        };
+        serde_json::to_writer(&mut body, &WatchRequest { create_request })?;
+        body.push(b'\n');
+    }
+    Ok(body)
+}
+
+/// Decodes one line of a watch's response.
+pub(super) fn decode_changes(line: &[u8]) -> Result<Vec<StoreChange>, StoreError> {
+    let item: StreamItem<WatchReply> =
+        serde_json::from_slice(line).map_err(|error| StoreError::Malformed {
+            message: error.to_string(),
+        })?;
+    let reply = item.result;
+    match number(&reply.compact_revision)? {
+        0 if reply.canceled => Err(StoreError::Unavailable {
+            message: "the store ended the watch".to_owned(),
+        }),
+        0 => reply
+            .events
+            .into_iter()
+            .map(ChangeItem::into_change)
+            .collect(),
+        revision => Err(StoreError::Compacted { revision }),
+    }
+}
+
+impl ChangeItem {
+    fn into_change(self) -> Result<StoreChange, StoreError> {
+        let revision = number(&self.kv.mod_revision)?;
+        let entry = self.kv.into_entry()?;
+        let value = (self.r#type != DELETE).then_some(entry.value);
+        Ok(StoreChange {
+            revision,
+            key: entry.key,
+            value,
+        })
+    }
+}
--- a/crates/daemon/src/store/wire.rs
+++ b/crates/daemon/src/store/wire.rs
@@ -3,12 +3,14 @@
 use base64::{Engine, prelude::BASE64_STANDARD};
 use serde::{Deserialize, Serialize};
 
-use super::messages::{StoreCompare, StoreEntry, StoreError, StorePut, StoreTxn};
+use super::messages::{
+    LeaseId, StoreCompare, StoreEntry, StoreError, StorePut, StoreRange, StoreReading, StoreTxn,
+};
 
 #[derive(Debug, Serialize)]
 pub(super) struct RangeRequest {
-    key: String,
-    range_end: String,
+    pub(super) key: String,
+    pub(super) range_end: String,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -19,9 +21,16 @@
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
-struct KeyValue {
-    key: String,
-    value: String,
+pub(super) struct ReplyHeader {
+    revision: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct KeyValue {
+    pub(super) key: String,
+    pub(super) value: String,
+    pub(super) mod_revision: String,
 }
 
 #[derive(Debug, Serialize)]
@@ -48,16 +57,26 @@
     },
 }
 
+#[expect(
+    clippy::enum_variant_names,
+    reason = "the names are those of the protocol"
+)]
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
 enum OperationItem {
-    RequestPut { key: String, value: String },
+    RequestPut {
+        key: String,
+        value: String,
+        lease: String,
+    },
+    RequestDeleteRange(RangeRequest),
     RequestRange(RangeRequest),
 }
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 pub(super) struct TxnReply {
+    header: ReplyHeader,
     pub(super) succeeded: bool,
     responses: Vec<ResponseItem>,
 }
@@ -93,17 +112,22 @@
 impl From<StoreTxn> for TxnRequest {
     fn from(transaction: StoreTxn) -> Self {
         let reads = transaction.reads_on_conflict.iter();
+        let lease = transaction.lease.unwrap_or(0);
+        let puts = transaction
+            .puts
+            .into_iter()
+            .map(|put| OperationItem::put(put, lease));
+        let deletes = transaction
+            .deletes
+            .iter()
+            .map(|range| OperationItem::RequestDeleteRange(range.into()));
         Self {
             compare: transaction
                 .compares
                 .into_iter()
                 .map(CompareItem::from)
                 .collect(),
-            success: transaction
-                .puts
-                .into_iter()
-                .map(OperationItem::from)
-                .collect(),
+            success: puts.chain(deletes).collect(),
             failure: reads
                 .map(|key| OperationItem::RequestRange(RangeRequest::key(key)))
                 .collect(),
@@ -130,11 +154,35 @@
     }
 }
 
-impl From<StorePut> for OperationItem {
-    fn from(put: StorePut) -> Self {
+impl OperationItem {
+    fn put(put: StorePut, lease: LeaseId) -> Self {
         Self::RequestPut {
             key: BASE64_STANDARD.encode(put.key),
             value: BASE64_STANDARD.encode(put.value),
+            lease: lease.to_string(),
+        }
+    }
+}
+
+impl From<&StoreRange> for RangeRequest {
+    fn from(range: &StoreRange) -> Self {
+        match range {
+            StoreRange::Key(key) => Self::key(key),
+            StoreRange::Prefix(prefix) => Self::prefix(prefix),
+        }
+    }
+}
+
+impl TxnRequest {
+    /// Returns an unconditional transaction that reads ranges.
+    pub(super) fn read(ranges: &[StoreRange]) -> Self {
+        Self {
+            compare: Vec::new(),
+            success: ranges
+                .iter()
+                .map(|range| OperationItem::RequestRange(range.into()))
+                .collect(),
+            failure: Vec::new(),
         }
     }
 }
@@ -147,6 +195,14 @@
 }
 
 impl TxnReply {
+    /// Decodes the entries of all ranges and the revision of the store.
+    pub(super) fn into_reading(self) -> Result<StoreReading, StoreError> {
+        Ok(StoreReading {
+            revision: number(&self.header.revision)?,
+            entries: self.into_entries()?,
+        })
+    }
+
     /// Decodes the entries of all ranges that were read.
     pub(super) fn into_entries(self) -> Result<Vec<StoreEntry>, StoreError> {
         let ranges = self
@@ -161,7 +217,7 @@
 }
 
 impl KeyValue {
-    fn into_entry(self) -> Result<StoreEntry, StoreError> {
+    pub(super) fn into_entry(self) -> Result<StoreEntry, StoreError> {
         let key = decode(&self.key)?;
         let key = String::from_utf8(key).map_err(|error| StoreError::Malformed {
             message: error.to_string(),
@@ -173,6 +229,16 @@
     }
 }
 
+/// Parses a decimal number; the protocol leaves out a zero.
+pub(super) fn number(text: &str) -> Result<i64, StoreError> {
+    match text {
+        "" => Ok(0),
+        text => text.parse().map_err(|_| StoreError::Malformed {
+            message: format!("`{text}` is not a number"),
+        }),
+    }
+}
+
 fn decode(text: &str) -> Result<Vec<u8>, StoreError> {
     BASE64_STANDARD
         .decode(text)
