Add the worker client and one classification of failed exchanges

Cause: the owner of a pool has no way to reach its workers, and the dispatcher of calls knew REFUSED_STREAM but not GOAWAY and took the not-run header of any status for a rejection.

classify_failure and admission_rejection judge exchanges of calls and of tasks alike. A stream above the last one of a GOAWAY was not processed; one at or below it, a reset for another reason and a lost connection stay unknown. The rejection header counts with status 503 only.

Ruled out: treating every cancelled request of hyper as not run, since the public error does not tell whether the request had been written.

Log lines carry the key-values of a record under `fields`.

--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -22,12 +22,10 @@
 };
 use crate::{
     control::{ControlEvent, ControlHandle, RoutingSnapshot},
+    hosts::{ExchangeFailure, admission_rejection, classify_failure},
     peers::{PeerClient, PeerReply, PeerRequest},
 };
 
-/// Response header with which a runner says that it ran nothing.
-const NOT_RUN_HEADER: &str = "auburnsaddle-not-run";
-
 /// A call as received from a caller, its body read.
 #[derive(Clone, Debug)]
 pub(crate) struct CallHead {
@@ -178,13 +176,14 @@
             return guard.not_run(NotRunReason::TargetUnreachable);
         };
         match self.runners.request(request).await {
-            Ok(response) if response.headers().contains_key(NOT_RUN_HEADER) => {
+            Ok(response) if admission_rejection(&response).is_some() => {
                 guard.not_run(NotRunReason::RejectedByTarget)
             }
             Ok(response) => CallOutcome::Completed(relay(response, guard)),
-            Err(error) if error.is_connect() => guard.not_run(NotRunReason::TargetUnreachable),
-            Err(error) if is_unprocessed(&error) => guard.not_run(NotRunReason::RejectedByTarget),
-            Err(_) => CallOutcome::Unknown(UnknownReason::ConnectionLost),
+            Err(error) => match classify_failure(&error) {
+                ExchangeFailure::NotRun(reason) => guard.not_run(reason),
+                ExchangeFailure::Unknown(reason) => CallOutcome::Unknown(reason),
+            },
         }
     }
 
@@ -288,15 +287,3 @@
 fn relay(response: Response<Incoming>, guard: SlotGuard) -> CallReply {
     response.map(|body| RelayBody::new(body, guard))
 }
-
-/// Tells whether the protocol says that the target ran nothing.
-fn is_unprocessed(error: &hyper_util::client::legacy::Error) -> bool {
-    let mut cause = std::error::Error::source(error);
-    while let Some(inner) = cause {
-        match inner.downcast_ref::<h2::Error>() {
-            Some(reset) if reset.reason() == Some(h2::Reason::REFUSED_STREAM) => return true,
-            _ => cause = inner.source(),
-        }
-    }
-    false
-}
--- /dev/null
+++ b/crates/daemon/src/hosts/tests.rs
@@ -0,0 +1,136 @@
+//! Tests of the classification of failed exchanges, against scripted servers.
+
+use auburnsaddle_core::{NotRunReason, UnknownReason};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Empty;
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use super::exchange::{ExchangeFailure, admission_rejection, classify_failure};
+
+const SETTINGS_FRAME: [u8; 9] = [0, 0, 0, 4, 0, 0, 0, 0, 0];
+
+/// A `GOAWAY` frame with the reason `NO_ERROR`.
+const fn goaway_frame(last_stream: u8) -> [u8; 17] {
+    [0, 0, 8, 7, 0, 0, 0, 0, 0, 0, 0, 0, last_stream, 0, 0, 0, 0]
+}
+
+/// A `RST_STREAM` frame for the first stream of a client.
+const fn reset_frame(reason: u8) -> [u8; 13] {
+    [0, 0, 4, 3, 0, 0, 0, 0, 1, 0, 0, 0, reason]
+}
+
+/// Sends one request to a server that answers it with raw frames and closes.
+async fn failure_after(frames: &'static [u8]) -> ExchangeFailure {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("a bound socket");
+    let server = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("one connection");
+        answer_with(stream, frames).await;
+    });
+    let failure = send(&address.to_string()).await;
+    server.await.expect("the server does not panic");
+    failure
+}
+
+async fn answer_with(mut stream: TcpStream, frames: &[u8]) {
+    /// `END_STREAM` and `END_HEADERS` of a `HEADERS` frame of stream 1.
+    const HEADERS_OF_FIRST_STREAM: [u8; 6] = [1, 5, 0, 0, 0, 1];
+    let _ = stream.write_all(&SETTINGS_FRAME).await;
+    let mut received = Vec::new();
+    while !received
+        .windows(HEADERS_OF_FIRST_STREAM.len())
+        .any(|window| window == HEADERS_OF_FIRST_STREAM)
+    {
+        if stream
+            .read_buf(&mut received)
+            .await
+            .is_ok_and(|read| read == 0)
+        {
+            return;
+        }
+    }
+    let _ = stream.write_all(frames).await;
+    let _ = stream.shutdown().await;
+    // Closing with unread bytes would reset the connection before the frames
+    // are read.
+    let _ = stream.read_to_end(&mut received).await;
+}
+
+async fn send(address: &str) -> ExchangeFailure {
+    let client = Client::builder(TokioExecutor::new())
+        .http2_only(true)
+        .retry_canceled_requests(false)
+        .build_http::<Empty<Bytes>>();
+    let request = Request::get(format!("http://{address}/"))
+        .body(Empty::new())
+        .expect("the request is valid");
+    let error = client
+        .request(request)
+        .await
+        .expect_err("no server answers");
+    classify_failure(&error)
+}
+
+/// Guards against reporting a request as unknown that was certainly not run.
+#[tokio::test]
+async fn unprocessed_streams_are_not_run() {
+    const REFUSED: &[u8] = &reset_frame(7);
+    const GOAWAY_BEFORE: &[u8] = &goaway_frame(0);
+
+    let refused = failure_after(REFUSED).await;
+    let goaway = failure_after(GOAWAY_BEFORE).await;
+
+    let not_run = ExchangeFailure::NotRun(NotRunReason::RejectedByTarget);
+    assert_eq!([refused, goaway], [not_run; 2]);
+}
+
+/// Guards against reporting a request as not run that the target may have run.
+#[tokio::test]
+async fn processed_streams_are_unknown() {
+    const CANCELLED: &[u8] = &reset_frame(8);
+    const GOAWAY_AFTER: &[u8] = &goaway_frame(1);
+
+    let cancelled = failure_after(CANCELLED).await;
+    let goaway = failure_after(GOAWAY_AFTER).await;
+    let closed = failure_after(&[]).await;
+
+    let reset = ExchangeFailure::Unknown(UnknownReason::TargetReset);
+    let lost = ExchangeFailure::Unknown(UnknownReason::ConnectionLost);
+    assert_eq!([cancelled, goaway, closed], [reset, lost, lost]);
+}
+
+/// Guards against reporting a request as unknown that was never sent.
+#[tokio::test]
+async fn refused_connections_are_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("a bound socket");
+    drop(listener);
+
+    let failure = send(&address.to_string()).await;
+
+    let not_run = ExchangeFailure::NotRun(NotRunReason::TargetUnreachable);
+    assert_eq!(failure, not_run);
+}
+
+/// Guards against taking any other status with the header for a rejection.
+#[test]
+fn only_503_is_an_admission_rejection() {
+    let answer = |status| {
+        Response::builder()
+            .status(status)
+            .header("auburnsaddle-not-run", "full")
+            .body(())
+            .expect("the response is valid")
+    };
+
+    let rejected = answer(StatusCode::SERVICE_UNAVAILABLE);
+    let answered = answer(StatusCode::OK);
+
+    assert_eq!(admission_rejection(&rejected), Some("full"));
+    assert_eq!(admission_rejection(&answered), None);
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,7 +13,8 @@
 * `settings`: flags and environment variables.
 * `telemetry`: logs as JSON lines.
 * `store`: the platform's key-value store.
-* `hosts`: the platform's list of hosts.
+* `hosts`: the platform's list of hosts, and the outcome of failed exchanges.
+* `workers`: requests to workers.
 * `peers`: `h2` streams with `bincode` messages between daemons.
 * `membership`, `ownership`, `publication`, `calls`: the control state of each
   decision slice and its messages.
@@ -44,6 +45,11 @@
 mod settings;
 mod store;
 mod telemetry;
+#[cfg_attr(
+    not(test),
+    expect(dead_code, reason = "the slice for tasks is its caller")
+)]
+mod workers;
 
 pub use control::{DaemonError, run};
 pub use settings::{DaemonSettings, SettingsError};
--- a/crates/daemon/src/telemetry/logger.rs
+++ b/crates/daemon/src/telemetry/logger.rs
@@ -1,11 +1,15 @@
 //! A logger that writes JSON lines to standard error.
 
 use std::{
+    collections::BTreeMap,
     io::Write,
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use log::{LevelFilter, Log, Metadata, Record};
+use log::{
+    LevelFilter, Log, Metadata, Record,
+    kv::{self, Key, Value, VisitSource},
+};
 use serde_json::json;
 use simplelog::{CombinedLogger, Config, SharedLogger};
 
@@ -18,6 +22,17 @@
     level: LevelFilter,
 }
 
+/// The structured fields of a record.
+#[derive(Default)]
+struct FieldMap(BTreeMap<String, String>);
+
+impl<'kvs> VisitSource<'kvs> for FieldMap {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        self.0.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
 /// Installs the logger of the process; a second call has no effect.
 pub(crate) fn init_logger(daemon: &str, level: LevelFilter) {
     let logger = JsonLogger {
@@ -40,12 +55,16 @@
         let elapsed = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
+        let mut fields = FieldMap::default();
+        // The map accepts every field.
+        let _ = record.key_values().visit(&mut fields);
         let line = json!({
             "time_unix_ms": u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
             "level": record.level().as_str(),
             "daemon": self.daemon,
             "module": record.target(),
             "message": record.args().to_string(),
+            "fields": fields.0,
         });
         // A closed standard error must not end the daemon.
         let _ = writeln!(std::io::stderr().lock(), "{line}");
