Test the store client, request identifiers and bad heads

Cause: leases, watches, compaction and lost responses had no test that joins the client and the stand-in, and nothing showed that a caller's request identifier reaches the runner.

Ruled out: nothing; no fault was found by these tests.

--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -8,6 +8,8 @@
 */
 
 mod client;
+#[cfg(test)]
+mod client_tests;
 mod limits;
 mod messages;
 #[cfg(test)]
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -241,3 +241,52 @@
 
     assert!(is_not_run(&result), "{result:?}");
 }
+
+/// Guards against a request identifier that is dropped on the way to the runner,
+/// and against one that is passed on without a check.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_request_id_of_a_caller_reaches_the_runner() {
+    const ID: &str = "00112233445566778899aabbccddeeff";
+    let cluster = TestCluster::start(1).await;
+
+    let result = cluster
+        .call_with_header("auburnsaddle-request-id", ID)
+        .await;
+    let rejected = cluster
+        .call_with_header("auburnsaddle-request-id", "x y")
+        .await;
+
+    assert_eq!(result, done("token"));
+    assert!(matches!(
+        rejected,
+        CallResult::Answered(StatusCode::BAD_REQUEST, _, _)
+    ));
+    let starts = cluster.runners[0].lock().starts().to_vec();
+    assert_eq!(starts.last().map(String::as_str), Some(ID));
+}
+
+/// Guards against heads that exhaust the memory of a daemon, and against an
+/// ending of the daemon or of other connections by malformed HTTP.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_heads_are_rejected_and_calls_continue() {
+    let cluster = TestCluster::start(1).await;
+    let many_headers = "x: y\r\n".repeat(500);
+    let long_header = format!("x: {}\r\n", "y".repeat(1 << 20));
+
+    let mut answers = Vec::new();
+    for headers in [&many_headers, &long_header, "no colon here\r\n"] {
+        answers.push(
+            cluster
+                .send_raw(&format!("GET / HTTP/1.1\r\n{headers}\r\n"))
+                .await,
+        );
+    }
+    let result = cluster.call(0, "token").await;
+
+    let accepted: Vec<_> = answers
+        .iter()
+        .filter(|answer| !answer.is_empty() && !answer.starts_with("HTTP/1.1 4"))
+        .collect();
+    assert_eq!(accepted, Vec::<&String>::new());
+    assert_eq!(result, done("token"));
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -24,7 +24,10 @@
     rt::TokioExecutor,
 };
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 /// Time for anything to happen; far above what is expected, so that a busy
 /// machine does not fail a test.
@@ -108,6 +111,32 @@
         self.send(Method::POST, uri, body.to_owned()).await
     }
 
+    /// Sends a call with one more header to the first daemon.
+    pub async fn call_with_header(&self, name: &str, value: &str) -> CallResult {
+        let address = self.daemons[0].address;
+        let request = Request::post(format!("http://{address}/v1/services/settlement/redeem"))
+            .header(name, value)
+            .body(Full::new(Bytes::from_static(b"token")))
+            .expect("the fixture's requests are valid");
+        self.exchange(request).await
+    }
+
+    /// Sends bytes to the first daemon and returns the text that comes back
+    /// before the daemon closes the connection.
+    pub async fn send_raw(&self, bytes: &str) -> String {
+        let address = self.daemons[0].address;
+        let exchange = async {
+            let mut stream = TcpStream::connect(address).await.expect("the daemon runs");
+            // The daemon may close the connection before it has read all bytes.
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            let mut answer = Vec::new();
+            let _ = stream.read_to_end(&mut answer).await;
+            String::from_utf8_lossy(&answer).into_owned()
+        };
+        let answer = tokio::time::timeout(PATIENCE, exchange).await;
+        answer.expect("the daemon closes the connection")
+    }
+
     /// Reads a page of a daemon.
     pub async fn get(&self, daemon: usize, path: &str) -> CallResult {
         let uri = format!("http://{}{path}", self.daemons[daemon].address);
@@ -132,6 +161,10 @@
             .header("auburnsaddle-deadline-ms", PATIENCE.as_millis().to_string())
             .body(Full::new(Bytes::from(body)))
             .expect("the fixture's requests are valid");
+        self.exchange(request).await
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> CallResult {
         let exchange = async {
             let response = match self.client.request(request).await {
                 Ok(response) => response,
