--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -4,7 +4,6 @@
 
 use arc_swap::ArcSwap;
 use auburnsaddle_core::MemberRecord;
-use log::LevelFilter;
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::TcpListener,
@@ -63,7 +62,7 @@
 /// Returns an error if an address cannot be listened on or a thread cannot be
 /// started.
 pub fn run(settings: &DaemonSettings) -> Result<(), DaemonError> {
-    init_logger(&settings.name, LevelFilter::Info);
+    init_logger(&settings.name, settings.log_level);
     let traffic = Builder::new_multi_thread()
         .thread_name("traffic")
         .enable_all()
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -167,6 +167,8 @@
                 PeerReply::Noted
             }
             PeerRequest::RequestSlot(shard, call) => {
+                let id = format!("{:032x}", call.request);
+                log::debug!(request_id = id.as_str(); "slot requested by a peer");
                 PeerReply::Slot(self.dispatcher.queue_call(shard, call).await)
             }
             PeerRequest::ReturnSlot(shard, epoch, grant, result) => {
--- a/crates/daemon/src/settings/state.rs
+++ b/crates/daemon/src/settings/state.rs
@@ -6,6 +6,7 @@
 };
 
 use auburnsaddle_core::{DaemonId, RegionId, ZoneId};
+use log::LevelFilter;
 
 use super::messages::SettingsError;
 
@@ -38,6 +39,8 @@
     pub drain_deadline: Duration,
     /// Most connections of callers and operators at once.
     pub max_connections: usize,
+    /// Least severe level that is logged; `debug` has a line for each request.
+    pub log_level: LevelFilter,
 }
 
 /// Reads settings one by one and collects what is wrong with them.
@@ -89,6 +92,7 @@
             store_reads: reader.optional("--store-reads-per-second", 50),
             drain_deadline: Duration::from_millis(reader.optional("--drain-deadline-ms", 30_000)),
             max_connections: reader.optional("--max-connections", 4_096),
+            log_level: reader.optional("--log-level", LevelFilter::Info),
         };
         reader.finish(settings)
     }
