Merge the edges: watch, leases, drain, metrics, limits, worker client

Cause: the daemon polled the store, cut connections at its end and showed no metrics; the stand-ins had no leases, watches, faults or workers.

Ruled out: keeping deregistration as the handover of a drain. Ownership now treats a peer that is heard as alive, so the drain asks ownership to hand the shards over before the registration ends. One trait for reads and watches was split, since publication needs no watch.

Conclusion: settings of the edges joined the table of settings; the two copies of the limits became one.

--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -22,11 +22,13 @@
 };
 use crate::{
     control::{ControlEvent, ControlHandle, RoutingSnapshot},
+    hosts::{ExchangeFailure, admission_rejection, classify_failure},
     peers::{PeerClient, PeerReply, PeerRequest},
 };
 
-/// Response header with which a runner says that it ran nothing.
-const NOT_RUN_HEADER: &str = "auburnsaddle-not-run";
+/// Mean time after which a call without an owner asks again. A takeover takes
+/// seconds, so this adds little to it and a waiting call costs 20 looks a second.
+const RESUBMIT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A call as received from a caller, its body read.
 #[derive(Clone, Debug)]
@@ -109,7 +111,7 @@
             remaining: head.remaining,
         };
         let started_at = Instant::now();
-        let waiting = self.request_slot(&snapshot, shard, call);
+        let waiting = self.request_slot(&shard, call);
         let slot = match tokio::time::timeout(head.remaining, waiting).await {
             Ok(Ok(slot)) => slot,
             Ok(Err(reason)) => return CallOutcome::NotRun(reason),
@@ -122,8 +124,28 @@
         }
     }
 
+    /// Asks the owner of a shard for a slot, and its successor if the owner is
+    /// gone. No call has been dispatched at this point, so asking again is safe;
+    /// the caller of this function bounds the time.
+    async fn request_slot(&self, shard: &ShardName, mut call: CallRequest) -> SlotReply {
+        let started_at = Instant::now();
+        let allowed = call.remaining;
+        loop {
+            let snapshot = self.control.snapshot();
+            let asked = self.ask_owner(&snapshot, shard.clone(), call.clone());
+            match asked.await {
+                Err(NotRunReason::NoOwner) => {
+                    let wait = RESUBMIT_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
+                    tokio::time::sleep(wait).await;
+                    call.remaining = allowed.saturating_sub(started_at.elapsed());
+                }
+                reply => return reply,
+            }
+        }
+    }
+
     /// Asks the owner of a shard for a slot, here or at a peer.
-    async fn request_slot(
+    async fn ask_owner(
         &self,
         snapshot: &RoutingSnapshot,
         shard: ShardName,
@@ -144,7 +166,7 @@
             Ok(PeerReply::Slot(reply)) => reply,
             Ok(PeerReply::Noted | PeerReply::Config(_)) => Err(NotRunReason::NoOwner),
             Err(error) => {
-                log::warn!("asking {} for a slot failed: {error}", owner.daemon);
+                log::debug!("asking {} for a slot failed: {error}", owner.daemon);
                 Err(NotRunReason::NoOwner)
             }
         }
@@ -178,13 +200,14 @@
             return guard.not_run(NotRunReason::TargetUnreachable);
         };
         match self.runners.request(request).await {
-            Ok(response) if response.headers().contains_key(NOT_RUN_HEADER) => {
+            Ok(response) if admission_rejection(&response).is_some() => {
                 guard.not_run(NotRunReason::RejectedByTarget)
             }
             Ok(response) => CallOutcome::Completed(relay(response, guard)),
-            Err(error) if error.is_connect() => guard.not_run(NotRunReason::TargetUnreachable),
-            Err(error) if is_unprocessed(&error) => guard.not_run(NotRunReason::RejectedByTarget),
-            Err(_) => CallOutcome::Unknown(UnknownReason::ConnectionLost),
+            Err(error) => match classify_failure(&error) {
+                ExchangeFailure::NotRun(reason) => guard.not_run(reason),
+                ExchangeFailure::Unknown(reason) => CallOutcome::Unknown(reason),
+            },
         }
     }
 
@@ -288,15 +311,3 @@
 fn relay(response: Response<Incoming>, guard: SlotGuard) -> CallReply {
     response.map(|body| RelayBody::new(body, guard))
 }
-
-/// Tells whether the protocol says that the target ran nothing.
-fn is_unprocessed(error: &hyper_util::client::legacy::Error) -> bool {
-    let mut cause = std::error::Error::source(error);
-    while let Some(inner) = cause {
-        match inner.downcast_ref::<h2::Error>() {
-            Some(reset) if reset.reason() == Some(h2::Reason::REFUSED_STREAM) => return true,
-            _ => cause = inner.source(),
-        }
-    }
-    false
-}
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -35,6 +35,7 @@
     owners: OwnerTable<StdRng>,
     calls: CallShards,
     heartbeats: u32,
+    draining: bool,
 }
 
 impl ControlState {
@@ -51,6 +52,7 @@
             ),
             calls: CallShards::default(),
             heartbeats: 0,
+            draining: false,
             record,
         }
     }
@@ -101,6 +103,19 @@
                 let _ = reply.send(self.config.pull(from));
                 Vec::new()
             }
+            ControlEvent::DrainStarted => {
+                self.draining = true;
+                let event = OwnershipEvent::CandidatesChanged(self.candidates());
+                let mut effects = self.apply_ownership(event, now);
+                effects.extend(self.apply_ownership(OwnershipEvent::DrainRequested, now));
+                effects.push(self.heartbeat(now));
+                effects
+            }
+            ControlEvent::DumpRequested(reply) => {
+                // The operator's connection may have closed meanwhile.
+                let _ = reply.send(format!("{self:#?}"));
+                Vec::new()
+            }
         }
     }
 
@@ -121,7 +136,7 @@
             daemon: self.record.daemon.clone(),
             config_version: self.config.version(),
             suspected: self.peers.suspected(now),
-            draining: false,
+            draining: self.draining,
             owned_digest: self.owned_digest(),
             loads: BTreeMap::new(),
         };
@@ -321,9 +336,10 @@
     fn candidates(&self) -> BTreeMap<DaemonId, ZoneId> {
         let peers = self.peers.region_peers().filter(|peer| !peer.draining);
         let own = (self.record.daemon.clone(), self.record.zone.clone());
+        let own = (!self.draining).then_some(own);
         peers
             .map(|peer| (peer.record.daemon.clone(), peer.record.zone.clone()))
-            .chain([own])
+            .chain(own)
             .collect()
     }
 
--- a/crates/daemon/src/publication/state.rs
+++ b/crates/daemon/src/publication/state.rs
@@ -64,6 +64,7 @@
         compares: vec![compare],
         puts,
         reads_on_conflict: vec![HEAD_KEY.to_owned()],
+        ..StoreTxn::default()
     }
 }
 
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -81,7 +81,20 @@
     }
 
     /// Returns a whole number within the bounds of its setting.
-    pub(super) fn read_number(&mut self, flag: &'static str) -> u64 {
+    pub(super) fn read_number<T>(&mut self, flag: &'static str) -> T
+    where
+        T: Default + TryFrom<u64>,
+    {
+        let number = self.read_bounded(flag);
+        T::try_from(number).unwrap_or_else(|_| {
+            self.note(format!(
+                "{flag}: {number} is too large here; use a smaller number"
+            ));
+            T::default()
+        })
+    }
+
+    fn read_bounded(&mut self, flag: &'static str) -> u64 {
         let Some((spec, text)) = self.text(flag) else {
             return 0;
         };
@@ -101,7 +114,7 @@
 
     /// Returns a time given in whole milliseconds.
     pub(super) fn read_duration(&mut self, flag: &'static str) -> Duration {
-        Duration::from_millis(self.read_number(flag))
+        Duration::from_millis(self.read_bounded(flag))
     }
 
     /// Notes a problem that concerns several settings.
--- a/crates/daemon/src/settings/state.rs
+++ b/crates/daemon/src/settings/state.rs
@@ -30,10 +30,16 @@
     pub log_level: LevelFilter,
     /// Time between heartbeats to each peer.
     pub heartbeat_interval: Duration,
-    /// Time between readings of the store's control keys and the list of hosts.
+    /// Time between readings of the list of hosts.
     pub poll_interval: Duration,
     /// Time over which records are gathered into one write.
     pub commit_interval: Duration,
+    /// This daemon's share of the store's writes per second.
+    pub store_writes: u32,
+    /// This daemon's share of the store's reads per second.
+    pub store_reads: u32,
+    /// Longest time that a drain may take.
+    pub drain_deadline: Duration,
     /// Limits for callers.
     pub limits: CallerLimits,
 }
@@ -42,13 +48,13 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
     /// Largest header block of a request, in bytes.
-    pub header_bytes: u64,
+    pub header_bytes: usize,
     /// Time in which the headers of a request must arrive.
     pub header_timeout: Duration,
     /// Time in which the body of a request must arrive.
     pub body_timeout: Duration,
     /// Connections that are open at the same time.
-    pub connections: u64,
+    pub connections: usize,
 }
 
 /// What the command line of the daemon asks for.
@@ -120,6 +126,9 @@
             heartbeat_interval: reader.read_duration("--heartbeat-interval-ms"),
             poll_interval: reader.read_duration("--poll-interval-ms"),
             commit_interval: reader.read_duration("--commit-interval-ms"),
+            store_writes: reader.read_number("--store-writes-per-second"),
+            store_reads: reader.read_number("--store-reads-per-second"),
+            drain_deadline: reader.read_duration("--drain-deadline-ms"),
             limits: CallerLimits {
                 header_bytes: reader.read_number("--header-limit"),
                 header_timeout: reader.read_duration("--header-timeout-ms"),
--- a/crates/daemon/src/settings/table.rs
+++ b/crates/daemon/src/settings/table.rs
@@ -64,7 +64,7 @@
         "MILLISECONDS",
         "500",
         (50, 60_000),
-        "time between readings of the store's control keys and the list of hosts",
+        "time between readings of the list of hosts",
     ),
     number(
         "--commit-interval-ms",
@@ -73,6 +73,27 @@
         (5, 5_000),
         "time over which records are gathered into one write to the store",
     ),
+    number(
+        "--store-writes-per-second",
+        "WRITES",
+        "20",
+        (1, 1_000),
+        "this daemon's share of the store's writes",
+    ),
+    number(
+        "--store-reads-per-second",
+        "READS",
+        "50",
+        (1, 10_000),
+        "this daemon's share of the store's reads",
+    ),
+    number(
+        "--drain-deadline-ms",
+        "MILLISECONDS",
+        "30000",
+        (100, 3_600_000),
+        "longest time that a drain may take",
+    ),
     number(
         "--header-limit",
         "BYTES",
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -2,13 +2,27 @@
 The platform's key-value store.
 
 [`StoreClient`] is what the rest of the daemon sees; [`HttpStore`] speaks the
-JSON form of a widely used key-value store's HTTP interface.
+JSON form of a widely used key-value store's HTTP interface. It keeps this
+daemon's share of the store's rates and counts its calls. [`StoreView`] keeps a
+copy of some keys current from whole readings and the changes of a watch.
 */
 
 mod client;
+#[cfg(test)]
+mod client_tests;
+mod limits;
 mod messages;
+#[cfg(test)]
+mod tests;
+mod view;
+mod watch;
+mod watch_wire;
 mod wire;
 
 pub(crate) use client::HttpStore;
-pub(crate) use messages::{StoreClient, StoreCompare, StoreEntry, StoreError};
-pub(crate) use messages::{StorePut, StoreTxn, TxnOutcome};
+pub(crate) use limits::{StoreBackoff, StoreCounts, StoreRates};
+pub(crate) use messages::{
+    LeaseId, StoreClient, StoreCompare, StoreEntry, StoreError, StoreFeed, StorePut, StoreRange,
+    StoreTxn, StoreWatch, TxnOutcome,
+};
+pub(crate) use view::StoreView;
