Decide fairness, promotion, probation and retries of calls

The first call queue served by class and arrival only and scanned all waiting calls to expire them. It now has lanes by urgency with fair queueing over teams, promotion, an urgent share, early rejection, expiry ordered by deadline, probation and backoff of runners, reclaimed grants, redirects to other zones, a hold-off for unfenced targets and a shared retry budget.

Ruled out: a finish tag per call, because a burst of cancellations would leave its team charged for calls that never ran; promotion into the urgent lane, because in an overload promoted calls would delay urgent ones. Promoted calls get one in eight open slots while urgent calls wait.

Found on the way: a runner that left while paused kept its pause, and the loop that ends pauses did not terminate (seen as a property test that hung); a runner on probation was ranked last and was never probed at low load.

--- a/crates/core/src/calls/messages.rs
+++ b/crates/core/src/calls/messages.rs
@@ -1,10 +1,12 @@
 //! Events and actions of a call queue.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use crate::types::{GrantId, NotRunReason, RequestId, RunnerId, TeamId, UrgencyClass};
+use crate::types::{
+    DaemonId, GrantId, NotRunReason, RequestId, RunnerId, TeamId, UrgencyClass, ZoneId,
+};
 
 /// A call that asks for a slot.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -17,10 +19,14 @@
     pub urgency: UrgencyClass,
     /// Time left until the caller's deadline when the call was sent.
     pub remaining: Duration,
+    /// The daemon that asks and receives the grant, if it is known.
+    pub requester: Option<DaemonId>,
+    /// Whether another zone has redirected the call; it is redirected only once.
+    pub redirected: bool,
 }
 
 impl CallRequest {
-    /// Returns a call of normal urgency without a team.
+    /// Returns a call of normal urgency without a team and a requester.
     #[must_use]
     pub const fn new(request: RequestId, remaining: Duration) -> Self {
         Self {
@@ -28,6 +34,8 @@
             team: None,
             urgency: UrgencyClass::Normal,
             remaining,
+            requester: None,
+            redirected: false,
         }
     }
 }
@@ -70,8 +78,19 @@
     Answered,
     /// The runner rejected the call or could not be reached.
     Rejected,
-    /// The answer was cut or did not come in time.
+    /// The answer was cut, did not come in time or reported a fault of the runner.
     Failed,
+    /// The slot was not used, because the requester had gone away.
+    Unused,
+}
+
+/// Load of a call shard, as its owner reports it to other zones.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct CallLoad {
+    /// Free slots that are open to calls of any class.
+    pub free: u32,
+    /// Calls that wait.
+    pub waiting: u32,
 }
 
 /// Something that happens to a call queue.
@@ -85,6 +104,15 @@
     Returned(GrantId, GrantResult),
     /// The live runners of the shard changed.
     RunnersChanged(Vec<RunnerEntry>),
+    /// A daemon is considered dead.
+    ///
+    /// Its waiting calls are dropped. Its grants are reclaimed once their call
+    /// deadline has passed, because the runner may run them until then.
+    RequesterLost(DaemonId),
+    /// The weights of teams changed; a team without one has weight one.
+    WeightsChanged(BTreeMap<TeamId, u32>),
+    /// The owner of the same service in another zone reports its load.
+    ZoneLoadChanged(ZoneId, CallLoad),
     /// Time has passed.
     TimerFired,
 }
@@ -96,4 +124,6 @@
     Grant(SlotGrant),
     /// Tells the requester that the call was not run.
     Reject(RequestId, NotRunReason),
+    /// Tells the requester to ask the owner of another zone.
+    Redirect(RequestId, ZoneId),
 }
--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -4,12 +4,25 @@
 A call waits at the owner of its shard until a slot is free, so it always waits
 where the next free slot will be. The owner never carries the body of a call:
 the daemon that received it sends it to the granted runner itself.
+
+[`CallQueue`] holds the waiting calls in lanes by urgency (`lanes`) and the
+runners with their health (`runners`). [`RetryBudget`] bounds the retries of an
+entry daemon.
 */
 
+mod config;
+mod lanes;
 mod messages;
+#[cfg(test)]
+mod properties;
+mod retry;
+mod runners;
 mod state;
 #[cfg(test)]
 mod tests;
 
-pub use messages::{CallAction, CallEvent, CallRequest, GrantResult, RunnerEntry, SlotGrant};
-pub use state::{CallConfig, CallQueue};
+pub use config::{CallConfig, CallConfigBuilder};
+pub use messages::{CallAction, CallEvent, CallLoad, CallRequest};
+pub use messages::{GrantResult, RunnerEntry, SlotGrant};
+pub use retry::{RetryBudget, RetryConfig, RetryConfigBuilder, RetryVerdict};
+pub use state::CallQueue;
--- a/crates/core/src/calls/state.rs
+++ b/crates/core/src/calls/state.rs
@@ -5,65 +5,101 @@
     time::Duration,
 };
 
-use super::messages::{CallAction, CallEvent, CallRequest, GrantResult, RunnerEntry, SlotGrant};
-use crate::types::{GrantId, NotRunReason, RequestId, RunnerId, UrgencyClass};
-
-/// Bounds of a call queue.
-#[derive(Clone, Copy, Debug)]
-pub struct CallConfig {
-    /// Most calls that wait at once.
-    pub queue_limit: usize,
-}
+use super::{
+    config::CallConfig,
+    lanes::{Arrival, CallLanes, LaneName},
+    messages::{CallAction, CallEvent, CallLoad, CallRequest, GrantResult, SlotGrant},
+    runners::RunnerTable,
+};
+use crate::types::{DaemonId, GrantId, NotRunReason, RequestId, RunnerId, UrgencyClass, ZoneId};
 
-impl Default for CallConfig {
-    fn default() -> Self {
-        Self { queue_limit: 4_096 }
-    }
-}
+/// Weight of the newest sample in the mean service time.
+///
+/// Service times are heavy-tailed, so a short average would follow single calls.
+const SERVICE_TIME_GAIN: f64 = 1.0 / 64.0;
 
-/// Position of a waiting call: greatest urgency first, then arrival order.
-type QueuePosition = (std::cmp::Reverse<UrgencyClass>, u64);
+/// Part of the free slots of another zone that one load report lets calls use.
+///
+/// Its own callers and a third zone use the same slots before the next report.
+const REDIRECT_DIVISOR: u32 = 2;
 
 /// A call that waits for a slot.
 #[derive(Clone, Debug)]
 struct WaitingCall {
-    request: RequestId,
+    call: CallRequest,
+    lane: LaneName,
     deadline: Duration,
+    promote_at: Duration,
 }
 
-/// Slots of one runner.
+/// A slot that is granted to a call.
 #[derive(Clone, Debug)]
-struct RunnerSlots {
-    slots: u32,
-    busy: u32,
-    live: bool,
+struct HeldSlot {
+    request: RequestId,
+    requester: Option<DaemonId>,
+    runner: RunnerId,
+    is_urgent: bool,
+    is_orphaned: bool,
+    granted_at: Duration,
+    deadline: Duration,
 }
 
 /// The calls of one shard that wait or run, and the slots of its runners.
 #[derive(Clone, Debug)]
 pub struct CallQueue {
     config: CallConfig,
-    runners: BTreeMap<RunnerId, RunnerSlots>,
-    free: BTreeSet<(u32, RunnerId)>,
-    waiting: BTreeMap<QueuePosition, WaitingCall>,
-    positions: BTreeMap<RequestId, QueuePosition>,
-    grants: BTreeMap<GrantId, RunnerId>,
-    next_position: u64,
+    /// When grants begin; `None` once they have.
+    granting_from: Option<Duration>,
+    runners: RunnerTable,
+    lanes: CallLanes,
+    waiting: BTreeMap<Arrival, WaitingCall>,
+    waiting_urgent: usize,
+    arrivals: BTreeMap<RequestId, Arrival>,
+    deadlines: BTreeSet<(Duration, Arrival)>,
+    promotions: BTreeSet<(Duration, Arrival)>,
+    redirectable: BTreeSet<Arrival>,
+    waiting_of: BTreeSet<(DaemonId, Arrival)>,
+    grants: BTreeMap<GrantId, HeldSlot>,
+    granted: BTreeMap<RequestId, GrantId>,
+    granted_urgent: u32,
+    grants_of: BTreeSet<(DaemonId, GrantId)>,
+    reclaims: BTreeSet<(Duration, GrantId)>,
+    zone_credits: BTreeMap<ZoneId, u32>,
+    service_time: Option<f64>,
+    next_arrival: Arrival,
     next_grant: GrantId,
 }
 
 impl CallQueue {
-    /// Returns an empty queue without runners.
+    /// Returns an empty queue without runners, created at time zero.
     #[must_use]
-    pub const fn new(config: CallConfig) -> Self {
+    pub fn new(config: CallConfig) -> Self {
+        Self::acquired(config, Duration::ZERO)
+    }
+
+    /// Returns an empty queue that grants nothing before its hold-off has passed.
+    #[must_use]
+    pub fn acquired(config: CallConfig, now: Duration) -> Self {
         Self {
             config,
-            runners: BTreeMap::new(),
-            free: BTreeSet::new(),
+            granting_from: Some(now + config.hold_off),
+            runners: RunnerTable::default(),
+            lanes: CallLanes::default(),
             waiting: BTreeMap::new(),
-            positions: BTreeMap::new(),
+            waiting_urgent: 0,
+            arrivals: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            promotions: BTreeSet::new(),
+            redirectable: BTreeSet::new(),
+            waiting_of: BTreeSet::new(),
             grants: BTreeMap::new(),
-            next_position: 0,
+            granted: BTreeMap::new(),
+            granted_urgent: 0,
+            grants_of: BTreeSet::new(),
+            reclaims: BTreeSet::new(),
+            zone_credits: BTreeMap::new(),
+            service_time: None,
+            next_arrival: 0,
             next_grant: 1,
         }
     }
@@ -80,139 +116,360 @@
         self.grants.len()
     }
 
+    /// Returns the number of runners on probation.
+    #[must_use]
+    pub const fn probation_len(&self) -> usize {
+        self.runners.on_probation()
+    }
+
+    /// Returns the load to report to other zones.
+    #[must_use]
+    pub fn load(&self) -> CallLoad {
+        CallLoad {
+            free: self.open_slots(),
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns when [`CallEvent::TimerFired`] is due next.
+    #[must_use]
+    pub fn next_timer(&self) -> Option<Duration> {
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let promotion = self.promotions.first().map(|(at, _)| *at);
+        let reclaim = self.reclaims.first().map(|(at, _)| *at);
+        let pause = self.runners.next_pause();
+        let start = self.granting_from.filter(|_| !self.waiting.is_empty());
+        let times = [deadline, promotion, reclaim, pause, start];
+        times.into_iter().flatten().min()
+    }
+
     /// Applies an event and returns what is to be done.
     pub fn handle(&mut self, event: CallEvent, now: Duration) -> Vec<CallAction> {
         let mut actions = Vec::new();
+        self.advance(now, &mut actions);
         match event {
-            CallEvent::Requested(call) => self.enqueue(&call, now, &mut actions),
+            CallEvent::Requested(call) => self.enqueue(call, now, &mut actions),
             CallEvent::Cancelled(request) => self.cancel(request),
-            CallEvent::Returned(grant, result) => self.return_grant(grant, result),
-            CallEvent::RunnersChanged(runners) => self.replace_runners(runners),
-            CallEvent::TimerFired => self.expire(now, &mut actions),
+            CallEvent::Returned(grant, result) => self.return_grant(grant, result, now),
+            CallEvent::RunnersChanged(runners) => {
+                self.runners.replace(runners);
+                self.schedule_departed();
+            }
+            CallEvent::RequesterLost(daemon) => self.lose_requester(&daemon),
+            CallEvent::WeightsChanged(weights) => self.lanes.set_weights(weights),
+            CallEvent::ZoneLoadChanged(zone, load) => {
+                self.zone_credits
+                    .insert(zone, load.free.div_ceil(REDIRECT_DIVISOR));
+            }
+            CallEvent::TimerFired => {}
         }
+        self.reclaim(now);
         self.grant_free(now, &mut actions);
+        self.redirect(now, &mut actions);
         actions
     }
 
-    fn enqueue(&mut self, call: &CallRequest, now: Duration, actions: &mut Vec<CallAction>) {
-        let rejection = match () {
-            () if self.runners.values().all(|runner| !runner.live) => Some(NotRunReason::NoTarget),
-            () if self.waiting.len() >= self.config.queue_limit => Some(NotRunReason::QueueFull),
-            () if call.remaining.is_zero() => Some(NotRunReason::DeadlineUnmeetable),
-            () => None,
-        };
-        if let Some(reason) = rejection {
+    /// Applies everything that became due since the last event.
+    fn advance(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
+        self.granting_from = self.granting_from.filter(|from| *from > now);
+        self.runners.end_pauses(now);
+        self.expire(now, actions);
+        self.promote(now);
+    }
+
+    fn enqueue(&mut self, call: CallRequest, now: Duration, actions: &mut Vec<CallAction>) {
+        let is_known =
+            self.arrivals.contains_key(&call.request) || self.granted.contains_key(&call.request);
+        if is_known {
+            // A repeated message must not obtain a second slot.
+            return;
+        }
+        if let Some(reason) = self.rejection(&call, now) {
             actions.push(CallAction::Reject(call.request, reason));
             return;
         }
-        let position = (std::cmp::Reverse(call.urgency), self.next_position);
-        self.next_position += 1;
-        self.positions.insert(call.request, position);
+        let arrival = self.next_arrival;
+        self.next_arrival += 1;
         let waiting = WaitingCall {
-            request: call.request,
-            deadline: now + call.remaining,
+            lane: call.urgency.into(),
+            deadline: now.saturating_add(call.remaining),
+            promote_at: now.saturating_add(self.config.promotion_period),
+            call,
         };
-        self.waiting.insert(position, waiting);
+        self.index(arrival, &waiting);
+        self.waiting.insert(arrival, waiting);
     }
 
-    fn cancel(&mut self, request: RequestId) {
-        if let Some(position) = self.positions.remove(&request) {
-            self.waiting.remove(&position);
+    fn rejection(&self, call: &CallRequest, now: Duration) -> Option<NotRunReason> {
+        let is_urgent = call.urgency == UrgencyClass::Urgent;
+        let waiting = if is_urgent {
+            self.waiting_urgent
+        } else {
+            self.waiting.len() - self.waiting_urgent
+        };
+        match () {
+            () if !self.runners.has_live() => Some(NotRunReason::NoTarget),
+            () if call.remaining.is_zero() => Some(NotRunReason::DeadlineUnmeetable),
+            () if self.has_slot_for(is_urgent, now) => None,
+            () if waiting >= self.config.queue_limit => Some(NotRunReason::QueueFull),
+            () if self.expected_time(call, now) > call.remaining => {
+                Some(NotRunReason::DeadlineUnmeetable)
+            }
+            () => None,
         }
     }
 
-    fn return_grant(&mut self, grant: GrantId, _result: GrantResult) {
-        let Some(name) = self.grants.remove(&grant) else {
-            return;
-        };
-        let Some(runner) = self.runners.get_mut(&name) else {
-            return;
+    fn has_slot_for(&self, is_urgent: bool, now: Duration) -> bool {
+        let slots = if is_urgent {
+            self.runners.spare()
+        } else {
+            self.open_slots()
         };
-        self.free.remove(&(runner.busy, name.clone()));
-        runner.busy -= 1;
-        if runner.live && runner.busy < runner.slots {
-            self.free.insert((runner.busy, name));
-        } else if !runner.live && runner.busy == 0 {
-            self.runners.remove(&name);
-        }
-    }
-
-    fn replace_runners(&mut self, entries: Vec<RunnerEntry>) {
-        for runner in self.runners.values_mut() {
-            runner.live = false;
-        }
-        for entry in entries {
-            let runner = self.runners.entry(entry.runner).or_insert(RunnerSlots {
-                slots: 0,
-                busy: 0,
-                live: true,
-            });
-            runner.live = true;
-            runner.slots = entry.slots;
-        }
-        self.runners
-            .retain(|_, runner| runner.live || runner.busy > 0);
-        self.free = self
-            .runners
-            .iter()
-            .filter(|(_, runner)| runner.live && runner.busy < runner.slots)
-            .map(|(name, runner)| (runner.busy, name.clone()))
-            .collect();
+        slots > 0 && self.hold_off(now).is_zero()
+    }
+
+    /// Returns the time until grants begin.
+    fn hold_off(&self, now: Duration) -> Duration {
+        self.granting_from.unwrap_or_default().saturating_sub(now)
+    }
+
+    /// Returns the expected time until a new call ends, or zero if unmeasured.
+    fn expected_time(&self, call: &CallRequest, now: Duration) -> Duration {
+        let hold_off = self.hold_off(now);
+        let ahead = self.lanes.len_from(call.urgency.into());
+        match self.service_time {
+            Some(service_time) => {
+                hold_off + self.drain_time(ahead + 1) + Duration::from_secs_f64(service_time)
+            }
+            None => hold_off,
+        }
+    }
+
+    /// Returns the time in which a number of waiting calls get their slots.
+    fn drain_time(&self, calls: usize) -> Duration {
+        let capacity = self.runners.capacity();
+        match self.service_time {
+            Some(service_time) if capacity > 0 => {
+                let calls = u32::try_from(calls).unwrap_or(u32::MAX);
+                Duration::from_secs_f64(service_time * f64::from(calls) / f64::from(capacity))
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
+    fn index(&mut self, arrival: Arrival, waiting: &WaitingCall) {
+        let call = &waiting.call;
+        self.lanes.push(waiting.lane, call.team.clone(), arrival);
+        self.arrivals.insert(call.request, arrival);
+        self.deadlines.insert((waiting.deadline, arrival));
+        if waiting.lane.promoted().is_some() {
+            self.promotions.insert((waiting.promote_at, arrival));
+        }
+        if !call.redirected {
+            self.redirectable.insert(arrival);
+        }
+        let requester = call.requester.clone();
+        self.waiting_of
+            .extend(requester.map(|daemon| (daemon, arrival)));
+        self.waiting_urgent += usize::from(call.urgency == UrgencyClass::Urgent);
+    }
+
+    /// Removes a waiting call that is still in its lane.
+    fn remove(&mut self, arrival: Arrival) -> Option<WaitingCall> {
+        let waiting = self.remove_popped(arrival)?;
+        let team = waiting.call.team.clone();
+        self.lanes.remove(waiting.lane, team, arrival);
+        Some(waiting)
+    }
+
+    /// Removes a waiting call whose lane has given it out.
+    fn remove_popped(&mut self, arrival: Arrival) -> Option<WaitingCall> {
+        let waiting = self.waiting.remove(&arrival)?;
+        let call = &waiting.call;
+        self.arrivals.remove(&call.request);
+        self.deadlines.remove(&(waiting.deadline, arrival));
+        self.promotions.remove(&(waiting.promote_at, arrival));
+        self.redirectable.remove(&arrival);
+        if let Some(daemon) = &call.requester {
+            self.waiting_of.remove(&(daemon.clone(), arrival));
+        }
+        self.waiting_urgent -= usize::from(call.urgency == UrgencyClass::Urgent);
+        Some(waiting)
+    }
+
+    fn cancel(&mut self, request: RequestId) {
+        if let Some(arrival) = self.arrivals.get(&request).copied() {
+            self.remove(arrival);
+        }
     }
 
     fn expire(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
-        let expired: Vec<_> = self
-            .waiting
-            .iter()
-            .filter(|(_, call)| call.deadline <= now)
-            .map(|(position, call)| (*position, call.request))
-            .collect();
-        for (position, request) in expired {
-            self.waiting.remove(&position);
-            self.positions.remove(&request);
-            actions.push(CallAction::Reject(
-                request,
-                NotRunReason::DeadlineUnmeetable,
-            ));
+        while let Some((deadline, arrival)) = self.deadlines.first().copied() {
+            if deadline > now {
+                return;
+            }
+            let waiting = self.remove(arrival);
+            actions.extend(waiting.map(|waiting| {
+                CallAction::Reject(waiting.call.request, NotRunReason::DeadlineUnmeetable)
+            }));
         }
     }
 
-    fn grant_free(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
-        while !self.waiting.is_empty() {
-            let Some((busy, name)) = self.free.pop_first() else {
+    fn promote(&mut self, now: Duration) {
+        while let Some((promote_at, arrival)) = self.promotions.first().copied() {
+            if promote_at > now {
                 return;
+            }
+            self.promotions.pop_first();
+            let Some(waiting) = self.waiting.get_mut(&arrival) else {
+                continue;
+            };
+            let Some(lane) = waiting.lane.promoted() else {
+                continue;
             };
-            let Some((_, call)) = self.waiting.pop_first() else {
+            let team = waiting.call.team.clone();
+            self.lanes.remove(waiting.lane, team.clone(), arrival);
+            waiting.lane = lane;
+            waiting.promote_at = now.saturating_add(self.config.promotion_period);
+            if lane.promoted().is_some() {
+                self.promotions.insert((waiting.promote_at, arrival));
+            }
+            self.lanes.push(lane, team, arrival);
+        }
+    }
+
+    fn grant_free(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
+        while self.runners.spare() > 0 && self.hold_off(now).is_zero() {
+            let Some(arrival) = self.lanes.pop(self.open_slots() > 0) else {
                 return;
             };
-            self.positions.remove(&call.request);
-            if call.deadline <= now {
-                self.free.insert((busy, name));
-                actions.push(CallAction::Reject(
-                    call.request,
-                    NotRunReason::DeadlineUnmeetable,
-                ));
+            let Some(waiting) = self.remove_popped(arrival) else {
                 continue;
-            }
-            let grant = self.next_grant;
-            self.next_grant += 1;
-            self.occupy(&name);
-            self.grants.insert(grant, name.clone());
-            let grant = SlotGrant {
-                grant,
-                request: call.request,
-                runner: name,
             };
-            actions.push(CallAction::Grant(grant));
+            let grant = self.runners.take();
+            let grant = grant.map(|runner| self.hold(waiting, runner, now));
+            actions.extend(grant.map(CallAction::Grant));
         }
     }
 
-    fn occupy(&mut self, name: &RunnerId) {
-        if let Some(runner) = self.runners.get_mut(name) {
-            runner.busy += 1;
-            if runner.busy < runner.slots {
-                self.free.insert((runner.busy, name.clone()));
+    /// Returns the free slots that are not kept for urgent calls.
+    fn open_slots(&self) -> u32 {
+        let share = self.runners.capacity() * self.config.urgent_share_percent;
+        let kept = share.div_ceil(100).saturating_sub(self.granted_urgent);
+        self.runners.spare().saturating_sub(kept)
+    }
+
+    fn hold(&mut self, waiting: WaitingCall, runner: RunnerId, now: Duration) -> SlotGrant {
+        let grant = self.next_grant;
+        self.next_grant += 1;
+        let call = waiting.call;
+        let is_urgent = call.urgency == UrgencyClass::Urgent;
+        self.granted_urgent += u32::from(is_urgent);
+        self.granted.insert(call.request, grant);
+        let requester = call.requester.clone();
+        self.grants_of
+            .extend(requester.map(|daemon| (daemon, grant)));
+        let held = HeldSlot {
+            request: call.request,
+            requester: call.requester,
+            runner: runner.clone(),
+            is_urgent,
+            is_orphaned: false,
+            granted_at: now,
+            deadline: waiting.deadline,
+        };
+        self.grants.insert(grant, held);
+        SlotGrant {
+            grant,
+            request: call.request,
+            runner,
+        }
+    }
+
+    fn return_grant(&mut self, grant: GrantId, result: GrantResult, now: Duration) {
+        let Some(held) = self.grants.remove(&grant) else {
+            return;
+        };
+        self.granted.remove(&held.request);
+        if let Some(daemon) = held.requester {
+            self.grants_of.remove(&(daemon, grant));
+        }
+        self.reclaims.remove(&(held.deadline, grant));
+        self.granted_urgent -= u32::from(held.is_urgent);
+        if result == GrantResult::Answered {
+            self.note_service_time(now.saturating_sub(held.granted_at));
+        }
+        self.runners.release(&held.runner, result, now);
+    }
+
+    fn note_service_time(&mut self, sample: Duration) {
+        let sample = sample.as_secs_f64();
+        let mean = self.service_time.unwrap_or(sample);
+        self.service_time = Some(mean + (sample - mean) * SERVICE_TIME_GAIN);
+    }
+
+    fn lose_requester(&mut self, daemon: &DaemonId) {
+        let waiting = (daemon.clone(), Arrival::MIN)..=(daemon.clone(), Arrival::MAX);
+        let waiting: Vec<_> = self.waiting_of.range(waiting).cloned().collect();
+        for (_, arrival) in waiting {
+            self.remove(arrival);
+        }
+        let grants = (daemon.clone(), GrantId::MIN)..=(daemon.clone(), GrantId::MAX);
+        for (_, grant) in self.grants_of.range(grants) {
+            if let Some(held) = self.grants.get_mut(grant) {
+                held.is_orphaned = true;
+                self.reclaims.insert((held.deadline, *grant));
+            }
+        }
+    }
+
+    /// Schedules the grants at runners that left, in case they are never returned.
+    fn schedule_departed(&mut self) {
+        let runners = &self.runners;
+        let departed = self.grants.iter();
+        let departed = departed.filter(|(_, held)| !runners.is_live(&held.runner));
+        let reclaims = departed.map(|(grant, held)| (held.deadline, *grant));
+        self.reclaims.extend(reclaims);
+    }
+
+    fn reclaim(&mut self, now: Duration) {
+        while let Some((deadline, grant)) = self.reclaims.first().copied() {
+            if deadline > now {
+                return;
+            }
+            self.reclaims.pop_first();
+            let held = self.grants.get(&grant);
+            // A runner that came back still runs the calls of live requesters.
+            if held.is_some_and(|held| held.is_orphaned || !self.runners.is_live(&held.runner)) {
+                self.return_grant(grant, GrantResult::Unused, now);
+            }
+        }
+    }
+
+    /// Redirects the oldest calls while the queue outlasts the extra latency.
+    fn redirect(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
+        while let Some(arrival) = self.redirectable.first().copied() {
+            let is_worth_it = self.drain_time(self.waiting.len()) >= self.config.redirect_latency;
+            let is_blocked = self.runners.capacity() == 0;
+            let zone = self.zone_credits.iter().max_by_key(|(_, free)| **free);
+            let zone = zone.filter(|(_, free)| **free > 0);
+            let Some(zone) = zone
+                .filter(|_| is_worth_it || is_blocked)
+                .map(|(zone, _)| zone.clone())
+            else {
+                return;
+            };
+            self.redirectable.remove(&arrival);
+            let deadline = self.waiting.get(&arrival).map(|waiting| waiting.deadline);
+            let latest = now + self.config.redirect_latency;
+            if deadline.is_none_or(|deadline| deadline <= latest) {
+                continue;
+            }
+            if let Some(free) = self.zone_credits.get_mut(&zone) {
+                *free -= 1;
             }
+            let waiting = self.remove(arrival);
+            actions.extend(waiting.map(|waiting| CallAction::Redirect(waiting.call.request, zone)));
         }
     }
 }
--- a/crates/core/src/calls/tests.rs
+++ b/crates/core/src/calls/tests.rs
@@ -2,8 +2,13 @@
 
 use std::time::Duration;
 
-use super::{CallAction, CallConfig, CallEvent, CallQueue, CallRequest, GrantResult, RunnerEntry};
-use crate::types::{NotRunReason, UrgencyClass};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+
+use super::{
+    CallAction, CallConfig, CallEvent, CallLoad, CallQueue, CallRequest, GrantResult, RetryBudget,
+    RetryConfig, RetryVerdict, RunnerEntry,
+};
+use crate::types::{CallOutcome, NotRunReason, UnknownReason, UrgencyClass};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -66,3 +71,283 @@
         vec![CallAction::Reject(2, NotRunReason::DeadlineUnmeetable)]
     );
 }
+
+fn cell(runners: u32, slots: u32, config: CallConfig) -> CallQueue {
+    let mut queue = CallQueue::new(config);
+    let entries = (0..runners).map(|index| RunnerEntry::new(&format!("r{index:02}"), slots));
+    let event = CallEvent::RunnersChanged(entries.collect());
+    queue.handle(event, Duration::ZERO);
+    queue
+}
+
+fn call_of(request: u128, team: &str) -> CallRequest {
+    let mut call = CallRequest::new(request, 60 * SECOND);
+    call.team = Some(team.into());
+    call
+}
+
+fn granted(actions: &[CallAction]) -> Vec<u128> {
+    let grants = actions.iter().filter_map(|action| match action {
+        CallAction::Grant(grant) => Some(grant.request),
+        _ => None,
+    });
+    grants.collect()
+}
+
+/// Guards against a team that floods the queue and delays all others.
+#[test]
+fn teams_share_the_slots_of_a_class() {
+    let mut queue = queue(1);
+    request(&mut queue, call_of(0, "flood"));
+    for id in 1..100 {
+        request(&mut queue, call_of(id, "flood"));
+    }
+    request(&mut queue, call_of(100, "small"));
+
+    let mut served = Vec::new();
+    for grant in 1..=3 {
+        let event = CallEvent::Returned(grant, GrantResult::Unused);
+        served.extend(granted(&queue.handle(event, Duration::ZERO)));
+    }
+
+    assert!(served.contains(&100), "{served:?}");
+}
+
+/// Guards against a batch call that starves behind a stream of normal calls.
+#[test]
+fn waiting_calls_are_promoted() {
+    let mut queue = queue(1);
+    request(&mut queue, CallRequest::new(0, 60 * SECOND));
+    let mut batch = CallRequest::new(1, 60 * SECOND);
+    batch.urgency = UrgencyClass::Batch;
+    request(&mut queue, batch);
+    queue.handle(CallEvent::TimerFired, SECOND);
+    queue.handle(CallEvent::TimerFired, 2 * SECOND);
+    let late = CallEvent::Requested(CallRequest::new(2, 60 * SECOND));
+    queue.handle(late, 2 * SECOND);
+
+    let actions = queue.handle(CallEvent::Returned(1, GrantResult::Unused), 2 * SECOND);
+
+    assert_eq!(granted(&actions), vec![1]);
+}
+
+/// Guards against other work in the slots that are kept for redemptions.
+#[test]
+fn normal_calls_leave_the_urgent_share_free() {
+    let config = CallConfig::builder().urgent_share_percent(25).build();
+    let mut queue = cell(1, 4, config);
+    for id in 0..4 {
+        request(&mut queue, CallRequest::new(id, SECOND));
+    }
+    let mut urgent = CallRequest::new(9, SECOND);
+    urgent.urgency = UrgencyClass::Urgent;
+
+    let actions = request(&mut queue, urgent);
+
+    assert_eq!(granted(&actions), vec![9]);
+    assert_eq!(queue.waiting_len(), 1);
+}
+
+/// Guards against a queue full of calls that can only miss their deadline.
+#[test]
+fn a_call_that_cannot_meet_its_deadline_is_rejected_at_once() {
+    let mut queue = queue(1);
+    request(&mut queue, CallRequest::new(1, 60 * SECOND));
+    queue.handle(CallEvent::Returned(1, GrantResult::Answered), SECOND);
+    request(&mut queue, CallRequest::new(2, 60 * SECOND));
+
+    let actions = request(&mut queue, CallRequest::new(3, SECOND));
+
+    let reason = NotRunReason::DeadlineUnmeetable;
+    assert_eq!(actions, vec![CallAction::Reject(3, reason)]);
+}
+
+/// Guards against an idle-looking runner that attracts all calls and fails them.
+#[test]
+fn a_failing_runner_goes_on_probation_and_recovers() {
+    let mut queue = cell(5, 1, CallConfig::default());
+    let mut id = 0;
+    let mut run = |queue: &mut CallQueue, is_failing: bool, now| {
+        id += 1;
+        let event = CallEvent::Requested(CallRequest::new(id, SECOND));
+        let actions = queue.handle(event, now);
+        let [CallAction::Grant(grant)] = &actions[..] else {
+            panic!("a slot is free, got {actions:?}");
+        };
+        let is_bad = is_failing && &*grant.runner == "r00";
+        let result = if is_bad {
+            GrantResult::Failed
+        } else {
+            GrantResult::Answered
+        };
+        queue.handle(CallEvent::Returned(grant.grant, result), now);
+        is_bad
+    };
+
+    let failed = (0..50)
+        .filter(|_| run(&mut queue, true, Duration::ZERO))
+        .count();
+    let on_probation = queue.probation_len();
+    for _ in 0..50 {
+        run(&mut queue, false, 2 * SECOND);
+    }
+
+    assert_eq!((failed, on_probation, queue.probation_len()), (3, 1, 0));
+}
+
+/// Guards against taking out the fleet when the network or the calls are at fault.
+#[test]
+fn at_most_a_fifth_of_the_runners_is_on_probation() {
+    let mut queue = cell(10, 8, CallConfig::default());
+    for id in 0..400 {
+        let event = CallEvent::Requested(CallRequest::new(id, SECOND));
+        for grant in queue.handle(event, Duration::ZERO) {
+            if let CallAction::Grant(grant) = grant {
+                let event = CallEvent::Returned(grant.grant, GrantResult::Failed);
+                queue.handle(event, Duration::ZERO);
+            }
+        }
+    }
+
+    assert_eq!(queue.probation_len(), 2);
+    assert_eq!(queue.load().free, 64);
+}
+
+/// Guards against repeating a grant that the runner rejects in a tight loop.
+#[test]
+fn a_rejecting_runner_is_paused() {
+    let mut queue = queue(1);
+    request(&mut queue, CallRequest::new(1, SECOND));
+    request(&mut queue, CallRequest::new(2, SECOND));
+
+    let event = CallEvent::Returned(1, GrantResult::Rejected);
+    let at_once = queue.handle(event, Duration::ZERO);
+    let due = queue.next_timer();
+    let later = queue.handle(CallEvent::TimerFired, Duration::from_millis(50));
+
+    assert_eq!(granted(&at_once), Vec::<u128>::new());
+    assert_eq!(due, Some(Duration::from_millis(50)));
+    assert_eq!(granted(&later), vec![2]);
+}
+
+/// Guards against slots that stay taken by a dead daemon, or are freed too early.
+#[test]
+fn grants_of_a_lost_requester_are_reclaimed_at_their_deadline() {
+    let mut queue = queue(1);
+    let mut call = CallRequest::new(1, SECOND);
+    call.requester = Some("d1".into());
+    request(&mut queue, call.clone());
+    call.request = 2;
+    request(&mut queue, call);
+    queue.handle(CallEvent::RequesterLost("d1".into()), Duration::ZERO);
+    let waiting = queue.waiting_len();
+    request(&mut queue, CallRequest::new(3, 2 * SECOND));
+
+    let early = queue.handle(CallEvent::TimerFired, SECOND / 2);
+    let due = queue.handle(CallEvent::TimerFired, SECOND);
+
+    assert_eq!(waiting, 0);
+    assert_eq!(granted(&early), Vec::<u128>::new());
+    assert_eq!(granted(&due), vec![3]);
+}
+
+/// Guards against grants beside calls that an earlier owner still runs.
+#[test]
+fn a_new_owner_of_unfenced_targets_holds_off() {
+    let config = CallConfig::builder()
+        .hold_off(SECOND)
+        .promotion_period(10 * SECOND)
+        .build();
+    let mut queue = CallQueue::acquired(config, SECOND);
+    let runner = RunnerEntry::new("r1", 1);
+    queue.handle(CallEvent::RunnersChanged(vec![runner]), SECOND);
+    let event = CallEvent::Requested(CallRequest::new(1, 5 * SECOND));
+
+    let early = queue.handle(event, SECOND);
+    let due = queue.next_timer();
+    let later = queue.handle(CallEvent::TimerFired, 2 * SECOND);
+
+    assert_eq!(granted(&early), Vec::<u128>::new());
+    assert_eq!(due, Some(2 * SECOND));
+    assert_eq!(granted(&later), vec![1]);
+}
+
+/// Guards against calls that wait in one zone while another has free slots.
+#[test]
+fn the_oldest_calls_are_redirected_once() {
+    let mut queue = queue(1);
+    request(&mut queue, CallRequest::new(1, 60 * SECOND));
+    queue.handle(CallEvent::Returned(1, GrantResult::Answered), SECOND);
+    request(&mut queue, CallRequest::new(2, 60 * SECOND));
+    let mut moved = CallRequest::new(3, 60 * SECOND);
+    moved.redirected = true;
+    request(&mut queue, moved);
+    request(&mut queue, CallRequest::new(4, 60 * SECOND));
+    request(&mut queue, CallRequest::new(5, 60 * SECOND));
+    let load = CallLoad {
+        free: 2,
+        waiting: 0,
+    };
+
+    let event = CallEvent::ZoneLoadChanged("z2".into(), load);
+    let actions = queue.handle(event, SECOND);
+
+    assert_eq!(actions, vec![CallAction::Redirect(4, "z2".into())]);
+}
+
+/// Guards against a cancellation burst that leaves calls or charges behind.
+#[test]
+fn a_burst_of_cancellations_empties_the_queue() {
+    let config = CallConfig::builder().queue_limit(20_000).build();
+    let mut queue = cell(1, 1, config);
+    for id in 0..=10_000 {
+        request(&mut queue, call_of(id, "team"));
+    }
+
+    for id in 1..=10_000 {
+        queue.handle(CallEvent::Cancelled(id), Duration::ZERO);
+    }
+
+    assert_eq!((queue.waiting_len(), queue.next_timer()), (0, None));
+}
+
+/// Guards against retries beyond a tenth of the first attempts.
+#[test]
+fn retries_stay_within_the_budget() {
+    let mut budget = RetryBudget::new(RetryConfig::default());
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let outcome = CallOutcome::<()>::NotRun(NotRunReason::QueueFull);
+
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.note_first_attempt();
+        let verdict = budget.decide(&outcome, false, 1, SECOND, &mut random);
+        retries += u32::from(verdict != RetryVerdict::GiveUp);
+    }
+
+    assert_eq!(retries, 100);
+}
+
+/// Guards against a second run of a call that may have run, and late retries.
+#[test]
+fn unsafe_and_late_calls_are_not_retried() {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let unknown = CallOutcome::<()>::Unknown(UnknownReason::ConnectionLost);
+    let mut decide = |is_idempotent, attempts, remaining| {
+        let mut budget = RetryBudget::new(RetryConfig::default());
+        for _ in 0..100 {
+            budget.note_first_attempt();
+        }
+        budget.decide(&unknown, is_idempotent, attempts, remaining, &mut random)
+    };
+
+    let verdicts = [
+        decide(false, 1, SECOND),
+        decide(true, 3, SECOND),
+        decide(true, 1, Duration::ZERO),
+    ];
+    let allowed = decide(true, 2, SECOND);
+
+    assert_eq!(verdicts, [RetryVerdict::GiveUp; 3]);
+    assert!(matches!(allowed, RetryVerdict::After(delay) if delay < SECOND / 20));
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -57,8 +57,9 @@
 mod ownership;
 mod types;
 
-pub use calls::{CallAction, CallConfig, CallEvent, CallQueue, CallRequest};
-pub use calls::{GrantResult, RunnerEntry, SlotGrant};
+pub use calls::{CallAction, CallConfig, CallConfigBuilder, CallEvent, CallLoad, CallQueue};
+pub use calls::{CallRequest, GrantResult, RunnerEntry, SlotGrant};
+pub use calls::{RetryBudget, RetryConfig, RetryConfigBuilder, RetryVerdict};
 pub use hosts::{HostEntry, HostKind, HostState, HostTable};
 pub use membership::{Heartbeat, MemberRecord, PeerConfig, PeerState, PeerTable};
 pub use objects::{FencingMode, ObjectError, ObjectErrorKind, ObjectSet};
--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -107,6 +107,8 @@
             team: head.team.clone(),
             urgency: head.urgency.unwrap_or(service.urgency),
             remaining: head.remaining,
+            requester: Some(snapshot.daemon.clone()),
+            redirected: false,
         };
         let started_at = Instant::now();
         let waiting = self.request_slot(&snapshot, shard, call);
--- a/crates/daemon/src/calls/state.rs
+++ b/crates/daemon/src/calls/state.rs
@@ -111,6 +111,12 @@
                         let _ = reply.send(Err(reason));
                     }
                 }
+                // No load of other zones is passed to the queue yet, so this does not occur.
+                CallAction::Redirect(request, _) => {
+                    if let Some(reply) = self.replies.remove(&request) {
+                        let _ = reply.send(Err(NotRunReason::NoOwner));
+                    }
+                }
                 CallAction::Grant(grant) => {
                     let id = grant.grant;
                     let reply = self.replies.remove(&grant.request);
@@ -122,7 +128,7 @@
                     let delivered = reply.is_some_and(|reply| reply.send(Ok(slot)).is_ok());
                     if !delivered {
                         // The requester went away, so its slot is free again.
-                        let event = CallEvent::Returned(id, GrantResult::Answered);
+                        let event = CallEvent::Returned(id, GrantResult::Unused);
                         actions.extend(self.queue.handle(event, now));
                     }
                 }
