--- /dev/null
+++ b/crates/core/benches/waiting.rs
@@ -0,0 +1,462 @@
+//! Waiting time of short calls, compared with direct selection and an ideal queue.
+
+#![allow(clippy::cast_precision_loss, reason = "all counts are far below 2^52")]
+
+mod support;
+
+use std::{collections::VecDeque, time::Duration};
+
+use auburnsaddle_core::{
+    CallAction, CallConfig, CallEvent, CallQueue, CallRequest, GrantId, GrantResult, RunnerEntry,
+    UrgencyClass,
+};
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::{BoundTable, EventClock, exponential, lognormal};
+
+const SEED: u64 = 20_261_204;
+const ZONES: usize = 3;
+const DAEMONS: usize = 8;
+const RUNNERS: usize = 35;
+const SLOTS: u32 = 8;
+const MEAN_SERVICE: Duration = Duration::from_millis(100);
+/// Spread of the lognormal service time; its p99 is about 7 times its median.
+const SERVICE_SIGMA: f64 = 0.85;
+const RUN_TIME: Duration = Duration::from_secs(30);
+const WARM_UP: Duration = Duration::from_secs(3);
+const CALLER_HOP: Duration = Duration::from_millis(1);
+const ZONE_HOP: Duration = Duration::from_micros(500);
+const CROSS_HOP: Duration = Duration::from_millis(4);
+/// Mean of the exponential part added to each hop, relative to the hop.
+const JITTER: f64 = 0.1;
+const URGENT_PART: f64 = 0.2;
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Period of load reports between the owners of one service.
+///
+/// The heartbeat period of 500 ms leaves reports stale for longer than a burst.
+const LOAD_PERIOD: Duration = Duration::from_millis(50);
+/// Upper bound of the histograms, in microseconds.
+const LONGEST_WAIT_US: u64 = 120_000_000;
+const TICK: Duration = Duration::from_millis(20);
+
+/// How a runner is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Policy {
+    /// The `CallQueue` of each zone, with its grant hop and redirects.
+    Owners,
+    /// One queue that knows all slots without any delay.
+    Central,
+    /// Any runner, with a queue at the runner.
+    Random,
+    /// Each entry takes all runners in turn.
+    RoundRobin,
+    /// The runner with the fewest calls of the same entry.
+    LeastOutstanding,
+    /// The one of two random runners with fewer calls of the same entry.
+    TwoChoices,
+}
+
+/// One call of the load, the same for every policy.
+#[derive(Clone, Copy, Debug)]
+struct LoadCall {
+    at: Duration,
+    entry: usize,
+    service: Duration,
+    is_urgent: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Arrived(usize),
+    AtEntry(usize),
+    AtOwner(usize, usize, bool),
+    Granted(usize, usize, usize, GrantId),
+    AtRunner(usize, usize),
+    Ended(usize, usize),
+    AnsweredAtEntry(usize, usize),
+    ReturnedAtOwner(usize, GrantId),
+    LoadDue,
+    LoadAt(usize, usize, u32, u32),
+    Tick,
+}
+
+/// Waiting times in microseconds.
+#[derive(Debug)]
+struct WaitingTimes {
+    all: Histogram<u64>,
+    urgent: Histogram<u64>,
+    rejected: u64,
+    redirected: u64,
+}
+
+#[derive(Debug)]
+struct CellRun<'a> {
+    policy: Policy,
+    calls: &'a [LoadCall],
+    clock: EventClock<Event>,
+    random: ChaCha8Rng,
+    owners: Vec<CallQueue>,
+    busy: Vec<u32>,
+    queued: Vec<VecDeque<usize>>,
+    central: [VecDeque<usize>; 2],
+    outstanding: Vec<[u32; RUNNERS]>,
+    turns: [usize; DAEMONS],
+    grants: Vec<Option<(usize, GrantId)>>,
+    times: WaitingTimes,
+}
+
+const fn zone_of(index: usize) -> usize {
+    index % ZONES
+}
+
+/// Daemon `zone` owns the shard of that zone.
+const fn owner_of(zone: usize) -> usize {
+    zone
+}
+
+impl<'a> CellRun<'a> {
+    fn new(policy: Policy, calls: &'a [LoadCall]) -> Self {
+        // Fixed bounds: a histogram that starts small clamps what it saturates.
+        let histogram = || Histogram::new_with_bounds(1, LONGEST_WAIT_US, 3).expect("valid bounds");
+        let times = WaitingTimes {
+            all: histogram(),
+            urgent: histogram(),
+            rejected: 0,
+            redirected: 0,
+        };
+        Self {
+            policy,
+            calls,
+            clock: EventClock::new(),
+            random: ChaCha8Rng::seed_from_u64(SEED + 1),
+            owners: (0..ZONES).map(owner_queue).collect(),
+            busy: vec![0; RUNNERS],
+            queued: vec![VecDeque::new(); RUNNERS],
+            central: [VecDeque::new(), VecDeque::new()],
+            outstanding: vec![[0; RUNNERS]; DAEMONS],
+            turns: [0; DAEMONS],
+            grants: vec![None; calls.len()],
+            times,
+        }
+    }
+
+    fn run(mut self) -> WaitingTimes {
+        self.clock.after(self.calls[0].at, Event::Arrived(0));
+        if self.policy == Policy::Owners {
+            self.clock.after(LOAD_PERIOD, Event::LoadDue);
+            self.clock.after(TICK, Event::Tick);
+        }
+        while let Some(event) = self.clock.pop() {
+            self.apply(event);
+        }
+        self.times
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Arrived(call) => self.arrive(call),
+            Event::AtEntry(call) => self.enter(call),
+            Event::AtOwner(zone, call, redirected) => self.request(zone, call, redirected),
+            Event::Granted(zone, call, runner, grant) => {
+                self.grants[call] = Some((zone, grant));
+                self.send(call, runner);
+            }
+            Event::AtRunner(call, runner) => self.reach_runner(call, runner),
+            Event::Ended(call, runner) => self.end(call, runner),
+            Event::AnsweredAtEntry(call, runner) => self.answer(call, runner),
+            Event::ReturnedAtOwner(zone, grant) => {
+                let event = CallEvent::Returned(grant, GrantResult::Answered);
+                self.drive(zone, event);
+            }
+            Event::LoadDue => self.report_loads(),
+            Event::LoadAt(zone, from, free, waiting) => {
+                let load = auburnsaddle_core::CallLoad { free, waiting };
+                let from = format!("z{from}").as_str().into();
+                self.drive(zone, CallEvent::ZoneLoadChanged(from, load));
+            }
+            Event::Tick => {
+                for zone in 0..ZONES {
+                    self.drive(zone, CallEvent::TimerFired);
+                }
+                self.again(TICK, Event::Tick);
+            }
+        }
+    }
+
+    fn again(&mut self, period: Duration, event: Event) {
+        if self.clock.now() < RUN_TIME + DEADLINE {
+            self.clock.after(period, event);
+        }
+    }
+
+    fn hop(&mut self, base: Duration) -> Duration {
+        base + exponential(&mut self.random, 1.0 / (base.as_secs_f64() * JITTER))
+    }
+
+    fn zone_hop(&mut self, from: usize, to: usize) -> Duration {
+        self.hop(if from == to { ZONE_HOP } else { CROSS_HOP })
+    }
+
+    fn daemon_hop(&mut self, from: usize, to: usize) -> Duration {
+        if from == to {
+            return Duration::ZERO;
+        }
+        self.zone_hop(zone_of(from), zone_of(to))
+    }
+
+    fn arrive(&mut self, call: usize) {
+        let delay = self.hop(CALLER_HOP);
+        self.clock.after(delay, Event::AtEntry(call));
+        if let Some(next) = self.calls.get(call + 1) {
+            let delay = next.at.saturating_sub(self.clock.now());
+            self.clock.after(delay, Event::Arrived(call + 1));
+        }
+    }
+
+    fn enter(&mut self, call: usize) {
+        let entry = self.calls[call].entry;
+        match self.policy {
+            Policy::Owners => {
+                let zone = zone_of(entry);
+                let delay = self.daemon_hop(entry, owner_of(zone));
+                self.clock.after(delay, Event::AtOwner(zone, call, false));
+            }
+            Policy::Central => {
+                self.central[usize::from(!self.calls[call].is_urgent)].push_back(call);
+                self.serve_central();
+            }
+            _ => {
+                let runner = self.choose(entry);
+                self.outstanding[entry][runner] += 1;
+                self.send(call, runner);
+            }
+        }
+    }
+
+    fn choose(&mut self, entry: usize) -> usize {
+        let first = self.random.random_range(0..RUNNERS);
+        let second = self.random.random_range(0..RUNNERS);
+        let outstanding = &self.outstanding[entry];
+        match self.policy {
+            Policy::RoundRobin => {
+                self.turns[entry] += 1;
+                (self.turns[entry] + entry * RUNNERS / DAEMONS) % RUNNERS
+            }
+            // The search starts anywhere, so that ties do not favour one runner.
+            Policy::LeastOutstanding => (first..first + RUNNERS)
+                .map(|runner| runner % RUNNERS)
+                .min_by_key(|runner| outstanding[*runner])
+                .unwrap_or(first),
+            Policy::TwoChoices if outstanding[second] < outstanding[first] => second,
+            _ => first,
+        }
+    }
+
+    /// Starts waiting calls on free runners, those in the entry's zone first.
+    fn serve_central(&mut self) {
+        while let Some(class) = self.central.iter().position(|queue| !queue.is_empty()) {
+            let call = self.central[class][0];
+            let zone = zone_of(self.calls[call].entry);
+            let free = (0..RUNNERS).filter(|runner| self.busy[*runner] < SLOTS);
+            let Some(runner) = free.min_by_key(|r| (zone_of(*r) != zone, self.busy[*r])) else {
+                return;
+            };
+            self.central[class].pop_front();
+            self.busy[runner] += 1;
+            self.send(call, runner);
+        }
+    }
+
+    fn request(&mut self, zone: usize, call: usize, redirected: bool) {
+        let mut request = CallRequest::new(call as u128, DEADLINE);
+        request.redirected = redirected;
+        if self.calls[call].is_urgent {
+            request.urgency = UrgencyClass::Urgent;
+        }
+        self.drive(zone, CallEvent::Requested(request));
+    }
+
+    fn drive(&mut self, zone: usize, event: CallEvent) {
+        for action in self.owners[zone].handle(event, self.clock.now()) {
+            self.carry_out(zone, action);
+        }
+    }
+
+    fn carry_out(&mut self, zone: usize, action: CallAction) {
+        let index = |request: u128| usize::try_from(request).expect("requests are indexes");
+        match action {
+            CallAction::Grant(grant) => {
+                let call = index(grant.request);
+                let delay = self.daemon_hop(owner_of(zone), self.calls[call].entry);
+                let runner = grant.runner[1..].parse().expect("names end with the index");
+                let event = Event::Granted(zone, call, runner, grant.grant);
+                self.clock.after(delay, event);
+            }
+            CallAction::Reject(..) => self.times.rejected += 1,
+            CallAction::Redirect(request, other) => {
+                self.times.redirected += 1;
+                let call = index(request);
+                let entry = self.calls[call].entry;
+                let other = other[1..].parse().expect("names end with the index");
+                let delay = self.daemon_hop(owner_of(zone), entry);
+                let delay = delay + self.daemon_hop(entry, owner_of(other));
+                self.clock.after(delay, Event::AtOwner(other, call, true));
+            }
+        }
+    }
+
+    fn send(&mut self, call: usize, runner: usize) {
+        let delay = self.zone_hop(zone_of(self.calls[call].entry), zone_of(runner));
+        self.clock.after(delay, Event::AtRunner(call, runner));
+    }
+
+    fn reach_runner(&mut self, call: usize, runner: usize) {
+        let is_granted = matches!(self.policy, Policy::Owners | Policy::Central);
+        if !is_granted && self.busy[runner] >= SLOTS {
+            self.queued[runner].push_back(call);
+            return;
+        }
+        self.busy[runner] += u32::from(!is_granted);
+        self.start(call, runner);
+    }
+
+    fn start(&mut self, call: usize, runner: usize) {
+        let LoadCall {
+            at,
+            service,
+            is_urgent,
+            ..
+        } = self.calls[call];
+        self.clock.after(service, Event::Ended(call, runner));
+        if at < WARM_UP {
+            return;
+        }
+        let waited = self.clock.now().saturating_sub(at).as_micros();
+        let waited = u64::try_from(waited).expect("a run is short").max(1);
+        self.times.all.record(waited).expect("a wait is in bounds");
+        if is_urgent {
+            let urgent = &mut self.times.urgent;
+            urgent.record(waited).expect("a wait is in bounds");
+        }
+    }
+
+    fn end(&mut self, call: usize, runner: usize) {
+        let delay = self.zone_hop(zone_of(runner), zone_of(self.calls[call].entry));
+        self.clock
+            .after(delay, Event::AnsweredAtEntry(call, runner));
+        if self.policy == Policy::Owners {
+            return;
+        }
+        self.busy[runner] -= 1;
+        if self.policy == Policy::Central {
+            self.serve_central();
+        } else if let Some(next) = self.queued[runner].pop_front() {
+            self.busy[runner] += 1;
+            self.start(next, runner);
+        }
+    }
+
+    fn answer(&mut self, call: usize, runner: usize) {
+        let entry = self.calls[call].entry;
+        if let Some((zone, grant)) = self.grants[call].take() {
+            let delay = self.daemon_hop(entry, owner_of(zone));
+            self.clock.after(delay, Event::ReturnedAtOwner(zone, grant));
+        } else if self.policy != Policy::Central {
+            self.outstanding[entry][runner] -= 1;
+        }
+    }
+
+    fn report_loads(&mut self) {
+        for from in 0..ZONES {
+            let load = self.owners[from].load();
+            for zone in (0..ZONES).filter(|zone| *zone != from) {
+                let delay = self.zone_hop(from, zone);
+                let event = Event::LoadAt(zone, from, load.free, load.waiting);
+                self.clock.after(delay, event);
+            }
+        }
+        self.again(LOAD_PERIOD, Event::LoadDue);
+    }
+}
+
+fn owner_queue(zone: usize) -> CallQueue {
+    let config = CallConfig::builder().urgent_share_percent(5);
+    let mut queue = CallQueue::new(config.build());
+    let runners = (0..RUNNERS).filter(|runner| zone_of(*runner) == zone);
+    let entries = runners.map(|runner| RunnerEntry::new(&format!("r{runner}"), SLOTS));
+    let event = CallEvent::RunnersChanged(entries.collect());
+    queue.handle(event, Duration::ZERO);
+    queue
+}
+
+fn load_calls(percent: u32) -> Vec<LoadCall> {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let slots = f64::from(SLOTS) * RUNNERS as f64;
+    let per_second = slots / MEAN_SERVICE.as_secs_f64() * f64::from(percent) / 100.0;
+    let mut calls = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < RUN_TIME {
+        at += exponential(&mut random, per_second);
+        calls.push(LoadCall {
+            at,
+            entry: random.random_range(0..DAEMONS),
+            service: lognormal(&mut random, MEAN_SERVICE, SERVICE_SIGMA),
+            is_urgent: random.random::<f64>() < URGENT_PART,
+        });
+    }
+    calls
+}
+
+fn millis(times: &Histogram<u64>, quantile: f64) -> f64 {
+    times.value_at_quantile(quantile) as f64 / 1_000.0
+}
+
+fn report(table: &mut BoundTable, percent: u32) {
+    let calls = load_calls(percent);
+    let run = |policy| CellRun::new(policy, &calls).run();
+    let policies = [
+        Policy::Central,
+        Policy::Owners,
+        Policy::Random,
+        Policy::RoundRobin,
+        Policy::LeastOutstanding,
+        Policy::TwoChoices,
+    ];
+    let runs = policies.map(|policy| (policy, run(policy)));
+    for (policy, times) in &runs {
+        let [p50, p99, p999] = [0.5, 0.99, 0.999].map(|q| millis(&times.all, q));
+        let value = format!(
+            "{p50:.2} / {p99:.2} / {p999:.2} ms, {} redirected, {} rejected",
+            times.redirected, times.rejected
+        );
+        let name = format!("{percent} % {policy:?}: p50 / p99 / p99.9");
+        table.note(&name, &value, SEED);
+    }
+    let [(_, central), (_, owners), ..] = &runs;
+    let ratio = millis(&owners.all, 0.99) / millis(&central.all, 0.99);
+    let name = format!("{percent} % p99, owners relative to central");
+    if percent == 85 {
+        table.at_most(&name, ratio, 1.25, SEED);
+        table.note("goal for the same", "1.10", SEED);
+    } else {
+        table.note(&name, &format!("{ratio:.3}"), SEED);
+    }
+    let name = format!("{percent} % latest start of an urgent call, s");
+    let latest = owners.urgent.max() as f64 / 1e6;
+    table.at_most(&name, latest, 1.8, SEED);
+}
+
+fn main() {
+    let notes = [
+        "Waiting is the time from the caller's send to the start on the runner, in virtual time.",
+        "Owners: caller hop, request hop to the owner, queue, grant hop, hop to the runner, redirects.",
+        "Central: caller hop, queue with instant knowledge of all slots, hop to the runner; no grant hop.",
+        "Direct policies: caller hop, hop to the runner, queue at the runner.",
+    ];
+    let mut table = BoundTable::start(&notes);
+    for percent in [50, 70, 85, 95] {
+        report(&mut table, percent);
+    }
+    table.finish();
+}
--- a/crates/core/src/calls/config.rs
+++ b/crates/core/src/calls/config.rs
@@ -18,6 +18,11 @@
     pub hold_off: Duration,
     /// Extra latency of a call that is redirected to another zone.
     pub redirect_latency: Duration,
+    /// Expected queueing time from which calls are redirected.
+    ///
+    /// It is shorter than the extra latency: by the time the queue has grown to
+    /// that latency, more calls wait than the redirects of one report can take.
+    pub redirect_threshold: Duration,
 }
 
 impl Default for CallConfig {
@@ -28,6 +33,7 @@
             promotion_period: Duration::from_millis(500),
             hold_off: Duration::ZERO,
             redirect_latency: Duration::from_millis(12),
+            redirect_threshold: Duration::from_millis(2),
         }
     }
 }
@@ -82,6 +88,13 @@
         self
     }
 
+    /// Sets the expected queueing time from which calls are redirected.
+    #[must_use]
+    pub const fn redirect_threshold(mut self, threshold: Duration) -> Self {
+        self.config.redirect_threshold = threshold;
+        self
+    }
+
     /// Returns the configuration.
     #[must_use]
     pub const fn build(self) -> CallConfig {
--- a/crates/core/src/calls/state.rs
+++ b/crates/core/src/calls/state.rs
@@ -18,6 +18,18 @@
 /// Service times are heavy-tailed, so a short average would follow single calls.
 const SERVICE_TIME_GAIN: f64 = 1.0 / 64.0;
 
+/// Mean service times that a call admitted to the queue should have left at its start.
+///
+/// With heavy-tailed service times most calls end within four means; with less
+/// time, many would hold a slot past their deadline and be of no use.
+const START_MARGIN: f64 = 4.0;
+
+/// Weight of the newest sample in the bias of the expected waiting time.
+const BIAS_GAIN: f64 = 1.0 / 256.0;
+
+/// Bounds of the bias, so that a fault cannot make it reject or admit everything.
+const BIAS_RANGE: (f64, f64) = (0.5, 8.0);
+
 /// Part of the free slots of another zone that one load report lets calls use.
 ///
 /// Its own callers and a third zone use the same slots before the next report.
@@ -30,6 +42,9 @@
     lane: LaneName,
     deadline: Duration,
     promote_at: Duration,
+    arrived_at: Duration,
+    /// Time in which the slots alone would serve the calls ahead.
+    drain_time: Duration,
 }
 
 /// A slot that is granted to a call.
@@ -66,6 +81,8 @@
     reclaims: BTreeSet<(Duration, GrantId)>,
     zone_credits: BTreeMap<ZoneId, u32>,
     service_time: Option<f64>,
+    /// Measured waiting time relative to the drain time, for calls that are not urgent.
+    wait_bias: f64,
     next_arrival: Arrival,
     next_grant: GrantId,
 }
@@ -99,6 +116,7 @@
             reclaims: BTreeSet::new(),
             zone_credits: BTreeMap::new(),
             service_time: None,
+            wait_bias: 1.0,
             next_arrival: 0,
             next_grant: 1,
         }
@@ -194,6 +212,8 @@
             lane: call.urgency.into(),
             deadline: now.saturating_add(call.remaining),
             promote_at: now.saturating_add(self.config.promotion_period),
+            arrived_at: now,
+            drain_time: self.drain_time(self.lanes.len_from(call.urgency.into()) + 1),
             call,
         };
         self.index(arrival, &waiting);
@@ -233,16 +253,33 @@
         self.granting_from.unwrap_or_default().saturating_sub(now)
     }
 
-    /// Returns the expected time until a new call ends, or zero if unmeasured.
+    /// Returns the expected waiting time of a new call and its start margin.
+    ///
+    /// The margin takes at most half of the remaining time, so that calls with
+    /// a short deadline are still admitted to a short queue.
     fn expected_time(&self, call: &CallRequest, now: Duration) -> Duration {
-        let hold_off = self.hold_off(now);
         let ahead = self.lanes.len_from(call.urgency.into());
-        match self.service_time {
-            Some(service_time) => {
-                hold_off + self.drain_time(ahead + 1) + Duration::from_secs_f64(service_time)
-            }
-            None => hold_off,
+        let drain_time = self.drain_time(ahead + 1);
+        let waiting_time = match call.urgency {
+            UrgencyClass::Urgent => drain_time,
+            _ => drain_time.mul_f64(self.wait_bias),
+        };
+        let margin = START_MARGIN * self.service_time.unwrap_or_default();
+        let margin = Duration::from_secs_f64(margin).min(call.remaining / 2);
+        self.hold_off(now) + waiting_time + margin
+    }
+
+    /// Corrects the bias, which more urgent calls and their share raise.
+    fn note_waiting_time(&mut self, waiting: &WaitingCall, now: Duration) {
+        let is_urgent = waiting.call.urgency == UrgencyClass::Urgent;
+        let expected = waiting.drain_time;
+        if is_urgent || expected < self.config.redirect_threshold {
+            return;
         }
+        let waited = now.saturating_sub(waiting.arrived_at).as_secs_f64();
+        let sample = waited / expected.as_secs_f64();
+        let (low, high) = BIAS_RANGE;
+        self.wait_bias += (sample.clamp(low, high) - self.wait_bias) * BIAS_GAIN;
     }
 
     /// Returns the time in which a number of waiting calls get their slots.
@@ -308,10 +345,12 @@
             if deadline > now {
                 return;
             }
-            let waiting = self.remove(arrival);
-            actions.extend(waiting.map(|waiting| {
-                CallAction::Reject(waiting.call.request, NotRunReason::DeadlineUnmeetable)
-            }));
+            let Some(waiting) = self.remove(arrival) else {
+                continue;
+            };
+            self.note_waiting_time(&waiting, now);
+            let reason = NotRunReason::DeadlineUnmeetable;
+            actions.push(CallAction::Reject(waiting.call.request, reason));
         }
     }
 
@@ -346,6 +385,7 @@
             let Some(waiting) = self.remove_popped(arrival) else {
                 continue;
             };
+            self.note_waiting_time(&waiting, now);
             let grant = self.runners.take();
             let grant = grant.map(|runner| self.hold(waiting, runner, now));
             actions.extend(grant.map(CallAction::Grant));
@@ -446,10 +486,10 @@
         }
     }
 
-    /// Redirects the oldest calls while the queue outlasts the extra latency.
+    /// Redirects the oldest calls while the queue is longer than the threshold.
     fn redirect(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
         while let Some(arrival) = self.redirectable.first().copied() {
-            let is_worth_it = self.drain_time(self.waiting.len()) >= self.config.redirect_latency;
+            let is_worth_it = self.drain_time(self.waiting.len()) >= self.config.redirect_threshold;
             let is_blocked = self.runners.capacity() == 0;
             let zone = self.zone_credits.iter().max_by_key(|(_, free)| **free);
             let zone = zone.filter(|(_, free)| **free > 0);
