Measure waiting in a cell without one of its daemons

Cause: the bound of 2.0 with one of eight daemons dead had no figure. This adds the state after the takeover; the crash itself is not measured yet.

--- a/crates/core/benches/waiting.rs
+++ b/crates/core/benches/waiting.rs
@@ -93,6 +93,7 @@
 #[derive(Debug)]
 struct CellRun<'a> {
     policy: Policy,
+    fleet: Fleet,
     calls: &'a [LoadCall],
     clock: EventClock<Event>,
     random: ChaCha8Rng,
@@ -110,13 +111,33 @@
     index % ZONES
 }
 
-/// Daemon `zone` owns the shard of that zone.
-const fn owner_of(zone: usize) -> usize {
-    zone
+/// Which daemons live during a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fleet {
+    Whole,
+    /// Daemon 0 is dead for the whole run, so its shard has its successor as owner.
+    WithoutFirst,
+}
+
+impl Fleet {
+    /// Returns the owner of a zone's shard: its first live daemon.
+    const fn owner_of(self, zone: usize) -> usize {
+        match (self, zone) {
+            (Self::WithoutFirst, 0) => ZONES,
+            _ => zone,
+        }
+    }
+
+    const fn first_daemon(self) -> usize {
+        match self {
+            Self::Whole => 0,
+            Self::WithoutFirst => 1,
+        }
+    }
 }
 
 impl<'a> CellRun<'a> {
-    fn new(policy: Policy, calls: &'a [LoadCall]) -> Self {
+    fn new(policy: Policy, fleet: Fleet, calls: &'a [LoadCall]) -> Self {
         // Fixed bounds: a histogram that starts small clamps what it saturates.
         let histogram = || Histogram::new_with_bounds(1, LONGEST_WAIT_US, 3).expect("valid bounds");
         let times = WaitingTimes {
@@ -127,6 +148,7 @@
         };
         Self {
             policy,
+            fleet,
             calls,
             clock: EventClock::new(),
             random: ChaCha8Rng::seed_from_u64(SEED + 1),
@@ -219,7 +241,7 @@
         match self.policy {
             Policy::Owners => {
                 let zone = zone_of(entry);
-                let delay = self.daemon_hop(entry, owner_of(zone));
+                let delay = self.daemon_hop(entry, self.fleet.owner_of(zone));
                 self.clock.after(delay, Event::AtOwner(zone, call, false));
             }
             Policy::Central => {
@@ -288,7 +310,7 @@
         match action {
             CallAction::Grant(grant) => {
                 let call = index(grant.request);
-                let delay = self.daemon_hop(owner_of(zone), self.calls[call].entry);
+                let delay = self.daemon_hop(self.fleet.owner_of(zone), self.calls[call].entry);
                 let runner = grant.runner[1..].parse().expect("names end with the index");
                 let event = Event::Granted(zone, call, runner, grant.grant);
                 self.clock.after(delay, event);
@@ -299,8 +321,8 @@
                 let call = index(request);
                 let entry = self.calls[call].entry;
                 let other = other[1..].parse().expect("names end with the index");
-                let delay = self.daemon_hop(owner_of(zone), entry);
-                let delay = delay + self.daemon_hop(entry, owner_of(other));
+                let delay = self.daemon_hop(self.fleet.owner_of(zone), entry);
+                let delay = delay + self.daemon_hop(entry, self.fleet.owner_of(other));
                 self.clock.after(delay, Event::AtOwner(other, call, true));
             }
         }
@@ -360,7 +382,7 @@
     fn answer(&mut self, call: usize, runner: usize) {
         let entry = self.calls[call].entry;
         if let Some((zone, grant)) = self.grants[call].take() {
-            let delay = self.daemon_hop(entry, owner_of(zone));
+            let delay = self.daemon_hop(entry, self.fleet.owner_of(zone));
             self.clock.after(delay, Event::ReturnedAtOwner(zone, grant));
         } else if self.policy != Policy::Central {
             self.outstanding[entry][runner] -= 1;
@@ -390,7 +412,7 @@
     queue
 }
 
-fn load_calls(percent: u32) -> Vec<LoadCall> {
+fn load_calls(percent: u32, fleet: Fleet) -> Vec<LoadCall> {
     let mut random = ChaCha8Rng::seed_from_u64(SEED);
     let slots = f64::from(SLOTS) * RUNNERS as f64;
     let per_second = slots / MEAN_SERVICE.as_secs_f64() * f64::from(percent) / 100.0;
@@ -400,7 +422,7 @@
         at += exponential(&mut random, per_second);
         calls.push(LoadCall {
             at,
-            entry: random.random_range(0..DAEMONS),
+            entry: random.random_range(fleet.first_daemon()..DAEMONS),
             service: lognormal(&mut random, MEAN_SERVICE, SERVICE_SIGMA),
             is_urgent: random.random::<f64>() < URGENT_PART,
         });
@@ -413,8 +435,8 @@
 }
 
 fn report(table: &mut BoundTable, percent: u32) {
-    let calls = load_calls(percent);
-    let run = |policy| CellRun::new(policy, &calls).run();
+    let calls = load_calls(percent, Fleet::Whole);
+    let run = |policy| CellRun::new(policy, Fleet::Whole, &calls).run();
     let policies = [
         Policy::Central,
         Policy::Owners,
@@ -439,6 +461,7 @@
     if percent == 85 {
         table.at_most(&name, ratio, 1.25, SEED);
         table.note("goal for the same", "1.10", SEED);
+        report_dead_daemon(table, percent, millis(&central.all, 0.99));
     } else {
         table.note(&name, &format!("{ratio:.3}"), SEED);
     }
@@ -447,6 +470,15 @@
     table.at_most(&name, latest, 1.8, SEED);
 }
 
+/// Compares a cell that has lost a daemon with the central queue of a whole one.
+fn report_dead_daemon(table: &mut BoundTable, percent: u32, central: f64) {
+    let calls = load_calls(percent, Fleet::WithoutFirst);
+    let times = CellRun::new(Policy::Owners, Fleet::WithoutFirst, &calls).run();
+    let p99 = millis(&times.all, 0.99);
+    let name = format!("{percent} % p99, one daemon dead throughout, owners relative to central");
+    table.at_most(&name, p99 / central, 2.0, SEED);
+}
+
 fn main() {
     let notes = [
         "Waiting is the time from the caller's send to the start on the runner, in virtual time.",
