Keep abandoned grants in the model of the call properties

Cause: with reclaim times set to zero the property test still passed, because its model ended the calls of a lost daemon in the same step. The model now keeps them until their deadline, so the check is stricter.

--- a/crates/core/src/calls/properties.rs
+++ b/crates/core/src/calls/properties.rs
@@ -14,7 +14,6 @@
 
 const SLOTS: u32 = 2;
 const DAEMONS: [&str; 3] = ["d0", "d1", "d2"];
-const LONGEST_DEADLINE: Duration = Duration::from_millis(400);
 
 /// One event, with choices that are resolved against the state of the model.
 #[derive(Clone, Debug)]
@@ -51,8 +50,8 @@
     held: BTreeMap<GrantId, (RunnerId, RequestId)>,
     granted: BTreeMap<RequestId, u32>,
     deadlines: BTreeMap<RequestId, Duration>,
-    /// Grants whose runner has left the list since.
-    departed: BTreeSet<GrantId>,
+    /// Grants whose runner has left the list or whose requester is lost.
+    abandoned: BTreeSet<GrantId>,
 }
 
 impl QueueModel {
@@ -69,7 +68,7 @@
             held: BTreeMap::new(),
             granted: BTreeMap::new(),
             deadlines: BTreeMap::new(),
-            departed: BTreeSet::new(),
+            abandoned: BTreeSet::new(),
         };
         model.apply(&Step::Runners(u8::MAX));
         model
@@ -94,7 +93,7 @@
                 CallEvent::TimerFired
             }
         };
-        self.end_departed();
+        self.end_abandoned();
         for action in self.queue.handle(event, self.now) {
             self.observe(action);
         }
@@ -152,16 +151,12 @@
         for (request, _) in lost.filter(|(_, owner)| *owner == daemon) {
             self.endings.insert(request, 1);
         }
-        let event = CallEvent::RequesterLost(DAEMONS[daemon].into());
-        for action in self.queue.handle(event, self.now) {
-            self.observe(action);
-        }
-        // The runner stops the calls of a lost daemon by their deadline.
-        self.now += LONGEST_DEADLINE;
+        // The runner stops the calls of a lost daemon by their deadline, not at once.
         let requests = &self.requests;
         let is_lost = |request: RequestId| requests.contains(&(request, daemon));
-        self.held.retain(|_, (_, request)| !is_lost(*request));
-        CallEvent::TimerFired
+        let lost = self.held.iter().filter(|(_, held)| is_lost(held.1));
+        self.abandoned.extend(lost.map(|(grant, _)| *grant));
+        CallEvent::RequesterLost(DAEMONS[daemon].into())
     }
 
     /// Makes the runners of a bit mask the live ones.
@@ -170,17 +165,17 @@
         let names: Vec<_> = live.map(|index| format!("r{index}")).collect();
         let is_live = |runner: &RunnerId| names.iter().any(|name| **name == **runner);
         let departed = self.held.iter().filter(|(_, held)| !is_live(&held.0));
-        self.departed.extend(departed.map(|(grant, _)| *grant));
+        self.abandoned.extend(departed.map(|(grant, _)| *grant));
         let entries = names.iter().map(|name| RunnerEntry::new(name, SLOTS));
         CallEvent::RunnersChanged(entries.collect())
     }
 
-    /// Ends the calls at runners that left once their deadline has passed.
-    fn end_departed(&mut self) {
-        let (departed, deadlines, now) = (&self.departed, &self.deadlines, self.now);
+    /// Ends the abandoned calls whose deadline has passed.
+    fn end_abandoned(&mut self) {
+        let (abandoned, deadlines, now) = (&self.abandoned, &self.deadlines, self.now);
         let is_over = |request: &RequestId| deadlines.get(request).is_some_and(|at| *at <= now);
         self.held
-            .retain(|grant, (_, request)| !departed.contains(grant) || !is_over(request));
+            .retain(|grant, (_, request)| !abandoned.contains(grant) || !is_over(request));
     }
 
     fn waiting(&self) -> Vec<(RequestId, usize)> {
