--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -60,8 +60,9 @@
 mod publication;
 mod types;
 
-pub use calls::{CallAction, CallConfig, CallEvent, CallQueue, CallRequest};
-pub use calls::{GrantResult, RunnerEntry, SlotGrant};
+pub use calls::{CallAction, CallConfig, CallConfigBuilder, CallEvent, CallLoad, CallQueue};
+pub use calls::{CallRequest, GrantResult, RunnerEntry, SlotGrant};
+pub use calls::{RetryBudget, RetryConfig, RetryConfigBuilder, RetryVerdict};
 pub use hosts::{HostEntry, HostKind, HostState, HostTable};
 pub use journal::{BatchNumber, JournalAction, JournalBatch, JournalCodec, JournalConfig};
 pub use journal::{JournalError, JournalEvent, JournalKey, JournalRecord, JournalReplay};
