--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -9,7 +9,8 @@
 const DEFAULT_DAEMON: &str = "127.0.0.1:7480";
 
 /// A command line that cannot be used.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[snafu(display("{message}; see `auburnsaddle help`"))]
 pub(crate) struct UsageError {
     message: String,
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -25,7 +25,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// A request that no daemon answered with success.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub(crate) enum ClientError {
     /// No daemon was reached; the request was not run.
     #[snafu(display(
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -19,7 +19,8 @@
 };
 
 /// A command that failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub(crate) enum CommandError {
     /// The command line cannot be used.
     #[snafu(transparent)]
--- a/crates/cli/src/files.rs
+++ b/crates/cli/src/files.rs
@@ -12,7 +12,8 @@
 const MAX_DEPTH: usize = 16;
 
 /// A file or directory that cannot be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(display("cannot read {path}: {source}; check the path and its permissions"))]
 pub(crate) struct FileError {
     path: String,
--- a/crates/cli/src/tasks.rs
+++ b/crates/cli/src/tasks.rs
@@ -14,7 +14,8 @@
 const TASKS_PATH: &str = "/v1/tasks";
 
 /// Asks a daemon to accept the work of an object.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct SubmitRequest {
     object: String,
     count: Option<u64>,
--- a/crates/core/src/calls/messages.rs
+++ b/crates/core/src/calls/messages.rs
@@ -9,7 +9,8 @@
 };
 
 /// A call that asks for a slot.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct CallRequest {
     /// Identifier of the caller's request.
     pub request: RequestId,
@@ -41,7 +42,8 @@
 }
 
 /// A runner and its number of slots.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RunnerEntry {
     /// Name of the runner.
     pub runner: RunnerId,
@@ -61,7 +63,8 @@
 }
 
 /// The right to occupy one slot of a runner for one call.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SlotGrant {
     /// Identifier to return the slot with.
     pub grant: GrantId,
@@ -72,7 +75,8 @@
 }
 
 /// How a granted call ended, as the dispatching daemon saw it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum GrantResult {
     /// The runner answered.
     Answered,
@@ -85,7 +89,8 @@
 }
 
 /// Load of a call shard, as its owner reports it to other zones.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct CallLoad {
     /// Free slots that are open to calls of any class.
     pub free: u32,
--- a/crates/core/src/hosts/messages.rs
+++ b/crates/core/src/hosts/messages.rs
@@ -8,7 +8,8 @@
 ///
 /// An entry without a state counts as leaving, so that an incomplete line
 /// attracts no work.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct HostEntry {
     /// Unique name of the target.
@@ -34,7 +35,8 @@
 }
 
 /// What a target serves.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostKind {
     /// Short calls of one service.
@@ -45,7 +47,8 @@
 }
 
 /// Whether a host takes new work.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostState {
     /// The host takes new work.
--- a/crates/core/src/journal/messages.rs
+++ b/crates/core/src/journal/messages.rs
@@ -12,7 +12,8 @@
 pub type BatchNumber = u64;
 
 /// What a record states; its payload is encoded by the slice that wrote it.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub enum RecordKind {
     /// A task was accepted.
     TaskAccepted,
@@ -27,7 +28,8 @@
 }
 
 /// One durable record.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JournalRecord {
     /// What the record states.
     pub kind: RecordKind,
@@ -36,7 +38,8 @@
 }
 
 /// Place of a segment in the journal of a shard, in order of writing.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct SegmentPosition {
     /// The writer's epoch.
     pub epoch: Epoch,
@@ -45,7 +48,8 @@
 }
 
 /// Name of a value of a shard's journal, relative to the shard.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub enum JournalKey {
     /// A segment.
     Segment(SegmentPosition),
@@ -77,7 +81,8 @@
 }
 
 /// The content of a segment or of a snapshot part.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SegmentBody {
     /// The shard.
     pub shard: ShardName,
@@ -90,7 +95,8 @@
 }
 
 /// The values that make up a snapshot.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SnapshotManifest {
     /// The shard.
     pub shard: ShardName,
--- a/crates/core/src/journal/value.rs
+++ b/crates/core/src/journal/value.rs
@@ -15,7 +15,8 @@
 const HEADER_BYTES: usize = 1 + CHECKSUM_BYTES;
 
 /// A journal that cannot be replayed or appended to.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(super)))]
 #[non_exhaustive]
 pub enum JournalError {
--- a/crates/core/src/keys/messages.rs
+++ b/crates/core/src/keys/messages.rs
@@ -37,7 +37,8 @@
 }
 
 /// A call with an idempotency key.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct KeyRequest {
     /// Identifier of the caller's request.
     pub request: RequestId,
@@ -50,7 +51,8 @@
 }
 
 /// A response as far as it is kept.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct KeyResponse {
     /// The HTTP status.
     pub status: u16,
@@ -59,7 +61,8 @@
 }
 
 /// A recorded outcome.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum KeyOutcome {
     /// The runner answered.
     Completed(KeyResponse),
@@ -68,7 +71,8 @@
 }
 
 /// A durable statement about a key.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum KeyRecord {
     /// The call is about to be sent to a runner.
     Intent {
@@ -89,7 +93,8 @@
 }
 
 /// What a runner says of a key.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum RunnerAnswer {
     /// The call has ended with this response.
     Completed(KeyResponse),
@@ -131,7 +136,8 @@
 }
 
 /// The result for one request.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum KeyReply {
     /// The response, for a request that waited for it.
     Completed(KeyResponse),
--- a/crates/core/src/membership/messages.rs
+++ b/crates/core/src/membership/messages.rs
@@ -11,7 +11,8 @@
 pub type OwnedDigest = u64;
 
 /// What a daemon registers in the store under its lease.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct MemberRecord {
     /// Name of the daemon.
@@ -27,7 +28,8 @@
 }
 
 /// How busy a shard is, for the redirection of waiting calls.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ShardLoad {
     /// Requests that wait.
     pub queued: u32,
@@ -36,7 +38,8 @@
 }
 
 /// The periodic message from each daemon to every other of its region.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Heartbeat {
     /// The sender.
     pub daemon: DaemonId,
--- a/crates/core/src/objects/delta.rs
+++ b/crates/core/src/objects/delta.rs
@@ -10,7 +10,8 @@
 };
 
 /// How an object differs between two sets.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ChangeKind {
     /// Only in the newer set.
@@ -22,7 +23,8 @@
 }
 
 /// An object that differs between two sets.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct ObjectChange {
     /// The object.
     pub object: ObjectRef,
@@ -42,7 +44,8 @@
 }
 
 /// What turns one set of objects into another.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ObjectDelta {
     /// New objects, and the new form of changed ones.
--- a/crates/core/src/objects/messages.rs
+++ b/crates/core/src/objects/messages.rs
@@ -8,7 +8,8 @@
 use crate::types::ObjectName;
 
 /// A kind of object.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ObjectKind {
     /// A batch run.
@@ -42,7 +43,8 @@
 }
 
 /// Names an object of any kind.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct ObjectRef {
     /// The kind.
     pub kind: ObjectKind,
@@ -68,7 +70,8 @@
 }
 
 /// A problem in a set of objects, with the place where it is.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[snafu(display("{}{kind}", place(file, object.as_ref())))]
 pub struct ObjectProblem {
     /// The file; empty if the set was not read from files.
@@ -90,7 +93,8 @@
 }
 
 /// What is wrong with a set of objects.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[non_exhaustive]
 pub enum ObjectProblemKind {
     /// The text is not valid TOML, or a field is unknown or of another type.
--- a/crates/core/src/objects/spec.rs
+++ b/crates/core/src/objects/spec.rs
@@ -9,7 +9,8 @@
 };
 
 /// How a target tells a former owner from the present one.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum FencingMode {
     /// The target compares epochs and rejects lower ones.
@@ -20,7 +21,8 @@
 }
 
 /// What placement in a pool favours.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PoolObjective {
     /// Short waiting times.
@@ -31,7 +33,8 @@
 }
 
 /// A market: what a place of business uses in a region.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MarketSpec {
     /// Unique name among markets.
@@ -54,7 +57,8 @@
 ///
 /// The list of hosts decides where work runs; shapes let the check tell what
 /// the pool can hold.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HostShape {
     /// Number of hosts.
@@ -66,7 +70,8 @@
 }
 
 /// A pool of hosts in one region.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PoolSpec {
     /// Unique name among pools.
@@ -90,7 +95,8 @@
 }
 
 /// A service that answers short calls on runners.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ServiceSpec {
     /// Unique name among services.
@@ -124,7 +130,8 @@
 }
 
 /// A team, what it is guaranteed and the most that it may hold at once.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct TeamSpec {
     /// Unique name among teams.
--- a/crates/core/src/objects/state.rs
+++ b/crates/core/src/objects/state.rs
@@ -12,7 +12,8 @@
 use crate::types::{ObjectName, PoolId, ServiceId, TeamId};
 
 /// All objects of one configuration version, by kind and name.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ObjectSet {
     /// Batch runs by name.
@@ -32,7 +33,8 @@
 }
 
 /// An object of any kind.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ObjectSpec {
     /// A batch run.
--- a/crates/core/src/objects/work.rs
+++ b/crates/core/src/objects/work.rs
@@ -7,9 +7,8 @@
 use crate::types::{ObjectName, PoolId, ResourceVector, TeamId, UrgencyClass};
 
 /// When a task may be started again.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RestartPolicy {
     /// At most one start is ever sent.
@@ -25,7 +24,8 @@
 ///
 /// Batch runs, gang jobs and long-running tasks have the same fields; the
 /// table in which an object is written tells them apart.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WorkSpec {
     /// Unique name among objects of its kind.
--- a/crates/core/src/ownership/messages.rs
+++ b/crates/core/src/ownership/messages.rs
@@ -10,7 +10,8 @@
 use crate::types::{DaemonId, Epoch, ShardName, ZoneId};
 
 /// The store's record of a shard's owner.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct OwnerRecord {
     /// The daemon that owns the shard.
@@ -20,7 +21,8 @@
 }
 
 /// How far a new owner has come.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub enum ShardPhase {
     /// The journal of the shard is being read.
     Replaying,
--- a/crates/core/src/publication/messages.rs
+++ b/crates/core/src/publication/messages.rs
@@ -12,7 +12,8 @@
 };
 
 /// The newest version, as kept in the store.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigHead {
     /// Its number; zero before the first publication.
@@ -22,7 +23,8 @@
 }
 
 /// A version as the difference from the one before it.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigDelta {
     /// The number of the version.
@@ -34,7 +36,8 @@
 }
 
 /// A version as a whole set.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigSnapshot {
     /// The number of the version.
@@ -46,7 +49,8 @@
 }
 
 /// Versions for a daemon that is behind.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigPull {
     /// A whole set to start from, if the deltas alone do not reach back.
@@ -90,7 +94,8 @@
 }
 
 /// Why a version was rejected.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[non_exhaustive]
 pub enum RejectReason {
     /// The set does not match its digest.
@@ -118,7 +123,8 @@
 }
 
 /// A set that was not published.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[non_exhaustive]
 pub enum PublishError {
     /// Another operator published first.
@@ -146,7 +152,8 @@
 }
 
 /// An operator's request to publish objects.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PublishRequest {
     /// The version that the operator saw.
@@ -156,14 +163,16 @@
 }
 
 /// The version that holds the published objects.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PublishReply {
     /// Its number.
     pub version: ConfigVersion,
 }
 
 /// The configuration in force.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ConfigReply {
     /// Its version.
     pub version: ConfigVersion,
@@ -172,7 +181,8 @@
 }
 
 /// What a daemon tells operators about itself and its peers.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct StatusReply {
     /// The daemon that answers.
@@ -186,7 +196,8 @@
 }
 
 /// A request that a daemon rejected.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ErrorReply {
     /// What went wrong.
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -42,9 +42,8 @@
 pub type ConfigVersion = u64;
 
 /// An amount of each resource of a worker.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ResourceVector {
     /// Processors in thousandths of a core.
@@ -112,9 +111,8 @@
 }
 
 /// How urgent a request is; a greater value is served first.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum UrgencyClass {
     /// Work that can wait for hours.
@@ -130,7 +128,8 @@
 ///
 /// The three values are kept apart because only [`CallOutcome::NotRun`] permits
 /// another try of a request that is not idempotent.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum CallOutcome<T> {
     /// The target ran the request and this is its answer.
     Completed(T),
@@ -141,7 +140,8 @@
 }
 
 /// Why a request was certainly not run.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum NotRunReason {
     /// The caller or its entry daemon cancelled the request before dispatch.
@@ -211,7 +211,8 @@
 }
 
 /// Why it is not known whether a request ran.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum UnknownReason {
     /// The connection broke after the request was sent.
@@ -237,7 +238,8 @@
 }
 
 /// Name of a shard, the unit of ownership.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub enum ShardName {
     /// The runners of a service in one zone and the queue of calls for them.
     Call(ServiceId, ZoneId),
@@ -258,7 +260,8 @@
 }
 
 /// A text that names no shard.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[snafu(display(
     "`{text}` names no shard; write pool/POOL, call/SERVICE/ZONE or key/REGION/INDEX"
 ))]
--- a/crates/daemon/src/calls/messages.rs
+++ b/crates/daemon/src/calls/messages.rs
@@ -7,7 +7,8 @@
 use tokio::sync::oneshot;
 
 /// A slot of a runner with the fencing token to use it under.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub(crate) struct GrantedSlot {
     /// The shard whose owner granted the slot.
     pub(crate) shard: ShardName,
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -53,7 +53,8 @@
 }
 
 /// What traffic needs to know of the control state.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(crate) struct RoutingSnapshot {
     /// This daemon.
     pub(crate) daemon: DaemonId,
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -36,7 +36,8 @@
 const TIMER_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A daemon that could not start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[non_exhaustive]
 pub enum DaemonError {
     /// An address cannot be listened on.
--- a/crates/daemon/src/front/messages.rs
+++ b/crates/daemon/src/front/messages.rs
@@ -21,7 +21,8 @@
 pub(crate) type FrontResponse = Response<FrontBody>;
 
 /// The state of the whole process.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct DumpReply {
     /// The state of the control thread in debug form.
     pub(super) control: String,
@@ -53,7 +54,8 @@
 }
 
 /// A request that the front rejects, with its remedy.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[snafu(display("{error}; {remedy}"))]
 pub(super) struct FrontError {
     status: StatusCode,
--- a/crates/daemon/src/hosts/client.rs
+++ b/crates/daemon/src/hosts/client.rs
@@ -19,7 +19,8 @@
 const LIST_LIMIT: usize = 8 << 20;
 
 /// A list of hosts that could not be read.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[snafu(display("reading the list of hosts failed: {message}; check the address in --hosts"))]
 pub(crate) struct HostListError {
     message: String,
--- a/crates/daemon/src/peers/messages.rs
+++ b/crates/daemon/src/peers/messages.rs
@@ -9,7 +9,8 @@
 use crate::calls::SlotReply;
 
 /// A request to another daemon.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub(crate) enum PeerRequest {
     /// The sender is alive.
     Heartbeat(Heartbeat),
@@ -23,7 +24,8 @@
 }
 
 /// The reply to a [`PeerRequest`].
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub(crate) enum PeerReply {
     /// The request was noted.
     Noted,
@@ -34,7 +36,8 @@
 }
 
 /// A message that was not exchanged with a peer.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[non_exhaustive]
 pub(crate) enum PeerError {
     /// The peer was not reached; nothing was sent.
--- a/crates/daemon/src/store/limits.rs
+++ b/crates/daemon/src/store/limits.rs
@@ -18,7 +18,8 @@
 const BURST_TIME: Duration = Duration::from_secs(1);
 
 /// What a call costs the store.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum StoreCallKind {
     /// A reading of ranges.
--- a/crates/daemon/src/store/messages.rs
+++ b/crates/daemon/src/store/messages.rs
@@ -5,7 +5,8 @@
 use snafu::Snafu;
 
 /// A call to the store that gave no usable answer.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
 #[non_exhaustive]
 pub(crate) enum StoreError {
     /// The store was not reached or did not answer in time. A write may have
--- a/crates/daemon/src/store/watch_wire.rs
+++ b/crates/daemon/src/store/watch_wire.rs
@@ -10,20 +10,23 @@
 /// Kind of a change that deletes a key; any other kind writes it.
 const DELETE: &str = "DELETE";
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub(super) struct GrantRequest {
     ttl: String,
     id: String,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub(super) struct LeaseRequest {
     id: String,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default, rename_all = "UPPERCASE")]
 pub(super) struct LeaseReply {
     id: String,
@@ -31,24 +34,28 @@
 }
 
 /// One object of a streamed reply.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct StreamItem<T> {
     pub(super) result: T,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WatchRequest {
     create_request: WatchRange,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WatchRange {
     key: String,
     range_end: String,
     start_revision: String,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct WatchReply {
     canceled: bool,
@@ -56,7 +63,8 @@
     events: Vec<ChangeItem>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct ChangeItem {
     r#type: String,
--- a/crates/daemon/src/store/wire.rs
+++ b/crates/daemon/src/store/wire.rs
@@ -7,25 +7,29 @@
     LeaseId, StoreCompare, StoreEntry, StoreError, StorePut, StoreRange, StoreReading, StoreTxn,
 };
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct RangeRequest {
     pub(super) key: String,
     pub(super) range_end: String,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct RangeReply {
     kvs: Vec<KeyValue>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct ReplyHeader {
     revision: String,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct KeyValue {
     pub(super) key: String,
@@ -33,14 +37,16 @@
     pub(super) mod_revision: String,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct TxnRequest {
     compare: Vec<CompareItem>,
     success: Vec<OperationItem>,
     failure: Vec<OperationItem>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(untagged)]
 enum CompareItem {
     Value {
@@ -61,7 +67,8 @@
     clippy::enum_variant_names,
     reason = "the names are those of the protocol"
 )]
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 enum OperationItem {
     RequestPut {
@@ -73,7 +80,8 @@
     RequestRange(RangeRequest),
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct TxnReply {
     header: ReplyHeader,
@@ -81,7 +89,8 @@
     responses: Vec<ResponseItem>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct ResponseItem {
     response_range: Option<RangeReply>,
--- a/crates/daemon/src/workers/wire.rs
+++ b/crates/daemon/src/workers/wire.rs
@@ -10,13 +10,15 @@
     SyncReport, WorkerTarget,
 };
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct ClaimRequest {
     shard: String,
     epoch: Epoch,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct StartRequest<'a> {
     shard: String,
     epoch: Epoch,
@@ -27,7 +29,8 @@
     payload: &'a serde_json::Value,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct AttemptRequest {
     shard: String,
     epoch: Epoch,
@@ -36,7 +39,8 @@
     cpu_milli: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct SyncRequest {
     shard: String,
     epoch: Epoch,
@@ -44,31 +48,36 @@
     after: EventSequence,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct ClaimReply {
     capacity: ResourceVector,
     running: Vec<RunningItem>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct RunningItem {
     task: TaskId,
     attempt: Attempt,
     resources: ResourceVector,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct AttemptReply {
     pub(super) found: bool,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct SyncReply {
     usage: ResourceVector,
     completions: Vec<CompletionItem>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct CompletionItem {
     sequence: EventSequence,
     task: TaskId,
@@ -76,7 +85,8 @@
     result: ResultItem,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum ResultItem {
     Succeeded,
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What the store does wrong at present.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct StoreFaults {
     /// Every call fails without effect.
--- a/crates/standins/src/platform/messages.rs
+++ b/crates/standins/src/platform/messages.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Reads a key or a range of keys.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct RangeRequest {
     /// First key, in base64.
@@ -13,7 +14,8 @@
 }
 
 /// A stored key.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct KeyValue {
     /// Key, in base64.
@@ -27,7 +29,8 @@
 }
 
 /// The state of the store at the time of a reply.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ReplyHeader {
     /// Store revision, as a decimal number.
@@ -35,7 +38,8 @@
 }
 
 /// The keys of a range.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct RangeReply {
     /// The state of the store.
@@ -45,7 +49,8 @@
 }
 
 /// Compares, then applies one of two lists of operations.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct TxnRequest {
     /// All must hold for `success` to be applied.
@@ -57,7 +62,8 @@
 }
 
 /// One comparison; only equality is supported.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct CompareItem {
     /// Key, in base64.
@@ -77,7 +83,8 @@
     clippy::struct_field_names,
     reason = "the names are those of the protocol"
 )]
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct OperationItem {
     /// Writes a key.
@@ -97,7 +104,8 @@
 }
 
 /// Writes a key.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct PutRequest {
     /// Key, in base64.
@@ -109,7 +117,8 @@
 }
 
 /// The result of a transaction.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct TxnReply {
     /// The state of the store.
@@ -121,7 +130,8 @@
 }
 
 /// The response to one operation of a transaction.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ResponseItem {
     /// The entries read by a range operation.
--- a/crates/standins/src/platform/watch_messages.rs
+++ b/crates/standins/src/platform/watch_messages.rs
@@ -9,7 +9,8 @@
     non_snake_case,
     reason = "the container's attributes cannot rename these two protocol names"
 )]
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct LeaseMessage {
     /// The lease, as a decimal number.
@@ -19,7 +20,8 @@
 }
 
 /// One object of a streamed reply.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct StreamItem<T> {
     /// The reply.
@@ -27,7 +29,8 @@
 }
 
 /// One object of a watch's request body.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct WatchRequest {
     /// The range to be watched.
@@ -35,7 +38,8 @@
 }
 
 /// A watched range.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct WatchRange {
     /// First key, in base64.
@@ -47,7 +51,8 @@
 }
 
 /// One object of a watch's response body.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct WatchReply {
     /// The state of the store.
@@ -63,7 +68,8 @@
 }
 
 /// One change of a key.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ChangeItem {
     /// `PUT` or `DELETE`.
--- a/crates/standins/src/runner/messages.rs
+++ b/crates/standins/src/runner/messages.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// How a runner answers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RunnerBehaviour {
     /// Time from the admission of a call to its response, in milliseconds.
@@ -31,7 +32,8 @@
 }
 
 /// Counters of a runner.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct RunnerCounts {
     /// Calls that run at present.
@@ -45,7 +47,8 @@
 }
 
 /// The answer to a query by idempotency key.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct KeyReply {
     /// `unknown`, `running` or `completed`.
--- a/crates/standins/src/worker/messages.rs
+++ b/crates/standins/src/worker/messages.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// An amount of each resource.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ResourceAmounts {
     /// Processors in thousandths of a core.
@@ -35,7 +36,8 @@
 }
 
 /// Makes a new owner known to the worker.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ClaimRequest {
     /// The shard of the worker's pool.
@@ -45,7 +47,8 @@
 }
 
 /// What the worker has and runs.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct ClaimReply {
     /// The worker's whole capacity.
@@ -55,7 +58,8 @@
 }
 
 /// An attempt that runs.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct RunningTask {
     /// The task.
@@ -67,7 +71,8 @@
 }
 
 /// Starts an attempt.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct StartRequest {
     /// The shard of the worker's pool.
@@ -87,7 +92,8 @@
 }
 
 /// What a task does on this stand-in.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct WorkPayload {
     /// Run time in milliseconds.
@@ -97,7 +103,8 @@
 }
 
 /// Names an attempt to be stopped, checkpointed or throttled.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct AttemptRequest {
     /// The shard of the worker's pool.
@@ -113,7 +120,8 @@
 }
 
 /// Whether the named attempt was running.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct AttemptReply {
     /// Whether the attempt was running.
@@ -121,7 +129,8 @@
 }
 
 /// Renews the leases of all attempts and asks for news.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct SyncRequest {
     /// The shard of the worker's pool.
@@ -135,7 +144,8 @@
 }
 
 /// Usage and completions.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct SyncReply {
     /// What the running attempts use.
@@ -145,7 +155,8 @@
 }
 
 /// The end of an attempt.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct CompletionEvent {
     /// Position in the worker's series of completions, counted from one.
@@ -159,7 +170,8 @@
 }
 
 /// A start or an end, as read by tests.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct LogLine {
     /// Milliseconds since the start of the worker.
@@ -175,7 +187,8 @@
 }
 
 /// What the worker does wrong at present.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WorkerFaults {
     /// Every attempt fails at once.
