Decide placement, restarts and cancellation of tasks, and bad workers

Cause: the pool shard had no queue. TaskQueue is the pure state machine of one pool; HealthTable puts targets on probation and fails bad jobs.

Ruled out: one waiting list tried from front to back, because a blocked head would make each release look at every waiting job; jobs wait in lanes of one size class instead, which close and open as a whole.

Found by the property test on the way: a member of a gang that was taken back while its worker fell silent was set to unresolved afterwards, and a never gang started in two parts. Both are corrected.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -51,19 +51,26 @@
 */
 
 mod calls;
+mod health;
 mod hosts;
 mod membership;
 mod objects;
 mod ownership;
+mod tasks;
 mod types;
 
 pub use calls::{CallAction, CallConfig, CallEvent, CallQueue, CallRequest};
 pub use calls::{GrantResult, RunnerEntry, SlotGrant};
+pub use health::{HealthAction, HealthConfig, HealthEvent, HealthTable};
 pub use hosts::{HostEntry, HostKind, HostState, HostTable};
 pub use membership::{Heartbeat, MemberRecord, PeerConfig, PeerState, PeerTable};
 pub use objects::{FencingMode, ObjectError, ObjectErrorKind, ObjectSet};
 pub use objects::{MarketSpec, PoolSpec, ServiceSpec, TeamSpec};
 pub use ownership::{OwnerRecord, OwnerTable, OwnershipAction, OwnershipEvent};
+pub use tasks::{CancelResult, Candidate, GangMode, JobId, JobSpec, PackingFirst, PlacementPolicy};
+pub use tasks::{RecordId, RejectReason, ReportedTask, RestartPolicy, TaskAction, TaskConfig};
+pub use tasks::{TaskEvent, TaskOutcome, TaskQueue, TaskRecord, TaskState, TaskView, TeamQuota};
+pub use tasks::{WaitReason, WaitingFirst, WorkCounter, WorkerEntry, WorkerReport};
 pub use types::{Attempt, ConfigVersion, DaemonId, Epoch, GrantId, HostId, ObjectName};
 pub use types::{CallOutcome, NotRunReason, ResourceVector, ShardName, UnknownReason};
 pub use types::{PoolId, RackId, RegionId, RequestId, RunnerId, ServiceId, TaskId, TeamId};
--- /dev/null
+++ b/crates/core/src/tasks/mod.rs
@@ -0,0 +1,30 @@
+/*!
+Tasks: batch runs, gangs and long-running work, placed on the workers of a pool.
+
+The owner of a pool shard holds the only queue of the pool, so it serializes
+placement, cancellation and restarts. Actions say what must be durable first: a
+[`TaskAction::Start`] of a task that runs in one place is returned only after
+[`TaskEvent::Recorded`] has confirmed the record of that start.
+*/
+
+mod cancel;
+mod index;
+mod ledger;
+mod messages;
+mod outcome;
+mod place;
+mod policy;
+mod records;
+mod reserve;
+mod state;
+#[cfg(test)]
+mod tests;
+mod waiting;
+mod workers;
+
+pub use index::WorkCounter;
+pub use messages::{CancelResult, GangMode, JobId, JobSpec, RecordId, ReportedTask, RestartPolicy};
+pub use messages::{RejectReason, TaskAction, TaskEvent, TaskOutcome, TaskRecord, TaskState};
+pub use messages::{TaskView, TeamQuota, WaitReason, WorkerEntry, WorkerReport};
+pub use policy::{Candidate, PackingFirst, PlacementPolicy, WaitingFirst};
+pub use state::{TaskConfig, TaskQueue};
--- /dev/null
+++ b/crates/core/src/tasks/records.rs
@@ -0,0 +1,171 @@
+//! Durable records: what they confirm, and their replay.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use super::{
+    ledger::PendingRecord,
+    messages::{
+        JobId, RecordId, RejectReason, RestartPolicy, TaskAction, TaskOutcome, TaskRecord,
+        TaskState,
+    },
+    policy::PlacementPolicy,
+    state::TaskQueue,
+};
+use crate::types::{Attempt, TaskId, WorkerId};
+
+impl<P: PlacementPolicy> TaskQueue<P> {
+    pub(super) fn recorded(&mut self, ids: &BTreeSet<RecordId>, now: Duration) {
+        if std::mem::take(&mut self.store_down) {
+            self.lanes.open_all();
+        }
+        for id in ids {
+            match self.ledger.records.remove(id) {
+                Some(PendingRecord::Accept(job)) => self.accepted(job, now),
+                Some(PendingRecord::Start(starts)) => self.start_recorded(&starts, now),
+                Some(PendingRecord::End(task)) => self.show_end(task),
+                Some(PendingRecord::Late(_)) | None => {}
+            }
+        }
+    }
+
+    fn accepted(&mut self, job: JobId, now: Duration) {
+        if let Some(entry) = self.ledger.jobs.get_mut(&job) {
+            entry.durable = true;
+            self.enqueue(job, now);
+        }
+        self.actions.push(TaskAction::Accepted(job));
+    }
+
+    fn start_recorded(&mut self, starts: &[(TaskId, Attempt)], now: Duration) {
+        for (task, attempt) in starts {
+            if self.is_recording(*task, *attempt) {
+                self.send_start(*task, now);
+            }
+        }
+    }
+
+    fn is_recording(&self, task: TaskId, attempt: Attempt) -> bool {
+        self.ledger.tasks.get(&task).is_some_and(|entry| {
+            entry.attempt == attempt && matches!(entry.state, TaskState::Recording(_))
+        })
+    }
+
+    fn show_end(&mut self, task: TaskId) {
+        if let Some(entry) = self.ledger.tasks.get(&task) {
+            self.actions.push(TaskAction::Changed(entry.view(task)));
+        }
+    }
+
+    pub(super) fn records_failed(&mut self, ids: &BTreeSet<RecordId>, now: Duration) {
+        self.store_down = true;
+        for id in ids {
+            match self.ledger.records.remove(id) {
+                Some(PendingRecord::Accept(job)) => self.withdraw(job, now),
+                Some(PendingRecord::Start(starts)) => self.start_not_recorded(&starts, now),
+                Some(pending) => {
+                    self.ledger.unwritten.push(pending);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Removes a job whose acceptance is not durable; no start of it was sent.
+    fn withdraw(&mut self, job: JobId, now: Duration) {
+        let Some(entry) = self.ledger.jobs.get(&job) else {
+            return;
+        };
+        for task in entry.spec.tasks.clone() {
+            self.vacate(task, now);
+            let state = self.ledger.tasks.get(&task).map(|entry| &entry.state);
+            if !matches!(state, Some(TaskState::Ended(_))) {
+                self.ledger.tasks.remove(&task);
+            }
+        }
+        self.forget_job(job);
+        let reason = RejectReason::StoreUnavailable;
+        self.actions.push(TaskAction::Reject(job, reason));
+    }
+
+    fn start_not_recorded(&mut self, starts: &[(TaskId, Attempt)], now: Duration) {
+        for (task, attempt) in starts {
+            if self.is_recording(*task, *attempt) {
+                self.requeue(*task, now);
+            }
+        }
+    }
+
+    /// Writes failed records that nothing can undo again.
+    pub(super) fn retry_records(&mut self) {
+        for pending in std::mem::take(&mut self.ledger.unwritten) {
+            match &pending {
+                PendingRecord::Late(record) => self.record(record.clone(), pending),
+                PendingRecord::End(task) => {
+                    let state = self.ledger.tasks.get(task).map(|entry| &entry.state);
+                    if let Some(TaskState::Ended(outcome)) = state {
+                        let record = TaskRecord::Ended(*task, *outcome);
+                        self.record(record, pending);
+                    }
+                }
+                PendingRecord::Accept(_) | PendingRecord::Start(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn replay(&mut self, records: Vec<TaskRecord>, now: Duration) {
+        for record in records {
+            match record {
+                TaskRecord::Accepted(spec) => self.insert_job(spec, true, now),
+                TaskRecord::Started(starts) => {
+                    for (task, attempt, worker) in starts {
+                        self.replay_start(task, attempt, &worker, now);
+                    }
+                }
+                TaskRecord::Requeued(task) => self.replay_requeue(task, now),
+                TaskRecord::Ended(task, outcome) => self.replay_end(task, outcome, now),
+            }
+        }
+        let jobs: Vec<_> = self.ledger.jobs.keys().copied().collect();
+        for job in jobs {
+            self.enqueue(job, now);
+        }
+    }
+
+    /// A recorded start may have been sent: the task stays unresolved until
+    /// its worker answers. Only an `anytime` task does not wait for that.
+    fn replay_start(&mut self, task: TaskId, attempt: Attempt, worker: &WorkerId, now: Duration) {
+        self.vacate(task, now);
+        let Some((job, demand)) = self.demand_of(task) else {
+            return;
+        };
+        self.occupy(job, task, worker, &demand);
+        if let Some(entry) = self.ledger.tasks.get_mut(&task) {
+            entry.attempt = attempt;
+            entry.start_sent = true;
+            entry.started_at = now;
+        }
+        self.set_state(task, TaskState::Unresolved(worker.clone()));
+        if self.restart_of(task) == Some(RestartPolicy::Anytime) {
+            let expiry = now + self.config.lease;
+            self.ledger.set_expiry(task, Some(expiry));
+        }
+    }
+
+    fn replay_requeue(&mut self, task: TaskId, now: Duration) {
+        self.vacate(task, now);
+        self.set_state(
+            task,
+            TaskState::Waiting(super::messages::WaitReason::Queued),
+        );
+        let job = self.ledger.tasks.get(&task).map(|entry| entry.job);
+        if let Some(job) = job.and_then(|job| self.ledger.jobs.get_mut(&job)) {
+            job.pending.insert(task);
+        }
+    }
+
+    fn replay_end(&mut self, task: TaskId, outcome: TaskOutcome, now: Duration) {
+        self.vacate(task, now);
+        self.set_state(task, TaskState::Ended(outcome));
+        self.count_end(task);
+    }
+}
--- /dev/null
+++ b/crates/core/src/tasks/reserve.rs
@@ -0,0 +1,224 @@
+//! The reservation for the first waiting job, and backfill around it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::{
+    messages::{JobId, WaitReason},
+    policy::PlacementPolicy,
+    state::TaskQueue,
+    workers::times_in,
+};
+use crate::types::{ResourceVector, TaskId, WorkerId};
+
+/// Expected ends that one plan looks at.
+const PLAN_ENDS: usize = 4_096;
+/// Reserved workers that one backfill looks at.
+const BACKFILL_WORKERS: usize = 16;
+/// Time between two plans for the first job.
+const PLAN_INTERVAL: Duration = Duration::from_secs(5);
+/// Delay of a planned start after which the plan is made anew.
+const PLAN_GRACE: Duration = Duration::from_mins(1);
+
+/// Room held for the first job until its planned start.
+#[derive(Clone, Debug)]
+pub(super) struct GangReservation {
+    job: JobId,
+    /// The number of its tasks on each worker.
+    pub(super) workers: BTreeMap<WorkerId, u64>,
+    start_at: Duration,
+    /// Whether room on one of the workers has changed.
+    pub(super) changed: bool,
+}
+
+impl<P: PlacementPolicy> TaskQueue<P> {
+    /// Starts the reserved job if all its room is free.
+    pub(super) fn start_reserved(&mut self, now: Duration) {
+        let Some(reservation) = &mut self.reservation else {
+            return;
+        };
+        let changed = std::mem::take(&mut reservation.changed);
+        let late = now > reservation.start_at + PLAN_GRACE;
+        let (id, workers) = (reservation.job, reservation.workers.clone());
+        let waiting = self.ledger.jobs.get(&id).filter(|job| job.entry.is_some());
+        let Some((demand, members)) = waiting.map(|job| (job.spec.demand, job.members())) else {
+            self.drop_reservation();
+            return;
+        };
+        if changed && self.has_room(&workers, &demand) {
+            self.drop_reservation();
+            self.place_on(id, &workers, &demand, members, now);
+        } else if late {
+            self.drop_reservation();
+            self.next_plan = now;
+        }
+    }
+
+    fn has_room(&mut self, workers: &BTreeMap<WorkerId, u64>, demand: &ResourceVector) -> bool {
+        self.workers.work.steps += workers.len() as u64;
+        workers.iter().all(|(name, count)| {
+            let free = self.workers.free_for(name, demand);
+            demand.times(*count).fits_in(&free)
+        })
+    }
+
+    fn place_on(
+        &mut self,
+        id: JobId,
+        workers: &BTreeMap<WorkerId, u64>,
+        demand: &ResourceVector,
+        members: u64,
+        now: Duration,
+    ) {
+        let team = self.ledger.jobs.get(&id).map(|job| job.spec.team.clone());
+        let allowed = team
+            .and_then(|team| self.ledger.teams.get(&team))
+            .is_some_and(|team| team.allows(&demand.times(members)));
+        if !allowed {
+            return;
+        }
+        let names = workers
+            .iter()
+            .flat_map(|(name, count)| (0..*count).map(move |_| name.clone()));
+        let placed: Vec<(TaskId, WorkerId)> =
+            self.pending_tasks(id).into_iter().zip(names).collect();
+        for (task, worker) in &placed {
+            self.workers.allocate(worker, *task, demand);
+        }
+        self.commit(id, &placed, now);
+    }
+
+    /// Gives the held room back.
+    pub(super) fn drop_reservation(&mut self) {
+        let Some(reservation) = self.reservation.take() else {
+            return;
+        };
+        for name in reservation.workers.keys() {
+            self.workers.hold(name, ResourceVector::default());
+            let room = self.workers.free_for(name, &ResourceVector::new(0, 0, 1));
+            self.workers.work.steps += self.lanes.open_fitting(&room);
+        }
+    }
+
+    /// Reserves room for the first waiting job once it has waited for long.
+    pub(super) fn reserve_for_first(&mut self, now: Duration) {
+        if self.reservation.is_some() || self.store_down || now < self.next_plan {
+            return;
+        }
+        let Some(id) = self.lanes.first_job() else {
+            return;
+        };
+        let Some(job) = self.ledger.jobs.get_mut(&id) else {
+            return;
+        };
+        if now < job.waiting_since + self.config.reserve_after {
+            return;
+        }
+        self.next_plan = now + PLAN_INTERVAL;
+        let (demand, members) = (job.spec.demand, job.members());
+        let Some((workers, start_at)) = self.plan(&demand, members, now) else {
+            return;
+        };
+        for (name, count) in &workers {
+            self.workers.hold(name, demand.times(*count));
+        }
+        if let Some(job) = self.ledger.jobs.get_mut(&id) {
+            job.reason = WaitReason::Reserved;
+        }
+        self.reservation = Some(GangReservation {
+            job: id,
+            workers,
+            start_at,
+            changed: true,
+        });
+    }
+
+    /// Finds the earliest time at which the expected ends of running tasks
+    /// leave room for all members, and the workers that have it then.
+    fn plan(
+        &mut self,
+        demand: &ResourceVector,
+        members: u64,
+        now: Duration,
+    ) -> Option<(BTreeMap<WorkerId, u64>, Duration)> {
+        let mut rooms = BTreeMap::new();
+        let mut counts = BTreeMap::new();
+        let mut total = 0;
+        for name in self.workers.candidates(demand, false) {
+            let free = self.workers.free_for(&name, demand);
+            total += times_in(demand, &free);
+            counts.insert(name.clone(), times_in(demand, &free));
+            rooms.insert(name, free);
+        }
+        let mut start_at = now;
+        for (end, task) in self.ledger.ends.iter().take(PLAN_ENDS) {
+            if total >= members {
+                break;
+            }
+            self.workers.work.steps += 1;
+            let Some((name, freed)) = self.freed_by(*task, demand) else {
+                continue;
+            };
+            let room = rooms
+                .entry(name.clone())
+                .or_insert_with(|| self.workers.free_for(&name, demand));
+            *room = room.plus(&freed);
+            let fits = times_in(demand, room);
+            let before = counts.insert(name, fits).unwrap_or(0);
+            total += fits - before.min(fits);
+            start_at = start_at.max(*end);
+        }
+        (total >= members).then(|| (take_members(counts, members), start_at))
+    }
+
+    /// Returns what an end leaves to `demand`, if its worker is open.
+    fn freed_by(
+        &self,
+        task: TaskId,
+        demand: &ResourceVector,
+    ) -> Option<(WorkerId, ResourceVector)> {
+        let entry = self.ledger.tasks.get(&task)?;
+        let name = entry.worker()?.clone();
+        let slot = self.workers.get(&name)?;
+        let freed = self.ledger.jobs.get(&entry.job)?.spec.demand;
+        let plain_host = slot.entry.capacity.accelerators > 0 && demand.accelerators == 0;
+        let usable = !plain_host || freed.accelerators == 0;
+        (slot.is_open() && usable).then_some((name, freed))
+    }
+
+    /// Returns reserved workers that a job may use because it ends in time.
+    pub(super) fn backfill_candidates(
+        &self,
+        id: JobId,
+        demand: &ResourceVector,
+        now: Duration,
+    ) -> Vec<WorkerId> {
+        let (Some(reservation), Some(job)) = (&self.reservation, self.ledger.jobs.get(&id)) else {
+            return Vec::new();
+        };
+        let run_time = self.ledger.run_times.expect(&job.spec);
+        if run_time.is_none_or(|time| now + time > reservation.start_at) {
+            return Vec::new();
+        }
+        let names = reservation.workers.keys().take(BACKFILL_WORKERS);
+        names
+            .filter(|name| demand.fits_in(&self.workers.free_for(name, demand)))
+            .cloned()
+            .collect()
+    }
+}
+
+/// Takes the members from the workers with the most room first.
+fn take_members(counts: BTreeMap<WorkerId, u64>, members: u64) -> BTreeMap<WorkerId, u64> {
+    let mut order: Vec<_> = counts.into_iter().collect();
+    order.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    let mut left = members;
+    let mut taken = BTreeMap::new();
+    for (name, count) in order {
+        let here = count.min(left);
+        left -= here;
+        if here > 0 {
+            taken.insert(name, here);
+        }
+    }
+    taken
+}
--- /dev/null
+++ b/crates/core/src/tasks/tests/examples.rs
@@ -0,0 +1,294 @@
+//! One situation per test.
+
+use super::*;
+use crate::tasks::{
+    CancelResult, RejectReason, ReportedTask, TaskOutcome, TaskState, WaitReason, WorkerReport,
+};
+
+fn report(worker: &str, report: WorkerReport) -> TaskEvent {
+    TaskEvent::WorkerReported(worker.into(), report)
+}
+
+fn ended(task: TaskId, success: bool) -> WorkerReport {
+    WorkerReport {
+        completions: vec![(task, 1, success)],
+        ..WorkerReport::default()
+    }
+}
+
+/// Guards against a start that the owner's successor knows nothing of.
+#[test]
+fn a_start_follows_its_record() {
+    let mut queue = queue(1);
+
+    let submitted = submit(&mut queue, job(1, 1, 1), Duration::ZERO);
+    let before = starts(&submitted).len();
+    let after = starts(&commit(&mut queue, submitted, Duration::ZERO)).len();
+
+    assert_eq!((before, after), (0, 1));
+}
+
+/// Guards against `anytime` work that stops with the store.
+#[test]
+fn anytime_work_starts_while_records_fail() {
+    let mut queue = queue(1);
+    let spec = JobSpec {
+        restart: RestartPolicy::Anytime,
+        ..job(1, 2, 16)
+    };
+    let submitted = submit(&mut queue, spec, Duration::ZERO);
+    let first = queue.handle(TaskEvent::Recorded(record_ids(&submitted)), Duration::ZERO);
+    queue.handle(TaskEvent::RecordsFailed(record_ids(&first)), Duration::ZERO);
+
+    let actions = queue.handle(report("w0", ended(task(1_000), true)), Duration::ZERO);
+
+    assert_eq!(starts(&first).len() + starts(&actions).len(), 2);
+}
+
+/// Guards against starts without a record during a store outage.
+#[test]
+fn other_work_waits_while_records_fail() {
+    let mut queue = queue(1);
+    let submitted = submit(&mut queue, job(1, 1, 16), Duration::ZERO);
+    let [accept, start] = record_ids(&submitted).into_iter().collect::<Vec<_>>()[..] else {
+        panic!("an acceptance and a start are recorded");
+    };
+    queue.handle(TaskEvent::Recorded([accept].into()), Duration::ZERO);
+
+    let actions = queue.handle(TaskEvent::RecordsFailed([start].into()), Duration::ZERO);
+
+    let state = queue.view(task(1_000)).map(|view| view.state);
+    assert_eq!(
+        state,
+        Some(TaskState::Waiting(WaitReason::StoreUnavailable))
+    );
+    assert!(starts(&actions).is_empty());
+}
+
+/// Guards against a caller that waits for a job no worker can hold.
+#[test]
+fn an_impossible_job_is_rejected() {
+    let mut queue = queue(2);
+
+    let actions = submit(&mut queue, job(1, 1, 17), Duration::ZERO);
+    let gang = submit(&mut queue, gang(2, 3, 16), Duration::ZERO);
+
+    assert_eq!(
+        actions,
+        vec![TaskAction::Reject(1, RejectReason::NeverFits)]
+    );
+    assert_eq!(
+        gang,
+        vec![TaskAction::Reject(2, RejectReason::GangNeverFits)]
+    );
+}
+
+/// Guards against waiting work that a configuration change made impossible.
+#[test]
+fn a_smaller_quota_rejects_waiting_work() {
+    let mut queue = queue(1);
+    let spec = job(1, 2, 16);
+    let submitted = submit(&mut queue, spec, Duration::ZERO);
+    commit(&mut queue, submitted, Duration::ZERO);
+    let quota = team(ResourceVector::new(8_000, u64::MAX, 0));
+
+    let actions = queue.handle(TaskEvent::TeamsChanged(vec![quota]), Duration::ZERO);
+
+    assert!(actions.contains(&TaskAction::Reject(1, RejectReason::AboveQuota)));
+}
+
+/// Guards against work on a worker whose running tasks are not yet known.
+#[test]
+fn nothing_is_placed_before_the_claim() {
+    let mut queue = configured(&[worker(0, GENERAL)]);
+    let submitted = submit(&mut queue, job(1, 1, 1), Duration::ZERO);
+    let before = starts(&commit(&mut queue, submitted, Duration::ZERO)).len();
+
+    let claimed = queue.handle(
+        TaskEvent::WorkerClaimed("w0".into(), vec![]),
+        Duration::ZERO,
+    );
+    let after = starts(&commit(&mut queue, claimed, Duration::ZERO)).len();
+
+    assert_eq!((before, after), (0, 1));
+}
+
+/// Guards against accelerators stranded by work that needs none.
+#[test]
+fn accelerator_hosts_keep_a_share() {
+    let mut queue = claimed(&[worker(0, ACCELERATED)]);
+
+    let submitted = submit(&mut queue, job(1, 32, 1), Duration::ZERO);
+    let started = starts(&commit(&mut queue, submitted, Duration::ZERO)).len();
+
+    assert_eq!(started, 16);
+}
+
+/// Guards against a gang that starves behind small work, and against hosts
+/// that stay idle until it starts.
+#[test]
+fn a_gang_is_reserved_for_and_backfilled() {
+    let mut queue = queue(2);
+    let minute = Duration::from_mins(1);
+    let long = JobSpec {
+        run_time: Some(minute * 10),
+        ..job(1, 1, 16)
+    };
+    for spec in [long, job(2, 1, 8), gang(3, 2, 16)] {
+        let actions = submit(&mut queue, spec, Duration::ZERO);
+        commit(&mut queue, actions, Duration::ZERO);
+    }
+    let actions = queue.handle(TaskEvent::TimerFired, minute);
+    commit(&mut queue, actions, minute);
+
+    let short = submit(&mut queue, job(4, 1, 4), minute);
+    let short = starts(&commit(&mut queue, short, minute)).len();
+    let long = JobSpec {
+        run_time: Some(minute * 30),
+        ..job(5, 1, 4)
+    };
+    let long = submit(&mut queue, long, minute);
+    let long = starts(&commit(&mut queue, long, minute)).len();
+    for (name, id) in [
+        ("w0", 1_000),
+        ("w1", 2_000),
+        ("w1", 4_000),
+        ("w0", 2_000),
+        ("w0", 4_000),
+    ] {
+        queue.handle(report(name, ended(task(id), true)), minute * 9);
+    }
+    let state = queue.view(task(3_000)).map(|view| view.state);
+
+    assert_eq!((short, long), (1, 0));
+    assert!(matches!(state, Some(TaskState::Recording(_))));
+}
+
+/// Guards against an unclear answer when a cancellation meets a start.
+#[test]
+fn a_cancellation_that_races_a_start_has_one_result() {
+    let mut queue = queue(1);
+    let submitted = submit(&mut queue, job(1, 1, 1), Duration::ZERO);
+    let ids = record_ids(&submitted);
+
+    let cancelled = queue.handle(TaskEvent::Cancel(task(1_000)), Duration::ZERO);
+    let recorded = queue.handle(TaskEvent::Recorded(ids), Duration::ZERO);
+
+    let result = TaskAction::Cancelled(task(1_000), CancelResult::NotStarted);
+    assert!(cancelled.contains(&result));
+    assert!(starts(&recorded).is_empty());
+}
+
+/// Guards against a burst of cancellations that looks at unrelated tasks, and
+/// against one that misses a task.
+#[test]
+fn ten_thousand_tasks_are_cancelled_by_label() {
+    let mut queue = queue(4);
+    for number in 1..=10 {
+        let mut spec = job(number, 1_000, 1);
+        spec.labels = vec![format!("half={}", number % 2).into()];
+        submit(&mut queue, spec, Duration::ZERO);
+    }
+    let mut many = job(20, 10_000, 1);
+    many.tasks = (100_000..110_000).map(task).collect();
+    submit(&mut queue, many, Duration::ZERO);
+
+    let actions = queue.handle(TaskEvent::CancelLabel("run=night".into()), Duration::ZERO);
+
+    let cancelled = |action: &&TaskAction| matches!(action, TaskAction::Cancelled(..));
+    assert_eq!(actions.iter().filter(cancelled).count(), 10_000);
+}
+
+/// Guards against a second run of a `never` task, and against a forgotten one.
+#[test]
+fn a_lost_never_task_ends_unknown() {
+    let mut queue = queue(1);
+    let spec = JobSpec {
+        restart: RestartPolicy::Never,
+        ..job(1, 1, 1)
+    };
+    let submitted = submit(&mut queue, spec, Duration::ZERO);
+    commit(&mut queue, submitted, Duration::ZERO);
+    queue.handle(TaskEvent::WorkerSilent("w0".into()), Duration::from_secs(1));
+    let early = queue.handle(TaskEvent::TimerFired, Duration::from_mins(1));
+    let unresolved = queue.view(task(1_000)).map(|view| view.state);
+
+    queue.handle(TaskEvent::TimerFired, Duration::from_secs(70));
+
+    let state = queue.view(task(1_000)).map(|view| view.state);
+    assert!(starts(&early).is_empty());
+    assert_eq!(unresolved, Some(TaskState::Unresolved("w0".into())));
+    assert_eq!(state, Some(TaskState::Ended(TaskOutcome::Unknown)));
+}
+
+/// Guards against an overlap of two attempts after a takeover.
+#[test]
+fn a_replayed_start_waits_for_its_worker() {
+    let mut former = queue(2);
+    let submitted = submit(&mut former, job(1, 1, 1), Duration::ZERO);
+    let records = submitted.iter().filter_map(|action| match action {
+        TaskAction::Record(_, record) => Some(record.clone()),
+        _ => None,
+    });
+    let mut queue = TaskQueue::new(TaskConfig::default(), PackingFirst);
+    queue.handle(TaskEvent::Replayed(records.collect()), Duration::ZERO);
+    let quota = ResourceVector::new(u64::MAX, u64::MAX, u64::MAX);
+    queue.handle(TaskEvent::TeamsChanged(vec![team(quota)]), Duration::ZERO);
+    let workers = vec![worker(0, GENERAL), worker(1, GENERAL)];
+    queue.handle(TaskEvent::WorkersChanged(workers), Duration::ZERO);
+    queue.handle(
+        TaskEvent::WorkerClaimed("w1".into(), vec![]),
+        Duration::ZERO,
+    );
+    let waiting = queue.view(task(1_000)).map(|view| view.state);
+
+    let running = ReportedTask {
+        task: task(1_000),
+        attempt: 1,
+        demand: GENERAL,
+    };
+    queue.handle(
+        TaskEvent::WorkerClaimed("w0".into(), vec![running]),
+        Duration::ZERO,
+    );
+
+    let state = queue.view(task(1_000)).map(|view| view.state);
+    assert_eq!(waiting, Some(TaskState::Unresolved("w0".into())));
+    assert_eq!(state, Some(TaskState::Running("w0".into())));
+}
+
+/// Guards against a host that stays above its capacity.
+#[test]
+fn usage_over_capacity_is_relieved_step_by_step() {
+    let mut queue = queue(1);
+    let spec = JobSpec {
+        checkpoint: true,
+        ..job(1, 1, 1)
+    };
+    let submitted = submit(&mut queue, spec, Duration::ZERO);
+    commit(&mut queue, submitted, Duration::ZERO);
+    queue.handle(TaskEvent::StartAccepted(task(1_000), 1), Duration::ZERO);
+    let running = ReportedTask {
+        task: task(1_000),
+        attempt: 1,
+        demand: GENERAL,
+    };
+    let over = WorkerReport {
+        usage: ACCELERATED,
+        running: vec![running],
+        ..WorkerReport::default()
+    };
+
+    let steps: Vec<_> = (0..3)
+        .flat_map(|_| queue.handle(report("w0", over.clone()), Duration::ZERO))
+        .filter(|action| !matches!(action, TaskAction::Changed(_)))
+        .collect();
+
+    let name: WorkerId = "w0".into();
+    let expected = vec![
+        TaskAction::Throttle(task(1_000), name.clone()),
+        TaskAction::Checkpoint(task(1_000), name.clone()),
+        TaskAction::Stop(task(1_000), 1, name),
+    ];
+    assert_eq!(steps, expected);
+}
