Settle lost start responses by a claim, and replay late records safely

Faults found: a worker can reject a repeated start while the first one still runs, so only anytime starts are repeated and other tasks wait for a new claim; a requeue record written again after a failure could replay after the end of its task.

--- /dev/null
+++ b/crates/core/benches/decisions.rs
@@ -0,0 +1,163 @@
+//! Counted work per decision as the fleet and the running tasks grow.
+//!
+//! The work of a step is the index steps and comparisons of the queue divided
+//! by the tasks placed. At 6,200 workers it may be at most the work at 48
+//! workers times log(6,200) / log(48) times a margin of 1.25; the same formula
+//! bounds each size.
+
+mod placement_support;
+
+use std::{process::ExitCode, time::Duration, time::Instant};
+
+use auburnsaddle_core::{
+    PackingFirst, PlacementPolicy, ResourceVector, TaskAction, TaskEvent, TaskQueue, WaitingFirst,
+    WorkerReport,
+};
+use placement_support::{ResultRow, generator, job, pareto, print_table, queue, run, workers};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+const SEED: u64 = 1;
+const TEAMS: usize = 340;
+const MARGIN: f64 = 1.25;
+/// Workers and running tasks of each step.
+const SIZES: [(usize, usize); 4] = [(48, 325), (200, 1_355), (1_000, 6_774), (6_200, 42_000)];
+/// Placements measured at each size.
+const DECISIONS: u64 = 2_000;
+const CAPACITY: ResourceVector = ResourceVector::new(32_000, 131_072, 0);
+
+/// Figures of one size.
+struct StepResult {
+    steps: f64,
+    per_second: f64,
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn demand(generator: &mut ChaCha8Rng) -> ResourceVector {
+    let cores = pareto(generator, 1.1, 1.0, 16.0);
+    let memory = cores * generator.random_range(1.0..5.0);
+    ResourceVector::new((cores * 1_000.0) as u64, (memory * 1_024.0) as u64, 0)
+}
+
+struct Load<P> {
+    queue: TaskQueue<P>,
+    generator: ChaCha8Rng,
+    next_job: u64,
+    running: Vec<(auburnsaddle_core::TaskId, u32, auburnsaddle_core::WorkerId)>,
+}
+
+impl<P: PlacementPolicy> Load<P> {
+    fn new(policy: P, worker_len: usize) -> Self {
+        let entries = workers("general", worker_len, 5, CAPACITY);
+        let mut queue = queue(policy, TEAMS);
+        run(
+            &mut queue,
+            TaskEvent::WorkersChanged(entries.clone()),
+            Duration::ZERO,
+        );
+        for entry in entries {
+            run(
+                &mut queue,
+                TaskEvent::WorkerClaimed(entry.worker, vec![]),
+                Duration::ZERO,
+            );
+        }
+        Self {
+            queue,
+            generator: generator(SEED),
+            next_job: 1,
+            running: Vec::new(),
+        }
+    }
+
+    fn note(&mut self, actions: Vec<TaskAction>) {
+        for action in actions {
+            if let TaskAction::Start(task, attempt, worker) = action {
+                self.running.push((task, attempt, worker));
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        let demand = demand(&mut self.generator);
+        let team = self.generator.random_range(0..TEAMS);
+        let spec = job(self.next_job, 1, team, demand);
+        self.next_job += 1;
+        let actions = run(&mut self.queue, TaskEvent::Submitted(spec), Duration::ZERO);
+        self.note(actions);
+    }
+
+    fn finish(&mut self) {
+        let index = self.generator.random_range(0..self.running.len());
+        let (task, attempt, worker) = self.running.swap_remove(index);
+        let completions = vec![(task, attempt, true)];
+        let report = WorkerReport {
+            completions,
+            ..WorkerReport::default()
+        };
+        let event = TaskEvent::WorkerReported(worker, report);
+        let actions = run(&mut self.queue, event, Duration::ZERO);
+        self.note(actions);
+    }
+}
+
+/// Fills the fleet, leaves a queue of waiting work, then replaces tasks.
+fn measure<P: PlacementPolicy>(policy: P, worker_len: usize, task_len: usize) -> StepResult {
+    let mut load = Load::new(policy, worker_len);
+    for _ in 0..task_len + task_len / 10 {
+        load.submit();
+    }
+    let before = load.queue.work();
+    let begin = Instant::now();
+    while load.queue.work().placed < before.placed + DECISIONS {
+        load.finish();
+        load.submit();
+    }
+    let elapsed = begin.elapsed().as_secs_f64();
+    let after = load.queue.work();
+    let placed = (after.placed - before.placed) as f64;
+    StepResult {
+        steps: (after.steps - before.steps) as f64 / placed,
+        per_second: placed / elapsed,
+    }
+}
+
+fn measure_policy<P: PlacementPolicy + Copy>(policy: P) -> Vec<ResultRow> {
+    let mut rows = Vec::new();
+    let mut base = 0.0;
+    for (worker_len, task_len) in SIZES {
+        let result = measure(policy, worker_len, task_len);
+        let smallest = SIZES[0].0;
+        let bound = if worker_len == smallest {
+            base = result.steps;
+            None
+        } else {
+            let growth = (worker_len as f64).ln() / (smallest as f64).ln();
+            Some(base * growth * MARGIN)
+        };
+        let name = format!("{policy:?} {worker_len} workers, {task_len} tasks:");
+        rows.push(ResultRow::new(
+            format!("{name} steps"),
+            result.steps,
+            bound,
+            SEED,
+        ));
+        rows.push(ResultRow::new(
+            format!("{name} decisions/s"),
+            result.per_second,
+            None,
+            SEED,
+        ));
+    }
+    rows
+}
+
+fn main() -> ExitCode {
+    let mut rows = measure_policy(WaitingFirst);
+    rows.extend(measure_policy(PackingFirst));
+    if print_table(&rows) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/core/src/tasks/messages.rs
+++ b/crates/core/src/tasks/messages.rs
@@ -217,7 +217,7 @@
     /// Tasks of one job start together on workers.
     Started(Vec<(TaskId, Attempt, WorkerId)>),
     /// An attempt stopped without an outcome; the task waits again.
-    Requeued(TaskId),
+    Requeued(TaskId, Attempt),
     /// A task ended.
     Ended(TaskId, TaskOutcome),
 }
@@ -272,6 +272,8 @@
     Accepted(JobId),
     /// Tells the caller that the job was not accepted, or is removed.
     Reject(JobId, RejectReason),
+    /// Asks a worker what it runs, because the response to a start was lost.
+    Claim(WorkerId),
     /// Starts an attempt.
     Start(TaskId, Attempt, WorkerId),
     /// Stops an attempt.
--- a/crates/core/src/tasks/outcome.rs
+++ b/crates/core/src/tasks/outcome.rs
@@ -331,22 +331,25 @@
         }
     }
 
-    /// Repeats a start with the same attempt, which a worker runs only once; a
-    /// `never` task instead waits for what its worker reports.
+    /// Repeats an `anytime` start. Any other task is settled by a new claim: a
+    /// worker could reject a repeated start and still run the first one, which
+    /// would then overlap the next attempt elsewhere.
     pub(super) fn start_unknown(&mut self, task: TaskId, attempt: Attempt) {
         let state = self
             .ledger
             .tasks
             .get(&task)
             .map(|entry| entry.state.clone());
-        let (Some(TaskState::Starting(worker)), true) = (state, self.is_attempt(task, attempt))
+        let (Some(TaskState::Starting(worker) | TaskState::Stopping(worker)), true) =
+            (state, self.is_attempt(task, attempt))
         else {
             return;
         };
-        if self.restart_of(task) == Some(RestartPolicy::Never) {
-            self.set_state(task, TaskState::Unresolved(worker));
-        } else {
+        if self.restart_of(task) == Some(RestartPolicy::Anytime) {
             self.actions.push(TaskAction::Start(task, attempt, worker));
+        } else {
+            self.set_state(task, TaskState::Unresolved(worker.clone()));
+            self.actions.push(TaskAction::Claim(worker));
         }
     }
 
@@ -498,7 +501,7 @@
         let Some(entry) = self.ledger.tasks.get_mut(&task) else {
             return;
         };
-        let job = entry.job;
+        let (job, attempt) = (entry.job, entry.attempt);
         let sent = std::mem::take(&mut entry.start_sent);
         entry.stop = None;
         self.set_state(task, TaskState::Waiting(WaitReason::Queued));
@@ -506,7 +509,7 @@
             job.pending.insert(task);
         }
         if sent {
-            let record = TaskRecord::Requeued(task);
+            let record = TaskRecord::Requeued(task, attempt);
             self.record(record.clone(), PendingRecord::Late(record));
         }
         self.refresh(job, now);
--- a/crates/core/src/tasks/place.rs
+++ b/crates/core/src/tasks/place.rs
@@ -108,10 +108,34 @@
     ) -> Option<WorkerId> {
         let spread = self.ledger.jobs.get(&id)?.spec.spread;
         let whole_pool = spread || self.policy.whole_pool();
-        let mut names = self.workers.candidates(demand, whole_pool);
-        if names.is_empty() {
-            names = self.backfill_candidates(id, demand, now);
+        let names = self.workers.candidates(demand, whole_pool);
+        let chosen = self.cheapest(id, demand, names);
+        let opens_host = !whole_pool && demand.accelerators == 0;
+        let empty = |name: &WorkerId| {
+            let slot = self.workers.get(name);
+            slot.is_some_and(|slot| slot.tasks.is_empty())
+        };
+        match chosen {
+            None => {
+                let names = self.backfill_candidates(id, demand, now);
+                self.cheapest(id, demand, names)
+            }
+            // The open share of an accelerator host in use goes before a
+            // further host.
+            Some(name) if opens_host && empty(&name) => {
+                let names = self.workers.shared_candidates(demand);
+                self.cheapest(id, demand, names).or(Some(name))
+            }
+            Some(name) => Some(name),
         }
+    }
+
+    fn cheapest(
+        &mut self,
+        id: JobId,
+        demand: &ResourceVector,
+        names: Vec<WorkerId>,
+    ) -> Option<WorkerId> {
         self.workers.work.steps += names.len() as u64;
         names
             .into_iter()
--- a/crates/core/src/tasks/records.rs
+++ b/crates/core/src/tasks/records.rs
@@ -121,7 +121,7 @@
                         self.replay_start(task, attempt, &worker, now);
                     }
                 }
-                TaskRecord::Requeued(task) => self.replay_requeue(task, now),
+                TaskRecord::Requeued(task, attempt) => self.replay_requeue(task, attempt, now),
                 TaskRecord::Ended(task, outcome) => self.replay_end(task, outcome, now),
             }
         }
@@ -131,9 +131,22 @@
         }
     }
 
+    /// Records that were written again after a failure may follow later ones.
+    fn is_news(&self, task: TaskId, attempt: Attempt) -> bool {
+        self.ledger.tasks.get(&task).is_some_and(|entry| {
+            entry.attempt <= attempt && !matches!(entry.state, TaskState::Ended(_))
+        })
+    }
+
     /// A recorded start may have been sent: the task stays unresolved until
     /// its worker answers. Only an `anytime` task does not wait for that.
     fn replay_start(&mut self, task: TaskId, attempt: Attempt, worker: &WorkerId, now: Duration) {
+        let requeued = self.ledger.tasks.get(&task).is_some_and(|entry| {
+            entry.attempt == attempt && matches!(entry.state, TaskState::Waiting(_))
+        });
+        if requeued || !self.is_news(task, attempt) {
+            return;
+        }
         self.vacate(task, now);
         let Some((job, demand)) = self.demand_of(task) else {
             return;
@@ -151,13 +164,19 @@
         }
     }
 
-    fn replay_requeue(&mut self, task: TaskId, now: Duration) {
+    fn replay_requeue(&mut self, task: TaskId, attempt: Attempt, now: Duration) {
+        if !self.is_news(task, attempt) {
+            return;
+        }
         self.vacate(task, now);
         self.set_state(
             task,
             TaskState::Waiting(super::messages::WaitReason::Queued),
         );
-        let job = self.ledger.tasks.get(&task).map(|entry| entry.job);
+        let job = self.ledger.tasks.get_mut(&task).map(|entry| {
+            entry.attempt = attempt;
+            entry.job
+        });
         if let Some(job) = job.and_then(|job| self.ledger.jobs.get_mut(&job)) {
             job.pending.insert(task);
         }
--- a/crates/core/src/tasks/workers.rs
+++ b/crates/core/src/tasks/workers.rs
@@ -389,6 +389,19 @@
         }
         Vec::new()
     }
+
+    /// Returns accelerator hosts in use whose open share has room for `demand`.
+    pub(super) fn shared_candidates(&mut self, demand: &ResourceVector) -> Vec<WorkerId> {
+        let found = search(&self.plain, demand, false, self.cursor, &mut self.work);
+        let names = found.into_iter().map(|slot| &self.accelerated_names[slot]);
+        names
+            .filter(|name| {
+                let slot = self.slots.get(*name);
+                slot.is_some_and(|slot| !slot.tasks.is_empty())
+            })
+            .cloned()
+            .collect()
+    }
 }
 
 fn search(
