--- a/crates/core/src/tasks/state.rs
+++ b/crates/core/src/tasks/state.rs
@@ -382,9 +382,9 @@
 
     /// Returns the part of the pool that a team holds, divided by its weight.
     pub(super) fn update_share(&mut self, team: &TeamId) {
-        /// Shares closer than a sixty-fourth of the pool count as equal, so
+        /// Shares closer than a sixteenth of the pool count as equal, so
         /// that the policy decides among them.
-        const SHARE_STEPS: u64 = 64;
+        const SHARE_STEPS: u64 = 16;
         let Some(entry) = self.ledger.teams.get(team) else {
             return;
         };
