--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -36,6 +36,7 @@
     steps: f64,
     per_second: f64,
     running: f64,
+    per_event: f64,
     worker_bytes: f64,
     task_bytes: f64,
 }
@@ -134,9 +135,11 @@
     let running = load.running.len() as f64;
     let before = load.queue.work();
     let begin = Instant::now();
+    let mut events = 0;
     while load.queue.work().placed < before.placed + DECISIONS {
         load.finish();
         load.submit();
+        events += 2;
     }
     let elapsed = begin.elapsed().as_secs_f64();
     let after = load.queue.work();
@@ -145,6 +148,7 @@
         steps: (after.steps - before.steps) as f64 / placed,
         per_second: placed / elapsed,
         running,
+        per_event: (after.steps - before.steps) as f64 / f64::from(events),
         worker_bytes: (idle - empty) / worker_len as f64,
         task_bytes: (full - idle) / (task_len + task_len / 4) as f64,
     }
@@ -170,6 +174,12 @@
             bound,
             SEED,
         ));
+        rows.push(ResultRow::new(
+            format!("{name} steps per event"),
+            result.per_event,
+            None,
+            SEED,
+        ));
         rows.push(ResultRow::new(
             format!("{name} decisions/s"),
             result.per_second,
--- a/crates/core/src/tasks/index.rs
+++ b/crates/core/src/tasks/index.rs
@@ -14,7 +14,7 @@
 /// Steps of one search, as a multiple of the depth of the tree. The maxima of a
 /// node may stem from different workers, so a search can enter subtrees in
 /// vain; this bound keeps such searches logarithmic.
-const STEPS_PER_LEVEL: u64 = 24;
+const STEPS_PER_LEVEL: u64 = 8;
 
 /// The greatest free amounts of each subtree, in slot order.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/src/tasks/place.rs
+++ b/crates/core/src/tasks/place.rs
@@ -13,7 +13,7 @@
 use crate::types::{ResourceVector, TaskId, TeamId, WorkerId};
 
 /// Jobs of one lane that are tried before the lane is closed.
-const TRIES_PER_LANE: usize = 4;
+const TRIES_PER_LANE: usize = 2;
 /// Scale of a job's part of the pool.
 const MILLIONTHS: u64 = 1_000_000;
 
