--- a/crates/core/benches/overload.rs
+++ b/crates/core/benches/overload.rs
@@ -12,7 +12,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use support::{BoundTable, EventClock, exponential, lognormal};
+use support::{EventClock, exponential, lognormal, table::BoundTable};
 
 const SEED: u64 = 20_261_205;
 const RUNNERS: u32 = 35;
--- a/crates/core/benches/waiting.rs
+++ b/crates/core/benches/waiting.rs
@@ -13,7 +13,7 @@
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use support::{BoundTable, EventClock, exponential, lognormal};
+use support::{EventClock, exponential, lognormal, table::BoundTable};
 
 const SEED: u64 = 20_261_204;
 const ZONES: usize = 3;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -51,6 +51,7 @@
 */
 
 mod calls;
+mod health;
 mod hosts;
 mod journal;
 mod keys;
@@ -58,11 +59,13 @@
 mod objects;
 mod ownership;
 mod publication;
+mod tasks;
 mod types;
 
 pub use calls::{CallAction, CallConfig, CallConfigBuilder, CallEvent, CallLoad, CallQueue};
 pub use calls::{CallRequest, GrantResult, RunnerEntry, SlotGrant};
 pub use calls::{RetryBudget, RetryConfig, RetryConfigBuilder, RetryVerdict};
+pub use health::{HealthAction, HealthConfig, HealthEvent, HealthTable};
 pub use hosts::{HostEntry, HostKind, HostState, HostTable};
 pub use journal::{BatchNumber, JournalAction, JournalBatch, JournalCodec, JournalConfig};
 pub use journal::{JournalError, JournalEvent, JournalKey, JournalRecord, JournalReplay};
@@ -74,16 +77,20 @@
 pub use membership::{PeerTable, RegistrationAction, RegistrationEvent, RegistrationLease};
 pub use membership::{ShardLoad, digest_owned, heartbeat_bytes_per_second};
 pub use objects::{ChangeKind, ObjectChange, ObjectDelta, ObjectSet, ObjectSpec, check_objects};
-pub use objects::{FencingMode, HostShape, MarketSpec, PoolObjective, PoolSpec, RestartPolicy};
+pub use objects::{FencingMode, HostShape, MarketSpec, PoolObjective, PoolSpec};
 pub use objects::{ObjectKind, ObjectLoader, ObjectProblem, ObjectProblemKind, ObjectRef};
 pub use objects::{ObjectReport, ServiceSpec, TeamSpec, WorkSpec};
 pub use ownership::{OwnerRecord, OwnerTable, OwnershipAction, OwnershipConfig};
 pub use ownership::{OwnershipEvent, ShardPhase};
 pub use publication::{ConfigAction, ConfigDelta, ConfigDigest, ConfigEvent, ConfigHead};
 pub use publication::{ConfigPull, ConfigReply, ConfigSnapshot, ConfigSource, ConfigState};
+pub use publication::{ConfigRejection, SNAPSHOT_INTERVAL, StatusReply, digest_objects};
 pub use publication::{ConfigUpdate, ErrorReply, PublishError, PublishReply, PublishRequest};
-pub use publication::{RejectReason, SNAPSHOT_INTERVAL, StatusReply, digest_objects};
+pub use tasks::{CancelResult, Candidate, GangMode, JobId, JobRejection, JobSpec, PackingFirst};
+pub use tasks::{PlacementPolicy, ReportedTask, TaskAction, TaskConfig, TaskEvent, TaskOutcome};
+pub use tasks::{TaskQueue, TaskRecord, TaskState, TaskView, TeamQuota, WaitReason, WaitingFirst};
+pub use tasks::{WorkCounter, WorkerEntry, WorkerReport};
 pub use types::{Attempt, ConfigVersion, DaemonId, Epoch, GrantId, HostId, ObjectName};
 pub use types::{CallOutcome, NotRunReason, ResourceVector, ShardName, UnknownReason};
-pub use types::{PoolId, RackId, RegionId, RequestId, RunnerId, ServiceId, TaskId, TeamId};
-pub use types::{ShardNameError, UrgencyClass, WorkerId, ZoneId};
+pub use types::{PoolId, RackId, RegionId, RequestId, RestartPolicy, RunnerId, ServiceId};
+pub use types::{ShardNameError, TaskId, TeamId, UrgencyClass, WorkerId, ZoneId};
--- a/crates/core/src/objects/check.rs
+++ b/crates/core/src/objects/check.rs
@@ -7,9 +7,9 @@
     messages::{ObjectKind, ObjectProblem, ObjectProblemKind, ObjectRef},
     spec::{MarketSpec, PoolSpec, ServiceSpec, TeamSpec},
     state::{ObjectSet, ObjectSpec},
-    work::{RestartPolicy, WorkSpec},
+    work::WorkSpec,
 };
-use crate::types::{ObjectName, ResourceVector};
+use crate::types::{ObjectName, ResourceVector, RestartPolicy};
 
 /// Returns everything that is wrong with a set.
 #[must_use]
--- a/crates/core/src/objects/mod.rs
+++ b/crates/core/src/objects/mod.rs
@@ -27,4 +27,4 @@
 pub use spec::TeamSpec;
 pub use spec::{FencingMode, HostShape, MarketSpec, PoolObjective, PoolSpec, ServiceSpec};
 pub use state::{ObjectSet, ObjectSpec};
-pub use work::{RestartPolicy, WorkSpec};
+pub use work::WorkSpec;
--- a/crates/core/src/objects/work.rs
+++ b/crates/core/src/objects/work.rs
@@ -4,21 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::types::{ObjectName, PoolId, ResourceVector, TeamId, UrgencyClass};
-
-/// When a task may be started again.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[derive(Deserialize, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum RestartPolicy {
-    /// At most one start is ever sent.
-    Never,
-    /// Again only once the earlier attempt has certainly stopped.
-    #[default]
-    WhenStopped,
-    /// A second attempt may overlap a lost one.
-    Anytime,
-}
+use crate::types::{ObjectName, PoolId, ResourceVector, RestartPolicy, TeamId, UrgencyClass};
 
 /// Work that runs as tasks on workers of one pool.
 ///
--- a/crates/core/src/publication/messages.rs
+++ b/crates/core/src/publication/messages.rs
@@ -90,14 +90,14 @@
     /// A new version is in force.
     InForce(ConfigVersion),
     /// A version was rejected; the one in force stays.
-    Rejected(ConfigVersion, RejectReason),
+    Rejected(ConfigVersion, ConfigRejection),
 }
 
 /// Why a version was rejected.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Snafu)]
 #[non_exhaustive]
-pub enum RejectReason {
+pub enum ConfigRejection {
     /// The set does not match its digest.
     #[snafu(display("the digest does not match; wait for a peer to pass the version on"))]
     Corrupted,
--- a/crates/core/src/publication/mod.rs
+++ b/crates/core/src/publication/mod.rs
@@ -20,7 +20,7 @@
 
 pub use digest::{ConfigDigest, digest_objects};
 pub use messages::StatusReply;
-pub use messages::{ConfigAction, ConfigEvent, ConfigPull, ConfigUpdate, RejectReason};
+pub use messages::{ConfigAction, ConfigEvent, ConfigPull, ConfigRejection, ConfigUpdate};
 pub use messages::{ConfigDelta, ConfigHead, ConfigSnapshot, ConfigSource};
 pub use messages::{ConfigReply, ErrorReply, PublishError, PublishReply, PublishRequest};
 pub use state::{ConfigState, SNAPSHOT_INTERVAL};
--- a/crates/core/src/publication/state.rs
+++ b/crates/core/src/publication/state.rs
@@ -5,8 +5,8 @@
 use super::{
     digest::{ConfigDigest, digest_objects},
     messages::{
-        ConfigAction, ConfigDelta, ConfigEvent, ConfigHead, ConfigPull, ConfigSnapshot,
-        ConfigSource, ConfigUpdate, PublishError, RejectReason,
+        ConfigAction, ConfigDelta, ConfigEvent, ConfigHead, ConfigPull, ConfigRejection,
+        ConfigSnapshot, ConfigSource, ConfigUpdate, PublishError,
     },
 };
 use crate::{
@@ -288,13 +288,13 @@
     version: ConfigVersion,
     digest: &ConfigDigest,
     objects: &ObjectSet,
-) -> Result<(), RejectReason> {
+) -> Result<(), ConfigRejection> {
     if digest_objects(version, objects) != *digest {
-        return Err(RejectReason::Corrupted);
+        return Err(ConfigRejection::Corrupted);
     }
     let mut problems = check_objects(objects).into_iter();
     match problems.find(|problem| !problem.kind.is_warning()) {
-        Some(problem) => Err(RejectReason::CheckFailed { problem }),
+        Some(problem) => Err(ConfigRejection::CheckFailed { problem }),
         None => Ok(()),
     }
 }
--- a/crates/core/src/publication/tests.rs
+++ b/crates/core/src/publication/tests.rs
@@ -5,8 +5,8 @@
 use proptest::prelude::*;
 
 use super::{
-    ConfigAction, ConfigEvent, ConfigPull, ConfigSource, ConfigState, ConfigUpdate, PublishError,
-    RejectReason, SNAPSHOT_INTERVAL, digest_objects,
+    ConfigAction, ConfigEvent, ConfigPull, ConfigRejection, ConfigSource, ConfigState,
+    ConfigUpdate, PublishError, SNAPSHOT_INTERVAL, digest_objects,
 };
 use crate::{
     objects::{ObjectLoader, ObjectSet},
@@ -56,7 +56,7 @@
 
     assert_eq!(
         actions,
-        [ConfigAction::Rejected(3, RejectReason::Corrupted)]
+        [ConfigAction::Rejected(3, ConfigRejection::Corrupted)]
     );
     assert_eq!((state.version(), state.objects().teams.len()), (2, 2));
 }
@@ -79,7 +79,10 @@
     assert!(
         matches!(
             actions[..],
-            [ConfigAction::Rejected(2, RejectReason::CheckFailed { .. })]
+            [ConfigAction::Rejected(
+                2,
+                ConfigRejection::CheckFailed { .. }
+            )]
         ),
         "{actions:?}"
     );
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -124,6 +124,20 @@
     Urgent,
 }
 
+/// When a task may be started again.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RestartPolicy {
+    /// At most one start is ever sent.
+    Never,
+    /// Again only once the earlier attempt has certainly stopped.
+    #[default]
+    WhenStopped,
+    /// A second attempt may overlap a lost one.
+    Anytime,
+}
+
 /// What became of a request.
 ///
 /// The three values are kept apart because only [`CallOutcome::NotRun`] permits
