Write journals in group commits

Cause: the record log of core had no caller, so key and pool shards had no durable state. Shard handling moves out of control/state.rs.

A slice appends (shard, kind, payload), gets a RecordId, and is told by a notice when the record is durable or failed.

The least time between two batches made an outcome that follows its intent wait for a whole interval. JournalConfig::commit_credit permits four batches ahead of the interval after a quiet time; the mean rate stays the same.

--- a/crates/core/src/journal/state.rs
+++ b/crates/core/src/journal/state.rs
@@ -38,8 +38,11 @@
 /// Times and sizes of group commits.
 #[derive(Clone, Copy, Debug)]
 pub struct JournalConfig {
-    /// Least time between two batches.
+    /// Mean time between two batches, which keeps the daemon's write share.
     pub commit_interval: Duration,
+    /// Batches that may follow each other without the interval after a quiet
+    /// time; with one, the interval is the least time between two batches.
+    pub commit_credit: u32,
     /// Largest batch in bytes; the store holds values up to 1 MB.
     pub batch_bytes: usize,
     /// Bytes that may wait, the batch under way included.
@@ -52,6 +55,7 @@
     pub fn for_daemons(daemons: u32) -> Self {
         Self {
             commit_interval: LEAST_INTERVAL.max(INTERVAL_PER_DAEMON * daemons),
+            commit_credit: 1,
             batch_bytes: 512 << 10,
             pending_bytes: 4 << 20,
         }
@@ -101,7 +105,8 @@
     pending_bytes: usize,
     next_record: RecordId,
     next_batch: BatchNumber,
-    commit_at: Duration,
+    /// When the batches so far are paid for at one per interval.
+    paid_at: Duration,
 }
 
 impl<C: JournalCodec> RecordLog<C> {
@@ -118,7 +123,7 @@
             pending_bytes: 0,
             next_record: 1,
             next_batch: 1,
-            commit_at: Duration::ZERO,
+            paid_at: Duration::ZERO,
         }
     }
 
@@ -250,14 +255,16 @@
         }
     }
 
-    /// Sends the next batch when the interval has passed and none is under
+    /// Sends the next batch when the write share permits it and none is under
     /// way.
     fn commit(&mut self, now: Duration, actions: &mut Vec<JournalAction>) {
         let dirty = self.shards.values().any(|log| !log.pending.is_empty());
-        if self.sent.is_some() || now < self.commit_at || !dirty {
+        let interval = self.config.commit_interval;
+        let credit = interval * self.config.commit_credit.saturating_sub(1);
+        if self.sent.is_some() || now + credit < self.paid_at || !dirty {
             return;
         }
-        self.commit_at = now + self.config.commit_interval;
+        self.paid_at = self.paid_at.max(now) + interval;
         let segments = self.take_segments();
         self.send(segments, false, actions);
     }
--- a/crates/core/src/journal/tests.rs
+++ b/crates/core/src/journal/tests.rs
@@ -379,3 +379,26 @@
     let missing = JournalError::MissingSegment { at: at(1) };
     assert_eq!(replay(2, value), Err(missing));
 }
+
+/// Guards against a keyed call that waits for a whole interval though the
+/// store is idle, and against credit that exceeds the write share.
+#[test]
+fn credit_permits_few_batches_without_the_interval() {
+    let config = JournalConfig {
+        commit_credit: 2,
+        ..JournalConfig::for_daemons(8)
+    };
+    let mut log = RecordLog::new("a".into(), config, TestCodec);
+    log.handle(opened(shard(0)), Duration::ZERO);
+    let now = Duration::from_secs(1);
+
+    let mut sent = Vec::new();
+    for batch in 1..=3 {
+        log.append(&shard(0), numbered(batch)).expect("room");
+        let actions = log.handle(JournalEvent::TimerFired, now);
+        sent.push(!actions.is_empty());
+        log.handle(JournalEvent::Committed(batch), now);
+    }
+
+    assert_eq!(sent, [true, true, false]);
+}
--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -2,15 +2,16 @@
 
 use std::net::SocketAddr;
 
-use auburnsaddle_core::{ConfigVersion, Heartbeat, OwnerRecord, ShardName};
+use auburnsaddle_core::{ConfigVersion, DaemonId, Heartbeat, OwnerRecord, ShardName};
 use tokio::runtime::Handle;
 
 use super::messages::{ControlEvent, ControlHandle};
 use crate::{
+    journal::{JournalEffect, run_effect},
     ownership::{OWNER_PREFIX, claim_transaction, read_owner, read_owners},
     peers::{PeerClient, PeerReply, PeerRequest},
     publication::fetch_versions,
-    store::{StoreClient, TxnOutcome},
+    store::{StoreFeed, TxnOutcome},
 };
 
 /// Something to be done outside the control thread.
@@ -48,18 +49,21 @@
     },
     /// Reads one owner record.
     ReadOwner(ShardName),
+    /// Reads or writes the journal.
+    Journal(JournalEffect),
 }
 
 /// Carries out effects on the traffic threads.
 #[derive(Clone, Debug)]
 pub(super) struct EffectRunner<S> {
+    pub(super) daemon: DaemonId,
     pub(super) traffic: Handle,
     pub(super) control: ControlHandle,
     pub(super) peers: PeerClient,
     pub(super) store: S,
 }
 
-impl<S: StoreClient> EffectRunner<S> {
+impl<S: StoreFeed> EffectRunner<S> {
     /// Starts an effect; its result comes back as an event.
     pub(super) fn start(&self, effect: ControlEffect) {
         match effect {
@@ -81,6 +85,7 @@
             ControlEffect::FetchConfig { from, head } => self.fetch_config(from, head),
             ControlEffect::PullConfig { from, address } => self.pull_config(from, address),
             ControlEffect::ReadOwner(shard) => self.read_owner(shard),
+            ControlEffect::Journal(effect) => self.run_journal(effect),
         }
     }
 
@@ -121,6 +126,17 @@
         });
     }
 
+    fn run_journal(&self, effect: JournalEffect) {
+        let control = self.control.clone();
+        let store = self.store.clone();
+        let daemon = self.daemon.clone();
+        self.traffic.spawn(async move {
+            if let Some(report) = run_effect(&store, &daemon, effect).await {
+                control.send(ControlEvent::Journal(report)).await;
+            }
+        });
+    }
+
     fn read_owner(&self, shard: ShardName) {
         let control = self.control.clone();
         let store = self.store.clone();
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod feed;
 mod messages;
 mod process;
+mod shards;
 mod state;
 
 pub(crate) use messages::{ControlEvent, ControlHandle, RoutingSnapshot};
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -25,7 +25,7 @@
     hosts::HostClient,
     peers::{PeerClient, serve_peers},
     settings::DaemonSettings,
-    store::{HttpStore, StoreClient, StoreRates},
+    store::{HttpStore, StoreFeed, StoreRates},
     telemetry::{ProcessClock, ProcessMetrics, init_logger},
 };
 
@@ -114,12 +114,13 @@
     let registration = traffic.spawn(registration);
     traffic.spawn(follow_store(control.clone(), store.clone()));
     let effects = EffectRunner {
+        daemon: record.daemon.clone(),
         traffic: traffic.handle().clone(),
         control: control.clone(),
         peers,
         store,
     };
-    let state = ControlState::new(record);
+    let state = ControlState::new(record, settings.commit_interval);
     let interval = settings.heartbeat_interval;
     let thread = thread::Builder::new()
         .name("control".to_owned())
@@ -160,7 +161,7 @@
 }
 
 /// Applies events one by one on a single-threaded runtime of its own.
-fn control_thread<S: StoreClient>(
+fn control_thread<S: StoreFeed>(
     mut state: ControlState,
     mut receiver: mpsc::Receiver<ControlEvent>,
     effects: &EffectRunner<S>,
--- /dev/null
+++ b/crates/daemon/src/control/shards.rs
@@ -0,0 +1,175 @@
+//! The life of the owned shards: replay, claims, activation, flush and loss.
+
+use std::{collections::VecDeque, time::Duration};
+
+use auburnsaddle_core::{Epoch, OwnershipAction, OwnershipEvent, ShardName};
+
+use super::{effects::ControlEffect, state::ControlState};
+use crate::journal::{JournalEffect, JournalNotice, JournalOutput, JournalReport, keeps_journal};
+
+/// What one step asks for, in order.
+#[derive(Debug, Default)]
+struct ShardSteps {
+    effects: Vec<ControlEffect>,
+    events: VecDeque<OwnershipEvent>,
+    notices: VecDeque<JournalNotice>,
+}
+
+impl ShardSteps {
+    fn add(&mut self, output: JournalOutput) {
+        let effects = output.effects.into_iter().map(ControlEffect::Journal);
+        self.effects.extend(effects);
+        self.notices.extend(output.notices);
+    }
+}
+
+impl ControlState {
+    /// Applies an event to the owner table, then the reports that follow from
+    /// its actions at once, until none is left.
+    pub(super) fn apply_ownership(
+        &mut self,
+        event: OwnershipEvent,
+        now: Duration,
+    ) -> Vec<ControlEffect> {
+        let mut steps = ShardSteps::default();
+        steps.events.push_back(event);
+        self.run_steps(steps, now)
+    }
+
+    /// Applies the result of a store call of the journal.
+    pub(super) fn apply_journal(
+        &mut self,
+        report: JournalReport,
+        now: Duration,
+    ) -> Vec<ControlEffect> {
+        match &report {
+            // The shard may have been lost while its journal was read.
+            JournalReport::Loaded(shard, epoch, _)
+                if self.owners.owned_epoch(shard) != Some(*epoch) =>
+            {
+                Vec::new()
+            }
+            _ => {
+                let mut steps = ShardSteps::default();
+                steps.add(self.journals.handle(report, now));
+                self.run_steps(steps, now)
+            }
+        }
+    }
+
+    /// Commits the records that wait, as far as the interval permits it.
+    pub(super) fn commit_records(&mut self, now: Duration) -> Vec<ControlEffect> {
+        let mut steps = ShardSteps::default();
+        steps.add(self.journals.fire_timers(now));
+        self.run_steps(steps, now)
+    }
+
+    fn run_steps(&mut self, mut steps: ShardSteps, now: Duration) -> Vec<ControlEffect> {
+        loop {
+            if let Some(notice) = steps.notices.pop_front() {
+                note_journal(notice, &mut steps);
+            } else if let Some(event) = steps.events.pop_front() {
+                for action in self.owners.handle(event, now) {
+                    self.carry_out(action, now, &mut steps);
+                }
+            } else {
+                return steps.effects;
+            }
+        }
+    }
+
+    /// Carries out an action of the owner table.
+    fn carry_out(&mut self, action: OwnershipAction, now: Duration, steps: &mut ShardSteps) {
+        match action {
+            OwnershipAction::Claim {
+                shard,
+                expected,
+                next,
+            } => steps.effects.push(ControlEffect::ClaimShard {
+                shard,
+                expected,
+                next,
+            }),
+            OwnershipAction::ReadOwner(shard) => {
+                steps.effects.push(ControlEffect::ReadOwner(shard));
+            }
+            OwnershipAction::Acquired { shard, epoch } => {
+                log::info!("acquired shard {shard} under epoch {epoch}");
+                replay_shard(shard, epoch, steps);
+            }
+            // The runners learn the epoch from the calls themselves.
+            OwnershipAction::ClaimTargets(shard, epoch) => {
+                let claimed = OwnershipEvent::TargetsClaimed(shard, epoch);
+                steps.events.push_back(claimed);
+            }
+            OwnershipAction::Activated(shard, epoch) => self.activate_shard(shard, epoch, now),
+            OwnershipAction::Flush(shard, epoch) if keeps_journal(&shard) => {
+                steps.add(self.journals.flush(shard, epoch, now));
+            }
+            OwnershipAction::Flush(shard, epoch) => {
+                let flushed = OwnershipEvent::Flushed(shard, epoch);
+                steps.events.push_back(flushed);
+            }
+            OwnershipAction::Lost(shard) => {
+                log::warn!("lost shard {shard} to another daemon");
+                self.calls.lose(&shard);
+                steps.add(self.journals.close(&shard, now));
+            }
+            // No shard is declared to be in lease mode yet.
+            OwnershipAction::RequestLease { .. } | OwnershipAction::ReleaseLease(..) => {}
+        }
+    }
+
+    fn activate_shard(&mut self, shard: ShardName, epoch: Epoch, now: Duration) {
+        match shard {
+            ShardName::Call(..) if !self.calls.owns(&shard, epoch) => {
+                self.calls.acquire(shard, epoch);
+                self.refresh_runners(now);
+            }
+            ShardName::Call(..) | ShardName::Key(..) | ShardName::Pool(_) => {}
+        }
+    }
+}
+
+/// Passes a notice of the journal to the owner table or to the slice that
+/// keeps the shard's state.
+fn note_journal(notice: JournalNotice, steps: &mut ShardSteps) {
+    match notice {
+        JournalNotice::Opened(shard, epoch, records) => {
+            log::info!("replayed {} records of shard {shard}", records.len());
+            let replayed = OwnershipEvent::Replayed(shard, epoch);
+            steps.events.push_back(replayed);
+        }
+        JournalNotice::Corrupted(shard, epoch, error) => {
+            log::error!("shard {shard} is not served under epoch {epoch}: {error}");
+        }
+        JournalNotice::Flushed(shard, epoch) => {
+            let flushed = OwnershipEvent::Flushed(shard, epoch);
+            steps.events.push_back(flushed);
+        }
+        JournalNotice::Fenced(shard, epoch) => {
+            let fenced = OwnershipEvent::Fenced(shard, epoch);
+            steps.events.push_back(fenced);
+        }
+        JournalNotice::StoreChanged { available } => {
+            log::warn!("the store takes records: {available}");
+        }
+        // A slice with durable state adds its arms for these before here.
+        JournalNotice::Durable(shard, _)
+        | JournalNotice::Failed { shard, .. }
+        | JournalNotice::ExportNeeded(shard, _) => {
+            log::error!("no slice keeps the records of shard {shard}");
+        }
+    }
+}
+
+/// Starts the reading of an acquired shard's journal, if it has one.
+fn replay_shard(shard: ShardName, epoch: Epoch, steps: &mut ShardSteps) {
+    if keeps_journal(&shard) {
+        let reading = JournalEffect::Read(shard, epoch);
+        steps.effects.push(ControlEffect::Journal(reading));
+    } else {
+        let replayed = OwnershipEvent::Replayed(shard, epoch);
+        steps.events.push_back(replayed);
+    }
+}
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -1,15 +1,15 @@
 //! All control state, and the application of events to it.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
 
 use auburnsaddle_core::{
     ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Heartbeat,
-    HostKind, HostTable, MemberRecord, OwnedDigest, OwnerTable, OwnershipAction, OwnershipConfig,
-    OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry, ShardName, ZoneId, digest_owned,
+    HostKind, HostTable, MemberRecord, OwnedDigest, OwnerTable, OwnershipConfig, OwnershipEvent,
+    PeerConfig, PeerState, PeerTable, RunnerEntry, ShardName, ZoneId, digest_owned,
 };
 use rand::rngs::StdRng;
 
@@ -18,8 +18,8 @@
     messages::{ControlEvent, RoutingSnapshot},
 };
 use crate::{
-    calls::CallShards, membership::read_members, ownership::read_owners, publication::read_head,
-    store::StoreEntry,
+    calls::CallShards, journal::ShardJournals, membership::read_members, ownership::read_owners,
+    publication::read_head, store::StoreEntry,
 };
 
 /// Heartbeats within the region for each one between regions: 500 ms and 5 s.
@@ -32,15 +32,16 @@
     config: ConfigState,
     hosts: HostTable,
     peers: PeerTable,
-    owners: OwnerTable<StdRng>,
-    calls: CallShards,
+    pub(super) owners: OwnerTable<StdRng>,
+    pub(super) calls: CallShards,
+    pub(super) journals: ShardJournals,
     heartbeats: u32,
     draining: bool,
 }
 
 impl ControlState {
     /// Returns the state of a daemon that knows only itself.
-    pub(super) fn new(record: MemberRecord) -> Self {
+    pub(super) fn new(record: MemberRecord, commit_interval: Duration) -> Self {
         Self {
             config: ConfigState::default(),
             hosts: HostTable::default(),
@@ -51,15 +52,24 @@
                 rand::make_rng(),
             ),
             calls: CallShards::default(),
+            journals: ShardJournals::new(record.daemon.clone(), commit_interval),
             heartbeats: 0,
             draining: false,
             record,
         }
     }
 
-    /// Applies an event and returns the effects to be carried out.
+    /// Applies an event and returns the effects to be carried out, with the
+    /// commit of the records that the event appended.
     pub(super) fn handle(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
+        let mut effects = self.apply(event, now);
+        effects.extend(self.commit_records(now));
+        effects
+    }
+
+    fn apply(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
         match event {
+            ControlEvent::Journal(report) => self.apply_journal(report, now),
             ControlEvent::Calls(command) => {
                 self.calls.handle(command, now);
                 Vec::new()
@@ -126,6 +136,7 @@
         let dead = self.dead_daemons(now);
         let mut effects = self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now);
         effects.extend(self.apply_ownership(OwnershipEvent::TimerFired, now));
+        effects.extend(self.commit_records(now));
         effects
     }
 
@@ -259,80 +270,12 @@
         effects
     }
 
-    fn refresh_runners(&mut self, now: Duration) {
+    pub(super) fn refresh_runners(&mut self, now: Duration) {
         let hosts = &self.hosts;
         self.calls
             .set_runners(|shard| live_runners(hosts, shard), now);
     }
 
-    /// Applies an event to the owner table, then the reports that follow from
-    /// its actions at once, until none is left.
-    fn apply_ownership(&mut self, event: OwnershipEvent, now: Duration) -> Vec<ControlEffect> {
-        let mut effects = Vec::new();
-        let mut events = VecDeque::from([event]);
-        while let Some(event) = events.pop_front() {
-            for action in self.owners.handle(event, now) {
-                let (effect, follow_up) = self.carry_out(action, now);
-                effects.extend(effect);
-                events.extend(follow_up);
-            }
-        }
-        effects
-    }
-
-    /// Carries out an action; returns its effect outside the control thread
-    /// and the report that follows at once.
-    ///
-    /// A call shard has no journal, and its runners learn the epoch from the
-    /// calls themselves, so replay, claims and flush end immediately.
-    fn carry_out(
-        &mut self,
-        action: OwnershipAction,
-        now: Duration,
-    ) -> (Option<ControlEffect>, Option<OwnershipEvent>) {
-        match action {
-            OwnershipAction::Claim {
-                shard,
-                expected,
-                next,
-            } => {
-                let effect = ControlEffect::ClaimShard {
-                    shard,
-                    expected,
-                    next,
-                };
-                (Some(effect), None)
-            }
-            OwnershipAction::ReadOwner(shard) => (Some(ControlEffect::ReadOwner(shard)), None),
-            OwnershipAction::Acquired { shard, epoch } => {
-                log::info!("acquired shard {shard} under epoch {epoch}");
-                (None, Some(OwnershipEvent::Replayed(shard, epoch)))
-            }
-            OwnershipAction::ClaimTargets(shard, epoch) => {
-                (None, Some(OwnershipEvent::TargetsClaimed(shard, epoch)))
-            }
-            OwnershipAction::Activated(shard, epoch) => {
-                if !self.calls.owns(&shard, epoch) {
-                    self.calls.acquire(shard, epoch);
-                    self.refresh_runners(now);
-                }
-                (None, None)
-            }
-            OwnershipAction::Flush(shard, epoch) => {
-                (None, Some(OwnershipEvent::Flushed(shard, epoch)))
-            }
-            OwnershipAction::Lost(shard) => {
-                log::warn!("lost shard {shard} to another daemon");
-                self.calls.lose(&shard);
-                (None, None)
-            }
-            // No shard is declared to be in lease mode yet.
-            OwnershipAction::RequestLease { .. } | OwnershipAction::ReleaseLease(..) => {
-                (None, None)
-            }
-        }
-    }
-
     fn candidates(&self) -> BTreeMap<DaemonId, ZoneId> {
         let peers = self.peers.region_peers().filter(|peer| !peer.draining);
         let own = (self.record.daemon.clone(), self.record.zone.clone());
--- /dev/null
+++ b/crates/daemon/src/journal/exchange.rs
@@ -0,0 +1,257 @@
+//! The journal's calls to the store.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use auburnsaddle_core::{
+    BatchNumber, DaemonId, Epoch, JournalAction, JournalBatch, JournalError, JournalKey,
+    OwnerRecord, SegmentPosition, ShardName, replay_journal,
+};
+
+use super::{
+    codec::{BincodeCodec, parse_store_key, shard_prefix, store_key},
+    messages::{JournalEffect, JournalReport, LoadedJournal},
+};
+use crate::{
+    ownership::{owner_guard, owner_key, read_owner},
+    store::{
+        StoreBackoff, StoreCompare, StoreEntry, StoreError, StoreFeed, StorePut, StoreRange,
+        StoreTxn, TxnOutcome,
+    },
+};
+
+/// Carries out an effect of the journal of `daemon`. An effect that the log
+/// handles itself has no report.
+pub(crate) async fn run_effect<S: StoreFeed>(
+    store: &S,
+    daemon: &DaemonId,
+    effect: JournalEffect,
+) -> Option<JournalReport> {
+    match effect {
+        JournalEffect::Read(shard, epoch) => {
+            let loaded = read_journal(store, &shard).await;
+            Some(JournalReport::Loaded(shard, epoch, loaded))
+        }
+        JournalEffect::Store(JournalAction::Commit(batch)) => {
+            Some(commit_batch(store, daemon, batch).await)
+        }
+        JournalEffect::Store(JournalAction::ReadBack(number, shard, at)) => {
+            Some(read_back(store, number, &shard, at).await)
+        }
+        JournalEffect::Store(JournalAction::WritePart {
+            shard,
+            epoch,
+            key,
+            value,
+        }) => Some(write_part(store, daemon, shard, epoch, key, value).await),
+        JournalEffect::Store(JournalAction::WriteManifest {
+            shard,
+            epoch,
+            expected,
+            value,
+            deletes,
+        }) => {
+            let transaction =
+                manifest_transaction(daemon, &shard, epoch, expected, &value, deletes);
+            Some(write_manifest(store, transaction, daemon, shard, epoch, value).await)
+        }
+        JournalEffect::Store(_) => None,
+    }
+}
+
+/// Reads a journal, again and again while the store is away: the shard cannot
+/// be served before.
+async fn read_journal<S: StoreFeed>(
+    store: &S,
+    shard: &ShardName,
+) -> Result<LoadedJournal, JournalError> {
+    let mut backoff = StoreBackoff::default();
+    let entries = loop {
+        match store.read_prefix(&shard_prefix(shard)).await {
+            Ok(entries) => break entries,
+            Err(error) => log::warn!("reading the journal of shard {shard}: {error}"),
+        }
+        tokio::time::sleep(backoff.next(rand::random())).await;
+    };
+    load_entries(shard, entries)
+}
+
+/// Decodes all entries of a journal.
+pub(super) fn load_entries(
+    shard: &ShardName,
+    entries: Vec<StoreEntry>,
+) -> Result<LoadedJournal, JournalError> {
+    let mut values = BTreeMap::new();
+    for entry in entries {
+        let key = parse_store_key(shard, &entry.key).ok_or_else(|| JournalError::Malformed {
+            message: format!("{} is no journal key", entry.key),
+        })?;
+        values.insert(key, entry.value);
+    }
+    let records = replay_journal(&BincodeCodec, shard, &values)?.records;
+    let manifest = values.remove(&JournalKey::Manifest);
+    let keys = values
+        .into_iter()
+        .map(|(key, value)| (key, value.len()))
+        .collect();
+    Ok(LoadedJournal {
+        manifest,
+        keys,
+        records,
+    })
+}
+
+async fn commit_batch<S: StoreFeed>(
+    store: &S,
+    daemon: &DaemonId,
+    batch: JournalBatch,
+) -> JournalReport {
+    let number = batch.number;
+    let guards: Vec<_> = batch
+        .segments
+        .iter()
+        .map(|segment| (segment.shard.clone(), segment.at.epoch))
+        .collect();
+    match store.commit(batch_transaction(daemon, batch)).await {
+        Ok(TxnOutcome::Committed) => JournalReport::Committed(number),
+        Ok(TxnOutcome::Conflict(entries)) => {
+            let fenced = guards
+                .into_iter()
+                .filter(|(shard, epoch)| !is_owner(&entries, daemon, shard, *epoch))
+                .map(|(shard, _)| shard)
+                .collect::<BTreeSet<_>>();
+            JournalReport::GuardFailed(number, fenced)
+        }
+        Err(error) => {
+            log::warn!("committing records: {error}");
+            JournalReport::ResponseLost(number)
+        }
+    }
+}
+
+fn batch_transaction(daemon: &DaemonId, batch: JournalBatch) -> StoreTxn {
+    let mut transaction = StoreTxn::default();
+    for segment in batch.segments {
+        let (shard, at) = (segment.shard, segment.at);
+        let guard = owner_guard(&shard, &owner(daemon, at.epoch));
+        transaction.compares.push(guard);
+        transaction.reads_on_conflict.push(owner_key(&shard));
+        transaction.puts.push(StorePut {
+            key: store_key(&shard, JournalKey::Segment(at)),
+            value: segment.value,
+        });
+    }
+    transaction
+}
+
+async fn read_back<S: StoreFeed>(
+    store: &S,
+    number: BatchNumber,
+    shard: &ShardName,
+    at: SegmentPosition,
+) -> JournalReport {
+    let range = StoreRange::Key(store_key(shard, JournalKey::Segment(at)));
+    match store.read_ranges(&[range]).await {
+        Ok(reading) => {
+            let value = reading.entries.into_iter().next().map(|entry| entry.value);
+            JournalReport::ReadBack(number, value)
+        }
+        Err(error) => {
+            log::warn!("reading back records: {error}");
+            JournalReport::ResponseLost(number)
+        }
+    }
+}
+
+async fn write_part<S: StoreFeed>(
+    store: &S,
+    daemon: &DaemonId,
+    shard: ShardName,
+    epoch: Epoch,
+    key: JournalKey,
+    value: Vec<u8>,
+) -> JournalReport {
+    let transaction = StoreTxn {
+        compares: vec![owner_guard(&shard, &owner(daemon, epoch))],
+        puts: vec![StorePut {
+            key: store_key(&shard, key),
+            value,
+        }],
+        ..StoreTxn::default()
+    };
+    match store.commit(transaction).await {
+        Ok(TxnOutcome::Committed) => JournalReport::PartWritten(shard, key),
+        Ok(TxnOutcome::Conflict(_)) => JournalReport::Fenced(shard, epoch),
+        Err(error) => lost_write(shard, &error),
+    }
+}
+
+fn manifest_transaction(
+    daemon: &DaemonId,
+    shard: &ShardName,
+    epoch: Epoch,
+    expected: Option<Vec<u8>>,
+    value: &[u8],
+    deletes: Vec<JournalKey>,
+) -> StoreTxn {
+    let key = store_key(shard, JournalKey::Manifest);
+    let compare = match expected {
+        None => StoreCompare::Absent(key.clone()),
+        Some(expected) => StoreCompare::ValueEquals(key.clone(), expected),
+    };
+    StoreTxn {
+        compares: vec![owner_guard(shard, &owner(daemon, epoch)), compare],
+        puts: vec![StorePut {
+            key: key.clone(),
+            value: value.to_vec(),
+        }],
+        deletes: deletes
+            .into_iter()
+            .map(|key| StoreRange::Key(store_key(shard, key)))
+            .collect(),
+        reads_on_conflict: vec![key, owner_key(shard)],
+        lease: None,
+    }
+}
+
+async fn write_manifest<S: StoreFeed>(
+    store: &S,
+    transaction: StoreTxn,
+    daemon: &DaemonId,
+    shard: ShardName,
+    epoch: Epoch,
+    value: Vec<u8>,
+) -> JournalReport {
+    match store.commit(transaction).await {
+        Ok(TxnOutcome::Committed) => JournalReport::ManifestAnswered(shard, epoch, Some(value)),
+        Ok(TxnOutcome::Conflict(entries)) if !is_owner(&entries, daemon, &shard, epoch) => {
+            JournalReport::Fenced(shard, epoch)
+        }
+        Ok(TxnOutcome::Conflict(entries)) => {
+            let key = store_key(&shard, JournalKey::Manifest);
+            let current = entries.into_iter().find(|entry| entry.key == key);
+            JournalReport::ManifestAnswered(shard, epoch, current.map(|entry| entry.value))
+        }
+        Err(error) => lost_write(shard, &error),
+    }
+}
+
+fn lost_write(shard: ShardName, error: &StoreError) -> JournalReport {
+    log::warn!("writing a snapshot of shard {shard}: {error}");
+    JournalReport::SnapshotWriteLost(shard)
+}
+
+fn owner(daemon: &DaemonId, epoch: Epoch) -> OwnerRecord {
+    OwnerRecord {
+        daemon: daemon.clone(),
+        epoch,
+    }
+}
+
+/// Tells whether the entries read after a conflict still name this owner.
+fn is_owner(entries: &[StoreEntry], daemon: &DaemonId, shard: &ShardName, epoch: Epoch) -> bool {
+    let expected = (shard.clone(), owner(daemon, epoch));
+    entries
+        .iter()
+        .filter_map(read_owner)
+        .any(|found| found == expected)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 * `peers`: `h2` streams with `bincode` messages between daemons.
 * `membership`, `ownership`, `publication`, `calls`: the control state of each
   decision slice and its messages.
+* `journal`: durable records of the owned shards.
 * `control`: the control thread.
 * `front`: HTTP for callers and operators.
 
@@ -39,6 +40,11 @@
 mod control;
 mod front;
 mod hosts;
+#[cfg_attr(
+    not(test),
+    expect(dead_code, reason = "slices with durable state append to it")
+)]
+mod journal;
 mod membership;
 mod ownership;
 mod peers;
--- a/crates/daemon/src/ownership/mod.rs
+++ b/crates/daemon/src/ownership/mod.rs
@@ -2,4 +2,6 @@
 
 mod state;
 
-pub(crate) use state::{OWNER_PREFIX, claim_transaction, read_owner, read_owners};
+pub(crate) use state::{
+    OWNER_PREFIX, claim_transaction, owner_guard, owner_key, read_owner, read_owners,
+};
--- a/crates/daemon/src/ownership/state.rs
+++ b/crates/daemon/src/ownership/state.rs
@@ -33,16 +33,26 @@
     }
 }
 
+/// Returns the store key of an owner record.
+pub(crate) fn owner_key(shard: &ShardName) -> String {
+    format!("{OWNER_PREFIX}{shard}")
+}
+
+/// Returns the condition that a shard still has this owner and epoch.
+pub(crate) fn owner_guard(shard: &ShardName, record: &OwnerRecord) -> StoreCompare {
+    StoreCompare::ValueEquals(owner_key(shard), encode(record))
+}
+
 /// Returns the compare-and-swap that replaces an owner.
 pub(crate) fn claim_transaction(
     shard: &ShardName,
     expected: Option<&OwnerRecord>,
     next: &OwnerRecord,
 ) -> StoreTxn {
-    let key = format!("{OWNER_PREFIX}{shard}");
+    let key = owner_key(shard);
     let compare = match expected {
         None => StoreCompare::Absent(key.clone()),
-        Some(record) => StoreCompare::ValueEquals(key.clone(), encode(record)),
+        Some(record) => owner_guard(shard, record),
     };
     StoreTxn {
         compares: vec![compare],
