Run calls with an idempotency key once

Cause: calls with a key were dispatched like any other, so a repeated call ran again. Each region now has 32 key shards, owned like all others. The entry forwards a call with a key to the owner of its shard, which records the intent, dispatches the call, records the outcome and only then answers. After a takeover the live runners are asked; an intent without an outcome is never dispatched again. A call to a service that is not idempotent needs a key.

Requests whose intent waits for a store that is away are rejected at once as not run, and the intent does not lead to a dispatch when the store is back.

A handover waits until the running calls of a key shard have ended.

Ruled out: waiting for an owner until the deadline (the call is rejected as not run after 1 s without one); streaming between daemons (bodies are bounded at 983,040 bytes, over that 413 for a request and 409 with the status for a response).

--- a/crates/core/src/keys/entry.rs
+++ b/crates/core/src/keys/entry.rs
@@ -3,13 +3,11 @@
 use std::time::Duration;
 
 use super::messages::{KeyDigest, KeyOutcome, KeyReply, KeyResponse};
-use crate::types::{NotRunReason, RequestId, RunnerId, UnknownReason};
+use crate::types::{NotRunReason, RequestId, UnknownReason};
 
 /// How far the call of a key has come.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum KeyPhase {
-    /// A slot was asked for.
-    Queued,
     /// The intent is being written.
     RecordingIntent,
     /// The call was dispatched by this daemon.
@@ -34,9 +32,12 @@
 #[derive(Clone, Debug)]
 pub(super) struct KeyEntry {
     pub(super) fingerprint: KeyDigest,
-    pub(super) runner: Option<RunnerId>,
     pub(super) phase: KeyPhase,
     pub(super) waiters: Vec<KeyWaiter>,
+    /// The request whose call was dispatched by this daemon.
+    pub(super) dispatched: Option<RequestId>,
+    /// Why the dispatched call was not run, if it was not.
+    pub(super) not_run: NotRunReason,
     /// When the key may be forgotten; set once its call is over.
     pub(super) expires_at: Option<Duration>,
 }
@@ -45,8 +46,9 @@
     pub(super) const fn new(fingerprint: KeyDigest) -> Self {
         Self {
             fingerprint,
-            runner: None,
-            phase: KeyPhase::Queued,
+            phase: KeyPhase::RecordingIntent,
+            dispatched: None,
+            not_run: NotRunReason::RejectedByTarget,
             waiters: Vec::new(),
             expires_at: None,
         }
@@ -55,9 +57,7 @@
     /// Returns the reply for a request whose deadline passes now.
     pub(super) const fn overdue_reply(&self) -> KeyReply {
         match self.phase {
-            KeyPhase::Queued | KeyPhase::RecordingIntent => {
-                KeyReply::NotRun(NotRunReason::DeadlineUnmeetable)
-            }
+            KeyPhase::RecordingIntent => KeyReply::NotRun(NotRunReason::DeadlineUnmeetable),
             KeyPhase::Unknown(_) => KeyReply::Unknown(UnknownReason::DeadlinePassed),
             KeyPhase::Running | KeyPhase::RecordingOutcome(_) | KeyPhase::Completed(_) => {
                 KeyReply::StillRunning
--- a/crates/core/src/keys/messages.rs
+++ b/crates/core/src/keys/messages.rs
@@ -6,20 +6,30 @@
 use sha2::{Digest, Sha256};
 
 use crate::types::UnknownReason;
-use crate::types::{CallOutcome, NotRunReason, RequestId, RunnerId, ServiceId, TeamId};
+use crate::types::{CallOutcome, NotRunReason, RequestId, ServiceId, TeamId};
 
 /// Digest of a service, a team and a key, or of a request.
 pub type KeyDigest = [u8; 16];
 
 /// Key shards of a region.
-const KEY_SHARDS: u8 = 32;
+pub const KEY_SHARDS: u8 = 32;
 
 /// Returns the digest that names a key; teams and services do not share keys.
 #[must_use]
 pub fn digest_key(service: &ServiceId, team: Option<&TeamId>, key: &str) -> KeyDigest {
-    let mut hasher = Sha256::new();
     let team = team.map_or("", |team| &**team);
-    for part in [service, team, key] {
+    digest_parts([service.as_bytes(), team.as_bytes(), key.as_bytes()])
+}
+
+/// Returns the digest that tells different requests with the same key apart.
+#[must_use]
+pub fn digest_request(method: &str, path: &str, body: &[u8]) -> KeyDigest {
+    digest_parts([method.as_bytes(), path.as_bytes(), body])
+}
+
+fn digest_parts(parts: [&[u8]; 3]) -> KeyDigest {
+    let mut hasher = Sha256::new();
+    for part in parts {
         // The length keeps different splits of the same text apart.
         hasher.update(part.len().to_be_bytes());
         hasher.update(part);
@@ -40,7 +50,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct KeyRequest {
-    /// Identifier of the caller's request.
+    /// Identifier of the request, unique among those that wait.
     pub request: RequestId,
     /// The key.
     pub key: KeyDigest,
@@ -74,14 +84,12 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum KeyRecord {
-    /// The call is about to be sent to a runner.
+    /// The call is about to be dispatched.
     Intent {
         /// The key.
         key: KeyDigest,
         /// The fingerprint of its request.
         fingerprint: KeyDigest,
-        /// The runner.
-        runner: RunnerId,
     },
     /// The call has ended.
     Outcome {
@@ -92,7 +100,7 @@
     },
 }
 
-/// What a runner says of a key.
+/// What the live runners say of a key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum RunnerAnswer {
@@ -100,8 +108,7 @@
     Completed(KeyResponse),
     /// The call is still running.
     Running,
-    /// The runner does not know the key or cannot be asked. The call may
-    /// still have run.
+    /// No runner that can be asked knows the key. The call may still have run.
     NotKnown,
 }
 
@@ -110,10 +117,6 @@
 pub enum KeyEvent {
     /// A call with a key arrived.
     Requested(KeyRequest),
-    /// A slot was granted for a key.
-    SlotGranted(KeyDigest, RunnerId),
-    /// No slot was granted for a key.
-    SlotRejected(KeyDigest, NotRunReason),
     /// The intent of a key is in the store.
     IntentDurable(KeyDigest),
     /// The intent was not written by this daemon.
@@ -124,7 +127,7 @@
     OutcomeDurable(KeyDigest),
     /// The outcome was not written by this daemon, which lost the shard.
     OutcomeFailed(KeyDigest),
-    /// A runner was asked about a key.
+    /// The live runners were asked about a key.
     RunnerAnswered(KeyDigest, RunnerAnswer),
     /// The store accepts writes again, or does not.
     StoreChanged {
@@ -139,9 +142,9 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum KeyReply {
-    /// The response, for a request that waited for it.
+    /// The response, for the request that was dispatched.
     Completed(KeyResponse),
-    /// The recorded response of an earlier request.
+    /// The recorded response, for any other request.
     Replayed(KeyResponse),
     /// An earlier request ended with this status; its body is not kept (409).
     BodyDropped(u16),
@@ -158,16 +161,12 @@
 /// What a key shard asks its surroundings to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum KeyAction {
-    /// Asks the call shard for a slot for this request.
-    RequestSlot(RequestId, KeyDigest),
-    /// Gives a granted slot back unused.
-    ReturnSlot(KeyDigest),
     /// Writes a record and reports whether it is durable.
     Record(KeyRecord),
-    /// Sends the call of this request to its runner.
+    /// Gets a slot for the call of this request and sends it to a runner.
     Dispatch(RequestId, KeyDigest),
-    /// Asks the runner about a key.
-    QueryRunner(KeyDigest, RunnerId),
+    /// Asks the live runners about the key of this request.
+    QueryRunners(RequestId, KeyDigest),
     /// Answers a request.
     Reply(RequestId, KeyReply),
 }
--- a/crates/core/src/keys/state.rs
+++ b/crates/core/src/keys/state.rs
@@ -12,7 +12,7 @@
         RunnerAnswer,
     },
 };
-use crate::types::{CallOutcome, NotRunReason, RunnerId, UnknownReason};
+use crate::types::{CallOutcome, NotRunReason, UnknownReason};
 
 /// Time between two queries for a call that is still running.
 const QUERY_TIME: Duration = Duration::from_secs(1);
@@ -83,13 +83,8 @@
 
     fn replay_record(&mut self, record: KeyRecord, now: Duration) {
         match record {
-            KeyRecord::Intent {
-                key,
-                fingerprint,
-                runner,
-            } => {
+            KeyRecord::Intent { key, fingerprint } => {
                 let mut entry = KeyEntry::new(fingerprint);
-                entry.runner = Some(runner);
                 entry.phase = KeyPhase::Unknown(None);
                 self.entries.insert(key, entry);
                 self.retain(key, now);
@@ -109,6 +104,17 @@
         }
     }
 
+    /// Tells whether a call is between its intent and its durable outcome.
+    #[must_use]
+    pub fn has_running(&self) -> bool {
+        self.entries.values().any(|entry| {
+            matches!(
+                entry.phase,
+                KeyPhase::RecordingIntent | KeyPhase::Running | KeyPhase::RecordingOutcome(_)
+            )
+        })
+    }
+
     /// Returns the number of keys.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -132,14 +138,8 @@
     pub fn snapshot(&self) -> Vec<KeyRecord> {
         let mut records = Vec::new();
         for (&key, entry) in &self.entries {
-            let Some(runner) = entry.runner.clone() else {
-                continue;
-            };
-            records.push(KeyRecord::Intent {
-                key,
-                fingerprint: entry.fingerprint,
-                runner,
-            });
+            let fingerprint = entry.fingerprint;
+            records.push(KeyRecord::Intent { key, fingerprint });
             let outcome = match &entry.phase {
                 KeyPhase::RecordingOutcome(outcome) => outcome.clone(),
                 KeyPhase::Completed(response) => KeyOutcome::Completed(response.clone()),
@@ -155,15 +155,8 @@
         let mut actions = Vec::new();
         match event {
             KeyEvent::Requested(request) => self.request(&request, now, &mut actions),
-            KeyEvent::SlotGranted(key, runner) => self.record_intent(key, runner, &mut actions),
-            KeyEvent::SlotRejected(key, reason) => {
-                self.abandon(key, &KeyPhase::Queued, reason, &mut actions);
-            }
             KeyEvent::IntentDurable(key) => self.dispatch(key, &mut actions),
-            KeyEvent::IntentFailed(key) => {
-                let reason = NotRunReason::StoreUnavailable;
-                self.abandon(key, &KeyPhase::RecordingIntent, reason, &mut actions);
-            }
+            KeyEvent::IntentFailed(key) => self.abandon(key, &mut actions),
             KeyEvent::CallEnded(key, outcome) => self.end_call(key, outcome, now, &mut actions),
             KeyEvent::OutcomeDurable(key) | KeyEvent::OutcomeFailed(key) => {
                 // A daemon that lost the shard still knows the response, and
@@ -173,7 +166,12 @@
             KeyEvent::RunnerAnswered(key, answer) => {
                 self.note_answer(key, answer, now, &mut actions);
             }
-            KeyEvent::StoreChanged { available } => self.store_available = available,
+            KeyEvent::StoreChanged { available } => {
+                self.store_available = available;
+                if !available {
+                    self.reject_unrecorded(&mut actions);
+                }
+            }
             KeyEvent::TimerFired => self.fire_timers(now, &mut actions),
         }
         self.forget_expired(now);
@@ -195,11 +193,13 @@
                     KeyReply::Replayed(response.clone())
                 }
                 KeyPhase::Completed(response) => KeyReply::BodyDropped(response.status),
+                KeyPhase::RecordingIntent if !self.store_available => {
+                    KeyReply::NotRun(NotRunReason::StoreUnavailable)
+                }
                 phase => {
                     if let KeyPhase::Unknown(query @ None) = phase {
                         *query = Some(now + QUERY_TIME);
-                        let runner = entry.runner.clone();
-                        actions.extend(runner.map(|at| KeyAction::QueryRunner(request.key, at)));
+                        actions.push(KeyAction::QueryRunners(request.request, request.key));
                     }
                     entry.waiters.push(waiter);
                     self.busy.insert(request.key);
@@ -227,7 +227,10 @@
         entry.waiters.push(waiter);
         self.entries.insert(request.key, entry);
         self.busy.insert(request.key);
-        actions.push(KeyAction::RequestSlot(request.request, request.key));
+        actions.push(KeyAction::Record(KeyRecord::Intent {
+            key: request.key,
+            fingerprint: request.fingerprint,
+        }));
     }
 
     fn entry_in(&mut self, key: KeyDigest, phase: &KeyPhase) -> Option<&mut KeyEntry> {
@@ -236,42 +239,26 @@
             .filter(|entry| entry.phase == *phase)
     }
 
-    fn record_intent(&mut self, key: KeyDigest, runner: RunnerId, actions: &mut Vec<KeyAction>) {
-        let available = self.store_available;
-        let Some(entry) = self.entry_in(key, &KeyPhase::Queued) else {
+    /// Ends a key whose intent was not written.
+    fn abandon(&mut self, key: KeyDigest, actions: &mut Vec<KeyAction>) {
+        if self.entry_in(key, &KeyPhase::RecordingIntent).is_none() {
             return;
-        };
-        if entry.waiters.is_empty() || !available {
-            actions.push(KeyAction::ReturnSlot(key));
-            let reason = NotRunReason::StoreUnavailable;
-            return self.abandon(key, &KeyPhase::Queued, reason, actions);
         }
-        entry.runner = Some(runner.clone());
-        entry.phase = KeyPhase::RecordingIntent;
-        let fingerprint = entry.fingerprint;
-        actions.push(KeyAction::Record(KeyRecord::Intent {
-            key,
-            fingerprint,
-            runner,
-        }));
+        let reply = KeyReply::NotRun(NotRunReason::StoreUnavailable);
+        self.reply_all(key, &reply, actions);
+        self.remove(key);
     }
 
-    /// Ends a key whose call was not sent.
-    fn abandon(
-        &mut self,
-        key: KeyDigest,
-        phase: &KeyPhase,
-        reason: NotRunReason,
-        actions: &mut Vec<KeyAction>,
-    ) {
-        if self.entry_in(key, phase).is_none() {
-            return;
-        }
-        if *phase == KeyPhase::RecordingIntent {
-            actions.push(KeyAction::ReturnSlot(key));
+    /// Answers the requests whose intent waits for a store that is away. With
+    /// no request left, the call is not dispatched once the intent is written.
+    fn reject_unrecorded(&mut self, actions: &mut Vec<KeyAction>) {
+        let keys: Vec<_> = self.busy.iter().copied().collect();
+        for key in keys {
+            if self.entry_in(key, &KeyPhase::RecordingIntent).is_some() {
+                let reply = KeyReply::NotRun(NotRunReason::StoreUnavailable);
+                self.reply_all(key, &reply, actions);
+            }
         }
-        self.reply_all(key, &KeyReply::NotRun(reason), actions);
-        self.remove(key);
     }
 
     fn dispatch(&mut self, key: KeyDigest, actions: &mut Vec<KeyAction>) {
@@ -280,9 +267,9 @@
         };
         if let Some(waiter) = entry.waiters.first() {
             entry.phase = KeyPhase::Running;
+            entry.dispatched = Some(waiter.request);
             actions.push(KeyAction::Dispatch(waiter.request, key));
         } else {
-            actions.push(KeyAction::ReturnSlot(key));
             self.record_outcome(key, KeyOutcome::NotRun, actions);
         }
     }
@@ -301,11 +288,15 @@
             CallOutcome::Completed(response) => {
                 self.record_outcome(key, KeyOutcome::Completed(response), actions);
             }
-            CallOutcome::NotRun(_) => self.record_outcome(key, KeyOutcome::NotRun, actions),
+            CallOutcome::NotRun(reason) => {
+                entry.not_run = reason;
+                self.record_outcome(key, KeyOutcome::NotRun, actions);
+            }
             CallOutcome::Unknown(_) => {
-                entry.phase = KeyPhase::Unknown(Some(now + QUERY_TIME));
-                let runner = entry.runner.clone();
-                actions.extend(runner.map(|at| KeyAction::QueryRunner(key, at)));
+                let waiter = entry.waiters.first();
+                entry.phase = KeyPhase::Unknown(waiter.map(|_| now + QUERY_TIME));
+                let query = waiter.map(|waiter| KeyAction::QueryRunners(waiter.request, key));
+                actions.extend(query);
                 self.retain(key, now);
             }
         }
@@ -334,21 +325,47 @@
     }
 
     fn release_outcome(&mut self, key: KeyDigest, now: Duration, actions: &mut Vec<KeyAction>) {
-        let phase = self.entries.get(&key).map(|entry| entry.phase.clone());
-        match phase {
-            Some(KeyPhase::RecordingOutcome(KeyOutcome::Completed(response))) => {
-                self.reply_all(key, &KeyReply::Completed(response.clone()), actions);
+        let Some(entry) = self.entries.get(&key) else {
+            return;
+        };
+        let not_run = entry.not_run;
+        match entry.phase.clone() {
+            KeyPhase::RecordingOutcome(KeyOutcome::Completed(response)) => {
+                self.reply_completed(key, &response, actions);
                 self.keep_response(key, response, now);
             }
-            Some(KeyPhase::RecordingOutcome(KeyOutcome::NotRun)) => {
-                let reply = KeyReply::NotRun(NotRunReason::RejectedByTarget);
-                self.reply_all(key, &reply, actions);
+            KeyPhase::RecordingOutcome(KeyOutcome::NotRun) => {
+                self.reply_all(key, &KeyReply::NotRun(not_run), actions);
                 self.remove(key);
             }
             _ => {}
         }
     }
 
+    /// Answers the dispatched request with its response and the others with
+    /// the recorded one.
+    fn reply_completed(
+        &mut self,
+        key: KeyDigest,
+        response: &KeyResponse,
+        actions: &mut Vec<KeyAction>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        for waiter in std::mem::take(&mut entry.waiters) {
+            let reply = match response.body {
+                _ if entry.dispatched == Some(waiter.request) => {
+                    KeyReply::Completed(response.clone())
+                }
+                Some(_) => KeyReply::Replayed(response.clone()),
+                None => KeyReply::BodyDropped(response.status),
+            };
+            actions.push(KeyAction::Reply(waiter.request, reply));
+        }
+        self.busy.remove(&key);
+    }
+
     fn note_answer(
         &mut self,
         key: KeyDigest,
@@ -452,11 +469,11 @@
 }
 
 fn query_again(key: KeyDigest, entry: &mut KeyEntry, now: Duration, actions: &mut Vec<KeyAction>) {
-    match (&mut entry.phase, &entry.runner) {
-        (KeyPhase::Unknown(query), _) if entry.waiters.is_empty() => *query = None,
-        (KeyPhase::Unknown(Some(at)), Some(runner)) if now >= *at => {
+    match (&mut entry.phase, entry.waiters.first()) {
+        (KeyPhase::Unknown(query), None) => *query = None,
+        (KeyPhase::Unknown(Some(at)), Some(waiter)) if now >= *at => {
             *at = now + QUERY_TIME;
-            actions.push(KeyAction::QueryRunner(key, runner.clone()));
+            actions.push(KeyAction::QueryRunners(waiter.request, key));
         }
         _ => {}
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -71,8 +71,9 @@
 pub use journal::{JournalError, JournalEvent, JournalKey, JournalRecord, JournalReplay};
 pub use journal::{RecordId, RecordKind, RecordLog, SegmentBody, SegmentPosition, SegmentWrite};
 pub use journal::{SnapshotManifest, open_value, replay_journal, seal_value};
+pub use keys::{KEY_SHARDS, KeyRequest, KeyResponse, KeyTable, RunnerAnswer, digest_key};
 pub use keys::{KeyAction, KeyConfig, KeyDigest, KeyEvent, KeyOutcome, KeyRecord, KeyReply};
-pub use keys::{KeyRequest, KeyResponse, KeyTable, RunnerAnswer, digest_key, key_shard_index};
+pub use keys::{digest_request, key_shard_index};
 pub use membership::{Heartbeat, LoadReporter, MemberRecord, OwnedDigest, PeerConfig, PeerState};
 pub use membership::{PeerTable, RegistrationAction, RegistrationEvent, RegistrationLease};
 pub use membership::{ShardLoad, digest_owned, heartbeat_bytes_per_second};
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -11,6 +11,6 @@
 mod state;
 
 pub(crate) use body::RelayBody;
-pub(crate) use dispatch::{CallDispatcher, CallHead};
+pub(crate) use dispatch::{CallDispatcher, CallHead, CallReply};
 pub(crate) use messages::{CallCommand, SlotReply};
 pub(crate) use state::CallShards;
--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -8,6 +8,7 @@
 use super::messages::{ControlEvent, ControlHandle};
 use crate::{
     journal::{JournalEffect, run_effect},
+    keys::{KeyEffect, KeyRunner},
     ownership::{OWNER_PREFIX, claim_transaction, read_owner, read_owners},
     peers::{PeerClient, PeerReply, PeerRequest},
     publication::fetch_versions,
@@ -49,6 +50,8 @@
     },
     /// Reads one owner record.
     ReadOwner(ShardName),
+    /// Dispatches a call with a key, or asks runners about it.
+    Key(KeyEffect),
     /// Reads or writes the journal.
     Journal(JournalEffect),
 }
@@ -57,6 +60,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct EffectRunner<S> {
     pub(super) daemon: DaemonId,
+    pub(super) keys: KeyRunner,
     pub(super) traffic: Handle,
     pub(super) control: ControlHandle,
     pub(super) peers: PeerClient,
@@ -85,6 +89,10 @@
             ControlEffect::FetchConfig { from, head } => self.fetch_config(from, head),
             ControlEffect::PullConfig { from, address } => self.pull_config(from, address),
             ControlEffect::ReadOwner(shard) => self.read_owner(shard),
+            ControlEffect::Key(effect) => {
+                let keys = self.keys.clone();
+                self.traffic.spawn(async move { keys.run(effect).await });
+            }
             ControlEffect::Journal(effect) => self.run_journal(effect),
         }
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod drain;
 mod effects;
 mod feed;
+mod keys;
 mod messages;
 mod process;
 mod shards;
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -23,6 +23,7 @@
     calls::CallDispatcher,
     front::{FrontService, serve_front},
     hosts::HostClient,
+    keys::{KeyForwarder, KeyRunner},
     peers::{PeerClient, serve_peers},
     settings::DaemonSettings,
     store::{HttpStore, StoreFeed, StoreRates},
@@ -95,10 +96,12 @@
         },
     );
     let dispatcher = CallDispatcher::new(control.clone(), peers.clone());
+    let keys = KeyRunner::new(control.clone(), dispatcher.clone());
     let metrics = ProcessMetrics::new(store.counts());
     let service = FrontService::new(
         control.clone(),
         dispatcher,
+        KeyForwarder::new(control.clone(), peers.clone()),
         store.clone(),
         metrics,
         settings.limits,
@@ -115,6 +118,7 @@
     traffic.spawn(follow_store(control.clone(), store.clone()));
     let effects = EffectRunner {
         daemon: record.daemon.clone(),
+        keys,
         traffic: traffic.handle().clone(),
         control: control.clone(),
         peers,
@@ -183,7 +187,10 @@
             let actions = tokio::select! {
                 event = receiver.recv() => match event {
                     Some(event) => {
-                        let publish = !matches!(event, ControlEvent::Calls(_));
+                        let publish = !matches!(
+                            event,
+                            ControlEvent::Calls(_) | ControlEvent::Keys(_)
+                        );
                         let actions = state.handle(event, clock.now());
                         if publish {
                             snapshot.store(Arc::new(state.snapshot(clock.now())));
--- a/crates/daemon/src/control/shards.rs
+++ b/crates/daemon/src/control/shards.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use auburnsaddle_core::{Epoch, OwnershipAction, OwnershipEvent, ShardName};
+use auburnsaddle_core::{Epoch, JournalError, OwnershipAction, OwnershipEvent, ShardName};
 
 use super::{effects::ControlEffect, state::ControlState};
 use crate::journal::{JournalEffect, JournalNotice, JournalOutput, JournalReport, keeps_journal};
@@ -60,6 +60,7 @@
     /// Commits the records that wait, as far as the interval permits it.
     pub(super) fn commit_records(&mut self, now: Duration) -> Vec<ControlEffect> {
         let mut steps = ShardSteps::default();
+        self.flush_idle(now, &mut steps);
         steps.add(self.journals.fire_timers(now));
         self.run_steps(steps, now)
     }
@@ -67,7 +68,7 @@
     fn run_steps(&mut self, mut steps: ShardSteps, now: Duration) -> Vec<ControlEffect> {
         loop {
             if let Some(notice) = steps.notices.pop_front() {
-                note_journal(notice, &mut steps);
+                self.note_journal(notice, now, &mut steps);
             } else if let Some(event) = steps.events.pop_front() {
                 for action in self.owners.handle(event, now) {
                     self.carry_out(action, now, &mut steps);
@@ -104,7 +105,8 @@
             }
             OwnershipAction::Activated(shard, epoch) => self.activate_shard(shard, epoch, now),
             OwnershipAction::Flush(shard, epoch) if keeps_journal(&shard) => {
-                steps.add(self.journals.flush(shard, epoch, now));
+                self.keys.set_active(&shard, false);
+                self.flushing.insert(shard, epoch);
             }
             OwnershipAction::Flush(shard, epoch) => {
                 let flushed = OwnershipEvent::Flushed(shard, epoch);
@@ -112,8 +114,7 @@
             }
             OwnershipAction::Lost(shard) => {
                 log::warn!("lost shard {shard} to another daemon");
-                self.calls.lose(&shard);
-                steps.add(self.journals.close(&shard, now));
+                self.lose_shard(&shard, now, steps);
             }
             // No shard is declared to be in lease mode yet.
             OwnershipAction::RequestLease { .. } | OwnershipAction::ReleaseLease(..) => {}
@@ -126,43 +127,84 @@
                 self.calls.acquire(shard, epoch);
                 self.refresh_runners(now);
             }
-            ShardName::Call(..) | ShardName::Key(..) | ShardName::Pool(_) => {}
+            ShardName::Key(..) => self.keys.set_active(&shard, true),
+            ShardName::Call(..) | ShardName::Pool(_) => {}
         }
     }
-}
 
-/// Passes a notice of the journal to the owner table or to the slice that
-/// keeps the shard's state.
-fn note_journal(notice: JournalNotice, steps: &mut ShardSteps) {
-    match notice {
-        JournalNotice::Opened(shard, epoch, records) => {
-            log::info!("replayed {} records of shard {shard}", records.len());
-            let replayed = OwnershipEvent::Replayed(shard, epoch);
-            steps.events.push_back(replayed);
-        }
-        JournalNotice::Corrupted(shard, epoch, error) => {
-            log::error!("shard {shard} is not served under epoch {epoch}: {error}");
-        }
-        JournalNotice::Flushed(shard, epoch) => {
-            let flushed = OwnershipEvent::Flushed(shard, epoch);
-            steps.events.push_back(flushed);
+    /// Drops a shard after its slice has been told which records failed.
+    fn lose_shard(&mut self, shard: &ShardName, now: Duration, steps: &mut ShardSteps) {
+        self.flushing.remove(shard);
+        let closed = self.journals.close(shard, now);
+        steps
+            .effects
+            .extend(closed.effects.into_iter().map(ControlEffect::Journal));
+        for notice in closed.notices {
+            self.note_journal(notice, now, steps);
         }
-        JournalNotice::Fenced(shard, epoch) => {
-            let fenced = OwnershipEvent::Fenced(shard, epoch);
-            steps.events.push_back(fenced);
-        }
-        JournalNotice::StoreChanged { available } => {
-            log::warn!("the store takes records: {available}");
+        self.calls.lose(shard);
+        self.keys.lose(shard);
+    }
+
+    /// Flushes the journals of shards that are handed over once their calls
+    /// have ended.
+    fn flush_idle(&mut self, now: Duration, steps: &mut ShardSteps) {
+        let keys = &self.keys;
+        let idle = self.flushing.extract_if(.., |shard, _| keys.is_idle(shard));
+        for (shard, epoch) in idle.collect::<Vec<_>>() {
+            steps.add(self.journals.flush(shard, epoch, now));
         }
-        // A slice with durable state adds its arms for these before here.
-        JournalNotice::Durable(shard, _)
-        | JournalNotice::Failed { shard, .. }
-        | JournalNotice::ExportNeeded(shard, _) => {
-            log::error!("no slice keeps the records of shard {shard}");
+    }
+
+    /// Passes a notice of the journal to the owner table or to the slice that
+    /// keeps the shard's state.
+    fn note_journal(&mut self, notice: JournalNotice, now: Duration, steps: &mut ShardSteps) {
+        match notice {
+            JournalNotice::Opened(shard, epoch, records) => {
+                match self.open_shard(&shard, epoch, &records, now) {
+                    Ok(()) => {
+                        log::info!("replayed {} records of shard {shard}", records.len());
+                        let replayed = OwnershipEvent::Replayed(shard, epoch);
+                        steps.events.push_back(replayed);
+                    }
+                    Err(error) => report_corrupted(&shard, epoch, &error),
+                }
+            }
+            JournalNotice::Corrupted(shard, epoch, error) => {
+                report_corrupted(&shard, epoch, &error);
+            }
+            JournalNotice::Flushed(shard, epoch) => {
+                let flushed = OwnershipEvent::Flushed(shard, epoch);
+                steps.events.push_back(flushed);
+            }
+            JournalNotice::Fenced(shard, epoch) => {
+                let fenced = OwnershipEvent::Fenced(shard, epoch);
+                steps.events.push_back(fenced);
+            }
+            JournalNotice::StoreChanged { available } => {
+                log::warn!("the store takes records: {available}");
+                steps.effects.extend(self.note_key_store(available, now));
+            }
+            JournalNotice::Durable(shard, records) => {
+                let effects = self.note_key_records(&shard, &records, true, now);
+                steps.effects.extend(effects);
+            }
+            JournalNotice::Failed { shard, records, .. } => {
+                let effects = self.note_key_records(&shard, &records, false, now);
+                steps.effects.extend(effects);
+            }
+            JournalNotice::ExportNeeded(shard, epoch) => {
+                let records = self.keys.export(&shard);
+                steps.add(self.journals.export(shard, epoch, records, now));
+            }
         }
     }
 }
 
+fn report_corrupted(shard: &ShardName, epoch: Epoch, error: &JournalError) {
+    log::error!("shard {shard} is not served under epoch {epoch}: {error}");
+}
+
 /// Starts the reading of an acquired shard's journal, if it has one.
 fn replay_shard(shard: ShardName, epoch: Epoch, steps: &mut ShardSteps) {
     if keeps_journal(&shard) {
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -7,9 +7,10 @@
 };
 
 use auburnsaddle_core::{
-    ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Heartbeat,
-    HostKind, HostTable, MemberRecord, OwnedDigest, OwnerTable, OwnershipConfig, OwnershipEvent,
-    PeerConfig, PeerState, PeerTable, RunnerEntry, ShardName, ZoneId, digest_owned,
+    ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Epoch,
+    Heartbeat, HostKind, HostTable, KEY_SHARDS, MemberRecord, OwnedDigest, OwnerTable,
+    OwnershipConfig, OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry, ShardName,
+    ZoneId, digest_owned,
 };
 use rand::rngs::StdRng;
 
@@ -18,8 +19,8 @@
     messages::{ControlEvent, RoutingSnapshot},
 };
 use crate::{
-    calls::CallShards, journal::ShardJournals, membership::read_members, ownership::read_owners,
-    publication::read_head, store::StoreEntry,
+    calls::CallShards, journal::ShardJournals, keys::KeyShards, membership::read_members,
+    ownership::read_owners, publication::read_head, store::StoreEntry,
 };
 
 /// Heartbeats within the region for each one between regions: 500 ms and 5 s.
@@ -35,6 +36,9 @@
     pub(super) owners: OwnerTable<StdRng>,
     pub(super) calls: CallShards,
     pub(super) journals: ShardJournals,
+    pub(super) keys: KeyShards,
+    /// Shards in a handover whose calls have not ended yet.
+    pub(super) flushing: BTreeMap<ShardName, Epoch>,
     heartbeats: u32,
     draining: bool,
 }
@@ -52,7 +56,9 @@
                 rand::make_rng(),
             ),
             calls: CallShards::default(),
+            keys: KeyShards::default(),
             journals: ShardJournals::new(record.daemon.clone(), commit_interval),
+            flushing: BTreeMap::new(),
             heartbeats: 0,
             draining: false,
             record,
@@ -69,6 +75,7 @@
 
     fn apply(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
         match event {
+            ControlEvent::Keys(command) => self.apply_keys(command, now),
             ControlEvent::Journal(report) => self.apply_journal(report, now),
             ControlEvent::Calls(command) => {
                 self.calls.handle(command, now);
@@ -136,6 +143,7 @@
         let dead = self.dead_daemons(now);
         let mut effects = self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now);
         effects.extend(self.apply_ownership(OwnershipEvent::TimerFired, now));
+        effects.extend(self.fire_key_timers(now));
         effects.extend(self.commit_records(now));
         effects
     }
@@ -298,8 +306,14 @@
             .collect()
     }
 
-    /// Returns the call shards: each service with each zone that has runners.
+    /// Returns the call shards: each service with each zone that has runners;
+    /// and, once there are services, the key shards of the region.
     fn shards(&self) -> BTreeSet<ShardName> {
+        let keyed = !self.config.objects().services.is_empty();
+        let region = &self.record.region;
+        let keys = (0..KEY_SHARDS)
+            .filter(|_| keyed)
+            .map(|index| ShardName::Key(region.clone(), index));
         self.hosts
             .iter()
             .filter(|host| host.kind == HostKind::Runner)
@@ -310,6 +324,7 @@
             })
             .filter(|(service, _)| self.config.objects().services.contains_key(service))
             .map(|(service, zone)| ShardName::Call(service, zone))
+            .chain(keys)
             .collect()
     }
 }
--- /dev/null
+++ b/crates/daemon/src/front/keyed.rs
@@ -0,0 +1,130 @@
+//! Calls with an idempotency key.
+
+use auburnsaddle_core::{
+    KeyReply, KeyResponse, NotRunReason, ServiceSpec, ShardName, UnknownReason, key_shard_index,
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use http_body_util::Full;
+
+use super::{
+    body::FrontBody,
+    messages::{FrontError, FrontResponse, OUTCOME_HEADER, not_run_response, unknown_response},
+    service::FrontService,
+};
+use crate::{
+    calls::CallHead,
+    control::RoutingSnapshot,
+    keys::{BODY_LIMIT, KeyedAnswer, KeyedCall},
+    store::StoreClient,
+};
+
+/// Longest key; a UUID has 36 characters.
+const KEY_LIMIT: usize = 255;
+
+/// Response header of a recorded response.
+const REPLAYED_HEADER: &str = "auburnsaddle-replayed";
+
+/// Returns the key of a call; one to a service that is not idempotent must
+/// have one.
+pub(super) fn read_key(
+    headers: &HeaderMap,
+    service: &ServiceSpec,
+) -> Result<Option<String>, FrontError> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return if service.idempotent {
+            Ok(None)
+        } else {
+            Err(bad_key(
+                "the service is not idempotent and the call has no key",
+            ))
+        };
+    };
+    let text = value.to_str().unwrap_or_default();
+    // The key becomes a part of the path of queries to runners.
+    let is_valid = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.~:".contains(&byte);
+    if text.is_empty() || text.len() > KEY_LIMIT || !text.bytes().all(is_valid) {
+        return Err(bad_key("the Idempotency-Key is malformed"));
+    }
+    Ok(Some(text.to_owned()))
+}
+
+fn bad_key(error: &str) -> FrontError {
+    let remedy = "send an Idempotency-Key of 1 to 255 letters, digits and -_.~: such as a UUID";
+    FrontError::new(StatusCode::BAD_REQUEST, error, remedy)
+}
+
+impl<S: StoreClient> FrontService<S> {
+    /// Sends a call to the owner of its key shard.
+    pub(super) async fn handle_keyed(
+        &self,
+        snapshot: &RoutingSnapshot,
+        service: &ServiceSpec,
+        key: String,
+        head: CallHead,
+    ) -> Result<FrontResponse, FrontError> {
+        if head.body.len() > BODY_LIMIT {
+            return Err(FrontError::new(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                &format!("the body of a call with a key is over {BODY_LIMIT} bytes"),
+                "send a smaller body",
+            ));
+        }
+        let call = KeyedCall::new(service.name.clone(), key, head);
+        let Some(pool) = snapshot.objects.pools.get(&service.pool) else {
+            return Ok(not_run_response(NotRunReason::NoTarget));
+        };
+        let shard = ShardName::Key(pool.region.clone(), key_shard_index(&call.key_digest()));
+        let answer = self.keys.submit(&shard, call).await;
+        Ok(keyed_response(answer))
+    }
+}
+
+fn keyed_response(answer: KeyedAnswer) -> FrontResponse {
+    let headers = answer.headers();
+    match answer.reply {
+        KeyReply::Completed(response) => {
+            let mut response = recorded_response(response);
+            *response.headers_mut() = headers;
+            response
+        }
+        KeyReply::Replayed(response) => {
+            let mut response = recorded_response(response);
+            let replayed = HeaderValue::from_static("true");
+            response.headers_mut().insert(REPLAYED_HEADER, replayed);
+            response
+        }
+        KeyReply::BodyDropped(status) => FrontResponse::from(FrontError::new(
+            StatusCode::CONFLICT,
+            &format!("the call was completed with status {status}; its body is not kept"),
+            "ask the service for the result",
+        )),
+        KeyReply::StillRunning => conflict(UnknownReason::DeadlinePassed),
+        KeyReply::Unknown(reason) => conflict(reason),
+        KeyReply::FingerprintMismatch => {
+            let mut response = FrontResponse::from(FrontError::new(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "the Idempotency-Key was used with another request",
+                "send another key with this request",
+            ));
+            let outcome = HeaderValue::from_static("not-run");
+            response.headers_mut().insert(OUTCOME_HEADER, outcome);
+            response
+        }
+        KeyReply::NotRun(reason) => not_run_response(reason),
+    }
+}
+
+fn recorded_response(recorded: KeyResponse) -> FrontResponse {
+    let body = Bytes::from(recorded.body.unwrap_or_default());
+    let mut response = FrontResponse::new(FrontBody::Full(Full::new(body)));
+    // The status was parsed by the daemon that received it.
+    *response.status_mut() = StatusCode::from_u16(recorded.status).unwrap_or_default();
+    response
+}
+
+fn conflict(reason: UnknownReason) -> FrontResponse {
+    let mut response = unknown_response(reason);
+    *response.status_mut() = StatusCode::CONFLICT;
+    response
+}
--- a/crates/daemon/src/front/messages.rs
+++ b/crates/daemon/src/front/messages.rs
@@ -12,7 +12,7 @@
 use super::body::FrontBody;
 
 /// Response header with the outcome of a request that was not answered.
-const OUTCOME_HEADER: &str = "auburnsaddle-outcome";
+pub(super) const OUTCOME_HEADER: &str = "auburnsaddle-outcome";
 
 /// Seconds after which a caller may try again.
 const RETRY_AFTER_SECONDS: &str = "1";
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -8,6 +8,7 @@
 
 mod admin;
 mod body;
+mod keyed;
 mod messages;
 mod service;
 
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -24,6 +24,7 @@
 
 use super::{
     body::FrontBody,
+    keyed::read_key,
     messages::{
         DumpReply, FrontError, FrontResponse, json_response, not_run_response, text_response,
         unknown_response,
@@ -32,6 +33,7 @@
 use crate::{
     calls::{CallCommand, CallDispatcher, CallHead},
     control::{ControlEvent, ControlHandle},
+    keys::KeyForwarder,
     peers::{PeerHandler, PeerReply, PeerRequest},
     settings::CallerLimits,
     store::StoreClient,
@@ -48,6 +50,7 @@
 pub(crate) struct FrontService<S> {
     pub(super) control: ControlHandle,
     dispatcher: CallDispatcher,
+    pub(super) keys: KeyForwarder,
     pub(super) store: S,
     pub(super) metrics: ProcessMetrics,
     limits: CallerLimits,
@@ -58,6 +61,7 @@
     pub(crate) const fn new(
         control: ControlHandle,
         dispatcher: CallDispatcher,
+        keys: KeyForwarder,
         store: S,
         metrics: ProcessMetrics,
         limits: CallerLimits,
@@ -65,6 +69,7 @@
         Self {
             control,
             dispatcher,
+            keys,
             store,
             metrics,
             limits,
@@ -122,6 +127,7 @@
             )
         })?;
         let (parts, body) = request.into_parts();
+        let key = read_key(&parts.headers, service)?;
         let remaining = deadline(&parts.headers, service)?;
         let request_id = request_id(&parts.headers)?;
         let head = CallHead {
@@ -134,6 +140,9 @@
             headers: forwarded_headers(&parts.headers),
             body: read_limited(body, service, self.limits.body_timeout).await?,
         };
+        if let Some(key) = key {
+            return self.handle_keyed(&snapshot, service, key, head).await;
+        }
         let id = format!("{request_id:032x}");
         let received_at = Instant::now();
         let outcome = self.dispatcher.dispatch(service, head).await;
@@ -170,6 +179,9 @@
                 self.control.send(ControlEvent::Calls(command)).await;
                 PeerReply::Noted
             }
+            PeerRequest::KeyedCall(shard, call) => {
+                PeerReply::Keyed(self.keys.ask_here(shard, call).await)
+            }
             PeerRequest::PullConfig(from) => PeerReply::Config(self.pull_config(from).await),
         }
     }
--- /dev/null
+++ b/crates/daemon/src/keys/forward.rs
@@ -0,0 +1,112 @@
+//! Forwarding of calls with keys to the owner of their key shard.
+
+use std::time::{Duration, Instant};
+
+use auburnsaddle_core::{KeyReply, NotRunReason, ShardName, UnknownReason};
+use tokio::sync::oneshot;
+
+use super::messages::{KeyCommand, KeyedAnswer, KeyedCall, KeyedReply};
+use crate::{
+    control::{ControlEvent, ControlHandle},
+    peers::{PeerClient, PeerError, PeerReply, PeerRequest},
+};
+
+/// Time that a call waits for its shard to get an owner. A planned handover
+/// takes less; a takeover takes longer, and its calls are rejected as not run.
+const OWNER_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Mean time between two attempts.
+const ATTEMPT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time beyond the deadline for the owner's own answer about the deadline.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
+
+/// Sends calls with keys to the owners of their key shards.
+#[derive(Clone, Debug)]
+pub(crate) struct KeyForwarder {
+    control: ControlHandle,
+    peers: PeerClient,
+}
+
+impl KeyForwarder {
+    /// Returns a forwarder that shares the connections to peers.
+    pub(crate) const fn new(control: ControlHandle, peers: PeerClient) -> Self {
+        Self { control, peers }
+    }
+
+    /// Sends a call to the owner of its shard and waits for the answer. A call
+    /// whose owner was lost is sent to the next one, which knows from the
+    /// journal whether it may have run.
+    pub(crate) async fn submit(&self, shard: &ShardName, mut call: KeyedCall) -> KeyedAnswer {
+        let started_at = Instant::now();
+        let allowed = call.remaining;
+        let mut may_have_run = false;
+        loop {
+            call.remaining = allowed.saturating_sub(started_at.elapsed());
+            let asking = self.ask_owner(shard, call.clone());
+            let limit = call.remaining + ANSWER_GRACE;
+            let reply = tokio::time::timeout(limit, asking).await;
+            match reply {
+                Ok(KeyedReply::Answered(answer)) if !is_without_owner(&answer) => return answer,
+                Ok(KeyedReply::Answered(_)) => {}
+                Ok(KeyedReply::Moved) => may_have_run = true,
+                Err(_) => return unknown(UnknownReason::DeadlinePassed),
+            }
+            let passed = started_at.elapsed();
+            match may_have_run {
+                true if passed >= allowed => return unknown(UnknownReason::OwnerLost),
+                false if passed >= allowed.min(OWNER_PATIENCE) => return without_owner(),
+                _ => {}
+            }
+            let wait = ATTEMPT_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    async fn ask_owner(&self, shard: &ShardName, call: KeyedCall) -> KeyedReply {
+        let snapshot = self.control.snapshot();
+        let Some(owner) = snapshot.owners.get(shard) else {
+            return KeyedReply::Answered(without_owner());
+        };
+        if owner.daemon == snapshot.daemon {
+            return self.ask_here(shard.clone(), call).await;
+        }
+        let Some(address) = snapshot.peer_address(&owner.daemon) else {
+            return KeyedReply::Answered(without_owner());
+        };
+        let request = PeerRequest::KeyedCall(shard.clone(), call);
+        match self.peers.send(address, &request).await {
+            Ok(PeerReply::Keyed(reply)) => reply,
+            // Nothing was sent.
+            Err(PeerError::Unreachable { .. }) => KeyedReply::Answered(without_owner()),
+            Ok(_) => KeyedReply::Moved,
+            Err(error) => {
+                log::debug!("asking {} for a key failed: {error}", owner.daemon);
+                KeyedReply::Moved
+            }
+        }
+    }
+
+    /// Asks the key shards of this daemon.
+    pub(crate) async fn ask_here(&self, shard: ShardName, call: KeyedCall) -> KeyedReply {
+        let (reply, receiver) = oneshot::channel();
+        let command = KeyCommand::Request { shard, call, reply };
+        self.control.send(ControlEvent::Keys(command)).await;
+        match receiver.await {
+            Ok(answer) => KeyedReply::Answered(answer),
+            Err(_) => KeyedReply::Moved,
+        }
+    }
+}
+
+fn is_without_owner(answer: &KeyedAnswer) -> bool {
+    answer.reply == KeyReply::NotRun(NotRunReason::NoOwner)
+}
+
+fn without_owner() -> KeyedAnswer {
+    KeyedAnswer::without_headers(KeyReply::NotRun(NotRunReason::NoOwner))
+}
+
+fn unknown(reason: UnknownReason) -> KeyedAnswer {
+    KeyedAnswer::without_headers(KeyReply::Unknown(reason))
+}
--- /dev/null
+++ b/crates/daemon/src/keys/mod.rs
@@ -0,0 +1,17 @@
+/*!
+Calls with an idempotency key.
+
+The daemon that receives such a call forwards it to the owner of its key shard
+with [`KeyForwarder`]. The owner keeps the keys in [`KeyShards`] on its control
+thread; [`KeyRunner`] dispatches calls and asks runners on the traffic threads.
+*/
+
+mod forward;
+mod messages;
+mod run;
+mod state;
+
+pub(crate) use forward::KeyForwarder;
+pub(crate) use messages::{BODY_LIMIT, KeyCommand, KeyEffect, KeyedAnswer, KeyedCall, KeyedReply};
+pub(crate) use run::KeyRunner;
+pub(crate) use state::KeyShards;
--- a/crates/daemon/src/peers/messages.rs
+++ b/crates/daemon/src/peers/messages.rs
@@ -6,7 +6,10 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::calls::SlotReply;
+use crate::{
+    calls::SlotReply,
+    keys::{KeyedCall, KeyedReply},
+};
 
 /// A request to another daemon.
 #[derive(Clone, Debug)]
@@ -21,6 +24,9 @@
     ReturnSlot(ShardName, Epoch, GrantId, GrantResult),
     /// Asks for the configuration versions after the one named.
     PullConfig(ConfigVersion),
+    /// Asks the owner of a key shard to run a call once; the reply comes with
+    /// its outcome.
+    KeyedCall(ShardName, KeyedCall),
 }
 
 /// The reply to a [`PeerRequest`].
@@ -33,6 +39,8 @@
     Slot(SlotReply),
     /// The configuration versions that were asked for.
     Config(ConfigPull),
+    /// The answer to a call with a key.
+    Keyed(KeyedReply),
 }
 
 /// A message that was not exchanged with a peer.
