--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,8 +10,10 @@
 mod drain;
 mod effects;
 mod feed;
+mod keys;
 mod messages;
 mod process;
+mod shards;
 mod state;
 
 pub(crate) use messages::{ControlEvent, ControlHandle, RoutingSnapshot};
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -23,9 +23,10 @@
     calls::CallDispatcher,
     front::{FrontService, serve_front},
     hosts::HostClient,
+    keys::{KeyForwarder, KeyRunner},
     peers::{PeerClient, serve_peers},
     settings::DaemonSettings,
-    store::{HttpStore, StoreClient, StoreRates},
+    store::{HttpStore, StoreFeed, StoreRates},
     telemetry::{ProcessClock, ProcessMetrics, init_logger},
 };
 
@@ -95,10 +96,12 @@
         },
     );
     let dispatcher = CallDispatcher::new(control.clone(), peers.clone());
+    let keys = KeyRunner::new(control.clone(), dispatcher.clone());
     let metrics = ProcessMetrics::new(store.counts());
     let service = FrontService::new(
         control.clone(),
         dispatcher,
+        KeyForwarder::new(control.clone(), peers.clone()),
         store.clone(),
         metrics,
         settings.limits,
@@ -114,12 +117,14 @@
     let registration = traffic.spawn(registration);
     traffic.spawn(follow_store(control.clone(), store.clone()));
     let effects = EffectRunner {
+        daemon: record.daemon.clone(),
+        keys,
         traffic: traffic.handle().clone(),
         control: control.clone(),
         peers,
         store,
     };
-    let state = ControlState::new(record);
+    let state = ControlState::new(record, settings.commit_interval);
     let interval = settings.heartbeat_interval;
     let thread = thread::Builder::new()
         .name("control".to_owned())
@@ -160,7 +165,7 @@
 }
 
 /// Applies events one by one on a single-threaded runtime of its own.
-fn control_thread<S: StoreClient>(
+fn control_thread<S: StoreFeed>(
     mut state: ControlState,
     mut receiver: mpsc::Receiver<ControlEvent>,
     effects: &EffectRunner<S>,
@@ -182,7 +187,10 @@
             let actions = tokio::select! {
                 event = receiver.recv() => match event {
                     Some(event) => {
-                        let publish = !matches!(event, ControlEvent::Calls(_));
+                        let publish = !matches!(
+                            event,
+                            ControlEvent::Calls(_) | ControlEvent::Keys(_)
+                        );
                         let actions = state.handle(event, clock.now());
                         if publish {
                             snapshot.store(Arc::new(state.snapshot(clock.now())));
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -1,15 +1,16 @@
 //! All control state, and the application of events to it.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
 
 use auburnsaddle_core::{
-    ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Heartbeat,
-    HostKind, HostTable, MemberRecord, OwnedDigest, OwnerTable, OwnershipAction, OwnershipConfig,
-    OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry, ShardName, ZoneId, digest_owned,
+    ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Epoch,
+    Heartbeat, HostKind, HostTable, KEY_SHARDS, MemberRecord, OwnedDigest, OwnerTable,
+    OwnershipConfig, OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry, ShardName,
+    ZoneId, digest_owned,
 };
 use rand::rngs::StdRng;
 
@@ -18,8 +19,8 @@
     messages::{ControlEvent, RoutingSnapshot},
 };
 use crate::{
-    calls::CallShards, membership::read_members, ownership::read_owners, publication::read_head,
-    store::StoreEntry,
+    calls::CallShards, journal::ShardJournals, keys::KeyShards, membership::read_members,
+    ownership::read_owners, publication::read_head, store::StoreEntry,
 };
 
 /// Heartbeats within the region for each one between regions: 500 ms and 5 s.
@@ -32,15 +33,19 @@
     config: ConfigState,
     hosts: HostTable,
     peers: PeerTable,
-    owners: OwnerTable<StdRng>,
-    calls: CallShards,
+    pub(super) owners: OwnerTable<StdRng>,
+    pub(super) calls: CallShards,
+    pub(super) journals: ShardJournals,
+    pub(super) keys: KeyShards,
+    /// Shards in a handover whose calls have not ended yet.
+    pub(super) flushing: BTreeMap<ShardName, Epoch>,
     heartbeats: u32,
     draining: bool,
 }
 
 impl ControlState {
     /// Returns the state of a daemon that knows only itself.
-    pub(super) fn new(record: MemberRecord) -> Self {
+    pub(super) fn new(record: MemberRecord, commit_interval: Duration) -> Self {
         Self {
             config: ConfigState::default(),
             hosts: HostTable::default(),
@@ -51,15 +56,27 @@
                 rand::make_rng(),
             ),
             calls: CallShards::default(),
+            keys: KeyShards::default(),
+            journals: ShardJournals::new(record.daemon.clone(), commit_interval),
+            flushing: BTreeMap::new(),
             heartbeats: 0,
             draining: false,
             record,
         }
     }
 
-    /// Applies an event and returns the effects to be carried out.
+    /// Applies an event and returns the effects to be carried out, with the
+    /// commit of the records that the event appended.
     pub(super) fn handle(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
+        let mut effects = self.apply(event, now);
+        effects.extend(self.commit_records(now));
+        effects
+    }
+
+    fn apply(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
         match event {
+            ControlEvent::Keys(command) => self.apply_keys(command, now),
+            ControlEvent::Journal(report) => self.apply_journal(report, now),
             ControlEvent::Calls(command) => {
                 self.calls.handle(command, now);
                 Vec::new()
@@ -126,6 +143,8 @@
         let dead = self.dead_daemons(now);
         let mut effects = self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now);
         effects.extend(self.apply_ownership(OwnershipEvent::TimerFired, now));
+        effects.extend(self.fire_key_timers(now));
+        effects.extend(self.commit_records(now));
         effects
     }
 
@@ -259,80 +278,12 @@
         effects
     }
 
-    fn refresh_runners(&mut self, now: Duration) {
+    pub(super) fn refresh_runners(&mut self, now: Duration) {
         let hosts = &self.hosts;
         self.calls
             .set_runners(|shard| live_runners(hosts, shard), now);
     }
 
-    /// Applies an event to the owner table, then the reports that follow from
-    /// its actions at once, until none is left.
-    fn apply_ownership(&mut self, event: OwnershipEvent, now: Duration) -> Vec<ControlEffect> {
-        let mut effects = Vec::new();
-        let mut events = VecDeque::from([event]);
-        while let Some(event) = events.pop_front() {
-            for action in self.owners.handle(event, now) {
-                let (effect, follow_up) = self.carry_out(action, now);
-                effects.extend(effect);
-                events.extend(follow_up);
-            }
-        }
-        effects
-    }
-
-    /// Carries out an action; returns its effect outside the control thread
-    /// and the report that follows at once.
-    ///
-    /// A call shard has no journal, and its runners learn the epoch from the
-    /// calls themselves, so replay, claims and flush end immediately.
-    fn carry_out(
-        &mut self,
-        action: OwnershipAction,
-        now: Duration,
-    ) -> (Option<ControlEffect>, Option<OwnershipEvent>) {
-        match action {
-            OwnershipAction::Claim {
-                shard,
-                expected,
-                next,
-            } => {
-                let effect = ControlEffect::ClaimShard {
-                    shard,
-                    expected,
-                    next,
-                };
-                (Some(effect), None)
-            }
-            OwnershipAction::ReadOwner(shard) => (Some(ControlEffect::ReadOwner(shard)), None),
-            OwnershipAction::Acquired { shard, epoch } => {
-                log::info!("acquired shard {shard} under epoch {epoch}");
-                (None, Some(OwnershipEvent::Replayed(shard, epoch)))
-            }
-            OwnershipAction::ClaimTargets(shard, epoch) => {
-                (None, Some(OwnershipEvent::TargetsClaimed(shard, epoch)))
-            }
-            OwnershipAction::Activated(shard, epoch) => {
-                if !self.calls.owns(&shard, epoch) {
-                    self.calls.acquire(shard, epoch);
-                    self.refresh_runners(now);
-                }
-                (None, None)
-            }
-            OwnershipAction::Flush(shard, epoch) => {
-                (None, Some(OwnershipEvent::Flushed(shard, epoch)))
-            }
-            OwnershipAction::Lost(shard) => {
-                log::warn!("lost shard {shard} to another daemon");
-                self.calls.lose(&shard);
-                (None, None)
-            }
-            // No shard is declared to be in lease mode yet.
-            OwnershipAction::RequestLease { .. } | OwnershipAction::ReleaseLease(..) => {
-                (None, None)
-            }
-        }
-    }
-
     fn candidates(&self) -> BTreeMap<DaemonId, ZoneId> {
         let peers = self.peers.region_peers().filter(|peer| !peer.draining);
         let own = (self.record.daemon.clone(), self.record.zone.clone());
@@ -355,8 +306,14 @@
             .collect()
     }
 
-    /// Returns the call shards: each service with each zone that has runners.
+    /// Returns the call shards: each service with each zone that has runners;
+    /// and, once there are services, the key shards of the region.
     fn shards(&self) -> BTreeSet<ShardName> {
+        let keyed = !self.config.objects().services.is_empty();
+        let region = &self.record.region;
+        let keys = (0..KEY_SHARDS)
+            .filter(|_| keyed)
+            .map(|index| ShardName::Key(region.clone(), index));
         self.hosts
             .iter()
             .filter(|host| host.kind == HostKind::Runner)
@@ -367,6 +324,7 @@
             })
             .filter(|(service, _)| self.config.objects().services.contains_key(service))
             .map(|(service, zone)| ShardName::Call(service, zone))
+            .chain(keys)
             .collect()
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,8 @@
 * `peers`: `h2` streams with `bincode` messages between daemons.
 * `membership`, `ownership`, `publication`, `calls`: the control state of each
   decision slice and its messages.
+* `journal`: durable records of the owned shards.
+* `keys`: calls with idempotency keys.
 * `control`: the control thread.
 * `front`: HTTP for callers and operators.
 
@@ -39,6 +41,8 @@
 mod control;
 mod front;
 mod hosts;
+mod journal;
+mod keys;
 mod membership;
 mod ownership;
 mod peers;
