Send heartbeats on one stream, pass members on, and suspect refused peers

- Heartbeats follow each other on one h2 stream per peer, each behind its length.
A peer that does not read has its stream closed once the window is full.
The connection to a suspected peer is replaced every 2 s, since TCP retransmits ever more rarely on one that a partition has cut.
- A refused connection is an error kind of its own and reaches the peer table.
- A changed digest of owned shards that does not match the known records causes one reading of the owners.
- /metrics counts bytes written to peers and heartbeats sent.

Ruled out: RegistrationLease of the core for the loop in feed.rs. It retries every second without jitter, so all daemons would call a recovering store at the same moment; the loop keeps its randomised backoff.

Test: cargo test -p auburnsaddle-daemon, 41 passed.

--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 
-use auburnsaddle_core::{ConfigVersion, Heartbeat, OwnerRecord, ShardName};
+use auburnsaddle_core::{ConfigVersion, DaemonId, Heartbeat, OwnerRecord, ShardName};
 use tokio::runtime::Handle;
 
 use super::messages::{ControlEvent, ControlHandle};
 use crate::{
     ownership::{OWNER_PREFIX, claim_transaction, read_owner, read_owners},
-    peers::{PeerClient, PeerReply, PeerRequest},
+    peers::{PeerClient, PeerError, PeerReply, PeerRequest},
     publication::fetch_versions,
     store::{StoreClient, TxnOutcome},
 };
@@ -19,7 +19,7 @@
     /// Sends a heartbeat to peers.
     SendHeartbeat {
         /// The peers.
-        addresses: Vec<SocketAddr>,
+        receivers: Vec<HeartbeatReceiver>,
         /// The message.
         heartbeat: Heartbeat,
     },
@@ -48,6 +48,17 @@
     },
     /// Reads one owner record.
     ReadOwner(ShardName),
+    /// Reads all owner records.
+    ReadOwners,
+}
+
+/// A peer that a heartbeat goes to.
+#[derive(Clone, Debug)]
+pub(super) struct HeartbeatReceiver {
+    pub(super) daemon: DaemonId,
+    pub(super) address: SocketAddr,
+    /// Whether the connection is to be replaced.
+    pub(super) renew: bool,
 }
 
 /// Carries out effects on the traffic threads.
@@ -64,11 +75,11 @@
     pub(super) fn start(&self, effect: ControlEffect) {
         match effect {
             ControlEffect::SendHeartbeat {
-                addresses,
+                receivers,
                 heartbeat,
             } => {
-                for address in addresses {
-                    self.send_heartbeat(address, heartbeat.clone());
+                for receiver in receivers {
+                    self.send_heartbeat(receiver, heartbeat.clone());
                 }
             }
             ControlEffect::ClaimShard {
@@ -81,17 +92,41 @@
             ControlEffect::FetchConfig { from, head } => self.fetch_config(from, head),
             ControlEffect::PullConfig { from, address } => self.pull_config(from, address),
             ControlEffect::ReadOwner(shard) => self.read_owner(shard),
+            ControlEffect::ReadOwners => self.read_owners(),
         }
     }
 
-    fn send_heartbeat(&self, address: SocketAddr, heartbeat: Heartbeat) {
+    fn send_heartbeat(&self, receiver: HeartbeatReceiver, heartbeat: Heartbeat) {
         let peers = self.peers.clone();
+        let control = self.control.clone();
+        let HeartbeatReceiver {
+            daemon,
+            address,
+            renew,
+        } = receiver;
+        self.traffic.spawn(async move {
+            match peers.send_heartbeat(address, heartbeat, renew).await {
+                Ok(()) => {}
+                Err(PeerError::Refused { .. }) => {
+                    control.send(ControlEvent::PeerRefused(daemon)).await;
+                }
+                Err(error) => log::debug!("heartbeat was not sent: {error}"),
+            }
+        });
+    }
+
+    fn read_owners(&self) {
+        let control = self.control.clone();
+        let store = self.store.clone();
         self.traffic.spawn(async move {
-            if let Err(error) = peers
-                .send(address, &PeerRequest::Heartbeat(heartbeat))
-                .await
-            {
-                log::debug!("heartbeat was not sent: {error}");
+            // The periodic reading makes up for one that fails.
+            match store.read_prefix(OWNER_PREFIX).await {
+                Ok(entries) => {
+                    control
+                        .send(ControlEvent::OwnersRead(read_owners(&entries)))
+                        .await;
+                }
+                Err(error) => log::warn!("reading the owners: {error}"),
             }
         });
     }
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -1,7 +1,7 @@
 //! Keeps the control state current with the platform: the registration of this
 //! daemon, the control keys of the store and the list of hosts.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use auburnsaddle_core::MemberRecord;
 use tokio::sync::watch;
@@ -14,6 +14,7 @@
     hosts::HostSource,
     membership::{MEMBER_PREFIX, register_transaction},
     ownership::OWNER_PREFIX,
+    peers::{PeerClient, PeerReply, PeerRequest},
     publication::HEAD_KEY,
     store::{
         LeaseId, StoreBackoff, StoreError, StoreFeed, StoreRange, StoreTxn, StoreView, StoreWatch,
@@ -29,6 +30,9 @@
 /// Time between whole readings, which bounds the effect of a watch that hangs.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time in which a peer answers with the members it knows.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Reads the list of hosts again and again.
 pub(super) async fn poll_hosts<H: HostSource>(control: ControlHandle, source: H, period: Duration) {
     let mut interval = interval(period);
@@ -41,6 +45,59 @@
     }
 }
 
+/// Asks the peers named in the settings, and those that they name, for the
+/// members and owners, until one has answered. A daemon that starts while the
+/// store is down learns them only in this way.
+pub(super) async fn ask_peers(
+    control: ControlHandle,
+    peers: PeerClient,
+    record: MemberRecord,
+    named: Vec<SocketAddr>,
+) {
+    let mut answered = BTreeSet::new();
+    let mut backoff = StoreBackoff::default();
+    while !named.is_empty() && answered.is_empty() {
+        let mut waiting = named.clone();
+        while let Some(address) = waiting.pop() {
+            if answered.contains(&address) {
+                continue;
+            }
+            if let Some(others) = introduce(&control, &peers, &record, address).await {
+                answered.insert(address);
+                waiting.extend(others);
+            }
+        }
+        tokio::time::sleep(backoff.next(rand::random())).await;
+    }
+}
+
+/// Introduces this daemon to a peer and returns the addresses of the members
+/// that the peer knows.
+async fn introduce(
+    control: &ControlHandle,
+    peers: &PeerClient,
+    record: &MemberRecord,
+    address: SocketAddr,
+) -> Option<Vec<SocketAddr>> {
+    let request = PeerRequest::Introduce(record.clone());
+    let asking = tokio::time::timeout(ASK_TIMEOUT, peers.send(address, &request));
+    match asking.await {
+        Ok(Ok(PeerReply::Members(members, owners))) => {
+            let others = members.iter().filter(|member| *member != record);
+            let addresses = others.filter_map(|member| member.peer_address.parse().ok());
+            let addresses = addresses.collect();
+            control
+                .send(ControlEvent::MembersTold(members, owners))
+                .await;
+            return Some(addresses);
+        }
+        Ok(Ok(_)) => log::warn!("peer {address} sent no members"),
+        Ok(Err(error)) => log::info!("asking for the members: {error}"),
+        Err(_) => log::info!("asking {address} for the members took too long"),
+    }
+    None
+}
+
 /// Keeps the daemon registered under a lease until `stop` changes, then
 /// deregisters it by ending the lease.
 pub(super) async fn keep_registered<S: StoreFeed>(
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -23,6 +23,12 @@
     Calls(CallCommand),
     /// A heartbeat arrived.
     Heartbeat(Heartbeat),
+    /// The host of a peer refused a connection.
+    PeerRefused(DaemonId),
+    /// A peer passed on the members and owners that it knows.
+    MembersTold(Vec<MemberRecord>, BTreeMap<ShardName, OwnerRecord>),
+    /// A daemon that has not read the store asks for the members.
+    PeerIntroduced(MemberRecord, oneshot::Sender<Vec<MemberRecord>>),
     /// The list of hosts was read.
     HostsRead(Vec<HostEntry>),
     /// The control keys of the store were read.
@@ -30,6 +36,8 @@
     /// A compare-and-swap of an owner was answered; `None` if its effect is
     /// unknown.
     ClaimAnswered(ShardName, Option<OwnerRecord>),
+    /// All owner records were read.
+    OwnersRead(BTreeMap<ShardName, OwnerRecord>),
     /// One owner record was read, or none was found.
     OwnerRead(ShardName, Option<OwnerRecord>),
     /// An operator publishes objects over a base version.
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -15,7 +15,7 @@
 use super::{
     drain::{Drain, terminated},
     effects::EffectRunner,
-    feed::{follow_store, keep_registered, poll_hosts},
+    feed::{ask_peers, follow_store, keep_registered, poll_hosts},
     messages::{ControlEvent, ControlHandle, RoutingSnapshot},
     state::ControlState,
 };
@@ -75,13 +75,16 @@
         daemon: settings.name.clone(),
         region: settings.region.clone(),
         zone: settings.zone.clone(),
-        peer_address: local_address(&peer_listener)?,
+        peer_address: match settings.peer_advertise {
+            Some(address) => address.to_string(),
+            None => local_address(&peer_listener)?,
+        },
         caller_address: local_address(&front)?,
     };
     log::info!(
         "serving callers on {} and peers on {}",
         record.caller_address,
-        record.peer_address
+        local_address(&peer_listener)?
     );
     let (sender, receiver) = mpsc::channel(CONTROL_QUEUE);
     let snapshot = Arc::new(ArcSwap::from_pointee(RoutingSnapshot::default()));
@@ -95,7 +98,7 @@
         },
     );
     let dispatcher = CallDispatcher::new(control.clone(), peers.clone());
-    let metrics = ProcessMetrics::new(store.counts());
+    let metrics = ProcessMetrics::new(store.counts(), peers.traffic());
     let service = FrontService::new(
         control.clone(),
         dispatcher,
@@ -103,12 +106,22 @@
         metrics,
         settings.limits,
     );
-    traffic.spawn(serve_peers(peer_listener, service.clone()));
+    traffic.spawn(serve_peers(
+        peer_listener,
+        service.clone(),
+        peers.traffic().clone(),
+    ));
     traffic.spawn(poll_hosts(
         control.clone(),
         HostClient::new(settings.hosts),
         settings.poll_interval,
     ));
+    traffic.spawn(ask_peers(
+        control.clone(),
+        peers.clone(),
+        record.clone(),
+        settings.peers.clone(),
+    ));
     let (stop, stopped) = watch::channel(false);
     let registration = keep_registered(store.clone(), record.clone(), stopped);
     let registration = traffic.spawn(registration);
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -14,7 +14,7 @@
 use rand::rngs::StdRng;
 
 use super::{
-    effects::ControlEffect,
+    effects::{ControlEffect, HeartbeatReceiver},
     messages::{ControlEvent, RoutingSnapshot},
 };
 use crate::{
@@ -25,6 +25,10 @@
 /// Heartbeats within the region for each one between regions: 500 ms and 5 s.
 const RELAY_HEARTBEATS: u32 = 10;
 
+/// Heartbeats between two replacements of the connection to a suspected peer,
+/// so that the end of a partition is noticed within 2 s.
+const RENEWAL_HEARTBEATS: u32 = 4;
+
 /// The control state of a daemon, changed by the control thread alone.
 #[derive(Debug)]
 pub(super) struct ControlState {
@@ -64,11 +68,24 @@
                 self.calls.handle(command, now);
                 Vec::new()
             }
-            ControlEvent::Heartbeat(heartbeat) => {
-                let source = ConfigSource::Peer(heartbeat.daemon.clone());
-                let event = ConfigEvent::VersionSeen(heartbeat.config_version, source);
-                self.peers.note_heartbeat(heartbeat, now);
-                self.apply_config(event, now)
+            ControlEvent::Heartbeat(heartbeat) => self.note_heartbeat(heartbeat, now),
+            ControlEvent::PeerRefused(daemon) => {
+                self.peers.note_refused(&daemon);
+                Vec::new()
+            }
+            ControlEvent::MembersTold(members, owners) => {
+                let mut effects = self.add_members(members, now);
+                effects.extend(self.apply_ownership(OwnershipEvent::OwnersRead(owners), now));
+                effects
+            }
+            ControlEvent::PeerIntroduced(record, reply) => {
+                let effects = self.add_members(vec![record], now);
+                // The peer's stream may have closed meanwhile.
+                let _ = reply.send(self.members());
+                effects
+            }
+            ControlEvent::OwnersRead(owners) => {
+                self.apply_ownership(OwnershipEvent::OwnersRead(owners), now)
             }
             ControlEvent::HostsRead(entries) => {
                 if self.hosts.replace(entries) {
@@ -140,17 +157,65 @@
             owned_digest: self.owned_digest(),
             loads: BTreeMap::new(),
         };
-        let addresses = self
+        let may_renew = self.heartbeats.is_multiple_of(RENEWAL_HEARTBEATS);
+        let receivers = self
             .heartbeat_receivers()
             .into_iter()
-            .filter_map(|peer| peer.record.peer_address.parse().ok())
+            .filter_map(|peer| {
+                Some(HeartbeatReceiver {
+                    daemon: peer.record.daemon.clone(),
+                    address: peer.record.peer_address.parse().ok()?,
+                    renew: may_renew && heartbeat.suspected.contains(&peer.record.daemon),
+                })
+            })
             .collect();
         ControlEffect::SendHeartbeat {
-            addresses,
+            receivers,
             heartbeat,
         }
     }
 
+    /// Takes in a heartbeat. Owners are read again if the sender owns other
+    /// shards than before and than is known here, as after a handover whose
+    /// change the watch did not report.
+    fn note_heartbeat(&mut self, heartbeat: Heartbeat, now: Duration) -> Vec<ControlEffect> {
+        let source = ConfigSource::Peer(heartbeat.daemon.clone());
+        let event = ConfigEvent::VersionSeen(heartbeat.config_version, source);
+        let before = self
+            .peers
+            .iter()
+            .find(|peer| peer.record.daemon == heartbeat.daemon)
+            .map(|peer| peer.owned_digest);
+        let digest = heartbeat.owned_digest;
+        let is_new = before.is_some_and(|before| before != digest);
+        let reads = is_new && digest != self.recorded_digest(&heartbeat.daemon);
+        self.peers.note_heartbeat(heartbeat, now);
+        let mut effects = self.apply_config(event, now);
+        effects.extend(reads.then_some(ControlEffect::ReadOwners));
+        effects
+    }
+
+    /// Returns the digest of the shards that the known records give a daemon.
+    fn recorded_digest(&self, daemon: &DaemonId) -> OwnedDigest {
+        let records = self.owners.iter();
+        let owned = records.filter(|(_, record)| record.daemon == *daemon);
+        digest_owned(owned.map(|(shard, record)| (shard, record.epoch)))
+    }
+
+    /// Takes over members that a peer passed on; the store goes before them.
+    fn add_members(&mut self, members: Vec<MemberRecord>, now: Duration) -> Vec<ControlEffect> {
+        let own = &self.record.daemon;
+        let others = members.into_iter().filter(|record| record.daemon != *own);
+        self.peers.add_members(others.collect(), now);
+        self.apply_ownership(OwnershipEvent::CandidatesChanged(self.candidates()), now)
+    }
+
+    /// Returns the registrations of all known daemons, this one included.
+    fn members(&self) -> Vec<MemberRecord> {
+        let peers = self.peers.iter().map(|peer| peer.record.clone());
+        peers.chain([self.record.clone()]).collect()
+    }
+
     /// Returns the peers of the region and, with every tenth heartbeat, one
     /// peer of each other region.
     fn heartbeat_receivers(&self) -> Vec<&PeerState> {
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -170,6 +170,13 @@
                 self.control.send(ControlEvent::Calls(command)).await;
                 PeerReply::Noted
             }
+            PeerRequest::Introduce(record) => {
+                let (reply, receiver) = oneshot::channel();
+                let event = ControlEvent::PeerIntroduced(record, reply);
+                self.control.send(event).await;
+                let members = receiver.await.unwrap_or_default();
+                PeerReply::Members(members, self.control.snapshot().owners.clone())
+            }
             PeerRequest::PullConfig(from) => PeerReply::Config(self.pull_config(from).await),
         }
     }
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -2,30 +2,38 @@
 
 use std::{
     collections::BTreeMap,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use bytes::Bytes;
-use h2::client::SendRequest;
+use h2::{SendStream, client::SendRequest};
 use http::Request;
 use tokio::net::TcpStream;
 
 use super::{
     codec::{decode, encode, read_body},
     messages::{PeerError, PeerReply, PeerRequest},
+    traffic::{CountedStream, PeerTraffic},
 };
 
 /// Time to establish a connection; zones are a few milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-type ConnectionMap = BTreeMap<SocketAddr, SendRequest<Bytes>>;
+/// What is open to the peers.
+#[derive(Debug, Default)]
+struct OpenPeers {
+    connections: BTreeMap<SocketAddr, SendRequest<Bytes>>,
+    heartbeats: BTreeMap<SocketAddr, SendStream<Bytes>>,
+}
 
 /// Sends requests to other daemons, over one connection to each.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerClient {
-    connections: Arc<Mutex<ConnectionMap>>,
+    open: Arc<Mutex<OpenPeers>>,
+    traffic: PeerTraffic,
 }
 
 impl PeerClient {
@@ -70,46 +78,74 @@
         }
     }
 
+    /// Returns the counters of what is written to peers.
+    pub(crate) const fn traffic(&self) -> &PeerTraffic {
+        &self.traffic
+    }
+
     /// Returns a usable connection, a new one if there is none.
-    async fn connection(&self, address: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
-        let known = self.lock().get(&address).cloned();
+    pub(super) async fn connection(
+        &self,
+        address: SocketAddr,
+    ) -> Result<SendRequest<Bytes>, PeerError> {
+        let known = self.lock().connections.get(&address).cloned();
         if let Some(sender) = known {
             match sender.ready().await {
                 Ok(sender) => return Ok(sender),
                 Err(_) => self.forget(address),
             }
         }
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address));
+        let connecting =
+            tokio::time::timeout(CONNECT_TIMEOUT, connect(address, self.traffic.clone()));
         let sender = match connecting.await {
             Ok(connected) => connected?,
             Err(elapsed) => return Err(unreachable(address, &elapsed)),
         };
-        self.lock().insert(address, sender.clone());
+        self.lock().connections.insert(address, sender.clone());
         sender
             .ready()
             .await
             .map_err(|error| unreachable(address, &error))
     }
 
-    fn forget(&self, address: SocketAddr) {
-        self.lock().remove(&address);
+    /// Has the next request open a new connection; the streams on the present
+    /// one go on until they end.
+    pub(super) fn forget(&self, address: SocketAddr) {
+        self.lock().connections.remove(&address);
+    }
+
+    /// Takes the heartbeat stream to a peer.
+    pub(super) fn take_stream(&self, address: SocketAddr) -> Option<SendStream<Bytes>> {
+        self.lock().heartbeats.remove(&address)
+    }
+
+    /// Keeps the heartbeat stream to a peer for the next heartbeat.
+    pub(super) fn keep_stream(&self, address: SocketAddr, stream: SendStream<Bytes>) {
+        self.lock().heartbeats.insert(address, stream);
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, ConnectionMap> {
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, OpenPeers> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(|error| unreachable(address, &error))?;
+async fn connect(
+    address: SocketAddr,
+    traffic: PeerTraffic,
+) -> Result<SendRequest<Bytes>, PeerError> {
+    let stream = match TcpStream::connect(address).await {
+        Ok(stream) => stream,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(PeerError::Refused {
+                address: address.to_string(),
+            });
+        }
+        Err(error) => return Err(unreachable(address, &error)),
+    };
     stream
         .set_nodelay(true)
         .map_err(|error| unreachable(address, &error))?;
-    let (sender, connection) = h2::client::handshake(stream)
+    let (sender, connection) = h2::client::handshake(CountedStream::new(stream, traffic))
         .await
         .map_err(|error| unreachable(address, &error))?;
     tokio::spawn(async move {
@@ -120,7 +156,7 @@
     Ok(sender)
 }
 
-fn unreachable<E: std::fmt::Display>(address: SocketAddr, error: &E) -> PeerError {
+pub(super) fn unreachable<E: std::fmt::Display>(address: SocketAddr, error: &E) -> PeerError {
     PeerError::Unreachable {
         address: address.to_string(),
         message: error.to_string(),
--- a/crates/daemon/src/peers/messages.rs
+++ b/crates/daemon/src/peers/messages.rs
@@ -1,7 +1,10 @@
 //! Requests and replies between daemons.
 
+use std::collections::BTreeMap;
+
 use auburnsaddle_core::{
-    CallRequest, ConfigPull, ConfigVersion, Epoch, GrantId, GrantResult, Heartbeat, ShardName,
+    CallRequest, ConfigPull, ConfigVersion, Epoch, GrantId, GrantResult, Heartbeat, MemberRecord,
+    OwnerRecord, ShardName,
 };
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -21,6 +24,9 @@
     ReturnSlot(ShardName, Epoch, GrantId, GrantResult),
     /// Asks for the configuration versions after the one named.
     PullConfig(ConfigVersion),
+    /// Introduces the sender, which has not read the store yet, and asks for the
+    /// members and owners that the receiver knows.
+    Introduce(MemberRecord),
 }
 
 /// The reply to a [`PeerRequest`].
@@ -33,6 +39,8 @@
     Slot(SlotReply),
     /// The configuration versions that were asked for.
     Config(ConfigPull),
+    /// The known members, the replying daemon among them, and the owners.
+    Members(Vec<MemberRecord>, BTreeMap<ShardName, OwnerRecord>),
 }
 
 /// A message that was not exchanged with a peer.
@@ -40,8 +48,14 @@
 #[derive(Snafu)]
 #[non_exhaustive]
 pub(crate) enum PeerError {
+    /// The peer's host refused the connection: no process listens there.
+    #[snafu(display("peer {address} refused the connection; check that it runs"))]
+    Refused {
+        /// The peer's address.
+        address: String,
+    },
     /// The peer was not reached; nothing was sent.
-    #[snafu(display("peer {address} refused the connection: {message}; check that it runs"))]
+    #[snafu(display("peer {address} was not reached: {message}; check the network"))]
     Unreachable {
         /// The peer's address.
         address: String,
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -9,7 +9,9 @@
 
 use super::{
     codec::{decode, encode, read_body},
+    heartbeats::{STREAM_PATH, serve_frames},
     messages::{PeerError, PeerReply, PeerRequest},
+    traffic::{CountedStream, PeerTraffic},
 };
 
 /// Answers requests of other daemons.
@@ -19,11 +21,15 @@
 }
 
 /// Accepts connections of other daemons until the task is aborted.
-pub(crate) async fn serve_peers<H: PeerHandler>(listener: TcpListener, handler: H) {
+pub(crate) async fn serve_peers<H: PeerHandler>(
+    listener: TcpListener,
+    handler: H,
+    traffic: PeerTraffic,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, handler.clone()));
+                tokio::spawn(serve_connection(stream, handler.clone(), traffic.clone()));
             }
             Err(error) => {
                 log::warn!("accepting a peer connection failed: {error}");
@@ -34,9 +40,10 @@
     }
 }
 
-async fn serve_connection<H: PeerHandler>(stream: TcpStream, handler: H) {
+async fn serve_connection<H: PeerHandler>(stream: TcpStream, handler: H, traffic: PeerTraffic) {
     // Without the option a small reply would wait for a delayed acknowledgement.
     let _ = stream.set_nodelay(true);
+    let stream = CountedStream::new(stream, traffic);
     let mut connection = match h2::server::handshake(stream).await {
         Ok(connection) => connection,
         Err(error) => {
@@ -62,6 +69,13 @@
     mut respond: SendResponse<Bytes>,
     handler: H,
 ) {
+    if request.uri().path() == STREAM_PATH {
+        if let Err(error) = serve_frames(request.into_body(), handler).await {
+            log::warn!("heartbeats of a peer rejected: {error}");
+            respond.send_reset(Reason::PROTOCOL_ERROR);
+        }
+        return;
+    }
     let message = match read_body(request.into_body())
         .await
         .and_then(|body| decode(&body))
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -46,6 +46,22 @@
         }
     }
 
+    /// Returns a value that may be left out.
+    pub(super) fn read_optional<T>(&mut self, flag: &'static str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let (spec, text) = self.text(flag).filter(|(_, text)| !text.is_empty())?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.note_value(spec, &text, &format!("{error}; write {}", spec.value));
+                None
+            }
+        }
+    }
+
     /// Returns a comma-separated list.
     pub(super) fn read_list<T>(&mut self, flag: &'static str) -> Vec<T>
     where
--- a/crates/daemon/src/settings/state.rs
+++ b/crates/daemon/src/settings/state.rs
@@ -20,6 +20,9 @@
     pub listen: SocketAddr,
     /// Address for other daemons.
     pub peer_listen: SocketAddr,
+    /// Address that other daemons connect to, if it differs from the one
+    /// listened on.
+    pub peer_advertise: Option<SocketAddr>,
     /// Peers to ask when the store is away at the start.
     pub peers: Vec<SocketAddr>,
     /// Address of the platform's store.
@@ -119,6 +122,7 @@
             zone: reader.read_name("--zone").into(),
             listen: reader.read("--listen", unset),
             peer_listen: reader.read("--peer-listen", unset),
+            peer_advertise: reader.read_optional("--peer-advertise"),
             peers: reader.read_list("--peers"),
             store: reader.read("--store", unset),
             hosts: reader.read("--hosts", unset),
--- a/crates/daemon/src/settings/table.rs
+++ b/crates/daemon/src/settings/table.rs
@@ -40,6 +40,12 @@
         "127.0.0.1:7481",
         "address for other daemons",
     ),
+    optional(
+        "--peer-advertise",
+        "IP:PORT",
+        "",
+        "address that other daemons connect to, if it is not that of --peer-listen",
+    ),
     optional(
         "--peers",
         "IP:PORT,...",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -9,7 +9,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use crate::store::StoreCounts;
+use crate::{peers::PeerTraffic, store::StoreCounts};
 
 /// Bounds of the buckets of call times in seconds: from far below the time of
 /// one call to the longest deadline.
@@ -34,7 +34,7 @@
     /// # Panics
     ///
     /// Panics if the new registry rejects the exporter.
-    pub(crate) fn new(store_counts: Arc<StoreCounts>) -> Self {
+    pub(crate) fn new(store_counts: Arc<StoreCounts>, peer_traffic: &PeerTraffic) -> Self {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -51,6 +51,16 @@
                 }
             })
             .build();
+        let traffic = peer_traffic.clone();
+        meter
+            .u64_observable_counter("auburnsaddle_peer_bytes_written")
+            .with_callback(move |observer| observer.observe(traffic.bytes(), &[]))
+            .build();
+        let traffic = peer_traffic.clone();
+        meter
+            .u64_observable_counter("auburnsaddle_heartbeats_sent")
+            .with_callback(move |observer| observer.observe(traffic.heartbeats(), &[]))
+            .build();
         Self {
             calls: meter.u64_counter("auburnsaddle_calls").build(),
             call_seconds: meter
