--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -10,7 +10,7 @@
     journal::{JournalEffect, run_effect},
     keys::{KeyEffect, KeyRunner},
     ownership::{OWNER_PREFIX, claim_transaction, read_owner, read_owners},
-    peers::{PeerClient, PeerReply, PeerRequest},
+    peers::{PeerClient, PeerError, PeerReply, PeerRequest},
     publication::fetch_versions,
     store::{StoreFeed, TxnOutcome},
 };
@@ -21,7 +21,7 @@
     /// Sends a heartbeat to peers.
     SendHeartbeat {
         /// The peers.
-        addresses: Vec<SocketAddr>,
+        receivers: Vec<HeartbeatReceiver>,
         /// The message.
         heartbeat: Heartbeat,
     },
@@ -54,6 +54,17 @@
     Key(KeyEffect),
     /// Reads or writes the journal.
     Journal(JournalEffect),
+    /// Reads all owner records.
+    ReadOwners,
+}
+
+/// A peer that a heartbeat goes to.
+#[derive(Clone, Debug)]
+pub(super) struct HeartbeatReceiver {
+    pub(super) daemon: DaemonId,
+    pub(super) address: SocketAddr,
+    /// Whether the connection is to be replaced.
+    pub(super) renew: bool,
 }
 
 /// Carries out effects on the traffic threads.
@@ -72,11 +83,11 @@
     pub(super) fn start(&self, effect: ControlEffect) {
         match effect {
             ControlEffect::SendHeartbeat {
-                addresses,
+                receivers,
                 heartbeat,
             } => {
-                for address in addresses {
-                    self.send_heartbeat(address, heartbeat.clone());
+                for receiver in receivers {
+                    self.send_heartbeat(receiver, heartbeat.clone());
                 }
             }
             ControlEffect::ClaimShard {
@@ -94,17 +105,41 @@
                 self.traffic.spawn(async move { keys.run(effect).await });
             }
             ControlEffect::Journal(effect) => self.run_journal(effect),
+            ControlEffect::ReadOwners => self.read_owners(),
         }
     }
 
-    fn send_heartbeat(&self, address: SocketAddr, heartbeat: Heartbeat) {
+    fn send_heartbeat(&self, receiver: HeartbeatReceiver, heartbeat: Heartbeat) {
         let peers = self.peers.clone();
+        let control = self.control.clone();
+        let HeartbeatReceiver {
+            daemon,
+            address,
+            renew,
+        } = receiver;
         self.traffic.spawn(async move {
-            if let Err(error) = peers
-                .send(address, &PeerRequest::Heartbeat(heartbeat))
-                .await
-            {
-                log::debug!("heartbeat was not sent: {error}");
+            match peers.send_heartbeat(address, heartbeat, renew).await {
+                Ok(()) => {}
+                Err(PeerError::Refused { .. }) => {
+                    control.send(ControlEvent::PeerRefused(daemon)).await;
+                }
+                Err(error) => log::debug!("heartbeat was not sent: {error}"),
+            }
+        });
+    }
+
+    fn read_owners(&self) {
+        let control = self.control.clone();
+        let store = self.store.clone();
+        self.traffic.spawn(async move {
+            // The periodic reading makes up for one that fails.
+            match store.read_prefix(OWNER_PREFIX).await {
+                Ok(entries) => {
+                    control
+                        .send(ControlEvent::OwnersRead(read_owners(&entries)))
+                        .await;
+                }
+                Err(error) => log::warn!("reading the owners: {error}"),
             }
         });
     }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -182,6 +182,13 @@
             PeerRequest::KeyedCall(shard, call) => {
                 PeerReply::Keyed(self.keys.ask_here(shard, call).await)
             }
+            PeerRequest::Introduce(record) => {
+                let (reply, receiver) = oneshot::channel();
+                let event = ControlEvent::PeerIntroduced(record, reply);
+                self.control.send(event).await;
+                let members = receiver.await.unwrap_or_default();
+                PeerReply::Members(members, self.control.snapshot().owners.clone())
+            }
             PeerRequest::PullConfig(from) => PeerReply::Config(self.pull_config(from).await),
         }
     }
