Wait for the window before a heartbeat, and take over introductions

No heartbeat was delivered at all.

Heartbeats now wait up to 1 s for the window. The same test bounds a heartbeat on an open stream at 60 bytes.

A daemon that is restarted while the store is down was looked for at the address of its former process, because what the store said went before its introduction. PeerTable::introduce replaces the record.

Ruled out: no check of the window. A paused peer would have messages pile up for it without a limit.

--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -125,6 +125,18 @@
         }
     }
 
+    /// Takes over what a daemon says of itself. It goes before the store, which
+    /// may still hold the addresses of the daemon's former process.
+    pub fn introduce(&mut self, record: MemberRecord, now: Duration) {
+        match self.peers.get(&record.daemon) {
+            Some(peer) if peer.record == record => {}
+            _ => {
+                let peer = PeerState::new(record.clone(), true, now);
+                self.peers.insert(record.daemon, peer);
+            }
+        }
+    }
+
     /// Notes a heartbeat; one of an unknown daemon is ignored.
     pub fn note_heartbeat(&mut self, heartbeat: Heartbeat, now: Duration) {
         if let Some(peer) = self.peers.get_mut(&heartbeat.daemon) {
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -47,6 +47,26 @@
     table
 }
 
+/// Guards against a daemon that was restarted while the store is down and is
+/// still looked for at the addresses of its former process.
+#[test]
+fn an_introduction_replaces_an_old_registration() {
+    let mut table = table(&["b"]);
+    table.note_refused(&"b".into());
+    let restarted = MemberRecord {
+        peer_address: "127.0.0.1:3".into(),
+        ..record("b")
+    };
+
+    table.introduce(restarted.clone(), LATER);
+
+    assert_eq!(
+        table.iter().map(|peer| &peer.record).collect::<Vec<_>>(),
+        [&restarted]
+    );
+    assert!(table.suspected(LATER).is_empty());
+}
+
 /// Guards against taking a partition between two daemons for a death, and
 /// against a vote that leaves the own one out.
 #[test]
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -79,7 +79,9 @@
                 effects
             }
             ControlEvent::PeerIntroduced(record, reply) => {
-                let effects = self.add_members(vec![record], now);
+                self.peers.introduce(record, now);
+                let event = OwnershipEvent::CandidatesChanged(self.candidates());
+                let effects = self.apply_ownership(event, now);
                 // The peer's stream may have closed meanwhile.
                 let _ = reply.send(self.members());
                 effects
--- a/crates/daemon/src/peers/heartbeats.rs
+++ b/crates/daemon/src/peers/heartbeats.rs
@@ -3,11 +3,11 @@
 //! A stream for each heartbeat would repeat its headers every time. Each
 //! message on the stream is preceded by its length.
 
-use std::net::SocketAddr;
+use std::{future::poll_fn, net::SocketAddr, time::Duration};
 
 use auburnsaddle_core::Heartbeat;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use h2::{RecvStream, SendStream};
+use h2::{Reason, RecvStream, SendStream};
 use http::Request;
 
 use super::{
@@ -20,6 +20,9 @@
 /// Path of a stream of messages; a single message goes to `/`.
 pub(super) const STREAM_PATH: &str = "/heartbeats";
 
+/// Time in which the windows of a peer that reads open again.
+const CAPACITY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Bytes of the length before each message.
 const LENGTH_BYTES: usize = 2;
 
@@ -43,18 +46,32 @@
         if renew {
             self.forget(address);
         }
-        let known = known
-            .filter(|_| !renew)
-            .and_then(|stream| write_frame(stream, frame.clone()).ok());
-        let stream = match known {
+        let written = match known {
+            Some(stream) if !renew => write_frame(stream, frame.clone()).await.ok(),
+            _ => None,
+        };
+        let stream = match written {
             Some(stream) => stream,
-            None => write_frame(self.open_stream(address).await?, frame)?,
+            None => self.open_and_write(address, frame).await?,
         };
         self.traffic().note_heartbeat();
         self.keep_stream(address, stream);
         Ok(())
     }
 
+    async fn open_and_write(
+        &self,
+        address: SocketAddr,
+        frame: Bytes,
+    ) -> Result<SendStream<Bytes>, PeerError> {
+        let stream = self.open_stream(address).await?;
+        let written = write_frame(stream, frame).await;
+        if written.is_err() {
+            self.forget(address);
+        }
+        written
+    }
+
     async fn open_stream(&self, address: SocketAddr) -> Result<SendStream<Bytes>, PeerError> {
         let mut sender = self.connection(address).await?;
         let request = Request::post(STREAM_PATH)
@@ -73,21 +90,38 @@
 
 /// Queues a message and returns the stream if it is still usable. A peer that
 /// does not read has its stream closed, so that no messages pile up for it.
-fn write_frame(
+async fn write_frame(
     mut stream: SendStream<Bytes>,
     frame: Bytes,
 ) -> Result<SendStream<Bytes>, PeerError> {
     stream.reserve_capacity(frame.len());
-    if stream.capacity() < frame.len() {
-        return Err(PeerError::Interrupted {
-            message: "the peer does not read its heartbeats".to_owned(),
-        });
+    let waiting = wait_for_capacity(&mut stream, frame.len());
+    match tokio::time::timeout(CAPACITY_TIMEOUT, waiting).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => return Err(interrupted(&error)),
+        Err(_) => return Err(interrupted(&"the peer does not read its heartbeats")),
     }
     match stream.send_data(frame, false) {
         Ok(()) => Ok(stream),
-        Err(error) => Err(PeerError::Interrupted {
-            message: error.to_string(),
-        }),
+        Err(error) => Err(interrupted(&error)),
+    }
+}
+
+/// Waits until the peer's windows permit a number of bytes; a new stream has
+/// no capacity before the connection has opened it.
+async fn wait_for_capacity(stream: &mut SendStream<Bytes>, bytes: usize) -> Result<(), h2::Error> {
+    while stream.capacity() < bytes {
+        match poll_fn(|context| stream.poll_capacity(context)).await {
+            Some(assigned) => assigned?,
+            None => return Err(Reason::STREAM_CLOSED.into()),
+        };
+    }
+    Ok(())
+}
+
+fn interrupted<E: ToString + ?Sized>(cause: &E) -> PeerError {
+    PeerError::Interrupted {
+        message: cause.to_string(),
     }
 }
 
--- a/crates/daemon/src/peers/tests.rs
+++ b/crates/daemon/src/peers/tests.rs
@@ -1,16 +1,20 @@
 //! Tests of the peer codec.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use auburnsaddle_core::Heartbeat;
 use bytes::BytesMut;
 use proptest::prelude::*;
+use tokio::{net::TcpListener, sync::mpsc};
 
 use super::{
-    PeerReply, PeerRequest,
+    PeerClient, PeerError, PeerHandler, PeerReply, PeerRequest, PeerTraffic,
     codec::{PROTOCOL_VERSION, decode, encode},
     heartbeats::{encode_frame, take_frame},
-    messages::PeerError,
+    serve_peers,
 };
 
 /// Guards against misreading the messages of another version.
@@ -57,6 +61,70 @@
     }
 }
 
+/// Time in which a message arrives on loopback; far above what is expected.
+const ARRIVAL_TIME: Duration = Duration::from_secs(10);
+
+/// Passes received requests on to the test.
+#[derive(Clone)]
+struct RequestLog(mpsc::UnboundedSender<PeerRequest>);
+
+impl PeerHandler for RequestLog {
+    async fn handle(&self, request: PeerRequest) -> PeerReply {
+        let _ = self.0.send(request);
+        PeerReply::Noted
+    }
+}
+
+/// Guards against heartbeats that are not delivered, on the first stream to a
+/// peer, on the same stream again or on a replaced connection, and against one
+/// that costs more than the 60 bytes of the design.
+#[tokio::test]
+async fn heartbeats_arrive_one_by_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, mut received) = mpsc::unbounded_channel();
+    tokio::spawn(serve_peers(
+        listener,
+        RequestLog(sender),
+        PeerTraffic::default(),
+    ));
+    let client = PeerClient::default();
+    let mut bytes = Vec::new();
+
+    for version in 0..6 {
+        let PeerRequest::Heartbeat(message) = heartbeat(version) else {
+            unreachable!("the fixture makes heartbeats");
+        };
+        let before = client.traffic().bytes();
+        let sent = client.send_heartbeat(address, message, version == 3).await;
+        let arrived = tokio::time::timeout(ARRIVAL_TIME, received.recv()).await;
+        let arrived = arrived.expect("heartbeats arrive");
+
+        assert_eq!(sent, Ok(()));
+        assert_eq!(
+            format!("{arrived:?}"),
+            format!("{:?}", Some(heartbeat(version)))
+        );
+        bytes.push(client.traffic().bytes() - before);
+    }
+    assert!(bytes[5] <= 60, "{bytes:?}");
+}
+
+/// Guards against a refused connection that is taken for silence.
+#[tokio::test]
+async fn a_refused_connection_is_told_apart() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+
+    let error = PeerClient::default()
+        .send(address, &heartbeat(1))
+        .await
+        .unwrap_err();
+
+    assert!(matches!(error, PeerError::Refused { .. }), "{error}");
+}
+
 proptest! {
     /// Guards against a daemon that dies from a malformed message.
     #[test]
