Test crashes, pauses, partitions and restarts; linger while draining

Cause: the invariants were not tried through real processes under faults.

Eleven tests with real daemons: SIGKILL of an owner and of an entry under load; SIGSTOP of an owner for longer than all leases, then SIGCONT; partitions between two daemons, of one from all others, and one-way, through a TCP proxy in front of each peer address; a daemon started while the store is down; lost responses during apply; racing operators; a runner that dies in the middle of a response; a leaving runner; a rolling restart. Each checks the callers' results for lost, short or exchanged answers, the runners' own logs for calls run twice and more than 8 at once, and versions that go back.

The daemon now takes in the connections that the system has accepted, closes the listener and answers for a further 500 ms with `Connection: close` before it closes what is idle.

Ruled out: retries in the test's callers; they would hide the reset.

--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -4,12 +4,17 @@
     convert::Infallible,
     future::Future,
     pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use auburnsaddle_core::{CallOutcome, RequestId, ServiceSpec};
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
+use futures::FutureExt;
+use http::{HeaderMap, HeaderValue, Request, StatusCode, Version, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
@@ -38,6 +43,10 @@
     telemetry::ProcessMetrics,
 };
 
+/// Time in which callers of a draining daemon get a response that asks them to
+/// close their connection; callers in a row wait far less between two calls.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
 const SERVICE_PREFIX: &str = "/v1/services/";
 
 /// Most headers of a request.
@@ -51,11 +60,12 @@
     pub(super) store: S,
     pub(super) metrics: ProcessMetrics,
     limits: CallerLimits,
+    draining: Arc<AtomicBool>,
 }
 
 impl<S: StoreClient> FrontService<S> {
     /// Returns the service of a daemon.
-    pub(crate) const fn new(
+    pub(crate) fn new(
         control: ControlHandle,
         dispatcher: CallDispatcher,
         store: S,
@@ -68,9 +78,22 @@
             store,
             metrics,
             limits,
+            draining: Arc::default(),
         }
     }
 
+    /// Answers one request; while the daemon drains, the response asks the
+    /// caller to close an HTTP/1.1 connection.
+    async fn handle_exchange(&self, request: Request<Incoming>) -> FrontResponse {
+        let closes = request.version() <= Version::HTTP_11;
+        let mut response = self.handle_request(request).await;
+        if closes && self.draining.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+
     async fn handle_request(&self, request: Request<Incoming>) -> FrontResponse {
         let path = request.uri().path().to_owned();
         let result = match path.as_str() {
@@ -184,6 +207,10 @@
 
 /// Accepts connections of callers and operators until `stopped` is ready. The
 /// returned value lets the open connections finish their requests.
+///
+/// Connections are not closed at once: a caller may just be sending its next
+/// request on one that is idle, and that request would be reset. Responses of
+/// the linger time ask for the close, and callers then use other daemons.
 pub(crate) async fn serve_front<S: StoreClient, F: Future<Output = ()>>(
     listener: TcpListener,
     service: FrontService<S>,
@@ -194,14 +221,10 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = &mut stopped => return graceful,
+            () = &mut stopped => break,
         };
         match accepted {
-            Ok((stream, _)) if graceful.count() < service.limits.connections => {
-                serve_connection(stream, service.clone(), &graceful);
-            }
-            // Closing at once tells the caller to try another daemon.
-            Ok(_) => log::warn!("a caller was turned away; see --connection-limit"),
+            Ok((stream, _)) => admit_connection(stream, &service, &graceful),
             Err(error) => {
                 log::warn!("accepting a connection failed: {error}");
                 // Out of file descriptors, for one, does not end at once.
@@ -209,6 +232,27 @@
             }
         }
     }
+    service.draining.store(true, Ordering::Relaxed);
+    // Connections that the system has accepted already would be reset.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        admit_connection(stream, &service, &graceful);
+    }
+    drop(listener);
+    tokio::time::sleep(LINGER_TIME).await;
+    graceful
+}
+
+fn admit_connection<S: StoreClient>(
+    stream: TcpStream,
+    service: &FrontService<S>,
+    graceful: &GracefulShutdown,
+) {
+    if graceful.count() < service.limits.connections {
+        serve_connection(stream, service.clone(), graceful);
+    } else {
+        // Closing at once tells the caller to try another daemon.
+        log::warn!("a caller was turned away; see --connection-limit");
+    }
 }
 
 fn serve_connection<S: StoreClient>(
@@ -221,7 +265,7 @@
     let limits = service.limits;
     let service = service_fn(move |request| {
         let service = service.clone();
-        async move { Ok::<_, Infallible>(service.handle_request(request).await) }
+        async move { Ok::<_, Infallible>(service.handle_exchange(request).await) }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -4,58 +4,34 @@
 mod support;
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use auburnsaddle_standins::platform::StoreFaults;
 use http::StatusCode;
-use support::{CallResult, PATIENCE, TestCluster};
-use tokio::task::JoinHandle;
+use support::{
+    CallResult, PATIENCE, TestCluster,
+    load::{CallerLoad, whole, wrong_results},
+    versions::{VersionWatch, wait_for_version},
+};
 
 /// Calls in progress at once at each daemon.
 const CALLERS: usize = 4;
 
+/// Calls in progress at once at each daemon when its runner is to be full.
+const MANY_CALLERS: usize = 12;
+
+/// The longest lease in the store, that of a registration or a shard.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
+
+/// Time after which a leaving host gets no new call.
+const LEAVING_TIME: Duration = Duration::from_secs(5);
+
 /// Parts of a response that takes far longer than the handover of a shard, so
 /// that a daemon which exits too early cuts it.
 const STREAMED_CHUNKS: u32 = 200;
 
-/// Sends calls to the named daemons one after the other from several callers
-/// until `stop` is set.
-fn start_load(
-    cluster: &Arc<TestCluster>,
-    daemons: &[usize],
-    stop: &Arc<AtomicBool>,
-) -> Vec<JoinHandle<Vec<CallResult>>> {
-    let callers = daemons.iter().flat_map(|daemon| [*daemon; CALLERS]);
-    callers
-        .map(|daemon| {
-            let cluster = Arc::clone(cluster);
-            let stop = Arc::clone(stop);
-            tokio::spawn(async move {
-                let mut results = Vec::new();
-                while !stop.load(Ordering::Relaxed) {
-                    results.push(cluster.call(daemon, "token").await);
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                }
-                results
-            })
-        })
-        .collect()
-}
-
-async fn finish_load(stop: &AtomicBool, load: Vec<JoinHandle<Vec<CallResult>>>) -> Vec<CallResult> {
-    stop.store(true, Ordering::Relaxed);
-    let mut results = Vec::new();
-    for caller in load {
-        results.extend(caller.await.expect("callers do not panic"));
-    }
-    results
-}
-
 fn done(body: &str) -> CallResult {
     CallResult::Answered(StatusCode::OK, String::new(), format!("done: {body}"))
 }
@@ -64,6 +40,47 @@
     matches!(result, CallResult::Answered(_, outcome, _) if outcome == "not-run")
 }
 
+fn is_no_answer(result: &CallResult) -> bool {
+    let broken = matches!(result, CallResult::BrokenOff(_) | CallResult::NotConnected);
+    broken || is_not_run(result)
+}
+
+fn is_status(result: &CallResult, status: StatusCode) -> bool {
+    matches!(result, CallResult::Answered(answered, _, _) if *answered == status)
+}
+
+/// Waits until a daemon suspects another one.
+async fn wait_for_suspicion(cluster: &TestCluster, daemon: usize, suspect: &str) {
+    let started_at = Instant::now();
+    loop {
+        let suspected = cluster.status(daemon).await["suspected"].clone();
+        let names = suspected.as_array();
+        if names.is_some_and(|names| names.iter().any(|name| name == suspect)) {
+            return;
+        }
+        assert!(
+            started_at.elapsed() < PATIENCE,
+            "not suspected: {suspected}"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Waits until no daemon suspects another one.
+async fn wait_for_no_suspicion(cluster: &TestCluster) {
+    let started_at = Instant::now();
+    for daemon in 0..cluster.daemons.len() {
+        loop {
+            let suspected = cluster.status(daemon).await["suspected"].clone();
+            if suspected.as_array().is_some_and(Vec::is_empty) {
+                break;
+            }
+            assert!(started_at.elapsed() < PATIENCE, "suspected: {suspected}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
 /// Waits until a daemon names no shard of `former` any more.
 async fn wait_for_takeover(cluster: &TestCluster, daemon: usize, former: &str) {
     let started_at = Instant::now();
@@ -75,7 +92,8 @@
         if owned {
             return;
         }
-        assert!(started_at.elapsed() < PATIENCE, "no takeover: {owners}");
+        let status = cluster.status(daemon).await;
+        assert!(started_at.elapsed() < PATIENCE, "no takeover: {status}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
@@ -118,26 +136,19 @@
     // The drained daemon is moved to the end so that it can be waited for alone.
     cluster.daemons.push(drained);
     let cluster = Arc::new(cluster);
-    let stop = Arc::new(AtomicBool::new(false));
-    let load = start_load(&cluster, &[0, 1, 2], &stop);
+    let load = CallerLoad::start(&cluster, &[0, 1, 2], CALLERS);
     tokio::time::sleep(Duration::from_millis(500)).await;
 
     cluster.daemons[2].terminate();
     wait_for_takeover(&cluster, 0, "daemon-0").await;
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let results = finish_load(&stop, load).await;
+    let results = load.finish().await;
     let mut cluster = Arc::into_inner(cluster).expect("all callers have ended");
     let code = cluster.daemons[2].wait_for_exit();
 
-    let body = "done: token".repeat(STREAMED_CHUNKS as usize);
-    let whole = CallResult::Answered(StatusCode::OK, String::new(), body);
-    let wrong: Vec<_> = results
-        .iter()
-        .filter(|result| **result != whole && **result != CallResult::NotConnected)
-        .filter(|result| !is_not_run(result))
-        .collect();
+    let wrong = wrong_results(&results, is_not_run);
     assert_eq!(wrong, Vec::<&CallResult>::new());
-    assert!(results.contains(&whole));
+    assert!(results.contains(&whole()));
     assert_eq!(code, Some(0));
 }
 
@@ -148,17 +159,13 @@
     let mut cluster = TestCluster::start(3).await;
     cluster.daemons[0].child.kill().expect("the daemon runs");
     let cluster = Arc::new(cluster);
-    let stop = Arc::new(AtomicBool::new(false));
 
-    let load = start_load(&cluster, &[1, 2], &stop);
+    let load = CallerLoad::start(&cluster, &[1, 2], CALLERS);
     wait_for_takeover(&cluster, 1, "daemon-0").await;
-    let results = finish_load(&stop, load).await;
+    let results = load.finish().await;
     let after = cluster.call(1, "after").await;
 
-    let wrong: Vec<_> = results
-        .iter()
-        .filter(|result| **result != done("token"))
-        .collect();
+    let wrong = wrong_results(&results, |_| false);
     assert_eq!(wrong, Vec::<&CallResult>::new());
     assert_eq!(after, done("after"));
 }
@@ -171,16 +178,12 @@
     let owners_before = cluster.owners(1).await;
     cluster.daemons[0].child.kill().expect("the daemon runs");
     let cluster = Arc::new(cluster);
-    let stop = Arc::new(AtomicBool::new(false));
 
-    let load = start_load(&cluster, &[1, 2], &stop);
+    let load = CallerLoad::start(&cluster, &[1, 2], CALLERS);
     wait_for_takeover(&cluster, 1, "daemon-0").await;
-    let results = finish_load(&stop, load).await;
+    let results = load.finish().await;
 
-    let wrong: Vec<_> = results
-        .iter()
-        .filter(|result| **result != done("token"))
-        .collect();
+    let wrong = wrong_results(&results, |_| false);
     assert_eq!(wrong, Vec::<&CallResult>::new());
     assert!(results.len() >= 2 * CALLERS);
     let first_owned_all = owners_before
@@ -193,26 +196,284 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn plain_calls_continue_without_the_store() {
     let cluster = Arc::new(TestCluster::start(3).await);
-    let stop = Arc::new(AtomicBool::new(false));
     cluster.platform.set_faults(StoreFaults {
         unavailable: true,
         ..StoreFaults::default()
     });
 
-    let load = start_load(&cluster, &[0, 1, 2], &stop);
+    let load = CallerLoad::start(&cluster, &[0, 1, 2], CALLERS);
     tokio::time::sleep(Duration::from_secs(4)).await;
     cluster.platform.set_faults(StoreFaults::default());
     tokio::time::sleep(Duration::from_secs(1)).await;
-    let results = finish_load(&stop, load).await;
+    let results = load.finish().await;
 
-    let wrong: Vec<_> = results
-        .iter()
-        .filter(|result| **result != done("token"))
-        .collect();
+    let wrong = wrong_results(&results, |_| false);
     assert_eq!(wrong, Vec::<&CallResult>::new());
     assert!(!results.is_empty());
 }
 
+/// Guards against a crash under load that loses or doubles calls of others, or
+/// ends a response early. The victim owns all shards, or is an entry only.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_under_load_harms_only_the_calls_of_its_daemon() {
+    for victim in [0, 2] {
+        let mut cluster = TestCluster::start_with_one_owner(3).await;
+        let mut killed = cluster.daemons.remove(victim);
+        let cluster = Arc::new(cluster);
+        let others = CallerLoad::start(&cluster, &[0, 1], CALLERS);
+        let book = Arc::new(Mutex::new(vec![killed.address]));
+        let own = CallerLoad::start_with_book(&cluster, &book, &[0], CALLERS);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+
+        killed.child.kill().expect("the daemon runs");
+        let own = own.finish().await;
+        wait_for_takeover(&cluster, 1, &format!("daemon-{victim}")).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let others = others.finish().await;
+
+        let wrong = wrong_results(&others, |_| false);
+        assert_eq!(wrong, Vec::<&CallResult>::new(), "victim {victim}");
+        let cut = wrong_results(&own, is_no_answer);
+        assert_eq!(cut, Vec::<&CallResult>::new(), "victim {victim}");
+        assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+    }
+}
+
+/// Guards against an owner that goes on granting and publishing after a pause
+/// longer than all leases, and against a version that goes back there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_owner_is_fenced() {
+    let cluster = Arc::new(TestCluster::start_with_one_owner(3).await);
+    let versions = VersionWatch::start(&cluster);
+    let load = CallerLoad::start(&cluster, &[0, 1, 2], MANY_CALLERS);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    cluster.daemons[0].pause();
+    wait_for_takeover(&cluster, 1, "daemon-0").await;
+    let applied = cluster.apply(1, 1, 3_000).await;
+    tokio::time::sleep(LONGEST_LEASE + Duration::from_secs(1)).await;
+    let stale = {
+        let cluster = Arc::clone(&cluster);
+        tokio::spawn(async move { cluster.apply(0, 1, 4_000).await })
+    };
+    cluster.daemons[0].resume();
+    let stale = stale.await.expect("the publication does not panic");
+    wait_for_version(&cluster, &[0, 1, 2], 2).await;
+    wait_for_takeover(&cluster, 0, "daemon-0").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let results = load.finish().await;
+    let reverts = versions.finish().await;
+
+    let wrong = wrong_results(&results, is_not_run);
+    assert_eq!(wrong, Vec::<&CallResult>::new());
+    assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+    assert!(is_status(&applied, StatusCode::OK), "{applied:?}");
+    assert!(is_status(&stale, StatusCode::CONFLICT), "{stale:?}");
+    assert_eq!(reverts, Vec::new());
+}
+
+/// Guards against a takeover, or a lost call, when only two daemons cannot reach
+/// each other or one hears nobody while all hear it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_partition_seen_by_a_minority_changes_no_owner() {
+    for links in [vec![(0, 1), (1, 0)], vec![(1, 0), (2, 0)]] {
+        let cluster = Arc::new(TestCluster::start_with_proxies(3).await);
+        let load = CallerLoad::start(&cluster, &[0, 1, 2], CALLERS);
+
+        for (from, to) in &links {
+            cluster.network.block(*from, *to);
+        }
+        wait_for_suspicion(&cluster, 0, "daemon-1").await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let owners = cluster.owners(2).await;
+        cluster.network.heal();
+        let results = load.finish().await;
+
+        let names = owners.as_object().expect("an owner for each shard");
+        assert!(names.values().all(|owner| owner == "daemon-0"), "{owners}");
+        let wrong = wrong_results(&results, |_| false);
+        assert_eq!(wrong, Vec::<&CallResult>::new(), "{links:?}");
+        assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+    }
+}
+
+/// Guards against an owner that stays in place although nobody hears it, against
+/// calls that run twice meanwhile, and against a partition that outlasts its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_nobody_hears_is_replaced() {
+    for both_ways in [true, false] {
+        let cluster = Arc::new(TestCluster::start_with_proxies(3).await);
+        let versions = VersionWatch::start(&cluster);
+        let load = CallerLoad::start(&cluster, &[0, 1, 2], CALLERS);
+
+        if both_ways {
+            cluster.network.isolate(0, &[1, 2]);
+        } else {
+            cluster.network.block(0, 1);
+            cluster.network.block(0, 2);
+        }
+        wait_for_takeover(&cluster, 1, "daemon-0").await;
+        let applied = cluster.apply(2, 1, 3_000).await;
+        wait_for_version(&cluster, &[0, 1, 2], 2).await;
+        cluster.network.heal();
+        wait_for_no_suspicion(&cluster).await;
+        let results = load.finish().await;
+        let reverts = versions.finish().await;
+
+        let wrong = wrong_results(&results, is_not_run);
+        assert_eq!(wrong, Vec::<&CallResult>::new(), "{both_ways}");
+        assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+        assert!(is_status(&applied, StatusCode::OK), "{applied:?}");
+        assert_eq!(reverts, Vec::new());
+    }
+}
+
+/// Guards against a daemon that needs the store for its first configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_without_the_store_asks_its_peers() {
+    let mut cluster = TestCluster::start_with_one_owner(3).await;
+    cluster.daemons[2].child.kill().expect("the daemon runs");
+    cluster.platform.set_faults(StoreFaults {
+        unavailable: true,
+        ..StoreFaults::default()
+    });
+    let peer = cluster.daemons[1].peer_address.to_string();
+
+    cluster.daemons[2] = cluster.start_daemon(2, &["--peers", &peer]);
+    wait_for_version(&cluster, &[2], 1).await;
+    let result = cluster.call(2, "token").await;
+    cluster.platform.set_faults(StoreFaults::default());
+    let applied = cluster.apply(2, 1, 3_000).await;
+    wait_for_version(&cluster, &[0, 1, 2], 2).await;
+
+    assert_eq!(result, done("token"));
+    assert!(is_status(&applied, StatusCode::OK), "{applied:?}");
+}
+
+/// Guards against a version that is published twice, or reported as failed,
+/// because the response of its write was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_whose_response_was_lost_is_published_once() {
+    let cluster = Arc::new(TestCluster::start(3).await);
+    let versions = VersionWatch::start(&cluster);
+
+    let mut results = Vec::new();
+    for base in 1..=3 {
+        cluster.platform.set_faults(StoreFaults {
+            lose_responses: 1,
+            ..StoreFaults::default()
+        });
+        let deadline = 3_000 + u32::try_from(base).expect("a small number");
+        results.push(cluster.apply(0, base, deadline).await);
+        wait_for_version(&cluster, &[0, 1, 2], base + 1).await;
+    }
+    let reverts = versions.finish().await;
+
+    let refused = results
+        .iter()
+        .find(|result| !is_status(result, StatusCode::OK));
+    assert_eq!(refused, None);
+    assert_eq!(cluster.platform.lock().faults.lose_responses, 0);
+    assert_eq!(reverts, Vec::new());
+}
+
+/// Guards against two operators who both publish over the same version, and
+/// against one who is not told of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_racing_operators_wins() {
+    let cluster = Arc::new(TestCluster::start(3).await);
+    let versions = VersionWatch::start(&cluster);
+
+    for base in 1..=5 {
+        let (one, other) = tokio::join!(
+            cluster.apply(0, base, 3_000 + 2 * u32::try_from(base).unwrap()),
+            cluster.apply(1, base, 3_001 + 2 * u32::try_from(base).unwrap()),
+        );
+        wait_for_version(&cluster, &[0, 1, 2], base + 1).await;
+
+        let results = [&one, &other];
+        let count = |status| {
+            results
+                .iter()
+                .filter(|result| is_status(result, status))
+                .count()
+        };
+        assert_eq!(count(StatusCode::OK), 1, "{results:?}");
+        assert_eq!(count(StatusCode::CONFLICT), 1, "{results:?}");
+    }
+
+    assert_eq!(versions.finish().await, Vec::new());
+}
+
+/// Guards against a short response, or one that hangs, when a runner dies in the
+/// middle of it, and against a later call that is reported as possibly run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_runner_that_dies_is_an_error_for_the_caller() {
+    let cluster = Arc::new(TestCluster::start(1).await);
+    cluster.runners[0].lock().behaviour.chunks = STREAMED_CHUNKS;
+    let load = CallerLoad::start(&cluster, &[0], CALLERS);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    cluster.kill_runner(0);
+    let results = load.finish().await;
+    let after = cluster.call(0, "after").await;
+
+    let short = wrong_results(&results, is_no_answer);
+    assert_eq!(short, Vec::<&CallResult>::new());
+    let broken = |result: &&CallResult| matches!(result, CallResult::BrokenOff(_));
+    assert!(results.iter().filter(broken).count() >= CALLERS);
+    assert!(is_not_run(&after), "{after:?}");
+}
+
+/// Guards against new calls to a runner whose host is leaving, and against the
+/// loss of those that it still answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_runner_gets_no_new_call() {
+    let cluster = Arc::new(TestCluster::start(2).await);
+    for runner in &cluster.runners {
+        runner.lock().behaviour.chunks = STREAMED_CHUNKS;
+    }
+    let load = CallerLoad::start(&cluster, &[0, 1], CALLERS);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    cluster.platform.lock().hosts[0]["state"] = "leaving".into();
+    tokio::time::sleep(LEAVING_TIME).await;
+    let after = cluster.runners[0].lock().starts().len();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let later = cluster.runners[0].lock().starts().len();
+    let results = load.finish().await;
+
+    assert_eq!(later, after);
+    let wrong = wrong_results(&results, is_not_run);
+    assert_eq!(wrong, Vec::<&CallResult>::new());
+    assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+}
+
+/// Guards against a rolling restart that cuts or loses a call.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_loses_no_call() {
+    let mut cluster = TestCluster::start(3).await;
+    let book = cluster.address_book();
+    let mut daemons = std::mem::take(&mut cluster.daemons);
+    let cluster = Arc::new(cluster);
+    let load = CallerLoad::start_with_book(&cluster, &book, &[0, 1, 2], CALLERS);
+
+    let mut codes = Vec::new();
+    for (index, daemon) in daemons.iter_mut().enumerate() {
+        daemon.terminate();
+        codes.push(daemon.wait_for_exit_async().await);
+        *daemon = cluster.start_daemon(index, &[]);
+        cluster.wait_until_answering(daemon.address).await;
+        book.lock().expect("no caller panics")[index] = daemon.address;
+    }
+    let results = load.finish().await;
+
+    let wrong = wrong_results(&results, |_| false);
+    assert_eq!(wrong, Vec::<&CallResult>::new());
+    assert_eq!(codes, vec![Some(0); 3]);
+    assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+}
+
 /// Guards against a short response that looks whole, with and without a length.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cut_response_is_an_error_for_the_caller() {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,16 +1,26 @@
 //! A cluster of real daemon processes with stand-ins inside the test process.
 //! All sockets are on loopback, and all processes end with the cluster.
 
+#![allow(
+    dead_code,
+    reason = "each test file is a crate of its own and uses a part of the support"
+)]
+
+pub mod load;
+pub mod proxy;
+pub mod versions;
+
 use std::{
+    collections::BTreeSet,
     io::{BufRead, BufReader},
     net::SocketAddr,
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
 
-use auburnsaddle_core::ObjectLoader;
+use auburnsaddle_core::{ObjectLoader, ObjectSet};
 use auburnsaddle_standins::{
     http::serve,
     platform::{self, SharedPlatform},
@@ -27,6 +37,12 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+use self::{
+    load::AddressBook,
+    proxy::{NetworkFaults, start_peer_proxy},
 };
 
 /// The objects that the tests apply.
@@ -40,13 +56,16 @@
 name = "settlement"
 pool = "sales"
 urgency = "urgent"
-deadline_ms = 2000
+deadline_ms = DEADLINE
 "#;
 
 /// Time for anything to happen; far above what is expected, so that a busy
 /// machine does not fail a test.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Slots of each runner.
+const RUNNER_SLOTS: u32 = 8;
+
 /// What became of one call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CallResult {
@@ -61,14 +80,27 @@
 /// One daemon process.
 pub struct DaemonProcess {
     pub address: SocketAddr,
+    pub peer_address: SocketAddr,
     pub child: Child,
 }
 
+/// The proxy in front of a daemon's peer address.
+struct PeerProxy {
+    address: SocketAddr,
+    target: watch::Sender<Option<SocketAddr>>,
+}
+
 /// Daemons, runners and the platform.
 pub struct TestCluster {
     pub platform: SharedPlatform,
     pub runners: Vec<SharedRunner>,
     pub daemons: Vec<DaemonProcess>,
+    /// The faults between daemons, if the cluster was started with proxies.
+    pub network: NetworkFaults,
+    platform_address: SocketAddr,
+    proxies: Vec<PeerProxy>,
+    /// Ends the server of each runner.
+    runner_servers: Vec<watch::Sender<bool>>,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -76,9 +108,9 @@
     /// Starts `count` daemons, each in its own zone with one runner, and applies
     /// a configuration with the service `settlement`.
     pub async fn start(count: usize) -> Self {
-        let (mut cluster, platform) = Self::without_daemons(count).await;
+        let mut cluster = Self::without_daemons(count).await;
         cluster.daemons = (0..count)
-            .map(|index| start_daemon(index, platform))
+            .map(|index| cluster.start_daemon(index, &[]))
             .collect();
         cluster.apply_settlement().await;
         cluster.wait_until_serving().await;
@@ -87,40 +119,106 @@
 
     /// Does the same, but the first daemon owns all shards.
     pub async fn start_with_one_owner(count: usize) -> Self {
-        let (mut cluster, platform) = Self::without_daemons(count).await;
-        cluster.daemons.push(start_daemon(0, platform));
-        cluster.apply_settlement().await;
-        cluster.wait_until_serving().await;
-        let others = (1..count).map(|index| start_daemon(index, platform));
-        cluster.daemons.extend(others);
-        cluster.wait_until_serving().await;
-        cluster
+        Self::without_daemons(count)
+            .await
+            .start_behind_one_owner(count)
+            .await
+    }
+
+    /// Does the same with a proxy in front of each daemon's peer address.
+    pub async fn start_with_proxies(count: usize) -> Self {
+        let mut cluster = Self::without_daemons(count).await;
+        for index in 0..count {
+            let (address, target) = start_peer_proxy(index, cluster.network.clone()).await;
+            cluster.proxies.push(PeerProxy { address, target });
+        }
+        cluster.start_behind_one_owner(count).await
+    }
+
+    async fn start_behind_one_owner(mut self, count: usize) -> Self {
+        let first = self.start_daemon(0, &[]);
+        self.daemons.push(first);
+        self.apply_settlement().await;
+        self.wait_until_serving().await;
+        let others: Vec<_> = (1..count)
+            .map(|index| self.start_daemon(index, &[]))
+            .collect();
+        self.daemons.extend(others);
+        self.wait_until_serving().await;
+        self
+    }
+
+    /// Starts a daemon with further settings; the caller of this function adds
+    /// it to the cluster.
+    pub fn start_daemon(&self, index: usize, settings: &[&str]) -> DaemonProcess {
+        let proxy = self.proxies.get(index);
+        let advertised = proxy.map(|proxy| proxy.address.to_string());
+        let mut settings = settings.to_vec();
+        if let Some(advertised) = &advertised {
+            settings.extend(["--peer-advertise", advertised]);
+        }
+        let daemon = start_daemon(index, self.platform_address, &settings);
+        if let Some(proxy) = proxy {
+            proxy.target.send_replace(Some(daemon.peer_address));
+        }
+        daemon
     }
 
-    async fn without_daemons(count: usize) -> (Self, SocketAddr) {
+    async fn without_daemons(count: usize) -> Self {
         let platform = SharedPlatform::default();
         let platform_address = serve_platform(platform.clone()).await;
         let mut runners = Vec::new();
         let mut hosts = Vec::new();
+        let mut runner_servers = Vec::new();
         for index in 0..count {
-            let runner = SharedRunner::new(8);
-            let address = serve_runner(runner.clone()).await;
+            let runner = SharedRunner::new(RUNNER_SLOTS);
+            let (address, stop) = serve_runner(runner.clone()).await;
+            runner_servers.push(stop);
             hosts.push(host_entry(index, address));
             runners.push(runner);
         }
         platform.lock().hosts = hosts;
-        let cluster = Self {
+        Self {
             platform,
             runners,
             daemons: Vec::new(),
+            network: NetworkFaults::default(),
+            platform_address,
+            proxies: Vec::new(),
+            runner_servers,
             client: Client::builder(TokioExecutor::new()).build_http(),
-        };
-        (cluster, platform_address)
+        }
+    }
+
+    /// Returns the addresses of the daemons for callers.
+    pub fn address_book(&self) -> AddressBook {
+        let addresses = self.daemons.iter().map(|daemon| daemon.address);
+        Arc::new(Mutex::new(addresses.collect()))
+    }
+
+    /// Returns the identifiers of calls that ran more than once, and the runners
+    /// on which more calls than slots ran at once.
+    pub fn runner_faults(&self) -> (Vec<String>, Vec<u32>) {
+        let mut seen = BTreeSet::new();
+        let mut doubles = Vec::new();
+        let mut peaks = Vec::new();
+        for runner in &self.runners {
+            let runner = runner.lock();
+            let starts = runner.starts().iter();
+            doubles.extend(starts.filter(|id| !seen.insert((*id).clone())).cloned());
+            peaks.push(runner.busy().1);
+        }
+        peaks.retain(|peak| *peak > RUNNER_SLOTS);
+        (doubles, peaks)
     }
 
     /// Sends a call of the service to a daemon.
     pub async fn call(&self, daemon: usize, body: &str) -> CallResult {
-        let address = self.daemons[daemon].address;
+        self.call_at(self.daemons[daemon].address, body).await
+    }
+
+    /// Sends a call of the service to an address.
+    pub async fn call_at(&self, address: SocketAddr, body: &str) -> CallResult {
         let uri = format!("http://{address}/v1/services/settlement/redeem");
         self.send(Method::POST, uri, body.to_owned()).await
     }
@@ -159,15 +257,35 @@
 
     /// Returns the owners by shard as a daemon knows them.
     pub async fn owners(&self, daemon: usize) -> Value {
+        self.status(daemon).await["owners"].clone()
+    }
+
+    /// Returns the version in force at a daemon, if it answers.
+    pub async fn version(&self, daemon: usize) -> Option<u64> {
+        let status = self.status(daemon).await;
+        let name = status["daemon"].as_str()?;
+        status["versions"][name].as_u64()
+    }
+
+    /// Returns the status page of a daemon, or null if it does not answer.
+    pub async fn status(&self, daemon: usize) -> Value {
         match self.get(daemon, "/admin/status").await {
-            CallResult::Answered(_, _, body) => {
-                let status: Value = serde_json::from_str(&body).unwrap_or_default();
-                status["owners"].clone()
-            }
+            CallResult::Answered(_, _, body) => serde_json::from_str(&body).unwrap_or_default(),
             _ => Value::Null,
         }
     }
 
+    /// Publishes the objects with another deadline of the service.
+    pub async fn apply(&self, daemon: usize, base: u64, deadline_ms: u32) -> CallResult {
+        let publication = json!({
+            "base": base,
+            "objects": settlement_objects(deadline_ms),
+        });
+        let address = self.daemons[daemon].address;
+        let uri = format!("http://{address}/admin/config");
+        self.send(Method::POST, uri, publication.to_string()).await
+    }
+
     async fn send(&self, method: Method, uri: String, body: String) -> CallResult {
         let request = Request::builder()
             .method(method)
@@ -183,7 +301,7 @@
             let response = match self.client.request(request).await {
                 Ok(response) => response,
                 Err(error) if error.is_connect() => return CallResult::NotConnected,
-                Err(error) => return CallResult::BrokenOff(error.to_string()),
+                Err(error) => return CallResult::BrokenOff(format!("{error:?}")),
             };
             let status = response.status();
             let outcome = response.headers().get("auburnsaddle-outcome");
@@ -204,23 +322,9 @@
     }
 
     async fn apply_settlement(&self) {
-        let mut loader = ObjectLoader::default();
-        loader.add("settlement.toml", SETTLEMENT_OBJECTS);
-        let report = loader.finish();
-        assert!(report.is_valid(), "{:?}", report.problems);
-        let objects = report.set;
-        let service = json!({
-            "base": 0,
-            "objects": objects,
-        });
-        let address = self.daemons[0].address;
-        let uri = format!("http://{address}/admin/config");
         let started_at = Instant::now();
         loop {
-            let result = self
-                .send(Method::POST, uri.clone(), service.to_string())
-                .await;
-            match result {
+            match self.apply(0, 0, 2_000).await {
                 CallResult::Answered(StatusCode::OK, _, _) => return,
                 other => assert!(started_at.elapsed() < PATIENCE, "not applied: {other:?}"),
             }
@@ -228,6 +332,25 @@
         }
     }
 
+    /// Waits until the daemon at an address answers calls.
+    pub async fn wait_until_answering(&self, address: SocketAddr) {
+        let started_at = Instant::now();
+        loop {
+            let result = self.call_at(address, "warm-up").await;
+            if matches!(result, CallResult::Answered(StatusCode::OK, _, _)) {
+                return;
+            }
+            assert!(started_at.elapsed() < PATIENCE, "{result:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Ends a runner's process as far as its clients can see: its connections
+    /// break off and new ones are refused.
+    pub fn kill_runner(&self, runner: usize) {
+        self.runner_servers[runner].send_replace(true);
+    }
+
     /// Waits until each daemon answers calls and knows an owner of each shard.
     async fn wait_until_serving(&self) {
         for daemon in 0..self.daemons.len() {
@@ -250,13 +373,37 @@
 impl DaemonProcess {
     /// Asks the daemon to drain.
     pub fn terminate(&self) {
-        let id = i32::try_from(self.child.id()).expect("process ids fit");
-        let status = Command::new("kill")
-            .args(["-TERM", &id.to_string()])
-            .status();
+        self.signal("-TERM");
+    }
+
+    /// Stops the process until it is resumed.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([name, &id]).status();
         assert!(status.is_ok_and(|status| status.success()));
     }
 
+    /// Waits for the end of the process without blocking other tasks.
+    pub async fn wait_for_exit_async(&mut self) -> Option<i32> {
+        let started_at = Instant::now();
+        loop {
+            match self.child.try_wait() {
+                Ok(Some(status)) => return status.code(),
+                _ => assert!(started_at.elapsed() < PATIENCE, "the daemon does not end"),
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits for the end of the process and returns its exit code.
     pub fn wait_for_exit(&mut self) -> Option<i32> {
         let started_at = Instant::now();
@@ -285,12 +432,30 @@
     address
 }
 
-async fn serve_runner(runner: SharedRunner) -> SocketAddr {
+/// Serves a runner on a runtime of its own, which the sender ends with all of
+/// the runner's connections.
+async fn serve_runner(runner: SharedRunner) -> (SocketAddr, watch::Sender<bool>) {
     let (listener, address) = listen().await;
-    tokio::spawn(serve(listener, runner.connections(), move |request| {
-        runner::handle(runner.clone(), request)
-    }));
-    address
+    let listener = listener.into_std().expect("a bound socket");
+    let (stop, mut stopped) = watch::channel(false);
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        runtime.block_on(async {
+            let listener = TcpListener::from_std(listener).expect("a bound socket");
+            let serving = serve(listener, runner.connections(), move |request| {
+                runner::handle(runner.clone(), request)
+            });
+            tokio::select! {
+                _ = serving => {}
+                // Ends as well when the cluster is dropped.
+                _ = stopped.changed() => {}
+            }
+        });
+    });
+    (address, stop)
 }
 
 async fn listen() -> (TcpListener, SocketAddr) {
@@ -303,33 +468,51 @@
     json!({
         "name": format!("runner-{index}"), "kind": "runner", "pool": "sales",
         "service": "settlement", "zone": format!("zone-{index}"), "rack": format!("rack-{index}"),
-        "address": address.to_string(), "state": "live", "slots": 8,
+        "address": address.to_string(), "state": "live", "slots": RUNNER_SLOTS,
     })
 }
 
 /// Starts a daemon on free ports and learns its address from its log.
-fn start_daemon(index: usize, platform: SocketAddr) -> DaemonProcess {
+fn start_daemon(index: usize, platform: SocketAddr, settings: &[&str]) -> DaemonProcess {
     let platform = platform.to_string();
     let (name, zone) = (format!("daemon-{index}"), format!("zone-{index}"));
     let mut child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
         .args(["--name", &name, "--region", "nordeste", "--zone", &zone])
         .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
         .args(["--store", &platform, "--hosts", &platform])
+        .args(settings)
         .stderr(Stdio::piped())
         .spawn()
         .expect("the daemon's binary is built");
     let log = child.stderr.take().expect("standard error is piped");
     let mut lines = BufReader::new(log).lines().map_while(Result::ok);
-    let address = lines
-        .find_map(|line| caller_address(&line))
+    let (address, peer_address) = lines
+        .find_map(|line| listen_addresses(&line))
         .expect("the daemon logs its address");
     // The rest of the log goes to the test's output, read so that the pipe
     // never fills.
     thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
-    DaemonProcess { address, child }
+    DaemonProcess {
+        address,
+        peer_address,
+        child,
+    }
 }
 
-fn caller_address(line: &str) -> Option<SocketAddr> {
+/// Returns the addresses for callers and for peers from a line of the log.
+fn listen_addresses(line: &str) -> Option<(SocketAddr, SocketAddr)> {
     let (_, rest) = line.split_once("serving callers on ")?;
-    rest.split_once(' ')?.0.parse().ok()
+    let (caller, rest) = rest.split_once(" and peers on ")?;
+    let peer = rest.split_once('"')?.0;
+    Some((caller.parse().ok()?, peer.parse().ok()?))
+}
+
+/// Returns the objects with a deadline of the service.
+fn settlement_objects(deadline_ms: u32) -> ObjectSet {
+    let mut loader = ObjectLoader::default();
+    let text = SETTLEMENT_OBJECTS.replace("DEADLINE", &deadline_ms.to_string());
+    loader.add("settlement.toml", &text);
+    let report = loader.finish();
+    assert!(report.is_valid(), "{:?}", report.problems);
+    report.set
 }
--- /dev/null
+++ b/crates/daemon/tests/support/versions.rs
@@ -0,0 +1,77 @@
+//! Watches the configuration version in force at each daemon.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use tokio::task::JoinHandle;
+
+use super::{PATIENCE, TestCluster};
+
+/// Time between two looks at a daemon.
+const LOOK_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Notes each version that was smaller than one seen before at its daemon.
+pub struct VersionWatch {
+    stop: Arc<AtomicBool>,
+    watchers: Vec<JoinHandle<Vec<(u64, u64)>>>,
+}
+
+impl VersionWatch {
+    /// Watches all daemons of a cluster.
+    pub fn start(cluster: &Arc<TestCluster>) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let watchers = (0..cluster.daemons.len()).map(|daemon| {
+            let cluster = Arc::clone(cluster);
+            let stop = Arc::clone(&stop);
+            tokio::spawn(async move {
+                let mut highest = 0;
+                let mut reverts = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    if let Some(version) = cluster.version(daemon).await {
+                        if version < highest {
+                            reverts.push((highest, version));
+                        }
+                        highest = highest.max(version);
+                    }
+                    tokio::time::sleep(LOOK_INTERVAL).await;
+                }
+                reverts
+            })
+        });
+        Self {
+            watchers: watchers.collect(),
+            stop,
+        }
+    }
+
+    /// Returns the steps back that were seen, as (higher, lower) versions.
+    pub async fn finish(self) -> Vec<(u64, u64)> {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut reverts = Vec::new();
+        for watcher in self.watchers {
+            reverts.extend(watcher.await.expect("watchers do not panic"));
+        }
+        reverts
+    }
+}
+
+/// Waits until a version is in force at the named daemons and returns how long
+/// that took.
+pub async fn wait_for_version(cluster: &TestCluster, daemons: &[usize], version: u64) -> Duration {
+    let started_at = Instant::now();
+    for daemon in daemons {
+        while cluster.version(*daemon).await != Some(version) {
+            assert!(
+                started_at.elapsed() < PATIENCE,
+                "version {version} is not in force at daemon {daemon}"
+            );
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+    started_at.elapsed()
+}
