--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -1,7 +1,6 @@
 //! Tests of idempotency keys through real daemon processes. What ran is read
 //! from the runners' own logs.
 
-#[expect(dead_code, reason = "other tests use the rest of the fixture")]
 mod support;
 
 use std::time::{Duration, Instant};
