Hold store leases for shards in lease mode

Cause: RequestLease and ReleaseLease were ignored, and no shard was declared to be in lease mode. Shards of services and pools with fencing = "lease" now hold a lease of 10 s; its key is written under the lease, guarded by the owner record and by the absence of another epoch's key. A new owner gets the lease once the store has expired the old one. A lease whose response was lost is adopted, and one that arrives after the loss of its shard is ended at once.

may_dispatch is checked just before anything that may grant a slot. A call that may not be granted waits at its entry daemon until its deadline, like a call for a shard without an owner.

Ruled out: withholding the runners of such a shard from its queue, since its calls would be rejected for lack of targets.

The time between a grant and the dispatch at the entry is not covered by the lease.

--- a/crates/daemon/src/calls/state.rs
+++ b/crates/daemon/src/calls/state.rs
@@ -14,6 +14,8 @@
 #[derive(Debug)]
 struct OwnedQueue {
     epoch: Epoch,
+    /// Whether slots may be granted; not without a lease in lease mode.
+    may_dispatch: bool,
     queue: CallQueue,
     replies: BTreeMap<RequestId, oneshot::Sender<SlotReply>>,
 }
@@ -32,12 +34,20 @@
             shard,
             OwnedQueue {
                 epoch,
+                may_dispatch: true,
                 queue,
                 replies: BTreeMap::new(),
             },
         );
     }
 
+    /// Permits or stops grants of a shard.
+    pub(crate) fn set_dispatch(&mut self, shard: &ShardName, allowed: bool) {
+        if let Some(owned) = self.queues.get_mut(shard) {
+            owned.may_dispatch = allowed;
+        }
+    }
+
     /// Tells whether this daemon has the queue of a shard under an epoch.
     pub(crate) fn owns(&self, shard: &ShardName, epoch: Epoch) -> bool {
         self.queues
@@ -132,9 +142,15 @@
                         epoch: self.epoch,
                         grant,
                     };
-                    let delivered = reply.is_some_and(|reply| reply.send(Ok(slot)).is_ok());
-                    if !delivered {
-                        // The requester went away, so its slot is free again.
+                    // Without a lease the call waits at its entry daemon.
+                    let answer = if self.may_dispatch {
+                        Ok(slot)
+                    } else {
+                        Err(NotRunReason::NoOwner)
+                    };
+                    let delivered = reply.is_some_and(|reply| reply.send(answer).is_ok());
+                    if !delivered || !self.may_dispatch {
+                        // No call uses the slot, so it is free again.
                         let event = CallEvent::Returned(id, GrantResult::Unused);
                         actions.extend(self.queue.handle(event, now));
                     }
--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -1,18 +1,19 @@
 //! Effects that the control thread hands to the traffic threads.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use auburnsaddle_core::{ConfigVersion, DaemonId, Heartbeat, OwnerRecord, ShardName};
+use auburnsaddle_core::{ConfigVersion, DaemonId, Epoch, Heartbeat, OwnerRecord, ShardName};
 use tokio::runtime::Handle;
 
+use super::leases::LeaseAnswer;
 use super::messages::{ControlEvent, ControlHandle};
 use crate::{
     journal::{JournalEffect, run_effect},
     keys::{KeyEffect, KeyRunner},
-    ownership::{OWNER_PREFIX, claim_transaction, read_owner, read_owners},
+    ownership::{OWNER_PREFIX, claim_transaction, hold_lease, read_owner, read_owners},
     peers::{PeerClient, PeerReply, PeerRequest},
     publication::fetch_versions,
-    store::{StoreFeed, TxnOutcome},
+    store::{LeaseId, StoreFeed, TxnOutcome},
 };
 
 /// Something to be done outside the control thread.
@@ -52,6 +53,19 @@
     ReadOwner(ShardName),
     /// Dispatches a call with a key, or asks runners about it.
     Key(KeyEffect),
+    /// Renews or takes the lease of a shard.
+    RequestLease {
+        /// The shard.
+        shard: ShardName,
+        /// The epoch that the owner record must have.
+        epoch: Epoch,
+        /// When the request was made.
+        sent_at: Duration,
+        /// The lease held so far.
+        known: Option<LeaseId>,
+    },
+    /// Ends a lease.
+    ReleaseLease(LeaseId),
     /// Reads or writes the journal.
     Journal(JournalEffect),
 }
@@ -89,6 +103,13 @@
             ControlEffect::FetchConfig { from, head } => self.fetch_config(from, head),
             ControlEffect::PullConfig { from, address } => self.pull_config(from, address),
             ControlEffect::ReadOwner(shard) => self.read_owner(shard),
+            ControlEffect::RequestLease {
+                shard,
+                epoch,
+                sent_at,
+                known,
+            } => self.request_lease(shard, epoch, sent_at, known),
+            ControlEffect::ReleaseLease(lease) => self.release_lease(lease),
             ControlEffect::Key(effect) => {
                 let keys = self.keys.clone();
                 self.traffic.spawn(async move { keys.run(effect).await });
@@ -134,6 +155,41 @@
         });
     }
 
+    fn request_lease(
+        &self,
+        shard: ShardName,
+        epoch: Epoch,
+        sent_at: Duration,
+        known: Option<LeaseId>,
+    ) {
+        let control = self.control.clone();
+        let store = self.store.clone();
+        let daemon = self.daemon.clone();
+        self.traffic.spawn(async move {
+            let held = hold_lease(&store, &daemon, &shard, epoch, known).await;
+            let lease = held.unwrap_or_else(|error| {
+                log::warn!("holding the lease of shard {shard}: {error}");
+                None
+            });
+            let answer = LeaseAnswer {
+                shard,
+                epoch,
+                sent_at,
+                lease,
+            };
+            control.send(ControlEvent::LeaseAnswered(answer)).await;
+        });
+    }
+
+    fn release_lease(&self, lease: LeaseId) {
+        let store = self.store.clone();
+        self.traffic.spawn(async move {
+            if let Err(error) = store.revoke_lease(lease).await {
+                log::warn!("ending a shard's lease: {error}; it expires by itself");
+            }
+        });
+    }
+
     fn run_journal(&self, effect: JournalEffect) {
         let control = self.control.clone();
         let store = self.store.clone();
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
+use super::leases::LeaseAnswer;
 use crate::{calls::CallCommand, journal::JournalReport, keys::KeyCommand, store::StoreEntry};
 
 /// Something that the control thread acts on.
@@ -23,6 +24,8 @@
     Calls(CallCommand),
     /// A command for the owned key shards.
     Keys(KeyCommand),
+    /// A request for a shard's lease was answered.
+    LeaseAnswered(LeaseAnswer),
     /// A store call of the journal ended.
     Journal(JournalReport),
     /// A heartbeat arrived.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod effects;
 mod feed;
 mod keys;
+mod leases;
 mod messages;
 mod process;
 mod shards;
--- a/crates/daemon/src/control/shards.rs
+++ b/crates/daemon/src/control/shards.rs
@@ -116,8 +116,16 @@
                 log::warn!("lost shard {shard} to another daemon");
                 self.lose_shard(&shard, now, steps);
             }
-            // No shard is declared to be in lease mode yet.
-            OwnershipAction::RequestLease { .. } | OwnershipAction::ReleaseLease(..) => {}
+            OwnershipAction::RequestLease {
+                shard,
+                epoch,
+                sent_at,
+            } => steps
+                .effects
+                .push(self.lease_request(shard, epoch, sent_at)),
+            OwnershipAction::ReleaseLease(shard, epoch) => {
+                steps.effects.extend(self.lease_release(&shard, epoch));
+            }
         }
     }
 
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -19,8 +19,13 @@
     messages::{ControlEvent, RoutingSnapshot},
 };
 use crate::{
-    calls::CallShards, journal::ShardJournals, keys::KeyShards, membership::read_members,
-    ownership::read_owners, publication::read_head, store::StoreEntry,
+    calls::CallShards,
+    journal::ShardJournals,
+    keys::KeyShards,
+    membership::read_members,
+    ownership::read_owners,
+    publication::read_head,
+    store::{LeaseId, StoreEntry},
 };
 
 /// Heartbeats within the region for each one between regions: 500 ms and 5 s.
@@ -30,13 +35,17 @@
 #[derive(Debug)]
 pub(super) struct ControlState {
     record: MemberRecord,
-    config: ConfigState,
+    pub(super) config: ConfigState,
     hosts: HostTable,
     peers: PeerTable,
     pub(super) owners: OwnerTable<StdRng>,
     pub(super) calls: CallShards,
     pub(super) journals: ShardJournals,
     pub(super) keys: KeyShards,
+    /// The shards in lease mode.
+    pub(super) leased: BTreeSet<ShardName>,
+    /// The leases held in the store, with the epochs they are held for.
+    pub(super) leases: BTreeMap<ShardName, (Epoch, LeaseId)>,
     /// Shards in a handover whose calls have not ended yet.
     pub(super) flushing: BTreeMap<ShardName, Epoch>,
     heartbeats: u32,
@@ -58,6 +67,8 @@
             calls: CallShards::default(),
             keys: KeyShards::default(),
             journals: ShardJournals::new(record.daemon.clone(), commit_interval),
+            leased: BTreeSet::new(),
+            leases: BTreeMap::new(),
             flushing: BTreeMap::new(),
             heartbeats: 0,
             draining: false,
@@ -76,8 +87,10 @@
     fn apply(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
         match event {
             ControlEvent::Keys(command) => self.apply_keys(command, now),
+            ControlEvent::LeaseAnswered(answer) => self.apply_lease(answer, now),
             ControlEvent::Journal(report) => self.apply_journal(report, now),
             ControlEvent::Calls(command) => {
+                self.check_leases(now);
                 self.calls.handle(command, now);
                 Vec::new()
             }
@@ -138,6 +151,7 @@
 
     /// Acts on the passing of time.
     pub(super) fn fire_timers(&mut self, now: Duration) -> Vec<ControlEffect> {
+        self.check_leases(now);
         self.calls.fire_timers(now);
         self.peers.note_timer(now);
         let dead = self.dead_daemons(now);
@@ -273,12 +287,17 @@
 
     /// Derives the shards and the runners again after a change.
     fn refresh(&mut self, now: Duration) -> Vec<ControlEffect> {
-        let effects = self.apply_ownership(OwnershipEvent::ShardsChanged(self.shards()), now);
+        let shards = self.shards();
+        self.leased = self.lease_shards(&shards);
+        let leased = OwnershipEvent::LeaseShardsChanged(self.leased.clone());
+        let mut effects = self.apply_ownership(leased, now);
+        effects.extend(self.apply_ownership(OwnershipEvent::ShardsChanged(shards), now));
         self.refresh_runners(now);
         effects
     }
 
     pub(super) fn refresh_runners(&mut self, now: Duration) {
+        self.check_leases(now);
         let hosts = &self.hosts;
         self.calls
             .set_runners(|shard| live_runners(hosts, shard), now);
--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -11,7 +11,7 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
-use support::{CallResult, PATIENCE, TestCluster};
+use support::{CallResult, PATIENCE, SETTLEMENT_OBJECTS, TestCluster};
 
 /// Time that a runner works on a call which is to be interrupted.
 const LONG_WORK_MS: u64 = 1_500;
@@ -19,6 +19,9 @@
 /// Time for a call whose owner dies; its answer may come at the deadline.
 const SHORT_DEADLINE: Duration = Duration::from_secs(8);
 
+/// Duration of a shard's lease in the store.
+const SHARD_LEASE: Duration = Duration::from_secs(10);
+
 /// A call with a key as its caller sends it.
 #[derive(Clone, Debug)]
 struct KeyedCall {
@@ -269,6 +272,37 @@
     assert_eq!(starts(&cluster, &[3]), 1);
 }
 
+/// Guards against an owner in lease mode that starts calls after its lease has
+/// ended in the store, where the next owner may hold one already.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_starts_without_a_lease_in_lease_mode() {
+    let lease_mode = "idempotent = true\nfencing = \"lease\"";
+    let objects = SETTLEMENT_OBJECTS.replacen("idempotent = true", lease_mode, 1);
+    let cluster = TestCluster::start_with(1, &objects).await;
+    let plain = |request| KeyedCall {
+        key: None,
+        deadline: Duration::from_secs(1),
+        ..call(0, "", request)
+    };
+
+    let leased = send(&cluster, plain(1)).await;
+    cluster.platform.set_faults(StoreFaults {
+        unavailable: true,
+        ..StoreFaults::default()
+    });
+    tokio::time::sleep(SHARD_LEASE).await;
+    let expired = send(&cluster, plain(2)).await;
+    cluster.platform.set_faults(StoreFaults::default());
+    let started_at = Instant::now();
+    while !send(&cluster, plain(3)).await.is_done("token") {
+        assert!(started_at.elapsed() < PATIENCE, "no lease again");
+    }
+
+    assert!(leased.is_done("token"), "{leased:?}");
+    assert!(expired.is_not_run(), "{expired:?}");
+    assert_eq!(starts(&cluster, &[2]), 0);
+}
+
 /// Guards against a call that is run twice, or an outcome that is lost, when
 /// the store applies writes and their responses do not arrive.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -30,7 +30,7 @@
 };
 
 /// The objects that the tests apply.
-const SETTLEMENT_OBJECTS: &str = r#"
+pub const SETTLEMENT_OBJECTS: &str = r#"
 [[pool]]
 name = "sales"
 region = "nordeste"
@@ -84,11 +84,16 @@
     /// Starts `count` daemons, each in its own zone with one runner, and applies
     /// a configuration with the service `settlement`.
     pub async fn start(count: usize) -> Self {
+        Self::start_with(count, SETTLEMENT_OBJECTS).await
+    }
+
+    /// Does the same with other objects.
+    pub async fn start_with(count: usize, objects: &str) -> Self {
         let (mut cluster, platform) = Self::without_daemons(count).await;
         cluster.daemons = (0..count)
             .map(|index| start_daemon(index, platform))
             .collect();
-        cluster.apply_settlement().await;
+        cluster.apply_objects(objects).await;
         cluster.wait_until_serving().await;
         cluster
     }
@@ -97,7 +102,7 @@
     pub async fn start_with_one_owner(count: usize) -> Self {
         let (mut cluster, platform) = Self::without_daemons(count).await;
         cluster.daemons.push(start_daemon(0, platform));
-        cluster.apply_settlement().await;
+        cluster.apply_objects(SETTLEMENT_OBJECTS).await;
         cluster.wait_until_serving().await;
         let others = (1..count).map(|index| start_daemon(index, platform));
         cluster.daemons.extend(others);
@@ -211,9 +216,9 @@
         }
     }
 
-    async fn apply_settlement(&self) {
+    async fn apply_objects(&self, objects: &str) {
         let mut loader = ObjectLoader::default();
-        loader.add("settlement.toml", SETTLEMENT_OBJECTS);
+        loader.add("settlement.toml", objects);
         let report = loader.finish();
         assert!(report.is_valid(), "{:?}", report.problems);
         let objects = report.set;
