--- a/crates/daemon/src/publication/state.rs
+++ b/crates/daemon/src/publication/state.rs
@@ -1,9 +1,11 @@
 //! Keys and values of configuration versions in the store.
 
-use auburnsaddle_core::{ConfigDelta, ConfigHead, ConfigSnapshot, ConfigUpdate, ConfigVersion};
+use auburnsaddle_core::{
+    ConfigDelta, ConfigHead, ConfigSnapshot, ConfigUpdate, ConfigVersion, SNAPSHOT_INTERVAL,
+};
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::store::{StoreCompare, StoreEntry, StorePut, StoreTxn};
+use crate::store::{StoreCompare, StoreEntry, StorePut, StoreRange, StoreTxn};
 
 /// Store key of the newest version's number and digest.
 pub(crate) const HEAD_KEY: &str = "config/head";
@@ -43,7 +45,8 @@
     decode(&first.key, &parts.collect::<Vec<_>>().concat())
 }
 
-/// Returns the transaction that publishes a version.
+/// Returns the transaction that publishes a version and, with a snapshot,
+/// deletes what the two newest snapshots make superfluous.
 pub(super) fn publish_transaction(update: &ConfigUpdate) -> StoreTxn {
     let compare = match update.previous.version {
         0 => StoreCompare::Absent(HEAD_KEY.to_owned()),
@@ -63,11 +66,31 @@
     StoreTxn {
         compares: vec![compare],
         puts,
+        deletes: update
+            .snapshot
+            .iter()
+            .flat_map(|snapshot| superseded(snapshot.version))
+            .collect(),
         reads_on_conflict: vec![HEAD_KEY.to_owned()],
         ..StoreTxn::default()
     }
 }
 
+/// Returns the keys of one interval that became superfluous with a snapshot.
+/// The snapshot before it stays with the deltas since, so that a corrupted new
+/// one does not keep a late daemon from catching up.
+fn superseded(version: ConfigVersion) -> Vec<StoreRange> {
+    let Some(kept) = version.checked_sub(SNAPSHOT_INTERVAL) else {
+        return Vec::new();
+    };
+    let Some(dropped) = kept.checked_sub(SNAPSHOT_INTERVAL) else {
+        return Vec::new();
+    };
+    let deltas = (dropped + 1..=kept).map(|version| StoreRange::Key(delta_key(version)));
+    let snapshot = StoreRange::Prefix(snapshot_prefix(dropped));
+    deltas.chain([snapshot]).collect()
+}
+
 fn snapshot_parts(snapshot: &ConfigSnapshot) -> Vec<StorePut> {
     let prefix = snapshot_prefix(snapshot.version);
     let value = encode(snapshot);
--- a/crates/daemon/src/publication/tests.rs
+++ b/crates/daemon/src/publication/tests.rs
@@ -11,7 +11,9 @@
 };
 
 use super::{CommitResult, commit_update, fetch_versions};
-use crate::store::{StoreClient, StoreCompare, StoreEntry, StoreError, StoreTxn, TxnOutcome};
+use crate::store::{
+    StoreClient, StoreCompare, StoreEntry, StoreError, StoreRange, StoreTxn, TxnOutcome,
+};
 
 /// What the store does with the next transaction.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -51,6 +53,12 @@
             });
             return TxnOutcome::Conflict(entries.collect());
         }
+        for range in transaction.deletes {
+            match range {
+                StoreRange::Key(key) => drop(values.remove(&key)),
+                StoreRange::Prefix(prefix) => values.retain(|key, _| !key.starts_with(&prefix)),
+            }
+        }
         let puts = transaction.puts.into_iter();
         values.extend(puts.map(|put| (put.key, put.value)));
         TxnOutcome::Committed
@@ -175,6 +183,27 @@
     assert_eq!(late.head(), state.head());
 }
 
+/// Guards against a store that fills with old versions, and against a daemon
+/// that cannot catch up because the newest snapshot is corrupted.
+#[tokio::test]
+async fn two_snapshots_and_the_deltas_since_are_kept() {
+    let store = FakeStore::default();
+    let mut state = ConfigState::default();
+    publish(&store, &mut state, 100).await;
+    let keys: Vec<_> = store.values.lock().unwrap().keys().cloned().collect();
+    let newest = "config/snapshot/00000000000000000096/0000".to_owned();
+    let spoiled = store.values.lock().unwrap().insert(newest, vec![0]);
+    let mut late = ConfigState::default();
+
+    take(&mut late, fetch_versions(&store, 0, 100).await.unwrap());
+
+    let count = |prefix| keys.iter().filter(|key| key.starts_with(prefix)).count();
+    assert_eq!(count("config/delta/"), 36);
+    assert_eq!(count("config/snapshot/"), 2);
+    assert!(spoiled.is_some());
+    assert_eq!(late.head(), state.head());
+}
+
 /// Guards against a snapshot part that is too large for the store.
 #[tokio::test]
 async fn snapshots_are_split_into_parts() {
--- a/crates/daemon/src/publication/transfer.rs
+++ b/crates/daemon/src/publication/transfer.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use auburnsaddle_core::{ConfigPull, ConfigUpdate, ConfigVersion, SNAPSHOT_INTERVAL};
+use auburnsaddle_core::{
+    ConfigPull, ConfigSnapshot, ConfigUpdate, ConfigVersion, SNAPSHOT_INTERVAL,
+};
 use futures::future::try_join_all;
 
 use super::{
@@ -61,7 +63,8 @@
 /// Reads the versions after `from` up to the head's.
 ///
 /// Deltas are read one by one while there are few; otherwise the latest
-/// snapshot and the deltas after it are read.
+/// snapshot, or the one before it if that is corrupted, and the deltas after it
+/// are read.
 pub(crate) async fn fetch_versions<S: StoreClient>(
     store: &S,
     from: ConfigVersion,
@@ -73,14 +76,26 @@
             ..fetch_deltas(store, from, head).await?
         });
     }
-    let base = head - head % SNAPSHOT_INTERVAL;
-    let parts = store.read_prefix(&snapshot_prefix(base)).await?;
+    let mut base = head - head % SNAPSHOT_INTERVAL;
+    let mut snapshot = fetch_snapshot(store, base).await?;
+    if snapshot.is_none() && base > 0 {
+        base -= SNAPSHOT_INTERVAL;
+        snapshot = fetch_snapshot(store, base).await?;
+    }
     Ok(ConfigPull {
-        snapshot: read_snapshot(&parts),
+        snapshot,
         ..fetch_deltas(store, base, head).await?
     })
 }
 
+async fn fetch_snapshot<S: StoreClient>(
+    store: &S,
+    version: ConfigVersion,
+) -> Result<Option<ConfigSnapshot>, StoreError> {
+    let parts = store.read_prefix(&snapshot_prefix(version)).await?;
+    Ok(read_snapshot(&parts))
+}
+
 async fn fetch_deltas<S: StoreClient>(
     store: &S,
     from: ConfigVersion,
