--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -46,7 +46,7 @@
 };
 
 /// The objects that the tests apply.
-const SETTLEMENT_OBJECTS: &str = r#"
+pub const SETTLEMENT_OBJECTS: &str = r#"
 [[pool]]
 name = "sales"
 region = "nordeste"
@@ -56,7 +56,7 @@
 name = "settlement"
 pool = "sales"
 urgency = "urgent"
-deadline_ms = DEADLINE
+deadline_ms = 2000
 idempotent = true
 
 [[service]]
@@ -64,6 +64,9 @@
 pool = "sales"
 "#;
 
+/// The deadline of the service as written in the objects.
+const DEADLINE: &str = "deadline_ms = 2000";
+
 /// Key shards of the region.
 const KEY_SHARDS: usize = 32;
 
@@ -116,11 +119,16 @@
     /// Starts `count` daemons, each in its own zone with one runner, and applies
     /// a configuration with the service `settlement`.
     pub async fn start(count: usize) -> Self {
+        Self::start_with(count, SETTLEMENT_OBJECTS).await
+    }
+
+    /// Does the same with other objects.
+    pub async fn start_with(count: usize, objects: &str) -> Self {
         let mut cluster = Self::without_daemons(count).await;
         cluster.daemons = (0..count)
             .map(|index| cluster.start_daemon(index, &[]))
             .collect();
-        cluster.apply_settlement().await;
+        cluster.apply_objects(objects).await;
         cluster.wait_until_serving().await;
         cluster
     }
@@ -146,7 +154,7 @@
     async fn start_behind_one_owner(mut self, count: usize) -> Self {
         let first = self.start_daemon(0, &[]);
         self.daemons.push(first);
-        self.apply_settlement().await;
+        self.apply_objects(SETTLEMENT_OBJECTS).await;
         self.wait_until_serving().await;
         let others: Vec<_> = (1..count)
             .map(|index| self.start_daemon(index, &[]))
@@ -285,10 +293,12 @@
 
     /// Publishes the objects with another deadline of the service.
     pub async fn apply(&self, daemon: usize, base: u64, deadline_ms: u32) -> CallResult {
-        let publication = json!({
-            "base": base,
-            "objects": settlement_objects(deadline_ms),
-        });
+        let text = SETTLEMENT_OBJECTS.replace(DEADLINE, &format!("deadline_ms = {deadline_ms}"));
+        self.publish(daemon, base, &parse_objects(&text)).await
+    }
+
+    async fn publish(&self, daemon: usize, base: u64, objects: &ObjectSet) -> CallResult {
+        let publication = json!({ "base": base, "objects": objects });
         let address = self.daemons[daemon].address;
         let uri = format!("http://{address}/admin/config");
         self.send(Method::POST, uri, publication.to_string()).await
@@ -329,10 +339,11 @@
         }
     }
 
-    async fn apply_settlement(&self) {
+    async fn apply_objects(&self, text: &str) {
+        let objects = parse_objects(text);
         let started_at = Instant::now();
         loop {
-            match self.apply(0, 0, 2_000).await {
+            match self.publish(0, 0, &objects).await {
                 CallResult::Answered(StatusCode::OK, _, _) => return,
                 other => assert!(started_at.elapsed() < PATIENCE, "not applied: {other:?}"),
             }
@@ -516,11 +527,10 @@
     Some((caller.parse().ok()?, peer.parse().ok()?))
 }
 
-/// Returns the objects with a deadline of the service.
-fn settlement_objects(deadline_ms: u32) -> ObjectSet {
+/// Reads objects that are known to be valid.
+fn parse_objects(text: &str) -> ObjectSet {
     let mut loader = ObjectLoader::default();
-    let text = SETTLEMENT_OBJECTS.replace("DEADLINE", &deadline_ms.to_string());
-    loader.add("settlement.toml", &text);
+    loader.add("settlement.toml", text);
     let report = loader.finish();
     assert!(report.is_valid(), "{:?}", report.problems);
     report.set
