Order jobs by object, export the queue and share task messages

A task that ended between the death of its owner and the claim was missing from the worker's list and would have been queued again. Completions reported before the claim now end it. Changing the claim event to carry completions was ruled out: the report has them already, and one rule in one place is enough.

--- a/crates/core/benches/placement_support/mod.rs
+++ b/crates/core/benches/placement_support/mod.rs
@@ -101,6 +101,7 @@
         },
         spread: false,
         checkpoint: false,
+        after: Vec::new(),
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -86,9 +86,11 @@
 pub use publication::{ConfigPull, ConfigReply, ConfigSnapshot, ConfigSource, ConfigState};
 pub use publication::{ConfigRejection, SNAPSHOT_INTERVAL, StatusReply, digest_objects};
 pub use publication::{ConfigUpdate, ErrorReply, PublishError, PublishReply, PublishRequest};
+pub use tasks::{CancelItem, CancelReply, SubmitReply, SubmitRequest, TaskList, TaskPhase};
 pub use tasks::{CancelResult, Candidate, GangMode, JobId, JobRejection, JobSpec, PackingFirst};
 pub use tasks::{PlacementPolicy, ReportedTask, TaskAction, TaskConfig, TaskEvent, TaskOutcome};
 pub use tasks::{TaskQueue, TaskRecord, TaskState, TaskView, TeamQuota, WaitReason, WaitingFirst};
+pub use tasks::{TaskRefusal, TaskReply, TaskRequest, TaskStatus, WatchReply};
 pub use tasks::{WorkCounter, WorkerEntry, WorkerReport};
 pub use types::{Attempt, ConfigVersion, DaemonId, Epoch, GrantId, HostId, ObjectName};
 pub use types::{CallOutcome, NotRunReason, ResourceVector, ShardName, UnknownReason};
--- a/crates/core/src/tasks/ledger.rs
+++ b/crates/core/src/tasks/ledger.rs
@@ -201,6 +201,10 @@
     pub(super) jobs: BTreeMap<JobId, JobEntry>,
     pub(super) tasks: BTreeMap<TaskId, TaskEntry>,
     pub(super) labels: BTreeMap<Arc<str>, BTreeSet<JobId>>,
+    /// Jobs that have not ended, by object and arrival.
+    pub(super) objects: BTreeMap<ObjectName, BTreeSet<(u64, JobId)>>,
+    /// Jobs that wait for those of an object to end.
+    pub(super) successors: BTreeMap<ObjectName, BTreeSet<JobId>>,
     pub(super) teams: BTreeMap<TeamId, TeamEntry>,
     pub(super) run_times: RunTimes,
     pub(super) records: BTreeMap<RecordId, PendingRecord>,
@@ -217,6 +221,30 @@
 }
 
 impl TaskLedger {
+    /// Returns an object with an earlier job that must end before `id` starts.
+    pub(super) fn predecessor(&self, id: JobId) -> Option<ObjectName> {
+        let job = self.jobs.get(&id)?;
+        let mut names = job.spec.after.iter();
+        let name = names.find(|name| {
+            let first = self.objects.get(*name).and_then(BTreeSet::first);
+            first.is_some_and(|(arrival, _)| *arrival < job.arrival)
+        });
+        name.cloned()
+    }
+
+    /// Forgets a job in the index of its object and returns the jobs to try
+    /// again because they waited for the object.
+    pub(super) fn remove_from_object(&mut self, id: JobId, job: &JobEntry) -> BTreeSet<JobId> {
+        let object = &job.spec.object;
+        if let Some(jobs) = self.objects.get_mut(object) {
+            jobs.remove(&(job.arrival, id));
+            if jobs.is_empty() {
+                self.objects.remove(object);
+            }
+        }
+        self.successors.remove(object).unwrap_or_default()
+    }
+
     /// Notes when an unresolved attempt has certainly stopped.
     pub(super) fn set_expiry(&mut self, task: TaskId, expiry: Option<Duration>) {
         let Some(entry) = self.tasks.get_mut(&task) else {
--- a/crates/core/src/tasks/messages.rs
+++ b/crates/core/src/tasks/messages.rs
@@ -52,6 +52,8 @@
     pub spread: bool,
     /// Whether the tasks can save their progress.
     pub checkpoint: bool,
+    /// Objects whose jobs, accepted before this one, end before it starts.
+    pub after: Vec<ObjectName>,
 }
 
 /// A worker of the pool.
@@ -117,11 +119,14 @@
 
 /// Why a task waits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum WaitReason {
     /// No worker has room at the moment.
     NoRoom,
     /// Other work goes first.
     Queued,
+    /// A job that has to end before this one has not ended.
+    Predecessor,
     /// The team holds as much as its quota allows.
     Quota,
     /// The head of the queue holds a reservation for this job.
@@ -164,6 +169,7 @@
 
 /// Why a job is rejected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum JobRejection {
     /// A job with this id exists.
     Duplicate,
@@ -185,6 +191,7 @@
 
 /// What a request for cancellation did.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum CancelResult {
     /// The task will never start.
     NotStarted,
@@ -222,7 +229,9 @@
     Replayed(Vec<TaskRecord>),
     /// A worker answered the claim and named what it runs.
     WorkerClaimed(WorkerId, Vec<ReportedTask>),
-    /// A worker reported.
+    /// A worker reported. Before its claim only its completions count: those
+    /// of a former owner's time are passed on before the claim settles what the
+    /// worker no longer runs.
     WorkerReported(WorkerId, WorkerReport),
     /// A worker does not respond.
     WorkerSilent(WorkerId),
--- a/crates/core/src/tasks/mod.rs
+++ b/crates/core/src/tasks/mod.rs
@@ -14,7 +14,9 @@
 mod outcome;
 mod place;
 mod policy;
+mod query;
 mod records;
+mod requests;
 mod reserve;
 mod state;
 #[cfg(test)]
@@ -27,4 +29,6 @@
 pub use messages::{JobRejection, TaskAction, TaskEvent, TaskOutcome, TaskRecord, TaskState};
 pub use messages::{TaskView, TeamQuota, WaitReason, WorkerEntry, WorkerReport};
 pub use policy::{Candidate, PackingFirst, PlacementPolicy, WaitingFirst};
+pub use requests::{CancelItem, CancelReply, SubmitReply, SubmitRequest, TaskList};
+pub use requests::{TaskPhase, TaskRefusal, TaskReply, TaskRequest, TaskStatus, WatchReply};
 pub use state::{TaskConfig, TaskQueue};
--- a/crates/core/src/tasks/outcome.rs
+++ b/crates/core/src/tasks/outcome.rs
@@ -125,6 +125,9 @@
     }
 
     pub(super) fn reported(&mut self, name: &WorkerId, report: &WorkerReport, now: Duration) {
+        for (task, attempt, success) in &report.completions {
+            self.completed(*task, *attempt, *success, now);
+        }
         if self.workers.get(name).is_none_or(|slot| !slot.claimed()) {
             return;
         }
@@ -132,9 +135,6 @@
             slot.closed.remove(&ClosedReason::Silent);
             slot.closed.remove(&ClosedReason::Rejected);
         });
-        for (task, attempt, success) in &report.completions {
-            self.completed(*task, *attempt, *success, now);
-        }
         self.adopt(name, &report.running, now);
         self.relieve(name, &report.usage);
         self.open_worker(name);
@@ -552,6 +552,8 @@
         let Some(job) = self.ledger.jobs.remove(&id) else {
             return;
         };
+        let successors = self.ledger.remove_from_object(id, &job);
+        self.released.extend(successors);
         for label in &job.spec.labels {
             if let Some(jobs) = self.ledger.labels.get_mut(label) {
                 jobs.remove(&id);
--- a/crates/core/src/tasks/place.rs
+++ b/crates/core/src/tasks/place.rs
@@ -351,9 +351,16 @@
     /// Puts a job with tasks to place into its lane.
     pub(super) fn enqueue(&mut self, id: JobId, now: Duration) {
         let total = self.workers.total();
+        let predecessor = self.ledger.predecessor(id);
         let Some(job) = self.ledger.jobs.get_mut(&id) else {
             return;
         };
+        if let Some(object) = predecessor {
+            job.reason = WaitReason::Predecessor;
+            let successors = self.ledger.successors.entry(object).or_default();
+            successors.insert(id);
+            return;
+        }
         let anytime = job.spec.restart == RestartPolicy::Anytime;
         if !job.is_placeable() || job.entry.is_some() || (anytime && !job.durable) {
             return;
--- a/crates/core/src/tasks/records.rs
+++ b/crates/core/src/tasks/records.rs
@@ -183,8 +183,16 @@
     }
 
     fn replay_end(&mut self, task: TaskId, outcome: TaskOutcome, now: Duration) {
-        self.vacate(task, now);
-        self.set_state(task, TaskState::Ended(outcome));
-        self.count_end(task);
+        let state = TaskState::Ended(outcome);
+        match self.ledger.tasks.get(&task).map(|entry| &entry.state) {
+            None => self.show_ended(task, state),
+            // A record that was written again.
+            Some(TaskState::Ended(_)) => {}
+            Some(_) => {
+                self.vacate(task, now);
+                self.set_state(task, state);
+                self.count_end(task);
+            }
+        }
     }
 }
--- a/crates/core/src/tasks/state.rs
+++ b/crates/core/src/tasks/state.rs
@@ -3,11 +3,10 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{
-    index::WorkCounter,
     ledger::{JobEntry, PendingRecord, TaskEntry, TaskLedger, TeamEntry},
     messages::{
         JobId, JobRejection, JobSpec, TaskAction, TaskEvent, TaskOutcome, TaskRecord, TaskState,
-        TaskView, TeamQuota, WaitReason,
+        TeamQuota, WaitReason,
     },
     policy::PlacementPolicy,
     reserve::GangReservation,
@@ -78,6 +77,8 @@
     pub(super) freed: BTreeSet<WorkerId>,
     /// Jobs that joined a closed lane and are tried by themselves.
     pub(super) joined: BTreeSet<JobId>,
+    /// Jobs that may have waited for one that ended.
+    pub(super) released: BTreeSet<JobId>,
     pub(super) store_down: bool,
     pub(super) actions: Vec<TaskAction>,
     next_record: RecordId,
@@ -101,6 +102,7 @@
             next_plan: Duration::ZERO,
             freed: BTreeSet::new(),
             joined: BTreeSet::new(),
+            released: BTreeSet::new(),
             store_down: false,
             actions: Vec::new(),
             next_record: 1,
@@ -110,56 +112,6 @@
         }
     }
 
-    /// Returns the state of a task, with the reason if it waits.
-    #[must_use]
-    pub fn view(&self, task: TaskId) -> Option<TaskView> {
-        let entry = self.ledger.tasks.get(&task)?;
-        let mut view = entry.view(task);
-        if let (TaskState::Waiting(reason), Some(job)) =
-            (&mut view.state, self.ledger.jobs.get(&entry.job))
-        {
-            *reason = job.reason;
-        }
-        Some(view)
-    }
-
-    /// Returns the tasks with a label that have not been forgotten.
-    #[must_use]
-    pub fn labelled(&self, label: &str) -> Vec<TaskId> {
-        let jobs = self.ledger.labels.get(label);
-        jobs.into_iter()
-            .flatten()
-            .filter_map(|job| self.ledger.jobs.get(job))
-            .flat_map(|job| job.spec.tasks.iter().copied())
-            .collect()
-    }
-
-    /// Returns the number of tasks known, ended ones included.
-    #[must_use]
-    pub fn task_len(&self) -> usize {
-        self.ledger.tasks.len()
-    }
-
-    /// Returns what is free on a worker.
-    #[must_use]
-    pub fn free(&self, worker: &WorkerId) -> Option<ResourceVector> {
-        self.workers
-            .get(worker)
-            .map(super::workers::WorkerSlot::free)
-    }
-
-    /// Returns the tasks to which a worker's room is given.
-    #[must_use]
-    pub fn tasks_on(&self, worker: &WorkerId) -> Option<&BTreeSet<TaskId>> {
-        self.workers.get(worker).map(|slot| &slot.tasks)
-    }
-
-    /// Returns the work counted so far.
-    #[must_use]
-    pub const fn work(&self) -> WorkCounter {
-        self.workers.work
-    }
-
     /// Applies an event and returns what is to be done, in order.
     pub fn handle(&mut self, event: TaskEvent, now: Duration) -> Vec<TaskAction> {
         match event {
@@ -182,6 +134,9 @@
             TaskEvent::Resolved(task) => self.resolved(task, now),
             TaskEvent::TimerFired => self.timer(now),
         }
+        for job in std::mem::take(&mut self.released) {
+            self.enqueue(job, now);
+        }
         self.place_waiting(now);
         std::mem::take(&mut self.actions)
     }
@@ -256,6 +211,8 @@
         }
         let arrival = self.next_arrival;
         self.next_arrival += 1;
+        let jobs = self.ledger.objects.entry(spec.object.clone()).or_default();
+        jobs.insert((arrival, spec.job));
         let entry = JobEntry {
             urgency: spec.urgency,
             pending: spec.tasks.iter().copied().collect(),
--- a/crates/core/src/tasks/tests.rs
+++ b/crates/core/src/tasks/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the task queue.
 
 mod examples;
+mod recovery;
 mod sequences;
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
@@ -54,6 +55,7 @@
         gang: GangMode::Independent,
         spread: false,
         checkpoint: false,
+        after: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/core/src/tasks/tests/recovery.rs
@@ -0,0 +1,109 @@
+//! Examples of jobs in order, of takeovers and of snapshots.
+
+use super::*;
+use crate::tasks::{ReportedTask, TaskOutcome, TaskRecord, TaskState, WaitReason, WorkerReport};
+
+fn successor(number: u64) -> JobSpec {
+    JobSpec {
+        object: "report".into(),
+        after: vec!["grain".into()],
+        ..job(number, 1, 1)
+    }
+}
+
+fn report(task: TaskId, success: bool) -> WorkerReport {
+    WorkerReport {
+        completions: vec![(task, 1, success)],
+        ..WorkerReport::default()
+    }
+}
+
+fn run(queue: &mut TaskQueue<PackingFirst>, spec: JobSpec) -> Vec<(TaskId, Attempt, WorkerId)> {
+    let actions = submit(queue, spec, Duration::ZERO);
+    let started = starts(&commit(queue, actions, Duration::ZERO));
+    for (task, attempt, _) in &started {
+        queue.handle(TaskEvent::StartAccepted(*task, *attempt), Duration::ZERO);
+    }
+    started
+}
+
+fn restarted(records: Vec<TaskRecord>) -> TaskQueue<PackingFirst> {
+    let mut queue = configured(&[]);
+    queue.handle(TaskEvent::Replayed(records), Duration::ZERO);
+    let entries = vec![worker(0, GENERAL), worker(1, GENERAL)];
+    queue.handle(TaskEvent::WorkersChanged(entries), Duration::ZERO);
+    queue
+}
+
+/// Guards against a batch run that starts before the one that it reads from.
+#[test]
+fn a_job_starts_after_its_predecessor_has_ended() {
+    let mut queue = queue(2);
+    let first = run(&mut queue, job(1, 1, 1));
+    let early = run(&mut queue, successor(2));
+    let state = queue.view(task(2_000)).map(|view| view.state);
+
+    let event = TaskEvent::WorkerReported(first[0].2.clone(), report(first[0].0, true));
+    let actions = queue.handle(event, Duration::from_secs(1));
+    let late = starts(&commit(&mut queue, actions, Duration::from_secs(1)));
+
+    assert!(early.is_empty());
+    assert_eq!(state, Some(TaskState::Waiting(WaitReason::Predecessor)));
+    assert_eq!(late.len(), 1);
+}
+
+/// Guards against a second run of a task that ended while no owner listened.
+#[test]
+fn a_completion_before_the_claim_ends_the_task() {
+    let mut old = queue(2);
+    let started = run(&mut old, job(1, 1, 1));
+    let (id, _, name) = started[0].clone();
+    let mut queue = restarted(old.export());
+
+    let event = TaskEvent::WorkerReported(name.clone(), report(id, true));
+    queue.handle(event, Duration::ZERO);
+    let event = TaskEvent::WorkerClaimed(name, Vec::new());
+    let actions = queue.handle(event, Duration::ZERO);
+
+    let ended = TaskState::Ended(TaskOutcome::Succeeded);
+    assert_eq!(queue.view(id).map(|view| view.state), Some(ended));
+    assert!(starts(&commit(&mut queue, actions, Duration::ZERO)).is_empty());
+}
+
+/// Guards against a snapshot that loses a running, waiting or ended task.
+#[test]
+fn an_export_restores_the_queue() {
+    let mut old = queue(2);
+    let running = run(&mut old, job(1, 2, 1));
+    run(
+        &mut old,
+        JobSpec {
+            demand: GENERAL,
+            ..job(2, 2, 1)
+        },
+    );
+    let event = TaskEvent::WorkerReported(running[0].2.clone(), report(running[0].0, true));
+    old.handle(event, Duration::ZERO);
+
+    let mut queue = restarted(old.export());
+
+    let claimed = TaskEvent::WorkerClaimed(
+        running[1].2.clone(),
+        vec![ReportedTask {
+            task: running[1].0,
+            attempt: 1,
+            demand: job(1, 1, 1).demand,
+        }],
+    );
+    queue.handle(claimed, Duration::ZERO);
+    let state = |id: TaskId| queue.view(id).map(|view| view.state);
+    assert_eq!(queue.task_len(), old.task_len());
+    assert_eq!(
+        state(running[0].0),
+        Some(TaskState::Ended(TaskOutcome::Succeeded))
+    );
+    assert_eq!(
+        state(running[1].0),
+        Some(TaskState::Running(running[1].2.clone()))
+    );
+}
