Run tasks from submission to their end

Callers could not submit anything: the decisions, the worker client and the tool's commands existed without a daemon between them. A request that enters at another daemon is passed on over peers; task ids begin with a digest of the pool, so no index is kept and a takeover moves nothing. The job id follows from key, team and object, so a repeated submission gives the same job.

Ruled out: asking all owners for an id (a wait on the slowest of them), and a claim that is applied while a start to the same worker is on its way (the start would look as if it had ended and run twice): starts are held until the claim is answered. A cancellation is answered once its record is durable.

--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -4,8 +4,8 @@
 use serde_json::{Map, Value};
 
 /// Columns of a table of tasks that come first, in this order.
-const TASK_COLUMNS: [&str; 7] = [
-    "id", "object", "team", "state", "attempt", "worker", "reason",
+const TASK_COLUMNS: [&str; 9] = [
+    "id", "object", "team", "state", "attempt", "worker", "reason", "outcome", "result",
 ];
 
 /// Returns rows as columns of equal width, two spaces apart.
--- a/crates/cli/src/tasks.rs
+++ b/crates/cli/src/tasks.rs
@@ -1,10 +1,10 @@
 //! The commands for tasks, over the paths of the daemons' HTTP interface.
 
-use std::{collections::BTreeMap, fmt::Write};
+use std::fmt::Write;
 
+use auburnsaddle_core::{SubmitRequest, WatchReply};
 use hyper::Method;
-use serde::Serialize;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::{
     arguments::{Command, LabelPair},
@@ -13,15 +13,6 @@
 
 const TASKS_PATH: &str = "/v1/tasks";
 
-/// Asks a daemon to accept the work of an object.
-#[derive(Debug)]
-#[derive(Serialize)]
-struct SubmitRequest {
-    object: String,
-    count: Option<u64>,
-    labels: BTreeMap<String, String>,
-}
-
 /// Runs a command for tasks and returns the daemon's answer.
 pub(crate) async fn run(client: &DaemonClient, command: Command) -> Result<Value, ClientError> {
     let none = Value::Null;
@@ -59,18 +50,21 @@
     }
 }
 
-/// Prints each event of a task and returns its last state.
+/// Prints each change of a task and returns its last state.
 async fn watch(client: &DaemonClient, id: &str) -> Result<Value, ClientError> {
     let mut after = 0;
     loop {
         let path = format!("{TASKS_PATH}/{id}/watch?after={after}");
         // A long poll: silence for a while is no failure.
-        let event: Value = client.send(Method::GET, &path, &Value::Null).await?;
-        after = event["sequence"].as_u64().unwrap_or(after + 1);
-        if event["final"].as_bool().unwrap_or(true) {
+        let reply: WatchReply = client.send(Method::GET, &path, &Value::Null).await?;
+        let event = json!(reply.status);
+        if reply.r#final {
             return Ok(event);
         }
-        println!("{event}");
+        if reply.sequence != after {
+            println!("{event}");
+        }
+        after = reply.sequence;
     }
 }
 
--- a/crates/core/src/tasks/messages.rs
+++ b/crates/core/src/tasks/messages.rs
@@ -104,6 +104,7 @@
 
 /// How a task ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum TaskOutcome {
     /// It ran to its end.
     Succeeded,
--- a/crates/core/src/tasks/requests.rs
+++ b/crates/core/src/tasks/requests.rs
@@ -1,6 +1,6 @@
 //! Requests and replies of callers, shared by the daemon and the tool.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, fmt, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -57,9 +57,9 @@
 #[derive(Deserialize, Serialize)]
 pub struct TaskStatus {
     /// The task.
-    pub task: TaskId,
+    pub id: TaskId,
     /// Its phase.
-    pub phase: TaskPhase,
+    pub state: TaskPhase,
     /// Why it waits.
     pub reason: Option<WaitReason>,
     /// Its worker.
@@ -101,7 +101,7 @@
 #[derive(Deserialize, Serialize)]
 pub struct CancelItem {
     /// The task.
-    pub task: TaskId,
+    pub id: TaskId,
     /// The effect.
     pub result: CancelResult,
 }
@@ -168,7 +168,7 @@
     /// Returns the status of a task and its job, as far as that is known.
     #[must_use]
     pub fn new(view: &TaskView, job: Option<&JobSpec>) -> Self {
-        let (phase, reason, worker, outcome) = match view.state.clone() {
+        let (state, reason, worker, outcome) = match view.state.clone() {
             TaskState::Waiting(reason) => (TaskPhase::Waiting, Some(reason), None, None),
             TaskState::Recording(worker) | TaskState::Starting(worker) => {
                 (TaskPhase::Starting, None, Some(worker), None)
@@ -179,8 +179,8 @@
             TaskState::Ended(outcome) => (TaskPhase::Ended, None, None, Some(outcome)),
         };
         Self {
-            task: view.task,
-            phase,
+            id: view.task,
+            state,
             reason,
             worker,
             outcome,
@@ -198,7 +198,7 @@
     pub const fn new(status: TaskStatus) -> Self {
         Self {
             sequence: status.sequence,
-            r#final: matches!(status.phase, TaskPhase::Ended),
+            r#final: matches!(status.state, TaskPhase::Ended),
             status,
         }
     }
@@ -220,3 +220,18 @@
         }
     }
 }
+
+impl fmt::Display for JobRejection {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Duplicate => "a job with its identifier exists",
+            Self::NeverFits => "no worker of the pool can ever hold one of its tasks",
+            Self::GangNeverFits => "the workers of the pool can never hold the whole gang",
+            Self::AboveQuota => "it needs more than its team may ever hold",
+            Self::UnknownTeam => "its team is not configured",
+            Self::Empty => "it has no tasks or requests no resources",
+            Self::QueueFull => "the queue is full",
+            Self::StoreUnavailable => "its acceptance cannot be recorded",
+        })
+    }
+}
--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -166,7 +166,7 @@
             .await
         {
             Ok(PeerReply::Slot(reply)) => reply,
-            Ok(PeerReply::Noted | PeerReply::Config(_)) => Err(NotRunReason::NoOwner),
+            Ok(_) => Err(NotRunReason::NoOwner),
             Err(error) => {
                 log::debug!("asking {} for a slot failed: {error}", owner.daemon);
                 Err(NotRunReason::NoOwner)
--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -12,6 +12,8 @@
     peers::{PeerClient, PeerReply, PeerRequest},
     publication::fetch_versions,
     store::{StoreFeed, TxnOutcome},
+    tasks::{self, TaskEffect},
+    workers::HttpWorkers,
 };
 
 /// Something to be done outside the control thread.
@@ -49,6 +51,8 @@
     },
     /// Reads one owner record.
     ReadOwner(ShardName),
+    /// Asks a worker.
+    Task(TaskEffect),
     /// Reads or writes the journal.
     Journal(JournalEffect),
 }
@@ -61,6 +65,7 @@
     pub(super) control: ControlHandle,
     pub(super) peers: PeerClient,
     pub(super) store: S,
+    pub(super) workers: HttpWorkers,
 }
 
 impl<S: StoreFeed> EffectRunner<S> {
@@ -86,6 +91,7 @@
             ControlEffect::PullConfig { from, address } => self.pull_config(from, address),
             ControlEffect::ReadOwner(shard) => self.read_owner(shard),
             ControlEffect::Journal(effect) => self.run_journal(effect),
+            ControlEffect::Task(effect) => self.ask_worker(effect),
         }
     }
 
@@ -137,6 +143,15 @@
         });
     }
 
+    fn ask_worker(&self, effect: TaskEffect) {
+        let control = self.control.clone();
+        let workers = self.workers.clone();
+        self.traffic.spawn(async move {
+            let command = tasks::run_effect(&workers, effect).await;
+            control.send(ControlEvent::Tasks(command)).await;
+        });
+    }
+
     fn read_owner(&self, shard: ShardName) {
         let control = self.control.clone();
         let store = self.store.clone();
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -14,13 +14,15 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{calls::CallCommand, journal::JournalReport, store::StoreEntry};
+use crate::{calls::CallCommand, journal::JournalReport, store::StoreEntry, tasks::TaskCommand};
 
 /// Something that the control thread acts on.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
     /// A command for the owned call queues.
     Calls(CallCommand),
+    /// A command for the owned pools.
+    Tasks(TaskCommand),
     /// A store call of the journal ended.
     Journal(JournalReport),
     /// A heartbeat arrived.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod process;
 mod shards;
 mod state;
+mod tasks;
 
 pub(crate) use messages::{ControlEvent, ControlHandle, RoutingSnapshot};
 pub use process::{DaemonError, run};
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -26,7 +26,9 @@
     peers::{PeerClient, serve_peers},
     settings::DaemonSettings,
     store::{HttpStore, StoreFeed, StoreRates},
+    tasks::TaskDispatcher,
     telemetry::{ProcessClock, ProcessMetrics, init_logger},
+    workers::HttpWorkers,
 };
 
 /// Events that may wait for the control thread; senders wait beyond that.
@@ -95,10 +97,12 @@
         },
     );
     let dispatcher = CallDispatcher::new(control.clone(), peers.clone());
+    let tasks = TaskDispatcher::new(control.clone(), peers.clone());
     let metrics = ProcessMetrics::new(store.counts());
     let service = FrontService::new(
         control.clone(),
         dispatcher,
+        tasks,
         store.clone(),
         metrics,
         settings.limits,
@@ -119,8 +123,9 @@
         control: control.clone(),
         peers,
         store,
+        workers: HttpWorkers::new(),
     };
-    let state = ControlState::new(record, settings.commit_interval);
+    let state = ControlState::new(record, settings.commit_interval, settings.sync_interval);
     let interval = settings.heartbeat_interval;
     let thread = thread::Builder::new()
         .name("control".to_owned())
@@ -183,7 +188,7 @@
             let actions = tokio::select! {
                 event = receiver.recv() => match event {
                     Some(event) => {
-                        let publish = !matches!(event, ControlEvent::Calls(_));
+                        let publish = !matches!(event, ControlEvent::Calls(_) | ControlEvent::Tasks(_));
                         let actions = state.handle(event, clock.now());
                         if publish {
                             snapshot.store(Arc::new(state.snapshot(clock.now())));
--- a/crates/daemon/src/control/shards.rs
+++ b/crates/daemon/src/control/shards.rs
@@ -9,14 +9,14 @@
 
 /// What one step asks for, in order.
 #[derive(Debug, Default)]
-struct ShardSteps {
-    effects: Vec<ControlEffect>,
-    events: VecDeque<OwnershipEvent>,
+pub(super) struct ShardSteps {
+    pub(super) effects: Vec<ControlEffect>,
+    pub(super) events: VecDeque<OwnershipEvent>,
     notices: VecDeque<JournalNotice>,
 }
 
 impl ShardSteps {
-    fn add(&mut self, output: JournalOutput) {
+    pub(super) fn add(&mut self, output: JournalOutput) {
         let effects = output.effects.into_iter().map(ControlEffect::Journal);
         self.effects.extend(effects);
         self.notices.extend(output.notices);
@@ -64,10 +64,10 @@
         self.run_steps(steps, now)
     }
 
-    fn run_steps(&mut self, mut steps: ShardSteps, now: Duration) -> Vec<ControlEffect> {
+    pub(super) fn run_steps(&mut self, mut steps: ShardSteps, now: Duration) -> Vec<ControlEffect> {
         loop {
             if let Some(notice) = steps.notices.pop_front() {
-                note_journal(notice, &mut steps);
+                self.note_journal(notice, now, &mut steps);
             } else if let Some(event) = steps.events.pop_front() {
                 for action in self.owners.handle(event, now) {
                     self.carry_out(action, now, &mut steps);
@@ -104,6 +104,7 @@
             }
             OwnershipAction::Activated(shard, epoch) => self.activate_shard(shard, epoch, now),
             OwnershipAction::Flush(shard, epoch) if keeps_journal(&shard) => {
+                self.pools.set_active(&shard, false);
                 steps.add(self.journals.flush(shard, epoch, now));
             }
             OwnershipAction::Flush(shard, epoch) => {
@@ -113,6 +114,7 @@
             OwnershipAction::Lost(shard) => {
                 log::warn!("lost shard {shard} to another daemon");
                 self.calls.lose(&shard);
+                self.pools.lose(&shard);
                 steps.add(self.journals.close(&shard, now));
             }
             // No shard is declared to be in lease mode yet.
@@ -126,39 +128,55 @@
                 self.calls.acquire(shard, epoch);
                 self.refresh_runners(now);
             }
+            ShardName::Pool(_) if self.pools.owns(&shard, epoch) => {
+                self.pools.set_active(&shard, true);
+            }
             ShardName::Call(..) | ShardName::Key(..) | ShardName::Pool(_) => {}
         }
     }
-}
 
-/// Passes a notice of the journal to the owner table or to the slice that
-/// keeps the shard's state.
-fn note_journal(notice: JournalNotice, steps: &mut ShardSteps) {
-    match notice {
-        JournalNotice::Opened(shard, epoch, records) => {
-            log::info!("replayed {} records of shard {shard}", records.len());
-            let replayed = OwnershipEvent::Replayed(shard, epoch);
-            steps.events.push_back(replayed);
-        }
-        JournalNotice::Corrupted(shard, epoch, error) => {
-            log::error!("shard {shard} is not served under epoch {epoch}: {error}");
-        }
-        JournalNotice::Flushed(shard, epoch) => {
-            let flushed = OwnershipEvent::Flushed(shard, epoch);
-            steps.events.push_back(flushed);
-        }
-        JournalNotice::Fenced(shard, epoch) => {
-            let fenced = OwnershipEvent::Fenced(shard, epoch);
-            steps.events.push_back(fenced);
-        }
-        JournalNotice::StoreChanged { available } => {
-            log::warn!("the store takes records: {available}");
-        }
-        // A slice with durable state adds its arms for these before here.
-        JournalNotice::Durable(shard, _)
-        | JournalNotice::Failed { shard, .. }
-        | JournalNotice::ExportNeeded(shard, _) => {
-            log::error!("no slice keeps the records of shard {shard}");
+    /// Passes a notice of the journal to the owner table or to the slice that
+    /// keeps the shard's state.
+    fn note_journal(&mut self, notice: JournalNotice, now: Duration, steps: &mut ShardSteps) {
+        match notice {
+            JournalNotice::Opened(shard, epoch, records) => {
+                log::info!("replayed {} records of shard {shard}", records.len());
+                if matches!(shard, ShardName::Pool(_)) {
+                    self.open_pool(shard, epoch, &records, now, steps);
+                    return;
+                }
+                let replayed = OwnershipEvent::Replayed(shard, epoch);
+                steps.events.push_back(replayed);
+            }
+            JournalNotice::Corrupted(shard, epoch, error) => {
+                log::error!("shard {shard} is not served under epoch {epoch}: {error}");
+            }
+            JournalNotice::Flushed(shard, epoch) => {
+                let flushed = OwnershipEvent::Flushed(shard, epoch);
+                steps.events.push_back(flushed);
+            }
+            JournalNotice::Fenced(shard, epoch) => {
+                let fenced = OwnershipEvent::Fenced(shard, epoch);
+                steps.events.push_back(fenced);
+            }
+            JournalNotice::StoreChanged { available } => {
+                log::warn!("the store takes records: {available}");
+                self.pools.set_store(available);
+            }
+            JournalNotice::Durable(ShardName::Pool(_), _)
+            | JournalNotice::Failed {
+                shard: ShardName::Pool(_),
+                ..
+            }
+            | JournalNotice::ExportNeeded(ShardName::Pool(_), _) => {
+                self.note_pool_records(notice, now, steps);
+            }
+            // A slice with durable state adds its arms for these before here.
+            JournalNotice::Durable(shard, _)
+            | JournalNotice::Failed { shard, .. }
+            | JournalNotice::ExportNeeded(shard, _) => {
+                log::error!("no slice keeps the records of shard {shard}");
+            }
         }
     }
 }
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     calls::CallShards, journal::ShardJournals, membership::read_members, ownership::read_owners,
-    publication::read_head, store::StoreEntry,
+    publication::read_head, store::StoreEntry, tasks::PoolShards,
 };
 
 /// Heartbeats within the region for each one between regions: 500 ms and 5 s.
@@ -29,11 +29,13 @@
 #[derive(Debug)]
 pub(super) struct ControlState {
     record: MemberRecord,
-    config: ConfigState,
-    hosts: HostTable,
+    pub(super) config: ConfigState,
+    pub(super) hosts: HostTable,
+    pub(super) hosts_read: bool,
     peers: PeerTable,
     pub(super) owners: OwnerTable<StdRng>,
     pub(super) calls: CallShards,
+    pub(super) pools: PoolShards,
     pub(super) journals: ShardJournals,
     heartbeats: u32,
     draining: bool,
@@ -41,10 +43,15 @@
 
 impl ControlState {
     /// Returns the state of a daemon that knows only itself.
-    pub(super) fn new(record: MemberRecord, commit_interval: Duration) -> Self {
+    pub(super) fn new(
+        record: MemberRecord,
+        commit_interval: Duration,
+        sync_interval: Duration,
+    ) -> Self {
         Self {
             config: ConfigState::default(),
             hosts: HostTable::default(),
+            hosts_read: false,
             peers: PeerTable::new(PeerConfig::default(), record.region.clone()),
             owners: OwnerTable::new(
                 record.daemon.clone(),
@@ -52,6 +59,7 @@
                 rand::make_rng(),
             ),
             calls: CallShards::default(),
+            pools: PoolShards::new(sync_interval),
             journals: ShardJournals::new(record.daemon.clone(), commit_interval),
             heartbeats: 0,
             draining: false,
@@ -70,6 +78,7 @@
     fn apply(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
         match event {
             ControlEvent::Journal(report) => self.apply_journal(report, now),
+            ControlEvent::Tasks(command) => self.apply_tasks(command, now),
             ControlEvent::Calls(command) => {
                 self.calls.handle(command, now);
                 Vec::new()
@@ -81,7 +90,8 @@
                 self.apply_config(event, now)
             }
             ControlEvent::HostsRead(entries) => {
-                if self.hosts.replace(entries) {
+                let first = !std::mem::replace(&mut self.hosts_read, true);
+                if self.hosts.replace(entries) || first {
                     self.refresh(now)
                 } else {
                     Vec::new()
@@ -132,10 +142,12 @@
     /// Acts on the passing of time.
     pub(super) fn fire_timers(&mut self, now: Duration) -> Vec<ControlEffect> {
         self.calls.fire_timers(now);
+        let pools = self.fire_pool_timers(now);
         self.peers.note_timer(now);
         let dead = self.dead_daemons(now);
         let mut effects = self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now);
         effects.extend(self.apply_ownership(OwnershipEvent::TimerFired, now));
+        effects.extend(pools);
         effects.extend(self.commit_records(now));
         effects
     }
@@ -242,6 +254,7 @@
                 ConfigAction::InForce(version) => {
                     log::info!("configuration version {version} is in force");
                     effects.extend(self.refresh(now));
+                    effects.extend(self.refresh_teams(now));
                 }
                 ConfigAction::Rejected(version, reason) => {
                     log::error!("configuration version {version} was rejected: {reason}");
@@ -265,8 +278,10 @@
 
     /// Derives the shards and the runners again after a change.
     fn refresh(&mut self, now: Duration) -> Vec<ControlEffect> {
-        let effects = self.apply_ownership(OwnershipEvent::ShardsChanged(self.shards()), now);
+        let shards = OwnershipEvent::ShardsChanged(self.shards());
+        let mut effects = self.apply_ownership(shards, now);
         self.refresh_runners(now);
+        effects.extend(self.refresh_pools(now));
         effects
     }
 
@@ -298,8 +313,12 @@
             .collect()
     }
 
-    /// Returns the call shards: each service with each zone that has runners.
+    /// Returns the shards: each service with each zone that has runners, and
+    /// each pool of the region.
     fn shards(&self) -> BTreeSet<ShardName> {
+        let pools = self.config.objects().pools.values();
+        let pools = pools.filter(|pool| pool.region == self.record.region);
+        let pools = pools.map(|pool| ShardName::Pool(pool.name.clone()));
         self.hosts
             .iter()
             .filter(|host| host.kind == HostKind::Runner)
@@ -310,6 +329,7 @@
             })
             .filter(|(service, _)| self.config.objects().services.contains_key(service))
             .map(|(service, zone)| ShardName::Call(service, zone))
+            .chain(pools)
             .collect()
     }
 }
--- a/crates/daemon/src/front/messages.rs
+++ b/crates/daemon/src/front/messages.rs
@@ -112,6 +112,13 @@
     response
 }
 
+/// Marks an answer as the rejection of a request that was not run.
+pub(super) fn mark_not_run(mut response: FrontResponse) -> FrontResponse {
+    let value = HeaderValue::from_static("not-run");
+    response.headers_mut().insert(OUTCOME_HEADER, value);
+    response
+}
+
 /// Returns the answer to a request that may have run.
 pub(super) fn unknown_response(reason: UnknownReason) -> FrontResponse {
     let error = format!("outcome unknown: {reason}");
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -10,5 +10,6 @@
 mod body;
 mod messages;
 mod service;
+mod tasks;
 
 pub(crate) use service::{FrontService, serve_front};
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -28,6 +28,7 @@
         DumpReply, FrontError, FrontResponse, json_response, not_run_response, text_response,
         unknown_response,
     },
+    tasks::TASKS_PATH,
 };
 use crate::{
     calls::{CallCommand, CallDispatcher, CallHead},
@@ -35,6 +36,7 @@
     peers::{PeerHandler, PeerReply, PeerRequest},
     settings::CallerLimits,
     store::StoreClient,
+    tasks::TaskDispatcher,
     telemetry::ProcessMetrics,
 };
 
@@ -48,6 +50,7 @@
 pub(crate) struct FrontService<S> {
     pub(super) control: ControlHandle,
     dispatcher: CallDispatcher,
+    pub(super) tasks: TaskDispatcher,
     pub(super) store: S,
     pub(super) metrics: ProcessMetrics,
     limits: CallerLimits,
@@ -58,6 +61,7 @@
     pub(crate) const fn new(
         control: ControlHandle,
         dispatcher: CallDispatcher,
+        tasks: TaskDispatcher,
         store: S,
         metrics: ProcessMetrics,
         limits: CallerLimits,
@@ -65,6 +69,7 @@
         Self {
             control,
             dispatcher,
+            tasks,
             store,
             metrics,
             limits,
@@ -75,13 +80,14 @@
         let path = request.uri().path().to_owned();
         let result = match path.as_str() {
             path if path.starts_with(SERVICE_PREFIX) => self.handle_call(request).await,
+            path if is_task_path(path) => self.handle_tasks(request).await,
             "/metrics" => Ok(self.metrics_page()),
             "/admin/dump" => Ok(self.dump().await),
             path if path.starts_with("/admin/") => self.handle_admin(request).await,
             _ => Err(FrontError::new(
                 StatusCode::NOT_FOUND,
                 "no such path",
-                "use /v1/services/SERVICE/PATH or /admin/status",
+                "use /v1/services/SERVICE/PATH, /v1/tasks or /admin/status",
             )),
         };
         result.unwrap_or_else(FrontResponse::from)
@@ -170,6 +176,9 @@
                 self.control.send(ControlEvent::Calls(command)).await;
                 PeerReply::Noted
             }
+            PeerRequest::Task(shard, request) => {
+                PeerReply::Task(self.tasks.ask_here(shard, request).await)
+            }
             PeerRequest::PullConfig(from) => PeerReply::Config(self.pull_config(from).await),
         }
     }
@@ -238,6 +247,11 @@
     });
 }
 
+fn is_task_path(path: &str) -> bool {
+    let rest = path.strip_prefix(TASKS_PATH);
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
 /// Splits `/v1/services/NAME/PATH` into the name and the path for the runner.
 fn split_target(target: &str) -> (&str, String) {
     let rest = target.strip_prefix(SERVICE_PREFIX).unwrap_or_default();
@@ -314,7 +328,7 @@
     }
 }
 
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+pub(super) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
--- a/crates/daemon/src/peers/messages.rs
+++ b/crates/daemon/src/peers/messages.rs
@@ -2,6 +2,7 @@
 
 use auburnsaddle_core::{
     CallRequest, ConfigPull, ConfigVersion, Epoch, GrantId, GrantResult, Heartbeat, ShardName,
+    TaskReply, TaskRequest,
 };
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -19,6 +20,8 @@
     RequestSlot(ShardName, CallRequest),
     /// Returns a slot.
     ReturnSlot(ShardName, Epoch, GrantId, GrantResult),
+    /// Asks the owner of a pool shard.
+    Task(ShardName, TaskRequest),
     /// Asks for the configuration versions after the one named.
     PullConfig(ConfigVersion),
 }
@@ -31,6 +34,8 @@
     Noted,
     /// The slot that was asked for, or why there is none.
     Slot(SlotReply),
+    /// What the owner of a pool shard replied.
+    Task(TaskReply),
     /// The configuration versions that were asked for.
     Config(ConfigPull),
 }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -14,5 +14,5 @@
 mod tests;
 
 pub(crate) use client::PeerClient;
-pub(crate) use messages::{PeerReply, PeerRequest};
+pub(crate) use messages::{PeerError, PeerReply, PeerRequest};
 pub(crate) use server::{PeerHandler, serve_peers};
--- a/crates/daemon/src/settings/state.rs
+++ b/crates/daemon/src/settings/state.rs
@@ -34,6 +34,8 @@
     pub poll_interval: Duration,
     /// Time over which records are gathered into one write.
     pub commit_interval: Duration,
+    /// Time between two exchanges with each worker.
+    pub sync_interval: Duration,
     /// This daemon's share of the store's writes per second.
     pub store_writes: u32,
     /// This daemon's share of the store's reads per second.
@@ -126,6 +128,7 @@
             heartbeat_interval: reader.read_duration("--heartbeat-interval-ms"),
             poll_interval: reader.read_duration("--poll-interval-ms"),
             commit_interval: reader.read_duration("--commit-interval-ms"),
+            sync_interval: reader.read_duration("--sync-interval-ms"),
             store_writes: reader.read_number("--store-writes-per-second"),
             store_reads: reader.read_number("--store-reads-per-second"),
             drain_deadline: reader.read_duration("--drain-deadline-ms"),
--- a/crates/daemon/src/settings/table.rs
+++ b/crates/daemon/src/settings/table.rs
@@ -73,6 +73,13 @@
         (5, 5_000),
         "time over which records are gathered into one write to the store",
     ),
+    number(
+        "--sync-interval-ms",
+        "MILLISECONDS",
+        "1000",
+        (100, 15_000),
+        "time between two exchanges with each worker",
+    ),
     number(
         "--store-writes-per-second",
         "WRITES",
--- /dev/null
+++ b/crates/daemon/src/tasks/mod.rs
@@ -0,0 +1,31 @@
+/*!
+Tasks: the pool shards that this daemon owns, and their workers.
+
+[`PoolShards`] belongs to the control thread. It feeds callers' requests, news
+of workers, the list of hosts and the passing of time into the task queue of
+each owned pool, and translates the queue's actions into [`TaskEffect`]s for the
+traffic threads, records for the journal and replies to callers.
+
+A worker is *linked* to its pool: it is claimed under the owner's epoch, then
+synchronised at a fixed interval, which renews the leases of its tasks, and
+asked for completions with a long poll.
+*/
+
+mod dispatch;
+mod exchange;
+mod link;
+mod messages;
+mod news;
+mod pool;
+mod queue;
+mod state;
+mod submit;
+#[cfg(test)]
+mod tests;
+mod watchers;
+
+pub(crate) use dispatch::TaskDispatcher;
+pub(crate) use exchange::run_effect;
+pub(crate) use messages::{PoolOutput, TaskCommand, TaskEffect};
+pub(crate) use state::{PoolBase, PoolShards};
+pub(crate) use submit::{build_job, pool_of};
--- /dev/null
+++ b/crates/daemon/src/tasks/queue.rs
@@ -0,0 +1,66 @@
+//! The task queue of a pool under the policy of its objective.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use auburnsaddle_core::{
+    JobSpec, PackingFirst, PoolObjective, TaskAction, TaskConfig, TaskEvent, TaskId, TaskQueue,
+    TaskRecord, TaskView, WaitingFirst, WorkerId,
+};
+
+/// A task queue with one of the two policies.
+#[derive(Debug)]
+pub(super) enum PoolQueue {
+    Waiting(Box<TaskQueue<WaitingFirst>>),
+    Packing(Box<TaskQueue<PackingFirst>>),
+}
+
+impl PoolQueue {
+    pub(super) fn new(objective: PoolObjective, config: TaskConfig) -> Self {
+        match objective {
+            PoolObjective::Waiting => Self::Waiting(Box::new(TaskQueue::new(config, WaitingFirst))),
+            PoolObjective::Packing => Self::Packing(Box::new(TaskQueue::new(config, PackingFirst))),
+        }
+    }
+
+    pub(super) fn handle(&mut self, event: TaskEvent, now: Duration) -> Vec<TaskAction> {
+        match self {
+            Self::Waiting(queue) => queue.handle(event, now),
+            Self::Packing(queue) => queue.handle(event, now),
+        }
+    }
+
+    pub(super) fn view(&self, task: TaskId) -> Option<TaskView> {
+        match self {
+            Self::Waiting(queue) => queue.view(task),
+            Self::Packing(queue) => queue.view(task),
+        }
+    }
+
+    pub(super) fn job_of(&self, task: TaskId) -> Option<&JobSpec> {
+        match self {
+            Self::Waiting(queue) => queue.job_of(task),
+            Self::Packing(queue) => queue.job_of(task),
+        }
+    }
+
+    pub(super) fn tasks_on(&self, worker: &WorkerId) -> Option<&BTreeSet<TaskId>> {
+        match self {
+            Self::Waiting(queue) => queue.tasks_on(worker),
+            Self::Packing(queue) => queue.tasks_on(worker),
+        }
+    }
+
+    pub(super) fn matching(&self, labels: &[Arc<str>], team: Option<&str>) -> Vec<TaskId> {
+        match self {
+            Self::Waiting(queue) => queue.matching(labels, team),
+            Self::Packing(queue) => queue.matching(labels, team),
+        }
+    }
+
+    pub(super) fn export(&self) -> Vec<TaskRecord> {
+        match self {
+            Self::Waiting(queue) => queue.export(),
+            Self::Packing(queue) => queue.export(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/tasks/tests.rs
@@ -0,0 +1,189 @@
+//! Tests of jobs built from objects, and of an owned pool.
+
+use std::time::Duration;
+
+use auburnsaddle_core::{
+    HostEntry, HostKind, HostState, ObjectLoader, ObjectSet, RecordId, ResourceVector, ShardName,
+    SubmitRequest, TaskReply, TaskRequest, UnknownReason,
+};
+use tokio::sync::oneshot::{self, error::TryRecvError};
+
+use super::{
+    PoolBase, PoolOutput, PoolShards, TaskCommand, build_job,
+    messages::{ClaimedWorker, WorkerNews, WorkerRequest},
+    pool_of,
+};
+use crate::workers::{ClaimReport, SyncReport, WorkerOutcome};
+
+const OBJECTS: &str = r#"
+[[pool]]
+name = "general"
+region = "namibia"
+zones = ["namibia-a"]
+shapes = [{ count = 1, rack_size = 1, capacity = { cpu_milli = 4000, memory_mib = 4096 } }]
+
+[[team]]
+name = "stock"
+quota = { cpu_milli = 8000, memory_mib = 8192 }
+
+[[batch]]
+name = "grading"
+pool = "general"
+team = "stock"
+count = 2
+request = { cpu_milli = 1000, memory_mib = 1024 }
+run_time_seconds = 60
+"#;
+
+fn objects() -> ObjectSet {
+    let mut loader = ObjectLoader::default();
+    loader.add("test.toml", OBJECTS);
+    let report = loader.finish();
+    assert!(report.is_valid(), "{:?}", report.problems);
+    report.set
+}
+
+fn request(object: &str) -> SubmitRequest {
+    SubmitRequest {
+        object: object.to_owned(),
+        ..SubmitRequest::default()
+    }
+}
+
+fn shard() -> ShardName {
+    ShardName::Pool("general".into())
+}
+
+fn host() -> HostEntry {
+    HostEntry {
+        name: "w1".into(),
+        kind: HostKind::Worker,
+        pool: "general".into(),
+        zone: "namibia-a".into(),
+        rack: "r1".into(),
+        address: "127.0.0.1:1".into(),
+        state: HostState::Live,
+        capacity: ResourceVector::new(4_000, 4_096, 0),
+        ..HostEntry::default()
+    }
+}
+
+/// An active pool with one worker that was not claimed yet.
+fn pool() -> (PoolShards, PoolOutput) {
+    let mut pools = PoolShards::new(Duration::from_secs(1));
+    let objects = objects();
+    let base = PoolBase {
+        spec: &objects.pools["general"],
+        objects: &objects,
+        hosts: Some(vec![host()]),
+        records: Vec::new(),
+    };
+    let output = pools.open(&shard(), 1, base, Duration::ZERO);
+    pools.set_active(&shard(), true);
+    (pools, output)
+}
+
+fn submit(pools: &mut PoolShards) -> (oneshot::Receiver<TaskReply>, Vec<RecordId>) {
+    let (shard, job) = build_job(&objects(), &request("grading"), Some("k")).unwrap();
+    let (reply, receiver) = oneshot::channel();
+    let command = TaskCommand::Request {
+        shard: shard.clone(),
+        request: TaskRequest::Submit(job),
+        reply,
+    };
+    let output = pools.handle(command, Duration::ZERO);
+    let ids: Vec<_> = output.records.iter().map(|record| record.id).collect();
+    for id in &ids {
+        pools.note_appended(&shard, *id, *id);
+    }
+    (receiver, ids)
+}
+
+fn claimed(outcome: WorkerOutcome<ClaimedWorker>) -> TaskCommand {
+    TaskCommand::News {
+        shard: shard(),
+        epoch: 1,
+        worker: "w1".into(),
+        news: WorkerNews::Claimed(outcome),
+    }
+}
+
+fn idle_worker() -> ClaimedWorker {
+    ClaimedWorker {
+        claim: ClaimReport {
+            capacity: host().capacity,
+            running: Vec::new(),
+        },
+        sync: SyncReport {
+            usage: ResourceVector::default(),
+            completions: Vec::new(),
+        },
+    }
+}
+
+fn starts(output: &PoolOutput) -> usize {
+    let requests = output.effects.iter().map(|effect| &effect.request);
+    requests
+        .filter(|request| matches!(request, WorkerRequest::Start(_)))
+        .count()
+}
+
+/// Guards against a repeated submission that runs twice, and against two
+/// objects that share a job.
+#[test]
+fn a_key_names_one_job_of_an_object() {
+    let objects = objects();
+
+    let (_, first) = build_job(&objects, &request("grading"), Some("k")).unwrap();
+    let (_, again) = build_job(&objects, &request("batch/grading"), Some("k")).unwrap();
+    let (_, other) = build_job(&objects, &request("grading"), Some("l")).unwrap();
+
+    assert_eq!(first, again);
+    assert_ne!(first.job, other.job);
+    assert_eq!(
+        pool_of(&objects, first.tasks[1]).as_deref(),
+        Some("general")
+    );
+}
+
+/// Guards against an accepted job that its owner's death would lose.
+#[test]
+fn a_job_is_accepted_when_its_record_is_durable() {
+    let (mut pools, _) = pool();
+
+    let (mut first, ids) = submit(&mut pools);
+    let (mut again, repeated) = submit(&mut pools);
+    let early = first.try_recv();
+    pools.note_durable(&shard(), &ids, Duration::ZERO);
+
+    assert!(matches!(early, Err(TryRecvError::Empty)));
+    assert!(repeated.is_empty());
+    assert!(matches!(first.try_recv(), Ok(TaskReply::Accepted(_))));
+    assert!(matches!(again.try_recv(), Ok(TaskReply::Accepted(_))));
+}
+
+/// Guards against work on a worker whose running tasks are not known.
+#[test]
+fn nothing_starts_before_the_claim_is_answered() {
+    let (mut pools, opened) = pool();
+    let (_receiver, ids) = submit(&mut pools);
+    let accepted = pools.note_durable(&shard(), &ids, Duration::ZERO);
+    let unknown = WorkerOutcome::Unknown(UnknownReason::ConnectionLost);
+
+    let failed = pools.handle(claimed(unknown), Duration::ZERO);
+    let claimed = pools.handle(
+        claimed(WorkerOutcome::Admitted(idle_worker())),
+        Duration::from_secs(2),
+    );
+
+    let requests = opened.effects.iter().map(|effect| &effect.request);
+    assert_eq!(
+        requests
+            .filter(|request| matches!(request, WorkerRequest::Claim(_)))
+            .count(),
+        1
+    );
+    assert_eq!(starts(&accepted) + starts(&failed), 0);
+    let placed = claimed.records.iter();
+    assert_eq!(placed.filter(|record| record.shard == shard()).count(), 2);
+}
--- a/crates/daemon/src/workers/client.rs
+++ b/crates/daemon/src/workers/client.rs
@@ -149,7 +149,8 @@
 }
 
 impl<T> WorkerOutcome<T> {
-    fn map<U, F: FnOnce(T) -> U>(self, change: F) -> WorkerOutcome<U> {
+    /// Changes the value of an admitted request.
+    pub(crate) fn map<U, F: FnOnce(T) -> U>(self, change: F) -> WorkerOutcome<U> {
         match self {
             Self::Admitted(value) => WorkerOutcome::Admitted(change(value)),
             Self::Rejected(reason) => WorkerOutcome::Rejected(reason),
--- a/crates/daemon/src/workers/messages.rs
+++ b/crates/daemon/src/workers/messages.rs
@@ -43,7 +43,7 @@
 }
 
 /// One attempt of a task.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct AttemptName {
     /// The task.
     pub(crate) task: TaskId,
--- a/crates/standins/src/bin/target.rs
+++ b/crates/standins/src/bin/target.rs
@@ -36,6 +36,7 @@
         memory_mib: arguments.value_from_str("--memory-mib").unwrap_or(131_072),
         accelerators: arguments.value_from_str("--accelerators").unwrap_or(0),
     });
+    worker.lock().speed = arguments.value_from_str("--speed").unwrap_or(1);
     serve(listener, Arc::default(), move |request| {
         worker::handle(worker.clone(), request)
     })
--- a/crates/standins/src/worker/messages.rs
+++ b/crates/standins/src/worker/messages.rs
@@ -98,6 +98,8 @@
 pub struct WorkPayload {
     /// Run time in milliseconds.
     pub run_ms: u64,
+    /// Whether the attempt runs until it is stopped.
+    pub endless: bool,
     /// Whether the attempt fails at its end.
     pub fails: bool,
 }
--- a/crates/standins/src/worker/state.rs
+++ b/crates/standins/src/worker/state.rs
@@ -13,6 +13,9 @@
 /// How long the result of a finished attempt is remembered.
 const FINISHED_MEMORY: Duration = Duration::from_mins(10);
 
+/// Run time of an attempt without an end; longer than any test.
+const ENDLESS: Duration = Duration::from_hours(24 * 365);
+
 /// Why a worker rejects a request before acting on it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RejectReason {
@@ -51,6 +54,8 @@
 pub struct WorkerState {
     /// What the worker does wrong.
     pub faults: WorkerFaults,
+    /// How many times faster than in earnest attempts run.
+    pub speed: u32,
     capacity: ResourceAmounts,
     origin: Instant,
     epochs: BTreeMap<String, u64>,
@@ -66,6 +71,7 @@
     pub fn new(capacity: ResourceAmounts, now: Instant) -> Self {
         Self {
             faults: WorkerFaults::default(),
+            speed: 1,
             capacity,
             origin: now,
             epochs: BTreeMap::new(),
@@ -116,8 +122,10 @@
         }
         let run_time = if self.faults.fail_all {
             Duration::ZERO
+        } else if start.payload.endless {
+            ENDLESS
         } else {
-            Duration::from_millis(start.payload.run_ms)
+            Duration::from_millis(start.payload.run_ms) / self.speed.max(1)
         };
         let attempt = RunningAttempt {
             resources: start.resources,
--- a/crates/standins/src/worker/tests.rs
+++ b/crates/standins/src/worker/tests.rs
@@ -29,6 +29,7 @@
         payload: WorkPayload {
             run_ms: 60_000,
             fails: false,
+            ..WorkPayload::default()
         },
     }
 }
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -1,6 +1,9 @@
 #!/usr/bin/env bash
-# Builds everything, starts the stand-ins and three daemons on loopback, applies
-# the example objects and sends work through. Ends all that it started by id.
+# Builds everything and runs both example deployments on loopback, one after the
+# other: stand-ins for the platform, runners and workers, and three daemons. It
+# applies the objects, sends a redemption, runs a batch run and a gang job to
+# their ends, cancels a long-running task and prints what happened. Ends all
+# that it started by id.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -9,11 +12,15 @@
 logs=$(mktemp -d)
 pids=()
 
+# Ends the processes in the reverse order of their starts, so that the daemons
+# drain while the store still runs.
 stop_all() {
-    for pid in "${pids[@]}"; do
-        kill -TERM "$pid" 2>/dev/null || true
+    local index
+    for ((index = ${#pids[@]} - 1; index >= 0; index--)); do
+        kill -TERM "${pids[index]}" 2>/dev/null || true
+        wait "${pids[index]}" 2>/dev/null || true
     done
-    wait
+    pids=()
 }
 trap stop_all EXIT
 
@@ -25,7 +32,7 @@
 }
 
 wait_for() {
-    for _ in $(seq 100); do
+    for _ in $(seq 200); do
         if "$@" >/dev/null 2>&1; then
             return 0
         fi
@@ -35,28 +42,100 @@
     return 1
 }
 
-platform=127.0.0.1:7400
-start platform "$bin/standin-platform" --listen "$platform"
+# Adds one entry to the list of hosts: name, kind, pool, service, zone, rack,
+# port, capacity.
 hosts=""
-for index in 1 2 3; do
-    zone=nordeste-$(echo abc | cut -c "$index")
-    start "runner-$index" "$bin/standin-target" --listen "127.0.0.1:741$index"
-    hosts+="${hosts:+,}{\"name\":\"runner-$index\",\"kind\":\"runner\",\"pool\":\"sales\",\"service\":\"settlement\",\"zone\":\"$zone\",\"rack\":\"rack-$index\",\"address\":\"127.0.0.1:741$index\",\"state\":\"live\",\"slots\":8}"
-done
-wait_for curl --silent --fail --request PUT --data "[$hosts]" "http://$platform/hosts"
-
-for index in 1 2 3; do
-    zone=nordeste-$(echo abc | cut -c "$index")
-    start "daemon-$index" "$bin/auburnsaddled" --name "daemon-$index" --region nordeste \
-        --zone "$zone" --listen "127.0.0.1:742$index" --peer-listen "127.0.0.1:743$index" \
-        --store "$platform" --hosts "$platform"
-done
-wait_for "$bin/auburnsaddle" --daemon 127.0.0.1:7421 status
-
-"$bin/auburnsaddle" --daemon 127.0.0.1:7421 apply examples/jegue-vale
-for index in 1 2 3; do
-    redeem=(curl --silent --fail --data "token $index" "http://127.0.0.1:742$index/v1/services/settlement/redeem")
-    wait_for "${redeem[@]}"
-    echo "daemon-$index: $("${redeem[@]}")"
-done
-"$bin/auburnsaddle" --daemon 127.0.0.1:7423 status
+add_host() {
+    hosts+="${hosts:+,}{\"name\":\"$1\",\"kind\":\"$2\",\"pool\":\"$3\",\"service\":$4,\"zone\":\"$5\",\"rack\":\"$6\",\"address\":\"127.0.0.1:$7\",\"state\":\"live\",\"capacity\":$8,\"slots\":8}"
+}
+
+# Starts a worker: pool, number, zone, port, cores, MiB, accelerators. Tasks run
+# 3,000 times faster than declared.
+start_worker() {
+    start "$1-worker-$2" "$bin/standin-target" --role worker --listen "127.0.0.1:$4" \
+        --cpu-milli "$5" --memory-mib "$6" --accelerators "$7" --speed 3000
+    add_host "$1-worker-$2" worker "$1" null "$3" "$1-rack-$2" "$4" \
+        "{\"cpu_milli\":$5,\"memory_mib\":$6,\"accelerators\":$7}"
+}
+
+tool() {
+    "$bin/auburnsaddle" --daemon 127.0.0.1:7421,127.0.0.1:7422,127.0.0.1:7423 "$@"
+}
+
+# Submits an object, prints the answer and leaves the ids in `tasks`.
+submit() {
+    local answer
+    answer=$(tool submit "$@")
+    echo "submit $*: accepted $(grep -oE '[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}' <<<"$answer" | wc -l) task(s)"
+    mapfile -t tasks < <(grep -oE '[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}' <<<"$answer")
+}
+
+watch_all() {
+    local id
+    for id in "${tasks[@]}"; do
+        echo "  $(tool watch "$id" | tail -n 1)"
+    done
+}
+
+# Runs one deployment: directory, region, zone prefix, general pool, its
+# service, accelerator pool, cores, MiB and accelerators of its workers, batch
+# run, gang job and its size, long-running task and its pool's workers.
+deployment() {
+    local directory=$1 region=$2 general=$3 service=$4 accelerated=$5
+    local cpu=$6 memory=$7 accelerated_cpu=$8 accelerated_memory=$9
+    local batch=${10} gang=${11} gang_size=${12} task=${13}
+    echo "== $directory"
+    hosts=""
+    local platform=127.0.0.1:7400
+    start platform "$bin/standin-platform" --listen "$platform"
+    local letters=(a b c) index zone
+    for index in 1 2 3; do
+        zone=$region-${letters[index - 1]}
+        start "runner-$index" "$bin/standin-target" --listen "127.0.0.1:741$index"
+        add_host "runner-$index" runner "$general" "\"$service\"" "$zone" "rack-$index" \
+            "741$index" '{}'
+        start_worker "$general" "$index" "$zone" "744$index" "$cpu" "$memory" 0
+    done
+    for index in $(seq "$gang_size"); do
+        zone=$region-${letters[(index - 1) % 3]}
+        start_worker "$accelerated" "$index" "$zone" "745$index" "$accelerated_cpu" \
+            "$accelerated_memory" 8
+    done
+    wait_for curl --silent --fail --request PUT --data "[$hosts]" "http://$platform/hosts"
+
+    for index in 1 2 3; do
+        zone=$region-${letters[index - 1]}
+        start "daemon-$index" "$bin/auburnsaddled" --name "daemon-$index" --region "$region" \
+            --zone "$zone" --listen "127.0.0.1:742$index" \
+            --peer-listen "127.0.0.1:743$index" --store "$platform" --hosts "$platform" \
+            --drain-deadline-ms 3000
+    done
+    wait_for "$bin/auburnsaddle" --daemon 127.0.0.1:7421 status
+    tool apply "$directory"
+
+    local call=(curl --silent --fail --header "Idempotency-Key: first-request" --data "request 1"
+        "http://127.0.0.1:7422/v1/services/$service/first")
+    wait_for "${call[@]}"
+    echo "call of $service: $("${call[@]}")"
+
+    submit "$batch" --count 3
+    watch_all
+    submit "$gang" --count "$gang_size"
+    watch_all
+    submit "$task" --count 1 --label "shown=quickstart"
+    wait_for tool_shows_running "${tasks[0]}"
+    tool get "${tasks[0]}"
+    tool cancel --label "shown=quickstart"
+    watch_all
+    tool status
+    stop_all
+}
+
+tool_shows_running() {
+    tool get "$1" | grep -qw running
+}
+
+deployment examples/jegue-vale nordeste sales settlement photo \
+    32000 131072 64000 131072 nightly-accounts photo-training 2 payout-feed
+deployment examples/rehandling-authority namibia general orders vision \
+    16000 32768 32000 65536 stock-grading grain-training 2 kiln-watch
