Test tasks through real processes

Tasks had tests of the parts only. Five tests run daemons and stand-in workers: work of each kind with a cancellation by label, a repeated key at two daemons, a killed owner, a leaving host and a store outage. The killed owner is judged by the workers' own logs, in which no task may start twice, and by the callers' view, in which none may be missing.

With the completions before a claim left out, the test of the killed owner fails: each of the six tasks that ended during the takeover starts twice.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,6 +1,10 @@
 //! A cluster of real daemon processes with stand-ins inside the test process.
 //! All sockets are on loopback, and all processes end with the cluster.
 
+#![allow(dead_code, reason = "each test program uses a part of the fixtures")]
+
+pub mod work;
+
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -204,8 +208,13 @@
     }
 
     async fn apply_settlement(&self) {
+        self.apply(SETTLEMENT_OBJECTS).await;
+    }
+
+    /// Publishes objects as the first version.
+    async fn apply(&self, text: &str) {
         let mut loader = ObjectLoader::default();
-        loader.add("settlement.toml", SETTLEMENT_OBJECTS);
+        loader.add("test.toml", text);
         let report = loader.finish();
         assert!(report.is_valid(), "{:?}", report.problems);
         let objects = report.set;
--- /dev/null
+++ b/crates/daemon/tests/support/work.rs
@@ -0,0 +1,203 @@
+//! A cluster with workers, and requests for tasks.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use auburnsaddle_standins::worker::{self, ResourceAmounts, SharedWorker};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use serde_json::{Value, json};
+
+use super::{Arc, CallResult, PATIENCE, SocketAddr, TestCluster, listen, serve, start_daemon};
+
+/// The objects that the tests apply.
+const WORK_OBJECTS: &str = r#"
+[[pool]]
+name = "general"
+region = "nordeste"
+zones = ["zone-0", "zone-1", "zone-2"]
+objective = "packing"
+shapes = [{ count = 4, rack_size = 1, capacity = { cpu_milli = 8000, memory_mib = 8192 } }]
+
+[[team]]
+name = "stock"
+quota = { cpu_milli = 64000, memory_mib = 65536 }
+
+[[batch]]
+name = "grading"
+pool = "general"
+team = "stock"
+count = 6
+request = { cpu_milli = 1000, memory_mib = 1024 }
+run_time_seconds = 2
+labels = { kind = "grading" }
+
+[[batch]]
+name = "plan"
+pool = "general"
+team = "stock"
+request = { cpu_milli = 1000, memory_mib = 1024 }
+run_time_seconds = 1
+after = ["grading"]
+
+[[gang]]
+name = "training"
+pool = "general"
+team = "stock"
+count = 3
+request = { cpu_milli = 6000, memory_mib = 4096 }
+run_time_seconds = 1
+
+[[task]]
+name = "watch"
+pool = "general"
+team = "stock"
+count = 2
+request = { cpu_milli = 500, memory_mib = 512 }
+labels = { kind = "watch" }
+"#;
+
+/// Daemons and workers of one pool.
+pub struct WorkCluster {
+    pub cluster: TestCluster,
+    pub workers: Vec<SharedWorker>,
+}
+
+impl WorkCluster {
+    /// Starts daemons and workers and waits until the pool has an owner that
+    /// all daemons know.
+    pub async fn start(daemons: usize, workers: usize) -> Self {
+        let (mut cluster, platform) = TestCluster::without_daemons(0).await;
+        let mut started = Vec::new();
+        let mut hosts = Vec::new();
+        for index in 0..workers {
+            let worker = SharedWorker::new(ResourceAmounts {
+                cpu_milli: 8_000,
+                memory_mib: 8_192,
+                accelerators: 0,
+            });
+            hosts.push(worker_entry(index, serve_worker(worker.clone()).await));
+            started.push(worker);
+        }
+        cluster.platform.lock().hosts = hosts;
+        cluster.daemons = (0..daemons)
+            .map(|index| start_daemon(index, platform))
+            .collect();
+        cluster.apply(WORK_OBJECTS).await;
+        let cluster = Self {
+            cluster,
+            workers: started,
+        };
+        for daemon in 0..daemons {
+            cluster.wait_for_owner(daemon, None).await;
+        }
+        cluster
+    }
+
+    /// Waits until a daemon knows an owner of the pool other than `former`, and
+    /// returns its number.
+    pub async fn wait_for_owner(&self, daemon: usize, former: Option<usize>) -> usize {
+        let started_at = Instant::now();
+        loop {
+            let owners = self.cluster.owners(daemon).await;
+            let owner = owners["pool/general"].as_str().unwrap_or_default();
+            let number = owner.strip_prefix("daemon-").map(str::parse);
+            match number {
+                Some(Ok(number)) if Some(number) != former => return number,
+                _ => assert!(started_at.elapsed() < PATIENCE, "no owner: {owners}"),
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Submits an object to a daemon.
+    pub async fn submit(&self, daemon: usize, object: &str, key: &str) -> CallResult {
+        let address = self.cluster.daemons[daemon].address;
+        let body = json!({ "object": object }).to_string();
+        let request = Request::post(format!("http://{address}/v1/tasks"))
+            .header("idempotency-key", key)
+            .body(Full::new(Bytes::from(body)))
+            .expect("the fixture's requests are valid");
+        self.cluster.exchange(request).await
+    }
+
+    /// Submits an object, which must be accepted, and returns its tasks.
+    pub async fn accepted(&self, daemon: usize, object: &str, key: &str) -> Vec<String> {
+        match self.submit(daemon, object, key).await {
+            CallResult::Answered(StatusCode::ACCEPTED, _, body) => {
+                let reply: Value = serde_json::from_str(&body).expect("a JSON answer");
+                let tasks = reply["tasks"].as_array().cloned().unwrap_or_default();
+                let ids = tasks.iter().filter_map(Value::as_str);
+                ids.map(str::to_owned).collect()
+            }
+            other => panic!("{object} was not accepted: {other:?}"),
+        }
+    }
+
+    /// Sends a request for tasks without a body.
+    pub async fn ask(&self, daemon: usize, method: Method, path: &str) -> CallResult {
+        let address = self.cluster.daemons[daemon].address;
+        let uri = format!("http://{address}{path}");
+        self.cluster.send(method, uri, String::new()).await
+    }
+
+    /// Waits until all tasks are in a state and returns their last statuses.
+    pub async fn wait_for(&self, daemon: usize, tasks: &[String], state: &str) -> Vec<Value> {
+        let started_at = Instant::now();
+        let mut statuses = Vec::new();
+        for task in tasks {
+            loop {
+                let path = format!("/v1/tasks/{task}");
+                let answer = self.cluster.get(daemon, &path).await;
+                if let CallResult::Answered(StatusCode::OK, _, body) = &answer {
+                    let status: Value = serde_json::from_str(body).expect("a JSON answer");
+                    if status["state"] == state {
+                        statuses.push(status);
+                        break;
+                    }
+                }
+                assert!(started_at.elapsed() < PATIENCE, "not {state}: {answer:?}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        statuses
+    }
+
+    /// Returns how often each task was started, by the workers' own logs.
+    pub fn starts(&self) -> BTreeMap<String, usize> {
+        let mut starts = BTreeMap::new();
+        for worker in &self.workers {
+            for line in worker.lock().log() {
+                if line.event == "start" {
+                    *starts.entry(line.task.clone()).or_insert(0) += 1;
+                }
+            }
+        }
+        starts
+    }
+
+    /// Marks a worker as leaving in the list of hosts.
+    pub fn let_leave(&self, worker: usize) {
+        self.cluster.platform.lock().hosts[worker]["state"] = json!("leaving");
+    }
+}
+
+async fn serve_worker(worker: SharedWorker) -> SocketAddr {
+    let (listener, address) = listen().await;
+    tokio::spawn(serve(listener, Arc::default(), move |request| {
+        worker::handle(worker.clone(), request)
+    }));
+    address
+}
+
+fn worker_entry(index: usize, address: SocketAddr) -> Value {
+    json!({
+        "name": format!("worker-{index}"), "kind": "worker", "pool": "general",
+        "zone": format!("zone-{}", index % 3), "rack": format!("rack-{index}"),
+        "address": address.to_string(), "state": "live",
+        "capacity": { "cpu_milli": 8000, "memory_mib": 8192 },
+    })
+}
--- /dev/null
+++ b/crates/daemon/tests/tasks.rs
@@ -0,0 +1,148 @@
+//! Tasks through real daemon processes and stand-in workers.
+
+mod support;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use auburnsaddle_standins::platform::StoreFaults;
+use http::{Method, StatusCode};
+use serde_json::Value;
+use support::{CallResult, work::WorkCluster};
+
+fn outcomes(statuses: &[Value]) -> BTreeSet<&str> {
+    let outcomes = statuses.iter();
+    outcomes
+        .map(|status| status["outcome"].as_str().unwrap_or_default())
+        .collect()
+}
+
+/// Asserts that each task was started once.
+fn assert_started_once(cluster: &WorkCluster, tasks: &[String]) {
+    let starts = cluster.starts();
+    for task in tasks {
+        assert_eq!(starts.get(task), Some(&1), "starts of {task}: {starts:?}");
+    }
+}
+
+/// Guards against work that is accepted at one daemon and not run, a gang that
+/// starts in parts, and a cancellation that leaves a task running.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_of_each_kind_runs_and_is_cancelled_by_label() {
+    let cluster = WorkCluster::start(3, 4).await;
+
+    let batch = cluster.accepted(0, "grading", "a").await;
+    let plan = cluster.accepted(1, "plan", "b").await;
+    let gang = cluster.accepted(1, "training", "c").await;
+    let watch = cluster.accepted(2, "watch", "d").await;
+    let ended = cluster.wait_for(2, &batch, "ended").await;
+    let trained = cluster.wait_for(0, &gang, "ended").await;
+    let planned = cluster.wait_for(0, &plan, "ended").await;
+    cluster.wait_for(1, &watch, "running").await;
+    let path = "/v1/tasks/cancel?label=kind%3Dwatch";
+    let cancelled = cluster.ask(1, Method::POST, path).await;
+    let stopped = cluster.wait_for(0, &watch, "ended").await;
+
+    assert_eq!((batch.len(), gang.len(), watch.len()), (6, 3, 2));
+    for statuses in [&ended, &trained, &planned] {
+        assert_eq!(outcomes(statuses), BTreeSet::from(["succeeded"]));
+    }
+    assert!(matches!(
+        cancelled,
+        CallResult::Answered(StatusCode::OK, ..)
+    ));
+    assert_eq!(outcomes(&stopped), BTreeSet::from(["cancelled"]));
+    assert_started_once(&cluster, &[batch, plan, gang, watch].concat());
+}
+
+/// Guards against a key that two daemons take for two jobs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_submission_gives_the_same_job() {
+    let cluster = WorkCluster::start(2, 2).await;
+
+    let first = cluster.accepted(0, "grading", "night").await;
+    let again = cluster.accepted(1, "grading", "night").await;
+    cluster.wait_for(0, &first, "ended").await;
+
+    assert_eq!(first, again);
+    assert_eq!(cluster.starts().len(), first.len());
+    assert_started_once(&cluster, &first);
+}
+
+/// Guards against tasks that the next owner loses or starts a second time,
+/// those included that end while nobody owns the pool.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_owner_loses_and_repeats_nothing() {
+    let mut cluster = WorkCluster::start(3, 4).await;
+    let batch = cluster.accepted(0, "grading", "a").await;
+    let watch = cluster.accepted(0, "watch", "b").await;
+    let plan = cluster.accepted(0, "plan", "c").await;
+    cluster
+        .wait_for(0, &[&batch[..], &watch].concat(), "running")
+        .await;
+    let owner = cluster.wait_for_owner(0, None).await;
+    let other = usize::from(owner == 0);
+
+    let _ = cluster.cluster.daemons[owner].child.kill();
+    cluster.wait_for_owner(other, Some(owner)).await;
+    let ended = cluster.wait_for(other, &batch, "ended").await;
+    let planned = cluster.wait_for(other, &plan, "ended").await;
+    let adopted = cluster.wait_for(other, &watch, "running").await;
+
+    assert_eq!(outcomes(&ended), BTreeSet::from(["succeeded"]));
+    assert_eq!(outcomes(&planned), BTreeSet::from(["succeeded"]));
+    assert!(adopted.iter().all(|status| status["attempt"] == 1));
+    assert_started_once(&cluster, &[batch, watch, plan].concat());
+}
+
+/// Guards against new work on a host 5 s after the list calls it leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_host_gets_no_new_work() {
+    let cluster = WorkCluster::start(1, 2).await;
+    let before = cluster.accepted(0, "grading", "a").await;
+    cluster.wait_for(0, &before, "ended").await;
+    let used = usize::from(cluster.workers[0].lock().log().is_empty());
+
+    cluster.let_leave(used);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let lines = cluster.workers[used].lock().log().len();
+    let after = cluster.accepted(0, "grading", "b").await;
+    let ended = cluster.wait_for(0, &after, "ended").await;
+
+    assert_eq!(outcomes(&ended), BTreeSet::from(["succeeded"]));
+    assert_eq!(cluster.workers[used].lock().log().len(), lines);
+    assert_started_once(&cluster, &after);
+}
+
+/// Guards against a job that is accepted without a record, and against one
+/// that runs although its caller was told that it did not.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_outage_accepts_nothing() {
+    let cluster = WorkCluster::start(1, 2).await;
+    cluster.cluster.platform.set_faults(StoreFaults {
+        unavailable: true,
+        ..StoreFaults::default()
+    });
+
+    let doubtful = cluster.submit(0, "grading", "a").await;
+    let rejected = cluster.submit(0, "grading", "b").await;
+    let during = cluster.starts();
+    cluster.cluster.platform.set_faults(StoreFaults::default());
+    let later = cluster.accepted(0, "grading", "a").await;
+    cluster.wait_for(0, &later, "ended").await;
+
+    let CallResult::Answered(status, outcome, _) = doubtful else {
+        panic!("no answer in the outage: {doubtful:?}");
+    };
+    assert_ne!(status, StatusCode::ACCEPTED);
+    assert!(outcome == "unknown" || outcome == "not-run", "{outcome}");
+    let CallResult::Answered(status, outcome, _) = rejected else {
+        panic!("no answer in the outage: {rejected:?}");
+    };
+    assert_eq!(
+        (status, outcome.as_str()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    assert!(during.is_empty());
+    assert_eq!(cluster.starts().len(), later.len());
+    assert_started_once(&cluster, &later);
+}
