Judge impossible jobs by class and reopen workers that stay

A change of the workers or teams looked at each unfinished job to find those that can never run, although team, size and members decide it. Jobs are now indexed by these three, so the search grows with the number of different jobs. Renewals take one pass over the workers in place of one look-up per worker.

A worker that the list of hosts called leaving stayed closed for good, also when the list took it back; the queue now has an event for that. A list of tasks is cut at 5,000 per pool, since a peer message holds 1 MB.

A drain is tested: the owner ends with code 0 within its deadline and its tasks run on at their first attempt under the next owner.

The cost of the search was not measured before and after.

--- a/crates/core/src/tasks/ledger.rs
+++ b/crates/core/src/tasks/ledger.rs
@@ -195,6 +195,26 @@
     Late(super::messages::TaskRecord),
 }
 
+/// Jobs of one team and size; they can all run some time, or none of them.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct FitClass {
+    pub(super) team: TeamId,
+    pub(super) demand: ResourceVector,
+    /// Tasks that must fit at the same time.
+    pub(super) members: u64,
+}
+
+impl FitClass {
+    pub(super) fn new(spec: &JobSpec) -> Self {
+        let gang = spec.gang == GangMode::AllOrNothing;
+        Self {
+            team: spec.team.clone(),
+            demand: spec.demand,
+            members: if gang { spec.tasks.len() as u64 } else { 1 },
+        }
+    }
+}
+
 /// Indexes of jobs and tasks.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TaskLedger {
@@ -203,6 +223,8 @@
     pub(super) labels: BTreeMap<Arc<str>, BTreeSet<JobId>>,
     /// Jobs that have not ended, by object and arrival.
     pub(super) objects: BTreeMap<ObjectName, BTreeSet<(u64, JobId)>>,
+    /// Jobs that have not ended, by what decides whether they can ever run.
+    pub(super) classes: BTreeMap<FitClass, BTreeSet<JobId>>,
     /// Jobs that wait for those of an object to end.
     pub(super) successors: BTreeMap<ObjectName, BTreeSet<JobId>>,
     pub(super) teams: BTreeMap<TeamId, TeamEntry>,
@@ -232,9 +254,24 @@
         name.cloned()
     }
 
-    /// Forgets a job in the index of its object and returns the jobs to try
-    /// again because they waited for the object.
-    pub(super) fn remove_from_object(&mut self, id: JobId, job: &JobEntry) -> BTreeSet<JobId> {
+    /// Adds a job to the indexes by object and by class.
+    pub(super) fn index_job(&mut self, spec: &JobSpec, arrival: u64) {
+        let jobs = self.objects.entry(spec.object.clone()).or_default();
+        jobs.insert((arrival, spec.job));
+        let jobs = self.classes.entry(FitClass::new(spec)).or_default();
+        jobs.insert(spec.job);
+    }
+
+    /// Removes a job from these indexes and returns the jobs to try again
+    /// because they waited for its object.
+    pub(super) fn unindex_job(&mut self, id: JobId, job: &JobEntry) -> BTreeSet<JobId> {
+        let class = FitClass::new(&job.spec);
+        if let Some(jobs) = self.classes.get_mut(&class) {
+            jobs.remove(&id);
+            if jobs.is_empty() {
+                self.classes.remove(&class);
+            }
+        }
         let object = &job.spec.object;
         if let Some(jobs) = self.objects.get_mut(object) {
             jobs.remove(&(job.arrival, id));
--- a/crates/core/src/tasks/messages.rs
+++ b/crates/core/src/tasks/messages.rs
@@ -238,6 +238,8 @@
     WorkerSilent(WorkerId),
     /// A worker is leaving and takes no new work.
     WorkerLeaving(WorkerId),
+    /// A worker that was leaving stays and takes new work.
+    WorkerStaying(WorkerId),
     /// The list of hosts dropped a worker.
     WorkerGone(WorkerId),
     /// The workers of the pool changed; absent ones are gone.
--- a/crates/core/src/tasks/outcome.rs
+++ b/crates/core/src/tasks/outcome.rs
@@ -239,6 +239,14 @@
         }
     }
 
+    /// Takes new work on a worker again that was said to be leaving.
+    pub(super) fn staying(&mut self, name: &WorkerId) {
+        self.workers.update(name, |slot| {
+            slot.closed.remove(&ClosedReason::Leaving);
+        });
+        self.open_worker(name);
+    }
+
     pub(super) fn gone(&mut self, name: &WorkerId, now: Duration) {
         for task in self.occupants(name) {
             self.stopped(task, now);
@@ -552,7 +560,7 @@
         let Some(job) = self.ledger.jobs.remove(&id) else {
             return;
         };
-        let successors = self.ledger.remove_from_object(id, &job);
+        let successors = self.ledger.unindex_job(id, &job);
         self.released.extend(successors);
         for label in &job.spec.labels {
             if let Some(jobs) = self.ledger.labels.get_mut(label) {
--- a/crates/core/src/tasks/requests.rs
+++ b/crates/core/src/tasks/requests.rs
@@ -94,6 +94,8 @@
 pub struct TaskList {
     /// The tasks.
     pub tasks: Vec<TaskStatus>,
+    /// Whether more tasks match than are listed.
+    pub truncated: bool,
 }
 
 /// What a cancellation did to one task.
--- a/crates/core/src/tasks/state.rs
+++ b/crates/core/src/tasks/state.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{
-    ledger::{JobEntry, PendingRecord, TaskEntry, TaskLedger, TeamEntry},
+    ledger::{FitClass, JobEntry, PendingRecord, TaskEntry, TaskLedger, TeamEntry},
     messages::{
         JobId, JobRejection, JobSpec, TaskAction, TaskEvent, TaskOutcome, TaskRecord, TaskState,
         TeamQuota, WaitReason,
@@ -123,6 +123,7 @@
             TaskEvent::WorkerReported(name, report) => self.reported(&name, &report, now),
             TaskEvent::WorkerSilent(name) => self.silent(&name, now),
             TaskEvent::WorkerLeaving(name) => self.leaving(&name),
+            TaskEvent::WorkerStaying(name) => self.staying(&name),
             TaskEvent::WorkerGone(name) => self.gone(&name, now),
             TaskEvent::WorkersChanged(entries) => self.workers_changed(entries, now),
             TaskEvent::TeamsChanged(teams) => self.teams_changed(teams, now),
@@ -177,26 +178,29 @@
             () if distinct.len() < spec.tasks.len() => Some(JobRejection::Duplicate),
             () if spec.tasks.is_empty() || spec.demand.is_zero() => Some(JobRejection::Empty),
             () if full => Some(JobRejection::QueueFull),
-            () => self.impossible(spec),
+            () => self.impossible(&FitClass::new(spec)),
         }
     }
 
-    /// Returns why a job can never run under the present configuration.
-    fn impossible(&self, spec: &JobSpec) -> Option<JobRejection> {
-        let gang = spec.gang == super::messages::GangMode::AllOrNothing;
-        let members = if gang { spec.tasks.len() as u64 } else { 1 };
-        let holdable = self.workers.holdable(&spec.demand);
+    /// Returns why jobs can never run under the present configuration.
+    fn impossible(&self, class: &FitClass) -> Option<JobRejection> {
+        let FitClass {
+            team,
+            demand,
+            members,
+        } = class;
+        let holdable = self.workers.holdable(demand);
         let pool_known = !self.workers.is_empty();
-        let Some(team) = self.ledger.teams.get(&spec.team) else {
+        let Some(team) = self.ledger.teams.get(team) else {
             return Some(JobRejection::UnknownTeam);
         };
         match () {
             () if !team.configured => Some(JobRejection::UnknownTeam),
-            () if !spec.demand.times(members).fits_in(&team.quota.quota) => {
+            () if !demand.times(*members).fits_in(&team.quota.quota) => {
                 Some(JobRejection::AboveQuota)
             }
             () if pool_known && holdable == 0 => Some(JobRejection::NeverFits),
-            () if pool_known && holdable < members => Some(JobRejection::GangNeverFits),
+            () if pool_known && holdable < *members => Some(JobRejection::GangNeverFits),
             () => None,
         }
     }
@@ -211,8 +215,7 @@
         }
         let arrival = self.next_arrival;
         self.next_arrival += 1;
-        let jobs = self.ledger.objects.entry(spec.object.clone()).or_default();
-        jobs.insert((arrival, spec.job));
+        self.ledger.index_job(&spec, arrival);
         let entry = JobEntry {
             urgency: spec.urgency,
             pending: spec.tasks.iter().copied().collect(),
@@ -248,14 +251,17 @@
         self.unpark_all(now);
     }
 
-    /// Rejects waiting jobs that no longer fit any worker or quota.
+    /// Rejects waiting jobs that no longer fit any worker or quota. The search
+    /// grows with the number of classes, not with that of the jobs.
     pub(super) fn reject_impossible(&mut self, now: Duration) {
-        let impossible: Vec<_> = self
-            .ledger
-            .jobs
-            .iter()
-            .filter(|(_, job)| !job.pending.is_empty())
-            .filter_map(|(id, job)| Some((*id, self.impossible(&job.spec)?)))
+        let classes = self.ledger.classes.iter();
+        let impossible: Vec<_> = classes
+            .filter_map(|(class, jobs)| Some((jobs, self.impossible(class)?)))
+            .flat_map(|(jobs, reason)| jobs.iter().map(move |job| (*job, reason)))
+            .filter(|(job, _)| {
+                let job = self.ledger.jobs.get(job);
+                job.is_some_and(|job| !job.pending.is_empty())
+            })
             .collect();
         for (job, reason) in impossible {
             self.actions.push(TaskAction::Reject(job, reason));
@@ -313,16 +319,9 @@
     }
 
     fn renew_leases(&mut self, now: Duration) {
-        let names: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(_, slot)| slot.responds())
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in names {
-            self.workers.renew(&name, now);
-            self.actions.push(TaskAction::RenewLeases(name));
-        }
+        let renewed = self.workers.renew_all(now);
+        self.actions
+            .extend(renewed.into_iter().map(TaskAction::RenewLeases));
     }
 
     /// Raises jobs that have waited for long by one class and puts them before
--- a/crates/core/src/tasks/tests/recovery.rs
+++ b/crates/core/src/tasks/tests/recovery.rs
@@ -107,3 +107,18 @@
         Some(TaskState::Running(running[1].2.clone()))
     );
 }
+
+/// Guards against a worker that stays closed after the list of hosts called it
+/// leaving by mistake.
+#[test]
+fn a_worker_that_stays_takes_work_again() {
+    let mut queue = queue(1);
+    let name = worker(0, GENERAL).worker;
+    queue.handle(TaskEvent::WorkerLeaving(name.clone()), Duration::ZERO);
+    let closed = run(&mut queue, job(1, 1, 1));
+
+    let actions = queue.handle(TaskEvent::WorkerStaying(name), Duration::ZERO);
+
+    let open = starts(&commit(&mut queue, actions, Duration::ZERO));
+    assert_eq!((closed.len(), open.len()), (0, 1));
+}
--- a/crates/core/src/tasks/workers.rs
+++ b/crates/core/src/tasks/workers.rs
@@ -181,10 +181,6 @@
         self.slots.get(name)
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&WorkerId, &WorkerSlot)> {
-        self.slots.iter()
-    }
-
     pub(super) const fn total(&self) -> ResourceVector {
         self.total
     }
@@ -317,11 +313,17 @@
         });
     }
 
-    /// Notes a renewal, which changes no room.
-    pub(super) fn renew(&mut self, name: &WorkerId, now: Duration) {
-        if let Some(slot) = self.slots.get_mut(name) {
-            slot.renewed_at = now;
-        }
+    /// Notes a renewal of all workers that respond, which changes no room, and
+    /// returns their names.
+    pub(super) fn renew_all(&mut self, now: Duration) -> Vec<WorkerId> {
+        let slots = self.slots.iter_mut();
+        slots
+            .filter(|(_, slot)| slot.responds())
+            .map(|(name, slot)| {
+                slot.renewed_at = now;
+                name.clone()
+            })
+            .collect()
     }
 
     pub(super) fn hold(&mut self, name: &WorkerId, amount: ResourceVector) {
--- a/crates/daemon/src/front/tasks.rs
+++ b/crates/daemon/src/front/tasks.rs
@@ -135,7 +135,10 @@
         let mut list = TaskList::default();
         for reply in self.ask_all(&request, time).await {
             match reply {
-                TaskReply::Listed(part) => list.tasks.extend(part.tasks),
+                TaskReply::Listed(part) => {
+                    list.tasks.extend(part.tasks);
+                    list.truncated |= part.truncated;
+                }
                 reply => return Ok(respond(reply)),
             }
         }
--- a/crates/daemon/src/tasks/link.rs
+++ b/crates/daemon/src/tasks/link.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use auburnsaddle_core::{HostEntry, HostState, ReportedTask, WorkerEntry};
+use auburnsaddle_core::{HostEntry, HostState, ReportedTask, TaskEvent, WorkerEntry};
 
 use crate::workers::{AttemptName, CompletionReport, EventSequence};
 
@@ -29,7 +29,7 @@
 pub(super) struct WorkerLink {
     pub(super) entry: WorkerEntry,
     pub(super) address: Option<SocketAddr>,
-    pub(super) leaving: bool,
+    leaving: bool,
     pub(super) claimed: bool,
     pub(super) claim_due: bool,
     /// Exchanges that are not answered yet.
@@ -68,15 +68,19 @@
         }
     }
 
-    /// Takes over an entry of the list and tells whether the host has begun to
-    /// leave.
-    pub(super) fn note_host(&mut self, host: &HostEntry) -> bool {
+    /// Takes over an entry of the list and returns what changed for new work.
+    pub(super) fn note_host(&mut self, host: &HostEntry) -> Option<TaskEvent> {
         self.entry = worker_entry(host);
         self.address = host.address.parse().ok();
         self.absent_since = None;
-        let begins = host.state == HostState::Leaving && !self.leaving;
-        self.leaving |= begins;
-        begins
+        let leaving = host.state == HostState::Leaving;
+        let changed = std::mem::replace(&mut self.leaving, leaving) != leaving;
+        let name = host.name.clone();
+        match leaving {
+            _ if !changed => None,
+            true => Some(TaskEvent::WorkerLeaving(name)),
+            false => Some(TaskEvent::WorkerStaying(name)),
+        }
     }
 
     pub(super) fn note_absent(&mut self, now: Duration) {
--- a/crates/daemon/src/tasks/pool.rs
+++ b/crates/daemon/src/tasks/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::Arc,
     time::Duration,
 };
 
@@ -25,6 +26,10 @@
 /// in steps.
 const CLAIM_LIMIT: usize = 32;
 
+/// Most tasks of one pool in a list: about 100 bytes each, in a peer message of
+/// at most 1 MB.
+const LIST_LIMIT: usize = 5_000;
+
 type ReplySender = oneshot::Sender<TaskReply>;
 
 /// Callers that wait for the record of a job.
@@ -84,14 +89,13 @@
         now: Duration,
         output: &mut PoolOutput,
     ) {
-        let mut leaving = Vec::new();
+        let mut changed = Vec::new();
         for host in hosts {
             let name = host.name.clone();
             let links = &mut self.links;
             let link = links.entry(name).or_insert_with(|| WorkerLink::new(host));
-            if link.note_host(host) {
-                leaving.push(host.name.clone());
-            }
+            let event = link.note_host(host);
+            changed.extend(event);
         }
         let listed: BTreeSet<_> = hosts.iter().map(|host| &host.name).collect();
         for (name, link) in &mut self.links {
@@ -104,9 +108,9 @@
             self.known_workers.clone_from(&entries);
             self.apply(TaskEvent::WorkersChanged(entries), now, output);
         }
-        for name in leaving {
-            log::info!("worker {name} is leaving and gets no new work");
-            self.apply(TaskEvent::WorkerLeaving(name), now, output);
+        for event in changed {
+            log::info!("list of hosts: {event:?}");
+            self.apply(event, now, output);
         }
     }
 
@@ -345,17 +349,21 @@
                 self.apply(TaskEvent::Resolved(task), now, output);
                 self.status_reply(task)
             }
-            TaskRequest::List(labels, team) => {
-                let tasks = self.queue.matching(&labels, team.as_deref());
-                let tasks = tasks.into_iter();
-                TaskReply::Listed(TaskList {
-                    tasks: tasks.filter_map(|task| self.status(task)).collect(),
-                })
-            }
+            TaskRequest::List(labels, team) => self.list(&labels, team.as_deref()),
         };
         let _ = reply.send(answer);
     }
 
+    fn list(&self, labels: &[Arc<str>], team: Option<&str>) -> TaskReply {
+        let tasks = self.queue.matching(labels, team);
+        let truncated = tasks.len() > LIST_LIMIT;
+        let tasks = tasks.into_iter().take(LIST_LIMIT);
+        TaskReply::Listed(TaskList {
+            tasks: tasks.filter_map(|task| self.status(task)).collect(),
+            truncated,
+        })
+    }
+
     fn status(&self, task: TaskId) -> Option<TaskStatus> {
         let view = self.queue.view(task)?;
         let status = TaskStatus::new(&view, self.queue.job_of(task));
--- a/crates/daemon/tests/support/work.rs
+++ b/crates/daemon/tests/support/work.rs
@@ -179,9 +179,9 @@
         starts
     }
 
-    /// Marks a worker as leaving in the list of hosts.
-    pub fn let_leave(&self, worker: usize) {
-        self.cluster.platform.lock().hosts[worker]["state"] = json!("leaving");
+    /// Sets the state of a worker in the list of hosts.
+    pub fn set_host_state(&self, worker: usize, state: &str) {
+        self.cluster.platform.lock().hosts[worker]["state"] = json!(state);
     }
 }
 
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -94,6 +94,27 @@
     assert_started_once(&cluster, &[batch, watch, plan].concat());
 }
 
+/// Guards against a drain that stops, loses or repeats tasks.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_owner_hands_its_tasks_over() {
+    let mut cluster = WorkCluster::start(2, 3).await;
+    let batch = cluster.accepted(0, "grading", "a").await;
+    let watch = cluster.accepted(0, "watch", "b").await;
+    cluster.wait_for(0, &watch, "running").await;
+    let owner = cluster.wait_for_owner(0, None).await;
+    let other = usize::from(owner == 0);
+
+    cluster.cluster.daemons[owner].terminate();
+    let code = cluster.cluster.daemons[owner].wait_for_exit();
+    let ended = cluster.wait_for(other, &batch, "ended").await;
+    let adopted = cluster.wait_for(other, &watch, "running").await;
+
+    assert_eq!(code, Some(0));
+    assert_eq!(outcomes(&ended), BTreeSet::from(["succeeded"]));
+    assert!(adopted.iter().all(|status| status["attempt"] == 1));
+    assert_started_once(&cluster, &[batch, watch].concat());
+}
+
 /// Guards against new work on a host 5 s after the list calls it leaving.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_host_gets_no_new_work() {
@@ -102,7 +123,7 @@
     cluster.wait_for(0, &before, "ended").await;
     let used = usize::from(cluster.workers[0].lock().log().is_empty());
 
-    cluster.let_leave(used);
+    cluster.set_host_state(used, "leaving");
     tokio::time::sleep(Duration::from_secs(5)).await;
     let lines = cluster.workers[used].lock().log().len();
     let after = cluster.accepted(0, "grading", "b").await;
