--- a/crates/core/src/tasks/state.rs
+++ b/crates/core/src/tasks/state.rs
@@ -3,11 +3,10 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{
-    index::WorkCounter,
-    ledger::{JobEntry, PendingRecord, TaskEntry, TaskLedger, TeamEntry},
+    ledger::{FitClass, JobEntry, PendingRecord, TaskEntry, TaskLedger, TeamEntry},
     messages::{
         JobId, JobRejection, JobSpec, TaskAction, TaskEvent, TaskOutcome, TaskRecord, TaskState,
-        TaskView, TeamQuota, WaitReason,
+        TeamQuota, WaitReason,
     },
     policy::PlacementPolicy,
     reserve::GangReservation,
@@ -78,6 +77,8 @@
     pub(super) freed: BTreeSet<WorkerId>,
     /// Jobs that joined a closed lane and are tried by themselves.
     pub(super) joined: BTreeSet<JobId>,
+    /// Jobs that may have waited for one that ended.
+    pub(super) released: BTreeSet<JobId>,
     pub(super) store_down: bool,
     pub(super) actions: Vec<TaskAction>,
     next_record: RecordId,
@@ -101,6 +102,7 @@
             next_plan: Duration::ZERO,
             freed: BTreeSet::new(),
             joined: BTreeSet::new(),
+            released: BTreeSet::new(),
             store_down: false,
             actions: Vec::new(),
             next_record: 1,
@@ -110,56 +112,6 @@
         }
     }
 
-    /// Returns the state of a task, with the reason if it waits.
-    #[must_use]
-    pub fn view(&self, task: TaskId) -> Option<TaskView> {
-        let entry = self.ledger.tasks.get(&task)?;
-        let mut view = entry.view(task);
-        if let (TaskState::Waiting(reason), Some(job)) =
-            (&mut view.state, self.ledger.jobs.get(&entry.job))
-        {
-            *reason = job.reason;
-        }
-        Some(view)
-    }
-
-    /// Returns the tasks with a label that have not been forgotten.
-    #[must_use]
-    pub fn labelled(&self, label: &str) -> Vec<TaskId> {
-        let jobs = self.ledger.labels.get(label);
-        jobs.into_iter()
-            .flatten()
-            .filter_map(|job| self.ledger.jobs.get(job))
-            .flat_map(|job| job.spec.tasks.iter().copied())
-            .collect()
-    }
-
-    /// Returns the number of tasks known, ended ones included.
-    #[must_use]
-    pub fn task_len(&self) -> usize {
-        self.ledger.tasks.len()
-    }
-
-    /// Returns what is free on a worker.
-    #[must_use]
-    pub fn free(&self, worker: &WorkerId) -> Option<ResourceVector> {
-        self.workers
-            .get(worker)
-            .map(super::workers::WorkerSlot::free)
-    }
-
-    /// Returns the tasks to which a worker's room is given.
-    #[must_use]
-    pub fn tasks_on(&self, worker: &WorkerId) -> Option<&BTreeSet<TaskId>> {
-        self.workers.get(worker).map(|slot| &slot.tasks)
-    }
-
-    /// Returns the work counted so far.
-    #[must_use]
-    pub const fn work(&self) -> WorkCounter {
-        self.workers.work
-    }
-
     /// Applies an event and returns what is to be done, in order.
     pub fn handle(&mut self, event: TaskEvent, now: Duration) -> Vec<TaskAction> {
         match event {
@@ -171,6 +123,7 @@
             TaskEvent::WorkerReported(name, report) => self.reported(&name, &report, now),
             TaskEvent::WorkerSilent(name) => self.silent(&name, now),
             TaskEvent::WorkerLeaving(name) => self.leaving(&name),
+            TaskEvent::WorkerStaying(name) => self.staying(&name),
             TaskEvent::WorkerGone(name) => self.gone(&name, now),
             TaskEvent::WorkersChanged(entries) => self.workers_changed(entries, now),
             TaskEvent::TeamsChanged(teams) => self.teams_changed(teams, now),
@@ -182,6 +135,9 @@
             TaskEvent::Resolved(task) => self.resolved(task, now),
             TaskEvent::TimerFired => self.timer(now),
         }
+        for job in std::mem::take(&mut self.released) {
+            self.enqueue(job, now);
+        }
         self.place_waiting(now);
         std::mem::take(&mut self.actions)
     }
@@ -222,26 +178,29 @@
             () if distinct.len() < spec.tasks.len() => Some(JobRejection::Duplicate),
             () if spec.tasks.is_empty() || spec.demand.is_zero() => Some(JobRejection::Empty),
             () if full => Some(JobRejection::QueueFull),
-            () => self.impossible(spec),
+            () => self.impossible(&FitClass::new(spec)),
         }
     }
 
-    /// Returns why a job can never run under the present configuration.
-    fn impossible(&self, spec: &JobSpec) -> Option<JobRejection> {
-        let gang = spec.gang == super::messages::GangMode::AllOrNothing;
-        let members = if gang { spec.tasks.len() as u64 } else { 1 };
-        let holdable = self.workers.holdable(&spec.demand);
+    /// Returns why jobs can never run under the present configuration.
+    fn impossible(&self, class: &FitClass) -> Option<JobRejection> {
+        let FitClass {
+            team,
+            demand,
+            members,
+        } = class;
+        let holdable = self.workers.holdable(demand);
         let pool_known = !self.workers.is_empty();
-        let Some(team) = self.ledger.teams.get(&spec.team) else {
+        let Some(team) = self.ledger.teams.get(team) else {
             return Some(JobRejection::UnknownTeam);
         };
         match () {
             () if !team.configured => Some(JobRejection::UnknownTeam),
-            () if !spec.demand.times(members).fits_in(&team.quota.quota) => {
+            () if !demand.times(*members).fits_in(&team.quota.quota) => {
                 Some(JobRejection::AboveQuota)
             }
             () if pool_known && holdable == 0 => Some(JobRejection::NeverFits),
-            () if pool_known && holdable < members => Some(JobRejection::GangNeverFits),
+            () if pool_known && holdable < *members => Some(JobRejection::GangNeverFits),
             () => None,
         }
     }
@@ -256,6 +215,7 @@
         }
         let arrival = self.next_arrival;
         self.next_arrival += 1;
+        self.ledger.index_job(&spec, arrival);
         let entry = JobEntry {
             urgency: spec.urgency,
             pending: spec.tasks.iter().copied().collect(),
@@ -291,14 +251,17 @@
         self.unpark_all(now);
     }
 
-    /// Rejects waiting jobs that no longer fit any worker or quota.
+    /// Rejects waiting jobs that no longer fit any worker or quota. The search
+    /// grows with the number of classes, not with that of the jobs.
     pub(super) fn reject_impossible(&mut self, now: Duration) {
-        let impossible: Vec<_> = self
-            .ledger
-            .jobs
-            .iter()
-            .filter(|(_, job)| !job.pending.is_empty())
-            .filter_map(|(id, job)| Some((*id, self.impossible(&job.spec)?)))
+        let classes = self.ledger.classes.iter();
+        let impossible: Vec<_> = classes
+            .filter_map(|(class, jobs)| Some((jobs, self.impossible(class)?)))
+            .flat_map(|(jobs, reason)| jobs.iter().map(move |job| (*job, reason)))
+            .filter(|(job, _)| {
+                let job = self.ledger.jobs.get(job);
+                job.is_some_and(|job| !job.pending.is_empty())
+            })
             .collect();
         for (job, reason) in impossible {
             self.actions.push(TaskAction::Reject(job, reason));
@@ -356,16 +319,9 @@
     }
 
     fn renew_leases(&mut self, now: Duration) {
-        let names: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(_, slot)| slot.responds())
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in names {
-            self.workers.renew(&name, now);
-            self.actions.push(TaskAction::RenewLeases(name));
-        }
+        let renewed = self.workers.renew_all(now);
+        self.actions
+            .extend(renewed.into_iter().map(TaskAction::RenewLeases));
     }
 
     /// Raises jobs that have waited for long by one class and puts them before
--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -14,6 +14,8 @@
     peers::{PeerClient, PeerError, PeerReply, PeerRequest},
     publication::fetch_versions,
     store::{LeaseId, StoreFeed, TxnOutcome},
+    tasks::{self, TaskEffect},
+    workers::HttpWorkers,
 };
 
 /// Something to be done outside the control thread.
@@ -66,6 +68,8 @@
     },
     /// Ends a lease.
     ReleaseLease(LeaseId),
+    /// Asks a worker.
+    Task(TaskEffect),
     /// Reads or writes the journal.
     Journal(JournalEffect),
     /// Reads all owner records.
@@ -90,6 +94,7 @@
     pub(super) control: ControlHandle,
     pub(super) peers: PeerClient,
     pub(super) store: S,
+    pub(super) workers: HttpWorkers,
 }
 
 impl<S: StoreFeed> EffectRunner<S> {
@@ -127,6 +132,7 @@
             }
             ControlEffect::Journal(effect) => self.run_journal(effect),
             ControlEffect::ReadOwners => self.read_owners(),
+            ControlEffect::Task(effect) => self.ask_worker(effect),
         }
     }
 
@@ -236,6 +242,15 @@
         });
     }
 
+    fn ask_worker(&self, effect: TaskEffect) {
+        let control = self.control.clone();
+        let workers = self.workers.clone();
+        self.traffic.spawn(async move {
+            let command = tasks::run_effect(&workers, effect).await;
+            control.send(ControlEvent::Tasks(command)).await;
+        });
+    }
+
     fn read_owner(&self, shard: ShardName) {
         let control = self.control.clone();
         let store = self.store.clone();
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -15,7 +15,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::leases::LeaseAnswer;
-use crate::{calls::CallCommand, journal::JournalReport, keys::KeyCommand, store::StoreEntry};
+use crate::{
+    calls::CallCommand, journal::JournalReport, keys::KeyCommand, store::StoreEntry,
+    tasks::TaskCommand,
+};
 
 /// Something that the control thread acts on.
 #[derive(Debug)]
@@ -26,6 +29,8 @@
     Keys(KeyCommand),
     /// A request for a shard's lease was answered.
     LeaseAnswered(LeaseAnswer),
+    /// A command for the owned pools.
+    Tasks(TaskCommand),
     /// A store call of the journal ended.
     Journal(JournalReport),
     /// A heartbeat arrived.
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -27,7 +27,9 @@
     peers::{PeerClient, serve_peers},
     settings::DaemonSettings,
     store::{HttpStore, StoreFeed, StoreRates},
+    tasks::TaskDispatcher,
     telemetry::{ProcessClock, ProcessMetrics, init_logger},
+    workers::HttpWorkers,
 };
 
 /// Events that may wait for the control thread; senders wait beyond that.
@@ -72,16 +74,7 @@
         .context(ThreadsSnafu)?;
     let front = listen(&traffic, &settings.listen.to_string())?;
     let peer_listener = listen(&traffic, &settings.peer_listen.to_string())?;
-    let record = MemberRecord {
-        daemon: settings.name.clone(),
-        region: settings.region.clone(),
-        zone: settings.zone.clone(),
-        peer_address: match settings.peer_advertise {
-            Some(address) => address.to_string(),
-            None => local_address(&peer_listener)?,
-        },
-        caller_address: local_address(&front)?,
-    };
+    let record = member_record(settings, &front, &peer_listener)?;
     log::info!(
         "serving callers on {} and peers on {}",
         record.caller_address,
@@ -100,11 +93,13 @@
     );
     let dispatcher = CallDispatcher::new(control.clone(), peers.clone());
     let keys = KeyRunner::new(control.clone(), dispatcher.clone());
+    let tasks = TaskDispatcher::new(control.clone(), peers.clone());
     let metrics = ProcessMetrics::new(store.counts(), peers.traffic());
     let service = FrontService::new(
         control.clone(),
         dispatcher,
         KeyForwarder::new(control.clone(), peers.clone()),
+        tasks,
         store.clone(),
         metrics,
         settings.limits,
@@ -136,8 +131,9 @@
         control: control.clone(),
         peers,
         store,
+        workers: HttpWorkers::new(),
     };
-    let state = ControlState::new(record, settings.commit_interval);
+    let state = ControlState::new(record, settings.commit_interval, settings.sync_interval);
     let interval = settings.heartbeat_interval;
     let thread = thread::Builder::new()
         .name("control".to_owned())
@@ -148,22 +144,48 @@
         stop,
         registration,
     };
-    traffic.block_on(async {
-        let deadline = settings.drain_deadline;
-        let graceful = serve_front(front, service, terminated()).await;
-        if tokio::time::timeout(deadline, drain.finish(graceful))
-            .await
-            .is_err()
-        {
-            log::warn!("draining took longer than {deadline:?}; see --drain-deadline-ms");
-        }
-    });
+    traffic.block_on(serve_until_drained(settings, front, service, drain));
     log::info!("stopped");
     drop(thread);
     traffic.shutdown_background();
     Ok(())
 }
 
+/// Returns what the daemon registers in the store.
+fn member_record(
+    settings: &DaemonSettings,
+    front: &TcpListener,
+    peer_listener: &TcpListener,
+) -> Result<MemberRecord, DaemonError> {
+    Ok(MemberRecord {
+        daemon: settings.name.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        peer_address: match settings.peer_advertise {
+            Some(address) => address.to_string(),
+            None => local_address(peer_listener)?,
+        },
+        caller_address: local_address(front)?,
+    })
+}
+
+/// Serves callers until the process is asked to stop, then drains.
+async fn serve_until_drained<S: StoreFeed>(
+    settings: &DaemonSettings,
+    front: TcpListener,
+    service: FrontService<S>,
+    drain: Drain,
+) {
+    let deadline = settings.drain_deadline;
+    let graceful = serve_front(front, service, terminated()).await;
+    if tokio::time::timeout(deadline, drain.finish(graceful))
+        .await
+        .is_err()
+    {
+        log::warn!("draining took longer than {deadline:?}; see --drain-deadline-ms");
+    }
+}
+
 fn listen(traffic: &Runtime, address: &str) -> Result<TcpListener, DaemonError> {
     traffic
         .block_on(TcpListener::bind(address))
@@ -202,7 +224,7 @@
                     Some(event) => {
                         let publish = !matches!(
                             event,
-                            ControlEvent::Calls(_) | ControlEvent::Keys(_)
+                            ControlEvent::Calls(_) | ControlEvent::Keys(_) | ControlEvent::Tasks(_)
                         );
                         let actions = state.handle(event, clock.now());
                         if publish {
--- a/crates/daemon/src/control/shards.rs
+++ b/crates/daemon/src/control/shards.rs
@@ -9,14 +9,14 @@
 
 /// What one step asks for, in order.
 #[derive(Debug, Default)]
-struct ShardSteps {
-    effects: Vec<ControlEffect>,
-    events: VecDeque<OwnershipEvent>,
+pub(super) struct ShardSteps {
+    pub(super) effects: Vec<ControlEffect>,
+    pub(super) events: VecDeque<OwnershipEvent>,
     notices: VecDeque<JournalNotice>,
 }
 
 impl ShardSteps {
-    fn add(&mut self, output: JournalOutput) {
+    pub(super) fn add(&mut self, output: JournalOutput) {
         let effects = output.effects.into_iter().map(ControlEffect::Journal);
         self.effects.extend(effects);
         self.notices.extend(output.notices);
@@ -65,7 +65,7 @@
         self.run_steps(steps, now)
     }
 
-    fn run_steps(&mut self, mut steps: ShardSteps, now: Duration) -> Vec<ControlEffect> {
+    pub(super) fn run_steps(&mut self, mut steps: ShardSteps, now: Duration) -> Vec<ControlEffect> {
         loop {
             if let Some(notice) = steps.notices.pop_front() {
                 self.note_journal(notice, now, &mut steps);
@@ -106,6 +106,7 @@
             OwnershipAction::Activated(shard, epoch) => self.activate_shard(shard, epoch, now),
             OwnershipAction::Flush(shard, epoch) if keeps_journal(&shard) => {
                 self.keys.set_active(&shard, false);
+                self.pools.set_active(&shard, false);
                 self.flushing.insert(shard, epoch);
             }
             OwnershipAction::Flush(shard, epoch) => {
@@ -136,6 +137,9 @@
                 self.refresh_runners(now);
             }
             ShardName::Key(..) => self.keys.set_active(&shard, true),
+            ShardName::Pool(_) if self.pools.owns(&shard, epoch) => {
+                self.pools.set_active(&shard, true);
+            }
             ShardName::Call(..) | ShardName::Pool(_) => {}
         }
     }
@@ -152,6 +156,7 @@
         }
         self.calls.lose(shard);
         self.keys.lose(shard);
+        self.pools.lose(shard);
     }
 
     /// Flushes the journals of shards that are handed over once their calls
@@ -168,6 +173,10 @@
     /// keeps the shard's state.
     fn note_journal(&mut self, notice: JournalNotice, now: Duration, steps: &mut ShardSteps) {
         match notice {
+            JournalNotice::Opened(shard @ ShardName::Pool(_), epoch, records) => {
+                log::info!("replayed {} records of shard {shard}", records.len());
+                self.open_pool(shard, epoch, &records, now, steps);
+            }
             JournalNotice::Opened(shard, epoch, records) => {
                 match self.open_shard(&shard, epoch, &records, now) {
                     Ok(()) => {
@@ -191,8 +200,17 @@
             }
             JournalNotice::StoreChanged { available } => {
                 log::warn!("the store takes records: {available}");
+                self.pools.set_store(available);
                 steps.effects.extend(self.note_key_store(available, now));
             }
+            JournalNotice::Durable(ShardName::Pool(_), _)
+            | JournalNotice::Failed {
+                shard: ShardName::Pool(_),
+                ..
+            }
+            | JournalNotice::ExportNeeded(ShardName::Pool(_), _) => {
+                self.note_pool_records(notice, now, steps);
+            }
             JournalNotice::Durable(shard, records) => {
                 let effects = self.note_key_records(&shard, &records, true, now);
                 steps.effects.extend(effects);
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -26,6 +26,7 @@
     ownership::read_owners,
     publication::read_head,
     store::{LeaseId, StoreEntry},
+    tasks::PoolShards,
 };
 
 /// Heartbeats within the region for each one between regions: 500 ms and 5 s.
@@ -40,10 +41,12 @@
 pub(super) struct ControlState {
     record: MemberRecord,
     pub(super) config: ConfigState,
-    hosts: HostTable,
+    pub(super) hosts: HostTable,
+    pub(super) hosts_read: bool,
     peers: PeerTable,
     pub(super) owners: OwnerTable<StdRng>,
     pub(super) calls: CallShards,
+    pub(super) pools: PoolShards,
     pub(super) journals: ShardJournals,
     pub(super) keys: KeyShards,
     /// The shards in lease mode.
@@ -58,10 +61,15 @@
 
 impl ControlState {
     /// Returns the state of a daemon that knows only itself.
-    pub(super) fn new(record: MemberRecord, commit_interval: Duration) -> Self {
+    pub(super) fn new(
+        record: MemberRecord,
+        commit_interval: Duration,
+        sync_interval: Duration,
+    ) -> Self {
         Self {
             config: ConfigState::default(),
             hosts: HostTable::default(),
+            hosts_read: false,
             peers: PeerTable::new(PeerConfig::default(), record.region.clone()),
             owners: OwnerTable::new(
                 record.daemon.clone(),
@@ -70,6 +78,7 @@
             ),
             calls: CallShards::default(),
             keys: KeyShards::default(),
+            pools: PoolShards::new(sync_interval),
             journals: ShardJournals::new(record.daemon.clone(), commit_interval),
             leased: BTreeSet::new(),
             leases: BTreeMap::new(),
@@ -93,6 +102,7 @@
             ControlEvent::Keys(command) => self.apply_keys(command, now),
             ControlEvent::LeaseAnswered(answer) => self.apply_lease(answer, now),
             ControlEvent::Journal(report) => self.apply_journal(report, now),
+            ControlEvent::Tasks(command) => self.apply_tasks(command, now),
             ControlEvent::Calls(command) => {
                 self.check_leases(now);
                 self.calls.handle(command, now);
@@ -120,7 +130,8 @@
                 self.apply_ownership(OwnershipEvent::OwnersRead(owners), now)
             }
             ControlEvent::HostsRead(entries) => {
-                if self.hosts.replace(entries) {
+                let first = !std::mem::replace(&mut self.hosts_read, true);
+                if self.hosts.replace(entries) || first {
                     self.refresh(now)
                 } else {
                     Vec::new()
@@ -172,11 +183,13 @@
     pub(super) fn fire_timers(&mut self, now: Duration) -> Vec<ControlEffect> {
         self.check_leases(now);
         self.calls.fire_timers(now);
+        let pools = self.fire_pool_timers(now);
         self.peers.note_timer(now);
         let dead = self.dead_daemons(now);
         let mut effects = self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now);
         effects.extend(self.apply_ownership(OwnershipEvent::TimerFired, now));
         effects.extend(self.fire_key_timers(now));
+        effects.extend(pools);
         effects.extend(self.commit_records(now));
         effects
     }
@@ -331,6 +344,7 @@
                 ConfigAction::InForce(version) => {
                     log::info!("configuration version {version} is in force");
                     effects.extend(self.refresh(now));
+                    effects.extend(self.refresh_teams(now));
                 }
                 ConfigAction::Rejected(version, reason) => {
                     log::error!("configuration version {version} was rejected: {reason}");
@@ -360,6 +374,7 @@
         let mut effects = self.apply_ownership(leased, now);
         effects.extend(self.apply_ownership(OwnershipEvent::ShardsChanged(shards), now));
         self.refresh_runners(now);
+        effects.extend(self.refresh_pools(now));
         effects
     }
 
@@ -392,14 +407,17 @@
             .collect()
     }
 
-    /// Returns the call shards: each service with each zone that has runners;
-    /// and, once there are services, the key shards of the region.
+    /// Returns the shards: each service with each zone that has runners, each
+    /// pool of the region and, once there are services, the region's key shards.
     fn shards(&self) -> BTreeSet<ShardName> {
         let keyed = !self.config.objects().services.is_empty();
         let region = &self.record.region;
         let keys = (0..KEY_SHARDS)
             .filter(|_| keyed)
             .map(|index| ShardName::Key(region.clone(), index));
+        let pools = self.config.objects().pools.values();
+        let pools = pools.filter(|pool| pool.region == self.record.region);
+        let pools = pools.map(|pool| ShardName::Pool(pool.name.clone()));
         self.hosts
             .iter()
             .filter(|host| host.kind == HostKind::Runner)
@@ -411,6 +429,7 @@
             .filter(|(service, _)| self.config.objects().services.contains_key(service))
             .map(|(service, zone)| ShardName::Call(service, zone))
             .chain(keys)
+            .chain(pools)
             .collect()
     }
 }
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -11,5 +11,6 @@
 mod keyed;
 mod messages;
 mod service;
+mod tasks;
 
 pub(crate) use service::{FrontService, serve_front};
--- a/crates/daemon/src/peers/messages.rs
+++ b/crates/daemon/src/peers/messages.rs
@@ -4,7 +4,7 @@
 
 use auburnsaddle_core::{
     CallRequest, ConfigPull, ConfigVersion, Epoch, GrantId, GrantResult, Heartbeat, MemberRecord,
-    OwnerRecord, ShardName,
+    OwnerRecord, ShardName, TaskReply, TaskRequest,
 };
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -25,6 +25,8 @@
     RequestSlot(ShardName, CallRequest),
     /// Returns a slot.
     ReturnSlot(ShardName, Epoch, GrantId, GrantResult),
+    /// Asks the owner of a pool shard.
+    Task(ShardName, TaskRequest),
     /// Asks for the configuration versions after the one named.
     PullConfig(ConfigVersion),
     /// Asks the owner of a key shard to run a call once; the reply comes with
@@ -43,6 +45,8 @@
     Noted,
     /// The slot that was asked for, or why there is none.
     Slot(SlotReply),
+    /// What the owner of a pool shard replied.
+    Task(TaskReply),
     /// The configuration versions that were asked for.
     Config(ConfigPull),
     /// The answer to a call with a key.
