Let keyed calls wait while their shard is handed over

Cause: a key shard that is being handed over waits for its running calls and takes no new ones, and an entry gave up after 1 s, so one long call could have other calls of its shard rejected. The owner now says that it is handing over, and the entry waits until its deadline; without an owner it still gives up after 1 s.

Calls with a key appear in the metrics and the debug log like plain calls. A retry of a call whose intent waited out a store outage is told that the store was away rather than that the target rejected it.

The drain test sends a second request during the handover and expects a replay of the one call that ran.

Conclusion: a drain neither interrupts nor rejects calls with a key.

--- a/crates/core/src/keys/state.rs
+++ b/crates/core/src/keys/state.rs
@@ -270,6 +270,7 @@
             entry.dispatched = Some(waiter.request);
             actions.push(KeyAction::Dispatch(waiter.request, key));
         } else {
+            entry.not_run = NotRunReason::StoreUnavailable;
             self.record_outcome(key, KeyOutcome::NotRun, actions);
         }
     }
--- a/crates/daemon/src/front/keyed.rs
+++ b/crates/daemon/src/front/keyed.rs
@@ -1,5 +1,7 @@
 //! Calls with an idempotency key.
 
+use std::time::Instant;
+
 use auburnsaddle_core::{
     KeyReply, KeyResponse, NotRunReason, ServiceSpec, ShardName, UnknownReason, key_shard_index,
 };
@@ -70,16 +72,30 @@
                 "send a smaller body",
             ));
         }
+        let id = format!("{:032x}", head.request);
         let call = KeyedCall::new(service.name.clone(), key, head);
         let Some(pool) = snapshot.objects.pools.get(&service.pool) else {
             return Ok(not_run_response(NotRunReason::NoTarget));
         };
         let shard = ShardName::Key(pool.region.clone(), key_shard_index(&call.key_digest()));
+        let received_at = Instant::now();
         let answer = self.keys.submit(&shard, call).await;
+        let outcome = outcome_name(&answer.reply);
+        self.metrics.note_call(outcome, received_at.elapsed());
+        log::debug!(request_id = id.as_str(), outcome = outcome; "call with a key answered");
         Ok(keyed_response(answer))
     }
 }
 
+/// Returns the outcome of the call itself, which a repeated request shares.
+const fn outcome_name(reply: &KeyReply) -> &'static str {
+    match reply {
+        KeyReply::Completed(_) | KeyReply::Replayed(_) | KeyReply::BodyDropped(_) => "completed",
+        KeyReply::NotRun(_) | KeyReply::FingerprintMismatch => "not-run",
+        KeyReply::StillRunning | KeyReply::Unknown(_) => "unknown",
+    }
+}
+
 fn keyed_response(answer: KeyedAnswer) -> FrontResponse {
     let headers = answer.headers();
     match answer.reply {
--- a/crates/daemon/src/keys/forward.rs
+++ b/crates/daemon/src/keys/forward.rs
@@ -11,8 +11,8 @@
     peers::{PeerClient, PeerError, PeerReply, PeerRequest},
 };
 
-/// Time that a call waits for its shard to get an owner. A planned handover
-/// takes less; a takeover takes longer, and its calls are rejected as not run.
+/// Time that a call waits for its shard to get an owner. A takeover takes
+/// longer, and its calls are rejected as not run.
 const OWNER_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Mean time between two attempts.
@@ -41,21 +41,27 @@
         let started_at = Instant::now();
         let allowed = call.remaining;
         let mut may_have_run = false;
+        let mut patience = allowed.min(OWNER_PATIENCE);
         loop {
             call.remaining = allowed.saturating_sub(started_at.elapsed());
             let asking = self.ask_owner(shard, call.clone());
             let limit = call.remaining + ANSWER_GRACE;
             let reply = tokio::time::timeout(limit, asking).await;
             match reply {
-                Ok(KeyedReply::Answered(answer)) if !is_without_owner(&answer) => return answer,
-                Ok(KeyedReply::Answered(_)) => {}
+                Ok(KeyedReply::Answered(answer)) => match answer.reply {
+                    KeyReply::NotRun(NotRunReason::NoOwner) => {}
+                    // The owner hands the shard over once its running calls
+                    // have ended, which may take as long as a call.
+                    KeyReply::NotRun(NotRunReason::Draining) => patience = allowed,
+                    _ => return answer,
+                },
                 Ok(KeyedReply::Moved) => may_have_run = true,
                 Err(_) => return unknown(UnknownReason::DeadlinePassed),
             }
             let passed = started_at.elapsed();
             match may_have_run {
                 true if passed >= allowed => return unknown(UnknownReason::OwnerLost),
-                false if passed >= allowed.min(OWNER_PATIENCE) => return without_owner(),
+                false if passed >= patience => return without_owner(),
                 _ => {}
             }
             let wait = ATTEMPT_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
@@ -99,10 +105,6 @@
     }
 }
 
-fn is_without_owner(answer: &KeyedAnswer) -> bool {
-    answer.reply == KeyReply::NotRun(NotRunReason::NoOwner)
-}
-
 fn without_owner() -> KeyedAnswer {
     KeyedAnswer::without_headers(KeyReply::NotRun(NotRunReason::NoOwner))
 }
--- a/crates/daemon/src/keys/state.rs
+++ b/crates/daemon/src/keys/state.rs
@@ -114,10 +114,15 @@
                     let event = owned.admit(call, reply);
                     owned.apply(&shard, event, journals, now)
                 }
-                _ => {
-                    let reason = KeyReply::NotRun(NotRunReason::NoOwner);
+                owned => {
+                    // A handover ends soon; another daemon may have no owner.
+                    let reason = match owned {
+                        Some(_) => NotRunReason::Draining,
+                        None => NotRunReason::NoOwner,
+                    };
+                    let answer = KeyedAnswer::without_headers(KeyReply::NotRun(reason));
                     // The requester may have gone away meanwhile.
-                    let _ = reply.send(KeyedAnswer::without_headers(reason));
+                    let _ = reply.send(answer);
                     Vec::new()
                 }
             },
--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -19,6 +19,9 @@
 /// Time for a call whose owner dies; its answer may come at the deadline.
 const SHORT_DEADLINE: Duration = Duration::from_secs(8);
 
+/// Time after which a terminated daemon has begun to hand its shards over.
+const DRAIN_START: Duration = Duration::from_millis(300);
+
 /// Duration of a shard's lease in the store.
 const SHARD_LEASE: Duration = Duration::from_secs(10);
 
@@ -224,20 +227,23 @@
 }
 
 /// Guards against a drain that interrupts a call in progress at the owner of
-/// its key.
+/// its key, and against calls that are rejected while the shard moves.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_owner_finishes_its_calls() {
     let cluster = TestCluster::start(3).await;
     let key = key_owned_by(&cluster, 0).await;
     set_work_ms(&cluster, LONG_WORK_MS);
 
-    let (answer, ()) = tokio::join!(send(&cluster, call(1, &key, 1)), async {
+    let (answer, later) = tokio::join!(send(&cluster, call(1, &key, 1)), async {
         wait_for_start(&cluster, 1).await;
         cluster.daemons[0].terminate();
+        tokio::time::sleep(DRAIN_START).await;
+        send(&cluster, call(2, &key, 2)).await
     });
 
     assert!(answer.is_done("token"), "{answer:?}");
-    assert_eq!(starts(&cluster, &[1]), 1);
+    assert!(later.is_done("token") && later.replayed, "{later:?}");
+    assert_eq!(starts(&cluster, &[1, 2]), 1);
 }
 
 /// Guards against a keyed call that runs without a record, a caller that is
