--- a/crates/daemon/src/control/shards.rs
+++ b/crates/daemon/src/control/shards.rs
@@ -201,10 +201,16 @@
                 let effects = self.note_key_records(&shard, &records, false, now);
                 steps.effects.extend(effects);
             }
-            JournalNotice::ExportNeeded(shard, epoch) => {
-                let records = self.keys.export(&shard);
-                steps.add(self.journals.export(shard, epoch, records, now));
-            }
+            JournalNotice::ExportNeeded(shard, epoch) => match shard {
+                ShardName::Key(..) => {
+                    let records = self.keys.export(&shard);
+                    steps.add(self.journals.export(shard, epoch, records, now));
+                }
+                // An empty export would delete the records of the shard.
+                ShardName::Call(..) | ShardName::Pool(_) => {
+                    log::error!("no slice exports the records of shard {shard}");
+                }
+            },
         }
     }
 }
--- a/crates/daemon/src/journal/exchange.rs
+++ b/crates/daemon/src/journal/exchange.rs
@@ -19,6 +19,11 @@
     },
 };
 
+/// Deletes of one transaction; stores of this interface take 128 operations.
+/// Keys beyond the limit are covered by the manifest, so replay ignores them,
+/// and the next owner's first snapshot deletes them.
+const DELETE_LIMIT: usize = 100;
+
 /// Carries out an effect of the journal of `daemon`. An effect that the log
 /// handles itself has no report.
 pub(crate) async fn run_effect<S: StoreFeed>(
@@ -206,6 +211,7 @@
         }],
         deletes: deletes
             .into_iter()
+            .take(DELETE_LIMIT)
             .map(|key| StoreRange::Key(store_key(shard, key)))
             .collect(),
         reads_on_conflict: vec![key, owner_key(shard)],
