Reject a key that names another count, and test a paused owner

The same idempotency key with another count was answered with the tasks of the first job, as if the count had been accepted; it is now rejected with 422. A paused owner is tested: after the next owner has claimed the workers, it starts nothing and passes requests on.

--- a/crates/daemon/src/tasks/pool.rs
+++ b/crates/daemon/src/tasks/pool.rs
@@ -400,7 +400,12 @@
         let known: Vec<_> = known
             .filter(|task| self.queue.view(*task).is_some())
             .collect();
-        if let Some(pending) = self.pending.get_mut(&spec.job) {
+        let first = spec.tasks.first().and_then(|task| self.queue.job_of(*task));
+        if first.is_some_and(|job| job.tasks != spec.tasks) {
+            // The same key with another count.
+            let refusal = TaskRefusal::Rejected(JobRejection::Duplicate);
+            let _ = reply.send(TaskReply::Refused(refusal));
+        } else if let Some(pending) = self.pending.get_mut(&spec.job) {
             pending.callers.push(reply);
         } else if !known.is_empty() {
             let accepted = SubmitReply {
--- a/crates/daemon/tests/support/work.rs
+++ b/crates/daemon/tests/support/work.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    process::Command,
     time::{Duration, Instant},
 };
 
@@ -115,8 +116,14 @@
 
     /// Submits an object to a daemon.
     pub async fn submit(&self, daemon: usize, object: &str, key: &str) -> CallResult {
+        self.submit_body(daemon, &json!({ "object": object }), key)
+            .await
+    }
+
+    /// Submits a body to a daemon.
+    pub async fn submit_body(&self, daemon: usize, body: &Value, key: &str) -> CallResult {
         let address = self.cluster.daemons[daemon].address;
-        let body = json!({ "object": object }).to_string();
+        let body = body.to_string();
         let request = Request::post(format!("http://{address}/v1/tasks"))
             .header("idempotency-key", key)
             .body(Full::new(Bytes::from(body)))
@@ -166,6 +173,13 @@
         statuses
     }
 
+    /// Sends a signal to a daemon by its process id.
+    pub fn signal(&self, daemon: usize, signal: &str) {
+        let id = self.cluster.daemons[daemon].child.id().to_string();
+        let status = Command::new("kill").args([signal, &id]).status();
+        assert!(status.is_ok_and(|status| status.success()));
+    }
+
     /// Returns how often each task was started, by the workers' own logs.
     pub fn starts(&self) -> BTreeMap<String, usize> {
         let mut starts = BTreeMap::new();
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -6,7 +6,7 @@
 
 use auburnsaddle_standins::platform::StoreFaults;
 use http::{Method, StatusCode};
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::{CallResult, work::WorkCluster};
 
 fn outcomes(statuses: &[Value]) -> BTreeSet<&str> {
@@ -61,9 +61,15 @@
 
     let first = cluster.accepted(0, "grading", "night").await;
     let again = cluster.accepted(1, "grading", "night").await;
+    let other = json!({ "object": "grading", "count": 7 });
+    let other = cluster.submit_body(1, &other, "night").await;
     cluster.wait_for(0, &first, "ended").await;
 
     assert_eq!(first, again);
+    let CallResult::Answered(status, ..) = other else {
+        panic!("no answer: {other:?}");
+    };
+    assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY);
     assert_eq!(cluster.starts().len(), first.len());
     assert_started_once(&cluster, &first);
 }
@@ -94,6 +100,31 @@
     assert_started_once(&cluster, &[batch, watch, plan].concat());
 }
 
+/// Guards against a former owner that starts tasks beside the present one, or
+/// goes on answering for a queue that it has lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_owner_starts_nothing_after_it_resumes() {
+    let cluster = WorkCluster::start(3, 3).await;
+    let owner = cluster.wait_for_owner(0, None).await;
+    let other = usize::from(owner == 0);
+    let early = cluster.accepted(owner, "grading", "a").await;
+    let watch = cluster.accepted(owner, "watch", "b").await;
+    cluster.wait_for(other, &watch, "running").await;
+
+    cluster.signal(owner, "-STOP");
+    cluster.wait_for_owner(other, Some(owner)).await;
+    let late = cluster.accepted(other, "grading", "c").await;
+    cluster.signal(owner, "-CONT");
+    let ended = cluster
+        .wait_for(owner, &[&early[..], &late].concat(), "ended")
+        .await;
+    let adopted = cluster.wait_for(owner, &watch, "running").await;
+
+    assert_eq!(outcomes(&ended), BTreeSet::from(["succeeded"]));
+    assert!(adopted.iter().all(|status| status["attempt"] == 1));
+    assert_started_once(&cluster, &[early, late, watch].concat());
+}
+
 /// Guards against a drain that stops, loses or repeats tasks.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drained_owner_hands_its_tasks_over() {
