Test a worker that is silent for a while

A worker that answers nothing for three exchanges keeps its tasks unresolved and is claimed again when it answers: what ended meanwhile is not started again, and what runs is adopted. Found working as written; the test holds it.

--- a/crates/daemon/tests/support/work.rs
+++ b/crates/daemon/tests/support/work.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use auburnsaddle_standins::worker::{self, ResourceAmounts, SharedWorker};
+use auburnsaddle_standins::worker::{self, ResourceAmounts, SharedWorker, WorkerFaults};
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
@@ -173,6 +173,15 @@
         statuses
     }
 
+    /// Delays all answers of a worker.
+    pub fn delay_worker(&self, worker: usize, delay: Duration) {
+        let latency_ms = u64::try_from(delay.as_millis()).expect("a short delay");
+        self.workers[worker].lock().faults = WorkerFaults {
+            latency_ms,
+            ..WorkerFaults::default()
+        };
+    }
+
     /// Sends a signal to a daemon by its process id.
     pub fn signal(&self, daemon: usize, signal: &str) {
         let id = self.cluster.daemons[daemon].child.id().to_string();
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -165,6 +165,27 @@
     assert_started_once(&cluster, &after);
 }
 
+/// Guards against a second start of what a worker ended while it was silent, and
+/// against a task that is reported as not run meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_worker_is_claimed_again() {
+    let cluster = WorkCluster::start(1, 1).await;
+    let batch = cluster.accepted(0, "grading", "a").await;
+    let watch = cluster.accepted(0, "watch", "b").await;
+    cluster.wait_for(0, &watch, "running").await;
+
+    cluster.delay_worker(0, Duration::from_mins(1));
+    let silent = cluster.wait_for(0, &watch, "unresolved").await;
+    cluster.delay_worker(0, Duration::ZERO);
+    let ended = cluster.wait_for(0, &batch, "ended").await;
+    let adopted = cluster.wait_for(0, &watch, "running").await;
+
+    assert!(silent.iter().all(|status| status["worker"] == "worker-0"));
+    assert_eq!(outcomes(&ended), BTreeSet::from(["succeeded"]));
+    assert!(adopted.iter().all(|status| status["attempt"] == 1));
+    assert_started_once(&cluster, &[batch, watch].concat());
+}
+
 /// Guards against a job that is accepted without a record, and against one
 /// that runs although its caller was told that it did not.
 #[tokio::test(flavor = "multi_thread")]
