Give each run of quickstart.sh its own ports

One of five runs failed with exit 1: it had published over the objects of the other deployment, which its own run had not reached yet, so its stand-in for the store had lost the fixed port 7400 to another process (most likely a run in another worktree). The ports now follow from the process id or from QUICKSTART_PORT, and a process that has ended while starting stops the run. Free ports chosen by the system were ruled out: the list of hosts needs them before the processes run.

--- a/crates/daemon/src/front/tasks.rs
+++ b/crates/daemon/src/front/tasks.rs
@@ -76,7 +76,7 @@
             _ => Err(FrontError::new(
                 StatusCode::METHOD_NOT_ALLOWED,
                 "no such request for tasks",
-                "see the paths below /v1/tasks in docs/operations.md",
+                "use POST or GET on /v1/tasks, and GET or DELETE on /v1/tasks/ID",
             )),
         }
     }
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -9,6 +9,9 @@
 
 cargo build --workspace --bins --locked
 bin=target/debug
+# Two runs at once on the same ports would share a store; the process id keeps
+# them apart, and QUICKSTART_PORT names the first port otherwise.
+base=${QUICKSTART_PORT:-$((10000 + $$ % 200 * 100))}
 logs=$(mktemp -d)
 pids=()
 
@@ -31,6 +34,17 @@
     pids+=("$!")
 }
 
+# Fails if a process has ended, such as one whose port was taken.
+check_running() {
+    local pid
+    for pid in "${pids[@]}"; do
+        if ! kill -0 "$pid" 2>/dev/null; then
+            echo "a process has ended; see $logs, or set QUICKSTART_PORT" >&2
+            return 1
+        fi
+    done
+}
+
 wait_for() {
     for _ in $(seq 200); do
         if "$@" >/dev/null 2>&1; then
@@ -59,7 +73,7 @@
 }
 
 tool() {
-    "$bin/auburnsaddle" --daemon 127.0.0.1:7421,127.0.0.1:7422,127.0.0.1:7423 "$@"
+    "$bin/auburnsaddle" --daemon "127.0.0.1:$((base + 21)),127.0.0.1:$((base + 22)),127.0.0.1:$((base + 23))" "$@"
 }
 
 # Submits an object, prints the answer and leaves the ids in `tasks`.
@@ -86,19 +100,19 @@
     local batch=${10} gang=${11} gang_size=${12} task=${13}
     echo "== $directory"
     hosts=""
-    local platform=127.0.0.1:7400
+    local platform=127.0.0.1:$base
     start platform "$bin/standin-platform" --listen "$platform"
     local letters=(a b c) index zone
     for index in 1 2 3; do
         zone=$region-${letters[index - 1]}
-        start "runner-$index" "$bin/standin-target" --listen "127.0.0.1:741$index"
+        start "runner-$index" "$bin/standin-target" --listen "127.0.0.1:$((base + 10 + index))"
         add_host "runner-$index" runner "$general" "\"$service\"" "$zone" "rack-$index" \
-            "741$index" '{}'
-        start_worker "$general" "$index" "$zone" "744$index" "$cpu" "$memory" 0
+            "$((base + 10 + index))" '{}'
+        start_worker "$general" "$index" "$zone" "$((base + 40 + index))" "$cpu" "$memory" 0
     done
     for index in $(seq "$gang_size"); do
         zone=$region-${letters[(index - 1) % 3]}
-        start_worker "$accelerated" "$index" "$zone" "745$index" "$accelerated_cpu" \
+        start_worker "$accelerated" "$index" "$zone" "$((base + 50 + index))" "$accelerated_cpu" \
             "$accelerated_memory" 8
     done
     wait_for curl --silent --fail --request PUT --data "[$hosts]" "http://$platform/hosts"
@@ -106,15 +120,16 @@
     for index in 1 2 3; do
         zone=$region-${letters[index - 1]}
         start "daemon-$index" "$bin/auburnsaddled" --name "daemon-$index" --region "$region" \
-            --zone "$zone" --listen "127.0.0.1:742$index" \
-            --peer-listen "127.0.0.1:743$index" --store "$platform" --hosts "$platform" \
+            --zone "$zone" --listen "127.0.0.1:$((base + 20 + index))" \
+            --peer-listen "127.0.0.1:$((base + 30 + index))" --store "$platform" --hosts "$platform" \
             --drain-deadline-ms 3000
     done
-    wait_for "$bin/auburnsaddle" --daemon 127.0.0.1:7421 status
+    wait_for "$bin/auburnsaddle" --daemon "127.0.0.1:$((base + 21))" status
+    check_running
     tool apply "$directory"
 
     local call=(curl --silent --fail --header "Idempotency-Key: first-request" --data "request 1"
-        "http://127.0.0.1:7422/v1/services/$service/first")
+        "http://127.0.0.1:$((base + 22))/v1/services/$service/first")
     wait_for "${call[@]}"
     echo "call of $service: $("${call[@]}")"
 
