--- a/crates/daemon/tests/support/work.rs
+++ b/crates/daemon/tests/support/work.rs
@@ -2,10 +2,11 @@
 
 use std::{
     collections::BTreeMap,
+    process::Command,
     time::{Duration, Instant},
 };
 
-use auburnsaddle_standins::worker::{self, ResourceAmounts, SharedWorker};
+use auburnsaddle_standins::worker::{self, ResourceAmounts, SharedWorker, WorkerFaults};
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
@@ -115,8 +116,14 @@
 
     /// Submits an object to a daemon.
     pub async fn submit(&self, daemon: usize, object: &str, key: &str) -> CallResult {
+        self.submit_body(daemon, &json!({ "object": object }), key)
+            .await
+    }
+
+    /// Submits a body to a daemon.
+    pub async fn submit_body(&self, daemon: usize, body: &Value, key: &str) -> CallResult {
         let address = self.cluster.daemons[daemon].address;
-        let body = json!({ "object": object }).to_string();
+        let body = body.to_string();
         let request = Request::post(format!("http://{address}/v1/tasks"))
             .header("idempotency-key", key)
             .body(Full::new(Bytes::from(body)))
@@ -166,6 +173,22 @@
         statuses
     }
 
+    /// Delays all answers of a worker.
+    pub fn delay_worker(&self, worker: usize, delay: Duration) {
+        let latency_ms = u64::try_from(delay.as_millis()).expect("a short delay");
+        self.workers[worker].lock().faults = WorkerFaults {
+            latency_ms,
+            ..WorkerFaults::default()
+        };
+    }
+
+    /// Sends a signal to a daemon by its process id.
+    pub fn signal(&self, daemon: usize, signal: &str) {
+        let id = self.cluster.daemons[daemon].child.id().to_string();
+        let status = Command::new("kill").args([signal, &id]).status();
+        assert!(status.is_ok_and(|status| status.success()));
+    }
+
     /// Returns how often each task was started, by the workers' own logs.
     pub fn starts(&self) -> BTreeMap<String, usize> {
         let mut starts = BTreeMap::new();
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -6,7 +6,7 @@
 
 use auburnsaddle_standins::platform::StoreFaults;
 use http::{Method, StatusCode};
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::{CallResult, work::WorkCluster};
 
 fn outcomes(statuses: &[Value]) -> BTreeSet<&str> {
@@ -61,9 +61,15 @@
 
     let first = cluster.accepted(0, "grading", "night").await;
     let again = cluster.accepted(1, "grading", "night").await;
+    let other = json!({ "object": "grading", "count": 7 });
+    let other = cluster.submit_body(1, &other, "night").await;
     cluster.wait_for(0, &first, "ended").await;
 
     assert_eq!(first, again);
+    let CallResult::Answered(status, ..) = other else {
+        panic!("no answer: {other:?}");
+    };
+    assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY);
     assert_eq!(cluster.starts().len(), first.len());
     assert_started_once(&cluster, &first);
 }
@@ -94,6 +100,31 @@
     assert_started_once(&cluster, &[batch, watch, plan].concat());
 }
 
+/// Guards against a former owner that starts tasks beside the present one, or
+/// goes on answering for a queue that it has lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_owner_starts_nothing_after_it_resumes() {
+    let cluster = WorkCluster::start(3, 3).await;
+    let owner = cluster.wait_for_owner(0, None).await;
+    let other = usize::from(owner == 0);
+    let early = cluster.accepted(owner, "grading", "a").await;
+    let watch = cluster.accepted(owner, "watch", "b").await;
+    cluster.wait_for(other, &watch, "running").await;
+
+    cluster.signal(owner, "-STOP");
+    cluster.wait_for_owner(other, Some(owner)).await;
+    let late = cluster.accepted(other, "grading", "c").await;
+    cluster.signal(owner, "-CONT");
+    let ended = cluster
+        .wait_for(owner, &[&early[..], &late].concat(), "ended")
+        .await;
+    let adopted = cluster.wait_for(owner, &watch, "running").await;
+
+    assert_eq!(outcomes(&ended), BTreeSet::from(["succeeded"]));
+    assert!(adopted.iter().all(|status| status["attempt"] == 1));
+    assert_started_once(&cluster, &[early, late, watch].concat());
+}
+
 /// Guards against a drain that stops, loses or repeats tasks.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drained_owner_hands_its_tasks_over() {
@@ -134,6 +165,27 @@
     assert_started_once(&cluster, &after);
 }
 
+/// Guards against a second start of what a worker ended while it was silent, and
+/// against a task that is reported as not run meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_worker_is_claimed_again() {
+    let cluster = WorkCluster::start(1, 1).await;
+    let batch = cluster.accepted(0, "grading", "a").await;
+    let watch = cluster.accepted(0, "watch", "b").await;
+    cluster.wait_for(0, &watch, "running").await;
+
+    cluster.delay_worker(0, Duration::from_mins(1));
+    let silent = cluster.wait_for(0, &watch, "unresolved").await;
+    cluster.delay_worker(0, Duration::ZERO);
+    let ended = cluster.wait_for(0, &batch, "ended").await;
+    let adopted = cluster.wait_for(0, &watch, "running").await;
+
+    assert!(silent.iter().all(|status| status["worker"] == "worker-0"));
+    assert_eq!(outcomes(&ended), BTreeSet::from(["succeeded"]));
+    assert!(adopted.iter().all(|status| status["attempt"] == 1));
+    assert_started_once(&cluster, &[batch, watch].concat());
+}
+
 /// Guards against a job that is accepted without a record, and against one
 /// that runs although its caller was told that it did not.
 #[tokio::test(flavor = "multi_thread")]
