--- /dev/null
+++ b/crates/core/tests/matrix/mod.rs
@@ -0,0 +1,119 @@
+//! The state machines of several daemons, joined through an in-memory network
+//! and store in virtual time.
+//!
+//! A run is decided by its seed, its injections and its mutation alone. The
+//! connections are those of TCP: what was sent on a connection that was closed
+//! does not arrive, and a start is not repeated by the network.
+
+mod daemon;
+mod durable;
+pub(crate) mod faults;
+mod injection;
+pub(crate) mod invariants;
+mod network;
+mod pool;
+mod store;
+mod targets;
+mod world;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use auburnsaddle_core::{
+    GangMode, JobId, JobSpec, ObjectLoader, ObjectSet, ResourceVector, RestartPolicy, ShardName,
+    TaskId, UrgencyClass, WorkerEntry, WorkerId,
+};
+
+pub(crate) use world::{RunOptions, World, run};
+
+pub(crate) const DAEMONS: usize = 4;
+const POOLS: usize = 2;
+const WORKERS: usize = 6;
+const JOBS: u64 = 26;
+const CAPACITY: ResourceVector = ResourceVector::new(4_000, 4_096, 0);
+
+fn shards() -> BTreeSet<ShardName> {
+    (0..POOLS).map(pool_shard).collect()
+}
+
+fn pool_shard(pool: usize) -> ShardName {
+    ShardName::Pool(format!("p{pool}").into())
+}
+
+/// The pool of a job is the object that it belongs to.
+fn shard_of(spec: &JobSpec) -> ShardName {
+    ShardName::Pool(spec.object.clone())
+}
+
+fn worker_name(index: usize) -> WorkerId {
+    format!("w{index}").into()
+}
+
+fn worker_index(name: &WorkerId) -> usize {
+    name[1..].parse().unwrap_or_default()
+}
+
+fn worker_shard(index: usize) -> ShardName {
+    pool_shard(index % POOLS)
+}
+
+fn worker_entries(shard: &ShardName) -> Vec<WorkerEntry> {
+    let indexes = (0..WORKERS).filter(|index| worker_shard(*index) == *shard);
+    indexes
+        .map(|index| WorkerEntry {
+            worker: worker_name(index),
+            zone: "z1".into(),
+            rack: format!("r{index}").into(),
+            capacity: CAPACITY,
+        })
+        .collect()
+}
+
+fn teams_with(number: u64) -> ObjectSet {
+    let mut loader = ObjectLoader::default();
+    let text = format!("[[team]]\nname = 'team-{number}'\nquota = {{ cpu_milli = 1 }}\n");
+    loader.add("teams.toml", &text);
+    loader.finish().set
+}
+
+/// Returns a job of one task, or a gang of two, whose size and restart policy
+/// follow from its number. Three consecutive jobs go to the same pool.
+fn job(number: JobId) -> JobSpec {
+    let restart = match number % 3 {
+        0 => RestartPolicy::Never,
+        1 => RestartPolicy::WhenStopped,
+        _ => RestartPolicy::Anytime,
+    };
+    let gang = number.is_multiple_of(5);
+    let first = u128::from(number) * 10;
+    let cores = match number % 9 {
+        // Larger than any worker.
+        8 => 5,
+        _ => 1 + (number + 2) % 3,
+    };
+    // Some tasks outlast a pause of their owner.
+    let run_time = if number % 3 == 1 {
+        14_000
+    } else {
+        1_000 + 700 * (number % 5)
+    };
+    JobSpec {
+        job: number,
+        tasks: (first..first + 1 + u128::from(gang))
+            .map(TaskId::from_u128)
+            .collect(),
+        object: format!("p{}", number / 3 % 2).into(),
+        team: "orders".into(),
+        urgency: UrgencyClass::Normal,
+        labels: vec![Arc::from("run=night")],
+        demand: ResourceVector::new(cores * 1_000, cores * 1_024, 0),
+        run_time: Some(Duration::from_millis(run_time)),
+        restart,
+        gang: if gang {
+            GangMode::AllOrNothing
+        } else {
+            GangMode::Independent
+        },
+        spread: false,
+        checkpoint: number.is_multiple_of(4),
+    }
+}
