--- a/crates/core/tests/matrix/injection.rs
+++ b/crates/core/tests/matrix/injection.rs
@@ -7,7 +7,7 @@
     daemon::Daemon,
     faults::{Fault, Step},
     network::{Message, NetworkFaults, Node},
-    world::World,
+    world::{TraceEntry, World},
 };
 
 impl World {
@@ -26,7 +26,7 @@
 
     fn begin(&mut self, fault: Fault, daemon: usize, worker: usize) {
         let until = self.now + fault.duration();
-        self.note(&format!("FAULT {fault:?} at daemon-{daemon}, w{worker}"));
+        self.note(TraceEntry::FaultBegins(fault, daemon, worker));
         self.calm_since = self.calm_since.max(until);
         self.faults.push((until, fault, daemon, worker));
         let cut = &mut self.network.faults.cut;
@@ -97,7 +97,7 @@
             .extract_if(.., |(until, ..)| *until <= now)
             .collect();
         for (_, fault, daemon, worker) in ended {
-            self.note(&format!("END {fault:?}"));
+            self.note(TraceEntry::FaultEnds(fault));
             match fault {
                 Fault::Kill if !self.daemons[daemon].alive => {
                     self.processes += 1;
--- a/crates/core/tests/matrix/world.rs
+++ b/crates/core/tests/matrix/world.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    fmt::Write as _,
+    fmt::{self, Write as _},
     time::Duration,
 };
 
@@ -19,7 +19,7 @@
     pool::TASK_LEASE,
     pool_shard,
     store::{Store, StoreView},
-    targets::Worker,
+    targets::{Worker, WorkerReply, WorkerRequest},
     worker_name,
 };
 
@@ -39,6 +39,33 @@
     pub(crate) mutation: Option<Mutation>,
 }
 
+/// An event of the trace; it is formatted only for a report.
+pub(crate) enum TraceEntry {
+    FaultBegins(Fault, usize, usize),
+    FaultEnds(Fault),
+    Delivered(Box<Envelope>),
+    AtWorker(usize, Box<(WorkerRequest, WorkerReply)>),
+}
+
+impl fmt::Display for TraceEntry {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::FaultBegins(fault, daemon, worker) => {
+                write!(formatter, "FAULT {fault:?} at daemon-{daemon} or w{worker}")
+            }
+            Self::FaultEnds(fault) => write!(formatter, "END {fault:?}"),
+            Self::Delivered(envelope) => {
+                let Envelope { from, to, message } = &**envelope;
+                write!(formatter, "{from:?} -> {to:?} {message:?}")
+            }
+            Self::AtWorker(worker, exchange) => {
+                let (request, reply) = &**exchange;
+                write!(formatter, "w{worker} {request:?} -> {reply:?}")
+            }
+        }
+    }
+}
+
 /// What the callers asked and were told.
 #[derive(Default)]
 pub(crate) struct Caller {
@@ -65,7 +92,7 @@
     seen: StoreView,
     drained: bool,
     pub(crate) options: RunOptions,
-    trace: VecDeque<String>,
+    trace: VecDeque<(Duration, TraceEntry)>,
 }
 
 /// What happened in a run.
@@ -204,8 +231,8 @@
             }
             Node::Worker(index) => self.deliver_to_worker(index, envelope),
             Node::Caller => {
+                self.note_message(&envelope);
                 if let Message::Answer(request, answer) = envelope.message {
-                    self.note(&format!("caller {request} told {answer:?}"));
                     self.caller.told.push((request, answer));
                 }
             }
@@ -256,7 +283,8 @@
         let (starts, running) = (worker.log.len(), worker.tasks().count());
         let reply = worker.answer(request.clone(), self.now);
         let started = worker.log.len() > starts;
-        self.note(&format!("w{index} {request:?} -> {reply:?}"));
+        let exchange = Box::new((request, reply.clone()));
+        self.note(TraceEntry::AtWorker(index, exchange));
         self.send(
             Node::Worker(index),
             envelope.from,
@@ -334,17 +362,16 @@
 
     fn note_message(&mut self, envelope: &Envelope) {
         if !matches!(envelope.message, Message::Heartbeat(_) | Message::Watch(_)) {
-            let Envelope { from, to, message } = envelope;
-            self.note(&format!("{from:?} -> {to:?} {message:?}"));
+            self.note(TraceEntry::Delivered(Box::new(envelope.clone())));
         }
     }
 
-    pub(crate) fn note(&mut self, text: &str) {
+    pub(crate) fn note(&mut self, entry: TraceEntry) {
         if self.trace.len() == TRACE_LENGTH {
             self.trace.pop_front();
         }
         let now = self.now;
-        self.trace.push_back(format!("{now:?} {text:.600}"));
+        self.trace.push_back((now, entry));
     }
 
     fn report(&self, violation: &Violation) -> String {
@@ -352,8 +379,8 @@
         let options = &self.options;
         let now = self.now;
         let mut text = format!("{invariant:?} violated at {now:?}: {detail}\n{options:?}\n");
-        for line in &self.trace {
-            let _ = writeln!(text, "  {line}");
+        for (at, entry) in &self.trace {
+            let _ = writeln!(text, "  {at:?} {:.600}", entry.to_string());
         }
         text
     }
