--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -218,6 +218,7 @@
 async fn a_crash_under_load_harms_only_the_calls_of_its_daemon() {
     for victim in [0, 2] {
         let mut cluster = TestCluster::start_with_one_owner(3).await;
+        wait_for_no_suspicion(&cluster).await;
         let mut killed = cluster.daemons.remove(victim);
         let cluster = Arc::new(cluster);
         let others = CallerLoad::start(&cluster, &[0, 1], CALLERS);
@@ -278,6 +279,7 @@
 async fn a_partition_seen_by_a_minority_changes_no_owner() {
     for links in [vec![(0, 1), (1, 0)], vec![(1, 0), (2, 0)]] {
         let cluster = Arc::new(TestCluster::start_with_proxies(3).await);
+        wait_for_no_suspicion(&cluster).await;
         let load = CallerLoad::start(&cluster, &[0, 1, 2], CALLERS);
 
         for (from, to) in &links {
@@ -303,6 +305,7 @@
 async fn an_owner_that_nobody_hears_is_replaced() {
     for both_ways in [true, false] {
         let cluster = Arc::new(TestCluster::start_with_proxies(3).await);
+        wait_for_no_suspicion(&cluster).await;
         let versions = VersionWatch::start(&cluster);
         let load = CallerLoad::start(&cluster, &[0, 1, 2], CALLERS);
 
