--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file is a crate of its own and uses a part of the support"
 )]
 
+pub mod count;
 pub mod load;
 pub mod proxy;
 pub mod versions;
@@ -41,6 +42,7 @@
 };
 
 use self::{
+    count::{ByteCount, start_counting_relay},
     load::AddressBook,
     proxy::{NetworkFaults, start_peer_proxy},
 };
@@ -98,6 +100,9 @@
     /// The faults between daemons, if the cluster was started with proxies.
     pub network: NetworkFaults,
     platform_address: SocketAddr,
+    /// Address of the store for the daemons; that of the platform, or of a
+    /// relay in front of it.
+    store_address: SocketAddr,
     proxies: Vec<PeerProxy>,
     /// Ends the server of each runner.
     runner_servers: Vec<watch::Sender<bool>>,
@@ -117,6 +122,14 @@
         cluster
     }
 
+    /// Does the same, and counts the bytes that the daemons send to the store.
+    pub async fn start_counted(count: usize) -> (Self, ByteCount) {
+        let mut cluster = Self::without_daemons(count).await;
+        let (address, bytes) = start_counting_relay(cluster.platform_address).await;
+        cluster.store_address = address;
+        (cluster.start_behind_one_owner(count).await, bytes)
+    }
+
     /// Does the same, but the first daemon owns all shards.
     pub async fn start_with_one_owner(count: usize) -> Self {
         Self::without_daemons(count)
@@ -157,7 +170,7 @@
         if let Some(advertised) = &advertised {
             settings.extend(["--peer-advertise", advertised]);
         }
-        let daemon = start_daemon(index, self.platform_address, &settings);
+        let daemon = start_daemon(index, self.store_address, self.platform_address, &settings);
         if let Some(proxy) = proxy {
             proxy.target.send_replace(Some(daemon.peer_address));
         }
@@ -184,6 +197,7 @@
             daemons: Vec::new(),
             network: NetworkFaults::default(),
             platform_address,
+            store_address: platform_address,
             proxies: Vec::new(),
             runner_servers,
             client: Client::builder(TokioExecutor::new()).build_http(),
@@ -473,13 +487,18 @@
 }
 
 /// Starts a daemon on free ports and learns its address from its log.
-fn start_daemon(index: usize, platform: SocketAddr, settings: &[&str]) -> DaemonProcess {
-    let platform = platform.to_string();
+fn start_daemon(
+    index: usize,
+    store: SocketAddr,
+    hosts: SocketAddr,
+    settings: &[&str],
+) -> DaemonProcess {
+    let (store, hosts) = (store.to_string(), hosts.to_string());
     let (name, zone) = (format!("daemon-{index}"), format!("zone-{index}"));
     let mut child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
         .args(["--name", &name, "--region", "nordeste", "--zone", &zone])
         .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
-        .args(["--store", &platform, "--hosts", &platform])
+        .args(["--store", &store, "--hosts", &hosts])
         .args(settings)
         .stderr(Stdio::piped())
         .spawn()
