Lend runner slots between the owners of a service

An owner that is short of slots asks the others; each answers once it has more slots than the borrower, with half of the difference. A standing request needs no second round trip. Loans carry the lender's epoch, the term counts from the request at the borrower, and the lender reclaims after the term and the longest call. The daemon carries the messages over `peers`, sends loads in heartbeats, reports confirmed dead requesters, follows redirects and takes team weights, urgent share and hold-off from the configuration.

The reserve for urgent calls follows their mean number over 1 s plus its square root, up to the share.

The redirect test compares redirects apart from the loan request that the same event now causes; both are still compared. The loan properties fail when a repeated offer is accepted and when the lender reclaims at the end of the term.

--- a/crates/core/src/calls/config.rs
+++ b/crates/core/src/calls/config.rs
@@ -2,12 +2,53 @@
 
 use std::time::Duration;
 
+/// Sizes and periods of loans between zones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoanConfig {
+    /// Free slots, less waiting calls, below which an owner asks for a loan.
+    pub target: u32,
+    /// Free slots above which it returns borrowed ones, down to the target.
+    pub surplus: u32,
+    /// Free slots that a lender keeps.
+    pub reserve: u32,
+    /// Least lead of a lender's free slots over the borrower's.
+    pub least_difference: u32,
+    /// Change of the free slots that is reported to the other owners.
+    pub report_step: u32,
+    /// Least time between two reports.
+    pub report_period: Duration,
+    /// Time in which a borrowed slot may be granted.
+    pub term: Duration,
+    /// Longest time that a call may run; a lender reclaims slots of a lost
+    /// borrower once the term and this time have passed. A call that runs longer
+    /// can outlive the loan; its runner then rejects calls beyond its slots.
+    pub longest_call: Duration,
+}
+
+impl Default for LoanConfig {
+    fn default() -> Self {
+        // Chosen by the trials in docs/policy.md: a larger target moves more
+        // slots, and slots in transit serve no call.
+        Self {
+            target: 8,
+            surplus: 24,
+            reserve: 3,
+            least_difference: 4,
+            report_step: 2,
+            report_period: Duration::from_millis(2),
+            term: Duration::from_secs(2),
+            longest_call: Duration::from_secs(30),
+        }
+    }
+}
+
 /// Bounds and periods of a call queue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallConfig {
     /// Most calls that wait at once, counted apart for urgent and other calls.
     pub queue_limit: usize,
-    /// Part of the slots that only urgent calls may use, in percent.
+    /// Most slots that are kept for urgent calls, in percent; the reserve
+    /// follows the observed urgent load up to it.
     pub urgent_share_percent: u32,
     /// Time after which a waiting call is promoted by one class.
     pub promotion_period: Duration,
@@ -20,9 +61,11 @@
     pub redirect_latency: Duration,
     /// Expected queueing time from which calls are redirected.
     ///
-    /// It is shorter than the extra latency: by the time the queue has grown to
-    /// that latency, more calls wait than the redirects of one report can take.
+    /// Loans serve a short queue sooner, so only a queue that is as long as the
+    /// extra latency of a redirect uses one.
     pub redirect_threshold: Duration,
+    /// Sizes and periods of loans between zones.
+    pub loans: LoanConfig,
 }
 
 impl Default for CallConfig {
@@ -33,7 +76,8 @@
             promotion_period: Duration::from_millis(500),
             hold_off: Duration::ZERO,
             redirect_latency: Duration::from_millis(12),
-            redirect_threshold: Duration::from_millis(2),
+            redirect_threshold: Duration::from_millis(12),
+            loans: LoanConfig::default(),
         }
     }
 }
@@ -95,6 +139,13 @@
         self
     }
 
+    /// Sets the sizes and periods of loans between zones.
+    #[must_use]
+    pub const fn loans(mut self, loans: LoanConfig) -> Self {
+        self.config.loans = loans;
+        self
+    }
+
     /// Returns the configuration.
     #[must_use]
     pub const fn build(self) -> CallConfig {
--- a/crates/core/src/calls/messages.rs
+++ b/crates/core/src/calls/messages.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::types::{
-    DaemonId, GrantId, NotRunReason, RequestId, RunnerId, TeamId, UrgencyClass, ZoneId,
+    DaemonId, Epoch, GrantId, NotRunReason, RequestId, RunnerId, TeamId, UrgencyClass, ZoneId,
 };
 
 /// A call that asks for a slot.
@@ -72,6 +72,76 @@
     pub request: RequestId,
     /// The runner that has the slot.
     pub runner: RunnerId,
+    /// The owner that lent the slot, if it is borrowed; the runner checks the
+    /// epoch of that shard.
+    pub lender: Option<SlotLender>,
+}
+
+/// The shard that a borrowed slot belongs to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SlotLender {
+    /// The lender's zone.
+    pub zone: ZoneId,
+    /// The lender's epoch.
+    pub epoch: Epoch,
+}
+
+/// Identifier of a loan at all owners of a service.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub struct LoanKey {
+    /// The lender's epoch.
+    pub epoch: Epoch,
+    /// Number of the loan in that epoch.
+    pub number: u64,
+}
+
+/// A message about loans between the owners of a service in two zones.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct LoanMessage {
+    /// The sender's epoch.
+    pub epoch: Epoch,
+    /// The sender's free slots less its waiting calls.
+    pub balance: i32,
+    /// Number of offers and returns that the sender has sent to the receiver.
+    pub sequence: u64,
+    /// Highest such number that the sender has received from the receiver.
+    pub acked: u64,
+    /// What the sender asks or answers.
+    pub body: LoanBody,
+}
+
+/// Content of a [`LoanMessage`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum LoanBody {
+    /// Asks for slots; stands until the next request of the same sender.
+    Ask {
+        /// Time on the sender's clock.
+        sent_at: Duration,
+        /// Most slots that the sender can use; none if it is not short.
+        wanted: u32,
+    },
+    /// Lends slots on a request.
+    Offer {
+        /// The borrower's epoch.
+        ask_epoch: Epoch,
+        /// Time of the request on the borrower's clock.
+        asked_at: Duration,
+        /// The loan.
+        loan: LoanKey,
+        /// The runner of each slot.
+        runners: Vec<RunnerId>,
+    },
+    /// Gives back slots of a loan, by their position in the offer.
+    Return {
+        /// The loan.
+        loan: LoanKey,
+        /// The slots.
+        slots: Vec<u32>,
+    },
 }
 
 /// How a granted call ended, as the dispatching daemon saw it.
@@ -118,6 +188,8 @@
     WeightsChanged(BTreeMap<TeamId, u32>),
     /// The owner of the same service in another zone reports its load.
     ZoneLoadChanged(ZoneId, CallLoad),
+    /// The owner of the same service in another zone sent a message about loans.
+    LoanReceived(ZoneId, LoanMessage),
     /// Time has passed.
     TimerFired,
 }
@@ -131,4 +203,6 @@
     Reject(RequestId, NotRunReason),
     /// Tells the requester to ask the owner of another zone.
     Redirect(RequestId, ZoneId),
+    /// Sends a message to the owner of the same service in another zone.
+    SendLoan(ZoneId, LoanMessage),
 }
--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -6,12 +6,16 @@
 the daemon that received it sends it to the granted runner itself.
 
 [`CallQueue`] holds the waiting calls in lanes by urgency (`lanes`) and the
-runners with their health (`runners`). [`RetryBudget`] bounds the retries of an
+runners with their health (`runners`). Owners of one service in different zones
+lend each other slots (`loans`), so that a full zone needs no redirect. [`RetryBudget`] bounds the retries of an
 entry daemon.
 */
 
 mod config;
 mod lanes;
+#[cfg(test)]
+mod loan_properties;
+mod loans;
 mod messages;
 #[cfg(test)]
 mod properties;
@@ -21,8 +25,9 @@
 #[cfg(test)]
 mod tests;
 
-pub use config::{CallConfig, CallConfigBuilder};
+pub use config::{CallConfig, CallConfigBuilder, LoanConfig};
 pub use messages::{CallAction, CallEvent, CallLoad, CallRequest};
-pub use messages::{GrantResult, RunnerEntry, SlotGrant};
+pub use messages::{GrantResult, RunnerEntry, SlotGrant, SlotLender};
+pub use messages::{LoanBody, LoanKey, LoanMessage};
 pub use retry::{RetryBudget, RetryConfig, RetryConfigBuilder, RetryVerdict};
 pub use state::CallQueue;
--- a/crates/core/src/calls/properties.rs
+++ b/crates/core/src/calls/properties.rs
@@ -192,6 +192,7 @@
                 grant.request
             }
             CallAction::Reject(request, _) | CallAction::Redirect(request, _) => request,
+            CallAction::SendLoan(..) => return,
         };
         *self.endings.entry(request).or_default() += 1;
     }
--- a/crates/core/src/calls/state.rs
+++ b/crates/core/src/calls/state.rs
@@ -8,10 +8,14 @@
 use super::{
     config::CallConfig,
     lanes::{Arrival, CallLanes, LaneName},
+    loans::{BorrowedSlot, LoanBook},
     messages::{CallAction, CallEvent, CallLoad, CallRequest, GrantResult, SlotGrant},
+    messages::{LoanBody, LoanMessage},
     runners::RunnerTable,
 };
-use crate::types::{DaemonId, GrantId, NotRunReason, RequestId, RunnerId, UrgencyClass, ZoneId};
+use crate::types::{
+    DaemonId, Epoch, GrantId, NotRunReason, RequestId, RunnerId, UrgencyClass, ZoneId,
+};
 
 /// Weight of the newest sample in the mean service time.
 ///
@@ -27,6 +31,12 @@
 /// Weight of the newest sample in the bias of the expected waiting time.
 const BIAS_GAIN: f64 = 1.0 / 256.0;
 
+/// Time constant of the mean number of urgent calls that run or wait.
+///
+/// It is ten mean service times of a short call, so that single calls do not
+/// move the reserve.
+const URGENT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Bounds of the bias, so that a fault cannot make it reject or admit everything.
 const BIAS_RANGE: (f64, f64) = (0.5, 8.0);
 
@@ -52,13 +62,30 @@
 struct HeldSlot {
     request: RequestId,
     requester: Option<DaemonId>,
-    runner: RunnerId,
+    slot: TakenSlot,
     is_urgent: bool,
     is_orphaned: bool,
     granted_at: Duration,
     deadline: Duration,
 }
 
+/// Where the slot of a grant comes from.
+#[derive(Clone, Debug)]
+enum TakenSlot {
+    Own(RunnerId),
+    Borrowed(BorrowedSlot),
+}
+
+impl TakenSlot {
+    /// Tells whether the runner has left this shard's list.
+    fn is_departed(&self, runners: &RunnerTable) -> bool {
+        match self {
+            Self::Own(runner) => !runners.is_live(runner),
+            Self::Borrowed(_) => false,
+        }
+    }
+}
+
 /// The calls of one shard that wait or run, and the slots of its runners.
 #[derive(Clone, Debug)]
 pub struct CallQueue {
@@ -66,6 +93,7 @@
     /// When grants begin; `None` once they have.
     granting_from: Option<Duration>,
     runners: RunnerTable,
+    loans: LoanBook,
     lanes: CallLanes,
     waiting: BTreeMap<Arrival, WaitingCall>,
     waiting_urgent: usize,
@@ -81,6 +109,9 @@
     reclaims: BTreeSet<(Duration, GrantId)>,
     zone_credits: BTreeMap<ZoneId, u32>,
     service_time: Option<f64>,
+    /// Mean number of urgent calls that run or wait, at most their share.
+    urgent_mean: f64,
+    urgent_noted_at: Duration,
     /// Measured waiting time relative to the drain time, for calls that are not urgent.
     wait_bias: f64,
     next_arrival: Arrival,
@@ -101,6 +132,7 @@
             config,
             granting_from: Some(now + config.hold_off),
             runners: RunnerTable::default(),
+            loans: LoanBook::new(config.loans, 0),
             lanes: CallLanes::default(),
             waiting: BTreeMap::new(),
             waiting_urgent: 0,
@@ -116,12 +148,22 @@
             reclaims: BTreeSet::new(),
             zone_credits: BTreeMap::new(),
             service_time: None,
+            // The whole share is kept until the load has been observed.
+            urgent_mean: f64::INFINITY,
+            urgent_noted_at: now,
             wait_bias: 1.0,
             next_arrival: 0,
             next_grant: 1,
         }
     }
 
+    /// Sets the epoch that the loans of this queue carry.
+    #[must_use]
+    pub fn with_epoch(mut self, epoch: Epoch) -> Self {
+        self.loans = LoanBook::new(self.config.loans, epoch);
+        self
+    }
+
     /// Returns the number of calls that wait.
     #[must_use]
     pub fn waiting_len(&self) -> usize {
@@ -157,7 +199,8 @@
         let reclaim = self.reclaims.first().map(|(at, _)| *at);
         let pause = self.runners.next_pause();
         let start = self.granting_from.filter(|_| !self.waiting.is_empty());
-        let times = [deadline, promotion, reclaim, pause, start];
+        let loan = self.loans.next_timer(!self.waiting.is_empty());
+        let times = [deadline, promotion, reclaim, pause, start, loan];
         times.into_iter().flatten().min()
     }
 
@@ -176,13 +219,19 @@
             CallEvent::RequesterLost(daemon) => self.lose_requester(&daemon),
             CallEvent::WeightsChanged(weights) => self.lanes.set_weights(weights),
             CallEvent::ZoneLoadChanged(zone, load) => {
+                self.loans.note_zone(&zone);
                 self.zone_credits
                     .insert(zone, load.free.div_ceil(REDIRECT_DIVISOR));
             }
+            CallEvent::LoanReceived(zone, message) => {
+                self.note_loan(&zone, message, now);
+            }
             CallEvent::TimerFired => {}
         }
         self.reclaim(now);
         self.grant_free(now, &mut actions);
+        self.lend(now, &mut actions);
+        self.loans.settle(self.balance(), now, &mut actions);
         self.redirect(now, &mut actions);
         actions
     }
@@ -191,6 +240,7 @@
     fn advance(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
         self.granting_from = self.granting_from.filter(|from| *from > now);
         self.runners.end_pauses(now);
+        self.note_urgent_load(now);
         self.expire(now, actions);
         self.promote(now);
     }
@@ -241,7 +291,7 @@
 
     fn has_slot_for(&self, is_urgent: bool, now: Duration) -> bool {
         let slots = if is_urgent {
-            self.runners.spare()
+            self.free_slots()
         } else {
             self.open_slots()
         };
@@ -284,7 +334,7 @@
 
     /// Returns the time in which a number of waiting calls get their slots.
     fn drain_time(&self, calls: usize) -> Duration {
-        let capacity = self.runners.capacity();
+        let capacity = self.capacity();
         match self.service_time {
             Some(service_time) if capacity > 0 => {
                 let calls = u32::try_from(calls).unwrap_or(u32::MAX);
@@ -378,7 +428,7 @@
     }
 
     fn grant_free(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
-        while self.runners.spare() > 0 && self.hold_off(now).is_zero() {
+        while self.free_slots() > 0 && self.hold_off(now).is_zero() {
             let Some(arrival) = self.lanes.pop(self.open_slots() > 0) else {
                 return;
             };
@@ -386,33 +436,138 @@
                 continue;
             };
             self.note_waiting_time(&waiting, now);
-            let grant = self.runners.take();
-            let grant = grant.map(|runner| self.hold(waiting, runner, now));
+            let grant = self.take_slot();
+            let grant = grant.map(|slot| self.hold(waiting, slot, now));
             actions.extend(grant.map(CallAction::Grant));
         }
     }
 
+    /// Takes an own slot, or a borrowed one if no own slot is free.
+    fn take_slot(&mut self) -> Option<TakenSlot> {
+        let own = self.runners.take().map(TakenSlot::Own);
+        own.or_else(|| self.loans.take().map(TakenSlot::Borrowed))
+    }
+
+    /// Returns the free slots, own and borrowed.
+    fn free_slots(&self) -> u32 {
+        self.runners.spare() + self.loans.stock_len()
+    }
+
+    /// Returns the slots that serve this queue, free or busy.
+    fn capacity(&self) -> u32 {
+        let own = self.runners.capacity();
+        own.saturating_sub(self.loans.lent_len()) + self.loans.borrowed_len()
+    }
+
+    /// Returns the open slots less the waiting calls.
+    fn balance(&self) -> i64 {
+        let waiting = i64::try_from(self.waiting.len()).unwrap_or(i64::MAX);
+        i64::from(self.open_slots()) - waiting
+    }
+
+    fn note_loan(&mut self, zone: &ZoneId, message: LoanMessage, now: Duration) {
+        let is_current = self.loans.note_sender(zone, &message);
+        match message.body {
+            LoanBody::Return { loan, slots } => {
+                for runner in self.loans.take_back(loan, &slots) {
+                    self.runners.release(&runner, GrantResult::Unused, now);
+                }
+            }
+            LoanBody::Offer {
+                ask_epoch,
+                asked_at,
+                loan,
+                runners,
+            } if is_current => {
+                let ask = (ask_epoch, asked_at);
+                self.loans.accept(zone, ask, (loan, runners), now);
+            }
+            LoanBody::Ask { sent_at, wanted } if is_current => {
+                self.loans.note_ask(zone, sent_at, wanted);
+            }
+            LoanBody::Offer { .. } | LoanBody::Ask { .. } => {}
+        }
+    }
+
+    /// Gives back and lends open slots to owners that are shorter of them.
+    ///
+    /// Borrowed slots are not lent on, since their lender could not follow them.
+    fn lend(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
+        if !self.hold_off(now).is_zero() {
+            return;
+        }
+        while let Some((zone, amount)) = self.loans.next_transfer(self.balance()) {
+            let returned = self.loans.recall(&zone, amount);
+            let amount = amount - returned;
+            let runners: Vec<_> = (0..amount).map_while(|_| self.runners.take()).collect();
+            if runners.is_empty() {
+                return;
+            }
+            let balance = self.balance();
+            actions.push(self.loans.lend(&zone, runners, balance, now));
+        }
+    }
+
     /// Returns the free slots that are not kept for urgent calls.
     fn open_slots(&self) -> u32 {
-        let share = self.runners.capacity() * self.config.urgent_share_percent;
-        let kept = share.div_ceil(100).saturating_sub(self.granted_urgent);
-        self.runners.spare().saturating_sub(kept)
+        let kept = self.urgent_reserve().saturating_sub(self.granted_urgent);
+        self.free_slots().saturating_sub(kept)
+    }
+
+    /// Returns the slots that urgent calls may use at most before others.
+    fn urgent_share(&self) -> u32 {
+        (self.capacity() * self.config.urgent_share_percent).div_ceil(100)
+    }
+
+    /// Returns the slots that are kept for urgent calls, in use or free.
+    ///
+    /// The margin of one standard deviation of a Poisson load covers most of
+    /// its variation; more would leave slots idle.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the mean is between zero and twice the number of slots"
+    )]
+    fn urgent_reserve(&self) -> u32 {
+        let share = self.urgent_share();
+        let mean = self.urgent_mean.min(f64::from(share));
+        let needed = mean + mean.sqrt();
+        (needed.ceil() as u32).min(share)
+    }
+
+    /// Moves the mean of the urgent load towards its value since the last event.
+    fn note_urgent_load(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.urgent_noted_at);
+        self.urgent_noted_at = now;
+        if self.capacity() == 0 {
+            // Without runners nothing can be observed.
+            return;
+        }
+        let share = f64::from(self.urgent_share());
+        let waiting = u32::try_from(self.waiting_urgent).unwrap_or(u32::MAX);
+        let load = f64::from(self.granted_urgent.saturating_add(waiting)).min(share);
+        let kept = (-elapsed.as_secs_f64() / URGENT_PERIOD.as_secs_f64()).exp();
+        self.urgent_mean = load + (self.urgent_mean.min(share) - load) * kept;
     }
 
-    fn hold(&mut self, waiting: WaitingCall, runner: RunnerId, now: Duration) -> SlotGrant {
+    fn hold(&mut self, waiting: WaitingCall, slot: TakenSlot, now: Duration) -> SlotGrant {
         let grant = self.next_grant;
         self.next_grant += 1;
         let call = waiting.call;
         let is_urgent = call.urgency == UrgencyClass::Urgent;
         self.granted_urgent += u32::from(is_urgent);
         self.granted.insert(call.request, grant);
+        let (runner, lender) = match &slot {
+            TakenSlot::Own(runner) => (runner.clone(), None),
+            TakenSlot::Borrowed(slot) => (slot.runner.clone(), Some(slot.slot_lender())),
+        };
         let requester = call.requester.clone();
         self.grants_of
             .extend(requester.map(|daemon| (daemon, grant)));
         let held = HeldSlot {
             request: call.request,
             requester: call.requester,
-            runner: runner.clone(),
+            slot,
             is_urgent,
             is_orphaned: false,
             granted_at: now,
@@ -423,6 +578,7 @@
             grant,
             request: call.request,
             runner,
+            lender,
         }
     }
 
@@ -439,7 +595,16 @@
         if result == GrantResult::Answered {
             self.note_service_time(now.saturating_sub(held.granted_at));
         }
-        self.runners.release(&held.runner, result, now);
+        match held.slot {
+            TakenSlot::Own(runner) => self.runners.release(&runner, result, now),
+            TakenSlot::Borrowed(slot) => {
+                if result == GrantResult::Rejected {
+                    self.loans.drop_lender(&slot.slot_lender());
+                }
+                let is_usable = matches!(result, GrantResult::Answered | GrantResult::Unused);
+                self.loans.release(slot, is_usable, now);
+            }
+        }
     }
 
     fn note_service_time(&mut self, sample: Duration) {
@@ -467,12 +632,15 @@
     fn schedule_departed(&mut self) {
         let runners = &self.runners;
         let departed = self.grants.iter();
-        let departed = departed.filter(|(_, held)| !runners.is_live(&held.runner));
+        let departed = departed.filter(|(_, held)| held.slot.is_departed(runners));
         let reclaims = departed.map(|(grant, held)| (held.deadline, *grant));
         self.reclaims.extend(reclaims);
     }
 
     fn reclaim(&mut self, now: Duration) {
+        for runner in self.loans.reclaim(now) {
+            self.runners.release(&runner, GrantResult::Unused, now);
+        }
         while let Some((deadline, grant)) = self.reclaims.first().copied() {
             if deadline > now {
                 return;
@@ -480,7 +648,7 @@
             self.reclaims.pop_first();
             let held = self.grants.get(&grant);
             // A runner that came back still runs the calls of live requesters.
-            if held.is_some_and(|held| held.is_orphaned || !self.runners.is_live(&held.runner)) {
+            if held.is_some_and(|held| held.is_orphaned || held.slot.is_departed(&self.runners)) {
                 self.return_grant(grant, GrantResult::Unused, now);
             }
         }
@@ -490,7 +658,7 @@
     fn redirect(&mut self, now: Duration, actions: &mut Vec<CallAction>) {
         while let Some(arrival) = self.redirectable.first().copied() {
             let is_worth_it = self.drain_time(self.waiting.len()) >= self.config.redirect_threshold;
-            let is_blocked = self.runners.capacity() == 0;
+            let is_blocked = self.capacity() == 0;
             let zone = self.zone_credits.iter().max_by_key(|(_, free)| **free);
             let zone = zone.filter(|(_, free)| **free > 0);
             let Some(zone) = zone
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -63,7 +63,8 @@
 mod types;
 
 pub use calls::{CallAction, CallConfig, CallConfigBuilder, CallEvent, CallLoad, CallQueue};
-pub use calls::{CallRequest, GrantResult, RunnerEntry, SlotGrant};
+pub use calls::{CallRequest, GrantResult, RunnerEntry, SlotGrant, SlotLender};
+pub use calls::{LoanBody, LoanConfig, LoanKey, LoanMessage};
 pub use calls::{RetryBudget, RetryConfig, RetryConfigBuilder, RetryVerdict};
 pub use health::{HealthAction, HealthConfig, HealthEvent, HealthTable};
 pub use hosts::{HostEntry, HostKind, HostState, HostTable};
--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -18,7 +18,7 @@
 
 use super::{
     body::RelayBody,
-    messages::{CallCommand, GrantedSlot, SlotReply},
+    messages::{CallCommand, GrantedSlot, SlotRefusal, SlotReply},
 };
 use crate::{
     control::{ControlEvent, ControlHandle, RoutingSnapshot},
@@ -116,7 +116,11 @@
         let waiting = self.request_slot(&shard, call);
         let slot = match tokio::time::timeout(head.remaining, waiting).await {
             Ok(Ok(slot)) => slot,
-            Ok(Err(reason)) => return CallOutcome::NotRun(reason),
+            Ok(Err(SlotRefusal::NotRun(reason))) => return CallOutcome::NotRun(reason),
+            // A redirected call is not redirected again.
+            Ok(Err(SlotRefusal::Redirected(_))) => {
+                return CallOutcome::NotRun(NotRunReason::NoOwner);
+            }
             Err(_) => return CallOutcome::NotRun(NotRunReason::DeadlineUnmeetable),
         };
         let remaining = head.remaining.saturating_sub(started_at.elapsed());
@@ -132,15 +136,23 @@
     async fn request_slot(&self, shard: &ShardName, mut call: CallRequest) -> SlotReply {
         let started_at = Instant::now();
         let allowed = call.remaining;
+        let mut shard = shard.clone();
         loop {
             let snapshot = self.control.snapshot();
             let asked = self.ask_owner(&snapshot, shard.clone(), call.clone());
             match asked.await {
-                Err(NotRunReason::NoOwner) => {
+                Err(SlotRefusal::NotRun(NotRunReason::NoOwner)) => {
                     let wait = RESUBMIT_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
                     tokio::time::sleep(wait).await;
                     call.remaining = allowed.saturating_sub(started_at.elapsed());
                 }
+                Err(SlotRefusal::Redirected(zone)) if !call.redirected => {
+                    if let ShardName::Call(_, of) = &mut shard {
+                        *of = zone;
+                    }
+                    call.redirected = true;
+                    call.remaining = allowed.saturating_sub(started_at.elapsed());
+                }
                 reply => return reply,
             }
         }
@@ -153,23 +165,22 @@
         shard: ShardName,
         call: CallRequest,
     ) -> SlotReply {
-        let owner = snapshot.owners.get(&shard).ok_or(NotRunReason::NoOwner)?;
+        let no_owner = || SlotRefusal::NotRun(NotRunReason::NoOwner);
+        let owner = snapshot.owners.get(&shard).ok_or_else(no_owner)?;
         if owner.daemon == snapshot.daemon {
             return self.queue_call(shard, call).await;
         }
-        let address = snapshot
-            .peer_address(&owner.daemon)
-            .ok_or(NotRunReason::NoOwner)?;
+        let address = snapshot.peer_address(&owner.daemon).ok_or_else(no_owner)?;
         match self
             .peers
             .send(address, &PeerRequest::RequestSlot(shard, call))
             .await
         {
             Ok(PeerReply::Slot(reply)) => reply,
-            Ok(PeerReply::Noted | PeerReply::Config(_)) => Err(NotRunReason::NoOwner),
+            Ok(PeerReply::Noted | PeerReply::Config(_)) => Err(no_owner()),
             Err(error) => {
                 log::debug!("asking {} for a slot failed: {error}", owner.daemon);
-                Err(NotRunReason::NoOwner)
+                Err(no_owner())
             }
         }
     }
@@ -185,7 +196,8 @@
         };
         let command = CallCommand::Request { shard, call, reply };
         self.control.send(ControlEvent::Calls(command)).await;
-        let reply = receiver.await.unwrap_or(Err(NotRunReason::Draining));
+        let reply = receiver.await;
+        let reply = reply.unwrap_or(Err(SlotRefusal::NotRun(NotRunReason::Draining)));
         guard.armed = false;
         reply
     }
@@ -299,12 +311,13 @@
     *request.method_mut() = head.method;
     *request.uri_mut() = uri;
     *request.headers_mut() = head.headers;
+    let (shard, epoch) = slot.fence();
     let headers = request.headers_mut();
     headers.insert(
         "auburnsaddle-shard",
-        HeaderValue::from_str(&slot.shard.to_string()).ok()?,
+        HeaderValue::from_str(&shard.to_string()).ok()?,
     );
-    headers.insert("auburnsaddle-epoch", HeaderValue::from(slot.epoch));
+    headers.insert("auburnsaddle-epoch", HeaderValue::from(epoch));
     let id = format!("{:032x}", head.request);
     headers.insert("auburnsaddle-request-id", HeaderValue::from_str(&id).ok()?);
     Some(request)
--- a/crates/daemon/src/calls/messages.rs
+++ b/crates/daemon/src/calls/messages.rs
@@ -1,7 +1,8 @@
 //! Messages about slots between traffic and control.
 
 use auburnsaddle_core::{
-    CallRequest, Epoch, GrantId, GrantResult, NotRunReason, RequestId, ShardName, SlotGrant,
+    CallRequest, Epoch, GrantId, GrantResult, LoanMessage, NotRunReason, RequestId, ShardName,
+    SlotGrant, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -18,8 +19,44 @@
     pub(crate) grant: SlotGrant,
 }
 
-/// A slot, or why the call was not run.
-pub(crate) type SlotReply = Result<GrantedSlot, NotRunReason>;
+impl GrantedSlot {
+    /// Returns the shard and epoch that the runner is to see: the lender's for a
+    /// borrowed slot.
+    pub(crate) fn fence(&self) -> (ShardName, Epoch) {
+        match (&self.grant.lender, &self.shard) {
+            (Some(lender), ShardName::Call(service, _)) => {
+                let shard = ShardName::Call(service.clone(), lender.zone.clone());
+                (shard, lender.epoch)
+            }
+            _ => (self.shard.clone(), self.epoch),
+        }
+    }
+}
+
+/// Why an owner granted no slot.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) enum SlotRefusal {
+    /// The call was not run.
+    NotRun(NotRunReason),
+    /// The owner of this zone has more free slots.
+    Redirected(ZoneId),
+}
+
+/// A slot, or why there is none.
+pub(crate) type SlotReply = Result<GrantedSlot, SlotRefusal>;
+
+/// A message about loans on its way to the owner of a shard.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct LoanLetter {
+    /// The shard whose owner receives the message.
+    pub(crate) shard: ShardName,
+    /// The sender's zone.
+    pub(crate) from: ZoneId,
+    /// The message.
+    pub(crate) message: LoanMessage,
+}
 
 /// Something that traffic asks of the owned call queues.
 #[derive(Debug)]
@@ -33,6 +70,8 @@
         /// Receives the slot.
         reply: oneshot::Sender<SlotReply>,
     },
+    /// Delivers a message about loans.
+    Loan(LoanLetter),
     /// Removes a call whose requester went away.
     Cancel {
         /// The call shard.
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -12,5 +12,5 @@
 
 pub(crate) use body::RelayBody;
 pub(crate) use dispatch::{CallDispatcher, CallHead};
-pub(crate) use messages::{CallCommand, SlotReply};
+pub(crate) use messages::{CallCommand, LoanLetter, SlotReply};
 pub(crate) use state::CallShards;
--- a/crates/daemon/src/calls/state.rs
+++ b/crates/daemon/src/calls/state.rs
@@ -1,14 +1,18 @@
 //! The call queues of the shards that this daemon owns.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use auburnsaddle_core::{
-    CallAction, CallConfig, CallEvent, CallQueue, Epoch, GrantResult, NotRunReason, RequestId,
-    RunnerEntry, ShardName,
+    CallAction, CallConfig, CallEvent, CallLoad, CallQueue, DaemonId, Epoch, FencingMode,
+    GrantResult, LoanConfig, NotRunReason, RequestId, RunnerEntry, ServiceSpec, ShardLoad,
+    ShardName, TeamId,
 };
 use tokio::sync::oneshot;
 
-use super::messages::{CallCommand, GrantedSlot, SlotReply};
+use super::messages::{CallCommand, GrantedSlot, LoanLetter, SlotRefusal, SlotReply};
 
 /// One owned queue and the requesters that wait for it.
 #[derive(Debug)]
@@ -22,12 +26,44 @@
 #[derive(Debug, Default)]
 pub(crate) struct CallShards {
     queues: BTreeMap<ShardName, OwnedQueue>,
+    letters: Vec<LoanLetter>,
+    lost: BTreeSet<DaemonId>,
+    weights: BTreeMap<TeamId, u32>,
+}
+
+/// Returns the bounds of a service's queues.
+///
+/// Targets that cannot compare epochs may still run calls of an earlier owner,
+/// also on slots that it has lent, so a new owner waits for both to end.
+fn queue_config(service: &ServiceSpec) -> CallConfig {
+    let loans = LoanConfig {
+        longest_call: service.deadline(),
+        ..LoanConfig::default()
+    };
+    let hold_off = match service.fencing {
+        FencingMode::Epoch => Duration::ZERO,
+        FencingMode::Lease => loans.term + loans.longest_call,
+    };
+    let share = u32::try_from(service.urgent_share_percent).unwrap_or(100);
+    CallConfig::builder()
+        .urgent_share_percent(share)
+        .hold_off(hold_off)
+        .loans(loans)
+        .build()
 }
 
 impl CallShards {
     /// Starts an empty queue under a new epoch.
-    pub(crate) fn acquire(&mut self, shard: ShardName, epoch: Epoch) {
-        let queue = CallQueue::new(CallConfig::default());
+    pub(crate) fn acquire(
+        &mut self,
+        shard: ShardName,
+        epoch: Epoch,
+        service: &ServiceSpec,
+        now: Duration,
+    ) {
+        let queue = CallQueue::acquired(queue_config(service), now);
+        let mut queue = queue.with_epoch(epoch);
+        queue.handle(CallEvent::WeightsChanged(self.weights.clone()), now);
         self.queues.insert(
             shard,
             OwnedQueue {
@@ -54,7 +90,66 @@
             .flat_map(|owned| owned.replies)
         {
             // The requester may have gone away meanwhile.
-            let _ = reply.send(Err(NotRunReason::NoOwner));
+            let _ = reply.send(Err(SlotRefusal::NotRun(NotRunReason::NoOwner)));
+        }
+    }
+
+    /// Takes over the weights of teams.
+    pub(crate) fn set_weights(&mut self, weights: BTreeMap<TeamId, u32>, now: Duration) {
+        if self.weights != weights {
+            self.weights.clone_from(&weights);
+            self.apply_to_all(&CallEvent::WeightsChanged(weights), now);
+        }
+    }
+
+    /// Takes over the set of daemons that are confirmed dead.
+    pub(crate) fn set_lost(&mut self, dead: &BTreeSet<DaemonId>, now: Duration) {
+        for daemon in dead.difference(&self.lost.clone()) {
+            self.apply_to_all(&CallEvent::RequesterLost(daemon.clone()), now);
+        }
+        self.lost.clone_from(dead);
+    }
+
+    /// Returns the loads of the owned shards.
+    pub(crate) fn loads(&self) -> BTreeMap<ShardName, ShardLoad> {
+        let loads = self.queues.iter().map(|(shard, owned)| {
+            let CallLoad { free, waiting } = owned.queue.load();
+            let load = ShardLoad {
+                queued: waiting,
+                free,
+            };
+            (shard.clone(), load)
+        });
+        loads.collect()
+    }
+
+    /// Takes over loads that the owners of other zones report.
+    pub(crate) fn note_loads(&mut self, loads: &BTreeMap<ShardName, ShardLoad>, now: Duration) {
+        for (shard, load) in loads {
+            let ShardName::Call(service, zone) = shard else {
+                continue;
+            };
+            let load = CallLoad {
+                free: load.free,
+                waiting: load.queued,
+            };
+            let event = CallEvent::ZoneLoadChanged(zone.clone(), load);
+            for (own, owned) in &mut self.queues {
+                if matches!(own, ShardName::Call(name, _) if name == service) && own != shard {
+                    owned.apply(own, event.clone(), &mut self.letters, now);
+                }
+            }
+        }
+    }
+
+    /// Returns the messages for owners of other shards since the last call.
+    pub(crate) fn take_letters(&mut self) -> Vec<LoanLetter> {
+        std::mem::take(&mut self.letters)
+    }
+
+    fn apply_to_all(&mut self, event: &CallEvent, now: Duration) {
+        for (shard, owned) in &mut self.queues {
+            owned.apply(shard, event.clone(), &mut self.letters, now);
         }
     }
 
@@ -64,7 +159,8 @@
         F: Fn(&ShardName) -> Vec<RunnerEntry>,
     {
         for (shard, owned) in &mut self.queues {
-            owned.apply(shard, CallEvent::RunnersChanged(runners_of(shard)), now);
+            let event = CallEvent::RunnersChanged(runners_of(shard));
+            owned.apply(shard, event, &mut self.letters, now);
         }
     }
 
@@ -74,16 +170,19 @@
             CallCommand::Request { shard, call, reply } => match self.queues.get_mut(&shard) {
                 Some(owned) => {
                     owned.replies.insert(call.request, reply);
-                    owned.apply(&shard, CallEvent::Requested(call), now);
+                    let event = CallEvent::Requested(call);
+                    owned.apply(&shard, event, &mut self.letters, now);
                 }
                 None => {
-                    let _ = reply.send(Err(NotRunReason::NoOwner));
+                    let _ = reply.send(Err(SlotRefusal::NotRun(NotRunReason::NoOwner)));
                 }
             },
+            CallCommand::Loan(letter) => self.deliver(letter, now),
             CallCommand::Cancel { shard, request } => {
                 if let Some(owned) = self.queues.get_mut(&shard) {
                     owned.replies.remove(&request);
-                    owned.apply(&shard, CallEvent::Cancelled(request), now);
+                    let event = CallEvent::Cancelled(request);
+                    owned.apply(&shard, event, &mut self.letters, now);
                 }
             }
             CallCommand::Return {
@@ -93,7 +192,8 @@
                 result,
             } => match self.queues.get_mut(&shard) {
                 Some(owned) if owned.epoch == epoch => {
-                    owned.apply(&shard, CallEvent::Returned(grant, result), now);
+                    let event = CallEvent::Returned(grant, result);
+                    owned.apply(&shard, event, &mut self.letters, now);
                 }
                 _ => {}
             },
@@ -102,26 +202,48 @@
 
     /// Rejects calls whose deadline has passed.
     pub(crate) fn fire_timers(&mut self, now: Duration) {
-        for (shard, owned) in &mut self.queues {
-            owned.apply(shard, CallEvent::TimerFired, now);
+        self.apply_to_all(&CallEvent::TimerFired, now);
+    }
+
+    /// Hands a message to its shard; without an owner here it is dropped, and
+    /// the term of a loan bounds the effect.
+    fn deliver(&mut self, letter: LoanLetter, now: Duration) {
+        let shard = letter.shard;
+        if let Some(owned) = self.queues.get_mut(&shard) {
+            let event = CallEvent::LoanReceived(letter.from, letter.message);
+            owned.apply(&shard, event, &mut self.letters, now);
         }
     }
 }
 
 impl OwnedQueue {
-    fn apply(&mut self, shard: &ShardName, event: CallEvent, now: Duration) {
+    fn apply(
+        &mut self,
+        shard: &ShardName,
+        event: CallEvent,
+        letters: &mut Vec<LoanLetter>,
+        now: Duration,
+    ) {
         let mut actions = self.queue.handle(event, now);
         while let Some(action) = actions.pop() {
             match action {
                 CallAction::Reject(request, reason) => {
                     if let Some(reply) = self.replies.remove(&request) {
-                        let _ = reply.send(Err(reason));
+                        let _ = reply.send(Err(SlotRefusal::NotRun(reason)));
                     }
                 }
-                // No load of other zones is passed to the queue yet, so this does not occur.
-                CallAction::Redirect(request, _) => {
+                CallAction::Redirect(request, zone) => {
                     if let Some(reply) = self.replies.remove(&request) {
-                        let _ = reply.send(Err(NotRunReason::NoOwner));
+                        let _ = reply.send(Err(SlotRefusal::Redirected(zone)));
+                    }
+                }
+                CallAction::SendLoan(to, message) => {
+                    if let ShardName::Call(service, from) = shard {
+                        letters.push(LoanLetter {
+                            shard: ShardName::Call(service.clone(), to),
+                            from: from.clone(),
+                            message,
+                        });
                     }
                 }
                 CallAction::Grant(grant) => {
--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -7,6 +7,7 @@
 
 use super::messages::{ControlEvent, ControlHandle};
 use crate::{
+    calls::LoanLetter,
     ownership::{OWNER_PREFIX, claim_transaction, read_owner, read_owners},
     peers::{PeerClient, PeerReply, PeerRequest},
     publication::fetch_versions,
@@ -46,6 +47,8 @@
         /// The peer.
         address: SocketAddr,
     },
+    /// Sends a message about loans to the owner of a call shard.
+    SendLoan(SocketAddr, LoanLetter),
     /// Reads one owner record.
     ReadOwner(ShardName),
 }
@@ -80,6 +83,7 @@
             }
             ControlEffect::FetchConfig { from, head } => self.fetch_config(from, head),
             ControlEffect::PullConfig { from, address } => self.pull_config(from, address),
+            ControlEffect::SendLoan(address, letter) => self.send_loan(address, letter),
             ControlEffect::ReadOwner(shard) => self.read_owner(shard),
         }
     }
@@ -96,6 +100,16 @@
         });
     }
 
+    fn send_loan(&self, address: SocketAddr, letter: LoanLetter) {
+        let peers = self.peers.clone();
+        self.traffic.spawn(async move {
+            // A lost message is repeated, or its loan ends with its term.
+            if let Err(error) = peers.send(address, &PeerRequest::Loan(letter)).await {
+                log::debug!("loan message was not sent: {error}");
+            }
+        });
+    }
+
     fn fetch_config(&self, from: ConfigVersion, head: ConfigVersion) {
         let control = self.control.clone();
         let store = self.store.clone();
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -7,9 +7,10 @@
 };
 
 use auburnsaddle_core::{
-    ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Heartbeat,
-    HostKind, HostTable, MemberRecord, OwnedDigest, OwnerTable, OwnershipAction, OwnershipConfig,
-    OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry, ShardName, ZoneId, digest_owned,
+    ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Epoch,
+    Heartbeat, HostKind, HostTable, LoadReporter, MemberRecord, OwnedDigest, OwnerTable,
+    OwnershipAction, OwnershipConfig, OwnershipEvent, PeerConfig, PeerState, PeerTable,
+    RunnerEntry, ShardName, ZoneId, digest_owned,
 };
 use rand::rngs::StdRng;
 
@@ -18,7 +19,10 @@
     messages::{ControlEvent, RoutingSnapshot},
 };
 use crate::{
-    calls::CallShards, membership::read_members, ownership::read_owners, publication::read_head,
+    calls::{CallCommand, CallShards},
+    membership::read_members,
+    ownership::read_owners,
+    publication::read_head,
     store::StoreEntry,
 };
 
@@ -34,6 +38,7 @@
     peers: PeerTable,
     owners: OwnerTable<StdRng>,
     calls: CallShards,
+    loads: LoadReporter,
     heartbeats: u32,
     draining: bool,
 }
@@ -51,6 +56,7 @@
                 rand::make_rng(),
             ),
             calls: CallShards::default(),
+            loads: LoadReporter::default(),
             heartbeats: 0,
             draining: false,
             record,
@@ -59,6 +65,12 @@
 
     /// Applies an event and returns the effects to be carried out.
     pub(super) fn handle(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
+        let mut effects = self.apply(event, now);
+        effects.extend(self.send_loans(now));
+        effects
+    }
+
+    fn apply(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
         match event {
             ControlEvent::Calls(command) => {
                 self.calls.handle(command, now);
@@ -67,6 +79,7 @@
             ControlEvent::Heartbeat(heartbeat) => {
                 let source = ConfigSource::Peer(heartbeat.daemon.clone());
                 let event = ConfigEvent::VersionSeen(heartbeat.config_version, source);
+                self.calls.note_loads(&heartbeat.loads, now);
                 self.peers.note_heartbeat(heartbeat, now);
                 self.apply_config(event, now)
             }
@@ -124,21 +137,26 @@
         self.calls.fire_timers(now);
         self.peers.note_timer(now);
         let dead = self.dead_daemons(now);
+        self.calls.set_lost(&dead, now);
         let mut effects = self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now);
         effects.extend(self.apply_ownership(OwnershipEvent::TimerFired, now));
+        effects.extend(self.send_loans(now));
         effects
     }
 
     /// Returns the heartbeat of this daemon and its receivers.
     pub(super) fn heartbeat(&mut self, now: Duration) -> ControlEffect {
         self.heartbeats = self.heartbeats.wrapping_add(1);
+        let loads = self.calls.loads();
+        // This daemon may own shards of one service in two zones.
+        self.calls.note_loads(&loads, now);
         let heartbeat = Heartbeat {
             daemon: self.record.daemon.clone(),
             config_version: self.config.version(),
             suspected: self.peers.suspected(now),
             draining: self.draining,
             owned_digest: self.owned_digest(),
-            loads: BTreeMap::new(),
+            loads: self.loads.report(loads),
         };
         let addresses = self
             .heartbeat_receivers()
@@ -256,6 +274,34 @@
     fn refresh(&mut self, now: Duration) -> Vec<ControlEffect> {
         let effects = self.apply_ownership(OwnershipEvent::ShardsChanged(self.shards()), now);
         self.refresh_runners(now);
+        let teams = self.config.objects().teams.values();
+        let weights = teams.map(|team| (team.name.clone(), team.weight)).collect();
+        self.calls.set_weights(weights, now);
+        effects
+    }
+
+    /// Delivers messages about loans: here, or to the peer that owns the shard.
+    fn send_loans(&mut self, now: Duration) -> Vec<ControlEffect> {
+        let mut effects = Vec::new();
+        let mut letters = VecDeque::from(self.calls.take_letters());
+        while let Some(letter) = letters.pop_front() {
+            let mut owners = self.owners.iter();
+            let owner = owners.find(|(shard, _)| **shard == letter.shard);
+            let owner = owner.map(|(_, record)| record.daemon.clone());
+            match owner {
+                Some(daemon) if daemon == self.record.daemon => {
+                    self.calls.handle(CallCommand::Loan(letter), now);
+                    letters.extend(self.calls.take_letters());
+                }
+                Some(daemon) => {
+                    let mut peers = self.peers.iter();
+                    let peer = peers.find(|peer| peer.record.daemon == daemon);
+                    let address = peer.and_then(|peer| peer.record.peer_address.parse().ok());
+                    effects.extend(address.map(|to| ControlEffect::SendLoan(to, letter)));
+                }
+                None => {}
+            }
+        }
         effects
     }
 
@@ -312,10 +358,7 @@
                 (None, Some(OwnershipEvent::TargetsClaimed(shard, epoch)))
             }
             OwnershipAction::Activated(shard, epoch) => {
-                if !self.calls.owns(&shard, epoch) {
-                    self.calls.acquire(shard, epoch);
-                    self.refresh_runners(now);
-                }
+                self.acquire_calls(shard, epoch, now);
                 (None, None)
             }
             OwnershipAction::Flush(shard, epoch) => {
@@ -333,6 +376,18 @@
         }
     }
 
+    fn acquire_calls(&mut self, shard: ShardName, epoch: Epoch, now: Duration) {
+        let ShardName::Call(service, _) = &shard else {
+            return;
+        };
+        let objects = Arc::clone(self.config.objects());
+        let service = objects.services.get(service);
+        if let Some(service) = service.filter(|_| !self.calls.owns(&shard, epoch)) {
+            self.calls.acquire(shard, epoch, service, now);
+            self.refresh_runners(now);
+        }
+    }
+
     fn candidates(&self) -> BTreeMap<DaemonId, ZoneId> {
         let peers = self.peers.region_peers().filter(|peer| !peer.draining);
         let own = (self.record.daemon.clone(), self.record.zone.clone());
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -170,6 +170,11 @@
                 self.control.send(ControlEvent::Calls(command)).await;
                 PeerReply::Noted
             }
+            PeerRequest::Loan(letter) => {
+                let command = CallCommand::Loan(letter);
+                self.control.send(ControlEvent::Calls(command)).await;
+                PeerReply::Noted
+            }
             PeerRequest::PullConfig(from) => PeerReply::Config(self.pull_config(from).await),
         }
     }
--- a/crates/daemon/src/peers/messages.rs
+++ b/crates/daemon/src/peers/messages.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::calls::SlotReply;
+use crate::calls::{LoanLetter, SlotReply};
 
 /// A request to another daemon.
 #[derive(Clone, Debug)]
@@ -19,6 +19,8 @@
     RequestSlot(ShardName, CallRequest),
     /// Returns a slot.
     ReturnSlot(ShardName, Epoch, GrantId, GrantResult),
+    /// A message about loans for the owner of a call shard.
+    Loan(LoanLetter),
     /// Asks for the configuration versions after the one named.
     PullConfig(ConfigVersion),
 }
