Retry calls within a budget and report rejected epochs

Cause: an entry reported a call that a runner had rejected as not run at once, and an owner whose epoch a runner rejected went on granting.

Bodies over 64 KiB are not kept for a retry. Each further attempt asks for its slot under a new identifier, because an owner ignores a second request under one that it has granted and not got back. A runner's rejection with the reason "fenced" of a grant of an owned shard and epoch is passed to the owner table. Metrics count grants (own and borrowed), the wait for a slot and retries.

Conclusion: the call decisions run in the daemon. Larger bodies are still read whole before the dispatch; streaming them through is not done.

--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -1,10 +1,15 @@
 //! Dispatch of calls: a slot from the owner, then the call to the runner.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
 
 use auburnsaddle_core::{
-    CallOutcome, CallRequest, GrantResult, HostEntry, NotRunReason, RequestId, ServiceSpec,
-    ShardName, TeamId, UnknownReason, UrgencyClass,
+    CallOutcome, CallRequest, GrantResult, HostEntry, NotRunReason, RequestId, RetryBudget,
+    RetryConfig, RetryVerdict, ServiceId, ServiceSpec, ShardName, TeamId, UnknownReason,
+    UrgencyClass,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
@@ -24,12 +29,19 @@
     control::{ControlEvent, ControlHandle, RoutingSnapshot},
     hosts::{ExchangeFailure, admission_rejection, classify_failure},
     peers::{PeerClient, PeerReply, PeerRequest},
+    telemetry::ProcessMetrics,
 };
 
 /// Mean time after which a call without an owner asks again. A takeover takes
 /// seconds, so this adds little to it and a waiting call costs 20 looks a second.
 const RESUBMIT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Largest body that is kept for a retry, so that retries need little memory.
+const RETRY_BODY_LIMIT: usize = 64 * 1024;
+
+/// Reason with which a runner rejects an epoch below the highest it has seen.
+const FENCED_REASON: &str = "fenced";
+
 /// A call as received from a caller, its body read.
 #[derive(Clone, Debug)]
 pub(crate) struct CallHead {
@@ -60,6 +72,8 @@
     control: ControlHandle,
     peers: PeerClient,
     runners: Client<HttpConnector, Full<Bytes>>,
+    budgets: Arc<Mutex<BTreeMap<ServiceId, RetryBudget>>>,
+    metrics: ProcessMetrics,
 }
 
 /// Returns a slot to its owner when dropped.
@@ -81,7 +95,7 @@
 
 impl CallDispatcher {
     /// Returns a dispatcher without connections.
-    pub(crate) fn new(control: ControlHandle, peers: PeerClient) -> Self {
+    pub(crate) fn new(control: ControlHandle, peers: PeerClient, metrics: ProcessMetrics) -> Self {
         let runners = Client::builder(TokioExecutor::new())
             .http2_only(true)
             // Retries are decided here, within a budget, and at no other layer.
@@ -91,13 +105,79 @@
             control,
             peers,
             runners,
+            budgets: Arc::default(),
+            metrics,
         }
     }
 
-    /// Sends a call of a service to a runner.
+    /// Sends a call of a service to a runner, again if the budget allows it.
     pub(crate) async fn dispatch(
         &self,
         service: &ServiceSpec,
+        mut head: CallHead,
+    ) -> CallOutcome<CallReply> {
+        let started_at = Instant::now();
+        let allowed = head.remaining;
+        let mut slot_request = head.request;
+        let mut attempts = 1;
+        self.with_budget(service, RetryBudget::note_first_attempt);
+        loop {
+            let outcome = self.attempt(service, slot_request, head.clone()).await;
+            let remaining = allowed.saturating_sub(started_at.elapsed());
+            let verdict = self.decide_retry(service, &head, &outcome, (attempts, remaining));
+            let RetryVerdict::After(delay) = verdict else {
+                return outcome;
+            };
+            self.metrics.note_retry();
+            tokio::time::sleep(delay).await;
+            attempts += 1;
+            // The slot of the last attempt may still be on its way back, and its
+            // owner ignores a second request under the same identifier.
+            slot_request = rand::random();
+            head.remaining = allowed.saturating_sub(started_at.elapsed());
+        }
+    }
+
+    fn decide_retry(
+        &self,
+        service: &ServiceSpec,
+        head: &CallHead,
+        outcome: &CallOutcome<CallReply>,
+        (attempts, remaining): (u32, Duration),
+    ) -> RetryVerdict {
+        if head.body.len() > RETRY_BODY_LIMIT {
+            return RetryVerdict::GiveUp;
+        }
+        let mut random = rand::rng();
+        self.with_budget(service, |budget| {
+            budget.decide(
+                outcome,
+                service.idempotent,
+                attempts,
+                remaining,
+                &mut random,
+            )
+        })
+    }
+
+    /// Uses the budget of a service; the lock is held for this call only.
+    fn with_budget<T>(
+        &self,
+        service: &ServiceSpec,
+        use_it: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        // A budget stays valid when a holder of the lock panics.
+        let budgets = self.budgets.lock();
+        let mut budgets = budgets.unwrap_or_else(PoisonError::into_inner);
+        let budget = budgets.entry(service.name.clone());
+        use_it(budget.or_insert_with(|| RetryBudget::new(RetryConfig::default())))
+    }
+
+    /// Makes one attempt of a call.
+    async fn attempt(
+        &self,
+        service: &ServiceSpec,
+        slot_request: RequestId,
         head: CallHead,
     ) -> CallOutcome<CallReply> {
         let snapshot = self.control.snapshot();
@@ -105,7 +185,7 @@
             return CallOutcome::NotRun(NotRunReason::NoTarget);
         };
         let call = CallRequest {
-            request: head.request,
+            request: slot_request,
             team: head.team.clone(),
             urgency: head.urgency.unwrap_or(service.urgency),
             remaining: head.remaining,
@@ -123,6 +203,8 @@
             }
             Err(_) => return CallOutcome::NotRun(NotRunReason::DeadlineUnmeetable),
         };
+        let is_borrowed = slot.grant.lender.is_some();
+        self.metrics.note_grant(is_borrowed, started_at.elapsed());
         let remaining = head.remaining.saturating_sub(started_at.elapsed());
         match tokio::time::timeout(remaining, self.send_call(slot, head)).await {
             Ok(outcome) => outcome,
@@ -215,6 +297,11 @@
         };
         match self.runners.request(request).await {
             Ok(response) if admission_rejection(&response).is_some() => {
+                if admission_rejection(&response) == Some(FENCED_REASON) {
+                    let (shard, epoch) = guard.slot.fence();
+                    let event = ControlEvent::TargetFenced(shard, epoch);
+                    self.control.send(event).await;
+                }
                 guard.not_run(NotRunReason::RejectedByTarget)
             }
             Ok(response) => CallOutcome::Completed(relay(response, guard)),
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -8,8 +8,9 @@
 
 use arc_swap::ArcSwap;
 use auburnsaddle_core::{
-    ConfigPull, ConfigUpdate, ConfigVersion, DaemonId, Heartbeat, HostEntry, HostId, HostKind,
-    HostState, MemberRecord, ObjectSet, OwnerRecord, PublishError, ServiceId, ShardName, ZoneId,
+    ConfigPull, ConfigUpdate, ConfigVersion, DaemonId, Epoch, Heartbeat, HostEntry, HostId,
+    HostKind, HostState, MemberRecord, ObjectSet, OwnerRecord, PublishError, ServiceId, ShardName,
+    ZoneId,
 };
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
@@ -21,6 +22,8 @@
 pub(crate) enum ControlEvent {
     /// A command for the owned call queues.
     Calls(CallCommand),
+    /// A runner has rejected the epoch of a grant.
+    TargetFenced(ShardName, Epoch),
     /// A heartbeat arrived.
     Heartbeat(Heartbeat),
     /// The list of hosts was read.
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -94,8 +94,8 @@
             reads: settings.store_reads,
         },
     );
-    let dispatcher = CallDispatcher::new(control.clone(), peers.clone());
     let metrics = ProcessMetrics::new(store.counts());
+    let dispatcher = CallDispatcher::new(control.clone(), peers.clone(), metrics.clone());
     let service = FrontService::new(
         control.clone(),
         dispatcher,
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -76,6 +76,13 @@
                 self.calls.handle(command, now);
                 Vec::new()
             }
+            // Only the owner of the grant's shard and epoch has to step down.
+            ControlEvent::TargetFenced(shard, epoch)
+                if self.owners.owned_epoch(&shard) == Some(epoch) =>
+            {
+                self.apply_ownership(OwnershipEvent::Fenced(shard, epoch), now)
+            }
+            ControlEvent::TargetFenced(..) => Vec::new(),
             ControlEvent::Heartbeat(heartbeat) => {
                 let source = ConfigSource::Peer(heartbeat.daemon.clone());
                 let event = ConfigEvent::VersionSeen(heartbeat.config_version, source);
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -23,6 +23,9 @@
     _provider: SdkMeterProvider,
     calls: Counter<u64>,
     call_seconds: Histogram<f64>,
+    grants: Counter<u64>,
+    slot_seconds: Histogram<f64>,
+    retries: Counter<u64>,
     queue_depth: Gauge<u64>,
     owned_shards: Gauge<u64>,
     store_counts: Arc<StoreCounts>,
@@ -57,6 +60,12 @@
                 .f64_histogram("auburnsaddle_call_seconds")
                 .with_boundaries(TIME_BOUNDS.to_vec())
                 .build(),
+            grants: meter.u64_counter("auburnsaddle_slot_grants").build(),
+            slot_seconds: meter
+                .f64_histogram("auburnsaddle_slot_wait_seconds")
+                .with_boundaries(TIME_BOUNDS.to_vec())
+                .build(),
+            retries: meter.u64_counter("auburnsaddle_call_retries").build(),
             queue_depth: meter.u64_gauge("auburnsaddle_control_queue_depth").build(),
             owned_shards: meter.u64_gauge("auburnsaddle_owned_shards").build(),
             registry,
@@ -72,6 +81,18 @@
         self.call_seconds.record(elapsed.as_secs_f64(), &labels);
     }
 
+    /// Notes a granted slot and how long its call waited for it.
+    pub(crate) fn note_grant(&self, is_borrowed: bool, waited: Duration) {
+        let labels = [KeyValue::new("borrowed", is_borrowed)];
+        self.grants.add(1, &labels);
+        self.slot_seconds.record(waited.as_secs_f64(), &labels);
+    }
+
+    /// Notes a call that is tried again.
+    pub(crate) fn note_retry(&self) {
+        self.retries.add(1, &[]);
+    }
+
     /// Returns the calls to the store by kind.
     pub(crate) fn store_calls(&self) -> BTreeMap<&'static str, u64> {
         self.store_counts.by_kind()
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A cluster of real daemon processes with stand-ins inside the test process.
 //! All sockets are on loopback, and all processes end with the cluster.
 
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
