Take slots per runner and urgent share from the version in force

Cause: a queue kept the urgent share of the configuration under which its shard was acquired, and the slots of a runner came from the list of hosts alone.

A new version sets the urgent share of the owned queues. A runner has the smaller number of slots of the list of hosts and the service. A changed service deadline still reaches the loans of a queue only when its shard is acquired again.

--- a/crates/core/src/calls/messages.rs
+++ b/crates/core/src/calls/messages.rs
@@ -186,6 +186,8 @@
     RequesterLost(DaemonId),
     /// The weights of teams changed; a team without one has weight one.
     WeightsChanged(BTreeMap<TeamId, u32>),
+    /// The share of the slots for urgent calls changed, in percent.
+    UrgentShareChanged(u32),
     /// The owner of the same service in another zone reports its load.
     ZoneLoadChanged(ZoneId, CallLoad),
     /// The owner of the same service in another zone sent a message about loans.
--- a/crates/core/src/calls/state.rs
+++ b/crates/core/src/calls/state.rs
@@ -218,6 +218,9 @@
             }
             CallEvent::RequesterLost(daemon) => self.lose_requester(&daemon),
             CallEvent::WeightsChanged(weights) => self.lanes.set_weights(weights),
+            CallEvent::UrgentShareChanged(percent) => {
+                self.config.urgent_share_percent = percent.min(100);
+            }
             CallEvent::ZoneLoadChanged(zone, load) => {
                 self.loans.note_zone(&zone);
                 self.zone_credits
--- a/crates/daemon/src/calls/state.rs
+++ b/crates/daemon/src/calls/state.rs
@@ -7,8 +7,8 @@
 
 use auburnsaddle_core::{
     CallAction, CallConfig, CallEvent, CallLoad, CallQueue, DaemonId, Epoch, FencingMode,
-    GrantResult, LoanConfig, NotRunReason, RequestId, RunnerEntry, ServiceSpec, ShardLoad,
-    ShardName, TeamId,
+    GrantResult, LoanConfig, NotRunReason, RequestId, RunnerEntry, ServiceId, ServiceSpec,
+    ShardLoad, ShardName, TeamId,
 };
 use tokio::sync::oneshot;
 
@@ -31,6 +31,10 @@
     weights: BTreeMap<TeamId, u32>,
 }
 
+fn urgent_share(service: &ServiceSpec) -> u32 {
+    u32::try_from(service.urgent_share_percent).unwrap_or(100)
+}
+
 /// Returns the bounds of a service's queues.
 ///
 /// Targets that cannot compare epochs may still run calls of an earlier owner,
@@ -44,9 +48,8 @@
         FencingMode::Epoch => Duration::ZERO,
         FencingMode::Lease => loans.term + loans.longest_call,
     };
-    let share = u32::try_from(service.urgent_share_percent).unwrap_or(100);
     CallConfig::builder()
-        .urgent_share_percent(share)
+        .urgent_share_percent(urgent_share(service))
         .hold_off(hold_off)
         .loans(loans)
         .build()
@@ -94,6 +97,23 @@
         }
     }
 
+    /// Takes over the shares for urgent calls.
+    pub(crate) fn set_services(
+        &mut self,
+        services: &BTreeMap<ServiceId, ServiceSpec>,
+        now: Duration,
+    ) {
+        for (shard, owned) in &mut self.queues {
+            let ShardName::Call(name, _) = shard else {
+                continue;
+            };
+            if let Some(service) = services.get(name) {
+                let event = CallEvent::UrgentShareChanged(urgent_share(service));
+                owned.apply(shard, event, &mut self.letters, now);
+            }
+        }
+    }
+
     /// Takes over the weights of teams.
     pub(crate) fn set_weights(&mut self, weights: BTreeMap<TeamId, u32>, now: Duration) {
         if self.weights != weights {
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -8,7 +8,7 @@
 
 use auburnsaddle_core::{
     ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Epoch,
-    Heartbeat, HostKind, HostTable, LoadReporter, MemberRecord, OwnedDigest, OwnerTable,
+    Heartbeat, HostKind, HostTable, LoadReporter, MemberRecord, ObjectSet, OwnedDigest, OwnerTable,
     OwnershipAction, OwnershipConfig, OwnershipEvent, PeerConfig, PeerState, PeerTable,
     RunnerEntry, ShardName, ZoneId, digest_owned,
 };
@@ -281,6 +281,8 @@
     fn refresh(&mut self, now: Duration) -> Vec<ControlEffect> {
         let effects = self.apply_ownership(OwnershipEvent::ShardsChanged(self.shards()), now);
         self.refresh_runners(now);
+        let services = &self.config.objects().services;
+        self.calls.set_services(services, now);
         let teams = self.config.objects().teams.values();
         let weights = teams.map(|team| (team.name.clone(), team.weight)).collect();
         self.calls.set_weights(weights, now);
@@ -314,8 +316,9 @@
 
     fn refresh_runners(&mut self, now: Duration) {
         let hosts = &self.hosts;
+        let objects = self.config.objects();
         self.calls
-            .set_runners(|shard| live_runners(hosts, shard), now);
+            .set_runners(|shard| live_runners(hosts, objects, shard), now);
     }
 
     /// Applies an event to the owner table, then the reports that follow from
@@ -433,16 +436,19 @@
     }
 }
 
-fn live_runners(hosts: &HostTable, shard: &ShardName) -> Vec<RunnerEntry> {
-    match shard {
-        ShardName::Call(service, zone) => hosts
-            .live_runners(service, zone)
-            .into_iter()
-            .map(|host| RunnerEntry {
-                runner: host.name,
-                slots: host.slots,
-            })
-            .collect(),
-        ShardName::Key(..) | ShardName::Pool(_) => Vec::new(),
-    }
+/// Returns the live runners of a call shard with the slots that both the list
+/// of hosts and the configuration allow.
+fn live_runners(hosts: &HostTable, objects: &ObjectSet, shard: &ShardName) -> Vec<RunnerEntry> {
+    let ShardName::Call(service, zone) = shard else {
+        return Vec::new();
+    };
+    let spec = objects.services.get(service);
+    let limit = spec.and_then(|spec| u32::try_from(spec.slots_per_runner).ok());
+    let runners = hosts.live_runners(service, zone).into_iter();
+    runners
+        .map(|host| RunnerEntry {
+            runner: host.name,
+            slots: host.slots.min(limit.unwrap_or(u32::MAX)),
+        })
+        .collect()
 }
