--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -8,6 +8,7 @@
 use super::leases::LeaseAnswer;
 use super::messages::{ControlEvent, ControlHandle};
 use crate::{
+    calls::LoanLetter,
     journal::{JournalEffect, run_effect},
     keys::{KeyEffect, KeyRunner},
     ownership::{OWNER_PREFIX, claim_transaction, hold_lease, read_owner, read_owners},
@@ -51,6 +52,8 @@
         /// The peer.
         address: SocketAddr,
     },
+    /// Sends a message about loans to the owner of a call shard.
+    SendLoan(SocketAddr, LoanLetter),
     /// Reads one owner record.
     ReadOwner(ShardName),
     /// Dispatches a call with a key, or asks runners about it.
@@ -118,6 +121,7 @@
             }
             ControlEffect::FetchConfig { from, head } => self.fetch_config(from, head),
             ControlEffect::PullConfig { from, address } => self.pull_config(from, address),
+            ControlEffect::SendLoan(address, letter) => self.send_loan(address, letter),
             ControlEffect::ReadOwner(shard) => self.read_owner(shard),
             ControlEffect::RequestLease {
                 shard,
@@ -171,6 +175,16 @@
         });
     }
 
+    fn send_loan(&self, address: SocketAddr, letter: LoanLetter) {
+        let peers = self.peers.clone();
+        self.traffic.spawn(async move {
+            // A lost message is repeated, or its loan ends with its term.
+            if let Err(error) = peers.send(address, &PeerRequest::Loan(letter)).await {
+                log::debug!("loan message was not sent: {error}");
+            }
+        });
+    }
+
     fn fetch_config(&self, from: ConfigVersion, head: ConfigVersion) {
         let control = self.control.clone();
         let store = self.store.clone();
--- /dev/null
+++ b/crates/daemon/src/control/loans.rs
@@ -0,0 +1,40 @@
+//! Messages about slot loans between the owners of call shards.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use auburnsaddle_core::DaemonId;
+
+use super::{effects::ControlEffect, state::ControlState};
+use crate::calls::CallCommand;
+
+impl ControlState {
+    /// Delivers the messages about loans that wait: here, or to the peer that
+    /// owns the shard. A message without a known receiver is dropped, since loan
+    /// requests are repeated and loans have a term.
+    pub(super) fn send_loans(&mut self, now: Duration) -> Vec<ControlEffect> {
+        let mut effects = Vec::new();
+        let mut letters = VecDeque::from(self.calls.take_letters());
+        while let Some(letter) = letters.pop_front() {
+            let owner = self.owners.owner(&letter.shard);
+            let owner = owner.map(|record| record.daemon.clone());
+            match owner {
+                Some(daemon) if daemon == self.record.daemon => {
+                    self.calls.handle(CallCommand::Loan(letter), now);
+                    letters.extend(self.calls.take_letters());
+                }
+                Some(daemon) => {
+                    let address = self.peer_address(&daemon);
+                    effects.extend(address.map(|to| ControlEffect::SendLoan(to, letter)));
+                }
+                None => {}
+            }
+        }
+        effects
+    }
+
+    fn peer_address(&self, daemon: &DaemonId) -> Option<SocketAddr> {
+        let mut peers = self.peers.iter();
+        let peer = peers.find(|peer| peer.record.daemon == *daemon)?;
+        peer.record.peer_address.parse().ok()
+    }
+}
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -8,8 +8,9 @@
 
 use arc_swap::ArcSwap;
 use auburnsaddle_core::{
-    ConfigPull, ConfigUpdate, ConfigVersion, DaemonId, Heartbeat, HostEntry, HostId, HostKind,
-    HostState, MemberRecord, ObjectSet, OwnerRecord, PublishError, ServiceId, ShardName, ZoneId,
+    ConfigPull, ConfigUpdate, ConfigVersion, DaemonId, Epoch, Heartbeat, HostEntry, HostId,
+    HostKind, HostState, MemberRecord, ObjectSet, OwnerRecord, PublishError, ServiceId, ShardName,
+    ZoneId,
 };
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
@@ -33,6 +34,8 @@
     Tasks(TaskCommand),
     /// A store call of the journal ended.
     Journal(JournalReport),
+    /// A runner has rejected the epoch of a grant.
+    TargetFenced(ShardName, Epoch),
     /// A heartbeat arrived.
     Heartbeat(Heartbeat),
     /// The host of a peer refused a connection.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod feed;
 mod keys;
 mod leases;
+mod loans;
 mod messages;
 mod process;
 mod shards;
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -91,10 +91,10 @@
             reads: settings.store_reads,
         },
     );
-    let dispatcher = CallDispatcher::new(control.clone(), peers.clone());
+    let metrics = ProcessMetrics::new(store.counts(), peers.traffic());
+    let dispatcher = CallDispatcher::new(control.clone(), peers.clone(), metrics.clone());
     let keys = KeyRunner::new(control.clone(), dispatcher.clone());
     let tasks = TaskDispatcher::new(control.clone(), peers.clone());
-    let metrics = ProcessMetrics::new(store.counts(), peers.traffic());
     let service = FrontService::new(
         control.clone(),
         dispatcher,
--- a/crates/daemon/src/control/shards.rs
+++ b/crates/daemon/src/control/shards.rs
@@ -1,6 +1,6 @@
 //! The life of the owned shards: replay, claims, activation, flush and loss.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use auburnsaddle_core::{Epoch, JournalError, OwnershipAction, OwnershipEvent, ShardName};
 
@@ -133,8 +133,7 @@
     fn activate_shard(&mut self, shard: ShardName, epoch: Epoch, now: Duration) {
         match shard {
             ShardName::Call(..) if !self.calls.owns(&shard, epoch) => {
-                self.calls.acquire(shard, epoch);
-                self.refresh_runners(now);
+                self.acquire_calls(shard, epoch, now);
             }
             ShardName::Key(..) => self.keys.set_active(&shard, true),
             ShardName::Pool(_) if self.pools.owns(&shard, epoch) => {
@@ -144,6 +143,17 @@
         }
     }
 
+    fn acquire_calls(&mut self, shard: ShardName, epoch: Epoch, now: Duration) {
+        let ShardName::Call(service, _) = &shard else {
+            return;
+        };
+        let objects = Arc::clone(self.config.objects());
+        if let Some(service) = objects.services.get(service) {
+            self.calls.acquire(shard, epoch, service, now);
+            self.refresh_runners(now);
+        }
+    }
+
     /// Drops a shard after its slice has been told which records failed.
     fn lose_shard(&mut self, shard: &ShardName, now: Duration, steps: &mut ShardSteps) {
         self.flushing.remove(shard);
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -8,9 +8,9 @@
 
 use auburnsaddle_core::{
     ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Epoch,
-    Heartbeat, HostKind, HostTable, KEY_SHARDS, MemberRecord, OwnedDigest, OwnerTable,
-    OwnershipConfig, OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry, ShardName,
-    ZoneId, digest_owned,
+    Heartbeat, HostKind, HostTable, KEY_SHARDS, LoadReporter, MemberRecord, ObjectSet, OwnedDigest,
+    OwnerTable, OwnershipConfig, OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry,
+    ShardName, ZoneId, digest_owned,
 };
 use rand::rngs::StdRng;
 
@@ -39,11 +39,11 @@
 /// The control state of a daemon, changed by the control thread alone.
 #[derive(Debug)]
 pub(super) struct ControlState {
-    record: MemberRecord,
+    pub(super) record: MemberRecord,
     pub(super) config: ConfigState,
     pub(super) hosts: HostTable,
     pub(super) hosts_read: bool,
-    peers: PeerTable,
+    pub(super) peers: PeerTable,
     pub(super) owners: OwnerTable<StdRng>,
     pub(super) calls: CallShards,
     pub(super) pools: PoolShards,
@@ -55,6 +55,7 @@
     pub(super) leases: BTreeMap<ShardName, (Epoch, LeaseId)>,
     /// Shards in a handover whose calls have not ended yet.
     pub(super) flushing: BTreeMap<ShardName, Epoch>,
+    loads: LoadReporter,
     heartbeats: u32,
     draining: bool,
 }
@@ -83,6 +84,7 @@
             leased: BTreeSet::new(),
             leases: BTreeMap::new(),
             flushing: BTreeMap::new(),
+            loads: LoadReporter::default(),
             heartbeats: 0,
             draining: false,
             record,
@@ -93,6 +95,7 @@
     /// commit of the records that the event appended.
     pub(super) fn handle(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlEffect> {
         let mut effects = self.apply(event, now);
+        effects.extend(self.send_loans(now));
         effects.extend(self.commit_records(now));
         effects
     }
@@ -108,6 +111,13 @@
                 self.calls.handle(command, now);
                 Vec::new()
             }
+            // Only the owner of the grant's shard and epoch has to step down.
+            ControlEvent::TargetFenced(shard, epoch)
+                if self.owners.owned_epoch(&shard) == Some(epoch) =>
+            {
+                self.apply_ownership(OwnershipEvent::Fenced(shard, epoch), now)
+            }
+            ControlEvent::TargetFenced(..) => Vec::new(),
             ControlEvent::Heartbeat(heartbeat) => self.note_heartbeat(heartbeat, now),
             ControlEvent::PeerRefused(daemon) => {
                 self.peers.note_refused(&daemon);
@@ -186,10 +196,12 @@
         let pools = self.fire_pool_timers(now);
         self.peers.note_timer(now);
         let dead = self.dead_daemons(now);
+        self.calls.set_lost(&dead, now);
         let mut effects = self.apply_ownership(OwnershipEvent::DaemonsDead(dead), now);
         effects.extend(self.apply_ownership(OwnershipEvent::TimerFired, now));
         effects.extend(self.fire_key_timers(now));
         effects.extend(pools);
+        effects.extend(self.send_loans(now));
         effects.extend(self.commit_records(now));
         effects
     }
@@ -197,13 +209,16 @@
     /// Returns the heartbeat of this daemon and its receivers.
     pub(super) fn heartbeat(&mut self, now: Duration) -> ControlEffect {
         self.heartbeats = self.heartbeats.wrapping_add(1);
+        let loads = self.calls.loads();
+        // This daemon may own shards of one service in two zones.
+        self.calls.note_loads(&loads, now);
         let heartbeat = Heartbeat {
             daemon: self.record.daemon.clone(),
             config_version: self.config.version(),
             suspected: self.peers.suspected(now),
             draining: self.draining,
             owned_digest: self.owned_digest(),
-            loads: BTreeMap::new(),
+            loads: self.loads.report(loads),
         };
         let may_renew = self.heartbeats.is_multiple_of(RENEWAL_HEARTBEATS);
         let receivers = self
@@ -237,6 +252,7 @@
         let digest = heartbeat.owned_digest;
         let is_new = before.is_some_and(|before| before != digest);
         let reads = is_new && digest != self.recorded_digest(&heartbeat.daemon);
+        self.calls.note_loads(&heartbeat.loads, now);
         self.peers.note_heartbeat(heartbeat, now);
         let mut effects = self.apply_config(event, now);
         effects.extend(reads.then_some(ControlEffect::ReadOwners));
@@ -375,14 +391,25 @@
         effects.extend(self.apply_ownership(OwnershipEvent::ShardsChanged(shards), now));
         self.refresh_runners(now);
         effects.extend(self.refresh_pools(now));
+        self.refresh_services(now);
         effects
     }
 
+    /// Takes over what the configuration says of services and teams.
+    fn refresh_services(&mut self, now: Duration) {
+        let objects = Arc::clone(self.config.objects());
+        self.calls.set_services(&objects.services, now);
+        let teams = objects.teams.values();
+        let weights = teams.map(|team| (team.name.clone(), team.weight)).collect();
+        self.calls.set_weights(weights, now);
+    }
+
     pub(super) fn refresh_runners(&mut self, now: Duration) {
         self.check_leases(now);
         let hosts = &self.hosts;
+        let objects = self.config.objects();
         self.calls
-            .set_runners(|shard| live_runners(hosts, shard), now);
+            .set_runners(|shard| live_runners(hosts, objects, shard), now);
     }
 
     fn candidates(&self) -> BTreeMap<DaemonId, ZoneId> {
@@ -434,16 +461,19 @@
     }
 }
 
-fn live_runners(hosts: &HostTable, shard: &ShardName) -> Vec<RunnerEntry> {
-    match shard {
-        ShardName::Call(service, zone) => hosts
-            .live_runners(service, zone)
-            .into_iter()
-            .map(|host| RunnerEntry {
-                runner: host.name,
-                slots: host.slots,
-            })
-            .collect(),
-        ShardName::Key(..) | ShardName::Pool(_) => Vec::new(),
-    }
+/// Returns the live runners of a call shard with the slots that both the list
+/// of hosts and the configuration allow.
+fn live_runners(hosts: &HostTable, objects: &ObjectSet, shard: &ShardName) -> Vec<RunnerEntry> {
+    let ShardName::Call(service, zone) = shard else {
+        return Vec::new();
+    };
+    let spec = objects.services.get(service);
+    let limit = spec.and_then(|spec| u32::try_from(spec.slots_per_runner).ok());
+    let runners = hosts.live_runners(service, zone).into_iter();
+    runners
+        .map(|host| RunnerEntry {
+            runner: host.name,
+            slots: host.slots.min(limit.unwrap_or(u32::MAX)),
+        })
+        .collect()
 }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -208,6 +208,11 @@
                 self.control.send(ControlEvent::Calls(command)).await;
                 PeerReply::Noted
             }
+            PeerRequest::Loan(letter) => {
+                let command = CallCommand::Loan(letter);
+                self.control.send(ControlEvent::Calls(command)).await;
+                PeerReply::Noted
+            }
             PeerRequest::Task(shard, request) => {
                 PeerReply::Task(self.tasks.ask_here(shard, request).await)
             }
--- a/crates/daemon/src/peers/messages.rs
+++ b/crates/daemon/src/peers/messages.rs
@@ -10,7 +10,7 @@
 use snafu::Snafu;
 
 use crate::{
-    calls::SlotReply,
+    calls::{LoanLetter, SlotReply},
     keys::{KeyedCall, KeyedReply},
 };
 
@@ -27,6 +27,8 @@
     ReturnSlot(ShardName, Epoch, GrantId, GrantResult),
     /// Asks the owner of a pool shard.
     Task(ShardName, TaskRequest),
+    /// A message about loans for the owner of a call shard.
+    Loan(LoanLetter),
     /// Asks for the configuration versions after the one named.
     PullConfig(ConfigVersion),
     /// Asks the owner of a key shard to run a call once; the reply comes with
