Repeat failed readings of owner records by the timer only

Cause: a reading that failed was repeated at once, so a daemon asked a store that refuses connections without a pause.

Conclusion: a claim is still read back at once; every further reading waits for claim_retry_time.

--- a/crates/core/src/ownership/state.rs
+++ b/crates/core/src/ownership/state.rs
@@ -61,8 +61,8 @@
     candidates: BTreeMap<DaemonId, ZoneId>,
     /// Confirmed dead daemons with the time of the confirmation.
     dead: BTreeMap<DaemonId, Duration>,
-    /// Unanswered claims and readings with the time of the last request.
-    pending: BTreeMap<ShardName, Duration>,
+    /// Unanswered claims and readings.
+    pending: BTreeMap<ShardName, PendingRequest>,
     /// Takeovers that wait for their random delay.
     scheduled: BTreeMap<ShardName, Duration>,
     stable_since: Duration,
@@ -71,6 +71,14 @@
     draining: bool,
 }
 
+/// The last request to the store about an owner record.
+#[derive(Clone, Copy, Debug)]
+struct PendingRequest {
+    asked_at: Duration,
+    /// Whether it reads the record after a claim without an answer.
+    reads: bool,
+}
+
 impl<R: Rng> OwnerTable<R> {
     /// Returns the table of `daemon`, which owns nothing yet. `generator`
     /// draws the delays of takeovers.
@@ -311,8 +319,18 @@
         }
     }
 
+    /// Reads a record back. A reading that failed is repeated by the timer only,
+    /// as a store that refuses connections would be asked without a pause.
     fn read_back(&mut self, shard: ShardName, now: Duration, actions: &mut Vec<OwnershipAction>) {
-        self.pending.insert(shard.clone(), now);
+        let pending = self.pending.get(&shard);
+        if pending.is_some_and(|request| request.reads) {
+            return;
+        }
+        let request = PendingRequest {
+            asked_at: now,
+            reads: true,
+        };
+        self.pending.insert(shard.clone(), request);
         actions.push(OwnershipAction::ReadOwner(shard));
     }
 
@@ -338,9 +356,12 @@
     }
 
     fn retry_pending(&mut self, now: Duration, actions: &mut Vec<OwnershipAction>) {
-        for (shard, asked_at) in &mut self.pending {
-            if now.saturating_sub(*asked_at) >= self.config.claim_retry_time {
-                *asked_at = now;
+        for (shard, request) in &mut self.pending {
+            if now.saturating_sub(request.asked_at) >= self.config.claim_retry_time {
+                *request = PendingRequest {
+                    asked_at: now,
+                    reads: true,
+                };
                 actions.push(OwnershipAction::ReadOwner(shard.clone()));
             }
         }
@@ -407,7 +428,11 @@
     ) {
         let expected = self.owners.get(&shard).cloned();
         let epoch = expected.as_ref().map_or(1, |record| record.epoch + 1);
-        self.pending.insert(shard.clone(), now);
+        let request = PendingRequest {
+            asked_at: now,
+            reads: false,
+        };
+        self.pending.insert(shard.clone(), request);
         actions.push(OwnershipAction::Claim {
             shard,
             expected,
--- a/crates/core/src/ownership/tests.rs
+++ b/crates/core/src/ownership/tests.rs
@@ -160,6 +160,20 @@
     assert_eq!(resolved, vec![acquired]);
 }
 
+/// Guards against a store that refuses connections being asked without pause.
+#[test]
+fn failed_readings_wait_for_the_timer() {
+    let mut table = claiming_table();
+    table.handle(OwnershipEvent::ClaimFailed(shard()), AFTER_DELAY);
+
+    let again = table.handle(OwnershipEvent::ClaimFailed(shard()), AFTER_DELAY);
+    let later = AFTER_DELAY + OwnershipConfig::default().claim_retry_time;
+    let retried = table.handle(OwnershipEvent::TimerFired, later);
+
+    assert_eq!(again, vec![]);
+    assert!(retried.contains(&OwnershipAction::ReadOwner(shard())));
+}
+
 /// Guards against dispatch before the journal is read and targets are claimed.
 #[test]
 fn dispatch_waits_for_replay_and_claims() {
