Join keys and calls in the fault matrix

Cause: the matrix covered tasks and configuration only.

A key shard, a call shard with two runners and 90 keyed calls (30 keys, three copies each) run beside the tasks; a run of a key on two runners, a foreign response, a run of a call reported as not run and an excess of a runner's slots are violations. A drain waits for open calls, and the test shows that calls are cut when it does not. Logs and answers are checked only when they have grown.

--- a/crates/core/tests/fault_matrix.rs
+++ b/crates/core/tests/fault_matrix.rs
@@ -120,6 +120,7 @@
     ignore_leaving_is_caught: IgnoreLeaving, Leaving, [HostLeaving], STEPS;
     busy_retries_are_caught: BusyRetries, StoreRate, [StoreDown], STEPS;
     no_fetch_is_caught: NoFetch, InForce, [TwoOperators], STEPS;
+    skipped_intent_is_caught: SkipRecord, AtMostOnce, [Kill, Pause], STEPS;
     forget_journal_is_caught: ForgetJournal, Settled, [Kill], STEPS;
 }
 
@@ -169,6 +170,22 @@
     assert!(summary.succeeded >= 23 && summary.starts >= summary.succeeded);
 }
 
+/// Guards against a drain that cuts open calls: all get a response or an
+/// explicit rejection although the owner of their keys is drained.
+#[test]
+fn a_drain_cuts_no_open_call() {
+    let summaries = [None, Some(Mutation::DrainCuts)].map(|mutation| {
+        let options = RunOptions {
+            mutation,
+            ..RunOptions::default()
+        };
+        run(&options).expect("no invariant is violated")
+    });
+
+    assert_eq!(summaries[0].cut, 0);
+    assert!(summaries[1].cut > 0);
+}
+
 /// Guards against a run that depends on anything but its seed.
 #[test]
 fn runs_are_deterministic() {
--- a/crates/core/tests/matrix/daemon.rs
+++ b/crates/core/tests/matrix/daemon.rs
@@ -6,9 +6,9 @@
 };
 
 use auburnsaddle_core::{
-    BatchNumber, ConfigAction, ConfigEvent, ConfigSource, ConfigState, DaemonId, Epoch, Heartbeat,
-    HostId, JobRejection, JournalConfig, JournalEvent, MemberRecord, OwnerTable, OwnershipConfig,
-    OwnershipEvent, PeerConfig, PeerTable, RecordId, RecordLog, RegistrationAction,
+    BatchNumber, CallEvent, ConfigAction, ConfigEvent, ConfigSource, ConfigState, DaemonId, Epoch,
+    Heartbeat, HostId, JobRejection, JournalConfig, JournalEvent, KeyDigest, KeyEvent, OwnerTable,
+    OwnershipConfig, OwnershipEvent, PeerConfig, PeerTable, RecordId, RecordKind, RecordLog,
     RegistrationEvent, RegistrationLease, RequestId, ShardName, ShardPhase, TaskEvent, TaskId,
     WorkerId,
 };
@@ -16,6 +16,7 @@
 
 use super::{
     DAEMONS,
+    calls::{CallOwner, KeyOwner},
     durable::JsonCodec,
     faults::{Mutation, Step},
     network::{Answer, CallId, Message, Node},
@@ -44,6 +45,9 @@
     Start(ShardName, WorkerId, TaskId, u32),
     Sync(ShardName, WorkerId),
     Stop,
+    Slot(KeyDigest),
+    Dispatch(KeyDigest),
+    Query(KeyDigest),
 }
 
 pub(crate) struct PendingCall {
@@ -127,9 +131,14 @@
     pub(crate) pools: BTreeMap<ShardName, PoolOwner>,
     pub(crate) calls: BTreeMap<CallId, PendingCall>,
     pub(crate) records: BTreeMap<RecordId, (ShardName, RecordId)>,
+    pub(crate) keys: Option<KeyOwner>,
+    pub(crate) call_owner: Option<CallOwner>,
+    pub(crate) key_records: BTreeMap<RecordId, (KeyDigest, RecordKind)>,
     pub(crate) leaving_hosts: BTreeSet<HostId>,
     pub(crate) mutation: Option<Mutation>,
-    registration: RegistrationLease,
+    pub(crate) registration: RegistrationLease,
+    /// Journals to be read again, with the times.
+    pub(crate) unread: Vec<(Duration, ShardName, Epoch)>,
     draining: bool,
     next_call: CallId,
     heartbeat_at: Duration,
@@ -140,7 +149,7 @@
     format!("daemon-{index}").into()
 }
 
-fn daemon_index(name: &DaemonId) -> usize {
+pub(crate) fn daemon_index(name: &DaemonId) -> usize {
     let number = name.rsplit('-').next();
     number
         .and_then(|text| text.parse().ok())
@@ -168,9 +177,13 @@
             pools: BTreeMap::new(),
             calls: BTreeMap::new(),
             records: BTreeMap::new(),
+            keys: None,
+            call_owner: None,
+            key_records: BTreeMap::new(),
             leaving_hosts: BTreeSet::new(),
             mutation: None,
             registration: RegistrationLease::default(),
+            unread: Vec::new(),
             draining: false,
             next_call: process << 32,
             heartbeat_at: Duration::ZERO,
@@ -206,7 +219,21 @@
                     self.worker_answered(call.purpose, reply, out);
                 }
             }
-            Message::Answer(..) | Message::AskStore(..) | Message::AskWorker(..) => {}
+            Message::Call(request) => self.route_call(from, request, out),
+            Message::AskSlot(id, request) => self.slot_asked(from, id, request, out),
+            Message::Slot(id, result) => self.slot_answered(from, id, result, out),
+            Message::ReturnSlot(epoch, grant, result) => {
+                self.slot_returned(epoch, grant, result, out);
+            }
+            Message::RunnerAnswer(id, reply) => {
+                if let Some(call) = self.calls.remove(&id) {
+                    self.runner_answered(call.purpose, reply, out);
+                }
+            }
+            Message::Answer(..)
+            | Message::AskStore(..)
+            | Message::AskWorker(..)
+            | Message::AskRunner(..) => {}
         }
     }
 
@@ -225,6 +252,7 @@
 
     fn tick(&mut self, out: &mut Outbox) {
         self.fail_overdue(out);
+        self.retry_reading(out);
         self.peers.note_timer(out.local);
         self.judge_peers(out);
         self.owner_event(OwnershipEvent::TimerFired, out);
@@ -238,6 +266,9 @@
             self.poll_at = out.local + POLL_TIME;
             self.ask_store(StoreRequest::ReadView, Purpose::ReadView, out);
         }
+        self.key_event(KeyEvent::TimerFired, out);
+        self.call_event(CallEvent::TimerFired, out);
+        let cuts = self.mutation == Some(Mutation::DrainCuts);
         for shard in shards() {
             self.note_leaving(&shard, out);
             self.task_event(&shard, TaskEvent::TimerFired, out);
@@ -245,6 +276,7 @@
             if let Some(epoch) = self.owners.owned_epoch(&shard)
                 && flushing
                 && self.log.is_flushed(&shard)
+                && (cuts || !self.has_open_calls())
             {
                 self.owner_event(OwnershipEvent::Flushed(shard, epoch), out);
             }
@@ -261,7 +293,7 @@
             .map(|(id, call)| (*id, call.to))
             .collect();
         for (id, to) in overdue {
-            if to == Node::Store {
+            if !matches!(to, Node::Worker(_)) {
                 if let Some(call) = self.calls.remove(&id) {
                     self.store_failed(call.purpose, out);
                 }
@@ -275,6 +307,10 @@
         }
     }
 
+    pub(crate) fn is_active(&self, shard: &ShardName) -> bool {
+        self.owners.phase(shard) == Some(ShardPhase::Active)
+    }
+
     fn judge_peers(&mut self, out: &mut Outbox) {
         let known = self.owners.iter().map(|(_, record)| record.daemon.clone());
         let peers = self.peers.iter().map(|peer| peer.record.daemon.clone());
@@ -368,7 +404,7 @@
             .owner(&shard)
             .map(|record| record.daemon.clone());
         match owner {
-            _ if self.owners.phase(&shard) == Some(ShardPhase::Active) => {
+            _ if self.is_active(&shard) => {
                 self.submit(&shard, request, spec, out);
             }
             Some(owner) if from == Node::Caller && owner != self.name => {
@@ -381,20 +417,4 @@
             }
         }
     }
-
-    pub(crate) fn registration_event(&mut self, event: RegistrationEvent, out: &mut Outbox) {
-        match self.registration.handle(event, out.local) {
-            Some(RegistrationAction::Register | RegistrationAction::Renew) => {
-                let record = MemberRecord {
-                    daemon: self.name.clone(),
-                    region: "r1".into(),
-                    zone: "z1".into(),
-                    peer_address: String::new(),
-                    caller_address: String::new(),
-                };
-                self.ask_store(StoreRequest::Register(record), Purpose::Register, out);
-            }
-            None => {}
-        }
-    }
 }
--- a/crates/core/tests/matrix/durable.rs
+++ b/crates/core/tests/matrix/durable.rs
@@ -1,11 +1,14 @@
 //! Ownership, the journal and the answers of the store within a daemon.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use auburnsaddle_core::{
     ConfigEvent, Epoch, JournalAction, JournalCodec, JournalError, JournalEvent, JournalKey,
-    OwnershipAction, OwnershipEvent, RecordId, RegistrationEvent, SegmentBody, ShardName,
-    SnapshotManifest, TaskEvent, replay_journal,
+    KeyEvent, MemberRecord, OwnershipAction, OwnershipEvent, RecordId, RegistrationAction,
+    RegistrationEvent, SegmentBody, ShardName, SnapshotManifest, TaskEvent, replay_journal,
 };
 
 use super::{
@@ -16,6 +19,9 @@
     store::{StoreReply, StoreRequest},
 };
 
+/// Time between two readings of a journal that the store does not give.
+const RETRY_TIME: Duration = Duration::from_secs(1);
+
 /// The encoding of journal values in this test.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct JsonCodec;
@@ -80,7 +86,8 @@
             OwnershipAction::Flush(..) => out.reach(Step::Handover, None),
             OwnershipAction::Lost(shard) => {
                 self.pools.remove(&shard);
-                self.journal_event(JournalEvent::Closed(shard), out);
+                self.journal_event(JournalEvent::Closed(shard.clone()), out);
+                self.lose_calls(&shard);
             }
             // No pool of this test has the fencing mode `lease`.
             OwnershipAction::Activated(..)
@@ -102,6 +109,7 @@
                     self.ask_store(request, Purpose::ReadBack(number), out);
                 }
                 JournalAction::Durable(records) => {
+                    self.key_recorded(&records, true, out);
                     for (shard, ids) in self.task_records(records) {
                         self.task_event(&shard, TaskEvent::Recorded(ids), out);
                     }
@@ -110,6 +118,9 @@
                     records,
                     maybe_written,
                 } => {
+                    if !maybe_written {
+                        self.key_recorded(&records, false, out);
+                    }
                     let failed = self.task_records(records);
                     for (shard, ids) in failed.into_iter().filter(|_| !maybe_written) {
                         self.task_event(&shard, TaskEvent::RecordsFailed(ids), out);
@@ -143,6 +154,7 @@
                 self.owner_event(OwnershipEvent::OwnerRead { shard, record }, out);
             }
             (Purpose::Commit(number), StoreReply::Committed) => {
+                self.key_event(KeyEvent::StoreChanged { available: true }, out);
                 self.journal_event(JournalEvent::Committed(number), out);
             }
             (Purpose::Commit(number), StoreReply::Fenced(shards)) => {
@@ -164,6 +176,16 @@
         }
     }
 
+    /// Reads journals again whose reading failed.
+    pub(crate) fn retry_reading(&mut self, out: &mut Outbox) {
+        let due = self.unread.extract_if(.., |(at, ..)| out.local >= *at);
+        let due: Vec<_> = due.collect();
+        for (_, shard, epoch) in due {
+            let purpose = Purpose::ReadJournal(shard.clone(), epoch);
+            self.ask_store(StoreRequest::ReadJournal(shard), purpose, out);
+        }
+    }
+
     fn open(
         &mut self,
         shard: ShardName,
@@ -178,10 +200,6 @@
             values.clear();
         }
         let replay = replay_journal(&JsonCodec, &shard, &values).expect("the journal is whole");
-        let records = replay.records.iter().map(|record| {
-            serde_json::from_slice(&record.payload).expect("a record that a daemon wrote")
-        });
-        let records = records.collect();
         let keys = values.iter().map(|(key, value)| (*key, value.len()));
         let opened = JournalEvent::Opened {
             shard: shard.clone(),
@@ -190,8 +208,14 @@
             keys: keys.collect(),
         };
         self.journal_event(opened, out);
-        self.pools.insert(shard.clone(), PoolOwner::new(epoch));
-        self.open_pool(&shard, records, out);
+        match &shard {
+            ShardName::Pool(_) => {
+                self.pools.insert(shard.clone(), PoolOwner::new(epoch));
+                self.open_pool(&shard, &replay.records, out);
+            }
+            ShardName::Key(..) => self.open_keys(&replay.records, out),
+            ShardName::Call(..) => self.open_calls(epoch, out),
+        }
         self.owner_event(OwnershipEvent::Replayed(shard, epoch), out);
     }
 
@@ -199,17 +223,33 @@
         match purpose {
             Purpose::Owner(shard) => self.owner_event(OwnershipEvent::ClaimFailed(shard), out),
             Purpose::Commit(number) | Purpose::ReadBack(number) => {
+                self.key_event(KeyEvent::StoreChanged { available: false }, out);
                 self.journal_event(JournalEvent::ResponseLost(number), out);
             }
             Purpose::ReadJournal(shard, epoch) => {
-                let purpose = Purpose::ReadJournal(shard.clone(), epoch);
-                self.ask_store(StoreRequest::ReadJournal(shard), purpose, out);
+                self.unread.push((out.local + RETRY_TIME, shard, epoch));
             }
             Purpose::Register => self.registration_event(RegistrationEvent::Failed, out),
-            _ => {}
+            purpose => self.call_failed(&purpose, out),
         }
         if self.mutation == Some(Mutation::BusyRetries) {
             self.ask_store(StoreRequest::ReadView, Purpose::ReadView, out);
         }
     }
+
+    pub(crate) fn registration_event(&mut self, event: RegistrationEvent, out: &mut Outbox) {
+        match self.registration.handle(event, out.local) {
+            Some(RegistrationAction::Register | RegistrationAction::Renew) => {
+                let record = MemberRecord {
+                    daemon: self.name.clone(),
+                    region: "r1".into(),
+                    zone: "z1".into(),
+                    peer_address: String::new(),
+                    caller_address: String::new(),
+                };
+                self.ask_store(StoreRequest::Register(record), Purpose::Register, out);
+            }
+            None => {}
+        }
+    }
 }
--- a/crates/core/tests/matrix/faults.rs
+++ b/crates/core/tests/matrix/faults.rs
@@ -104,6 +104,8 @@
     BusyRetries,
     /// A daemon fetches no version.
     NoFetch,
+    /// A drain hands over while calls are open.
+    DrainCuts,
     /// A new owner does not read the journal.
     ForgetJournal,
 }
--- a/crates/core/tests/matrix/injection.rs
+++ b/crates/core/tests/matrix/injection.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    DAEMONS, WORKERS,
+    DAEMONS, RUNNERS, WORKERS,
     daemon::Daemon,
     faults::{Fault, Step},
     network::{Message, NetworkFaults, Node},
@@ -125,5 +125,7 @@
 fn others(daemon: usize) -> impl Iterator<Item = Node> {
     let peers = (0..DAEMONS).filter(move |other| *other != daemon);
     let workers = (0..WORKERS).map(Node::Worker);
-    peers.map(Node::Daemon).chain(workers).chain([Node::Store])
+    let runners = (0..RUNNERS).map(Node::Runner);
+    let daemons = peers.map(Node::Daemon);
+    daemons.chain(workers).chain(runners).chain([Node::Store])
 }
--- a/crates/core/tests/matrix/invariants.rs
+++ b/crates/core/tests/matrix/invariants.rs
@@ -1,10 +1,13 @@
 //! The invariants of section 1.2 of the design, checked after every event.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use auburnsaddle_core::{JobRejection, RestartPolicy, TaskOutcome, TaskState};
+use auburnsaddle_core::{JobRejection, KeyReply, RequestId, RestartPolicy, TaskOutcome, TaskState};
 
-use super::{World, network::Answer};
+use super::{SLOTS, World, expected_body, network::Answer};
 
 /// Time after which a leaving host gets no new work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(5);
@@ -19,11 +22,11 @@
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Invariant {
-    /// No worker runs more than its size.
+    /// No worker or runner runs more than its size.
     Size,
     /// A `when-stopped` or `never` task runs in one place.
     OnePlace,
-    /// A `never` task starts at most once.
+    /// A `never` task starts, and a keyed call runs, at most once.
     AtMostOnce,
     /// A caller gets the answer to its own request.
     OwnAnswer,
@@ -50,9 +53,18 @@
 /// Returns the first invariant that does not hold at the moment.
 pub(crate) fn check(world: &mut World) -> Result<(), Violation> {
     check_workers(world)?;
-    check_logs(world)?;
-    check_answers(world)?;
+    check_runners(world)?;
     check_versions(world)?;
+    // Logs and answers only grow, so they are read again after a change.
+    let starts: usize = world.workers.iter().map(|worker| worker.log.len()).sum();
+    let calls: usize = world.runners.iter().map(|runner| runner.log.len()).sum();
+    let grown = (starts + calls, world.caller.told.len());
+    if grown != world.checked {
+        world.checked = grown;
+        check_logs(world)?;
+        check_keys(world)?;
+        check_answers(world)?;
+    }
     let (writes, reads) = (world.store.writes.len(), world.store.reads.len());
     if writes > WRITE_LIMIT || reads > READ_LIMIT {
         return violated(
@@ -109,6 +121,49 @@
     Ok(())
 }
 
+fn check_runners(world: &World) -> Result<(), Violation> {
+    for (index, runner) in world.runners.iter().enumerate() {
+        if runner.running_len() > SLOTS as usize {
+            let detail = format!("runner {index} runs {}", runner.running_len());
+            return violated(Invariant::Size, detail);
+        }
+    }
+    Ok(())
+}
+
+fn check_keys(world: &World) -> Result<(), Violation> {
+    let mut keys = BTreeSet::new();
+    for (request, key) in world.runners.iter().flat_map(|runner| &runner.log) {
+        if !keys.insert(*key) {
+            let detail = format!("the key of request {request} ran twice");
+            return violated(Invariant::AtMostOnce, detail);
+        }
+    }
+    Ok(())
+}
+
+/// Checks the answer to a keyed call: the whole response to its own request,
+/// and no run of what was told as not run.
+fn check_reply(world: &World, request: RequestId, reply: &KeyReply) -> Result<(), Violation> {
+    match reply {
+        KeyReply::Completed(response) | KeyReply::Replayed(response)
+            if response.body != Some(expected_body(request)) =>
+        {
+            let detail = format!("request {request} got {response:?}");
+            return violated(Invariant::OwnAnswer, detail);
+        }
+        KeyReply::NotRun(reason) => {
+            let mut logs = world.runners.iter().flat_map(|runner| &runner.log);
+            if logs.any(|(ran, _)| *ran == request) {
+                let detail = format!("request {request} was told not run: {reason}");
+                return violated(Invariant::NotRun, detail);
+            }
+        }
+        _ => {}
+    }
+    Ok(())
+}
+
 fn check_answers(world: &World) -> Result<(), Violation> {
     for (request, answer) in &world.caller.told {
         let ran = |tasks: &[_]| {
@@ -122,6 +177,10 @@
             Answer::Ended(task, TaskOutcome::NotRun(_)) => (world.job_of(*task), Some(vec![*task])),
             Answer::Ended(task, _) => (world.job_of(*task), None),
             Answer::Published => continue,
+            Answer::Called(reply) => {
+                check_reply(world, *request, reply)?;
+                continue;
+            }
         };
         if *request != u128::from(job) {
             let detail = format!("request {request} got the answer {answer:?}");
--- a/crates/core/tests/matrix/mod.rs
+++ b/crates/core/tests/matrix/mod.rs
@@ -5,6 +5,7 @@
 //! connections are those of TCP: what was sent on a connection that was closed
 //! does not arrive, and a start is not repeated by the network.
 
+mod calls;
 mod daemon;
 mod durable;
 pub(crate) mod faults;
@@ -12,6 +13,7 @@
 pub(crate) mod invariants;
 mod network;
 mod pool;
+mod runner;
 mod store;
 mod targets;
 mod world;
@@ -19,8 +21,8 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use auburnsaddle_core::{
-    GangMode, JobId, JobSpec, ObjectLoader, ObjectSet, ResourceVector, RestartPolicy, ShardName,
-    TaskId, UrgencyClass, WorkerEntry, WorkerId,
+    GangMode, JobId, JobSpec, KeyDigest, KeyRequest, ObjectLoader, ObjectSet, RequestId,
+    ResourceVector, RestartPolicy, ShardName, TaskId, UrgencyClass, WorkerEntry, WorkerId,
 };
 
 pub(crate) use world::{RunOptions, World, run};
@@ -29,10 +31,42 @@
 const POOLS: usize = 2;
 const WORKERS: usize = 6;
 const JOBS: u64 = 26;
+const RUNNERS: usize = 2;
+const SLOTS: u32 = 2;
+const CALLS: u8 = 30;
+/// Requests with the same key: the caller repeats each one twice.
+const COPIES: u8 = 3;
 const CAPACITY: ResourceVector = ResourceVector::new(4_000, 4_096, 0);
 
 fn shards() -> BTreeSet<ShardName> {
-    (0..POOLS).map(pool_shard).collect()
+    let pools = (0..POOLS).map(pool_shard);
+    pools.chain([key_shard(), call_shard()]).collect()
+}
+
+fn key_shard() -> ShardName {
+    ShardName::Key("r1".into(), 0)
+}
+
+fn call_shard() -> ShardName {
+    ShardName::Call("sales".into(), "z1".into())
+}
+
+/// Returns a copy of a keyed call; all copies have the same content.
+fn call(number: u8, copy: u8) -> KeyRequest {
+    let mut key = KeyDigest::default();
+    key[1] = number;
+    KeyRequest {
+        request: 1_000 + 10 * u128::from(number) + u128::from(copy),
+        key,
+        fingerprint: [number; 16],
+        remaining: Duration::from_secs(4),
+    }
+}
+
+/// Returns the response body that belongs to a request.
+fn expected_body(request: RequestId) -> Vec<u8> {
+    let number = u8::try_from((request - 1_000) / 10).unwrap_or_default();
+    vec![number; 16]
 }
 
 fn pool_shard(pool: usize) -> ShardName {
--- a/crates/core/tests/matrix/network.rs
+++ b/crates/core/tests/matrix/network.rs
@@ -5,11 +5,15 @@
     time::Duration,
 };
 
-use auburnsaddle_core::{Heartbeat, JobId, JobRejection, JobSpec, RequestId, TaskId, TaskOutcome};
+use auburnsaddle_core::{
+    Epoch, GrantId, GrantResult, Heartbeat, JobId, JobRejection, JobSpec, KeyReply, KeyRequest,
+    NotRunReason, RequestId, SlotGrant, TaskId, TaskOutcome,
+};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
 use super::{
+    runner::{RunnerReply, RunnerRequest},
     store::{StoreReply, StoreRequest, StoreView},
     targets::{WorkerReply, WorkerRequest},
 };
@@ -19,6 +23,7 @@
 pub(crate) enum Node {
     Caller,
     Daemon(usize),
+    Runner(usize),
     Store,
     Worker(usize),
 }
@@ -33,6 +38,7 @@
     Rejected(JobId, JobRejection),
     Ended(TaskId, TaskOutcome),
     Published,
+    Called(KeyReply),
 }
 
 #[derive(Clone, Debug)]
@@ -42,6 +48,12 @@
     Watch(StoreView),
     Submit(RequestId, JobSpec),
     Cancel(TaskId),
+    Call(KeyRequest),
+    AskSlot(CallId, RequestId),
+    Slot(CallId, Result<(Epoch, SlotGrant), NotRunReason>),
+    ReturnSlot(Epoch, GrantId, GrantResult),
+    AskRunner(CallId, RunnerRequest),
+    RunnerAnswer(CallId, RunnerReply),
     Publish(u64),
     Answer(RequestId, Answer),
     AskStore(CallId, Box<StoreRequest>),
--- a/crates/core/tests/matrix/pool.rs
+++ b/crates/core/tests/matrix/pool.rs
@@ -78,9 +78,13 @@
     pub(crate) fn open_pool(
         &mut self,
         shard: &ShardName,
-        records: Vec<TaskRecord>,
+        records: &[JournalRecord],
         out: &mut Outbox,
     ) {
+        let records = records.iter().map(|record| {
+            serde_json::from_slice(&record.payload).expect("a record that a daemon wrote")
+        });
+        let records: Vec<TaskRecord> = records.collect();
         if let Some(pool) = self.pools.get_mut(shard) {
             for record in &records {
                 pool.note_sizes(record);
--- a/crates/core/tests/matrix/world.rs
+++ b/crates/core/tests/matrix/world.rs
@@ -6,18 +6,19 @@
     time::Duration,
 };
 
-use auburnsaddle_core::{JobId, JobSpec, RequestId, RestartPolicy, TaskId, TaskOutcome};
+use auburnsaddle_core::{JobId, JobSpec, KeyReply, RequestId, RestartPolicy, TaskId, TaskOutcome};
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 
 use super::{
-    CAPACITY, DAEMONS, JOBS, WORKERS,
+    CALLS, CAPACITY, COPIES, DAEMONS, JOBS, RUNNERS, WORKERS, call,
     daemon::{Daemon, Outbox},
     faults::{Fault, Injection, Mutation, Step},
     invariants::{Invariant, Violation, check, check_end},
-    job,
+    job, key_shard,
     network::{Answer, Envelope, Message, Network, Node},
     pool::TASK_LEASE,
     pool_shard,
+    runner::{CALL_TIME, Runner},
     store::{Store, StoreView},
     targets::{Worker, WorkerReply, WorkerRequest},
     worker_name,
@@ -47,6 +48,13 @@
     AtWorker(usize, Box<(WorkerRequest, WorkerReply)>),
 }
 
+const fn is_answered(answer: &Answer) -> bool {
+    matches!(
+        answer,
+        Answer::Called(KeyReply::Completed(_) | KeyReply::Replayed(_) | KeyReply::NotRun(_))
+    )
+}
+
 impl fmt::Display for TraceEntry {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -76,9 +84,12 @@
     pub(crate) now: Duration,
     pub(crate) daemons: Vec<Daemon>,
     pub(crate) workers: Vec<Worker>,
+    pub(crate) runners: Vec<Runner>,
     pub(crate) store: Store,
     pub(crate) caller: Caller,
     pub(crate) jobs: BTreeMap<JobId, JobSpec>,
+    /// Lengths of the logs and of the answers when they were last checked.
+    pub(crate) checked: (usize, usize),
     /// Published versions with their times.
     pub(crate) versions: Vec<(Duration, u64)>,
     /// When the last fault ended or will end.
@@ -103,6 +114,8 @@
     pub(crate) accepted: usize,
     pub(crate) rejected: usize,
     pub(crate) succeeded: usize,
+    /// Keyed calls that got neither a response nor a rejection.
+    pub(crate) cut: usize,
     pub(crate) starts: usize,
     /// The version in force at every daemon.
     pub(crate) version: u64,
@@ -139,9 +152,11 @@
             now: Duration::ZERO,
             daemons,
             workers,
+            runners: (0..RUNNERS).map(|_| Runner::default()).collect(),
             store: Store::default(),
             caller: Caller::default(),
             jobs: (1..=JOBS).map(|number| (number, job(number))).collect(),
+            checked: (0, 0),
             versions: Vec::new(),
             calm_since: Duration::ZERO,
             pending: options.injections.clone(),
@@ -181,6 +196,14 @@
             let index = usize::try_from(number).unwrap_or_default() % DAEMONS;
             self.schedule_to(at, index, Message::Submit(number.into(), spec));
         }
+        for number in 0..CALLS {
+            for copy in 0..COPIES {
+                let millis = 3_000 + 450 * u64::from(number) + 3_500 * u64::from(copy);
+                let index = usize::from(number + copy) % DAEMONS;
+                let message = Message::Call(call(number, copy));
+                self.schedule_to(Duration::from_millis(millis), index, message);
+            }
+        }
         for (number, seconds) in [(1, 4), (2, 8), (3, 12), (4, 40)] {
             let index = usize::try_from(number).unwrap_or_default() % DAEMONS;
             self.schedule_to(
@@ -230,6 +253,7 @@
                 }
             }
             Node::Worker(index) => self.deliver_to_worker(index, envelope),
+            Node::Runner(index) => self.deliver_to_runner(index, &envelope),
             Node::Caller => {
                 self.note_message(&envelope);
                 if let Message::Answer(request, answer) = envelope.message {
@@ -300,6 +324,29 @@
         }
     }
 
+    fn deliver_to_runner(&mut self, index: usize, envelope: &Envelope) {
+        let node = Node::Runner(index);
+        let from = envelope.from;
+        let mut replies = self.runners[index].finish(self.now);
+        if let &Message::AskRunner(id, request) = &envelope.message {
+            let reply = self.runners[index].answer(from, id, request, self.now);
+            let runs = reply.is_none();
+            replies.extend(reply.map(|reply| (from, id, reply)));
+            if let (true, Node::Daemon(daemon)) = (runs, from) {
+                let tick = Envelope {
+                    from: node,
+                    to: node,
+                    message: Message::Tick,
+                };
+                self.network.schedule(self.now + CALL_TIME, tick);
+                self.reach(Step::Start, daemon, None);
+            }
+        }
+        for (to, id, reply) in replies {
+            self.send(node, to, Message::RunnerAnswer(id, reply));
+        }
+    }
+
     fn send(&mut self, from: Node, to: Node, message: Message) {
         let envelope = Envelope { from, to, message };
         self.network.send(self.now, envelope);
@@ -315,10 +362,15 @@
         self.daemons[index].leaving_hosts = leaving.collect();
     }
 
-    /// Drains the owner of the first pool once.
+    /// Drains the owner of the keys, or of the first pool, once.
     fn drain_owner(&mut self, index: usize, out: &mut Outbox) {
         let daemon = &mut self.daemons[index];
-        let owns = daemon.owners.owned_epoch(&pool_shard(0)).is_some();
+        let shard = if self.options.seed.is_multiple_of(2) {
+            key_shard()
+        } else {
+            pool_shard(0)
+        };
+        let owns = daemon.owners.owned_epoch(&shard).is_some();
         if owns && !self.drained && self.now >= DRAIN_AT {
             self.drained = true;
             daemon.drain(out);
@@ -355,6 +407,7 @@
             accepted: count(|answer| matches!(answer, Answer::Accepted(_))),
             rejected: count(|answer| matches!(answer, Answer::Rejected(..))),
             succeeded: count(|answer| matches!(answer, Answer::Ended(_, TaskOutcome::Succeeded))),
+            cut: usize::from(CALLS) * usize::from(COPIES) - count(is_answered),
             starts: self.workers.iter().map(|worker| worker.log.len()).sum(),
             version: self.daemons[0].config.version(),
         }
