Join the fault matrix to the interfaces of keys, loans and predecessors

Cause: keys ask for the slot after the intent, runners are asked all together, and call queues send loans; the matrix was written against the earlier forms. Ruled out: keeping the earlier events in the product for the matrix. Conclusion: all mutations are still seen to fail.

--- a/crates/core/tests/matrix/calls.rs
+++ b/crates/core/tests/matrix/calls.rs
@@ -30,6 +30,8 @@
     table: KeyTable,
     slots: BTreeMap<KeyDigest, GrantedSlot>,
     fingerprints: BTreeMap<KeyDigest, KeyDigest>,
+    /// Runners that have not answered yet, by the key they were asked about.
+    queries: BTreeMap<KeyDigest, usize>,
 }
 
 pub(crate) struct CallOwner {
@@ -52,6 +54,7 @@
             table: KeyTable::replay(KeyConfig::default(), records, out.local),
             slots: BTreeMap::new(),
             fingerprints: BTreeMap::new(),
+            queries: BTreeMap::new(),
         });
     }
 
@@ -100,30 +103,56 @@
 
     fn key_action(&mut self, action: KeyAction, out: &mut Outbox) {
         match action {
-            KeyAction::RequestSlot(request, key) => self.ask_slot(request, key, out),
-            KeyAction::ReturnSlot(key) => self.return_slot(key, GrantResult::Unused, out),
             KeyAction::Record(record) => self.record_key(&record, out),
-            KeyAction::Dispatch(request, key) => self.dispatch_call(request, key, out),
-            KeyAction::QueryRunner(key, runner) => {
-                let to = Node::Runner(runner_index(&runner));
-                let id = self.note_call(to, Purpose::Query(key), out);
-                out.send(to, Message::AskRunner(id, RunnerRequest::Query(key)));
-            }
+            KeyAction::Dispatch(request, key) => self.ask_slot(request, key, out),
+            KeyAction::QueryRunners(_, key) => self.query_runners(key, out),
             KeyAction::Reply(request, reply) => out.answer(request, Answer::Called(reply)),
         }
     }
 
+    fn query_runners(&mut self, key: KeyDigest, out: &mut Outbox) {
+        if let Some(keys) = &mut self.keys {
+            keys.queries.insert(key, RUNNERS);
+        }
+        for index in 0..RUNNERS {
+            let to = Node::Runner(index);
+            let id = self.note_call(to, Purpose::Query(key), out);
+            out.send(to, Message::AskRunner(id, RunnerRequest::Query(key)));
+        }
+    }
+
+    /// Passes on the first answer that knows the key, or that none does.
+    fn note_query(&mut self, key: KeyDigest, answer: RunnerAnswer, out: &mut Outbox) {
+        let Some(keys) = &mut self.keys else {
+            return;
+        };
+        let Some(pending) = keys.queries.get_mut(&key) else {
+            return;
+        };
+        *pending -= 1;
+        if answer == RunnerAnswer::NotKnown && *pending > 0 {
+            return;
+        }
+        keys.queries.remove(&key);
+        self.key_event(KeyEvent::RunnerAnswered(key, answer), out);
+    }
+
     fn ask_slot(&mut self, request: RequestId, key: KeyDigest, out: &mut Outbox) {
         let owner = self.owners.owner(&call_shard());
         let Some(owner) = owner.map(|record| daemon_index(&record.daemon)) else {
-            self.key_event(KeyEvent::SlotRejected(key, NotRunReason::NoOwner), out);
+            self.end_unrun(key, NotRunReason::NoOwner, out);
             return;
         };
         let to = Node::Daemon(owner);
-        let id = self.note_call(to, Purpose::Slot(key), out);
+        let id = self.note_call(to, Purpose::Slot(key, request), out);
         out.send(to, Message::AskSlot(id, request));
     }
 
+    fn end_unrun(&mut self, key: KeyDigest, reason: NotRunReason, out: &mut Outbox) {
+        let outcome = CallOutcome::NotRun(reason);
+        self.key_event(KeyEvent::CallEnded(key, outcome), out);
+    }
+
     fn record_key(&mut self, record: &KeyRecord, out: &mut Outbox) {
         let (key, kind) = match record {
             KeyRecord::Intent { key, .. } => (*key, RecordKind::KeyIntent),
@@ -167,8 +196,8 @@
             Some((slot, *keys.fingerprints.get(&key)?))
         });
         let Some((slot, fingerprint)) = slot.filter(|_| active) else {
-            let outcome = CallOutcome::NotRun(NotRunReason::Fenced);
-            self.key_event(KeyEvent::CallEnded(key, outcome), out);
+            self.return_slot(key, GrantResult::Unused, out);
+            self.end_unrun(key, NotRunReason::Fenced, out);
             return;
         };
         out.reach(Step::Dispatch, None);
@@ -219,7 +248,7 @@
                     RunnerReply::Running => RunnerAnswer::Running,
                     RunnerReply::Rejected | RunnerReply::NotKnown => RunnerAnswer::NotKnown,
                 };
-                self.key_event(KeyEvent::RunnerAnswered(key, answer), out);
+                self.note_query(key, answer, out);
             }
             _ => {}
         }
@@ -228,9 +257,7 @@
     /// A request about a call was not answered.
     pub(crate) fn call_failed(&mut self, purpose: &Purpose, out: &mut Outbox) {
         match *purpose {
-            Purpose::Slot(key) => {
-                self.key_event(KeyEvent::SlotRejected(key, NotRunReason::NoOwner), out);
-            }
+            Purpose::Slot(key, _) => self.end_unrun(key, NotRunReason::NoOwner, out),
             Purpose::Dispatch(key) => {
                 self.return_slot(key, GrantResult::Failed, out);
                 let outcome = if self.mutation == Some(Mutation::RetryUnknown) {
@@ -241,8 +268,7 @@
                 self.key_event(KeyEvent::CallEnded(key, outcome), out);
             }
             Purpose::Query(key) => {
-                let event = KeyEvent::RunnerAnswered(key, RunnerAnswer::NotKnown);
-                self.key_event(event, out);
+                self.note_query(key, RunnerAnswer::NotKnown, out);
             }
             _ => {}
         }
@@ -251,7 +277,7 @@
     /// Tells whether calls of this daemon are open, which a drain waits for.
     pub(crate) fn has_open_calls(&self) -> bool {
         let mut calls = self.calls.values();
-        calls.any(|call| matches!(call.purpose, Purpose::Slot(_) | Purpose::Dispatch(_)))
+        calls.any(|call| matches!(call.purpose, Purpose::Slot(..) | Purpose::Dispatch(_)))
     }
 }
 
@@ -273,6 +299,8 @@
                 CallAction::Grant(grant) => (grant.request, Ok((calls.epoch, grant))),
                 CallAction::Reject(request, reason) => (request, Err(reason)),
                 CallAction::Redirect(request, _) => (request, Err(NotRunReason::NoTarget)),
+                // There is no other zone to borrow from.
+                CallAction::SendLoan(..) => continue,
             };
             if let Some((to, id)) = calls.asked.remove(&request) {
                 out.send(to, Message::Slot(id, result));
@@ -302,8 +330,7 @@
     ) {
         let call = self.calls.remove(&id);
         match (call.map(|call| call.purpose), result) {
-            (Some(Purpose::Slot(key)), Ok((epoch, grant))) => {
-                let runner = grant.runner.clone();
+            (Some(Purpose::Slot(key, request)), Ok((epoch, grant))) => {
                 let owner = from;
                 let slot = GrantedSlot {
                     owner,
@@ -313,11 +340,9 @@
                 if let Some(keys) = &mut self.keys {
                     keys.slots.insert(key, slot);
                 }
-                self.key_event(KeyEvent::SlotGranted(key, runner), out);
-            }
-            (Some(Purpose::Slot(key)), Err(reason)) => {
-                self.key_event(KeyEvent::SlotRejected(key, reason), out);
+                self.dispatch_call(request, key, out);
             }
+            (Some(Purpose::Slot(key, _)), Err(reason)) => self.end_unrun(key, reason, out),
             (_, Ok((epoch, grant))) => {
                 let message = Message::ReturnSlot(epoch, grant.grant, GrantResult::Unused);
                 out.send(from, message);
--- a/crates/core/tests/matrix/daemon.rs
+++ b/crates/core/tests/matrix/daemon.rs
@@ -45,7 +45,7 @@
     Start(ShardName, WorkerId, TaskId, u32),
     Sync(ShardName, WorkerId),
     Stop,
-    Slot(KeyDigest),
+    Slot(KeyDigest, RequestId),
     Dispatch(KeyDigest),
     Query(KeyDigest),
 }
--- a/crates/core/tests/matrix/mod.rs
+++ b/crates/core/tests/matrix/mod.rs
@@ -138,6 +138,7 @@
         object: format!("p{}", number / 3 % 2).into(),
         team: "orders".into(),
         urgency: UrgencyClass::Normal,
+        after: Vec::new(),
         labels: vec![Arc::from("run=night")],
         demand: ResourceVector::new(cores * 1_000, cores * 1_024, 0),
         run_time: Some(Duration::from_millis(run_time)),
