--- a/crates/core/tests/fault_matrix.rs
+++ b/crates/core/tests/fault_matrix.rs
@@ -120,7 +120,7 @@
     ignore_leaving_is_caught: IgnoreLeaving, Leaving, [HostLeaving], STEPS;
     busy_retries_are_caught: BusyRetries, StoreRate, [StoreDown], STEPS;
     no_fetch_is_caught: NoFetch, InForce, [TwoOperators], STEPS;
-    skipped_intent_is_caught: SkipRecord, AtMostOnce, [Kill, Pause], STEPS;
+    skipped_intent_is_caught: SkipIntent, AtMostOnce, [Kill, Pause], STEPS;
     forget_journal_is_caught: ForgetJournal, Settled, [Kill], STEPS;
 }
 
--- a/crates/core/tests/matrix/calls.rs
+++ b/crates/core/tests/matrix/calls.rs
@@ -129,7 +129,7 @@
             KeyRecord::Intent { key, .. } => (*key, RecordKind::KeyIntent),
             KeyRecord::Outcome { key, .. } => (*key, RecordKind::KeyOutcome),
         };
-        let skipped = self.mutation == Some(Mutation::SkipRecord) && kind == RecordKind::KeyIntent;
+        let skipped = self.mutation == Some(Mutation::SkipIntent) && kind == RecordKind::KeyIntent;
         if skipped {
             self.key_event(KeyEvent::IntentDurable(key), out);
             return;
--- a/crates/core/tests/matrix/faults.rs
+++ b/crates/core/tests/matrix/faults.rs
@@ -92,6 +92,8 @@
     RetryUnknown,
     /// A start is sent before its record is written.
     SkipRecord,
+    /// A keyed call is dispatched without a record of its intent.
+    SkipIntent,
     /// Workers list nothing when claimed, and admit more than their size.
     HideRunning,
     /// A daemon takes over the older version of a peer.
