--- a/crates/core/tests/matrix/injection.rs
+++ b/crates/core/tests/matrix/injection.rs
@@ -4,13 +4,48 @@
 
 use super::{
     DAEMONS, RUNNERS, WORKERS,
-    daemon::Daemon,
+    daemon::{Daemon, Outbox},
     faults::{Fault, Step},
+    key_shard,
     network::{Message, NetworkFaults, Node},
-    world::{TraceEntry, World},
+    pool_shard,
+    trace::TraceEntry,
+    worker_name,
+    world::World,
 };
 
+/// When a daemon is drained.
+const DRAIN_AT: Duration = Duration::from_secs(9);
+
+/// Lag of the list of hosts.
+const HOST_LIST_LAG: Duration = Duration::from_secs(2);
+
 impl World {
+    pub(crate) fn read_host_list(&mut self, index: usize) {
+        let now = self.now;
+        let leaving = self.workers.iter().enumerate().filter(|(_, worker)| {
+            let since = worker.leaving_since;
+            since.is_some_and(|since| since + HOST_LIST_LAG <= now)
+        });
+        let leaving = leaving.map(|(worker, _)| worker_name(worker));
+        self.daemons[index].leaving_hosts = leaving.collect();
+    }
+
+    /// Drains the owner of the keys, or of the first pool, once.
+    pub(crate) fn drain_owner(&mut self, index: usize, out: &mut Outbox) {
+        let daemon = &mut self.daemons[index];
+        let shard = if self.options.seed.is_multiple_of(2) {
+            key_shard()
+        } else {
+            pool_shard(0)
+        };
+        let owns = daemon.owners.owned_epoch(&shard).is_some();
+        if owns && !self.drained && self.now >= DRAIN_AT {
+            self.drained = true;
+            daemon.drain(out);
+        }
+    }
+
     pub(crate) fn reach(&mut self, step: Step, daemon: usize, worker: Option<usize>) {
         let due = self.pending.iter_mut().position(|injection| {
             let matches = injection.step == step;
--- a/crates/core/tests/matrix/mod.rs
+++ b/crates/core/tests/matrix/mod.rs
@@ -6,6 +6,7 @@
 //! does not arrive, and a start is not repeated by the network.
 
 mod calls;
+mod clock;
 mod daemon;
 mod durable;
 pub(crate) mod faults;
@@ -16,6 +17,7 @@
 mod runner;
 mod store;
 mod targets;
+mod trace;
 mod world;
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
--- a/crates/core/tests/matrix/world.rs
+++ b/crates/core/tests/matrix/world.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    fmt::{self, Write as _},
+    fmt::Write as _,
     time::Duration,
 };
 
@@ -14,24 +14,20 @@
     daemon::{Daemon, Outbox},
     faults::{Fault, Injection, Mutation, Step},
     invariants::{Invariant, Violation, check, check_end},
-    job, key_shard,
+    job,
     network::{Answer, Envelope, Message, Network, Node},
     pool::TASK_LEASE,
-    pool_shard,
     runner::{CALL_TIME, Runner},
     store::{Store, StoreView},
-    targets::{Worker, WorkerReply, WorkerRequest},
-    worker_name,
+    targets::Worker,
+    trace::TraceEntry,
 };
 
 const TICK: Duration = Duration::from_millis(100);
-const DRAIN_AT: Duration = Duration::from_secs(9);
 /// A fault begins before 20 s, lasts at most 12 s, and the leases of 20 s are
 /// waited out with their margin before a task runs again.
 const END: Duration = Duration::from_secs(80);
 const TRACE_LENGTH: usize = 60;
-/// Lag of the list of hosts.
-const HOST_LIST_LAG: Duration = Duration::from_secs(2);
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunOptions {
@@ -40,14 +36,6 @@
     pub(crate) mutation: Option<Mutation>,
 }
 
-/// An event of the trace; it is formatted only for a report.
-pub(crate) enum TraceEntry {
-    FaultBegins(Fault, usize, usize),
-    FaultEnds(Fault),
-    Delivered(Box<Envelope>),
-    AtWorker(usize, Box<(WorkerRequest, WorkerReply)>),
-}
-
 const fn is_answered(answer: &Answer) -> bool {
     matches!(
         answer,
@@ -55,25 +43,6 @@
     )
 }
 
-impl fmt::Display for TraceEntry {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::FaultBegins(fault, daemon, worker) => {
-                write!(formatter, "FAULT {fault:?} at daemon-{daemon} or w{worker}")
-            }
-            Self::FaultEnds(fault) => write!(formatter, "END {fault:?}"),
-            Self::Delivered(envelope) => {
-                let Envelope { from, to, message } = &**envelope;
-                write!(formatter, "{from:?} -> {to:?} {message:?}")
-            }
-            Self::AtWorker(worker, exchange) => {
-                let (request, reply) = &**exchange;
-                write!(formatter, "w{worker} {request:?} -> {reply:?}")
-            }
-        }
-    }
-}
-
 /// What the callers asked and were told.
 #[derive(Default)]
 pub(crate) struct Caller {
@@ -101,7 +70,7 @@
     pub(crate) resume_at: [Duration; DAEMONS],
     pub(crate) processes: u64,
     seen: StoreView,
-    drained: bool,
+    pub(crate) drained: bool,
     pub(crate) options: RunOptions,
     trace: VecDeque<(Duration, TraceEntry)>,
 }
@@ -352,31 +321,6 @@
         self.network.send(self.now, envelope);
     }
 
-    fn read_host_list(&mut self, index: usize) {
-        let now = self.now;
-        let leaving = self.workers.iter().enumerate().filter(|(_, worker)| {
-            let since = worker.leaving_since;
-            since.is_some_and(|since| since + HOST_LIST_LAG <= now)
-        });
-        let leaving = leaving.map(|(worker, _)| worker_name(worker));
-        self.daemons[index].leaving_hosts = leaving.collect();
-    }
-
-    /// Drains the owner of the keys, or of the first pool, once.
-    fn drain_owner(&mut self, index: usize, out: &mut Outbox) {
-        let daemon = &mut self.daemons[index];
-        let shard = if self.options.seed.is_multiple_of(2) {
-            key_shard()
-        } else {
-            pool_shard(0)
-        };
-        let owns = daemon.owners.owned_epoch(&shard).is_some();
-        if owns && !self.drained && self.now >= DRAIN_AT {
-            self.drained = true;
-            daemon.drain(out);
-        }
-    }
-
     /// Sends the watched keys to every daemon after a change.
     fn push_changes(&mut self) {
         self.store.expire_leases(self.now);
