--- a/crates/daemon/benches/control.rs
+++ b/crates/daemon/benches/control.rs
@@ -224,6 +224,8 @@
     measure_hosts(&measured, &slopes, &table).await;
     measure_takeover(&measured, &mut slopes, &mut table).await;
     bound_full_size(&slopes, &mut table);
+    // A broken bound ends the process, which would leave the daemons running.
+    drop(measured);
     table.finish();
 }
 
