Report a requeued task that became impossible as failed

Cause: reject_impossible ended every waiting task as not run, also one that had run before and was queued again, against the promise that not run is certain. Ruled out: outcome unknown; the earlier attempts have certainly stopped. Conclusion: only a task without an attempt ends as not run here.

--- a/crates/core/src/tasks/state.rs
+++ b/crates/core/src/tasks/state.rs
@@ -16,7 +16,7 @@
 use crate::{
     health::{HealthConfig, HealthTable},
     journal::RecordId,
-    types::{ResourceVector, RestartPolicy, TaskId, TeamId, UrgencyClass, WorkerId},
+    types::{NotRunReason, ResourceVector, RestartPolicy, TaskId, TeamId, UrgencyClass, WorkerId},
 };
 
 /// Limits of a task queue.
@@ -265,13 +265,22 @@
             .collect();
         for (job, reason) in impossible {
             self.actions.push(TaskAction::Reject(job, reason));
-            let outcome = TaskOutcome::NotRun(crate::types::NotRunReason::NoTarget);
             for task in self.pending_tasks(job) {
+                let outcome = self.impossible_outcome(task);
                 self.end(task, outcome, now);
             }
         }
     }
 
+    /// Returns the outcome of a waiting task that can never start again. Only a
+    /// task without an attempt was certainly not run.
+    fn impossible_outcome(&self, task: TaskId) -> TaskOutcome {
+        match self.ledger.tasks.get(&task) {
+            Some(entry) if entry.attempt > 0 => TaskOutcome::Failed,
+            _ => TaskOutcome::NotRun(NotRunReason::NoTarget),
+        }
+    }
+
     pub(super) fn pending_tasks(&self, job: JobId) -> Vec<TaskId> {
         let job = self.ledger.jobs.get(&job);
         job.map_or_else(Vec::new, |job| job.pending.iter().copied().collect())
--- a/crates/core/src/tasks/tests/recovery.rs
+++ b/crates/core/src/tasks/tests/recovery.rs
@@ -35,6 +35,26 @@
     queue
 }
 
+/// Guards against a task that ran, was queued again and is then reported as not
+/// run because a smaller quota made it impossible.
+#[test]
+fn an_impossible_task_that_ran_is_not_reported_as_not_run() {
+    let mut queue = queue(1);
+    let started = run(&mut queue, job(1, 1, 16));
+    queue.handle(TaskEvent::WorkerLeaving("w0".into()), Duration::ZERO);
+    let event = TaskEvent::WorkerReported("w0".into(), report(started[0].0, false));
+    let actions = queue.handle(event, Duration::from_secs(1));
+    commit(&mut queue, actions, Duration::from_secs(1));
+    let before = queue.view(task(1_000)).map(|view| view.state);
+
+    let quota = team(ResourceVector::new(8_000, u64::MAX, 0));
+    queue.handle(TaskEvent::TeamsChanged(vec![quota]), Duration::from_secs(2));
+
+    let after = queue.view(task(1_000)).map(|view| view.state);
+    assert!(matches!(before, Some(TaskState::Waiting(_))), "{before:?}");
+    assert_eq!(after, Some(TaskState::Ended(TaskOutcome::Failed)));
+}
+
 /// Guards against a batch run that starts before the one that it reads from.
 #[test]
 fn a_job_starts_after_its_predecessor_has_ended() {
