Keep the property tests of calls below their test file

Cause: properties.rs and loan_properties.rs stood among the slice's code. Ruled out: leaving them, since tests are to live in test files. Conclusion: moved to calls/tests/, no assertion changed.

--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -13,12 +13,8 @@
 
 mod config;
 mod lanes;
-#[cfg(test)]
-mod loan_properties;
 mod loans;
 mod messages;
-#[cfg(test)]
-mod properties;
 mod retry;
 mod runners;
 mod state;
--- a/crates/core/src/calls/tests.rs
+++ b/crates/core/src/calls/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of the call queue.
 
+mod loan_properties;
+mod properties;
+
 use std::time::Duration;
 
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
--- a/crates/core/src/calls/loan_properties.rs
+++ b/crates/core/src/calls/tests/loan_properties.rs
@@ -4,7 +4,7 @@
 
 use proptest::{collection::vec, prelude::*};
 
-use super::{
+use crate::calls::{
     CallAction, CallConfig, CallEvent, CallLoad, CallQueue, CallRequest, GrantResult, LoanConfig,
     LoanMessage, RunnerEntry, SlotGrant,
 };
--- a/crates/core/src/calls/properties.rs
+++ b/crates/core/src/calls/tests/properties.rs
@@ -7,7 +7,7 @@
 
 use proptest::{collection::vec, prelude::*};
 
-use super::{
+use crate::calls::{
     CallAction, CallConfig, CallEvent, CallLoad, CallQueue, CallRequest, GrantResult, RunnerEntry,
 };
 use crate::types::{GrantId, RequestId, RunnerId, UrgencyClass};
