Start the store of daemon tests in one fixture

Ruled out: a fixture in the stand-ins, which do not know the store client. Conclusion: store/client_tests.rs holds it.

--- a/crates/daemon/src/journal/tests.rs
+++ b/crates/daemon/src/journal/tests.rs
@@ -1,13 +1,9 @@
 //! Tests of the journal's store calls against the stand-in store.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use auburnsaddle_core::{JournalError, JournalKey, OwnerRecord, RecordKind, ShardName};
-use auburnsaddle_standins::{
-    http::serve,
-    platform::{self, SharedPlatform, StoreFaults},
-};
-use tokio::net::TcpListener;
+use auburnsaddle_standins::platform::{SharedPlatform, StoreFaults};
 
 use super::{
     JournalEffect, JournalNotice, JournalOutput, ShardJournals,
@@ -16,7 +12,7 @@
 };
 use crate::{
     ownership::claim_transaction,
-    store::{HttpStore, StoreClient, StorePut, StoreRates, StoreTxn},
+    store::{HttpStore, StoreClient, StorePut, StoreTxn, start_store},
 };
 
 const INTERVAL: Duration = Duration::from_millis(50);
@@ -32,20 +28,10 @@
 impl Fixture {
     /// Returns a daemon `a` that owns the shard under epoch 1.
     async fn owner() -> Self {
-        let platform = SharedPlatform::default();
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
-        let address = listener.local_addr().expect("a bound socket");
-        let shared = platform.clone();
-        tokio::spawn(serve(listener, Arc::default(), move |request| {
-            platform::handle(shared.clone(), request)
-        }));
-        let rates = StoreRates {
-            writes: 1_000,
-            reads: 1_000,
-        };
+        let (platform, store) = start_store().await;
         let mut fixture = Self {
             platform,
-            store: HttpStore::new(address, rates),
+            store,
             journals: ShardJournals::new("a".into(), INTERVAL),
             now: Duration::ZERO,
         };
--- a/crates/daemon/src/ownership/tests.rs
+++ b/crates/daemon/src/ownership/tests.rs
@@ -1,35 +1,16 @@
 //! Tests of shard leases against the stand-in store.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use auburnsaddle_core::{OwnerRecord, ShardName};
-use auburnsaddle_standins::{
-    http::serve,
-    platform::{self, SharedPlatform, StoreFaults},
-};
-use tokio::net::TcpListener;
+use auburnsaddle_standins::platform::StoreFaults;
 
 use super::{claim_transaction, hold_lease};
-use crate::store::{HttpStore, LeaseId, StoreClient, StoreFeed, StoreRates};
+use crate::store::{HttpStore, LeaseId, StoreClient, StoreFeed, start_store};
 
 /// Longer than the lease of a shard, so that an expired one is found.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
-async fn start_store() -> (SharedPlatform, HttpStore) {
-    let platform = SharedPlatform::default();
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
-    let address = listener.local_addr().expect("a bound socket");
-    let shared = platform.clone();
-    tokio::spawn(serve(listener, Arc::default(), move |request| {
-        platform::handle(shared.clone(), request)
-    }));
-    let rates = StoreRates {
-        writes: 1_000,
-        reads: 1_000,
-    };
-    (platform, HttpStore::new(address, rates))
-}
-
 fn shard() -> ShardName {
     ShardName::Call("settlement".into(), "zone-0".into())
 }
--- a/crates/daemon/src/store/client_tests.rs
+++ b/crates/daemon/src/store/client_tests.rs
@@ -13,7 +13,8 @@
     StoreWatch, TxnOutcome, messages::StoreChange,
 };
 
-async fn start_store() -> (SharedPlatform, HttpStore) {
+/// Starts a stand-in of the store and returns a client of it.
+pub(crate) async fn start_store() -> (SharedPlatform, HttpStore) {
     let platform = SharedPlatform::default();
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
     let address = listener.local_addr().expect("a bound socket");
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -20,6 +20,8 @@
 mod wire;
 
 pub(crate) use client::HttpStore;
+#[cfg(test)]
+pub(crate) use client_tests::start_store;
 pub(crate) use limits::{StoreBackoff, StoreCounts, StoreRates};
 pub(crate) use messages::{
     LeaseId, StoreClient, StoreCompare, StoreEntry, StoreError, StoreFeed, StorePut, StoreRange,
