Log shard and epoch of each start at the stand-in runner

Ruled out: reading the daemons' logs, since only the target knows what ran. Each start now carries its shard and epoch, and `runner_faults` lists starts under a lower epoch than an earlier one of the same shard and runner; all tests that checked doubles and overload check this too. The stand-in gets `ignore_epochs` and the store `silent_watches`, for tests that must show the fence itself.

--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -109,7 +109,10 @@
     let ids: Vec<_> = requests.iter().map(|id| format!("{id:032x}")).collect();
     let started = |runner: &auburnsaddle_standins::runner::SharedRunner| {
         let runner = runner.lock();
-        let matching = runner.starts().iter().filter(|start| ids.contains(start));
+        let matching = runner
+            .starts()
+            .iter()
+            .filter(|start| ids.contains(&start.request));
         matching.count()
     };
     cluster.runners.iter().map(started).sum()
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -11,7 +11,7 @@
 use auburnsaddle_standins::platform::StoreFaults;
 use http::StatusCode;
 use support::{
-    CallResult, PATIENCE, TestCluster,
+    CallResult, PATIENCE, RunnerFaults, TestCluster,
     load::{CallerLoad, whole, wrong_results},
     versions::{VersionWatch, wait_for_version},
 };
@@ -236,7 +236,40 @@
         assert_eq!(wrong, Vec::<&CallResult>::new(), "victim {victim}");
         let cut = wrong_results(&own, is_no_answer);
         assert_eq!(cut, Vec::<&CallResult>::new(), "victim {victim}");
-        assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+        assert_eq!(cluster.runner_faults(), RunnerFaults::default());
+    }
+}
+
+/// What callers and operators got while an owner was paused.
+struct PauseResults {
+    calls: Vec<CallResult>,
+    /// A publication at another daemon during the pause.
+    applied: CallResult,
+    /// A publication at the paused daemon, on the version before that one.
+    stale: CallResult,
+}
+
+/// Pauses the owner of all shards past all leases while calls arrive, and waits
+/// until it has found its place among its peers again.
+async fn pause_the_owner(cluster: &Arc<TestCluster>) -> PauseResults {
+    let load = CallerLoad::start(cluster, &[0, 1, 2], MANY_CALLERS);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.daemons[0].pause();
+    wait_for_takeover(cluster, 1, "daemon-0").await;
+    let applied = cluster.apply(1, 1, 3_000).await;
+    tokio::time::sleep(LONGEST_LEASE + Duration::from_secs(1)).await;
+    let resume = async {
+        tokio::task::yield_now().await;
+        cluster.daemons[0].resume();
+    };
+    let (stale, ()) = tokio::join!(cluster.apply(0, 1, 4_000), resume);
+    wait_for_version(cluster, &[0, 1, 2], 2).await;
+    wait_for_takeover(cluster, 0, "daemon-0").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    PauseResults {
+        calls: load.finish().await,
+        applied,
+        stale,
     }
 }
 
@@ -246,28 +279,14 @@
 async fn a_paused_owner_is_fenced() {
     let cluster = Arc::new(TestCluster::start_with_one_owner(3).await);
     let versions = VersionWatch::start(&cluster);
-    let load = CallerLoad::start(&cluster, &[0, 1, 2], MANY_CALLERS);
-    tokio::time::sleep(Duration::from_millis(300)).await;
 
-    cluster.daemons[0].pause();
-    wait_for_takeover(&cluster, 1, "daemon-0").await;
-    let applied = cluster.apply(1, 1, 3_000).await;
-    tokio::time::sleep(LONGEST_LEASE + Duration::from_secs(1)).await;
-    let stale = {
-        let cluster = Arc::clone(&cluster);
-        tokio::spawn(async move { cluster.apply(0, 1, 4_000).await })
-    };
-    cluster.daemons[0].resume();
-    let stale = stale.await.expect("the publication does not panic");
-    wait_for_version(&cluster, &[0, 1, 2], 2).await;
-    wait_for_takeover(&cluster, 0, "daemon-0").await;
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    let results = load.finish().await;
+    let results = pause_the_owner(&cluster).await;
     let reverts = versions.finish().await;
 
-    let wrong = wrong_results(&results, is_not_run);
+    let wrong = wrong_results(&results.calls, is_not_run);
     assert_eq!(wrong, Vec::<&CallResult>::new());
-    assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+    assert_eq!(cluster.runner_faults(), RunnerFaults::default());
+    let PauseResults { applied, stale, .. } = results;
     assert!(is_status(&applied, StatusCode::OK), "{applied:?}");
     assert!(is_status(&stale, StatusCode::CONFLICT), "{stale:?}");
     assert_eq!(reverts, Vec::new());
@@ -295,7 +314,7 @@
         assert!(names.values().all(|owner| owner == "daemon-0"), "{owners}");
         let wrong = wrong_results(&results, |_| false);
         assert_eq!(wrong, Vec::<&CallResult>::new(), "{links:?}");
-        assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+        assert_eq!(cluster.runner_faults(), RunnerFaults::default());
     }
 }
 
@@ -325,7 +344,7 @@
 
         let wrong = wrong_results(&results, is_not_run);
         assert_eq!(wrong, Vec::<&CallResult>::new(), "{both_ways}");
-        assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+        assert_eq!(cluster.runner_faults(), RunnerFaults::default());
         assert!(is_status(&applied, StatusCode::OK), "{applied:?}");
         assert_eq!(reverts, Vec::new());
     }
@@ -449,7 +468,7 @@
     assert_eq!(later, after);
     let wrong = wrong_results(&results, is_not_run);
     assert_eq!(wrong, Vec::<&CallResult>::new());
-    assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+    assert_eq!(cluster.runner_faults(), RunnerFaults::default());
 }
 
 /// Guards against a rolling restart that cuts or loses a call.
@@ -474,7 +493,7 @@
     let wrong = wrong_results(&results, |_| false);
     assert_eq!(wrong, Vec::<&CallResult>::new());
     assert_eq!(codes, vec![Some(0); 3]);
-    assert_eq!(cluster.runner_faults(), (Vec::new(), Vec::new()));
+    assert_eq!(cluster.runner_faults(), RunnerFaults::default());
 }
 
 /// Guards against a short response that looks whole, with and without a length.
@@ -526,7 +545,7 @@
         CallResult::Answered(StatusCode::BAD_REQUEST, _, _)
     ));
     let starts = cluster.runners[0].lock().starts().to_vec();
-    assert_eq!(starts.last().map(String::as_str), Some(ID));
+    assert_eq!(starts.last().map(|start| start.request.as_str()), Some(ID));
 }
 
 /// Guards against heads that exhaust the memory of a daemon, and against an
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -13,7 +13,7 @@
 pub mod work;
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     io::{BufRead, BufReader},
     net::SocketAddr,
     process::{Child, Command, Stdio},
@@ -26,7 +26,7 @@
 use auburnsaddle_standins::{
     http::serve,
     platform::{self, SharedPlatform},
-    runner::{self, SharedRunner},
+    runner::{self, RunnerStart, SharedRunner},
 };
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
@@ -91,6 +91,18 @@
     BrokenOff(String),
 }
 
+/// Starts that must never happen at a runner.
+#[derive(Debug, Default, Eq, PartialEq)]
+pub struct RunnerFaults {
+    /// Calls that started more than once, at one runner or at several.
+    pub doubles: Vec<RunnerStart>,
+    /// The most calls at once of each runner that had more than its slots.
+    pub overloads: Vec<u32>,
+    /// Calls that started under a lower epoch than an earlier start of the same
+    /// shard at the same runner.
+    pub outdated: Vec<RunnerStart>,
+}
+
 /// One daemon process.
 pub struct DaemonProcess {
     pub address: SocketAddr,
@@ -227,20 +239,35 @@
         Arc::new(Mutex::new(addresses.collect()))
     }
 
-    /// Returns the identifiers of calls that ran more than once, and the runners
-    /// on which more calls than slots ran at once.
-    pub fn runner_faults(&self) -> (Vec<String>, Vec<u32>) {
+    /// Returns what the runners' logs of starts show to be wrong.
+    pub fn runner_faults(&self) -> RunnerFaults {
+        let mut faults = RunnerFaults::default();
         let mut seen = BTreeSet::new();
-        let mut doubles = Vec::new();
-        let mut peaks = Vec::new();
         for runner in &self.runners {
             let runner = runner.lock();
-            let starts = runner.starts().iter();
-            doubles.extend(starts.filter(|id| !seen.insert((*id).clone())).cloned());
-            peaks.push(runner.busy().1);
+            let mut epochs = BTreeMap::new();
+            for start in runner.starts() {
+                let highest = epochs.entry(start.shard.clone()).or_insert(start.epoch);
+                if start.epoch < *highest {
+                    faults.outdated.push(start.clone());
+                }
+                *highest = start.epoch.max(*highest);
+                if !seen.insert(start.request.clone()) {
+                    faults.doubles.push(start.clone());
+                }
+            }
+            faults.overloads.push(runner.busy().1);
         }
-        peaks.retain(|peak| *peak > RUNNER_SLOTS);
-        (doubles, peaks)
+        faults.overloads.retain(|peak| *peak > RUNNER_SLOTS);
+        faults
+    }
+
+    /// Returns the calls that runners rejected for an outdated epoch.
+    pub fn fenced_calls(&self) -> u64 {
+        self.runners
+            .iter()
+            .map(|runner| runner.lock().fenced())
+            .sum()
     }
 
     /// Sends a call of the service to a daemon.
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -20,6 +20,8 @@
     pub lose_responses: u32,
     /// Calls beyond this number per second are rejected; `0` is no limit.
     pub calls_per_second: u32,
+    /// Watches stay open but deliver nothing until this ends.
+    pub silent_watches: bool,
     /// A new list of hosts becomes visible after this time.
     pub host_lag_ms: u64,
 }
--- a/crates/standins/src/platform/serve.rs
+++ b/crates/standins/src/platform/serve.rs
@@ -189,9 +189,11 @@
                 reply.canceled = true;
                 reply.compact_revision = store.changes().compacted().to_string();
             }
-            reply.events = store.changes().since(next, &ranges);
             reply.header = store.header();
-            next = store.revision() + 1;
+            if !state.faults.silent_watches {
+                reply.events = store.changes().since(next, &ranges);
+                next = store.revision() + 1;
+            }
         }
         if (reply.created || !reply.events.is_empty()) && !send_item(&sender, &reply) {
             return;
--- a/crates/standins/src/runner/messages.rs
+++ b/crates/standins/src/runner/messages.rs
@@ -17,6 +17,9 @@
     pub announce_length: bool,
     /// Calls are reset with `REFUSED_STREAM` before anything runs.
     pub refuse_stream: bool,
+    /// Calls of an owner that was replaced run as well, which is the fault that
+    /// epochs prevent.
+    pub ignore_epochs: bool,
 }
 
 impl Default for RunnerBehaviour {
@@ -27,10 +30,24 @@
             cut_after: None,
             announce_length: false,
             refuse_stream: false,
+            ignore_epochs: false,
         }
     }
 }
 
+/// One call that was started, with the shard and epoch under which it came.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default)]
+pub struct RunnerStart {
+    /// The request id.
+    pub request: String,
+    /// The shard whose owner granted the slot.
+    pub shard: String,
+    /// The epoch of that owner.
+    pub epoch: u64,
+}
+
 /// Counters of a runner.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/standins/src/runner/mod.rs
+++ b/crates/standins/src/runner/mod.rs
@@ -12,6 +12,6 @@
 mod serve;
 mod state;
 
-pub use messages::{KeyReply, RunnerBehaviour, RunnerCounts};
+pub use messages::{KeyReply, RunnerBehaviour, RunnerCounts, RunnerStart};
 pub use serve::{SharedRunner, handle};
 pub use state::{AdmissionError, RunnerState};
--- a/crates/standins/src/runner/state.rs
+++ b/crates/standins/src/runner/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::messages::{KeyReply, RunnerBehaviour};
+use super::messages::{KeyReply, RunnerBehaviour, RunnerStart};
 
 /// Why a runner rejects a call before running it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,7 +34,8 @@
     busy_peak: u32,
     epochs: BTreeMap<String, u64>,
     keys: BTreeMap<String, Option<String>>,
-    starts: Vec<String>,
+    starts: Vec<RunnerStart>,
+    fenced: u64,
 }
 
 impl RunnerState {
@@ -49,6 +50,7 @@
             epochs: BTreeMap::new(),
             keys: BTreeMap::new(),
             starts: Vec::new(),
+            fenced: 0,
         }
     }
 
@@ -60,13 +62,20 @@
     pub fn admit(&mut self, shard: &str, epoch: u64, request: &str) -> Result<(), AdmissionError> {
         let highest = self.epochs.entry(shard.to_owned()).or_insert(0);
         match () {
-            () if epoch < *highest => Err(AdmissionError::Fenced),
+            () if epoch < *highest && !self.behaviour.ignore_epochs => {
+                self.fenced += 1;
+                Err(AdmissionError::Fenced)
+            }
             () if self.busy >= self.slots => Err(AdmissionError::Full),
             () => {
-                *highest = epoch;
+                *highest = epoch.max(*highest);
                 self.busy += 1;
                 self.busy_peak = self.busy_peak.max(self.busy);
-                self.starts.push(request.to_owned());
+                self.starts.push(RunnerStart {
+                    request: request.to_owned(),
+                    shard: shard.to_owned(),
+                    epoch,
+                });
                 Ok(())
             }
         }
@@ -104,9 +113,15 @@
         }
     }
 
-    /// Returns the request ids of all calls that were started, in order.
+    /// Returns all calls that were started, in order.
     #[must_use]
-    pub fn starts(&self) -> &[String] {
+    pub fn starts(&self) -> &[RunnerStart] {
         &self.starts
     }
+
+    /// Returns the number of calls rejected for an outdated epoch.
+    #[must_use]
+    pub const fn fenced(&self) -> u64 {
+        self.fenced
+    }
 }
