Read the sockets once more before a header timeout ends a connection

Cause: the header timeout also runs on idle connections. After SIGCONT the timers of the event loop fire before the sockets are polled, so a request that arrived during a pause of over 5 s lost its connection to the timeout and the caller got a reset. Conclusion: the timeout now ends a connection only after the sockets had another 250 ms, which starts again if the process was paused during it.

--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -12,5 +12,6 @@
 mod messages;
 mod service;
 mod tasks;
+mod timer;
 
 pub(crate) use service::{FrontService, serve_front};
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -18,7 +18,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
-    rt::{TokioExecutor, TokioIo, TokioTimer},
+    rt::{TokioExecutor, TokioIo},
     server::{conn::auto, graceful::GracefulShutdown},
 };
 use tokio::{
@@ -35,6 +35,7 @@
         unknown_response,
     },
     tasks::TASKS_PATH,
+    timer::ConnectionTimer,
 };
 use crate::{
     calls::{CallCommand, CallDispatcher, CallHead},
@@ -296,13 +297,13 @@
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(TokioTimer::new())
+        .timer(ConnectionTimer)
         .header_read_timeout(limits.header_timeout)
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.header_bytes);
     builder
         .http2()
-        .timer(TokioTimer::new())
+        .timer(ConnectionTimer)
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX));
     let connection = builder
         .serve_connection(TokioIo::new(stream), service)
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -9,6 +9,7 @@
 };
 
 use auburnsaddle_standins::platform::StoreFaults;
+use futures::future::join_all;
 use http::StatusCode;
 use support::{
     CallResult, PATIENCE, RunnerFaults, TestCluster,
@@ -240,6 +241,30 @@
     }
 }
 
+/// Guards against a request that arrived while the daemon was paused and loses
+/// its connection to the header timeout when the daemon resumes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_longer_than_the_header_timeout_resets_no_request() {
+    let mut cluster = TestCluster::start(1).await;
+    let paused = cluster.start_daemon(1, &["--header-timeout-ms", "300"]);
+    cluster.wait_until_answering(paused.address).await;
+    cluster.daemons.push(paused);
+    let calls = || join_all((0..MANY_CALLERS).map(|_| cluster.call(1, "token")));
+
+    for pause in 0..3 {
+        let first = calls().await;
+        cluster.daemons[1].pause();
+        let second = async {
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            cluster.daemons[1].resume();
+        };
+        let (second, ()) = tokio::join!(calls(), second);
+
+        assert_eq!(first, vec![done("token"); MANY_CALLERS], "pause {pause}");
+        assert_eq!(second, vec![done("token"); MANY_CALLERS], "pause {pause}");
+    }
+}
+
 /// What callers and operators got while an owner was paused.
 struct PauseResults {
     calls: Vec<CallResult>,
