Move the granted slots of a call queue into a table of their own

GrantTable keeps the grants, their index by request and daemon and the schedule of reclaims; the queue decides when to hold and release.

--- a/crates/core/src/calls/state.rs
+++ b/crates/core/src/calls/state.rs
@@ -7,15 +7,14 @@
 
 use super::{
     config::CallConfig,
+    grants::{GrantTable, TakenSlot},
     lanes::{Arrival, CallLanes, LaneName},
-    loans::{BorrowedSlot, LoanBook},
-    messages::{CallAction, CallEvent, CallLoad, CallRequest, GrantResult, SlotGrant},
+    loans::LoanBook,
+    messages::{CallAction, CallEvent, CallLoad, CallRequest, GrantResult},
     messages::{LoanBody, LoanMessage},
     runners::RunnerTable,
 };
-use crate::types::{
-    DaemonId, Epoch, GrantId, NotRunReason, RequestId, RunnerId, UrgencyClass, ZoneId,
-};
+use crate::types::{DaemonId, Epoch, GrantId, NotRunReason, RequestId, UrgencyClass, ZoneId};
 
 /// Weight of the newest sample in the mean service time.
 ///
@@ -57,35 +56,6 @@
     drain_time: Duration,
 }
 
-/// A slot that is granted to a call.
-#[derive(Clone, Debug)]
-struct HeldSlot {
-    request: RequestId,
-    requester: Option<DaemonId>,
-    slot: TakenSlot,
-    is_urgent: bool,
-    is_orphaned: bool,
-    granted_at: Duration,
-    deadline: Duration,
-}
-
-/// Where the slot of a grant comes from.
-#[derive(Clone, Debug)]
-enum TakenSlot {
-    Own(RunnerId),
-    Borrowed(BorrowedSlot),
-}
-
-impl TakenSlot {
-    /// Tells whether the runner has left this shard's list.
-    fn is_departed(&self, runners: &RunnerTable) -> bool {
-        match self {
-            Self::Own(runner) => !runners.is_live(runner),
-            Self::Borrowed(_) => false,
-        }
-    }
-}
-
 /// The calls of one shard that wait or run, and the slots of its runners.
 #[derive(Clone, Debug)]
 pub struct CallQueue {
@@ -102,11 +72,7 @@
     promotions: BTreeSet<(Duration, Arrival)>,
     redirectable: BTreeSet<Arrival>,
     waiting_of: BTreeSet<(DaemonId, Arrival)>,
-    grants: BTreeMap<GrantId, HeldSlot>,
-    granted: BTreeMap<RequestId, GrantId>,
-    granted_urgent: u32,
-    grants_of: BTreeSet<(DaemonId, GrantId)>,
-    reclaims: BTreeSet<(Duration, GrantId)>,
+    grants: GrantTable,
     zone_credits: BTreeMap<ZoneId, u32>,
     service_time: Option<f64>,
     /// Mean number of urgent calls that run or wait, at most their share.
@@ -115,7 +81,6 @@
     /// Measured waiting time relative to the drain time, for calls that are not urgent.
     wait_bias: f64,
     next_arrival: Arrival,
-    next_grant: GrantId,
 }
 
 impl CallQueue {
@@ -141,11 +106,7 @@
             promotions: BTreeSet::new(),
             redirectable: BTreeSet::new(),
             waiting_of: BTreeSet::new(),
-            grants: BTreeMap::new(),
-            granted: BTreeMap::new(),
-            granted_urgent: 0,
-            grants_of: BTreeSet::new(),
-            reclaims: BTreeSet::new(),
+            grants: GrantTable::new(),
             zone_credits: BTreeMap::new(),
             service_time: None,
             // The whole share is kept until the load has been observed.
@@ -153,7 +114,6 @@
             urgent_noted_at: now,
             wait_bias: 1.0,
             next_arrival: 0,
-            next_grant: 1,
         }
     }
 
@@ -196,7 +156,7 @@
     pub fn next_timer(&self) -> Option<Duration> {
         let deadline = self.deadlines.first().map(|(at, _)| *at);
         let promotion = self.promotions.first().map(|(at, _)| *at);
-        let reclaim = self.reclaims.first().map(|(at, _)| *at);
+        let reclaim = self.grants.next_reclaim();
         let pause = self.runners.next_pause();
         let start = self.granting_from.filter(|_| !self.waiting.is_empty());
         let loan = self.loans.next_timer(!self.waiting.is_empty());
@@ -214,7 +174,7 @@
             CallEvent::Returned(grant, result) => self.return_grant(grant, result, now),
             CallEvent::RunnersChanged(runners) => {
                 self.runners.replace(runners);
-                self.schedule_departed();
+                self.grants.note_departed(&self.runners);
             }
             CallEvent::RequesterLost(daemon) => self.lose_requester(&daemon),
             CallEvent::WeightsChanged(weights) => self.lanes.set_weights(weights),
@@ -250,7 +210,7 @@
 
     fn enqueue(&mut self, call: CallRequest, now: Duration, actions: &mut Vec<CallAction>) {
         let is_known =
-            self.arrivals.contains_key(&call.request) || self.granted.contains_key(&call.request);
+            self.arrivals.contains_key(&call.request) || self.grants.has_request(call.request);
         if is_known {
             // A repeated message must not obtain a second slot.
             return;
@@ -439,8 +399,9 @@
                 continue;
             };
             self.note_waiting_time(&waiting, now);
-            let grant = self.take_slot();
-            let grant = grant.map(|slot| self.hold(waiting, slot, now));
+            let slot = self.take_slot();
+            let grant =
+                slot.map(|slot| self.grants.hold(waiting.call, slot, waiting.deadline, now));
             actions.extend(grant.map(CallAction::Grant));
         }
     }
@@ -513,7 +474,9 @@
 
     /// Returns the free slots that are not kept for urgent calls.
     fn open_slots(&self) -> u32 {
-        let kept = self.urgent_reserve().saturating_sub(self.granted_urgent);
+        let kept = self
+            .urgent_reserve()
+            .saturating_sub(self.grants.urgent_len());
         self.free_slots().saturating_sub(kept)
     }
 
@@ -548,53 +511,15 @@
         }
         let share = f64::from(self.urgent_share());
         let waiting = u32::try_from(self.waiting_urgent).unwrap_or(u32::MAX);
-        let load = f64::from(self.granted_urgent.saturating_add(waiting)).min(share);
+        let load = f64::from(self.grants.urgent_len().saturating_add(waiting)).min(share);
         let kept = (-elapsed.as_secs_f64() / URGENT_PERIOD.as_secs_f64()).exp();
         self.urgent_mean = load + (self.urgent_mean.min(share) - load) * kept;
     }
 
-    fn hold(&mut self, waiting: WaitingCall, slot: TakenSlot, now: Duration) -> SlotGrant {
-        let grant = self.next_grant;
-        self.next_grant += 1;
-        let call = waiting.call;
-        let is_urgent = call.urgency == UrgencyClass::Urgent;
-        self.granted_urgent += u32::from(is_urgent);
-        self.granted.insert(call.request, grant);
-        let (runner, lender) = match &slot {
-            TakenSlot::Own(runner) => (runner.clone(), None),
-            TakenSlot::Borrowed(slot) => (slot.runner.clone(), Some(slot.slot_lender())),
-        };
-        let requester = call.requester.clone();
-        self.grants_of
-            .extend(requester.map(|daemon| (daemon, grant)));
-        let held = HeldSlot {
-            request: call.request,
-            requester: call.requester,
-            slot,
-            is_urgent,
-            is_orphaned: false,
-            granted_at: now,
-            deadline: waiting.deadline,
-        };
-        self.grants.insert(grant, held);
-        SlotGrant {
-            grant,
-            request: call.request,
-            runner,
-            lender,
-        }
-    }
-
     fn return_grant(&mut self, grant: GrantId, result: GrantResult, now: Duration) {
-        let Some(held) = self.grants.remove(&grant) else {
+        let Some(held) = self.grants.remove(grant) else {
             return;
         };
-        self.granted.remove(&held.request);
-        if let Some(daemon) = held.requester {
-            self.grants_of.remove(&(daemon, grant));
-        }
-        self.reclaims.remove(&(held.deadline, grant));
-        self.granted_urgent -= u32::from(held.is_urgent);
         if result == GrantResult::Answered {
             self.note_service_time(now.saturating_sub(held.granted_at));
         }
@@ -622,38 +547,15 @@
         for (_, arrival) in waiting {
             self.remove(arrival);
         }
-        let grants = (daemon.clone(), GrantId::MIN)..=(daemon.clone(), GrantId::MAX);
-        for (_, grant) in self.grants_of.range(grants) {
-            if let Some(held) = self.grants.get_mut(grant) {
-                held.is_orphaned = true;
-                self.reclaims.insert((held.deadline, *grant));
-            }
-        }
-    }
-
-    /// Schedules the grants at runners that left, in case they are never returned.
-    fn schedule_departed(&mut self) {
-        let runners = &self.runners;
-        let departed = self.grants.iter();
-        let departed = departed.filter(|(_, held)| held.slot.is_departed(runners));
-        let reclaims = departed.map(|(grant, held)| (held.deadline, *grant));
-        self.reclaims.extend(reclaims);
+        self.grants.orphan(daemon);
     }
 
     fn reclaim(&mut self, now: Duration) {
         for runner in self.loans.reclaim(now) {
             self.runners.release(&runner, GrantResult::Unused, now);
         }
-        while let Some((deadline, grant)) = self.reclaims.first().copied() {
-            if deadline > now {
-                return;
-            }
-            self.reclaims.pop_first();
-            let held = self.grants.get(&grant);
-            // A runner that came back still runs the calls of live requesters.
-            if held.is_some_and(|held| held.is_orphaned || held.slot.is_departed(&self.runners)) {
-                self.return_grant(grant, GrantResult::Unused, now);
-            }
+        while let Some(grant) = self.grants.next_reclaimed(&self.runners, now) {
+            self.return_grant(grant, GrantResult::Unused, now);
         }
     }
 
