Reclaim a slot whose return was lost

Cause: a lost ReturnSlot message leaked the slot while its requester stayed alive; only grants of lost requesters and of departed runners were reclaimed. The owner now reclaims any grant 1 s after the deadline of its call. A term is safe because entries and runners end a call by its deadline and a runner rejects what does not fit; a query of the requester was ruled out, as it needs a table of grants at each entry and a term in any case when its answer is lost. A return that arrives after the reclaim frees nothing.

The new test fails without the reclaim (no grant at 2 s). Changed checks: the burst of cancellations left next_timer at None and now leaves the reclaim of the one call that holds the slot, compared exactly; the model of the property test ends calls that are not returned at their deadline plus 1 s, as the runners do. cargo test -p auburnsaddle-core: 102 unit, 38 fault matrix and 3 schedule tests pass.

--- a/crates/core/src/calls/grants.rs
+++ b/crates/core/src/calls/grants.rs
@@ -12,6 +12,14 @@
 };
 use crate::types::{DaemonId, GrantId, RequestId, RunnerId, UrgencyClass};
 
+/// Time from the deadline of a call to the reclaim of its slot when its requester
+/// lives but has not returned it.
+///
+/// The message with the return can be lost. Runners and entries end a call by its
+/// deadline, so a return that is on its way arrives within this time. A call
+/// that runs longer all the same can cost a grant, which its runner rejects.
+const RETURN_MARGIN: Duration = Duration::from_secs(1);
+
 /// A slot that is granted to a call.
 #[derive(Clone, Debug)]
 pub(super) struct HeldSlot {
@@ -24,6 +32,12 @@
     deadline: Duration,
 }
 
+impl HeldSlot {
+    const fn overdue_at(&self) -> Duration {
+        self.deadline.saturating_add(RETURN_MARGIN)
+    }
+}
+
 /// Where the slot of a grant comes from.
 #[derive(Clone, Debug)]
 pub(super) enum TakenSlot {
@@ -117,6 +131,7 @@
             granted_at: now,
             deadline,
         };
+        self.reclaims.insert((held.overdue_at(), grant));
         self.held.insert(grant, held);
         SlotGrant {
             grant,
@@ -134,6 +149,7 @@
             self.of_daemon.remove(&(daemon, grant));
         }
         self.reclaims.remove(&(held.deadline, grant));
+        self.reclaims.remove(&(held.overdue_at(), grant));
         self.urgent -= u32::from(held.is_urgent);
         Some(held)
     }
@@ -169,7 +185,9 @@
             }
             self.reclaims.pop_first();
             // A runner that came back still runs the calls of live requesters.
-            let is_due = |held: &HeldSlot| held.is_orphaned || held.slot.is_departed(runners);
+            let is_due = |held: &HeldSlot| {
+                held.is_orphaned || held.slot.is_departed(runners) || held.overdue_at() <= now
+            };
             if self.held.get(&grant).is_some_and(is_due) {
                 return Some(grant);
             }
