Measure packing over ten seeds

The bound on hosts was measured with five seeds, too few to tell a policy that suits some of them from one that helps in general.

--- a/crates/core/benches/packing.rs
+++ b/crates/core/benches/packing.rs
@@ -26,6 +26,8 @@
 /// Hosts offered, as a multiple of those of the deployment.
 const OFFERED: usize = 3;
 const TEAMS: usize = 12;
+/// Enough seeds that a policy that suits a few of them shows.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=10;
 
 struct Deployment {
     name: &'static str,
@@ -311,7 +313,7 @@
 fn main() {
     let rows: Vec<_> = DEPLOYMENTS
         .iter()
-        .flat_map(|deployment| (1..=5).flat_map(|seed| measure_deployment(deployment, seed)))
+        .flat_map(|deployment| SEEDS.flat_map(|seed| measure_deployment(deployment, seed)))
         .collect();
     println!("goal for hosts / volume, not bounded: 1.05");
     print_table(&rows);
