Open empty hosts without a penalty when they are needed anyway

Cause: packing-first filled every host in use before it opened an empty one. The accelerator hosts are in use first, so the largest jobs without accelerators filled the open shares of these hosts whatever their proportion of memory to processors. In jegue-vale such a share has 2 GiB per core and the work needs about 3.5.

Change: the queue sums what the waiting work without accelerators needs, and the room of the workers in use. While the first exceeds the second in any dimension, an empty host is compared like the others, by proportion and tightness. Both sums are kept up at each change, so a decision costs no further steps. The property test of the queue compares them with fresh sums.

--- a/crates/core/src/tasks/ledger.rs
+++ b/crates/core/src/tasks/ledger.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Returns what its waiting tasks need.
+    pub(super) fn volume(&self) -> ResourceVector {
+        self.spec.demand.times(self.pending.len() as u64)
+    }
+
     /// Tells whether a placement is possible: a gang waits for all members.
     pub(super) fn is_placeable(&self) -> bool {
         !self.pending.is_empty() && (!self.is_gang() || self.active == 0)
--- a/crates/core/src/tasks/place.rs
+++ b/crates/core/src/tasks/place.rs
@@ -208,6 +208,7 @@
             capacity: slot.entry.capacity,
             free: self.workers.free_for(name, demand),
             empty: slot.tasks.is_empty(),
+            opening_needed: self.opens_hosts(),
             same_rack: job.racks.get(&slot.entry.rack).copied().unwrap_or(0),
             same_zone: job.zones.get(&slot.entry.zone).copied().unwrap_or(0),
         };
@@ -215,6 +216,12 @@
         Some((self.health.failed_on(&id, name), cost))
     }
 
+    /// Tells whether the work without accelerators that waits exceeds the room
+    /// of the workers in use, so that empty ones are needed in any case.
+    fn opens_hosts(&self) -> bool {
+        !self.lanes.volume().fits_in(self.workers.room_in_use())
+    }
+
     /// Makes a placement effective: charges the team and starts the tasks, or
     /// records their start first.
     pub(super) fn commit(&mut self, id: JobId, placed: &[(TaskId, WorkerId)], now: Duration) {
@@ -379,6 +386,7 @@
             },
             arrival: job.arrival,
             lane: lane_of(&job.spec.demand, members, !anytime),
+            volume: job.volume(),
         };
         job.waiting_since = now;
         job.reason = WaitReason::Queued;
@@ -414,12 +422,26 @@
             .get(&id)
             .is_some_and(super::ledger::JobEntry::is_placeable);
         if placeable {
+            self.resize(id);
             self.enqueue(id, now);
         } else {
             self.dequeue(id);
         }
     }
 
+    /// Brings the volume of a job in a lane in line with its waiting tasks.
+    fn resize(&mut self, id: JobId) {
+        let Some(job) = self.ledger.jobs.get_mut(&id) else {
+            return;
+        };
+        let volume = job.volume();
+        if let Some(entry) = &mut job.entry {
+            self.lanes.take_volume(entry);
+            entry.volume = volume;
+            self.lanes.add_volume(entry);
+        }
+    }
+
     /// Sets a job aside until its team holds less.
     fn park(&mut self, id: JobId) {
         let Some(job) = self.ledger.jobs.get_mut(&id) else {
--- a/crates/core/src/tasks/policy.rs
+++ b/crates/core/src/tasks/policy.rs
@@ -13,6 +13,9 @@
     pub free: ResourceVector,
     /// Whether the worker runs nothing.
     pub empty: bool,
+    /// Whether empty workers are needed in any case, because the waiting work
+    /// exceeds the room of those in use.
+    pub opening_needed: bool,
     /// Tasks of the same job in the same rack.
     pub same_rack: u32,
     /// Tasks of the same job in the same zone.
@@ -79,7 +82,9 @@
         false
     }
 
-    /// Prefers a worker in use, then one whose free processors and memory are
+    /// Prefers a worker in use unless empty ones are needed in any case: the
+    /// first jobs would else fill accelerator hosts with whatever comes, and
+    /// leave their processors without memory. Then it prefers one whose free processors and memory are
     /// in the proportion of the demand, then a tight fit: free processors
     /// without memory are lost to later work.
     fn worker_cost(&self, demand: &ResourceVector, candidate: &Candidate) -> u64 {
@@ -90,7 +95,7 @@
         let memory = part(demand.memory_mib, free.memory_mib, PARTS);
         let tightness = left(demand, candidate).iter().sum::<u64>();
         let spread = u64::from(candidate.same_rack) * 100 + u64::from(candidate.same_zone);
-        let opened = u64::from(candidate.empty) * 16 * PARTS;
+        let opened = u64::from(candidate.empty && !candidate.opening_needed) * 16 * PARTS;
         spread * 32 * PARTS + opened + processors.abs_diff(memory) * PROPORTION + tightness
     }
 
--- a/crates/core/src/tasks/tests/sequences.rs
+++ b/crates/core/src/tasks/tests/sequences.rs
@@ -117,6 +117,22 @@
         self.check_gangs(&first_starts);
         self.check_capacity(&started_on);
         self.check_never();
+        self.check_volumes();
+    }
+
+    /// Wrong sums would open hosts in vain, or too late.
+    fn check_volumes(&self) {
+        let waiting = self.queue.ledger.jobs.values();
+        let volume = waiting
+            .filter(|job| job.entry.is_some() && job.spec.demand.accelerators == 0)
+            .fold(ResourceVector::default(), |sum, job| {
+                sum.plus(&job.volume())
+            });
+        let mut rebuilt = self.queue.workers.clone();
+        rebuilt.rebuild();
+        assert_eq!(*self.queue.lanes.volume(), volume, "waiting volume");
+        let room = self.queue.workers.room_in_use();
+        assert_eq!(room, rebuilt.room_in_use(), "room in use");
     }
 
     fn check_gangs(&self, started: &BTreeMap<u64, usize>) {
--- a/crates/core/src/tasks/waiting.rs
+++ b/crates/core/src/tasks/waiting.rs
@@ -9,7 +9,7 @@
     collections::{BTreeMap, BTreeSet},
 };
 
-use super::messages::JobId;
+use super::{messages::JobId, workers::subtract};
 use crate::types::{ResourceVector, TeamId, UrgencyClass};
 
 /// Size class of jobs: binary logarithms of members, processors and memory,
@@ -39,6 +39,8 @@
     pub(super) cost: u64,
     pub(super) arrival: u64,
     pub(super) lane: LaneKey,
+    /// What all waiting tasks of the job need.
+    pub(super) volume: ResourceVector,
 }
 
 impl WaitEntry {
@@ -62,6 +64,8 @@
     open: BTreeSet<(HeadKey, LaneKey)>,
     shares: BTreeMap<TeamId, u64>,
     team_lanes: BTreeMap<TeamId, BTreeSet<LaneKey>>,
+    /// What the waiting jobs without accelerators need.
+    volume: ResourceVector,
 }
 
 /// Returns the lane of jobs of this size.
@@ -92,12 +96,31 @@
         });
         let lanes = self.team_lanes.entry(entry.team.clone()).or_default();
         lanes.insert(entry.lane);
+        self.add_volume(entry);
     }
 
     pub(super) fn remove(&mut self, entry: &WaitEntry) {
         self.change(entry.lane, &entry.team, |jobs| {
             jobs.remove(&entry.order());
         });
+        self.take_volume(entry);
+    }
+
+    pub(super) fn add_volume(&mut self, entry: &WaitEntry) {
+        if entry.volume.accelerators == 0 {
+            self.volume = self.volume.plus(&entry.volume);
+        }
+    }
+
+    pub(super) fn take_volume(&mut self, entry: &WaitEntry) {
+        if entry.volume.accelerators == 0 {
+            self.volume = subtract(&self.volume, &entry.volume);
+        }
+    }
+
+    /// Returns what the waiting jobs without accelerators need.
+    pub(super) const fn volume(&self) -> &ResourceVector {
+        &self.volume
     }
 
     /// Changes the jobs of a team in a lane and moves the heads accordingly.
--- a/crates/core/src/tasks/workers.rs
+++ b/crates/core/src/tasks/workers.rs
@@ -112,6 +112,15 @@
     fn plain_room(&self, percent: u64) -> ResourceVector {
         lesser(&self.plain_free(percent), &self.room())
     }
+
+    /// Returns its room for work without accelerators if it runs anything.
+    fn room_in_use(&self, percent: u64) -> ResourceVector {
+        match self.has_accelerators() {
+            _ if self.tasks.is_empty() => ResourceVector::default(),
+            true => self.plain_room(percent),
+            false => self.room(),
+        }
+    }
 }
 
 /// Returns the part of an accelerator host open to work without accelerators.
@@ -155,6 +164,8 @@
     total: ResourceVector,
     host_share_percent: u64,
     cursor: usize,
+    /// Room for work without accelerators on the workers in use.
+    room_in_use: ResourceVector,
     pub(super) work: WorkCounter,
 }
 
@@ -171,6 +182,7 @@
             total: ResourceVector::default(),
             host_share_percent,
             cursor: 0,
+            room_in_use: ResourceVector::default(),
             work: WorkCounter::default(),
         };
         table.rebuild();
@@ -219,7 +231,7 @@
     }
 
     /// Orders the workers by zone and rack and builds the indexes anew.
-    fn rebuild(&mut self) {
+    pub(super) fn rebuild(&mut self) {
         let mut order: Vec<_> = self
             .slots
             .values()
@@ -237,11 +249,14 @@
         let (mut general, mut accelerated, mut plain) = (Vec::new(), Vec::new(), Vec::new());
         self.total = ResourceVector::default();
         self.shapes.clear();
+        self.room_in_use = ResourceVector::default();
         for (_, _, name) in order {
             let Some(slot) = self.slots.get_mut(&name) else {
                 continue;
             };
             self.total = self.total.plus(&slot.entry.capacity);
+            let in_use = slot.room_in_use(self.host_share_percent);
+            self.room_in_use = self.room_in_use.plus(&in_use);
             *self.shapes.entry(slot.entry.capacity).or_default() += 1;
             if slot.has_accelerators() {
                 slot.position = accelerated.len();
@@ -264,7 +279,10 @@
         let Some(slot) = self.slots.get_mut(name) else {
             return;
         };
+        let before = slot.room_in_use(self.host_share_percent);
         change(slot);
+        let after = slot.room_in_use(self.host_share_percent);
+        self.room_in_use = subtract(&self.room_in_use, &before).plus(&after);
         let (position, room) = (slot.position, slot.room());
         if slot.has_accelerators() {
             let plain = slot.plain_room(self.host_share_percent);
@@ -371,6 +389,11 @@
         }
     }
 
+    /// Returns the room for work without accelerators on workers in use.
+    pub(super) const fn room_in_use(&self) -> &ResourceVector {
+        &self.room_in_use
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.slots.is_empty()
     }
