--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -36,6 +36,7 @@
     steps: f64,
     per_second: f64,
     running: f64,
+    missed: f64,
     per_event: f64,
     worker_bytes: f64,
     task_bytes: f64,
@@ -65,6 +66,9 @@
     queue: TaskQueue<P>,
     generator: ChaCha8Rng,
     next_job: u64,
+    names: Vec<auburnsaddle_core::WorkerId>,
+    /// Tasks that did not start on submission although a worker had room.
+    missed: u32,
     running: Vec<(auburnsaddle_core::TaskId, u32, auburnsaddle_core::WorkerId)>,
 }
 
@@ -77,17 +81,17 @@
             TaskEvent::WorkersChanged(entries.clone()),
             Duration::ZERO,
         );
-        for entry in entries {
-            run(
-                &mut queue,
-                TaskEvent::WorkerClaimed(entry.worker, vec![]),
-                Duration::ZERO,
-            );
+        let names: Vec<_> = entries.into_iter().map(|entry| entry.worker).collect();
+        for name in &names {
+            let event = TaskEvent::WorkerClaimed(name.clone(), vec![]);
+            run(&mut queue, event, Duration::ZERO);
         }
         Self {
             queue,
             generator: generator(SEED),
             next_job: 1,
+            names,
+            missed: 0,
             running: Vec::new(),
         }
     }
@@ -100,13 +104,28 @@
         }
     }
 
-    fn submit(&mut self) {
+    fn submit(&mut self) -> ResourceVector {
         let demand = demand(&mut self.generator);
         let team = self.generator.random_range(0..TEAMS);
         let spec = job(self.next_job, 1, team, demand);
         self.next_job += 1;
         let actions = run(&mut self.queue, TaskEvent::Submitted(spec), Duration::ZERO);
         self.note(actions);
+        demand
+    }
+
+    /// Submits a task and counts it if it waits without need.
+    fn fill(&mut self) {
+        let before = self.running.len();
+        let demand = self.submit();
+        let room = |name| {
+            self.queue
+                .free(name)
+                .is_some_and(|free| demand.fits_in(&free))
+        };
+        if self.running.len() == before && self.names.iter().any(room) {
+            self.missed += 1;
+        }
     }
 
     fn finish(&mut self) {
@@ -129,7 +148,7 @@
     let mut load = Load::new(policy, worker_len);
     let idle = resident_bytes();
     for _ in 0..task_len + task_len / 4 {
-        load.submit();
+        load.fill();
     }
     let full = resident_bytes();
     let running = load.running.len() as f64;
@@ -148,6 +167,7 @@
         steps: (after.steps - before.steps) as f64 / placed,
         per_second: placed / elapsed,
         running,
+        missed: f64::from(load.missed),
         per_event: (after.steps - before.steps) as f64 / f64::from(events),
         worker_bytes: (idle - empty) / worker_len as f64,
         task_bytes: (full - idle) / (task_len + task_len / 4) as f64,
@@ -168,30 +188,15 @@
             Some(base * growth * MARGIN)
         };
         let name = format!("{policy:?} {worker_len} workers, {task_len} tasks:");
-        rows.push(ResultRow::new(
-            format!("{name} steps"),
-            result.steps,
-            bound,
-            SEED,
-        ));
-        rows.push(ResultRow::new(
-            format!("{name} steps per event"),
-            result.per_event,
-            None,
-            SEED,
-        ));
-        rows.push(ResultRow::new(
-            format!("{name} decisions/s"),
-            result.per_second,
-            None,
-            SEED,
-        ));
-        rows.push(ResultRow::new(
-            format!("{name} running"),
-            result.running,
-            None,
-            SEED,
-        ));
+        for (text, value, bound) in [
+            ("steps", result.steps, bound),
+            ("steps per event", result.per_event, None),
+            ("decisions/s", result.per_second, None),
+            ("running", result.running, None),
+            ("waiting although a worker had room", result.missed, None),
+        ] {
+            rows.push(ResultRow::new(format!("{name} {text}"), value, bound, SEED));
+        }
     }
     rows
 }
