Promote long-waiting urgent work before larger urgent work

Cause: whether a job was promoted was read from its urgency, which an urgent job cannot change. Under packing-first, larger urgent jobs passed a small urgent one again and again, however long it had waited.

Change: the job notes that it was promoted.

--- a/crates/core/src/tasks/ledger.rs
+++ b/crates/core/src/tasks/ledger.rs
@@ -23,6 +23,8 @@
     pub(super) spec: JobSpec,
     /// Urgency after promotion.
     pub(super) urgency: UrgencyClass,
+    /// Whether it has waited so long that it goes before larger work.
+    pub(super) promoted: bool,
     pub(super) pending: BTreeSet<TaskId>,
     pub(super) active: usize,
     pub(super) ended: usize,
--- a/crates/core/src/tasks/place.rs
+++ b/crates/core/src/tasks/place.rs
@@ -374,12 +374,11 @@
         }
         let members = job.members();
         let part = dominant_part(&job.spec.demand.times(members), &total, MILLIONTHS);
-        let promoted = job.urgency > job.spec.urgency;
         let entry = WaitEntry {
             job: id,
             team: job.spec.team.clone(),
             urgency: job.urgency,
-            cost: if promoted {
+            cost: if job.promoted {
                 0
             } else {
                 self.policy.job_cost(part)
--- a/crates/core/src/tasks/state.rs
+++ b/crates/core/src/tasks/state.rs
@@ -218,6 +218,7 @@
         self.ledger.index_job(&spec, arrival);
         let entry = JobEntry {
             urgency: spec.urgency,
+            promoted: false,
             pending: spec.tasks.iter().copied().collect(),
             active: 0,
             ended: 0,
@@ -343,6 +344,7 @@
             self.ledger.promotions.remove(&(at, id));
             self.dequeue(id);
             if let Some(job) = self.ledger.jobs.get_mut(&id) {
+                job.promoted = true;
                 job.urgency = match job.urgency {
                     UrgencyClass::Batch => UrgencyClass::Normal,
                     UrgencyClass::Normal | UrgencyClass::Urgent => UrgencyClass::Urgent,
--- a/crates/core/src/tasks/tests/examples.rs
+++ b/crates/core/src/tasks/tests/examples.rs
@@ -347,6 +347,38 @@
     assert_eq!(started, vec![(task(2_000), 1, "w0".into())]);
 }
 
+/// Guards against work that more urgent work, or larger work of its class,
+/// passes again and again.
+#[test]
+fn work_that_waited_long_is_promoted() {
+    let (batch, normal, urgent) = (
+        UrgencyClass::Batch,
+        UrgencyClass::Normal,
+        UrgencyClass::Urgent,
+    );
+    for (old, new) in [(batch, normal), (normal, urgent), (urgent, urgent)] {
+        let mut queue = queue(1);
+        let first = submit(&mut queue, job(1, 1, 16), Duration::ZERO);
+        commit(&mut queue, first, Duration::ZERO);
+        let waited = TaskConfig::default().promote_after;
+        let arrivals = [(2, 9, old, Duration::ZERO), (3, 16, new, waited / 2)];
+        for (number, cores, urgency, at) in arrivals {
+            let spec = JobSpec {
+                urgency,
+                ..job(number, 1, cores)
+            };
+            let actions = submit(&mut queue, spec, at);
+            commit(&mut queue, actions, at);
+        }
+        queue.handle(TaskEvent::TimerFired, waited);
+
+        let freed = queue.handle(report("w0", ended(task(1_000), true)), waited);
+
+        let started = starts(&commit(&mut queue, freed, waited));
+        assert_eq!(started, vec![(task(2_000), 1, "w0".into())], "{old:?}");
+    }
+}
+
 /// Guards against a service that one rack can take down.
 #[test]
 fn a_service_is_spread_over_racks() {
