--- a/crates/core/src/tasks/ledger.rs
+++ b/crates/core/src/tasks/ledger.rs
@@ -23,6 +23,8 @@
     pub(super) spec: JobSpec,
     /// Urgency after promotion.
     pub(super) urgency: UrgencyClass,
+    /// Whether it has waited so long that it goes before larger work.
+    pub(super) promoted: bool,
     pub(super) pending: BTreeSet<TaskId>,
     pub(super) active: usize,
     pub(super) ended: usize,
@@ -50,6 +52,11 @@
         }
     }
 
+    /// Returns what its waiting tasks need.
+    pub(super) fn volume(&self) -> ResourceVector {
+        self.spec.demand.times(self.pending.len() as u64)
+    }
+
     /// Tells whether a placement is possible: a gang waits for all members.
     pub(super) fn is_placeable(&self) -> bool {
         !self.pending.is_empty() && (!self.is_gang() || self.active == 0)
