Take back starts that are being recorded when their host begins to leave

A start whose record waited for the store was sent once the record was durable, however long its host had been leaving by then: TaskQueue::leaving closed the worker for new placements only and left tasks in the state Recording. They are now put back into the queue, as they are when their worker becomes silent.

The case is kept in cases_that_failed_before, which fails without the change.

Ruled out: a wrong check.

--- a/crates/core/src/tasks/outcome.rs
+++ b/crates/core/src/tasks/outcome.rs
@@ -218,7 +218,9 @@
         }
     }
 
-    pub(super) fn leaving(&mut self, name: &WorkerId) {
+    /// Closes a worker for new work. A start that is still being recorded is
+    /// new work too: the record can take longer than the host may take starts.
+    pub(super) fn leaving(&mut self, name: &WorkerId, now: Duration) {
         self.workers
             .update(name, |slot| slot.close(ClosedReason::Leaving));
         for task in self.occupants(name) {
@@ -226,15 +228,14 @@
             let movable = job
                 .and_then(|job| self.ledger.jobs.get(&job))
                 .is_some_and(|job| job.spec.checkpoint && job.spec.restart != RestartPolicy::Never);
-            let running = self
-                .ledger
-                .tasks
-                .get(&task)
-                .is_some_and(|entry| matches!(entry.state, TaskState::Running(_)));
-            if movable && running {
-                self.actions
-                    .push(TaskAction::Checkpoint(task, name.clone()));
-                self.stop(task, StopReason::Move);
+            match self.ledger.tasks.get(&task).map(|entry| &entry.state) {
+                Some(TaskState::Running(_)) if movable => {
+                    self.actions
+                        .push(TaskAction::Checkpoint(task, name.clone()));
+                    self.stop(task, StopReason::Move);
+                }
+                Some(TaskState::Recording(_)) => self.stopped(task, now),
+                _ => {}
             }
         }
     }
--- a/crates/core/tests/fault_matrix.rs
+++ b/crates/core/tests/fault_matrix.rs
@@ -203,6 +203,23 @@
     pairs_of_faults_120_to_159: 120..160,
 }
 
+/// Guards against faults that fresh seeds found: a start whose record waits for
+/// the store is sent to a host that began to leave meanwhile.
+#[test]
+fn cases_that_failed_before() {
+    let cases = [(
+        10_570_000,
+        [
+            (Fault::HostLeaving, Step::Accept, 3),
+            (Fault::StoreDown, Step::Record, 1),
+        ],
+    )];
+    for (seed, faults) in cases {
+        let injections = faults.map(|(fault, step, skip)| Injection { fault, step, skip });
+        run_case(seed, injections.to_vec());
+    }
+}
+
 /// Guards against a matrix that proves nothing because nothing runs in it.
 #[test]
 fn a_run_without_faults_completes_everything() {
--- a/crates/core/tests/matrix/faults.rs
+++ b/crates/core/tests/matrix/faults.rs
@@ -14,10 +14,10 @@
 /// A fault that begins when a step is reached for the nth time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Injection {
-    fault: Fault,
-    step: Step,
+    pub(crate) fault: Fault,
+    pub(crate) step: Step,
     /// Earlier occurrences of the step that pass without the fault.
-    skip: u32,
+    pub(crate) skip: u32,
 }
 
 impl Injection {
