Stream large request bodies to the runner

Cause: a daemon read every request body whole before it asked for a slot, so calls that waited for a slot held up to 1 MB each. Bodies of up to 64 KB are still read first, so that their calls can be retried. Of a larger one 64 KB are read; the rest is streamed within the service's limit and the body timeout, which now counts the time of waiting for the caller only.

The first attempt that sends a streamed body takes it, so that no other attempt can send one that lacks its beginning, and no retry is made then. A fault of the body after dispatch gives 413, 408 or 400 with the outcome unknown, one before it the same with not-run. The upload of a call that has ended is broken off.

Ruled out: a timeout over the whole transfer, which would count the wait for a slot and a slow runner against the caller; a shared reader for several attempts, which could send a body without its beginning.

Fixed on the way: rejections of the front before dispatch carried no Auburnsaddle-Outcome header, and Expect was passed on to runners.

Conclusion: memory of waiting calls is bounded by 64 KB each.

--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -237,6 +237,28 @@
     OwnerLost,
     /// The target reset the request after accepting it.
     TargetReset,
+    /// The body passed its limit after a part of it was sent.
+    BodyTooLarge,
+    /// The body stalled after a part of it was sent.
+    BodyTimedOut,
+    /// The body broke off after a part of it was sent.
+    BodyBrokenOff,
+}
+
+impl UnknownReason {
+    /// Returns what the caller can do next.
+    #[must_use]
+    pub const fn remedy(self) -> &'static str {
+        match self {
+            Self::BodyTooLarge => {
+                "ask the service whether the request ran, then send a smaller body"
+            }
+            Self::BodyTimedOut | Self::BodyBrokenOff => {
+                "ask the service whether the request ran, then send the body whole and in time"
+            }
+            _ => "ask the service whether the request ran before sending it again",
+        }
+    }
 }
 
 impl fmt::Display for UnknownReason {
@@ -246,6 +268,9 @@
             Self::DeadlinePassed => "deadline-passed",
             Self::OwnerLost => "owner-lost",
             Self::TargetReset => "target-reset",
+            Self::BodyTooLarge => "body-too-large",
+            Self::BodyTimedOut => "body-timed-out",
+            Self::BodyBrokenOff => "body-broken-off",
         };
         formatter.write_str(text)
     }
--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -8,19 +8,25 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use super::dispatch::SlotGuard;
+use super::{dispatch::SlotGuard, upload::UploadWatch};
 
 /// Relays an answer and returns the slot when the answer has ended.
 #[derive(Debug)]
 pub(crate) struct RelayBody {
     body: Incoming,
     guard: SlotGuard,
+    /// Lets the upload go on while the answer arrives.
+    _upload: UploadWatch,
 }
 
 impl RelayBody {
     /// Returns the body of an answer that occupies a slot.
-    pub(crate) const fn new(body: Incoming, guard: SlotGuard) -> Self {
-        Self { body, guard }
+    pub(super) const fn new(body: Incoming, guard: SlotGuard, upload: UploadWatch) -> Self {
+        Self {
+            body,
+            guard,
+            _upload: upload,
+        }
     }
 }
 
--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -11,9 +11,7 @@
     RetryConfig, RetryVerdict, ServiceId, ServiceSpec, ShardName, TeamId, UnknownReason,
     UrgencyClass,
 };
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -24,6 +22,7 @@
 use super::{
     body::RelayBody,
     messages::{CallCommand, GrantedSlot, SlotRefusal, SlotReply},
+    upload::{CallBody, UploadBody, UploadWatch},
 };
 use crate::{
     control::{ControlEvent, ControlHandle, RoutingSnapshot},
@@ -36,15 +35,12 @@
 /// seconds, so this adds little to it and a waiting call costs 20 looks a second.
 const RESUBMIT_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Largest body that is kept for a retry, so that retries need little memory.
-const RETRY_BODY_LIMIT: usize = 64 * 1024;
-
 /// Reason with which a runner rejects an epoch below the highest it has seen.
 const FENCED_REASON: &str = "fenced";
 
-/// A call as received from a caller, its body read.
+/// A call as received from a caller.
 #[derive(Clone, Debug)]
-pub(crate) struct CallHead {
+pub(crate) struct CallHead<B = CallBody> {
     /// Identifier of the request, carried through all processes.
     pub(crate) request: RequestId,
     /// The team that is charged.
@@ -59,8 +55,24 @@
     pub(crate) path: String,
     /// Headers for the runner.
     pub(crate) headers: HeaderMap,
-    /// The whole body.
-    pub(crate) body: Bytes,
+    /// The body, as far as it is read.
+    pub(crate) body: B,
+}
+
+impl CallHead<()> {
+    /// Adds the body.
+    pub(crate) fn with_body<B>(self, body: B) -> CallHead<B> {
+        CallHead {
+            request: self.request,
+            team: self.team,
+            urgency: self.urgency,
+            remaining: self.remaining,
+            method: self.method,
+            path: self.path,
+            headers: self.headers,
+            body,
+        }
+    }
 }
 
 /// A runner's answer, streamed.
@@ -71,7 +83,7 @@
 pub(crate) struct CallDispatcher {
     control: ControlHandle,
     peers: PeerClient,
-    runners: Client<HttpConnector, Full<Bytes>>,
+    runners: Client<HttpConnector, UploadBody>,
     budgets: Arc<Mutex<BTreeMap<ServiceId, RetryBudget>>>,
     metrics: ProcessMetrics,
 }
@@ -145,7 +157,7 @@
         outcome: &CallOutcome<CallReply>,
         (attempts, remaining): (u32, Duration),
     ) -> RetryVerdict {
-        if head.body.len() > RETRY_BODY_LIMIT {
+        if !head.body.can_repeat() {
             return RetryVerdict::GiveUp;
         }
         let mut random = rand::rng();
@@ -292,10 +304,15 @@
             result: GrantResult::Failed,
         };
         let host = snapshot.hosts.get(&guard.slot.grant.runner);
-        let Some(request) = host.and_then(|host| runner_request(host, &guard.slot, head)) else {
+        let request = host.and_then(|host| runner_request(host, &guard.slot, head));
+        let Some((request, mut upload)) = request else {
             return guard.not_run(NotRunReason::TargetUnreachable);
         };
-        match self.runners.request(request).await {
+        let exchange = match upload.watch(self.runners.request(request)).await {
+            Ok(exchange) => exchange,
+            Err(fault) => return CallOutcome::Unknown(fault.into()),
+        };
+        match exchange {
             Ok(response) if admission_rejection(&response).is_some() => {
                 if admission_rejection(&response) == Some(FENCED_REASON) {
                     let (shard, epoch) = guard.slot.fence();
@@ -304,7 +321,7 @@
                 }
                 guard.not_run(NotRunReason::RejectedByTarget)
             }
-            Ok(response) => CallOutcome::Completed(relay(response, guard)),
+            Ok(response) => CallOutcome::Completed(relay(response, guard, upload)),
             Err(error) => match classify_failure(&error) {
                 ExchangeFailure::NotRun(reason) => guard.not_run(reason),
                 ExchangeFailure::Unknown(reason) => CallOutcome::Unknown(reason),
@@ -390,11 +407,12 @@
     host: &HostEntry,
     slot: &GrantedSlot,
     head: CallHead,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<(Request<UploadBody>, UploadWatch)> {
     let uri: Uri = format!("http://{}{}", host.address, head.path)
         .parse()
         .ok()?;
-    let mut request = Request::new(Full::new(head.body));
+    let (body, upload) = head.body.open();
+    let mut request = Request::new(body);
     *request.method_mut() = head.method;
     *request.uri_mut() = uri;
     *request.headers_mut() = head.headers;
@@ -407,9 +425,9 @@
     headers.insert("auburnsaddle-epoch", HeaderValue::from(epoch));
     let id = format!("{:032x}", head.request);
     headers.insert("auburnsaddle-request-id", HeaderValue::from_str(&id).ok()?);
-    Some(request)
+    Some((request, upload))
 }
 
-fn relay(response: Response<Incoming>, guard: SlotGuard) -> CallReply {
-    response.map(|body| RelayBody::new(body, guard))
+fn relay(response: Response<Incoming>, guard: SlotGuard, upload: UploadWatch) -> CallReply {
+    response.map(|body| RelayBody::new(body, guard, upload))
 }
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -9,8 +9,10 @@
 mod dispatch;
 mod messages;
 mod state;
+mod upload;
 
 pub(crate) use body::RelayBody;
 pub(crate) use dispatch::{CallDispatcher, CallHead, CallReply};
 pub(crate) use messages::{CallCommand, LoanLetter, SlotReply};
 pub(crate) use state::CallShards;
+pub(crate) use upload::{BodyFault, BodyLimits, CallBody};
--- a/crates/daemon/src/front/keyed.rs
+++ b/crates/daemon/src/front/keyed.rs
@@ -17,7 +17,7 @@
 use crate::{
     calls::CallHead,
     control::RoutingSnapshot,
-    keys::{BODY_LIMIT, KeyedAnswer, KeyedCall},
+    keys::{KeyedAnswer, KeyedCall},
     store::StoreClient,
 };
 
@@ -63,19 +63,12 @@
         snapshot: &RoutingSnapshot,
         service: &ServiceSpec,
         key: String,
-        head: CallHead,
-    ) -> Result<FrontResponse, FrontError> {
-        if head.body.len() > BODY_LIMIT {
-            return Err(FrontError::new(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                &format!("the body of a call with a key is over {BODY_LIMIT} bytes"),
-                "send a smaller body",
-            ));
-        }
+        head: CallHead<Bytes>,
+    ) -> FrontResponse {
         let id = format!("{:032x}", head.request);
         let call = KeyedCall::new(service.name.clone(), key, head);
         let Some(pool) = snapshot.objects.pools.get(&service.pool) else {
-            return Ok(not_run_response(NotRunReason::NoTarget));
+            return not_run_response(NotRunReason::NoTarget);
         };
         let shard = ShardName::Key(pool.region.clone(), key_shard_index(&call.key_digest()));
         let received_at = Instant::now();
@@ -83,7 +76,7 @@
         let outcome = outcome_name(&answer.reply);
         self.metrics.note_call(outcome, received_at.elapsed());
         log::debug!(request_id = id.as_str(), outcome = outcome; "call with a key answered");
-        Ok(keyed_response(answer))
+        keyed_response(answer)
     }
 }
 
--- a/crates/daemon/src/front/messages.rs
+++ b/crates/daemon/src/front/messages.rs
@@ -10,6 +10,7 @@
 use snafu::Snafu;
 
 use super::body::FrontBody;
+use crate::calls::BodyFault;
 
 /// Response header with the outcome of a request that was not answered.
 pub(super) const OUTCOME_HEADER: &str = "auburnsaddle-outcome";
@@ -82,6 +83,29 @@
     }
 }
 
+impl From<BodyFault> for FrontError {
+    fn from(fault: BodyFault) -> Self {
+        match fault {
+            BodyFault::TooLarge => Self::new(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is too large",
+                "send a smaller body, or raise max_body_bytes of the service; \
+                 with a key, a body has at most 983040 bytes",
+            ),
+            BodyFault::TimedOut => Self::new(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive in time",
+                "send the request again, its body without pauses",
+            ),
+            BodyFault::BrokenOff => Self::new(
+                StatusCode::BAD_REQUEST,
+                "the body broke off",
+                "send the request again with its whole body",
+            ),
+        }
+    }
+}
+
 impl From<FrontError> for FrontResponse {
     fn from(error: FrontError) -> Self {
         json_response(
@@ -122,9 +146,13 @@
 /// Returns the answer to a request that may have run.
 pub(super) fn unknown_response(reason: UnknownReason) -> FrontResponse {
     let error = format!("outcome unknown: {reason}");
-    let remedy = "ask the service whether the request ran before sending it again";
-    let mut response =
-        FrontResponse::from(FrontError::new(StatusCode::GATEWAY_TIMEOUT, &error, remedy));
+    let status = match reason {
+        UnknownReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        UnknownReason::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
+        UnknownReason::BodyBrokenOff => StatusCode::BAD_REQUEST,
+        _ => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let mut response = FrontResponse::from(FrontError::new(status, &error, reason.remedy()));
     response
         .headers_mut()
         .insert(OUTCOME_HEADER, HeaderValue::from_static("unknown"));
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -12,10 +12,8 @@
 };
 
 use auburnsaddle_core::{CallOutcome, RequestId, ServiceSpec};
-use bytes::Bytes;
 use futures::FutureExt;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, Version, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -31,15 +29,15 @@
     body::FrontBody,
     keyed::read_key,
     messages::{
-        DumpReply, FrontError, FrontResponse, json_response, not_run_response, text_response,
-        unknown_response,
+        DumpReply, FrontError, FrontResponse, json_response, mark_not_run, not_run_response,
+        text_response, unknown_response,
     },
     tasks::TASKS_PATH,
 };
 use crate::{
-    calls::{CallCommand, CallDispatcher, CallHead},
+    calls::{BodyLimits, CallBody, CallCommand, CallDispatcher, CallHead},
     control::{ControlEvent, ControlHandle},
-    keys::KeyForwarder,
+    keys::{BODY_LIMIT as KEYED_BODY_LIMIT, KeyForwarder},
     peers::{PeerHandler, PeerReply, PeerRequest},
     settings::CallerLimits,
     store::StoreClient,
@@ -53,6 +51,10 @@
 
 const SERVICE_PREFIX: &str = "/v1/services/";
 
+/// Largest body that is read before a slot is requested, so that its call can be
+/// retried; larger ones would take too much memory and are streamed.
+const BUFFERED_BODY_BYTES: u64 = 64 << 10;
+
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -107,8 +109,15 @@
     async fn handle_request(&self, request: Request<Incoming>) -> FrontResponse {
         let path = request.uri().path().to_owned();
         let result = match path.as_str() {
-            path if path.starts_with(SERVICE_PREFIX) => self.handle_call(request).await,
-            path if is_task_path(path) => self.handle_tasks(request).await,
+            // An error of these is a rejection before anything was run.
+            path if path.starts_with(SERVICE_PREFIX) => {
+                let handled = self.handle_call(request).await;
+                Ok(handled.unwrap_or_else(|error| mark_not_run(error.into())))
+            }
+            path if is_task_path(path) => {
+                let handled = self.handle_tasks(request).await;
+                Ok(handled.unwrap_or_else(|error| mark_not_run(error.into())))
+            }
             "/metrics" => Ok(self.metrics_page()),
             "/admin/dump" => Ok(self.dump().await),
             path if path.starts_with("/admin/") => self.handle_admin(request).await,
@@ -167,11 +176,21 @@
             method: parts.method,
             path,
             headers: forwarded_headers(&parts.headers),
-            body: read_limited(body, service, self.limits.body_timeout).await?,
+            body: (),
+        };
+        let mut limits = BodyLimits {
+            bytes: service.max_body_bytes,
+            time: self.limits.body_timeout,
         };
         if let Some(key) = key {
-            return self.handle_keyed(&snapshot, service, key, head).await;
+            // The fingerprint of the request covers the whole body.
+            limits.bytes = limits.bytes.min(KEYED_BODY_LIMIT as u64);
+            let body = CallBody::read_whole(body, limits).await?;
+            let head = head.with_body(body);
+            return Ok(self.handle_keyed(&snapshot, service, key, head).await);
         }
+        let body = CallBody::read(body, limits, BUFFERED_BODY_BYTES).await?;
+        let head = head.with_body(body);
         let id = format!("{request_id:032x}");
         let received_at = Instant::now();
         let outcome = self.dispatcher.dispatch(service, head).await;
@@ -329,35 +348,6 @@
     }
 }
 
-async fn read_limited(
-    body: Incoming,
-    service: &ServiceSpec,
-    body_timeout: Duration,
-) -> Result<Bytes, FrontError> {
-    let limit = usize::try_from(service.max_body_bytes).unwrap_or(usize::MAX);
-    let collecting = Limited::new(body, limit).collect();
-    let Ok(collected) = tokio::time::timeout(body_timeout, collecting).await else {
-        return Err(FrontError::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time",
-            "send the request again, its body without pauses",
-        ));
-    };
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(FrontError::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            &format!("the body is over {limit} bytes"),
-            "send a smaller body, or raise max_body_bytes of the service",
-        )),
-        Err(_) => Err(FrontError::new(
-            StatusCode::BAD_REQUEST,
-            "the body broke off",
-            "send the request again with its whole body",
-        )),
-    }
-}
-
 /// Returns the identifier that the caller gave its request, or a new one.
 fn request_id(headers: &HeaderMap) -> Result<RequestId, FrontError> {
     let Some(value) = headers.get("auburnsaddle-request-id") else {
@@ -402,9 +392,11 @@
 
 /// Returns the headers for the runner, without those of the connection.
 fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
-    const CONNECTION_HEADERS: [&str; 7] = [
+    const CONNECTION_HEADERS: [&str; 8] = [
         "connection",
         "content-length",
+        // Answered by this daemon, which reads the body.
+        "expect",
         "host",
         "keep-alive",
         "te",
--- a/crates/daemon/src/keys/messages.rs
+++ b/crates/daemon/src/keys/messages.rs
@@ -6,11 +6,12 @@
     CallOutcome, Epoch, KeyDigest, KeyReply, KeyRequest, RequestId, RunnerAnswer, ServiceId,
     ShardName, TeamId, UrgencyClass, digest_key, digest_request,
 };
+use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
-use crate::calls::CallHead;
+use crate::calls::{CallBody, CallHead};
 
 /// Largest body of a call with a key or of its response; with the headers it
 /// fits into a peer message of 1 MB.
@@ -41,7 +42,7 @@
 
 impl KeyedCall {
     /// Returns a call as received from its caller.
-    pub(crate) fn new(service: ServiceId, key: String, head: CallHead) -> Self {
+    pub(crate) fn new(service: ServiceId, key: String, head: CallHead<Bytes>) -> Self {
         Self {
             service,
             key,
@@ -82,7 +83,7 @@
             method: Method::from_bytes(self.method.as_bytes()).ok()?,
             path: self.path.clone(),
             headers: header_map(&self.headers),
-            body: self.body.clone().into(),
+            body: CallBody::Whole(self.body.clone().into()),
         })
     }
 }
--- a/crates/daemon/src/settings/table.rs
+++ b/crates/daemon/src/settings/table.rs
@@ -126,7 +126,7 @@
         "MILLISECONDS",
         "30000",
         (100, 3_600_000),
-        "time in which the body of a request must arrive",
+        "longest time spent on waiting for the body of a request",
     ),
     number(
         "--connection-limit",
