Retry keyed calls only if they were not run, and keep their content type

It now retries only what was not run, within the service's budget. A replayed response keeps its Content-Type, which counts to the kept bytes.

Fixed on the way: a call whose first attempt may have run was reported as not run when a retry was rejected (invariant 4), for plain calls too. And the whole response of a keyed call stayed in memory when its caller had been answered at the deadline before the outcome was recorded.

Ruled out: that the owner made no retries at all. It did; the budget starts empty, so that none are seen in short runs.

A refused keyed call of 100 KB makes 2 retries.

The stand-in runner answers in the content type of the request, and the fault matrix names the new field.

--- a/crates/core/src/keys/messages.rs
+++ b/crates/core/src/keys/messages.rs
@@ -66,10 +66,36 @@
 pub struct KeyResponse {
     /// The HTTP status.
     pub status: u16,
+    /// The `Content-Type` of the body, if it has one.
+    pub content_type: Option<String>,
     /// The body; `None` if it is too large to be kept or was dropped.
     pub body: Option<Vec<u8>>,
 }
 
+impl KeyResponse {
+    /// Returns the response without its body if the body and its type are over
+    /// a limit.
+    #[must_use]
+    pub(super) fn limited(mut self, bytes: usize) -> Self {
+        if self.kept_bytes() > bytes {
+            self.drop_body();
+        }
+        self
+    }
+
+    /// Returns the bytes of the body and its type.
+    pub(super) fn kept_bytes(&self) -> usize {
+        let kind = self.content_type.as_ref().map_or(0, String::len);
+        kind + self.body.as_ref().map_or(0, Vec::len)
+    }
+
+    /// Keeps the status only.
+    pub(super) fn drop_body(&mut self) {
+        self.body = None;
+        self.content_type = None;
+    }
+}
+
 /// A recorded outcome.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/core/src/keys/state.rs
+++ b/crates/core/src/keys/state.rs
@@ -24,9 +24,9 @@
     pub retention: Duration,
     /// Keys of a shard; with 32 shards a region holds 524,288.
     pub key_limit: usize,
-    /// Largest body that is kept.
+    /// Largest body that is kept, its type included.
     pub body_bytes: usize,
-    /// Bytes of all kept bodies.
+    /// Bytes of all kept bodies and their types.
     pub total_body_bytes: usize,
 }
 
@@ -314,10 +314,7 @@
             return;
         };
         let outcome = match outcome {
-            KeyOutcome::Completed(response) => KeyOutcome::Completed(KeyResponse {
-                body: response.body.filter(|body| body.len() <= limit),
-                ..response
-            }),
+            KeyOutcome::Completed(response) => KeyOutcome::Completed(response.limited(limit)),
             KeyOutcome::NotRun => KeyOutcome::NotRun,
         };
         entry.phase = KeyPhase::RecordingOutcome(outcome.clone());
@@ -426,8 +423,8 @@
         let Some(entry) = self.entries.get_mut(&key) else {
             return;
         };
-        if let Some(body) = &response.body {
-            self.kept_bytes += body.len();
+        if response.body.is_some() {
+            self.kept_bytes += response.kept_bytes();
             self.bodies.push_back(key);
         }
         entry.phase = KeyPhase::Completed(response);
@@ -442,9 +439,11 @@
 
     fn drop_body(&mut self, key: KeyDigest) {
         let phase = self.entries.get_mut(&key).map(|entry| &mut entry.phase);
-        if let Some(KeyPhase::Completed(response)) = phase {
-            let body = response.body.take();
-            self.kept_bytes -= body.map_or(0, |body| body.len());
+        if let Some(KeyPhase::Completed(response)) = phase
+            && response.body.is_some()
+        {
+            self.kept_bytes -= response.kept_bytes();
+            response.drop_body();
         }
     }
 
--- a/crates/core/src/keys/tests.rs
+++ b/crates/core/src/keys/tests.rs
@@ -25,6 +25,7 @@
 fn response(bytes: usize) -> KeyResponse {
     KeyResponse {
         status: 200,
+        content_type: None,
         body: Some(vec![7; bytes]),
     }
 }
@@ -178,6 +179,7 @@
     let released = handle(&mut table, KeyEvent::OutcomeDurable(KEY));
 
     let kept = KeyResponse {
+        content_type: None,
         status: 200,
         body: None,
     };
--- a/crates/core/tests/matrix/calls.rs
+++ b/crates/core/tests/matrix/calls.rs
@@ -230,7 +230,11 @@
             (Purpose::Dispatch(key), RunnerReply::Response(body)) => {
                 self.return_slot(key, GrantResult::Answered, out);
                 let body = Some(body);
-                let response = KeyResponse { status: 200, body };
+                let response = KeyResponse {
+                    status: 200,
+                    content_type: None,
+                    body,
+                };
                 let outcome = CallOutcome::Completed(response);
                 self.key_event(KeyEvent::CallEnded(key, outcome), out);
             }
@@ -242,6 +246,7 @@
             (Purpose::Query(key), reply) => {
                 let answer = match reply {
                     RunnerReply::Response(body) => RunnerAnswer::Completed(KeyResponse {
+                        content_type: None,
                         status: 200,
                         body: Some(body),
                     }),
--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -88,6 +88,16 @@
     metrics: ProcessMetrics,
 }
 
+/// What bounds a further attempt of a call.
+struct RetryBounds {
+    /// Attempts made so far.
+    attempts: u32,
+    /// Time left until the caller's deadline.
+    remaining: Duration,
+    /// Whether the call may run twice.
+    may_repeat: bool,
+}
+
 /// Returns a slot to its owner when dropped.
 #[derive(Debug)]
 pub(crate) struct SlotGuard {
@@ -122,21 +132,36 @@
         }
     }
 
-    /// Sends a call of a service to a runner, again if the budget allows it.
+    /// Sends a call of a service to a runner, again if the budget allows it. A
+    /// call that may have run is sent again only if it `may_repeat`.
     pub(crate) async fn dispatch(
         &self,
         service: &ServiceSpec,
         mut head: CallHead,
+        may_repeat: bool,
     ) -> CallOutcome<CallReply> {
         let started_at = Instant::now();
         let allowed = head.remaining;
         let mut slot_request = head.request;
         let mut attempts = 1;
+        let mut unknown = None;
         self.with_budget(service, RetryBudget::note_first_attempt);
         loop {
             let outcome = self.attempt(service, slot_request, head.clone()).await;
-            let remaining = allowed.saturating_sub(started_at.elapsed());
-            let verdict = self.decide_retry(service, &head, &outcome, (attempts, remaining));
+            // A rejection of this attempt says nothing of the earlier ones.
+            let outcome = match (outcome, unknown) {
+                (CallOutcome::NotRun(_), Some(reason)) => CallOutcome::Unknown(reason),
+                (outcome, _) => outcome,
+            };
+            if let CallOutcome::Unknown(reason) = outcome {
+                unknown = Some(reason);
+            }
+            let bounds = RetryBounds {
+                attempts,
+                remaining: allowed.saturating_sub(started_at.elapsed()),
+                may_repeat,
+            };
+            let verdict = self.decide_retry(service, &head, &outcome, &bounds);
             let RetryVerdict::After(delay) = verdict else {
                 return outcome;
             };
@@ -155,7 +180,7 @@
         service: &ServiceSpec,
         head: &CallHead,
         outcome: &CallOutcome<CallReply>,
-        (attempts, remaining): (u32, Duration),
+        bounds: &RetryBounds,
     ) -> RetryVerdict {
         if !head.body.can_repeat() {
             return RetryVerdict::GiveUp;
@@ -164,9 +189,9 @@
         self.with_budget(service, |budget| {
             budget.decide(
                 outcome,
-                service.idempotent,
-                attempts,
-                remaining,
+                bounds.may_repeat,
+                bounds.attempts,
+                bounds.remaining,
                 &mut random,
             )
         })
--- a/crates/daemon/src/front/keyed.rs
+++ b/crates/daemon/src/front/keyed.rs
@@ -6,7 +6,7 @@
     KeyReply, KeyResponse, NotRunReason, ServiceSpec, ShardName, UnknownReason, key_shard_index,
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::Full;
 
 use super::{
@@ -94,7 +94,10 @@
     match answer.reply {
         KeyReply::Completed(response) => {
             let mut response = recorded_response(response);
-            *response.headers_mut() = headers;
+            // A response that a runner remembered has no others.
+            if !headers.is_empty() {
+                *response.headers_mut() = headers;
+            }
             response
         }
         KeyReply::Replayed(response) => {
@@ -127,6 +130,10 @@
 fn recorded_response(recorded: KeyResponse) -> FrontResponse {
     let body = Bytes::from(recorded.body.unwrap_or_default());
     let mut response = FrontResponse::new(FrontBody::Full(Full::new(body)));
+    let kind = recorded.content_type.as_deref().map(HeaderValue::from_str);
+    if let Some(Ok(kind)) = kind {
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    }
     // The status was parsed by the daemon that received it.
     *response.status_mut() = StatusCode::from_u16(recorded.status).unwrap_or_default();
     response
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -193,7 +193,8 @@
         let head = head.with_body(body);
         let id = format!("{request_id:032x}");
         let received_at = Instant::now();
-        let outcome = self.dispatcher.dispatch(service, head).await;
+        let outcome = self.dispatcher.dispatch(service, head, service.idempotent);
+        let outcome = outcome.await;
         self.metrics
             .note_call(outcome_name(&outcome), received_at.elapsed());
         log::debug!(request_id = id.as_str(), outcome = outcome_name(&outcome); "call answered");
--- a/crates/daemon/src/keys/messages.rs
+++ b/crates/daemon/src/keys/messages.rs
@@ -3,11 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use auburnsaddle_core::{
-    CallOutcome, Epoch, KeyDigest, KeyReply, KeyRequest, RequestId, RunnerAnswer, ServiceId,
-    ShardName, TeamId, UrgencyClass, digest_key, digest_request,
+    CallOutcome, Epoch, KeyDigest, KeyReply, KeyRequest, KeyResponse, RequestId, RunnerAnswer,
+    ServiceId, ShardName, TeamId, UrgencyClass, digest_key, digest_request,
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, header::CONTENT_TYPE};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
@@ -108,6 +108,22 @@
     headers: Vec<HeaderEntry>,
 }
 
+impl WholeResponse {
+    /// Returns the response as it is recorded.
+    pub(super) fn recorded(&self) -> KeyResponse {
+        let kind = CONTENT_TYPE.as_str();
+        let mut kinds = self.headers.iter().filter(|(name, _)| name == kind);
+        let kind = kinds
+            .next()
+            .and_then(|(_, value)| std::str::from_utf8(value).ok());
+        KeyResponse {
+            status: self.status,
+            content_type: kind.map(ToOwned::to_owned),
+            body: self.body.clone(),
+        }
+    }
+}
+
 impl KeyedAnswer {
     /// Returns an answer that is not a response of a runner to this request.
     pub(super) const fn without_headers(reply: KeyReply) -> Self {
--- a/crates/daemon/src/keys/run.rs
+++ b/crates/daemon/src/keys/run.rs
@@ -36,6 +36,8 @@
     state: String,
     /// The status of a completed call, if the runner keeps it.
     status: Option<u16>,
+    /// The `Content-Type` of its body, if the runner keeps it.
+    content_type: Option<String>,
     body: String,
 }
 
@@ -93,7 +95,8 @@
             return CallOutcome::NotRun(NotRunReason::NoTarget);
         };
         let started_at = Instant::now();
-        match self.dispatcher.dispatch(service, head).await {
+        // The intent allows one run, so only what was not run is tried again.
+        match self.dispatcher.dispatch(service, head, false).await {
             CallOutcome::Completed(reply) => {
                 let remaining = call.remaining.saturating_sub(started_at.elapsed());
                 match tokio::time::timeout(remaining, collect(reply)).await {
@@ -131,6 +134,7 @@
         match state.state.as_str() {
             "completed" => RunnerAnswer::Completed(KeyResponse {
                 status: state.status.unwrap_or(StatusCode::OK.as_u16()),
+                content_type: state.content_type,
                 body: Some(state.body.into_bytes()),
             }),
             "running" => RunnerAnswer::Running,
--- a/crates/daemon/src/keys/state.rs
+++ b/crates/daemon/src/keys/state.rs
@@ -249,10 +249,7 @@
     ) -> CallOutcome<KeyResponse> {
         match outcome {
             CallOutcome::Completed(response) => {
-                let kept = KeyResponse {
-                    status: response.status,
-                    body: response.body.clone(),
-                };
+                let kept = response.recorded();
                 self.responses.insert(key, response);
                 CallOutcome::Completed(kept)
             }
@@ -272,6 +269,10 @@
         let mut effects = Vec::new();
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
+            let released = match event {
+                KeyEvent::OutcomeDurable(key) | KeyEvent::OutcomeFailed(key) => Some(key),
+                _ => None,
+            };
             for action in self.table.handle(event, now) {
                 match action {
                     KeyAction::Record(record) => {
@@ -286,6 +287,8 @@
                     KeyAction::Reply(request, reply) => self.answer(request, reply),
                 }
             }
+            // The dispatched request may have been answered at its deadline.
+            released.and_then(|key| self.responses.remove(&key));
         }
         effects
     }
--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -24,6 +24,9 @@
 /// Duration of a shard's lease in the store.
 const SHARD_LEASE: Duration = Duration::from_secs(10);
 
+/// Type of the calls' bodies, which the runners use for their responses.
+const TOKEN_TYPE: &str = "text/x-token";
+
 /// A call with a key as its caller sends it.
 #[derive(Clone, Debug)]
 struct KeyedCall {
@@ -42,6 +45,7 @@
     outcome: String,
     replayed: bool,
     retry_after: bool,
+    content_type: String,
     body: String,
 }
 
@@ -74,6 +78,7 @@
     let address = cluster.daemons[call.daemon].address;
     let uri = format!("http://{address}/v1/services/{}/redeem", call.service);
     let request = Request::post(uri)
+        .header("content-type", TOKEN_TYPE)
         .header("auburnsaddle-request-id", format!("{:032x}", call.request))
         .header(
             "auburnsaddle-deadline-ms",
@@ -100,6 +105,7 @@
         outcome: header("auburnsaddle-outcome").unwrap_or_default(),
         replayed: header("auburnsaddle-replayed").is_some_and(|value| value == "true"),
         retry_after: header("retry-after").is_some(),
+        content_type: header("content-type").unwrap_or_default(),
         body: String::from_utf8_lossy(&body).into_owned(),
     }
 }
@@ -158,6 +164,7 @@
     assert!(first.is_done("token") && second.is_done("token"));
     assert_eq!(u8::from(first.replayed) + u8::from(second.replayed), 1);
     assert!(later.is_done("token") && later.replayed, "{later:?}");
+    assert_eq!([&first.content_type, &later.content_type], [TOKEN_TYPE; 2]);
     assert_eq!(starts(&cluster, &[1, 2, 3]), 1);
 }
 
@@ -194,6 +201,49 @@
     assert_eq!(starts(&cluster, &[1, 2, 3, 4]), 2);
 }
 
+/// Guards against a call with a key that its owner does not try again although
+/// it was not run, or that it tries again, or reports as not run, although it
+/// may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_keyed_calls_that_were_not_run_are_tried_again() {
+    let cluster = TestCluster::start(1).await;
+    // First attempts fill the retry budget, which starts empty.
+    for _ in 0..100 {
+        cluster.call(0, "token").await;
+    }
+    set_work_ms(&cluster, LONG_WORK_MS);
+    let large = KeyedCall {
+        body: "x".repeat(100_000),
+        ..call(0, "refused", 1)
+    };
+    let plain = KeyedCall {
+        key: None,
+        ..call(0, "", 3)
+    };
+
+    let (keyed, plain, ()) = tokio::join!(
+        send(&cluster, call(0, "lost", 2)),
+        send(&cluster, plain),
+        async {
+            wait_for_start(&cluster, 2).await;
+            wait_for_start(&cluster, 3).await;
+            cluster.kill_runner(0);
+        }
+    );
+    let refused = send(&cluster, large).await;
+    let metrics = cluster.get(0, "/metrics").await;
+
+    assert!(refused.is_not_run(), "{refused:?}");
+    // Two for the plain call, which is idempotent, and two for the refused one.
+    let retries = "auburnsaddle_call_retries_total{otel_scope_name=\"auburnsaddle\"} 4";
+    assert!(
+        matches!(&metrics, CallResult::Answered(_, _, page) if page.contains(retries)),
+        "{metrics:?}"
+    );
+    assert!(keyed.is_unknown(), "{keyed:?}");
+    assert_eq!(plain.outcome, "unknown", "{plain:?}");
+}
+
 /// Guards against a second start when the owner of a key dies between its
 /// intent and its outcome.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standins/src/runner/serve.rs
+++ b/crates/standins/src/runner/serve.rs
@@ -8,7 +8,10 @@
 
 use bytes::Bytes;
 use futures::channel::mpsc::unbounded;
-use http::{HeaderValue, Method, Request, StatusCode, header::CONTENT_LENGTH};
+use http::{
+    HeaderValue, Method, Request, StatusCode,
+    header::{CONTENT_LENGTH, CONTENT_TYPE},
+};
 use hyper::body::{Frame, Incoming};
 
 use super::{
@@ -110,6 +113,7 @@
     let epoch = header(&request, "auburnsaddle-epoch").parse().unwrap_or(0);
     let request_id = header(&request, "auburnsaddle-request-id");
     let key = header(&request, "idempotency-key");
+    let kind = request.headers().get(CONTENT_TYPE).cloned();
     let behaviour = runner.lock().behaviour;
     if behaviour.refuse_stream {
         return Err(h2::Error::from(h2::Reason::REFUSED_STREAM));
@@ -127,10 +131,15 @@
     tokio::time::sleep(Duration::from_millis(behaviour.work_ms)).await;
     let body = format!("done: {}", String::from_utf8_lossy(&body));
     runner.lock().note_key(key, Some(body.clone()));
-    Ok(match behaviour.chunks {
+    let mut response = match behaviour.chunks {
         0 => text(StatusCode::OK, &body),
         _ => in_parts(behaviour, body, hold),
-    })
+    };
+    // The response has the type of its request.
+    if let Some(kind) = kind {
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+    }
+    Ok(response)
 }
 
 /// Sends a body in parts; the slot stays occupied until its end.
