Give the state dump as structured JSON

Cause: /admin/dump and `auburnsaddle dump` gave the debug text of the whole control state inside one JSON string, which no program can read.

Ruled out: derived serialization of the state itself. Its maps have keys that JSON does not allow, and internal fields would become an interface.

The test of the page now reads each part and counts the shards of all daemons; before, it looked for the text "store_calls" only.

--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -20,6 +20,7 @@
 mod state;
 #[cfg(test)]
 mod tests;
+mod view;
 
 pub use config::{CallConfig, CallConfigBuilder, ConfigBuilder, LoanConfig};
 pub use messages::{CallAction, CallEvent, CallLoad, CallRequest};
@@ -27,3 +28,4 @@
 pub use messages::{LoanBody, LoanKey, LoanMessage};
 pub use retry::{RetryBudget, RetryConfig, RetryConfigBuilder, RetryVerdict};
 pub use state::CallQueue;
+pub use view::{QueueView, RunnerHealth, RunnerView};
--- a/crates/core/src/calls/runners.rs
+++ b/crates/core/src/calls/runners.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use super::messages::{GrantResult, RunnerEntry};
+use super::{
+    messages::{GrantResult, RunnerEntry},
+    view::{RunnerHealth, RunnerView},
+};
 use crate::types::RunnerId;
 
 /// Failures in a row that put a runner on probation.
@@ -47,6 +50,14 @@
         matches!(self, Self::Probation(_) | Self::Probing)
     }
 
+    const fn health(self) -> RunnerHealth {
+        match self {
+            Self::Open => RunnerHealth::Open,
+            Self::Backoff(_) | Self::Retrying => RunnerHealth::Backoff,
+            Self::Probation(_) | Self::Probing => RunnerHealth::Probation,
+        }
+    }
+
     const fn allowed(self, slots: u32) -> u32 {
         match self {
             Self::Open => slots,
@@ -178,6 +189,18 @@
         self.capacity
     }
 
+    /// Returns all runners as operators see them.
+    pub(super) fn views(&self) -> Vec<RunnerView> {
+        let runners = self.runners.iter().map(|(name, runner)| RunnerView {
+            runner: name.clone(),
+            slots: runner.slots,
+            busy: runner.busy,
+            live: runner.live,
+            health: runner.gate.health(),
+        });
+        runners.collect()
+    }
+
     /// Returns when the next pause of a runner ends.
     pub(super) fn next_pause(&self) -> Option<Duration> {
         self.pauses.first().map(|(until, _)| *until)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -66,6 +66,7 @@
 pub use calls::{CallRequest, GrantResult, RunnerEntry, SlotGrant, SlotLender};
 pub use calls::{ConfigBuilder, RetryBudget, RetryConfig, RetryConfigBuilder, RetryVerdict};
 pub use calls::{LoanBody, LoanConfig, LoanKey, LoanMessage};
+pub use calls::{QueueView, RunnerHealth, RunnerView};
 pub use health::{HealthAction, HealthConfig, HealthEvent, HealthTable};
 pub use hosts::{HostEntry, HostKind, HostState, HostTable};
 pub use journal::{BatchNumber, JournalAction, JournalBatch, JournalCodec, JournalConfig};
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -7,12 +7,14 @@
 
 mod body;
 mod dispatch;
+mod dump;
 mod messages;
 mod state;
 mod upload;
 
 pub(crate) use body::RelayBody;
 pub(crate) use dispatch::{CallDispatcher, CallHead, CallReply};
+pub(crate) use dump::CallShardDump;
 pub(crate) use messages::{CallCommand, LoanLetter, SlotReply};
 pub(crate) use state::CallShards;
 pub(crate) use upload::{BodyFault, BodyLimits, CallBody};
--- a/crates/daemon/src/calls/state.rs
+++ b/crates/daemon/src/calls/state.rs
@@ -16,18 +16,18 @@
 
 /// One owned queue and the requesters that wait for it.
 #[derive(Debug)]
-struct OwnedQueue {
-    epoch: Epoch,
+pub(super) struct OwnedQueue {
+    pub(super) epoch: Epoch,
     /// Whether slots may be granted; not without a lease in lease mode.
-    may_dispatch: bool,
-    queue: CallQueue,
+    pub(super) may_dispatch: bool,
+    pub(super) queue: CallQueue,
     replies: BTreeMap<RequestId, oneshot::Sender<SlotReply>>,
 }
 
 /// All call shards that this daemon owns.
 #[derive(Debug, Default)]
 pub(crate) struct CallShards {
-    queues: BTreeMap<ShardName, OwnedQueue>,
+    pub(super) queues: BTreeMap<ShardName, OwnedQueue>,
     letters: Vec<LoanLetter>,
     lost: BTreeSet<DaemonId>,
     weights: BTreeMap<TeamId, u32>,
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -15,7 +15,7 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
-use super::leases::LeaseAnswer;
+use super::{dump::ControlDump, leases::LeaseAnswer};
 use crate::{
     calls::CallCommand, journal::JournalReport, keys::KeyCommand, store::StoreEntry,
     tasks::TaskCommand,
@@ -71,8 +71,8 @@
     /// The daemon is stopping: it claims no shard any more and says so in its
     /// heartbeats.
     DrainStarted,
-    /// Asks for the whole control state as text.
-    DumpRequested(oneshot::Sender<String>),
+    /// Asks for a description of the whole control state.
+    DumpRequested(oneshot::Sender<Box<ControlDump>>),
 }
 
 /// What traffic needs to know of the control state.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -8,6 +8,7 @@
 */
 
 mod drain;
+mod dump;
 mod effects;
 mod feed;
 mod keys;
@@ -19,5 +20,6 @@
 mod state;
 mod tasks;
 
+pub(crate) use dump::ControlDump;
 pub(crate) use messages::{ControlEvent, ControlHandle, RoutingSnapshot};
 pub use process::{DaemonError, run};
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -183,7 +183,7 @@
             }
             ControlEvent::DumpRequested(reply) => {
                 // The operator's connection may have closed meanwhile.
-                let _ = reply.send(format!("{self:#?}"));
+                let _ = reply.send(Box::new(self.dump(now)));
                 Vec::new()
             }
         }
--- a/crates/daemon/src/front/messages.rs
+++ b/crates/daemon/src/front/messages.rs
@@ -10,7 +10,7 @@
 use snafu::Snafu;
 
 use super::body::FrontBody;
-use crate::calls::BodyFault;
+use crate::{calls::BodyFault, control::ControlDump};
 
 /// Response header with the outcome of a request that was not answered.
 pub(super) const OUTCOME_HEADER: &str = "auburnsaddle-outcome";
@@ -25,8 +25,8 @@
 #[derive(Debug)]
 #[derive(Serialize)]
 pub(super) struct DumpReply {
-    /// The state of the control thread in debug form.
-    pub(super) control: String,
+    /// The state of the control thread; none while the daemon ends.
+    pub(super) control: Option<Box<ControlDump>>,
     /// Events that wait for the control thread.
     pub(super) queue_depth: usize,
     /// Calls to the store by kind.
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -143,7 +143,7 @@
         let (reply, receiver) = oneshot::channel();
         self.control.send(ControlEvent::DumpRequested(reply)).await;
         let dump = DumpReply {
-            control: receiver.await.unwrap_or_default(),
+            control: receiver.await.ok(),
             queue_depth: self.control.queue_depth(),
             store_calls: self.metrics.store_calls(),
         };
--- a/crates/daemon/src/journal/mod.rs
+++ b/crates/daemon/src/journal/mod.rs
@@ -16,6 +16,7 @@
 */
 
 mod codec;
+mod dump;
 mod exchange;
 mod messages;
 mod state;
@@ -23,6 +24,7 @@
 mod tests;
 
 pub(crate) use codec::{decode_payload, encode_payload};
+pub(crate) use dump::JournalDump;
 pub(crate) use exchange::run_effect;
 pub(crate) use messages::{JournalEffect, JournalNotice, JournalReport};
 pub(crate) use state::{JournalOutput, ShardJournals, keeps_journal};
--- a/crates/daemon/src/journal/state.rs
+++ b/crates/daemon/src/journal/state.rs
@@ -37,11 +37,11 @@
 /// The journals of all shards that this daemon owns.
 #[derive(Debug)]
 pub(crate) struct ShardJournals {
-    log: RecordLog<BincodeCodec>,
+    pub(super) log: RecordLog<BincodeCodec>,
     /// The shard of each record that is not durable yet.
-    waiting: BTreeMap<RecordId, ShardName>,
-    flushing: BTreeSet<(ShardName, Epoch)>,
-    store_available: bool,
+    pub(super) waiting: BTreeMap<RecordId, ShardName>,
+    pub(super) flushing: BTreeSet<(ShardName, Epoch)>,
+    pub(super) store_available: bool,
 }
 
 /// Tells whether the state of a shard is durable.
--- a/crates/daemon/src/keys/mod.rs
+++ b/crates/daemon/src/keys/mod.rs
@@ -6,11 +6,13 @@
 thread; [`KeyRunner`] dispatches calls and asks runners on the traffic threads.
 */
 
+mod dump;
 mod forward;
 mod messages;
 mod run;
 mod state;
 
+pub(crate) use dump::KeyShardDump;
 pub(crate) use forward::KeyForwarder;
 pub(crate) use messages::{BODY_LIMIT, KeyCommand, KeyEffect, KeyedAnswer, KeyedCall, KeyedReply};
 pub(crate) use run::KeyRunner;
--- a/crates/daemon/src/keys/state.rs
+++ b/crates/daemon/src/keys/state.rs
@@ -20,29 +20,29 @@
 
 /// A request that waits for its answer.
 #[derive(Debug)]
-struct WaitingRequest {
+pub(super) struct WaitingRequest {
     call: Arc<KeyedCall>,
     reply: oneshot::Sender<KeyedAnswer>,
 }
 
 /// One owned key shard.
 #[derive(Debug)]
-struct OwnedKeys {
-    epoch: Epoch,
+pub(super) struct OwnedKeys {
+    pub(super) epoch: Epoch,
     /// Whether new requests are taken; not before activation and in a handover.
-    active: bool,
-    table: KeyTable,
-    waiting: BTreeMap<RequestId, WaitingRequest>,
+    pub(super) active: bool,
+    pub(super) table: KeyTable,
+    pub(super) waiting: BTreeMap<RequestId, WaitingRequest>,
     next_request: RequestId,
     /// Records that are not durable yet.
-    records: BTreeMap<RecordId, KeyEvents>,
+    pub(super) records: BTreeMap<RecordId, KeyEvents>,
     /// Whole responses until the outcome is recorded.
     responses: BTreeMap<KeyDigest, WholeResponse>,
 }
 
 /// The events that follow when a record is written or is not.
 #[derive(Debug)]
-struct KeyEvents {
+pub(super) struct KeyEvents {
     durable: KeyEvent,
     failed: KeyEvent,
 }
@@ -50,7 +50,7 @@
 /// All key shards that this daemon owns.
 #[derive(Debug, Default)]
 pub(crate) struct KeyShards {
-    shards: BTreeMap<ShardName, OwnedKeys>,
+    pub(super) shards: BTreeMap<ShardName, OwnedKeys>,
 }
 
 impl KeyShards {
--- a/crates/daemon/src/publication/mod.rs
+++ b/crates/daemon/src/publication/mod.rs
@@ -6,12 +6,14 @@
 transaction that compares the head.
 */
 
+mod dump;
 mod messages;
 mod state;
 #[cfg(test)]
 mod tests;
 mod transfer;
 
+pub(crate) use dump::ConfigDump;
 pub(crate) use messages::CommitResult;
 pub(crate) use state::{HEAD_KEY, read_head};
 pub(crate) use transfer::{commit_update, fetch_versions};
--- /dev/null
+++ b/crates/daemon/src/tasks/dump.rs
@@ -0,0 +1,65 @@
+//! The owned pools as shown to operators.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use auburnsaddle_core::{Epoch, ResourceVector, TaskId, TaskStatus, WorkerId};
+use serde::Serialize;
+
+use super::{pool::OwnedPool, state::PoolShards};
+
+/// An owned pool.
+#[derive(Debug)]
+#[derive(Serialize)]
+pub(crate) struct PoolDump {
+    shard: String,
+    epoch: Epoch,
+    /// Whether new jobs are accepted.
+    active: bool,
+    /// Jobs whose acceptance is being recorded.
+    unrecorded_jobs: usize,
+    /// The tasks of all jobs that have not ended.
+    tasks: Vec<TaskStatus>,
+    workers: Vec<WorkerDump>,
+}
+
+/// A worker of an owned pool.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct WorkerDump {
+    worker: WorkerId,
+    address: Option<SocketAddr>,
+    /// Whether it has answered the claim of this owner.
+    claimed: bool,
+    /// What is free, if its size is known.
+    free: Option<ResourceVector>,
+    /// Tasks to which its room is given.
+    tasks: BTreeSet<TaskId>,
+}
+
+impl PoolShards {
+    /// Describes all owned pools.
+    pub(crate) fn dump(&self) -> Vec<PoolDump> {
+        self.pools.values().map(OwnedPool::dump).collect()
+    }
+}
+
+impl OwnedPool {
+    fn dump(&self) -> PoolDump {
+        let tasks = self.queue.matching(&[], None);
+        let workers = self.links.iter().map(|(name, link)| WorkerDump {
+            worker: name.clone(),
+            address: link.address,
+            claimed: link.claimed,
+            free: self.queue.free(name),
+            tasks: self.queue.tasks_on(name).cloned().unwrap_or_default(),
+        });
+        PoolDump {
+            shard: self.shard.to_string(),
+            epoch: self.epoch,
+            active: self.active,
+            unrecorded_jobs: self.pending_len(),
+            tasks: tasks.iter().filter_map(|task| self.status(*task)).collect(),
+            workers: workers.collect(),
+        }
+    }
+}
--- a/crates/daemon/src/tasks/mod.rs
+++ b/crates/daemon/src/tasks/mod.rs
@@ -12,6 +12,7 @@
 */
 
 mod dispatch;
+mod dump;
 mod exchange;
 mod link;
 mod messages;
@@ -25,6 +26,7 @@
 mod watchers;
 
 pub(crate) use dispatch::TaskDispatcher;
+pub(crate) use dump::PoolDump;
 pub(crate) use exchange::run_effect;
 pub(crate) use messages::{PoolOutput, TaskCommand, TaskEffect};
 pub(crate) use state::{PoolBase, PoolShards};
--- a/crates/daemon/src/tasks/pool.rs
+++ b/crates/daemon/src/tasks/pool.rs
@@ -364,7 +364,7 @@
         })
     }
 
-    fn status(&self, task: TaskId) -> Option<TaskStatus> {
+    pub(super) fn status(&self, task: TaskId) -> Option<TaskStatus> {
         let view = self.queue.view(task)?;
         let status = TaskStatus::new(&view, self.queue.job_of(task));
         Some(self.watchers.shown(status))
@@ -429,6 +429,11 @@
         }
     }
 
+    /// Returns the number of jobs whose acceptance is being recorded.
+    pub(super) fn pending_len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Tells whether a job would be refused because the store is away.
     pub(super) fn refuses_for_store(&self, request: &TaskRequest, available: bool) -> bool {
         match request {
--- a/crates/daemon/src/tasks/queue.rs
+++ b/crates/daemon/src/tasks/queue.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use auburnsaddle_core::{
-    JobSpec, PackingFirst, PoolObjective, TaskAction, TaskConfig, TaskEvent, TaskId, TaskQueue,
-    TaskRecord, TaskView, WaitingFirst, WorkerId,
+    JobSpec, PackingFirst, PoolObjective, ResourceVector, TaskAction, TaskConfig, TaskEvent,
+    TaskId, TaskQueue, TaskRecord, TaskView, WaitingFirst, WorkerId,
 };
 
 /// A task queue with one of the two policies.
@@ -50,6 +50,13 @@
         }
     }
 
+    pub(super) fn free(&self, worker: &WorkerId) -> Option<ResourceVector> {
+        match self {
+            Self::Waiting(queue) => queue.free(worker),
+            Self::Packing(queue) => queue.free(worker),
+        }
+    }
+
     pub(super) fn matching(&self, labels: &[Arc<str>], team: Option<&str>) -> Vec<TaskId> {
         match self {
             Self::Waiting(queue) => queue.matching(labels, team),
--- a/crates/daemon/src/tasks/state.rs
+++ b/crates/daemon/src/tasks/state.rs
@@ -16,7 +16,7 @@
 /// All pool shards that this daemon owns.
 #[derive(Debug)]
 pub(crate) struct PoolShards {
-    pools: BTreeMap<ShardName, OwnedPool>,
+    pub(super) pools: BTreeMap<ShardName, OwnedPool>,
     sync_interval: Duration,
     store_available: bool,
 }
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -10,6 +10,7 @@
 
 use auburnsaddle_standins::platform::StoreFaults;
 use http::StatusCode;
+use serde_json::Value;
 use support::{
     CallResult, PATIENCE, TestCluster,
     load::{CallerLoad, whole, wrong_results},
@@ -104,6 +105,8 @@
 async fn every_daemon_serves_a_call() {
     let cluster = TestCluster::start(3).await;
 
+    let mut parts = Vec::new();
+    let mut runners = 0;
     for daemon in 0..3 {
         let result = cluster.call(daemon, "token").await;
         let metrics = cluster.get(daemon, "/metrics").await;
@@ -115,11 +118,29 @@
                 if page.contains("auburnsaddle_calls_total{outcome=\"completed\"")),
             "{metrics:?}"
         );
-        assert!(
-            matches!(&dump, CallResult::Answered(_, _, page) if page.contains("store_calls")),
-            "{dump:?}"
-        );
+        let CallResult::Answered(_, _, dump) = dump else {
+            panic!("no dump: {dump:?}");
+        };
+        let dump: Value = serde_json::from_str(&dump).expect("the dump is JSON");
+        let control = &dump["control"];
+        let lengths = ["members", "shards", "pools", "calls", "keys"];
+        let lengths = lengths.map(|part| control[part].as_array().map_or(0, Vec::len));
+        assert!(dump["store_calls"].is_object(), "{dump}");
+        assert_eq!(control["configuration"]["head"]["version"], 1, "{control}");
+        assert_eq!(control["journal"]["store_available"], true, "{control}");
+        assert_eq!(lengths[..2], [2, 36], "{control}");
+        parts.push((lengths[2], lengths[3], lengths[4]));
+        runners += control["calls"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter(|shard| shard["queue"]["runners"][0]["slots"] == 8)
+            .count();
     }
+    let owned = parts.iter().fold((0, 0, 0), |sum, part| {
+        (sum.0 + part.0, sum.1 + part.1, sum.2 + part.2)
+    });
+    assert_eq!((owned, runners), ((1, 3, 32), 3));
 }
 
 /// Guards against a drain that loses or cuts a response, and against one that
