Put the request's identifier on each log line that belongs to it

Cause: four log lines named their request, the others did not, and the owner of a slot saw another identifier after a retry. A task now carries the identifier of its request (a task-local value); the logger adds it to each line, requests to peers carry it in an HTTP header, and the receiver's task takes it over. Responses name it too.

Ruled out: a field in each peer message, which every sender would have to fill, and which changes the messages of all slices.

Fixed on the way: two calls at once with the same identifier of their caller; the second was ignored by the owner and waited until its deadline. Requests for slots now have identifiers of their own.

The new test follows one identifier through the lines of two daemons.

The fixture of daemon tests keeps the log lines and takes settings.

--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -28,7 +28,7 @@
     control::{ControlEvent, ControlHandle, RoutingSnapshot},
     hosts::{ExchangeFailure, admission_rejection, classify_failure},
     peers::{PeerClient, PeerReply, PeerRequest},
-    telemetry::ProcessMetrics,
+    telemetry::{ProcessMetrics, trace_request},
 };
 
 /// Mean time after which a call without an owner asks again. A takeover takes
@@ -104,6 +104,8 @@
     dispatcher: CallDispatcher,
     slot: GrantedSlot,
     result: GrantResult,
+    /// The caller's request.
+    request: RequestId,
 }
 
 /// Tells the owner that a waiting requester went away, unless disarmed.
@@ -142,11 +144,14 @@
     ) -> CallOutcome<CallReply> {
         let started_at = Instant::now();
         let allowed = head.remaining;
-        let mut slot_request = head.request;
         let mut attempts = 1;
         let mut unknown = None;
         self.with_budget(service, RetryBudget::note_first_attempt);
         loop {
+            // Callers may give several requests one identifier, and the slot of
+            // the last attempt may still be on its way back; an owner ignores a
+            // second request for a slot under the same identifier.
+            let slot_request = rand::random();
             let outcome = self.attempt(service, slot_request, head.clone()).await;
             // A rejection of this attempt says nothing of the earlier ones.
             let outcome = match (outcome, unknown) {
@@ -168,9 +173,6 @@
             self.metrics.note_retry();
             tokio::time::sleep(delay).await;
             attempts += 1;
-            // The slot of the last attempt may still be on its way back, and its
-            // owner ignores a second request under the same identifier.
-            slot_request = rand::random();
             head.remaining = allowed.saturating_sub(started_at.elapsed());
         }
     }
@@ -242,6 +244,7 @@
         };
         let is_borrowed = slot.grant.lender.is_some();
         self.metrics.note_grant(is_borrowed, started_at.elapsed());
+        log::debug!(runner = &*slot.grant.runner; "slot granted");
         let remaining = head.remaining.saturating_sub(started_at.elapsed());
         match tokio::time::timeout(remaining, self.send_call(slot, head)).await {
             Ok(outcome) => outcome,
@@ -327,6 +330,7 @@
             dispatcher: self.clone(),
             slot,
             result: GrantResult::Failed,
+            request: head.request,
         };
         let host = snapshot.hosts.get(&guard.slot.grant.runner);
         let request = host.and_then(|host| runner_request(host, &guard.slot, head));
@@ -402,7 +406,7 @@
             .dispatcher
             .clone()
             .return_slot(self.slot.clone(), self.result);
-        tokio::spawn(returned);
+        tokio::spawn(trace_request(self.request, returned));
     }
 }
 
--- a/crates/daemon/src/front/keyed.rs
+++ b/crates/daemon/src/front/keyed.rs
@@ -65,7 +65,6 @@
         key: String,
         head: CallHead<Bytes>,
     ) -> FrontResponse {
-        let id = format!("{:032x}", head.request);
         let call = KeyedCall::new(service.name.clone(), key, head);
         let Some(pool) = snapshot.objects.pools.get(&service.pool) else {
             return not_run_response(NotRunReason::NoTarget);
@@ -75,7 +74,7 @@
         let answer = self.keys.submit(&shard, call).await;
         let outcome = outcome_name(&answer.reply);
         self.metrics.note_call(outcome, received_at.elapsed());
-        log::debug!(request_id = id.as_str(), outcome = outcome; "call with a key answered");
+        log::debug!(outcome = outcome; "call with a key answered");
         keyed_response(answer)
     }
 }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -23,7 +23,6 @@
     net::{TcpListener, TcpStream},
     sync::oneshot,
 };
-use uuid::Uuid;
 
 use super::{
     body::FrontBody,
@@ -42,13 +41,16 @@
     settings::CallerLimits,
     store::StoreClient,
     tasks::TaskDispatcher,
-    telemetry::ProcessMetrics,
+    telemetry::{ProcessMetrics, format_request, parse_request, trace_request},
 };
 
 /// Time in which callers of a draining daemon get a response that asks them to
 /// close their connection; callers in a row wait far less between two calls.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// Header with the identifier of a request.
+const REQUEST_HEADER: &str = "auburnsaddle-request-id";
+
 const SERVICE_PREFIX: &str = "/v1/services/";
 
 /// Largest body that is read before a slot is requested, so that its call can be
@@ -98,7 +100,13 @@
     /// caller to close an HTTP/1.1 connection.
     async fn handle_exchange(&self, request: Request<Incoming>) -> FrontResponse {
         let closes = request.version() <= Version::HTTP_11;
-        let mut response = self.handle_request(request).await;
+        let mut response = match request_id(request.headers()) {
+            Ok(id) => {
+                let handled = trace_request(id, self.handle_request(request, id)).await;
+                with_request_id(handled, id)
+            }
+            Err(error) => mark_not_run(error.into()),
+        };
         if closes && self.draining.load(Ordering::Relaxed) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
@@ -106,12 +114,12 @@
         response
     }
 
-    async fn handle_request(&self, request: Request<Incoming>) -> FrontResponse {
+    async fn handle_request(&self, request: Request<Incoming>, id: RequestId) -> FrontResponse {
         let path = request.uri().path().to_owned();
         let result = match path.as_str() {
             // An error of these is a rejection before anything was run.
             path if path.starts_with(SERVICE_PREFIX) => {
-                let handled = self.handle_call(request).await;
+                let handled = self.handle_call(request, id).await;
                 Ok(handled.unwrap_or_else(|error| mark_not_run(error.into())))
             }
             path if is_task_path(path) => {
@@ -150,7 +158,11 @@
         json_response(StatusCode::OK, &dump)
     }
 
-    async fn handle_call(&self, request: Request<Incoming>) -> Result<FrontResponse, FrontError> {
+    async fn handle_call(
+        &self,
+        request: Request<Incoming>,
+        id: RequestId,
+    ) -> Result<FrontResponse, FrontError> {
         let snapshot = self.control.snapshot();
         let target = request
             .uri()
@@ -167,9 +179,9 @@
         let (parts, body) = request.into_parts();
         let key = read_key(&parts.headers, service)?;
         let remaining = deadline(&parts.headers, service)?;
-        let request_id = request_id(&parts.headers)?;
+        log::debug!(service = &*service.name; "call received");
         let head = CallHead {
-            request: request_id,
+            request: id,
             team: header_text(&parts.headers, "auburnsaddle-team").map(Into::into),
             urgency: None,
             remaining,
@@ -191,13 +203,12 @@
         }
         let body = CallBody::read(body, limits, BUFFERED_BODY_BYTES).await?;
         let head = head.with_body(body);
-        let id = format!("{request_id:032x}");
         let received_at = Instant::now();
         let outcome = self.dispatcher.dispatch(service, head, service.idempotent);
         let outcome = outcome.await;
         self.metrics
             .note_call(outcome_name(&outcome), received_at.elapsed());
-        log::debug!(request_id = id.as_str(), outcome = outcome_name(&outcome); "call answered");
+        log::debug!(outcome = outcome_name(&outcome); "call answered");
         Ok(match outcome {
             CallOutcome::Completed(reply) => reply.map(|body| FrontBody::Relay(Box::new(body))),
             CallOutcome::NotRun(reason) => not_run_response(reason),
@@ -214,8 +225,7 @@
                 PeerReply::Noted
             }
             PeerRequest::RequestSlot(shard, call) => {
-                let id = format!("{:032x}", call.request);
-                log::debug!(request_id = id.as_str(); "slot requested by a peer");
+                log::debug!("slot requested by a peer");
                 PeerReply::Slot(self.dispatcher.queue_call(shard, call).await)
             }
             PeerRequest::ReturnSlot(shard, epoch, grant, result) => {
@@ -234,9 +244,11 @@
                 PeerReply::Noted
             }
             PeerRequest::Task(shard, request) => {
+                log::debug!("task request from a peer");
                 PeerReply::Task(self.tasks.ask_here(shard, request).await)
             }
             PeerRequest::KeyedCall(shard, call) => {
+                log::debug!("call with a key from a peer");
                 PeerReply::Keyed(self.keys.ask_here(shard, call).await)
             }
             PeerRequest::Introduce(record) => {
@@ -351,20 +363,25 @@
 
 /// Returns the identifier that the caller gave its request, or a new one.
 fn request_id(headers: &HeaderMap) -> Result<RequestId, FrontError> {
-    let Some(value) = headers.get("auburnsaddle-request-id") else {
+    let Some(value) = headers.get(REQUEST_HEADER) else {
         return Ok(rand::random());
     };
     let text = value.to_str().ok();
-    // A UUID has 32 digits and, in its usual form, hyphens between them.
-    text.and_then(|text| Uuid::try_parse(text).ok())
-        .map(|id| id.as_u128())
-        .ok_or_else(|| {
-            FrontError::new(
-                StatusCode::BAD_REQUEST,
-                "Auburnsaddle-Request-Id is not a UUID",
-                "send 32 hexadecimal digits, or leave the header out",
-            )
-        })
+    text.and_then(parse_request).ok_or_else(|| {
+        FrontError::new(
+            StatusCode::BAD_REQUEST,
+            "Auburnsaddle-Request-Id is not a UUID",
+            "send 32 hexadecimal digits, or leave the header out",
+        )
+    })
+}
+
+/// Names the request in its response, so that a caller can ask operators.
+fn with_request_id(mut response: FrontResponse, id: RequestId) -> FrontResponse {
+    if let Ok(value) = HeaderValue::from_str(&format_request(id)) {
+        response.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    response
 }
 
 const fn outcome_name<T>(outcome: &CallOutcome<T>) -> &'static str {
--- a/crates/daemon/src/front/tasks.rs
+++ b/crates/daemon/src/front/tasks.rs
@@ -47,6 +47,7 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<FrontResponse, FrontError> {
+        log::debug!("request for tasks received");
         let time = time_limit(request.headers())?;
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
--- a/crates/daemon/src/keys/messages.rs
+++ b/crates/daemon/src/keys/messages.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Returns the identifier of the caller's request.
+    pub(super) const fn request(&self) -> RequestId {
+        self.request
+    }
+
     /// Returns the digest that names the key.
     pub(crate) fn key_digest(&self) -> KeyDigest {
         digest_key(&self.service, self.team.as_ref(), &self.key)
--- a/crates/daemon/src/keys/run.rs
+++ b/crates/daemon/src/keys/run.rs
@@ -22,6 +22,7 @@
 use crate::{
     calls::{CallDispatcher, CallReply},
     control::{ControlEvent, ControlHandle},
+    telemetry::trace_request,
 };
 
 /// Time for a runner to answer a query; it looks up one key in memory.
@@ -64,6 +65,11 @@
 
     /// Carries out an effect and reports its result.
     pub(crate) async fn run(&self, effect: KeyEffect) {
+        let request = effect.call.request();
+        trace_request(request, self.run_traced(effect)).await;
+    }
+
+    async fn run_traced(&self, effect: KeyEffect) {
         let KeyEffect {
             shard,
             epoch,
--- a/crates/daemon/src/keys/state.rs
+++ b/crates/daemon/src/keys/state.rs
@@ -16,7 +16,10 @@
 use super::messages::{
     KeyCommand, KeyEffect, KeyEffectKind, KeyedAnswer, KeyedCall, WholeResponse,
 };
-use crate::journal::{ShardJournals, decode_payload, encode_payload};
+use crate::{
+    journal::{ShardJournals, decode_payload, encode_payload},
+    telemetry::trace_step,
+};
 
 /// A request that waits for its answer.
 #[derive(Debug)]
@@ -110,10 +113,10 @@
     ) -> Vec<KeyEffect> {
         match command {
             KeyCommand::Request { shard, call, reply } => match self.shards.get_mut(&shard) {
-                Some(owned) if owned.active => {
+                Some(owned) if owned.active => trace_step(call.request(), || {
                     let event = owned.admit(call, reply);
                     owned.apply(&shard, event, journals, now)
-                }
+                }),
                 owned => {
                     // A handover ends soon; another daemon may have no owner.
                     let reason = match owned {
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -15,9 +15,10 @@
 
 use super::{
     codec::{decode, encode, read_body},
-    messages::{PeerError, PeerReply, PeerRequest},
+    messages::{PeerError, PeerReply, PeerRequest, REQUEST_HEADER},
     traffic::{CountedStream, PeerTraffic},
 };
+use crate::telemetry::{current_request, format_request};
 
 /// Time to establish a connection; zones are a few milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -53,9 +54,13 @@
     ) -> Result<PeerReply, PeerError> {
         let body = encode(message)?;
         let mut sender = self.connection(address).await?;
-        let request = Request::post("/")
+        let mut request = Request::post("/");
+        if let Some(id) = current_request() {
+            request = request.header(REQUEST_HEADER, format_request(id));
+        }
+        let request = request
             .body(())
-            .expect("a constant request is valid");
+            .expect("a constant path and hexadecimal digits are valid");
         let (response, mut stream) = match sender.send_request(request, false) {
             Ok(streams) => streams,
             Err(error) => {
--- a/crates/daemon/src/peers/messages.rs
+++ b/crates/daemon/src/peers/messages.rs
@@ -14,6 +14,10 @@
     keys::{KeyedCall, KeyedReply},
 };
 
+/// Header with the identifier of the caller's request to which a peer request
+/// belongs.
+pub(super) const REQUEST_HEADER: &str = "auburnsaddle-request-id";
+
 /// A request to another daemon.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -10,9 +10,10 @@
 use super::{
     codec::{decode, encode, read_body},
     heartbeats::{STREAM_PATH, serve_frames},
-    messages::{PeerError, PeerReply, PeerRequest},
+    messages::{PeerError, PeerReply, PeerRequest, REQUEST_HEADER},
     traffic::{CountedStream, PeerTraffic},
 };
+use crate::telemetry::{parse_request, trace_request};
 
 /// Answers requests of other daemons.
 pub(crate) trait PeerHandler: Clone + Send + Sync + 'static {
@@ -76,6 +77,8 @@
         }
         return;
     }
+    let header = request.headers().get(REQUEST_HEADER);
+    let id = header.and_then(|value| parse_request(value.to_str().ok()?));
     let message = match read_body(request.into_body())
         .await
         .and_then(|body| decode(&body))
@@ -87,8 +90,14 @@
             return;
         }
     };
+    let answering = async {
+        match id {
+            Some(id) => trace_request(id, handler.handle(message)).await,
+            None => handler.handle(message).await,
+        }
+    };
     let reply = tokio::select! {
-        reply = handler.handle(message) => reply,
+        reply = answering => reply,
         _ = poll_fn(|context| respond.poll_reset(context)) => return,
     };
     if let Err(error) = send_reply(&mut respond, &reply) {
--- a/crates/daemon/src/telemetry/logger.rs
+++ b/crates/daemon/src/telemetry/logger.rs
@@ -13,6 +13,11 @@
 use serde_json::json;
 use simplelog::{CombinedLogger, Config, SharedLogger};
 
+use super::request::{current_request, format_request};
+
+/// Field of the lines that belong to a request.
+const REQUEST_FIELD: &str = "request_id";
+
 /// Writes each record as one JSON object on a line.
 ///
 /// `simplelog` has no JSON output, so this logger takes part in its
@@ -58,6 +63,10 @@
         let mut fields = FieldMap::default();
         // The map accepts every field.
         let _ = record.key_values().visit(&mut fields);
+        if let Some(request) = current_request() {
+            let name = REQUEST_FIELD.to_owned();
+            fields.0.insert(name, format_request(request));
+        }
         let line = json!({
             "time_unix_ms": u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
             "level": record.level().as_str(),
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -1,9 +1,13 @@
-//! Logs as JSON lines, metrics and the process's monotonic clock.
+//! Logs as JSON lines, request identifiers, metrics and the process's monotonic clock.
 
 mod clock;
 mod logger;
 mod metrics;
+mod request;
 
 pub(crate) use clock::ProcessClock;
 pub(crate) use logger::init_logger;
 pub(crate) use metrics::ProcessMetrics;
+pub(crate) use request::{
+    current_request, format_request, parse_request, trace_request, trace_step,
+};
--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -168,6 +168,41 @@
     assert_eq!(starts(&cluster, &[1, 2, 3]), 1);
 }
 
+/// Guards against log lines that cannot be related to their request at one of
+/// the daemons that it passes, and against calls that wait for each other
+/// because their callers gave them the same identifier.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_followed_through_two_daemons() {
+    let debug = ["--log-level", "debug"];
+    let cluster = TestCluster::start_with_settings(2, SETTLEMENT_OBJECTS, &debug).await;
+    let key = key_owned_by(&cluster, 1).await;
+    let plain = KeyedCall {
+        key: None,
+        ..call(0, "", 8)
+    };
+
+    let answer = send(&cluster, call(0, &key, 7)).await;
+    let same = tokio::join!(send(&cluster, plain.clone()), send(&cluster, plain));
+
+    assert!(answer.is_done("token"), "{answer:?}");
+    assert!(same.0.is_done("token") && same.1.is_done("token"));
+    assert_eq!((starts(&cluster, &[7]), starts(&cluster, &[8])), (1, 2));
+    let started_at = Instant::now();
+    let expected = [
+        vec!["call received", "call with a key answered"],
+        vec!["call with a key from a peer", "slot granted"],
+    ];
+    let logged = || {
+        let daemons = cluster.daemons.iter();
+        let messages: Vec<_> = daemons.map(|daemon| daemon.messages_of(7)).collect();
+        messages
+    };
+    while logged() != expected {
+        assert!(started_at.elapsed() < PATIENCE, "{:?}", logged());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against keys that stand for several requests, calls that cannot be
 /// protected, and large responses that are cut for their first caller.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -96,6 +96,7 @@
     pub address: SocketAddr,
     pub peer_address: SocketAddr,
     pub child: Child,
+    log: Arc<Mutex<Vec<Value>>>,
 }
 
 /// The proxy in front of a daemon's peer address.
@@ -130,9 +131,14 @@
 
     /// Does the same with other objects.
     pub async fn start_with(count: usize, objects: &str) -> Self {
+        Self::start_with_settings(count, objects, &[]).await
+    }
+
+    /// Does the same with further settings of all daemons.
+    pub async fn start_with_settings(count: usize, objects: &str, settings: &[&str]) -> Self {
         let mut cluster = Self::without_daemons(count).await;
         cluster.daemons = (0..count)
-            .map(|index| cluster.start_daemon(index, &[]))
+            .map(|index| cluster.start_daemon(index, settings))
             .collect();
         cluster.apply_objects(objects).await;
         cluster.wait_until_serving().await;
@@ -411,6 +417,17 @@
 }
 
 impl DaemonProcess {
+    /// Returns the messages that were logged for a request, in order.
+    pub fn messages_of(&self, request: u128) -> Vec<String> {
+        let id = format!("{request:032x}");
+        let log = self.log.lock().expect("no reader panics");
+        let lines = log
+            .iter()
+            .filter(|line| line["fields"]["request_id"] == *id);
+        let messages = lines.filter_map(|line| line["message"].as_str());
+        messages.map(ToOwned::to_owned).collect()
+    }
+
     /// Asks the daemon to drain.
     pub fn terminate(&self) {
         self.signal("-TERM");
@@ -536,11 +553,20 @@
         .expect("the daemon logs its address");
     // The rest of the log goes to the test's output, read so that the pipe
     // never fills.
-    thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
+    let log = Arc::<Mutex<Vec<Value>>>::default();
+    let kept = Arc::clone(&log);
+    thread::spawn(move || {
+        for line in lines {
+            eprintln!("{line}");
+            let line = serde_json::from_str(&line).unwrap_or_default();
+            kept.lock().expect("no reader panics").push(line);
+        }
+    });
     DaemonProcess {
         address,
         peer_address,
         child,
+        log,
     }
 }
 
