--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -83,6 +83,8 @@
         object: String,
         labels: Vec<LabelPair>,
         count: Option<u64>,
+        /// The idempotency key, if one is given.
+        key: Option<String>,
     },
     /// Cancels a task.
     Cancel(String),
@@ -169,6 +171,7 @@
         "submit" => Ok(Command::Submit {
             labels: labels(arguments)?,
             count: positive(arguments, "--count")?,
+            key: option(arguments, "--key")?,
             object: operand(arguments, "OBJECT")?,
         }),
         "cancel" => match labels(arguments)?.as_slice() {
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -75,6 +75,14 @@
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
+/// A request as it is sent to one daemon.
+struct ToolRequest<'a> {
+    method: &'a Method,
+    path: &'a str,
+    body: Vec<u8>,
+    key: Option<&'a str>,
+}
+
 /// One attempt that did not succeed.
 enum AttemptError {
     /// Nothing was sent, or only a read, so another daemon can be tried.
@@ -98,8 +106,13 @@
     pub(crate) async fn get<R: DeserializeOwned>(&self, path: &str) -> Result<R, ClientError> {
         let mut causes = Vec::new();
         for address in &self.addresses {
-            let attempt = self.attempt(address, &Method::GET, path, Vec::new(), self.read_timeout);
-            match attempt.await {
+            let request = ToolRequest {
+                method: &Method::GET,
+                path,
+                body: Vec::new(),
+                key: None,
+            };
+            match self.attempt(address, request, self.read_timeout).await {
                 Ok(answer) => {
                     return serde_json::from_slice(&answer).map_err(|error| malformed(&error));
                 }
@@ -123,6 +136,35 @@
         path: &str,
         body: &Q,
     ) -> Result<R, ClientError>
+    where
+        Q: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        self.write(&method, path, body, None).await
+    }
+
+    /// Posts a request with an idempotency key, to another daemon also if one
+    /// breaks off: no request with a key runs twice.
+    pub(crate) async fn send_with_key<Q, R>(
+        &self,
+        path: &str,
+        body: &Q,
+        key: &str,
+    ) -> Result<R, ClientError>
+    where
+        Q: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        self.write(&Method::POST, path, body, Some(key)).await
+    }
+
+    async fn write<Q, R>(
+        &self,
+        method: &Method,
+        path: &str,
+        body: &Q,
+        key: Option<&str>,
+    ) -> Result<R, ClientError>
     where
         Q: Serialize + Sync,
         R: DeserializeOwned,
@@ -130,28 +172,37 @@
         let body = serde_json::to_vec(body).map_err(|error| malformed(&error))?;
         let body = if body == b"null" { Vec::new() } else { body };
         let mut causes = Vec::new();
+        let mut interrupted = None;
         for address in &self.addresses {
-            let attempt = self.attempt(address, &method, path, body.clone(), WRITE_TIMEOUT);
-            match attempt.await {
+            let request = ToolRequest {
+                method,
+                path,
+                body: body.clone(),
+                key,
+            };
+            match self.attempt(address, request, WRITE_TIMEOUT).await {
                 Ok(answer) => {
                     return serde_json::from_slice(&answer).map_err(|error| malformed(&error));
                 }
+                Err(AttemptError::Final(error @ ClientError::Interrupted { .. }))
+                    if key.is_some() =>
+                {
+                    interrupted = Some(error);
+                }
                 Err(AttemptError::Final(error)) => return Err(error),
                 Err(AttemptError::Repeatable(cause)) => causes.push(format!("{address}: {cause}")),
             }
         }
-        Err(ClientError::Unreachable { causes })
+        Err(interrupted.unwrap_or(ClientError::Unreachable { causes }))
     }
 
     async fn attempt(
         &self,
         address: &str,
-        method: &Method,
-        path: &str,
-        body: Vec<u8>,
+        request: ToolRequest<'_>,
         timeout: Duration,
     ) -> Result<Bytes, AttemptError> {
-        let exchange = self.exchange(address, method, path, body);
+        let exchange = self.exchange(address, request);
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
             Err(elapsed) => Err(interrupted(address, &elapsed)),
@@ -161,15 +212,17 @@
     async fn exchange(
         &self,
         address: &str,
-        method: &Method,
-        path: &str,
-        body: Vec<u8>,
+        request: ToolRequest<'_>,
     ) -> Result<Bytes, AttemptError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}{path}"))
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body)))
+        let mut builder = Request::builder()
+            .method(request.method)
+            .uri(format!("http://{address}{}", request.path))
+            .header("content-type", "application/json");
+        if let Some(key) = request.key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let request = builder
+            .body(Full::new(Bytes::from(request.body)))
             .map_err(|error| AttemptError::Repeatable(error.to_string()))?;
         let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -61,9 +61,11 @@
     },
     CommandHelp {
         name: "submit",
-        arguments: "OBJECT [--label KEY=VALUE]... [--count N]",
+        arguments: "OBJECT [--label KEY=VALUE]... [--count N] [--key KEY]",
         summary: "submit the work of a batch, gang or task object",
-        details: "--count replaces the count of the object.",
+        details: "--count replaces the count of the object. The idempotency key, a new one or that\n\
+                  in --key, is printed to the standard error stream. Submitting again with the\n\
+                  same key within 24 hours gives the same job.",
     },
     CommandHelp {
         name: "cancel",
--- a/crates/cli/src/tasks.rs
+++ b/crates/cli/src/tasks.rs
@@ -5,6 +5,7 @@
 use auburnsaddle_core::{SubmitRequest, WatchReply};
 use hyper::Method;
 use serde_json::{Value, json};
+use uuid::Uuid;
 
 use crate::{
     arguments::{Command, LabelPair},
@@ -24,14 +25,18 @@
             object,
             labels,
             count,
+            key,
         } => {
+            let key = key.unwrap_or_else(|| Uuid::new_v4().to_string());
+            // Printed first, so that a submission that breaks off can be repeated.
+            eprintln!("idempotency key: {key}");
             let labels = labels.into_iter().map(|label| (label.key, label.value));
             let request = SubmitRequest {
                 object,
                 count,
                 labels: labels.collect(),
             };
-            client.send(Method::POST, TASKS_PATH, &request).await
+            client.send_with_key(TASKS_PATH, &request, &key).await
         }
         Command::Cancel(id) => {
             let path = format!("{TASKS_PATH}/{id}");
--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -72,6 +72,8 @@
         "fair=north",
         "--count",
         "3",
+        "--key",
+        "north-3",
     ]);
 
     let line = line.unwrap();
@@ -86,6 +88,7 @@
             object: "photos".to_owned(),
             labels: vec![label],
             count: Some(3),
+            key: Some("north-3".to_owned()),
         }
     );
 }
--- a/crates/core/src/tasks/ledger.rs
+++ b/crates/core/src/tasks/ledger.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{
+    accepted::AcceptedJobs,
     messages::{GangMode, JobId, JobSpec, TaskState, TaskView, TeamQuota, WaitReason},
     waiting::WaitEntry,
 };
@@ -238,6 +239,8 @@
     pub(super) expiries: BTreeSet<(Duration, TaskId)>,
     /// Times at which waiting jobs are promoted.
     pub(super) promotions: BTreeSet<(Duration, JobId)>,
+    /// All accepted jobs, for a day.
+    pub(super) accepted: AcceptedJobs,
     /// Ended tasks, oldest first.
     pub(super) ended: std::collections::VecDeque<TaskId>,
 }
--- a/crates/core/src/tasks/messages.rs
+++ b/crates/core/src/tasks/messages.rs
@@ -215,6 +215,8 @@
     Requeued(TaskId, Attempt),
     /// A task ended.
     Ended(TaskId, TaskOutcome),
+    /// A job with this number of tasks was accepted, in a snapshot.
+    Remembered(JobId, u32),
 }
 
 /// Something that happens to a task queue.
--- a/crates/core/src/tasks/mod.rs
+++ b/crates/core/src/tasks/mod.rs
@@ -7,6 +7,7 @@
 [`TaskEvent::Recorded`] has confirmed the record of that start.
 */
 
+mod accepted;
 mod cancel;
 mod index;
 mod ledger;
--- a/crates/core/src/tasks/query.rs
+++ b/crates/core/src/tasks/query.rs
@@ -62,6 +62,13 @@
         self.workers.work
     }
 
+    /// Returns the number of tasks of a job that was accepted within the last
+    /// day.
+    #[must_use]
+    pub fn accepted_tasks(&self, job: JobId) -> Option<u32> {
+        self.ledger.accepted.tasks(job)
+    }
+
     /// Returns the job of a task, unless all tasks of the job have ended.
     #[must_use]
     pub fn job_of(&self, task: TaskId) -> Option<&JobSpec> {
@@ -109,8 +116,9 @@
         jobs.sort_by_key(|job| job.arrival);
         let shown = self.ledger.ended.iter();
         let shown = shown.filter_map(|task| self.export_task(*task));
-        jobs.into_iter()
-            .flat_map(|job| self.export_job(job))
+        let remembered = self.ledger.accepted.records();
+        remembered
+            .chain(jobs.into_iter().flat_map(|job| self.export_job(job)))
             .chain(shown)
             .collect()
     }
--- a/crates/core/src/tasks/records.rs
+++ b/crates/core/src/tasks/records.rs
@@ -83,6 +83,7 @@
             }
         }
         self.forget_job(job);
+        self.ledger.accepted.withdraw(job);
         let reason = JobRejection::StoreUnavailable;
         self.actions.push(TaskAction::Reject(job, reason));
     }
@@ -123,6 +124,9 @@
                 }
                 TaskRecord::Requeued(task, attempt) => self.replay_requeue(task, attempt, now),
                 TaskRecord::Ended(task, outcome) => self.replay_end(task, outcome, now),
+                TaskRecord::Remembered(job, tasks) => {
+                    self.remember_job(job, tasks as usize, now);
+                }
             }
         }
         let jobs: Vec<_> = self.ledger.jobs.keys().copied().collect();
@@ -131,6 +135,14 @@
         }
     }
 
+    /// Remembers an accepted job. The age of a replayed one is not known, as
+    /// only monotonic time is used, so it is kept for the whole time again.
+    pub(super) fn remember_job(&mut self, job: JobId, tasks: usize, now: Duration) {
+        let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
+        let until = now + self.config.accepted_kept;
+        self.ledger.accepted.remember(job, tasks, until);
+    }
+
     /// Records that were written again after a failure may follow later ones.
     fn is_news(&self, task: TaskId, attempt: Attempt) -> bool {
         self.ledger.tasks.get(&task).is_some_and(|entry| {
--- a/crates/core/src/tasks/state.rs
+++ b/crates/core/src/tasks/state.rs
@@ -38,6 +38,9 @@
     pub task_limit: usize,
     /// Ended tasks that remain visible.
     pub ended_kept: usize,
+    /// Time for which an accepted job is not accepted again, as for the keys of
+    /// calls.
+    pub accepted_kept: Duration,
     /// Limits for bad workers and bad jobs.
     pub health: HealthConfig,
 }
@@ -53,6 +56,7 @@
             retry_interval: Duration::from_secs(1),
             task_limit: 200_000,
             ended_kept: 10_000,
+            accepted_kept: Duration::from_hours(24),
             health: HealthConfig::default(),
         }
     }
@@ -133,7 +137,10 @@
             TaskEvent::Cancel(task) => self.cancel(task, now),
             TaskEvent::CancelLabel(label) => self.cancel_label(&label, now),
             TaskEvent::Resolved(task) => self.resolved(task, now),
-            TaskEvent::TimerFired => self.timer(now),
+            TaskEvent::TimerFired => {
+                self.ledger.accepted.expire(now);
+                self.timer(now);
+            }
         }
         for job in std::mem::take(&mut self.released) {
             self.enqueue(job, now);
@@ -172,7 +179,7 @@
         let full = self.ledger.tasks.len() - self.ledger.ended.len() + spec.tasks.len()
             > self.config.task_limit;
         match () {
-            () if known || self.ledger.jobs.contains_key(&spec.job) => {
+            () if known || self.ledger.accepted.tasks(spec.job).is_some() => {
                 Some(JobRejection::Duplicate)
             }
             () if distinct.len() < spec.tasks.len() => Some(JobRejection::Duplicate),
@@ -206,6 +213,7 @@
     }
 
     pub(super) fn insert_job(&mut self, spec: JobSpec, durable: bool, now: Duration) {
+        self.remember_job(spec.job, spec.tasks.len(), now);
         for task in &spec.tasks {
             self.ledger.tasks.insert(*task, TaskEntry::new(spec.job));
         }
--- a/crates/core/src/tasks/tests.rs
+++ b/crates/core/src/tasks/tests.rs
@@ -67,7 +67,11 @@
 }
 
 fn configured(workers: &[WorkerEntry]) -> TaskQueue<PackingFirst> {
-    let mut queue = TaskQueue::new(TaskConfig::default(), PackingFirst);
+    configured_with(TaskConfig::default(), workers)
+}
+
+fn configured_with(config: TaskConfig, workers: &[WorkerEntry]) -> TaskQueue<PackingFirst> {
+    let mut queue = TaskQueue::new(config, PackingFirst);
     let quota = ResourceVector::new(u64::MAX, u64::MAX, u64::MAX);
     queue.handle(TaskEvent::TeamsChanged(vec![team(quota)]), Duration::ZERO);
     let event = TaskEvent::WorkersChanged(workers.to_vec());
--- a/crates/core/src/tasks/tests/examples.rs
+++ b/crates/core/src/tasks/tests/examples.rs
@@ -292,3 +292,28 @@
     ];
     assert_eq!(steps, expected);
 }
+
+/// Guards against a second run of a keyed job whose tasks are no longer shown,
+/// also at the next owner, and against jobs that are remembered for ever.
+#[test]
+fn an_accepted_job_is_remembered_for_a_day() {
+    let config = TaskConfig {
+        ended_kept: 0,
+        ..TaskConfig::default()
+    };
+    let mut queue = configured_with(config, &[]);
+    let submitted = submit(&mut queue, job(1, 1, 1), Duration::ZERO);
+    commit(&mut queue, submitted, Duration::ZERO);
+    queue.handle(TaskEvent::Cancel(task(1_000)), Duration::ZERO);
+    let mut next = configured_with(config, &[]);
+    next.handle(TaskEvent::Replayed(queue.export()), Duration::ZERO);
+
+    let repeated =
+        [&mut queue, &mut next].map(|queue| submit(queue, job(1, 1, 1), Duration::from_hours(23)));
+    next.handle(TaskEvent::TimerFired, Duration::from_hours(24));
+    let later = submit(&mut next, job(1, 1, 1), Duration::from_hours(24));
+
+    let duplicate = vec![TaskAction::Reject(1, JobRejection::Duplicate)];
+    assert_eq!(repeated, [duplicate.clone(), duplicate]);
+    assert_eq!(record_ids(&later).len(), 1);
+}
--- a/crates/core/tests/matrix/pool.rs
+++ b/crates/core/tests/matrix/pool.rs
@@ -67,7 +67,7 @@
 
 const fn record_kind(record: &TaskRecord) -> RecordKind {
     match record {
-        TaskRecord::Accepted(_) => RecordKind::TaskAccepted,
+        TaskRecord::Accepted(_) | TaskRecord::Remembered(..) => RecordKind::TaskAccepted,
         TaskRecord::Started(_) | TaskRecord::Requeued(..) => RecordKind::TaskStarted,
         TaskRecord::Ended(..) => RecordKind::TaskEnded,
     }
--- a/crates/daemon/src/control/tasks.rs
+++ b/crates/daemon/src/control/tasks.rs
@@ -146,7 +146,7 @@
 
 const fn kind_of(record: &TaskRecord) -> RecordKind {
     match record {
-        TaskRecord::Accepted(_) => RecordKind::TaskAccepted,
+        TaskRecord::Accepted(_) | TaskRecord::Remembered(..) => RecordKind::TaskAccepted,
         TaskRecord::Started(_) => RecordKind::TaskStarted,
         // The end of an attempt; the payload says which.
         TaskRecord::Requeued(..) | TaskRecord::Ended(..) => RecordKind::TaskEnded,
--- a/crates/daemon/src/front/keyed.rs
+++ b/crates/daemon/src/front/keyed.rs
@@ -33,14 +33,18 @@
     headers: &HeaderMap,
     service: &ServiceSpec,
 ) -> Result<Option<String>, FrontError> {
+    match key_of(headers)? {
+        None if !service.idempotent => Err(bad_key(
+            "the service is not idempotent and the call has no key",
+        )),
+        key => Ok(key),
+    }
+}
+
+/// Returns the key of a request, if it has one.
+pub(super) fn key_of(headers: &HeaderMap) -> Result<Option<String>, FrontError> {
     let Some(value) = headers.get("idempotency-key") else {
-        return if service.idempotent {
-            Ok(None)
-        } else {
-            Err(bad_key(
-                "the service is not idempotent and the call has no key",
-            ))
-        };
+        return Ok(None);
     };
     let text = value.to_str().unwrap_or_default();
     // The key becomes a part of the path of queries to runners.
--- a/crates/daemon/src/front/tasks.rs
+++ b/crates/daemon/src/front/tasks.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 
 use super::{
+    keyed::key_of,
     messages::{
         FrontError, FrontResponse, json_response, mark_not_run, not_run_response, unknown_response,
     },
@@ -53,7 +54,10 @@
         let query = request.uri().query().unwrap_or_default().to_owned();
         match (request.method().clone(), task_path(&path)) {
             (Method::POST, TaskPath::All) => self.submit(request, time).await,
-            (Method::GET, TaskPath::All) => self.list(&query, time).await,
+            (Method::GET, TaskPath::All) => {
+                let team = team_of(request.headers());
+                self.list(&query, team, time).await
+            }
             (Method::POST, TaskPath::Cancel) => self.cancel_label(&query, time).await,
             (Method::GET, TaskPath::One(task)) => {
                 self.ask_owner(task, TaskRequest::Get(task), time).await
@@ -87,7 +91,8 @@
         request: Request<Incoming>,
         time: Duration,
     ) -> Result<FrontResponse, FrontError> {
-        let key = header_text(request.headers(), "idempotency-key").map(str::to_owned);
+        let key = key_of(request.headers())?;
+        let team = team_of(request.headers());
         let submission = read_submission(request, time).await?;
         let objects = Arc::clone(&self.control.snapshot().objects);
         let (shard, job) = build_job(&objects, &submission, key.as_deref()).map_err(|error| {
@@ -97,6 +102,7 @@
                 error.remedy(),
             )
         })?;
+        check_team(team.as_ref(), Some(&job.team))?;
         let request = TaskRequest::Submit(job);
         Ok(respond(self.tasks.ask(&shard, &request, time).await))
     }
@@ -127,10 +133,16 @@
         pool.map(ShardName::Pool).ok_or_else(unknown_task)
     }
 
-    async fn list(&self, query: &str, time: Duration) -> Result<FrontResponse, FrontError> {
+    async fn list(
+        &self,
+        query: &str,
+        caller: Option<TeamId>,
+        time: Duration,
+    ) -> Result<FrontResponse, FrontError> {
         let labels = fields(query, "label").map(Into::into).collect();
         let team: Option<TeamId> = field(query, "team").map(Into::into);
-        let request = TaskRequest::List(labels, team);
+        check_team(caller.as_ref(), team.as_ref())?;
+        let request = TaskRequest::List(labels, team.or(caller));
         let mut list = TaskList::default();
         for reply in self.ask_all(&request, time).await {
             match reply {
@@ -174,6 +186,23 @@
     }
 }
 
+/// Returns the team that the caller names in the header.
+fn team_of(headers: &HeaderMap) -> Option<TeamId> {
+    header_text(headers, "auburnsaddle-team").map(Into::into)
+}
+
+/// Rejects a request whose header names another team than the rest of it does.
+fn check_team(header: Option<&TeamId>, other: Option<&TeamId>) -> Result<(), FrontError> {
+    match (header, other) {
+        (Some(header), Some(other)) if header != other => Err(FrontError::new(
+            StatusCode::BAD_REQUEST,
+            &format!("Auburnsaddle-Team names `{header}`, but the request is for `{other}`"),
+            "name one team, or leave the header out",
+        )),
+        _ => Ok(()),
+    }
+}
+
 fn task_path(path: &str) -> TaskPath<'_> {
     let rest = path.strip_prefix(TASKS_PATH).unwrap_or_default();
     let parts: Vec<_> = rest.split('/').filter(|part| !part.is_empty()).collect();
--- a/crates/daemon/src/tasks/pool.rs
+++ b/crates/daemon/src/tasks/pool.rs
@@ -396,21 +396,17 @@
         now: Duration,
         output: &mut PoolOutput,
     ) {
-        let known = spec.tasks.iter().copied();
-        let known: Vec<_> = known
-            .filter(|task| self.queue.view(*task).is_some())
-            .collect();
-        let first = spec.tasks.first().and_then(|task| self.queue.job_of(*task));
-        if first.is_some_and(|job| job.tasks != spec.tasks) {
+        let accepted = self.queue.accepted_tasks(spec.job);
+        if accepted.is_some_and(|tasks| tasks as usize != spec.tasks.len()) {
             // The same key with another count.
             let refusal = TaskRefusal::Rejected(JobRejection::Duplicate);
             let _ = reply.send(TaskReply::Refused(refusal));
         } else if let Some(pending) = self.pending.get_mut(&spec.job) {
             pending.callers.push(reply);
-        } else if !known.is_empty() {
+        } else if accepted.is_some() {
             let accepted = SubmitReply {
                 job: spec.job,
-                tasks: known,
+                tasks: spec.tasks,
             };
             let _ = reply.send(TaskReply::Accepted(accepted));
         } else if !self.active {
@@ -438,8 +434,7 @@
     pub(super) fn refuses_for_store(&self, request: &TaskRequest, available: bool) -> bool {
         match request {
             TaskRequest::Submit(spec) if !available => {
-                let known = |task: &TaskId| self.queue.view(*task).is_some();
-                !spec.tasks.iter().any(known)
+                self.queue.accepted_tasks(spec.job).is_none()
             }
             _ => false,
         }
--- a/crates/daemon/src/tasks/queue.rs
+++ b/crates/daemon/src/tasks/queue.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use auburnsaddle_core::{
-    JobSpec, PackingFirst, PoolObjective, ResourceVector, TaskAction, TaskConfig, TaskEvent,
+    JobId, JobSpec, PackingFirst, PoolObjective, ResourceVector, TaskAction, TaskConfig, TaskEvent,
     TaskId, TaskQueue, TaskRecord, TaskView, WaitingFirst, WorkerId,
 };
 
@@ -36,6 +36,13 @@
         }
     }
 
+    pub(super) fn accepted_tasks(&self, job: JobId) -> Option<u32> {
+        match self {
+            Self::Waiting(queue) => queue.accepted_tasks(job),
+            Self::Packing(queue) => queue.accepted_tasks(job),
+        }
+    }
+
     pub(super) fn job_of(&self, task: TaskId) -> Option<&JobSpec> {
         match self {
             Self::Waiting(queue) => queue.job_of(task),
--- a/crates/daemon/tests/support/work.rs
+++ b/crates/daemon/tests/support/work.rs
@@ -122,10 +122,22 @@
 
     /// Submits a body to a daemon.
     pub async fn submit_body(&self, daemon: usize, body: &Value, key: &str) -> CallResult {
+        self.submit_as(daemon, body, key, "stock").await
+    }
+
+    /// Submits a body to a daemon for a team.
+    pub async fn submit_as(
+        &self,
+        daemon: usize,
+        body: &Value,
+        key: &str,
+        team: &str,
+    ) -> CallResult {
         let address = self.cluster.daemons[daemon].address;
         let body = body.to_string();
         let request = Request::post(format!("http://{address}/v1/tasks"))
             .header("idempotency-key", key)
+            .header("auburnsaddle-team", team)
             .body(Full::new(Bytes::from(body)))
             .expect("the fixture's requests are valid");
         self.cluster.exchange(request).await
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -54,7 +54,8 @@
     assert_started_once(&cluster, &[batch, plan, gang, watch].concat());
 }
 
-/// Guards against a key that two daemons take for two jobs.
+/// Guards against a key that two daemons take for two jobs, and against work of
+/// one team that another one submits.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeated_submission_gives_the_same_job() {
     let cluster = WorkCluster::start(2, 2).await;
@@ -63,9 +64,20 @@
     let again = cluster.accepted(1, "grading", "night").await;
     let other = json!({ "object": "grading", "count": 7 });
     let other = cluster.submit_body(1, &other, "night").await;
+    let grading = json!({ "object": "grading" });
+    let foreign = cluster.submit_as(1, &grading, "foreign", "sales").await;
+    let unkeyed = cluster.submit_body(1, &grading, "").await;
     cluster.wait_for(0, &first, "ended").await;
 
     assert_eq!(first, again);
+    for rejected in [foreign, unkeyed] {
+        let status = StatusCode::BAD_REQUEST;
+        assert!(
+            matches!(&rejected, CallResult::Answered(found, outcome, _)
+                if *found == status && outcome == "not-run"),
+            "{rejected:?}"
+        );
+    }
     let CallResult::Answered(status, ..) = other else {
         panic!("no answer: {other:?}");
     };
