Show waiting, slots, rejections, takeovers and commits in the metrics

Cause: /metrics had 10 families, none of tasks, queues, slots, rejections, budgets, takeovers, commits or the version in force. Values that change with each call are recorded as counters and histograms; those of the control state are read from the control thread at each scrape and shown by observable gauges, so that a shard which moved is no longer shown.

Ruled out: gauges that are set as the state changes. They keep the last value of a lost shard, and cost the control thread work for each event.

The cost of a scrape was not measured.

--- a/crates/core/src/calls/retry.rs
+++ b/crates/core/src/calls/retry.rs
@@ -97,6 +97,12 @@
         Self { config, tokens: 0 }
     }
 
+    /// Returns the retries that may be made at once.
+    #[must_use]
+    pub const fn available(&self) -> u64 {
+        self.tokens / RETRY_COST
+    }
+
     /// Notes a first attempt.
     pub fn note_first_attempt(&mut self) {
         let limit = self.config.burst * RETRY_COST;
--- a/crates/core/src/tasks/ledger.rs
+++ b/crates/core/src/tasks/ledger.rs
@@ -31,6 +31,7 @@
     /// Why its tasks wait.
     pub(super) reason: WaitReason,
     pub(super) arrival: u64,
+    pub(super) accepted_at: Duration,
     pub(super) waiting_since: Duration,
     pub(super) entry: Option<WaitEntry>,
     pub(super) racks: BTreeMap<RackId, u32>,
--- a/crates/core/src/tasks/query.rs
+++ b/crates/core/src/tasks/query.rs
@@ -1,6 +1,6 @@
 //! What can be read of a task queue.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{
     index::WorkCounter,
@@ -42,6 +42,23 @@
         self.ledger.tasks.len()
     }
 
+    /// Returns the numbers of tasks that wait and that occupy a worker.
+    #[must_use]
+    pub fn load(&self) -> (usize, usize) {
+        let jobs = self.ledger.jobs.values();
+        jobs.fold((0, 0), |(waiting, placed), job| {
+            (waiting + job.pending.len(), placed + job.active)
+        })
+    }
+
+    /// Returns the time since a task's job was accepted by this owner.
+    #[must_use]
+    pub fn waited(&self, task: TaskId, now: Duration) -> Option<Duration> {
+        let job = self.ledger.tasks.get(&task)?.job;
+        let job = self.ledger.jobs.get(&job)?;
+        Some(now.saturating_sub(job.accepted_at))
+    }
+
     /// Returns what is free on a worker.
     #[must_use]
     pub fn free(&self, worker: &WorkerId) -> Option<ResourceVector> {
--- a/crates/core/src/tasks/requests.rs
+++ b/crates/core/src/tasks/requests.rs
@@ -207,6 +207,21 @@
 }
 
 impl JobRejection {
+    /// Returns the name of the reason in metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Duplicate => "duplicate",
+            Self::NeverFits => "never-fits",
+            Self::GangNeverFits => "gang-never-fits",
+            Self::AboveQuota => "above-quota",
+            Self::UnknownTeam => "unknown-team",
+            Self::Empty => "empty",
+            Self::QueueFull => "queue-full",
+            Self::StoreUnavailable => "store-unavailable",
+        }
+    }
+
     /// Returns what the caller can do next.
     #[must_use]
     pub const fn remedy(self) -> &'static str {
--- a/crates/core/src/tasks/state.rs
+++ b/crates/core/src/tasks/state.rs
@@ -232,6 +232,7 @@
             durable,
             reason: WaitReason::Queued,
             arrival,
+            accepted_at: now,
             waiting_since: now,
             entry: None,
             racks: std::collections::BTreeMap::new(),
--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -199,6 +199,16 @@
         })
     }
 
+    /// Returns the retries that each service may make at once.
+    pub(crate) fn retry_budgets(&self) -> BTreeMap<ServiceId, u64> {
+        let budgets = self.budgets.lock();
+        let budgets = budgets.unwrap_or_else(PoisonError::into_inner);
+        let available = budgets.iter();
+        available
+            .map(|(service, budget)| (service.clone(), budget.available()))
+            .collect()
+    }
+
     /// Uses the budget of a service; the lock is held for this call only.
     fn with_budget<T>(
         &self,
--- a/crates/daemon/src/calls/dump.rs
+++ b/crates/daemon/src/calls/dump.rs
@@ -1,5 +1,7 @@
 //! The owned call queues as shown to operators.
 
+use std::collections::BTreeMap;
+
 use auburnsaddle_core::{Epoch, QueueView};
 use serde::Serialize;
 
@@ -17,6 +19,14 @@
 }
 
 impl CallShards {
+    /// Returns the owned queues by shard.
+    pub(crate) fn views(&self) -> BTreeMap<String, QueueView> {
+        let queues = self.queues.iter();
+        queues
+            .map(|(shard, owned)| (shard.to_string(), owned.queue.view()))
+            .collect()
+    }
+
     /// Describes all owned queues.
     pub(crate) fn dump(&self) -> Vec<CallShardDump> {
         let queues = self.queues.iter().map(|(shard, owned)| CallShardDump {
--- a/crates/daemon/src/control/dump.rs
+++ b/crates/daemon/src/control/dump.rs
@@ -14,6 +14,7 @@
     ownership::{ShardDump, dump_shards},
     publication::ConfigDump,
     tasks::PoolDump,
+    telemetry::ControlMeasures,
 };
 
 /// The control state of a daemon; each part is described by its slice.
@@ -33,6 +34,15 @@
 }
 
 impl ControlState {
+    /// Returns the values that the metrics show.
+    pub(super) fn measures(&self) -> ControlMeasures {
+        ControlMeasures {
+            calls: self.calls.views(),
+            pools: self.pools.loads(),
+            takeovers: self.takeovers,
+        }
+    }
+
     /// Describes the whole state.
     pub(super) fn dump(&self, now: Duration) -> ControlDump {
         ControlDump {
--- a/crates/daemon/src/control/effects.rs
+++ b/crates/daemon/src/control/effects.rs
@@ -1,6 +1,9 @@
 //! Effects that the control thread hands to the traffic threads.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use auburnsaddle_core::{ConfigVersion, DaemonId, Epoch, Heartbeat, OwnerRecord, ShardName};
 use tokio::runtime::Handle;
@@ -16,6 +19,7 @@
     publication::fetch_versions,
     store::{LeaseId, StoreFeed, TxnOutcome},
     tasks::{self, TaskEffect},
+    telemetry::ProcessMetrics,
     workers::HttpWorkers,
 };
 
@@ -98,6 +102,7 @@
     pub(super) peers: PeerClient,
     pub(super) store: S,
     pub(super) workers: HttpWorkers,
+    pub(super) metrics: ProcessMetrics,
 }
 
 impl<S: StoreFeed> EffectRunner<S> {
@@ -249,8 +254,13 @@
         let control = self.control.clone();
         let store = self.store.clone();
         let daemon = self.daemon.clone();
+        let metrics = self.metrics.clone();
         self.traffic.spawn(async move {
+            let started_at = Instant::now();
             if let Some(report) = run_effect(&store, &daemon, effect).await {
+                if let Some(result) = report.commit_result() {
+                    metrics.note_commit(result, started_at.elapsed());
+                }
                 control.send(ControlEvent::Journal(report)).await;
             }
         });
@@ -259,6 +269,9 @@
     fn ask_worker(&self, effect: TaskEffect) {
         let control = self.control.clone();
         let workers = self.workers.clone();
+        if let Some(waited) = effect.waited {
+            self.metrics.note_task_start(waited);
+        }
         self.traffic.spawn(async move {
             let command = tasks::run_effect(&workers, effect).await;
             control.send(ControlEvent::Tasks(command)).await;
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -18,7 +18,7 @@
 use super::{dump::ControlDump, leases::LeaseAnswer};
 use crate::{
     calls::CallCommand, journal::JournalReport, keys::KeyCommand, store::StoreEntry,
-    tasks::TaskCommand,
+    tasks::TaskCommand, telemetry::ControlMeasures,
 };
 
 /// Something that the control thread acts on.
@@ -71,6 +71,8 @@
     /// The daemon is stopping: it claims no shard any more and says so in its
     /// heartbeats.
     DrainStarted,
+    /// Asks for the values that the metrics show.
+    MeasuresRequested(oneshot::Sender<ControlMeasures>),
     /// Asks for a description of the whole control state.
     DumpRequested(oneshot::Sender<Box<ControlDump>>),
 }
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -101,7 +101,7 @@
         KeyForwarder::new(control.clone(), peers.clone()),
         tasks,
         store.clone(),
-        metrics,
+        metrics.clone(),
         settings.limits,
     );
     traffic.spawn(serve_peers(
@@ -132,6 +132,7 @@
         peers,
         store,
         workers: HttpWorkers::new(),
+        metrics: metrics.clone(),
     };
     let state = ControlState::new(record, settings.commit_interval, settings.sync_interval);
     let interval = settings.heartbeat_interval;
--- a/crates/daemon/src/control/shards.rs
+++ b/crates/daemon/src/control/shards.rs
@@ -7,6 +7,9 @@
 use super::{effects::ControlEffect, state::ControlState};
 use crate::journal::{JournalEffect, JournalNotice, JournalOutput, JournalReport, keeps_journal};
 
+/// Epoch of a shard that never had an owner before.
+const FIRST_EPOCH: Epoch = 1;
+
 /// What one step asks for, in order.
 #[derive(Debug, Default)]
 pub(super) struct ShardSteps {
@@ -96,6 +99,7 @@
             }
             OwnershipAction::Acquired { shard, epoch } => {
                 log::info!("acquired shard {shard} under epoch {epoch}");
+                self.takeovers += u64::from(epoch > FIRST_EPOCH);
                 replay_shard(shard, epoch, steps);
             }
             // The runners learn the epoch from the calls themselves.
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -55,6 +55,8 @@
     pub(super) leases: BTreeMap<ShardName, (Epoch, LeaseId)>,
     /// Shards in a handover whose calls have not ended yet.
     pub(super) flushing: BTreeMap<ShardName, Epoch>,
+    /// Shards that were taken over from another owner.
+    pub(super) takeovers: u64,
     loads: LoadReporter,
     heartbeats: u32,
     draining: bool,
@@ -84,6 +86,7 @@
             leased: BTreeSet::new(),
             leases: BTreeMap::new(),
             flushing: BTreeMap::new(),
+            takeovers: 0,
             loads: LoadReporter::default(),
             heartbeats: 0,
             draining: false,
@@ -181,6 +184,11 @@
                 effects.push(self.heartbeat(now));
                 effects
             }
+            ControlEvent::MeasuresRequested(reply) => {
+                // The operator's connection may have closed meanwhile.
+                let _ = reply.send(self.measures());
+                Vec::new()
+            }
             ControlEvent::DumpRequested(reply) => {
                 // The operator's connection may have closed meanwhile.
                 let _ = reply.send(Box::new(self.dump(now)));
--- a/crates/daemon/src/front/keyed.rs
+++ b/crates/daemon/src/front/keyed.rs
@@ -79,6 +79,13 @@
         let outcome = outcome_name(&answer.reply);
         self.metrics.note_call(outcome, received_at.elapsed());
         log::debug!(outcome = outcome; "call with a key answered");
+        match answer.reply {
+            KeyReply::NotRun(reason) => self.metrics.note_rejection("call", reason),
+            KeyReply::FingerprintMismatch => {
+                self.metrics.note_rejection("call", "fingerprint-mismatch");
+            }
+            _ => {}
+        }
         keyed_response(answer)
     }
 }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -41,7 +41,7 @@
     settings::CallerLimits,
     store::StoreClient,
     tasks::TaskDispatcher,
-    telemetry::{ProcessMetrics, format_request, parse_request, trace_request},
+    telemetry::{ProcessMeasures, ProcessMetrics, format_request, parse_request, trace_request},
 };
 
 /// Time in which callers of a draining daemon get a response that asks them to
@@ -126,7 +126,7 @@
                 let handled = self.handle_tasks(request).await;
                 Ok(handled.unwrap_or_else(|error| mark_not_run(error.into())))
             }
-            "/metrics" => Ok(self.metrics_page()),
+            "/metrics" => Ok(self.metrics_page().await),
             "/admin/dump" => Ok(self.dump().await),
             path if path.starts_with("/admin/") => self.handle_admin(request).await,
             _ => Err(FrontError::new(
@@ -138,12 +138,20 @@
         result.unwrap_or_else(FrontResponse::from)
     }
 
-    fn metrics_page(&self) -> FrontResponse {
+    async fn metrics_page(&self) -> FrontResponse {
         let snapshot = self.control.snapshot();
-        let page = self
-            .metrics
-            .page(self.control.queue_depth(), snapshot.owned_shards());
-        text_response(page)
+        let queue_depth = self.control.queue_depth();
+        let (reply, receiver) = oneshot::channel();
+        let event = ControlEvent::MeasuresRequested(reply);
+        self.control.send(event).await;
+        let measures = ProcessMeasures {
+            control: receiver.await.unwrap_or_default(),
+            config_version: snapshot.config_version,
+            queue_depth,
+            owned_shards: snapshot.owned_shards(),
+            retry_budgets: self.dispatcher.retry_budgets(),
+        };
+        text_response(self.metrics.page(measures))
     }
 
     /// Returns the state of the control thread and what it published.
@@ -211,7 +219,10 @@
         log::debug!(outcome = outcome_name(&outcome); "call answered");
         Ok(match outcome {
             CallOutcome::Completed(reply) => reply.map(|body| FrontBody::Relay(Box::new(body))),
-            CallOutcome::NotRun(reason) => not_run_response(reason),
+            CallOutcome::NotRun(reason) => {
+                self.metrics.note_rejection("call", reason);
+                not_run_response(reason)
+            }
             CallOutcome::Unknown(reason) => unknown_response(reason),
         })
     }
--- a/crates/daemon/src/front/tasks.rs
+++ b/crates/daemon/src/front/tasks.rs
@@ -104,7 +104,17 @@
         })?;
         check_team(team.as_ref(), Some(&job.team))?;
         let request = TaskRequest::Submit(job);
-        Ok(respond(self.tasks.ask(&shard, &request, time).await))
+        let reply = self.tasks.ask(&shard, &request, time).await;
+        match &reply {
+            TaskReply::Refused(TaskRefusal::NotRun(reason)) => {
+                self.metrics.note_rejection("task", reason);
+            }
+            TaskReply::Refused(TaskRefusal::Rejected(reason)) => {
+                self.metrics.note_rejection("task", reason.name());
+            }
+            _ => {}
+        }
+        Ok(respond(reply))
     }
 
     async fn ask_owner(
--- a/crates/daemon/src/journal/messages.rs
+++ b/crates/daemon/src/journal/messages.rs
@@ -49,6 +49,19 @@
     Fenced(ShardName, Epoch),
 }
 
+impl JournalReport {
+    /// Returns the name of the result of a commit in metrics, or `None` for
+    /// other reports.
+    pub(crate) const fn commit_result(&self) -> Option<&'static str> {
+        match self {
+            Self::Committed(_) => Some("committed"),
+            Self::GuardFailed(..) => Some("fenced"),
+            Self::ResponseLost(_) => Some("lost"),
+            _ => None,
+        }
+    }
+}
+
 /// What the journal tells the slices and the owner table.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum JournalNotice {
--- a/crates/daemon/src/tasks/dump.rs
+++ b/crates/daemon/src/tasks/dump.rs
@@ -1,11 +1,15 @@
 //! The owned pools as shown to operators.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use auburnsaddle_core::{Epoch, ResourceVector, TaskId, TaskStatus, WorkerId};
 use serde::Serialize;
 
 use super::{pool::OwnedPool, state::PoolShards};
+use crate::telemetry::PoolLoad;
 
 /// An owned pool.
 #[derive(Debug)]
@@ -37,6 +41,18 @@
 }
 
 impl PoolShards {
+    /// Returns the loads of the owned pools by shard.
+    pub(crate) fn loads(&self) -> BTreeMap<String, PoolLoad> {
+        let pools = self.pools.iter();
+        pools
+            .map(|(shard, pool)| {
+                let (waiting, placed) = pool.queue.load();
+                let (waiting, placed) = (waiting as u64, placed as u64);
+                (shard.to_string(), PoolLoad { waiting, placed })
+            })
+            .collect()
+    }
+
     /// Describes all owned pools.
     pub(crate) fn dump(&self) -> Vec<PoolDump> {
         self.pools.values().map(OwnedPool::dump).collect()
--- a/crates/daemon/src/tasks/messages.rs
+++ b/crates/daemon/src/tasks/messages.rs
@@ -69,6 +69,8 @@
     pub(super) target: WorkerTarget,
     /// What is asked.
     pub(super) request: WorkerRequest,
+    /// For the first start of a task, how long it has waited.
+    pub(crate) waited: Option<Duration>,
 }
 
 /// What a worker is asked.
--- a/crates/daemon/src/tasks/pool.rs
+++ b/crates/daemon/src/tasks/pool.rs
@@ -55,6 +55,8 @@
     watchers: TaskWatchers,
     cancelled: Vec<CancelItem>,
     known_workers: Vec<WorkerEntry>,
+    /// Time of the present event.
+    now: Duration,
 }
 
 impl OwnedPool {
@@ -71,11 +73,13 @@
             watchers: TaskWatchers::default(),
             cancelled: Vec::new(),
             known_workers: Vec::new(),
+            now: Duration::ZERO,
         }
     }
 
     /// Feeds an event to the queue and carries out what follows.
     pub(super) fn apply(&mut self, event: TaskEvent, now: Duration, output: &mut PoolOutput) {
+        self.now = now;
         for action in self.queue.handle(event, now) {
             self.carry_out(action, output);
         }
@@ -154,7 +158,14 @@
     pub(super) fn send(&self, name: &WorkerId, request: WorkerRequest, output: &mut PoolOutput) {
         let address = self.links.get(name).and_then(|link| link.address);
         if let Some(address) = address {
+            let waited = match &request {
+                WorkerRequest::Start(start) if start.name.attempt == 1 => {
+                    self.queue.waited(start.name.task, self.now)
+                }
+                _ => None,
+            };
             output.effects.push(TaskEffect {
+                waited,
                 worker: name.clone(),
                 target: WorkerTarget {
                     address,
--- a/crates/daemon/src/tasks/queue.rs
+++ b/crates/daemon/src/tasks/queue.rs
@@ -57,6 +57,21 @@
         }
     }
 
+    /// Returns the numbers of tasks that wait and that occupy a worker.
+    pub(super) fn load(&self) -> (usize, usize) {
+        match self {
+            Self::Waiting(queue) => queue.load(),
+            Self::Packing(queue) => queue.load(),
+        }
+    }
+
+    pub(super) fn waited(&self, task: TaskId, now: Duration) -> Option<Duration> {
+        match self {
+            Self::Waiting(queue) => queue.waited(task, now),
+            Self::Packing(queue) => queue.waited(task, now),
+        }
+    }
+
     pub(super) fn free(&self, worker: &WorkerId) -> Option<ResourceVector> {
         match self {
             Self::Waiting(queue) => queue.free(worker),
--- /dev/null
+++ b/crates/daemon/src/telemetry/measures.rs
@@ -0,0 +1,131 @@
+//! Values that are read when the metrics are asked for.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use arc_swap::ArcSwap;
+use auburnsaddle_core::{ConfigVersion, QueueView, ServiceId};
+use opentelemetry::{KeyValue, metrics::Meter};
+
+/// Load of an owned pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct PoolLoad {
+    /// Tasks that wait for a start.
+    pub(crate) waiting: u64,
+    /// Tasks that occupy a worker.
+    pub(crate) placed: u64,
+}
+
+/// What the control thread tells about its state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ControlMeasures {
+    /// The owned call queues by shard.
+    pub(crate) calls: BTreeMap<String, QueueView>,
+    /// The owned pools by shard.
+    pub(crate) pools: BTreeMap<String, PoolLoad>,
+    /// Shards that were taken over from another owner.
+    pub(crate) takeovers: u64,
+}
+
+/// All values of one reading.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ProcessMeasures {
+    /// The state of the control thread.
+    pub(crate) control: ControlMeasures,
+    /// The version in force.
+    pub(crate) config_version: ConfigVersion,
+    /// Events that wait for the control thread.
+    pub(crate) queue_depth: usize,
+    /// Shards that this daemon owns.
+    pub(crate) owned_shards: usize,
+    /// Retries that each service may make at once.
+    pub(crate) retry_budgets: BTreeMap<ServiceId, u64>,
+}
+
+/// The latest reading, which the gauges show.
+pub(super) type SharedMeasures = Arc<ArcSwap<ProcessMeasures>>;
+
+type ProcessGauge = (&'static str, fn(&ProcessMeasures) -> u64);
+type CallGauge = (&'static str, fn(&QueueView) -> u64);
+type PoolGauge = (&'static str, fn(&PoolLoad) -> u64);
+
+const PROCESS_GAUGES: [ProcessGauge; 3] = [
+    ("auburnsaddle_config_version", |process| {
+        process.config_version
+    }),
+    ("auburnsaddle_control_queue_depth", |process| {
+        process.queue_depth as u64
+    }),
+    ("auburnsaddle_owned_shards", |process| {
+        process.owned_shards as u64
+    }),
+];
+
+const CALL_GAUGES: [CallGauge; 5] = [
+    ("auburnsaddle_waiting_calls", |queue| queue.waiting as u64),
+    ("auburnsaddle_slots_in_use", |queue| queue.in_use as u64),
+    ("auburnsaddle_slots_free", |queue| queue.free.into()),
+    ("auburnsaddle_slots_lent", |queue| queue.lent.into()),
+    ("auburnsaddle_slots_borrowed", |queue| queue.borrowed.into()),
+];
+
+const POOL_GAUGES: [PoolGauge; 2] = [
+    ("auburnsaddle_waiting_tasks", |pool| pool.waiting),
+    ("auburnsaddle_placed_tasks", |pool| pool.placed),
+];
+
+/// Registers the gauges. A shard is shown by its owner only.
+pub(super) fn register_gauges(meter: &Meter, measures: &SharedMeasures) {
+    for (name, read) in PROCESS_GAUGES {
+        let measures = Arc::clone(measures);
+        meter
+            .u64_observable_gauge(name)
+            .with_callback(move |observer| observer.observe(read(&measures.load()), &[]))
+            .build();
+    }
+    for (name, read) in CALL_GAUGES {
+        register_by_shard(meter, name, measures, move |process| {
+            let queues = process.control.calls.iter();
+            queues
+                .map(|(shard, queue)| (shard.clone(), read(queue)))
+                .collect()
+        });
+    }
+    for (name, read) in POOL_GAUGES {
+        register_by_shard(meter, name, measures, move |process| {
+            let pools = process.control.pools.iter();
+            pools
+                .map(|(shard, pool)| (shard.clone(), read(pool)))
+                .collect()
+        });
+    }
+    let shown = Arc::clone(measures);
+    meter
+        .u64_observable_gauge("auburnsaddle_retry_budget")
+        .with_callback(move |observer| {
+            for (service, retries) in &shown.load().retry_budgets {
+                let label = KeyValue::new("service", service.to_string());
+                observer.observe(*retries, &[label]);
+            }
+        })
+        .build();
+    let shown = Arc::clone(measures);
+    meter
+        .u64_observable_counter("auburnsaddle_takeovers")
+        .with_callback(move |observer| observer.observe(shown.load().control.takeovers, &[]))
+        .build();
+}
+
+fn register_by_shard<F>(meter: &Meter, name: &'static str, measures: &SharedMeasures, read: F)
+where
+    F: Fn(&ProcessMeasures) -> Vec<(String, u64)> + Send + Sync + 'static,
+{
+    let measures = Arc::clone(measures);
+    meter
+        .u64_observable_gauge(name)
+        .with_callback(move |observer| {
+            for (shard, value) in read(&measures.load()) {
+                observer.observe(value, &[KeyValue::new("shard", shard)]);
+            }
+        })
+        .build();
+}
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -1,19 +1,22 @@
 //! Metrics of the process, exported in the text format of Prometheus.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, fmt::Display, sync::Arc, time::Duration};
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use super::measures::{ProcessMeasures, SharedMeasures, register_gauges};
 use crate::{peers::PeerTraffic, store::StoreCounts};
 
-/// Bounds of the buckets of call times in seconds: from far below the time of
-/// one call to the longest deadline.
-const TIME_BOUNDS: [f64; 10] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0];
+/// Bounds of the buckets of times in seconds: from far below the time of one
+/// call to a task that waits for an hour.
+const TIME_BOUNDS: [f64; 13] = [
+    0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 600.0, 3_600.0,
+];
 
 /// The instruments of the process.
 #[derive(Clone, Debug)]
@@ -26,8 +29,10 @@
     grants: Counter<u64>,
     slot_seconds: Histogram<f64>,
     retries: Counter<u64>,
-    queue_depth: Gauge<u64>,
-    owned_shards: Gauge<u64>,
+    rejections: Counter<u64>,
+    task_seconds: Histogram<f64>,
+    commit_seconds: Histogram<f64>,
+    measures: SharedMeasures,
     store_counts: Arc<StoreCounts>,
 }
 
@@ -64,20 +69,18 @@
             .u64_observable_counter("auburnsaddle_heartbeats_sent")
             .with_callback(move |observer| observer.observe(traffic.heartbeats(), &[]))
             .build();
+        let measures = SharedMeasures::default();
+        register_gauges(&meter, &measures);
         Self {
             calls: meter.u64_counter("auburnsaddle_calls").build(),
-            call_seconds: meter
-                .f64_histogram("auburnsaddle_call_seconds")
-                .with_boundaries(TIME_BOUNDS.to_vec())
-                .build(),
+            call_seconds: time_histogram(&meter, "auburnsaddle_call_seconds"),
             grants: meter.u64_counter("auburnsaddle_slot_grants").build(),
-            slot_seconds: meter
-                .f64_histogram("auburnsaddle_slot_wait_seconds")
-                .with_boundaries(TIME_BOUNDS.to_vec())
-                .build(),
+            slot_seconds: time_histogram(&meter, "auburnsaddle_slot_wait_seconds"),
             retries: meter.u64_counter("auburnsaddle_call_retries").build(),
-            queue_depth: meter.u64_gauge("auburnsaddle_control_queue_depth").build(),
-            owned_shards: meter.u64_gauge("auburnsaddle_owned_shards").build(),
+            rejections: meter.u64_counter("auburnsaddle_rejections").build(),
+            task_seconds: time_histogram(&meter, "auburnsaddle_task_wait_seconds"),
+            commit_seconds: time_histogram(&meter, "auburnsaddle_commit_seconds"),
+            measures,
             registry,
             _provider: provider,
             store_counts,
@@ -103,18 +106,43 @@
         self.retries.add(1, &[]);
     }
 
+    /// Notes a request of a kind that was rejected.
+    pub(crate) fn note_rejection(&self, kind: &'static str, reason: impl Display) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("reason", reason.to_string()),
+        ];
+        self.rejections.add(1, &labels);
+    }
+
+    /// Notes the first start of a task and how long it waited since its
+    /// acceptance.
+    pub(crate) fn note_task_start(&self, waited: Duration) {
+        self.task_seconds.record(waited.as_secs_f64(), &[]);
+    }
+
+    /// Notes the answer to a batch of records, or that there was none.
+    pub(crate) fn note_commit(&self, result: &'static str, elapsed: Duration) {
+        let labels = [KeyValue::new("result", result)];
+        self.commit_seconds.record(elapsed.as_secs_f64(), &labels);
+    }
+
     /// Returns the calls to the store by kind.
     pub(crate) fn store_calls(&self) -> BTreeMap<&'static str, u64> {
         self.store_counts.by_kind()
     }
 
     /// Returns the page with all metrics.
-    pub(crate) fn page(&self, queue_depth: usize, owned_shards: usize) -> String {
-        self.queue_depth.record(queue_depth as u64, &[]);
-        self.owned_shards.record(owned_shards as u64, &[]);
+    pub(crate) fn page(&self, measures: ProcessMeasures) -> String {
+        self.measures.store(Arc::new(measures));
         let families = self.registry.gather();
         TextEncoder::new()
             .encode_to_string(&families)
             .unwrap_or_default()
     }
 }
+
+fn time_histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    let histogram = meter.f64_histogram(name);
+    histogram.with_boundaries(TIME_BOUNDS.to_vec()).build()
+}
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -29,6 +29,16 @@
 /// Time after which a leaving host gets no new call.
 const LEAVING_TIME: Duration = Duration::from_secs(5);
 
+/// Metrics of a daemon that owns a call shard and has answered a call.
+const CALL_METRICS: [&str; 6] = [
+    "auburnsaddle_calls_total{outcome=\"completed\"",
+    "auburnsaddle_config_version{otel_scope_name=\"auburnsaddle\"} 1",
+    "auburnsaddle_retry_budget{",
+    "auburnsaddle_slot_wait_seconds_count{",
+    "auburnsaddle_slots_free{",
+    "auburnsaddle_takeovers_total{",
+];
+
 /// Parts of a response that takes far longer than the handover of a shard, so
 /// that a daemon which exits too early cuts it.
 const STREAMED_CHUNKS: u32 = 200;
@@ -115,7 +125,7 @@
         assert_eq!(result, done("token"));
         assert!(
             matches!(&metrics, CallResult::Answered(_, _, page)
-                if page.contains("auburnsaddle_calls_total{outcome=\"completed\"")),
+                if CALL_METRICS.iter().all(|name| page.contains(name))),
             "{metrics:?}"
         );
         let CallResult::Answered(_, _, dump) = dump else {
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -9,6 +9,15 @@
 use serde_json::{Value, json};
 use support::{CallResult, work::WorkCluster};
 
+/// Metrics of daemons that have started tasks and rejected a job.
+const TASK_METRICS: [&str; 5] = [
+    "auburnsaddle_commit_seconds_count{",
+    "auburnsaddle_rejections_total{",
+    "reason=\"duplicate\"",
+    "auburnsaddle_task_wait_seconds_count{",
+    "auburnsaddle_waiting_tasks{",
+];
+
 fn outcomes(statuses: &[Value]) -> BTreeSet<&str> {
     let outcomes = statuses.iter();
     outcomes
@@ -68,8 +77,16 @@
     let foreign = cluster.submit_as(1, &grading, "foreign", "sales").await;
     let unkeyed = cluster.submit_body(1, &grading, "").await;
     cluster.wait_for(0, &first, "ended").await;
+    let pages = [
+        cluster.cluster.get(0, "/metrics").await,
+        cluster.cluster.get(1, "/metrics").await,
+    ];
+    let pages = format!("{pages:?}").replace('\\', "");
 
     assert_eq!(first, again);
+    for name in TASK_METRICS {
+        assert!(pages.contains(name), "no {name}: {pages}");
+    }
     for rejected in [foreign, unkeyed] {
         let status = StatusCode::BAD_REQUEST;
         assert!(
