--- a/crates/core/src/calls/mod.rs
+++ b/crates/core/src/calls/mod.rs
@@ -21,10 +21,12 @@
 mod state;
 #[cfg(test)]
 mod tests;
+mod view;
 
-pub use config::{CallConfig, CallConfigBuilder, LoanConfig};
+pub use config::{CallConfig, CallConfigBuilder, ConfigBuilder, LoanConfig};
 pub use messages::{CallAction, CallEvent, CallLoad, CallRequest};
 pub use messages::{GrantResult, RunnerEntry, SlotGrant, SlotLender};
 pub use messages::{LoanBody, LoanKey, LoanMessage};
 pub use retry::{RetryBudget, RetryConfig, RetryConfigBuilder, RetryVerdict};
 pub use state::CallQueue;
+pub use view::{QueueView, RunnerHealth, RunnerView};
--- a/crates/core/src/tasks/ledger.rs
+++ b/crates/core/src/tasks/ledger.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{
+    accepted::AcceptedJobs,
     messages::{GangMode, JobId, JobSpec, TaskState, TaskView, TeamQuota, WaitReason},
     waiting::WaitEntry,
 };
@@ -32,6 +33,7 @@
     /// Why its tasks wait.
     pub(super) reason: WaitReason,
     pub(super) arrival: u64,
+    pub(super) accepted_at: Duration,
     pub(super) waiting_since: Duration,
     pub(super) entry: Option<WaitEntry>,
     pub(super) racks: BTreeMap<RackId, u32>,
@@ -245,6 +247,8 @@
     pub(super) expiries: BTreeSet<(Duration, TaskId)>,
     /// Times at which waiting jobs are promoted.
     pub(super) promotions: BTreeSet<(Duration, JobId)>,
+    /// All accepted jobs, for a day.
+    pub(super) accepted: AcceptedJobs,
     /// Ended tasks, oldest first.
     pub(super) ended: std::collections::VecDeque<TaskId>,
 }
--- a/crates/core/src/tasks/query.rs
+++ b/crates/core/src/tasks/query.rs
@@ -1,6 +1,6 @@
 //! What can be read of a task queue.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{
     index::WorkCounter,
@@ -42,6 +42,23 @@
         self.ledger.tasks.len()
     }
 
+    /// Returns the numbers of tasks that wait and that occupy a worker.
+    #[must_use]
+    pub fn load(&self) -> (usize, usize) {
+        let jobs = self.ledger.jobs.values();
+        jobs.fold((0, 0), |(waiting, placed), job| {
+            (waiting + job.pending.len(), placed + job.active)
+        })
+    }
+
+    /// Returns the time since a task's job was accepted by this owner.
+    #[must_use]
+    pub fn waited(&self, task: TaskId, now: Duration) -> Option<Duration> {
+        let job = self.ledger.tasks.get(&task)?.job;
+        let job = self.ledger.jobs.get(&job)?;
+        Some(now.saturating_sub(job.accepted_at))
+    }
+
     /// Returns what is free on a worker.
     #[must_use]
     pub fn free(&self, worker: &WorkerId) -> Option<ResourceVector> {
@@ -62,6 +79,13 @@
         self.workers.work
     }
 
+    /// Returns the number of tasks of a job that was accepted within the last
+    /// day.
+    #[must_use]
+    pub fn accepted_tasks(&self, job: JobId) -> Option<u32> {
+        self.ledger.accepted.tasks(job)
+    }
+
     /// Returns the job of a task, unless all tasks of the job have ended.
     #[must_use]
     pub fn job_of(&self, task: TaskId) -> Option<&JobSpec> {
@@ -109,8 +133,9 @@
         jobs.sort_by_key(|job| job.arrival);
         let shown = self.ledger.ended.iter();
         let shown = shown.filter_map(|task| self.export_task(*task));
-        jobs.into_iter()
-            .flat_map(|job| self.export_job(job))
+        let remembered = self.ledger.accepted.records();
+        remembered
+            .chain(jobs.into_iter().flat_map(|job| self.export_job(job)))
             .chain(shown)
             .collect()
     }
--- a/crates/core/tests/matrix/targets.rs
+++ b/crates/core/tests/matrix/targets.rs
@@ -199,7 +199,11 @@
         } in ended
         {
             let body = Some(body_of(call.grant.request));
-            let response = KeyResponse { status: 200, body };
+            let response = KeyResponse {
+                status: 200,
+                content_type: None,
+                body,
+            };
             self.done.insert(call.key, response.clone());
             let outcome = CallOutcome::Completed(response);
             replies.push((caller, id, call_ended(call.key, outcome)));
--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -11,9 +11,7 @@
     RetryConfig, RetryVerdict, ServiceId, ServiceSpec, ShardName, TeamId, UnknownReason,
     UrgencyClass,
 };
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -24,27 +22,25 @@
 use super::{
     body::RelayBody,
     messages::{CallCommand, GrantedSlot, SlotRefusal, SlotReply},
+    upload::{CallBody, UploadBody, UploadWatch},
 };
 use crate::{
     control::{ControlEvent, ControlHandle, RoutingSnapshot},
     hosts::{ExchangeFailure, admission_rejection, classify_failure},
     peers::{PeerReply, PeerRequest, PeerRouter},
-    telemetry::ProcessMetrics,
+    telemetry::{ProcessMetrics, trace_request},
 };
 
 /// Mean time after which a call without an owner asks again. A takeover takes
 /// seconds, so this adds little to it and a waiting call costs 20 looks a second.
 const RESUBMIT_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Largest body that is kept for a retry, so that retries need little memory.
-const RETRY_BODY_LIMIT: usize = 64 * 1024;
-
 /// Reason with which a runner rejects an epoch below the highest it has seen.
 const FENCED_REASON: &str = "fenced";
 
-/// A call as received from a caller, its body read.
+/// A call as received from a caller.
 #[derive(Clone, Debug)]
-pub(crate) struct CallHead {
+pub(crate) struct CallHead<B = CallBody> {
     /// Identifier of the request, carried through all processes.
     pub(crate) request: RequestId,
     /// The team that is charged.
@@ -59,8 +55,24 @@
     pub(crate) path: String,
     /// Headers for the runner.
     pub(crate) headers: HeaderMap,
-    /// The whole body.
-    pub(crate) body: Bytes,
+    /// The body, as far as it is read.
+    pub(crate) body: B,
+}
+
+impl CallHead<()> {
+    /// Adds the body.
+    pub(crate) fn with_body<B>(self, body: B) -> CallHead<B> {
+        CallHead {
+            request: self.request,
+            team: self.team,
+            urgency: self.urgency,
+            remaining: self.remaining,
+            method: self.method,
+            path: self.path,
+            headers: self.headers,
+            body,
+        }
+    }
 }
 
 /// A runner's answer, streamed.
@@ -71,17 +83,29 @@
 pub(crate) struct CallDispatcher {
     control: ControlHandle,
     router: PeerRouter,
-    runners: Client<HttpConnector, Full<Bytes>>,
+    runners: Client<HttpConnector, UploadBody>,
     budgets: Arc<Mutex<BTreeMap<ServiceId, RetryBudget>>>,
     metrics: ProcessMetrics,
 }
 
+/// What bounds a further attempt of a call.
+struct RetryBounds {
+    /// Attempts made so far.
+    attempts: u32,
+    /// Time left until the caller's deadline.
+    remaining: Duration,
+    /// Whether the call may run twice.
+    may_repeat: bool,
+}
+
 /// Returns a slot to its owner when dropped.
 #[derive(Debug)]
 pub(crate) struct SlotGuard {
     dispatcher: CallDispatcher,
     slot: GrantedSlot,
     result: GrantResult,
+    /// The caller's request.
+    request: RequestId,
 }
 
 /// Tells the owner that a waiting requester went away, unless disarmed.
@@ -115,30 +139,45 @@
         &self.router
     }
 
-    /// Sends a call of a service to a runner, again if the budget allows it.
+    /// Sends a call of a service to a runner, again if the budget allows it. A
+    /// call that may have run is sent again only if it `may_repeat`.
     pub(crate) async fn dispatch(
         &self,
         service: &ServiceSpec,
         mut head: CallHead,
+        may_repeat: bool,
     ) -> CallOutcome<CallReply> {
         let started_at = Instant::now();
         let allowed = head.remaining;
-        let mut slot_request = head.request;
         let mut attempts = 1;
+        let mut unknown = None;
         self.with_budget(service, RetryBudget::note_first_attempt);
         loop {
+            // Callers may give several requests one identifier, and the slot of
+            // the last attempt may still be on its way back; an owner ignores a
+            // second request for a slot under the same identifier.
+            let slot_request = rand::random();
             let outcome = self.attempt(service, slot_request, head.clone()).await;
-            let remaining = allowed.saturating_sub(started_at.elapsed());
-            let verdict = self.decide_retry(service, &head, &outcome, (attempts, remaining));
+            // A rejection of this attempt says nothing of the earlier ones.
+            let outcome = match (outcome, unknown) {
+                (CallOutcome::NotRun(_), Some(reason)) => CallOutcome::Unknown(reason),
+                (outcome, _) => outcome,
+            };
+            if let CallOutcome::Unknown(reason) = outcome {
+                unknown = Some(reason);
+            }
+            let bounds = RetryBounds {
+                attempts,
+                remaining: allowed.saturating_sub(started_at.elapsed()),
+                may_repeat,
+            };
+            let verdict = self.decide_retry(service, &head, &outcome, &bounds);
             let RetryVerdict::After(delay) = verdict else {
                 return outcome;
             };
             self.metrics.note_retry();
             tokio::time::sleep(delay).await;
             attempts += 1;
-            // The slot of the last attempt may still be on its way back, and its
-            // owner ignores a second request under the same identifier.
-            slot_request = rand::random();
             head.remaining = allowed.saturating_sub(started_at.elapsed());
         }
     }
@@ -148,23 +187,33 @@
         service: &ServiceSpec,
         head: &CallHead,
         outcome: &CallOutcome<CallReply>,
-        (attempts, remaining): (u32, Duration),
+        bounds: &RetryBounds,
     ) -> RetryVerdict {
-        if head.body.len() > RETRY_BODY_LIMIT {
+        if !head.body.can_repeat() {
             return RetryVerdict::GiveUp;
         }
         let mut random = rand::rng();
         self.with_budget(service, |budget| {
             budget.decide(
                 outcome,
-                service.idempotent,
-                attempts,
-                remaining,
+                bounds.may_repeat,
+                bounds.attempts,
+                bounds.remaining,
                 &mut random,
             )
         })
     }
 
+    /// Returns the retries that each service may make at once.
+    pub(crate) fn retry_budgets(&self) -> BTreeMap<ServiceId, u64> {
+        let budgets = self.budgets.lock();
+        let budgets = budgets.unwrap_or_else(PoisonError::into_inner);
+        let available = budgets.iter();
+        available
+            .map(|(service, budget)| (service.clone(), budget.available()))
+            .collect()
+    }
+
     /// Uses the budget of a service; the lock is held for this call only.
     fn with_budget<T>(
         &self,
@@ -210,6 +259,7 @@
         };
         let is_borrowed = slot.grant.lender.is_some();
         self.metrics.note_grant(is_borrowed, started_at.elapsed());
+        log::debug!(runner = &*slot.grant.runner; "slot granted");
         let remaining = head.remaining.saturating_sub(started_at.elapsed());
         match tokio::time::timeout(remaining, self.send_call(slot, head)).await {
             Ok(outcome) => outcome,
@@ -294,12 +344,18 @@
             dispatcher: self.clone(),
             slot,
             result: GrantResult::Failed,
+            request: head.request,
         };
         let host = snapshot.hosts.get(&guard.slot.grant.runner);
-        let Some(request) = host.and_then(|host| runner_request(host, &guard.slot, head)) else {
+        let request = host.and_then(|host| runner_request(host, &guard.slot, head));
+        let Some((request, mut upload)) = request else {
             return guard.not_run(NotRunReason::TargetUnreachable);
         };
-        match self.runners.request(request).await {
+        let exchange = match upload.watch(self.runners.request(request)).await {
+            Ok(exchange) => exchange,
+            Err(fault) => return CallOutcome::Unknown(fault.into()),
+        };
+        match exchange {
             Ok(response) if admission_rejection(&response).is_some() => {
                 if admission_rejection(&response) == Some(FENCED_REASON) {
                     let (shard, epoch) = guard.slot.fence();
@@ -308,7 +364,7 @@
                 }
                 guard.not_run(NotRunReason::RejectedByTarget)
             }
-            Ok(response) => CallOutcome::Completed(relay(response, guard)),
+            Ok(response) => CallOutcome::Completed(relay(response, guard, upload)),
             Err(error) => match classify_failure(&error) {
                 ExchangeFailure::NotRun(reason) => guard.not_run(reason),
                 ExchangeFailure::Unknown(reason) => CallOutcome::Unknown(reason),
@@ -361,7 +417,7 @@
             .dispatcher
             .clone()
             .return_slot(self.slot.clone(), self.result);
-        tokio::spawn(returned);
+        tokio::spawn(trace_request(self.request, returned));
     }
 }
 
@@ -391,11 +447,12 @@
     host: &HostEntry,
     slot: &GrantedSlot,
     head: CallHead,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<(Request<UploadBody>, UploadWatch)> {
     let uri: Uri = format!("http://{}{}", host.address, head.path)
         .parse()
         .ok()?;
-    let mut request = Request::new(Full::new(head.body));
+    let (body, upload) = head.body.open();
+    let mut request = Request::new(body);
     *request.method_mut() = head.method;
     *request.uri_mut() = uri;
     *request.headers_mut() = head.headers;
@@ -408,9 +465,9 @@
     headers.insert("auburnsaddle-epoch", HeaderValue::from(epoch));
     let id = format!("{:032x}", head.request);
     headers.insert("auburnsaddle-request-id", HeaderValue::from_str(&id).ok()?);
-    Some(request)
+    Some((request, upload))
 }
 
-fn relay(response: Response<Incoming>, guard: SlotGuard) -> CallReply {
-    response.map(|body| RelayBody::new(body, guard))
+fn relay(response: Response<Incoming>, guard: SlotGuard, upload: UploadWatch) -> CallReply {
+    response.map(|body| RelayBody::new(body, guard, upload))
 }
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -15,10 +15,10 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
-use super::leases::LeaseAnswer;
+use super::{dump::ControlDump, leases::LeaseAnswer};
 use crate::{
     calls::CallCommand, journal::JournalReport, keys::KeyCommand, store::StoreEntry,
-    tasks::TaskCommand,
+    tasks::TaskCommand, telemetry::ControlMeasures,
 };
 
 /// Something that the control thread acts on.
@@ -71,8 +71,10 @@
     /// The daemon is stopping: it claims no shard any more and says so in its
     /// heartbeats.
     DrainStarted,
-    /// Asks for the whole control state as text.
-    DumpRequested(oneshot::Sender<String>),
+    /// Asks for the values that the metrics show.
+    MeasuresRequested(oneshot::Sender<ControlMeasures>),
+    /// Asks for a description of the whole control state.
+    DumpRequested(oneshot::Sender<Box<ControlDump>>),
 }
 
 /// What traffic needs to know of the control state.
--- a/crates/daemon/src/front/keyed.rs
+++ b/crates/daemon/src/front/keyed.rs
@@ -6,7 +6,7 @@
     KeyReply, KeyResponse, NotRunReason, ServiceSpec, ShardName, UnknownReason, key_shard_index,
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::Full;
 
 use super::{
@@ -17,7 +17,7 @@
 use crate::{
     calls::CallHead,
     control::RoutingSnapshot,
-    keys::{BODY_LIMIT, KeyedAnswer, KeyedCall},
+    keys::{KeyedAnswer, KeyedCall},
     store::StoreClient,
 };
 
@@ -33,14 +33,18 @@
     headers: &HeaderMap,
     service: &ServiceSpec,
 ) -> Result<Option<String>, FrontError> {
+    match key_of(headers)? {
+        None if !service.idempotent => Err(bad_key(
+            "the service is not idempotent and the call has no key",
+        )),
+        key => Ok(key),
+    }
+}
+
+/// Returns the key of a request, if it has one.
+pub(super) fn key_of(headers: &HeaderMap) -> Result<Option<String>, FrontError> {
     let Some(value) = headers.get("idempotency-key") else {
-        return if service.idempotent {
-            Ok(None)
-        } else {
-            Err(bad_key(
-                "the service is not idempotent and the call has no key",
-            ))
-        };
+        return Ok(None);
     };
     let text = value.to_str().unwrap_or_default();
     // The key becomes a part of the path of queries to runners.
@@ -63,27 +67,26 @@
         snapshot: &RoutingSnapshot,
         service: &ServiceSpec,
         key: String,
-        head: CallHead,
-    ) -> Result<FrontResponse, FrontError> {
-        if head.body.len() > BODY_LIMIT {
-            return Err(FrontError::new(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                &format!("the body of a call with a key is over {BODY_LIMIT} bytes"),
-                "send a smaller body",
-            ));
-        }
-        let id = format!("{:032x}", head.request);
+        head: CallHead<Bytes>,
+    ) -> FrontResponse {
         let call = KeyedCall::new(service.name.clone(), key, head);
         let Some(pool) = snapshot.objects.pools.get(&service.pool) else {
-            return Ok(not_run_response(NotRunReason::NoTarget));
+            return not_run_response(NotRunReason::NoTarget);
         };
         let shard = ShardName::Key(pool.region.clone(), key_shard_index(&call.key_digest()));
         let received_at = Instant::now();
         let answer = self.keys.submit(&shard, call).await;
         let outcome = outcome_name(&answer.reply);
         self.metrics.note_call(outcome, received_at.elapsed());
-        log::debug!(request_id = id.as_str(), outcome = outcome; "call with a key answered");
-        Ok(keyed_response(answer))
+        log::debug!(outcome = outcome; "call with a key answered");
+        match answer.reply {
+            KeyReply::NotRun(reason) => self.metrics.note_rejection("call", reason),
+            KeyReply::FingerprintMismatch => {
+                self.metrics.note_rejection("call", "fingerprint-mismatch");
+            }
+            _ => {}
+        }
+        keyed_response(answer)
     }
 }
 
@@ -101,7 +104,10 @@
     match answer.reply {
         KeyReply::Completed(response) => {
             let mut response = recorded_response(response);
-            *response.headers_mut() = headers;
+            // A response that a runner remembered has no others.
+            if !headers.is_empty() {
+                *response.headers_mut() = headers;
+            }
             response
         }
         KeyReply::Replayed(response) => {
@@ -134,6 +140,10 @@
 fn recorded_response(recorded: KeyResponse) -> FrontResponse {
     let body = Bytes::from(recorded.body.unwrap_or_default());
     let mut response = FrontResponse::new(FrontBody::Full(Full::new(body)));
+    let kind = recorded.content_type.as_deref().map(HeaderValue::from_str);
+    if let Some(Ok(kind)) = kind {
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    }
     // The status was parsed by the daemon that received it.
     *response.status_mut() = StatusCode::from_u16(recorded.status).unwrap_or_default();
     response
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -12,10 +12,8 @@
 };
 
 use auburnsaddle_core::{CallOutcome, RequestId, ServiceSpec};
-use bytes::Bytes;
 use futures::FutureExt;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, Version, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo},
@@ -25,35 +23,41 @@
     net::{TcpListener, TcpStream},
     sync::oneshot,
 };
-use uuid::Uuid;
 
 use super::{
     body::FrontBody,
     keyed::read_key,
     messages::{
-        DumpReply, FrontError, FrontResponse, json_response, not_run_response, text_response,
-        unknown_response,
+        DumpReply, FrontError, FrontResponse, json_response, mark_not_run, not_run_response,
+        text_response, unknown_response,
     },
     tasks::TASKS_PATH,
     timer::ConnectionTimer,
 };
 use crate::{
-    calls::{CallCommand, CallDispatcher, CallHead},
+    calls::{BodyLimits, CallBody, CallCommand, CallDispatcher, CallHead},
     control::{ControlEvent, ControlHandle},
-    keys::KeyForwarder,
+    keys::{BODY_LIMIT as KEYED_BODY_LIMIT, KeyForwarder},
     peers::{PeerHandler, PeerReply, PeerRequest},
     settings::CallerLimits,
     store::StoreClient,
     tasks::TaskDispatcher,
-    telemetry::ProcessMetrics,
+    telemetry::{ProcessMeasures, ProcessMetrics, format_request, parse_request, trace_request},
 };
 
 /// Time in which callers of a draining daemon get a response that asks them to
 /// close their connection; callers in a row wait far less between two calls.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// Header with the identifier of a request.
+const REQUEST_HEADER: &str = "auburnsaddle-request-id";
+
 const SERVICE_PREFIX: &str = "/v1/services/";
 
+/// Largest body that is read before a slot is requested, so that its call can be
+/// retried; larger ones would take too much memory and are streamed.
+const BUFFERED_BODY_BYTES: u64 = 64 << 10;
+
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -97,7 +101,13 @@
     /// caller to close an HTTP/1.1 connection.
     async fn handle_exchange(&self, request: Request<Incoming>) -> FrontResponse {
         let closes = request.version() <= Version::HTTP_11;
-        let mut response = self.handle_request(request).await;
+        let mut response = match request_id(request.headers()) {
+            Ok(id) => {
+                let handled = trace_request(id, self.handle_request(request, id)).await;
+                with_request_id(handled, id)
+            }
+            Err(error) => mark_not_run(error.into()),
+        };
         if closes && self.draining.load(Ordering::Relaxed) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
@@ -105,12 +115,19 @@
         response
     }
 
-    async fn handle_request(&self, request: Request<Incoming>) -> FrontResponse {
+    async fn handle_request(&self, request: Request<Incoming>, id: RequestId) -> FrontResponse {
         let path = request.uri().path().to_owned();
         let result = match path.as_str() {
-            path if path.starts_with(SERVICE_PREFIX) => self.handle_call(request).await,
-            path if is_task_path(path) => self.handle_tasks(request).await,
-            "/metrics" => Ok(self.metrics_page()),
+            // An error of these is a rejection before anything was run.
+            path if path.starts_with(SERVICE_PREFIX) => {
+                let handled = self.handle_call(request, id).await;
+                Ok(handled.unwrap_or_else(|error| mark_not_run(error.into())))
+            }
+            path if is_task_path(path) => {
+                let handled = self.handle_tasks(request).await;
+                Ok(handled.unwrap_or_else(|error| mark_not_run(error.into())))
+            }
+            "/metrics" => Ok(self.metrics_page().await),
             "/admin/dump" => Ok(self.dump().await),
             path if path.starts_with("/admin/") => self.handle_admin(request).await,
             _ => Err(FrontError::new(
@@ -122,12 +139,20 @@
         result.unwrap_or_else(FrontResponse::from)
     }
 
-    fn metrics_page(&self) -> FrontResponse {
+    async fn metrics_page(&self) -> FrontResponse {
         let snapshot = self.control.snapshot();
-        let page = self
-            .metrics
-            .page(self.control.queue_depth(), snapshot.owned_shards());
-        text_response(page)
+        let queue_depth = self.control.queue_depth();
+        let (reply, receiver) = oneshot::channel();
+        let event = ControlEvent::MeasuresRequested(reply);
+        self.control.send(event).await;
+        let measures = ProcessMeasures {
+            control: receiver.await.unwrap_or_default(),
+            config_version: snapshot.config_version,
+            queue_depth,
+            owned_shards: snapshot.owned_shards(),
+            retry_budgets: self.dispatcher.retry_budgets(),
+        };
+        text_response(self.metrics.page(measures))
     }
 
     /// Returns the state of the control thread and what it published.
@@ -135,14 +160,18 @@
         let (reply, receiver) = oneshot::channel();
         self.control.send(ControlEvent::DumpRequested(reply)).await;
         let dump = DumpReply {
-            control: receiver.await.unwrap_or_default(),
+            control: receiver.await.ok(),
             queue_depth: self.control.queue_depth(),
             store_calls: self.metrics.store_calls(),
         };
         json_response(StatusCode::OK, &dump)
     }
 
-    async fn handle_call(&self, request: Request<Incoming>) -> Result<FrontResponse, FrontError> {
+    async fn handle_call(
+        &self,
+        request: Request<Incoming>,
+        id: RequestId,
+    ) -> Result<FrontResponse, FrontError> {
         let snapshot = self.control.snapshot();
         let target = request
             .uri()
@@ -159,29 +188,42 @@
         let (parts, body) = request.into_parts();
         let key = read_key(&parts.headers, service)?;
         let remaining = deadline(&parts.headers, service)?;
-        let request_id = request_id(&parts.headers)?;
+        log::debug!(service = &*service.name; "call received");
         let head = CallHead {
-            request: request_id,
+            request: id,
             team: header_text(&parts.headers, "auburnsaddle-team").map(Into::into),
             urgency: None,
             remaining,
             method: parts.method,
             path,
             headers: forwarded_headers(&parts.headers),
-            body: read_limited(body, service, self.limits.body_timeout).await?,
+            body: (),
+        };
+        let mut limits = BodyLimits {
+            bytes: service.max_body_bytes,
+            time: self.limits.body_timeout,
         };
         if let Some(key) = key {
-            return self.handle_keyed(&snapshot, service, key, head).await;
+            // The fingerprint of the request covers the whole body.
+            limits.bytes = limits.bytes.min(KEYED_BODY_LIMIT as u64);
+            let body = CallBody::read_whole(body, limits).await?;
+            let head = head.with_body(body);
+            return Ok(self.handle_keyed(&snapshot, service, key, head).await);
         }
-        let id = format!("{request_id:032x}");
+        let body = CallBody::read(body, limits, BUFFERED_BODY_BYTES).await?;
+        let head = head.with_body(body);
         let received_at = Instant::now();
-        let outcome = self.dispatcher.dispatch(service, head).await;
+        let outcome = self.dispatcher.dispatch(service, head, service.idempotent);
+        let outcome = outcome.await;
         self.metrics
             .note_call(outcome_name(&outcome), received_at.elapsed());
-        log::debug!(request_id = id.as_str(), outcome = outcome_name(&outcome); "call answered");
+        log::debug!(outcome = outcome_name(&outcome); "call answered");
         Ok(match outcome {
             CallOutcome::Completed(reply) => reply.map(|body| FrontBody::Relay(Box::new(body))),
-            CallOutcome::NotRun(reason) => not_run_response(reason),
+            CallOutcome::NotRun(reason) => {
+                self.metrics.note_rejection("call", reason);
+                not_run_response(reason)
+            }
             CallOutcome::Unknown(reason) => unknown_response(reason),
         })
     }
@@ -195,8 +237,7 @@
                 PeerReply::Noted
             }
             PeerRequest::RequestSlot(shard, call) => {
-                let id = format!("{:032x}", call.request);
-                log::debug!(request_id = id.as_str(); "slot requested by a peer");
+                log::debug!("slot requested by a peer");
                 PeerReply::Slot(self.dispatcher.queue_call(shard, call).await)
             }
             PeerRequest::ReturnSlot(shard, epoch, grant, result) => {
@@ -215,9 +256,11 @@
                 PeerReply::Noted
             }
             PeerRequest::Task(shard, request) => {
+                log::debug!("task request from a peer");
                 PeerReply::Task(self.tasks.ask_here(shard, request).await)
             }
             PeerRequest::KeyedCall(shard, call) => {
+                log::debug!("call with a key from a peer");
                 PeerReply::Keyed(self.keys.ask_here(shard, call).await)
             }
             PeerRequest::Introduce(record) => {
@@ -331,51 +374,27 @@
     }
 }
 
-async fn read_limited(
-    body: Incoming,
-    service: &ServiceSpec,
-    body_timeout: Duration,
-) -> Result<Bytes, FrontError> {
-    let limit = usize::try_from(service.max_body_bytes).unwrap_or(usize::MAX);
-    let collecting = Limited::new(body, limit).collect();
-    let Ok(collected) = tokio::time::timeout(body_timeout, collecting).await else {
-        return Err(FrontError::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time",
-            "send the request again, its body without pauses",
-        ));
-    };
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(FrontError::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            &format!("the body is over {limit} bytes"),
-            "send a smaller body, or raise max_body_bytes of the service",
-        )),
-        Err(_) => Err(FrontError::new(
-            StatusCode::BAD_REQUEST,
-            "the body broke off",
-            "send the request again with its whole body",
-        )),
-    }
-}
-
 /// Returns the identifier that the caller gave its request, or a new one.
 fn request_id(headers: &HeaderMap) -> Result<RequestId, FrontError> {
-    let Some(value) = headers.get("auburnsaddle-request-id") else {
+    let Some(value) = headers.get(REQUEST_HEADER) else {
         return Ok(rand::random());
     };
     let text = value.to_str().ok();
-    // A UUID has 32 digits and, in its usual form, hyphens between them.
-    text.and_then(|text| Uuid::try_parse(text).ok())
-        .map(|id| id.as_u128())
-        .ok_or_else(|| {
-            FrontError::new(
-                StatusCode::BAD_REQUEST,
-                "Auburnsaddle-Request-Id is not a UUID",
-                "send 32 hexadecimal digits, or leave the header out",
-            )
-        })
+    text.and_then(parse_request).ok_or_else(|| {
+        FrontError::new(
+            StatusCode::BAD_REQUEST,
+            "Auburnsaddle-Request-Id is not a UUID",
+            "send 32 hexadecimal digits, or leave the header out",
+        )
+    })
+}
+
+/// Names the request in its response, so that a caller can ask operators.
+fn with_request_id(mut response: FrontResponse, id: RequestId) -> FrontResponse {
+    if let Ok(value) = HeaderValue::from_str(&format_request(id)) {
+        response.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    response
 }
 
 const fn outcome_name<T>(outcome: &CallOutcome<T>) -> &'static str {
@@ -404,9 +423,11 @@
 
 /// Returns the headers for the runner, without those of the connection.
 fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
-    const CONNECTION_HEADERS: [&str; 7] = [
+    const CONNECTION_HEADERS: [&str; 8] = [
         "connection",
         "content-length",
+        // Answered by this daemon, which reads the body.
+        "expect",
         "host",
         "keep-alive",
         "te",
--- a/crates/daemon/src/front/tasks.rs
+++ b/crates/daemon/src/front/tasks.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 
 use super::{
+    keyed::key_of,
     messages::{
         FrontError, FrontResponse, json_response, mark_not_run, not_run_response, unknown_response,
     },
@@ -47,12 +48,16 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<FrontResponse, FrontError> {
+        log::debug!("request for tasks received");
         let time = time_limit(request.headers())?;
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
         match (request.method().clone(), task_path(&path)) {
             (Method::POST, TaskPath::All) => self.submit(request, time).await,
-            (Method::GET, TaskPath::All) => self.list(&query, time).await,
+            (Method::GET, TaskPath::All) => {
+                let team = team_of(request.headers());
+                self.list(&query, team, time).await
+            }
             (Method::POST, TaskPath::Cancel) => self.cancel_label(&query, time).await,
             (Method::GET, TaskPath::One(task)) => {
                 self.ask_owner(task, TaskRequest::Get(task), time).await
@@ -66,7 +71,7 @@
             (Method::GET, TaskPath::Watch(task)) => {
                 let after = field(&query, "after").and_then(|text| text.parse().ok());
                 let request = TaskRequest::Watch(task, after.unwrap_or(0));
-                self.watch(task, request, time).await
+                self.ask_owner(task, request, time).await
             }
             (_, TaskPath::Other(text)) => Err(FrontError::new(
                 StatusCode::NOT_FOUND,
@@ -86,7 +91,8 @@
         request: Request<Incoming>,
         time: Duration,
     ) -> Result<FrontResponse, FrontError> {
-        let key = header_text(request.headers(), "idempotency-key").map(str::to_owned);
+        let key = key_of(request.headers())?;
+        let team = team_of(request.headers());
         let submission = read_submission(request, time).await?;
         let objects = Arc::clone(&self.control.snapshot().objects);
         let (shard, job) = build_job(&objects, &submission, key.as_deref()).map_err(|error| {
@@ -96,8 +102,19 @@
                 error.remedy(),
             )
         })?;
+        check_team(team.as_ref(), Some(&job.team))?;
         let request = TaskRequest::Submit(job);
-        Ok(respond(self.tasks.ask(&shard, &request, time).await))
+        let reply = self.tasks.ask(&shard, &request, time).await;
+        match &reply {
+            TaskReply::Refused(TaskRefusal::NotRun(reason)) => {
+                self.metrics.note_rejection("task", reason);
+            }
+            TaskReply::Refused(TaskRefusal::Rejected(reason)) => {
+                self.metrics.note_rejection("task", reason.name());
+            }
+            _ => {}
+        }
+        Ok(respond(reply))
     }
 
     async fn ask_owner(
@@ -107,18 +124,16 @@
         time: Duration,
     ) -> Result<FrontResponse, FrontError> {
         let shard = self.shard_of(task)?;
-        Ok(respond(self.tasks.ask(&shard, &request, time).await))
-    }
-
-    async fn watch(
-        &self,
-        task: TaskId,
-        request: TaskRequest,
-        time: Duration,
-    ) -> Result<FrontResponse, FrontError> {
-        let shard = self.shard_of(task)?;
-        Ok(match self.tasks.watch(&shard, &request, time).await {
-            TaskReply::Status(status) => json_response(StatusCode::OK, &WatchReply::new(status)),
+        let is_watch = matches!(request, TaskRequest::Watch(..));
+        let reply = if is_watch {
+            self.tasks.watch(&shard, &request, time).await
+        } else {
+            self.tasks.ask(&shard, &request, time).await
+        };
+        Ok(match reply {
+            TaskReply::Status(status) if is_watch => {
+                json_response(StatusCode::OK, &WatchReply::new(status))
+            }
             reply => respond(reply),
         })
     }
@@ -128,10 +143,16 @@
         pool.map(ShardName::Pool).ok_or_else(unknown_task)
     }
 
-    async fn list(&self, query: &str, time: Duration) -> Result<FrontResponse, FrontError> {
+    async fn list(
+        &self,
+        query: &str,
+        caller: Option<TeamId>,
+        time: Duration,
+    ) -> Result<FrontResponse, FrontError> {
         let labels = fields(query, "label").map(Into::into).collect();
         let team: Option<TeamId> = field(query, "team").map(Into::into);
-        let request = TaskRequest::List(labels, team);
+        check_team(caller.as_ref(), team.as_ref())?;
+        let request = TaskRequest::List(labels, team.or(caller));
         let mut list = TaskList::default();
         for reply in self.ask_all(&request, time).await {
             match reply {
@@ -175,6 +196,23 @@
     }
 }
 
+/// Returns the team that the caller names in the header.
+fn team_of(headers: &HeaderMap) -> Option<TeamId> {
+    header_text(headers, "auburnsaddle-team").map(Into::into)
+}
+
+/// Rejects a request whose header names another team than the rest of it does.
+fn check_team(header: Option<&TeamId>, other: Option<&TeamId>) -> Result<(), FrontError> {
+    match (header, other) {
+        (Some(header), Some(other)) if header != other => Err(FrontError::new(
+            StatusCode::BAD_REQUEST,
+            &format!("Auburnsaddle-Team names `{header}`, but the request is for `{other}`"),
+            "name one team, or leave the header out",
+        )),
+        _ => Ok(()),
+    }
+}
+
 fn task_path(path: &str) -> TaskPath<'_> {
     let rest = path.strip_prefix(TASKS_PATH).unwrap_or_default();
     let parts: Vec<_> = rest.split('/').filter(|part| !part.is_empty()).collect();
--- a/crates/daemon/src/keys/messages.rs
+++ b/crates/daemon/src/keys/messages.rs
@@ -3,14 +3,15 @@
 use std::{sync::Arc, time::Duration};
 
 use auburnsaddle_core::{
-    CallOutcome, Epoch, KeyDigest, KeyReply, KeyRequest, RequestId, RunnerAnswer, ServiceId,
-    ShardName, TeamId, UrgencyClass, digest_key, digest_request,
+    CallOutcome, Epoch, KeyDigest, KeyReply, KeyRequest, KeyResponse, RequestId, RunnerAnswer,
+    ServiceId, ShardName, TeamId, UrgencyClass, digest_key, digest_request,
 };
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, header::CONTENT_TYPE};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
-use crate::calls::CallHead;
+use crate::calls::{CallBody, CallHead};
 
 /// Largest body of a call with a key or of its response; with the headers it
 /// fits into a peer message of 1 MB.
@@ -41,7 +42,7 @@
 
 impl KeyedCall {
     /// Returns a call as received from its caller.
-    pub(crate) fn new(service: ServiceId, key: String, head: CallHead) -> Self {
+    pub(crate) fn new(service: ServiceId, key: String, head: CallHead<Bytes>) -> Self {
         Self {
             service,
             key,
@@ -56,6 +57,11 @@
         }
     }
 
+    /// Returns the identifier of the caller's request.
+    pub(super) const fn request(&self) -> RequestId {
+        self.request
+    }
+
     /// Returns the digest that names the key.
     pub(crate) fn key_digest(&self) -> KeyDigest {
         digest_key(&self.service, self.team.as_ref(), &self.key)
@@ -82,7 +88,7 @@
             method: Method::from_bytes(self.method.as_bytes()).ok()?,
             path: self.path.clone(),
             headers: header_map(&self.headers),
-            body: self.body.clone().into(),
+            body: CallBody::Whole(self.body.clone().into()),
         })
     }
 }
@@ -107,6 +113,22 @@
     headers: Vec<HeaderEntry>,
 }
 
+impl WholeResponse {
+    /// Returns the response as it is recorded.
+    pub(super) fn recorded(&self) -> KeyResponse {
+        let kind = CONTENT_TYPE.as_str();
+        let mut kinds = self.headers.iter().filter(|(name, _)| name == kind);
+        let kind = kinds
+            .next()
+            .and_then(|(_, value)| std::str::from_utf8(value).ok());
+        KeyResponse {
+            status: self.status,
+            content_type: kind.map(ToOwned::to_owned),
+            body: self.body.clone(),
+        }
+    }
+}
+
 impl KeyedAnswer {
     /// Returns an answer that is not a response of a runner to this request.
     pub(super) const fn without_headers(reply: KeyReply) -> Self {
--- a/crates/daemon/src/keys/run.rs
+++ b/crates/daemon/src/keys/run.rs
@@ -22,6 +22,7 @@
 use crate::{
     calls::{CallDispatcher, CallReply},
     control::{ControlEvent, ControlHandle},
+    telemetry::trace_request,
 };
 
 /// Time for a runner to answer a query; it looks up one key in memory.
@@ -36,6 +37,8 @@
     state: String,
     /// The status of a completed call, if the runner keeps it.
     status: Option<u16>,
+    /// The `Content-Type` of its body, if the runner keeps it.
+    content_type: Option<String>,
     body: String,
 }
 
@@ -62,6 +65,11 @@
 
     /// Carries out an effect and reports its result.
     pub(crate) async fn run(&self, effect: KeyEffect) {
+        let request = effect.call.request();
+        trace_request(request, self.run_traced(effect)).await;
+    }
+
+    async fn run_traced(&self, effect: KeyEffect) {
         let KeyEffect {
             shard,
             epoch,
@@ -93,7 +101,8 @@
             return CallOutcome::NotRun(NotRunReason::NoTarget);
         };
         let started_at = Instant::now();
-        match self.dispatcher.dispatch(service, head).await {
+        // The intent allows one run, so only what was not run is tried again.
+        match self.dispatcher.dispatch(service, head, false).await {
             CallOutcome::Completed(reply) => {
                 let remaining = call.remaining.saturating_sub(started_at.elapsed());
                 match tokio::time::timeout(remaining, collect(reply)).await {
@@ -131,6 +140,7 @@
         match state.state.as_str() {
             "completed" => RunnerAnswer::Completed(KeyResponse {
                 status: state.status.unwrap_or(StatusCode::OK.as_u16()),
+                content_type: state.content_type,
                 body: Some(state.body.into_bytes()),
             }),
             "running" => RunnerAnswer::Running,
--- a/crates/daemon/src/keys/state.rs
+++ b/crates/daemon/src/keys/state.rs
@@ -16,33 +16,36 @@
 use super::messages::{
     KeyCommand, KeyEffect, KeyEffectKind, KeyedAnswer, KeyedCall, WholeResponse,
 };
-use crate::journal::{ShardJournals, decode_payload, encode_payload};
+use crate::{
+    journal::{ShardJournals, decode_payload, encode_payload},
+    telemetry::trace_step,
+};
 
 /// A request that waits for its answer.
 #[derive(Debug)]
-struct WaitingRequest {
+pub(super) struct WaitingRequest {
     call: Arc<KeyedCall>,
     reply: oneshot::Sender<KeyedAnswer>,
 }
 
 /// One owned key shard.
 #[derive(Debug)]
-struct OwnedKeys {
-    epoch: Epoch,
+pub(super) struct OwnedKeys {
+    pub(super) epoch: Epoch,
     /// Whether new requests are taken; not before activation and in a handover.
-    active: bool,
-    table: KeyTable,
-    waiting: BTreeMap<RequestId, WaitingRequest>,
+    pub(super) active: bool,
+    pub(super) table: KeyTable,
+    pub(super) waiting: BTreeMap<RequestId, WaitingRequest>,
     next_request: RequestId,
     /// Records that are not durable yet.
-    records: BTreeMap<RecordId, KeyEvents>,
+    pub(super) records: BTreeMap<RecordId, KeyEvents>,
     /// Whole responses until the outcome is recorded.
     responses: BTreeMap<KeyDigest, WholeResponse>,
 }
 
 /// The events that follow when a record is written or is not.
 #[derive(Debug)]
-struct KeyEvents {
+pub(super) struct KeyEvents {
     durable: KeyEvent,
     failed: KeyEvent,
 }
@@ -50,7 +53,7 @@
 /// All key shards that this daemon owns.
 #[derive(Debug, Default)]
 pub(crate) struct KeyShards {
-    shards: BTreeMap<ShardName, OwnedKeys>,
+    pub(super) shards: BTreeMap<ShardName, OwnedKeys>,
 }
 
 impl KeyShards {
@@ -110,10 +113,10 @@
     ) -> Vec<KeyEffect> {
         match command {
             KeyCommand::Request { shard, call, reply } => match self.shards.get_mut(&shard) {
-                Some(owned) if owned.active => {
+                Some(owned) if owned.active => trace_step(call.request(), || {
                     let event = owned.admit(call, reply);
                     owned.apply(&shard, event, journals, now)
-                }
+                }),
                 owned => {
                     // A handover ends soon; another daemon may have no owner.
                     let reason = match owned {
@@ -249,10 +252,7 @@
     ) -> CallOutcome<KeyResponse> {
         match outcome {
             CallOutcome::Completed(response) => {
-                let kept = KeyResponse {
-                    status: response.status,
-                    body: response.body.clone(),
-                };
+                let kept = response.recorded();
                 self.responses.insert(key, response);
                 CallOutcome::Completed(kept)
             }
@@ -272,6 +272,10 @@
         let mut effects = Vec::new();
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
+            let released = match event {
+                KeyEvent::OutcomeDurable(key) | KeyEvent::OutcomeFailed(key) => Some(key),
+                _ => None,
+            };
             for action in self.table.handle(event, now) {
                 match action {
                     KeyAction::Record(record) => {
@@ -286,6 +290,8 @@
                     KeyAction::Reply(request, reply) => self.answer(request, reply),
                 }
             }
+            // The dispatched request may have been answered at its deadline.
+            released.and_then(|key| self.responses.remove(&key));
         }
         effects
     }
--- a/crates/daemon/src/tasks/pool.rs
+++ b/crates/daemon/src/tasks/pool.rs
@@ -55,6 +55,8 @@
     watchers: TaskWatchers,
     cancelled: Vec<CancelItem>,
     known_workers: Vec<WorkerEntry>,
+    /// Time of the present event.
+    now: Duration,
 }
 
 impl OwnedPool {
@@ -71,11 +73,13 @@
             watchers: TaskWatchers::default(),
             cancelled: Vec::new(),
             known_workers: Vec::new(),
+            now: Duration::ZERO,
         }
     }
 
     /// Feeds an event to the queue and carries out what follows.
     pub(super) fn apply(&mut self, event: TaskEvent, now: Duration, output: &mut PoolOutput) {
+        self.now = now;
         for action in self.queue.handle(event, now) {
             self.carry_out(action, output);
         }
@@ -154,7 +158,14 @@
     pub(super) fn send(&self, name: &WorkerId, request: WorkerRequest, output: &mut PoolOutput) {
         let address = self.links.get(name).and_then(|link| link.address);
         if let Some(address) = address {
+            let waited = match &request {
+                WorkerRequest::Start(start) if start.name.attempt == 1 => {
+                    self.queue.waited(start.name.task, self.now)
+                }
+                _ => None,
+            };
             output.effects.push(TaskEffect {
+                waited,
                 worker: name.clone(),
                 target: WorkerTarget {
                     address,
@@ -364,7 +375,7 @@
         })
     }
 
-    fn status(&self, task: TaskId) -> Option<TaskStatus> {
+    pub(super) fn status(&self, task: TaskId) -> Option<TaskStatus> {
         let view = self.queue.view(task)?;
         let status = TaskStatus::new(&view, self.queue.job_of(task));
         Some(self.watchers.shown(status))
@@ -396,21 +407,17 @@
         now: Duration,
         output: &mut PoolOutput,
     ) {
-        let known = spec.tasks.iter().copied();
-        let known: Vec<_> = known
-            .filter(|task| self.queue.view(*task).is_some())
-            .collect();
-        let first = spec.tasks.first().and_then(|task| self.queue.job_of(*task));
-        if first.is_some_and(|job| job.tasks != spec.tasks) {
+        let accepted = self.queue.accepted_tasks(spec.job);
+        if accepted.is_some_and(|tasks| tasks as usize != spec.tasks.len()) {
             // The same key with another count.
             let refusal = TaskRefusal::Rejected(JobRejection::Duplicate);
             let _ = reply.send(TaskReply::Refused(refusal));
         } else if let Some(pending) = self.pending.get_mut(&spec.job) {
             pending.callers.push(reply);
-        } else if !known.is_empty() {
+        } else if accepted.is_some() {
             let accepted = SubmitReply {
                 job: spec.job,
-                tasks: known,
+                tasks: spec.tasks,
             };
             let _ = reply.send(TaskReply::Accepted(accepted));
         } else if !self.active {
@@ -429,12 +436,16 @@
         }
     }
 
+    /// Returns the number of jobs whose acceptance is being recorded.
+    pub(super) fn pending_len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Tells whether a job would be refused because the store is away.
     pub(super) fn refuses_for_store(&self, request: &TaskRequest, available: bool) -> bool {
         match request {
             TaskRequest::Submit(spec) if !available => {
-                let known = |task: &TaskId| self.queue.view(*task).is_some();
-                !spec.tasks.iter().any(known)
+                self.queue.accepted_tasks(spec.job).is_none()
             }
             _ => false,
         }
--- a/crates/daemon/src/tasks/queue.rs
+++ b/crates/daemon/src/tasks/queue.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use auburnsaddle_core::{
-    JobSpec, PackingFirst, PoolObjective, TaskAction, TaskConfig, TaskEvent, TaskId, TaskQueue,
-    TaskRecord, TaskView, WaitingFirst, WorkerId,
+    JobId, JobSpec, PackingFirst, PoolObjective, ResourceVector, TaskAction, TaskConfig, TaskEvent,
+    TaskId, TaskQueue, TaskRecord, TaskView, WaitingFirst, WorkerId,
 };
 
 /// A task queue with one of the two policies.
@@ -36,6 +36,13 @@
         }
     }
 
+    pub(super) fn accepted_tasks(&self, job: JobId) -> Option<u32> {
+        match self {
+            Self::Waiting(queue) => queue.accepted_tasks(job),
+            Self::Packing(queue) => queue.accepted_tasks(job),
+        }
+    }
+
     pub(super) fn job_of(&self, task: TaskId) -> Option<&JobSpec> {
         match self {
             Self::Waiting(queue) => queue.job_of(task),
@@ -50,6 +57,28 @@
         }
     }
 
+    /// Returns the numbers of tasks that wait and that occupy a worker.
+    pub(super) fn load(&self) -> (usize, usize) {
+        match self {
+            Self::Waiting(queue) => queue.load(),
+            Self::Packing(queue) => queue.load(),
+        }
+    }
+
+    pub(super) fn waited(&self, task: TaskId, now: Duration) -> Option<Duration> {
+        match self {
+            Self::Waiting(queue) => queue.waited(task, now),
+            Self::Packing(queue) => queue.waited(task, now),
+        }
+    }
+
+    pub(super) fn free(&self, worker: &WorkerId) -> Option<ResourceVector> {
+        match self {
+            Self::Waiting(queue) => queue.free(worker),
+            Self::Packing(queue) => queue.free(worker),
+        }
+    }
+
     pub(super) fn matching(&self, labels: &[Arc<str>], team: Option<&str>) -> Vec<TaskId> {
         match self {
             Self::Waiting(queue) => queue.matching(labels, team),
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -11,6 +11,7 @@
 use auburnsaddle_standins::platform::StoreFaults;
 use futures::future::join_all;
 use http::StatusCode;
+use serde_json::Value;
 use support::{
     CallResult, PATIENCE, RunnerFaults, TestCluster,
     load::{CallerLoad, whole, wrong_results},
@@ -29,6 +30,16 @@
 /// Time after which a leaving host gets no new call.
 const LEAVING_TIME: Duration = Duration::from_secs(5);
 
+/// Metrics of a daemon that owns a call shard and has answered a call.
+const CALL_METRICS: [&str; 6] = [
+    "auburnsaddle_calls_total{outcome=\"completed\"",
+    "auburnsaddle_config_version{otel_scope_name=\"auburnsaddle\"} 1",
+    "auburnsaddle_retry_budget{",
+    "auburnsaddle_slot_wait_seconds_count{",
+    "auburnsaddle_slots_free{",
+    "auburnsaddle_takeovers_total{",
+];
+
 /// Parts of a response that takes far longer than the handover of a shard, so
 /// that a daemon which exits too early cuts it.
 const STREAMED_CHUNKS: u32 = 200;
@@ -105,6 +116,8 @@
 async fn every_daemon_serves_a_call() {
     let cluster = TestCluster::start(3).await;
 
+    let mut parts = Vec::new();
+    let mut runners = 0;
     for daemon in 0..3 {
         let result = cluster.call(daemon, "token").await;
         let metrics = cluster.get(daemon, "/metrics").await;
@@ -113,14 +126,32 @@
         assert_eq!(result, done("token"));
         assert!(
             matches!(&metrics, CallResult::Answered(_, _, page)
-                if page.contains("auburnsaddle_calls_total{outcome=\"completed\"")),
+                if CALL_METRICS.iter().all(|name| page.contains(name))),
             "{metrics:?}"
         );
-        assert!(
-            matches!(&dump, CallResult::Answered(_, _, page) if page.contains("store_calls")),
-            "{dump:?}"
-        );
+        let CallResult::Answered(_, _, dump) = dump else {
+            panic!("no dump: {dump:?}");
+        };
+        let dump: Value = serde_json::from_str(&dump).expect("the dump is JSON");
+        let control = &dump["control"];
+        let lengths = ["members", "shards", "pools", "calls", "keys"];
+        let lengths = lengths.map(|part| control[part].as_array().map_or(0, Vec::len));
+        assert!(dump["store_calls"].is_object(), "{dump}");
+        assert_eq!(control["configuration"]["head"]["version"], 1, "{control}");
+        assert_eq!(control["journal"]["store_available"], true, "{control}");
+        assert_eq!(lengths[..2], [2, 36], "{control}");
+        parts.push((lengths[2], lengths[3], lengths[4]));
+        runners += control["calls"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter(|shard| shard["queue"]["runners"][0]["slots"] == 8)
+            .count();
     }
+    let owned = parts.iter().fold((0, 0, 0), |sum, part| {
+        (sum.0 + part.0, sum.1 + part.1, sum.2 + part.2)
+    });
+    assert_eq!((owned, runners), ((1, 3, 32), 3));
 }
 
 /// Guards against a drain that loses or cuts a response, and against one that
