--- a/crates/core/src/journal/compaction.rs
+++ b/crates/core/src/journal/compaction.rs
@@ -4,13 +4,11 @@
 
 use super::{
     messages::{JournalAction, JournalKey, RecordId, SegmentPosition, SnapshotManifest},
+    state::JournalConfig,
     value::{JournalCodec, seal_value},
 };
 use crate::types::{Epoch, ShardName};
 
-/// Segments of a shard beyond which a snapshot is taken.
-const SEGMENT_LIMIT: usize = 64;
-
 /// Time after which a snapshot write whose response was lost is repeated.
 const RETRY_TIME: Duration = Duration::from_secs(1);
 
@@ -61,14 +59,14 @@
     }
 
     /// Asks for a snapshot when the segments have become many or large.
-    pub(super) fn ask_snapshot(&mut self, byte_limit: usize) -> Option<JournalAction> {
+    pub(super) fn ask_snapshot(&mut self, config: &JournalConfig) -> Option<JournalAction> {
         let segments = self
             .keys
             .iter()
             .filter(|(key, _)| matches!(key, JournalKey::Segment(_)));
         let (count, bytes) =
             segments.fold((0, 0), |(count, sum), (_, bytes)| (count + 1, sum + bytes));
-        let needed = count > SEGMENT_LIMIT || bytes > byte_limit;
+        let needed = count > config.snapshot_segments || bytes > config.batch_bytes;
         if !needed || self.asked || self.job.is_some() {
             return None;
         }
--- a/crates/core/src/journal/messages.rs
+++ b/crates/core/src/journal/messages.rs
@@ -69,7 +69,10 @@
 impl fmt::Display for JournalKey {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Segment(at) => write!(formatter, "{}/{}", at.epoch, at.sequence),
+            // The width keeps the segments of an epoch in order by name, so
+            // that one range deletes them; 32 bits last for 6 years at 20
+            // commits per second.
+            Self::Segment(at) => write!(formatter, "{}/{:08x}", at.epoch, at.sequence),
             Self::Part {
                 epoch,
                 snapshot,
--- a/crates/core/src/journal/state.rs
+++ b/crates/core/src/journal/state.rs
@@ -35,6 +35,10 @@
 /// write 160 batches per second, under half of the store's 400 writes.
 const INTERVAL_PER_DAEMON: Duration = Duration::from_micros(6_250);
 
+/// Segments between two snapshots: about 1 MB to read at a takeover, and one
+/// snapshot in ten minutes at two commits per second.
+const SNAPSHOT_SEGMENTS: usize = 1_024;
+
 /// Times and sizes of group commits.
 #[derive(Clone, Copy, Debug)]
 pub struct JournalConfig {
@@ -47,6 +51,9 @@
     pub batch_bytes: usize,
     /// Bytes that may wait, the batch under way included.
     pub pending_bytes: usize,
+    /// Segments of a shard beyond which a snapshot is taken. Each snapshot
+    /// sends the whole state of the shard, about 50 KB for 875 tasks.
+    pub snapshot_segments: usize,
 }
 
 impl JournalConfig {
@@ -58,6 +65,7 @@
             commit_credit: 1,
             batch_bytes: 512 << 10,
             pending_bytes: 4 << 20,
+            snapshot_segments: SNAPSHOT_SEGMENTS,
         }
     }
 }
@@ -333,11 +341,11 @@
                 actions.push(JournalAction::Durable(segment.records));
             }
             let (at, bytes) = (segment.write.at, segment.write.value.len());
-            let limit = self.config.batch_bytes;
+            let config = self.config;
             if let Some(log) = self.open_log(&segment.write.shard, at.epoch) {
                 log.durable = at.sequence;
                 log.compactor.note_segment(at, bytes);
-                actions.extend(log.compactor.ask_snapshot(limit));
+                actions.extend(log.compactor.ask_snapshot(&config));
             }
         }
     }
--- a/crates/core/src/journal/tests.rs
+++ b/crates/core/src/journal/tests.rs
@@ -70,7 +70,11 @@
 }
 
 fn log(shards: u8) -> RecordLog<TestCodec> {
-    let mut log = RecordLog::new("a".into(), JournalConfig::for_daemons(8), TestCodec);
+    let config = JournalConfig {
+        snapshot_segments: 64,
+        ..JournalConfig::for_daemons(8)
+    };
+    let mut log = RecordLog::new("a".into(), config, TestCodec);
     for index in 0..shards {
         log.handle(opened(shard(index)), Duration::ZERO);
     }
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -8,9 +8,9 @@
 
 use auburnsaddle_core::{
     ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Epoch,
-    Heartbeat, HostKind, HostTable, KEY_SHARDS, LoadReporter, MemberRecord, ObjectSet, OwnedDigest,
-    OwnerTable, OwnershipConfig, OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry,
-    ShardName, ZoneId, digest_owned,
+    Heartbeat, HostKind, HostTable, JournalConfig, KEY_SHARDS, LoadReporter, MemberRecord,
+    ObjectSet, OwnedDigest, OwnerTable, OwnershipConfig, OwnershipEvent, PeerConfig, PeerState,
+    PeerTable, RunnerEntry, ShardName, ZoneId, digest_owned,
 };
 use rand::rngs::StdRng;
 
@@ -80,7 +80,7 @@
             calls: CallShards::default(),
             keys: KeyShards::default(),
             pools: PoolShards::new(sync_interval),
-            journals: ShardJournals::new(record.daemon.clone(), commit_interval),
+            journals: ShardJournals::new(record.daemon.clone(), journal_config(commit_interval)),
             leased: BTreeSet::new(),
             leases: BTreeMap::new(),
             flushing: BTreeMap::new(),
@@ -457,6 +457,13 @@
     }
 }
 
+fn journal_config(commit_interval: Duration) -> JournalConfig {
+    JournalConfig {
+        commit_interval,
+        ..JournalConfig::for_daemons(1)
+    }
+}
+
 /// Returns the live runners of a call shard with the slots that both the list
 /// of hosts and the configuration allow.
 fn live_runners(hosts: &HostTable, objects: &ObjectSet, shard: &ShardName) -> Vec<RunnerEntry> {
--- a/crates/daemon/src/journal/codec.rs
+++ b/crates/daemon/src/journal/codec.rs
@@ -81,7 +81,7 @@
         }),
         [epoch, sequence] => Some(JournalKey::Segment(SegmentPosition {
             epoch: epoch.parse().ok()?,
-            sequence: sequence.parse().ok()?,
+            sequence: u64::from_str_radix(sequence, 16).ok()?,
         })),
         _ => None,
     }
--- a/crates/daemon/src/journal/exchange.rs
+++ b/crates/daemon/src/journal/exchange.rs
@@ -118,16 +118,37 @@
         .collect();
     match store.commit(batch_transaction(daemon, batch)).await {
         Ok(TxnOutcome::Committed) => JournalReport::Committed(number),
-        Ok(TxnOutcome::Conflict(entries)) => {
-            let fenced = guards
-                .into_iter()
-                .filter(|(shard, epoch)| !is_owner(&entries, daemon, shard, *epoch))
-                .map(|(shard, _)| shard)
-                .collect::<BTreeSet<_>>();
+        Ok(TxnOutcome::Conflict(_)) => find_fenced(store, daemon, number, &guards).await,
+        Err(error) => {
+            log::warn!("committing records: {error}");
+            JournalReport::ResponseLost(number)
+        }
+    }
+}
+
+/// Reads which guards of a batch failed. Conflicts are rare, so the batch does
+/// not carry this reading; it would be a fifth of a small request.
+async fn find_fenced<S: StoreFeed>(
+    store: &S,
+    daemon: &DaemonId,
+    number: BatchNumber,
+    guards: &[(ShardName, Epoch)],
+) -> JournalReport {
+    let owners: Vec<_> = guards
+        .iter()
+        .map(|(shard, _)| StoreRange::Key(owner_key(shard)))
+        .collect();
+    match store.read_ranges(&owners).await {
+        Ok(reading) => {
+            let lost = guards.iter().filter(|(shard, epoch)| {
+                let entries = &reading.entries;
+                !is_owner(entries, daemon, shard, *epoch)
+            });
+            let fenced: BTreeSet<_> = lost.map(|(shard, _)| shard.clone()).collect();
             JournalReport::GuardFailed(number, fenced)
         }
         Err(error) => {
-            log::warn!("committing records: {error}");
+            log::warn!("reading the owners after a conflict: {error}");
             JournalReport::ResponseLost(number)
         }
     }
@@ -139,7 +160,6 @@
         let (shard, at) = (segment.shard, segment.at);
         let guard = owner_guard(&shard, &owner(daemon, at.epoch));
         transaction.compares.push(guard);
-        transaction.reads_on_conflict.push(owner_key(&shard));
         transaction.puts.push(StorePut {
             key: store_key(&shard, JournalKey::Segment(at)),
             value: segment.value,
@@ -209,16 +229,37 @@
             key: key.clone(),
             value: value.to_vec(),
         }],
-        deletes: deletes
-            .into_iter()
-            .take(DELETE_LIMIT)
-            .map(|key| StoreRange::Key(store_key(shard, key)))
-            .collect(),
+        deletes: delete_ranges(shard, deletes),
         reads_on_conflict: vec![key, owner_key(shard)],
         lease: None,
     }
 }
 
+/// Returns the ranges of superseded keys, which are in order: the segments of
+/// each epoch are one range, as a manifest covers all up to one of them.
+fn delete_ranges(shard: &ShardName, deletes: Vec<JournalKey>) -> Vec<StoreRange> {
+    let mut epochs: BTreeMap<Epoch, (u64, u64)> = BTreeMap::new();
+    let mut ranges = Vec::new();
+    for key in deletes {
+        match key {
+            JournalKey::Segment(at) => {
+                let span = epochs.entry(at.epoch).or_insert((at.sequence, at.sequence));
+                span.1 = at.sequence;
+            }
+            key => ranges.push(StoreRange::Key(store_key(shard, key))),
+        }
+    }
+    let segment = |epoch, sequence| {
+        let at = SegmentPosition { epoch, sequence };
+        store_key(shard, JournalKey::Segment(at))
+    };
+    let spans = epochs.into_iter();
+    let spans = spans.map(|(epoch, (first, last))| {
+        StoreRange::Span(segment(epoch, first), segment(epoch, last + 1))
+    });
+    spans.chain(ranges).take(DELETE_LIMIT).collect()
+}
+
 async fn write_manifest<S: StoreFeed>(
     store: &S,
     transaction: StoreTxn,
--- a/crates/daemon/src/journal/state.rs
+++ b/crates/daemon/src/journal/state.rs
@@ -55,11 +55,10 @@
 
 impl ShardJournals {
     /// Returns journals without shards.
-    pub(crate) fn new(daemon: DaemonId, commit_interval: Duration) -> Self {
+    pub(crate) fn new(daemon: DaemonId, config: JournalConfig) -> Self {
         let config = JournalConfig {
-            commit_interval,
             commit_credit: COMMIT_CREDIT,
-            ..JournalConfig::for_daemons(1)
+            ..config
         };
         Self {
             log: RecordLog::new(daemon, config, BincodeCodec),
--- a/crates/daemon/src/journal/tests.rs
+++ b/crates/daemon/src/journal/tests.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use auburnsaddle_core::{JournalError, JournalKey, OwnerRecord, RecordKind, ShardName};
+use auburnsaddle_core::{
+    JournalConfig, JournalError, JournalKey, OwnerRecord, RecordKind, ShardName,
+};
 use auburnsaddle_standins::platform::{SharedPlatform, StoreFaults};
 
 use super::{
@@ -32,7 +34,7 @@
         let mut fixture = Self {
             platform,
             store,
-            journals: ShardJournals::new("a".into(), INTERVAL),
+            journals: ShardJournals::new("a".into(), config()),
             now: Duration::ZERO,
         };
         fixture.claim(None, owner("a", 1)).await;
@@ -83,6 +85,13 @@
     }
 }
 
+fn config() -> JournalConfig {
+    JournalConfig {
+        snapshot_segments: 64,
+        ..JournalConfig::for_daemons(8)
+    }
+}
+
 fn shard() -> ShardName {
     ShardName::Key("nordeste".into(), 1)
 }
@@ -188,7 +197,7 @@
     fixture.write("redeem").await;
     let spoiled = StoreTxn {
         puts: vec![StorePut {
-            key: "journal/key/nordeste/1/1/1".to_owned(),
+            key: "journal/key/nordeste/1/1/00000001".to_owned(),
             value: vec![1; 40],
         }],
         ..StoreTxn::default()
--- a/crates/daemon/src/publication/tests.rs
+++ b/crates/daemon/src/publication/tests.rs
@@ -57,6 +57,9 @@
             match range {
                 StoreRange::Key(key) => drop(values.remove(&key)),
                 StoreRange::Prefix(prefix) => values.retain(|key, _| !key.starts_with(&prefix)),
+                StoreRange::Span(first, end) => {
+                    values.retain(|key, _| *key < first || *key >= end);
+                }
             }
         }
         let puts = transaction.puts.into_iter();
--- a/crates/daemon/src/store/messages.rs
+++ b/crates/daemon/src/store/messages.rs
@@ -70,6 +70,8 @@
     Key(String),
     /// All keys with a prefix.
     Prefix(String),
+    /// The keys from the first up to the second, which is not included.
+    Span(String, String),
 }
 
 /// Entries read in one call, and the revision at which they were current.
--- a/crates/daemon/src/store/watch_wire.rs
+++ b/crates/daemon/src/store/watch_wire.rs
@@ -107,7 +107,10 @@
 ) -> Result<Vec<u8>, serde_json::Error> {
     let mut body = Vec::new();
     for range in ranges {
-        let RangeRequest { key, range_end } = range.into();
+        let (key, range_end) = match RangeRequest::from(range) {
+            RangeRequest::Span { key, range_end } => (key, range_end),
+            RangeRequest::Key { key } => (key, String::new()),
+        };
         let create_request = WatchRange {
             key,
             range_end,
--- a/crates/daemon/src/store/wire.rs
+++ b/crates/daemon/src/store/wire.rs
@@ -7,11 +7,14 @@
     LeaseId, StoreCompare, StoreEntry, StoreError, StorePut, StoreRange, StoreReading, StoreTxn,
 };
 
+/// The keys from one on to the end, or a single key. The protocol leaves out
+/// fields with default values, which are a good part of a small request.
 #[derive(Debug)]
 #[derive(Serialize)]
-pub(super) struct RangeRequest {
-    pub(super) key: String,
-    pub(super) range_end: String,
+#[serde(untagged)]
+pub(super) enum RangeRequest {
+    Span { key: String, range_end: String },
+    Key { key: String },
 }
 
 #[derive(Debug, Default)]
@@ -39,26 +42,36 @@
 
 #[derive(Debug)]
 #[derive(Serialize)]
-pub(super) struct TxnRequest {
-    compare: Vec<CompareItem>,
-    success: Vec<OperationItem>,
-    failure: Vec<OperationItem>,
+#[serde(untagged)]
+pub(super) enum TxnRequest {
+    Guarded {
+        compare: Vec<CompareItem>,
+        success: Vec<OperationItem>,
+        failure: Vec<OperationItem>,
+    },
+    /// A transaction that reads nothing on a conflict.
+    Write {
+        compare: Vec<CompareItem>,
+        success: Vec<OperationItem>,
+    },
+    Read {
+        success: Vec<OperationItem>,
+    },
 }
 
+/// A comparison for equality, which is the protocol's default.
 #[derive(Debug)]
 #[derive(Serialize)]
 #[serde(untagged)]
-enum CompareItem {
+pub(super) enum CompareItem {
     Value {
         key: String,
         target: &'static str,
-        result: &'static str,
         value: String,
     },
     Version {
         key: String,
         target: &'static str,
-        result: &'static str,
         version: &'static str,
     },
 }
@@ -70,14 +83,25 @@
 #[derive(Debug)]
 #[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
-enum OperationItem {
-    RequestPut {
+pub(super) enum OperationItem {
+    RequestPut(PutRequest),
+    RequestDeleteRange(RangeRequest),
+    RequestRange(RangeRequest),
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+#[serde(untagged)]
+pub(super) enum PutRequest {
+    Leased {
         key: String,
         value: String,
         lease: String,
     },
-    RequestDeleteRange(RangeRequest),
-    RequestRange(RangeRequest),
+    Lasting {
+        key: String,
+        value: String,
+    },
 }
 
 #[derive(Debug, Default)]
@@ -104,42 +128,39 @@
             // Keys are ASCII, so the last byte has a successor.
             *last += 1;
         }
-        Self {
+        Self::Span {
             key: BASE64_STANDARD.encode(prefix),
             range_end: BASE64_STANDARD.encode(end),
         }
     }
 
     fn key(key: &str) -> Self {
-        Self {
+        Self::Key {
             key: BASE64_STANDARD.encode(key),
-            range_end: String::new(),
         }
     }
 }
 
 impl From<StoreTxn> for TxnRequest {
     fn from(transaction: StoreTxn) -> Self {
+        let lease = transaction.lease;
+        let puts = transaction.puts.into_iter();
+        let puts = puts.map(|put| OperationItem::put(put, lease));
+        let deletes = transaction.deletes.iter();
+        let deletes = deletes.map(|range| OperationItem::RequestDeleteRange(range.into()));
+        let success = puts.chain(deletes).collect();
+        let compares = transaction.compares.into_iter();
+        let compare = compares.map(CompareItem::from).collect();
         let reads = transaction.reads_on_conflict.iter();
-        let lease = transaction.lease.unwrap_or(0);
-        let puts = transaction
-            .puts
-            .into_iter()
-            .map(|put| OperationItem::put(put, lease));
-        let deletes = transaction
-            .deletes
-            .iter()
-            .map(|range| OperationItem::RequestDeleteRange(range.into()));
-        Self {
-            compare: transaction
-                .compares
-                .into_iter()
-                .map(CompareItem::from)
-                .collect(),
-            success: puts.chain(deletes).collect(),
-            failure: reads
-                .map(|key| OperationItem::RequestRange(RangeRequest::key(key)))
-                .collect(),
+        let reads = reads.map(|key| OperationItem::RequestRange(RangeRequest::key(key)));
+        let failure: Vec<_> = reads.collect();
+        if failure.is_empty() {
+            return Self::Write { compare, success };
+        }
+        Self::Guarded {
+            compare,
+            success,
+            failure,
         }
     }
 }
@@ -150,13 +171,11 @@
             StoreCompare::Absent(key) => Self::Version {
                 key: BASE64_STANDARD.encode(key),
                 target: "VERSION",
-                result: "EQUAL",
                 version: "0",
             },
             StoreCompare::ValueEquals(key, value) => Self::Value {
                 key: BASE64_STANDARD.encode(key),
                 target: "VALUE",
-                result: "EQUAL",
                 value: BASE64_STANDARD.encode(value),
             },
         }
@@ -164,12 +183,17 @@
 }
 
 impl OperationItem {
-    fn put(put: StorePut, lease: LeaseId) -> Self {
-        Self::RequestPut {
-            key: BASE64_STANDARD.encode(put.key),
-            value: BASE64_STANDARD.encode(put.value),
-            lease: lease.to_string(),
-        }
+    fn put(put: StorePut, lease: Option<LeaseId>) -> Self {
+        let key = BASE64_STANDARD.encode(put.key);
+        let value = BASE64_STANDARD.encode(put.value);
+        Self::RequestPut(match lease {
+            Some(lease) => PutRequest::Leased {
+                key,
+                value,
+                lease: lease.to_string(),
+            },
+            None => PutRequest::Lasting { key, value },
+        })
     }
 }
 
@@ -178,6 +202,10 @@
         match range {
             StoreRange::Key(key) => Self::key(key),
             StoreRange::Prefix(prefix) => Self::prefix(prefix),
+            StoreRange::Span(first, end) => Self::Span {
+                key: BASE64_STANDARD.encode(first),
+                range_end: BASE64_STANDARD.encode(end),
+            },
         }
     }
 }
@@ -185,13 +213,11 @@
 impl TxnRequest {
     /// Returns an unconditional transaction that reads ranges.
     pub(super) fn read(ranges: &[StoreRange]) -> Self {
-        Self {
-            compare: Vec::new(),
-            success: ranges
-                .iter()
+        let reads = ranges.iter();
+        Self::Read {
+            success: reads
                 .map(|range| OperationItem::RequestRange(range.into()))
                 .collect(),
-            failure: Vec::new(),
         }
     }
 }
