--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -49,7 +49,13 @@
     let shards: Vec<_> = status
         .owners
         .iter()
-        .map(|(shard, owner)| vec![shard.clone(), owner.to_string()])
+        .map(|(shard, owner)| {
+            let owner = match status.unavailable.get(shard) {
+                Some(reason) => format!("{owner}, unavailable: {reason}"),
+                None => owner.to_string(),
+            };
+            vec![shard.clone(), owner]
+        })
         .collect();
     table(&["daemon", "version", "state"], &daemons) + "\n\n" + &table(&["shard", "owner"], &shards)
 }
--- a/crates/cli/src/tests.rs
+++ b/crates/cli/src/tests.rs
@@ -25,6 +25,7 @@
         versions: [("daemon-1".into(), 12), ("daemon-10".into(), 9)].into(),
         owners: [("pool/general".to_owned(), "daemon-1".into())].into(),
         suspected: ["daemon-10".into()].into(),
+        unavailable: [].into(),
     }
 }
 
--- a/crates/core/src/ownership/held.rs
+++ b/crates/core/src/ownership/held.rs
@@ -22,6 +22,9 @@
     pub(super) phase: ShardPhase,
     lease_until: Duration,
     lease_asked_at: Option<Duration>,
+    failed_replays: u32,
+    /// When the journal is read again after a failed replay.
+    replay_at: Option<Duration>,
 }
 
 impl HeldShard {
@@ -32,12 +35,30 @@
             phase: ShardPhase::Replaying,
             lease_until: Duration::ZERO,
             lease_asked_at: None,
+            failed_replays: 0,
+            replay_at: None,
         }
     }
 
-    /// Tells whether takeover work is still under way.
+    /// Tells whether takeover work is still under way. A shard that waits for
+    /// another replay keeps no other shard from being taken over.
     pub(super) fn is_starting(&self) -> bool {
-        self.phase < ShardPhase::Active
+        self.phase < ShardPhase::Active && self.replay_at.is_none()
+    }
+
+    /// Notes a replay that failed and is repeated after a delay that doubles
+    /// from `first` to `last`.
+    pub(super) fn fail_replay(&mut self, now: Duration, first: Duration, last: Duration) {
+        if self.phase == ShardPhase::Replaying && self.replay_at.is_none() {
+            let factor = 1_u32 << self.failed_replays.min(16);
+            self.failed_replays += 1;
+            self.replay_at = Some(now + first.saturating_mul(factor).min(last));
+        }
+    }
+
+    /// Tells whether the journal is to be read again now, and notes it.
+    pub(super) fn take_replay(&mut self, now: Duration) -> bool {
+        self.replay_at.take_if(|at| now >= *at).is_some()
     }
 
     /// Tells whether a handover is under way.
--- a/crates/core/src/ownership/messages.rs
+++ b/crates/core/src/ownership/messages.rs
@@ -67,6 +67,8 @@
     },
     /// The journal of an acquired shard was read completely.
     Replayed(ShardName, Epoch),
+    /// The journal of an acquired shard is there but cannot be replayed.
+    ReplayFailed(ShardName, Epoch),
     /// The targets of a shard were asked to take the epoch; those that have
     /// not responded stay excluded by the slice that places work.
     TargetsClaimed(ShardName, Epoch),
@@ -106,8 +108,9 @@
     },
     /// Reads one owner record and reports [`OwnershipEvent::OwnerRead`].
     ReadOwner(ShardName),
-    /// This daemon became the owner: reads the journal of the shard and
-    /// reports [`OwnershipEvent::Replayed`].
+    /// This daemon became the owner, or tries again after a failed replay:
+    /// reads the journal of the shard and reports
+    /// [`OwnershipEvent::Replayed`] or [`OwnershipEvent::ReplayFailed`].
     Acquired {
         /// The shard.
         shard: ShardName,
--- a/crates/core/src/ownership/state.rs
+++ b/crates/core/src/ownership/state.rs
@@ -30,6 +30,12 @@
     /// How long the candidates must be unchanged before shards move to them,
     /// and the least time between two such moves.
     pub rebalance_time: Duration,
+    /// The first delay before a journal that cannot be replayed is read again;
+    /// the delay doubles up to [`replay_retry_limit`](Self::replay_retry_limit).
+    pub replay_retry_time: Duration,
+    /// The longest such delay: an operator who has restored a value waits no
+    /// longer than this.
+    pub replay_retry_limit: Duration,
     /// A longer time between two timer events means that the process was
     /// paused.
     pub pause_time: Duration,
@@ -43,6 +49,8 @@
             takeover_limit: 8,
             claim_retry_time: Duration::from_secs(1),
             rebalance_time: Duration::from_secs(10),
+            replay_retry_time: Duration::from_secs(5),
+            replay_retry_limit: Duration::from_mins(5),
             pause_time: Duration::from_secs(1),
         }
     }
@@ -185,6 +193,7 @@
             progress => self.note_progress(progress, now, &mut actions),
         }
         self.retry_pending(now, &mut actions);
+        self.retry_replays(now, &mut actions);
         self.claim_vacant(now, &mut actions);
         self.move_shards(now, &mut actions);
         self.request_leases(now, &mut actions);
@@ -205,6 +214,13 @@
             {
                 actions.push(OwnershipAction::ClaimTargets(shard, epoch));
             }
+            OwnershipEvent::ReplayFailed(shard, epoch) => {
+                let config = self.config;
+                let (first, last) = (config.replay_retry_time, config.replay_retry_limit);
+                if let Some(held) = self.held_at(&shard, epoch) {
+                    held.fail_replay(now, first, last);
+                }
+            }
             OwnershipEvent::TargetsClaimed(shard, epoch)
                 if self.advance(&shard, epoch, ShardPhase::Claiming, ShardPhase::Active) =>
             {
@@ -367,6 +383,17 @@
         }
     }
 
+    fn retry_replays(&mut self, now: Duration, actions: &mut Vec<OwnershipAction>) {
+        for (shard, held) in &mut self.held {
+            if held.take_replay(now) {
+                actions.push(OwnershipAction::Acquired {
+                    shard: shard.clone(),
+                    epoch: held.epoch,
+                });
+            }
+        }
+    }
+
     /// Returns whether this daemon is to claim a shard: it is the successor of
     /// no owner or of a dead one, or an earlier process of its own was it.
     fn is_vacant(&self, shard: &ShardName, now: Duration) -> bool {
--- a/crates/core/src/ownership/tests.rs
+++ b/crates/core/src/ownership/tests.rs
@@ -290,6 +290,42 @@
     assert_eq!(table.successor(moved), Some(&"c".into()));
 }
 
+/// Guards against a journal that cannot be replayed and keeps other shards from
+/// being taken over for ever, or is read again without a growing delay.
+#[test]
+fn a_failed_replay_frees_its_place_and_is_repeated() {
+    let shards = (0..9).map(|index| ShardName::Key("r1".into(), index));
+    let mut table = table(shards.collect(), &record("a", 1));
+    let claims = table.handle(OwnershipEvent::TimerFired, AFTER_DELAY);
+    for action in &claims {
+        if let OwnershipAction::Claim { shard, next, .. } = action {
+            let (shard, record) = (shard.clone(), next.clone());
+            table.handle(OwnershipEvent::ClaimAnswered { shard, record }, AFTER_DELAY);
+        }
+    }
+    let OwnershipAction::Claim { shard, .. } = claims[0].clone() else {
+        panic!("a claim expected, found {claims:?}");
+    };
+    let failed = OwnershipEvent::ReplayFailed(shard.clone(), 2);
+    let again = OwnershipAction::Acquired { shard, epoch: 2 };
+    let mut at = |event: &OwnershipEvent, seconds| {
+        table.handle(event.clone(), AFTER_DELAY + Duration::from_secs(seconds))
+    };
+
+    let full = at(&OwnershipEvent::TimerFired, 0);
+    let freed = at(&failed, 0);
+    let early = at(&OwnershipEvent::TimerFired, 4);
+    let first = at(&OwnershipEvent::TimerFired, 5);
+    at(&failed, 5);
+    let second = [14, 15].map(|second| at(&OwnershipEvent::TimerFired, second).contains(&again));
+
+    assert_eq!(claims.len(), 8);
+    assert_eq!(full, vec![]);
+    assert!(matches!(freed[..], [OwnershipAction::Claim { .. }]));
+    assert!(!early.contains(&again) && first.contains(&again));
+    assert_eq!(second, [false, true]);
+}
+
 /// Guards against a lease counted from its response: a response that comes
 /// late must not extend it.
 #[test]
--- a/crates/core/src/publication/messages.rs
+++ b/crates/core/src/publication/messages.rs
@@ -193,6 +193,8 @@
     pub owners: BTreeMap<String, DaemonId>,
     /// Peers from which no heartbeat arrives.
     pub suspected: BTreeSet<DaemonId>,
+    /// Shards of the answering daemon that cannot be served, with the reasons.
+    pub unavailable: BTreeMap<String, String>,
 }
 
 /// A request that a daemon rejected.
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -95,6 +95,8 @@
     pub(crate) suspected: BTreeSet<DaemonId>,
     /// The owner of each shard.
     pub(crate) owners: BTreeMap<ShardName, OwnerRecord>,
+    /// Shards of this daemon that cannot be served, with the reasons.
+    pub(crate) unavailable: BTreeMap<ShardName, String>,
     /// The platform's list of hosts.
     pub(crate) hosts: Arc<BTreeMap<HostId, HostEntry>>,
 }
--- a/crates/daemon/src/control/shards.rs
+++ b/crates/daemon/src/control/shards.rs
@@ -100,6 +100,7 @@
             }
             // The runners learn the epoch from the calls themselves.
             OwnershipAction::ClaimTargets(shard, epoch) => {
+                self.unavailable.remove(&shard);
                 let claimed = OwnershipEvent::TargetsClaimed(shard, epoch);
                 steps.events.push_back(claimed);
             }
@@ -156,6 +157,7 @@
 
     /// Drops a shard after its slice has been told which records failed.
     fn lose_shard(&mut self, shard: &ShardName, now: Duration, steps: &mut ShardSteps) {
+        self.unavailable.remove(shard);
         self.flushing.remove(shard);
         let closed = self.journals.close(shard, now);
         steps
@@ -169,6 +171,21 @@
         self.pools.lose(shard);
     }
 
+    /// Keeps a shard unavailable whose journal cannot be replayed, as accepted
+    /// work would be lost. The owner table reads the journal again later.
+    pub(super) fn fail_replay(
+        &mut self,
+        shard: ShardName,
+        epoch: Epoch,
+        error: &JournalError,
+        steps: &mut ShardSteps,
+    ) {
+        log::error!("shard {shard} is not served under epoch {epoch}: {error}");
+        self.unavailable.insert(shard.clone(), error.to_string());
+        let failed = OwnershipEvent::ReplayFailed(shard, epoch);
+        steps.events.push_back(failed);
+    }
+
     /// Flushes the journals of shards that are handed over once their calls
     /// have ended.
     fn flush_idle(&mut self, now: Duration, steps: &mut ShardSteps) {
@@ -194,11 +211,11 @@
                         let replayed = OwnershipEvent::Replayed(shard, epoch);
                         steps.events.push_back(replayed);
                     }
-                    Err(error) => report_corrupted(&shard, epoch, &error),
+                    Err(error) => self.fail_replay(shard, epoch, &error, steps),
                 }
             }
             JournalNotice::Corrupted(shard, epoch, error) => {
-                report_corrupted(&shard, epoch, &error);
+                self.fail_replay(shard, epoch, &error, steps);
             }
             JournalNotice::Flushed(shard, epoch) => {
                 let flushed = OwnershipEvent::Flushed(shard, epoch);
@@ -243,10 +260,6 @@
     }
 }
 
-fn report_corrupted(shard: &ShardName, epoch: Epoch, error: &JournalError) {
-    log::error!("shard {shard} is not served under epoch {epoch}: {error}");
-}
-
 /// Starts the reading of an acquired shard's journal, if it has one.
 fn replay_shard(shard: ShardName, epoch: Epoch, steps: &mut ShardSteps) {
     if keeps_journal(&shard) {
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -53,6 +53,8 @@
     pub(super) leased: BTreeSet<ShardName>,
     /// The leases held in the store, with the epochs they are held for.
     pub(super) leases: BTreeMap<ShardName, (Epoch, LeaseId)>,
+    /// Owned shards whose journals cannot be replayed, with the reasons.
+    pub(super) unavailable: BTreeMap<ShardName, String>,
     /// Shards in a handover whose calls have not ended yet.
     pub(super) flushing: BTreeMap<ShardName, Epoch>,
     loads: LoadReporter,
@@ -83,6 +85,7 @@
             journals: ShardJournals::new(record.daemon.clone(), journal_config(commit_interval)),
             leased: BTreeSet::new(),
             leases: BTreeMap::new(),
+            unavailable: BTreeMap::new(),
             flushing: BTreeMap::new(),
             loads: LoadReporter::default(),
             heartbeats: 0,
@@ -322,6 +325,7 @@
                 .iter()
                 .map(|(shard, owner)| (shard.clone(), owner.clone()))
                 .collect(),
+            unavailable: self.unavailable.clone(),
             hosts: self.hosts.shared(),
         }
     }
--- a/crates/daemon/src/control/tasks.rs
+++ b/crates/daemon/src/control/tasks.rs
@@ -88,10 +88,7 @@
         let decoded = records.iter().map(|record| decode_payload(&record.payload));
         let records: Vec<TaskRecord> = match decoded.collect() {
             Ok(records) => records,
-            Err(error) => {
-                log::error!("shard {shard} is not served under epoch {epoch}: {error}");
-                return;
-            }
+            Err(error) => return self.fail_replay(shard, epoch, &error, steps),
         };
         let objects = self.config.objects();
         if let Some(spec) = objects.pools.get(name) {
--- a/crates/daemon/src/front/admin.rs
+++ b/crates/daemon/src/front/admin.rs
@@ -45,6 +45,7 @@
         let snapshot = self.control.snapshot();
         let own = (snapshot.daemon.clone(), snapshot.config_version);
         let owners = snapshot.owners.iter();
+        let unavailable = snapshot.unavailable.iter();
         let reply = StatusReply {
             daemon: snapshot.daemon.clone(),
             versions: snapshot
@@ -57,6 +58,9 @@
                 .map(|(shard, owner)| (shard.to_string(), owner.daemon.clone()))
                 .collect(),
             suspected: snapshot.suspected.clone(),
+            unavailable: unavailable
+                .map(|(shard, reason)| (shard.to_string(), reason.clone()))
+                .collect(),
         };
         json_response(StatusCode::OK, &reply)
     }
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -123,9 +123,11 @@
 
     fn metrics_page(&self) -> FrontResponse {
         let snapshot = self.control.snapshot();
-        let page = self
-            .metrics
-            .page(self.control.queue_depth(), snapshot.owned_shards());
+        let page = self.metrics.page(
+            self.control.queue_depth(),
+            snapshot.owned_shards(),
+            snapshot.unavailable.len(),
+        );
         text_response(page)
     }
 
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -28,6 +28,7 @@
     retries: Counter<u64>,
     queue_depth: Gauge<u64>,
     owned_shards: Gauge<u64>,
+    unavailable_shards: Gauge<u64>,
     store_counts: Arc<StoreCounts>,
 }
 
@@ -78,6 +79,7 @@
             retries: meter.u64_counter("auburnsaddle_call_retries").build(),
             queue_depth: meter.u64_gauge("auburnsaddle_control_queue_depth").build(),
             owned_shards: meter.u64_gauge("auburnsaddle_owned_shards").build(),
+            unavailable_shards: meter.u64_gauge("auburnsaddle_unavailable_shards").build(),
             registry,
             _provider: provider,
             store_counts,
@@ -109,9 +111,16 @@
     }
 
     /// Returns the page with all metrics.
-    pub(crate) fn page(&self, queue_depth: usize, owned_shards: usize) -> String {
+    pub(crate) fn page(
+        &self,
+        queue_depth: usize,
+        owned_shards: usize,
+        unavailable_shards: usize,
+    ) -> String {
         self.queue_depth.record(queue_depth as u64, &[]);
         self.owned_shards.record(owned_shards as u64, &[]);
+        self.unavailable_shards
+            .record(unavailable_shards as u64, &[]);
         let families = self.registry.gather();
         TextEncoder::new()
             .encode_to_string(&families)
