Register daemons through the lease of the core, with random delays

The daemon kept its registration with a loop of its own, while the fault matrix tested RegistrationLease of the core, which repeated failures each second without jitter. The daemon now carries out the actions of RegistrationLease and its own loop is gone. The core's delay after a failure is drawn from zero to a bound that doubles from 100 ms to 5 s, as the daemon's was; the generator is a parameter, as that of the owner table.

--- a/crates/core/src/membership/registration.rs
+++ b/crates/core/src/membership/registration.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
+use rand::{Rng, RngExt};
+
 /// Time between renewals of the 10 s lease; two may fail before it expires.
 const RENEW_TIME: Duration = Duration::from_secs(3);
 
-/// Time between attempts while the store does not respond.
-const RETRY_TIME: Duration = Duration::from_secs(1);
+/// Longest delays after the first and after many failures. Each delay is drawn
+/// from zero up to its bound, so that the daemons do not call a recovering
+/// store at the same moment.
+const FIRST_RETRY: Duration = Duration::from_millis(100);
+const LAST_RETRY: Duration = Duration::from_secs(5);
 
 /// Something that happens to the registration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,23 +42,35 @@
 }
 
 /// Keeps the registration of this daemon in the store.
-#[derive(Clone, Copy, Debug)]
-pub struct RegistrationLease {
+#[derive(Clone, Debug)]
+pub struct RegistrationLease<R> {
+    generator: R,
     state: LeaseState,
+    /// Bound of the delay after the next failure.
+    retry_bound: Duration,
     /// When the next request is due; `None` while one is under way.
     due: Option<Duration>,
 }
 
-impl Default for RegistrationLease {
-    fn default() -> Self {
+impl<R: Rng> RegistrationLease<R> {
+    /// Returns the state of a daemon that is not registered. `generator` draws
+    /// the delays after failures.
+    #[must_use]
+    pub const fn new(generator: R) -> Self {
         Self {
+            generator,
             state: LeaseState::Absent,
+            retry_bound: FIRST_RETRY,
             due: Some(Duration::ZERO),
         }
     }
-}
 
-impl RegistrationLease {
+    /// Returns when the next request is due; `None` while one is under way.
+    #[must_use]
+    pub const fn due(&self) -> Option<Duration> {
+        self.due
+    }
+
     /// Applies an event and returns the request that is due. Each request is
     /// to be reported as granted, expired or failed.
     pub fn handle(
@@ -64,13 +81,19 @@
         match event {
             RegistrationEvent::Granted => {
                 self.state = LeaseState::Held;
+                self.retry_bound = FIRST_RETRY;
                 self.due = Some(now + RENEW_TIME);
             }
             RegistrationEvent::Expired => {
                 self.state = LeaseState::Absent;
                 self.due = Some(now);
             }
-            RegistrationEvent::Failed => self.due = Some(now + RETRY_TIME),
+            RegistrationEvent::Failed => {
+                let bound = self.retry_bound;
+                self.retry_bound = (bound * 2).min(LAST_RETRY);
+                let delay = self.generator.random_range(Duration::ZERO..=bound);
+                self.due = Some(now + delay);
+            }
             RegistrationEvent::TimerFired => {}
         }
         self.due.take_if(|due| now >= *due)?;
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -14,6 +14,8 @@
 };
 use crate::types::ShardName;
 
+const SEED: u64 = 7;
+
 const LATER: Duration = Duration::from_secs(10);
 
 fn record(name: &str) -> MemberRecord {
@@ -202,7 +204,7 @@
 /// written again after it expired.
 #[test]
 fn registration_is_renewed_and_written_again() {
-    let mut lease = RegistrationLease::default();
+    let mut lease = RegistrationLease::new(ChaCha8Rng::seed_from_u64(SEED));
     let mut at = |event, seconds| lease.handle(event, Duration::from_secs(seconds));
 
     let actions = [
@@ -223,6 +225,25 @@
     );
 }
 
+/// Guards against daemons that call a store that is down at short or equal
+/// intervals.
+#[test]
+fn failed_registrations_are_repeated_after_growing_random_delays() {
+    let mut lease = RegistrationLease::new(ChaCha8Rng::seed_from_u64(SEED));
+
+    let delays = [(); 200].map(|()| {
+        lease.handle(RegistrationEvent::Failed, Duration::ZERO);
+        lease.due().expect("a delay")
+    });
+
+    let longest = |delays: &[Duration]| delays.iter().max().copied().unwrap_or_default();
+    let shortest = delays[100..].iter().min().copied().unwrap_or_default();
+    assert!(longest(&delays[..1]) <= Duration::from_millis(100));
+    assert!(longest(&delays) > Duration::from_secs(4));
+    assert!(longest(&delays) <= Duration::from_secs(5));
+    assert!(shortest < Duration::from_secs(1));
+}
+
 /// Guards against load summaries in every heartbeat, and against heartbeat
 /// traffic beyond the arithmetic of the design page.
 #[test]
--- a/crates/core/tests/matrix/daemon.rs
+++ b/crates/core/tests/matrix/daemon.rs
@@ -108,7 +108,7 @@
     pub(crate) key_records: BTreeMap<RecordId, (KeyDigest, RecordKind)>,
     pub(crate) leaving_hosts: BTreeSet<HostId>,
     pub(crate) mutation: Option<Mutation>,
-    pub(crate) registration: RegistrationLease,
+    pub(crate) registration: RegistrationLease<ChaCha8Rng>,
     /// Journals to be read again, with the times.
     pub(crate) unread: Vec<(Duration, ShardName, Epoch)>,
     draining: bool,
@@ -135,7 +135,7 @@
         let name = daemon_name(index);
         let generator = ChaCha8Rng::seed_from_u64(seed ^ (process << 8) ^ index as u64);
         let config = OwnershipConfig::default();
-        let mut owners = OwnerTable::new(name.clone(), config, generator);
+        let mut owners = OwnerTable::new(name.clone(), config, generator.clone());
         owners.handle(OwnershipEvent::ShardsChanged(shards()), Duration::ZERO);
         Self {
             owners,
@@ -154,7 +154,7 @@
             key_records: BTreeMap::new(),
             leaving_hosts: BTreeSet::new(),
             mutation: None,
-            registration: RegistrationLease::default(),
+            registration: RegistrationLease::new(generator.clone()),
             unread: Vec::new(),
             draining: false,
             next_call: process << 32,
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -3,7 +3,8 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use auburnsaddle_core::MemberRecord;
+use auburnsaddle_core::{MemberRecord, RegistrationAction, RegistrationEvent, RegistrationLease};
+use rand::rngs::StdRng;
 use tokio::sync::watch;
 
 use super::{
@@ -19,14 +20,12 @@
     store::{
         LeaseId, StoreBackoff, StoreError, StoreFeed, StoreRange, StoreTxn, StoreView, StoreWatch,
     },
+    telemetry::ProcessClock,
 };
 
 /// Duration of the lease of a registration.
 const MEMBER_LEASE: Duration = Duration::from_secs(10);
 
-/// Time between renewals; two may fail before the lease expires.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
-
 /// Time between whole readings, which bounds the effect of a watch that hangs.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -110,24 +109,27 @@
     record: MemberRecord,
     mut stop: watch::Receiver<bool>,
 ) {
+    let clock = ProcessClock::start();
+    let mut registration = RegistrationLease::new(rand::make_rng::<StdRng>());
     let mut lease = None;
-    let mut backoff = StoreBackoff::default();
+    let mut event = RegistrationEvent::TimerFired;
     loop {
-        let wait = match renew_registration(&store, &record, lease).await {
-            Ok(renewed) => {
-                lease = Some(renewed);
-                backoff = StoreBackoff::default();
-                RENEWAL_INTERVAL
-            }
-            Err(error) => {
-                log::warn!("registering the daemon: {error}");
-                backoff.next(rand::random())
-            }
-        };
+        if let Some(action) = registration.handle(event, clock.now()) {
+            event = match carry_out(&store, &record, action, &mut lease).await {
+                Ok(event) => event,
+                Err(error) => {
+                    log::warn!("registering the daemon: {error}");
+                    RegistrationEvent::Failed
+                }
+            };
+            continue;
+        }
+        let due = registration.due().unwrap_or_default();
         tokio::select! {
-            () = tokio::time::sleep(wait) => {}
+            () = tokio::time::sleep(due.saturating_sub(clock.now())) => {}
             _ = stop.changed() => break,
         }
+        event = RegistrationEvent::TimerFired;
     }
     let Some(lease) = lease else {
         return;
@@ -137,24 +139,33 @@
     }
 }
 
-/// Renews a lease, or registers under a new one if there is none any more.
-async fn renew_registration<S: StoreFeed>(
+/// Renews the lease, or registers under a new one.
+async fn carry_out<S: StoreFeed>(
     store: &S,
     record: &MemberRecord,
-    lease: Option<LeaseId>,
-) -> Result<LeaseId, StoreError> {
-    if let Some(lease) = lease
-        && store.renew_lease(lease).await?
-    {
-        return Ok(lease);
+    action: RegistrationAction,
+    lease: &mut Option<LeaseId>,
+) -> Result<RegistrationEvent, StoreError> {
+    match (action, *lease) {
+        (RegistrationAction::Renew, Some(held)) => {
+            let alive = store.renew_lease(held).await?;
+            Ok(if alive {
+                RegistrationEvent::Granted
+            } else {
+                RegistrationEvent::Expired
+            })
+        }
+        (RegistrationAction::Register | RegistrationAction::Renew, _) => {
+            let granted = store.grant_lease(MEMBER_LEASE).await?;
+            let transaction = StoreTxn {
+                lease: Some(granted),
+                ..register_transaction(record)
+            };
+            store.commit(transaction).await?;
+            *lease = Some(granted);
+            Ok(RegistrationEvent::Granted)
+        }
     }
-    let lease = store.grant_lease(MEMBER_LEASE).await?;
-    let transaction = StoreTxn {
-        lease: Some(lease),
-        ..register_transaction(record)
-    };
-    store.commit(transaction).await?;
-    Ok(lease)
 }
 
 /// Sends the control keys to the control thread after each change.
