Derive the store shares and the commit interval from the number of daemons

The default shares of 20 writes and 50 reads a second make 960 and 2,400 at 48 daemons, above the store's limits of 400 and 2,000. Unless a flag sets it, a share is now half of the limit divided by the registered daemons: 4 writes and 20 reads at 48 daemons, 25 and 125 at 8. Half, because a daemon may use the calls of one second at once, so all together stay within the limits even in the first second of a recovery. Peers that are known count though their registrations have expired, as all may after an outage. Until the store has been read the share is that of 48 daemons.

The commit interval was 50 ms for any number of daemons unless set by hand; it now follows the number as well, by JournalConfig::for_daemons.

More than three daemons were not run, so the shares of 48 are tested by their arithmetic only.

--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     hosts::HostSource,
-    membership::{MEMBER_PREFIX, register_transaction},
+    membership::{MEMBER_PREFIX, read_members, register_transaction},
     ownership::OWNER_PREFIX,
     peers::{PeerClient, PeerReply, PeerRequest},
     publication::HEAD_KEY,
@@ -196,7 +196,7 @@
         Ok(reading) => view.replace(reading, true),
         Err(error) => return error,
     }
-    control.send(ControlEvent::StoreRead(view.entries())).await;
+    show_store(control, store, view).await;
     let mut watch = match store.watch(ranges, view.revision() + 1).await {
         Ok(watch) => watch,
         Err(error) => return error,
@@ -220,11 +220,22 @@
             },
         };
         if changed {
-            control.send(ControlEvent::StoreRead(view.entries())).await;
+            show_store(control, store, view).await;
         }
     }
 }
 
+/// Hands the control keys to the control thread, and divides the store's rates
+/// by the registered daemons, or by those known before if they are more: all
+/// registrations may have expired after an outage of the store.
+async fn show_store<S: StoreFeed>(control: &ControlHandle, store: &S, view: &StoreView) {
+    let entries = view.entries();
+    let known = control.snapshot().members.len() + 1;
+    let daemons = read_members(&entries).len().max(known);
+    store.share(u32::try_from(daemons).unwrap_or(u32::MAX));
+    control.send(ControlEvent::StoreRead(entries)).await;
+}
+
 fn control_ranges() -> Vec<StoreRange> {
     vec![
         StoreRange::Prefix(MEMBER_PREFIX.to_owned()),
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -57,6 +57,8 @@
     pub(super) unavailable: BTreeMap<ShardName, String>,
     /// Shards in a handover whose calls have not ended yet.
     pub(super) flushing: BTreeMap<ShardName, Epoch>,
+    /// The commit interval if it is set.
+    commit_interval: Option<Duration>,
     loads: LoadReporter,
     heartbeats: u32,
     draining: bool,
@@ -66,7 +68,7 @@
     /// Returns the state of a daemon that knows only itself.
     pub(super) fn new(
         record: MemberRecord,
-        commit_interval: Duration,
+        commit_interval: Option<Duration>,
         sync_interval: Duration,
     ) -> Self {
         Self {
@@ -82,7 +84,8 @@
             calls: CallShards::default(),
             keys: KeyShards::default(),
             pools: PoolShards::new(sync_interval),
-            journals: ShardJournals::new(record.daemon.clone(), journal_config(commit_interval)),
+            journals: ShardJournals::new(record.daemon.clone(), journal_config(commit_interval, 1)),
+            commit_interval,
             leased: BTreeSet::new(),
             leases: BTreeMap::new(),
             unavailable: BTreeMap::new(),
@@ -343,6 +346,9 @@
             .filter(|record| record.daemon != self.record.daemon)
             .collect();
         self.peers.set_members(members, now);
+        let daemons = self.peers.iter().count() + 1;
+        self.journals
+            .set_config(journal_config(self.commit_interval, daemons));
         let candidates = OwnershipEvent::CandidatesChanged(self.candidates());
         effects.extend(self.apply_ownership(candidates, now));
         effects.extend(self.refresh(now));
@@ -461,8 +467,14 @@
     }
 }
 
-fn journal_config(commit_interval: Duration) -> JournalConfig {
-    JournalConfig::for_interval(commit_interval)
+/// Returns the configuration of commits for an interval that is set, or for the
+/// number of daemons that share the store.
+fn journal_config(commit_interval: Option<Duration>, daemons: usize) -> JournalConfig {
+    let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
+    commit_interval.map_or_else(
+        || JournalConfig::for_daemons(daemons),
+        JournalConfig::for_interval,
+    )
 }
 
 /// Returns the live runners of a call shard with the slots that both the list
--- a/crates/daemon/src/journal/state.rs
+++ b/crates/daemon/src/journal/state.rs
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Changes the times and sizes of commits.
+    pub(crate) const fn set_config(&mut self, config: JournalConfig) {
+        let commit_credit = COMMIT_CREDIT;
+        let config = JournalConfig {
+            commit_credit,
+            ..config
+        };
+        self.log.set_config(config);
+    }
+
     /// Takes a record over for the next commit; a notice follows with the
     /// identifier returned.
     ///
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -110,17 +110,31 @@
         })
     }
 
+    /// Returns a whole number within the bounds of its setting, or `None` if it
+    /// is left out and derived.
+    pub(super) fn read_derived<T>(&mut self, flag: &'static str) -> Option<T>
+    where
+        T: TryFrom<u64>,
+    {
+        let (spec, text) = self.text(flag).filter(|(_, text)| !text.is_empty())?;
+        T::try_from(self.parse_bounded(spec, &text)).ok()
+    }
+
     fn read_bounded(&mut self, flag: &'static str) -> u64 {
-        let Some((spec, text)) = self.text(flag) else {
-            return 0;
-        };
+        match self.text(flag) {
+            Some((spec, text)) => self.parse_bounded(spec, &text),
+            None => 0,
+        }
+    }
+
+    fn parse_bounded(&mut self, spec: &SettingSpec, text: &str) -> u64 {
         let (min, max) = spec.bounds.unwrap_or((0, u64::MAX));
         match text.parse() {
             Ok(value) if (min..=max).contains(&value) => value,
             _ => {
                 self.note_value(
                     spec,
-                    &text,
+                    text,
                     &format!("use a whole number from {min} to {max}"),
                 );
                 min
--- a/crates/daemon/src/settings/state.rs
+++ b/crates/daemon/src/settings/state.rs
@@ -35,14 +35,17 @@
     pub heartbeat_interval: Duration,
     /// Time between readings of the list of hosts.
     pub poll_interval: Duration,
-    /// Time over which records are gathered into one write.
-    pub commit_interval: Duration,
+    /// Time over which records are gathered into one write; `None` to derive
+    /// it from the number of daemons.
+    pub commit_interval: Option<Duration>,
     /// Time between two exchanges with each worker.
     pub sync_interval: Duration,
-    /// This daemon's share of the store's writes per second.
-    pub store_writes: u32,
-    /// This daemon's share of the store's reads per second.
-    pub store_reads: u32,
+    /// This daemon's share of the store's writes per second; `None` to derive
+    /// it from the number of daemons.
+    pub store_writes: Option<u32>,
+    /// This daemon's share of the store's reads per second; `None` to derive
+    /// it from the number of daemons.
+    pub store_reads: Option<u32>,
     /// Longest time that a drain may take.
     pub drain_deadline: Duration,
     /// Limits for callers.
@@ -131,10 +134,12 @@
             log_level: reader.read("--log-level", LevelFilter::Info),
             heartbeat_interval: reader.read_duration("--heartbeat-interval-ms"),
             poll_interval: reader.read_duration("--poll-interval-ms"),
-            commit_interval: reader.read_duration("--commit-interval-ms"),
+            commit_interval: reader
+                .read_derived("--commit-interval-ms")
+                .map(Duration::from_millis),
             sync_interval: reader.read_duration("--sync-interval-ms"),
-            store_writes: reader.read_number("--store-writes-per-second"),
-            store_reads: reader.read_number("--store-reads-per-second"),
+            store_writes: reader.read_derived("--store-writes-per-second"),
+            store_reads: reader.read_derived("--store-reads-per-second"),
             drain_deadline: reader.read_duration("--drain-deadline-ms"),
             limits: CallerLimits {
                 header_bytes: reader.read_number("--header-limit"),
--- a/crates/daemon/src/settings/table.rs
+++ b/crates/daemon/src/settings/table.rs
@@ -75,9 +75,9 @@
     number(
         "--commit-interval-ms",
         "MILLISECONDS",
-        "50",
+        "",
         (5, 5_000),
-        "time over which records are gathered into one write to the store",
+        "time over which records are gathered into one write; if unset, by the number of daemons",
     ),
     number(
         "--sync-interval-ms",
@@ -89,16 +89,16 @@
     number(
         "--store-writes-per-second",
         "WRITES",
-        "20",
+        "",
         (1, 1_000),
-        "this daemon's share of the store's writes",
+        "this daemon's share of the store's writes; if unset, 200 divided by the daemons",
     ),
     number(
         "--store-reads-per-second",
         "READS",
-        "50",
+        "",
         (1, 10_000),
-        "this daemon's share of the store's reads",
+        "this daemon's share of the store's reads; if unset, 1000 divided by the daemons",
     ),
     number(
         "--drain-deadline-ms",
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -78,7 +78,7 @@
     let settings = settings(&[], &[("NAME", "b"), ("COMMIT_INTERVAL_MS", "300")]);
 
     assert_eq!(&*settings.name, "a");
-    assert_eq!(settings.commit_interval, Duration::from_millis(300));
+    assert_eq!(settings.commit_interval, Some(Duration::from_millis(300)));
 }
 
 /// Guards against a default in the table that is itself malformed.
@@ -88,6 +88,7 @@
 
     assert_eq!(settings.listen.port(), 7480);
     assert_eq!(settings.limits.connections, 10_000);
+    assert_eq!((settings.store_writes, settings.store_reads), (None, None));
     assert!(settings.peers.is_empty());
 }
 
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -180,6 +180,13 @@
             .await?;
         Ok(())
     }
+
+    fn share(&self, daemons: u32) {
+        let limits = self.limits.lock();
+        limits
+            .unwrap_or_else(PoisonError::into_inner)
+            .share(daemons);
+    }
 }
 
 fn encode<Q: Serialize>(query: &Q) -> Result<Vec<u8>, StoreError> {
--- a/crates/daemon/src/store/client_tests.rs
+++ b/crates/daemon/src/store/client_tests.rs
@@ -23,8 +23,8 @@
         platform::handle(shared.clone(), request)
     }));
     let rates = StoreRates {
-        writes: 1_000,
-        reads: 1_000,
+        writes: Some(1_000),
+        reads: Some(1_000),
     };
     (platform, HttpStore::new(address, rates))
 }
--- a/crates/daemon/src/store/limits.rs
+++ b/crates/daemon/src/store/limits.rs
@@ -73,13 +73,22 @@
     }
 }
 
-/// Rates of calls per second.
+/// Half of the store's limits of 400 writes and 2,000 reads per second. All
+/// daemons together stay below the limits even while each uses its burst.
+const SHARED_WRITES: u32 = 200;
+const SHARED_READS: u32 = 1_000;
+
+/// Daemons that are assumed until the store has been read.
+const ASSUMED_DAEMONS: u32 = 48;
+
+/// Rates of calls per second of this daemon; those that are `None` are derived
+/// from the number of daemons.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct StoreRates {
     /// Writes and lease calls.
-    pub(crate) writes: u32,
+    pub(crate) writes: Option<u32>,
     /// Reads and watches.
-    pub(crate) reads: u32,
+    pub(crate) reads: Option<u32>,
 }
 
 /// Spaces the calls of one kind so that a rate is kept.
@@ -99,6 +108,11 @@
         }
     }
 
+    /// Changes the rate for the calls to come.
+    pub(super) fn set_rate(&mut self, per_second: u32) {
+        self.interval = BURST_TIME / per_second.max(1);
+    }
+
     /// Books a call and returns how long it has to wait.
     pub(super) fn book(&mut self, now: Duration) -> Duration {
         self.paid_at = self.paid_at.max(now) + self.interval;
@@ -109,16 +123,29 @@
 /// The limiters of reads and writes.
 #[derive(Debug)]
 pub(super) struct RateLimits {
+    rates: StoreRates,
     reads: RateLimiter,
     writes: RateLimiter,
 }
 
 impl RateLimits {
     pub(super) fn new(rates: StoreRates) -> Self {
-        Self {
-            reads: RateLimiter::new(rates.reads),
-            writes: RateLimiter::new(rates.writes),
-        }
+        let mut limits = Self {
+            rates,
+            reads: RateLimiter::new(1),
+            writes: RateLimiter::new(1),
+        };
+        limits.share(ASSUMED_DAEMONS);
+        limits
+    }
+
+    /// Divides the rates that are not set by the number of daemons.
+    pub(super) fn share(&mut self, daemons: u32) {
+        let part = |set: Option<u32>, shared: u32| set.unwrap_or(shared / daemons.max(1));
+        let reads = part(self.rates.reads, SHARED_READS);
+        let writes = part(self.rates.writes, SHARED_WRITES);
+        self.reads.set_rate(reads);
+        self.writes.set_rate(writes);
     }
 
     /// Books a call and returns how long it has to wait.
--- a/crates/daemon/src/store/messages.rs
+++ b/crates/daemon/src/store/messages.rs
@@ -168,4 +168,7 @@
 
     /// Ends a lease, which deletes its keys.
     fn revoke_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Notes how many daemons share the store's rates.
+    fn share(&self, daemons: u32);
 }
--- a/crates/daemon/src/store/tests.rs
+++ b/crates/daemon/src/store/tests.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 
 use super::{
-    limits::{RateLimiter, StoreBackoff},
+    limits::{RateLimiter, RateLimits, StoreBackoff, StoreCallKind, StoreRates},
     messages::{StoreChange, StoreEntry, StoreReading},
     view::StoreView,
     watch_wire::decode_changes,
@@ -68,6 +68,29 @@
     assert_eq!(waits[59], Duration::from_secs(2));
 }
 
+/// Guards against shares whose sum exceeds the store's limits, and against a
+/// flag that the number of daemons overrides.
+#[test]
+fn shares_follow_the_number_of_daemons_unless_set() {
+    let rates = StoreRates {
+        writes: None,
+        reads: Some(7),
+    };
+    let now = Duration::from_secs(100);
+    let burst = |daemons, kind| {
+        let mut limits = RateLimits::new(rates);
+        limits.share(daemons);
+        (0..2_000)
+            .take_while(|_| limits.book(kind, now).is_zero())
+            .count()
+    };
+
+    let writes = [1, 8, 48].map(|daemons| burst(daemons, StoreCallKind::Lease));
+
+    assert_eq!(writes, [200, 25, 4]);
+    assert_eq!(burst(48, StoreCallKind::Read), 7);
+}
+
 /// Guards against waits that grow without bound.
 #[test]
 fn backoff_grows_to_its_bound() {
