--- a/crates/core/tests/fault_matrix.rs
+++ b/crates/core/tests/fault_matrix.rs
@@ -155,7 +155,7 @@
     RetryUnknown: retry_unknown_is_caught(NotRun, [Drop, PartitionOneWay], STEPS);
     /// A start is sent before its record is written.
     SkipRecord: skip_record_is_caught(OnePlace, [Kill], STEPS),
-        second_start_is_caught(AtMostOnce, [Kill, StoreDown], STEPS);
+        second_start_is_caught(AtMostOnce, [Kill, StoreDown, StoreSlow], STEPS);
     /// A keyed call is dispatched without a record of its intent.
     SkipIntent: skipped_intent_is_caught(AtMostOnce, [Kill, Pause], STEPS);
     /// Workers list nothing when claimed, and admit more than their size.
--- a/crates/core/tests/matrix/daemon.rs
+++ b/crates/core/tests/matrix/daemon.rs
@@ -55,7 +55,7 @@
     pub(crate) out: Outbox,
     pub(crate) owners: OwnerTable<ChaCha8Rng>,
     pub(crate) log: RecordLog<JsonCodec>,
-    pub(crate) registration: RegistrationLease,
+    pub(crate) registration: RegistrationLease<ChaCha8Rng>,
     pub(crate) config: ConfigState,
     /// The highest version that was in force in this process.
     pub(crate) highest_version: u64,
@@ -89,7 +89,7 @@
         let name = daemon_name(index);
         let generator = ChaCha8Rng::seed_from_u64(options.seed ^ (process << 8) ^ index as u64);
         let config = OwnershipConfig::default();
-        let mut owners = OwnerTable::new(name.clone(), config, generator);
+        let mut owners = OwnerTable::new(name.clone(), config, generator.clone());
         owners.handle(OwnershipEvent::ShardsChanged(shards()), Duration::ZERO);
         Self {
             alive: true,
@@ -102,7 +102,7 @@
             out: Outbox::default(),
             owners,
             log: RecordLog::new(name.clone(), JournalConfig::for_daemons(8), JsonCodec),
-            registration: RegistrationLease::default(),
+            registration: RegistrationLease::new(generator.clone()),
             config: ConfigState::default(),
             highest_version: 0,
             pools: BTreeMap::new(),
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -3,7 +3,8 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use auburnsaddle_core::MemberRecord;
+use auburnsaddle_core::{MemberRecord, RegistrationAction, RegistrationEvent, RegistrationLease};
+use rand::rngs::StdRng;
 use tokio::sync::watch;
 
 use super::{
@@ -12,21 +13,19 @@
 };
 use crate::{
     hosts::HostSource,
-    membership::{MEMBER_PREFIX, register_transaction},
+    membership::{MEMBER_PREFIX, read_members, register_transaction},
     ownership::OWNER_PREFIX,
     peers::{PeerClient, PeerReply, PeerRequest},
     publication::HEAD_KEY,
     store::{
         LeaseId, StoreBackoff, StoreError, StoreFeed, StoreRange, StoreTxn, StoreView, StoreWatch,
     },
+    telemetry::ProcessClock,
 };
 
 /// Duration of the lease of a registration.
 const MEMBER_LEASE: Duration = Duration::from_secs(10);
 
-/// Time between renewals; two may fail before the lease expires.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
-
 /// Time between whole readings, which bounds the effect of a watch that hangs.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -110,24 +109,27 @@
     record: MemberRecord,
     mut stop: watch::Receiver<bool>,
 ) {
+    let clock = ProcessClock::start();
+    let mut registration = RegistrationLease::new(rand::make_rng::<StdRng>());
     let mut lease = None;
-    let mut backoff = StoreBackoff::default();
+    let mut event = RegistrationEvent::TimerFired;
     loop {
-        let wait = match renew_registration(&store, &record, lease).await {
-            Ok(renewed) => {
-                lease = Some(renewed);
-                backoff = StoreBackoff::default();
-                RENEWAL_INTERVAL
-            }
-            Err(error) => {
-                log::warn!("registering the daemon: {error}");
-                backoff.next(rand::random())
-            }
-        };
+        if let Some(action) = registration.handle(event, clock.now()) {
+            event = match carry_out(&store, &record, action, &mut lease).await {
+                Ok(event) => event,
+                Err(error) => {
+                    log::warn!("registering the daemon: {error}");
+                    RegistrationEvent::Failed
+                }
+            };
+            continue;
+        }
+        let due = registration.due().unwrap_or_default();
         tokio::select! {
-            () = tokio::time::sleep(wait) => {}
+            () = tokio::time::sleep(due.saturating_sub(clock.now())) => {}
             _ = stop.changed() => break,
         }
+        event = RegistrationEvent::TimerFired;
     }
     let Some(lease) = lease else {
         return;
@@ -137,24 +139,33 @@
     }
 }
 
-/// Renews a lease, or registers under a new one if there is none any more.
-async fn renew_registration<S: StoreFeed>(
+/// Renews the lease, or registers under a new one.
+async fn carry_out<S: StoreFeed>(
     store: &S,
     record: &MemberRecord,
-    lease: Option<LeaseId>,
-) -> Result<LeaseId, StoreError> {
-    if let Some(lease) = lease
-        && store.renew_lease(lease).await?
-    {
-        return Ok(lease);
+    action: RegistrationAction,
+    lease: &mut Option<LeaseId>,
+) -> Result<RegistrationEvent, StoreError> {
+    match (action, *lease) {
+        (RegistrationAction::Renew, Some(held)) => {
+            let alive = store.renew_lease(held).await?;
+            Ok(if alive {
+                RegistrationEvent::Granted
+            } else {
+                RegistrationEvent::Expired
+            })
+        }
+        (RegistrationAction::Register | RegistrationAction::Renew, _) => {
+            let granted = store.grant_lease(MEMBER_LEASE).await?;
+            let transaction = StoreTxn {
+                lease: Some(granted),
+                ..register_transaction(record)
+            };
+            store.commit(transaction).await?;
+            *lease = Some(granted);
+            Ok(RegistrationEvent::Granted)
+        }
     }
-    let lease = store.grant_lease(MEMBER_LEASE).await?;
-    let transaction = StoreTxn {
-        lease: Some(lease),
-        ..register_transaction(record)
-    };
-    store.commit(transaction).await?;
-    Ok(lease)
 }
 
 /// Sends the control keys to the control thread after each change.
@@ -185,7 +196,7 @@
         Ok(reading) => view.replace(reading, true),
         Err(error) => return error,
     }
-    control.send(ControlEvent::StoreRead(view.entries())).await;
+    show_store(control, store, view).await;
     let mut watch = match store.watch(ranges, view.revision() + 1).await {
         Ok(watch) => watch,
         Err(error) => return error,
@@ -209,11 +220,22 @@
             },
         };
         if changed {
-            control.send(ControlEvent::StoreRead(view.entries())).await;
+            show_store(control, store, view).await;
         }
     }
 }
 
+/// Hands the control keys to the control thread, and divides the store's rates
+/// by the registered daemons, or by those known before if they are more: all
+/// registrations may have expired after an outage of the store.
+async fn show_store<S: StoreFeed>(control: &ControlHandle, store: &S, view: &StoreView) {
+    let entries = view.entries();
+    let known = control.snapshot().members.len() + 1;
+    let daemons = read_members(&entries).len().max(known);
+    store.share(u32::try_from(daemons).unwrap_or(u32::MAX));
+    control.send(ControlEvent::StoreRead(entries)).await;
+}
+
 fn control_ranges() -> Vec<StoreRange> {
     vec![
         StoreRange::Prefix(MEMBER_PREFIX.to_owned()),
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -8,9 +8,9 @@
 
 use auburnsaddle_core::{
     ConfigAction, ConfigEvent, ConfigSource, ConfigState, ConfigVersion, DaemonId, Epoch,
-    Heartbeat, HostKind, HostTable, KEY_SHARDS, LoadReporter, MemberRecord, ObjectSet, OwnedDigest,
-    OwnerTable, OwnershipConfig, OwnershipEvent, PeerConfig, PeerState, PeerTable, RunnerEntry,
-    ShardName, ZoneId, digest_owned,
+    Heartbeat, HostKind, HostTable, JournalConfig, KEY_SHARDS, LoadReporter, MemberRecord,
+    ObjectSet, OwnedDigest, OwnerTable, OwnershipConfig, OwnershipEvent, PeerConfig, PeerState,
+    PeerTable, RunnerEntry, ShardName, ZoneId, digest_owned,
 };
 use rand::rngs::StdRng;
 
@@ -53,10 +53,14 @@
     pub(super) leased: BTreeSet<ShardName>,
     /// The leases held in the store, with the epochs they are held for.
     pub(super) leases: BTreeMap<ShardName, (Epoch, LeaseId)>,
+    /// Owned shards whose journals cannot be replayed, with the reasons.
+    pub(super) unavailable: BTreeMap<ShardName, String>,
     /// Shards in a handover whose calls have not ended yet.
     pub(super) flushing: BTreeMap<ShardName, Epoch>,
     /// Shards that were taken over from another owner.
     pub(super) takeovers: u64,
+    /// The commit interval if it is set.
+    commit_interval: Option<Duration>,
     loads: LoadReporter,
     heartbeats: u32,
     draining: bool,
@@ -66,7 +70,7 @@
     /// Returns the state of a daemon that knows only itself.
     pub(super) fn new(
         record: MemberRecord,
-        commit_interval: Duration,
+        commit_interval: Option<Duration>,
         sync_interval: Duration,
     ) -> Self {
         Self {
@@ -82,9 +86,11 @@
             calls: CallShards::default(),
             keys: KeyShards::default(),
             pools: PoolShards::new(sync_interval),
-            journals: ShardJournals::new(record.daemon.clone(), commit_interval),
+            journals: ShardJournals::new(record.daemon.clone(), journal_config(commit_interval, 1)),
+            commit_interval,
             leased: BTreeSet::new(),
             leases: BTreeMap::new(),
+            unavailable: BTreeMap::new(),
             flushing: BTreeMap::new(),
             takeovers: 0,
             loads: LoadReporter::default(),
@@ -331,6 +337,7 @@
                 .iter()
                 .map(|(shard, owner)| (shard.clone(), owner.clone()))
                 .collect(),
+            unavailable: self.unavailable.clone(),
             hosts: self.hosts.shared(),
         }
     }
@@ -348,6 +355,9 @@
             .filter(|record| record.daemon != self.record.daemon)
             .collect();
         self.peers.set_members(members, now);
+        let daemons = self.peers.iter().count() + 1;
+        self.journals
+            .set_config(journal_config(self.commit_interval, daemons));
         let candidates = OwnershipEvent::CandidatesChanged(self.candidates());
         effects.extend(self.apply_ownership(candidates, now));
         effects.extend(self.refresh(now));
@@ -466,6 +476,16 @@
     }
 }
 
+/// Returns the configuration of commits for an interval that is set, or for the
+/// number of daemons that share the store.
+fn journal_config(commit_interval: Option<Duration>, daemons: usize) -> JournalConfig {
+    let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
+    commit_interval.map_or_else(
+        || JournalConfig::for_daemons(daemons),
+        JournalConfig::for_interval,
+    )
+}
+
 /// Returns the live runners of a call shard with the slots that both the list
 /// of hosts and the configuration allow.
 fn live_runners(hosts: &HostTable, objects: &ObjectSet, shard: &ShardName) -> Vec<RunnerEntry> {
--- a/crates/daemon/src/control/tasks.rs
+++ b/crates/daemon/src/control/tasks.rs
@@ -59,9 +59,9 @@
             let fenced = fenced.map(|(shard, epoch)| OwnershipEvent::Fenced(shard, epoch));
             steps.events.extend(fenced);
             for record in output.records {
-                let payload = encode_payload(&record.record);
-                let kind = kind_of(&record.record);
-                match self.journals.append(&record.shard, kind, payload) {
+                let entry = journal_record(&record.record);
+                let (shard, urgency) = (&record.shard, record.urgency);
+                match self.journals.append_with(shard, entry, urgency) {
                     Ok(id) => self.pools.note_appended(&record.shard, id, record.id),
                     Err(error) => {
                         log::warn!("a record of shard {} was not taken: {error}", record.shard);
@@ -88,10 +88,7 @@
         let decoded = records.iter().map(|record| decode_payload(&record.payload));
         let records: Vec<TaskRecord> = match decoded.collect() {
             Ok(records) => records,
-            Err(error) => {
-                log::error!("shard {shard} is not served under epoch {epoch}: {error}");
-                return;
-            }
+            Err(error) => return self.fail_replay(shard, epoch, &error, steps),
         };
         let objects = self.config.objects();
         if let Some(spec) = objects.pools.get(name) {
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -150,6 +150,7 @@
             config_version: snapshot.config_version,
             queue_depth,
             owned_shards: snapshot.owned_shards(),
+            unavailable_shards: snapshot.unavailable.len(),
             retry_budgets: self.dispatcher.retry_budgets(),
         };
         text_response(self.metrics.page(measures))
--- a/crates/daemon/src/journal/state.rs
+++ b/crates/daemon/src/journal/state.rs
@@ -7,7 +7,7 @@
 
 use auburnsaddle_core::{
     DaemonId, Epoch, JournalAction, JournalConfig, JournalError, JournalEvent, JournalRecord,
-    RecordId, RecordKind, RecordLog, ShardName,
+    RecordId, RecordKind, RecordLog, RecordUrgency, ShardName,
 };
 
 use super::{
@@ -55,11 +55,10 @@
 
 impl ShardJournals {
     /// Returns journals without shards.
-    pub(crate) fn new(daemon: DaemonId, commit_interval: Duration) -> Self {
+    pub(crate) fn new(daemon: DaemonId, config: JournalConfig) -> Self {
         let config = JournalConfig {
-            commit_interval,
             commit_credit: COMMIT_CREDIT,
-            ..JournalConfig::for_daemons(1)
+            ..config
         };
         Self {
             log: RecordLog::new(daemon, config, BincodeCodec),
@@ -69,6 +68,16 @@
         }
     }
 
+    /// Changes the times and sizes of commits.
+    pub(crate) const fn set_config(&mut self, config: JournalConfig) {
+        let commit_credit = COMMIT_CREDIT;
+        let config = JournalConfig {
+            commit_credit,
+            ..config
+        };
+        self.log.set_config(config);
+    }
+
     /// Takes a record over for the next commit; a notice follows with the
     /// identifier returned.
     ///
@@ -82,7 +91,21 @@
         kind: RecordKind,
         payload: Vec<u8>,
     ) -> Result<RecordId, JournalError> {
-        let id = self.log.append(shard, JournalRecord { kind, payload })?;
+        self.append_with(shard, JournalRecord { kind, payload }, kind.urgency())
+    }
+
+    /// Does the same with an urgency other than that of the kind.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`append`](Self::append).
+    pub(crate) fn append_with(
+        &mut self,
+        shard: &ShardName,
+        record: JournalRecord,
+        urgency: RecordUrgency,
+    ) -> Result<RecordId, JournalError> {
+        let id = self.log.append_with(shard, record, urgency)?;
         self.waiting.insert(id, shard.clone());
         Ok(id)
     }
@@ -96,7 +119,7 @@
     /// Reports [`JournalNotice::Flushed`] once all records are in the store.
     pub(crate) fn flush(&mut self, shard: ShardName, epoch: Epoch, now: Duration) -> JournalOutput {
         self.flushing.insert((shard, epoch));
-        self.apply(JournalEvent::TimerFired, now)
+        self.apply(JournalEvent::FlushRequested, now)
     }
 
     /// Takes the records that describe a shard after all appended so far.
--- a/crates/daemon/src/store/messages.rs
+++ b/crates/daemon/src/store/messages.rs
@@ -70,6 +70,8 @@
     Key(String),
     /// All keys with a prefix.
     Prefix(String),
+    /// The keys from the first up to the second, which is not included.
+    Span(String, String),
 }
 
 /// Entries read in one call, and the revision at which they were current.
@@ -166,4 +168,7 @@
 
     /// Ends a lease, which deletes its keys.
     fn revoke_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Notes how many daemons share the store's rates.
+    fn share(&self, daemons: u32);
 }
--- a/crates/daemon/src/telemetry/measures.rs
+++ b/crates/daemon/src/telemetry/measures.rs
@@ -37,6 +37,8 @@
     pub(crate) queue_depth: usize,
     /// Shards that this daemon owns.
     pub(crate) owned_shards: usize,
+    /// Owned shards whose journals cannot be replayed.
+    pub(crate) unavailable_shards: usize,
     /// Retries that each service may make at once.
     pub(crate) retry_budgets: BTreeMap<ServiceId, u64>,
 }
@@ -48,7 +50,7 @@
 type CallGauge = (&'static str, fn(&QueueView) -> u64);
 type PoolGauge = (&'static str, fn(&PoolLoad) -> u64);
 
-const PROCESS_GAUGES: [ProcessGauge; 3] = [
+const PROCESS_GAUGES: [ProcessGauge; 4] = [
     ("auburnsaddle_config_version", |process| {
         process.config_version
     }),
@@ -58,6 +60,9 @@
     ("auburnsaddle_owned_shards", |process| {
         process.owned_shards as u64
     }),
+    ("auburnsaddle_unavailable_shards", |process| {
+        process.unavailable_shards as u64
+    }),
 ];
 
 const CALL_GAUGES: [CallGauge; 5] = [
