Apply a changed deadline of a service to existing loans

Cause: the longest call of a queue was read when its shard was acquired, so after a longer deadline a lender reclaimed the slots of existing loans before the calls on them had ended. set_services now sends the deadline to the owned queues. A longer one defers the reclaim of the loans that exist by the difference; a shorter one applies to new loans only, because calls that were granted before may still run.

A borrower can learn the new version up to 7 s before the lender; a loan that is reclaimed in between can cost a call that its runner rejects.

--- a/crates/core/src/calls/loans.rs
+++ b/crates/core/src/calls/loans.rs
@@ -104,6 +104,20 @@
         }
     }
 
+    /// Takes over the longest time that a call may run.
+    ///
+    /// Calls on the slots that are lent may run longer from now on, so a longer
+    /// time defers their reclaim. A shorter one does not bring it forward, since
+    /// calls that were granted before may still run.
+    pub(super) fn set_longest_call(&mut self, time: Duration) {
+        let added = time.saturating_sub(self.config.longest_call);
+        self.config.longest_call = time;
+        let reclaims = std::mem::take(&mut self.reclaims);
+        let reclaims = reclaims.into_iter();
+        self.reclaims = reclaims.map(|(at, number)| (at + added, number)).collect();
+        self.known.values_mut().for_each(|until| *until += added);
+    }
+
     /// Returns the number of borrowed slots that are free.
     pub(super) fn stock_len(&self) -> u32 {
         u32::try_from(self.stock.len()).unwrap_or(u32::MAX)
--- a/crates/core/src/calls/messages.rs
+++ b/crates/core/src/calls/messages.rs
@@ -188,6 +188,8 @@
     WeightsChanged(BTreeMap<TeamId, u32>),
     /// The share of the slots for urgent calls changed, in percent.
     UrgentShareChanged(u32),
+    /// The longest time that a call may run changed.
+    LongestCallChanged(Duration),
     /// The owner of the same service in another zone reports its load.
     ZoneLoadChanged(ZoneId, CallLoad),
     /// The owner of the same service in another zone sent a message about loans.
--- a/crates/core/src/calls/state.rs
+++ b/crates/core/src/calls/state.rs
@@ -184,6 +184,7 @@
             CallEvent::UrgentShareChanged(percent) => {
                 self.config.urgent_share_percent = percent.min(100);
             }
+            CallEvent::LongestCallChanged(time) => self.loans.set_longest_call(time),
             CallEvent::ZoneLoadChanged(zone, load) => {
                 self.loans.note_zone(&zone);
                 self.zone_credits
--- a/crates/core/src/calls/tests/loan_properties.rs
+++ b/crates/core/src/calls/tests/loan_properties.rs
@@ -256,3 +256,23 @@
 
     assert_eq!((early, late), ((1, 0), (0, 1)));
 }
+
+/// Guards against a lender that reclaims a slot while a call still runs on it
+/// under a deadline that was raised after the loan.
+#[test]
+fn a_longer_deadline_reaches_the_slots_that_are_lent() {
+    let mut model = LoanModel::new();
+    (0..6).for_each(|_| model.apply(&Step::Request(0, 90)));
+    (0..50).for_each(|_| model.apply(&Step::Deliver(0)));
+    model.drive(1, CallEvent::LongestCallChanged(2 * LONGEST_CALL));
+
+    let waits = [Duration::ZERO, LONGEST_CALL + TERM, LONGEST_CALL];
+    let free = waits.map(|wait| {
+        model.now += wait;
+        model.drive(1, CallEvent::TimerFired);
+        model.queues[1].load().free
+    });
+
+    assert_eq!(free[1], free[0]);
+    assert!(free[2] > free[1], "{free:?}");
+}
--- a/crates/daemon/src/calls/state.rs
+++ b/crates/daemon/src/calls/state.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Takes over the shares for urgent calls.
+    /// Takes over the shares for urgent calls and the deadlines.
     pub(crate) fn set_services(
         &mut self,
         services: &BTreeMap<ServiceId, ServiceSpec>,
@@ -118,8 +118,10 @@
                 continue;
             };
             if let Some(service) = services.get(name) {
-                let event = CallEvent::UrgentShareChanged(urgent_share(service));
-                owned.apply(shard, event, &mut self.letters, now);
+                let share = CallEvent::UrgentShareChanged(urgent_share(service));
+                owned.apply(shard, share, &mut self.letters, now);
+                let deadline = CallEvent::LongestCallChanged(service.deadline());
+                owned.apply(shard, deadline, &mut self.letters, now);
             }
         }
     }
