Repeat starts, calls and answers in the fault matrix, and lose returns of slots

The fault Duplicate left out starts, forwarded calls, slots and answers. Now everything is repeated but a call to a runner, which is sent once on a connection of TCP and which a runner need not recognise. The new fault ReturnLost loses the returns of slots for 6 s at each of the 11 steps. Daemons name themselves when they ask for a slot, and the owner is told of dead ones, so that their slots are reclaimed. No code of crates/core/src reads the wall clock (no use of SystemTime); the table of faults says so.

New tests: return_lost_at_every_step; repeated_start_is_caught, a worker that runs a repeated start again; slots_of_a_killed_daemon_become_free; and slots_become_free_after_a_lost_return.

Ruled out: a worker that has to remember rejected starts.

--- a/crates/core/tests/fault_matrix.rs
+++ b/crates/core/tests/fault_matrix.rs
@@ -33,15 +33,11 @@
 }
 
 /// Runs a fault at every step with every seed.
-fn run_at_every_step(fault: Fault) {
+fn run_at_every_step(fault: Fault) -> Vec<RunSummary> {
     let seeds = SEEDS.into_iter().chain(fresh_seeds());
-    let injections =
-        seeds.flat_map(|seed| STEPS.map(|step| (seed, Injection::new(fault, step, seed))));
-    let summaries = injections.map(|(seed, injection)| run_case(seed, vec![injection]));
-
-    let missed: usize = summaries.map(|summary| summary.missed).sum();
-
-    assert_eq!(missed, 0, "injections whose step was not reached");
+    let cases = seeds.flat_map(|seed| STEPS.map(|step| (seed, Injection::new(fault, step, seed))));
+    let summaries = cases.map(|(seed, injection)| run_case(seed, vec![injection]));
+    summaries.collect()
 }
 
 /// Tells whether some run of a mutated system violates an invariant.
@@ -92,7 +88,9 @@
             /// Guards against an invariant that does not hold under this fault.
             #[test]
             fn $name() {
-                run_at_every_step(Fault::$fault);
+                let summaries = run_at_every_step(Fault::$fault);
+
+                assert!(summaries.iter().all(|summary| summary.missed == 0));
             }
         )*
     };
@@ -100,7 +98,8 @@
 
 // The faults, how many seconds they last, and their tests. A pause outlasts
 // the 10 s lease of a registration. Clocks run 5 % fast or slow; steps of the
-// wall clock are not among the faults, because no code reads it.
+// wall clock are not among the faults, because no code reads it: `SystemTime` is
+// not used in crates/core/src.
 fault_table! {
     Kill 6 kill_at_every_step,
     Pause 12 pause_at_every_step,
@@ -113,6 +112,7 @@
     StoreDown 8 store_down_at_every_step,
     StoreSlow 8 store_slow_at_every_step,
     ResponseLost 6 response_lost_at_every_step,
+    ReturnLost 6 return_lost_at_every_step,
     LeaseExpired 6 lease_expired_at_every_step,
     WorkerDead 8 worker_dead_at_every_step,
     WorkerFailsAll 8 worker_fails_all_at_every_step,
@@ -156,6 +156,8 @@
     /// A start is sent before its record is written.
     SkipRecord: skip_record_is_caught(OnePlace, [Kill], STEPS),
         second_start_is_caught(AtMostOnce, [Kill, StoreDown], STEPS);
+    /// Workers run a start again that they get twice.
+    RepeatStart: repeated_start_is_caught(AtMostOnce, [Duplicate], STEPS);
     /// A keyed call is dispatched without a record of its intent.
     SkipIntent: skipped_intent_is_caught(AtMostOnce, [Kill, Pause], STEPS);
     /// Workers list nothing when claimed, and admit more than their size.
@@ -220,6 +222,22 @@
     }
 }
 
+/// Guards against slots that a daemon's death takes away for good.
+#[test]
+fn slots_of_a_killed_daemon_become_free() {
+    let summaries = run_at_every_step(Fault::Kill);
+
+    assert!(summaries.iter().all(|summary| summary.granted == 0));
+}
+
+/// Guards against a slot that a lost message takes away for good.
+#[test]
+fn slots_become_free_after_a_lost_return() {
+    let summaries = run_at_every_step(Fault::ReturnLost);
+
+    assert!(summaries.iter().all(|summary| summary.granted == 0));
+}
+
 /// Guards against a matrix that proves nothing because nothing runs in it.
 #[test]
 fn a_run_without_faults_completes_everything() {
@@ -258,5 +276,5 @@
     let reports: Vec<_> = (0..2).map(|_| run(&options)).collect();
 
     assert_eq!(reports[0], reports[1]);
-    assert_eq!(FAULTS.len(), 19);
+    assert_eq!(FAULTS.len(), 20);
 }
--- a/crates/core/tests/matrix/calls.rs
+++ b/crates/core/tests/matrix/calls.rs
@@ -161,6 +161,13 @@
         }
     }
 
+    /// Tells whether a call runs in a slot, whose grant can arrive twice.
+    pub(crate) fn uses(&self, call: &RunnerCall) -> bool {
+        let mut requests = self.calls.values().map(|pending| &pending.request);
+        requests
+            .any(|request| matches!(request, Request::Call(running) if running.grant == call.grant))
+    }
+
     /// Queues the request of a slot.
     pub(crate) fn queue_call(
         &mut self,
@@ -174,12 +181,23 @@
             self.send(from, Message::Reply(id, event));
             return;
         }
+        // A request that arrives twice waits once.
+        if self.asked.insert(request, (from, id, key)).is_some() {
+            return;
+        }
         self.reach(Step::Choose, None);
-        self.asked.insert(request, (from, id, key));
-        let call = CallRequest::new(request, Duration::from_millis(800));
+        let mut call = CallRequest::new(request, Duration::from_millis(800));
+        if let Node::Daemon(index) = from {
+            call.requester = Some(daemon_name(index));
+        }
         self.call_event(CallEvent::Requested(call));
     }
 
+    pub(crate) fn granted_len(&self) -> usize {
+        let owner = self.call_owner.as_ref();
+        owner.map_or(0, |calls| calls.queue.granted_len())
+    }
+
     pub(crate) fn take_back(&mut self, epoch: Epoch, grant: GrantId, result: GrantResult) {
         let calls = self.call_owner.as_ref();
         if calls.is_some_and(|calls| calls.epoch == epoch) {
--- a/crates/core/tests/matrix/daemon.rs
+++ b/crates/core/tests/matrix/daemon.rs
@@ -78,7 +78,7 @@
     poll_at: Duration,
 }
 
-fn daemon_name(index: usize) -> DaemonId {
+pub(crate) fn daemon_name(index: usize) -> DaemonId {
     format!("daemon-{index}").into()
 }
 
@@ -209,7 +209,9 @@
                 }
             }
             // The request was given up.
-            (None, Event::Granted(call)) => self.return_slot(&call, GrantResult::Unused),
+            (None, Event::Granted(call)) if !self.uses(&call) => {
+                self.return_slot(&call, GrantResult::Unused);
+            }
             (None, _) => {}
         }
     }
@@ -319,12 +321,15 @@
         let peers = self.peers.iter().map(|peer| &peer.record.daemon);
         let others = known.chain(peers).filter(|daemon| **daemon != self.name);
         let dead = others.filter(|daemon| self.peers.is_confirmed_dead(daemon, self.now));
-        let dead = dead.cloned().collect();
+        let dead: BTreeSet<_> = dead.cloned().collect();
         let alive = self.peers.alive(self.now).filter(|peer| !peer.draining);
         let alive = alive.map(|peer| (peer.record.daemon.clone(), peer.record.zone.clone()));
         let own = (self.name.clone(), "z1".into());
         let candidates = alive.chain([own]).collect();
         self.owner_event(OwnershipEvent::CandidatesChanged(candidates));
+        for daemon in &dead {
+            self.call_event(CallEvent::RequesterLost(DaemonId::clone(daemon)));
+        }
         self.owner_event(OwnershipEvent::DaemonsDead(dead));
     }
 
--- a/crates/core/tests/matrix/faults.rs
+++ b/crates/core/tests/matrix/faults.rs
@@ -157,6 +157,7 @@
             drop_percent: amount(Fault::Drop, 25),
             duplicate_percent: amount(Fault::Duplicate, 25),
             reorder: is_active(Fault::Reorder),
+            lose_returns: is_active(Fault::ReturnLost),
             store_delay: Duration::from_millis(amount(Fault::StoreSlow, 400).into()),
         }
     }
--- a/crates/core/tests/matrix/mod.rs
+++ b/crates/core/tests/matrix/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! A run is decided by its seed, its injections and its mutation alone. The
 //! connections are those of TCP: what was sent on a connection that was closed
-//! does not arrive, and a start is not repeated by the network.
+//! does not arrive.
 
 mod calls;
 mod daemon;
--- a/crates/core/tests/matrix/network.rs
+++ b/crates/core/tests/matrix/network.rs
@@ -135,6 +135,7 @@
     pub(crate) drop_percent: u32,
     pub(crate) duplicate_percent: u32,
     pub(crate) reorder: bool,
+    pub(crate) lose_returns: bool,
     pub(crate) store_delay: Duration,
 }
 
@@ -158,7 +159,9 @@
 
     pub(crate) fn send(&mut self, now: Duration, envelope: Envelope) {
         let (from, to) = (envelope.from, envelope.to);
-        if self.faults.cut.contains(&(from, to)) || self.chance(self.faults.drop_percent) {
+        let is_return = matches!(envelope.message, Message::ReturnSlot(..));
+        let lost = self.faults.cut.contains(&(from, to)) || is_return && self.faults.lose_returns;
+        if lost || self.chance(self.faults.drop_percent) {
             return;
         }
         if is_repeatable(&envelope.message) && self.chance(self.faults.duplicate_percent) {
@@ -202,19 +205,8 @@
     }
 }
 
-/// Tells whether a message can arrive twice: senders repeat it, or its effect
-/// is the same. A start is sent once on a connection that repeats nothing.
+/// Tells whether a message can arrive twice. A call is sent to a runner once,
+/// on a connection that repeats nothing, and a runner need not recognise it.
 const fn is_repeatable(message: &Message) -> bool {
-    match message {
-        Message::Heartbeat(_) | Message::Watch(_) => true,
-        Message::Ask(_, request) => !matches!(
-            request,
-            Request::Worker(_, _, TaskAction::Start(..))
-                | Request::Slot(..)
-                | Request::Call(_)
-                | Request::Query(_)
-        ),
-        Message::Reply(_, event) => !matches!(event, Event::Key(_) | Event::Granted(..)),
-        _ => false,
-    }
+    !matches!(message, Message::Ask(_, Request::Call(_)))
 }
--- a/crates/core/tests/matrix/targets.rs
+++ b/crates/core/tests/matrix/targets.rs
@@ -120,11 +120,12 @@
     /// Tells whether the task runs or ran here.
     fn start(&mut self, task: TaskId, attempt: Attempt, now: Duration) -> bool {
         let key = (task, attempt);
-        if self.running.contains_key(&key) || self.ended.contains_key(&key) {
+        let known = self.running.contains_key(&key) || self.ended.contains_key(&key);
+        if known && self.mutation != Some(Mutation::RepeatStart) {
             return true;
         }
         let spec = job(job_of(task));
-        let admits = self.mutation == Some(Mutation::HideRunning);
+        let admits = known || self.mutation == Some(Mutation::HideRunning);
         if !admits && !self.used().plus(&spec.demand).fits_in(&CAPACITY) {
             return false;
         }
--- a/crates/core/tests/matrix/world.rs
+++ b/crates/core/tests/matrix/world.rs
@@ -83,6 +83,8 @@
     /// Keyed calls that got neither a response nor a rejection.
     pub(crate) cut: usize,
     pub(crate) starts: usize,
+    /// Slots that are still granted.
+    pub(crate) granted: usize,
     /// The version in force at every daemon.
     pub(crate) version: u64,
 }
@@ -321,6 +323,7 @@
             succeeded: count(|answer| matches!(answer, Answer::Ended(_, TaskOutcome::Succeeded))),
             cut: usize::from(CALLS) * usize::from(COPIES) - count(is_answered),
             starts: self.workers.iter().map(|worker| worker.log.len()).sum(),
+            granted: self.daemons.iter().map(Daemon::granted_len).sum(),
             version: self.daemons[0].config.version(),
         }
     }
