Bind the stand-ins' listeners in one function

Ruled out: one fixture for the worker of crates/daemon/src/tasks/tests.rs and of crates/daemon/tests/support/work.rs. The first is a HostEntry and a claim report inside the crate, the second a stand-in behind a socket with an entry in JSON for the platform's list; a test outside the crate cannot use the first.

cargo test -p auburnsaddle-standins: 3 tests pass before and after; both programs print "listening on 127.0.0.1:<port>" when started by hand.

--- a/crates/standins/src/bin/target.rs
+++ b/crates/standins/src/bin/target.rs
@@ -3,7 +3,7 @@
 use std::{io, sync::Arc};
 
 use auburnsaddle_standins::{
-    http::serve,
+    http::{listen, serve},
     runner::{self, SharedRunner},
     worker::{self, ResourceAmounts, SharedWorker},
 };
@@ -12,14 +12,10 @@
 #[tokio::main]
 async fn main() -> io::Result<()> {
     let mut arguments = pico_args::Arguments::from_env();
-    let address: String = arguments
-        .value_from_str("--listen")
-        .unwrap_or_else(|_| "127.0.0.1:0".to_owned());
     let role: String = arguments
         .value_from_str("--role")
         .unwrap_or_else(|_| "runner".to_owned());
-    let listener = TcpListener::bind(address).await?;
-    println!("listening on {}", listener.local_addr()?);
+    let listener = listen(&mut arguments).await?;
     if role == "worker" {
         serve_worker(listener, &mut arguments).await
     } else {
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -55,6 +55,21 @@
     }
 }
 
+/// Binds the address of `--listen`, or a free port of the loopback address,
+/// and prints it for whoever started the process.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub async fn listen(arguments: &mut pico_args::Arguments) -> io::Result<TcpListener> {
+    let address: String = arguments
+        .value_from_str("--listen")
+        .unwrap_or_else(|_| "127.0.0.1:0".to_owned());
+    let listener = TcpListener::bind(address).await?;
+    println!("listening on {}", listener.local_addr()?);
+    Ok(listener)
+}
+
 /// Serves HTTP/1.1 and HTTP/2 connections until the task is aborted.
 ///
 /// # Errors
