Keep the network faults, run options and counts of tests in one place each

The network reads the list of faults in force itself in place of a second struct that the world filled from it; RunOptions has a constructor; a lost request says what the mutation RetryUnknown makes of it; a written or failed record is reported on its own. ownership_schedules takes a message from its list in one function, and the tests of crates/daemon/src/tasks count requests in one.

--- a/crates/core/tests/fault_matrix.rs
+++ b/crates/core/tests/fault_matrix.rs
@@ -24,12 +24,8 @@
 
 /// Runs a case without a mutation; a violation is printed with its trace.
 fn run_case(seed: u64, injections: Vec<Injection>) -> RunSummary {
-    let options = RunOptions {
-        seed,
-        injections,
-        mutation: None,
-    };
-    run(&options).unwrap_or_else(|(_, report)| panic!("{report}"))
+    let outcome = run(RunOptions::new(seed, injections, None));
+    outcome.unwrap_or_else(|(_, report)| panic!("{report}"))
 }
 
 /// Runs a fault at every step with every seed.
@@ -46,12 +42,9 @@
     let mut cases =
         cases.flat_map(|(seed, step)| faults.iter().map(move |fault| (seed, *fault, *step)));
     cases.any(|(seed, fault, step)| {
-        let options = RunOptions {
-            seed,
-            injections: vec![Injection::new(fault, step, seed)],
-            mutation: Some(mutation),
-        };
-        matches!(run(&options), Err((violated, _)) if violated == invariant)
+        let injections = vec![Injection::new(fault, step, seed)];
+        let options = RunOptions::new(seed, injections, Some(mutation));
+        matches!(run(options), Err((violated, _)) if violated == invariant)
     })
 }
 
@@ -253,11 +246,8 @@
 #[test]
 fn a_drain_cuts_no_open_call() {
     let summaries = [None, Some(Mutation::DrainCuts)].map(|mutation| {
-        let options = RunOptions {
-            mutation,
-            ..RunOptions::default()
-        };
-        run(&options).expect("no invariant is violated")
+        let options = RunOptions::new(0, Vec::new(), mutation);
+        run(options).expect("no invariant is violated")
     });
 
     assert_eq!(summaries[0].cut, 0);
@@ -267,13 +257,9 @@
 /// Guards against a run that depends on anything but its seed.
 #[test]
 fn runs_are_deterministic() {
-    let options = RunOptions {
-        seed: 5,
-        injections: draw_pair(5),
-        mutation: Some(Mutation::FenceOff),
-    };
+    let options = || RunOptions::new(5, draw_pair(5), Some(Mutation::FenceOff));
 
-    let reports: Vec<_> = (0..2).map(|_| run(&options)).collect();
+    let reports: Vec<_> = (0..2).map(|_| run(options())).collect();
 
     assert_eq!(reports[0], reports[1]);
     assert_eq!(FAULTS.len(), 20);
--- a/crates/core/tests/matrix/calls.rs
+++ b/crates/core/tests/matrix/calls.rs
@@ -169,20 +169,15 @@
     }
 
     /// Queues the request of a slot.
-    pub(crate) fn queue_call(
-        &mut self,
-        from: Node,
-        id: CallId,
-        key: KeyDigest,
-        request: RequestId,
-    ) {
+    pub(crate) fn queue_call(&mut self, asked: (Node, CallId, KeyDigest), request: RequestId) {
+        let (from, id, key) = asked;
         if self.owners.phase(&call_shard()) != Some(ShardPhase::Active) {
             let event = Event::Key(not_run(key, NotRunReason::NoOwner));
             self.send(from, Message::Reply(id, event));
             return;
         }
         // A request that arrives twice waits once.
-        if self.asked.insert(request, (from, id, key)).is_some() {
+        if self.asked.insert(request, asked).is_some() {
             return;
         }
         self.reach(Step::Choose, None);
--- a/crates/core/tests/matrix/daemon.rs
+++ b/crates/core/tests/matrix/daemon.rs
@@ -168,7 +168,7 @@
             Message::Call(_) => self.serve(from, &key_shard(), message),
             Message::ReturnSlot(epoch, grant, result) => self.take_back(epoch, grant, result),
             Message::Ask(id, Request::Slot(key, request)) => {
-                self.queue_call(from, id, key, request);
+                self.queue_call((from, id, key), request);
             }
             Message::Reply(id, event) => self.note_reply(from, id, event),
             Message::Answer(..) | Message::Ask(..) => {}
@@ -219,16 +219,7 @@
     /// Ends a request that got no reply.
     pub(crate) fn fail(&mut self, call: PendingCall) {
         let is_store = call.to == Node::Store;
-        let retry = self.has(Mutation::RetryUnknown);
-        let event = match call.request.clone().lost() {
-            Event::Task(shard, TaskEvent::StartUnknown(task, attempt)) if retry => {
-                Event::Task(shard, TaskEvent::StartRejected(task, attempt))
-            }
-            Event::Key(KeyEvent::CallEnded(key, CallOutcome::Unknown(_))) if retry => {
-                call_ended(key, CallOutcome::NotRun(NotRunReason::TargetUnreachable))
-            }
-            event => event,
-        };
+        let event = call.request.clone().lost(self.has(Mutation::RetryUnknown));
         self.settle(call, event);
         if is_store && self.has(Mutation::BusyRetries) {
             self.ask(Node::Store, Request::ReadView);
--- a/crates/core/tests/matrix/faults.rs
+++ b/crates/core/tests/matrix/faults.rs
@@ -97,6 +97,7 @@
         self.note(TraceEntry::Fault("FAULT", active));
         self.calm_since = self.calm_since.max(active.until);
         self.faults.push(active);
+        self.network.faults.push(active.fault);
         let daemon = active.daemon;
         let worker = &mut self.workers[active.worker];
         match active.fault {
@@ -119,7 +120,7 @@
             }
             Fault::ClockFast => self.daemons[daemon].clock.set_rate(self.now, 105),
             Fault::ClockSlow => self.daemons[daemon].clock.set_rate(self.now, 95),
-            _ => self.network.faults = self.network_faults(),
+            _ => {}
         }
     }
 
@@ -131,9 +132,9 @@
         let nodes = daemons.chain(workers).chain(runners).chain([Node::Store]);
         let own = Node::Daemon(daemon);
         for other in nodes.filter(|node| *node != own) {
-            self.network.faults.cut.insert((own, other));
+            self.network.cut.insert((own, other));
             if both {
-                self.network.faults.cut.insert((other, own));
+                self.network.cut.insert((other, own));
             }
         }
     }
@@ -147,29 +148,15 @@
         }
     }
 
-    /// Returns the network faults that follow from the faults in force.
-    fn network_faults(&self) -> NetworkFaults {
-        let is_active = |fault| self.faults.iter().any(|active| active.fault == fault);
-        let amount = |fault, amount| if is_active(fault) { amount } else { 0 };
-        NetworkFaults {
-            cut: self.network.faults.cut.clone(),
-            delay: Duration::from_millis(amount(Fault::Delay, 300).into()),
-            drop_percent: amount(Fault::Drop, 25),
-            duplicate_percent: amount(Fault::Duplicate, 25),
-            reorder: is_active(Fault::Reorder),
-            lose_returns: is_active(Fault::ReturnLost),
-            store_delay: Duration::from_millis(amount(Fault::StoreSlow, 400).into()),
-        }
-    }
-
     pub(crate) fn end_faults(&mut self) {
         let now = self.now;
         let ended = self.faults.extract_if(.., |active| active.until <= now);
         for active in ended.collect::<Vec<_>>() {
             self.note(TraceEntry::Fault("END", active));
             self.end(active);
-            self.network.faults = self.network_faults();
         }
+        let faults = self.faults.iter().map(|active| active.fault);
+        self.network.faults = faults.collect();
     }
 
     fn end(&mut self, active: ActiveFault) {
@@ -179,7 +166,7 @@
                 self.processes += 1;
                 *daemon = Daemon::new(active.daemon, self.processes, self.now, &self.options);
             }
-            Fault::PartitionBothWays | Fault::PartitionOneWay => self.network.faults.cut.clear(),
+            Fault::PartitionBothWays | Fault::PartitionOneWay => self.network.cut.clear(),
             Fault::StoreDown => self.store.down = false,
             Fault::ResponseLost => self.store.lose_write_responses = false,
             Fault::WorkerDead => self.workers[active.worker].dead = false,
--- a/crates/core/tests/matrix/journal.rs
+++ b/crates/core/tests/matrix/journal.rs
@@ -123,28 +123,12 @@
         }
     }
 
-    /// Reports written or failed records; a queue is told of those of a commit
-    /// together.
     fn note_records(&mut self, numbers: &[RecordId], durable: bool) {
-        let mut by_shard: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
         for number in numbers {
-            let events = self.records.remove(number);
-            match events.map(|[written, failed]| if durable { written } else { failed }) {
-                Some(Event::Task(
-                    shard,
-                    TaskEvent::Recorded(ids) | TaskEvent::RecordsFailed(ids),
-                )) => by_shard.entry(shard).or_default().extend(ids),
-                event => event.into_iter().for_each(|event| self.apply(event)),
+            if let Some([written, failed]) = self.records.remove(number) {
+                self.apply(if durable { written } else { failed });
             }
         }
-        for (shard, ids) in by_shard {
-            let event = if durable {
-                TaskEvent::Recorded(ids)
-            } else {
-                TaskEvent::RecordsFailed(ids)
-            };
-            self.task_event(&shard, event);
-        }
     }
 
     /// Reads journals again whose reading failed.
@@ -185,18 +169,15 @@
     }
 
     pub(crate) fn registration_event(&mut self, event: RegistrationEvent) {
-        match self.registration.handle(event, self.now) {
-            Some(RegistrationAction::Register | RegistrationAction::Renew) => {
-                let record = MemberRecord {
-                    daemon: self.name.clone(),
-                    region: "r1".into(),
-                    zone: "z1".into(),
-                    peer_address: String::new(),
-                    caller_address: String::new(),
-                };
-                self.ask(Node::Store, Request::Register(record));
-            }
-            None => {}
+        if self.registration.handle(event, self.now).is_some() {
+            let record = MemberRecord {
+                daemon: self.name.clone(),
+                region: "r1".into(),
+                zone: "z1".into(),
+                peer_address: String::new(),
+                caller_address: String::new(),
+            };
+            self.ask(Node::Store, Request::Register(record));
         }
     }
 }
--- a/crates/core/tests/matrix/network.rs
+++ b/crates/core/tests/matrix/network.rs
@@ -55,8 +55,9 @@
         }
     }
 
-    /// Returns what a daemon concludes when it gets no reply.
-    pub(crate) fn lost(self) -> Event {
+    /// Returns what a daemon concludes when it gets no reply, or with the
+    /// mutation `RetryUnknown`.
+    pub(crate) fn lost(self, retries: bool) -> Event {
         match self {
             Self::Owner(
                 OwnershipAction::Claim { shard, .. } | OwnershipAction::ReadOwner(shard),
@@ -67,14 +68,21 @@
             ) => Event::Journal(JournalEvent::ResponseLost(number)),
             Self::ReadJournal(shard, epoch) => Event::JournalLost(shard, epoch),
             Self::Register(_) => Event::Registration(RegistrationEvent::Failed),
+            Self::Worker(shard, _, TaskAction::Start(task, attempt, _)) if retries => {
+                Event::Task(shard, TaskEvent::StartRejected(task, attempt))
+            }
             Self::Worker(shard, _, TaskAction::Start(task, attempt, _)) => {
                 Event::Task(shard, TaskEvent::StartUnknown(task, attempt))
             }
             Self::Slot(key, _) => call_ended(key, CallOutcome::NotRun(NotRunReason::NoOwner)),
-            Self::Call(call) => call_ended(
+            Self::Call(call) if retries => call_ended(
                 call.key,
-                CallOutcome::Unknown(UnknownReason::DeadlinePassed),
+                CallOutcome::NotRun(NotRunReason::TargetUnreachable),
             ),
+            Self::Call(call) => {
+                let reason = UnknownReason::DeadlinePassed;
+                call_ended(call.key, CallOutcome::Unknown(reason))
+            }
             Self::Query(key) => Event::Key(KeyEvent::RunnerAnswered(key, RunnerAnswer::NotKnown)),
             _ => Event::Done,
         }
@@ -126,22 +134,15 @@
     pub(crate) message: Message,
 }
 
-/// Faults of the network that are in force.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct NetworkFaults {
-    /// Directions in which nothing passes.
-    pub(crate) cut: BTreeSet<(Node, Node)>,
-    pub(crate) delay: Duration,
-    pub(crate) drop_percent: u32,
-    pub(crate) duplicate_percent: u32,
-    pub(crate) reorder: bool,
-    pub(crate) lose_returns: bool,
-    pub(crate) store_delay: Duration,
-}
+/// Part of the messages that are lost or repeated under a fault.
+const CHANCE_PERCENT: u32 = 25;
 
 /// Messages under way, in order of their arrival.
 pub(crate) struct Network {
-    pub(crate) faults: NetworkFaults,
+    /// Faults in force.
+    pub(crate) faults: Vec<Fault>,
+    /// Directions in which nothing passes.
+    pub(crate) cut: BTreeSet<(Node, Node)>,
     generator: ChaCha8Rng,
     queue: BTreeMap<(Duration, u64), Envelope>,
     sequence: u64,
@@ -150,7 +151,8 @@
 impl Network {
     pub(crate) fn new(generator: ChaCha8Rng) -> Self {
         Self {
-            faults: NetworkFaults::default(),
+            faults: Vec::new(),
+            cut: BTreeSet::new(),
             generator,
             queue: BTreeMap::new(),
             sequence: 0,
@@ -160,11 +162,11 @@
     pub(crate) fn send(&mut self, now: Duration, envelope: Envelope) {
         let (from, to) = (envelope.from, envelope.to);
         let is_return = matches!(envelope.message, Message::ReturnSlot(..));
-        let lost = self.faults.cut.contains(&(from, to)) || is_return && self.faults.lose_returns;
-        if lost || self.chance(self.faults.drop_percent) {
+        let lost = is_return && self.faults.contains(&Fault::ReturnLost);
+        if lost || self.cut.contains(&(from, to)) || self.chance(Fault::Drop) {
             return;
         }
-        if is_repeatable(&envelope.message) && self.chance(self.faults.duplicate_percent) {
+        if is_repeatable(&envelope.message) && self.chance(Fault::Duplicate) {
             let at = now + self.latency(from, to);
             self.schedule(at, envelope.clone());
         }
@@ -192,16 +194,21 @@
         });
     }
 
-    fn chance(&mut self, percent: u32) -> bool {
-        percent > 0 && self.generator.random_range(0..100) < percent
+    fn chance(&mut self, fault: Fault) -> bool {
+        self.faults.contains(&fault) && self.generator.random_range(0..100) < CHANCE_PERCENT
     }
 
     fn latency(&mut self, from: Node, to: Node) -> Duration {
-        let spread = if self.faults.reorder { 300 } else { 3 };
-        let jitter = Duration::from_millis(self.generator.random_range(1..=spread));
         let at_store = from == Node::Store || to == Node::Store;
-        let store_delay = self.faults.store_delay * u32::from(at_store);
-        jitter + self.faults.delay + store_delay
+        let amount = |fault, millis| {
+            let active = self.faults.contains(&fault);
+            if active { millis } else { 0 }
+        };
+        let spread = amount(Fault::Reorder, 297) + 3;
+        let delay = amount(Fault::Delay, 300);
+        let store_delay = amount(Fault::StoreSlow, 400) * u64::from(at_store);
+        let jitter = self.generator.random_range(1..=spread);
+        Duration::from_millis(jitter + delay + store_delay)
     }
 }
 
--- a/crates/core/tests/matrix/pool.rs
+++ b/crates/core/tests/matrix/pool.rs
@@ -24,36 +24,28 @@
     leaving: BTreeSet<WorkerId>,
 }
 
-impl PoolOwner {
-    fn new(epoch: Epoch) -> Self {
+impl Daemon {
+    /// Fills the queue of an acquired pool from its journal.
+    pub(crate) fn open_pool(&mut self, shard: &ShardName, epoch: Epoch, records: &[JournalRecord]) {
         let config = TaskConfig {
             lease: TASK_LEASE,
             renew_interval: Duration::from_secs(1),
             ..TaskConfig::default()
         };
-        Self {
+        let pool = PoolOwner {
             queue: TaskQueue::new(config, PackingFirst),
             epoch,
             requests: Vec::new(),
             links: BTreeMap::new(),
             leaving: BTreeSet::new(),
-        }
-    }
-}
-
-fn team() -> TeamQuota {
-    TeamQuota {
-        team: "orders".into(),
-        weight: 1,
-        quota: ResourceVector::new(u64::MAX, u64::MAX, u64::MAX),
-    }
-}
-
-impl Daemon {
-    /// Fills the queue of an acquired pool from its journal.
-    pub(crate) fn open_pool(&mut self, shard: &ShardName, epoch: Epoch, records: &[JournalRecord]) {
-        self.pools.insert(shard.clone(), PoolOwner::new(epoch));
-        self.task_event(shard, TaskEvent::TeamsChanged(vec![team()]));
+        };
+        self.pools.insert(shard.clone(), pool);
+        let team = TeamQuota {
+            team: "orders".into(),
+            weight: 1,
+            quota: ResourceVector::new(u64::MAX, u64::MAX, u64::MAX),
+        };
+        self.task_event(shard, TaskEvent::TeamsChanged(vec![team]));
         self.task_event(shard, TaskEvent::Replayed(decode_all(records)));
         self.task_event(shard, TaskEvent::WorkersChanged(worker_entries(shard)));
         self.note_leaving(shard);
--- a/crates/core/tests/matrix/targets.rs
+++ b/crates/core/tests/matrix/targets.rs
@@ -27,7 +27,7 @@
     pub(crate) fails_all: bool,
     pub(crate) leaving_since: Option<Duration>,
     pub(crate) log: Vec<StartEntry>,
-    mutation: Option<Mutation>,
+    pub(crate) mutation: Option<Mutation>,
     epoch: Epoch,
     running: BTreeMap<(TaskId, Attempt), RunningTask>,
     /// Whether ended tasks succeeded; unknown for those of an ended process.
@@ -35,13 +35,6 @@
 }
 
 impl Worker {
-    pub(crate) fn new(mutation: Option<Mutation>) -> Self {
-        Self {
-            mutation,
-            ..Self::default()
-        }
-    }
-
     pub(crate) fn used(&self) -> ResourceVector {
         let demands = self.running.values().map(|running| running.demand);
         demands.fold(ResourceVector::default(), |sum, demand| sum.plus(&demand))
@@ -70,18 +63,15 @@
     }
 
     /// Does what the owner of a pool asks, unless its epoch is fenced.
-    pub(crate) fn answer(
-        &mut self,
-        shard: &ShardName,
-        epoch: Epoch,
-        action: &TaskAction,
-        now: Duration,
-    ) -> Event {
+    pub(crate) fn answer(&mut self, request: &Request, now: Duration) -> Event {
+        let Request::Worker(shard, epoch, action) = request else {
+            return Event::Done;
+        };
         self.tick(now);
-        if epoch < self.epoch && self.mutation != Some(Mutation::FenceOff) {
-            return Event::Owner(OwnershipEvent::Fenced(shard.clone(), epoch));
+        if *epoch < self.epoch && self.mutation != Some(Mutation::FenceOff) {
+            return Event::Owner(OwnershipEvent::Fenced(shard.clone(), *epoch));
         }
-        self.epoch = self.epoch.max(epoch);
+        self.epoch = self.epoch.max(*epoch);
         let event = match action {
             TaskAction::Claim(worker) => TaskEvent::WorkerClaimed(worker.clone(), self.listed()),
             TaskAction::RenewLeases(worker) => {
@@ -168,8 +158,7 @@
 
 struct RunningCall {
     ends_at: Duration,
-    caller: Node,
-    id: CallId,
+    from: (Node, CallId),
     call: RunnerCall,
 }
 
@@ -186,24 +175,17 @@
         self.running.len()
     }
 
-    const fn is_full(&self) -> bool {
-        self.running.len() >= SLOTS as usize
-    }
-
     /// Returns the responses of calls that have ended; a response repeats the
     /// body of its request.
-    pub(crate) fn finish(&mut self, now: Duration) -> Vec<(Node, CallId, Event)> {
+    pub(crate) fn finish(&mut self, now: Duration) -> Vec<((Node, CallId), Event)> {
         let ended = self.running.extract_if(.., |call| call.ends_at <= now);
         let mut replies = Vec::new();
-        for RunningCall {
-            caller, id, call, ..
-        } in ended
-        {
+        for RunningCall { from, call, .. } in ended {
             let body = Some(body_of(call.grant.request));
             let response = KeyResponse { status: 200, body };
             self.done.insert(call.key, response.clone());
             let outcome = CallOutcome::Completed(response);
-            replies.push((caller, id, call_ended(call.key, outcome)));
+            replies.push((from, call_ended(call.key, outcome)));
         }
         replies
     }
@@ -211,13 +193,13 @@
     /// Answers at once, or returns `None` for a call that now runs.
     pub(crate) fn answer(
         &mut self,
-        caller: Node,
-        id: CallId,
+        from: (Node, CallId),
         request: Request,
         now: Duration,
     ) -> Option<Event> {
+        let full = self.running.len() >= SLOTS as usize;
         match request {
-            Request::Call(call) if call.epoch < self.epoch || self.is_full() => {
+            Request::Call(call) if call.epoch < self.epoch || full => {
                 let reason = NotRunReason::RejectedByTarget;
                 Some(call_ended(call.key, CallOutcome::NotRun(reason)))
             }
@@ -227,8 +209,7 @@
                 let ends_at = now + CALL_TIME;
                 self.running.push(RunningCall {
                     ends_at,
-                    caller,
-                    id,
+                    from,
                     call,
                 });
                 None
--- a/crates/core/tests/matrix/world.rs
+++ b/crates/core/tests/matrix/world.rs
@@ -1,10 +1,6 @@
 //! One run: the event loop, the workload and the trace.
 
-use std::{
-    collections::VecDeque,
-    fmt::{self, Write as _},
-    mem,
-};
+use std::{collections::VecDeque, fmt::Write as _, mem};
 
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 
@@ -16,13 +12,27 @@
 const END: Duration = Duration::from_secs(80);
 const TRACE_LENGTH: usize = 60;
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct RunOptions {
     pub(crate) seed: u64,
     pub(crate) injections: Vec<Injection>,
     pub(crate) mutation: Option<Mutation>,
 }
 
+impl RunOptions {
+    pub(crate) const fn new(
+        seed: u64,
+        injections: Vec<Injection>,
+        mutation: Option<Mutation>,
+    ) -> Self {
+        Self {
+            seed,
+            injections,
+            mutation,
+        }
+    }
+}
+
 /// An event of the trace; it is formatted only for a report.
 pub(crate) enum TraceEntry {
     Fault(&'static str, ActiveFault),
@@ -30,16 +40,17 @@
     Delivered(Box<(Envelope, Option<Event>)>),
 }
 
-impl fmt::Display for TraceEntry {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl TraceEntry {
+    fn line(&self) -> String {
         match self {
-            Self::Fault(change, fault) => write!(formatter, "{change} {fault:?}"),
+            Self::Fault(change, fault) => format!("{change} {fault:?}"),
             Self::Delivered(delivered) => {
                 let (Envelope { from, to, message }, reply) = &**delivered;
-                write!(formatter, "{from:?} -> {to:?} {message:?}")?;
-                reply
-                    .iter()
-                    .try_for_each(|reply| write!(formatter, " -> {reply:?}"))
+                let reply = reply.as_ref().map(|reply| format!(" -> {reply:?}"));
+                format!(
+                    "{from:?} -> {to:?} {message:?}{}",
+                    reply.unwrap_or_default()
+                )
             }
         }
     }
@@ -89,13 +100,10 @@
     pub(crate) version: u64,
 }
 
-/// Runs one world to its end.
-///
-/// # Errors
-///
-/// Returns the violated invariant and a report with seed, faults and trace.
-pub(crate) fn run(options: &RunOptions) -> Result<RunSummary, (Invariant, String)> {
-    let mut world = World::new(options.clone());
+/// Runs one world to its end, or to the first violated invariant, which it
+/// returns with a report of seed, faults and trace.
+pub(crate) fn run(options: RunOptions) -> Result<RunSummary, (Invariant, String)> {
+    let mut world = World::new(options);
     let result = world.run_to_end();
     result.map_err(|(invariant, detail)| (invariant, world.report(invariant, &detail)))?;
     Ok(world.summary())
@@ -104,11 +112,10 @@
 impl World {
     fn new(options: RunOptions) -> Self {
         let daemons = (0..DAEMONS).map(|index| Daemon::new(index, 0, Duration::ZERO, &options));
-        let workers = (0..WORKERS).map(|_| Worker::new(options.mutation));
         let mut world = Self {
             now: Duration::ZERO,
             daemons: daemons.collect(),
-            workers: workers.collect(),
+            workers: (0..WORKERS).map(|_| Worker::default()).collect(),
             runners: (0..RUNNERS).map(|_| Runner::default()).collect(),
             store: Store::default(),
             network: Network::new(ChaCha8Rng::seed_from_u64(options.seed)),
@@ -126,6 +133,9 @@
             seen: StoreView::default(),
             trace: VecDeque::new(),
         };
+        for worker in &mut world.workers {
+            worker.mutation = world.options.mutation;
+        }
         world.schedule_workload();
         world
     }
@@ -154,12 +164,7 @@
     }
 
     pub(crate) fn schedule_to(&mut self, at: Duration, index: usize, message: Message) {
-        let to = Node::Daemon(index);
-        let from = if matches!(message, Message::Tick) {
-            to
-        } else {
-            Node::Caller
-        };
+        let (from, to) = (Node::Caller, Node::Daemon(index));
         self.network.schedule(at, Envelope { from, to, message });
     }
 
@@ -236,14 +241,14 @@
     fn deliver_to_worker(&mut self, index: usize, from: Node, message: &Message) {
         let own = Node::Worker(index);
         let worker = &mut self.workers[index];
-        let Message::Ask(id, Request::Worker(shard, epoch, action)) = message else {
+        let Message::Ask(id, request) = message else {
             return;
         };
         if worker.dead {
             return;
         }
         let (starts, running) = (worker.log.len(), worker.tasks().count());
-        let reply = worker.answer(shard, *epoch, action, self.now);
+        let reply = worker.answer(request, self.now);
         let step = match () {
             () if worker.log.len() > starts => Some(Step::Start),
             () if running > 0 => Some(Step::Run),
@@ -262,21 +267,18 @@
         let runner = &mut self.runners[index];
         let mut replies = runner.finish(self.now);
         if let Message::Ask(id, request) = message {
-            match (runner.answer(from, id, request, self.now), from) {
+            match (runner.answer((from, id), request, self.now), from) {
                 (None, Node::Daemon(daemon)) => {
                     // The runner looks for ended calls when it gets a tick.
-                    let tick = Envelope {
-                        from: own,
-                        to: own,
-                        message: Message::Tick,
-                    };
+                    let (to, message) = (own, Message::Tick);
+                    let tick = Envelope { from, to, message };
                     self.network.schedule(self.now + CALL_TIME, tick);
                     self.reach(Step::Start, daemon, None);
                 }
-                (reply, _) => replies.extend(reply.map(|reply| (from, id, reply))),
+                (reply, _) => replies.extend(reply.map(|reply| ((from, id), reply))),
             }
         }
-        for (to, id, reply) in replies {
+        for ((to, id), reply) in replies {
             self.send(own, to, Message::Reply(id, reply));
         }
     }
@@ -347,7 +349,7 @@
         let Self { now, options, .. } = self;
         let mut text = format!("{invariant:?} violated at {now:?}: {detail}\n{options:?}\n");
         for (at, entry) in &self.trace {
-            let _ = writeln!(text, "  {at:?} {:.600}", entry.to_string());
+            let _ = writeln!(text, "  {at:?} {:.600}", entry.line());
         }
         text
     }
--- a/crates/core/tests/ownership_schedules.rs
+++ b/crates/core/tests/ownership_schedules.rs
@@ -81,10 +81,9 @@
 
 impl World {
     fn new(seed: u64, leased: bool) -> Self {
+        let tables = (0..DAEMONS).map(|index| table(index, seed, leased));
         Self {
-            tables: (0..DAEMONS)
-                .map(|index| table(index, seed, leased))
-                .collect(),
+            tables: tables.collect(),
             messages: Vec::new(),
             owner: None,
             lease: None,
@@ -103,8 +102,7 @@
     fn apply(&mut self, step: Step) {
         match step {
             Step::Deliver(index) => {
-                if let Some(index) = index.checked_rem(self.messages.len()) {
-                    let message = self.messages.swap_remove(index);
+                if let Some(message) = self.take(index) {
                     self.deliver(message);
                 }
             }
@@ -117,9 +115,8 @@
             Step::Tick(daemon) => self.handle(daemon, OwnershipEvent::TimerFired),
             Step::Wait(millis) => self.now += Duration::from_millis(millis),
             Step::Suspect(daemon) => {
-                let others = (0..DAEMONS).filter(|index| *index != daemon);
-                let dead = others.map(name).collect();
-                self.handle(daemon, OwnershipEvent::DaemonsDead(dead));
+                let others = (0..DAEMONS).filter(|index| *index != daemon).map(name);
+                self.handle(daemon, OwnershipEvent::DaemonsDead(others.collect()));
             }
             Step::Trust(daemon) => {
                 self.handle(daemon, OwnershipEvent::DaemonsDead([].into()));
@@ -136,18 +133,20 @@
         }
     }
 
+    fn take(&mut self, index: usize) -> Option<Message> {
+        let index = index.checked_rem(self.messages.len())?;
+        Some(self.messages.swap_remove(index))
+    }
+
     /// Loses a message. The sender of a compare-and-swap notices a missing
     /// response, whether the request or the response was lost.
     fn lose(&mut self, index: usize) {
-        let Some(index) = index.checked_rem(self.messages.len()) else {
-            return;
-        };
-        match self.messages.swap_remove(index) {
+        if let Some(
             Message::ToStore(daemon, OwnershipAction::Claim { .. })
-            | Message::ToDaemon(daemon, OwnershipEvent::ClaimAnswered { .. }) => {
-                self.handle(daemon, OwnershipEvent::ClaimFailed(shard()));
-            }
-            _ => {}
+            | Message::ToDaemon(daemon, OwnershipEvent::ClaimAnswered { .. }),
+        ) = self.take(index)
+        {
+            self.handle(daemon, OwnershipEvent::ClaimFailed(shard()));
         }
     }
 
--- a/crates/daemon/src/tasks/tests.rs
+++ b/crates/daemon/src/tasks/tests.rs
@@ -121,11 +121,9 @@
     }
 }
 
-fn starts(output: &PoolOutput) -> usize {
+fn count(output: &PoolOutput, is_counted: fn(&WorkerRequest) -> bool) -> usize {
     let requests = output.effects.iter().map(|effect| &effect.request);
-    requests
-        .filter(|request| matches!(request, WorkerRequest::Start(_)))
-        .count()
+    requests.filter(|request| is_counted(request)).count()
 }
 
 /// Guards against a repeated submission that runs twice, and against two
@@ -176,13 +174,11 @@
         Duration::from_secs(2),
     );
 
-    let requests = opened.effects.iter().map(|effect| &effect.request);
-    assert_eq!(
-        requests
-            .filter(|request| matches!(request, WorkerRequest::Claim(_)))
-            .count(),
-        1
-    );
+    let starts = |output| count(output, |request| matches!(request, WorkerRequest::Start(_)));
+    let claims = count(&opened, |request| {
+        matches!(request, WorkerRequest::Claim(_))
+    });
+    assert_eq!(claims, 1);
     assert_eq!(starts(&accepted) + starts(&failed), 0);
     let placed = claimed.records.iter();
     assert_eq!(placed.filter(|record| record.shard == shard()).count(), 2);
--- a/crates/daemon/tests/support/work.rs
+++ b/crates/daemon/tests/support/work.rs
@@ -123,10 +123,9 @@
     /// Submits a body to a daemon.
     pub async fn submit_body(&self, daemon: usize, body: &Value, key: &str) -> CallResult {
         let address = self.cluster.daemons[daemon].address;
-        let body = body.to_string();
         let request = Request::post(format!("http://{address}/v1/tasks"))
             .header("idempotency-key", key)
-            .body(Full::new(Bytes::from(body)))
+            .body(Full::new(Bytes::from(body.to_string())))
             .expect("the fixture's requests are valid");
         self.cluster.exchange(request).await
     }
