Put changes of a pool in force with the configuration

Cause: a pool's objective, its share of accelerator hosts and the lease of its tasks were read when the pool was opened, so a change waited for the next takeover. A change of the configuration passed on only the teams.

Change: the objective is itself a placement policy, so that it can be replaced while the queue runs; the waiting jobs are ordered anew. This replaces the enum of two queues in the daemon. A new event carries the share and the lease. A changed share rebuilds the index, drops the reservation, and rejects jobs that became impossible. After a change of the lease, a task on a silent worker is not queued again before the leases granted earlier have ended: a shorter lease would else allow a second run next to the first.

Tests: one of the queue (share, lease), one of the daemon's pool (objective, lease).

--- a/crates/core/src/tasks/ledger.rs
+++ b/crates/core/src/tasks/ledger.rs
@@ -8,7 +8,9 @@
 
 use super::{
     messages::{GangMode, JobId, JobSpec, TaskState, TaskView, TeamQuota, WaitReason},
+    policy::PlacementPolicy,
     waiting::WaitEntry,
+    workers::dominant_part,
 };
 use crate::{
     journal::RecordId,
@@ -57,6 +59,17 @@
         self.spec.demand.times(self.pending.len() as u64)
     }
 
+    /// Rates it for the order of the queue; one promoted goes first.
+    pub(super) fn cost<P: PlacementPolicy>(&self, policy: &P, total: &ResourceVector) -> u64 {
+        /// Scale of a job's part of the pool.
+        const MILLIONTHS: u64 = 1_000_000;
+        if self.promoted {
+            return 0;
+        }
+        let amount = self.spec.demand.times(self.members());
+        policy.job_cost(dominant_part(&amount, total, MILLIONTHS))
+    }
+
     /// Tells whether a placement is possible: a gang waits for all members.
     pub(super) fn is_placeable(&self) -> bool {
         !self.pending.is_empty() && (!self.is_gang() || self.active == 0)
--- a/crates/core/src/tasks/messages.rs
+++ b/crates/core/src/tasks/messages.rs
@@ -244,6 +244,13 @@
     WorkerGone(WorkerId),
     /// The workers of the pool changed; absent ones are gone.
     WorkersChanged(Vec<WorkerEntry>),
+    /// The limits of the pool changed.
+    PoolChanged {
+        /// Part of accelerator hosts open to work without accelerators, in percent.
+        accelerator_host_share: u64,
+        /// Lease of a task without a renewal, as granted from now on.
+        lease: Duration,
+    },
     /// The teams and their quotas changed.
     TeamsChanged(Vec<TeamQuota>),
     /// A worker accepted a start.
--- a/crates/core/src/tasks/outcome.rs
+++ b/crates/core/src/tasks/outcome.rs
@@ -9,7 +9,7 @@
         WorkerEntry, WorkerReport,
     },
     policy::PlacementPolicy,
-    state::TaskQueue,
+    state::{TaskQueue, lease_end},
     workers::ClosedReason,
 };
 use crate::{
@@ -200,7 +200,8 @@
                 continue;
             }
             if claimed && entry.expiry.is_none() {
-                let expiry = begun + self.config.lease * 11 / 10;
+                let expiry = begun + lease_end(self.config.lease);
+                let expiry = expiry.max(self.former_leases_end);
                 self.ledger.set_expiry(task, Some(expiry));
             }
             self.set_state(task, TaskState::Unresolved(name.clone()));
--- a/crates/core/src/tasks/place.rs
+++ b/crates/core/src/tasks/place.rs
@@ -8,14 +8,11 @@
     policy::{Candidate, PlacementPolicy},
     state::TaskQueue,
     waiting::{LaneKey, WaitEntry, lane_of},
-    workers::dominant_part,
 };
 use crate::types::{ResourceVector, RestartPolicy, TaskId, TeamId, WorkerId};
 
 /// Jobs of one lane that are tried before the lane is closed.
 const TRIES_PER_LANE: usize = 2;
-/// Scale of a job's part of the pool.
-const MILLIONTHS: u64 = 1_000_000;
 
 /// Result of one try to place a job.
 enum PlaceResult {
@@ -373,16 +370,11 @@
             return;
         }
         let members = job.members();
-        let part = dominant_part(&job.spec.demand.times(members), &total, MILLIONTHS);
         let entry = WaitEntry {
             job: id,
             team: job.spec.team.clone(),
             urgency: job.urgency,
-            cost: if job.promoted {
-                0
-            } else {
-                self.policy.job_cost(part)
-            },
+            cost: job.cost(&self.policy, &total),
             arrival: job.arrival,
             lane: lane_of(&job.spec.demand, members, !anytime),
             volume: job.volume(),
--- a/crates/core/src/tasks/policy.rs
+++ b/crates/core/src/tasks/policy.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::types::ResourceVector;
+use crate::{objects::PoolObjective, types::ResourceVector};
 
 /// A worker with room for a task, as a policy sees it.
 #[derive(Clone, Copy, Debug)]
@@ -103,3 +103,26 @@
         u64::MAX - dominant
     }
 }
+
+impl PlacementPolicy for PoolObjective {
+    fn whole_pool(&self) -> bool {
+        match self {
+            Self::Waiting => WaitingFirst.whole_pool(),
+            Self::Packing => PackingFirst.whole_pool(),
+        }
+    }
+
+    fn worker_cost(&self, demand: &ResourceVector, candidate: &Candidate) -> u64 {
+        match self {
+            Self::Waiting => WaitingFirst.worker_cost(demand, candidate),
+            Self::Packing => PackingFirst.worker_cost(demand, candidate),
+        }
+    }
+
+    fn job_cost(&self, dominant: u64) -> u64 {
+        match self {
+            Self::Waiting => WaitingFirst.job_cost(dominant),
+            Self::Packing => PackingFirst.job_cost(dominant),
+        }
+    }
+}
--- a/crates/core/src/tasks/state.rs
+++ b/crates/core/src/tasks/state.rs
@@ -85,6 +85,8 @@
     next_arrival: u64,
     next_renewal: Duration,
     next_retry: Duration,
+    /// End of the leases granted before the latest change of their length.
+    pub(super) former_leases_end: Duration,
 }
 
 impl<P: PlacementPolicy> TaskQueue<P> {
@@ -109,6 +111,7 @@
             next_arrival: 0,
             next_renewal: Duration::ZERO,
             next_retry: Duration::ZERO,
+            former_leases_end: Duration::ZERO,
         }
     }
 
@@ -126,6 +129,10 @@
             TaskEvent::WorkerStaying(name) => self.staying(&name),
             TaskEvent::WorkerGone(name) => self.gone(&name, now),
             TaskEvent::WorkersChanged(entries) => self.workers_changed(entries, now),
+            TaskEvent::PoolChanged {
+                accelerator_host_share,
+                lease,
+            } => self.pool_changed(accelerator_host_share, lease, now),
             TaskEvent::TeamsChanged(teams) => self.teams_changed(teams, now),
             TaskEvent::StartAccepted(task, attempt) => self.start_accepted(task, attempt, now),
             TaskEvent::StartRejected(task, attempt) => self.start_rejected(task, attempt, now),
@@ -234,6 +241,36 @@
         self.ledger.jobs.insert(entry.spec.job, entry);
     }
 
+    /// Puts another policy in force; the waiting jobs are ordered anew.
+    pub fn set_policy(&mut self, policy: P) {
+        self.policy = policy;
+        let total = self.workers.total();
+        for job in self.ledger.jobs.values_mut() {
+            let cost = job.cost(&self.policy, &total);
+            if let Some(entry) = &mut job.entry {
+                self.lanes.remove(entry);
+                entry.cost = cost;
+                self.lanes.insert(entry);
+            }
+        }
+        self.lanes.open_all();
+    }
+
+    fn pool_changed(&mut self, share: u64, lease: Duration, now: Duration) {
+        if lease != self.config.lease {
+            let end = now + lease_end(self.config.lease);
+            self.former_leases_end = self.former_leases_end.max(end);
+            self.config.lease = lease;
+        }
+        if share != self.config.accelerator_host_share {
+            self.config.accelerator_host_share = share;
+            self.workers.set_host_share(share);
+            self.drop_reservation();
+            self.reject_impossible(now);
+            self.lanes.open_all();
+        }
+    }
+
     fn teams_changed(&mut self, teams: Vec<TeamQuota>, now: Duration) {
         for team in self.ledger.teams.values_mut() {
             team.configured = false;
@@ -373,3 +410,8 @@
         jobs.into_iter().flatten().copied().collect()
     }
 }
+
+/// Returns the time after which a lease has certainly expired on its worker.
+pub(super) fn lease_end(lease: Duration) -> Duration {
+    lease * 11 / 10
+}
--- a/crates/core/src/tasks/tests/examples.rs
+++ b/crates/core/src/tasks/tests/examples.rs
@@ -440,3 +440,29 @@
     assert!(started_in.is_some_and(|round| round <= 5), "{started_in:?}");
     assert!(least >= 2, "{least} of 3 hosts work");
 }
+
+/// Guards against a changed limit of a pool that waits for the next owner, and
+/// against a task that starts again while a longer lease granted before the
+/// change may still run.
+#[test]
+fn changed_limits_hold_at_once_and_former_leases_run_out() {
+    let mut queue = claimed(&[worker(0, ACCELERATED)]);
+    let submitted = submit(&mut queue, job(1, 32, 1), Duration::ZERO);
+    let before = starts(&commit(&mut queue, submitted, Duration::ZERO)).len();
+    let changed = TaskEvent::PoolChanged {
+        accelerator_host_share: 75,
+        lease: Duration::from_secs(10),
+    };
+
+    let actions = queue.handle(changed, Duration::ZERO);
+
+    let after = starts(&commit(&mut queue, actions, Duration::ZERO)).len();
+    queue.handle(TaskEvent::WorkerSilent("w0".into()), Duration::ZERO);
+    let mut state_at = |seconds| {
+        queue.handle(TaskEvent::TimerFired, Duration::from_secs(seconds));
+        queue.view(task(1_000)).map(|view| view.state)
+    };
+    assert_eq!((before, after), (16, 8));
+    assert_eq!(state_at(65), Some(TaskState::Unresolved("w0".into())));
+    assert!(matches!(state_at(66), Some(TaskState::Waiting(_))));
+}
--- a/crates/core/src/tasks/workers.rs
+++ b/crates/core/src/tasks/workers.rs
@@ -222,6 +222,11 @@
         gone
     }
 
+    pub(super) fn set_host_share(&mut self, percent: u64) {
+        self.host_share_percent = percent;
+        self.rebuild();
+    }
+
     pub(super) fn remove(&mut self, name: &WorkerId) -> bool {
         let removed = self.slots.remove(name).is_some();
         if removed {
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -356,7 +356,7 @@
                 ConfigAction::InForce(version) => {
                     log::info!("configuration version {version} is in force");
                     effects.extend(self.refresh(now));
-                    effects.extend(self.refresh_teams(now));
+                    effects.extend(self.refresh_pool_objects(now));
                 }
                 ConfigAction::Rejected(version, reason) => {
                     log::error!("configuration version {version} was rejected: {reason}");
--- a/crates/daemon/src/control/tasks.rs
+++ b/crates/daemon/src/control/tasks.rs
@@ -37,9 +37,9 @@
         self.run_pools(output, now)
     }
 
-    /// Takes over the teams of the configuration in force.
-    pub(super) fn refresh_teams(&mut self, now: Duration) -> Vec<ControlEffect> {
-        let output = self.pools.set_teams(self.config.objects(), now);
+    /// Takes over the teams and the pools of the configuration in force.
+    pub(super) fn refresh_pool_objects(&mut self, now: Duration) -> Vec<ControlEffect> {
+        let output = self.pools.set_objects(self.config.objects(), now);
         self.run_pools(output, now)
     }
 
--- a/crates/daemon/src/tasks/mod.rs
+++ b/crates/daemon/src/tasks/mod.rs
@@ -17,7 +17,6 @@
 mod messages;
 mod news;
 mod pool;
-mod queue;
 mod state;
 mod submit;
 #[cfg(test)]
--- a/crates/daemon/src/tasks/pool.rs
+++ b/crates/daemon/src/tasks/pool.rs
@@ -7,9 +7,10 @@
 };
 
 use auburnsaddle_core::{
-    Attempt, CancelItem, Epoch, HostEntry, JobId, JobRejection, JobSpec, NotRunReason, RecordId,
-    ShardName, SubmitReply, TaskAction, TaskEvent, TaskId, TaskList, TaskRecord, TaskRefusal,
-    TaskReply, TaskRequest, TaskStatus, WorkerEntry, WorkerId,
+    Attempt, CancelItem, Epoch, HostEntry, JobId, JobRejection, JobSpec, NotRunReason,
+    PoolObjective, PoolSpec, RecordId, ShardName, SubmitReply, TaskAction, TaskConfig, TaskEvent,
+    TaskId, TaskList, TaskQueue, TaskRecord, TaskRefusal, TaskReply, TaskRequest, TaskStatus,
+    WorkerEntry, WorkerId,
 };
 use serde_json::json;
 use tokio::sync::oneshot;
@@ -17,7 +18,6 @@
 use super::{
     link::{OpenExchange, WorkerLink},
     messages::{PoolOutput, PoolRecord, TaskEffect, WorkerRequest},
-    queue::PoolQueue,
     watchers::TaskWatchers,
 };
 use crate::workers::{AttemptName, AttemptStart, WorkerTarget};
@@ -30,6 +30,8 @@
 /// at most 1 MB.
 const LIST_LIMIT: usize = 5_000;
 
+/// The task queue of a pool under the policy of its objective.
+pub(super) type PoolQueue = TaskQueue<PoolObjective>;
 type ReplySender = oneshot::Sender<TaskReply>;
 
 /// Callers that wait for the record of a job.
@@ -46,6 +48,7 @@
     pub(super) epoch: Epoch,
     pub(super) queue: PoolQueue,
     pub(super) lease: Duration,
+    objective: PoolObjective,
     /// Whether new jobs are accepted.
     pub(super) active: bool,
     pub(super) links: BTreeMap<WorkerId, WorkerLink>,
@@ -58,12 +61,18 @@
 }
 
 impl OwnedPool {
-    pub(super) fn new(shard: ShardName, epoch: Epoch, queue: PoolQueue, lease: Duration) -> Self {
+    pub(super) fn new(
+        shard: ShardName,
+        epoch: Epoch,
+        objective: PoolObjective,
+        config: TaskConfig,
+    ) -> Self {
         Self {
             shard,
             epoch,
-            queue,
-            lease,
+            queue: TaskQueue::new(config, objective),
+            lease: config.lease,
+            objective,
             active: false,
             links: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -81,6 +90,27 @@
         }
     }
 
+    /// Takes over a change of the pool itself. Leases granted before keep their
+    /// length; the queue waits for their end.
+    pub(super) fn set_spec(
+        &mut self,
+        spec: &PoolSpec,
+        lease: Duration,
+        now: Duration,
+        output: &mut PoolOutput,
+    ) {
+        if spec.objective != self.objective {
+            self.objective = spec.objective;
+            self.queue.set_policy(spec.objective);
+        }
+        self.lease = lease;
+        let changed = TaskEvent::PoolChanged {
+            accelerator_host_share: spec.accelerator_host_share_percent,
+            lease,
+        };
+        self.apply(changed, now, output);
+    }
+
     /// Takes over the workers of the pool from the list of hosts. One that the
     /// list no longer names stays until it is silent as well.
     pub(super) fn set_workers(
--- a/crates/daemon/src/tasks/state.rs
+++ b/crates/daemon/src/tasks/state.rs
@@ -10,7 +10,6 @@
 use super::{
     messages::{PoolOutput, TaskCommand},
     pool::{OwnedPool, store_refusal},
-    queue::PoolQueue,
 };
 
 /// All pool shards that this daemon owns.
@@ -60,8 +59,7 @@
             renew_interval: self.sync_interval,
             ..TaskConfig::default()
         };
-        let queue = PoolQueue::new(base.spec.objective, config);
-        let mut pool = OwnedPool::new(shard.clone(), epoch, queue, lease);
+        let mut pool = OwnedPool::new(shard.clone(), epoch, base.spec.objective, config);
         let mut output = PoolOutput::default();
         let teams = TaskEvent::TeamsChanged(team_quotas(base.objects));
         pool.apply(teams, now, &mut output);
@@ -95,12 +93,20 @@
         }
     }
 
-    /// Takes over the teams of a new configuration.
-    pub(crate) fn set_teams(&mut self, objects: &ObjectSet, now: Duration) -> PoolOutput {
+    /// Takes over the teams and the pools of a new configuration.
+    pub(crate) fn set_objects(&mut self, objects: &ObjectSet, now: Duration) -> PoolOutput {
         let mut output = PoolOutput::default();
-        for pool in self.pools.values_mut() {
+        for (shard, pool) in &mut self.pools {
             let teams = TaskEvent::TeamsChanged(team_quotas(objects));
             pool.apply(teams, now, &mut output);
+            let spec = match shard {
+                ShardName::Pool(name) => objects.pools.get(name),
+                _ => None,
+            };
+            if let Some(spec) = spec {
+                let lease = longest_lease(objects, &spec.name);
+                pool.set_spec(spec, lease, now, &mut output);
+            }
         }
         output
     }
--- a/crates/daemon/src/tasks/tests.rs
+++ b/crates/daemon/src/tasks/tests.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use auburnsaddle_core::{
-    HostEntry, HostKind, HostState, ObjectLoader, ObjectSet, RecordId, ResourceVector, ShardName,
-    SubmitRequest, TaskReply, TaskRequest, UnknownReason,
+    HostEntry, HostKind, HostState, ObjectLoader, ObjectSet, PoolObjective, RecordId,
+    ResourceVector, ShardName, SubmitRequest, TaskReply, TaskRequest, UnknownReason,
 };
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
@@ -33,6 +33,14 @@
 count = 2
 request = { cpu_milli = 1000, memory_mib = 1024 }
 run_time_seconds = 60
+
+[[batch]]
+name = "seasoning"
+pool = "general"
+team = "stock"
+count = 1
+request = { cpu_milli = 4000, memory_mib = 4096 }
+run_time_seconds = 60
 "#;
 
 fn objects() -> ObjectSet {
@@ -83,8 +91,8 @@
     (pools, output)
 }
 
-fn submit(pools: &mut PoolShards) -> (oneshot::Receiver<TaskReply>, Vec<RecordId>) {
-    let (shard, job) = build_job(&objects(), &request("grading"), Some("k")).unwrap();
+fn submit(pools: &mut PoolShards, object: &str) -> (oneshot::Receiver<TaskReply>, Vec<RecordId>) {
+    let (shard, job) = build_job(&objects(), &request(object), Some("k")).unwrap();
     let (reply, receiver) = oneshot::channel();
     let command = TaskCommand::Request {
         shard: shard.clone(),
@@ -151,8 +159,8 @@
 fn a_job_is_accepted_when_its_record_is_durable() {
     let (mut pools, _) = pool();
 
-    let (mut first, ids) = submit(&mut pools);
-    let (mut again, repeated) = submit(&mut pools);
+    let (mut first, ids) = submit(&mut pools, "grading");
+    let (mut again, repeated) = submit(&mut pools, "grading");
     let early = first.try_recv();
     pools.note_durable(&shard(), &ids, Duration::ZERO);
 
@@ -166,7 +174,7 @@
 #[test]
 fn nothing_starts_before_the_claim_is_answered() {
     let (mut pools, opened) = pool();
-    let (_receiver, ids) = submit(&mut pools);
+    let (_receiver, ids) = submit(&mut pools, "grading");
     let accepted = pools.note_durable(&shard(), &ids, Duration::ZERO);
     let unknown = WorkerOutcome::Unknown(UnknownReason::ConnectionLost);
 
@@ -187,3 +195,37 @@
     let placed = claimed.records.iter();
     assert_eq!(placed.filter(|record| record.shard == shard()).count(), 2);
 }
+
+/// Guards against a pool whose objective and lease change only with its owner:
+/// under the former objective the job that came first starts first.
+#[test]
+fn a_changed_pool_is_in_force_at_once() {
+    let (mut pools, _) = pool();
+    for object in ["grading", "seasoning"] {
+        let (_, ids) = submit(&mut pools, object);
+        pools.note_durable(&shard(), &ids, Duration::ZERO);
+    }
+    let mut changed = objects();
+    let spec = changed.pools.get_mut("general").expect("it is configured");
+    spec.objective = PoolObjective::Packing;
+    let work = changed.batches.get_mut("grading");
+    work.expect("it is configured").lease_seconds = 90;
+
+    pools.set_objects(&changed, Duration::ZERO);
+
+    let outcome = WorkerOutcome::Admitted(idle_worker());
+    let output = pools.handle(claimed(outcome), Duration::ZERO);
+    let ids: Vec<_> = output.records.iter().map(|record| record.id).collect();
+    for id in &ids {
+        pools.note_appended(&shard(), *id, *id);
+    }
+    let output = pools.note_durable(&shard(), &ids, Duration::ZERO);
+    let effects = output.effects.iter();
+    let started: Vec<_> = effects
+        .filter_map(|effect| match &effect.request {
+            WorkerRequest::Start(start) => Some((start.resources.cpu_milli, start.lease)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(started, vec![(4_000, Duration::from_secs(90))]);
+}
