Weigh the proportion of a demand more against a tight fit

Cause: since empty hosts are compared like those in use when they are needed, the proportion of processors to memory decides between general hosts and the open shares of accelerator hosts. The tightness, up to 3 times 1,000, still outweighed it: an open share looks tight in any case.

Change: the weight of the proportion is 16 in place of 4. The weights of an opened host and of a shared rack or zone are doubled to remain above it.

--- a/crates/core/src/tasks/policy.rs
+++ b/crates/core/src/tasks/policy.rs
@@ -89,14 +89,14 @@
     /// without memory are lost to later work.
     fn worker_cost(&self, demand: &ResourceVector, candidate: &Candidate) -> u64 {
         /// Weight of the proportion against the tightness of the fit.
-        const PROPORTION: u64 = 4;
+        const PROPORTION: u64 = 16;
         let free = candidate.free;
         let processors = part(demand.cpu_milli, free.cpu_milli, PARTS);
         let memory = part(demand.memory_mib, free.memory_mib, PARTS);
         let tightness = left(demand, candidate).iter().sum::<u64>();
         let spread = u64::from(candidate.same_rack) * 100 + u64::from(candidate.same_zone);
-        let opened = u64::from(candidate.empty && !candidate.opening_needed) * 16 * PARTS;
-        spread * 32 * PARTS + opened + processors.abs_diff(memory) * PROPORTION + tightness
+        let opened = u64::from(candidate.empty && !candidate.opening_needed) * 32 * PARTS;
+        spread * 64 * PARTS + opened + processors.abs_diff(memory) * PROPORTION + tightness
     }
 
     fn job_cost(&self, dominant: u64) -> u64 {
