Merge settings of pools that take effect at once, and tighter packing

Cause: a changed objective, share or lease of a pool waited for the next takeover, and the proportion of the dimensions weighed too little.

--- a/crates/core/src/tasks/policy.rs
+++ b/crates/core/src/tasks/policy.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::types::ResourceVector;
+use crate::{objects::PoolObjective, types::ResourceVector};
 
 /// A worker with room for a task, as a policy sees it.
 #[derive(Clone, Copy, Debug)]
@@ -89,17 +89,40 @@
     /// without memory are lost to later work.
     fn worker_cost(&self, demand: &ResourceVector, candidate: &Candidate) -> u64 {
         /// Weight of the proportion against the tightness of the fit.
-        const PROPORTION: u64 = 4;
+        const PROPORTION: u64 = 16;
         let free = candidate.free;
         let processors = part(demand.cpu_milli, free.cpu_milli, PARTS);
         let memory = part(demand.memory_mib, free.memory_mib, PARTS);
         let tightness = left(demand, candidate).iter().sum::<u64>();
         let spread = u64::from(candidate.same_rack) * 100 + u64::from(candidate.same_zone);
-        let opened = u64::from(candidate.empty && !candidate.opening_needed) * 16 * PARTS;
-        spread * 32 * PARTS + opened + processors.abs_diff(memory) * PROPORTION + tightness
+        let opened = u64::from(candidate.empty && !candidate.opening_needed) * 32 * PARTS;
+        spread * 64 * PARTS + opened + processors.abs_diff(memory) * PROPORTION + tightness
     }
 
     fn job_cost(&self, dominant: u64) -> u64 {
         u64::MAX - dominant
     }
 }
+
+impl PlacementPolicy for PoolObjective {
+    fn whole_pool(&self) -> bool {
+        match self {
+            Self::Waiting => WaitingFirst.whole_pool(),
+            Self::Packing => PackingFirst.whole_pool(),
+        }
+    }
+
+    fn worker_cost(&self, demand: &ResourceVector, candidate: &Candidate) -> u64 {
+        match self {
+            Self::Waiting => WaitingFirst.worker_cost(demand, candidate),
+            Self::Packing => PackingFirst.worker_cost(demand, candidate),
+        }
+    }
+
+    fn job_cost(&self, dominant: u64) -> u64 {
+        match self {
+            Self::Waiting => WaitingFirst.job_cost(dominant),
+            Self::Packing => PackingFirst.job_cost(dominant),
+        }
+    }
+}
--- a/crates/daemon/src/tasks/mod.rs
+++ b/crates/daemon/src/tasks/mod.rs
@@ -18,7 +18,6 @@
 mod messages;
 mod news;
 mod pool;
-mod queue;
 mod state;
 mod submit;
 #[cfg(test)]
