Tell runners the time that is left of a call

Cause: the design says that the deadline goes on as the remaining time, but a runner got the caller's own header unchanged, or none if the caller named no deadline. The header is now set for each attempt, after the wait for the slot.

Ruled out: leaving it to the services to subtract their queueing time; they do not know how long a call waited here.

The stand-in runner keeps the header of its latest call.

--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -28,7 +28,7 @@
     control::{ControlEvent, ControlHandle, RoutingSnapshot},
     hosts::{ExchangeFailure, admission_rejection, classify_failure},
     peers::{PeerClient, PeerReply, PeerRequest},
-    telemetry::{ProcessMetrics, trace_request},
+    telemetry::{ProcessMetrics, format_request, trace_request},
 };
 
 /// Mean time after which a call without an owner asks again. A takeover takes
@@ -227,7 +227,7 @@
         &self,
         service: &ServiceSpec,
         slot_request: RequestId,
-        head: CallHead,
+        mut head: CallHead,
     ) -> CallOutcome<CallReply> {
         let snapshot = self.control.snapshot();
         let Some(shard) = choose_shard(&snapshot, service) else {
@@ -255,8 +255,8 @@
         let is_borrowed = slot.grant.lender.is_some();
         self.metrics.note_grant(is_borrowed, started_at.elapsed());
         log::debug!(runner = &*slot.grant.runner; "slot granted");
-        let remaining = head.remaining.saturating_sub(started_at.elapsed());
-        match tokio::time::timeout(remaining, self.send_call(slot, head)).await {
+        head.remaining = head.remaining.saturating_sub(started_at.elapsed());
+        match tokio::time::timeout(head.remaining, self.send_call(slot, head)).await {
             Ok(outcome) => outcome,
             Err(_) => CallOutcome::Unknown(UnknownReason::DeadlinePassed),
         }
@@ -462,7 +462,9 @@
         HeaderValue::from_str(&shard.to_string()).ok()?,
     );
     headers.insert("auburnsaddle-epoch", HeaderValue::from(epoch));
-    let id = format!("{:032x}", head.request);
+    let remaining = u64::try_from(head.remaining.as_millis()).unwrap_or(u64::MAX);
+    headers.insert("auburnsaddle-deadline-ms", HeaderValue::from(remaining));
+    let id = format_request(head.request);
     headers.insert("auburnsaddle-request-id", HeaderValue::from_str(&id).ok()?);
     Some((request, upload))
 }
--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -169,8 +169,9 @@
 }
 
 /// Guards against log lines that cannot be related to their request at one of
-/// the daemons that it passes, and against calls that wait for each other
-/// because their callers gave them the same identifier.
+/// the daemons that it passes, against calls that wait for each other because
+/// their callers gave them the same identifier, and against runners that are
+/// told the whole time of a call instead of what is left of it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_is_followed_through_two_daemons() {
     let debug = ["--log-level", "debug"];
@@ -182,10 +183,13 @@
     };
 
     let answer = send(&cluster, call(0, &key, 7)).await;
+    let left = cluster.runners[1].lock().deadline_ms;
     let same = tokio::join!(send(&cluster, plain.clone()), send(&cluster, plain));
 
     assert!(answer.is_done("token"), "{answer:?}");
     assert!(same.0.is_done("token") && same.1.is_done("token"));
+    let patience = u64::try_from(PATIENCE.as_millis()).expect("half a minute");
+    assert!(left.is_some_and(|left| left < patience), "{left:?}");
     assert_eq!((starts(&cluster, &[7]), starts(&cluster, &[8])), (1, 2));
     let started_at = Instant::now();
     let expected = [
--- a/crates/standins/src/runner/serve.rs
+++ b/crates/standins/src/runner/serve.rs
@@ -123,6 +123,7 @@
         return Ok(rejected(error));
     }
     let hold = SlotHold(runner.clone());
+    runner.lock().deadline_ms = header(&request, "auburnsaddle-deadline-ms").parse().ok();
     runner.lock().note_key(key.clone(), None);
     let body = match read_body(request.into_body()).await {
         Ok(body) => body,
--- a/crates/standins/src/runner/state.rs
+++ b/crates/standins/src/runner/state.rs
@@ -29,6 +29,8 @@
 pub struct RunnerState {
     /// How the runner answers.
     pub behaviour: RunnerBehaviour,
+    /// Time left for the latest call in milliseconds, as its header says.
+    pub deadline_ms: Option<u64>,
     slots: u32,
     busy: u32,
     busy_peak: u32,
@@ -43,6 +45,7 @@
     pub fn new(slots: u32) -> Self {
         Self {
             behaviour: RunnerBehaviour::default(),
+            deadline_ms: None,
             slots,
             busy: 0,
             busy_peak: 0,
