Keep idle connections longer than common clients do

Cause: the header timeout of 5 s also ends idle connections. Ruled out: an idle timeout of its own, which hyper does not offer for HTTP/1.1.

--- a/crates/daemon/src/settings/table.rs
+++ b/crates/daemon/src/settings/table.rs
@@ -115,9 +115,11 @@
     number(
         "--header-timeout-ms",
         "MILLISECONDS",
-        "5000",
+        // Also ends idle connections. Common clients close theirs after 90 s at
+        // most; a daemon that is first resets the request just being sent.
+        "100000",
         (100, 600_000),
-        "time in which the headers of a request must arrive",
+        "time in which the headers of a request must arrive, from the end of the one before",
     ),
     number(
         "--body-timeout-ms",
