Name routes and links in the peer router by the terms of the field

Cause: the read-through found "way", "closed way" and "look" in comments and one name of the router, where readers expect route, link and check. Ruled out: any change of behaviour, bound or assertion; only comments, one constant and one private function have new names. Conclusion: wording only.

--- a/crates/daemon/src/calls/dispatch.rs
+++ b/crates/daemon/src/calls/dispatch.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    /// Returns the way to other daemons.
+    /// Returns the router to other daemons.
     pub(crate) const fn router(&self) -> &PeerRouter {
         &self.router
     }
@@ -288,8 +288,8 @@
                 Err(SlotRefusal::NotRun(NotRunReason::NoOwner)) => {
                     let wait = RESUBMIT_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
                     tokio::time::sleep(wait).await;
-                    // An owner that was asked through a closed way may still
-                    // hold the request, and ignores a second one of that name.
+                    // An owner whose link went down may still hold the request,
+                    // and ignores a second one under the same identifier.
                     call.request = rand::random();
                     call.remaining = allowed.saturating_sub(started_at.elapsed());
                 }
--- a/crates/daemon/src/peers/router.rs
+++ b/crates/daemon/src/peers/router.rs
@@ -1,4 +1,4 @@
-//! Ways to the owner of a shard: directly, or through a third daemon.
+//! Routes to the owner of a shard: directly, or through a third daemon.
 
 use std::time::Duration;
 
@@ -13,12 +13,12 @@
 };
 use crate::control::{ControlHandle, RoutingSnapshot};
 
-/// Time between two looks at the way to an owner that has not answered yet. A
+/// Time between two checks of the route to an owner that has not answered yet. A
 /// takeover takes seconds, so this adds little to it, and most requests are
-/// answered before the first look.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// answered before the first check.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Sends requests to other daemons along the way that is open.
+/// Sends requests to other daemons over the route that is up.
 ///
 /// A partition between two daemons changes no owner while the others hear both,
 /// so without a relay the calls of one of them would wait for its end.
@@ -37,7 +37,7 @@
     /// Sends a request to the owner of a shard and waits for the reply.
     ///
     /// The wait ends early when the shard gets another owner, or when the direct
-    /// way to the owner closes: a paused process keeps its connections open, so
+    /// link to the owner goes down: a paused process keeps its connections open, so
     /// nothing else would end it before the deadline. The request can then be
     /// sent again.
     ///
@@ -54,14 +54,14 @@
         let partitioned = self.control.snapshot().partitioned.contains(&owner.daemon);
         tokio::select! {
             reply = self.send(&owner.daemon, request) => reply,
-            message = self.way_closed(shard, owner, partitioned) => Err(PeerError::Interrupted {
+            message = self.route_changed(shard, owner, partitioned) => Err(PeerError::Interrupted {
                 message: message.to_owned(),
             }),
         }
     }
 
-    /// Sends a request to a daemon, through a third one if the direct way to it
-    /// is closed.
+    /// Sends a request to a daemon, through a third one if the direct link to
+    /// it is down.
     ///
     /// # Errors
     ///
@@ -107,15 +107,15 @@
         PeerReply::Relayed(result)
     }
 
-    /// Waits until the way to an owner closes and returns why.
-    async fn way_closed(
+    /// Waits until the route to an owner changes and returns why.
+    async fn route_changed(
         &self,
         shard: &ShardName,
         owner: &OwnerRecord,
         partitioned: bool,
     ) -> &'static str {
         loop {
-            tokio::time::sleep(LOOK_INTERVAL).await;
+            tokio::time::sleep(CHECK_INTERVAL).await;
             let snapshot = self.control.snapshot();
             match snapshot.owners.get(shard) {
                 Some(present) if present != owner => return "the shard has another owner",
