Run pipelines on the users' platform through an adapter

Cause: the platform fixes how callers, workers, operators and the store are spoken to, and its work is jobs of dependent steps, which the product had no slice for.

Added: the decisions of a service's owner (core, pipelines), the adapter crate platform/, and the daemon's slices cell, session, board, pipelines and ingress.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 * `keys`: idempotency keys.
 * `calls`: short calls, queued at their shard until a runner slot is free.
 * `tasks`: batch runs, gang jobs and long-running tasks, placed on workers.
+* `pipelines`: jobs of dependent steps on the workers of a service.
 * `health`: workers, runners and jobs that fail too often.
 
 # Time
@@ -58,6 +59,7 @@
 mod membership;
 mod objects;
 mod ownership;
+mod pipelines;
 mod publication;
 mod tasks;
 mod types;
@@ -85,6 +87,14 @@
 pub use objects::{ObjectReport, ServiceSpec, TeamSpec, WorkSpec};
 pub use ownership::{OwnerRecord, OwnerTable, OwnershipAction, OwnershipConfig};
 pub use ownership::{OwnershipEvent, ShardPhase};
+pub use pipelines::PipelineNote;
+pub use pipelines::{AdviceOrder, AdvicePolicy, AdviceReport, CommitEntry, EndedRun};
+pub use pipelines::{HoldFailure, HoldOrder, HoldReport, LossCause, ObservedRun, PaceOrder};
+pub use pipelines::{PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad};
+pub use pipelines::{PipelinePhase, PipelineProgress, PipelineSchedule, PipelineSpec};
+pub use pipelines::{PipelineState, ProgressCommit, QueuePolicy, RunEnd, RunKey};
+pub use pipelines::{StartOrder, StartResult, StepKey, StepProgress, StepSpec, StopOrder};
+pub use pipelines::{TaskKey, TaskKeyError, TaskPlace, TaskProgress, WorkerListing};
 pub use publication::{ConfigAction, ConfigDelta, ConfigDigest, ConfigEvent, ConfigHead};
 pub use publication::{ConfigPull, ConfigReply, ConfigSnapshot, ConfigSource, ConfigState};
 pub use publication::{ConfigRejection, SNAPSHOT_INTERVAL, StatusReply, digest_objects};
--- /dev/null
+++ b/crates/daemon/src/cell/metrics.rs
@@ -0,0 +1,155 @@
+//! Metrics of the daemon on the platform.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use auburnsaddle_core::{PipelineLoad, RunEnd, StartResult};
+use auburnsaddle_platform::StoreCounters;
+use http::StatusCode;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// Bounds of the buckets of times in seconds.
+const TIME_BOUNDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+
+/// The loads of the owned services, for the gauges.
+pub(crate) type LoadTable = Vec<(Arc<str>, PipelineLoad)>;
+
+/// The instruments of the process.
+#[derive(Clone, Debug)]
+pub(crate) struct CellMetrics {
+    registry: Registry,
+    // The instruments stop recording when their provider is dropped.
+    _provider: SdkMeterProvider,
+    request_seconds: Histogram<f64>,
+    refusals: Counter<u64>,
+    starts: Counter<u64>,
+    ends: Counter<u64>,
+    orders: Counter<u64>,
+    commit_seconds: Histogram<f64>,
+    wait_seconds: Histogram<f64>,
+    loads: Arc<ArcSwap<LoadTable>>,
+}
+
+impl CellMetrics {
+    /// Registers all instruments.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the new registry rejects the exporter.
+    pub(crate) fn new(store: Arc<StoreCounters>) -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry accepts the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("auburnsaddle");
+        let histogram = |name: &'static str| {
+            let histogram = meter.f64_histogram(name);
+            histogram.with_boundaries(TIME_BOUNDS.to_vec()).build()
+        };
+        meter
+            .u64_observable_counter("auburnsaddle_store_calls")
+            .with_callback(move |observer| {
+                for (kind, count) in [
+                    ("read", &store.reads),
+                    ("write", &store.writes),
+                    ("renewal", &store.renewals),
+                    ("unanswered", &store.unanswered),
+                    ("refused", &store.refused),
+                ] {
+                    let labels = [KeyValue::new("kind", kind)];
+                    observer.observe(count.load(Ordering::Relaxed), &labels);
+                }
+            })
+            .build();
+        let loads: Arc<ArcSwap<LoadTable>> = Arc::default();
+        let shown = Arc::clone(&loads);
+        meter
+            .u64_observable_gauge("auburnsaddle_service_load")
+            .with_callback(move |observer| {
+                for (service, load) in shown.load().iter() {
+                    for (kind, value) in [
+                        ("jobs", load.pipelines),
+                        ("waiting_steps", load.ready_steps),
+                        ("runs", load.runs),
+                        ("workers", load.workers),
+                        ("answering_workers", load.claimed_workers),
+                        ("uncommitted_jobs", load.dirty),
+                    ] {
+                        let service = KeyValue::new("service", service.to_string());
+                        observer.observe(value, &[service, KeyValue::new("kind", kind)]);
+                    }
+                }
+            })
+            .build();
+        Self {
+            request_seconds: histogram("auburnsaddle_request_seconds"),
+            commit_seconds: histogram("auburnsaddle_commit_seconds"),
+            wait_seconds: histogram("auburnsaddle_job_wait_seconds"),
+            refusals: meter.u64_counter("auburnsaddle_refusals").build(),
+            starts: meter.u64_counter("auburnsaddle_starts").build(),
+            ends: meter.u64_counter("auburnsaddle_run_ends").build(),
+            orders: meter.u64_counter("auburnsaddle_orders").build(),
+            loads,
+            registry,
+            _provider: provider,
+        }
+    }
+
+    pub(crate) fn note_request(&self, method: &str, status: StatusCode, elapsed: Duration) {
+        let labels = [
+            KeyValue::new("method", method.to_owned()),
+            KeyValue::new("status", i64::from(status.as_u16())),
+        ];
+        self.request_seconds.record(elapsed.as_secs_f64(), &labels);
+    }
+
+    pub(crate) fn note_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(crate) fn note_start(&self, result: StartResult) {
+        self.starts
+            .add(1, &[KeyValue::new("result", result.name())]);
+    }
+
+    pub(crate) fn note_end(&self, end: Option<RunEnd>) {
+        let name = end.map_or("lost", RunEnd::name);
+        self.ends.add(1, &[KeyValue::new("end", name)]);
+    }
+
+    pub(crate) fn note_order(&self, kind: &'static str) {
+        self.orders.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    pub(crate) fn note_commit(&self, elapsed: Duration) {
+        self.commit_seconds.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn note_wait(&self, waited: Duration) {
+        self.wait_seconds.record(waited.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn set_loads(&self, loads: LoadTable) {
+        self.loads.store(Arc::new(loads));
+    }
+
+    /// Returns the page with all metrics.
+    pub(crate) fn page(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cell/notes.rs
@@ -0,0 +1,103 @@
+//! Log lines and metrics for the decisions of an owned service.
+
+use std::time::Duration;
+
+use auburnsaddle_core::{Epoch, PipelineNote};
+
+use super::metrics::CellMetrics;
+
+/// Writes a decision to the log.
+pub(super) fn log_note(service: &str, epoch: Epoch, note: &PipelineNote, metrics: &CellMetrics) {
+    match note {
+        PipelineNote::Placed {
+            pipeline,
+            queue,
+            waited_ms,
+            worker,
+        } => {
+            metrics.note_wait(Duration::from_millis(*waited_ms));
+            log::info!(
+                request_id = format!("{pipeline:016x}").as_str(), service, epoch,
+                queue = queue.as_str(), waited_ms, worker = worker.as_ref();
+                "job placed"
+            );
+        }
+        PipelineNote::Completed {
+            pipeline,
+            queue,
+            age_ms,
+            late_ms,
+        } => log::info!(
+            request_id = format!("{pipeline:016x}").as_str(), service, epoch,
+            queue = queue.as_str(), age_ms, late_ms;
+            "job completed"
+        ),
+        PipelineNote::Failed {
+            run,
+            failures,
+            max_attempts,
+        } => log::warn!(
+            request_id = format!("{:016x}", run.task.step.pipeline).as_str(), service, epoch,
+            task = run.task.to_string().as_str(), attempt = run.attempt, failures, max_attempts;
+            "job failed: a task has used up its attempts"
+        ),
+        PipelineNote::Cancelled { pipeline } => log::info!(
+            request_id = format!("{pipeline:016x}").as_str(), service, epoch;
+            "job cancelled"
+        ),
+        PipelineNote::RunEnded {
+            run,
+            worker,
+            end,
+            age,
+        } => log::info!(
+            request_id = format!("{:016x}", run.task.step.pipeline).as_str(), service, epoch,
+            task = run.task.to_string().as_str(), attempt = run.attempt,
+            worker = worker.as_ref(), end = end.map_or("lost", |end| end.name()),
+            since_placement_ms = age.as_millis();
+            "run ended without a result"
+        ),
+        PipelineNote::StartRejected {
+            run,
+            worker,
+            result,
+        } => log::info!(
+            request_id = format!("{:016x}", run.task.step.pipeline).as_str(), service, epoch,
+            task = run.task.to_string().as_str(), attempt = run.attempt,
+            worker = worker.as_ref(), result = result.name();
+            "start not carried out"
+        ),
+        PipelineNote::StrayRun { run, worker } => log::warn!(
+            request_id = format!("{:016x}", run.task.step.pipeline).as_str(), service, epoch,
+            task = run.task.to_string().as_str(), attempt = run.attempt,
+            worker = worker.as_ref();
+            "stopping a run that is not placed on this worker"
+        ),
+        PipelineNote::WorkerClaimed {
+            worker,
+            running,
+            ended,
+        } => log::info!(
+            service, epoch, worker = worker.as_ref(), running, ended;
+            "worker answers; its runs are known"
+        ),
+        PipelineNote::WorkerDoubted {
+            worker,
+            runs,
+            failure,
+            lapses_in,
+        } => log::warn!(
+            service, epoch, worker = worker.as_ref(), runs, failure:? = failure,
+            lapses_in_ms = lapses_in.as_millis();
+            "a renewal of a worker's lease failed; nothing is placed there"
+        ),
+        PipelineNote::WorkerLost {
+            worker,
+            runs,
+            cause,
+        } => log::warn!(
+            service, epoch, worker = worker.as_ref(), runs, cause:? = cause;
+            "the runs of a worker have ended"
+        ),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP for the callers of jobs, for the balancer and for peers.
+
+mod jobs;
+mod peers;
+mod serve;
+
+pub(crate) use jobs::JobService;
+pub(crate) use peers::{PeerService, ReadyService};
+pub(crate) use serve::serve_http;
--- /dev/null
+++ b/crates/daemon/src/ingress/peers.rs
@@ -0,0 +1,85 @@
+//! Requests of the balancer and of other daemons.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use auburnsaddle_platform::AdviceClient;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use super::serve::{HttpService, IngressResponse, empty, json};
+use crate::{
+    cell::{CellHandle, CellMetrics},
+    pipelines::{PeerAnswer, PeerQuestion},
+};
+
+/// Largest question: an identifier and a hundred workers.
+const QUESTION_LIMIT: usize = 64 << 10;
+
+/// Answers the balancer.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadyService {
+    pub(crate) ready: Arc<AtomicBool>,
+}
+
+/// Answers other daemons and operators.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerService {
+    pub(crate) advice: Option<AdviceClient>,
+    pub(crate) control: CellHandle,
+    pub(crate) metrics: CellMetrics,
+}
+
+impl HttpService for ReadyService {
+    async fn answer(&self, _: Request<Incoming>) -> IngressResponse {
+        if self.ready.load(Ordering::Relaxed) {
+            empty(StatusCode::OK)
+        } else {
+            empty(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
+impl HttpService for PeerService {
+    async fn answer(&self, request: Request<Incoming>) -> IngressResponse {
+        match request.uri().path() {
+            "/advice" => self.advise(request).await,
+            "/metrics" => json(StatusCode::OK, self.metrics.page().into_bytes()),
+            "/dump" => json(StatusCode::OK, self.control.dump().await.into_bytes()),
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl PeerService {
+    async fn advise(&self, request: Request<Incoming>) -> IngressResponse {
+        let body = Limited::new(request.into_body(), QUESTION_LIMIT).collect();
+        let Ok(body) = body.await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let question: PeerQuestion = match serde_json::from_slice(&body.to_bytes()) {
+            Ok(question) => question,
+            Err(error) => {
+                log::warn!("a peer's question cannot be decoded: {error}");
+                return empty(StatusCode::BAD_REQUEST);
+            }
+        };
+        let Some(service) = &self.advice else {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let time_limit = Duration::from_millis(question.time_limit_ms);
+        let answer = service
+            .ask(&question.step, &question.workers, time_limit)
+            .await;
+        match answer.map(|report| serde_json::to_vec(&PeerAnswer::from(report))) {
+            Some(Ok(body)) => json(StatusCode::OK, body),
+            Some(Err(_)) | None => empty(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,15 @@
 * `control`: the control thread.
 * `front`: HTTP for callers and operators.
 
+On the users' platform the daemon runs with these slices instead, and speaks to
+the platform through the crate `auburnsaddle-platform`:
+
+* `cell`: the control thread, start and end of the process.
+* `session`: the daemon's lease, and what it follows in the store.
+* `board`: the phases of all jobs.
+* `pipelines`: the owned services, their commits and orders.
+* `ingress`: HTTP for callers of jobs, the balancer and peers.
+
 # Use
 
 The binary `auburnsaddled` reads its settings and calls [`run`]:
@@ -38,21 +47,27 @@
 ```
 */
 
+mod board;
 mod calls;
+mod cell;
 mod control;
 mod front;
 mod hosts;
+mod ingress;
 mod journal;
 mod keys;
 mod membership;
 mod ownership;
 mod peers;
+mod pipelines;
 mod publication;
+mod session;
 mod settings;
 mod store;
 mod tasks;
 mod telemetry;
 mod workers;
 
+pub use cell::{CellError, run_cell};
 pub use control::{DaemonError, run};
 pub use settings::{CallerLimits, DaemonCommand, DaemonSettings, SettingsError};
--- /dev/null
+++ b/crates/daemon/src/pipelines/advisors.rs
@@ -0,0 +1,112 @@
+//! Which daemon asks the advice service about a step.
+//!
+//! Load pattern: the service answers one call of a machine at a time and takes
+//! up to half a second for it, so the calls of a busy owner are spread over all
+//! daemons.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use auburnsaddle_core::{AdviceOrder, AdviceReport, WorkerId};
+use auburnsaddle_platform::{AdviceClient, HttpEndpoint};
+use serde::{Deserialize, Serialize};
+
+/// Added to the expected time of an answer: network, and questions of other owners.
+const ANSWER_SLACK: Duration = Duration::from_millis(1_500);
+
+/// A question that another daemon asks for an owner.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct PeerQuestion {
+    /// The step.
+    pub(crate) step: String,
+    /// The workers.
+    pub(crate) workers: Vec<WorkerId>,
+    /// Time limit in ms.
+    pub(crate) time_limit_ms: u64,
+}
+
+/// The answer to a [`PeerQuestion`].
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct PeerAnswer {
+    /// Tickets by worker.
+    pub(crate) tickets: BTreeMap<WorkerId, String>,
+    /// Validity in ms.
+    pub(crate) valid_ms: u64,
+}
+
+/// Open questions by daemon.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AdvisorTable {
+    /// Expected time in ms of the questions that are open at each daemon.
+    backlog_ms: BTreeMap<String, u64>,
+}
+
+impl AdvisorTable {
+    /// Chooses the daemon with the least expected work.
+    pub(crate) fn choose<'a>(
+        &mut self,
+        daemons: impl Iterator<Item = &'a String>,
+        order: &AdviceOrder,
+    ) -> Option<(String, Duration)> {
+        let backlog = |daemon: &String| self.backlog_ms.get(daemon).copied().unwrap_or(0);
+        let daemon = daemons.min_by_key(|daemon| backlog(daemon))?;
+        let cost = expected_ms(order);
+        let time_limit = Duration::from_millis(backlog(daemon) + cost) + ANSWER_SLACK;
+        *self.backlog_ms.entry(daemon.clone()).or_default() += cost;
+        Some((daemon.clone(), time_limit))
+    }
+
+    /// Notes that a question is no longer open.
+    pub(crate) fn finish(&mut self, daemon: &str, cost_ms: u64) {
+        if let Some(backlog) = self.backlog_ms.get_mut(daemon) {
+            *backlog = backlog.saturating_sub(cost_ms);
+        }
+    }
+}
+
+/// Returns the time that the service needs for an answer, in ms.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates, and at most 100 workers are named"
+)]
+pub(crate) fn expected_ms(order: &AdviceOrder) -> u64 {
+    let workers = order.workers.len() as f64;
+    (order.policy.decision_ms + order.policy.per_worker_ms * workers).ceil() as u64
+}
+
+/// Asks the service, through another daemon if one is given.
+pub(crate) async fn ask_advice(
+    service: Option<&AdviceClient>,
+    peer: Option<&HttpEndpoint>,
+    order: &AdviceOrder,
+    time_limit: Duration,
+) -> Option<AdviceReport> {
+    let step = order.step.to_string();
+    let Some(peer) = peer else {
+        return service?.ask(&step, &order.workers, time_limit).await;
+    };
+    let question = PeerQuestion {
+        step,
+        workers: order.workers.clone(),
+        time_limit_ms: u64::try_from(time_limit.as_millis()).unwrap_or(u64::MAX),
+    };
+    let body = serde_json::to_vec(&question).ok()?;
+    let body = peer.post_json("/advice", body, time_limit).await.ok()??;
+    let answer: PeerAnswer = serde_json::from_slice(&body).ok()?;
+    Some(AdviceReport {
+        tickets: answer.tickets,
+        valid: Duration::from_millis(answer.valid_ms),
+    })
+}
+
+impl From<AdviceReport> for PeerAnswer {
+    fn from(report: AdviceReport) -> Self {
+        Self {
+            tickets: report.tickets,
+            valid_ms: u64::try_from(report.valid.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -0,0 +1,244 @@
+//! The pipelines of one owned service and the chain of their commits.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use auburnsaddle_core::{
+    Epoch, PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad, PipelinePhase,
+    PipelineProgress, PipelineSpec, PipelineState, ProgressCommit, ServiceId,
+};
+use auburnsaddle_platform::{StoreItem, StoreTransaction, TransactionOutcome};
+
+use super::{
+    acquire::LoadedShard,
+    records::{CellKey, SequenceEntry, decode_record, encode_record},
+};
+use crate::board::JobSummary;
+
+/// Jobs of one commit. A transaction holds 32 entries: the sequence, a condition
+/// for it, and for each job a summary and its progress or two removals more.
+const COMMIT_LIMIT: usize = 7;
+
+/// What the end of a commit means for the owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CommitVerdict {
+    /// It is durable.
+    Durable,
+    /// The outcome is not known; the same commit is sent again.
+    Repeat,
+    /// Another daemon owns the service.
+    Replaced,
+}
+
+/// A commit that was sent.
+#[derive(Clone, Debug)]
+struct OpenCommit {
+    commit: ProgressCommit,
+    entry: SequenceEntry,
+    transaction: StoreTransaction,
+    sent_at: Duration,
+}
+
+/// A service that this daemon owns.
+#[derive(Debug)]
+pub(crate) struct OwnedShard {
+    pub(crate) service: ServiceId,
+    pub(crate) state: PipelineState,
+    sequence: SequenceEntry,
+    revision: u64,
+    open: Option<OpenCommit>,
+    /// Summaries in the store, so that one is written only when its phase changes.
+    phases: BTreeMap<PipelineId, PipelinePhase>,
+    stray_keys: Vec<String>,
+    /// Jobs that are over, and when their summaries are removed.
+    expiring: VecDeque<(Duration, PipelineId)>,
+    /// How long a summary is kept after the end of its job.
+    status_term: Duration,
+}
+
+impl OwnedShard {
+    /// Takes over what was loaded from the store.
+    pub(crate) fn new(
+        loaded: LoadedShard,
+        config: PipelineConfig,
+        status_term: Duration,
+        now: Duration,
+    ) -> Self {
+        let mut shard = Self {
+            service: loaded.service,
+            state: PipelineState::new(config, loaded.epoch, now),
+            sequence: SequenceEntry {
+                epoch: loaded.epoch,
+                commit: 0,
+            },
+            revision: loaded.revision,
+            open: None,
+            phases: BTreeMap::new(),
+            stray_keys: Vec::new(),
+            expiring: VecDeque::new(),
+            status_term,
+        };
+        for job in loaded.jobs {
+            shard.store_job(job.id, job.spec, job.progress, now);
+        }
+        shard
+    }
+
+    /// Adds a job of the store. Orders follow once its workers are listed.
+    fn store_job(
+        &mut self,
+        id: PipelineId,
+        spec: Arc<PipelineSpec>,
+        progress: Option<PipelineProgress>,
+        now: Duration,
+    ) {
+        if let Some(progress) = &progress {
+            self.phases.insert(id, progress.phase);
+        }
+        let event = PipelineEvent::Stored(id, spec, progress);
+        let actions = self.state.handle(event, now);
+        debug_assert!(actions.is_empty(), "no worker is listed yet");
+    }
+
+    /// Takes an event.
+    pub(crate) fn handle(&mut self, event: PipelineEvent, now: Duration) -> Vec<PipelineAction> {
+        match &event {
+            // The job is over, and so the cancellation has no effect.
+            PipelineEvent::Cancelled(id) if !self.state.contains(*id) => {
+                let key = CellKey::Cancellation(self.service.clone(), *id);
+                self.stray_keys.push(key.path());
+            }
+            _ => {}
+        }
+        self.state.handle(event, now)
+    }
+
+    /// Returns the transaction of the next commit, if there is one to send.
+    pub(crate) fn next_commit(&mut self, now: Duration) -> Option<StoreTransaction> {
+        if self.open.is_some() {
+            return None;
+        }
+        let commit = self.state.take_commit(COMMIT_LIMIT)?;
+        if self
+            .expiring
+            .front()
+            .is_some_and(|(expiry, _)| *expiry <= now)
+        {
+            let expired = self.expiring.pop_front();
+            let keys = expired.map(|(_, id)| CellKey::Summary(id).path());
+            self.stray_keys.extend(keys);
+        }
+        let entry = SequenceEntry {
+            epoch: self.sequence.epoch,
+            commit: self.sequence.commit + 1,
+        };
+        let sequence_key = CellKey::Sequence(self.service.clone()).path();
+        let mut transaction = StoreTransaction {
+            expected: vec![(sequence_key.clone(), self.revision)],
+            puts: vec![(sequence_key, encode_record(&entry), 0)],
+            removals: Vec::new(),
+        };
+        for row in &commit.entries {
+            let id = row.pipeline;
+            if self.phases.get(&id) != Some(&row.phase) {
+                let summary = JobSummary::new(&row.spec, row.phase);
+                let key = CellKey::Summary(id).path();
+                transaction.puts.push((key, encode_record(&summary), 0));
+                self.phases.insert(id, row.phase);
+            }
+            let key = CellKey::Progress(self.service.clone(), id).path();
+            if let Some(progress) = &row.progress {
+                transaction.puts.push((key, encode_record(progress), 0));
+            } else {
+                let job = CellKey::Job(self.service.clone(), id).path();
+                transaction.removals.extend([key, job]);
+                if row.phase == PipelinePhase::Cancelled {
+                    let key = CellKey::Cancellation(self.service.clone(), id);
+                    transaction.removals.push(key.path());
+                }
+            }
+        }
+        if commit.entries.len() < COMMIT_LIMIT {
+            transaction.removals.extend(self.stray_keys.pop());
+        }
+        self.open = Some(OpenCommit {
+            commit,
+            entry,
+            transaction: transaction.clone(),
+            sent_at: now,
+        });
+        Some(transaction)
+    }
+
+    /// Returns the transaction that has no outcome yet.
+    pub(crate) fn open_transaction(&self) -> Option<StoreTransaction> {
+        self.open.as_ref().map(|open| open.transaction.clone())
+    }
+
+    /// Takes the outcome of a commit; returns what it releases and how long it took.
+    pub(crate) fn finish_commit(
+        &mut self,
+        outcome: &TransactionOutcome,
+        now: Duration,
+    ) -> (CommitVerdict, Vec<PipelineAction>, Duration) {
+        let Some(open) = &self.open else {
+            return (CommitVerdict::Durable, Vec::new(), Duration::ZERO);
+        };
+        let revision = match outcome {
+            TransactionOutcome::Done(revision) => Some(*revision),
+            TransactionOutcome::Conflict(items) => self.committed_revision(open.entry, items),
+            TransactionOutcome::Refused | TransactionOutcome::Unknown => {
+                return (CommitVerdict::Repeat, Vec::new(), Duration::ZERO);
+            }
+            TransactionOutcome::NoLease => None,
+        };
+        let Some(revision) = revision else {
+            return (CommitVerdict::Replaced, Vec::new(), Duration::ZERO);
+        };
+        self.revision = revision;
+        self.sequence = open.entry;
+        let elapsed = now.saturating_sub(open.sent_at);
+        let actions = match self.open.take() {
+            Some(open) => {
+                for row in open
+                    .commit
+                    .entries
+                    .iter()
+                    .filter(|row| row.progress.is_none())
+                {
+                    self.phases.remove(&row.pipeline);
+                    let expiry = (now + self.status_term, row.pipeline);
+                    self.expiring.push_back(expiry);
+                }
+                self.state.commit_done(open.commit, now)
+            }
+            None => Vec::new(),
+        };
+        (CommitVerdict::Durable, actions, elapsed)
+    }
+
+    /// Returns the revision of a commit that an earlier try has made.
+    fn committed_revision(&self, entry: SequenceEntry, items: &[StoreItem]) -> Option<u64> {
+        let key = CellKey::Sequence(self.service.clone()).path();
+        let item = items.iter().find(|item| item.key == key)?;
+        let stored: SequenceEntry = decode_record(&item.key, &item.value)?;
+        (stored == entry).then_some(item.revision)
+    }
+
+    /// Returns the epoch, which also tells this ownership from an earlier one.
+    pub(crate) const fn epoch(&self) -> Epoch {
+        self.sequence.epoch
+    }
+
+    /// Tells whether nothing waits to become durable.
+    pub(crate) fn is_durable(&self) -> bool {
+        self.open.is_none() && self.load().dirty == 0
+    }
+
+    pub(crate) fn load(&self) -> PipelineLoad {
+        self.state.load()
+    }
+}
--- a/crates/daemon/src/telemetry/logger.rs
+++ b/crates/daemon/src/telemetry/logger.rs
@@ -1,4 +1,4 @@
-//! A logger that writes JSON lines to standard error.
+//! A logger that writes JSON lines to standard error or standard output.
 
 use std::{
     collections::BTreeMap,
@@ -13,7 +13,10 @@
 use serde_json::json;
 use simplelog::{CombinedLogger, Config, SharedLogger};
 
-use super::request::{current_request, format_request};
+use super::{
+    output::OutputQueue,
+    request::{current_request, format_request},
+};
 
 /// Field of the lines that belong to a request.
 const REQUEST_FIELD: &str = "request_id";
@@ -25,6 +28,15 @@
 struct JsonLogger {
     daemon: String,
     level: LevelFilter,
+    sink: LogSink,
+}
+
+/// Where lines go.
+enum LogSink {
+    /// Standard error, at once.
+    Error,
+    /// Standard output, through a bounded queue.
+    Output(OutputQueue),
 }
 
 /// The structured fields of a record.
@@ -40,9 +52,19 @@
 
 /// Installs the logger of the process; a second call has no effect.
 pub(crate) fn init_logger(daemon: &str, level: LevelFilter) {
+    install(daemon, level, LogSink::Error);
+}
+
+/// Installs a logger that writes to standard output and never waits for a reader.
+pub(crate) fn init_output_logger(daemon: &str, level: LevelFilter) {
+    install(daemon, level, LogSink::Output(OutputQueue::start()));
+}
+
+fn install(daemon: &str, level: LevelFilter, sink: LogSink) {
     let logger = JsonLogger {
         daemon: daemon.to_owned(),
         level,
+        sink,
     };
     // Fails only if a logger is installed already, as in tests.
     let _ = CombinedLogger::init(vec![Box::new(logger)]);
@@ -75,11 +97,19 @@
             "message": record.args().to_string(),
             "fields": fields.0,
         });
-        // A closed standard error must not end the daemon.
-        let _ = writeln!(std::io::stderr().lock(), "{line}");
+        match &self.sink {
+            // A closed standard error must not end the daemon.
+            LogSink::Error => drop(writeln!(std::io::stderr().lock(), "{line}")),
+            LogSink::Output(queue) => queue.push(record.level(), record.args(), &line),
+        }
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        match &self.sink {
+            LogSink::Error => {}
+            LogSink::Output(queue) => queue.flush(),
+        }
+    }
 }
 
 impl SharedLogger for JsonLogger {
