--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -15,8 +15,8 @@
 use arc_swap::ArcSwapOption;
 use auburnsaddle_core::PipelineConfig;
 use auburnsaddle_platform::{
-    AdviceClient, ItemChange, MANIFEST_KEY, Manifest, PlatformSettings, SettingsFileError,
-    StoreClient, StoreItem,
+    AdviceClient, MANIFEST_KEY, Manifest, PlatformSettings, SettingsFileError, StoreClient,
+    StoreItem,
 };
 use hyper_util::server::graceful::GracefulShutdown;
 use log::LevelFilter;
@@ -39,7 +39,7 @@
 use crate::{
     ingress::{JobService, PeerService, ReadyService, serve_http},
     pipelines::{MemberEntry, PUBLIC_PREFIX, encode_record},
-    session::{FeedNews, follow_prefix, keep_session},
+    session::{RetryDelay, follow_prefix, keep_session},
     telemetry::{BootClock, init_output_logger},
 };
 
@@ -56,6 +56,10 @@
 /// several.
 const PUBLIC_PACE: Duration = Duration::from_millis(120);
 
+/// Time between readings of the manifest, a quarter of the time in which a
+/// version must be in force.
+const MANIFEST_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time between looks at the settings file.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -273,53 +277,63 @@
 }
 
 /// Puts each version of the manifest in force; versions never go back.
+///
+/// The key is read, not watched: a watch may be silent while changes are made.
 async fn follow_manifest(
     store: StoreClient,
     manifest: Arc<ArcSwapOption<Manifest>>,
     events: mpsc::Sender<CellEvent>,
 ) {
-    let (sender, mut receiver) = mpsc::channel(EVENT_QUEUE);
-    let prefix = MANIFEST_KEY.to_owned();
-    tokio::spawn(follow_prefix(
-        store,
-        prefix,
-        None,
-        Duration::ZERO,
-        sender,
-        CellEvent::Public,
-    ));
-    while let Some(event) = receiver.recv().await {
-        let items: Vec<StoreItem> = match event {
-            CellEvent::Public(FeedNews::Snapshot(items)) => items,
-            CellEvent::Public(FeedNews::Changes(changes)) => changes
-                .into_iter()
-                .filter_map(|change| match change {
-                    ItemChange::Put(item) => Some(item),
-                    ItemChange::Removed { .. } => None,
-                })
-                .collect(),
-            _ => continue,
-        };
-        for item in items.iter().filter(|item| item.key == MANIFEST_KEY) {
-            let next = match Manifest::decode(&item.value) {
-                Ok(next) => Arc::new(next),
-                Err(error) => {
-                    log::error!(revision = item.revision; "{error}");
-                    continue;
+    let mut delay = RetryDelay::default();
+    let mut revision = 0;
+    loop {
+        let item = match store.read(MANIFEST_KEY).await {
+            Ok(item) => item,
+            Err(error) => {
+                let (pause, is_first) = delay.next(rand::random());
+                if is_first {
+                    log::warn!(revision; "the manifest was not read: {error}");
                 }
-            };
-            let known = manifest.load().as_ref().map(|known| known.version);
-            if known.is_some_and(|known| known >= next.version) {
+                tokio::time::sleep(pause).await;
                 continue;
             }
-            log::info!(
-                version = next.version, routes = next.routes.len(), before:? = known;
-                "a version of the manifest is in force"
-            );
-            manifest.store(Some(Arc::clone(&next)));
-            let _ = events.send(CellEvent::Manifest(next)).await;
+        };
+        if delay.reset() {
+            log::info!("the manifest is read again");
+        }
+        match item {
+            Some(item) if item.revision > revision => {
+                revision = item.revision;
+                put_in_force(&item, &manifest, &events).await;
+            }
+            _ => {}
+        }
+        tokio::time::sleep(MANIFEST_INTERVAL).await;
+    }
+}
+
+async fn put_in_force(
+    item: &StoreItem,
+    manifest: &ArcSwapOption<Manifest>,
+    events: &mpsc::Sender<CellEvent>,
+) {
+    let next = match Manifest::decode(&item.value) {
+        Ok(next) => Arc::new(next),
+        Err(error) => {
+            log::error!(revision = item.revision; "{error}");
+            return;
         }
+    };
+    let known = manifest.load().as_ref().map(|known| known.version);
+    if known.is_some_and(|known| known >= next.version) {
+        return;
     }
+    log::info!(
+        version = next.version, routes = next.routes.len(), before:? = known;
+        "a version of the manifest is in force"
+    );
+    manifest.store(Some(Arc::clone(&next)));
+    let _ = events.send(CellEvent::Manifest(next)).await;
 }
 
 /// Takes up changes of the settings file, announced by SIGHUP or not.
--- a/crates/daemon/src/session/feed.rs
+++ b/crates/daemon/src/session/feed.rs
@@ -8,8 +8,9 @@
 use super::retry::RetryDelay;
 use crate::cell::CellEvent;
 
-/// How long a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// How long a watch waits for a change. A connection may go silent without a
+/// reset, which shows only after this time.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 
 /// What a prefix holds, or how it changed.
 #[derive(Clone, Debug)]
