Spread questions for advice by their cost and order the queue by what is in time

Cause: the advice service answers one call of a machine at a time.

Changed: one daemon in four asks quick questions only; open questions are bounded by the number of daemons; room is kept for quick questions that are open; the first slow steps hold tickets before there is room; late jobs go behind those in time, and useless ones behind all. A request whose time is over is tried once and then rejected as not accepted.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -87,10 +87,10 @@
 pub use objects::{ObjectReport, ServiceSpec, TeamSpec, WorkSpec};
 pub use ownership::{OwnerRecord, OwnerTable, OwnershipAction, OwnershipConfig};
 pub use ownership::{OwnershipEvent, ShardPhase};
-pub use pipelines::PipelineNote;
 pub use pipelines::{AdviceOrder, AdvicePolicy, AdviceReport, CommitEntry, EndedRun};
 pub use pipelines::{HoldFailure, HoldOrder, HoldReport, LossCause, ObservedRun, PaceOrder};
 pub use pipelines::{PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad};
+pub use pipelines::{PipelineNote, SLOW_DECISION_MS};
 pub use pipelines::{PipelinePhase, PipelineProgress, PipelineSchedule, PipelineSpec};
 pub use pipelines::{PipelineState, ProgressCommit, QueuePolicy, RunEnd, RunKey};
 pub use pipelines::{StartOrder, StartResult, StepKey, StepProgress, StepSpec, StopOrder};
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -255,6 +255,8 @@
     StopAnswered(WorkerId, RunKey, bool),
     /// An answer about a step, or none.
     Advised(StepKey, Option<AdviceReport>),
+    /// How many daemons ask questions with quick and with slow decisions.
+    Advisors(usize, usize),
     /// The store has confirmed the ownership until then.
     Confirmed(Duration),
     /// Time has passed; with the wall clock in ms since 1970.
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -35,7 +35,7 @@
 pub use messages::{AdviceReport, EndedRun, ObservedRun, PipelineAction, PipelineEvent, RunEnd};
 pub use messages::{LossCause, PipelineNote, StartResult, StopOrder, WorkerListing};
 pub use progress::{PipelinePhase, PipelineProgress, StepProgress, TaskPlace, TaskProgress};
-pub use schedule::PipelineConfig;
+pub use schedule::{PipelineConfig, SLOW_DECISION_MS};
 pub use spec::{AdvicePolicy, PipelineId, PipelineSchedule, PipelineSpec, QueuePolicy};
 pub use spec::{RunKey, StepKey, StepSpec, TaskKey, TaskKeyError};
 pub use state::{PipelineLoad, PipelineState};
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -1,6 +1,7 @@
 //! The choice of workers for the tasks of a step.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
@@ -28,11 +29,28 @@
     is_mixed: bool,
 }
 
+/// Room on a worker that is kept for steps whose questions are open.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct KeptRoom {
+    amount: ResourceVector,
+    fill_milli: u64,
+}
+
+impl KeptRoom {
+    /// Keeps room for one more task.
+    pub(super) fn add(&mut self, step: &StepSpec) {
+        self.amount = self.amount.plus(&step.occupied());
+        if step.fills {
+            self.fill_milli += step.demand.cpu_milli;
+        }
+    }
+}
+
 /// Lower is better.
 type PlaceCost = (bool, bool, bool, i64);
 
 impl PlaceCandidate {
-    /// Returns the candidate if at least one task fits.
+    /// Returns the candidate if the worker, when empty, has room for a task.
     pub(super) fn new(
         worker: &WorkerId,
         record: &WorkerRecord,
@@ -45,8 +63,9 @@
             Some(label) => listing.labels.contains(label),
             None => true,
         };
-        let limit = step.per_worker_limit.map_or(usize::MAX, |limit| {
-            usize::try_from(limit).unwrap_or(usize::MAX)
+        let tasks_left = step.per_worker_limit.map_or(usize::MAX, |limit| {
+            let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+            limit.saturating_sub(record.count_of_step(key))
         });
         let is_mixed = if step.fills {
             record.has_serving()
@@ -59,7 +78,7 @@
             capacity: listing.capacity,
             free: record.free(),
             fill_milli: record.fill_milli,
-            tasks_left: limit.saturating_sub(record.count_of_step(key)),
+            tasks_left,
             is_troubled: record.troubled_until > now,
             is_far: step
                 .home_rack
@@ -67,7 +86,8 @@
                 .is_some_and(|home| listing.rack.as_deref() != Some(home)),
             is_mixed,
         };
-        (record.takes_tasks() && has_label && candidate.fits(step)).then_some(candidate)
+        let is_able = step.occupied().fits_in(&listing.capacity) && tasks_left > 0;
+        (record.takes_tasks() && has_label && is_able).then_some(candidate)
     }
 
     pub(super) fn fits(&self, step: &StepSpec) -> bool {
@@ -87,6 +107,29 @@
         count
     }
 
+    /// Leaves room that is kept for other steps.
+    pub(super) fn leave(&mut self, kept: &KeptRoom) {
+        self.free = ResourceVector {
+            cpu_milli: self.free.cpu_milli.saturating_sub(kept.amount.cpu_milli),
+            memory_mib: self.free.memory_mib.saturating_sub(kept.amount.memory_mib),
+            accelerators: self
+                .free
+                .accelerators
+                .saturating_sub(kept.amount.accelerators),
+        };
+        self.fill_milli += kept.fill_milli;
+    }
+
+    /// Returns how many tasks of the step would fit if nothing else ran.
+    fn room_when_empty(&self, step: &StepSpec) -> usize {
+        let empty = Self {
+            free: self.capacity,
+            fill_milli: 0,
+            ..self.clone()
+        };
+        empty.room(step)
+    }
+
     fn take(&mut self, step: &StepSpec) {
         self.free = self.free.minus(&step.occupied()).unwrap_or_default();
         if step.fills {
@@ -155,7 +198,11 @@
     in_one.or_else(|| whole(candidates.to_vec()))
 }
 
-/// Returns the workers to ask about, those with the most room first.
+/// Position among the workers to ask about; lower is first: those that are known
+/// to be allowed, and then those with the most room.
+type QuestionRank = (bool, bool, bool, Reverse<usize>, Reverse<usize>, WorkerId);
+
+/// Returns the workers to ask about.
 ///
 /// `allowed_percent` is the part of the workers that the queue's policy has
 /// allowed so far.
@@ -170,29 +217,29 @@
     let askable = candidates
         .iter()
         .filter(|row| book.can_ask(&row.worker, now));
-    let mut rows: BTreeMap<(bool, bool, bool, std::cmp::Reverse<usize>, WorkerId), usize> =
-        BTreeMap::new();
+    let mut rows: BTreeMap<QuestionRank, usize> = BTreeMap::new();
     for row in askable {
-        let room = row.room(step);
-        let key = (
+        let (room, most) = (row.room(step), row.room_when_empty(step));
+        let rank = (
             !book.is_allowed(&row.worker),
             row.is_troubled,
             row.is_far || row.is_mixed,
-            std::cmp::Reverse(room),
+            Reverse(room),
+            Reverse(most),
             WorkerId::clone(&row.worker),
         );
-        rows.insert(key, room);
+        rows.insert(rank, room.max(1));
     }
     let mut expected = 0;
     let mut chosen = Vec::new();
     // Room for one more than needed, in percent of a task.
     let needed = (count + 1) * 100;
-    for ((is_unknown, _, _, _, worker), room) in rows {
+    for (rank, room) in rows {
         if expected >= needed {
             break;
         }
-        expected += room * if is_unknown { allowed_percent } else { 100 };
-        chosen.push(worker);
+        expected += room * if rank.0 { allowed_percent } else { 100 };
+        chosen.push(rank.5);
     }
     chosen
 }
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -5,21 +5,36 @@
 //! by the time at which their job should be done; a gang that does not fit is
 //! passed by what fits.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use super::{
     commit::PendingStart,
     messages::{AdviceOrder, HoldOrder, PipelineAction, PipelineNote},
-    place::{PlaceCandidate, choose_each, choose_gang, choose_questions},
+    place::{KeptRoom, PlaceCandidate, choose_each, choose_gang, choose_questions},
     progress::{PipelinePhase, StepProgress, TaskPlace},
-    spec::{PipelineId, RunKey, StepKey, TaskKey},
+    spec::{AdvicePolicy, PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
     worker::{RunPhase, WorkerContact, WorkerRun},
 };
 use crate::types::WorkerId;
 
-/// Questions that may be open at once; each asking daemon may have 32 waiting.
-const QUESTION_LIMIT: usize = 64;
+/// Steps that one pass leaves with waiting tasks before it ends. A longer queue
+/// costs processor time and rarely brings a placement.
+const PASSED_STEPS: u32 = 48;
+
+/// Steps at the head of the queue that hold tickets although there is no room
+/// yet, so that they start when room appears.
+const EARLY_QUESTIONS: u32 = 6;
+
+/// A decision of this time in ms and more is slow.
+pub const SLOW_DECISION_MS: f64 = 100.0;
+
+/// Allowed part of the workers that is assumed at least, in percent.
+const LEAST_ALLOWED_PERCENT: usize = 10;
 
 /// Workers that one question names at most.
 const QUESTION_WORKERS: usize = 100;
@@ -31,9 +46,13 @@
 /// that an outage of the store does not end what runs.
 const RENEWAL_WITHOUT_STORE: Duration = Duration::from_secs(10);
 
-/// Position in the queue; lower is first: priority, then the time in ms since
-/// 1970 by which the job should be done.
-pub(super) type QueueRank = (u32, u64);
+/// Position in the queue; lower is first: whether the job is too late to be of
+/// use, its priority, whether it is late, and the time in ms since 1970 by which
+/// it should be done.
+pub(super) type QueueRank = (bool, u32, bool, u64);
+
+/// After this many times its latency objective a job is of no use.
+const USELESS_AFTER: u64 = 3;
 
 /// Settings of [`PipelineState`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,74 +63,150 @@
     pub hold_wait: Duration,
 }
 
+/// A step that lacks tickets.
+struct StepQuestion<'a> {
+    key: StepKey,
+    shape: &'a StepSpec,
+    policy: AdvicePolicy,
+    queue: &'a str,
+    /// Tasks that wait.
+    count: usize,
+}
+
+/// What one pass over the waiting steps has used so far.
+#[derive(Debug)]
+struct PlacementPass {
+    kept: BTreeMap<WorkerId, KeptRoom>,
+    /// Steps that may still be passed without placing all of their tasks.
+    patience: u32,
+    /// Steps with slow questions that may ask although there is no room.
+    early_questions: u32,
+}
+
 impl PipelineState {
     /// Places tasks whose turn has come, and asks for tickets that are missing.
     ///
     /// It is called once after a series of events.
     pub fn schedule(&mut self, now: Duration) -> Vec<PipelineAction> {
         if now < self.confirmed_until {
+            let mut pass = PlacementPass {
+                kept: BTreeMap::new(),
+                patience: PASSED_STEPS,
+                early_questions: EARLY_QUESTIONS,
+            };
             let ready: Vec<StepKey> = self.ready.iter().map(|(_, key)| *key).collect();
             for key in ready {
-                self.place_step(key, now);
+                if pass.patience == 0 {
+                    break;
+                }
+                self.place_step(key, &mut pass, now);
             }
         }
         std::mem::take(&mut self.actions)
     }
 
-    fn place_step(&mut self, key: StepKey, now: Duration) {
-        let Some(shape) = self.step_spec(key).cloned() else {
-            return;
-        };
+    fn place_step(&mut self, key: StepKey, pass: &mut PlacementPass, now: Duration) {
         let Some(record) = self.pipelines.get(&key.pipeline) else {
             return;
         };
-        let Some(progress) = record.progress.step(key) else {
+        let spec = Arc::clone(&record.spec);
+        let (Some(shape), Some(progress)) =
+            (spec.steps.get(key.step as usize), record.progress.step(key))
+        else {
             return;
         };
         let waiting: Vec<u32> = progress.waiting().collect();
-        let advice = record.spec.policy.advice;
-        let queue = record.spec.policy.queue.clone();
-        let candidates = self
-            .workers
-            .iter()
-            .filter_map(|(worker, row)| PlaceCandidate::new(worker, row, key, &shape, now));
-        let candidates: Vec<PlaceCandidate> = candidates.collect();
-        if candidates.is_empty() {
-            return;
-        }
+        let rows = self.workers.iter().filter_map(|(worker, record)| {
+            let mut row = PlaceCandidate::new(worker, record, key, shape, now)?;
+            if let Some(kept) = pass.kept.get(worker) {
+                row.leave(kept);
+            }
+            Some(row)
+        });
+        let candidates: Vec<PlaceCandidate> = rows.collect();
         let mut allowed = candidates.clone();
-        if advice.is_some() {
+        if spec.policy.advice.is_some() {
             let book = self.books.entry(key).or_default();
             allowed.retain(|row| book.ticket(&row.worker, now).is_some());
         }
         let chosen = if shape.gang {
-            choose_gang(&allowed, &shape, waiting.len()).unwrap_or_default()
+            choose_gang(&allowed, shape, waiting.len()).unwrap_or_default()
         } else {
-            choose_each(&mut allowed, &shape, waiting.len())
+            choose_each(&mut allowed, shape, waiting.len())
         };
-        let placed = chosen.len();
+        let left = waiting.len() - chosen.len();
         self.place_tasks(key, &waiting, chosen, now);
-        let (Some(policy), true) = (advice, placed < waiting.len()) else {
+        if left == 0 {
             return;
-        };
-        let count = waiting.len() - placed;
-        let learnt = self.allowed_percent.get(&queue).copied();
-        let percent = learnt.unwrap_or(ASSUMED_ALLOWED_PERCENT).max(10);
+        }
+        pass.patience -= 1;
+        if let Some(policy) = spec.policy.advice {
+            let question = StepQuestion {
+                key,
+                shape,
+                policy,
+                queue: &spec.policy.queue,
+                count: left,
+            };
+            self.ask_for_step(&question, &candidates, pass, now);
+        }
+    }
+
+    /// Asks for tickets if they are likely to be used, and keeps the room that
+    /// they are for.
+    fn ask_for_step(
+        &mut self,
+        question: &StepQuestion<'_>,
+        candidates: &[PlaceCandidate],
+        pass: &mut PlacementPass,
+        now: Duration,
+    ) {
+        let (key, shape, count) = (question.key, question.shape, question.count);
+        let learnt = self.allowed_percent.get(question.queue).copied();
+        let percent = learnt
+            .unwrap_or(ASSUMED_ALLOWED_PERCENT)
+            .max(LEAST_ALLOWED_PERCENT);
         let book = self.books.entry(key).or_default();
-        if !book.is_idle(now) || self.questions >= QUESTION_LIMIT {
+        let possible = candidates.iter().filter(|row| {
+            book.can_ask(&row.worker, now) || book.ticket(&row.worker, now).is_some()
+        });
+        let mut possible: Vec<PlaceCandidate> = possible.cloned().collect();
+        let fitting = if shape.gang {
+            choose_gang(&possible, shape, count).unwrap_or_default()
+        } else {
+            choose_each(&mut possible, shape, count)
+        };
+        let is_slow = question.policy.decision_ms >= SLOW_DECISION_MS;
+        if !is_slow {
+            // Others would take the room before the answer arrives.
+            for worker in &fitting {
+                pass.kept.entry(worker.clone()).or_default().add(shape);
+            }
+        }
+        let is_early = fitting.is_empty();
+        if is_early && (!is_slow || pass.early_questions == 0) {
             return;
         }
-        let mut workers = choose_questions(&candidates, book, &shape, count, percent, now);
+        pass.early_questions -= u32::from(is_early);
+        let (open, limit) = if is_slow {
+            (&mut self.slow_questions, self.slow_limit)
+        } else {
+            (&mut self.quick_questions, self.quick_limit)
+        };
+        if !book.is_idle(now) || *open >= limit {
+            return;
+        }
+        let mut workers = choose_questions(candidates, book, shape, count, percent, now);
         workers.truncate(QUESTION_WORKERS);
         if workers.is_empty() {
             return;
         }
+        *open += 1;
         book.note_asked(workers.clone());
-        self.questions += 1;
         self.actions.push(PipelineAction::Ask(AdviceOrder {
             step: key,
             workers,
-            policy,
+            policy: question.policy,
         }));
     }
 
@@ -203,7 +298,7 @@
         }
         if !is_final {
             for (occurrence, steps) in &record.progress.occurrences {
-                let rank = (spec.policy.priority, spec.objective_unix_ms(*occurrence));
+                let rank = queue_rank(&spec, *occurrence, self.wall_ms);
                 for (index, progress) in (0..).zip(steps) {
                     let shape = &spec.steps[index as usize];
                     let is_turn = shape.after.iter().all(|before| {
@@ -229,6 +324,19 @@
         }
     }
 
+    /// Moves jobs back that have become late.
+    pub(super) fn demote_late(&mut self) {
+        let wall_ms = self.wall_ms;
+        let ready = self.ready.iter().filter(|(rank, key)| {
+            let record = self.pipelines.get(&key.pipeline);
+            record.is_some_and(|record| queue_rank(&record.spec, key.occurrence, wall_ms) != *rank)
+        });
+        let stale: BTreeSet<PipelineId> = ready.map(|(_, key)| key.pipeline).collect();
+        for id in stale {
+            self.refresh(id);
+        }
+    }
+
     /// Sends the renewals that are due.
     pub(super) fn renew_leases(&mut self, now: Duration) {
         let may_renew = now < self.confirmed_until + RENEWAL_WITHOUT_STORE;
@@ -265,6 +373,21 @@
     }
 }
 
+/// Returns the position of an occurrence in the queue.
+///
+/// Load pattern: after an outage or a burst more jobs wait than can be in time.
+/// Those that can still be in time come first, as serving the oldest would make
+/// all of them late.
+fn queue_rank(spec: &PipelineSpec, occurrence: u32, wall_ms: u64) -> QueueRank {
+    let objective = spec.objective_unix_ms(occurrence);
+    let start = spec.start_unix_ms(occurrence);
+    let useless_at = start + (objective - start) * USELESS_AFTER;
+    let lasts = spec.steps.iter().any(|step| step.long_running);
+    let is_late = !lasts && wall_ms > objective;
+    let is_useless = !lasts && wall_ms > useless_at;
+    (is_useless, spec.policy.priority, is_late, objective)
+}
+
 /// Gives all members of a gang the same attempt and the same checkpoint.
 fn align_gang(step: &mut StepProgress) {
     let attempt = step.tasks.iter().map(|task| task.attempt).max();
--- a/crates/core/src/pipelines/spec.rs
+++ b/crates/core/src/pipelines/spec.rs
@@ -250,11 +250,16 @@
         reason = "run times are far below 2^52 ms"
     )]
     pub fn objective_unix_ms(&self, occurrence: u32) -> u64 {
-        let start = match &self.schedule {
+        let chain = (self.chain_ms() as f64 * self.policy.stretch) as u64;
+        self.start_unix_ms(occurrence) + chain + self.policy.target_latency_ms
+    }
+
+    /// Returns from when an occurrence may run, in ms since 1970.
+    #[must_use]
+    pub fn start_unix_ms(&self, occurrence: u32) -> u64 {
+        match &self.schedule {
             Some(schedule) => schedule.due_unix_ms(occurrence),
             None => self.accepted_unix_ms,
-        };
-        let chain = (self.chain_ms() as f64 * self.policy.stretch) as u64;
-        start + chain + self.policy.target_latency_ms
+        }
     }
 }
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -14,7 +14,7 @@
         WorkerListing,
     },
     progress::{PipelinePhase, PipelineProgress, TaskPlace},
-    schedule::{PipelineConfig, QueueRank},
+    schedule::{PipelineConfig, QueueRank, SLOW_DECISION_MS},
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     worker::{RunPhase, WorkerContact, WorkerRecord, WorkerRun},
 };
@@ -36,6 +36,10 @@
 /// former owner's lease in the store, and its renewals while the store is away.
 const FORMER_OWNER_TIME: Duration = Duration::from_secs(14);
 
+/// Questions that may be open for each daemon that asks. The service answers one
+/// call of a machine at a time; a second one is on its way.
+const QUESTIONS_EACH: usize = 2;
+
 /// A job and its progress.
 #[derive(Clone, Debug)]
 pub(super) struct PipelineRecord {
@@ -77,7 +81,11 @@
     pub(super) books: BTreeMap<StepKey, AdviceBook>,
     /// Allowed part of the workers that were asked about, by queue, in percent.
     pub(super) allowed_percent: BTreeMap<String, usize>,
-    pub(super) questions: usize,
+    /// Open questions whose decisions are quick or slow, and their limits.
+    pub(super) quick_questions: usize,
+    pub(super) slow_questions: usize,
+    pub(super) quick_limit: usize,
+    pub(super) slow_limit: usize,
     /// Serial of the latest change, and the pipelines that are not durable.
     pub(super) serial: u64,
     pub(super) dirty: BTreeMap<u64, PipelineId>,
@@ -102,7 +110,10 @@
             ready: BTreeSet::new(),
             books: BTreeMap::new(),
             allowed_percent: BTreeMap::new(),
-            questions: 0,
+            quick_questions: 0,
+            slow_questions: 0,
+            quick_limit: QUESTIONS_EACH,
+            slow_limit: QUESTIONS_EACH,
             serial: 0,
             dirty: BTreeMap::new(),
             dirty_serials: BTreeMap::new(),
@@ -136,13 +147,17 @@
                 }
             }
             PipelineEvent::Advised(step, report) => {
-                self.questions = self.questions.saturating_sub(1);
+                self.close_question(step);
                 let counts = match self.books.get_mut(&step) {
                     Some(book) => book.note_report(report, now),
                     None => None,
                 };
                 self.learn_allowed(step.pipeline, counts);
             }
+            PipelineEvent::Advisors(quick, slow) => {
+                self.quick_limit = QUESTIONS_EACH * quick;
+                self.slow_limit = QUESTIONS_EACH * slow;
+            }
             PipelineEvent::Confirmed(until) => {
                 self.confirmed_until = self.confirmed_until.max(until);
                 let starts = std::mem::take(&mut self.unsent_starts);
@@ -403,6 +418,7 @@
         for id in scheduled {
             self.refresh(id);
         }
+        self.demote_late();
         let lapsed = self.workers.iter().filter(|(_, record)| {
             !record.runs.is_empty()
                 && record.contact != WorkerContact::Claimed
@@ -479,6 +495,18 @@
         record.spec.steps.get(usize::try_from(key.step).ok()?)
     }
 
+    fn close_question(&mut self, step: StepKey) {
+        let record = self.pipelines.get(&step.pipeline);
+        let advice = record.and_then(|record| record.spec.policy.advice);
+        let is_slow = advice.is_some_and(|advice| advice.decision_ms >= SLOW_DECISION_MS);
+        let open = if is_slow {
+            &mut self.slow_questions
+        } else {
+            &mut self.quick_questions
+        };
+        *open = open.saturating_sub(1);
+    }
+
     fn learn_allowed(&mut self, id: PipelineId, counts: Option<(usize, usize)>) {
         let Some(record) = self.pipelines.get(&id) else {
             return;
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -25,7 +25,7 @@
 use crate::{
     board::{JobBoard, JobSummary},
     pipelines::{AcquireOutcome, AdvisorTable, CellKey, CommitVerdict, MemberEntry, OwnedShard},
-    pipelines::{OwnerEntry, decode_record},
+    pipelines::{OwnerEntry, decode_record, split_advisors},
     session::{FeedNews, SessionNews},
     telemetry::unix_ms,
 };
@@ -284,6 +284,8 @@
             };
             let epoch = handle.shard.epoch();
             let mut events = handle.expired_workers(now);
+            let (quick, slow) = split_advisors(self.members.len().max(1));
+            events.push(PipelineEvent::Advisors(quick, slow));
             events.push(PipelineEvent::Tick(wall_ms));
             for event in events {
                 self.feed_shard(&service, epoch, event);
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -308,9 +308,8 @@
         daemon: &str,
     ) {
         let own = daemon.to_owned();
-        let others = members.keys().filter(|member| **member != own);
-        let daemons = others.chain([&own]);
-        let Some((advisor, time_limit)) = advisors.choose(daemons, &order) else {
+        let daemons = members.keys().chain([&own]).collect();
+        let Some((advisor, time_limit)) = advisors.choose(&daemons, &order) else {
             return;
         };
         let peer = members.get(&advisor).filter(|_| advisor != own).cloned();
--- a/crates/daemon/src/ingress/jobs.rs
+++ b/crates/daemon/src/ingress/jobs.rs
@@ -258,7 +258,7 @@
         let started_at = Instant::now();
         let mut refusals = 0;
         let mut is_unknown = false;
-        while started_at.elapsed() < patience {
+        loop {
             match self.store.commit(transaction).await {
                 TransactionOutcome::Done(_) => return WriteOutcome::Done,
                 TransactionOutcome::Conflict(_) => return WriteOutcome::Exists,
@@ -271,8 +271,12 @@
                     tokio::time::sleep(REFUSED_DELAY).await;
                 }
             }
+            match started_at.elapsed() < patience {
+                true => {}
+                false if is_unknown => return WriteOutcome::Unknown,
+                false => return WriteOutcome::Refused,
+            }
         }
-        WriteOutcome::Unknown
     }
 }
 
--- a/crates/daemon/src/pipelines/advisors.rs
+++ b/crates/daemon/src/pipelines/advisors.rs
@@ -4,15 +4,30 @@
 //! up to half a second for it, so the calls of a busy owner are spread over all
 //! daemons.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use auburnsaddle_core::{AdviceOrder, AdviceReport, WorkerId};
+use auburnsaddle_core::{AdviceOrder, AdviceReport, SLOW_DECISION_MS, WorkerId};
 use auburnsaddle_platform::{AdviceClient, HttpEndpoint};
 use serde::{Deserialize, Serialize};
 
 /// Added to the expected time of an answer: network, and questions of other owners.
 const ANSWER_SLACK: Duration = Duration::from_millis(1_500);
 
+/// One of so many daemons asks for quick decisions only.
+const QUICK_SHARE: usize = 4;
+
+/// Returns how many of the daemons ask for quick and for slow decisions.
+pub(crate) const fn split_advisors(daemons: usize) -> (usize, usize) {
+    if daemons < 2 {
+        return (daemons, daemons);
+    }
+    let quick = daemons.div_ceil(QUICK_SHARE);
+    (quick, daemons - quick)
+}
+
 /// A question that another daemon asks for an owner.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
@@ -43,18 +58,30 @@
 }
 
 impl AdvisorTable {
-    /// Chooses the daemon with the least expected work.
-    pub(crate) fn choose<'a>(
+    /// Chooses the daemon with the least expected work. Quick decisions have
+    /// daemons of their own, as they would wait behind slow ones.
+    pub(crate) fn choose(
         &mut self,
-        daemons: impl Iterator<Item = &'a String>,
+        daemons: &BTreeSet<&String>,
         order: &AdviceOrder,
     ) -> Option<(String, Duration)> {
+        let is_quick = order.policy.decision_ms < SLOW_DECISION_MS;
         let backlog = |daemon: &String| self.backlog_ms.get(daemon).copied().unwrap_or(0);
-        let daemon = daemons.min_by_key(|daemon| backlog(daemon))?;
+        let count = daemons.len();
+        // Owners of other services count their own questions only, so they start
+        // at different daemons.
+        let offset = usize::try_from(order.step.pipeline % 1_024).unwrap_or(0);
+        let ranked = daemons
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| count < 2 || is_quick == (index % QUICK_SHARE == 0));
+        let daemon = ranked
+            .min_by_key(|(index, daemon)| (backlog(daemon), (index + offset) % count))
+            .map(|(_, daemon)| (*daemon).clone())?;
         let cost = expected_ms(order);
-        let time_limit = Duration::from_millis(backlog(daemon) + cost) + ANSWER_SLACK;
+        let time_limit = Duration::from_millis(backlog(&daemon) + cost) + ANSWER_SLACK;
         *self.backlog_ms.entry(daemon.clone()).or_default() += cost;
-        Some((daemon.clone(), time_limit))
+        Some((daemon, time_limit))
     }
 
     /// Notes that a question is no longer open.
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -27,6 +27,7 @@
 mod tests;
 
 pub(crate) use acquire::{AcquireOutcome, LoadedShard, acquire_shard};
+pub(crate) use advisors::split_advisors;
 pub(crate) use advisors::{AdvisorTable, PeerAnswer, PeerQuestion, ask_advice, expected_ms};
 pub(crate) use orders::WorkerOrders;
 pub(crate) use records::{CellKey, PUBLIC_PREFIX, decode_record, encode_record};
