Count a failure once, and shorten the wait for workers lost after a takeover

Ruled out: two failed runs; the worker listed one end in both epochs.

Conclusion: progress names the failed attempt, and a claim replaces the wait for the former owner by the longest lease it may have given.

--- a/crates/core/src/pipelines/ends.rs
+++ b/crates/core/src/pipelines/ends.rs
@@ -63,6 +63,12 @@
                 }));
         }
         record.contact = WorkerContact::Claimed;
+        if is_claim {
+            // The former owner cannot extend the lease any more, but may have
+            // given the longest one just before.
+            record.inherited_until = Duration::ZERO;
+            record.assume_grant(report.clock_ms, self.config.longest_lease);
+        }
         let processed = record.processed_end;
         let ended = report.ended.iter().filter(|end| end.number > processed);
         let ended: Vec<&EndedRun> = ended.collect();
@@ -266,7 +272,10 @@
                 }
             }
             Some(RunEnd::Failed) => {
-                task.failures += 1;
+                if run.attempt > task.failed_attempt {
+                    task.failed_attempt = run.attempt;
+                    task.failures += 1;
+                }
                 failures = task.failures;
             }
             _ => {}
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -28,6 +28,8 @@
 mod schedule;
 mod spec;
 mod state;
+#[cfg(test)]
+mod tests;
 mod worker;
 
 pub use commit::{CommitEntry, ProgressCommit};
--- a/crates/core/src/pipelines/progress.rs
+++ b/crates/core/src/pipelines/progress.rs
@@ -66,6 +66,8 @@
     pub attempt: Attempt,
     /// Runs that failed.
     pub failures: u32,
+    /// The latest attempt that failed; its end may be reported more than once.
+    pub failed_attempt: Attempt,
     /// Where it is.
     pub place: TaskPlace,
     /// The latest checkpoint; empty if there is none.
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -59,6 +59,8 @@
 pub struct PipelineConfig {
     /// Lease of a worker after each renewal.
     pub lease: Duration,
+    /// Longest lease that a worker accepts.
+    pub longest_lease: Duration,
     /// How long a worker may keep a renewal open until a run ends.
     pub hold_wait: Duration,
 }
--- /dev/null
+++ b/crates/core/src/pipelines/tests.rs
@@ -0,0 +1,7 @@
+//! Tests of the pipelines of one service, in virtual time.
+
+mod fixtures;
+mod leases;
+mod load;
+mod placement;
+mod recovery;
--- /dev/null
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -0,0 +1,259 @@
+//! An owner with workers, driven by hand.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use crate::{
+    AdvicePolicy, AdviceReport, EndedRun, HoldReport, ObservedRun, PipelineAction, PipelineConfig,
+    PipelineEvent, PipelineId, PipelinePhase, PipelineProgress, PipelineSpec, PipelineState,
+    QueuePolicy, ResourceVector, RunEnd, RunKey, StartOrder, StartResult, StepKey, StepSpec,
+    StopOrder, WorkerId, WorkerListing,
+};
+
+/// Wall clock of the fixtures at time zero, in ms since 1970.
+pub(super) const WALL_MS: u64 = 1_700_000_000_000;
+
+/// Start of the life of each worker, in ms since 1970.
+pub(super) const BORN_MS: u64 = 1_600_000_000_000;
+
+/// An owner and the actions that it has returned and that were not taken yet.
+pub(super) struct OwnerFixture {
+    pub(super) state: PipelineState,
+    pub(super) now: Duration,
+    pub(super) actions: Vec<PipelineAction>,
+    /// The progress that is durable.
+    pub(super) durable: BTreeMap<PipelineId, PipelineProgress>,
+    pub(super) phases: BTreeMap<PipelineId, PipelinePhase>,
+}
+
+/// Returns an owner whose workers have answered.
+pub(super) fn owner(workers: &[&str]) -> OwnerFixture {
+    let mut owner = unclaimed_owner(1, workers);
+    for worker in workers {
+        owner.report(worker, Vec::new(), Vec::new());
+    }
+    owner.actions.clear();
+    owner
+}
+
+/// Returns an owner whose workers are listed and have not answered.
+pub(super) fn unclaimed_owner(epoch: u64, workers: &[&str]) -> OwnerFixture {
+    let config = PipelineConfig {
+        lease: Duration::from_secs(5),
+        longest_lease: Duration::from_secs(6),
+        hold_wait: Duration::from_secs(1),
+    };
+    let now = Duration::from_secs(100);
+    let mut owner = OwnerFixture {
+        state: PipelineState::new(config, epoch, now),
+        now,
+        actions: Vec::new(),
+        durable: BTreeMap::new(),
+        phases: BTreeMap::new(),
+    };
+    owner.feed(PipelineEvent::Confirmed(now + Duration::from_hours(1)));
+    owner.feed(PipelineEvent::Tick(WALL_MS));
+    for worker in workers {
+        owner.feed(PipelineEvent::Listed(listing(worker)));
+    }
+    owner
+}
+
+/// Returns a worker of four cores.
+pub(super) fn listing(worker: &str) -> WorkerListing {
+    WorkerListing {
+        worker: worker.into(),
+        address: format!("{worker}:1"),
+        capacity: ResourceVector::new(4_000, 4_096, 4),
+        labels: vec!["a".to_owned()],
+        rack: Some("r1-1".into()),
+        is_draining: false,
+    }
+}
+
+/// Returns a step of tasks of one core.
+pub(super) fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        demand: ResourceVector::new(1_000, 100, 0),
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+/// Returns a job of a queue with two attempts.
+pub(super) fn job(steps: Vec<StepSpec>) -> PipelineSpec {
+    PipelineSpec {
+        command: "run".to_owned(),
+        steps,
+        schedule: None,
+        policy: QueuePolicy {
+            queue: "tokens".to_owned(),
+            service: "sales".into(),
+            priority: 1,
+            max_attempts: 2,
+            stretch: 2.0,
+            target_latency_ms: 500,
+            advice: None,
+        },
+        accepted_unix_ms: WALL_MS,
+    }
+}
+
+/// Returns the policy of an advice service.
+pub(super) fn advice(decision_ms: f64) -> AdvicePolicy {
+    AdvicePolicy {
+        decision_ms,
+        per_worker_ms: 1.0,
+        valid_ms: 2_000,
+    }
+}
+
+pub(super) fn done(number: u64, run: RunKey) -> EndedRun {
+    ended(number, run, RunEnd::Done)
+}
+
+pub(super) fn ended(number: u64, run: RunKey, end: RunEnd) -> EndedRun {
+    EndedRun {
+        number,
+        run,
+        end,
+        checkpoint: String::new(),
+    }
+}
+
+pub(super) fn present(run: RunKey) -> ObservedRun {
+    ObservedRun {
+        run,
+        checkpoint: String::new(),
+        percent: 50,
+        load: None,
+    }
+}
+
+impl OwnerFixture {
+    pub(super) fn feed(&mut self, event: PipelineEvent) {
+        let actions = self.state.handle(event, self.now);
+        self.actions.extend(actions);
+    }
+
+    /// Adds a job and places what fits.
+    pub(super) fn submit(&mut self, id: PipelineId, spec: PipelineSpec) {
+        self.feed(PipelineEvent::Stored(id, Arc::new(spec), None));
+        self.place();
+    }
+
+    pub(super) fn place(&mut self) {
+        let actions = self.state.schedule(self.now);
+        self.actions.extend(actions);
+    }
+
+    /// Makes all changes durable.
+    pub(super) fn commit(&mut self) {
+        while let Some(commit) = self.state.take_commit(10) {
+            for entry in &commit.entries {
+                self.phases.insert(entry.pipeline, entry.phase);
+                match &entry.progress {
+                    Some(progress) => self.durable.insert(entry.pipeline, progress.clone()),
+                    None => self.durable.remove(&entry.pipeline),
+                };
+            }
+            let actions = self.state.commit_done(commit, self.now);
+            self.actions.extend(actions);
+        }
+    }
+
+    /// Places, commits and reports all new starts as carried out.
+    pub(super) fn start_all(&mut self) -> Vec<StartOrder> {
+        self.place();
+        self.commit();
+        let starts = self.take_starts();
+        for start in &starts {
+            let worker = start.worker.clone();
+            let result = StartResult::Started;
+            self.feed(PipelineEvent::StartAnswered(worker, start.run, result));
+        }
+        starts
+    }
+
+    pub(super) fn report(&mut self, worker: &str, running: Vec<ObservedRun>, ended: Vec<EndedRun>) {
+        self.report_of_life(worker, BORN_MS, running, ended);
+    }
+
+    pub(super) fn report_of_life(
+        &mut self,
+        worker: &str,
+        born_unix_ms: u64,
+        running: Vec<ObservedRun>,
+        ended: Vec<EndedRun>,
+    ) {
+        let report = HoldReport {
+            born_unix_ms,
+            clock_ms: u64::try_from(self.now.as_millis()).unwrap(),
+            running,
+            ended,
+        };
+        let event = PipelineEvent::Held(worker.into(), self.now, report);
+        self.feed(event);
+    }
+
+    pub(super) fn advise(&mut self, step: StepKey, workers: &[&str]) {
+        let tickets = workers
+            .iter()
+            .map(|worker| (WorkerId::from(*worker), "t".to_owned()));
+        let report = AdviceReport {
+            tickets: tickets.collect(),
+            valid: Duration::from_secs(2),
+        };
+        self.feed(PipelineEvent::Advised(step, Some(report)));
+    }
+
+    /// Moves time on, with the ticks of the way.
+    pub(super) fn wait(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = end.min(self.now + Duration::from_millis(50));
+            let since_start = self.now.checked_sub(Duration::from_secs(100)).unwrap();
+            let wall_ms = WALL_MS + u64::try_from(since_start.as_millis()).unwrap();
+            self.feed(PipelineEvent::Tick(wall_ms));
+        }
+    }
+
+    pub(super) fn take_starts(&mut self) -> Vec<StartOrder> {
+        let (starts, rest) = std::mem::take(&mut self.actions)
+            .into_iter()
+            .partition(|action| matches!(action, PipelineAction::Start(_)));
+        self.actions = rest;
+        let starts: Vec<PipelineAction> = starts;
+        let starts = starts.into_iter().filter_map(|action| match action {
+            PipelineAction::Start(order) => Some(order),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    pub(super) fn stops(&self) -> Vec<&StopOrder> {
+        let stops = self.actions.iter().filter_map(|action| match action {
+            PipelineAction::Stop(order) => Some(order),
+            _ => None,
+        });
+        stops.collect()
+    }
+
+    /// Returns the `last_seen` of the latest renewal of a worker.
+    pub(super) fn last_seen(&self, worker: &str) -> Option<u64> {
+        let holds = self.actions.iter().filter_map(|action| match action {
+            PipelineAction::Hold(order) if *order.worker == *worker => Some(order.last_seen),
+            _ => None,
+        });
+        holds.last()
+    }
+
+    /// Returns the steps that were asked about, and how many workers each named.
+    pub(super) fn questions(&self) -> Vec<(StepKey, usize)> {
+        let asks = self.actions.iter().filter_map(|action| match action {
+            PipelineAction::Ask(order) => Some((order.step, order.workers.len())),
+            _ => None,
+        });
+        asks.collect()
+    }
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -214,6 +214,13 @@
         Some(clock + elapsed)
     }
 
+    /// Notes that the worker may have been told a lease of this length at a
+    /// reading of its clock.
+    pub(super) fn assume_grant(&mut self, clock_ms: u64, term: Duration) {
+        let term = u64::try_from(term.as_millis()).unwrap_or(u64::MAX);
+        self.granted_ms = self.granted_ms.max(clock_ms.saturating_add(term));
+    }
+
     /// Extends the lease that the worker is told.
     pub(super) fn grant(&mut self, term: Duration, now: Duration) -> Option<u64> {
         let term = u64::try_from(term.as_millis()).ok()?;
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -260,6 +260,7 @@
         daemon: settings.daemon.clone(),
         config: PipelineConfig {
             lease: WORKER_LEASE.min(settings.longest_hold),
+            longest_lease: settings.longest_hold,
             hold_wait: HOLD_WAIT,
         },
         status_term: settings.status_term,
