--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -241,11 +241,11 @@
 
     /// Returns the `last_seen` of the latest renewal of a worker.
     pub(super) fn last_seen(&self, worker: &str) -> Option<u64> {
-        let holds = self.actions.iter().filter_map(|action| match action {
+        let mut actions = self.actions.iter().rev();
+        actions.find_map(|action| match action {
             PipelineAction::Hold(order) if *order.worker == *worker => Some(order.last_seen),
             _ => None,
-        });
-        holds.last()
+        })
     }
 
     /// Returns the steps that were asked about, and how many workers each named.
--- a/crates/core/src/pipelines/tests/placement.rs
+++ b/crates/core/src/pipelines/tests/placement.rs
@@ -1,7 +1,9 @@
 //! Order of steps, gangs, capacity, tickets and cancellation.
 
-use super::fixtures::{advice, done, ended, job, owner, step};
-use crate::{PipelineEvent, PipelinePhase, RunEnd, StepKey, StepSpec};
+use std::time::Duration;
+
+use super::fixtures::{WALL_MS, advice, done, ended, job, owner, step};
+use crate::{PipelineEvent, PipelinePhase, PipelineSchedule, RunEnd, StepKey, StepSpec};
 
 /// Guards against a start that a crash of the owner would forget.
 #[test]
@@ -221,17 +223,17 @@
 fn an_occurrence_waits_for_its_time() {
     let mut owner = owner(&["w1"]);
     let mut spec = job(vec![step(1)]);
-    spec.schedule = Some(crate::PipelineSchedule {
-        first_unix_ms: super::fixtures::WALL_MS + 1_000,
+    spec.schedule = Some(PipelineSchedule {
+        first_unix_ms: WALL_MS + 1_000,
         interval_ms: 2_000,
         occurrences: 2,
     });
     owner.submit(1, spec);
 
     let at_once = owner.start_all().len();
-    owner.wait(std::time::Duration::from_millis(1_100));
+    owner.wait(Duration::from_millis(1_100));
     let first = owner.start_all();
-    owner.wait(std::time::Duration::from_millis(2_000));
+    owner.wait(Duration::from_secs(2));
     let second = owner.start_all();
 
     assert_eq!((at_once, first.len(), second.len()), (0, 1, 1));
