Reach the store through another daemon when it serves only others

Conclusion: the direct way is left when a call fails on it and succeeds through a peer; a peer never relays further. The outcome of a call that was unanswered on the direct way stays unknown if the relayed one is refused.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -482,6 +482,19 @@
         }
         log::info!(daemon = daemon.as_str(), address; "a daemon is up");
         self.members.insert(daemon, HttpEndpoint::new(address));
+        self.publish_peers();
+    }
+
+    /// Tells the way to the store which daemons can carry calls. Those that have
+    /// left the list stay until others come, as this daemon may be the one that
+    /// is cut off.
+    fn publish_peers(&self) {
+        let others = self.members.iter();
+        let others = others.filter(|(daemon, _)| **daemon != self.settings.daemon);
+        let peers: Vec<HttpEndpoint> = others.map(|(_, peer)| peer.clone()).collect();
+        if !peers.is_empty() {
+            self.effects.route.set_peers(peers);
+        }
     }
 
     fn note_owner(&mut self, service: ServiceId, daemon: Option<String>, revision: u64) {
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -6,7 +6,7 @@
     AdviceOrder, PipelineAction, PipelineEvent, ServiceId, WorkerId, WorkerListing,
 };
 use auburnsaddle_platform::{
-    AdviceClient, HttpEndpoint, ItemChange, KeyLease, StoreClient, StoreItem, WORKER_PREFIX,
+    AdviceClient, HttpEndpoint, ItemChange, KeyLease, StoreItem, WORKER_PREFIX,
     decode_registration, worker_of_key,
 };
 use tokio::{runtime::Handle, sync::mpsc, task::JoinHandle};
@@ -21,7 +21,7 @@
         AdvisorTable, CellKey, LoadedShard, OwnedShard, StoredJob, WorkerOrders, acquire_shard,
         ask_advice, decode_record, expected_ms,
     },
-    session::{FeedNews, RetryDelay, follow_prefix},
+    session::{CellStore, FeedNews, RetryDelay, StoreRoute, follow_prefix},
     telemetry::BootClock,
 };
 
@@ -55,7 +55,8 @@
     pub(super) runtime: Handle,
     pub(super) events: mpsc::Sender<CellEvent>,
     pub(super) clock: BootClock,
-    pub(super) store: StoreClient,
+    pub(super) store: CellStore,
+    pub(super) route: StoreRoute,
     pub(super) advice: Option<AdviceClient>,
     pub(super) metrics: CellMetrics,
 }
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -15,8 +15,7 @@
 use arc_swap::ArcSwapOption;
 use auburnsaddle_core::PipelineConfig;
 use auburnsaddle_platform::{
-    AdviceClient, MANIFEST_KEY, Manifest, PlatformSettings, SettingsFileError, StoreClient,
-    StoreItem,
+    AdviceClient, MANIFEST_KEY, Manifest, PlatformSettings, SettingsFileError, StoreItem,
 };
 use hyper_util::server::graceful::GracefulShutdown;
 use log::LevelFilter;
@@ -39,7 +38,7 @@
 use crate::{
     ingress::{JobService, PeerService, ReadyService, serve_http},
     pipelines::{MemberEntry, PUBLIC_PREFIX, encode_record},
-    session::{RetryDelay, follow_prefix, keep_session},
+    session::{CellStore, RetryDelay, StoreRoute, follow_prefix, keep_session},
     telemetry::{BootClock, init_output_logger},
 };
 
@@ -132,7 +131,8 @@
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
     let control = CellHandle::new(sender.clone());
     let clock = BootClock::start();
-    let store = StoreClient::new(&settings.store);
+    let route = StoreRoute::new(&settings.store);
+    let store = CellStore::new(route.clone());
     let advice = settings.advice.as_deref().map(AdviceClient::new);
     let metrics = CellMetrics::new(store.counters());
     let ready = Arc::new(AtomicBool::new(false));
@@ -143,6 +143,7 @@
         events: sender.clone(),
         clock,
         store: store.clone(),
+        route: route.clone(),
         advice: advice.clone(),
         metrics: metrics.clone(),
     };
@@ -164,11 +165,12 @@
     tokio::spawn(follow_settings(
         path,
         settings.clone(),
-        store.clone(),
+        route.clone(),
         advice.clone(),
     ));
     let peer_service = PeerService {
         advice,
+        route,
         control: control.clone(),
         metrics: metrics.clone(),
     };
@@ -214,7 +216,7 @@
 
 /// Follows the owners, members and summaries, and the manifest.
 fn follow_store(
-    store: &StoreClient,
+    store: &CellStore,
     manifest: &Arc<ArcSwapOption<Manifest>>,
     events: mpsc::Sender<CellEvent>,
 ) {
@@ -281,7 +283,7 @@
 ///
 /// The key is read, not watched: a watch may be silent while changes are made.
 async fn follow_manifest(
-    store: StoreClient,
+    store: CellStore,
     manifest: Arc<ArcSwapOption<Manifest>>,
     events: mpsc::Sender<CellEvent>,
 ) {
@@ -341,7 +343,7 @@
 async fn follow_settings(
     path: PathBuf,
     mut known: PlatformSettings,
-    store: StoreClient,
+    route: StoreRoute,
     advice: Option<AdviceClient>,
 ) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
@@ -368,7 +370,7 @@
         if is_signal || next != known {
             log::info!(is_changed = next != known, is_signal; "settings reloaded");
         }
-        store.set_address(&next.store);
+        route.set_address(&next.store);
         if let (Some(client), Some(address)) = (&advice, &next.advice) {
             client.set_address(address);
         }
--- a/crates/daemon/src/ingress/jobs.rs
+++ b/crates/daemon/src/ingress/jobs.rs
@@ -11,8 +11,8 @@
 use arc_swap::ArcSwapOption;
 use auburnsaddle_core::{PipelineId, PipelinePhase};
 use auburnsaddle_platform::{
-    Manifest, QueueRoute, StoreClient, StoreTransaction, TransactionOutcome, decode_job,
-    encode_pending, encode_phase, parse_job_id,
+    Manifest, QueueRoute, StoreTransaction, TransactionOutcome, decode_job, encode_pending,
+    encode_phase, parse_job_id,
 };
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -23,6 +23,7 @@
     board::JobSummary,
     cell::{CellHandle, CellMetrics},
     pipelines::{CellKey, decode_record, encode_record},
+    session::CellStore,
     telemetry::unix_ms,
 };
 
@@ -51,7 +52,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct JobService {
     pub(crate) manifest: Arc<ArcSwapOption<Manifest>>,
-    pub(crate) store: StoreClient,
+    pub(crate) store: CellStore,
     pub(crate) control: CellHandle,
     pub(crate) draining: Arc<AtomicBool>,
     pub(crate) metrics: CellMetrics,
--- a/crates/daemon/src/ingress/peers.rs
+++ b/crates/daemon/src/ingress/peers.rs
@@ -17,11 +17,15 @@
 use crate::{
     cell::{CellHandle, CellMetrics},
     pipelines::{PeerAnswer, PeerQuestion},
+    session::{RelayedCall, StoreRoute},
 };
 
 /// Largest question: an identifier and a hundred workers.
 const QUESTION_LIMIT: usize = 64 << 10;
 
+/// Largest call to the store: a few jobs in one transaction.
+const CALL_LIMIT: usize = 4 << 20;
+
 /// Answers the balancer.
 #[derive(Clone, Debug)]
 pub(crate) struct ReadyService {
@@ -32,6 +36,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PeerService {
     pub(crate) advice: Option<AdviceClient>,
+    pub(crate) route: StoreRoute,
     pub(crate) control: CellHandle,
     pub(crate) metrics: CellMetrics,
 }
@@ -50,6 +55,7 @@
     async fn answer(&self, request: Request<Incoming>) -> IngressResponse {
         match request.uri().path() {
             "/advice" => self.advise(request).await,
+            "/store" => self.relay(request).await,
             "/metrics" => json(StatusCode::OK, self.metrics.page().into_bytes()),
             "/dump" => json(StatusCode::OK, self.control.dump().await.into_bytes()),
             _ => empty(StatusCode::NOT_FOUND),
@@ -58,6 +64,26 @@
 }
 
 impl PeerService {
+    /// Makes a call to the store for a daemon that does not reach it.
+    async fn relay(&self, request: Request<Incoming>) -> IngressResponse {
+        let body = Limited::new(request.into_body(), CALL_LIMIT).collect();
+        let Ok(body) = body.await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let call: RelayedCall = match serde_json::from_slice(&body.to_bytes()) {
+            Ok(call) => call,
+            Err(error) => {
+                log::warn!("a peer's call cannot be decoded: {error}");
+                return empty(StatusCode::BAD_REQUEST);
+            }
+        };
+        let answer = self.route.carry(call).await;
+        match answer.map(|answer| serde_json::to_vec(&answer)) {
+            Some(Ok(body)) => json(StatusCode::OK, body),
+            Some(Err(_)) | None => empty(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
     async fn advise(&self, request: Request<Incoming>) -> IngressResponse {
         let body = Limited::new(request.into_body(), QUESTION_LIMIT).collect();
         let Ok(body) = body.await else {
--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -4,13 +4,14 @@
 
 use auburnsaddle_core::{Epoch, PipelineId, ServiceId, WorkerListing};
 use auburnsaddle_platform::{
-    KeyLease, StoreClient, StoreTransaction, TransactionOutcome, WORKER_PREFIX,
-    decode_registration, worker_of_key,
+    KeyLease, StoreTransaction, TransactionOutcome, WORKER_PREFIX, decode_registration,
+    worker_of_key,
 };
 
 use super::records::{
     CellKey, OwnerEntry, SequenceEntry, StoredJob, StoredProgress, decode_record, encode_record,
 };
+use crate::session::CellStore;
 
 /// Tries of a transaction whose outcome is not known.
 const TRANSACTION_TRIES: u32 = 3;
@@ -57,7 +58,7 @@
 /// `owner_revision` is the revision of the owner's key: 0 if there is none, or
 /// that of an entry which an earlier life of this daemon left behind.
 pub(crate) async fn acquire_shard(
-    store: &StoreClient,
+    store: &CellStore,
     service: ServiceId,
     daemon: &str,
     lease: KeyLease,
@@ -107,7 +108,7 @@
 
 /// Returns the revision of the takeover, or nothing if it did not happen.
 async fn commit_takeover(
-    store: &StoreClient,
+    store: &CellStore,
     transaction: &StoreTransaction,
     sequence_key: &str,
     next: SequenceEntry,
@@ -132,7 +133,7 @@
     None
 }
 
-async fn load_shard(store: &StoreClient, service: &ServiceId) -> Option<LoadedShard> {
+async fn load_shard(store: &CellStore, service: &ServiceId) -> Option<LoadedShard> {
     let jobs_prefix = CellKey::job_prefix(service);
     let progress_prefix = CellKey::progress_prefix(service);
     let (jobs, progress, workers) = tokio::join!(
--- a/crates/daemon/src/session/feed.rs
+++ b/crates/daemon/src/session/feed.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use auburnsaddle_platform::{ItemChange, StoreClient, StoreItem, WatchOutcome};
+use auburnsaddle_platform::{ItemChange, StoreItem, WatchOutcome};
 use tokio::sync::mpsc;
 
-use super::retry::RetryDelay;
+use super::{retry::RetryDelay, route::CellStore};
 use crate::cell::CellEvent;
 
 /// How long a watch waits for a change. A connection may go silent without a
@@ -25,7 +25,7 @@
 /// reading of all items ended. After each change it pauses for `pace`, so that
 /// the next call brings several.
 pub(crate) async fn follow_prefix(
-    store: StoreClient,
+    store: CellStore,
     prefix: String,
     mut revision: Option<u64>,
     pace: Duration,
--- a/crates/daemon/src/session/lease.rs
+++ b/crates/daemon/src/session/lease.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use auburnsaddle_platform::{KeyLease, StoreClient, StoreTransaction, TransactionOutcome};
+use auburnsaddle_platform::{KeyLease, StoreTransaction, TransactionOutcome};
 use tokio::sync::{mpsc, watch};
 
-use super::retry::RetryDelay;
+use super::{retry::RetryDelay, route::CellStore};
 use crate::{cell::CellEvent, pipelines::CellKey, telemetry::BootClock};
 
 /// Term of the lease; a daemon that is gone loses its services after this time.
@@ -30,7 +30,7 @@
 
 /// Keeps a lease until `stop` turns true, and then ends it.
 pub(crate) async fn keep_session(
-    store: StoreClient,
+    store: CellStore,
     daemon: String,
     member: Vec<u8>,
     shortest_term: Duration,
@@ -81,7 +81,7 @@
 }
 
 async fn renew_until_lost(
-    store: &StoreClient,
+    store: &CellStore,
     lease: KeyLease,
     clock: BootClock,
     events: &mpsc::Sender<CellEvent>,
--- /dev/null
+++ b/crates/daemon/src/session/route.rs
@@ -0,0 +1,246 @@
+//! The way to the store: direct, or through another daemon.
+//!
+//! Load pattern: the store is cut off from some daemons, or turns them away, and
+//! serves the others. Their callers would be rejected, and an owner among them
+//! would lose its services.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use auburnsaddle_platform::{
+    CallError, HttpEndpoint, StoreClient, StoreRequest, StoreTransport, WholeAnswer,
+};
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+/// Time limit of a direct call, if others can carry it: above a slow spell of the
+/// store of some hundred ms.
+const DIRECT_LIMIT: Duration = Duration::from_millis(600);
+
+/// Added to a time limit for the way to the other daemon.
+const RELAY_SLACK: Duration = Duration::from_millis(150);
+
+/// Daemons that are tried for one call.
+const RELAY_TRIES: usize = 2;
+
+/// Time between tries of the direct way while it is not used.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A client of the store that knows both ways.
+pub(crate) type CellStore = StoreClient<StoreRoute>;
+
+/// A call that another daemon makes.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct RelayedCall {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) body: Option<String>,
+    pub(crate) time_limit_ms: u64,
+}
+
+/// The store's answer to a [`RelayedCall`].
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct RelayedAnswer {
+    pub(crate) status: u16,
+    pub(crate) body: String,
+}
+
+/// Both ways to the store.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreRoute {
+    state: Arc<RouteState>,
+}
+
+#[derive(Debug)]
+struct RouteState {
+    direct: HttpEndpoint,
+    peers: ArcSwap<Vec<HttpEndpoint>>,
+    /// Whether the store serves others and not this daemon.
+    is_cut: AtomicBool,
+    cut: Notify,
+    next_peer: AtomicUsize,
+}
+
+impl StoreRoute {
+    pub(crate) fn new(address: &str) -> Self {
+        Self {
+            state: Arc::new(RouteState {
+                direct: HttpEndpoint::new(address),
+                peers: ArcSwap::default(),
+                is_cut: AtomicBool::new(false),
+                cut: Notify::new(),
+                next_peer: AtomicUsize::new(0),
+            }),
+        }
+    }
+
+    /// Uses another address of the store from the next call on.
+    pub(crate) fn set_address(&self, address: &str) {
+        self.state.direct.set_address(address);
+    }
+
+    /// Sets the daemons that can carry calls.
+    pub(crate) fn set_peers(&self, peers: Vec<HttpEndpoint>) {
+        self.state.peers.store(Arc::new(peers));
+    }
+
+    /// Carries a call of another daemon, on the direct way only.
+    pub(crate) async fn carry(&self, call: RelayedCall) -> Option<RelayedAnswer> {
+        if self.is_cut() {
+            return None;
+        }
+        let request = StoreRequest {
+            method: Method::from_bytes(call.method.as_bytes()).ok()?,
+            path: call.path,
+            body: call.body.map(String::into_bytes),
+            time_limit: Duration::from_millis(call.time_limit_ms),
+            is_watch: false,
+        };
+        // The calling daemon logs the failure.
+        let answer = self.state.direct.exchange(request).await.ok()?;
+        Some(RelayedAnswer {
+            status: answer.status.as_u16(),
+            body: String::from_utf8_lossy(&answer.body).into_owned(),
+        })
+    }
+
+    fn is_cut(&self) -> bool {
+        self.state.is_cut.load(Ordering::Relaxed)
+    }
+
+    /// Makes the call through other daemons; `None` if none of them could.
+    async fn relay(&self, request: &StoreRequest) -> Option<WholeAnswer> {
+        let peers = self.state.peers.load_full();
+        let call = RelayedCall {
+            method: request.method.to_string(),
+            path: request.path.clone(),
+            body: match &request.body {
+                Some(body) => Some(String::from_utf8(body.clone()).ok()?),
+                None => None,
+            },
+            time_limit_ms: u64::try_from(request.time_limit.as_millis()).ok()?,
+        };
+        let body = serde_json::to_vec(&call).ok()?;
+        for _ in 0..RELAY_TRIES.min(peers.len()) {
+            let index = self.state.next_peer.load(Ordering::Relaxed) % peers.len();
+            let limit = request.time_limit + RELAY_SLACK;
+            let answer = peers[index].post_json("/store", body.clone(), limit).await;
+            match answer {
+                Ok(Some(body)) => {
+                    let answer: RelayedAnswer = serde_json::from_slice(&body).ok()?;
+                    return Some(WholeAnswer {
+                        status: StatusCode::from_u16(answer.status).ok()?,
+                        body: answer.body.into(),
+                    });
+                }
+                // This one does not reach the store either; the next call tries another.
+                Ok(None) | Err(_) => {
+                    self.state.next_peer.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        }
+        None
+    }
+
+    /// Uses the other way from now on, until a try of the direct way succeeds.
+    fn leave_direct_way(&self) {
+        if self.state.is_cut.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        log::warn!(
+            store = self.state.direct.address().as_str();
+            "the store serves other daemons but not this one; calls go through them"
+        );
+        self.state.cut.notify_waiters();
+        let route = self.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(PROBE_INTERVAL).await;
+                let probe = StoreRequest {
+                    method: Method::GET,
+                    path: format!("/kv-key?key={}", auburnsaddle_platform::MANIFEST_KEY),
+                    body: None,
+                    time_limit: DIRECT_LIMIT,
+                    is_watch: false,
+                };
+                let answer = route.state.direct.exchange(probe).await;
+                if answer.is_ok_and(|answer| !is_refusal(answer.status)) {
+                    route.state.is_cut.store(false, Ordering::Relaxed);
+                    log::info!("the store serves this daemon again");
+                    return;
+                }
+            }
+        });
+    }
+
+    async fn exchange_direct(&self, request: &StoreRequest) -> Result<WholeAnswer, CallError> {
+        let has_peers = !self.state.peers.load().is_empty();
+        let mut direct = request.clone();
+        if has_peers && !request.is_watch {
+            direct.time_limit = direct.time_limit.min(DIRECT_LIMIT);
+        }
+        let cut = self.state.cut.notified();
+        tokio::select! {
+            answer = self.state.direct.exchange(direct) => answer,
+            // A watch that waits on a way that is cut would hear nothing.
+            () = cut, if request.is_watch => Err(CallError::Unanswered {
+                address: self.address(),
+            }),
+        }
+    }
+}
+
+impl StoreTransport for StoreRoute {
+    async fn exchange(&self, request: StoreRequest) -> Result<WholeAnswer, CallError> {
+        let direct = if self.is_cut() {
+            None
+        } else {
+            match self.exchange_direct(&request).await {
+                Ok(answer) if !is_refusal(answer.status) => return Ok(answer),
+                outcome => Some(outcome),
+            }
+        };
+        let Some(answer) = self.relay(&request).await else {
+            return direct.unwrap_or_else(|| {
+                Err(CallError::Unanswered {
+                    address: self.address(),
+                })
+            });
+        };
+        let is_open = matches!(direct, Some(Err(CallError::Unanswered { .. })));
+        if is_refusal(answer.status) {
+            // The direct call may have been carried out although this one was not.
+            return if is_open {
+                Err(CallError::Unanswered {
+                    address: self.address(),
+                })
+            } else {
+                Ok(answer)
+            };
+        }
+        if direct.is_some() && !request.is_watch {
+            self.leave_direct_way();
+        }
+        Ok(answer)
+    }
+
+    fn address(&self) -> String {
+        self.state.direct.address().to_string()
+    }
+}
+
+const fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
