--- a/crates/daemon/src/cell/mod.rs
+++ b/crates/daemon/src/cell/mod.rs
@@ -7,6 +7,7 @@
 daemons; the traffic thread carries HTTP and the store.
 */
 
+mod command;
 mod control;
 mod effects;
 mod messages;
@@ -14,6 +15,7 @@
 mod notes;
 mod process;
 
+pub use command::CellCommand;
 pub(crate) use messages::{CellEvent, CellHandle};
 pub(crate) use metrics::CellMetrics;
-pub use process::{CellError, run_cell};
+pub use process::CellError;
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr},
-    path::{Path, PathBuf},
+    path::PathBuf,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -72,8 +72,15 @@
 /// A daemon that could not start.
 #[derive(Debug)]
 #[derive(Snafu)]
+#[snafu(visibility(pub(super)))]
 #[non_exhaustive]
 pub enum CellError {
+    /// A flag has a wrong value.
+    #[snafu(display("{source}; see the page on operations"))]
+    Flag {
+        /// The cause.
+        source: pico_args::Error,
+    },
     /// The settings file cannot be used.
     #[snafu(display("{source}"))]
     Settings {
@@ -96,13 +103,20 @@
     },
 }
 
-/// Runs the daemon with a settings file of the platform until it is stopped.
-///
-/// # Errors
-///
-/// Returns an error if the settings are wrong or an address is in use.
-pub fn run_cell(path: &Path, metrics_port: Option<u16>) -> Result<(), CellError> {
-    let settings = PlatformSettings::from_file(path).context(SettingsSnafu)?;
+impl CellError {
+    /// Tells whether the settings or flags have to be corrected.
+    #[must_use]
+    pub const fn is_of_settings(&self) -> bool {
+        matches!(self, Self::Flag { .. } | Self::Settings { .. })
+    }
+}
+
+/// Runs the daemon until it is stopped.
+pub(super) fn run_cell(
+    settings: PlatformSettings,
+    path: PathBuf,
+    metrics_port: Option<u16>,
+) -> Result<(), CellError> {
     init_output_logger(&settings.daemon, LevelFilter::Info);
     log::info!(
         zone = settings.zone.as_str(), callers:% = settings.callers,
@@ -113,7 +127,7 @@
         .enable_all()
         .build()
         .context(StartSnafu)?;
-    runtime.block_on(serve_cell(settings, path.to_owned(), metrics_port))?;
+    runtime.block_on(serve_cell(settings, path, metrics_port))?;
     log::info!("stopped");
     log::logger().flush();
     Ok(())
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -7,3 +7,5 @@
 pub(crate) use jobs::JobService;
 pub(crate) use peers::{PeerService, ReadyService};
 pub(crate) use serve::serve_http;
+#[cfg(test)]
+pub(crate) use serve::{HttpService, IngressResponse};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -68,6 +68,6 @@
 mod telemetry;
 mod workers;
 
-pub use cell::{CellError, run_cell};
+pub use cell::{CellCommand, CellError};
 pub use control::{DaemonError, run};
 pub use settings::{CallerLimits, DaemonCommand, DaemonSettings, SettingsError};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,30 +1,17 @@
 //! The auburnsaddle daemon.
 
-use std::{env, path::Path, process::ExitCode};
+use std::process::ExitCode;
 
-use auburnsaddle_daemon::{CellError, DaemonCommand, run, run_cell};
+use auburnsaddle_daemon::{CellCommand, CellError, DaemonCommand, run};
 
 /// Exit code for settings that cannot be used.
 const EXIT_SETTINGS: u8 = 2;
 
-/// Names the settings file of the users' platform. With it the daemon runs there.
-const PLATFORM_SETTINGS: &str = "AUBURNSADDLE_SETTINGS";
-
-/// Port of the metrics page on the users' platform.
-const METRICS_PORT: u16 = 9_464;
-
 fn main() -> ExitCode {
-    if let Some(path) = env::var_os(PLATFORM_SETTINGS) {
-        return match run_cell(Path::new(&path), Some(METRICS_PORT)) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                eprintln!("auburnsaddled: {error}");
-                match error {
-                    CellError::Settings { .. } => ExitCode::from(EXIT_SETTINGS),
-                    _ => ExitCode::FAILURE,
-                }
-            }
-        };
+    match CellCommand::from_environment() {
+        Ok(None) => {}
+        Ok(Some(command)) => return finish(command.run()),
+        Err(error) => return finish(Err(error)),
     }
     let settings = match DaemonCommand::from_environment() {
         Ok(DaemonCommand::Run(settings)) => settings,
@@ -49,3 +36,18 @@
         }
     }
 }
+
+/// Reports the end of the daemon on the users' platform.
+fn finish(outcome: Result<(), CellError>) -> ExitCode {
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("auburnsaddled: {error}");
+            if error.is_of_settings() {
+                ExitCode::from(EXIT_SETTINGS)
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
--- a/crates/daemon/src/session/tests.rs
+++ b/crates/daemon/src/session/tests.rs
@@ -1,6 +1,19 @@
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
-use super::RetryDelay;
+use auburnsaddle_platform::{HttpEndpoint, StoreTransaction, TransactionOutcome};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+
+use super::{CellStore, RelayedCall, RetryDelay, StoreRoute};
+use crate::ingress::{HttpService, IngressResponse, serve_http};
 
 /// Guards against retries every few milliseconds while a dependency is away.
 #[test]
@@ -25,3 +38,95 @@
 
     assert_eq!(shortest, Duration::from_millis(30));
 }
+
+/// Answers every call with one status, and counts the calls.
+#[derive(Clone, Debug)]
+struct FixedService {
+    status: StatusCode,
+    calls: Arc<AtomicUsize>,
+    carrier: Option<StoreRoute>,
+}
+
+impl HttpService for FixedService {
+    async fn answer(&self, request: Request<Incoming>) -> IngressResponse {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let body = request.into_body().collect().await.unwrap().to_bytes();
+        let mut answer = Response::new(Full::from("{\"revision\": 9}"));
+        *answer.status_mut() = self.status;
+        if let Some(carrier) = &self.carrier {
+            let call: RelayedCall = serde_json::from_slice(&body).unwrap();
+            return match carrier.carry(call).await {
+                Some(carried) => Response::new(Full::from(serde_json::to_vec(&carried).unwrap())),
+                None => answer,
+            };
+        }
+        answer
+    }
+}
+
+async fn start(status: StatusCode, carrier: Option<StoreRoute>) -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let service = FixedService {
+        status,
+        calls: Arc::default(),
+        carrier,
+    };
+    let calls = Arc::clone(&service.calls);
+    tokio::spawn(serve_http(listener, service, std::future::pending()));
+    (address, calls)
+}
+
+/// Guards against callers that are rejected, and owners that lose their services,
+/// while the store turns away this daemon only.
+#[tokio::test]
+async fn calls_go_through_a_peer_while_the_store_serves_others() {
+    let (store, _) = start(StatusCode::OK, None).await;
+    let (cut, cut_calls) = start(StatusCode::SERVICE_UNAVAILABLE, None).await;
+    let carrier = StoreRoute::new(&store);
+    let (peer, _) = start(StatusCode::SERVICE_UNAVAILABLE, Some(carrier)).await;
+    let route = StoreRoute::new(&cut);
+    route.set_peers(vec![HttpEndpoint::new(&peer)]);
+    let client = CellStore::new(route);
+
+    let first = client.commit(&StoreTransaction::default()).await;
+    let second = client.commit(&StoreTransaction::default()).await;
+
+    assert_eq!(first, TransactionOutcome::Done(9));
+    assert_eq!(second, TransactionOutcome::Done(9));
+    assert_eq!(cut_calls.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a rejection as not run of a write that the store may have made
+/// before the peer's call was refused.
+#[tokio::test]
+async fn an_unanswered_call_stays_unknown_if_the_relayed_one_is_refused() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (store, _) = start(StatusCode::SERVICE_UNAVAILABLE, None).await;
+    let (peer, _) = start(StatusCode::OK, Some(StoreRoute::new(&store))).await;
+    let route = StoreRoute::new(&silent.local_addr().unwrap().to_string());
+    route.set_peers(vec![HttpEndpoint::new(&peer)]);
+    let client = CellStore::new(route);
+
+    let outcome = client.commit(&StoreTransaction::default()).await;
+
+    assert_eq!(outcome, TransactionOutcome::Unknown);
+}
+
+/// Guards against calls that are relayed in a circle while the store is away for all.
+#[tokio::test]
+async fn a_peer_does_not_relay_further() {
+    let (store, calls) = start(StatusCode::SERVICE_UNAVAILABLE, None).await;
+    let carrier = StoreRoute::new(&store);
+    let (peer, peer_calls) = start(StatusCode::OK, Some(carrier.clone())).await;
+    carrier.set_peers(vec![HttpEndpoint::new(&peer)]);
+    let route = StoreRoute::new(&store);
+    route.set_peers(vec![HttpEndpoint::new(&peer)]);
+    let client = CellStore::new(route);
+
+    let outcome = client.commit(&StoreTransaction::default()).await;
+
+    assert_eq!(outcome, TransactionOutcome::Refused);
+    assert_eq!(peer_calls.load(Ordering::Relaxed), 1);
+    assert_eq!(calls.load(Ordering::Relaxed), 2);
+}
