Ignore late news of jobs that are over

Cause: after a compaction the feed of jobs reads all items. Ruled out: a second owner; both runs were started by one daemon in one epoch with the same attempt.

Test, seen to fail before: a_job_that_is_over_is_not_stored_again.

Conclusion: an owner remembers the jobs that are over for as long as their summaries.

--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -1,7 +1,7 @@
 //! The pipelines of one owned service and the chain of their commits.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -53,7 +53,10 @@
     /// Summaries in the store, so that one is written only when its phase changes.
     phases: BTreeMap<PipelineId, PipelinePhase>,
     stray_keys: Vec<String>,
-    /// Jobs that are over, and when their summaries are removed.
+    /// Jobs that are over and whose summaries are still in the store. News of them
+    /// may arrive late.
+    over: BTreeSet<PipelineId>,
+    /// The same jobs, and when their summaries are removed.
     expiring: VecDeque<(Duration, PipelineId)>,
     /// How long a summary is kept after the end of its job.
     status_term: Duration,
@@ -78,6 +81,7 @@
             open: None,
             phases: BTreeMap::new(),
             stray_keys: Vec::new(),
+            over: BTreeSet::new(),
             expiring: VecDeque::new(),
             status_term,
         };
@@ -106,6 +110,7 @@
     /// Takes an event.
     pub(crate) fn handle(&mut self, event: PipelineEvent, now: Duration) -> Vec<PipelineAction> {
         match &event {
+            PipelineEvent::Stored(id, ..) if self.over.contains(id) => return Vec::new(),
             // The job is over, and so the cancellation has no effect.
             PipelineEvent::Cancelled(id) if !self.state.contains(*id) => {
                 let key = CellKey::Cancellation(self.service.clone(), *id);
@@ -127,9 +132,10 @@
             .front()
             .is_some_and(|(expiry, _)| *expiry <= now)
         {
-            let expired = self.expiring.pop_front();
-            let keys = expired.map(|(_, id)| CellKey::Summary(id).path());
-            self.stray_keys.extend(keys);
+            if let Some((_, id)) = self.expiring.pop_front() {
+                self.over.remove(&id);
+                self.stray_keys.push(CellKey::Summary(id).path());
+            }
         }
         let entry = SequenceEntry {
             epoch: self.sequence.epoch,
@@ -212,6 +218,7 @@
                     self.phases.remove(&row.pipeline);
                     let expiry = (now + self.status_term, row.pipeline);
                     self.expiring.push_back(expiry);
+                    self.over.insert(row.pipeline);
                 }
                 self.state.commit_done(open.commit, now)
             }
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -181,3 +181,17 @@
     assert_eq!(asked, [true, true]);
     assert_eq!(split_advisors(1), (1, 1));
 }
+
+/// Guards against running a job again that is over: a reading of all jobs that
+/// began before its end arrives after it.
+#[test]
+fn a_job_that_is_over_is_not_stored_again() {
+    let mut shard = shard();
+    shard.next_commit(Duration::ZERO).unwrap();
+    shard.finish_commit(&TransactionOutcome::Done(50), Duration::ZERO);
+
+    let stale = PipelineEvent::Stored(1, Arc::new(job()), None);
+    shard.handle(stale, Duration::ZERO);
+
+    assert!(!shard.state.contains(1));
+}
