--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -131,11 +131,10 @@
             .expiring
             .front()
             .is_some_and(|(expiry, _)| *expiry <= now)
+            && let Some((_, id)) = self.expiring.pop_front()
         {
-            if let Some((_, id)) = self.expiring.pop_front() {
-                self.over.remove(&id);
-                self.stray_keys.push(CellKey::Summary(id).path());
-            }
+            self.over.remove(&id);
+            self.stray_keys.push(CellKey::Summary(id).path());
         }
         let entry = SequenceEntry {
             epoch: self.sequence.epoch,
