Judge workers by progress, empty leaving ones, and own services on strong hosts

Changed: speed by progress, standstill after 3 s of reports, stops 0.7 s before a worker leaves; daemons take over in the order of their processors; placing takes a quarter of the time at most; tickets count from the arrival of their answer; a job is queued until a start is confirmed.

--- a/crates/core/src/pipelines/advice.rs
+++ b/crates/core/src/pipelines/advice.rs
@@ -61,6 +61,7 @@
     pub(super) fn note_report(
         &mut self,
         report: Option<AdviceReport>,
+        arrived_at: Duration,
         now: Duration,
     ) -> Option<(usize, usize)> {
         let asked = std::mem::take(&mut self.asked);
@@ -68,7 +69,7 @@
             self.retry_at = now + RETRY_DELAY;
             return None;
         };
-        let usable_until = now + report.valid.saturating_sub(TICKET_MARGIN);
+        let usable_until = arrived_at + report.valid.saturating_sub(TICKET_MARGIN);
         let counts = (asked.len(), report.tickets.len());
         for worker in asked {
             let entry = report.tickets.remove(&worker).map(|ticket| TicketEntry {
--- a/crates/core/src/pipelines/ends.rs
+++ b/crates/core/src/pipelines/ends.rs
@@ -77,6 +77,7 @@
         }
         self.note_present(worker, &report.running, now);
         self.note_absent(worker, &report.running, is_claim, sent_at, now);
+        self.note_speed(worker, now);
         self.pace_filling(worker, now);
         let serial = self.serial;
         let is_durable = self.dirty.is_empty();
@@ -102,7 +103,7 @@
     }
 
     fn note_present(&mut self, worker: &WorkerId, running: &[ObservedRun], now: Duration) {
-        let mut unknown = Vec::new();
+        let (mut unknown, mut begun) = (Vec::new(), Vec::new());
         for row in running {
             let Some(record) = self.workers.get_mut(worker) else {
                 return;
@@ -111,6 +112,12 @@
                 Some(entry) => {
                     if matches!(entry.phase, RunPhase::Inherited | RunPhase::Ordered(_)) {
                         entry.phase = RunPhase::Started(now);
+                        entry.moved_at = now;
+                        begun.push(row.run.task.step.pipeline);
+                    }
+                    if row.percent != entry.percent {
+                        entry.percent = row.percent;
+                        entry.moved_at = now;
                     }
                     if entry.target_tail_ms.is_some() {
                         entry.tail_ms = row.load;
@@ -120,6 +127,9 @@
                 None => unknown.push(row.run),
             }
         }
+        for id in begun {
+            self.note_begun(id);
+        }
         for run in unknown {
             self.note(PipelineNote::StrayRun {
                 run,
@@ -248,6 +258,12 @@
         if task.attempt != run.attempt || task.place == TaskPlace::Done {
             return;
         }
+        if end.is_some() && record.progress.phase == PipelinePhase::Queued {
+            record.progress.phase = PipelinePhase::Running;
+        }
+        let Some(task) = record.progress.task_mut(run.task) else {
+            return;
+        };
         task.place = TaskPlace::Waiting;
         let mut failures = 0;
         match end {
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -23,6 +23,8 @@
     pub rack: Option<RackId>,
     /// Whether it is about to leave.
     pub is_draining: bool,
+    /// Least time until it leaves, if it tells.
+    pub leaves_in: Option<Duration>,
 }
 
 /// A run that a worker lists as present.
@@ -253,8 +255,8 @@
     StartAnswered(WorkerId, RunKey, StartResult),
     /// A stop was carried out (true) or its outcome is unknown.
     StopAnswered(WorkerId, RunKey, bool),
-    /// An answer about a step, or none.
-    Advised(StepKey, Option<AdviceReport>),
+    /// An answer about a step, or none, that arrived at the given time.
+    Advised(StepKey, Option<AdviceReport>, Duration),
     /// How many daemons ask questions with quick and with slow decisions.
     Advisors(usize, usize),
     /// The store has confirmed the ownership until then.
@@ -367,6 +369,24 @@
         /// When its lease lapses, from now.
         lapses_in: Duration,
     },
+    /// A run that makes no progress is stopped, to start elsewhere.
+    StandsStill {
+        /// The run.
+        run: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Its progress in percent.
+        percent: u32,
+        /// How long the progress has not changed.
+        since: Duration,
+    },
+    /// The runs of a worker that is about to leave are stopped, to start elsewhere.
+    WorkerEmptied {
+        /// The worker.
+        worker: WorkerId,
+        /// Runs that were there.
+        runs: usize,
+    },
     /// All runs of a worker have ended for certain.
     WorkerLost {
         /// The worker.
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -56,6 +56,7 @@
         record: &WorkerRecord,
         key: StepKey,
         step: &StepSpec,
+        usual_percent: u64,
         now: Duration,
     ) -> Option<Self> {
         let listing = record.listing.as_ref()?;
@@ -79,7 +80,7 @@
             free: record.free(),
             fill_milli: record.fill_milli,
             tasks_left,
-            is_troubled: record.troubled_until > now,
+            is_troubled: record.troubled_until > now || record.speed.is_slow(usual_percent, now),
             is_far: step
                 .home_rack
                 .as_deref()
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -119,7 +119,7 @@
         };
         let waiting: Vec<u32> = progress.waiting().collect();
         let rows = self.workers.iter().filter_map(|(worker, record)| {
-            let mut row = PlaceCandidate::new(worker, record, key, shape, now)?;
+            let mut row = PlaceCandidate::new(worker, record, key, shape, self.usual_percent, now)?;
             if let Some(kept) = pass.kept.get(worker) {
                 row.leave(kept);
             }
@@ -222,8 +222,8 @@
         let Some(record) = self.pipelines.get_mut(&key.pipeline) else {
             return;
         };
-        if record.progress.phase == PipelinePhase::Queued {
-            record.progress.phase = PipelinePhase::Running;
+        if !record.was_placed && record.progress.phase == PipelinePhase::Queued {
+            record.was_placed = true;
             let note = PipelineNote::Placed {
                 pipeline: key.pipeline,
                 queue: record.spec.policy.queue.clone(),
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -9,6 +9,7 @@
 use super::{
     advice::AdviceBook,
     commit::PendingStart,
+    health::empty_time,
     messages::{
         HoldFailure, LossCause, PipelineAction, PipelineEvent, PipelineNote, StartResult,
         WorkerListing,
@@ -48,6 +49,8 @@
     pub(super) progress: PipelineProgress,
     /// Steps whose turn has come and that have waiting tasks, with their ranks.
     pub(super) ready: BTreeMap<StepKey, QueueRank>,
+    /// Whether a task was placed since this owner knows the job.
+    pub(super) was_placed: bool,
 }
 
 /// Counts for metrics and the dump.
@@ -81,6 +84,8 @@
     pub(super) books: BTreeMap<StepKey, AdviceBook>,
     /// Allowed part of the workers that were asked about, by queue, in percent.
     pub(super) allowed_percent: BTreeMap<String, usize>,
+    /// Usual run time as a part of the estimate, in percent.
+    pub(super) usual_percent: u64,
     /// Open questions whose decisions are quick or slow, and their limits.
     pub(super) quick_questions: usize,
     pub(super) slow_questions: usize,
@@ -110,6 +115,7 @@
             ready: BTreeSet::new(),
             books: BTreeMap::new(),
             allowed_percent: BTreeMap::new(),
+            usual_percent: 100,
             quick_questions: 0,
             slow_questions: 0,
             quick_limit: QUESTIONS_EACH,
@@ -146,10 +152,10 @@
                     _ => {}
                 }
             }
-            PipelineEvent::Advised(step, report) => {
+            PipelineEvent::Advised(step, report, arrived_at) => {
                 self.close_question(step);
                 let counts = match self.books.get_mut(&step) {
-                    Some(book) => book.note_report(report, now),
+                    Some(book) => book.note_report(report, arrived_at, now),
                     None => None,
                 };
                 self.learn_allowed(step.pipeline, counts);
@@ -224,6 +230,7 @@
             spec,
             progress,
             ready: BTreeMap::new(),
+            was_placed: false,
         };
         let is_final = record.progress.phase.is_final();
         self.pipelines.insert(id, record);
@@ -284,6 +291,13 @@
         let until = self.taken_over_at + FORMER_OWNER_TIME;
         let record = self.workers.entry(WorkerId::clone(&listing.worker));
         let record = record.or_insert_with(|| WorkerRecord::new(until, now));
+        let has_drained = record
+            .listing
+            .as_ref()
+            .is_some_and(|known| known.is_draining);
+        if listing.is_draining && !has_drained {
+            record.empty_at = Some(empty_time(listing.leaves_in, now));
+        }
         let is_moved = record
             .address()
             .is_some_and(|address| address != listing.address);
@@ -354,7 +368,11 @@
         };
         let is_first = tries == 0;
         match result {
-            StartResult::Started => entry.phase = RunPhase::Started(now),
+            StartResult::Started => {
+                entry.phase = RunPhase::Started(now);
+                entry.moved_at = now;
+                self.note_begun(run.task.step.pipeline);
+            }
             StartResult::Unanswered if tries + 1 < START_TRIES => {
                 entry.phase = RunPhase::Ordered(tries + 1);
                 let ticket = entry.ticket.clone();
@@ -396,6 +414,17 @@
         }
     }
 
+    /// Notes that a task of the job has started.
+    pub(super) fn note_begun(&mut self, id: PipelineId) {
+        match self.pipelines.get_mut(&id) {
+            Some(record) if record.progress.phase == PipelinePhase::Queued => {
+                record.progress.phase = PipelinePhase::Running;
+                self.mark_dirty(id);
+            }
+            _ => {}
+        }
+    }
+
     fn note_rejected_start(&mut self, worker: &WorkerId, run: RunKey, result: StartResult) {
         let worker = WorkerId::clone(worker);
         self.note(PipelineNote::StartRejected {
@@ -419,6 +448,8 @@
             self.refresh(id);
         }
         self.demote_late();
+        self.stop_still_runs(now);
+        self.empty_leaving_workers(now);
         let lapsed = self.workers.iter().filter(|(_, record)| {
             !record.runs.is_empty()
                 && record.contact != WorkerContact::Claimed
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -67,6 +67,7 @@
         labels: vec!["a".to_owned()],
         rack: Some("r1-1".into()),
         is_draining: false,
+        leaves_in: None,
     }
 }
 
@@ -204,7 +205,8 @@
             tickets: tickets.collect(),
             valid: Duration::from_secs(2),
         };
-        self.feed(PipelineEvent::Advised(step, Some(report)));
+        let arrived_at = self.now;
+        self.feed(PipelineEvent::Advised(step, Some(report), arrived_at));
     }
 
     /// Moves time on, with the ticks of the way.
--- a/crates/core/src/pipelines/tests/placement.rs
+++ b/crates/core/src/pipelines/tests/placement.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use super::fixtures::{WALL_MS, advice, done, ended, job, owner, step};
-use crate::{PipelineEvent, PipelinePhase, PipelineSchedule, RunEnd, StepKey, StepSpec};
+use crate::{
+    AdviceReport, PipelineEvent, PipelinePhase, PipelineSchedule, RunEnd, StartResult, StepKey,
+    StepSpec,
+};
 
 /// Guards against a start that a crash of the owner would forget.
 #[test]
@@ -239,3 +242,41 @@
     assert_eq!((at_once, first.len(), second.len()), (0, 1, 1));
     assert_eq!(second[0].run.task.step.occurrence, 1);
 }
+
+/// Guards against a job that is shown as running, and not counted as pending, while
+/// no worker has started a task.
+#[test]
+fn a_job_is_queued_until_a_task_has_started() {
+    let mut owner = owner(&["w1"]);
+
+    owner.submit(1, job(vec![step(1)]));
+    owner.commit();
+    let placed = owner.phases[&1];
+    let start = owner.take_starts().remove(0);
+    let answer = PipelineEvent::StartAnswered(start.worker, start.run, StartResult::Started);
+    owner.feed(answer);
+    owner.commit();
+
+    assert_eq!(placed, PipelinePhase::Queued);
+    assert_eq!(owner.phases[&1], PipelinePhase::Running);
+}
+
+/// Guards against tickets that expire while their answer waits for a busy owner.
+#[test]
+fn a_ticket_is_valid_from_the_arrival_of_its_answer() {
+    let mut owner = owner(&["w1"]);
+    let mut spec = job(vec![step(1)]);
+    spec.policy.advice = Some(advice(10.0));
+    owner.submit(1, spec);
+    let key = owner.questions()[0].0;
+    let report = AdviceReport {
+        tickets: [("w1".into(), "t".to_owned())].into_iter().collect(),
+        valid: Duration::from_secs(2),
+    };
+
+    let arrived_at = owner.now;
+    owner.now += Duration::from_millis(1_900);
+    owner.feed(PipelineEvent::Advised(key, Some(report), arrived_at));
+
+    assert!(owner.start_all().is_empty());
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
+    health::WorkerSpeed,
     messages::{StopOrder, WorkerListing},
     spec::{RunKey, StepKey, StepSpec},
 };
@@ -45,6 +46,13 @@
     pub(super) tail_ms: Option<u64>,
     /// Share at which the run may work, in percent.
     pub(super) pace_percent: u32,
+    /// Latest progress in percent, and when it last changed.
+    pub(super) percent: u32,
+    pub(super) moved_at: Duration,
+    /// Estimated run time.
+    pub(super) estimate: Duration,
+    /// Whether progress tells nothing: the run lasts, or waits for its gang.
+    pub(super) is_steady: bool,
     /// When the latest stop was sent.
     pub(super) stop_sent: Duration,
     /// When the start was placed, for the log.
@@ -61,6 +69,10 @@
             ticket: None,
             tail_ms: None,
             pace_percent: 100,
+            percent: 0,
+            moved_at: now,
+            estimate: Duration::from_millis(step.estimate_ms),
+            is_steady: step.long_running || step.gang,
             stop_sent: now,
             placed_at: now,
         }
@@ -111,6 +123,9 @@
     pub(super) troubled_until: Duration,
     pub(super) failures: u32,
     pub(super) pace_due: Duration,
+    /// When the runs of a worker that drains are moved elsewhere.
+    pub(super) empty_at: Option<Duration>,
+    pub(super) speed: WorkerSpeed,
     claims: u64,
 }
 
@@ -135,6 +150,8 @@
             troubled_until: Duration::ZERO,
             failures: 0,
             pace_due: Duration::ZERO,
+            empty_at: None,
+            speed: WorkerSpeed::default(),
             claims: 0,
         }
     }
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -49,12 +49,17 @@
 /// How long a drain waits for open commits.
 const DRAIN_TIME: Duration = Duration::from_millis(900);
 
+/// One part in so many of the time may go into placing tasks, so that renewals and
+/// reports are handled on a host with little processor time.
+const PASS_SHARE: u32 = 4;
+
 /// Settings of the control thread.
 #[derive(Clone, Debug)]
 pub(super) struct ControlSettings {
     pub(super) daemon: String,
     pub(super) config: PipelineConfig,
     pub(super) status_term: Duration,
+    pub(super) cpu_milli: u64,
 }
 
 /// The owner of a service as the store shows it.
@@ -79,6 +84,8 @@
     ready: Arc<AtomicBool>,
     board: JobBoard,
     members: BTreeMap<String, HttpEndpoint>,
+    /// Processors of each daemon, in thousandths of a core.
+    strengths: BTreeMap<String, u64>,
     owners: BTreeMap<ServiceId, KnownOwner>,
     services: BTreeSet<ServiceId>,
     has_public: bool,
@@ -105,6 +112,7 @@
             ready,
             board: JobBoard::default(),
             members: BTreeMap::new(),
+            strengths: BTreeMap::new(),
             owners: BTreeMap::new(),
             services: BTreeSet::new(),
             has_public: false,
@@ -202,7 +210,8 @@
             }
             CellEvent::Advised(service, epoch, outcome) => {
                 self.advisors.finish(&outcome.daemon, outcome.cost_ms);
-                let event = PipelineEvent::Advised(outcome.step, outcome.report);
+                let event =
+                    PipelineEvent::Advised(outcome.step, outcome.report, outcome.arrived_at);
                 self.feed_shard(&service, epoch, event);
             }
             CellEvent::Accepted(id, summary) => self.board.insert(id, summary),
@@ -247,7 +256,8 @@
     /// Places tasks and sends commits after a series of events.
     fn advance_shards(&mut self) {
         let now = self.effects.clock.now();
-        let touched = self.shards.iter().filter(|(_, handle)| handle.is_touched);
+        let due = |handle: &ShardHandle| handle.is_touched && now >= handle.next_pass;
+        let touched = self.shards.iter().filter(|(_, handle)| due(handle));
         let touched: Vec<ServiceId> = touched.map(|(service, _)| service.clone()).collect();
         for service in touched {
             if !self.is_draining {
@@ -258,6 +268,8 @@
             if let Some(handle) = self.shards.get_mut(&service) {
                 handle.is_touched = false;
                 self.effects.start_commit(handle);
+                let elapsed = self.effects.clock.now().saturating_sub(now);
+                handle.next_pass = now + elapsed * PASS_SHARE;
             }
         }
         let is_durable = self.shards.values().all(|handle| handle.shard.is_durable());
@@ -334,7 +346,8 @@
         }
     }
 
-    /// Returns the delay by which daemons take over in the order of a hash.
+    /// Returns the delay by which daemons take over: those with more processors
+    /// first, and equal ones in the order of a hash.
     fn takeover_delay(&self, service: &ServiceId, is_held: bool) -> Duration {
         if is_held {
             return Duration::ZERO;
@@ -344,8 +357,9 @@
             (service.as_ref(), daemon).hash(&mut hasher);
             hasher.finish()
         };
-        let own = weight(&self.settings.daemon);
-        let before = self.members.keys().filter(|daemon| weight(daemon) > own);
+        let own = (self.settings.cpu_milli, weight(&self.settings.daemon));
+        let before = self.strengths.iter();
+        let before = before.filter(|(daemon, strength)| (**strength, weight(daemon)) > own);
         let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
         let owned = u32::try_from(self.shards.len() + self.acquiring.len()).unwrap_or(u32::MAX);
         RANK_DELAY.saturating_mul(rank) + OWNED_DELAY.saturating_mul(owned)
@@ -433,6 +447,7 @@
     fn reset_public(&mut self, items: Vec<StoreItem>) {
         self.has_public = true;
         self.members.clear();
+        self.strengths.clear();
         let own = std::mem::take(&mut self.owners);
         for item in items {
             self.note_public(ItemChange::Put(item));
@@ -454,6 +469,7 @@
                 }
                 Some(CellKey::Member(daemon)) => {
                     if let Some(entry) = decode_record::<MemberEntry>(&item.key, &item.value) {
+                        self.strengths.insert(daemon.clone(), entry.cpu_milli);
                         self.add_member(daemon, &entry.address);
                     }
                 }
@@ -468,6 +484,8 @@
                 Some(CellKey::Summary(id)) => self.board.remove(id),
                 Some(CellKey::Member(daemon)) if self.members.remove(&daemon).is_some() => {
                     log::info!(daemon = daemon.as_str(); "a daemon is gone");
+                    self.strengths.remove(&daemon);
+                    self.publish_peers();
                 }
                 Some(CellKey::Owner(service)) => self.note_owner(service, None, revision),
                 _ => {}
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -39,6 +39,8 @@
 pub(super) struct ShardHandle {
     pub(super) shard: OwnedShard,
     pub(super) is_touched: bool,
+    /// When tasks are placed again at the earliest.
+    pub(super) next_pass: Duration,
     pub(super) is_committing: bool,
     pub(super) commit_delay: RetryDelay,
     orders: WorkerOrders,
@@ -183,6 +185,7 @@
         ShardHandle {
             shard,
             is_touched: true,
+            next_pass: Duration::ZERO,
             is_committing: false,
             commit_delay: RetryDelay::default(),
             orders,
@@ -316,6 +319,7 @@
         let peer = members.get(&advisor).filter(|_| advisor != own).cloned();
         let cost_ms = expected_ms(&order);
         let (advice, events) = (self.advice.clone(), self.events.clone());
+        let clock = self.clock;
         let (service, epoch) = (handle.shard.service.clone(), handle.shard.epoch());
         self.runtime.spawn(async move {
             let report = ask_advice(advice.as_ref(), peer.as_ref(), &order, time_limit).await;
@@ -324,6 +328,7 @@
                 cost_ms,
                 step: order.step,
                 report,
+                arrived_at: clock.now(),
             };
             let _ = events
                 .send(CellEvent::Advised(service, epoch, outcome))
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -1,6 +1,6 @@
 //! Messages to the control thread.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use auburnsaddle_core::{AdviceReport, PipelineEvent, PipelineId, ServiceId, StepKey};
 use auburnsaddle_platform::{Manifest, TransactionOutcome};
@@ -19,6 +19,7 @@
     pub(crate) cost_ms: u64,
     pub(crate) step: StepKey,
     pub(crate) report: Option<AdviceReport>,
+    pub(crate) arrived_at: Duration,
 }
 
 /// What the control thread reacts to. Events of an owned service name it and
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -67,6 +67,13 @@
             worker = worker.as_ref(), result = result.name();
             "start not carried out"
         ),
+        other => log_worker_note(service, epoch, other),
+    }
+}
+
+/// Writes a decision about a worker, or about a run for its worker's sake.
+fn log_worker_note(service: &str, epoch: Epoch, note: &PipelineNote) {
+    match note {
         PipelineNote::StrayRun { run, worker } => log::warn!(
             request_id = format!("{:016x}", run.task.step.pipeline).as_str(), service, epoch,
             task = run.task.to_string().as_str(), attempt = run.attempt,
@@ -91,6 +98,21 @@
             lapses_in_ms = lapses_in.as_millis();
             "a renewal of a worker's lease failed; nothing is placed there"
         ),
+        PipelineNote::StandsStill {
+            run,
+            worker,
+            percent,
+            since,
+        } => log::warn!(
+            request_id = format!("{:016x}", run.task.step.pipeline).as_str(), service, epoch,
+            task = run.task.to_string().as_str(), attempt = run.attempt,
+            worker = worker.as_ref(), percent, since_ms = since.as_millis();
+            "stopping a run that makes no progress"
+        ),
+        PipelineNote::WorkerEmptied { worker, runs } => log::info!(
+            service, epoch, worker = worker.as_ref(), runs;
+            "stopping the runs of a worker that is about to leave"
+        ),
         PipelineNote::WorkerLost {
             worker,
             runs,
@@ -99,5 +121,11 @@
             service, epoch, worker = worker.as_ref(), runs, cause:? = cause;
             "the runs of a worker have ended"
         ),
+        PipelineNote::Placed { .. }
+        | PipelineNote::Completed { .. }
+        | PipelineNote::Failed { .. }
+        | PipelineNote::Cancelled { .. }
+        | PipelineNote::RunEnded { .. }
+        | PipelineNote::StartRejected { .. } => {}
     }
 }
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -165,6 +165,7 @@
     let (stop, stopped) = watch::channel(false);
     let member = MemberEntry {
         address: settings.peers.to_string(),
+        cpu_milli: settings.cpu_milli,
     };
     let session = tokio::spawn(keep_session(
         store.clone(),
@@ -280,6 +281,7 @@
             hold_wait: HOLD_WAIT,
         },
         status_term: settings.status_term,
+        cpu_milli: settings.cpu_milli,
     };
     let runtime = Builder::new_current_thread()
         .enable_time()
--- a/crates/daemon/src/pipelines/records.rs
+++ b/crates/daemon/src/pipelines/records.rs
@@ -88,6 +88,8 @@
 pub(crate) struct MemberEntry {
     /// Where it answers peers.
     pub(crate) address: String,
+    /// Processors that it may use, in thousandths of a core.
+    pub(crate) cpu_milli: u64,
 }
 
 /// The latest commit of a service.
