Acknowledge an end only when its commit is durable, and bound the log by place

Cause: a report that arrived while the commit of an end was sent and not yet answered took the end for durable, as nothing was left to commit. In an outage of the store the end was then acknowledged, the owner lost its lease, and its successor ran the task again. Seen once in 1 of 2 runs of the process tests beside six busy processes (an_outage_of_the_store_rejects_and_recovers: attempt 2 began 1.5 s after attempt 1 was done). Ruled out: the stand-in, whose record shows both runs and one token each.

Test, seen to fail before: an_end_is_not_acknowledged_while_its_commit_is_open.

Routine log lines are bounded by the place in the code instead of the text, which differs by request; a_log_that_nobody_reads_delays_no_request floods the log with its reader stopped. The page on operations moves to OPERATIONS.md, and the pages describe the platform.

--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -83,6 +83,7 @@
             Some((serial, _)) => serial - 1,
             None => self.serial,
         };
+        self.durable_serial = durable;
         for record in self.workers.values_mut() {
             match record.pending_ack {
                 Some(ack) if ack.serial <= durable => {
--- a/crates/core/src/pipelines/ends.rs
+++ b/crates/core/src/pipelines/ends.rs
@@ -80,7 +80,7 @@
         self.note_speed(worker, now);
         self.pace_filling(worker, now);
         let serial = self.serial;
-        let is_durable = self.dirty.is_empty();
+        let durable = self.durable_serial;
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
@@ -93,7 +93,7 @@
             });
         }
         match record.pending_ack {
-            Some(ack) if is_durable => {
+            Some(ack) if ack.serial <= durable => {
                 record.acked_end = ack.end;
                 record.pending_ack = None;
             }
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -93,6 +93,8 @@
     pub(super) slow_limit: usize,
     /// Serial of the latest change, and the pipelines that are not durable.
     pub(super) serial: u64,
+    /// Changes up to this serial are durable.
+    pub(super) durable_serial: u64,
     pub(super) dirty: BTreeMap<u64, PipelineId>,
     pub(super) dirty_serials: BTreeMap<PipelineId, u64>,
     pub(super) pending_starts: BTreeMap<PipelineId, Vec<PendingStart>>,
@@ -121,6 +123,7 @@
             quick_limit: QUESTIONS_EACH,
             slow_limit: QUESTIONS_EACH,
             serial: 0,
+            durable_serial: 0,
             dirty: BTreeMap::new(),
             dirty_serials: BTreeMap::new(),
             pending_starts: BTreeMap::new(),
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -174,3 +174,24 @@
     let is_hold = |action: &PipelineAction| matches!(action, PipelineAction::Hold(_));
     assert!(!owner.actions.iter().any(is_hold));
 }
+
+/// Guards against acknowledging an end whose commit is sent and not yet durable: the
+/// next owner would not learn of it and would run the task again.
+#[test]
+fn an_end_is_not_acknowledged_while_its_commit_is_open() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(2)]));
+    let starts = owner.start_all();
+    let ends = vec![done(1, starts[0].run)];
+    let running = vec![present(starts[1].run)];
+    owner.commit();
+
+    owner.report("w1", running.clone(), ends.clone());
+    let commit = owner.state.take_commit(10);
+    owner.wait(Duration::from_secs(2));
+    owner.report("w1", running, ends);
+    owner.wait(Duration::from_secs(2));
+
+    assert!(commit.is_some());
+    assert_eq!(owner.last_seen("w1"), Some(0));
+}
--- a/crates/daemon/src/front/admin.rs
+++ b/crates/daemon/src/front/admin.rs
@@ -183,6 +183,6 @@
     FrontError::new(
         StatusCode::CONFLICT,
         &format!("version {version} was published first, but cannot be read from the store"),
-        "apply again; if this stays, see \"A corrupted version\" in docs/operations.md",
+        "apply again; if this stays, see \"A corrupted version\" in docs/OPERATIONS.md",
     )
 }
--- a/crates/daemon/src/publication/state.rs
+++ b/crates/daemon/src/publication/state.rs
@@ -113,7 +113,7 @@
         Err(error) => {
             log::error!(
                 "store value {key} is malformed: {error}; the version in force stays until a peer \
-                 passes the value on, see \"A corrupted version\" in docs/operations.md"
+                 passes the value on, see \"A corrupted version\" in docs/OPERATIONS.md"
             );
             None
         }
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -113,7 +113,7 @@
 /// Guards against a setting that the help or the operators' page leaves out.
 #[test]
 fn all_settings_are_documented() {
-    let page = include_str!("../../../../docs/operations.md");
+    let page = include_str!("../../../../docs/OPERATIONS.md");
     let help = table::help_text();
 
     let missing = table::SETTINGS
@@ -123,7 +123,7 @@
     assert_eq!(missing, None);
     assert!(
         page.contains(&table::markdown_table()),
-        "copy this table to docs/operations.md:\n{}",
+        "copy this table to docs/OPERATIONS.md:\n{}",
         table::markdown_table()
     );
 }
--- a/crates/daemon/src/telemetry/logger.rs
+++ b/crates/daemon/src/telemetry/logger.rs
@@ -100,7 +100,7 @@
         match &self.sink {
             // A closed standard error must not end the daemon.
             LogSink::Error => drop(writeln!(std::io::stderr().lock(), "{line}")),
-            LogSink::Output(queue) => queue.push(record.level(), record.args(), &line),
+            LogSink::Output(queue) => queue.push(record, &line),
         }
     }
 
--- a/crates/daemon/src/telemetry/output.rs
+++ b/crates/daemon/src/telemetry/output.rs
@@ -6,14 +6,14 @@
 
 use std::{
     collections::BTreeMap,
-    fmt::{Arguments, Display},
+    fmt::Display,
     io::Write,
     sync::{Arc, Condvar, Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
 };
 
-use log::Level;
+use log::{Level, Record};
 
 /// Lines that may wait for the reader.
 const QUEUE_LINES: usize = 4_096;
@@ -21,7 +21,8 @@
 /// Lines of level info or below that may wait.
 const ROUTINE_LINES: usize = 2_048;
 
-/// Lines of level info or below with the same text that are written in a second.
+/// Lines of level info or below from one place of the code that are written in a
+/// second.
 const ROUTINE_RATE: u32 = 30;
 
 /// Pause between two writes, so that one system call writes several lines.
@@ -30,12 +31,15 @@
 /// How long the end of the process waits for the lines that are left.
 const FLUSH_TIME: Duration = Duration::from_millis(500);
 
+/// Module and line that a record comes from.
+type LogPlace = (Option<&'static str>, Option<u32>);
+
 #[derive(Default)]
 struct QueueState {
     lines: Vec<String>,
     is_writing: bool,
-    /// Lines of each text in the present second.
-    counts: BTreeMap<String, u32>,
+    /// Lines of each place of the code in the present second.
+    counts: BTreeMap<LogPlace, u32>,
     second: Option<Instant>,
     /// Lines that were left out since the last report.
     left_out: u64,
@@ -59,11 +63,12 @@
         Self { state }
     }
 
-    /// Adds a line, or counts it as left out. `text` is the message of the record.
-    pub(super) fn push(&self, level: Level, text: &Arguments<'_>, line: &impl Display) {
+    /// Adds the line of a record, or counts it as left out.
+    pub(super) fn push(&self, record: &Record<'_>, line: &impl Display) {
         let (lock, added) = &*self.state;
         let mut state = lock.lock().unwrap_or_else(PoisonError::into_inner);
-        if !state.admits(level, text) {
+        let place = (record.module_path_static(), record.line());
+        if !state.admits(record.level(), place) {
             state.left_out += 1;
             return;
         }
@@ -87,7 +92,7 @@
 }
 
 impl QueueState {
-    fn admits(&mut self, level: Level, text: &Arguments<'_>) -> bool {
+    fn admits(&mut self, level: Level, place: LogPlace) -> bool {
         if level <= Level::Warn {
             return self.lines.len() < QUEUE_LINES;
         }
@@ -99,7 +104,7 @@
             self.second = Some(now);
             self.counts.clear();
         }
-        let count = self.counts.entry(text.to_string()).or_default();
+        let count = self.counts.entry(place).or_default();
         *count += 1;
         *count <= ROUTINE_RATE && self.lines.len() < ROUTINE_LINES
     }
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -122,29 +122,39 @@
 
 impl CellFixture {
     fn launch(&mut self, name: &str) {
+        self.launch_unread(name);
+        self.read_output(self.daemons.len() - 1);
+    }
+
+    /// Keeps the log lines of a daemon from now on.
+    fn read_output(&mut self, daemon: usize) {
+        let daemon = &mut self.daemons[daemon];
+        let output = daemon.child.stdout.take().unwrap();
+        let kept = Arc::clone(&daemon.lines);
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                let line = serde_json::from_str(&line).unwrap();
+                kept.lock().unwrap().push(line);
+            }
+        });
+    }
+
+    /// Starts a daemon whose standard output nobody reads yet.
+    fn launch_unread(&mut self, name: &str) {
         let ports = [free_port(), free_port(), free_port()];
         let path = self.folder.join(format!("{name}.json"));
         let text = settings(name, &self.store.address(), ports).to_string();
         fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
+        let child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
             .env("AUBURNSADDLE_SETTINGS", &path)
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let output = child.stdout.take().unwrap();
-        let lines: Arc<Mutex<Vec<Value>>> = Arc::default();
-        let kept = Arc::clone(&lines);
-        thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
-                let line = serde_json::from_str(&line).unwrap();
-                kept.lock().unwrap().push(line);
-            }
-        });
         self.daemons.push(DaemonProcess {
             child,
             callers: ports[0],
             peers: ports[2],
-            lines,
+            lines: Arc::default(),
         });
     }
 
@@ -543,6 +553,37 @@
     );
 }
 
+/// Guards against requests that wait for the reader of the log, and against a log
+/// that hides how much it left out.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_log_that_nobody_reads_delays_no_request() {
+    let mut cell = cell(0, Duration::from_millis(100)).await;
+    cell.launch_unread("daemon-0");
+    cell.wait_until_serving(0).await;
+
+    let started_at = Instant::now();
+    let mut slowest = Duration::ZERO;
+    let mut id = 0;
+    // Far more than the buffer of the pipe holds.
+    while started_at.elapsed() < Duration::from_secs(6) {
+        id += 1;
+        let sent_at = Instant::now();
+        let status = cell.submit(0, id, &json!({"pipeline": id})).await;
+        slowest = slowest.max(sent_at.elapsed());
+        assert_eq!(status, Some(StatusCode::BAD_REQUEST));
+    }
+    let accepted = cell.submit(0, id + 1, &job(1)).await;
+    cell.wait_for_state(0, id + 1, "completed").await;
+    cell.read_output(0);
+
+    assert_eq!(accepted, Some(StatusCode::OK));
+    assert!(slowest < REQUEST_TIMEOUT / 2, "{slowest:?}");
+    cell.wait_for("the count of the lines that were left out", || async {
+        !cell.lines(0, "log lines were left out").is_empty()
+    })
+    .await;
+}
+
 /// Guards against a daemon that starts with settings that it cannot use.
 #[test]
 fn wrong_settings_end_the_daemon_with_a_reason() {
