Reject jobs at once while the store is known to be away

Ruled out: the relay, which no daemon can serve then.

Changed: after four calls in a row without success the store counts as away until one succeeds; jobs are then rejected as not accepted, with a Retry-After drawn from 1 to 3 s, and an unknown write is given up after 0.7 s.

--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -142,6 +142,12 @@
     let callers = bind(settings.callers).await?;
     let readiness = bind(settings.readiness).await?;
     let peers = bind(settings.peers).await?;
+    let peer_address = local_address(&peers)?;
+    log::info!(
+        callers:% = local_address(&callers)?, readiness:% = local_address(&readiness)?,
+        peers:% = peer_address;
+        "listening"
+    );
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
     let control = CellHandle::new(sender.clone());
     let clock = BootClock::start();
@@ -164,7 +170,7 @@
     start_control(&settings, effects, Arc::clone(&ready), receiver)?;
     let (stop, stopped) = watch::channel(false);
     let member = MemberEntry {
-        address: settings.peers.to_string(),
+        address: peer_address.to_string(),
         cpu_milli: settings.cpu_milli,
     };
     let session = tokio::spawn(keep_session(
@@ -185,7 +191,7 @@
     ));
     let peer_service = PeerService {
         advice,
-        route,
+        route: route.clone(),
         control: control.clone(),
         metrics: metrics.clone(),
     };
@@ -206,6 +212,7 @@
     let jobs = JobService {
         manifest,
         store,
+        route,
         control: control.clone(),
         draining: Arc::clone(&draining),
         metrics,
@@ -267,6 +274,12 @@
         .context(BindSnafu { address })
 }
 
+/// Returns the address with the port that the system chose, if the settings leave
+/// that to it.
+fn local_address(listener: &TcpListener) -> Result<SocketAddr, CellError> {
+    listener.local_addr().context(StartSnafu)
+}
+
 fn start_control(
     settings: &PlatformSettings,
     effects: CellEffects,
--- a/crates/daemon/src/ingress/jobs.rs
+++ b/crates/daemon/src/ingress/jobs.rs
@@ -1,6 +1,7 @@
 //! Submission, state and cancellation of jobs.
 
 use std::{
+    ops::RangeInclusive,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -23,7 +24,7 @@
     board::JobSummary,
     cell::{CellHandle, CellMetrics},
     pipelines::{CellKey, decode_record, encode_record},
-    session::CellStore,
+    session::{CellStore, StoreRoute},
     telemetry::unix_ms,
 };
 
@@ -42,8 +43,12 @@
 /// Writes that are sent again after a refusal of the store.
 const REFUSED_TRIES: u32 = 2;
 
-/// Retry-After of a daemon without a manifest or a store, in seconds.
-const RETRY_SECONDS: u64 = 1;
+/// Bounds of the Retry-After of a daemon without a manifest or a store, in seconds.
+/// It is drawn, so that callers do not come back together.
+const RETRY_SECONDS: RangeInclusive<u64> = 1..=3;
+
+/// How long the outcome of a write is pursued once the store is away.
+const OUTAGE_PATIENCE: Duration = Duration::from_millis(700);
 
 /// How long the caller waits for an answer.
 const PATIENCE_HEADER: &str = "x-deadline-ms";
@@ -53,6 +58,7 @@
 pub(crate) struct JobService {
     pub(crate) manifest: Arc<ArcSwapOption<Manifest>>,
     pub(crate) store: CellStore,
+    pub(crate) route: StoreRoute,
     pub(crate) control: CellHandle,
     pub(crate) draining: Arc<AtomicBool>,
     pub(crate) metrics: CellMetrics,
@@ -88,7 +94,7 @@
     async fn route(&self, request: Request<Incoming>) -> IngressResponse {
         let Some(manifest) = self.manifest.load_full() else {
             self.metrics.note_refusal("no_manifest");
-            return retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_SECONDS);
+            return retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_seconds());
         };
         let host = request.headers().get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -126,6 +132,11 @@
     ) -> IngressResponse {
         let name = format!("{id:016x}");
         let patience = patience(&request);
+        if self.route.is_away() {
+            log::warn!(request_id = name.as_str(); "job not accepted: the store is away");
+            self.metrics.note_refusal("store_away");
+            return retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_seconds());
+        }
         let body = Limited::new(request.into_body(), manifest.limits.body_bytes).collect();
         let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -174,7 +185,7 @@
                     "job not accepted: the store refused the write"
                 );
                 self.metrics.note_refusal("store");
-                retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_SECONDS)
+                retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_seconds())
             }
             WriteOutcome::Unknown => {
                 log::warn!(
@@ -203,7 +214,7 @@
                     "the state of a job is not known: the store did not answer"
                 );
                 self.metrics.note_refusal("store");
-                retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_SECONDS)
+                retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_seconds())
             }
         }
     }
@@ -213,6 +224,9 @@
         if let Some(summary) = self.control.summary(id).await {
             return Ok(Some(summary));
         }
+        if self.route.is_away() {
+            return Err(());
+        }
         let key = CellKey::Summary(id).path();
         // The client counts and logs the failure.
         let item = self.store.read(&key).await.map_err(|_| ())?;
@@ -230,7 +244,7 @@
         let summary = match self.find(id).await {
             Ok(Some(summary)) => summary,
             Ok(None) => return empty(StatusCode::GONE),
-            Err(()) => return retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_SECONDS),
+            Err(()) => return retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_seconds()),
         };
         if summary.phase.is_final() {
             return empty(StatusCode::OK);
@@ -248,7 +262,7 @@
                 );
                 empty(StatusCode::OK)
             }
-            WriteOutcome::Refused => retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_SECONDS),
+            WriteOutcome::Refused => retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_seconds()),
             WriteOutcome::Unknown => empty(StatusCode::GATEWAY_TIMEOUT),
         }
     }
@@ -272,7 +286,8 @@
                     tokio::time::sleep(REFUSED_DELAY).await;
                 }
             }
-            match started_at.elapsed() < patience {
+            let is_hopeless = self.route.is_away() && started_at.elapsed() > OUTAGE_PATIENCE;
+            match started_at.elapsed() < patience && !is_hopeless {
                 true => {}
                 false if is_unknown => return WriteOutcome::Unknown,
                 false => return WriteOutcome::Refused,
@@ -281,6 +296,10 @@
     }
 }
 
+fn retry_seconds() -> u64 {
+    rand::random_range(RETRY_SECONDS)
+}
+
 /// Returns how long the outcome of a write may be pursued.
 fn patience(request: &Request<Incoming>) -> Duration {
     let header = request.headers().get(PATIENCE_HEADER);
--- a/crates/daemon/src/session/route.rs
+++ b/crates/daemon/src/session/route.rs
@@ -30,6 +30,10 @@
 /// Daemons that are tried for one call.
 const RELAY_TRIES: usize = 2;
 
+/// Calls in a row without success after which the store counts as away. The lease,
+/// the manifest and the feeds keep trying, so its return shows within a second.
+const FAILURES_OF_OUTAGE: usize = 4;
+
 /// Time between tries of the direct way while it is not used.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -68,6 +72,8 @@
     is_cut: AtomicBool,
     cut: Notify,
     next_peer: AtomicUsize,
+    /// Calls without success on any way since the last success.
+    failures: AtomicUsize,
 }
 
 impl StoreRoute {
@@ -79,10 +85,19 @@
                 is_cut: AtomicBool::new(false),
                 cut: Notify::new(),
                 next_peer: AtomicUsize::new(0),
+                failures: AtomicUsize::new(0),
             }),
         }
     }
 
+    /// Tells whether the store answers on no way.
+    ///
+    /// Load pattern: in an outage every request would wait for its own failure. What
+    /// is known not to work is rejected at once instead.
+    pub(crate) fn is_away(&self) -> bool {
+        self.state.failures.load(Ordering::Relaxed) >= FAILURES_OF_OUTAGE
+    }
+
     /// Uses another address of the store from the next call on.
     pub(crate) fn set_address(&self, address: &str) {
         self.state.direct.set_address(address);
@@ -201,6 +216,25 @@
 
 impl StoreTransport for StoreRoute {
     async fn exchange(&self, request: StoreRequest) -> Result<WholeAnswer, CallError> {
+        let answer = self.exchange_any_way(request).await;
+        match &answer {
+            Ok(answer) if !is_refusal(answer.status) => {
+                self.state.failures.store(0, Ordering::Relaxed);
+            }
+            _ => {
+                self.state.failures.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        answer
+    }
+
+    fn address(&self) -> String {
+        self.state.direct.address().to_string()
+    }
+}
+
+impl StoreRoute {
+    async fn exchange_any_way(&self, request: StoreRequest) -> Result<WholeAnswer, CallError> {
         let direct = if self.is_cut() {
             None
         } else {
@@ -232,10 +266,6 @@
         }
         Ok(answer)
     }
-
-    fn address(&self) -> String {
-        self.state.direct.address().to_string()
-    }
 }
 
 const fn is_refusal(status: StatusCode) -> bool {
--- a/crates/daemon/src/session/tests.rs
+++ b/crates/daemon/src/session/tests.rs
@@ -130,3 +130,27 @@
     assert_eq!(peer_calls.load(Ordering::Relaxed), 1);
     assert_eq!(calls.load(Ordering::Relaxed), 2);
 }
+
+/// Guards against requests that each wait for their own failure in an outage, and
+/// against a daemon that does not notice its end.
+#[tokio::test]
+async fn an_outage_is_known_after_some_failures_and_ends_with_a_success() {
+    let (away, _) = start(StatusCode::SERVICE_UNAVAILABLE, None).await;
+    let (back, _) = start(StatusCode::OK, None).await;
+    let route = StoreRoute::new(&away);
+    let client = CellStore::new(route.clone());
+
+    client.commit(&StoreTransaction::default()).await;
+    let after_one = route.is_away();
+    for _ in 0..3 {
+        client.commit(&StoreTransaction::default()).await;
+    }
+    let in_outage = route.is_away();
+    route.set_address(&back);
+    client.commit(&StoreTransaction::default()).await;
+
+    assert_eq!(
+        (after_one, in_outage, route.is_away()),
+        (false, true, false)
+    );
+}
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -4,9 +4,9 @@
     collections::BTreeMap,
     fs,
     io::{BufRead, BufReader},
-    net::TcpListener,
+    net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, ChildStdout, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -32,6 +32,8 @@
     child: Child,
     callers: u16,
     peers: u16,
+    /// Standard output, until its lines are kept.
+    output: Option<BufReader<ChildStdout>>,
     lines: Arc<Mutex<Vec<Value>>>,
 }
 
@@ -55,18 +57,13 @@
     }
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
-}
-
-fn settings(name: &str, store: &str, ports: [u16; 3]) -> Value {
-    let address = |port: u16| format!("127.0.0.1:{port}");
+/// Returns settings that leave the choice of ports to the system.
+fn settings(name: &str, store: &str) -> Value {
+    let address = "127.0.0.1:0";
     json!({
         "node-name": name, "zone": "z1", "an-unknown-field": [1, 2],
         "listen-addrs": {
-            "frontend": address(ports[0]), "readiness": address(ports[1]),
-            "control-plane": address(ports[2]),
+            "frontend": address, "readiness": address, "control-plane": address,
         },
         "platform": {"address": store, "min-ttl-ms": 1_000},
         "bounds": {"max-hold-ms": 6_000, "grace-s": 6, "status_s": 120},
@@ -102,7 +99,11 @@
         workers.push(worker);
     }
     store.write("op/config", &manifest(1, &["/tokens/"]));
-    let folder = std::env::temp_dir().join(format!("cell-{}-{}", std::process::id(), free_port()));
+    let folder = std::env::temp_dir().join(format!(
+        "cell-{}-{}",
+        std::process::id(),
+        store.address().replace(':', "-")
+    ));
     fs::create_dir_all(&folder).unwrap();
     let mut cell = CellFixture {
         store,
@@ -129,31 +130,45 @@
     /// Keeps the log lines of a daemon from now on.
     fn read_output(&mut self, daemon: usize) {
         let daemon = &mut self.daemons[daemon];
-        let output = daemon.child.stdout.take().unwrap();
+        let output = daemon.output.take().unwrap();
         let kept = Arc::clone(&daemon.lines);
         thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
+            for line in output.lines().map_while(Result::ok) {
                 let line = serde_json::from_str(&line).unwrap();
                 kept.lock().unwrap().push(line);
             }
         });
     }
 
-    /// Starts a daemon whose standard output nobody reads yet.
+    /// Starts a daemon whose standard output nobody reads once it listens.
     fn launch_unread(&mut self, name: &str) {
-        let ports = [free_port(), free_port(), free_port()];
         let path = self.folder.join(format!("{name}.json"));
-        let text = settings(name, &self.store.address(), ports).to_string();
+        let text = settings(name, &self.store.address()).to_string();
         fs::write(&path, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
             .env("AUBURNSADDLE_SETTINGS", &path)
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
+        let mut output = BufReader::new(child.stdout.take().unwrap());
+        let fields = loop {
+            let mut line = String::new();
+            let length = output.read_line(&mut line).unwrap();
+            assert!(length > 0, "{name} ended before it listened");
+            let line: Value = serde_json::from_str(&line).unwrap();
+            if line["message"] == "listening" {
+                break line["fields"].clone();
+            }
+        };
+        let port = |field: &str| -> u16 {
+            let address: SocketAddr = fields[field].as_str().unwrap().parse().unwrap();
+            address.port()
+        };
         self.daemons.push(DaemonProcess {
             child,
-            callers: ports[0],
-            peers: ports[2],
+            callers: port("callers"),
+            peers: port("peers"),
+            output: Some(output),
             lines: Arc::default(),
         });
     }
