Wake the control thread when the next placement is due

Cause: placing takes a quarter of the time at most, and what waited for the next pass was placed only with the next event or tick, up to 50 ms later.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -132,7 +132,8 @@
     pub(super) async fn run(mut self, mut events: mpsc::Receiver<CellEvent>) {
         let mut next_tick = Instant::now();
         loop {
-            match timeout_at(next_tick, events.recv()).await {
+            let wake = next_tick.min(Instant::now() + self.until_next_pass());
+            match timeout_at(wake, events.recv()).await {
                 Ok(Some(event)) => {
                     self.handle(event);
                     for _ in 0..EVENT_BATCH {
@@ -153,6 +154,14 @@
         }
     }
 
+    /// Returns the time until tasks can be placed that wait for the next pass.
+    fn until_next_pass(&self) -> Duration {
+        let now = self.effects.clock.now();
+        let touched = self.shards.values().filter(|handle| handle.is_touched);
+        let due = touched.map(|handle| handle.next_pass.saturating_sub(now));
+        due.min().unwrap_or(TICK_INTERVAL)
+    }
+
     fn handle(&mut self, event: CellEvent) {
         let now = self.effects.clock.now();
         match event {
