Wait for the longest renewal of a former owner at workers out of reach

Cause: a former owner that the store has lost renews leases for 10 s after its last confirmation, and the last renewal holds for up to 6 s, but its successor waited 14 s for workers that it cannot reach. A task there could have run twice between. Found by reading; no run has shown it.

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -44,7 +44,7 @@
 
 /// Renewals continue for this long after the store confirmed the ownership, so
 /// that an outage of the store does not end what runs.
-const RENEWAL_WITHOUT_STORE: Duration = Duration::from_secs(10);
+pub(super) const RENEWAL_WITHOUT_STORE: Duration = Duration::from_secs(10);
 
 /// Position in the queue; lower is first: whether the job is too late to be of
 /// use, its priority, whether it is late, and the time in ms since 1970 by which
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -15,9 +15,9 @@
         WorkerListing,
     },
     progress::{PipelinePhase, PipelineProgress, TaskPlace},
-    schedule::{PipelineConfig, QueueRank, SLOW_DECISION_MS},
+    schedule::{PipelineConfig, QueueRank, RENEWAL_WITHOUT_STORE, SLOW_DECISION_MS},
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
-    worker::{RunPhase, WorkerContact, WorkerRecord, WorkerRun},
+    worker::{RunPhase, WorkerContact, WorkerRecord, WorkerRun, lapse_time},
 };
 use crate::types::{Epoch, WorkerId};
 
@@ -33,9 +33,9 @@
 /// Time for which a worker that rejected a start is not preferred.
 const TROUBLE_TIME: Duration = Duration::from_secs(2);
 
-/// How long runs of a former owner may go on after this owner's takeover: the
-/// former owner's lease in the store, and its renewals while the store is away.
-const FORMER_OWNER_TIME: Duration = Duration::from_secs(14);
+/// How long a former owner may take itself for the owner after a takeover: the
+/// term of its lease in the store, which may be revoked early.
+const FORMER_LEASE_TERM: Duration = Duration::from_secs(3);
 
 /// Questions that may be open for each daemon that asks. The service answers one
 /// call of a machine at a time; a second one is on its way.
@@ -216,6 +216,13 @@
         self.pipelines.contains_key(&id)
     }
 
+    /// Returns when the runs of a former owner have ended at workers that this
+    /// owner has not reached.
+    fn former_runs_until(&self) -> Duration {
+        let last_renewal = self.taken_over_at + FORMER_LEASE_TERM + RENEWAL_WITHOUT_STORE;
+        last_renewal + lapse_time(self.config.longest_lease)
+    }
+
     fn store(
         &mut self,
         id: PipelineId,
@@ -251,7 +258,7 @@
         progress: &PipelineProgress,
         now: Duration,
     ) {
-        let until = self.taken_over_at + FORMER_OWNER_TIME;
+        let until = self.former_runs_until();
         for (occurrence, steps) in &progress.occurrences {
             for ((step, done), shape) in (0..).zip(steps).zip(&spec.steps) {
                 let tasks = (0..).zip(&done.tasks);
@@ -291,7 +298,7 @@
     }
 
     fn list(&mut self, listing: WorkerListing, now: Duration) {
-        let until = self.taken_over_at + FORMER_OWNER_TIME;
+        let until = self.former_runs_until();
         let record = self.workers.entry(WorkerId::clone(&listing.worker));
         let record = record.or_insert_with(|| WorkerRecord::new(until, now));
         let has_drained = record
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -19,6 +19,11 @@
 /// Added to the end of a lease for the worker's timers.
 const LAPSE_SLACK: Duration = Duration::from_millis(300);
 
+/// Returns the time on our clock in which a lease on a worker's clock has lapsed.
+pub(super) fn lapse_time(lease: Duration) -> Duration {
+    lease * 100 / SLOWEST_CLOCK_PERCENT + LAPSE_SLACK
+}
+
 /// How far the owner's knowledge of a run goes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RunPhase {
@@ -252,8 +257,7 @@
             return self.inherited_until;
         };
         let left = Duration::from_millis(self.granted_ms.saturating_sub(clock));
-        let lapse = read_at + left * 100 / SLOWEST_CLOCK_PERCENT + LAPSE_SLACK;
-        lapse.max(self.inherited_until)
+        (read_at + lapse_time(left)).max(self.inherited_until)
     }
 
     pub(super) fn stop_order(
