Own the services of accepted jobs that no queue names any more

Cause: a daemon learnt the services from the manifest alone. After a restart of all daemons under a manifest that no longer names a service, its accepted jobs had no owner and waited for ever. Found by reading; the process test shows it.

Test, seen to fail before (waited in vain for the state completed): a_job_is_finished_although_its_service_has_left_the_manifest.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -473,6 +473,9 @@
             ItemChange::Put(item) => match CellKey::parse(&item.key) {
                 Some(CellKey::Summary(id)) => {
                     if let Some(summary) = decode_record::<JobSummary>(&item.key, &item.value) {
+                        // Accepted jobs need an owner also when no queue names their
+                        // service any more.
+                        self.services.insert(summary.service.clone());
                         self.board.insert(id, summary);
                     }
                 }
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -547,6 +547,23 @@
     assert_eq!(added.map(|row| row.0), Some(StatusCode::OK));
 }
 
+/// Guards against accepted jobs that nobody owns once no queue names their service.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_is_finished_although_its_service_has_left_the_manifest() {
+    let mut cell = cell(1, Duration::from_secs(2)).await;
+    cell.submit(0, 1, &job(2)).await;
+    let mut without = manifest(2, &["/tokens/"]);
+    without["routes"][0]["service"] = json!("settlement");
+    cell.store.write("op/config", &without);
+
+    cell.daemons[0].child.kill().unwrap();
+    cell.launch("daemon-later");
+    cell.wait_until_serving(1).await;
+    cell.wait_for_state(1, 1, "completed").await;
+
+    cell.assert_one_place_at_a_time();
+}
+
 /// Guards against a decision that on-call engineers cannot find by its request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn decisions_about_a_job_are_logged_with_its_id() {
