Keep a write open that a peer may have made

A write that the store refused to this daemon was sent through a peer, and the peer's missing answer counted as a refusal: the caller was told 503, not accepted, although the peer may have made the write. The peer also answered 503 for a call whose own answer it had lost.

Change: a peer says whether the call was answered, is open, or was not made, and the route keeps the outcome unknown if any way left it open. A call that nobody made is now refused instead of unknown, so its caller gets a 503 at once.

Ruled out: relying on the condition of the transaction, which makes a repeat harmless but does not make the answer true.

Conclusion: no known way is left on which a refused write was made.

--- a/crates/daemon/src/ingress/peers.rs
+++ b/crates/daemon/src/ingress/peers.rs
@@ -78,9 +78,12 @@
             }
         };
         let answer = self.route.carry(call).await;
-        match answer.map(|answer| serde_json::to_vec(&answer)) {
-            Some(Ok(body)) => json(StatusCode::OK, body),
-            Some(Err(_)) | None => empty(StatusCode::SERVICE_UNAVAILABLE),
+        match serde_json::to_vec(&answer) {
+            Ok(body) => json(StatusCode::OK, body),
+            Err(error) => {
+                log::error!("the answer to a peer's call cannot be encoded: {error}");
+                empty(StatusCode::INTERNAL_SERVER_ERROR)
+            }
         }
     }
 
--- a/crates/daemon/src/session/route.rs
+++ b/crates/daemon/src/session/route.rs
@@ -50,12 +50,30 @@
     pub(crate) time_limit_ms: u64,
 }
 
-/// The store's answer to a [`RelayedCall`].
+/// What became of a [`RelayedCall`].
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
-pub(crate) struct RelayedAnswer {
-    pub(crate) status: u16,
-    pub(crate) body: String,
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum RelayedAnswer {
+    /// The store answered.
+    Answered {
+        /// The status.
+        status: u16,
+        /// The body.
+        body: String,
+    },
+    /// The store gave no answer and may have carried out the call.
+    Unanswered,
+    /// The call did not reach the store.
+    NotMade,
+}
+
+/// What became of a call on the way through other daemons.
+#[derive(Debug, Default)]
+struct RelayOutcome {
+    answer: Option<WholeAnswer>,
+    /// Whether a daemon may have made the call although its answer is missing.
+    is_open: bool,
 }
 
 /// Both ways to the store.
@@ -109,61 +127,65 @@
     }
 
     /// Carries a call of another daemon, on the direct way only.
-    pub(crate) async fn carry(&self, call: RelayedCall) -> Option<RelayedAnswer> {
+    pub(crate) async fn carry(&self, call: RelayedCall) -> RelayedAnswer {
+        let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
+            log::warn!(method = call.method.as_str(); "a peer's call has an unknown method");
+            return RelayedAnswer::NotMade;
+        };
         if self.is_cut() {
-            return None;
+            return RelayedAnswer::NotMade;
         }
         let request = StoreRequest {
-            method: Method::from_bytes(call.method.as_bytes()).ok()?,
+            method,
             path: call.path,
             body: call.body.map(String::into_bytes),
             time_limit: Duration::from_millis(call.time_limit_ms),
             is_watch: false,
         };
         // The calling daemon logs the failure.
-        let answer = self.state.direct.exchange(request).await.ok()?;
-        Some(RelayedAnswer {
-            status: answer.status.as_u16(),
-            body: String::from_utf8_lossy(&answer.body).into_owned(),
-        })
+        match self.state.direct.exchange(request).await {
+            Ok(answer) => RelayedAnswer::Answered {
+                status: answer.status.as_u16(),
+                body: String::from_utf8_lossy(&answer.body).into_owned(),
+            },
+            Err(CallError::Unanswered { .. }) => RelayedAnswer::Unanswered,
+            Err(_) => RelayedAnswer::NotMade,
+        }
     }
 
     fn is_cut(&self) -> bool {
         self.state.is_cut.load(Ordering::Relaxed)
     }
 
-    /// Makes the call through other daemons; `None` if none of them could.
-    async fn relay(&self, request: &StoreRequest) -> Option<WholeAnswer> {
+    /// Makes the call through other daemons.
+    async fn relay(&self, request: &StoreRequest) -> RelayOutcome {
+        let mut outcome = RelayOutcome::default();
         let peers = self.state.peers.load_full();
-        let call = RelayedCall {
-            method: request.method.to_string(),
-            path: request.path.clone(),
-            body: match &request.body {
-                Some(body) => Some(String::from_utf8(body.clone()).ok()?),
-                None => None,
-            },
-            time_limit_ms: u64::try_from(request.time_limit.as_millis()).ok()?,
+        let Some(body) = encode_call(request) else {
+            return outcome;
         };
-        let body = serde_json::to_vec(&call).ok()?;
         for _ in 0..RELAY_TRIES.min(peers.len()) {
             let index = self.state.next_peer.load(Ordering::Relaxed) % peers.len();
             let limit = request.time_limit + RELAY_SLACK;
-            let answer = peers[index].post_json("/store", body.clone(), limit).await;
-            match answer {
-                Ok(Some(body)) => {
-                    let answer: RelayedAnswer = serde_json::from_slice(&body).ok()?;
-                    return Some(WholeAnswer {
-                        status: StatusCode::from_u16(answer.status).ok()?,
-                        body: answer.body.into(),
-                    });
-                }
-                // This one does not reach the store either; the next call tries another.
-                Ok(None) | Err(_) => {
-                    self.state.next_peer.fetch_add(1, Ordering::Relaxed);
-                }
+            match peers[index].post_json("/store", body.clone(), limit).await {
+                Ok(Some(body)) => match decode_answer(&body) {
+                    Some(RelayedAnswer::Answered { status, body }) => {
+                        outcome.answer = StatusCode::from_u16(status).ok().map(|status| {
+                            let body = body.into();
+                            WholeAnswer { status, body }
+                        });
+                        return outcome;
+                    }
+                    Some(RelayedAnswer::NotMade) => {}
+                    Some(RelayedAnswer::Unanswered) | None => outcome.is_open = true,
+                },
+                Ok(None) | Err(CallError::Refused { .. } | CallError::Malformed { .. }) => {}
+                Err(_) => outcome.is_open = true,
             }
+            // This daemon does not reach the store either; the next call tries another.
+            self.state.next_peer.fetch_add(1, Ordering::Relaxed);
         }
-        None
+        outcome
     }
 
     /// Uses the other way from now on, until a try of the direct way succeeds.
@@ -243,28 +265,48 @@
                 outcome => Some(outcome),
             }
         };
-        let Some(answer) = self.relay(&request).await else {
-            return direct.unwrap_or_else(|| {
-                Err(CallError::Unanswered {
-                    address: self.address(),
-                })
-            });
-        };
-        let is_open = matches!(direct, Some(Err(CallError::Unanswered { .. })));
-        if is_refusal(answer.status) {
-            // The direct call may have been carried out although this one was not.
-            return if is_open {
-                Err(CallError::Unanswered {
+        let relayed = self.relay(&request).await;
+        let is_open = relayed.is_open || matches!(direct, Some(Err(CallError::Unanswered { .. })));
+        match relayed.answer {
+            Some(answer) if !is_refusal(answer.status) => {
+                if direct.is_some() && !request.is_watch {
+                    self.leave_direct_way();
+                }
+                Ok(answer)
+            }
+            // A refusal on one way does not tell what became of the call on the other.
+            _ if is_open => Err(CallError::Unanswered {
+                address: self.address(),
+            }),
+            Some(answer) => Ok(answer),
+            None => direct.unwrap_or_else(|| {
+                Err(CallError::Refused {
                     address: self.address(),
                 })
-            } else {
-                Ok(answer)
-            };
+            }),
         }
-        if direct.is_some() && !request.is_watch {
-            self.leave_direct_way();
+    }
+}
+
+/// Encodes a call for another daemon; nothing if its body is no text.
+fn encode_call(request: &StoreRequest) -> Option<Vec<u8>> {
+    let body = request.body.clone().map(String::from_utf8).transpose();
+    let call = RelayedCall {
+        method: request.method.to_string(),
+        path: request.path.clone(),
+        body: body.ok()?,
+        time_limit_ms: u64::try_from(request.time_limit.as_millis()).ok()?,
+    };
+    serde_json::to_vec(&call).ok()
+}
+
+fn decode_answer(body: &[u8]) -> Option<RelayedAnswer> {
+    match serde_json::from_slice(body) {
+        Ok(answer) => Some(answer),
+        Err(error) => {
+            log::warn!("a peer's answer cannot be decoded: {error}");
+            None
         }
-        Ok(answer)
     }
 }
 
--- a/crates/daemon/src/session/tests.rs
+++ b/crates/daemon/src/session/tests.rs
@@ -55,10 +55,8 @@
         *answer.status_mut() = self.status;
         if let Some(carrier) = &self.carrier {
             let call: RelayedCall = serde_json::from_slice(&body).unwrap();
-            return match carrier.carry(call).await {
-                Some(carried) => Response::new(Full::from(serde_json::to_vec(&carried).unwrap())),
-                None => answer,
-            };
+            let carried = carrier.carry(call).await;
+            return Response::new(Full::from(serde_json::to_vec(&carried).unwrap()));
         }
         answer
     }
@@ -113,6 +111,55 @@
     assert_eq!(outcome, TransactionOutcome::Unknown);
 }
 
+/// Guards against a rejection as not run of a write that the store refused to this
+/// daemon and may have made for the peer.
+#[tokio::test]
+async fn a_refused_call_stays_unknown_if_the_relayed_one_is_unanswered() {
+    let (store, _) = start(StatusCode::SERVICE_UNAVAILABLE, None).await;
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let carrier = StoreRoute::new(&silent.local_addr().unwrap().to_string());
+    let (peer, _) = start(StatusCode::OK, Some(carrier)).await;
+    let route = StoreRoute::new(&store);
+    route.set_peers(vec![HttpEndpoint::new(&peer)]);
+    let client = CellStore::new(route);
+
+    let outcome = client.commit(&StoreTransaction::default()).await;
+
+    assert_eq!(outcome, TransactionOutcome::Unknown);
+}
+
+/// Guards against the same if the peer itself gives no answer.
+#[tokio::test]
+async fn a_refused_call_stays_unknown_if_the_peer_is_silent() {
+    let (store, _) = start(StatusCode::SERVICE_UNAVAILABLE, None).await;
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let route = StoreRoute::new(&store);
+    let peer = HttpEndpoint::new(&silent.local_addr().unwrap().to_string());
+    route.set_peers(vec![peer]);
+    let client = CellStore::new(route);
+
+    let outcome = client.commit(&StoreTransaction::default()).await;
+
+    assert_eq!(outcome, TransactionOutcome::Unknown);
+}
+
+/// Guards against a caller that is told "may have run" while no daemon made the call.
+#[tokio::test]
+async fn a_call_that_no_daemon_made_is_refused() {
+    let (store, _) = start(StatusCode::SERVICE_UNAVAILABLE, None).await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = closed.local_addr().unwrap().to_string();
+    drop(closed);
+    let (peer, _) = start(StatusCode::OK, Some(StoreRoute::new(&address))).await;
+    let route = StoreRoute::new(&store);
+    route.set_peers(vec![HttpEndpoint::new(&peer)]);
+    let client = CellStore::new(route);
+
+    let outcome = client.commit(&StoreTransaction::default()).await;
+
+    assert_eq!(outcome, TransactionOutcome::Refused);
+}
+
 /// Guards against calls that are relayed in a circle while the store is away for all.
 #[tokio::test]
 async fn a_peer_does_not_relay_further() {
