Append one record of progress per commit

At several hundred starts a second the placements waited for their commit until their tickets had expired: all 1,033 logged rejections were bad_ticket, and each rejection cost another placement and commit.

Ruled out: processor time of the owner (busiest 0.25 of 0.5 cores); the advice service (1,021 of 1,632 s used, mostly for tickets that expired).

Change: a commit appends one record with the progress of all jobs that changed, and the log is truncated at its head; a long log has its head written again. Numbers of commits go on over takeovers, so that records stay in order.

A test replays a burst of 200 jobs: 8 commits, before 29.

--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -41,36 +41,51 @@
 }
 
 impl PipelineState {
-    /// Takes at most `limit` changed jobs for one commit.
+    /// Takes changed jobs for one commit, in the order of their changes, for as long
+    /// as `has_room` admits them.
     ///
     /// The caller makes them durable and then calls [`Self::commit_done`]; until
     /// then it takes no other commit.
-    pub fn take_commit(&mut self, limit: usize) -> Option<ProgressCommit> {
+    pub fn take_commit(
+        &mut self,
+        mut has_room: impl FnMut(&CommitEntry) -> bool,
+    ) -> Option<ProgressCommit> {
         let mut commit = ProgressCommit {
             entries: Vec::new(),
             starts: Vec::new(),
         };
-        while commit.entries.len() < limit {
-            let Some((_, pipeline)) = self.dirty.pop_first() else {
-                break;
-            };
+        while let Some((serial, pipeline)) = self.dirty.first_key_value() {
+            let (serial, pipeline) = (*serial, *pipeline);
+            match self.commit_entry(pipeline) {
+                Some(entry) if !has_room(&entry) => break,
+                entry => commit.entries.extend(entry),
+            }
+            self.dirty.remove(&serial);
             self.dirty_serials.remove(&pipeline);
             let starts = self.pending_starts.remove(&pipeline);
             commit.starts.extend(starts.unwrap_or_default());
-            let is_retired = self.is_retired(pipeline);
-            let Some(record) = self.pipelines.get(&pipeline) else {
-                continue;
-            };
-            commit.entries.push(CommitEntry {
-                pipeline,
-                spec: Arc::clone(&record.spec),
-                phase: record.progress.phase,
-                progress: (!is_retired).then(|| record.progress.clone()),
-            });
         }
         (!commit.entries.is_empty()).then_some(commit)
     }
 
+    fn commit_entry(&self, pipeline: PipelineId) -> Option<CommitEntry> {
+        let record = self.pipelines.get(&pipeline)?;
+        let is_retired = self.is_retired(pipeline);
+        Some(CommitEntry {
+            pipeline,
+            spec: Arc::clone(&record.spec),
+            phase: record.progress.phase,
+            progress: (!is_retired).then(|| record.progress.clone()),
+        })
+    }
+
+    /// Includes the progress of a job in a coming commit although it did not change.
+    pub fn rewrite(&mut self, pipeline: PipelineId) {
+        if self.pipelines.contains_key(&pipeline) {
+            self.mark_dirty(pipeline);
+        }
+    }
+
     /// Releases what waited for a commit.
     pub fn commit_done(&mut self, commit: ProgressCommit, now: Duration) -> Vec<PipelineAction> {
         for entry in &commit.entries {
--- a/crates/core/src/pipelines/progress.rs
+++ b/crates/core/src/pipelines/progress.rs
@@ -147,10 +147,15 @@
         step.tasks.get_mut(usize::try_from(key.index).ok()?)
     }
 
+    /// Returns the steps of all occurrences that are not done.
+    pub fn steps(&self) -> impl Iterator<Item = &StepProgress> {
+        self.occurrences.values().flatten()
+    }
+
     /// Tells whether no task may be at a worker.
     #[must_use]
     pub fn is_clear(&self) -> bool {
-        let mut steps = self.occurrences.values().flatten();
+        let mut steps = self.steps();
         steps.all(StepProgress::is_clear)
     }
 
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -150,7 +150,7 @@
 
     /// Makes all changes durable.
     pub(super) fn commit(&mut self) {
-        while let Some(commit) = self.state.take_commit(10) {
+        while let Some(commit) = self.state.take_commit(|_| true) {
             for entry in &commit.entries {
                 self.phases.insert(entry.pipeline, entry.phase);
                 match &entry.progress {
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -187,7 +187,7 @@
     owner.commit();
 
     owner.report("w1", running.clone(), ends.clone());
-    let commit = owner.state.take_commit(10);
+    let commit = owner.state.take_commit(|_| true);
     owner.wait(Duration::from_secs(2));
     owner.report("w1", running, ends);
     owner.wait(Duration::from_secs(2));
--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -2,14 +2,15 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use auburnsaddle_core::{Epoch, PipelineId, ServiceId, WorkerListing};
+use auburnsaddle_core::{Epoch, PipelineId, PipelineProgress, ServiceId, WorkerListing};
 use auburnsaddle_platform::{
     KeyLease, StoreTransaction, TransactionOutcome, WORKER_PREFIX, decode_registration,
     worker_of_key,
 };
 
-use super::records::{
-    CellKey, OwnerEntry, SequenceEntry, StoredJob, StoredProgress, decode_record, encode_record,
+use super::{
+    log::{ProgressLog, ProgressRecord, RecordNumber},
+    records::{CellKey, OwnerEntry, SequenceEntry, StoredJob, decode_record, encode_record},
 };
 use crate::session::CellStore;
 
@@ -24,7 +25,7 @@
 pub(crate) struct LoadedJob {
     pub(crate) id: PipelineId,
     pub(crate) spec: Arc<StoredJob>,
-    pub(crate) progress: Option<StoredProgress>,
+    pub(crate) progress: Option<PipelineProgress>,
     pub(crate) is_cancelled: bool,
 }
 
@@ -33,8 +34,11 @@
 pub(crate) struct LoadedShard {
     pub(crate) service: ServiceId,
     pub(crate) epoch: Epoch,
+    /// Number of the former owner's last commit.
+    pub(crate) commit: RecordNumber,
     /// Revision of the sequence.
     pub(crate) revision: u64,
+    pub(crate) log: ProgressLog,
     pub(crate) jobs: Vec<LoadedJob>,
     pub(crate) workers: Vec<WorkerListing>,
     /// Revisions from which changes of jobs and workers are watched.
@@ -80,7 +84,10 @@
     let owner = OwnerEntry {
         daemon: daemon.to_owned(),
     };
-    let next = SequenceEntry { epoch, commit: 0 };
+    let next = SequenceEntry {
+        epoch,
+        commit: entry.commit,
+    };
     let transaction = StoreTransaction {
         expected: vec![
             (owner_key.clone(), owner_revision),
@@ -99,6 +106,7 @@
     for _ in 0..LOAD_TRIES {
         if let Some(mut loaded) = load_shard(store, &service).await {
             loaded.epoch = epoch;
+            loaded.commit = next.commit;
             loaded.revision = revision;
             return AcquireOutcome::Acquired(Box::new(loaded));
         }
@@ -135,14 +143,14 @@
 
 async fn load_shard(store: &CellStore, service: &ServiceId) -> Option<LoadedShard> {
     let jobs_prefix = CellKey::job_prefix(service);
-    let progress_prefix = CellKey::progress_prefix(service);
-    let (jobs, progress, workers) = tokio::join!(
+    let record_prefix = CellKey::record_prefix(service);
+    let (jobs, records, workers) = tokio::join!(
         store.range_all(&jobs_prefix),
-        store.range_all(&progress_prefix),
+        store.range_all(&record_prefix),
         store.range_all(WORKER_PREFIX),
     );
-    let ((jobs, jobs_revision), (progress, _), (workers, workers_revision)) =
-        (jobs.ok()?, progress.ok()?, workers.ok()?);
+    let ((jobs, jobs_revision), (records, _), (workers, workers_revision)) =
+        (jobs.ok()?, records.ok()?, workers.ok()?);
     let mut loaded: BTreeMap<PipelineId, LoadedJob> = BTreeMap::new();
     let mut cancelled = Vec::new();
     for item in &jobs {
@@ -167,12 +175,16 @@
             job.is_cancelled = true;
         }
     }
-    for item in &progress {
-        if let Some(CellKey::Progress(_, id)) = CellKey::parse(&item.key)
-            && let Some(job) = loaded.get_mut(&id)
-        {
-            job.progress = decode_record(&item.key, &item.value);
-        }
+    let records = records.iter().filter_map(|item| {
+        let Some(CellKey::Record(_, number)) = CellKey::parse(&item.key) else {
+            return None;
+        };
+        let record: ProgressRecord = decode_record(&item.key, &item.value)?;
+        Some((number, record))
+    });
+    let (log, mut progress) = ProgressLog::replay(records);
+    for (id, job) in &mut loaded {
+        job.progress = progress.remove(id);
     }
     let workers = workers.iter().filter_map(|item| {
         let worker = worker_of_key(&item.key)?;
@@ -183,7 +195,9 @@
     Some(LoadedShard {
         service: service.clone(),
         epoch: 0,
+        commit: 0,
         revision: 0,
+        log,
         workers: workers.collect(),
         jobs: loaded.into_values().collect(),
         jobs_revision,
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -11,7 +11,7 @@
 | `seq/SERVICE` | epoch and number of the latest commit |
 | `job/SERVICE/jID` | a job, until it is over |
 | `job/SERVICE/xID` | a cancellation, until it is carried out |
-| `prog/SERVICE/ID` | the progress of a job, until it is over |
+| `prog/SERVICE/NUMBER` | the progress of the jobs that a commit changed |
 
 Each commit of an owner names the revision of `seq/SERVICE` that its last commit
 left behind. A commit of a replaced owner fails, and so does one that the store
@@ -20,6 +20,7 @@
 
 mod acquire;
 mod advisors;
+mod log;
 mod orders;
 mod records;
 mod shard;
--- a/crates/daemon/src/pipelines/records.rs
+++ b/crates/daemon/src/pipelines/records.rs
@@ -1,9 +1,11 @@
 //! Keys and values in the store.
 
-use auburnsaddle_core::{PipelineId, PipelineProgress, PipelineSpec, ServiceId};
+use auburnsaddle_core::{PipelineId, PipelineSpec, ServiceId};
 use bincode::config;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use super::log::RecordNumber;
+
 /// Everything that the daemons write is below this prefix.
 pub(crate) const KEY_PREFIX: &str = "auburnsaddle/";
 
@@ -25,8 +27,8 @@
     Job(ServiceId, PipelineId),
     /// A cancellation.
     Cancellation(ServiceId, PipelineId),
-    /// The progress of a job.
-    Progress(ServiceId, PipelineId),
+    /// A record of the progress of a service's jobs.
+    Record(ServiceId, RecordNumber),
 }
 
 impl CellKey {
@@ -39,7 +41,9 @@
             Self::Sequence(service) => format!("{KEY_PREFIX}seq/{service}"),
             Self::Job(service, id) => format!("{KEY_PREFIX}job/{service}/j{id:016x}"),
             Self::Cancellation(service, id) => format!("{KEY_PREFIX}job/{service}/x{id:016x}"),
-            Self::Progress(service, id) => format!("{KEY_PREFIX}prog/{service}/{id:016x}"),
+            Self::Record(service, number) => {
+                format!("{}{number:016x}", Self::record_prefix(service))
+            }
         }
     }
 
@@ -58,7 +62,10 @@
                 ("x", job) => Some(Self::Cancellation(service.into(), id(job)?)),
                 _ => None,
             },
-            ["prog", service, job] => Some(Self::Progress(service.into(), id(job)?)),
+            ["prog", service, number] => {
+                let number = RecordNumber::from_str_radix(number, 16).ok()?;
+                Some(Self::Record(service.into(), number))
+            }
             _ => None,
         }
     }
@@ -68,8 +75,9 @@
         format!("{KEY_PREFIX}job/{service}/")
     }
 
-    /// Returns the prefix of the progress of a service.
-    pub(crate) fn progress_prefix(service: &str) -> String {
+    /// Returns the prefix of the records of a service, whose keys are in the order
+    /// of their numbers.
+    pub(crate) fn record_prefix(service: &str) -> String {
         format!("{KEY_PREFIX}prog/{service}/")
     }
 }
@@ -98,16 +106,13 @@
 pub(crate) struct SequenceEntry {
     /// Epoch of the owner; each takeover raises it.
     pub(crate) epoch: u64,
-    /// Number of the commit within the epoch.
-    pub(crate) commit: u64,
+    /// Number of the commit, which goes on over takeovers.
+    pub(crate) commit: RecordNumber,
 }
 
 /// A job as it is stored.
 pub(crate) type StoredJob = PipelineSpec;
 
-/// The progress of a job as it is stored.
-pub(crate) type StoredProgress = PipelineProgress;
-
 /// Encodes a value.
 pub(crate) fn encode_record<T: Serialize>(record: &T) -> Vec<u8> {
     bincode::serde::encode_to_vec(record, config::standard()).unwrap_or_else(|error| {
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -7,20 +7,32 @@
 };
 
 use auburnsaddle_core::{
-    Epoch, PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad, PipelinePhase,
-    PipelineProgress, PipelineSpec, PipelineState, ProgressCommit, ServiceId,
+    CommitEntry, Epoch, PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad,
+    PipelinePhase, PipelineProgress, PipelineSpec, PipelineState, ProgressCommit, ServiceId,
 };
 use auburnsaddle_platform::{StoreItem, StoreTransaction, TransactionOutcome};
 
 use super::{
     acquire::LoadedShard,
+    log::{ProgressLog, ProgressRecord, RecordNumber},
     records::{CellKey, SequenceEntry, decode_record, encode_record},
 };
 use crate::board::JobSummary;
 
-/// Jobs of one commit. A transaction holds 32 entries: the sequence, a condition
-/// for it, and for each job a summary and its progress or two removals more.
-const COMMIT_LIMIT: usize = 7;
+/// Entries of one transaction, of which the platform takes 32: conditions, puts
+/// and removals.
+const TRANSACTION_ENTRIES: usize = 32;
+
+/// Entries of each commit: the sequence, the condition for it, and the record.
+const FIXED_ENTRIES: usize = 3;
+
+/// Entries that are kept for the removal of superseded records, so that the log is
+/// truncated as fast as it grows.
+const TRUNCATION_ENTRIES: usize = 3;
+
+/// Tasks in one record. The progress of a task takes about 60 bytes, and a value
+/// of the store at most 1 MB.
+const RECORD_TASKS: usize = 4_096;
 
 /// What the end of a commit means for the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -38,6 +50,8 @@
 struct OpenCommit {
     commit: ProgressCommit,
     entry: SequenceEntry,
+    record: ProgressRecord,
+    truncated: Vec<RecordNumber>,
     transaction: StoreTransaction,
     sent_at: Duration,
 }
@@ -49,6 +63,7 @@
     pub(crate) state: PipelineState,
     sequence: SequenceEntry,
     revision: u64,
+    log: ProgressLog,
     open: Option<OpenCommit>,
     /// Summaries in the store, so that one is written only when its phase changes.
     phases: BTreeMap<PipelineId, PipelinePhase>,
@@ -75,9 +90,10 @@
             state: PipelineState::new(config, loaded.epoch, now),
             sequence: SequenceEntry {
                 epoch: loaded.epoch,
-                commit: 0,
+                commit: loaded.commit,
             },
             revision: loaded.revision,
+            log: loaded.log,
             open: None,
             phases: BTreeMap::new(),
             stray_keys: Vec::new(),
@@ -126,24 +142,30 @@
         if self.open.is_some() {
             return None;
         }
-        let commit = self.state.take_commit(COMMIT_LIMIT)?;
-        if self
-            .expiring
-            .front()
-            .is_some_and(|(expiry, _)| *expiry <= now)
-            && let Some((_, id)) = self.expiring.pop_front()
-        {
-            self.over.remove(&id);
-            self.stray_keys.push(CellKey::Summary(id).path());
+        for id in self.log.jobs_to_rewrite() {
+            self.state.rewrite(id);
         }
+        let mut budget = CommitBudget::new(&self.phases);
+        let commit = self.state.take_commit(|entry| budget.admit(entry))?;
         let entry = SequenceEntry {
             epoch: self.sequence.epoch,
             commit: self.sequence.commit + 1,
         };
         let sequence_key = CellKey::Sequence(self.service.clone()).path();
+        let record_key = CellKey::Record(self.service.clone(), entry.commit).path();
+        let record = ProgressRecord {
+            entries: commit
+                .entries
+                .iter()
+                .map(|row| (row.pipeline, row.progress.clone()))
+                .collect(),
+        };
         let mut transaction = StoreTransaction {
             expected: vec![(sequence_key.clone(), self.revision)],
-            puts: vec![(sequence_key, encode_record(&entry), 0)],
+            puts: vec![
+                (sequence_key, encode_record(&entry), 0),
+                (record_key, encode_record(&record), 0),
+            ],
             removals: Vec::new(),
         };
         for row in &commit.entries {
@@ -154,30 +176,48 @@
                 transaction.puts.push((key, encode_record(&summary), 0));
                 self.phases.insert(id, row.phase);
             }
-            let key = CellKey::Progress(self.service.clone(), id).path();
-            if let Some(progress) = &row.progress {
-                transaction.puts.push((key, encode_record(progress), 0));
-            } else {
-                let job = CellKey::Job(self.service.clone(), id).path();
-                transaction.removals.extend([key, job]);
+            if row.progress.is_none() {
+                let key = CellKey::Job(self.service.clone(), id);
+                transaction.removals.push(key.path());
                 if row.phase == PipelinePhase::Cancelled {
                     let key = CellKey::Cancellation(self.service.clone(), id);
                     transaction.removals.push(key.path());
                 }
             }
         }
-        if commit.entries.len() < COMMIT_LIMIT {
-            transaction.removals.extend(self.stray_keys.pop());
-        }
+        let truncated = self.log.superseded(spare_entries(&transaction));
+        let superseded = truncated.iter();
+        let superseded = superseded.map(|row| CellKey::Record(self.service.clone(), *row).path());
+        transaction.removals.extend(superseded);
+        self.remove_expired(&mut transaction, now);
         self.open = Some(OpenCommit {
             commit,
             entry,
+            record,
+            truncated,
             transaction: transaction.clone(),
             sent_at: now,
         });
         Some(transaction)
     }
 
+    /// Fills the transaction up with keys that are not needed any more.
+    fn remove_expired(&mut self, transaction: &mut StoreTransaction, now: Duration) {
+        while self
+            .expiring
+            .front()
+            .is_some_and(|(expiry, _)| *expiry <= now)
+            && self.stray_keys.len() < spare_entries(transaction)
+            && let Some((_, id)) = self.expiring.pop_front()
+        {
+            self.over.remove(&id);
+            self.stray_keys.push(CellKey::Summary(id).path());
+        }
+        let count = self.stray_keys.len().min(spare_entries(transaction));
+        let kept = self.stray_keys.len() - count;
+        transaction.removals.extend(self.stray_keys.drain(kept..));
+    }
+
     /// Returns the transaction that has no outcome yet.
     pub(crate) fn open_transaction(&self) -> Option<StoreTransaction> {
         self.open.as_ref().map(|open| open.transaction.clone())
@@ -205,6 +245,8 @@
         };
         self.revision = revision;
         self.sequence = open.entry;
+        self.log.append(open.entry.commit, &open.record);
+        self.log.truncate(&open.truncated);
         let elapsed = now.saturating_sub(open.sent_at);
         let actions = match self.open.take() {
             Some(open) => {
@@ -248,3 +290,47 @@
         self.state.load()
     }
 }
+
+/// Room that is left in a commit.
+struct CommitBudget<'a> {
+    phases: &'a BTreeMap<PipelineId, PipelinePhase>,
+    entries: usize,
+    tasks: usize,
+}
+
+impl<'a> CommitBudget<'a> {
+    const fn new(phases: &'a BTreeMap<PipelineId, PipelinePhase>) -> Self {
+        Self {
+            phases,
+            entries: TRANSACTION_ENTRIES - FIXED_ENTRIES - TRUNCATION_ENTRIES,
+            tasks: RECORD_TASKS,
+        }
+    }
+
+    /// Takes the room for a job; tells whether there was any.
+    fn admit(&mut self, row: &CommitEntry) -> bool {
+        let has_summary = self.phases.get(&row.pipeline) != Some(&row.phase);
+        let removals = match row.progress {
+            Some(_) => 0,
+            None if row.phase == PipelinePhase::Cancelled => 2,
+            None => 1,
+        };
+        let steps = row.progress.iter().flat_map(PipelineProgress::steps);
+        let tasks: usize = steps.map(|step| step.tasks.len()).sum();
+        let entries = usize::from(has_summary) + removals;
+        // A job that is larger than a record by itself gets one of its own.
+        let is_first = self.tasks == RECORD_TASKS;
+        if entries > self.entries || (tasks > self.tasks && !is_first) {
+            return false;
+        }
+        self.entries -= entries;
+        self.tasks = self.tasks.saturating_sub(tasks.max(1));
+        true
+    }
+}
+
+/// Returns how many entries the transaction can still take.
+const fn spare_entries(transaction: &StoreTransaction) -> usize {
+    let used = transaction.expected.len() + transaction.puts.len() + transaction.removals.len();
+    TRANSACTION_ENTRIES.saturating_sub(used)
+}
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -1,14 +1,21 @@
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use auburnsaddle_core::{
-    AdviceOrder, AdvicePolicy, PipelineConfig, PipelineEvent, QueuePolicy, ServiceId, StepKey,
+    AdviceOrder, AdvicePolicy, HoldReport, PipelineConfig, PipelineEvent, PipelinePhase,
+    QueuePolicy, ResourceVector, RunKey, ServiceId, StartResult, StepKey, StepSpec, TaskKey,
+    WorkerListing,
 };
 use auburnsaddle_platform::{StoreItem, TransactionOutcome};
 
 use super::{
     acquire::{LoadedJob, LoadedShard},
     advisors::{AdvisorTable, split_advisors},
-    records::{CellKey, SequenceEntry, encode_record},
+    log::{ProgressLog, ProgressRecord},
+    records::{CellKey, SequenceEntry, decode_record, encode_record},
     shard::{CommitVerdict, OwnedShard},
 };
 use crate::pipelines::StoredJob;
@@ -56,7 +63,9 @@
     let loaded = LoadedShard {
         service: service(),
         epoch: 3,
+        commit: 0,
         revision: 40,
+        log: ProgressLog::default(),
         jobs: vec![LoadedJob {
             id: 1,
             spec: Arc::new(job()),
@@ -95,7 +104,7 @@
         CellKey::Sequence(service()),
         CellKey::Job(service(), 1),
         CellKey::Cancellation(service(), u64::MAX),
-        CellKey::Progress(service(), 3),
+        CellKey::Record(service(), 3),
     ];
 
     for key in keys {
@@ -142,11 +151,151 @@
     let expected = [
         CellKey::Job(service(), 1),
         CellKey::Cancellation(service(), 1),
-        CellKey::Progress(service(), 1),
     ];
     assert_eq!(removed, expected.iter().map(CellKey::path).collect());
 }
 
+/// Returns a shard of an owner with so many jobs of one task and one large worker.
+fn busy_shard(jobs: u64) -> OwnedShard {
+    let step = StepSpec {
+        count: 1,
+        demand: ResourceVector::new(10, 1, 0),
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    };
+    let spec = Arc::new(StoredJob {
+        steps: vec![step],
+        ..job()
+    });
+    let mut shard = shard();
+    let far = Duration::from_hours(1);
+    let listing = WorkerListing {
+        worker: "w1".into(),
+        address: "w1:1".to_owned(),
+        capacity: ResourceVector::new(1_000_000, 1_000_000, 0),
+        labels: Vec::new(),
+        rack: None,
+        is_draining: false,
+        leaves_in: None,
+    };
+    let held = HoldReport {
+        born_unix_ms: 1,
+        clock_ms: 1,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    let stored = (10..10 + jobs).map(|id| PipelineEvent::Stored(id, spec.clone(), None));
+    let events = [
+        PipelineEvent::Confirmed(far),
+        PipelineEvent::Tick(1_000),
+        PipelineEvent::Listed(listing),
+        PipelineEvent::Held("w1".into(), Duration::ZERO, held),
+    ];
+    for event in events.into_iter().chain(stored) {
+        shard.handle(event, Duration::ZERO);
+    }
+    shard
+}
+
+/// Commits until nothing is left; returns the number of commits, and applies them to
+/// the items of a store.
+fn commit_all(shard: &mut OwnedShard, items: &mut BTreeMap<String, Vec<u8>>) -> usize {
+    let mut commits = 0;
+    while let Some(transaction) = shard.next_commit(Duration::ZERO) {
+        let entries = [
+            transaction.expected.len(),
+            transaction.puts.len(),
+            transaction.removals.len(),
+        ];
+        assert!(entries.iter().sum::<usize>() <= 32, "{entries:?}");
+        commits += 1;
+        items.extend(transaction.puts.into_iter().map(|put| (put.0, put.1)));
+        for key in transaction.removals {
+            items.remove(&key);
+        }
+        shard.finish_commit(&TransactionOutcome::Done(50), Duration::ZERO);
+    }
+    commits
+}
+
+/// Returns the records in the items of a store.
+fn records(items: &BTreeMap<String, Vec<u8>>) -> Vec<(u64, ProgressRecord)> {
+    let records = items.iter().filter_map(|(key, value)| {
+        let Some(CellKey::Record(_, number)) = CellKey::parse(key) else {
+            return None;
+        };
+        Some((number, decode_record(key, value)?))
+    });
+    records.collect()
+}
+
+/// Replays a burst: with a few jobs a commit, placements waited for seconds until
+/// they were durable, and their tickets expired.
+#[test]
+fn the_placements_of_a_burst_become_durable_in_few_commits() {
+    let mut shard = busy_shard(200);
+    let mut items = BTreeMap::new();
+    commit_all(&mut shard, &mut items);
+
+    shard.state.schedule(Duration::ZERO);
+    let commits = commit_all(&mut shard, &mut items);
+
+    assert_eq!(shard.load().runs, 200);
+    // Each job also gets its first summary, of which a transaction takes 26.
+    assert_eq!(commits, 200_usize.div_ceil(26));
+}
+
+/// Guards against progress that a successor does not find, or finds outdated.
+#[test]
+fn the_log_holds_the_latest_progress_of_each_job() {
+    let mut shard = busy_shard(40);
+    let mut items = BTreeMap::new();
+    shard.state.schedule(Duration::ZERO);
+    commit_all(&mut shard, &mut items);
+    for id in 10..20 {
+        shard.handle(PipelineEvent::Cancelled(id), Duration::ZERO);
+        let run = RunKey {
+            task: TaskKey {
+                step: StepKey {
+                    pipeline: id,
+                    occurrence: 0,
+                    step: 0,
+                },
+                index: 0,
+            },
+            attempt: 1,
+        };
+        let rejected = PipelineEvent::StartAnswered("w1".into(), run, StartResult::OtherInstance);
+        shard.handle(rejected, Duration::ZERO);
+        commit_all(&mut shard, &mut items);
+    }
+
+    let (_, jobs) = ProgressLog::replay(records(&items));
+
+    let phases = jobs.values().map(|progress| progress.phase);
+    let cancelled = phases.filter(|phase| *phase == PipelinePhase::Cancelled);
+    assert_eq!(cancelled.count(), shard.load().pipelines as usize - 30);
+    assert!((20..50).all(|id| jobs.contains_key(&id)));
+}
+
+/// Guards against a log that grows for as long as one job runs.
+#[test]
+fn a_job_that_lasts_does_not_keep_the_log() {
+    let mut shard = busy_shard(2);
+    let mut items = BTreeMap::new();
+    shard.state.schedule(Duration::ZERO);
+    commit_all(&mut shard, &mut items);
+
+    for _ in 0..1_000 {
+        shard.state.rewrite(11);
+        commit_all(&mut shard, &mut items);
+    }
+
+    let (_, jobs) = ProgressLog::replay(records(&items));
+    assert!(records(&items).len() <= 130);
+    assert!(jobs.contains_key(&10) && jobs.contains_key(&11));
+}
+
 /// Replays a mix of questions: a quick one would wait half a second behind slow
 /// ones at the same daemon.
 #[test]
