Build the table of workers once a pass, and pass only after changes

Change: one table of workers a pass, from which a step copies only the rows it fits on; the room of a step is computed instead of counted; the cheapest worker comes from an ordered set; passes happen only if an event may have changed what can be placed; renewals are looked up for the worker of the event, and for all on a tick.

--- a/crates/core/src/pipelines/ends.rs
+++ b/crates/core/src/pipelines/ends.rs
@@ -55,6 +55,7 @@
         record.clock = Some((report.clock_ms, now));
         let is_claim = record.contact == WorkerContact::Unclaimed;
         if record.contact != WorkerContact::Claimed {
+            self.is_pass_due = true;
             self.actions
                 .push(PipelineAction::Note(PipelineNote::WorkerClaimed {
                     worker: WorkerId::clone(worker),
@@ -244,6 +245,8 @@
     /// Takes the end of a run into the progress of its job. `None` stands for a
     /// run that is not there any more for an unknown reason.
     fn settle_run(&mut self, run: RunKey, end: Option<RunEnd>, now: Duration) {
+        // The room of the run is free.
+        self.is_pass_due = true;
         let key = run.task.step;
         let Some(shape) = self.step_spec(key).cloned() else {
             return;
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -265,6 +265,21 @@
     Tick(u64),
 }
 
+impl PipelineEvent {
+    /// Returns the worker that the event is about, if it is about one.
+    pub(super) const fn worker(&self) -> Option<&WorkerId> {
+        match self {
+            Self::Listed(listing) => Some(&listing.worker),
+            Self::Delisted(worker)
+            | Self::Held(worker, ..)
+            | Self::HoldFailed(worker, _)
+            | Self::StartAnswered(worker, ..)
+            | Self::StopAnswered(worker, ..) => Some(worker),
+            _ => None,
+        }
+    }
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PipelineAction {
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -6,18 +6,35 @@
     time::Duration,
 };
 
-use super::{
-    advice::AdviceBook,
-    spec::{StepKey, StepSpec},
-    worker::WorkerRecord,
-};
+use super::{advice::AdviceBook, spec::StepSpec, worker::WorkerRecord};
 use crate::types::{RackId, ResourceVector, WorkerId};
 
-/// A worker that may run tasks of a step.
+/// The workers that take tasks, as one pass over the waiting steps sees them.
+///
+/// Load pattern: many steps wait at once for hundreds of workers, most of which are
+/// full. The table is built once a pass, and each step copies only the rows on which
+/// a task of it fits.
 #[derive(Clone, Debug)]
+pub(super) struct PlacementTable {
+    rows: Vec<TableRow>,
+}
+
+#[derive(Clone, Debug)]
+struct TableRow {
+    worker: WorkerId,
+    rack: Option<RackId>,
+    labels: Vec<String>,
+    capacity: ResourceVector,
+    free: ResourceVector,
+    fill_milli: u64,
+    has_serving: bool,
+    is_troubled: bool,
+}
+
+/// A worker that may run tasks of a step, by its row in the table.
+#[derive(Clone, Copy, Debug)]
 pub(super) struct PlaceCandidate {
-    pub(super) worker: WorkerId,
-    pub(super) rack: Option<RackId>,
+    pub(super) row: usize,
     capacity: ResourceVector,
     free: ResourceVector,
     fill_milli: u64,
@@ -29,68 +46,123 @@
     is_mixed: bool,
 }
 
-/// Room on a worker that is kept for steps whose questions are open.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct KeptRoom {
-    amount: ResourceVector,
-    fill_milli: u64,
-}
+/// Lower is better.
+type PlaceCost = (bool, bool, bool, i64);
+
+impl PlacementTable {
+    pub(super) fn new<'a>(
+        workers: impl Iterator<Item = (&'a WorkerId, &'a WorkerRecord)>,
+        usual_percent: u64,
+        now: Duration,
+    ) -> Self {
+        let rows = workers.filter_map(|(worker, record)| {
+            let listing = record.listing.as_ref()?;
+            record.takes_tasks().then(|| TableRow {
+                worker: WorkerId::clone(worker),
+                rack: listing.rack.clone(),
+                labels: listing.labels.clone(),
+                capacity: listing.capacity,
+                free: record.free(),
+                fill_milli: record.fill_milli,
+                has_serving: record.has_serving(),
+                is_troubled: record.troubled_until > now
+                    || record.speed.is_slow(usual_percent, now),
+            })
+        });
+        Self {
+            rows: rows.collect(),
+        }
+    }
 
-impl KeptRoom {
-    /// Keeps room for one more task.
-    pub(super) fn add(&mut self, step: &StepSpec) {
-        self.amount = self.amount.plus(&step.occupied());
+    pub(super) fn worker(&self, candidate: &PlaceCandidate) -> &WorkerId {
+        &self.rows[candidate.row].worker
+    }
+
+    /// Returns the workers on which a task of the step fits now.
+    ///
+    /// `tasks_left` tells how many more tasks of the step a worker may run.
+    pub(super) fn fitting(
+        &self,
+        step: &StepSpec,
+        tasks_left: impl Fn(&WorkerId) -> usize,
+    ) -> Vec<PlaceCandidate> {
+        let rows = self.rows.iter().enumerate();
+        let rows = rows.filter(|(_, row)| row.has_room(step));
+        let rows = rows.filter_map(|(index, row)| row.candidate(index, step, &tasks_left));
+        rows.filter(|candidate| candidate.fits(step)).collect()
+    }
+
+    /// Returns the workers on which a task of the step would fit if they were empty.
+    pub(super) fn able(
+        &self,
+        step: &StepSpec,
+        tasks_left: impl Fn(&WorkerId) -> usize,
+    ) -> Vec<PlaceCandidate> {
+        let rows = self.rows.iter().enumerate();
+        let rows = rows.filter_map(|(index, row)| row.candidate(index, step, &tasks_left));
+        rows.collect()
+    }
+
+    /// Takes the room of a task on a worker for the rest of the pass.
+    pub(super) fn take(&mut self, candidate: &PlaceCandidate, step: &StepSpec) {
+        let Some(row) = self.rows.get_mut(candidate.row) else {
+            return;
+        };
+        let occupied = step.occupied();
+        row.free = ResourceVector {
+            cpu_milli: row.free.cpu_milli.saturating_sub(occupied.cpu_milli),
+            memory_mib: row.free.memory_mib.saturating_sub(occupied.memory_mib),
+            accelerators: row.free.accelerators.saturating_sub(occupied.accelerators),
+        };
+        row.has_serving |= step.target_tail_ms.is_some();
         if step.fills {
-            self.fill_milli += step.demand.cpu_milli;
+            row.fill_milli += step.demand.cpu_milli;
         }
     }
 }
 
-/// Lower is better.
-type PlaceCost = (bool, bool, bool, i64);
+impl TableRow {
+    fn has_room(&self, step: &StepSpec) -> bool {
+        step.occupied().fits_in(&self.free)
+    }
 
-impl PlaceCandidate {
     /// Returns the candidate if the worker, when empty, has room for a task.
-    pub(super) fn new(
-        worker: &WorkerId,
-        record: &WorkerRecord,
-        key: StepKey,
+    fn candidate(
+        &self,
+        row: usize,
         step: &StepSpec,
-        usual_percent: u64,
-        now: Duration,
-    ) -> Option<Self> {
-        let listing = record.listing.as_ref()?;
+        tasks_left: &impl Fn(&WorkerId) -> usize,
+    ) -> Option<PlaceCandidate> {
         let has_label = match &step.required_label {
-            Some(label) => listing.labels.contains(label),
+            Some(label) => self.labels.contains(label),
             None => true,
         };
-        let tasks_left = step.per_worker_limit.map_or(usize::MAX, |limit| {
-            let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-            limit.saturating_sub(record.count_of_step(key))
-        });
-        let is_mixed = if step.fills {
-            record.has_serving()
-        } else {
-            step.target_tail_ms.is_some() && record.fill_milli > 0
+        if !has_label || !step.occupied().fits_in(&self.capacity) {
+            return None;
+        }
+        let tasks_left = match step.per_worker_limit {
+            Some(_) => tasks_left(&self.worker),
+            None => usize::MAX,
         };
-        let candidate = Self {
-            worker: WorkerId::clone(worker),
-            rack: listing.rack.clone(),
-            capacity: listing.capacity,
-            free: record.free(),
-            fill_milli: record.fill_milli,
+        let home = step.home_rack.as_deref();
+        (tasks_left > 0).then_some(PlaceCandidate {
+            row,
+            capacity: self.capacity,
+            free: self.free,
+            fill_milli: self.fill_milli,
             tasks_left,
-            is_troubled: record.troubled_until > now || record.speed.is_slow(usual_percent, now),
-            is_far: step
-                .home_rack
-                .as_deref()
-                .is_some_and(|home| listing.rack.as_deref() != Some(home)),
-            is_mixed,
-        };
-        let is_able = step.occupied().fits_in(&listing.capacity) && tasks_left > 0;
-        (record.takes_tasks() && has_label && is_able).then_some(candidate)
+            is_troubled: self.is_troubled,
+            is_far: home.is_some_and(|home| self.rack.as_deref() != Some(home)),
+            is_mixed: if step.fills {
+                self.has_serving
+            } else {
+                step.target_tail_ms.is_some() && self.fill_milli > 0
+            },
+        })
     }
+}
 
+impl PlaceCandidate {
     pub(super) fn fits(&self, step: &StepSpec) -> bool {
         let has_leftover = !step.fills
             || self.free.cpu_milli >= self.fill_milli.saturating_add(step.demand.cpu_milli);
@@ -99,26 +171,22 @@
 
     /// Returns how many tasks of the step fit.
     pub(super) fn room(&self, step: &StepSpec) -> usize {
-        let mut rest = self.clone();
-        let mut count = 0;
-        while rest.fits(step) && count < step.count as usize {
-            rest.take(step);
-            count += 1;
-        }
-        count
-    }
-
-    /// Leaves room that is kept for other steps.
-    pub(super) fn leave(&mut self, kept: &KeptRoom) {
-        self.free = ResourceVector {
-            cpu_milli: self.free.cpu_milli.saturating_sub(kept.amount.cpu_milli),
-            memory_mib: self.free.memory_mib.saturating_sub(kept.amount.memory_mib),
-            accelerators: self
-                .free
-                .accelerators
-                .saturating_sub(kept.amount.accelerators),
+        let occupied = step.occupied();
+        let share = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
+        let leftover = if step.fills {
+            let left = self.free.cpu_milli.saturating_sub(self.fill_milli);
+            share(left, step.demand.cpu_milli)
+        } else {
+            u64::MAX
         };
-        self.fill_milli += kept.fill_milli;
+        let room = share(self.free.cpu_milli, occupied.cpu_milli)
+            .min(share(self.free.memory_mib, occupied.memory_mib))
+            .min(share(self.free.accelerators, occupied.accelerators))
+            .min(leftover)
+            .min(u64::from(step.count));
+        usize::try_from(room)
+            .unwrap_or(usize::MAX)
+            .min(self.tasks_left)
     }
 
     /// Returns how many tasks of the step would fit if nothing else ran.
@@ -126,7 +194,7 @@
         let empty = Self {
             free: self.capacity,
             fill_milli: 0,
-            ..self.clone()
+            ..*self
         };
         empty.room(step)
     }
@@ -159,55 +227,61 @@
 
 /// Returns the workers of as many tasks as fit, at most `count`.
 pub(super) fn choose_each(
-    candidates: &mut [PlaceCandidate],
+    candidates: &[PlaceCandidate],
     step: &StepSpec,
     count: usize,
-) -> Vec<WorkerId> {
+) -> Vec<PlaceCandidate> {
+    let fitting = candidates.iter().filter(|row| row.fits(step));
+    let mut rows: Vec<PlaceCandidate> = fitting.copied().collect();
+    let costs = rows.iter().enumerate();
+    let mut order: BTreeSet<(PlaceCost, usize)> =
+        costs.map(|(at, row)| (row.cost(step), at)).collect();
     let mut chosen = Vec::new();
-    while chosen.len() < count {
-        let fitting = candidates.iter_mut().filter(|row| row.fits(step));
-        let Some(best) = fitting.min_by_key(|row| row.cost(step)) else {
-            break;
-        };
-        best.take(step);
-        chosen.push(WorkerId::clone(&best.worker));
+    while chosen.len() < count
+        && let Some((_, at)) = order.pop_first()
+    {
+        let row = &mut rows[at];
+        row.take(step);
+        chosen.push(*row);
+        if row.fits(step) {
+            order.insert((row.cost(step), at));
+        }
     }
     chosen
 }
 
 /// Returns the workers of a whole gang, or nothing if it does not fit.
 pub(super) fn choose_gang(
+    table: &PlacementTable,
     candidates: &[PlaceCandidate],
     step: &StepSpec,
     count: usize,
-) -> Option<Vec<WorkerId>> {
-    let whole = |rows: Vec<PlaceCandidate>| {
-        let mut rows = rows;
-        let chosen = choose_each(&mut rows, step, count);
+) -> Option<Vec<PlaceCandidate>> {
+    let whole = |rows: &[PlaceCandidate]| {
+        let chosen = choose_each(rows, step, count);
         (chosen.len() == count).then_some(chosen)
     };
-    let in_rack = |rack: &Option<RackId>| {
-        let rows = candidates.iter().filter(|row| row.rack == *rack);
-        whole(rows.cloned().collect())
-    };
-    let racks: BTreeSet<&Option<RackId>> = if step.same_rack {
-        candidates.iter().map(|row| &row.rack).collect()
-    } else {
-        BTreeSet::new()
-    };
-    let in_one = racks.into_iter().find_map(in_rack);
-    in_one.or_else(|| whole(candidates.to_vec()))
+    let mut racks: BTreeMap<Option<&RackId>, Vec<PlaceCandidate>> = BTreeMap::new();
+    if step.same_rack {
+        for row in candidates {
+            let rack = table.rows[row.row].rack.as_ref();
+            racks.entry(rack).or_default().push(*row);
+        }
+    }
+    let in_one = racks.values().find_map(|rows| whole(rows));
+    in_one.or_else(|| whole(candidates))
 }
 
 /// Position among the workers to ask about; lower is first: those that are known
 /// to be allowed, and then those with the most room.
-type QuestionRank = (bool, bool, bool, Reverse<usize>, Reverse<usize>, WorkerId);
+type QuestionRank = (bool, bool, bool, Reverse<usize>, Reverse<usize>, usize);
 
 /// Returns the workers to ask about.
 ///
 /// `allowed_percent` is the part of the workers that the queue's policy has
 /// allowed so far.
 pub(super) fn choose_questions(
+    table: &PlacementTable,
     candidates: &[PlaceCandidate],
     book: &AdviceBook,
     step: &StepSpec,
@@ -217,17 +291,17 @@
 ) -> Vec<WorkerId> {
     let askable = candidates
         .iter()
-        .filter(|row| book.can_ask(&row.worker, now));
+        .filter(|row| book.can_ask(table.worker(row), now));
     let mut rows: BTreeMap<QuestionRank, usize> = BTreeMap::new();
     for row in askable {
         let (room, most) = (row.room(step), row.room_when_empty(step));
         let rank = (
-            !book.is_allowed(&row.worker),
+            !book.is_allowed(table.worker(row)),
             row.is_troubled,
             row.is_far || row.is_mixed,
             Reverse(room),
             Reverse(most),
-            WorkerId::clone(&row.worker),
+            row.row,
         );
         rows.insert(rank, room.max(1));
     }
@@ -240,7 +314,7 @@
             break;
         }
         expected += room * if rank.0 { allowed_percent } else { 100 };
-        chosen.push(rank.5);
+        chosen.push(WorkerId::clone(&table.rows[rank.5].worker));
     }
     chosen
 }
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -5,16 +5,12 @@
 //! by the time at which their job should be done; a gang that does not fit is
 //! passed by what fits.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{
     commit::PendingStart,
     messages::{AdviceOrder, HoldOrder, PipelineAction, PipelineNote},
-    place::{KeptRoom, PlaceCandidate, choose_each, choose_gang, choose_questions},
+    place::{PlaceCandidate, PlacementTable, choose_each, choose_gang, choose_questions},
     progress::{PipelinePhase, StepProgress, TaskPlace},
     spec::{AdvicePolicy, PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
@@ -78,7 +74,7 @@
 /// What one pass over the waiting steps has used so far.
 #[derive(Debug)]
 struct PlacementPass {
-    kept: BTreeMap<WorkerId, KeptRoom>,
+    table: PlacementTable,
     /// Steps that may still be passed without placing all of their tasks.
     patience: u32,
     /// Steps with slow questions that may ask although there is no room.
@@ -88,11 +84,14 @@
 impl PipelineState {
     /// Places tasks whose turn has come, and asks for tickets that are missing.
     ///
-    /// It is called once after a series of events.
+    /// It is called once after a series of events, and does nothing unless one of
+    /// them may have changed what can be placed.
     pub fn schedule(&mut self, now: Duration) -> Vec<PipelineAction> {
-        if now < self.confirmed_until {
+        let is_due = std::mem::take(&mut self.is_pass_due);
+        if is_due && now < self.confirmed_until && !self.ready.is_empty() {
+            let table = PlacementTable::new(self.workers.iter(), self.usual_percent, now);
             let mut pass = PlacementPass {
-                kept: BTreeMap::new(),
+                table,
                 patience: PASSED_STEPS,
                 early_questions: EARLY_QUESTIONS,
             };
@@ -107,6 +106,15 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns how many more tasks of a step a worker may run.
+    fn tasks_left(&self, worker: &WorkerId, key: StepKey, shape: &StepSpec) -> usize {
+        shape.per_worker_limit.map_or(usize::MAX, |limit| {
+            let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+            let record = self.workers.get(worker);
+            limit.saturating_sub(record.map_or(0, |record| record.count_of_step(key)))
+        })
+    }
+
     fn place_step(&mut self, key: StepKey, pass: &mut PlacementPass, now: Duration) {
         let Some(record) = self.pipelines.get(&key.pipeline) else {
             return;
@@ -118,25 +126,22 @@
             return;
         };
         let waiting: Vec<u32> = progress.waiting().collect();
-        let rows = self.workers.iter().filter_map(|(worker, record)| {
-            let mut row = PlaceCandidate::new(worker, record, key, shape, self.usual_percent, now)?;
-            if let Some(kept) = pass.kept.get(worker) {
-                row.leave(kept);
-            }
-            Some(row)
-        });
-        let candidates: Vec<PlaceCandidate> = rows.collect();
-        let mut allowed = candidates.clone();
+        let tasks_left = |worker: &WorkerId| self.tasks_left(worker, key, shape);
+        let fitting = pass.table.fitting(shape, tasks_left);
+        let mut allowed = fitting.clone();
         if spec.policy.advice.is_some() {
             let book = self.books.entry(key).or_default();
-            allowed.retain(|row| book.ticket(&row.worker, now).is_some());
+            allowed.retain(|row| book.ticket(pass.table.worker(row), now).is_some());
         }
-        let chosen = if shape.gang {
-            choose_gang(&allowed, shape, waiting.len()).unwrap_or_default()
-        } else {
-            choose_each(&mut allowed, shape, waiting.len())
-        };
+        let chosen = choose_step(&pass.table, &allowed, shape, waiting.len());
         let left = waiting.len() - chosen.len();
+        for row in &chosen {
+            pass.table.take(row, shape);
+        }
+        let chosen: Vec<WorkerId> = chosen
+            .iter()
+            .map(|row| WorkerId::clone(pass.table.worker(row)))
+            .collect();
         self.place_tasks(key, &waiting, chosen, now);
         if left == 0 {
             return;
@@ -150,7 +155,7 @@
                 queue: &spec.policy.queue,
                 count: left,
             };
-            self.ask_for_step(&question, &candidates, pass, now);
+            self.ask_for_step(&question, &fitting, pass, now);
         }
     }
 
@@ -159,52 +164,57 @@
     fn ask_for_step(
         &mut self,
         question: &StepQuestion<'_>,
-        candidates: &[PlaceCandidate],
+        fitting: &[PlaceCandidate],
         pass: &mut PlacementPass,
         now: Duration,
     ) {
         let (key, shape, count) = (question.key, question.shape, question.count);
-        let learnt = self.allowed_percent.get(question.queue).copied();
-        let percent = learnt
-            .unwrap_or(ASSUMED_ALLOWED_PERCENT)
-            .max(LEAST_ALLOWED_PERCENT);
-        let book = self.books.entry(key).or_default();
-        let possible = candidates.iter().filter(|row| {
-            book.can_ask(&row.worker, now) || book.ticket(&row.worker, now).is_some()
-        });
-        let mut possible: Vec<PlaceCandidate> = possible.cloned().collect();
-        let fitting = if shape.gang {
-            choose_gang(&possible, shape, count).unwrap_or_default()
+        let is_slow = question.policy.decision_ms >= SLOW_DECISION_MS;
+        let open = if is_slow {
+            self.slow_questions
         } else {
-            choose_each(&mut possible, shape, count)
+            self.quick_questions
         };
-        let is_slow = question.policy.decision_ms >= SLOW_DECISION_MS;
+        let limit = if is_slow {
+            self.slow_limit
+        } else {
+            self.quick_limit
+        };
+        let book = self.books.entry(key).or_default();
+        let may_ask = book.is_idle(now) && open < limit;
+        if is_slow && !may_ask {
+            return;
+        }
+        let possible = fitting.iter().filter(|row| {
+            let worker = pass.table.worker(row);
+            book.can_ask(worker, now) || book.ticket(worker, now).is_some()
+        });
+        let possible: Vec<PlaceCandidate> = possible.copied().collect();
+        let meant = choose_step(&pass.table, &possible, shape, count);
         if !is_slow {
             // Others would take the room before the answer arrives.
-            for worker in &fitting {
-                pass.kept.entry(worker.clone()).or_default().add(shape);
+            for row in &meant {
+                pass.table.take(row, shape);
             }
         }
-        let is_early = fitting.is_empty();
-        if is_early && (!is_slow || pass.early_questions == 0) {
+        let is_early = meant.is_empty();
+        if !may_ask || (is_early && (!is_slow || pass.early_questions == 0)) {
             return;
         }
         pass.early_questions -= u32::from(is_early);
-        let (open, limit) = if is_slow {
-            (&mut self.slow_questions, self.slow_limit)
-        } else {
-            (&mut self.quick_questions, self.quick_limit)
-        };
-        if !book.is_idle(now) || *open >= limit {
-            return;
-        }
-        let mut workers = choose_questions(candidates, book, shape, count, percent, now);
-        workers.truncate(QUESTION_WORKERS);
+        let workers = self.workers_to_ask(question, &pass.table, now);
         if workers.is_empty() {
             return;
         }
-        *open += 1;
-        book.note_asked(workers.clone());
+        if is_slow {
+            self.slow_questions += 1;
+        } else {
+            self.quick_questions += 1;
+        }
+        self.books
+            .entry(key)
+            .or_default()
+            .note_asked(workers.clone());
         self.actions.push(PipelineAction::Ask(AdviceOrder {
             step: key,
             workers,
@@ -212,6 +222,26 @@
         }));
     }
 
+    fn workers_to_ask(
+        &self,
+        question: &StepQuestion<'_>,
+        table: &PlacementTable,
+        now: Duration,
+    ) -> Vec<WorkerId> {
+        let (key, shape) = (question.key, question.shape);
+        let Some(book) = self.books.get(&key) else {
+            return Vec::new();
+        };
+        let learnt = self.allowed_percent.get(question.queue).copied();
+        let percent = learnt
+            .unwrap_or(ASSUMED_ALLOWED_PERCENT)
+            .max(LEAST_ALLOWED_PERCENT);
+        let able = table.able(shape, |worker| self.tasks_left(worker, key, shape));
+        let mut workers = choose_questions(table, &able, book, shape, question.count, percent, now);
+        workers.truncate(QUESTION_WORKERS);
+        workers
+    }
+
     fn place_tasks(&mut self, key: StepKey, waiting: &[u32], chosen: Vec<WorkerId>, now: Duration) {
         if chosen.is_empty() {
             return;
@@ -317,6 +347,7 @@
                         };
                         record.ready.insert(key, rank);
                         self.ready.insert((rank, key));
+                        self.is_pass_due = true;
                     }
                 }
             }
@@ -341,37 +372,49 @@
 
     /// Sends the renewals that are due.
     pub(super) fn renew_leases(&mut self, now: Duration) {
+        let due = self.workers.iter().filter(|(_, record)| {
+            record.listing.is_some() && !record.is_hold_sent && now >= record.hold_due
+        });
+        let due: Vec<WorkerId> = due.map(|(worker, _)| WorkerId::clone(worker)).collect();
+        for worker in due {
+            self.renew_lease(&worker, now);
+        }
+    }
+
+    /// Sends the renewal of a worker's lease if it is due.
+    pub(super) fn renew_lease(&mut self, worker: &WorkerId, now: Duration) {
         let may_renew = now < self.confirmed_until + RENEWAL_WITHOUT_STORE;
-        for (worker, record) in &mut self.workers {
-            let Some(listing) = &record.listing else {
-                continue;
-            };
-            if record.is_hold_sent || now < record.hold_due || !may_renew {
-                continue;
-            }
-            let address = listing.address.clone();
-            let (deadline_ms, wait) = match record.contact {
-                // The first renewal brings the worker's clock, and the lease of a
-                // worker that does not answer is not extended.
-                WorkerContact::Unclaimed | WorkerContact::Doubted => (None, Duration::ZERO),
-                WorkerContact::Claimed => {
-                    let wait = match record.pending_ack {
-                        Some(_) => Duration::ZERO,
-                        None => self.config.hold_wait,
-                    };
-                    (record.grant(self.config.lease, now), wait)
-                }
-            };
-            record.is_hold_sent = true;
-            self.actions.push(PipelineAction::Hold(HoldOrder {
-                worker: WorkerId::clone(worker),
-                address,
-                token: record.token(self.epoch),
-                last_seen: record.acked_end,
-                deadline_ms,
-                wait,
-            }));
+        let Some(record) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(listing) = &record.listing else {
+            return;
+        };
+        if record.is_hold_sent || now < record.hold_due || !may_renew {
+            return;
         }
+        let address = listing.address.clone();
+        let (deadline_ms, wait) = match record.contact {
+            // The first renewal brings the worker's clock, and the lease of a
+            // worker that does not answer is not extended.
+            WorkerContact::Unclaimed | WorkerContact::Doubted => (None, Duration::ZERO),
+            WorkerContact::Claimed => {
+                let wait = match record.pending_ack {
+                    Some(_) => Duration::ZERO,
+                    None => self.config.hold_wait,
+                };
+                (record.grant(self.config.lease, now), wait)
+            }
+        };
+        record.is_hold_sent = true;
+        self.actions.push(PipelineAction::Hold(HoldOrder {
+            worker: WorkerId::clone(worker),
+            address,
+            token: record.token(self.epoch),
+            last_seen: record.acked_end,
+            deadline_ms,
+            wait,
+        }));
     }
 }
 
@@ -390,6 +433,20 @@
     (is_useless, spec.policy.priority, is_late, objective)
 }
 
+/// Returns the workers of as many tasks of the step as fit; all or none of a gang.
+fn choose_step(
+    table: &PlacementTable,
+    candidates: &[PlaceCandidate],
+    shape: &StepSpec,
+    count: usize,
+) -> Vec<PlaceCandidate> {
+    if shape.gang {
+        choose_gang(table, candidates, shape, count).unwrap_or_default()
+    } else {
+        choose_each(candidates, shape, count)
+    }
+}
+
 /// Gives all members of a gang the same attempt and the same checkpoint.
 fn align_gang(step: &mut StepProgress) {
     let attempt = step.tasks.iter().map(|task| task.attempt).max();
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -99,6 +99,8 @@
     pub(super) dirty_serials: BTreeMap<PipelineId, u64>,
     pub(super) pending_starts: BTreeMap<PipelineId, Vec<PendingStart>>,
     pub(super) unsent_starts: Vec<PendingStart>,
+    /// Whether something may have changed what can be placed since the last pass.
+    pub(super) is_pass_due: bool,
     pub(super) actions: Vec<PipelineAction>,
 }
 
@@ -128,12 +130,14 @@
             dirty_serials: BTreeMap::new(),
             pending_starts: BTreeMap::new(),
             unsent_starts: Vec::new(),
+            is_pass_due: true,
             actions: Vec::new(),
         }
     }
 
     /// Takes an event and returns what is to be done at once.
     pub fn handle(&mut self, event: PipelineEvent, now: Duration) -> Vec<PipelineAction> {
+        let worker = event.worker().cloned();
         match event {
             PipelineEvent::Stored(id, spec, progress) => self.store(id, spec, progress, now),
             PipelineEvent::Cancelled(id) => self.cancel(id, now),
@@ -157,6 +161,7 @@
             }
             PipelineEvent::Advised(step, report, arrived_at) => {
                 self.close_question(step);
+                self.is_pass_due = true;
                 let counts = match self.books.get_mut(&step) {
                     Some(book) => book.note_report(report, arrived_at, now),
                     None => None,
@@ -172,9 +177,16 @@
                 let starts = std::mem::take(&mut self.unsent_starts);
                 self.release_starts(starts, now);
             }
-            PipelineEvent::Tick(wall_ms) => self.tick(wall_ms, now),
+            PipelineEvent::Tick(wall_ms) => {
+                // Tickets expire, and questions are asked again, with time.
+                self.is_pass_due = true;
+                self.tick(wall_ms, now);
+                self.renew_leases(now);
+            }
+        }
+        if let Some(worker) = worker {
+            self.renew_lease(&worker, now);
         }
-        self.renew_leases(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -298,6 +310,7 @@
     }
 
     fn list(&mut self, listing: WorkerListing, now: Duration) {
+        self.is_pass_due = true;
         let until = self.former_runs_until();
         let record = self.workers.entry(WorkerId::clone(&listing.worker));
         let record = record.or_insert_with(|| WorkerRecord::new(until, now));
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -5,7 +5,7 @@
 use super::{
     health::WorkerSpeed,
     messages::{StopOrder, WorkerListing},
-    spec::{RunKey, StepKey, StepSpec},
+    spec::{RunKey, StepKey, StepSpec, TaskKey},
 };
 use crate::types::{Epoch, ResourceVector, WorkerId};
 
@@ -220,7 +220,12 @@
 
     /// Returns how many tasks of a step may be here.
     pub(super) fn count_of_step(&self, step: StepKey) -> usize {
-        self.runs.keys().filter(|key| key.task.step == step).count()
+        let first = RunKey {
+            task: TaskKey { step, index: 0 },
+            attempt: 0,
+        };
+        let runs = self.runs.range(first..);
+        runs.take_while(|(key, _)| key.task.step == step).count()
     }
 
     /// Tells whether a task with users of its own is here.
