Ask about workers with room, and leave room to urgent work and waiting gangs

The step of one of them knew 16 allowed workers, all full, and asked about two to four of these again each two seconds, while 60 to 140 others had room: a worker known to be allowed counted as room for a task. Questions of jobs that had ended also counted as open for ever, and 48 waiting steps of the most urgent queue ended each pass.

Ruled out: a lost answer (the book was idle between questions); the limit of open questions (21 to 36 of 50 were open); the processor (the trace shows passes in time).

Change: questions name workers with room first; open questions are kept by step; each queue has its own part of a pass. Besides, jobs with much time leave a tenth of the room free for more urgent queues, and workers are kept for gangs that wait.

--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -21,6 +21,7 @@
 mod advice;
 mod commit;
 mod ends;
+mod headroom;
 mod health;
 mod messages;
 mod pace;
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -23,7 +23,6 @@
 struct TableRow {
     worker: WorkerId,
     rack: Option<RackId>,
-    labels: Vec<String>,
     capacity: ResourceVector,
     free: ResourceVector,
     fill_milli: u64,
@@ -60,7 +59,6 @@
             record.takes_tasks().then(|| TableRow {
                 worker: WorkerId::clone(worker),
                 rack: listing.rack.clone(),
-                labels: listing.labels.clone(),
                 capacity: listing.capacity,
                 free: record.free(),
                 fill_milli: record.fill_milli,
@@ -80,7 +78,7 @@
 
     /// Returns the workers on which a task of the step fits now.
     ///
-    /// `tasks_left` tells how many more tasks of the step a worker may run.
+    /// `tasks_left` tells how many more tasks of a restricted step a worker may run.
     pub(super) fn fitting(
         &self,
         step: &StepSpec,
@@ -103,6 +101,42 @@
         rows.collect()
     }
 
+    /// Returns the number of workers.
+    pub(super) const fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Takes all room of a worker for the rest of the pass.
+    pub(super) fn keep(&mut self, row: usize) {
+        if let Some(row) = self.rows.get_mut(row) {
+            row.free = ResourceVector::default();
+        }
+    }
+
+    /// Returns the emptiest workers, whose free room together is at most `percent` of
+    /// the room of all.
+    pub(super) fn emptiest(&self, percent: u64) -> BTreeSet<usize> {
+        let total: u64 = self.rows.iter().map(|row| row.capacity.cpu_milli).sum();
+        let mut left = total * percent / 100;
+        let rows = self.rows.iter().enumerate();
+        let order: BTreeSet<(Reverse<u64>, usize)> = rows
+            .map(|(index, row)| {
+                let share = free_share(&row.free, &row.capacity);
+                (Reverse(row.capacity.cpu_milli * share / 1_000), index)
+            })
+            .collect();
+        let mut chosen = BTreeSet::new();
+        for (Reverse(free), index) in order {
+            // The rest is full in one resource or has more room than is left free.
+            if free == 0 || free > left {
+                break;
+            }
+            left -= free;
+            chosen.insert(index);
+        }
+        chosen
+    }
+
     /// Takes the room of a task on a worker for the rest of the pass.
     pub(super) fn take(&mut self, candidate: &PlaceCandidate, step: &StepSpec) {
         let Some(row) = self.rows.get_mut(candidate.row) else {
@@ -133,16 +167,14 @@
         step: &StepSpec,
         tasks_left: &impl Fn(&WorkerId) -> usize,
     ) -> Option<PlaceCandidate> {
-        let has_label = match &step.required_label {
-            Some(label) => self.labels.contains(label),
-            None => true,
-        };
-        if !has_label || !step.occupied().fits_in(&self.capacity) {
+        if !step.occupied().fits_in(&self.capacity) {
             return None;
         }
-        let tasks_left = match step.per_worker_limit {
-            Some(_) => tasks_left(&self.worker),
-            None => usize::MAX,
+        let is_restricted = step.per_worker_limit.is_some() || step.required_label.is_some();
+        let tasks_left = if is_restricted {
+            tasks_left(&self.worker)
+        } else {
+            usize::MAX
         };
         let home = step.home_rack.as_deref();
         (tasks_left > 0).then_some(PlaceCandidate {
@@ -189,8 +221,13 @@
             .min(self.tasks_left)
     }
 
+    /// Returns the free part of the worker's scarcest resource, in thousandths.
+    pub(super) fn free_share(&self) -> u64 {
+        free_share(&self.free, &self.capacity)
+    }
+
     /// Returns how many tasks of the step would fit if nothing else ran.
-    fn room_when_empty(&self, step: &StepSpec) -> usize {
+    pub(super) fn room_when_empty(&self, step: &StepSpec) -> usize {
         let empty = Self {
             free: self.capacity,
             fill_milli: 0,
@@ -225,6 +262,14 @@
     }
 }
 
+/// Returns the free part of the scarcest resource, in thousandths.
+fn free_share(free: &ResourceVector, capacity: &ResourceVector) -> u64 {
+    let share = |free: u64, all: u64| (free * 1_000).checked_div(all).unwrap_or(1_000);
+    share(free.cpu_milli, capacity.cpu_milli)
+        .min(share(free.memory_mib, capacity.memory_mib))
+        .min(share(free.accelerators, capacity.accelerators))
+}
+
 /// Returns the workers of as many tasks as fit, at most `count`.
 pub(super) fn choose_each(
     candidates: &[PlaceCandidate],
@@ -272,9 +317,20 @@
     in_one.or_else(|| whole(candidates))
 }
 
-/// Position among the workers to ask about; lower is first: those that are known
-/// to be allowed, and then those with the most room.
-type QuestionRank = (bool, bool, bool, Reverse<usize>, Reverse<usize>, usize);
+/// Position among the workers to ask about; lower is first: those with room, among
+/// them those that are known to be allowed, and then those with the most room.
+///
+/// Load pattern: the workers that a step may use are full of other tasks. Asking
+/// about them again brings tickets that expire, while others have room.
+type QuestionRank = (
+    bool,
+    bool,
+    bool,
+    bool,
+    Reverse<usize>,
+    Reverse<usize>,
+    usize,
+);
 
 /// Returns the workers to ask about.
 ///
@@ -296,6 +352,7 @@
     for row in askable {
         let (room, most) = (row.room(step), row.room_when_empty(step));
         let rank = (
+            room == 0,
             !book.is_allowed(table.worker(row)),
             row.is_troubled,
             row.is_far || row.is_mixed,
@@ -313,8 +370,9 @@
         if expected >= needed {
             break;
         }
-        expected += room * if rank.0 { allowed_percent } else { 100 };
-        chosen.push(WorkerId::clone(&table.rows[rank.5].worker));
+        let (_, is_unknown, .., row) = rank;
+        expected += room * if is_unknown { allowed_percent } else { 100 };
+        chosen.push(WorkerId::clone(&table.rows[row].worker));
     }
     chosen
 }
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -5,10 +5,16 @@
 //! by the time at which their job should be done; a gang that does not fit is
 //! passed by what fits.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use super::{
     commit::PendingStart,
+    headroom::{HEADROOM_PERCENT, KEPT_FOR_GANGS_PERCENT, is_patient},
     messages::{AdviceOrder, HoldOrder, PipelineAction, PipelineNote},
     place::{PlaceCandidate, PlacementTable, choose_each, choose_gang, choose_questions},
     progress::{PipelinePhase, StepProgress, TaskPlace},
@@ -18,9 +24,12 @@
 };
 use crate::types::WorkerId;
 
-/// Steps that one pass leaves with waiting tasks before it ends. A longer queue
-/// costs processor time and rarely brings a placement.
-const PASSED_STEPS: u32 = 48;
+/// Steps of one queue that a pass leaves with waiting tasks. Those behind them cost
+/// processor time and are rarely placed.
+const PASSED_STEPS: u32 = 24;
+
+/// Steps that one pass looks at.
+const SEEN_STEPS: usize = 2_048;
 
 /// Steps at the head of the queue that hold tickets although there is no room
 /// yet, so that they start when room appears.
@@ -75,8 +84,14 @@
 #[derive(Debug)]
 struct PlacementPass {
     table: PlacementTable,
-    /// Steps that may still be passed without placing all of their tasks.
-    patience: u32,
+    /// Steps of each queue that were passed without placing all of their tasks.
+    passed: BTreeMap<String, u32>,
+    /// Workers that patient jobs leave to urgent ones, once a patient job was seen.
+    headroom: Option<BTreeSet<usize>>,
+    /// Workers that are kept for gangs.
+    kept: usize,
+    /// Priority of the most urgent queue of the service.
+    first_priority: u32,
     /// Steps with slow questions that may ask although there is no room.
     early_questions: u32,
 }
@@ -92,33 +107,56 @@
             let table = PlacementTable::new(self.workers.iter(), self.usual_percent, now);
             let mut pass = PlacementPass {
                 table,
-                patience: PASSED_STEPS,
+                passed: BTreeMap::new(),
+                headroom: None,
+                kept: 0,
+                first_priority: self.first_priority,
                 early_questions: EARLY_QUESTIONS,
             };
-            let ready: Vec<StepKey> = self.ready.iter().map(|(_, key)| *key).collect();
-            for key in ready {
-                if pass.patience == 0 {
-                    break;
-                }
-                self.place_step(key, &mut pass, now);
+            let ready = self.ready.iter().take(SEEN_STEPS);
+            let ready: Vec<(QueueRank, StepKey)> = ready.copied().collect();
+            for (rank, key) in ready {
+                self.place_step(rank, key, &mut pass, now);
             }
         }
         std::mem::take(&mut self.actions)
     }
 
-    /// Returns how many more tasks of a step a worker may run.
+    /// Returns how many more tasks of a step a worker may run by its label and the
+    /// step's limit.
     fn tasks_left(&self, worker: &WorkerId, key: StepKey, shape: &StepSpec) -> usize {
-        shape.per_worker_limit.map_or(usize::MAX, |limit| {
-            let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-            let record = self.workers.get(worker);
-            limit.saturating_sub(record.map_or(0, |record| record.count_of_step(key)))
-        })
+        let Some(record) = self.workers.get(worker) else {
+            return 0;
+        };
+        let has_label = match (&shape.required_label, &record.listing) {
+            (Some(label), Some(listing)) => listing.labels.contains(label),
+            (Some(_), None) => false,
+            (None, _) => true,
+        };
+        match shape.per_worker_limit {
+            _ if !has_label => 0,
+            Some(limit) => {
+                let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+                limit.saturating_sub(record.count_of_step(key))
+            }
+            None => usize::MAX,
+        }
     }
 
-    fn place_step(&mut self, key: StepKey, pass: &mut PlacementPass, now: Duration) {
+    fn place_step(
+        &mut self,
+        rank: QueueRank,
+        key: StepKey,
+        pass: &mut PlacementPass,
+        now: Duration,
+    ) {
         let Some(record) = self.pipelines.get(&key.pipeline) else {
             return;
         };
+        let passed = pass.passed.get(&record.spec.policy.queue);
+        if passed.is_some_and(|count| *count >= PASSED_STEPS) {
+            return;
+        }
         let spec = Arc::clone(&record.spec);
         let (Some(shape), Some(progress)) =
             (spec.steps.get(key.step as usize), record.progress.step(key))
@@ -127,7 +165,14 @@
         };
         let waiting: Vec<u32> = progress.waiting().collect();
         let tasks_left = |worker: &WorkerId| self.tasks_left(worker, key, shape);
-        let fitting = pass.table.fitting(shape, tasks_left);
+        let mut fitting = pass.table.fitting(shape, tasks_left);
+        if is_patient(&spec, key.occurrence, pass.first_priority, self.wall_ms) {
+            let table = &pass.table;
+            let headroom = pass
+                .headroom
+                .get_or_insert_with(|| table.emptiest(HEADROOM_PERCENT));
+            fitting.retain(|row| !headroom.contains(&row.row));
+        }
         let mut allowed = fitting.clone();
         if spec.policy.advice.is_some() {
             let book = self.books.entry(key).or_default();
@@ -146,7 +191,11 @@
         if left == 0 {
             return;
         }
-        pass.patience -= 1;
+        let (is_useless, ..) = rank;
+        if shape.gang && !is_useless {
+            self.keep_for_gang(key, shape, spec.policy.advice.is_some(), pass);
+        }
+        *pass.passed.entry(spec.policy.queue.clone()).or_default() += 1;
         if let Some(policy) = spec.policy.advice {
             let question = StepQuestion {
                 key,
@@ -159,6 +208,44 @@
         }
     }
 
+    /// Keeps workers for a gang that waits, so that tasks behind it do not take the
+    /// room that becomes free there one by one.
+    fn keep_for_gang(
+        &self,
+        key: StepKey,
+        shape: &StepSpec,
+        is_restricted: bool,
+        pass: &mut PlacementPass,
+    ) {
+        let mut able = pass
+            .table
+            .able(shape, |worker| self.tasks_left(worker, key, shape));
+        if is_restricted {
+            let book = self.books.get(&key);
+            able.retain(|row| {
+                let worker = pass.table.worker(row);
+                book.is_some_and(|book| book.is_allowed(worker))
+            });
+        }
+        able.sort_by_key(|row| (Reverse(row.room(shape)), Reverse(row.free_share())));
+        let mut wanted = shape.count as usize;
+        let mut meant = Vec::new();
+        for row in able {
+            if wanted == 0 {
+                break;
+            }
+            wanted = wanted.saturating_sub(row.room_when_empty(shape));
+            meant.push(row.row);
+        }
+        let limit = pass.table.len() * KEPT_FOR_GANGS_PERCENT / 100;
+        if wanted == 0 && pass.kept + meant.len() <= limit.max(1) {
+            pass.kept += meant.len();
+            for row in meant {
+                pass.table.keep(row);
+            }
+        }
+    }
+
     /// Asks for tickets if they are likely to be used, and keeps the room that
     /// they are for.
     fn ask_for_step(
@@ -170,11 +257,8 @@
     ) {
         let (key, shape, count) = (question.key, question.shape, question.count);
         let is_slow = question.policy.decision_ms >= SLOW_DECISION_MS;
-        let open = if is_slow {
-            self.slow_questions
-        } else {
-            self.quick_questions
-        };
+        let open = self.open_questions.values();
+        let open = open.filter(|open| **open == is_slow).count();
         let limit = if is_slow {
             self.slow_limit
         } else {
@@ -206,11 +290,7 @@
         if workers.is_empty() {
             return;
         }
-        if is_slow {
-            self.slow_questions += 1;
-        } else {
-            self.quick_questions += 1;
-        }
+        self.open_questions.insert(key, is_slow);
         self.books
             .entry(key)
             .or_default()
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -15,7 +15,7 @@
         WorkerListing,
     },
     progress::{PipelinePhase, PipelineProgress, TaskPlace},
-    schedule::{PipelineConfig, QueueRank, RENEWAL_WITHOUT_STORE, SLOW_DECISION_MS},
+    schedule::{PipelineConfig, QueueRank, RENEWAL_WITHOUT_STORE},
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     worker::{RunPhase, WorkerContact, WorkerRecord, WorkerRun, lapse_time},
 };
@@ -84,11 +84,14 @@
     pub(super) books: BTreeMap<StepKey, AdviceBook>,
     /// Allowed part of the workers that were asked about, by queue, in percent.
     pub(super) allowed_percent: BTreeMap<String, usize>,
+    /// Priority of the most urgent queue of the service; lower is more urgent.
+    pub(super) first_priority: u32,
     /// Usual run time as a part of the estimate, in percent.
     pub(super) usual_percent: u64,
-    /// Open questions whose decisions are quick or slow, and their limits.
-    pub(super) quick_questions: usize,
-    pub(super) slow_questions: usize,
+    /// Steps with open questions, and whether the decision is slow. A job may end
+    /// before its answer arrives.
+    pub(super) open_questions: BTreeMap<StepKey, bool>,
+    /// Questions with quick and with slow decisions that may be open.
     pub(super) quick_limit: usize,
     pub(super) slow_limit: usize,
     /// Serial of the latest change, and the pipelines that are not durable.
@@ -119,9 +122,9 @@
             ready: BTreeSet::new(),
             books: BTreeMap::new(),
             allowed_percent: BTreeMap::new(),
+            first_priority: u32::MAX,
             usual_percent: 100,
-            quick_questions: 0,
-            slow_questions: 0,
+            open_questions: BTreeMap::new(),
             quick_limit: QUESTIONS_EACH,
             slow_limit: QUESTIONS_EACH,
             serial: 0,
@@ -160,7 +163,7 @@
                 }
             }
             PipelineEvent::Advised(step, report, arrived_at) => {
-                self.close_question(step);
+                self.open_questions.remove(&step);
                 self.is_pass_due = true;
                 let counts = match self.books.get_mut(&step) {
                     Some(book) => book.note_report(report, arrived_at, now),
@@ -204,6 +207,12 @@
         }
     }
 
+    /// Tells whether every change was taken into a commit.
+    #[must_use]
+    pub fn is_committed(&self) -> bool {
+        self.dirty.is_empty()
+    }
+
     /// Returns a description of every job and worker for the dump, a line each.
     #[must_use]
     pub fn describe(&self) -> Vec<String> {
@@ -245,6 +254,7 @@
         if self.pipelines.contains_key(&id) {
             return;
         }
+        self.first_priority = self.first_priority.min(spec.policy.priority);
         let progress = progress.unwrap_or_default();
         self.inherit_runs(id, &spec, &progress, now);
         let record = PipelineRecord {
@@ -549,18 +559,6 @@
         record.spec.steps.get(usize::try_from(key.step).ok()?)
     }
 
-    fn close_question(&mut self, step: StepKey) {
-        let record = self.pipelines.get(&step.pipeline);
-        let advice = record.and_then(|record| record.spec.policy.advice);
-        let is_slow = advice.is_some_and(|advice| advice.decision_ms >= SLOW_DECISION_MS);
-        let open = if is_slow {
-            &mut self.slow_questions
-        } else {
-            &mut self.quick_questions
-        };
-        *open = open.saturating_sub(1);
-    }
-
     fn learn_allowed(&mut self, id: PipelineId, counts: Option<(usize, usize)>) {
         let Some(record) = self.pipelines.get(&id) else {
             return;
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -283,7 +283,7 @@
 
     /// Tells whether nothing waits to become durable.
     pub(crate) fn is_durable(&self) -> bool {
-        self.open.is_none() && self.load().dirty == 0
+        self.open.is_none() && self.state.is_committed()
     }
 
     pub(crate) fn load(&self) -> PipelineLoad {
