Send relayed store calls through strong daemons, each from another one first

Change: daemons with the most processor time carry calls, in an order that differs by the calling daemon.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: its state and its loop.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     hash::{DefaultHasher, Hash, Hasher},
     sync::{
@@ -100,6 +101,23 @@
     is_draining: bool,
 }
 
+/// Returns the other daemons in the order in which they carry calls to the store.
+///
+/// Load pattern: the store is cut off from a third of the daemons, and all their calls
+/// go through the others. Those with the most processor time carry them, and each
+/// daemon begins with another one.
+pub(super) fn relay_order<'a>(own: &str, strengths: &'a BTreeMap<String, u64>) -> Vec<&'a str> {
+    let order = strengths.iter().filter(|(daemon, _)| *daemon != own);
+    let order: BTreeSet<(Reverse<u64>, u64, &str)> = order
+        .map(|(daemon, strength)| {
+            let mut hasher = DefaultHasher::new();
+            (own, daemon).hash(&mut hasher);
+            (Reverse(*strength), hasher.finish(), daemon.as_str())
+        })
+        .collect();
+    order.into_iter().map(|(_, _, daemon)| daemon).collect()
+}
+
 impl CellControl {
     pub(super) fn new(
         settings: ControlSettings,
@@ -541,9 +559,10 @@
     /// left the list stay until others come, as this daemon may be the one that
     /// is cut off.
     fn publish_peers(&self) {
-        let others = self.members.iter();
-        let others = others.filter(|(daemon, _)| **daemon != self.settings.daemon);
-        let peers: Vec<HttpEndpoint> = others.map(|(_, peer)| peer.clone()).collect();
+        let own = self.settings.daemon.as_str();
+        let order = relay_order(own, &self.strengths);
+        let peers = order.iter().filter_map(|daemon| self.members.get(*daemon));
+        let peers: Vec<HttpEndpoint> = peers.cloned().collect();
         if !peers.is_empty() {
             self.effects.route.set_peers(peers);
         }
--- a/crates/daemon/src/cell/mod.rs
+++ b/crates/daemon/src/cell/mod.rs
@@ -14,6 +14,8 @@
 mod metrics;
 mod notes;
 mod process;
+#[cfg(test)]
+mod tests;
 
 pub use command::CellCommand;
 pub(crate) use messages::{CellEvent, CellHandle};
