Ask for a gang before its workers are kept for it

Cause: found by reading. The workers that are kept for a waiting gang count as full for the rest of the pass, and the gang's own question came after that: with expired tickets it asked about strangers first and its own workers last.

Change: the question comes first.

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -191,10 +191,6 @@
         if left == 0 {
             return;
         }
-        let (is_useless, ..) = rank;
-        if shape.gang && !is_useless {
-            self.keep_for_gang(key, shape, spec.policy.advice.is_some(), pass);
-        }
         *pass.passed.entry(spec.policy.queue.clone()).or_default() += 1;
         if let Some(policy) = spec.policy.advice {
             let question = StepQuestion {
@@ -206,6 +202,10 @@
             };
             self.ask_for_step(&question, &fitting, pass, now);
         }
+        let (is_useless, ..) = rank;
+        if shape.gang && !is_useless {
+            self.keep_for_gang(key, shape, spec.policy.advice.is_some(), pass);
+        }
     }
 
     /// Keeps workers for a gang that waits, so that tasks behind it do not take the
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -141,6 +141,43 @@
     assert_eq!(asked, Some(vec!["w2".into()]));
 }
 
+/// Guards against a gang that asks about strangers instead of the workers that are
+/// kept for it, once its tickets have expired.
+#[test]
+fn a_gang_asks_about_the_workers_that_are_kept_for_it() {
+    let mut owner = owner(&["w1"]);
+    let mut gang = restricted(500.0, 1);
+    gang.steps[0].gang = true;
+    gang.steps[0].count = 4;
+    owner.submit(1, job(vec![step(4)]));
+    let first = owner.start_all();
+    owner.submit(2, gang);
+    owner.place();
+    owner.advise(key(2), &["w1"]);
+    owner.wait(Duration::from_secs(2));
+    owner.place();
+    owner.advise(key(2), &["w1"]);
+    for worker in ["w2", "w3", "w4", "w5"] {
+        owner.feed(PipelineEvent::Listed(listing(worker)));
+        owner.report(worker, Vec::new(), Vec::new());
+    }
+
+    // The worker becomes free when the tickets have expired.
+    owner.wait(Duration::from_secs(2));
+    let ends = (1..)
+        .zip(&first)
+        .map(|(number, start)| done(number, start.run));
+    owner.report("w1", Vec::new(), ends.collect());
+    owner.actions.clear();
+    owner.place();
+
+    let asked = owner.actions.iter().find_map(|action| match action {
+        PipelineAction::Ask(order) => Some(order.workers.clone()),
+        _ => None,
+    });
+    assert!(asked.unwrap().contains(&"w1".into()));
+}
+
 /// Replays a burst of jobs that no worker can take at the moment: all other queues
 /// waited behind them until the end of the burst.
 #[test]
