Correct two comments found in the last read-through

The head of the scheduling module still said that a waiting gang is only passed, and the soak described a count of all jobs as one of accepted jobs.

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: bursts of small jobs of high priority arrive while wide jobs
 //! of low priority keep the workers busy. Steps are served by priority and then
-//! by the time at which their job should be done; a gang that does not fit is
-//! passed by what fits.
+//! by the time at which their job should be done. A gang that does not fit is
+//! passed by what fits elsewhere, and the workers that it may use are kept for it.
 
 use std::{
     cmp::Reverse,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -60,7 +60,7 @@
 pub struct SoakReport {
     /// Promises that were not kept.
     pub broken: Vec<BrokenPromise>,
-    /// Jobs that were handed in and accepted.
+    /// Jobs that were handed in, whatever the answer.
     pub jobs: usize,
     /// Jobs that were accepted.
     pub accepted: usize,
