Log steps whose tasks wait

Cause: the log of an owner names what it places, stops and ends.

Change: a pass that leaves tasks of a step waiting records since when, and logs the step every 2 s with the numbers of fitting, ticketed, refused and withheld workers, the state of its advice request, and whether the limit of its queue skipped it. At most ten lines a second for each owner. The dump shows since when a step waits. No decision changes.

Result: a_waiting_step_is_logged_with_its_cause passes; without the new code it does not compile.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -98,7 +98,9 @@
 pub use pipelines::{PipelineNote, SLOW_DECISION_MS};
 pub use pipelines::{PipelinePhase, PipelineProgress, PipelineSchedule, PipelineSpec};
 pub use pipelines::{PipelineState, ProgressCommit, QueuePolicy, RunEnd, RunKey};
-pub use pipelines::{StartOrder, StartResult, StepKey, StepProgress, StepSpec, StopOrder};
+pub use pipelines::{
+    StartOrder, StartResult, StepKey, StepProgress, StepSpec, StepWait, StopOrder,
+};
 pub use pipelines::{TaskKey, TaskKeyError, TaskPlace, TaskProgress, WorkerListing};
 pub use publication::{ConfigAction, ConfigDelta, ConfigDigest, ConfigEvent, ConfigHead};
 pub use publication::{ConfigPull, ConfigReply, ConfigSnapshot, ConfigSource, ConfigState};
--- a/crates/core/src/pipelines/advice.rs
+++ b/crates/core/src/pipelines/advice.rs
@@ -27,6 +27,10 @@
     entries: BTreeMap<WorkerId, Option<TicketEntry>>,
     /// Workers named in the pending request.
     requested_workers: Vec<WorkerId>,
+    /// When the latest request was sent.
+    requested_at: Duration,
+    /// Number of requests that were sent.
+    request_count: u32,
     /// Earliest time of the next request after a failed one.
     retry_at: Duration,
 }
@@ -52,14 +56,32 @@
         matches!(self.entries.get(worker), Some(Some(_)))
     }
 
+    /// Returns whether the advice service refused the worker.
+    pub(super) fn is_refused(&self, worker: &WorkerId) -> bool {
+        matches!(self.entries.get(worker), Some(None))
+    }
+
     /// Returns whether no request is pending and the delay after a failed one is over.
     pub(super) fn can_begin_request(&self, now: Duration) -> bool {
         self.requested_workers.is_empty() && now >= self.retry_at
     }
 
     /// Records that a request that names these workers was sent.
-    pub(super) fn begin_request(&mut self, workers: Vec<WorkerId>) {
+    pub(super) fn begin_request(&mut self, workers: Vec<WorkerId>, now: Duration) {
         self.requested_workers = workers;
+        self.requested_at = now;
+        self.request_count += 1;
+    }
+
+    /// Returns the time since the pending request was sent, if there is one.
+    pub(super) fn request_age(&self, now: Duration) -> Option<Duration> {
+        let is_pending = !self.requested_workers.is_empty();
+        is_pending.then(|| now.saturating_sub(self.requested_at))
+    }
+
+    /// Returns the number of requests that were sent.
+    pub(super) const fn request_count(&self) -> u32 {
+        self.request_count
     }
 
     /// Stores the answer to the pending request. Returns the number of workers that were
--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -184,6 +184,7 @@
         };
         for (key, rank) in record.ready {
             self.ready.remove(&(rank, key));
+            self.waits.remove(&key);
         }
         self.ticket_caches.retain(|key, _| key.pipeline != id);
     }
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -5,6 +5,7 @@
 use super::{
     progress::PipelineProgress,
     spec::{AdvicePolicy, PipelineId, PipelineSpec, RunKey, StepKey},
+    wait::StepWait,
 };
 use crate::types::{Epoch, RackId, ResourceVector, WorkerId};
 
@@ -342,6 +343,15 @@
         /// Identifier of the job.
         pipeline: PipelineId,
     },
+    /// Tasks of a step have waited for long.
+    StepWaiting {
+        /// The step whose tasks wait.
+        step: StepKey,
+        /// Queue of the job.
+        queue: String,
+        /// What keeps the tasks from being placed.
+        wait: StepWait,
+    },
     /// A run ended without a result.
     RunEnded {
         /// The run that ended.
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -42,6 +42,7 @@
 mod state;
 #[cfg(test)]
 mod tests;
+mod wait;
 mod worker;
 
 pub use commit::{CommitEntry, ProgressCommit};
@@ -55,3 +56,4 @@
 pub use spec::{AdvicePolicy, PipelineId, PipelineSchedule, PipelineSpec, QueuePolicy};
 pub use spec::{RunKey, StepKey, StepSpec, TaskKey, TaskKeyError};
 pub use state::{PipelineLoad, PipelineState};
+pub use wait::StepWait;
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -21,6 +21,7 @@
     progress::{PipelinePhase, StepProgress, TaskPlace},
     spec::{AdvicePolicy, PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
+    wait::StepWait,
     worker::{RunPhase, WorkerContact, WorkerRun},
 };
 use crate::types::WorkerId;
@@ -165,6 +166,14 @@
         };
         let unplaced_steps = pass.unplaced_steps.get(&record.spec.policy.queue);
         if unplaced_steps.is_some_and(|count| *count >= MAX_UNPLACED_STEPS_PER_QUEUE) {
+            self.record_wait(key, false, now);
+            if self.is_wait_log_due(key, now) {
+                let wait = StepWait {
+                    is_skipped: true,
+                    ..StepWait::default()
+                };
+                self.log_wait(key, wait, now);
+            }
             return;
         }
         let spec = Arc::clone(&record.spec);
@@ -176,12 +185,15 @@
         let waiting: Vec<u32> = progress.waiting_tasks().collect();
         let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
         let mut fitting = pass.table.fitting(step_spec, task_allowance);
+        let mut withheld = Vec::new();
         if has_slack(&spec, key.occurrence, pass.top_priority, self.wall_ms) {
             let table = &pass.table;
             let headroom = pass
                 .headroom
                 .get_or_insert_with(|| table.emptiest_workers(HEADROOM_PERCENT));
-            fitting.retain(|candidate| !headroom.contains(&candidate.row_index));
+            (withheld, fitting) = fitting
+                .into_iter()
+                .partition(|candidate| headroom.contains(&candidate.row_index));
         }
         let mut allowed = fitting.clone();
         if spec.policy.advice.is_some() {
@@ -197,6 +209,7 @@
             .iter()
             .map(|candidate| WorkerId::clone(pass.table.worker(candidate)))
             .collect();
+        let has_progress = !chosen.is_empty();
         self.place_tasks(key, &waiting, chosen, now);
         if unplaced_count == 0 {
             return;
@@ -219,6 +232,28 @@
         if step_spec.gang && !is_expired {
             self.reserve_for_gang(key, step_spec, spec.policy.advice.is_some(), pass);
         }
+        self.record_wait(key, has_progress, now);
+        if self.is_wait_log_due(key, now) {
+            let cache = self.ticket_caches.get(&key);
+            let is_ticketed = |candidate: &&PlaceCandidate| {
+                let worker = pass.table.worker(candidate);
+                cache.is_some_and(|cache| cache.ticket(worker, now).is_some())
+            };
+            let is_refused = |candidate: &&PlaceCandidate| {
+                let worker = pass.table.worker(candidate);
+                cache.is_some_and(|cache| cache.is_refused(worker))
+            };
+            let wait = StepWait {
+                waiting_tasks: unplaced_count,
+                fitting: fitting.len(),
+                ticketed: fitting.iter().filter(is_ticketed).count(),
+                refused: fitting.iter().filter(is_refused).count(),
+                withheld: withheld.len(),
+                withheld_ticketed: withheld.iter().filter(is_ticketed).count(),
+                ..StepWait::default()
+            };
+            self.log_wait(key, wait, now);
+        }
     }
 
     /// Reserves workers for a waiting gang, so that the tasks behind it do not occupy
@@ -314,7 +349,7 @@
         self.ticket_caches
             .entry(key)
             .or_default()
-            .begin_request(workers.clone());
+            .begin_request(workers.clone(), now);
         self.actions.push(PipelineAction::Ask(AdviceOrder {
             step: key,
             workers,
@@ -439,8 +474,9 @@
                 }
             }
         }
-        for (key, rank) in std::mem::take(&mut record.ready) {
-            self.ready.remove(&(rank, key));
+        let previously_ready = std::mem::take(&mut record.ready);
+        for (key, rank) in &previously_ready {
+            self.ready.remove(&(*rank, *key));
         }
         if !is_final {
             for (occurrence, steps) in &record.progress.occurrences {
@@ -466,6 +502,11 @@
                 }
             }
         }
+        for key in previously_ready.keys() {
+            if !record.ready.contains_key(key) {
+                self.waits.remove(key);
+            }
+        }
         if has_new_occurrence && spec.schedule.is_some() {
             self.mark_dirty(id);
         }
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -17,6 +17,7 @@
     progress::{PipelinePhase, PipelineProgress, TaskPlace},
     schedule::{PipelineConfig, QueueRank, UNCONFIRMED_RENEWAL_TIME},
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
+    wait::WaitRecord,
     worker::{RunPhase, WorkerContact, WorkerRecord, WorkerRun, lapse_time},
 };
 use crate::types::{Epoch, WorkerId};
@@ -91,6 +92,10 @@
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
     /// Ready steps of all jobs, in the order in which they are placed.
     pub(super) ready: BTreeSet<(QueueRank, StepKey)>,
+    /// Ready steps that the latest pass did not place completely.
+    pub(super) waits: BTreeMap<StepKey, WaitRecord>,
+    /// Earliest time of the next log entry about a waiting step.
+    pub(super) wait_log_due: Duration,
     /// Answers of the advice service, by step.
     pub(super) ticket_caches: BTreeMap<StepKey, TicketCache>,
     /// Moving average of the part of the requested workers that the advice service
@@ -142,6 +147,8 @@
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
             ready: BTreeSet::new(),
+            waits: BTreeMap::new(),
+            wait_log_due: Duration::ZERO,
             ticket_caches: BTreeMap::new(),
             allowed_percent: BTreeMap::new(),
             top_priority: u32::MAX,
@@ -249,7 +256,11 @@
             let phase = record.progress.phase.name();
             let queue = &record.spec.policy.queue;
             let progress = &record.progress.occurrences;
-            let ready: Vec<String> = record.ready.keys().map(StepKey::to_string).collect();
+            let ready = record.ready.keys().map(|key| match self.waits.get(key) {
+                Some(wait) => format!("{key} {wait}"),
+                None => key.to_string(),
+            });
+            let ready: Vec<String> = ready.collect();
             format!("job {id:016x} {queue} {phase} ready {ready:?} progress {progress:?}")
         });
         let workers = self.workers.iter().map(|(worker, record)| {
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -6,3 +6,4 @@
 mod load;
 mod placement;
 mod recovery;
+mod waiting;
--- /dev/null
+++ b/crates/core/src/pipelines/wait.rs
@@ -0,0 +1,110 @@
+//! Steps whose tasks wait, and the log entries that say why.
+//!
+//! The owner logs what it does with a step. A step that it never places would
+//! otherwise leave no trace.
+
+use std::{fmt, time::Duration};
+
+use super::{advice::TicketCache, messages::PipelineNote, spec::StepKey, state::PipelineState};
+
+/// Waiting time after which a step is logged, and time between two log entries of a step.
+const STEP_LOG_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Shortest time between the log entries of two steps.
+const OWNER_LOG_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a placement pass found about a step that still has waiting tasks.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StepWait {
+    /// Time since the step became ready or a task of it was placed.
+    pub waited: Duration,
+    /// Whether the pass skipped the step, as many steps of its queue before it were left
+    /// unplaced. The numbers of tasks and workers are zero then.
+    pub is_skipped: bool,
+    /// Number of tasks that wait.
+    pub waiting_tasks: usize,
+    /// Number of workers on which a task fits and may be placed.
+    pub fitting: usize,
+    /// Number of these workers with a usable ticket.
+    pub ticketed: usize,
+    /// Number of these workers that the advice service refused.
+    pub refused: usize,
+    /// Number of further workers on which a task fits, but which are left free for urgent
+    /// jobs.
+    pub withheld: usize,
+    /// Number of withheld workers with a usable ticket.
+    pub withheld_ticketed: usize,
+    /// Number of advice requests that were sent for the step.
+    pub requests: u32,
+    /// Time since the pending advice request of the step was sent, if there is one.
+    pub request_age: Option<Duration>,
+    /// Number of pending advice requests of all steps.
+    pub pending_requests: usize,
+}
+
+/// Since when a step waits, and when it is logged next.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WaitRecord {
+    since: Duration,
+    log_due: Duration,
+}
+
+impl WaitRecord {
+    const fn new(now: Duration) -> Self {
+        Self {
+            since: now,
+            log_due: now.saturating_add(STEP_LOG_INTERVAL),
+        }
+    }
+}
+
+impl fmt::Display for WaitRecord {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "waits since {:?}", self.since)
+    }
+}
+
+impl PipelineState {
+    /// Records that a pass left tasks of a step waiting. `has_progress` tells whether it
+    /// placed others.
+    pub(super) fn record_wait(&mut self, key: StepKey, has_progress: bool, now: Duration) {
+        let record = self
+            .waits
+            .entry(key)
+            .or_insert_with(|| WaitRecord::new(now));
+        if has_progress {
+            *record = WaitRecord::new(now);
+        }
+    }
+
+    /// Returns whether a log entry about a waiting step is due.
+    pub(super) fn is_wait_log_due(&self, key: StepKey, now: Duration) -> bool {
+        let record = self.waits.get(&key);
+        now >= self.wait_log_due && record.is_some_and(|record| now >= record.log_due)
+    }
+
+    /// Logs a waiting step. Adds the waiting time and the advice requests to `wait`.
+    pub(super) fn log_wait(&mut self, key: StepKey, wait: StepWait, now: Duration) {
+        let (Some(record), Some(pipeline)) =
+            (self.waits.get_mut(&key), self.pipelines.get(&key.pipeline))
+        else {
+            return;
+        };
+        record.log_due = now + STEP_LOG_INTERVAL;
+        self.wait_log_due = now + OWNER_LOG_INTERVAL;
+        let cache = self.ticket_caches.get(&key);
+        let wait = StepWait {
+            waited: now.saturating_sub(record.since),
+            requests: cache.map_or(0, TicketCache::request_count),
+            request_age: cache.and_then(|cache| cache.request_age(now)),
+            pending_requests: self.pending_requests.len(),
+            ..wait
+        };
+        let queue = pipeline.spec.policy.queue.clone();
+        self.log_note(PipelineNote::StepWaiting {
+            step: key,
+            queue,
+            wait,
+        });
+    }
+}
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -45,6 +45,18 @@
             request_id = format!("{pipeline:016x}").as_str(), service, epoch;
             "job cancelled"
         ),
+        PipelineNote::StepWaiting { step, queue, wait } => log::info!(
+            request_id = format!("{:016x}", step.pipeline).as_str(), service, epoch,
+            step = step.to_string().as_str(), queue = queue.as_str(),
+            waited_ms = wait.waited.as_millis(), is_skipped = wait.is_skipped,
+            waiting_tasks = wait.waiting_tasks, fitting = wait.fitting, ticketed = wait.ticketed,
+            refused = wait.refused, withheld = wait.withheld,
+            withheld_ticketed = wait.withheld_ticketed, requests = wait.requests,
+            is_request_pending = wait.request_age.is_some(),
+            request_age_ms = wait.request_age.unwrap_or_default().as_millis(),
+            pending_requests = wait.pending_requests;
+            "tasks of a step wait"
+        ),
         PipelineNote::RunEnded {
             run,
             worker,
@@ -125,6 +137,7 @@
         | PipelineNote::Completed { .. }
         | PipelineNote::Failed { .. }
         | PipelineNote::Cancelled { .. }
+        | PipelineNote::StepWaiting { .. }
         | PipelineNote::RunEnded { .. }
         | PipelineNote::StartRejected { .. } => {}
     }
