Request tickets only for workers that the step may be placed on

Cause: place_step leaves the emptiest workers free for urgent jobs and drops them from the candidates of a job with slack. The choice of the workers for an advice request did not know about that: it ranks the emptiest workers first, and workers that are known to be allowed before all others. A step with few waiting tasks therefore named one or two withheld workers at a time. Their tickets expired unused after 1.2 s, which made the same workers the best choice again, so with enough of them no other worker was ever named. Tasks that were placed in the first requests, which name up to 100 workers, did not suffer; the last one did.

Change: the workers that are withheld from a step are not named in its requests.

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -85,6 +85,8 @@
     queue: &'a str,
     /// Number of waiting tasks.
     count: usize,
+    /// Workers on which the step is not placed although a task fits, by ascending row.
+    withheld: &'a [PlaceCandidate],
 }
 
 /// State of one placement pass over the ready steps.
@@ -225,6 +227,7 @@
                 policy,
                 queue: &spec.policy.queue,
                 count: unplaced_count,
+                withheld: &withheld,
             };
             self.request_tickets(&missing, &fitting, pass, now);
         }
@@ -372,9 +375,15 @@
         let percent = average_percent
             .unwrap_or(DEFAULT_ALLOWED_PERCENT)
             .max(MIN_ALLOWED_PERCENT);
-        let eligible_workers = table.eligible_workers(step_spec, |worker| {
+        let mut eligible_workers = table.eligible_workers(step_spec, |worker| {
             self.task_allowance(worker, key, step_spec)
         });
+        // Tickets for withheld workers would expire unused.
+        eligible_workers.retain(|candidate| {
+            let withheld = missing.withheld;
+            let row = withheld.binary_search_by_key(&candidate.row_index, |other| other.row_index);
+            row.is_err()
+        });
         let mut workers = choose_for_advice(
             table,
             &eligible_workers,
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -1,14 +1,36 @@
 //! Tests of steps that wait although workers are free: advice requests, headroom and the
 //! log entries about them.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use super::fixtures::{OwnerFixture, advice, job, owner, step};
-use crate::{PipelineAction, PipelineNote, PipelineSpec, StartOrder, StepKey, StepWait, WorkerId};
+use super::fixtures::{OwnerFixture, advice, ended, job, owner, step};
+use crate::{
+    EndedRun, PipelineAction, PipelineNote, PipelineSpec, RunEnd, StartOrder, StepKey, StepWait,
+    WorkerId,
+};
+
+/// Time in which a task that could run must start.
+const START_LIMIT: Duration = Duration::from_secs(3);
 
 /// Time from a request for advice to its answer.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 
+/// Returns an owner that has placed an urgent job with this many tasks, so that other jobs
+/// leave part of the capacity free for such jobs.
+fn owner_after_urgent_job(worker_count: usize, task_count: u32) -> OwnerFixture {
+    let names: Vec<String> = (0..worker_count)
+        .map(|index| format!("w{index:03}"))
+        .collect();
+    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut owner = owner(&workers);
+    let mut urgent = job(vec![step(task_count)]);
+    urgent.policy.priority = 0;
+    urgent.policy.queue = "urgent".to_owned();
+    owner.submit(1, urgent);
+    owner.start_all();
+    owner
+}
+
 /// Returns a job of one step that has slack and needs tickets.
 fn ticketed_job_with_slack(count: u32) -> PipelineSpec {
     let mut spec = job(vec![step(count)]);
@@ -62,6 +84,23 @@
     Vec::new()
 }
 
+/// Reports the ends of all runs: the first run failed, the others are done.
+fn end_runs(owner: &mut OwnerFixture, starts: &[StartOrder]) {
+    let mut ends: BTreeMap<WorkerId, Vec<EndedRun>> = BTreeMap::new();
+    for (index, start) in starts.iter().enumerate() {
+        let end = if index == 0 {
+            RunEnd::Failed
+        } else {
+            RunEnd::Done
+        };
+        let ends = ends.entry(start.worker.clone()).or_default();
+        ends.push(ended(ends.len() as u64 + 1, start.run, end));
+    }
+    for (worker, ends) in ends {
+        owner.report(&worker, Vec::new(), ends);
+    }
+}
+
 /// Returns the log entries about waiting steps.
 fn logged_waits(owner: &OwnerFixture) -> Vec<(StepKey, StepWait)> {
     let waits = owner.actions.iter().filter_map(|action| match action {
@@ -71,6 +110,34 @@
     waits.collect()
 }
 
+/// Guards against a task that waits for ever although a quarter of the workers is idle: its
+/// tickets are for workers that jobs with slack leave free, and are requested again whenever
+/// they expire.
+#[test]
+fn a_failed_task_does_not_wait_for_tickets_it_cannot_use() {
+    let mut owner = owner_after_urgent_job(200, 600);
+    owner.submit(2, ticketed_job_with_slack(24));
+    let is_allowed = |worker: &str| worker.ends_with(['0', '2', '4', '6', '8']);
+    let mut starts = Vec::new();
+    while starts.len() < 24 {
+        let placed = run_until_start(&mut owner, START_LIMIT, is_allowed);
+        assert!(
+            !placed.is_empty(),
+            "only {} tasks were placed",
+            starts.len()
+        );
+        starts.extend(placed);
+    }
+    // All tickets expire before the tasks end.
+    owner.advance_clock(Duration::from_secs(2));
+    end_runs(&mut owner, &starts);
+
+    let again = run_until_start(&mut owner, START_LIMIT, is_allowed);
+
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].run.task, starts[0].run.task);
+}
+
 /// Guards against a step that waits without a trace in the log.
 #[test]
 fn a_waiting_step_is_logged_with_its_cause() {
