Withhold no workers from jobs with slack while most capacity is free

Callers would see: an accepted job that stands still on an idle service until its slack is used up, although a worker that may run it is free.

Cause: the workers left free for urgent jobs were the emptiest ones up to a tenth of the capacity, however much was free. On an idle service that tenth may hold the only workers that a step may use: those with its label, those large enough, or those that the advice service allows.

Change: workers are withheld only while less than 30 % of the capacity would stay free after the waiting tasks of the step were placed.

--- a/crates/core/src/pipelines/headroom.rs
+++ b/crates/core/src/pipelines/headroom.rs
@@ -2,14 +2,18 @@
 //!
 //! Load pattern: bursts of short urgent jobs, and gangs that need several workers at
 //! once, reach a service whose workers are filled by jobs with slack. Such jobs
-//! leave part of the capacity free while they can still meet their objectives, and
-//! workers that a waiting gang may use are reserved for it.
+//! leave part of the capacity free while they can still meet their objectives, unless most of it is free,
+//! and workers that a waiting gang may use are reserved for it.
 
 use super::spec::PipelineSpec;
 
 /// Part of the capacity of a service that jobs with slack leave free, in percent.
 pub(super) const HEADROOM_PERCENT: u64 = 10;
 
+/// Free part of the capacity, in thousandths, with which no worker is withheld from jobs
+/// with slack.
+pub(super) const AMPLE_FREE_PERMILLE: u64 = 300;
+
 /// Largest part of the workers that is reserved for waiting gangs, in percent.
 pub(super) const GANG_RESERVATION_PERCENT: usize = 25;
 
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -15,7 +15,7 @@
 
 use super::{
     commit::PendingStart,
-    headroom::{GANG_RESERVATION_PERCENT, HEADROOM_PERCENT, has_slack},
+    headroom::{AMPLE_FREE_PERMILLE, GANG_RESERVATION_PERCENT, HEADROOM_PERCENT, has_slack},
     messages::{AdviceOrder, PipelineAction, PipelineNote, RenewalOrder},
     place::{PlaceCandidate, PlacementTable, choose_for_advice, choose_for_gang, choose_for_tasks},
     progress::{PipelinePhase, StepProgress, TaskPlace},
@@ -96,7 +96,7 @@
     /// Number of steps left with waiting tasks, by queue.
     unplaced_steps: BTreeMap<String, u32>,
     /// Workers that jobs with slack leave free for urgent jobs, by row in the table;
-    /// `None` before the first job with slack.
+    /// `None` before the first job from which workers are withheld.
     headroom: Option<BTreeSet<usize>>,
     /// Number of workers that are reserved for gangs.
     reserved_workers: usize,
@@ -188,7 +188,9 @@
         let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
         let mut fitting = pass.table.fitting(step_spec, task_allowance);
         let mut withheld = Vec::new();
-        if has_slack(&spec, key.occurrence, pass.top_priority, self.wall_ms) {
+        let can_withhold = has_slack(&spec, key.occurrence, pass.top_priority, self.wall_ms);
+        let free_permille = || pass.table.free_permille_after(step_spec, waiting.len());
+        if can_withhold && free_permille() < AMPLE_FREE_PERMILLE {
             let table = &pass.table;
             let headroom = pass
                 .headroom
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -3,10 +3,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::fixtures::{OwnerFixture, advice, ended, job, owner, step};
+use super::fixtures::{OwnerFixture, advice, ended, job, listing, owner, step};
 use crate::{
-    EndedRun, PipelineAction, PipelineNote, PipelineSpec, RunEnd, StartOrder, StepKey, StepWait,
-    WorkerId,
+    EndedRun, PipelineAction, PipelineEvent, PipelineNote, PipelineSpec, RunEnd, StartOrder,
+    StepKey, StepWait, WorkerId,
 };
 
 /// Time in which a task that could run must start.
@@ -138,6 +138,25 @@
     assert_eq!(again[0].run.task, starts[0].run.task);
 }
 
+/// Guards against a step that waits on an idle service because the only worker that may run
+/// it is left free for urgent jobs.
+#[test]
+fn the_only_eligible_worker_of_an_idle_service_is_not_withheld() {
+    let mut owner = owner_after_urgent_job(10, 1);
+    let mut labelled = listing("w001");
+    labelled.labels.push("camera".to_owned());
+    owner.handle_event(PipelineEvent::Listed(labelled));
+    let mut spec = job(vec![step(1)]);
+    spec.policy.stretch = 100.0;
+    spec.steps[0].required_label = Some("camera".to_owned());
+
+    owner.submit(2, spec);
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+    assert_eq!(&*starts[0].worker, "w001");
+}
+
 /// Guards against a step that waits without a trace in the log.
 #[test]
 fn a_waiting_step_is_logged_with_its_cause() {
