Name enough workers in an advice request for few tasks

Callers would see: a long-running task that is down for several seconds although workers are free, as successive answers of the advice service, 0.7 s each, allow none of the workers that were named.

Cause: a request names workers until enough tasks can be expected to fit on the allowed ones. All tasks that fit on one worker depend on one decision, so for a few tasks of a wide step the expectation was reached with very few workers: with 28 % of the workers allowed, a request for two tasks named six workers, and one in eight such requests yields nothing (0.72^6).

Change: a request also names fitting workers until the probability that none of them is allowed is at most 5 %. Workers on which no task fits are not added for it.

Result: a_request_for_few_tasks_names_enough_workers failed before (six workers) and passes. The other tests of the pipelines pass (48).

--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -378,6 +378,10 @@
     usize,
 );
 
+/// Largest probability, in thousandths, that the advice service allows none of the workers
+/// that a request names.
+const MAX_EMPTY_ANSWER_PERMILLE: usize = 50;
+
 /// Returns the workers to name in an advice request, so that enough tickets for `count`
 /// tasks can be expected.
 ///
@@ -413,15 +417,21 @@
         ranked.insert(rank, fitting_tasks.max(1));
     }
     let mut expected = 0;
+    // All tasks that fit on one worker depend on one decision, so a request that names few
+    // workers may yield no ticket although enough are expected.
+    let mut empty_answer_permille = 1_000;
     let mut chosen = Vec::new();
     // One task more than needed, in percent of a task.
     let needed = (count + 1) * 100;
     for (rank, fitting_tasks) in ranked {
-        if expected >= needed {
+        let (is_full, is_unknown, .., row_index) = rank;
+        let is_answer_likely = is_full || empty_answer_permille <= MAX_EMPTY_ANSWER_PERMILLE;
+        if expected >= needed && is_answer_likely {
             break;
         }
-        let (_, is_unknown, .., row_index) = rank;
-        expected += fitting_tasks * if is_unknown { allowed_percent } else { 100 };
+        let percent = if is_unknown { allowed_percent } else { 100 };
+        expected += fitting_tasks * percent;
+        empty_answer_permille = empty_answer_permille * (100 - percent.min(100)) / 100;
         chosen.push(WorkerId::clone(&table.rows[row_index].worker));
     }
     chosen
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -157,6 +157,29 @@
     assert_eq!(&*starts[0].worker, "w001");
 }
 
+/// Guards against tasks that wait for several slow answers in a row, each about a few workers
+/// that may not run them.
+#[test]
+fn a_request_for_few_tasks_names_enough_workers() {
+    let mut owner = owner_after_urgent_job(40, 1);
+    owner.submit(2, ticketed_job_with_slack(20));
+    let first_request = owner.advice_requests()[0];
+    // The queue learns that less than a third of the workers is allowed.
+    owner.grant_tickets(first_step(2), &["w004", "w007", "w008", "w009"]);
+    let allowed_share = 4.0 / f64::from(u32::try_from(first_request.1).unwrap());
+
+    owner.submit(3, ticketed_job_with_slack(2));
+
+    let requests = owner.advice_requests();
+    let request = requests.iter().find(|(step, _)| *step == first_step(3));
+    let worker_count = i32::try_from(request.unwrap().1).unwrap();
+    let empty_answer_probability = (1.0 - allowed_share).powi(worker_count);
+    assert!(
+        empty_answer_probability <= 0.05,
+        "{worker_count} of the workers are named"
+    );
+}
+
 /// Guards against a step that waits without a trace in the log.
 #[test]
 fn a_waiting_step_is_logged_with_its_cause() {
