Log the allowed workers and failed requests of a waiting step

The line does not say whether the requests failed or the answers allowed none of the workers.

Change: the line also has the number of fitting workers that the advice service allows, with or without a usable ticket, and the number of requests that failed. No decision changes.

--- a/crates/core/src/pipelines/advice.rs
+++ b/crates/core/src/pipelines/advice.rs
@@ -31,6 +31,8 @@
     requested_at: Duration,
     /// Number of requests that were sent.
     request_count: u32,
+    /// Number of requests that failed.
+    failure_count: u32,
     /// Earliest time of the next request after a failed one.
     retry_at: Duration,
 }
@@ -84,6 +86,11 @@
         self.request_count
     }
 
+    /// Returns the number of requests that failed.
+    pub(super) const fn failure_count(&self) -> u32 {
+        self.failure_count
+    }
+
     /// Stores the answer to the pending request. Returns the number of workers that were
     /// named and the number of those that are allowed, or `None` if the request failed.
     pub(super) fn record_answer(
@@ -95,6 +102,7 @@
         let requested_workers = std::mem::take(&mut self.requested_workers);
         let Some(mut report) = report else {
             self.retry_at = now + ADVICE_RETRY_DELAY;
+            self.failure_count += 1;
             return None;
         };
         let usable_until = arrived_at + report.valid.saturating_sub(TICKET_MARGIN);
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -82,6 +82,16 @@
         &self.rows[candidate.row_index].worker
     }
 
+    /// Returns the number of candidates whose worker has a property.
+    pub(super) fn count(
+        &self,
+        candidates: &[PlaceCandidate],
+        has_property: impl Fn(&WorkerId) -> bool,
+    ) -> usize {
+        let workers = candidates.iter().map(|candidate| self.worker(candidate));
+        workers.filter(|worker| has_property(worker)).count()
+    }
+
     /// Returns the workers on which a task of the step fits now.
     ///
     /// `task_allowance` returns the number of further tasks that a worker may run of a step
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -239,23 +239,10 @@
         }
         self.record_wait(key, has_progress, now);
         if self.is_wait_log_due(key, now) {
-            let cache = self.ticket_caches.get(&key);
-            let is_ticketed = |candidate: &&PlaceCandidate| {
-                let worker = pass.table.worker(candidate);
-                cache.is_some_and(|cache| cache.ticket(worker, now).is_some())
-            };
-            let is_refused = |candidate: &&PlaceCandidate| {
-                let worker = pass.table.worker(candidate);
-                cache.is_some_and(|cache| cache.is_refused(worker))
-            };
+            let wait = self.describe_wait(key, &pass.table, &fitting, &withheld, now);
             let wait = StepWait {
                 waiting_tasks: unplaced_count,
-                fitting: fitting.len(),
-                ticketed: fitting.iter().filter(is_ticketed).count(),
-                refused: fitting.iter().filter(is_refused).count(),
-                withheld: withheld.len(),
-                withheld_ticketed: withheld.iter().filter(is_ticketed).count(),
-                ..StepWait::default()
+                ..wait
             };
             self.log_wait(key, wait, now);
         }
--- a/crates/core/src/pipelines/wait.rs
+++ b/crates/core/src/pipelines/wait.rs
@@ -5,7 +5,14 @@
 
 use std::{fmt, time::Duration};
 
-use super::{advice::TicketCache, messages::PipelineNote, spec::StepKey, state::PipelineState};
+use super::{
+    advice::TicketCache,
+    messages::PipelineNote,
+    place::{PlaceCandidate, PlacementTable},
+    spec::StepKey,
+    state::PipelineState,
+};
+use crate::types::WorkerId;
 
 /// Waiting time after which a step is logged, and time between two log entries of a step.
 const STEP_LOG_INTERVAL: Duration = Duration::from_secs(2);
@@ -27,6 +34,8 @@
     pub fitting: usize,
     /// Number of these workers with a usable ticket.
     pub ticketed: usize,
+    /// Number of these workers that the advice service allows, usable ticket or not.
+    pub allowed: usize,
     /// Number of these workers that the advice service refused.
     pub refused: usize,
     /// Number of further workers on which a task fits, but which are left free for urgent
@@ -36,6 +45,8 @@
     pub withheld_ticketed: usize,
     /// Number of advice requests that were sent for the step.
     pub requests: u32,
+    /// Number of these requests that failed.
+    pub failed_requests: u32,
     /// Time since the pending advice request of the step was sent, if there is one.
     pub request_age: Option<Duration>,
     /// Number of pending advice requests of all steps.
@@ -83,6 +94,32 @@
         now >= self.wait_log_due && record.is_some_and(|record| now >= record.log_due)
     }
 
+    /// Counts the workers on which a task of a step fits by what the advice service has
+    /// answered about them. `withheld` are those on which it is not placed.
+    pub(super) fn describe_wait(
+        &self,
+        key: StepKey,
+        table: &PlacementTable,
+        fitting: &[PlaceCandidate],
+        withheld: &[PlaceCandidate],
+        now: Duration,
+    ) -> StepWait {
+        let cache = self.ticket_caches.get(&key);
+        let is_ticketed =
+            |worker: &WorkerId| cache.is_some_and(|cache| cache.ticket(worker, now).is_some());
+        let is_allowed = |worker: &WorkerId| cache.is_some_and(|cache| cache.is_allowed(worker));
+        let is_refused = |worker: &WorkerId| cache.is_some_and(|cache| cache.is_refused(worker));
+        StepWait {
+            fitting: fitting.len(),
+            ticketed: table.count(fitting, is_ticketed),
+            allowed: table.count(fitting, is_allowed),
+            refused: table.count(fitting, is_refused),
+            withheld: withheld.len(),
+            withheld_ticketed: table.count(withheld, is_ticketed),
+            ..StepWait::default()
+        }
+    }
+
     /// Logs a waiting step. Adds the waiting time and the advice requests to `wait`.
     pub(super) fn log_wait(&mut self, key: StepKey, wait: StepWait, now: Duration) {
         let (Some(record), Some(pipeline)) =
@@ -96,6 +133,7 @@
         let wait = StepWait {
             waited: now.saturating_sub(record.since),
             requests: cache.map_or(0, TicketCache::request_count),
+            failed_requests: cache.map_or(0, TicketCache::failure_count),
             request_age: cache.and_then(|cache| cache.request_age(now)),
             pending_requests: self.pending_requests.len(),
             ..wait
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -50,8 +50,9 @@
             step = step.to_string().as_str(), queue = queue.as_str(),
             waited_ms = wait.waited.as_millis(), is_skipped = wait.is_skipped,
             waiting_tasks = wait.waiting_tasks, fitting = wait.fitting, ticketed = wait.ticketed,
-            refused = wait.refused, withheld = wait.withheld,
+            allowed = wait.allowed, refused = wait.refused, withheld = wait.withheld,
             withheld_ticketed = wait.withheld_ticketed, requests = wait.requests,
+            failed_requests = wait.failed_requests,
             is_request_pending = wait.request_age.is_some(),
             request_age_ms = wait.request_age.unwrap_or_default().as_millis(),
             pending_requests = wait.pending_requests;
