Reserve for gangs only what can become free

A waiting gang reserved workers by the number of its tasks that fit on them when they are empty. Long-running tasks do not end, so a gang that needs the capacity of one could never start, and the other workers reserved for it stayed idle until its job expired, three times its objective after its start. Callers would see steps that fit on those workers wait although the service is nearly idle.

Eligible workers are now ranked and counted by the capacity that long-running tasks do not occupy, so such a gang reserves nothing, and no tickets are requested early for workers that will not have room.

--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -26,6 +26,8 @@
     worker: WorkerId,
     rack: Option<RackId>,
     capacity: ResourceVector,
+    /// Resources that long-running tasks do not occupy.
+    reclaimable: ResourceVector,
     free: ResourceVector,
     best_effort_cpu_milli: u64,
     has_serving_task: bool,
@@ -38,6 +40,7 @@
     /// Index of the worker in the table.
     pub(super) row_index: usize,
     capacity: ResourceVector,
+    reclaimable: ResourceVector,
     free: ResourceVector,
     best_effort_cpu_milli: u64,
     /// Number of further tasks of the step that the worker may run.
@@ -66,6 +69,7 @@
                 worker: WorkerId::clone(worker),
                 rack: listing.rack.clone(),
                 capacity: listing.capacity,
+                reclaimable: record.reclaimable_resources(),
                 free: record.free_resources(),
                 best_effort_cpu_milli: record.best_effort_cpu_milli,
                 has_serving_task: record.has_serving_task(),
@@ -97,7 +101,8 @@
         rows.filter(|candidate| candidate.fits(step)).collect()
     }
 
-    /// Returns the workers on which a task of the step would fit if they were empty.
+    /// Returns the workers on which a task of the step would fit if only long-running
+    /// tasks were on them.
     pub(super) fn eligible_workers(
         &self,
         step: &StepSpec,
@@ -169,15 +174,15 @@
         step.occupied().fits_in(&self.free)
     }
 
-    /// Returns the worker as a candidate if it could run a task of the step while
-    /// empty.
+    /// Returns the worker as a candidate if it could run a task of the step while only
+    /// long-running tasks are on it.
     fn candidate(
         &self,
         row_index: usize,
         step: &StepSpec,
         task_allowance: &impl Fn(&WorkerId) -> usize,
     ) -> Option<PlaceCandidate> {
-        if !step.occupied().fits_in(&self.capacity) {
+        if !step.occupied().fits_in(&self.reclaimable) {
             return None;
         }
         let is_restricted = step.per_worker_limit.is_some() || step.required_label.is_some();
@@ -190,6 +195,7 @@
         (task_allowance > 0).then_some(PlaceCandidate {
             row_index,
             capacity: self.capacity,
+            reclaimable: self.reclaimable,
             free: self.free,
             best_effort_cpu_milli: self.best_effort_cpu_milli,
             task_allowance,
@@ -242,14 +248,15 @@
         free_share_permille(&self.free, &self.capacity)
     }
 
-    /// Returns how many tasks of the step would fit if the worker were empty.
-    pub(super) fn fitting_tasks_when_empty(&self, step: &StepSpec) -> usize {
-        let empty = Self {
-            free: self.capacity,
+    /// Returns how many tasks of the step would fit if only long-running tasks were on
+    /// the worker.
+    pub(super) fn fitting_tasks_when_reclaimed(&self, step: &StepSpec) -> usize {
+        let reclaimed = Self {
+            free: self.reclaimable,
             best_effort_cpu_milli: 0,
             ..*self
         };
-        empty.fitting_tasks(step)
+        reclaimed.fitting_tasks(step)
     }
 
     fn allocate(&mut self, step: &StepSpec) {
@@ -344,7 +351,7 @@
 
 /// Position of a worker in an advice request; lower is first: whether no task fits,
 /// whether it is unknown if the worker is allowed, whether it is penalized, whether it
-/// is remote or mixed, how many tasks fit now and when it is empty, and its row.
+/// is remote or mixed, how many tasks fit now and beside its long-running tasks, and its row.
 ///
 /// Load pattern: the workers that a step may use are full of other tasks. Tickets for
 /// them would expire unused, so workers on which a task fits come first.
@@ -377,9 +384,9 @@
         .filter(|candidate| cache.can_request_ticket(table.worker(candidate), now));
     let mut ranked: BTreeMap<RequestRank, usize> = BTreeMap::new();
     for candidate in requestable {
-        let (fitting_tasks, fitting_when_empty) = (
+        let (fitting_tasks, fitting_when_reclaimed) = (
             candidate.fitting_tasks(step),
-            candidate.fitting_tasks_when_empty(step),
+            candidate.fitting_tasks_when_reclaimed(step),
         );
         let rank = (
             fitting_tasks == 0,
@@ -387,7 +394,7 @@
             candidate.is_penalized,
             candidate.is_remote || candidate.is_mixed,
             Reverse(fitting_tasks),
-            Reverse(fitting_when_empty),
+            Reverse(fitting_when_reclaimed),
             candidate.row_index,
         );
         ranked.insert(rank, fitting_tasks.max(1));
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -288,7 +288,7 @@
                 break;
             }
             uncovered_tasks =
-                uncovered_tasks.saturating_sub(candidate.fitting_tasks_when_empty(step_spec));
+                uncovered_tasks.saturating_sub(candidate.fitting_tasks_when_reclaimed(step_spec));
             planned.push(candidate.row_index);
         }
         let limit = pass.table.len() * GANG_RESERVATION_PERCENT / 100;
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -5,6 +5,7 @@
 use super::fixtures::{WALL_MS, advice, done, job, listing, observed, owner, step};
 use crate::{
     PipelineAction, PipelineEvent, PipelineId, PipelineSpec, ResourceVector, RunKey, StepKey,
+    StepSpec,
 };
 
 fn first_step(pipeline: PipelineId) -> StepKey {
@@ -284,3 +285,39 @@
     assert_eq!(started.len(), 1);
     assert_eq!(started[0].run.task.step, first_step(2));
 }
+
+/// Guards against workers that are reserved in vain: a gang waits for capacity that
+/// long-running tasks occupy, while other steps could use the rest.
+#[test]
+fn a_gang_reserves_no_workers_that_cannot_become_free_for_it() {
+    let names: Vec<String> = (0..8).map(|index| format!("w{index}")).collect();
+    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut owner = owner(&workers);
+    for worker in ["w1", "w2"] {
+        let mut listing = listing(worker);
+        listing.labels.push("b".to_owned());
+        owner.handle_event(PipelineEvent::Listed(listing));
+    }
+    let labelled = |count, cpu_milli| StepSpec {
+        demand: ResourceVector::new(cpu_milli, 100, 0),
+        required_label: Some("b".to_owned()),
+        ..step(count)
+    };
+    let serving = StepSpec {
+        long_running: true,
+        ..labelled(1, 3_000)
+    };
+    owner.submit(1, job(vec![serving]));
+    owner.start_all();
+
+    let gang = StepSpec {
+        gang: true,
+        ..labelled(6, 1_000)
+    };
+    owner.submit(2, job(vec![gang]));
+    owner.submit(3, job(vec![labelled(1, 4_000)]));
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].run.task.step, first_step(3));
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -61,6 +61,8 @@
     pub(super) progressed_at: Duration,
     /// Estimated run time of the task.
     pub(super) estimate: Duration,
+    /// Whether the task runs until it is cancelled.
+    pub(super) is_long_running: bool,
     /// Whether the progress says nothing about the speed, as the task is long-running or
     /// may wait for its gang.
     pub(super) is_progress_ignored: bool,
@@ -83,6 +85,7 @@
             progress_percent: 0,
             progressed_at: now,
             estimate: Duration::from_millis(step.estimate_ms),
+            is_long_running: step.long_running,
             is_progress_ignored: step.long_running || step.gang,
             stop_sent_at: now,
             placed_at: now,
@@ -233,6 +236,21 @@
         listing.capacity.minus(&self.used).unwrap_or_default()
     }
 
+    /// Returns the resources that are free once all runs have ended that do so by
+    /// themselves.
+    pub(super) fn reclaimable_resources(&self) -> ResourceVector {
+        let Some(listing) = &self.listing else {
+            return ResourceVector::default();
+        };
+        let permanent = self
+            .runs
+            .values()
+            .filter(|run| run.is_long_running && !matches!(run.phase, RunPhase::Stopping(_)));
+        permanent.fold(listing.capacity, |left, run| {
+            left.minus(&run.occupied).unwrap_or_default()
+        })
+    }
+
     pub(super) fn insert_run(&mut self, key: RunKey, run: WorkerRun) {
         self.remove_run(key);
         self.used = self.used.plus(&run.occupied);
