Reserve no capacity while quick advice fails

A step that needs quick decisions reserves the capacity for which it requests tickets, so that steps behind it do not occupy it before the answer arrives. It did so in every pass, also while every request failed. While the advice service fails, or its answers are lost, callers would see jobs that need no tickets wait on an idle service for as long as the failure lasts: one step with four tasks kept a worker of four cores idle.

Found by reading, for the question whether a request for advice can end in a way that stops the queue. The reservation now ends with the first request that fails and returns with the first that is answered, so it idles capacity at most for the time limit of one request.

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -329,9 +329,9 @@
         });
         let possible: Vec<PlaceCandidate> = possible.copied().collect();
         let planned = choose_for_step(&pass.table, &possible, step_spec, count);
-        if !is_slow {
+        if !is_slow && !self.is_quick_advice_failing {
             // Steps behind this one would occupy the capacity before the answer
-            // arrives.
+            // arrives. Without answers it would stay idle.
             for candidate in &planned {
                 pass.table.allocate(candidate, step_spec);
             }
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -109,6 +109,8 @@
     /// Steps with a pending advice request, and whether its decision is slow. A job
     /// may end before the answer arrives.
     pub(super) pending_requests: BTreeMap<StepKey, bool>,
+    /// Whether the latest request for a quick decision failed.
+    pub(super) is_quick_advice_failing: bool,
     /// Maximum number of pending requests for quick decisions.
     pub(super) quick_request_limit: usize,
     /// Maximum number of pending requests for slow decisions.
@@ -154,6 +156,7 @@
             top_priority: u32::MAX,
             typical_ratio_percent: 100,
             pending_requests: BTreeMap::new(),
+            is_quick_advice_failing: false,
             quick_request_limit: REQUESTS_PER_ADVISOR,
             slow_request_limit: REQUESTS_PER_ADVISOR,
             serial: 0,
@@ -192,7 +195,9 @@
                 }
             }
             PipelineEvent::AdviceAnswered(step, report, arrived_at) => {
-                self.pending_requests.remove(&step);
+                if self.pending_requests.remove(&step) == Some(false) {
+                    self.is_quick_advice_failing = report.is_none();
+                }
                 self.is_placement_due = true;
                 let counts = match self.ticket_caches.get_mut(&step) {
                     Some(cache) => cache.record_answer(report, arrived_at, now),
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -321,3 +321,25 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].run.task.step, first_step(3));
 }
+
+/// Guards against capacity that stays reserved for steps whose tickets never arrive,
+/// because the advice service fails.
+#[test]
+fn capacity_is_not_reserved_while_the_advice_service_fails() {
+    let mut owner = owner(&["w1"]);
+    let mut ticketed = ticketed_job(20.0, 0);
+    ticketed.steps[0].count = 4;
+    ticketed.policy.queue = "restricted".to_owned();
+    owner.submit(1, ticketed);
+    owner.submit(2, job(vec![step(1)]));
+
+    owner.handle_event(PipelineEvent::AdviceAnswered(
+        first_step(1),
+        None,
+        owner.now,
+    ));
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].run.task.step, first_step(2));
+}
