Keep the fencing token of workers that return

The low bits of a fencing token count the claims of a worker that an owner gave up, for instance because the worker was restarted or its lease lapsed. The count was part of the record of the worker, which is removed when the worker leaves the list without runs. If the same instance was listed again, the owner claimed it with the lowest token of its epoch, below the one that the worker had seen, and each renewal was rejected until the next takeover. Callers would see tasks wait that only this worker may run, and the service would be one worker short. A worker leaves the list for a moment whenever its entry expires, for instance after an outage of the store.

New records now begin with the largest count among the removed ones, so that tokens never decrease within an ownership.

--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -90,6 +90,9 @@
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
     /// Workers that are listed or may have runs.
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
+    /// Largest number of claims that were given up on a worker that was removed. If it
+    /// returns, it must not be claimed with a lower fencing token than before.
+    pub(super) removed_claims: u64,
     /// Ready steps of all jobs, in the order in which they are placed.
     pub(super) ready: BTreeSet<(QueueRank, StepKey)>,
     /// Ready steps that the latest pass did not place completely.
@@ -148,6 +151,7 @@
             wall_ms: 0,
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
+            removed_claims: 0,
             ready: BTreeSet::new(),
             waits: BTreeMap::new(),
             wait_log_due: Duration::ZERO,
@@ -343,9 +347,10 @@
                         task: TaskKey { step, index },
                         attempt: task.attempt,
                     };
+                    let claims = self.removed_claims;
                     let record = self.workers.entry(WorkerId::clone(worker));
                     record
-                        .or_insert_with(|| WorkerRecord::new(inherited_until, now))
+                        .or_insert_with(|| WorkerRecord::new(inherited_until, claims, now))
                         .insert_run(run, WorkerRun::new(step_spec, RunPhase::Inherited, now));
                 }
             }
@@ -369,7 +374,8 @@
         self.is_placement_due = true;
         let inherited_until = self.predecessor_runs_until();
         let record = self.workers.entry(WorkerId::clone(&listing.worker));
-        let record = record.or_insert_with(|| WorkerRecord::new(inherited_until, now));
+        let claims = self.removed_claims;
+        let record = record.or_insert_with(|| WorkerRecord::new(inherited_until, claims, now));
         let is_already_draining = record
             .listing
             .as_ref()
@@ -389,9 +395,7 @@
     /// Removes a worker that left the registry, once it has no runs.
     fn remove_listing(&mut self, worker: &WorkerId) {
         match self.workers.get_mut(worker) {
-            Some(record) if record.runs.is_empty() => {
-                self.workers.remove(worker);
-            }
+            Some(record) if record.runs.is_empty() => self.remove_worker(worker),
             // The worker may be partitioned and still running. Its runs occupy it
             // until its lease lapses.
             Some(record) => {
@@ -403,6 +407,12 @@
         }
     }
 
+    fn remove_worker(&mut self, worker: &WorkerId) {
+        if let Some(record) = self.workers.remove(worker) {
+            self.removed_claims = self.removed_claims.max(record.claims);
+        }
+    }
+
     fn handle_renewal_failure(
         &mut self,
         worker: &WorkerId,
@@ -419,7 +429,7 @@
                 record.reset_instance(None, now);
                 record.listing = None;
                 self.drop_all_runs(worker, LossCause::Replaced, now);
-                self.workers.remove(worker);
+                self.remove_worker(worker);
             }
             RenewalFailure::Fenced => {
                 record.contact = WorkerContact::Unclaimed;
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -6,7 +6,7 @@
     AdvicePolicy, AdviceReport, EndedRun, ObservedRun, PipelineAction, PipelineConfig,
     PipelineEvent, PipelineId, PipelinePhase, PipelineProgress, PipelineSpec, PipelineState,
     QueuePolicy, RenewalReport, ResourceVector, RunEnd, RunKey, StartOrder, StartResult, StepKey,
-    StepSpec, StopOrder, WorkerId, WorkerListing,
+    StepSpec, StopOrder, WorkerId, WorkerListing, types::Epoch,
 };
 
 /// Wall clock of the fixtures at time zero, in ms since 1970.
@@ -263,6 +263,15 @@
         })
     }
 
+    /// Returns the fencing token of the latest renewal of a worker.
+    pub(super) fn renewal_token(&self, worker: &str) -> Option<Epoch> {
+        let mut actions = self.actions.iter().rev();
+        actions.find_map(|action| match action {
+            PipelineAction::Renew(order) if *order.worker == *worker => Some(order.token),
+            _ => None,
+        })
+    }
+
     /// Returns the step of each advice request, and the number of workers that it names.
     pub(super) fn advice_requests(&self) -> Vec<(StepKey, usize)> {
         let requests = self.actions.iter().filter_map(|action| match action {
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::fixtures::{INSTANCE_STARTED_MS, done, job, observed, owner, step};
+use super::fixtures::{INSTANCE_STARTED_MS, done, job, listing, observed, owner, step};
 use crate::{PipelineAction, PipelineEvent, RenewalFailure, StartResult};
 
 /// Guards against an acknowledgement that lets the worker discard an end before it is
@@ -197,3 +197,18 @@
     assert!(commit.is_some());
     assert_eq!(owner.acked_end("w1"), Some(0));
 }
+
+/// Guards against a worker that is never claimed again: it left the list and returned, and
+/// the owner's fencing token for it was lower than the one it had seen.
+#[test]
+fn a_worker_that_is_listed_again_is_claimed_with_the_same_token() {
+    let mut owner = owner(&["w1"]);
+    owner.report_as_instance("w1", INSTANCE_STARTED_MS + 5_000, Vec::new(), Vec::new());
+    let before = owner.renewal_token("w1");
+
+    owner.handle_event(PipelineEvent::Delisted("w1".into()));
+    owner.handle_event(PipelineEvent::Listed(listing("w1")));
+
+    assert!(before > Some(1 << 8));
+    assert_eq!(owner.renewal_token("w1"), before);
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -160,11 +160,13 @@
     pub(super) runtime_ratio: RuntimeRatio,
     /// Number of claims that were given up in this ownership, the low bits of the
     /// fencing token.
-    claims: u64,
+    pub(super) claims: u64,
 }
 
 impl WorkerRecord {
-    pub(super) fn new(inherited_until: Duration, now: Duration) -> Self {
+    /// Returns the record of a worker of which earlier records in this ownership have given
+    /// up at most `claims` claims.
+    pub(super) fn new(inherited_until: Duration, claims: u64, now: Duration) -> Self {
         Self {
             listing: None,
             contact: WorkerContact::Unclaimed,
@@ -186,7 +188,7 @@
             pace_due: Duration::ZERO,
             evacuate_at: None,
             runtime_ratio: RuntimeRatio::default(),
-            claims: 0,
+            claims,
         }
     }
 
