Examine steps behind others that cannot be placed

A pass skipped the rest of a queue once 24 of its steps were left with waiting tasks, on the assumption that the steps behind them cannot be placed either. That does not hold for steps with other needs. Callers would see a task wait on an idle service behind 24 steps

* that no worker can run; long-running ones do not expire, so the queue stopped for ever,
* that wait for accelerators while processors are free, or
* that the advice service refuses on every worker, which is final.

The limit now says what it is for. Behind the first 24 unplaced steps of a queue, a pass skips only steps that fit on no worker, since these cost time and can gain nothing. A demand that fitted on no worker is remembered for the rest of the pass, so equal and larger steps are skipped without a search. Steps that fit and wait for tickets have a limit of their own, also 24: their wait ends with the answers. A step with slack is compared with the steps that leave the headroom as well.

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -17,7 +17,10 @@
     commit::PendingStart,
     headroom::{GANG_RESERVATION_PERCENT, HEADROOM_PERCENT, has_slack},
     messages::{AdviceOrder, PipelineAction, PipelineNote, RenewalOrder},
-    place::{PlaceCandidate, PlacementTable, choose_for_advice, choose_for_gang, choose_for_tasks},
+    place::{
+        ExhaustedDemands, PlaceCandidate, PlacementTable, choose_for_advice, choose_for_gang,
+        choose_for_tasks,
+    },
     progress::{PipelinePhase, StepProgress, TaskPlace},
     spec::{AdvicePolicy, PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
@@ -26,11 +29,15 @@
 };
 use crate::types::WorkerId;
 
-/// Maximum number of steps of one queue that a pass leaves with waiting tasks. The
-/// steps behind them are skipped: they can rarely be placed, and trying costs CPU
-/// time.
+/// Maximum number of steps of one queue that a pass leaves with waiting tasks before it
+/// skips steps that fit on no worker. Those at the head of the queue reserve workers and
+/// request tickets early; the others would only cost CPU time.
 const MAX_UNPLACED_STEPS_PER_QUEUE: u32 = 24;
 
+/// Maximum number of steps of one queue that a pass leaves waiting for tickets. The steps
+/// behind them would wait for the same answers.
+const MAX_UNTICKETED_STEPS_PER_QUEUE: u32 = 24;
+
 /// Maximum number of steps that one pass examines.
 const MAX_STEPS_PER_PASS: usize = 2_048;
 
@@ -87,12 +94,23 @@
     count: usize,
 }
 
+/// Steps of one queue that a placement pass has left with waiting tasks.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueueBacklog {
+    steps: u32,
+    /// Number of the steps that fit on workers for which tickets can be obtained.
+    unticketed_steps: u32,
+}
+
 /// State of one placement pass over the ready steps.
 #[derive(Debug)]
 struct PlacementPass {
     table: PlacementTable,
-    /// Number of steps left with waiting tasks, by queue.
-    unplaced_steps: BTreeMap<String, u32>,
+    /// Steps left with waiting tasks, by queue.
+    backlogs: BTreeMap<String, QueueBacklog>,
+    /// Demands that fit on no worker, by whether the headroom is withheld and by the
+    /// required label.
+    exhausted: BTreeMap<(bool, Option<String>), ExhaustedDemands>,
     /// Workers that jobs with slack leave free for urgent jobs, by row in the table;
     /// `None` before the first job with slack.
     headroom: Option<BTreeSet<usize>>,
@@ -116,7 +134,8 @@
             let table = PlacementTable::new(self.workers.iter(), self.typical_ratio_percent, now);
             let mut pass = PlacementPass {
                 table,
-                unplaced_steps: BTreeMap::new(),
+                backlogs: BTreeMap::new(),
+                exhausted: BTreeMap::new(),
                 headroom: None,
                 reserved_workers: 0,
                 top_priority: self.top_priority,
@@ -164,29 +183,29 @@
         let Some(record) = self.pipelines.get(&key.pipeline) else {
             return;
         };
-        let unplaced_steps = pass.unplaced_steps.get(&record.spec.policy.queue);
-        if unplaced_steps.is_some_and(|count| *count >= MAX_UNPLACED_STEPS_PER_QUEUE) {
-            self.record_wait(key, false, now);
-            if self.is_wait_log_due(key, now) {
-                let wait = StepWait {
-                    is_skipped: true,
-                    ..StepWait::default()
-                };
-                self.log_wait(key, wait, now);
-            }
-            return;
-        }
         let spec = Arc::clone(&record.spec);
         let (Some(step_spec), Some(progress)) =
             (spec.steps.get(key.step as usize), record.progress.step(key))
         else {
             return;
         };
+        let backlog = pass.backlogs.get(&spec.policy.queue);
+        let backlog = backlog.copied().unwrap_or_default();
+        let can_wait = has_slack(&spec, key.occurrence, pass.top_priority, self.wall_ms);
+        let is_behind = backlog.steps >= MAX_UNPLACED_STEPS_PER_QUEUE;
+        let exhausted_key = (can_wait, step_spec.required_label.clone());
+        let exhausted = pass.exhausted.entry(exhausted_key).or_default();
+        if backlog.unticketed_steps >= MAX_UNTICKETED_STEPS_PER_QUEUE
+            || (is_behind && exhausted.contains(step_spec))
+        {
+            self.skip_step(key, now);
+            return;
+        }
         let waiting: Vec<u32> = progress.waiting_tasks().collect();
         let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
         let mut fitting = pass.table.fitting(step_spec, task_allowance);
         let mut withheld = Vec::new();
-        if has_slack(&spec, key.occurrence, pass.top_priority, self.wall_ms) {
+        if can_wait {
             let table = &pass.table;
             let headroom = pass
                 .headroom
@@ -195,6 +214,13 @@
                 .into_iter()
                 .partition(|candidate| headroom.contains(&candidate.row_index));
         }
+        if fitting.is_empty() {
+            exhausted.insert(step_spec);
+            if is_behind {
+                self.skip_step(key, now);
+                return;
+            }
+        }
         let mut allowed = fitting.clone();
         if spec.policy.advice.is_some() {
             let cache = self.ticket_caches.entry(key).or_default();
@@ -214,10 +240,7 @@
         if unplaced_count == 0 {
             return;
         }
-        *pass
-            .unplaced_steps
-            .entry(spec.policy.queue.clone())
-            .or_default() += 1;
+        let mut is_unticketed = false;
         if let Some(policy) = spec.policy.advice {
             let missing = MissingTickets {
                 key,
@@ -226,8 +249,11 @@
                 queue: &spec.policy.queue,
                 count: unplaced_count,
             };
-            self.request_tickets(&missing, &fitting, pass, now);
+            is_unticketed = self.request_tickets(&missing, &fitting, pass, now);
         }
+        let backlog = pass.backlogs.entry(spec.policy.queue.clone()).or_default();
+        backlog.steps += 1;
+        backlog.unticketed_steps += u32::from(is_unticketed);
         let (is_expired, ..) = rank;
         if step_spec.gang && !is_expired {
             self.reserve_for_gang(key, step_spec, spec.policy.advice.is_some(), pass);
@@ -256,6 +282,18 @@
         }
     }
 
+    /// Leaves a step for a later pass.
+    fn skip_step(&mut self, key: StepKey, now: Duration) {
+        self.record_wait(key, false, now);
+        if self.is_wait_log_due(key, now) {
+            let wait = StepWait {
+                is_skipped: true,
+                ..StepWait::default()
+            };
+            self.log_wait(key, wait, now);
+        }
+    }
+
     /// Reserves workers for a waiting gang, so that the tasks behind it do not occupy
     /// the capacity that becomes free there bit by bit.
     fn reserve_for_gang(
@@ -265,6 +303,11 @@
         is_ticket_required: bool,
         pass: &mut PlacementPass,
     ) {
+        let limit = pass.table.len() * GANG_RESERVATION_PERCENT / 100;
+        let limit = limit.max(1);
+        if pass.reserved_workers >= limit {
+            return;
+        }
         let mut eligible_workers = pass.table.eligible_workers(step_spec, |worker| {
             self.task_allowance(worker, key, step_spec)
         });
@@ -291,8 +334,7 @@
                 uncovered_tasks.saturating_sub(candidate.fitting_tasks_when_reclaimed(step_spec));
             planned.push(candidate.row_index);
         }
-        let limit = pass.table.len() * GANG_RESERVATION_PERCENT / 100;
-        if uncovered_tasks == 0 && pass.reserved_workers + planned.len() <= limit.max(1) {
+        if uncovered_tasks == 0 && pass.reserved_workers + planned.len() <= limit {
             pass.reserved_workers += planned.len();
             for index in planned {
                 pass.table.reserve_worker(index);
@@ -302,13 +344,15 @@
 
     /// Requests tickets for a step if they are likely to be used. A step with quick
     /// decisions also reserves the capacity that the tickets are for.
+    ///
+    /// Returns whether the step fits on workers for which tickets can be obtained.
     fn request_tickets(
         &mut self,
         missing: &MissingTickets<'_>,
         fitting: &[PlaceCandidate],
         pass: &mut PlacementPass,
         now: Duration,
-    ) {
+    ) -> bool {
         let (key, step_spec, count) = (missing.key, missing.step_spec, missing.count);
         let is_slow = missing.policy.decision_ms >= SLOW_DECISION_MS;
         let pending = self.pending_requests.values();
@@ -320,13 +364,13 @@
         };
         let cache = self.ticket_caches.entry(key).or_default();
         let can_request = cache.can_begin_request(now) && pending < limit;
-        if is_slow && !can_request {
-            return;
-        }
-        let possible = fitting.iter().filter(|candidate| {
+        let mut possible = fitting.iter().filter(|candidate| {
             let worker = pass.table.worker(candidate);
             cache.can_request_ticket(worker, now) || cache.ticket(worker, now).is_some()
         });
+        if is_slow && !can_request {
+            return possible.next().is_some();
+        }
         let possible: Vec<PlaceCandidate> = possible.copied().collect();
         let planned = choose_for_step(&pass.table, &possible, step_spec, count);
         if !is_slow && !self.is_quick_advice_failing {
@@ -338,12 +382,12 @@
         }
         let is_early_request = planned.is_empty();
         if !can_request || (is_early_request && (!is_slow || pass.early_requests_left == 0)) {
-            return;
+            return !is_early_request;
         }
         pass.early_requests_left -= u32::from(is_early_request);
         let workers = self.workers_for_advice(missing, &pass.table, now);
         if workers.is_empty() {
-            return;
+            return !is_early_request;
         }
         self.pending_requests.insert(key, is_slow);
         self.ticket_caches
@@ -355,6 +399,7 @@
             workers,
             policy: missing.policy,
         }));
+        !is_early_request
     }
 
     /// Returns the workers to name in an advice request for a step.
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -343,3 +343,61 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].run.task.step, first_step(2));
 }
+/// Guards against steps that no worker can run, such as long-running ones, which do not
+/// expire, and which keep the steps behind them from being examined.
+#[test]
+fn steps_that_no_worker_can_run_do_not_block_their_queue() {
+    let mut owner = owner(&["w1"]);
+    let oversized = StepSpec {
+        demand: ResourceVector::new(64_000, 100, 0),
+        long_running: true,
+        ..step(1)
+    };
+    for id in 1..100 {
+        owner.submit(id, job(vec![oversized.clone()]));
+    }
+
+    owner.submit(100, job(vec![step(1)]));
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+}
+
+/// Guards against steps that wait for a resource that is used up and keep steps behind
+/// them, which do not need it, from being examined.
+#[test]
+fn steps_that_wait_for_accelerators_do_not_block_steps_without_them() {
+    let mut owner = owner(&["w1"]);
+    let mut accelerated = job(vec![step(1)]);
+    accelerated.steps[0].demand = ResourceVector::new(1_000, 100, 4);
+    owner.submit(1, accelerated.clone());
+    owner.start_all();
+    for id in 2..100 {
+        owner.submit(id, accelerated.clone());
+    }
+
+    owner.submit(100, job(vec![step(1)]));
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].run.task.step, first_step(100));
+}
+
+/// Guards against steps that the advice service refuses on every worker and that keep the
+/// steps behind them from being examined.
+#[test]
+fn refused_steps_do_not_block_their_queue() {
+    let mut owner = owner(&["w1"]);
+    for id in 1..40 {
+        owner.submit(id, ticketed_job(20.0, 1));
+        owner.run_placement_pass();
+        owner.grant_tickets(first_step(id), &[]);
+    }
+
+    owner.submit(40, ticketed_job(20.0, 1));
+    owner.run_placement_pass();
+    owner.grant_tickets(first_step(40), &["w1"]);
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+}
