--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -90,6 +90,9 @@
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
     /// Workers that are listed or may have runs.
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
+    /// Largest number of claims that were given up on a worker that was removed. If it
+    /// returns, it must not be claimed with a lower fencing token than before.
+    pub(super) removed_claims: u64,
     /// Ready steps of all jobs, in the order in which they are placed.
     pub(super) ready: BTreeSet<(QueueRank, StepKey)>,
     /// Ready steps that the latest pass did not place completely.
@@ -109,6 +112,8 @@
     /// Steps with a pending advice request, and whether its decision is slow. A job
     /// may end before the answer arrives.
     pub(super) pending_requests: BTreeMap<StepKey, bool>,
+    /// Whether the latest request for a quick decision failed.
+    pub(super) is_quick_advice_failing: bool,
     /// Maximum number of pending requests for quick decisions.
     pub(super) quick_request_limit: usize,
     /// Maximum number of pending requests for slow decisions.
@@ -146,6 +151,7 @@
             wall_ms: 0,
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
+            removed_claims: 0,
             ready: BTreeSet::new(),
             waits: BTreeMap::new(),
             wait_log_due: Duration::ZERO,
@@ -154,6 +160,7 @@
             top_priority: u32::MAX,
             typical_ratio_percent: 100,
             pending_requests: BTreeMap::new(),
+            is_quick_advice_failing: false,
             quick_request_limit: REQUESTS_PER_ADVISOR,
             slow_request_limit: REQUESTS_PER_ADVISOR,
             serial: 0,
@@ -192,7 +199,9 @@
                 }
             }
             PipelineEvent::AdviceAnswered(step, report, arrived_at) => {
-                self.pending_requests.remove(&step);
+                if self.pending_requests.remove(&step) == Some(false) {
+                    self.is_quick_advice_failing = report.is_none();
+                }
                 self.is_placement_due = true;
                 let counts = match self.ticket_caches.get_mut(&step) {
                     Some(cache) => cache.record_answer(report, arrived_at, now),
@@ -338,9 +347,10 @@
                         task: TaskKey { step, index },
                         attempt: task.attempt,
                     };
+                    let claims = self.removed_claims;
                     let record = self.workers.entry(WorkerId::clone(worker));
                     record
-                        .or_insert_with(|| WorkerRecord::new(inherited_until, now))
+                        .or_insert_with(|| WorkerRecord::new(inherited_until, claims, now))
                         .insert_run(run, WorkerRun::new(step_spec, RunPhase::Inherited, now));
                 }
             }
@@ -364,7 +374,8 @@
         self.is_placement_due = true;
         let inherited_until = self.predecessor_runs_until();
         let record = self.workers.entry(WorkerId::clone(&listing.worker));
-        let record = record.or_insert_with(|| WorkerRecord::new(inherited_until, now));
+        let claims = self.removed_claims;
+        let record = record.or_insert_with(|| WorkerRecord::new(inherited_until, claims, now));
         let is_already_draining = record
             .listing
             .as_ref()
@@ -384,9 +395,7 @@
     /// Removes a worker that left the registry, once it has no runs.
     fn remove_listing(&mut self, worker: &WorkerId) {
         match self.workers.get_mut(worker) {
-            Some(record) if record.runs.is_empty() => {
-                self.workers.remove(worker);
-            }
+            Some(record) if record.runs.is_empty() => self.remove_worker(worker),
             // The worker may be partitioned and still running. Its runs occupy it
             // until its lease lapses.
             Some(record) => {
@@ -398,6 +407,12 @@
         }
     }
 
+    fn remove_worker(&mut self, worker: &WorkerId) {
+        if let Some(record) = self.workers.remove(worker) {
+            self.removed_claims = self.removed_claims.max(record.claims);
+        }
+    }
+
     fn handle_renewal_failure(
         &mut self,
         worker: &WorkerId,
@@ -414,7 +429,7 @@
                 record.reset_instance(None, now);
                 record.listing = None;
                 self.drop_all_runs(worker, LossCause::Replaced, now);
-                self.workers.remove(worker);
+                self.remove_worker(worker);
             }
             RenewalFailure::Fenced => {
                 record.contact = WorkerContact::Unclaimed;
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -5,6 +5,7 @@
 use super::fixtures::{WALL_MS, advice, done, job, listing, observed, owner, step};
 use crate::{
     PipelineAction, PipelineEvent, PipelineId, PipelineSpec, ResourceVector, RunKey, StepKey,
+    StepSpec,
 };
 
 fn first_step(pipeline: PipelineId) -> StepKey {
@@ -284,3 +285,119 @@
     assert_eq!(started.len(), 1);
     assert_eq!(started[0].run.task.step, first_step(2));
 }
+
+/// Guards against workers that are reserved in vain: a gang waits for capacity that
+/// long-running tasks occupy, while other steps could use the rest.
+#[test]
+fn a_gang_reserves_no_workers_that_cannot_become_free_for_it() {
+    let names: Vec<String> = (0..8).map(|index| format!("w{index}")).collect();
+    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut owner = owner(&workers);
+    for worker in ["w1", "w2"] {
+        let mut listing = listing(worker);
+        listing.labels.push("b".to_owned());
+        owner.handle_event(PipelineEvent::Listed(listing));
+    }
+    let labelled = |count, cpu_milli| StepSpec {
+        demand: ResourceVector::new(cpu_milli, 100, 0),
+        required_label: Some("b".to_owned()),
+        ..step(count)
+    };
+    let serving = StepSpec {
+        long_running: true,
+        ..labelled(1, 3_000)
+    };
+    owner.submit(1, job(vec![serving]));
+    owner.start_all();
+
+    let gang = StepSpec {
+        gang: true,
+        ..labelled(6, 1_000)
+    };
+    owner.submit(2, job(vec![gang]));
+    owner.submit(3, job(vec![labelled(1, 4_000)]));
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].run.task.step, first_step(3));
+}
+
+/// Guards against capacity that stays reserved for steps whose tickets never arrive,
+/// because the advice service fails.
+#[test]
+fn capacity_is_not_reserved_while_the_advice_service_fails() {
+    let mut owner = owner(&["w1"]);
+    let mut ticketed = ticketed_job(20.0, 0);
+    ticketed.steps[0].count = 4;
+    ticketed.policy.queue = "restricted".to_owned();
+    owner.submit(1, ticketed);
+    owner.submit(2, job(vec![step(1)]));
+
+    owner.handle_event(PipelineEvent::AdviceAnswered(
+        first_step(1),
+        None,
+        owner.now,
+    ));
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].run.task.step, first_step(2));
+}
+/// Guards against steps that no worker can run, such as long-running ones, which do not
+/// expire, and which keep the steps behind them from being examined.
+#[test]
+fn steps_that_no_worker_can_run_do_not_block_their_queue() {
+    let mut owner = owner(&["w1"]);
+    let oversized = StepSpec {
+        demand: ResourceVector::new(64_000, 100, 0),
+        long_running: true,
+        ..step(1)
+    };
+    for id in 1..100 {
+        owner.submit(id, job(vec![oversized.clone()]));
+    }
+
+    owner.submit(100, job(vec![step(1)]));
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+}
+
+/// Guards against steps that wait for a resource that is used up and keep steps behind
+/// them, which do not need it, from being examined.
+#[test]
+fn steps_that_wait_for_accelerators_do_not_block_steps_without_them() {
+    let mut owner = owner(&["w1"]);
+    let mut accelerated = job(vec![step(1)]);
+    accelerated.steps[0].demand = ResourceVector::new(1_000, 100, 4);
+    owner.submit(1, accelerated.clone());
+    owner.start_all();
+    for id in 2..100 {
+        owner.submit(id, accelerated.clone());
+    }
+
+    owner.submit(100, job(vec![step(1)]));
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].run.task.step, first_step(100));
+}
+
+/// Guards against steps that the advice service refuses on every worker and that keep the
+/// steps behind them from being examined.
+#[test]
+fn refused_steps_do_not_block_their_queue() {
+    let mut owner = owner(&["w1"]);
+    for id in 1..40 {
+        owner.submit(id, ticketed_job(20.0, 1));
+        owner.run_placement_pass();
+        owner.grant_tickets(first_step(id), &[]);
+    }
+
+    owner.submit(40, ticketed_job(20.0, 1));
+    owner.run_placement_pass();
+    owner.grant_tickets(first_step(40), &["w1"]);
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+}
