Limit the pending requests of steps that do not fit

Callers would see: tasks that fit wait for tickets behind the requests of steps that do not fit. Such a step requests tickets ahead of time, each pass added up to six of them, and their tickets expire after 1.2 s, so they are requested again and again. On a deployment with one slow advisor they used up the limit of slow requests, and a step that fitted never sent one.

Change: at most six requests of steps that do not fit are pending at a time, and at most half of the limit of slow requests.

--- a/crates/core/src/pipelines/advice.rs
+++ b/crates/core/src/pipelines/advice.rs
@@ -19,6 +19,15 @@
     usable_until: Duration,
 }
 
+/// A request that was sent to the advice service and has no answer yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingRequest {
+    /// Whether the decision of the advice service is slow.
+    pub(super) is_slow: bool,
+    /// Whether the step did not fit when the request was sent.
+    pub(super) is_early: bool,
+}
+
 /// Answers of the advice service about the workers of one step.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TicketCache {
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -14,6 +14,7 @@
 };
 
 use super::{
+    advice::PendingRequest,
     commit::PendingStart,
     headroom::{GANG_RESERVATION_PERCENT, HEADROOM_PERCENT, has_slack},
     messages::{AdviceOrder, PipelineAction, PipelineNote, RenewalOrder},
@@ -41,9 +42,11 @@
 /// Maximum number of steps that one pass examines.
 const MAX_STEPS_PER_PASS: usize = 2_048;
 
-/// Maximum number of steps at the head of the queue that request tickets in one pass
-/// although they do not fit yet, so that they start as soon as they fit.
-const MAX_EARLY_REQUESTS: u32 = 6;
+/// Maximum number of pending requests of steps at the head of the queue that do not fit
+/// yet. They start as soon as they fit, but their tickets may expire before that, and
+/// requests of steps that fit wait behind theirs. At most half of the limit of slow
+/// requests is used for them.
+const MAX_EARLY_REQUESTS: usize = 6;
 
 /// Decisions of the advice service that take at least this time are slow. Slow and
 /// quick decisions have separate limits and daemons, so that quick ones do not wait
@@ -121,7 +124,7 @@
     /// Priority of the most urgent queue of the service.
     top_priority: u32,
     /// Number of further steps that may request tickets although they do not fit.
-    early_requests_left: u32,
+    early_requests_left: usize,
 }
 
 impl PipelineState {
@@ -134,6 +137,8 @@
         let is_due = std::mem::take(&mut self.is_placement_due);
         if is_due && now < self.confirmed_until && !self.ready.is_empty() {
             let table = PlacementTable::new(self.workers.iter(), self.typical_ratio_percent, now);
+            let pending = self.pending_requests.values();
+            let early_requests = pending.filter(|pending| pending.is_early).count();
             let mut pass = PlacementPass {
                 table,
                 backlogs: BTreeMap::new(),
@@ -141,7 +146,9 @@
                 headroom: None,
                 reserved_workers: 0,
                 top_priority: self.top_priority,
-                early_requests_left: MAX_EARLY_REQUESTS,
+                early_requests_left: MAX_EARLY_REQUESTS
+                    .min(self.slow_request_limit / 2)
+                    .saturating_sub(early_requests),
             };
             let ready = self.ready.iter().take(MAX_STEPS_PER_PASS);
             let ready: Vec<(QueueRank, StepKey)> = ready.copied().collect();
@@ -351,7 +358,7 @@
         let (key, step_spec, count) = (missing.key, missing.step_spec, missing.count);
         let is_slow = missing.policy.decision_ms >= SLOW_DECISION_MS;
         let pending = self.pending_requests.values();
-        let pending = pending.filter(|pending| **pending == is_slow).count();
+        let pending = pending.filter(|pending| pending.is_slow == is_slow).count();
         let limit = if is_slow {
             self.slow_request_limit
         } else {
@@ -379,12 +386,16 @@
         if !can_request || (is_early_request && (!is_slow || pass.early_requests_left == 0)) {
             return !is_early_request;
         }
-        pass.early_requests_left -= u32::from(is_early_request);
+        pass.early_requests_left -= usize::from(is_early_request);
         let workers = self.workers_for_advice(missing, &pass.table, now);
         if workers.is_empty() {
             return !is_early_request;
         }
-        self.pending_requests.insert(key, is_slow);
+        let request = PendingRequest {
+            is_slow,
+            is_early: is_early_request,
+        };
+        self.pending_requests.insert(key, request);
         self.ticket_caches
             .entry(key)
             .or_default()
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    advice::TicketCache,
+    advice::{PendingRequest, TicketCache},
     commit::PendingStart,
     health::evacuation_start,
     messages::{
@@ -109,9 +109,8 @@
     /// Typical run time of a task on the workers of the service, in percent of its
     /// estimate.
     pub(super) typical_ratio_percent: u64,
-    /// Steps with a pending advice request, and whether its decision is slow. A job
-    /// may end before the answer arrives.
-    pub(super) pending_requests: BTreeMap<StepKey, bool>,
+    /// Pending advice requests, by step. A job may end before the answer arrives.
+    pub(super) pending_requests: BTreeMap<StepKey, PendingRequest>,
     /// Whether the latest request for a quick decision failed.
     pub(super) is_quick_advice_failing: bool,
     /// Maximum number of pending requests for quick decisions.
@@ -199,7 +198,8 @@
                 }
             }
             PipelineEvent::AdviceAnswered(step, report, arrived_at) => {
-                if self.pending_requests.remove(&step) == Some(false) {
+                let request = self.pending_requests.remove(&step);
+                if request.is_some_and(|request| !request.is_slow) {
                     self.is_quick_advice_failing = report.is_none();
                 }
                 self.is_placement_due = true;
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -74,6 +74,52 @@
     assert_eq!(owner.advice_requests(), vec![(first_step(2), 1)]);
 }
 
+/// Guards against steps that do not fit and use up all slow requests of a small deployment.
+#[test]
+fn steps_that_do_not_fit_leave_requests_to_steps_that_fit() {
+    let mut owner = owner(&["w1", "w2"]);
+    let mut long_running = job(vec![step(2)]);
+    long_running.steps[0].long_running = true;
+    long_running.steps[0].per_worker_limit = Some(1);
+    owner.submit(1, long_running);
+    owner.start_all();
+    for id in 2..5 {
+        let mut large = ticketed_job(500.0, 0);
+        large.steps[0].count = 7;
+        large.steps[0].gang = true;
+        owner.submit(id, large);
+        owner.run_placement_pass();
+    }
+
+    owner.submit(5, ticketed_job(500.0, 1));
+
+    let requests = owner.advice_requests();
+    assert!(requests.iter().any(|(step, _)| *step == first_step(5)));
+}
+
+/// Guards against steps that do not fit and occupy the daemons that send advice requests, as
+/// each pass adds requests of further such steps.
+#[test]
+fn steps_that_do_not_fit_leave_advisors_to_steps_that_fit() {
+    let mut owner = owner(&["w1", "w2"]);
+    owner.handle_event(PipelineEvent::AdvisorsCounted(10, 10));
+    owner.submit(1, job(vec![step(4)]));
+    owner.start_all();
+    let mut wide = ticketed_job(500.0, 0);
+    wide.steps[0].gang = true;
+    wide.steps[0].count = 8;
+    for id in 2..20 {
+        owner.submit(id, wide.clone());
+    }
+
+    owner.submit(20, ticketed_job(500.0, 1));
+
+    let requests = owner.advice_requests();
+    let early = requests.iter().filter(|(step, _)| step.pipeline < 20);
+    assert!(early.count() <= 6);
+    assert!(requests.iter().any(|(step, _)| *step == first_step(20)));
+}
+
 /// Guards against steps that overtake the first one while its tickets are requested: a
 /// burst of jobs competes for the capacity of one task.
 #[test]
