Choose the workers of a quick request before reserving capacity

Callers would see: a task of a queue with quick advice that waits on a busy service although some workers have room for it.

Cause: a step reserves the capacity for which it requests tickets, and chose the workers to name afterwards.

Change: the workers are chosen before the capacity is reserved.

Result: a_quick_request_names_the_workers_that_are_reserved_for_it failed before and passes.

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -375,6 +375,13 @@
         }
         let possible: Vec<PlaceCandidate> = possible.copied().collect();
         let planned = choose_for_step(&pass.table, &possible, step_spec, count);
+        let is_early_request = planned.is_empty();
+        let is_premature = is_early_request && (!is_slow || pass.early_requests_left == 0);
+        let workers = if can_request && !is_premature {
+            self.workers_for_advice(missing, &pass.table, now)
+        } else {
+            Vec::new()
+        };
         if !is_slow && !self.is_quick_advice_failing {
             // Steps behind this one would occupy the capacity before the answer
             // arrives. Without answers it would stay idle.
@@ -382,15 +389,10 @@
                 pass.table.allocate(candidate, step_spec);
             }
         }
-        let is_early_request = planned.is_empty();
-        if !can_request || (is_early_request && (!is_slow || pass.early_requests_left == 0)) {
-            return !is_early_request;
-        }
-        pass.early_requests_left -= usize::from(is_early_request);
-        let workers = self.workers_for_advice(missing, &pass.table, now);
         if workers.is_empty() {
             return !is_early_request;
         }
+        pass.early_requests_left -= usize::from(is_early_request);
         let request = PendingRequest {
             is_slow,
             is_early: is_early_request,
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -74,6 +74,33 @@
     assert_eq!(owner.advice_requests(), vec![(first_step(2), 1)]);
 }
 
+/// Guards against a step that reserves the only workers with free capacity and requests tickets
+/// for others.
+#[test]
+fn a_quick_request_names_the_workers_that_are_reserved_for_it() {
+    let names: Vec<String> = (0..20).map(|index| format!("w{index:02}")).collect();
+    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut owner = owner(&workers);
+    let mut busy = job(vec![step(18)]);
+    busy.steps[0].demand = ResourceVector::new(1_500, 100, 0);
+    busy.steps[0].per_worker_limit = Some(1);
+    owner.submit(1, busy);
+    owner.start_all();
+    let mut spec = ticketed_job(20.0, 0);
+    spec.steps[0].count = 2;
+    spec.steps[0].demand = ResourceVector::new(3_000, 100, 0);
+
+    owner.submit(2, spec);
+
+    let named_workers = owner.actions.iter().find_map(|action| match action {
+        PipelineAction::Ask(order) => Some(order.workers.clone()),
+        _ => None,
+    });
+    let named_workers = named_workers.unwrap();
+    assert!(named_workers.contains(&"w18".into()));
+    assert!(named_workers.contains(&"w19".into()));
+}
+
 /// Guards against steps that do not fit and use up all slow requests of a small deployment.
 #[test]
 fn steps_that_do_not_fit_leave_requests_to_steps_that_fit() {
