Reserve no headroom for gangs that may not use it

Callers would see: jobs without slack that wait although workers are idle.

Cause: a gang with slack is not placed on the workers left free for urgent jobs, but reserved them, as it chose among all eligible workers. They stayed idle for all others until the slack of the gang was used up.

Change: a gang that can wait reserves workers outside the headroom only.

Result: a_gang_does_not_reserve_workers_it_may_not_use failed before and passes.

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -271,7 +271,7 @@
         backlog.unticketed_steps += u32::from(is_unticketed);
         let (is_expired, ..) = rank;
         if step_spec.gang && !is_expired {
-            self.reserve_for_gang(key, step_spec, spec.policy.advice.is_some(), pass);
+            self.reserve_for_gang(&spec, key, can_wait, pass);
         }
         self.record_wait(key, has_progress, now);
         if self.is_wait_log_due(key, now) {
@@ -297,14 +297,18 @@
     }
 
     /// Reserves workers for a waiting gang, so that the tasks behind it do not occupy
-    /// the capacity that becomes free there bit by bit.
+    /// the capacity that becomes free there bit by bit. A gang that can wait reserves no
+    /// worker of the headroom, as it is not placed there.
     fn reserve_for_gang(
         &self,
+        spec: &PipelineSpec,
         key: StepKey,
-        step_spec: &StepSpec,
-        is_ticket_required: bool,
+        can_wait: bool,
         pass: &mut PlacementPass,
     ) {
+        let Some(step_spec) = spec.steps.get(key.step as usize) else {
+            return;
+        };
         let limit = pass.table.len() * GANG_RESERVATION_PERCENT / 100;
         let limit = limit.max(1);
         if pass.reserved_workers >= limit {
@@ -313,7 +317,10 @@
         let mut eligible_workers = pass.table.eligible_workers(step_spec, |worker| {
             self.task_allowance(worker, key, step_spec)
         });
-        if is_ticket_required {
+        if let Some(headroom) = pass.headroom.as_ref().filter(|_| can_wait) {
+            eligible_workers.retain(|candidate| !headroom.contains(&candidate.row_index));
+        }
+        if spec.policy.advice.is_some() {
             let cache = self.ticket_caches.get(&key);
             eligible_workers.retain(|candidate| {
                 let worker = pass.table.worker(candidate);
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -209,6 +209,28 @@
     assert_eq!(owner.start_all().len(), 1);
 }
 
+/// Guards against idle workers that nobody may use: a gang with slack reserves them, but is not
+/// placed on them, as they are left free for urgent jobs.
+#[test]
+fn a_gang_does_not_reserve_workers_it_may_not_use() {
+    let mut owner = owner_after_urgent_job(20, 64);
+    let mut gang = job(vec![step(4)]);
+    gang.steps[0].gang = true;
+    gang.steps[0].demand = ResourceVector::new(4_000, 100, 0);
+    gang.policy.stretch = 100.0;
+    owner.submit(2, gang);
+    let mut without_slack = job(vec![step(4)]);
+    without_slack.policy.priority = 2;
+    without_slack.policy.queue = "other".to_owned();
+    without_slack.policy.stretch = 1.0;
+    owner.submit(3, without_slack);
+
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 4);
+    assert_eq!(starts[0].run.task.step, first_step(3));
+}
+
 /// Guards against tasks that wait for several slow answers in a row, each about a few workers
 /// that may not run them.
 #[test]
