Use tickets whose validity is shorter than the margin

Callers would see: a queue whose advice service issues tickets valid for 300 ms or less never starts a task.

Cause: 300 ms of the validity of each ticket are kept for the commit and the transit, so such a ticket counted as expired on arrival and was requested again at once: another selection that excludes its own result.

Change: at most a third of the validity is kept as the margin.

Result: a_ticket_of_short_validity_is_used failed before and passes.

--- a/crates/core/src/pipelines/advice.rs
+++ b/crates/core/src/pipelines/advice.rs
@@ -5,10 +5,14 @@
 use super::messages::AdviceReport;
 use crate::types::WorkerId;
 
-/// Part of the validity of a ticket that is not used. It covers the transit of the
+/// Longest part of the validity of a ticket that is not used. It covers the transit of the
 /// answer, the commit and the transit of the start order.
 const TICKET_MARGIN: Duration = Duration::from_millis(300);
 
+/// Largest fraction of the validity of a ticket that is not used, as its divisor. Without
+/// it, tickets of short validity would never be usable.
+const TICKET_MARGIN_DIVISOR: u32 = 3;
+
 /// Delay before a failed advice request for the step is retried.
 const ADVICE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -114,7 +118,8 @@
             self.failure_count += 1;
             return None;
         };
-        let usable_until = arrived_at + report.valid.saturating_sub(TICKET_MARGIN);
+        let margin = TICKET_MARGIN.min(report.valid / TICKET_MARGIN_DIVISOR);
+        let usable_until = arrived_at + report.valid.saturating_sub(margin);
         let counts = (requested_workers.len(), report.tickets.len());
         for worker in requested_workers {
             let entry = report.tickets.remove(&worker).map(|ticket| TicketEntry {
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -5,8 +5,8 @@
 
 use super::fixtures::{OwnerFixture, advice, ended, job, listing, owner, step};
 use crate::{
-    EndedRun, PipelineAction, PipelineEvent, PipelineNote, PipelineSpec, ResourceVector, RunEnd,
-    StartOrder, StepKey, StepWait, WorkerId,
+    AdviceReport, EndedRun, PipelineAction, PipelineEvent, PipelineNote, PipelineSpec,
+    ResourceVector, RunEnd, StartOrder, StepKey, StepWait, WorkerId,
 };
 
 /// Time in which a task that could run must start.
@@ -254,6 +254,25 @@
     );
 }
 
+/// Guards against a step that requests tickets without end, as their validity is shorter than
+/// the margin that covers the start.
+#[test]
+fn a_ticket_of_short_validity_is_used() {
+    let mut owner = owner(&["w1"]);
+    let mut spec = job(vec![step(1)]);
+    spec.policy.advice = Some(advice(160.0));
+    owner.submit(1, spec);
+    let report = AdviceReport {
+        tickets: [("w1".into(), "t".to_owned())].into_iter().collect(),
+        valid: Duration::from_millis(300),
+    };
+
+    let answer = PipelineEvent::AdviceAnswered(first_step(1), Some(report), owner.now);
+    owner.handle_event(answer);
+
+    assert_eq!(owner.start_all().len(), 1);
+}
+
 /// Guards against a step that waits without a trace in the log.
 #[test]
 fn a_waiting_step_is_logged_with_its_cause() {
