Renew all tickets of a gang in one request

Cause: a request named only workers without a valid ticket.

Change: once a gang fits, its request also names the allowed workers whose tickets have not expired. A gang that does not fit asks as before.

Result: a_gang_renews_its_tickets_together failed before and passes.

--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -426,8 +426,8 @@
 /// that a request names.
 const MAX_EMPTY_ANSWER_PERMILLE: usize = 50;
 
-/// Returns the workers to name in an advice request, so that enough tickets for `count`
-/// tasks can be expected.
+/// Returns which of the candidates to name in an advice request, so that enough tickets for
+/// `count` tasks can be expected.
 ///
 /// `allowed_percent` is the part of the workers that the advice service is expected to
 /// allow.
@@ -438,13 +438,9 @@
     step: &StepSpec,
     count: usize,
     allowed_percent: usize,
-    now: Duration,
 ) -> Vec<WorkerId> {
-    let requestable = candidates
-        .iter()
-        .filter(|candidate| cache.can_request_ticket(table.worker(candidate), now));
     let mut ranked: BTreeMap<RequestRank, usize> = BTreeMap::new();
-    for candidate in requestable {
+    for candidate in candidates {
         let (fitting_tasks, fitting_when_reclaimed) = (
             candidate.fitting_tasks(step),
             candidate.fitting_tasks_when_reclaimed(step),
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -385,7 +385,7 @@
         let is_early_request = planned.is_empty();
         let is_premature = is_early_request && (!is_slow || pass.early_requests_left == 0);
         let workers = if can_request && !is_premature {
-            self.workers_for_advice(missing, &pass.table, now)
+            self.workers_for_advice(missing, is_early_request, &pass.table, now)
         } else {
             Vec::new()
         };
@@ -418,9 +418,13 @@
     }
 
     /// Returns the workers to name in an advice request for a step.
+    ///
+    /// The members of a gang need tickets that are valid at the same time, so once the gang
+    /// fits, its request also names the workers whose tickets have not expired.
     fn workers_for_advice(
         &self,
         missing: &MissingTickets<'_>,
+        is_early_request: bool,
         table: &PlacementTable,
         now: Duration,
     ) -> Vec<WorkerId> {
@@ -435,6 +439,11 @@
         let mut eligible_workers = table.eligible_workers(step_spec, |worker| {
             self.task_allowance(worker, key, step_spec)
         });
+        let renews_tickets = step_spec.gang && !is_early_request;
+        eligible_workers.retain(|candidate| {
+            let worker = table.worker(candidate);
+            cache.can_request_ticket(worker, now) || (renews_tickets && cache.is_allowed(worker))
+        });
         // Tickets for withheld workers would expire unused.
         eligible_workers.retain(|candidate| {
             let withheld = missing.withheld;
@@ -448,7 +457,6 @@
             step_spec,
             missing.count,
             percent,
-            now,
         );
         workers.truncate(MAX_WORKERS_PER_REQUEST);
         workers
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -53,6 +53,17 @@
     owner: &mut OwnerFixture,
     limit: Duration,
     is_allowed: impl Fn(&str) -> bool,
+) -> Vec<StartOrder> {
+    run_with_answers(owner, limit, ANSWER_TIME, is_allowed)
+}
+
+/// Runs the owner until a task starts, at most for `limit`, and answers its advice requests
+/// after `answer_time`.
+fn run_with_answers(
+    owner: &mut OwnerFixture,
+    limit: Duration,
+    answer_time: Duration,
+    is_allowed: impl Fn(&str) -> bool,
 ) -> Vec<StartOrder> {
     let mut requests: Vec<(Duration, StepKey, Vec<WorkerId>)> = Vec::new();
     let end = owner.now + limit;
@@ -65,7 +76,7 @@
             PipelineAction::Ask(order) => Some((order.step, order.workers.clone())),
             _ => None,
         });
-        let due = owner.now + ANSWER_TIME;
+        let due = owner.now + answer_time;
         requests.extend(asked.map(|(step, workers)| (due, step, workers)));
         owner
             .actions
@@ -254,6 +265,26 @@
     );
 }
 
+/// Guards against a gang whose tickets expire one after the other, because each answer brings
+/// tickets for a part of its workers only and takes longer than the others stay valid.
+#[test]
+fn a_gang_renews_its_tickets_together() {
+    let names: Vec<String> = (0..40).map(|index| format!("w{index:03}")).collect();
+    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut owner = owner(&workers);
+    let mut spec = ticketed_job_with_slack(6);
+    spec.steps[0].gang = true;
+    spec.steps[0].demand = ResourceVector::new(4_000, 100, 0);
+    owner.submit(2, spec);
+
+    let answer_time = Duration::from_millis(1_800);
+    let starts = run_with_answers(&mut owner, Duration::from_secs(30), answer_time, |worker| {
+        worker.ends_with(['0', '5'])
+    });
+
+    assert_eq!(starts.len(), 6);
+}
+
 /// Guards against a step that requests tickets without end, as their validity is shorter than
 /// the margin that covers the start.
 #[test]
