Keep a worker whose former address answers as another

A renewal that another worker answers removes the worker, since the address has passed on and the instance has ended. The renewal may have been sent to a former address, though: the worker is restarted elsewhere and listed there while the renewal is under way, and its former address is already used by another worker. The owner then removed the worker with its new entry, and as the entry in the list does not change again, the worker was not used until the next takeover. Callers would see tasks wait that only this worker may run.

A renewal that was under way when the address changed now counts as unanswered. The worker is renewed at its new address, and its report tells whether the instance has changed. The new test fails before the change (0 starts instead of 1).

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -608,6 +608,7 @@
             }
         };
         record.is_renewal_pending = true;
+        record.is_renewal_misdirected = false;
         self.actions.push(PipelineAction::Renew(RenewalOrder {
             worker: WorkerId::clone(worker),
             address,
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -388,6 +388,7 @@
             .is_some_and(|address| address != listing.address);
         record.listing = Some(listing);
         if has_new_address {
+            record.is_renewal_misdirected = record.is_renewal_pending;
             record.renewal_due = now;
         }
     }
@@ -424,7 +425,7 @@
         };
         record.is_renewal_pending = false;
         match failure {
-            RenewalFailure::OtherInstance => {
+            RenewalFailure::OtherInstance if !record.is_renewal_misdirected => {
                 // Another worker answers at the address, so this instance has ended.
                 record.reset_instance(None, now);
                 record.listing = None;
@@ -435,7 +436,9 @@
                 record.contact = WorkerContact::Unclaimed;
                 record.renewal_due = now + RENEWAL_RETRY_DELAY;
             }
-            RenewalFailure::Unanswered | RenewalFailure::Unhealthy => {
+            RenewalFailure::Unanswered
+            | RenewalFailure::Unhealthy
+            | RenewalFailure::OtherInstance => {
                 record.missed_renewals += 1;
                 record.renewal_due = now + RENEWAL_RETRY_DELAY;
                 if record.contact == WorkerContact::Claimed {
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -212,3 +212,24 @@
     assert!(before > Some(1 << 8));
     assert_eq!(owner.renewal_token("w1"), before);
 }
+
+/// Guards against the loss of a worker that was restarted at another address, because the
+/// renewal that was sent to its former address is answered by another worker.
+#[test]
+fn an_answer_from_a_former_address_does_not_remove_the_worker() {
+    let mut owner = owner(&["w1"]);
+    owner.advance_clock(Duration::from_millis(50));
+    let mut moved = listing("w1");
+    moved.address = "w1:2".to_owned();
+
+    owner.handle_event(PipelineEvent::Listed(moved));
+    owner.handle_event(PipelineEvent::RenewalFailed(
+        "w1".into(),
+        RenewalFailure::OtherInstance,
+    ));
+    owner.report_as_instance("w1", INSTANCE_STARTED_MS + 5_000, Vec::new(), Vec::new());
+    owner.report_as_instance("w1", INSTANCE_STARTED_MS + 5_000, Vec::new(), Vec::new());
+    owner.submit(1, job(vec![step(1)]));
+
+    assert_eq!(owner.start_all().len(), 1);
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -143,6 +143,8 @@
     pub(super) pending_ack: Option<PendingAck>,
     /// Whether a renewal was sent and its outcome is not known.
     pub(super) is_renewal_pending: bool,
+    /// Whether the pending renewal was sent to a former address of the worker.
+    pub(super) is_renewal_misdirected: bool,
     /// Earliest time of the next renewal.
     pub(super) renewal_due: Duration,
     /// Number of failed renewals since the last report.
@@ -181,6 +183,7 @@
             acked_end: 0,
             pending_ack: None,
             is_renewal_pending: false,
+            is_renewal_misdirected: false,
             renewal_due: now,
             missed_renewals: 0,
             penalized_until: Duration::ZERO,
