Close no connection that may carry a request during a drain

What callers saw: now and then a call at a daemon that drains ended without a response ("IncompleteMessage"; a_drain_loses_no_response).

Cause: 0.5 s after SIGTERM the daemon disabled keep-alive on all connections. A response whose head was sent before SIGTERM carries no `Connection: close`. If it ended after the 0.5 s, the daemon closed its connection without notice while the caller took it for reusable. A request that was under way at this moment, or already in the socket's buffer, was dropped. Idle connections of a caller's pool were closed at the same moment, also while other requests kept the daemon running. hyper-util's graceful shutdown disables keep-alive before it reads the socket once more.

That the failures of a_drain_loses_no_response in the wild are these cases follows from the code and fits the error; no packet trace of such a run was taken.

Fix: connections over HTTP/1 stay open until no request over HTTP/1 has been open on any connection for 0.5 s. So each connection takes a further request, whose response announces the close. Data that has arrived is read before a connection is closed.

What remains: a caller that sends its next request on an idle connection after a pause of 0.5 s or more, at the moment of the close, can still lose it. HTTP/1 has no means against this but a retry.

--- a/crates/daemon/src/control/drain.rs
+++ b/crates/daemon/src/control/drain.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
@@ -11,6 +10,7 @@
 };
 
 use super::messages::{ControlEvent, ControlHandle, RoutingSnapshot};
+use crate::front::FrontConnections;
 
 /// Interval between checks whether peers have claimed the shards of a draining
 /// daemon.
@@ -45,9 +45,9 @@
     /// Finishes open requests, waits until the shards have other owners and
     /// deregisters the daemon. Requests of peers are served until the end, so that
     /// calls queued here for a slot are not lost.
-    pub(super) async fn finish(self, front: GracefulShutdown) {
+    pub(super) async fn finish(self, front: FrontConnections) {
         self.control.send(ControlEvent::DrainStarted).await;
-        front.shutdown().await;
+        front.finish().await;
         while can_hand_over_shards(&self.control.snapshot()) {
             tokio::time::sleep(HANDOVER_POLL_INTERVAL).await;
         }
--- a/crates/daemon/src/control/process.rs
+++ b/crates/daemon/src/control/process.rs
@@ -184,8 +184,8 @@
     drain: DaemonDrain,
 ) {
     let deadline = settings.drain_deadline;
-    let graceful = serve_front(front_listener, service, wait_for_sigterm()).await;
-    if tokio::time::timeout(deadline, drain.finish(graceful))
+    let connections = serve_front(front_listener, service, wait_for_sigterm()).await;
+    if tokio::time::timeout(deadline, drain.finish(connections))
         .await
         .is_err()
     {
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -9,10 +9,12 @@
 
 mod admin;
 mod body;
+mod connections;
 mod keyed;
 mod messages;
 mod service;
 mod tasks;
 mod timer;
 
+pub(crate) use connections::FrontConnections;
 pub(crate) use service::{FrontService, serve_front};
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -17,7 +17,7 @@
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo},
-    server::{conn::auto, graceful::GracefulShutdown},
+    server::conn::auto,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -26,6 +26,7 @@
 
 use super::{
     body::FrontBody,
+    connections::{FrontConnections, OpenRequests, TrackedBody},
     keyed::parse_call_key,
     messages::{
         DumpReply, FrontError, FrontResponse, json_response, mark_not_run, not_run_response,
@@ -45,11 +46,6 @@
     telemetry::{ProcessMetrics, ProcessStats, format_request_id, parse_request_id, trace_request},
 };
 
-/// Time for which a draining daemon keeps serving open connections, with responses that
-/// ask the caller to close. A caller that sends one call after another pauses far less
-/// between two calls, so it gets such a response.
-const CLOSE_NOTICE_TIME: Duration = Duration::from_millis(500);
-
 /// Request and response header with the identifier of a request.
 const REQUEST_ID_HEADER: &str = "auburnsaddle-request-id";
 
@@ -76,6 +72,8 @@
     limits: CallerLimits,
     /// Whether the daemon drains and asks callers to close their connections.
     is_draining: Arc<AtomicBool>,
+    /// Requests that a drain waits for.
+    requests: OpenRequests,
 }
 
 impl<S: StoreClient> FrontService<S> {
@@ -98,6 +96,7 @@
             metrics,
             limits,
             is_draining: Arc::default(),
+            requests: OpenRequests::new(),
         }
     }
 
@@ -284,18 +283,19 @@
     }
 }
 
-/// Accepts connections of callers and operators until `stopped` is ready. The
-/// returned value waits for the open connections to finish their requests.
+/// Accepts connections of callers and operators until `stopped` is ready. Finishing the
+/// returned connections waits for their requests.
 ///
-/// Idle connections stay open for [`CLOSE_NOTICE_TIME`], because closing one on which
-/// the caller is sending its next request would reset that request. The responses
-/// in this time ask callers to close, and their next requests go to other daemons.
+/// Idle connections stay open as long as other requests, because closing one on which
+/// the caller is sending its next request would reset that request. Responses that
+/// begin after `stopped` ask callers to close, and their next requests go to other
+/// daemons.
 pub(crate) async fn serve_front<S: StoreClient, F: Future<Output = ()>>(
     listener: TcpListener,
     service: FrontService<S>,
     stopped: F,
-) -> GracefulShutdown {
-    let graceful = GracefulShutdown::new();
+) -> FrontConnections {
+    let mut connections = FrontConnections::new(service.requests.clone());
     let mut stopped = pin!(stopped);
     loop {
         let accepted = tokio::select! {
@@ -303,7 +303,7 @@
             () = &mut stopped => break,
         };
         match accepted {
-            Ok((stream, _)) => accept_connection(stream, &service, &graceful),
+            Ok((stream, _)) => accept_connection(stream, &service, &connections),
             Err(error) => {
                 log::warn!("accepting a connection failed: {error}");
                 // The cause can last, such as a lack of file descriptors; the pause
@@ -315,21 +315,21 @@
     service.is_draining.store(true, Ordering::Relaxed);
     // Closing the listener would reset the connections in its backlog.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        accept_connection(stream, &service, &graceful);
+        accept_connection(stream, &service, &connections);
     }
     drop(listener);
-    tokio::time::sleep(CLOSE_NOTICE_TIME).await;
-    graceful
+    connections.announce_close().await;
+    connections
 }
 
 /// Serves a connection, or closes it if the connection limit is reached.
 fn accept_connection<S: StoreClient>(
     stream: TcpStream,
     service: &FrontService<S>,
-    graceful: &GracefulShutdown,
+    connections: &FrontConnections,
 ) {
-    if graceful.count() < service.limits.connections {
-        serve_connection(stream, service.clone(), graceful);
+    if connections.count() < service.limits.connections {
+        serve_connection(stream, service.clone(), connections);
     } else {
         // The caller can connect to another daemon at once.
         log::warn!("closed a new connection: --connection-limit is reached");
@@ -340,15 +340,23 @@
 fn serve_connection<S: StoreClient>(
     stream: TcpStream,
     service: FrontService<S>,
-    graceful: &GracefulShutdown,
+    connections: &FrontConnections,
 ) {
     // Without the option, Nagle's algorithm holds back a small response until the
     // caller's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
     let limits = service.limits;
-    let service = service_fn(move |request| {
+    let connection = connections.add();
+    let is_http2 = connection.http2_flag();
+    let service = service_fn(move |request: Request<Incoming>| {
         let service = service.clone();
-        async move { Ok::<_, Infallible>(service.handle_request(request).await) }
+        let is_http1 = request.version() <= Version::HTTP_11;
+        is_http2.store(!is_http1, Ordering::Relaxed);
+        let open_request = is_http1.then(|| service.requests.start());
+        async move {
+            let response = service.handle_request(request).await;
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, open_request)))
+        }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -361,12 +369,11 @@
         .http2()
         .timer(ConnectionTimer)
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX));
-    let connection = builder
+    let server = builder
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
-    let connection = graceful.watch(connection);
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        if let Err(error) = connection.serve(server).await {
             log::debug!("a connection of a caller failed: {error}");
         }
     });
