Start the daemons of a test before the objects are published

What was seen: every_daemon_serves_a_call failed now and then because a metric was missing from /metrics.

Cause: the test is wrong, not the daemon. The missing metric is auburnsaddle_slots_free, which only the owner of a call shard exports. The test expects each of three daemons to own the call shard of its zone. The objects were published as soon as the daemons listened, so a daemon could claim the shard of a zone whose daemon it did not know yet; by the design (section 2.3) the shard moves to that daemon 10 s later at the earliest.

Evidence: the kept log of a failed run shows daemon-0 acquiring zone-0 and zone-1, daemon-2 acquiring zone-2, and daemon-1 none. Of the six metrics only auburnsaddle_slots_free is missing from the page.

Change: the test waits until the daemons know each other before it publishes the objects, as the tests that count bytes do. All assertions stay as they were.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -120,7 +120,7 @@
 /// metrics or dumps.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_daemon_serves_a_call() {
-    let cluster = TestCluster::start(3).await;
+    let cluster = TestCluster::start_acquainted(3).await;
 
     let mut parts = Vec::new();
     let mut runners = 0;
