Let tests tell a killed daemon from a silent one

Seen: a failure of a_paused_owner_is_fenced said "version 2 is not in force at daemon 0" and was taken for a daemon that hangs after SIGCONT.

Cause: the fixtures sent SIGCONT with kill(1), which also succeeds for a process that has ended and was not waited for, and the wait for a version took a refused connection for a version that is not yet in force. A process that was killed during its pause therefore failed the test 30 s after the SIGCONT, with the message of a daemon that takes no version.

The fixtures now ask waitid, without reaping the process, before each signal and in each round of the wait for a version, and panic with the status of a process that has ended. The tests of the cell make the same check before a signal.

Evidence: the two tests of process_states fail without the checks (one does not panic, the other gets the old message after 30 s) and pass with them.

--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -1,6 +1,9 @@
 //! Tests of daemon processes that run against stand-ins for the platform: its
 //! store and its workers.
 
+#[path = "support/child.rs"]
+mod child;
+
 use std::{
     collections::BTreeMap,
     fs,
@@ -15,6 +18,7 @@
 
 use auburnsaddle_platform_standin::{StartRecord, StoreStandin, WorkerStandin};
 use bytes::Bytes;
+use child::read_end;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::{
@@ -280,7 +284,9 @@
     }
 
     fn signal(&self, daemon: usize, name: &str) {
-        let pid = self.daemons[daemon].child.id().to_string();
+        let child = &self.daemons[daemon].child;
+        assert_eq!(read_end(child), None, "daemon {daemon} has ended");
+        let pid = child.id().to_string();
         let status = Command::new("kill").args([name, &pid]).status().unwrap();
         assert!(status.success());
     }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -7,8 +7,10 @@
     reason = "each test file is a separate crate and uses only some of the helpers"
 )]
 
+pub mod child;
 pub mod count;
 pub mod load;
+pub mod process;
 pub mod proxy;
 pub mod versions;
 pub mod work;
@@ -536,7 +538,9 @@
         self.signal("-CONT");
     }
 
-    fn signal(&self, name: &str) {
+    /// Sends a signal, such as `-KILL`, to the process, which must not have ended.
+    pub fn signal(&self, name: &str) {
+        self.assert_not_ended();
         let id = self.child.id().to_string();
         let status = Command::new("kill").args([name, &id]).status();
         assert!(status.is_ok_and(|status| status.success()));
--- a/crates/daemon/tests/support/versions.rs
+++ b/crates/daemon/tests/support/versions.rs
@@ -63,11 +63,12 @@
 }
 
 /// Waits until a version is in force at all of `daemons` and returns the time
-/// waited.
+/// waited. Panics at once if one of the processes has ended.
 pub async fn wait_for_version(cluster: &TestCluster, daemons: &[usize], version: u64) -> Duration {
     let started_at = Instant::now();
     for daemon in daemons {
         while cluster.version(*daemon).await != Some(version) {
+            cluster.daemons[*daemon].assert_not_ended();
             assert!(
                 started_at.elapsed() < WAIT_TIMEOUT,
                 "version {version} is not in force at daemon {daemon}"
--- a/crates/daemon/tests/support/work.rs
+++ b/crates/daemon/tests/support/work.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeMap,
-    process::Command,
     time::{Duration, Instant},
 };
 
@@ -231,9 +230,7 @@
 
     /// Sends a signal, such as `-KILL`, to a daemon process.
     pub fn signal(&self, daemon: usize, signal: &str) {
-        let id = self.cluster.daemons[daemon].child.id().to_string();
-        let status = Command::new("kill").args([signal, &id]).status();
-        assert!(status.is_ok_and(|status| status.success()));
+        self.cluster.daemons[daemon].signal(signal);
     }
 
     /// Returns the number of starts of each task, from the logs of the workers.
