Log suspected peers, own pauses and the return of the store

Seen: in the log of a failed a_paused_owner_is_fenced, a daemon that was suspended and then killed could not be told from one that stayed suspended: its peers logged only failed returns of slots.

Cause: a daemon wrote no line when it began or ceased to suspect a peer, nor after a pause of its own, nor when the watch of the store was open again.

--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -163,16 +163,18 @@
     }
 
     /// Handles the periodic timer. After a pause of this process, the time of the
-    /// pause does not count as silence of its peers.
-    pub fn handle_timer(&mut self, now: Duration) {
+    /// pause does not count as silence of its peers. Returns the time of a pause
+    /// that ended since the last call.
+    pub fn handle_timer(&mut self, now: Duration) -> Option<Duration> {
         let before = self.last_timer_at.replace(now).unwrap_or(now);
         let gap = now.saturating_sub(before);
         if gap <= self.config.pause_threshold {
-            return;
+            return None;
         }
         for peer in self.peers.values_mut() {
             peer.last_heartbeat_at = now.min(peer.last_heartbeat_at + gap);
         }
+        Some(gap)
     }
 
     /// Returns the suspected peers of the region: those that are silent or refuse
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -142,6 +142,18 @@
     assert_eq!(suspected, BTreeSet::new());
 }
 
+/// Guards against a pause of this process that is not reported, and against
+/// timers on time that are reported as pauses.
+#[test]
+fn only_pauses_above_the_threshold_are_reported() {
+    let mut table = table(&["b"]);
+    let times = [0, 50, 1_050, 3_050].map(Duration::from_millis);
+
+    let pauses = times.map(|now| table.handle_timer(now));
+
+    assert_eq!(pauses, [None, None, None, Some(Duration::from_secs(2))]);
+}
+
 /// Guards against confirming all owners dead when their registrations expire
 /// during a store outage.
 #[test]
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -207,6 +207,7 @@
         Err(error) => return error,
     };
     *connected = true;
+    log::info!("watching the store from revision {}", view.revision() + 1);
     let mut read_timer = interval(FULL_READ_INTERVAL);
     // The first tick is immediate, and all keys have just been read.
     read_timer.tick().await;
--- a/crates/daemon/src/control/state.rs
+++ b/crates/daemon/src/control/state.rs
@@ -22,7 +22,7 @@
     calls::CallShards,
     journal::ShardJournals,
     keys::KeyShards,
-    membership::decode_members,
+    membership::{SuspicionLog, decode_members},
     ownership::decode_owners,
     publication::decode_head,
     store::{LeaseId, StoreEntry},
@@ -46,6 +46,7 @@
     /// Whether the list of hosts was read at least once.
     pub(super) has_read_hosts: bool,
     pub(super) peers: PeerTable,
+    suspicions: SuspicionLog,
     pub(super) owners: OwnerTable<StdRng>,
     pub(super) calls: CallShards,
     pub(super) pools: PoolShards,
@@ -83,6 +84,7 @@
             hosts: HostTable::default(),
             has_read_hosts: false,
             peers: PeerTable::new(PeerConfig::default(), record.region.clone()),
+            suspicions: SuspicionLog::default(),
             owners: OwnerTable::new(
                 record.daemon.clone(),
                 OwnershipConfig::default(),
@@ -215,7 +217,13 @@
         self.update_dispatch_permissions(now);
         self.calls.fire_timers(now);
         let pools = self.fire_pool_timers(now);
-        self.peers.handle_timer(now);
+        if let Some(pause) = self.peers.handle_timer(now) {
+            log::warn!(
+                "no timer fired for {} ms: the process was suspended, or the machine is overloaded",
+                pause.as_millis()
+            );
+        }
+        self.suspicions.check(&self.peers, now);
         let dead = self.dead_daemons(now);
         self.calls.set_lost_daemons(&dead, now);
         let mut effects = self.apply_ownership_event(OwnershipEvent::DeadDaemonsChanged(dead), now);
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -196,7 +196,7 @@
 
     /// Waits until a daemon has received a configuration version from each of
     /// `count` daemons, itself included.
-    async fn wait_for_peers(&self, daemon: usize, count: usize) {
+    pub async fn wait_for_peers(&self, daemon: usize, count: usize) {
         let started_at = Instant::now();
         loop {
             let status = self.status(daemon).await;
--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -28,4 +28,26 @@
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
+
+    /// Waits until `count` log lines contain a text in their messages, and returns
+    /// whether they were logged.
+    pub async fn has_logged(&self, text: &str, count: usize) -> bool {
+        let started_at = Instant::now();
+        while started_at.elapsed() < WAIT_TIMEOUT {
+            if self.count_messages(text) >= count {
+                return true;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        false
+    }
+
+    fn count_messages(&self, text: &str) -> usize {
+        let log = self
+            .log
+            .lock()
+            .expect("no thread panics with the lock held");
+        let messages = log.iter().filter_map(|line| line["message"].as_str());
+        messages.filter(|message| message.contains(text)).count()
+    }
 }
