Keep the number of new workers in the requests of a gang

Change: a request of a gang names as many workers without a valid ticket as it did before, and the fitting ones with a valid ticket in addition.

--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -439,25 +439,29 @@
         let mut eligible_workers = table.eligible_workers(step_spec, |worker| {
             self.task_allowance(worker, key, step_spec)
         });
-        let renews_tickets = step_spec.gang && !is_early_request;
-        eligible_workers.retain(|candidate| {
-            let worker = table.worker(candidate);
-            cache.can_request_ticket(worker, now) || (renews_tickets && cache.is_allowed(worker))
-        });
         // Tickets for withheld workers would expire unused.
         eligible_workers.retain(|candidate| {
             let withheld = missing.withheld;
             let row = withheld.binary_search_by_key(&candidate.row_index, |other| other.row_index);
             row.is_err()
         });
+        let (requestable, ticketed): (Vec<_>, Vec<_>) = eligible_workers
+            .into_iter()
+            .partition(|candidate| cache.can_request_ticket(table.worker(candidate), now));
         let mut workers = choose_for_advice(
             table,
-            &eligible_workers,
+            &requestable,
             cache,
             step_spec,
             missing.count,
             percent,
         );
+        if step_spec.gang && !is_early_request && !workers.is_empty() {
+            let ticketed = ticketed.iter().filter(|candidate| {
+                candidate.fits(step_spec) && cache.is_allowed(table.worker(candidate))
+            });
+            workers.extend(ticketed.map(|candidate| WorkerId::clone(table.worker(candidate))));
+        }
         workers.truncate(MAX_WORKERS_PER_REQUEST);
         workers
     }
