Test that early requests leave some for others

Steps that do not fit yet request slow advice ahead, and their tickets expire unused while the capacity they need is occupied. The test rules out that such requests use up the limit of pending ones and keep a step that fits, of a lower priority, from requesting its tickets: with 18 early steps, decisions of 400 ms and one advisor, the step that fits is among the requested ones within 3.2 s. It passes without a change of the code, since a pass considers at most six steps for early requests.

--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -401,3 +401,36 @@
 
     assert_eq!(starts.len(), 1);
 }
+
+/// Guards against a step that fits and gets no request for advice, because the limit of
+/// pending requests is used up by steps that do not fit and request tickets early.
+#[test]
+fn early_requests_do_not_use_up_the_limit() {
+    let mut owner = owner(&["w1"]);
+    owner.handle_event(PipelineEvent::AdvisorsCounted(1, 1));
+    let mut accelerated = job(vec![step(1)]);
+    accelerated.steps[0].demand = ResourceVector::new(1_000, 100, 4);
+    owner.submit(1, accelerated.clone());
+    owner.start_all();
+    accelerated.policy = ticketed_job(400.0, 1).policy;
+    for id in 2..20 {
+        owner.submit(id, accelerated.clone());
+    }
+    let mut fitting = ticketed_job(400.0, 2);
+    fitting.policy.queue = "other".to_owned();
+    owner.submit(100, fitting);
+
+    let mut requested = Vec::new();
+    for _ in 0..8 {
+        owner.run_placement_pass();
+        owner.advance_clock(Duration::from_millis(400));
+        let requests = owner.advice_requests();
+        owner.actions.clear();
+        for (step, _) in requests {
+            owner.grant_tickets(step, &["w1"]);
+            requested.push(step);
+        }
+    }
+
+    assert!(requested.contains(&first_step(100)));
+}
