Ask again about workers that return

A refusal of the advice service is final for a step and a worker. It is dropped when the owner sees the worker restart, as the service decides anew on another instance, but it was kept when the worker left the list without runs and returned. Callers would see a step wait that the service would allow on the new instance.

Removing a worker now also removes the answers about it, as its restart does. The new test fails before the change (no request instead of one).

--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -412,6 +412,10 @@
         if let Some(record) = self.workers.remove(worker) {
             self.removed_claims = self.removed_claims.max(record.claims);
         }
+        // It may return as another instance, on which the advice service decides anew.
+        for cache in self.ticket_caches.values_mut() {
+            cache.remove_worker(worker);
+        }
     }
 
     fn handle_renewal_failure(
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -434,3 +434,20 @@
 
     assert!(requested.contains(&first_step(100)));
 }
+
+/// Guards against a step that waits for a worker whose former instance was refused: the
+/// worker left the list and returned.
+#[test]
+fn a_worker_that_returns_is_named_in_advice_requests_again() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, ticketed_job(20.0, 1));
+    owner.grant_tickets(first_step(1), &[]);
+    owner.actions.clear();
+
+    owner.handle_event(PipelineEvent::Delisted("w1".into()));
+    owner.handle_event(PipelineEvent::Listed(listing("w1")));
+    owner.report("w1", Vec::new(), Vec::new());
+    owner.run_placement_pass();
+
+    assert_eq!(owner.advice_requests(), vec![(first_step(1), 1)]);
+}
