Test that due steps with room are placed

A simulated service of 30 workers in virtual time runs random jobs (several steps, labels, limits for each worker, gangs, long-running tasks, schedules, slow and quick advice with refusals, slack) and, for 18 s, random faults: lost, late and rejected starts, stops that are not confirmed, failed and late answers of the advice service, unreachable, restarted, moved, draining and delisted workers, outages of the store, slow commits, takeovers with a commit of unknown outcome, cancelled jobs, failing and stalled runs. After the faults and a settling time, for 25 s,

* a due step that fits while half of the service is free has a run of its job within 3 s and 3 s for the answers of the advice service, and 10 s more behind a waiting gang,
* no run that the owner assumes is absent from its worker for 3 s, and
* no listed worker stays unclaimed for 3 s.

--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -3,7 +3,10 @@
 mod fixtures;
 mod health;
 mod leases;
+mod liveness;
 mod load;
 mod placement;
 mod recovery;
+mod sim_worker;
+mod simulation;
 mod waiting;
