Give each fault of a submission's body its own answer

Callers saw: 400 with `the body is too long or did not arrive` for a submission that was too large, that stalled or that broke off. Only the first must be changed before it is sent again, and the answer did not tell which.

Change: submissions are read by the reader of keyed calls, whose errors tell the three apart: 413 with the limit of 64 KiB, 408 once the body timeout or the caller's deadline has passed, 400 for a body that ends early or is framed wrongly. All are reported as not run, as before.

--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -69,7 +69,7 @@
     pub(super) tasks: TaskDispatcher,
     pub(super) store: S,
     pub(super) metrics: ProcessMetrics,
-    limits: CallerLimits,
+    pub(super) limits: CallerLimits,
     /// Whether the daemon drains and asks callers to close their connections.
     is_draining: Arc<AtomicBool>,
     /// Requests that a drain waits for.
--- a/crates/daemon/src/front/tasks.rs
+++ b/crates/daemon/src/front/tasks.rs
@@ -8,7 +8,6 @@
 };
 use futures::future::join_all;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use super::{
@@ -19,6 +18,7 @@
     service::{FrontService, header_value},
 };
 use crate::{
+    calls::{BodyError, BodyLimits, CallBody},
     store::StoreClient,
     tasks::{build_job, find_pool},
 };
@@ -27,7 +27,7 @@
 pub(super) const TASKS_PATH: &str = "/v1/tasks";
 
 /// Size limit of the body of a submission.
-const MAX_SUBMISSION_BYTES: usize = 64 << 10;
+const MAX_SUBMISSION_BYTES: u64 = 64 << 10;
 
 /// Time limit of a request whose caller sets none. It covers a takeover, which takes
 /// about 2 s.
@@ -104,7 +104,11 @@
     ) -> Result<FrontResponse, FrontError> {
         let key = parse_key(request.headers())?;
         let team = header_team(request.headers());
-        let submission = parse_submission(request, time_limit).await?;
+        let limits = BodyLimits {
+            bytes: MAX_SUBMISSION_BYTES,
+            time: time_limit.min(self.limits.body_timeout),
+        };
+        let submission = parse_submission(request, limits).await?;
         let objects = Arc::clone(&self.control.snapshot().objects);
         let (shard, job) = build_job(&objects, &submission, key.as_deref()).map_err(|error| {
             FrontError::new(
@@ -292,17 +296,18 @@
 /// Reads and parses the body of a submission.
 async fn parse_submission(
     request: Request<Incoming>,
-    time_limit: Duration,
+    limits: BodyLimits,
 ) -> Result<SubmitRequest, FrontError> {
-    let body = Limited::new(request.into_body(), MAX_SUBMISSION_BYTES).collect();
-    let Ok(Ok(body)) = tokio::time::timeout(time_limit, body).await else {
-        return Err(FrontError::new(
-            StatusCode::BAD_REQUEST,
-            "the body is too long or did not arrive",
-            "send a whole submission of at most 64 KiB",
-        ));
-    };
-    serde_json::from_slice(&body.to_bytes()).map_err(|error| {
+    let body = CallBody::read_whole(request.into_body(), limits).await;
+    let body = body.map_err(|error| match error {
+        BodyError::TooLarge => FrontError::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large",
+            "send a submission of at most 64 KiB",
+        ),
+        error => error.into(),
+    })?;
+    serde_json::from_slice(&body).map_err(|error| {
         FrontError::new(
             StatusCode::BAD_REQUEST,
             &format!("the submission is malformed: {error}"),
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -7,7 +7,10 @@
 use auburnsaddle_standins::platform::StoreFaults;
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
-use support::{CallResult, work::WorkCluster};
+use support::{CallResult, SETTLEMENT_OBJECTS, TestCluster, work::WorkCluster};
+
+/// Size limit of the body of a submission.
+const SUBMISSION_LIMIT_BYTES: usize = 64 << 10;
 
 /// Metrics exported by daemons that have started tasks and rejected a job.
 const TASK_METRICS: [&str; 5] = [
@@ -18,6 +21,22 @@
     "auburnsaddle_waiting_tasks{",
 ];
 
+/// Returns a raw submission with a header that describes how its body is sent.
+fn raw_submission(framing: &str, body: &str) -> String {
+    let head = "POST /v1/tasks HTTP/1.1\r\nHost: daemon\r\nConnection: close";
+    format!("{head}\r\n{framing}\r\n\r\n{body}")
+}
+
+/// Asserts the status of a raw response, that it reports the request as not run, and
+/// that its body has a text.
+fn assert_not_run(response: &str, status: StatusCode, text: &str) {
+    let status_line = format!("HTTP/1.1 {status}\r\n");
+    assert!(response.starts_with(&status_line), "{status}: {response}");
+    let outcome = "auburnsaddle-outcome: not-run\r\n";
+    assert!(response.contains(outcome), "{response}");
+    assert!(response.contains(text), "`{text}` is missing: {response}");
+}
+
 fn distinct_outcomes(statuses: &[Value]) -> BTreeSet<&str> {
     let statuses = statuses.iter();
     statuses
@@ -255,3 +274,34 @@
     assert_eq!(cluster.starts().len(), later.len());
     assert_started_once(&cluster, &later);
 }
+
+/// Guards against one answer to submissions that are too large, that stall and that
+/// break off, although only the first has to be changed before it is sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_fault_of_a_submission_body_has_its_own_answer() {
+    let settings = ["--body-timeout-ms", "500"];
+    let cluster = TestCluster::start_with_settings(1, SETTLEMENT_OBJECTS, &settings).await;
+    let large_body = "x".repeat(SUBMISSION_LIMIT_BYTES + 1);
+    let declared = format!("Content-Length: {}", large_body.len());
+    let large_chunk = format!("{:x}\r\n{large_body}\r\n", large_body.len());
+    let chunked = "Transfer-Encoding: chunked";
+
+    let too_large = cluster
+        .send_raw(&raw_submission(&declared, &large_body))
+        .await;
+    let too_large_chunk = cluster
+        .send_raw(&raw_submission(chunked, &large_chunk))
+        .await;
+    let stalled = cluster
+        .send_raw(&raw_submission("Content-Length: 100", "{"))
+        .await;
+    let broken_off = cluster
+        .send_raw(&raw_submission(chunked, "no size\r\n"))
+        .await;
+
+    for response in [too_large, too_large_chunk] {
+        assert_not_run(&response, StatusCode::PAYLOAD_TOO_LARGE, "at most 64 KiB");
+    }
+    assert_not_run(&stalled, StatusCode::REQUEST_TIMEOUT, "without pauses");
+    assert_not_run(&broken_off, StatusCode::BAD_REQUEST, "its whole body");
+}
