Answer 503 while a daemon has no configuration yet

Callers saw: from a daemon started while the store and its peers are away, 422 with `is no batch run, gang job or task` for a submission, 404 for a call or a query of a task, and 200 with an empty list for a list or a cancellation by label. They gave up on work that exists, or took it as cancelled.

The answer is 503 with `Retry-After`, outcome not-run and reason `no-configuration`; its remedy says that the daemon has no configuration yet. It is counted in auburnsaddle_rejections_total. Malformed requests are rejected as before, since no configuration would make them valid. The reason is the last of its type, so the encoding of the others between daemons stays the same.

Result: nothing_is_unknown_before_the_first_configuration failed before at its first assertion (422 instead of 503 for a submission) and passes; it also checks that unknown names get 422 and 404 once a configuration is in force. The test's store is unavailable until the configuration is applied.

--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -182,6 +182,8 @@
     StoreUnavailable,
     /// No connection to the target could be established.
     TargetUnreachable,
+    /// The daemon that received the request has no configuration yet.
+    NoConfiguration,
 }
 
 impl NotRunReason {
@@ -194,6 +196,10 @@
             Self::Draining | Self::Fenced | Self::NoOwner => {
                 "send the request again; another daemon serves it"
             }
+            Self::NoConfiguration => {
+                "the daemon has no configuration yet; send the request again after the time in \
+                 Retry-After, or apply a configuration if none was ever applied"
+            }
             Self::NoTarget => "ask the operators to add live hosts to the pool of this object",
             Self::QueueFull => "send the request again after the time in Retry-After",
             Self::QuotaExceeded => "wait for work of the team to end, or ask for a larger quota",
@@ -214,6 +220,7 @@
             Self::DeadlineUnmeetable => "deadline-unmeetable",
             Self::Draining => "draining",
             Self::Fenced => "fenced",
+            Self::NoConfiguration => "no-configuration",
             Self::NoTarget => "no-target",
             Self::NoOwner => "no-owner",
             Self::QueueFull => "queue-full",
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -146,6 +146,11 @@
 }
 
 impl RoutingSnapshot {
+    /// Returns whether a configuration is in force at this daemon.
+    pub(crate) const fn is_configured(&self) -> bool {
+        self.config_version > 0
+    }
+
     /// Returns the peer address of a daemon, or `None` if it is unknown or its
     /// address cannot be parsed.
     pub(crate) fn peer_address(&self, daemon: &DaemonId) -> Option<SocketAddr> {
--- a/crates/daemon/src/front/messages.rs
+++ b/crates/daemon/src/front/messages.rs
@@ -66,6 +66,8 @@
     error: String,
     remedy: &'static str,
     details: Vec<String>,
+    /// Whether the same request can succeed after [`RETRY_AFTER_SECONDS`].
+    is_temporary: bool,
 }
 
 impl FrontError {
@@ -76,6 +78,7 @@
             error: error.to_owned(),
             remedy,
             details: Vec::new(),
+            is_temporary: false,
         }
     }
 
@@ -86,6 +89,16 @@
     }
 }
 
+impl From<NotRunReason> for FrontError {
+    fn from(reason: NotRunReason) -> Self {
+        let error = format!("not run: {reason}");
+        Self {
+            is_temporary: true,
+            ..Self::new(StatusCode::SERVICE_UNAVAILABLE, &error, reason.remedy())
+        }
+    }
+}
+
 impl From<BodyError> for FrontError {
     fn from(fault: BodyError) -> Self {
         match fault {
@@ -111,32 +124,25 @@
 
 impl From<FrontError> for FrontResponse {
     fn from(error: FrontError) -> Self {
-        json_response(
+        let mut response = json_response(
             error.status,
             &ErrorReply {
                 error: error.error,
                 remedy: error.remedy.to_owned(),
                 details: error.details,
             },
-        )
+        );
+        if error.is_temporary {
+            let seconds = HeaderValue::from_static(RETRY_AFTER_SECONDS);
+            response.headers_mut().insert(header::RETRY_AFTER, seconds);
+        }
+        response
     }
 }
 
 /// Returns the response to a request that has certainly not run.
 pub(super) fn not_run_response(reason: NotRunReason) -> FrontResponse {
-    let error = format!("not run: {reason}");
-    let mut response = FrontResponse::from(FrontError::new(
-        StatusCode::SERVICE_UNAVAILABLE,
-        &error,
-        reason.remedy(),
-    ));
-    let headers = response.headers_mut();
-    headers.insert(OUTCOME_HEADER, HeaderValue::from_static("not-run"));
-    headers.insert(
-        header::RETRY_AFTER,
-        HeaderValue::from_static(RETRY_AFTER_SECONDS),
-    );
-    response
+    mark_not_run(FrontError::from(reason).into())
 }
 
 /// Sets the outcome header of a response to `not-run`.
--- a/crates/daemon/src/front/service.rs
+++ b/crates/daemon/src/front/service.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use auburnsaddle_core::{CallOutcome, RequestId, ServiceSpec};
+use auburnsaddle_core::{CallOutcome, NotRunReason, RequestId, ServiceSpec};
 use futures::FutureExt;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, Version, header};
 use hyper::{body::Incoming, service::service_fn};
@@ -37,7 +37,7 @@
 };
 use crate::{
     calls::{BodyLimits, CallBody, CallCommand, CallDispatcher, CallHead},
-    control::{ControlEvent, ControlHandle},
+    control::{ControlEvent, ControlHandle, RoutingSnapshot},
     keys::{KeyForwarder, MAX_KEYED_BODY_BYTES},
     peers::{PeerHandler, PeerReply, PeerRequest},
     settings::CallerLimits,
@@ -173,13 +173,33 @@
         json_response(StatusCode::OK, &dump)
     }
 
+    /// Returns the snapshot for a request that names an object or a task; `kind` is
+    /// `call` or `task`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error before the first configuration, when no name is known to be
+    /// wrong.
+    pub(super) fn configured_snapshot(
+        &self,
+        kind: &'static str,
+    ) -> Result<Arc<RoutingSnapshot>, FrontError> {
+        let snapshot = self.control.snapshot();
+        if snapshot.is_configured() {
+            return Ok(snapshot);
+        }
+        let reason = NotRunReason::NoConfiguration;
+        self.metrics.record_rejection(kind, reason);
+        Err(reason.into())
+    }
+
     /// Handles a call of a caller, with or without a key.
     async fn handle_call(
         &self,
         request: Request<Incoming>,
         id: RequestId,
     ) -> Result<FrontResponse, FrontError> {
-        let snapshot = self.control.snapshot();
+        let snapshot = self.configured_snapshot("call")?;
         let target = request
             .uri()
             .path_and_query()
--- a/crates/daemon/src/front/tasks.rs
+++ b/crates/daemon/src/front/tasks.rs
@@ -1,6 +1,6 @@
 //! Handles the requests of callers that submit, query and cancel tasks.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use auburnsaddle_core::{
     CancelReply, NotRunReason, ShardName, SubmitRequest, TaskId, TaskList, TaskRefusal, TaskReply,
@@ -109,14 +109,15 @@
             time: time_limit.min(self.limits.body_timeout),
         };
         let submission = parse_submission(request, limits).await?;
-        let objects = Arc::clone(&self.control.snapshot().objects);
-        let (shard, job) = build_job(&objects, &submission, key.as_deref()).map_err(|error| {
-            FrontError::new(
-                StatusCode::UNPROCESSABLE_ENTITY,
-                &error.to_string(),
-                error.remedy(),
-            )
-        })?;
+        let snapshot = self.configured_snapshot("task")?;
+        let (shard, job) =
+            build_job(&snapshot.objects, &submission, key.as_deref()).map_err(|error| {
+                FrontError::new(
+                    StatusCode::UNPROCESSABLE_ENTITY,
+                    &error.to_string(),
+                    error.remedy(),
+                )
+            })?;
         check_team(team.as_ref(), Some(&job.team))?;
         let request = TaskRequest::Submit(job);
         let reply = self.tasks.dispatch(&shard, &request, time_limit).await;
@@ -156,7 +157,7 @@
 
     /// Returns the pool shard of a task.
     fn task_shard(&self, task: TaskId) -> Result<ShardName, FrontError> {
-        let pool = find_pool(&self.control.snapshot().objects, task);
+        let pool = find_pool(&self.configured_snapshot("task")?.objects, task);
         pool.map(ShardName::Pool).ok_or_else(unknown_task)
     }
 
@@ -173,7 +174,7 @@
         check_team(caller.as_ref(), team.as_ref())?;
         let request = TaskRequest::List(labels, team.or(caller));
         let mut list = TaskList::default();
-        for reply in self.forward_to_all_pools(&request, time_limit).await {
+        for reply in self.forward_to_all_pools(&request, time_limit).await? {
             match reply {
                 TaskReply::Listed(part) => {
                     list.tasks.extend(part.tasks);
@@ -200,7 +201,7 @@
         })?;
         let request = TaskRequest::CancelLabel(label.into());
         let mut cancelled = CancelReply::default();
-        for reply in self.forward_to_all_pools(&request, time_limit).await {
+        for reply in self.forward_to_all_pools(&request, time_limit).await? {
             match reply {
                 TaskReply::Cancelled(part) => cancelled.tasks.extend(part.tasks),
                 reply => return Ok(encode_reply(reply)),
@@ -214,13 +215,14 @@
         &self,
         request: &TaskRequest,
         time_limit: Duration,
-    ) -> Vec<TaskReply> {
-        let objects = Arc::clone(&self.control.snapshot().objects);
-        let shards: Vec<_> = objects.pools.keys().cloned().map(ShardName::Pool).collect();
+    ) -> Result<Vec<TaskReply>, FrontError> {
+        let snapshot = self.configured_snapshot("task")?;
+        let pools = snapshot.objects.pools.keys();
+        let shards: Vec<_> = pools.cloned().map(ShardName::Pool).collect();
         let replies = shards
             .iter()
             .map(|shard| self.tasks.dispatch(shard, request, time_limit));
-        join_all(replies).await
+        Ok(join_all(replies).await)
     }
 }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -269,7 +269,7 @@
     }
 
     /// Starts the platform and `count` runners, but no daemons.
-    async fn start_stand_ins(count: usize) -> Self {
+    pub async fn start_stand_ins(count: usize) -> Self {
         let platform = SharedPlatform::default();
         let platform_address = serve_platform(platform.clone()).await;
         let mut runners = Vec::new();
@@ -451,7 +451,7 @@
     }
 
     /// Publishes the first configuration, retrying until it is accepted.
-    async fn apply_objects(&self, text: &str) {
+    pub async fn apply_objects(&self, text: &str) {
         let objects = parse_objects(text);
         let started_at = Instant::now();
         loop {
--- a/crates/daemon/tests/tasks.rs
+++ b/crates/daemon/tests/tasks.rs
@@ -2,12 +2,15 @@
 
 mod support;
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use auburnsaddle_standins::platform::StoreFaults;
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
-use support::{CallResult, SETTLEMENT_OBJECTS, TestCluster, work::WorkCluster};
+use support::{CallResult, SETTLEMENT_OBJECTS, TestCluster, WAIT_TIMEOUT, work::WorkCluster};
 
 /// Size limit of the body of a submission.
 const SUBMISSION_LIMIT_BYTES: usize = 64 << 10;
@@ -27,6 +30,22 @@
     format!("{head}\r\n{framing}\r\n\r\n{body}")
 }
 
+/// Returns a raw request that asks the daemon to close the connection.
+fn raw_request(method: &str, path: &str, body: &str) -> String {
+    let length = body.len();
+    let head = format!("{method} {path} HTTP/1.1\r\nHost: daemon\r\nConnection: close");
+    format!("{head}\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+/// Waits until a configuration is in force at the first daemon.
+async fn wait_for_configuration(cluster: &TestCluster) {
+    let started_at = Instant::now();
+    while cluster.version(0).await.is_none_or(|version| version == 0) {
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "no configuration");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Asserts the status of a raw response, that it reports the request as not run, and
 /// that its body has a text.
 fn assert_not_run(response: &str, status: StatusCode, text: &str) {
@@ -305,3 +324,62 @@
     assert_not_run(&stalled, StatusCode::REQUEST_TIMEOUT, "without pauses");
     assert_not_run(&broken_off, StatusCode::BAD_REQUEST, "its whole body");
 }
+
+/// Guards against a daemon without a configuration that reports objects and tasks as
+/// unknown or lists no tasks, although it cannot know them yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_unknown_before_the_first_configuration() {
+    let mut cluster = TestCluster::start_stand_ins(0).await;
+    cluster.platform.set_faults(StoreFaults {
+        unavailable: true,
+        ..StoreFaults::default()
+    });
+    cluster.daemons.push(cluster.start_daemon(0, &[]));
+    let task = "/v1/tasks/00000000-0000-4000-8000-000000000000";
+    let submission = "{\"object\":\"missing\"}";
+    let requests = [
+        raw_request("POST", "/v1/tasks", submission),
+        raw_request("GET", task, ""),
+        raw_request("DELETE", task, ""),
+        raw_request("GET", &format!("{task}/watch"), ""),
+        raw_request("GET", "/v1/tasks", ""),
+        raw_request("POST", "/v1/tasks/cancel?label=kind%3Dwatch", ""),
+        raw_request("POST", "/v1/services/missing/redeem", "token"),
+    ];
+
+    let mut early = Vec::new();
+    for request in &requests {
+        early.push(cluster.send_raw(request).await);
+    }
+    let malformed = cluster
+        .send_raw(&raw_request("GET", "/v1/tasks/x", ""))
+        .await;
+    let metrics = cluster.get(0, "/metrics").await;
+    cluster.platform.set_faults(StoreFaults::default());
+    cluster.apply_objects(SETTLEMENT_OBJECTS).await;
+    wait_for_configuration(&cluster).await;
+    let submitted = cluster.send_raw(&requests[0]).await;
+    let queried = cluster.send_raw(&requests[1]).await;
+    let called = cluster.send_raw(&requests[6]).await;
+
+    for response in early {
+        let text = "the daemon has no configuration yet";
+        assert_not_run(&response, StatusCode::SERVICE_UNAVAILABLE, text);
+        assert!(response.contains("retry-after: 1\r\n"), "{response}");
+    }
+    assert_not_run(&malformed, StatusCode::NOT_FOUND, "names no task");
+    for kind in ["call", "task"] {
+        let labels = format!("kind=\"{kind}\",reason=\"no-configuration\"");
+        assert!(
+            matches!(&metrics, CallResult::Answered(_, _, page) if page.contains(&labels)),
+            "{labels}: {metrics:?}"
+        );
+    }
+    assert_not_run(
+        &submitted,
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "is no batch run",
+    );
+    assert_not_run(&called, StatusCode::NOT_FOUND, "is not defined");
+    assert_not_run(&queried, StatusCode::NOT_FOUND, "no such task");
+}
