--- a/crates/daemon/src/front/tasks.rs
+++ b/crates/daemon/src/front/tasks.rs
@@ -1,6 +1,6 @@
 //! Handles the requests of callers that submit, query and cancel tasks.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use auburnsaddle_core::{
     CancelReply, NotRunReason, ShardName, SubmitRequest, TaskId, TaskList, TaskRefusal, TaskReply,
@@ -8,7 +8,6 @@
 };
 use futures::future::join_all;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use super::{
@@ -19,6 +18,7 @@
     service::{FrontService, header_value},
 };
 use crate::{
+    calls::{BodyError, BodyLimits, CallBody},
     store::StoreClient,
     tasks::{build_job, find_pool},
 };
@@ -27,7 +27,7 @@
 pub(super) const TASKS_PATH: &str = "/v1/tasks";
 
 /// Size limit of the body of a submission.
-const MAX_SUBMISSION_BYTES: usize = 64 << 10;
+const MAX_SUBMISSION_BYTES: u64 = 64 << 10;
 
 /// Time limit of a request whose caller sets none. It covers a takeover, which takes
 /// about 2 s.
@@ -104,15 +104,20 @@
     ) -> Result<FrontResponse, FrontError> {
         let key = parse_key(request.headers())?;
         let team = header_team(request.headers());
-        let submission = parse_submission(request, time_limit).await?;
-        let objects = Arc::clone(&self.control.snapshot().objects);
-        let (shard, job) = build_job(&objects, &submission, key.as_deref()).map_err(|error| {
-            FrontError::new(
-                StatusCode::UNPROCESSABLE_ENTITY,
-                &error.to_string(),
-                error.remedy(),
-            )
-        })?;
+        let limits = BodyLimits {
+            bytes: MAX_SUBMISSION_BYTES,
+            time: time_limit.min(self.limits.body_timeout),
+        };
+        let submission = parse_submission(request, limits).await?;
+        let snapshot = self.configured_snapshot("task")?;
+        let (shard, job) =
+            build_job(&snapshot.objects, &submission, key.as_deref()).map_err(|error| {
+                FrontError::new(
+                    StatusCode::UNPROCESSABLE_ENTITY,
+                    &error.to_string(),
+                    error.remedy(),
+                )
+            })?;
         check_team(team.as_ref(), Some(&job.team))?;
         let request = TaskRequest::Submit(job);
         let reply = self.tasks.dispatch(&shard, &request, time_limit).await;
@@ -152,7 +157,7 @@
 
     /// Returns the pool shard of a task.
     fn task_shard(&self, task: TaskId) -> Result<ShardName, FrontError> {
-        let pool = find_pool(&self.control.snapshot().objects, task);
+        let pool = find_pool(&self.configured_snapshot("task")?.objects, task);
         pool.map(ShardName::Pool).ok_or_else(unknown_task)
     }
 
@@ -169,7 +174,7 @@
         check_team(caller.as_ref(), team.as_ref())?;
         let request = TaskRequest::List(labels, team.or(caller));
         let mut list = TaskList::default();
-        for reply in self.forward_to_all_pools(&request, time_limit).await {
+        for reply in self.forward_to_all_pools(&request, time_limit).await? {
             match reply {
                 TaskReply::Listed(part) => {
                     list.tasks.extend(part.tasks);
@@ -196,7 +201,7 @@
         })?;
         let request = TaskRequest::CancelLabel(label.into());
         let mut cancelled = CancelReply::default();
-        for reply in self.forward_to_all_pools(&request, time_limit).await {
+        for reply in self.forward_to_all_pools(&request, time_limit).await? {
             match reply {
                 TaskReply::Cancelled(part) => cancelled.tasks.extend(part.tasks),
                 reply => return Ok(encode_reply(reply)),
@@ -210,13 +215,14 @@
         &self,
         request: &TaskRequest,
         time_limit: Duration,
-    ) -> Vec<TaskReply> {
-        let objects = Arc::clone(&self.control.snapshot().objects);
-        let shards: Vec<_> = objects.pools.keys().cloned().map(ShardName::Pool).collect();
+    ) -> Result<Vec<TaskReply>, FrontError> {
+        let snapshot = self.configured_snapshot("task")?;
+        let pools = snapshot.objects.pools.keys();
+        let shards: Vec<_> = pools.cloned().map(ShardName::Pool).collect();
         let replies = shards
             .iter()
             .map(|shard| self.tasks.dispatch(shard, request, time_limit));
-        join_all(replies).await
+        Ok(join_all(replies).await)
     }
 }
 
@@ -292,17 +298,18 @@
 /// Reads and parses the body of a submission.
 async fn parse_submission(
     request: Request<Incoming>,
-    time_limit: Duration,
+    limits: BodyLimits,
 ) -> Result<SubmitRequest, FrontError> {
-    let body = Limited::new(request.into_body(), MAX_SUBMISSION_BYTES).collect();
-    let Ok(Ok(body)) = tokio::time::timeout(time_limit, body).await else {
-        return Err(FrontError::new(
-            StatusCode::BAD_REQUEST,
-            "the body is too long or did not arrive",
-            "send a whole submission of at most 64 KiB",
-        ));
-    };
-    serde_json::from_slice(&body.to_bytes()).map_err(|error| {
+    let body = CallBody::read_whole(request.into_body(), limits).await;
+    let body = body.map_err(|error| match error {
+        BodyError::TooLarge => FrontError::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large",
+            "send a submission of at most 64 KiB",
+        ),
+        error => error.into(),
+    })?;
+    serde_json::from_slice(&body).map_err(|error| {
         FrontError::new(
             StatusCode::BAD_REQUEST,
             &format!("the submission is malformed: {error}"),
