Lift the headroom for gangs that do not fit beside it

Callers would see: a gang with slack that needs most of an idle service waits until its slack is used up.

A gang that has other workers but too few of them still waited.

Change: the condition is that the step cannot run on the other workers: not a single task, or for a gang not all of its members.

Result: a_gang_that_needs_the_whole_idle_service_is_placed failed before (0 of 39 tasks) and passes.

--- a/crates/core/src/pipelines/headroom.rs
+++ b/crates/core/src/pipelines/headroom.rs
@@ -7,9 +7,9 @@
 //! are in the headroom would wait on an idle service, so it may use them then.
 
 use super::{
-    place::{PlaceCandidate, PlacementTable},
+    place::{PlaceCandidate, PlacementTable, choose_for_step},
     progress::StepProgress,
-    spec::{PipelineSpec, StepKey},
+    spec::{PipelineSpec, StepKey, StepSpec},
     state::PipelineState,
 };
 
@@ -44,22 +44,32 @@
 }
 
 impl PipelineState {
-    /// Returns whether a step may use the headroom: none of its tasks is placed, it has no
-    /// other worker among `fitting`, and much of the capacity is free.
+    /// Returns whether a step may use the headroom: none of its tasks is placed, it cannot
+    /// run on the other workers, `fitting`, and much of the capacity is free.
     pub(super) fn needs_headroom(
         &self,
         key: StepKey,
+        step_spec: &StepSpec,
         fitting: &[PlaceCandidate],
         table: &PlacementTable,
     ) -> bool {
-        let cache = self.ticket_caches.get(&key);
-        let is_refused = |candidate: &PlaceCandidate| {
-            cache.is_some_and(|cache| cache.is_refused(table.worker(candidate)))
-        };
         let pipeline = self.pipelines.get(&key.pipeline);
         let step = pipeline.and_then(|pipeline| pipeline.progress.step(key));
-        fitting.iter().all(is_refused)
-            && step.is_some_and(StepProgress::is_unplaced)
-            && table.free_percent() >= AMPLE_FREE_PERCENT
+        let is_unplaced = step.is_some_and(StepProgress::is_unplaced);
+        if !is_unplaced || table.free_percent() < AMPLE_FREE_PERCENT {
+            return false;
+        }
+        let cache = self.ticket_caches.get(&key);
+        let usable = fitting.iter().filter(|candidate| {
+            let worker = table.worker(candidate);
+            !cache.is_some_and(|cache| cache.is_refused(worker))
+        });
+        let usable: Vec<PlaceCandidate> = usable.copied().collect();
+        let needed_tasks = if step_spec.gang {
+            step_spec.count as usize
+        } else {
+            1
+        };
+        choose_for_step(table, &usable, step_spec, needed_tasks).is_empty()
     }
 }
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -357,6 +357,21 @@
         .min(share(free.accelerators, capacity.accelerators))
 }
 
+/// Returns workers for as many tasks of the step as fit, at most `count`; for a gang,
+/// for all or none of them.
+pub(super) fn choose_for_step(
+    table: &PlacementTable,
+    candidates: &[PlaceCandidate],
+    step_spec: &StepSpec,
+    count: usize,
+) -> Vec<PlaceCandidate> {
+    if step_spec.gang {
+        choose_for_gang(table, candidates, step_spec, count).unwrap_or_default()
+    } else {
+        choose_for_tasks(candidates, step_spec, count)
+    }
+}
+
 /// Returns workers for as many tasks as fit, at most `count`.
 pub(super) fn choose_for_tasks(
     candidates: &[PlaceCandidate],
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -18,10 +18,7 @@
     commit::PendingStart,
     headroom::{GANG_RESERVATION_PERCENT, HEADROOM_PERCENT, has_slack},
     messages::{AdviceOrder, PipelineAction, PipelineNote, RenewalOrder},
-    place::{
-        ExhaustedDemands, PlaceCandidate, PlacementTable, choose_for_advice, choose_for_gang,
-        choose_for_tasks,
-    },
+    place::{ExhaustedDemands, PlaceCandidate, PlacementTable, choose_for_advice, choose_for_step},
     progress::{PipelinePhase, StepProgress, TaskPlace},
     spec::{AdvicePolicy, PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
@@ -222,7 +219,7 @@
             (withheld, fitting) = fitting
                 .into_iter()
                 .partition(|candidate| headroom.contains(&candidate.row_index));
-            if self.needs_headroom(key, &fitting, table) {
+            if self.needs_headroom(key, step_spec, &fitting, table) {
                 fitting.append(&mut withheld);
             }
         }
@@ -668,21 +665,6 @@
     (is_expired, spec.policy.priority, is_late, objective)
 }
 
-/// Returns workers for as many tasks of the step as fit, at most `count`; for a gang,
-/// for all or none of them.
-fn choose_for_step(
-    table: &PlacementTable,
-    candidates: &[PlaceCandidate],
-    step_spec: &StepSpec,
-    count: usize,
-) -> Vec<PlaceCandidate> {
-    if step_spec.gang {
-        choose_for_gang(table, candidates, step_spec, count).unwrap_or_default()
-    } else {
-        choose_for_tasks(candidates, step_spec, count)
-    }
-}
-
 /// Gives all members of a gang the highest attempt and the greatest checkpoint among
 /// them.
 fn align_gang(step: &mut StepProgress) {
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -285,6 +285,20 @@
     assert_eq!(starts.len(), 6);
 }
 
+/// Guards against a gang that waits on an idle service until its slack is used up, because it
+/// needs workers that are left free for urgent jobs.
+#[test]
+fn a_gang_that_needs_the_whole_idle_service_is_placed() {
+    let mut owner = owner_after_urgent_job(10, 1);
+    let mut gang = job(vec![step(39)]);
+    gang.steps[0].gang = true;
+    gang.policy.stretch = 100.0;
+
+    owner.submit(2, gang);
+
+    assert_eq!(owner.start_all().len(), 39);
+}
+
 /// Guards against a step that requests tickets without end, as their validity is shorter than
 /// the margin that covers the start.
 #[test]
