--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -1,6 +1,6 @@
 //! Tests under overload: bursts, backlogs and advice requests without free capacity.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use super::fixtures::{WALL_MS, advice, done, job, listing, observed, owner, step};
 use crate::{
@@ -436,6 +436,26 @@
     assert_eq!(starts.len(), 1);
 }
 
+/// Guards against long-running steps that no worker can run and that use up the steps that a
+/// pass examines.
+#[test]
+fn steps_behind_more_than_a_pass_examines_are_placed() {
+    let mut owner = owner(&["w1"]);
+    let oversized = StepSpec {
+        demand: ResourceVector::new(64_000, 100, 0),
+        long_running: true,
+        ..step(1)
+    };
+    for id in 1..2_100 {
+        let event = PipelineEvent::Stored(id, Arc::new(job(vec![oversized.clone()])), None);
+        owner.handle_event(event);
+    }
+
+    owner.submit(2_100, job(vec![step(1)]));
+
+    assert_eq!(owner.start_all().len(), 1);
+}
+
 /// Guards against steps that wait for a resource that is used up and keep steps behind
 /// them, which do not need it, from being examined.
 #[test]
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -6,7 +6,7 @@
 use super::fixtures::{OwnerFixture, advice, ended, job, listing, owner, step};
 use crate::{
     AdviceReport, EndedRun, PipelineAction, PipelineEvent, PipelineNote, PipelineSpec,
-    ResourceVector, RunEnd, StartOrder, StepKey, StepWait, WorkerId,
+    ResourceVector, RunEnd, StartOrder, StartResult, StepKey, StepWait, WorkerId,
 };
 
 /// Time in which a task that could run must start.
@@ -299,6 +299,42 @@
     assert_eq!(owner.start_all().len(), 39);
 }
 
+/// Guards against a task that is ordered again and again on workers that do not accept its
+/// tickets, while others are idle.
+#[test]
+fn workers_that_do_not_accept_tickets_are_avoided() {
+    let names: Vec<String> = (0..20).map(|index| format!("w{index:02}")).collect();
+    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut owner = owner(&workers);
+    owner.submit(1, ticketed_job_with_slack(1));
+
+    let mut accepted = 0;
+    for _ in 0..60 {
+        let actions = std::mem::take(&mut owner.actions);
+        let request = actions.iter().find_map(|action| match action {
+            PipelineAction::Ask(order) => Some(order),
+            _ => None,
+        });
+        let asked = request.into_iter().flat_map(|order| &order.workers);
+        let asked: Vec<&str> = asked.map(|worker| &**worker).collect();
+        owner.grant_tickets(first_step(1), &asked);
+        owner.run_placement_pass();
+        owner.commit();
+        for start in owner.take_starts() {
+            if *start.worker >= *"w07" {
+                accepted += 1;
+            }
+            let result = StartResult::BadTicket;
+            let answer = PipelineEvent::StartAnswered(start.worker, start.run, result);
+            owner.handle_event(answer);
+        }
+        owner.advance_clock(Duration::from_millis(300));
+        owner.run_placement_pass();
+    }
+
+    assert!(accepted > 0);
+}
+
 /// Guards against a step that requests tickets without end, as their validity is shorter than
 /// the margin that covers the start.
 #[test]
