--- a/crates/core/src/pipelines/tests/liveness.rs
+++ b/crates/core/src/pipelines/tests/liveness.rs
@@ -20,7 +20,7 @@
 
 /// Seeds with which the test runs by default. A range in `AUBURNSADDLE_LIVENESS_SEEDS`, such
 /// as `100..200`, replaces them.
-const SEEDS: [u64; 12] = [3, 5, 6, 11, 22, 29, 40, 64, 70, 101, 129, 158];
+const SEEDS: [u64; 13] = [3, 5, 6, 11, 22, 29, 40, 64, 70, 101, 129, 158, 446];
 
 /// Identifier of the first job that no worker can run.
 const FIRST_OVERSIZED_JOB: PipelineId = 10_000;
