--- a/crates/core/src/pipelines/tests/sim_worker.rs
+++ b/crates/core/src/pipelines/tests/sim_worker.rs
@@ -189,8 +189,8 @@
         Ok(())
     }
 
-    /// Returns the report for a renewal whose answer is due.
-    pub(super) fn take_report(
+    /// Removes a renewal whose answer is due, and returns its report.
+    pub(super) fn pop_due_report(
         &mut self,
         now: Duration,
     ) -> Option<(Epoch, Duration, RenewalReport)> {
--- a/crates/core/src/pipelines/tests/simulation.rs
+++ b/crates/core/src/pipelines/tests/simulation.rs
@@ -465,7 +465,7 @@
             worker.check_gangs(&members, self.now);
             reports.extend(
                 worker
-                    .take_report(self.now)
+                    .pop_due_report(self.now)
                     .map(|report| (id.clone(), report)),
             );
         }
