Share the fixtures of numbered workers and first steps

The read-through found an owner with numbered workers built in the same way in seven tests, and first_step in two files. Both are fixtures now; workers have three digits everywhere, so the names in three tests follow.

--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -36,6 +36,22 @@
     owner
 }
 
+/// Returns an owner that has claimed this many workers, named `w000`, `w001` and so on.
+pub(super) fn owner_of_workers(count: usize) -> OwnerFixture {
+    let names: Vec<String> = (0..count).map(|index| format!("w{index:03}")).collect();
+    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
+    owner(&workers)
+}
+
+/// Returns the key of the first step of a job without a schedule.
+pub(super) const fn first_step(pipeline: PipelineId) -> StepKey {
+    StepKey {
+        pipeline,
+        occurrence: 0,
+        step: 0,
+    }
+}
+
 /// Returns an owner whose workers are listed and have not answered a renewal.
 pub(super) fn unclaimed_owner(epoch: u64, workers: &[&str]) -> OwnerFixture {
     let config = PipelineConfig {
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -2,19 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::fixtures::{WALL_MS, advice, done, job, listing, observed, owner, step};
-use crate::{
-    PipelineAction, PipelineEvent, PipelineId, PipelineSpec, ResourceVector, RunKey, StepKey,
-    StepSpec,
+use super::fixtures::{
+    WALL_MS, advice, done, first_step, job, listing, observed, owner, owner_of_workers, step,
 };
-
-fn first_step(pipeline: PipelineId) -> StepKey {
-    StepKey {
-        pipeline,
-        occurrence: 0,
-        step: 0,
-    }
-}
+use crate::{PipelineAction, PipelineEvent, PipelineSpec, ResourceVector, RunKey, StepSpec};
 
 fn ticketed_job(decision_ms: f64, priority: u32) -> PipelineSpec {
     let mut spec = job(vec![step(1)]);
@@ -78,9 +69,7 @@
 /// for others.
 #[test]
 fn a_quick_request_names_the_workers_that_are_reserved_for_it() {
-    let names: Vec<String> = (0..20).map(|index| format!("w{index:02}")).collect();
-    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut owner = owner(&workers);
+    let mut owner = owner_of_workers(20);
     let mut busy = job(vec![step(18)]);
     busy.steps[0].demand = ResourceVector::new(1_500, 100, 0);
     busy.steps[0].per_worker_limit = Some(1);
@@ -97,8 +86,8 @@
         _ => None,
     });
     let named_workers = named_workers.unwrap();
-    assert!(named_workers.contains(&"w18".into()));
-    assert!(named_workers.contains(&"w19".into()));
+    assert!(named_workers.contains(&"w018".into()));
+    assert!(named_workers.contains(&"w019".into()));
 }
 
 /// Guards against steps that do not fit and use up all slow requests of a small deployment.
@@ -284,9 +273,7 @@
 /// Guards against urgent jobs that wait because jobs with slack fill the service.
 #[test]
 fn jobs_with_slack_leave_capacity_for_urgent_ones() {
-    let names: Vec<String> = (0..10).map(|index| format!("w{index}")).collect();
-    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut owner = owner(&workers);
+    let mut owner = owner_of_workers(10);
     let mut urgent = job(vec![step(4)]);
     urgent.policy.priority = 0;
     urgent.policy.queue = "urgent".to_owned();
@@ -311,9 +298,7 @@
 /// Guards against capacity that stays free although the waiting jobs will be late.
 #[test]
 fn jobs_without_slack_use_all_capacity() {
-    let names: Vec<String> = (0..10).map(|index| format!("w{index}")).collect();
-    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut owner = owner(&workers);
+    let mut owner = owner_of_workers(10);
     let mut urgent = job(vec![step(1)]);
     urgent.policy.priority = 0;
     owner.submit(1, urgent);
@@ -363,10 +348,8 @@
 /// long-running tasks occupy, while other steps could use the rest.
 #[test]
 fn a_gang_reserves_no_workers_that_cannot_become_free_for_it() {
-    let names: Vec<String> = (0..8).map(|index| format!("w{index}")).collect();
-    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut owner = owner(&workers);
-    for worker in ["w1", "w2"] {
+    let mut owner = owner_of_workers(8);
+    for worker in ["w001", "w002"] {
         let mut listing = listing(worker);
         listing.labels.push("b".to_owned());
         owner.handle_event(PipelineEvent::Listed(listing));
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -3,7 +3,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::fixtures::{OwnerFixture, advice, ended, job, listing, owner, step};
+use super::fixtures::{
+    OwnerFixture, advice, ended, first_step, job, listing, owner, owner_of_workers, step,
+};
 use crate::{
     AdviceReport, EndedRun, PipelineAction, PipelineEvent, PipelineNote, PipelineSpec,
     ResourceVector, RunEnd, StartOrder, StartResult, StepKey, StepWait, WorkerId,
@@ -18,11 +20,7 @@
 /// Returns an owner that has placed an urgent job with this many tasks, so that other jobs
 /// leave part of the capacity free for such jobs.
 fn owner_after_urgent_job(worker_count: usize, task_count: u32) -> OwnerFixture {
-    let names: Vec<String> = (0..worker_count)
-        .map(|index| format!("w{index:03}"))
-        .collect();
-    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut owner = owner(&workers);
+    let mut owner = owner_of_workers(worker_count);
     let mut urgent = job(vec![step(task_count)]);
     urgent.policy.priority = 0;
     urgent.policy.queue = "urgent".to_owned();
@@ -39,14 +37,6 @@
     spec
 }
 
-const fn first_step(pipeline: u64) -> StepKey {
-    StepKey {
-        pipeline,
-        occurrence: 0,
-        step: 0,
-    }
-}
-
 /// Runs the owner until a task starts, at most for `limit`, and answers its advice
 /// requests.
 fn run_until_start(
@@ -269,9 +259,7 @@
 /// tickets for a part of its workers only and takes longer than the others stay valid.
 #[test]
 fn a_gang_renews_its_tickets_together() {
-    let names: Vec<String> = (0..40).map(|index| format!("w{index:03}")).collect();
-    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut owner = owner(&workers);
+    let mut owner = owner_of_workers(40);
     let mut spec = ticketed_job_with_slack(6);
     spec.steps[0].gang = true;
     spec.steps[0].demand = ResourceVector::new(4_000, 100, 0);
@@ -303,9 +291,7 @@
 /// tickets, while others are idle.
 #[test]
 fn workers_that_do_not_accept_tickets_are_avoided() {
-    let names: Vec<String> = (0..20).map(|index| format!("w{index:02}")).collect();
-    let workers: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut owner = owner(&workers);
+    let mut owner = owner_of_workers(20);
     owner.submit(1, ticketed_job_with_slack(1));
 
     let mut accepted = 0;
@@ -321,7 +307,7 @@
         owner.run_placement_pass();
         owner.commit();
         for start in owner.take_starts() {
-            if *start.worker >= *"w07" {
+            if *start.worker >= *"w007" {
                 accepted += 1;
             }
             let result = StartResult::BadTicket;
