--- a/crates/core/src/pipelines/advice.rs
+++ b/crates/core/src/pipelines/advice.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::messages::AdviceReport;
+use super::{messages::AdviceReport, worker::InstanceNumber};
 use crate::types::WorkerId;
 
 /// Longest part of the validity of a ticket that is not used. It covers the transit of the
@@ -21,6 +21,8 @@
 struct TicketEntry {
     ticket: String,
     usable_until: Duration,
+    /// Whether the worker did not accept a ticket of this step.
+    is_rejected: bool,
 }
 
 /// A request that was sent to the advice service and has no answer yet.
@@ -35,11 +37,11 @@
 /// Answers of the advice service about the workers of one step.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TicketCache {
-    /// Entry of each worker with an answer: its latest ticket, or `None` if it may not run
-    /// the step. A refusal is final.
-    entries: BTreeMap<WorkerId, Option<TicketEntry>>,
+    /// Entry of each worker instance with an answer: its latest ticket, or `None` if it may
+    /// not run the step. A refusal is final.
+    entries: BTreeMap<InstanceNumber, Option<TicketEntry>>,
     /// Workers named in the pending request.
-    requested_workers: Vec<WorkerId>,
+    requested_workers: Vec<(WorkerId, InstanceNumber)>,
     /// When the latest request was sent.
     requested_at: Duration,
     /// Number of requests that were sent.
@@ -52,14 +54,29 @@
 
 impl TicketCache {
     /// Returns a ticket that will still be valid when a start order reaches the worker.
-    pub(super) fn ticket(&self, worker: &WorkerId, now: Duration) -> Option<&str> {
-        let entry = self.entries.get(worker)?.as_ref()?;
+    pub(super) fn ticket(&self, instance: InstanceNumber, now: Duration) -> Option<&str> {
+        let entry = self.entries.get(&instance)?.as_ref()?;
         (entry.usable_until > now).then_some(entry.ticket.as_str())
     }
 
+    /// Returns the workers with a usable ticket, by ascending number.
+    pub(super) fn ticketed(&self, now: Duration) -> impl Iterator<Item = InstanceNumber> {
+        let entries = self.entries.iter();
+        entries.filter_map(move |(instance, entry)| {
+            let entry = entry.as_ref()?;
+            (entry.usable_until > now).then_some(*instance)
+        })
+    }
+
+    /// Returns the workers that are known to be allowed, by ascending number.
+    pub(super) fn allowed(&self) -> impl Iterator<Item = InstanceNumber> {
+        let entries = self.entries.iter();
+        entries.filter_map(|(instance, entry)| entry.is_some().then_some(*instance))
+    }
+
     /// Returns whether a request that names the worker can yield a new ticket.
-    pub(super) fn can_request_ticket(&self, worker: &WorkerId, now: Duration) -> bool {
-        match self.entries.get(worker) {
+    pub(super) fn can_request_ticket(&self, instance: InstanceNumber, now: Duration) -> bool {
+        match self.entries.get(&instance) {
             None => true,
             Some(None) => false,
             Some(Some(entry)) => entry.usable_until <= now,
@@ -67,13 +84,18 @@
     }
 
     /// Returns whether the worker is known to be allowed, even if its ticket has expired.
-    pub(super) fn is_allowed(&self, worker: &WorkerId) -> bool {
-        matches!(self.entries.get(worker), Some(Some(_)))
+    pub(super) fn is_allowed(&self, instance: InstanceNumber) -> bool {
+        matches!(self.entries.get(&instance), Some(Some(_)))
     }
 
     /// Returns whether the advice service refused the worker.
-    pub(super) fn is_refused(&self, worker: &WorkerId) -> bool {
-        matches!(self.entries.get(worker), Some(None))
+    pub(super) fn is_refused(&self, instance: InstanceNumber) -> bool {
+        matches!(self.entries.get(&instance), Some(None))
+    }
+
+    /// Returns whether the worker did not accept a ticket of this step.
+    pub(super) fn has_rejected_ticket(&self, instance: InstanceNumber) -> bool {
+        matches!(self.entries.get(&instance), Some(Some(entry)) if entry.is_rejected)
     }
 
     /// Returns whether no request is pending and the delay after a failed one is over.
@@ -82,7 +104,11 @@
     }
 
     /// Records that a request that names these workers was sent.
-    pub(super) fn begin_request(&mut self, workers: Vec<WorkerId>, now: Duration) {
+    pub(super) fn begin_request(
+        &mut self,
+        workers: Vec<(WorkerId, InstanceNumber)>,
+        now: Duration,
+    ) {
         self.requested_workers = workers;
         self.requested_at = now;
         self.request_count += 1;
@@ -121,25 +147,23 @@
         let margin = TICKET_MARGIN.min(report.valid / TICKET_MARGIN_DIVISOR);
         let usable_until = arrived_at + report.valid.saturating_sub(margin);
         let counts = (requested_workers.len(), report.tickets.len());
-        for worker in requested_workers {
+        for (worker, instance) in requested_workers {
+            let is_rejected = self.has_rejected_ticket(instance);
             let entry = report.tickets.remove(&worker).map(|ticket| TicketEntry {
                 ticket,
                 usable_until,
+                is_rejected,
             });
-            self.entries.insert(worker, entry);
+            self.entries.insert(instance, entry);
         }
         Some(counts)
     }
 
     /// Expires a ticket that its worker did not accept.
-    pub(super) fn expire_ticket(&mut self, worker: &WorkerId) {
-        if let Some(Some(entry)) = self.entries.get_mut(worker) {
+    pub(super) fn reject_ticket(&mut self, instance: InstanceNumber) {
+        if let Some(Some(entry)) = self.entries.get_mut(&instance) {
             entry.usable_until = Duration::ZERO;
+            entry.is_rejected = true;
         }
     }
-
-    /// Removes a worker that was restarted, which invalidates its tickets.
-    pub(super) fn remove_worker(&mut self, worker: &WorkerId) {
-        self.entries.remove(worker);
-    }
 }
--- a/crates/core/src/pipelines/headroom.rs
+++ b/crates/core/src/pipelines/headroom.rs
@@ -7,10 +7,10 @@
 //! are in the headroom would wait on an idle service, so it may use them then.
 
 use super::{
-    place::{PlaceCandidate, PlacementTable, choose_for_step},
+    place::{PlacementTable, choose_for_step},
     progress::StepProgress,
-    spec::{PipelineSpec, StepKey, StepSpec},
-    state::PipelineState,
+    spec::{StepKey, StepSpec},
+    state::{PipelineRecord, PipelineState},
 };
 
 /// Part of the capacity of a service that jobs with slack leave free, in percent.
@@ -32,44 +32,46 @@
 /// `top_priority` is the priority of the most urgent queue of the service. Jobs of
 /// that queue and long-running jobs have no slack.
 pub(super) fn has_slack(
-    spec: &PipelineSpec,
+    record: &PipelineRecord,
     occurrence: u32,
     top_priority: u32,
     wall_ms: u64,
 ) -> bool {
-    let is_long_running = spec.steps.iter().any(|step| step.long_running);
-    let needed_ms = spec.critical_path_ms().saturating_mul(SLACK_FACTOR);
-    let left_ms = spec.objective_unix_ms(occurrence).saturating_sub(wall_ms);
-    spec.policy.priority > top_priority && !is_long_running && left_ms > needed_ms
+    let (spec, timing) = (&record.spec, &record.timing);
+    let needed_ms = timing.critical_path_ms.saturating_mul(SLACK_FACTOR);
+    let objective_ms = timing.objective_unix_ms(spec, occurrence);
+    let left_ms = objective_ms.saturating_sub(wall_ms);
+    spec.policy.priority > top_priority && !timing.is_long_running && left_ms > needed_ms
 }
 
 impl PipelineState {
-    /// Returns whether a step may use the headroom: none of its tasks is placed, it cannot
-    /// run on the other workers, `fitting`, and much of the capacity is free.
+    /// Returns whether a step with slack may use the headroom: none of its tasks is placed,
+    /// it cannot run on the other workers, and much of the capacity is free.
     pub(super) fn needs_headroom(
         &self,
         key: StepKey,
         step_spec: &StepSpec,
-        fitting: &[PlaceCandidate],
         table: &PlacementTable,
     ) -> bool {
         let pipeline = self.pipelines.get(&key.pipeline);
         let step = pipeline.and_then(|pipeline| pipeline.progress.step(key));
         let is_unplaced = step.is_some_and(StepProgress::is_unplaced);
-        if !is_unplaced || table.free_percent() < AMPLE_FREE_PERCENT {
+        if table.free_percent() < AMPLE_FREE_PERCENT || !is_unplaced {
             return false;
         }
         let cache = self.ticket_caches.get(&key);
-        let usable = fitting.iter().filter(|candidate| {
-            let worker = table.worker(candidate);
-            !cache.is_some_and(|cache| cache.is_refused(worker))
+        let fitting = table.fitting(step_spec, |worker| {
+            self.task_allowance(worker, key, step_spec)
         });
-        let usable: Vec<PlaceCandidate> = usable.copied().collect();
-        let needed_tasks = if step_spec.gang {
-            step_spec.count as usize
+        let mut usable = fitting.filter(|candidate| {
+            let row = table.row(candidate);
+            !row.is_headroom && !cache.is_some_and(|cache| cache.is_refused(row.instance))
+        });
+        if step_spec.gang {
+            let count = step_spec.count as usize;
+            choose_for_step(table, usable.collect(), step_spec, count).is_empty()
         } else {
-            1
-        };
-        choose_for_step(table, &usable, step_spec, needed_tasks).is_empty()
+            usable.next().is_none()
+        }
     }
 }
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -1,12 +1,17 @@
 //! Choice of workers for the tasks of a step.
 
 use std::{
+    cell::Cell,
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BinaryHeap},
     time::Duration,
 };
 
-use super::{advice::TicketCache, spec::StepSpec, worker::WorkerRecord};
+use super::{
+    advice::TicketCache,
+    spec::StepSpec,
+    worker::{InstanceNumber, WorkerRecord},
+};
 use crate::types::{RackId, ResourceVector, WorkerId};
 
 /// Maximum number of exhausted demands that are compared with the demand of a step.
@@ -16,25 +21,40 @@
 /// placement pass.
 ///
 /// Load pattern: many steps wait at once for hundreds of workers, most of which are
-/// full. The table is built once for each pass, and each step copies only the rows on
-/// which one of its tasks fits.
+/// full. The table is built once for each pass, a step compares its demand with the free
+/// resources of each row, and copies only the rows that it can use.
 #[derive(Clone, Debug)]
 pub(super) struct PlacementTable {
     rows: Vec<TableRow>,
+    /// Free resources of each row. They are compared with the demand of each step, so they
+    /// are kept together.
+    free: Vec<ResourceVector>,
+    /// Number of candidates that searches have examined.
+    examined: Cell<u64>,
+    /// Row of each worker instance, by ascending instance.
+    row_indexes: Vec<(InstanceNumber, usize)>,
+    /// CPU of all workers, in thousandths of a core.
+    total_cpu_milli: u64,
+    /// Free CPU of all workers, as far as the scarcest resource of each is free.
+    usable_cpu_milli: u64,
+    /// Whether rows are marked as headroom.
+    has_headroom: bool,
 }
 
 /// A worker and its free resources.
 #[derive(Clone, Debug)]
-struct TableRow {
-    worker: WorkerId,
+pub(super) struct TableRow {
+    pub(super) worker: WorkerId,
+    pub(super) instance: InstanceNumber,
     rack: Option<RackId>,
     capacity: ResourceVector,
     /// Resources that long-running tasks do not occupy.
     reclaimable: ResourceVector,
-    free: ResourceVector,
     best_effort_cpu_milli: u64,
     has_serving_task: bool,
     is_penalized: bool,
+    /// Whether jobs with slack leave the worker free for urgent jobs.
+    pub(super) is_headroom: bool,
 }
 
 /// A worker that may run tasks of a step.
@@ -42,8 +62,6 @@
 pub(super) struct PlaceCandidate {
     /// Index of the worker in the table.
     pub(super) row_index: usize,
-    capacity: ResourceVector,
-    reclaimable: ResourceVector,
     free: ResourceVector,
     best_effort_cpu_milli: u64,
     /// Number of further tasks of the step that the worker may run.
@@ -78,35 +96,46 @@
     ) -> Self {
         let rows = workers.filter_map(|(worker, record)| {
             let listing = record.listing.as_ref()?;
-            record.can_accept_tasks().then(|| TableRow {
+            let row = record.can_accept_tasks().then(|| TableRow {
                 worker: WorkerId::clone(worker),
+                instance: record.instance,
                 rack: listing.rack.clone(),
                 capacity: listing.capacity,
                 reclaimable: record.reclaimable_resources(),
-                free: record.free_resources(),
                 best_effort_cpu_milli: record.best_effort_cpu_milli,
                 has_serving_task: record.has_serving_task(),
                 is_penalized: record.penalized_until > now
                     || record.runtime_ratio.is_slow(typical_ratio_percent, now),
-            })
+                is_headroom: false,
+            });
+            Some((row?, record.free_resources()))
         });
+        let (rows, free): (Vec<TableRow>, Vec<ResourceVector>) = rows.unzip();
+        let instances = rows.iter().map(|row| row.instance);
+        let mut row_indexes: Vec<(InstanceNumber, usize)> = instances.zip(0..).collect();
+        row_indexes.sort_unstable();
         Self {
-            rows: rows.collect(),
+            row_indexes,
+            total_cpu_milli: rows.iter().map(|row| row.capacity.cpu_milli).sum(),
+            usable_cpu_milli: rows
+                .iter()
+                .zip(&free)
+                .map(|(row, free)| row.usable_cpu_milli(free))
+                .sum(),
+            has_headroom: false,
+            examined: Cell::new(0),
+            rows,
+            free,
         }
     }
 
-    pub(super) fn worker(&self, candidate: &PlaceCandidate) -> &WorkerId {
-        &self.rows[candidate.row_index].worker
+    /// Returns the number of candidates that searches have examined.
+    pub(super) const fn examined(&self) -> u64 {
+        self.examined.get()
     }
 
-    /// Returns the number of candidates whose worker has a property.
-    pub(super) fn count(
-        &self,
-        candidates: &[PlaceCandidate],
-        has_property: impl Fn(&WorkerId) -> bool,
-    ) -> usize {
-        let workers = candidates.iter().map(|candidate| self.worker(candidate));
-        workers.filter(|worker| has_property(worker)).count()
+    pub(super) fn row(&self, candidate: &PlaceCandidate) -> &TableRow {
+        &self.rows[candidate.row_index]
     }
 
     /// Returns the workers on which a task of the step fits now.
@@ -117,23 +146,75 @@
         &self,
         step: &StepSpec,
         task_allowance: impl Fn(&WorkerId) -> usize,
-    ) -> Vec<PlaceCandidate> {
-        let rows = self.rows.iter().enumerate();
-        let rows = rows.filter(|(_, row)| row.has_capacity(step));
-        let rows = rows.filter_map(|(index, row)| row.candidate(index, step, &task_allowance));
-        rows.filter(|candidate| candidate.fits(step)).collect()
+    ) -> impl Iterator<Item = PlaceCandidate> {
+        let occupied = step.occupied();
+        let free = self.free.iter().enumerate();
+        let rows = free.filter(move |(_, free)| occupied.fits_in(free));
+        let candidates =
+            rows.filter_map(move |(index, _)| self.candidate(index, step, &task_allowance));
+        candidates.filter(|candidate| candidate.fits(step))
     }
 
     /// Returns the workers on which a task of the step would fit if only long-running
     /// tasks were on them.
-    pub(super) fn eligible_workers(
+    pub(super) fn eligible(
+        &self,
+        step: &StepSpec,
+        task_allowance: impl Fn(&WorkerId) -> usize,
+    ) -> impl Iterator<Item = PlaceCandidate> {
+        let rows = 0..self.rows.len();
+        rows.filter_map(move |index| self.candidate(index, step, &task_allowance))
+    }
+
+    /// Returns those of the given workers that [`Self::eligible`] would return.
+    pub(super) fn eligible_among(
         &self,
+        instances: impl Iterator<Item = InstanceNumber>,
         step: &StepSpec,
         task_allowance: impl Fn(&WorkerId) -> usize,
-    ) -> Vec<PlaceCandidate> {
-        let rows = self.rows.iter().enumerate();
-        let rows = rows.filter_map(|(index, row)| row.candidate(index, step, &task_allowance));
-        rows.collect()
+    ) -> impl Iterator<Item = PlaceCandidate> {
+        instances.filter_map(move |instance| {
+            let found = self
+                .row_indexes
+                .binary_search_by_key(&instance, |(instance, _)| *instance);
+            let (_, index) = self.row_indexes[found.ok()?];
+            self.candidate(index, step, &task_allowance)
+        })
+    }
+
+    /// Returns a worker as a candidate if it could run a task of the step while only
+    /// long-running tasks are on it.
+    fn candidate(
+        &self,
+        row_index: usize,
+        step: &StepSpec,
+        task_allowance: &impl Fn(&WorkerId) -> usize,
+    ) -> Option<PlaceCandidate> {
+        self.examined.set(self.examined.get() + 1);
+        let row = &self.rows[row_index];
+        if !step.occupied().fits_in(&row.reclaimable) {
+            return None;
+        }
+        let is_restricted = step.per_worker_limit.is_some() || step.required_label.is_some();
+        let task_allowance = if is_restricted {
+            task_allowance(&row.worker)
+        } else {
+            usize::MAX
+        };
+        let home = step.home_rack.as_deref();
+        (task_allowance > 0).then_some(PlaceCandidate {
+            row_index,
+            free: self.free[row_index],
+            best_effort_cpu_milli: row.best_effort_cpu_milli,
+            task_allowance,
+            is_penalized: row.is_penalized,
+            is_remote: home.is_some_and(|home| row.rack.as_deref() != Some(home)),
+            is_mixed: if step.fills {
+                row.has_serving_task
+            } else {
+                step.target_tail_ms.is_some() && row.best_effort_cpu_milli > 0
+            },
+        })
     }
 
     /// Returns the number of workers.
@@ -142,105 +223,98 @@
     }
 
     /// Makes a worker unavailable for the rest of the pass.
-    pub(super) fn reserve_worker(&mut self, row: usize) {
-        if let Some(row) = self.rows.get_mut(row) {
-            row.free = ResourceVector::default();
-        }
+    pub(super) fn reserve_worker(&mut self, row_index: usize) {
+        self.set_free(row_index, ResourceVector::default());
     }
 
-    /// Returns the emptiest workers, whose free CPU together is at most `percent` of
-    /// the CPU of all workers. The free CPU counts only as far as the scarcest resource
-    /// of the worker is free.
-    pub(super) fn emptiest_workers(&self, percent: u64) -> BTreeSet<usize> {
-        let total: u64 = self.rows.iter().map(|row| row.capacity.cpu_milli).sum();
-        let mut left = total * percent / 100;
-        let rows = self.rows.iter().enumerate();
-        let order: BTreeSet<(Reverse<u64>, usize)> = rows
-            .map(|(index, row)| {
-                let share = free_share_permille(&row.free, &row.capacity);
-                (Reverse(row.capacity.cpu_milli * share / 1_000), index)
-            })
+    /// Marks the emptiest workers, whose free CPU together is at most `percent` of
+    /// the CPU of all workers, as headroom. The free CPU counts only as far as the scarcest
+    /// resource of the worker is free. Later calls in the same pass have no effect.
+    pub(super) fn mark_headroom(&mut self, percent: u64) {
+        if std::mem::replace(&mut self.has_headroom, true) {
+            return;
+        }
+        let mut left = self.total_cpu_milli * percent / 100;
+        let rows = self.rows.iter().zip(&self.free).enumerate();
+        let mut order: BinaryHeap<(u64, Reverse<usize>)> = rows
+            .map(|(index, (row, free))| (row.usable_cpu_milli(free), Reverse(index)))
             .collect();
-        let mut chosen = BTreeSet::new();
-        for (Reverse(free), index) in order {
+        while let Some((free, Reverse(index))) = order.pop() {
             // The rest lacks one resource entirely, or the next worker exceeds the part
             // to be left free.
             if free == 0 || free > left {
                 break;
             }
             left -= free;
-            chosen.insert(index);
+            self.rows[index].is_headroom = true;
         }
-        chosen
     }
 
     /// Returns the free part of the capacity, in percent. The free CPU of a worker counts
     /// only as far as its scarcest resource is free.
     pub(super) fn free_percent(&self) -> u64 {
-        let total: u64 = self.rows.iter().map(|row| row.capacity.cpu_milli).sum();
-        let free = self.rows.iter().map(|row| {
-            let share = free_share_permille(&row.free, &row.capacity);
-            row.capacity.cpu_milli * share / 1_000
-        });
-        (free.sum::<u64>() * 100).checked_div(total).unwrap_or(0)
+        (self.usable_cpu_milli * 100)
+            .checked_div(self.total_cpu_milli)
+            .unwrap_or(0)
     }
 
     /// Allocates the resources of a task on a worker for the rest of the pass.
-    pub(super) fn allocate(&mut self, candidate: &PlaceCandidate, step: &StepSpec) {
-        let Some(row) = self.rows.get_mut(candidate.row_index) else {
-            return;
-        };
+    pub(super) fn allocate(&mut self, row_index: usize, step: &StepSpec) {
+        let row = &mut self.rows[row_index];
         let occupied = step.occupied();
-        row.free = ResourceVector {
-            cpu_milli: row.free.cpu_milli.saturating_sub(occupied.cpu_milli),
-            memory_mib: row.free.memory_mib.saturating_sub(occupied.memory_mib),
-            accelerators: row.free.accelerators.saturating_sub(occupied.accelerators),
-        };
         row.has_serving_task |= step.target_tail_ms.is_some();
         if step.fills {
             row.best_effort_cpu_milli += step.demand.cpu_milli;
         }
+        let free = self.free[row_index];
+        self.set_free(
+            row_index,
+            ResourceVector {
+                cpu_milli: free.cpu_milli.saturating_sub(occupied.cpu_milli),
+                memory_mib: free.memory_mib.saturating_sub(occupied.memory_mib),
+                accelerators: free.accelerators.saturating_sub(occupied.accelerators),
+            },
+        );
+    }
+
+    fn set_free(&mut self, row_index: usize, free: ResourceVector) {
+        let row = &self.rows[row_index];
+        self.usable_cpu_milli -= row.usable_cpu_milli(&self.free[row_index]);
+        self.usable_cpu_milli += row.usable_cpu_milli(&free);
+        self.free[row_index] = free;
+    }
+
+    /// Returns the free part of a candidate's scarcest resource, in thousandths.
+    fn free_share_permille(&self, candidate: &PlaceCandidate) -> u64 {
+        let index = candidate.row_index;
+        self.rows[index].free_share_permille(&self.free[index])
     }
 }
 
 impl TableRow {
-    fn has_capacity(&self, step: &StepSpec) -> bool {
-        step.occupied().fits_in(&self.free)
+    /// Returns the free CPU, as far as the scarcest resource is free.
+    fn usable_cpu_milli(&self, free: &ResourceVector) -> u64 {
+        self.capacity.cpu_milli * self.free_share_permille(free) / 1_000
     }
 
-    /// Returns the worker as a candidate if it could run a task of the step while only
-    /// long-running tasks are on it.
-    fn candidate(
-        &self,
-        row_index: usize,
-        step: &StepSpec,
-        task_allowance: &impl Fn(&WorkerId) -> usize,
-    ) -> Option<PlaceCandidate> {
-        if !step.occupied().fits_in(&self.reclaimable) {
-            return None;
-        }
-        let is_restricted = step.per_worker_limit.is_some() || step.required_label.is_some();
-        let task_allowance = if is_restricted {
-            task_allowance(&self.worker)
-        } else {
-            usize::MAX
+    /// Returns the free part of the scarcest resource, in thousandths.
+    fn free_share_permille(&self, free: &ResourceVector) -> u64 {
+        let capacity = &self.capacity;
+        let share = |free: u64, all: u64| (free * 1_000).checked_div(all).unwrap_or(1_000);
+        share(free.cpu_milli, capacity.cpu_milli)
+            .min(share(free.memory_mib, capacity.memory_mib))
+            .min(share(free.accelerators, capacity.accelerators))
+    }
+
+    /// Returns how many tasks of the step would fit if only long-running tasks were on
+    /// the worker.
+    fn fitting_tasks_when_reclaimed(&self, candidate: &PlaceCandidate, step: &StepSpec) -> usize {
+        let reclaimed = PlaceCandidate {
+            free: self.reclaimable,
+            best_effort_cpu_milli: 0,
+            ..*candidate
         };
-        let home = step.home_rack.as_deref();
-        (task_allowance > 0).then_some(PlaceCandidate {
-            row_index,
-            capacity: self.capacity,
-            reclaimable: self.reclaimable,
-            free: self.free,
-            best_effort_cpu_milli: self.best_effort_cpu_milli,
-            task_allowance,
-            is_penalized: self.is_penalized,
-            is_remote: home.is_some_and(|home| self.rack.as_deref() != Some(home)),
-            is_mixed: if step.fills {
-                self.has_serving_task
-            } else {
-                step.target_tail_ms.is_some() && self.best_effort_cpu_milli > 0
-            },
-        })
+        reclaimed.fitting_tasks(step)
     }
 }
 
@@ -300,22 +374,6 @@
             .min(self.task_allowance)
     }
 
-    /// Returns the free part of the worker's scarcest resource, in thousandths.
-    pub(super) fn free_share_permille(&self) -> u64 {
-        free_share_permille(&self.free, &self.capacity)
-    }
-
-    /// Returns how many tasks of the step would fit if only long-running tasks were on
-    /// the worker.
-    pub(super) fn fitting_tasks_when_reclaimed(&self, step: &StepSpec) -> usize {
-        let reclaimed = Self {
-            free: self.reclaimable,
-            best_effort_cpu_milli: 0,
-            ..*self
-        };
-        reclaimed.fitting_tasks(step)
-    }
-
     fn allocate(&mut self, step: &StepSpec) {
         self.free = self.free.minus(&step.occupied()).unwrap_or_default();
         if step.fills {
@@ -324,7 +382,7 @@
         self.task_allowance -= 1;
     }
 
-    fn cost(&self, step: &StepSpec) -> PlaceCost {
+    fn cost(&self, capacity: &ResourceVector, step: &StepSpec) -> PlaceCost {
         let remaining = self.free.minus(&step.occupied()).unwrap_or_default();
         let share = |remaining: u64, capacity: u64| {
             i64::try_from(remaining * 1_000 / capacity.max(1)).unwrap_or(i64::MAX)
@@ -334,11 +392,11 @@
                 self.free
                     .cpu_milli
                     .saturating_sub(self.best_effort_cpu_milli),
-                self.capacity.cpu_milli,
+                capacity.cpu_milli,
             )
         } else {
-            share(remaining.cpu_milli, self.capacity.cpu_milli)
-                + share(remaining.accelerators, self.capacity.accelerators) * 2
+            share(remaining.cpu_milli, capacity.cpu_milli)
+                + share(remaining.accelerators, capacity.accelerators) * 2
         };
         (
             self.is_penalized,
@@ -349,50 +407,43 @@
     }
 }
 
-/// Returns the free part of the scarcest resource, in thousandths.
-fn free_share_permille(free: &ResourceVector, capacity: &ResourceVector) -> u64 {
-    let share = |free: u64, all: u64| (free * 1_000).checked_div(all).unwrap_or(1_000);
-    share(free.cpu_milli, capacity.cpu_milli)
-        .min(share(free.memory_mib, capacity.memory_mib))
-        .min(share(free.accelerators, capacity.accelerators))
-}
-
 /// Returns workers for as many tasks of the step as fit, at most `count`; for a gang,
 /// for all or none of them.
 pub(super) fn choose_for_step(
     table: &PlacementTable,
-    candidates: &[PlaceCandidate],
+    candidates: Vec<PlaceCandidate>,
     step_spec: &StepSpec,
     count: usize,
 ) -> Vec<PlaceCandidate> {
     if step_spec.gang {
         choose_for_gang(table, candidates, step_spec, count).unwrap_or_default()
     } else {
-        choose_for_tasks(candidates, step_spec, count)
+        choose_for_tasks(table, candidates, step_spec, count)
     }
 }
 
-/// Returns workers for as many tasks as fit, at most `count`.
-pub(super) fn choose_for_tasks(
-    candidates: &[PlaceCandidate],
+/// Returns workers for as many tasks as fit, at most `count`. A task fits on each of the
+/// candidates.
+fn choose_for_tasks(
+    table: &PlacementTable,
+    mut candidates: Vec<PlaceCandidate>,
     step: &StepSpec,
     count: usize,
 ) -> Vec<PlaceCandidate> {
-    let fitting = candidates.iter().filter(|candidate| candidate.fits(step));
-    let mut fitting: Vec<PlaceCandidate> = fitting.copied().collect();
-    let costs = fitting.iter().enumerate();
-    let mut ranking: BTreeSet<(PlaceCost, usize)> = costs
-        .map(|(index, candidate)| (candidate.cost(step), index))
+    let cost = |candidate: &PlaceCandidate| candidate.cost(&table.row(candidate).capacity, step);
+    let costs = candidates.iter().zip(0..);
+    let mut ranking: BinaryHeap<Reverse<(PlaceCost, usize)>> = costs
+        .map(|(candidate, index)| Reverse((cost(candidate), index)))
         .collect();
     let mut chosen = Vec::new();
     while chosen.len() < count
-        && let Some((_, index)) = ranking.pop_first()
+        && let Some(Reverse((_, index))) = ranking.pop()
     {
-        let candidate = &mut fitting[index];
+        let candidate = &mut candidates[index];
         candidate.allocate(step);
         chosen.push(*candidate);
         if candidate.fits(step) {
-            ranking.insert((candidate.cost(step), index));
+            ranking.push(Reverse((cost(candidate), index)));
         }
     }
     chosen
@@ -400,30 +451,63 @@
 
 /// Returns workers for all `count` members of a gang, in one rack if the step prefers
 /// that and one has the capacity, or `None` if the gang does not fit.
-pub(super) fn choose_for_gang(
+fn choose_for_gang(
     table: &PlacementTable,
-    candidates: &[PlaceCandidate],
+    candidates: Vec<PlaceCandidate>,
     step: &StepSpec,
     count: usize,
 ) -> Option<Vec<PlaceCandidate>> {
-    let choose_all = |candidates: &[PlaceCandidate]| {
-        let chosen = choose_for_tasks(candidates, step, count);
+    let choose_all = |candidates: Vec<PlaceCandidate>| {
+        let room = candidates.iter();
+        let room = room.map(|candidate| candidate.fitting_tasks(step));
+        if room.fold(0, usize::saturating_add) < count {
+            return None;
+        }
+        let chosen = choose_for_tasks(table, candidates, step, count);
         (chosen.len() == count).then_some(chosen)
     };
     let mut racks: BTreeMap<Option<&RackId>, Vec<PlaceCandidate>> = BTreeMap::new();
     if step.same_rack {
-        for candidate in candidates {
-            let rack = table.rows[candidate.row_index].rack.as_ref();
+        for candidate in &candidates {
+            let rack = table.row(candidate).rack.as_ref();
             racks.entry(rack).or_default().push(*candidate);
         }
     }
-    let in_one_rack = racks.values().find_map(|candidates| choose_all(candidates));
+    let in_one_rack = racks.into_values().find_map(choose_all);
     in_one_rack.or_else(|| choose_all(candidates))
 }
 
+/// Returns workers to reserve for all members of a gang, those with the most free
+/// capacity first, or `None` if the gang cannot fit on the candidates.
+pub(super) fn choose_for_reservation(
+    table: &PlacementTable,
+    mut candidates: Vec<PlaceCandidate>,
+    step: &StepSpec,
+) -> Option<Vec<usize>> {
+    candidates.sort_by_cached_key(|candidate| {
+        (
+            Reverse(candidate.fitting_tasks(step)),
+            Reverse(table.free_share_permille(candidate)),
+        )
+    });
+    let mut uncovered_tasks = step.count as usize;
+    let mut chosen = Vec::new();
+    for candidate in candidates {
+        if uncovered_tasks == 0 {
+            break;
+        }
+        let row = table.row(&candidate);
+        let reclaimed = row.fitting_tasks_when_reclaimed(&candidate, step);
+        uncovered_tasks = uncovered_tasks.saturating_sub(reclaimed);
+        chosen.push(candidate.row_index);
+    }
+    (uncovered_tasks == 0).then_some(chosen)
+}
+
 /// Position of a worker in an advice request; lower is first: whether no task fits,
-/// whether it is unknown if the worker is allowed, whether it is penalized, whether it
-/// is remote or mixed, how many tasks fit now and beside its long-running tasks, and its row.
+/// whether it did not accept a ticket of the step, whether it is unknown if the worker is
+/// allowed, whether it is penalized, whether it is remote or mixed, how many tasks fit now
+/// and beside its long-running tasks, and its row.
 ///
 /// Load pattern: the workers that a step may use are full of other tasks. Tickets for
 /// them would expire unused, so workers on which a task fits come first.
@@ -432,6 +516,7 @@
     bool,
     bool,
     bool,
+    bool,
     Reverse<usize>,
     Reverse<usize>,
     usize,
@@ -448,29 +533,28 @@
 /// allow.
 pub(super) fn choose_for_advice(
     table: &PlacementTable,
-    candidates: &[PlaceCandidate],
+    candidates: impl Iterator<Item = PlaceCandidate>,
     cache: &TicketCache,
     step: &StepSpec,
     count: usize,
     allowed_percent: usize,
-) -> Vec<WorkerId> {
-    let mut ranked: BTreeMap<RequestRank, usize> = BTreeMap::new();
-    for candidate in candidates {
-        let (fitting_tasks, fitting_when_reclaimed) = (
-            candidate.fitting_tasks(step),
-            candidate.fitting_tasks_when_reclaimed(step),
-        );
-        let rank = (
-            fitting_tasks == 0,
-            !cache.is_allowed(table.worker(candidate)),
-            candidate.is_penalized,
-            candidate.is_remote || candidate.is_mixed,
-            Reverse(fitting_tasks),
-            Reverse(fitting_when_reclaimed),
-            candidate.row_index,
-        );
-        ranked.insert(rank, fitting_tasks.max(1));
-    }
+) -> Vec<(WorkerId, InstanceNumber)> {
+    let mut ranking: BinaryHeap<Reverse<RequestRank>> = candidates
+        .map(|candidate| {
+            let row = table.row(&candidate);
+            let fitting_tasks = candidate.fitting_tasks(step);
+            Reverse((
+                fitting_tasks == 0,
+                cache.has_rejected_ticket(row.instance),
+                !cache.is_allowed(row.instance),
+                candidate.is_penalized,
+                candidate.is_remote || candidate.is_mixed,
+                Reverse(fitting_tasks),
+                Reverse(row.fitting_tasks_when_reclaimed(&candidate, step)),
+                candidate.row_index,
+            ))
+        })
+        .collect();
     let mut expected = 0;
     // All tasks that fit on one worker depend on one decision, so a request that names few
     // workers may yield no ticket although enough are expected.
@@ -478,16 +562,18 @@
     let mut chosen = Vec::new();
     // One task more than needed, in percent of a task.
     let needed = (count + 1) * 100;
-    for (rank, fitting_tasks) in ranked {
-        let (is_full, is_unknown, .., row_index) = rank;
+    while let Some(Reverse((is_full, _, is_unknown, .., Reverse(fitting_tasks), _, row_index))) =
+        ranking.pop()
+    {
         let is_answer_likely = is_full || empty_answer_permille <= MAX_EMPTY_ANSWER_PERMILLE;
         if expected >= needed && is_answer_likely {
             break;
         }
         let percent = if is_unknown { allowed_percent } else { 100 };
-        expected += fitting_tasks * percent;
+        expected += fitting_tasks.max(1) * percent;
         empty_answer_permille = empty_answer_permille * (100 - percent.min(100)) / 100;
-        chosen.push(WorkerId::clone(&table.rows[row_index].worker));
+        let row = &table.rows[row_index];
+        chosen.push((WorkerId::clone(&row.worker), row.instance));
     }
     chosen
 }
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -47,10 +47,7 @@
             .started_unix_ms
             .is_some_and(|known_start_ms| known_start_ms != report.started_unix_ms)
         {
-            record.reset_instance(Some(report.started_unix_ms), now);
-            for cache in self.ticket_caches.values_mut() {
-                cache.remove_worker(worker);
-            }
+            self.reset_worker(worker, Some(report.started_unix_ms), now);
             self.drop_all_runs(worker, LossCause::Reborn, now);
             return;
         }
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -6,21 +6,18 @@
 //! by the latency objective of their job. Steps behind a gang that does not fit may
 //! overtake it, but not on the workers that are reserved for it.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{
-    advice::PendingRequest,
     commit::PendingStart,
     headroom::{GANG_RESERVATION_PERCENT, HEADROOM_PERCENT, has_slack},
-    messages::{AdviceOrder, PipelineAction, PipelineNote, RenewalOrder},
-    place::{ExhaustedDemands, PlaceCandidate, PlacementTable, choose_for_advice, choose_for_step},
+    messages::{PipelineAction, PipelineNote, RenewalOrder},
+    place::{ExhaustedDemands, PlaceCandidate, PlacementTable},
+    place::{TableRow, choose_for_reservation, choose_for_step},
     progress::{PipelinePhase, StepProgress, TaskPlace},
-    spec::{AdvicePolicy, PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
+    queue::QueueRank,
+    requests::RequestBudget,
+    spec::{PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
     wait::StepWait,
     worker::{RunPhase, WorkerContact, WorkerRun},
@@ -36,43 +33,10 @@
 /// behind them would wait for the same answers.
 const MAX_UNTICKETED_STEPS_PER_QUEUE: u32 = 24;
 
-/// Maximum number of steps that one pass examines.
-const MAX_STEPS_PER_PASS: usize = 2_048;
-
-/// Maximum number of pending requests of steps at the head of the queue that do not fit
-/// yet. They start as soon as they fit, but their tickets may expire before that, and
-/// requests of steps that fit wait behind theirs. At most half of the limit of slow
-/// requests is used for them.
-const MAX_EARLY_REQUESTS: usize = 6;
-
-/// Decisions of the advice service that take at least this time are slow. Slow and
-/// quick decisions have separate limits and daemons, so that quick ones do not wait
-/// behind slow ones.
-pub const SLOW_DECISION_MS: f64 = 100.0;
-
-/// Lower bound of the part of the workers that a queue is assumed to be allowed, in
-/// percent.
-const MIN_ALLOWED_PERCENT: usize = 10;
-
-/// Maximum number of workers that one advice request names.
-const MAX_WORKERS_PER_REQUEST: usize = 100;
-
-/// Part of the workers that a queue is assumed to be allowed before its first answer,
-/// in percent.
-const DEFAULT_ALLOWED_PERCENT: usize = 40;
-
 /// Time for which leases are renewed after the confirmed ownership has run out, so
 /// that runs survive an outage of the store.
 pub(super) const UNCONFIRMED_RENEWAL_TIME: Duration = Duration::from_secs(10);
 
-/// Position in the queue; lower is first: whether the job has expired, its priority,
-/// whether it has missed its objective, and the objective in ms since 1970.
-pub(super) type QueueRank = (bool, u32, bool, u64);
-
-/// A job expires after this multiple of the time allowed by its latency objective: its
-/// result is of no use any more, and it is placed after all others.
-const EXPIRY_FACTOR: u64 = 3;
-
 /// Settings of [`PipelineState`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PipelineConfig {
@@ -84,18 +48,6 @@
     pub renewal_wait: Duration,
 }
 
-/// A step with waiting tasks that lack tickets.
-struct MissingTickets<'a> {
-    key: StepKey,
-    step_spec: &'a StepSpec,
-    policy: AdvicePolicy,
-    queue: &'a str,
-    /// Number of waiting tasks.
-    count: usize,
-    /// Workers on which the step is not placed although a task fits, by ascending row.
-    withheld: &'a [PlaceCandidate],
-}
-
 /// Steps of one queue that a placement pass has left with waiting tasks.
 #[derive(Clone, Copy, Debug, Default)]
 struct QueueBacklog {
@@ -104,24 +56,79 @@
     unticketed_steps: u32,
 }
 
+/// A ready step with waiting tasks, and which workers it may use.
+pub(super) struct StepSearch<'a> {
+    pub(super) key: StepKey,
+    pub(super) spec: &'a PipelineSpec,
+    pub(super) step_spec: &'a StepSpec,
+    /// Whether the step leaves the headroom free for urgent jobs.
+    pub(super) withholds_headroom: bool,
+    pub(super) now: Duration,
+}
+
+impl StepSearch<'_> {
+    /// Returns whether the step may use a worker if its queue allows it.
+    pub(super) const fn may_use(&self, row: &TableRow) -> bool {
+        !(self.withholds_headroom && row.is_headroom)
+    }
+}
+
+/// Demands that fit on no worker, of the steps with the same label that may use the same
+/// workers.
+#[derive(Clone, Debug)]
+struct ExhaustedGroup {
+    /// Whether the steps leave the headroom free.
+    can_wait: bool,
+    required_label: Option<String>,
+    demands: ExhaustedDemands,
+}
+
 /// State of one placement pass over the ready steps.
 #[derive(Debug)]
-struct PlacementPass {
-    table: PlacementTable,
+pub(super) struct PlacementPass {
+    pub(super) table: PlacementTable,
     /// Steps left with waiting tasks, by queue.
     backlogs: BTreeMap<String, QueueBacklog>,
-    /// Demands that fit on no worker, by whether the headroom is withheld and by the
-    /// required label.
-    exhausted: BTreeMap<(bool, Option<String>), ExhaustedDemands>,
-    /// Workers that jobs with slack leave free for urgent jobs, by row in the table;
-    /// `None` before the first job with slack.
-    headroom: Option<BTreeSet<usize>>,
+    exhausted: Vec<ExhaustedGroup>,
     /// Number of workers that are reserved for gangs.
     reserved_workers: usize,
     /// Priority of the most urgent queue of the service.
     top_priority: u32,
-    /// Number of further steps that may request tickets although they do not fit.
-    early_requests_left: usize,
+    pub(super) requests: RequestBudget,
+}
+
+impl PlacementPass {
+    /// Returns the exhausted demands of the steps like this one.
+    fn exhausted_demands(&mut self, can_wait: bool, step_spec: &StepSpec) -> &mut ExhaustedDemands {
+        let found = self.exhausted.iter().position(|group| {
+            group.can_wait == can_wait && group.required_label == step_spec.required_label
+        });
+        let index = found.unwrap_or_else(|| {
+            self.exhausted.push(ExhaustedGroup {
+                can_wait,
+                required_label: step_spec.required_label.clone(),
+                demands: ExhaustedDemands::default(),
+            });
+            self.exhausted.len() - 1
+        });
+        &mut self.exhausted[index].demands
+    }
+
+    fn backlog(&self, queue: &str) -> QueueBacklog {
+        self.backlogs.get(queue).copied().unwrap_or_default()
+    }
+
+    /// Counts a step of a queue that is left with waiting tasks.
+    fn add_backlog(&mut self, queue: &str, is_unticketed: bool) {
+        if !self.backlogs.contains_key(queue) {
+            let backlog = QueueBacklog::default();
+            self.backlogs.insert(queue.to_owned(), backlog);
+        }
+        if let Some(backlog) = self.backlogs.get_mut(queue) {
+            backlog.steps += 1;
+            backlog.unticketed_steps += u32::from(is_unticketed);
+        }
+    }
 }
 
 impl PipelineState {
@@ -134,31 +141,31 @@
         let is_due = std::mem::take(&mut self.is_placement_due);
         if is_due && now < self.confirmed_until && !self.ready.is_empty() {
             let table = PlacementTable::new(self.workers.iter(), self.typical_ratio_percent, now);
-            let pending = self.pending_requests.values();
-            let early_requests = pending.filter(|pending| pending.is_early).count();
             let mut pass = PlacementPass {
                 table,
                 backlogs: BTreeMap::new(),
-                exhausted: BTreeMap::new(),
-                headroom: None,
+                exhausted: Vec::new(),
                 reserved_workers: 0,
                 top_priority: self.top_priority,
-                early_requests_left: MAX_EARLY_REQUESTS
-                    .min(self.slow_request_limit / 2)
-                    .saturating_sub(early_requests),
+                requests: self.request_budget(),
             };
-            let ready = self.ready.iter().take(MAX_STEPS_PER_PASS);
-            let ready: Vec<(QueueRank, StepKey)> = ready.copied().collect();
+            let ready: Vec<(QueueRank, StepKey)> = self.ready.iter().copied().collect();
             for (rank, key) in ready {
                 self.place_step(rank, key, &mut pass, now);
             }
+            self.examined_candidates += pass.table.examined();
         }
         std::mem::take(&mut self.actions)
     }
 
     /// Returns how many more tasks of a step a worker may run according to the
     /// required label and the limit for each worker.
-    fn task_allowance(&self, worker: &WorkerId, key: StepKey, step_spec: &StepSpec) -> usize {
+    pub(super) fn task_allowance(
+        &self,
+        worker: &WorkerId,
+        key: StepKey,
+        step_spec: &StepSpec,
+    ) -> usize {
         let Some(record) = self.workers.get(worker) else {
             return 0;
         };
@@ -190,97 +197,121 @@
             return;
         };
         let spec = Arc::clone(&record.spec);
+        let can_wait = has_slack(record, key.occurrence, pass.top_priority, self.wall_ms);
         let (Some(step_spec), Some(progress)) =
             (spec.steps.get(key.step as usize), record.progress.step(key))
         else {
             return;
         };
-        let backlog = pass.backlogs.get(&spec.policy.queue);
-        let backlog = backlog.copied().unwrap_or_default();
-        let can_wait = has_slack(&spec, key.occurrence, pass.top_priority, self.wall_ms);
+        let backlog = pass.backlog(&spec.policy.queue);
         let is_behind = backlog.steps >= MAX_UNPLACED_STEPS_PER_QUEUE;
-        let exhausted_key = (can_wait, step_spec.required_label.clone());
-        let exhausted = pass.exhausted.entry(exhausted_key).or_default();
         if backlog.unticketed_steps >= MAX_UNTICKETED_STEPS_PER_QUEUE
-            || (is_behind && exhausted.contains(step_spec))
+            || (is_behind
+                && pass
+                    .exhausted_demands(can_wait, step_spec)
+                    .contains(step_spec))
         {
             self.skip_step(key, now);
             return;
         }
         let waiting: Vec<u32> = progress.waiting_tasks().collect();
-        let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
-        let mut fitting = pass.table.fitting(step_spec, task_allowance);
-        let mut withheld = Vec::new();
         if can_wait {
-            let table = &pass.table;
-            let headroom = pass
-                .headroom
-                .get_or_insert_with(|| table.emptiest_workers(HEADROOM_PERCENT));
-            (withheld, fitting) = fitting
-                .into_iter()
-                .partition(|candidate| headroom.contains(&candidate.row_index));
-            if self.needs_headroom(key, step_spec, &fitting, table) {
-                fitting.append(&mut withheld);
-            }
+            pass.table.mark_headroom(HEADROOM_PERCENT);
         }
-        if fitting.is_empty() {
-            if withheld.is_empty() {
-                exhausted.insert(step_spec);
-            }
-            if is_behind {
-                self.skip_step(key, now);
-                return;
-            }
-        }
-        let mut allowed = fitting.clone();
-        if spec.policy.advice.is_some() {
-            let cache = self.ticket_caches.entry(key).or_default();
-            allowed.retain(|candidate| cache.ticket(pass.table.worker(candidate), now).is_some());
-        }
-        let chosen = choose_for_step(&pass.table, &allowed, step_spec, waiting.len());
+        let search = StepSearch {
+            key,
+            spec: &spec,
+            step_spec,
+            withholds_headroom: can_wait && !self.needs_headroom(key, step_spec, &pass.table),
+            now,
+        };
+        let chosen = self.choose_workers(&search, &pass.table, waiting.len());
+        let has_progress = !chosen.is_empty();
         let unplaced_count = waiting.len() - chosen.len();
         for candidate in &chosen {
-            pass.table.allocate(candidate, step_spec);
+            pass.table.allocate(candidate.row_index, step_spec);
         }
-        let chosen: Vec<WorkerId> = chosen
-            .iter()
-            .map(|candidate| WorkerId::clone(pass.table.worker(candidate)))
-            .collect();
-        let has_progress = !chosen.is_empty();
+        let chosen = chosen.iter();
+        let chosen = chosen.map(|candidate| WorkerId::clone(&pass.table.row(candidate).worker));
+        let chosen = chosen.collect();
         self.place_tasks(key, &waiting, chosen, now);
         if unplaced_count == 0 {
             return;
         }
-        let mut is_unticketed = false;
-        if let Some(policy) = spec.policy.advice {
-            let missing = MissingTickets {
-                key,
-                step_spec,
-                policy,
-                queue: &spec.policy.queue,
-                count: unplaced_count,
-                withheld: &withheld,
-            };
-            is_unticketed = self.request_tickets(&missing, &fitting, pass, now);
+        if !has_progress && self.usable(&search, &pass.table).next().is_none() {
+            if self.fitting(&search, &pass.table).next().is_none() {
+                pass.exhausted_demands(can_wait, step_spec)
+                    .insert(step_spec);
+            }
+            if is_behind {
+                self.skip_step(key, now);
+                return;
+            }
         }
-        let backlog = pass.backlogs.entry(spec.policy.queue.clone()).or_default();
-        backlog.steps += 1;
-        backlog.unticketed_steps += u32::from(is_unticketed);
+        let is_unticketed = self.request_tickets(&search, unplaced_count, pass);
+        pass.add_backlog(&spec.policy.queue, is_unticketed);
         let (is_expired, ..) = rank;
         if step_spec.gang && !is_expired {
-            self.reserve_for_gang(&spec, key, can_wait, pass);
+            self.reserve_for_gang(&search, can_wait, pass);
         }
         self.record_wait(key, has_progress, now);
         if self.is_wait_log_due(key, now) {
-            let wait = self.describe_wait(key, &pass.table, &fitting, &withheld, now);
             let wait = StepWait {
                 waiting_tasks: unplaced_count,
-                ..wait
+                ..self.describe_wait(&search, &pass.table)
             };
             self.log_wait(key, wait, now);
         }
     }
 
+    /// Returns the workers on which a task of a step fits, whether or not the step may use
+    /// them.
+    pub(super) fn fitting(
+        &self,
+        search: &StepSearch<'_>,
+        table: &PlacementTable,
+    ) -> impl Iterator<Item = PlaceCandidate> {
+        table.fitting(search.step_spec, |worker| {
+            self.task_allowance(worker, search.key, search.step_spec)
+        })
+    }
+
+    /// Returns the workers on which a task of a step fits and that the step may use if its
+    /// queue allows them.
+    pub(super) fn usable(
+        &self,
+        search: &StepSearch<'_>,
+        table: &PlacementTable,
+    ) -> impl Iterator<Item = PlaceCandidate> {
+        let fitting = self.fitting(search, table);
+        fitting.filter(|candidate| search.may_use(table.row(candidate)))
+    }
+
+    /// Returns workers for as many waiting tasks of a step as can be placed now.
+    fn choose_workers(
+        &self,
+        search: &StepSearch<'_>,
+        table: &PlacementTable,
+        count: usize,
+    ) -> Vec<PlaceCandidate> {
+        let step_spec = search.step_spec;
+        let candidates: Vec<PlaceCandidate> = if search.spec.policy.advice.is_none() {
+            self.usable(search, table).collect()
+        } else if let Some(cache) = self.ticket_caches.get(&search.key) {
+            let ticketed = cache.ticketed(search.now);
+            let task_allowance =
+                |worker: &WorkerId| self.task_allowance(worker, search.key, step_spec);
+            let eligible = table.eligible_among(ticketed, step_spec, task_allowance);
+            let usable = eligible.filter(|candidate| {
+                candidate.fits(step_spec) && search.may_use(table.row(candidate))
+            });
+            usable.collect()
+        } else {
+            Vec::new()
+        };
+        choose_for_step(table, candidates, step_spec, count)
+    }
+
     /// Leaves a step for a later pass.
     fn skip_step(&mut self, key: StepKey, now: Duration) {
         self.record_wait(key, false, now);
@@ -296,51 +327,27 @@
     /// Reserves workers for a waiting gang, so that the tasks behind it do not occupy
     /// the capacity that becomes free there bit by bit. A gang that can wait reserves no
     /// worker of the headroom, as it is not placed there.
-    fn reserve_for_gang(
-        &self,
-        spec: &PipelineSpec,
-        key: StepKey,
-        can_wait: bool,
-        pass: &mut PlacementPass,
-    ) {
-        let Some(step_spec) = spec.steps.get(key.step as usize) else {
-            return;
-        };
+    fn reserve_for_gang(&self, search: &StepSearch<'_>, can_wait: bool, pass: &mut PlacementPass) {
         let limit = pass.table.len() * GANG_RESERVATION_PERCENT / 100;
         let limit = limit.max(1);
         if pass.reserved_workers >= limit {
             return;
         }
-        let mut eligible_workers = pass.table.eligible_workers(step_spec, |worker| {
-            self.task_allowance(worker, key, step_spec)
-        });
-        if let Some(headroom) = pass.headroom.as_ref().filter(|_| can_wait) {
-            eligible_workers.retain(|candidate| !headroom.contains(&candidate.row_index));
-        }
-        if spec.policy.advice.is_some() {
-            let cache = self.ticket_caches.get(&key);
-            eligible_workers.retain(|candidate| {
-                let worker = pass.table.worker(candidate);
-                cache.is_some_and(|cache| cache.is_allowed(worker))
-            });
-        }
-        eligible_workers.sort_by_key(|candidate| {
-            (
-                Reverse(candidate.fitting_tasks(step_spec)),
-                Reverse(candidate.free_share_permille()),
-            )
-        });
-        let mut uncovered_tasks = step_spec.count as usize;
-        let mut planned = Vec::new();
-        for candidate in eligible_workers {
-            if uncovered_tasks == 0 {
-                break;
-            }
-            uncovered_tasks =
-                uncovered_tasks.saturating_sub(candidate.fitting_tasks_when_reclaimed(step_spec));
-            planned.push(candidate.row_index);
-        }
-        if uncovered_tasks == 0 && pass.reserved_workers + planned.len() <= limit {
+        let table = &pass.table;
+        let step_spec = search.step_spec;
+        let task_allowance = |worker: &WorkerId| self.task_allowance(worker, search.key, step_spec);
+        let may_use = |candidate: &PlaceCandidate| !(can_wait && table.row(candidate).is_headroom);
+        let candidates: Vec<PlaceCandidate> = if search.spec.policy.advice.is_none() {
+            let eligible = table.eligible(step_spec, task_allowance);
+            eligible.filter(may_use).collect()
+        } else if let Some(cache) = self.ticket_caches.get(&search.key) {
+            let eligible = table.eligible_among(cache.allowed(), step_spec, task_allowance);
+            eligible.filter(may_use).collect()
+        } else {
+            Vec::new()
+        };
+        let planned = choose_for_reservation(table, candidates, step_spec).unwrap_or_default();
+        if pass.reserved_workers + planned.len() <= limit {
             pass.reserved_workers += planned.len();
             for index in planned {
                 pass.table.reserve_worker(index);
@@ -348,121 +355,6 @@
         }
     }
 
-    /// Requests tickets for a step if they are likely to be used. A step with quick
-    /// decisions also reserves the capacity that the tickets are for.
-    ///
-    /// Returns whether the step fits on workers for which tickets can be obtained.
-    fn request_tickets(
-        &mut self,
-        missing: &MissingTickets<'_>,
-        fitting: &[PlaceCandidate],
-        pass: &mut PlacementPass,
-        now: Duration,
-    ) -> bool {
-        let (key, step_spec, count) = (missing.key, missing.step_spec, missing.count);
-        let is_slow = missing.policy.decision_ms >= SLOW_DECISION_MS;
-        let pending = self.pending_requests.values();
-        let pending = pending.filter(|pending| pending.is_slow == is_slow).count();
-        let limit = if is_slow {
-            self.slow_request_limit
-        } else {
-            self.quick_request_limit
-        };
-        let cache = self.ticket_caches.entry(key).or_default();
-        let can_request = cache.can_begin_request(now) && pending < limit;
-        let mut possible = fitting.iter().filter(|candidate| {
-            let worker = pass.table.worker(candidate);
-            cache.can_request_ticket(worker, now) || cache.ticket(worker, now).is_some()
-        });
-        if is_slow && !can_request {
-            return possible.next().is_some();
-        }
-        let possible: Vec<PlaceCandidate> = possible.copied().collect();
-        let planned = choose_for_step(&pass.table, &possible, step_spec, count);
-        let is_early_request = planned.is_empty();
-        let is_premature = is_early_request && (!is_slow || pass.early_requests_left == 0);
-        let workers = if can_request && !is_premature {
-            self.workers_for_advice(missing, is_early_request, &pass.table, now)
-        } else {
-            Vec::new()
-        };
-        if !is_slow && !self.is_quick_advice_failing {
-            // Steps behind this one would occupy the capacity before the answer
-            // arrives. Without answers it would stay idle.
-            for candidate in &planned {
-                pass.table.allocate(candidate, step_spec);
-            }
-        }
-        if workers.is_empty() {
-            return !is_early_request;
-        }
-        pass.early_requests_left -= usize::from(is_early_request);
-        let request = PendingRequest {
-            is_slow,
-            is_early: is_early_request,
-        };
-        self.pending_requests.insert(key, request);
-        self.ticket_caches
-            .entry(key)
-            .or_default()
-            .begin_request(workers.clone(), now);
-        self.actions.push(PipelineAction::Ask(AdviceOrder {
-            step: key,
-            workers,
-            policy: missing.policy,
-        }));
-        !is_early_request
-    }
-
-    /// Returns the workers to name in an advice request for a step.
-    ///
-    /// The members of a gang need tickets that are valid at the same time, so once the gang
-    /// fits, its request also names the workers whose tickets have not expired.
-    fn workers_for_advice(
-        &self,
-        missing: &MissingTickets<'_>,
-        is_early_request: bool,
-        table: &PlacementTable,
-        now: Duration,
-    ) -> Vec<WorkerId> {
-        let (key, step_spec) = (missing.key, missing.step_spec);
-        let Some(cache) = self.ticket_caches.get(&key) else {
-            return Vec::new();
-        };
-        let average_percent = self.allowed_percent.get(missing.queue).copied();
-        let percent = average_percent
-            .unwrap_or(DEFAULT_ALLOWED_PERCENT)
-            .max(MIN_ALLOWED_PERCENT);
-        let mut eligible_workers = table.eligible_workers(step_spec, |worker| {
-            self.task_allowance(worker, key, step_spec)
-        });
-        // Tickets for withheld workers would expire unused.
-        eligible_workers.retain(|candidate| {
-            let withheld = missing.withheld;
-            let row = withheld.binary_search_by_key(&candidate.row_index, |other| other.row_index);
-            row.is_err()
-        });
-        let (requestable, ticketed): (Vec<_>, Vec<_>) = eligible_workers
-            .into_iter()
-            .partition(|candidate| cache.can_request_ticket(table.worker(candidate), now));
-        let mut workers = choose_for_advice(
-            table,
-            &requestable,
-            cache,
-            step_spec,
-            missing.count,
-            percent,
-        );
-        if step_spec.gang && !is_early_request && !workers.is_empty() {
-            let ticketed = ticketed.iter().filter(|candidate| {
-                candidate.fits(step_spec) && cache.is_allowed(table.worker(candidate))
-            });
-            workers.extend(ticketed.map(|candidate| WorkerId::clone(table.worker(candidate))));
-        }
-        workers.truncate(MAX_WORKERS_PER_REQUEST);
-        workers
-    }
-
     /// Places the first waiting tasks on the chosen workers, one on each entry of `chosen`.
     fn place_tasks(&mut self, key: StepKey, waiting: &[u32], chosen: Vec<WorkerId>, now: Duration) {
         if chosen.is_empty() {
@@ -504,12 +396,13 @@
                 },
                 attempt: task.attempt,
             };
-            let cache = self.ticket_caches.get(&key);
-            let ticket = cache.and_then(|cache| cache.ticket(&worker, now));
-            let ticket = ticket.map(str::to_owned);
-            let mut entry = WorkerRun::new(&step_spec, RunPhase::Ordered(0), now);
-            entry.ticket.clone_from(&ticket);
+            let mut ticket = None;
             if let Some(record) = self.workers.get_mut(&worker) {
+                let cache = self.ticket_caches.get(&key);
+                let usable = cache.and_then(|cache| cache.ticket(record.instance, now));
+                ticket = usable.map(str::to_owned);
+                let mut entry = WorkerRun::new(&step_spec, RunPhase::Ordered(0), now);
+                entry.ticket.clone_from(&ticket);
                 record.insert_run(run, entry);
             }
             starts.push(PendingStart {
@@ -522,84 +415,6 @@
         self.refresh_ready_steps(key.pipeline);
     }
 
-    /// Adds the occurrences of a job that have become due, and updates its ready steps
-    /// and their ranks.
-    pub(super) fn refresh_ready_steps(&mut self, id: PipelineId) {
-        let Some(record) = self.pipelines.get_mut(&id) else {
-            return;
-        };
-        let spec = record.spec.clone();
-        let is_final = record.progress.phase.is_final();
-        let mut has_new_occurrence = false;
-        if !is_final {
-            let due = match &spec.schedule {
-                None => 1,
-                Some(schedule) => {
-                    let all = 0..schedule.occurrences;
-                    // Occurrences are due in order.
-                    let due = all
-                        .take_while(|occurrence| schedule.due_unix_ms(*occurrence) < self.wall_ms);
-                    u32::try_from(due.count()).unwrap_or(u32::MAX)
-                }
-            };
-            for occurrence in 0..due {
-                if !record.progress.has_occurrence(occurrence) {
-                    record.progress.add_occurrence(&spec, occurrence);
-                    has_new_occurrence = true;
-                }
-            }
-        }
-        let previously_ready = std::mem::take(&mut record.ready);
-        for (key, rank) in &previously_ready {
-            self.ready.remove(&(*rank, *key));
-        }
-        if !is_final {
-            for (occurrence, steps) in &record.progress.occurrences {
-                let rank = queue_rank(&spec, *occurrence, self.wall_ms);
-                for (index, progress) in (0..).zip(steps) {
-                    let step_spec = &spec.steps[index as usize];
-                    let is_unblocked = step_spec.after.iter().all(|dependency| {
-                        steps
-                            .get(*dependency as usize)
-                            .is_some_and(StepProgress::is_done)
-                    });
-                    let can_start_gang = !step_spec.gang || progress.is_unplaced();
-                    if is_unblocked && can_start_gang && progress.waiting_tasks().next().is_some() {
-                        let key = StepKey {
-                            pipeline: id,
-                            occurrence: *occurrence,
-                            step: index,
-                        };
-                        record.ready.insert(key, rank);
-                        self.ready.insert((rank, key));
-                        self.is_placement_due = true;
-                    }
-                }
-            }
-        }
-        for key in previously_ready.keys() {
-            if !record.ready.contains_key(key) {
-                self.waits.remove(key);
-            }
-        }
-        if has_new_occurrence && spec.schedule.is_some() {
-            self.mark_dirty(id);
-        }
-    }
-
-    /// Updates the ranks of jobs that have become late or expired.
-    pub(super) fn update_stale_ranks(&mut self) {
-        let wall_ms = self.wall_ms;
-        let ready = self.ready.iter().filter(|(rank, key)| {
-            let record = self.pipelines.get(&key.pipeline);
-            record.is_some_and(|record| queue_rank(&record.spec, key.occurrence, wall_ms) != *rank)
-        });
-        let stale: BTreeSet<PipelineId> = ready.map(|(_, key)| key.pipeline).collect();
-        for id in stale {
-            self.refresh_ready_steps(id);
-        }
-    }
-
     /// Sends the renewals that are due.
     pub(super) fn renew_leases(&mut self, now: Duration) {
         let due = self.workers.iter().filter(|(_, record)| {
@@ -650,21 +465,6 @@
     }
 }
 
-/// Returns the position of an occurrence in the queue.
-///
-/// Load pattern: after an outage or a burst, more jobs wait than can meet their
-/// objectives. Jobs that can still meet theirs come first: in the order of arrival,
-/// all of them would be late.
-fn queue_rank(spec: &PipelineSpec, occurrence: u32, wall_ms: u64) -> QueueRank {
-    let objective = spec.objective_unix_ms(occurrence);
-    let start = spec.start_unix_ms(occurrence);
-    let expires_at = start + (objective - start) * EXPIRY_FACTOR;
-    let is_long_running = spec.steps.iter().any(|step| step.long_running);
-    let is_late = !is_long_running && wall_ms > objective;
-    let is_expired = !is_long_running && wall_ms > expires_at;
-    (is_expired, spec.policy.priority, is_late, objective)
-}
-
 /// Gives all members of a gang the highest attempt and the greatest checkpoint among
 /// them.
 fn align_gang(step: &mut StepProgress) {
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -15,10 +15,11 @@
         WorkerListing,
     },
     progress::{PipelinePhase, PipelineProgress, TaskPlace},
-    schedule::{PipelineConfig, QueueRank, UNCONFIRMED_RENEWAL_TIME},
+    queue::{JobTiming, QueueRank},
+    schedule::{PipelineConfig, UNCONFIRMED_RENEWAL_TIME},
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     wait::WaitRecord,
-    worker::{RunPhase, WorkerContact, WorkerRecord, WorkerRun, lapse_time},
+    worker::{InstanceNumber, RunPhase, WorkerContact, WorkerRecord, WorkerRun, lapse_time},
 };
 use crate::types::{Epoch, WorkerId};
 
@@ -48,6 +49,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PipelineRecord {
     pub(super) spec: Arc<PipelineSpec>,
+    pub(super) timing: JobTiming,
     /// Command of the job, shared by its start orders.
     pub(super) command: Arc<str>,
     pub(super) progress: PipelineProgress,
@@ -73,6 +75,9 @@
     pub claimed_workers: u64,
     /// Number of jobs with changes that no commit contains yet.
     pub dirty: u64,
+    /// Number of workers that placement passes have examined for a step, in all passes of
+    /// this owner.
+    pub examined_candidates: u64,
 }
 
 /// State machine of the owner of a service: its pipelines, its workers and their runs.
@@ -93,6 +98,8 @@
     /// Largest number of claims that were given up on a worker that was removed. If it
     /// returns, it must not be claimed with a lower fencing token than before.
     pub(super) removed_claims: u64,
+    /// Number of the worker instance that was added last.
+    pub(super) last_instance: InstanceNumber,
     /// Ready steps of all jobs, in the order in which they are placed.
     pub(super) ready: BTreeSet<(QueueRank, StepKey)>,
     /// Ready steps that the latest pass did not place completely.
@@ -134,6 +141,8 @@
     /// Whether an event since the last placement pass may have changed what can be
     /// placed.
     pub(super) is_placement_due: bool,
+    /// Number of workers that placement passes have examined for a step.
+    pub(super) examined_candidates: u64,
     /// Actions that the current call returns.
     pub(super) actions: Vec<PipelineAction>,
 }
@@ -151,6 +160,7 @@
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
             removed_claims: 0,
+            last_instance: 0,
             ready: BTreeSet::new(),
             waits: BTreeMap::new(),
             wait_log_due: Duration::ZERO,
@@ -169,6 +179,7 @@
             pending_starts: BTreeMap::new(),
             deferred_starts: Vec::new(),
             is_placement_due: true,
+            examined_candidates: 0,
             actions: Vec::new(),
         }
     }
@@ -249,6 +260,7 @@
             workers: self.workers.len() as u64,
             claimed_workers: claimed.count() as u64,
             dirty: self.dirty.len() as u64,
+            examined_candidates: self.examined_candidates,
         }
     }
 
@@ -308,6 +320,7 @@
         self.inherit_runs(id, &spec, &progress, now);
         let record = PipelineRecord {
             command: spec.command.as_str().into(),
+            timing: JobTiming::new(&spec),
             spec,
             progress,
             ready: BTreeMap::new(),
@@ -347,16 +360,41 @@
                         task: TaskKey { step, index },
                         attempt: task.attempt,
                     };
-                    let claims = self.removed_claims;
-                    let record = self.workers.entry(WorkerId::clone(worker));
-                    record
-                        .or_insert_with(|| WorkerRecord::new(inherited_until, claims, now))
+                    self.ensure_worker(worker, inherited_until, now)
                         .insert_run(run, WorkerRun::new(step_spec, RunPhase::Inherited, now));
                 }
             }
         }
     }
 
+    /// Returns the record of a worker, which is added if the worker is unknown.
+    fn ensure_worker(
+        &mut self,
+        worker: &WorkerId,
+        inherited_until: Duration,
+        now: Duration,
+    ) -> &mut WorkerRecord {
+        let (last_instance, claims) = (&mut self.last_instance, self.removed_claims);
+        let record = self.workers.entry(WorkerId::clone(worker));
+        record.or_insert_with(|| {
+            *last_instance += 1;
+            WorkerRecord::new(*last_instance, inherited_until, claims, now)
+        })
+    }
+
+    /// Resets a worker that was restarted, which invalidates its tickets.
+    pub(super) fn reset_worker(
+        &mut self,
+        worker: &WorkerId,
+        started_unix_ms: Option<u64>,
+        now: Duration,
+    ) {
+        self.last_instance += 1;
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.reset_instance(self.last_instance, started_unix_ms, now);
+        }
+    }
+
     fn cancel_pipeline(&mut self, id: PipelineId, now: Duration) {
         match self.pipelines.get_mut(&id) {
             Some(record) if !record.progress.phase.is_final() => {
@@ -373,9 +411,7 @@
     fn update_listing(&mut self, listing: WorkerListing, now: Duration) {
         self.is_placement_due = true;
         let inherited_until = self.predecessor_runs_until();
-        let record = self.workers.entry(WorkerId::clone(&listing.worker));
-        let claims = self.removed_claims;
-        let record = record.or_insert_with(|| WorkerRecord::new(inherited_until, claims, now));
+        let record = self.ensure_worker(&listing.worker, inherited_until, now);
         let is_already_draining = record
             .listing
             .as_ref()
@@ -412,10 +448,6 @@
         if let Some(record) = self.workers.remove(worker) {
             self.removed_claims = self.removed_claims.max(record.claims);
         }
-        // It may return as another instance, on which the advice service decides anew.
-        for cache in self.ticket_caches.values_mut() {
-            cache.remove_worker(worker);
-        }
     }
 
     fn handle_renewal_failure(
@@ -431,8 +463,8 @@
         match failure {
             RenewalFailure::OtherInstance if !record.is_renewal_misdirected => {
                 // Another worker answers at the address, so this instance has ended.
-                record.reset_instance(None, now);
                 record.listing = None;
+                self.reset_worker(worker, None, now);
                 self.drop_all_runs(worker, LossCause::Replaced, now);
                 self.remove_worker(worker);
             }
@@ -513,7 +545,7 @@
                     }
                     StartResult::BadTicket => {
                         if let Some(cache) = self.ticket_caches.get_mut(&run.task.step) {
-                            cache.expire_ticket(worker);
+                            cache.reject_ticket(record.instance);
                         }
                     }
                     _ => record.penalized_until = now + REJECTION_PENALTY,
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -2,6 +2,7 @@
 
 mod fixtures;
 mod health;
+mod large;
 mod leases;
 mod liveness;
 mod load;
--- a/crates/core/src/pipelines/tests/simulation.rs
+++ b/crates/core/src/pipelines/tests/simulation.rs
@@ -83,6 +83,8 @@
     pub(super) store_down_until: Duration,
     /// Latest log entry about each step that has waited.
     pub(super) waits: BTreeMap<StepKey, StepWait>,
+    /// Number of daemons that send requests for quick and for slow decisions.
+    advisors: (usize, usize),
     /// Specifications of all jobs, including those that are retired.
     specs: BTreeMap<PipelineId, Arc<PipelineSpec>>,
     cancelled: BTreeSet<PipelineId>,
@@ -108,6 +110,7 @@
             is_faulty: false,
             store_down_until: Duration::ZERO,
             waits: BTreeMap::new(),
+            advisors: ADVISORS,
             specs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             epoch: 0,
@@ -155,8 +158,7 @@
         for id in self.cancelled.clone() {
             self.handle_event(PipelineEvent::Cancelled(id));
         }
-        let (quick, slow) = ADVISORS;
-        self.handle_event(PipelineEvent::AdvisorsCounted(quick, slow));
+        self.set_advisors(self.advisors);
         let listed = self.workers.values().filter(|worker| worker.is_listed);
         let listings: Vec<WorkerListing> = listed.map(|worker| worker.listing.clone()).collect();
         for listing in listings {
@@ -164,6 +166,13 @@
         }
     }
 
+    /// Sets the number of daemons that send requests for quick and for slow decisions.
+    pub(super) fn set_advisors(&mut self, advisors: (usize, usize)) {
+        self.advisors = advisors;
+        let (quick, slow) = advisors;
+        self.handle_event(PipelineEvent::AdvisorsCounted(quick, slow));
+    }
+
     /// Applies a change to a worker and its entry in the list, and lists it.
     pub(super) fn list_worker(&mut self, id: &WorkerId, change: impl FnOnce(&mut WorkerListing)) {
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/core/src/pipelines/wait.rs
+++ b/crates/core/src/pipelines/wait.rs
@@ -6,13 +6,9 @@
 use std::{fmt, time::Duration};
 
 use super::{
-    advice::TicketCache,
-    messages::PipelineNote,
-    place::{PlaceCandidate, PlacementTable},
-    spec::StepKey,
-    state::PipelineState,
+    advice::TicketCache, messages::PipelineNote, place::PlacementTable, schedule::StepSearch,
+    spec::StepKey, state::PipelineState,
 };
-use crate::types::WorkerId;
 
 /// Waiting time after which a step is logged, and time between two log entries of a step.
 const STEP_LOG_INTERVAL: Duration = Duration::from_secs(2);
@@ -95,29 +91,29 @@
     }
 
     /// Counts the workers on which a task of a step fits by what the advice service has
-    /// answered about them. `withheld` are those on which it is not placed.
+    /// answered about them.
     pub(super) fn describe_wait(
         &self,
-        key: StepKey,
+        search: &StepSearch<'_>,
         table: &PlacementTable,
-        fitting: &[PlaceCandidate],
-        withheld: &[PlaceCandidate],
-        now: Duration,
     ) -> StepWait {
-        let cache = self.ticket_caches.get(&key);
-        let is_ticketed =
-            |worker: &WorkerId| cache.is_some_and(|cache| cache.ticket(worker, now).is_some());
-        let is_allowed = |worker: &WorkerId| cache.is_some_and(|cache| cache.is_allowed(worker));
-        let is_refused = |worker: &WorkerId| cache.is_some_and(|cache| cache.is_refused(worker));
-        StepWait {
-            fitting: fitting.len(),
-            ticketed: table.count(fitting, is_ticketed),
-            allowed: table.count(fitting, is_allowed),
-            refused: table.count(fitting, is_refused),
-            withheld: withheld.len(),
-            withheld_ticketed: table.count(withheld, is_ticketed),
-            ..StepWait::default()
+        let unknown = TicketCache::default();
+        let cache = self.ticket_caches.get(&search.key).unwrap_or(&unknown);
+        let mut wait = StepWait::default();
+        for candidate in self.fitting(search, table) {
+            let row = table.row(&candidate);
+            let is_ticketed = cache.ticket(row.instance, search.now).is_some();
+            if search.may_use(row) {
+                wait.fitting += 1;
+                wait.ticketed += usize::from(is_ticketed);
+                wait.allowed += usize::from(cache.is_allowed(row.instance));
+                wait.refused += usize::from(cache.is_refused(row.instance));
+            } else {
+                wait.withheld += 1;
+                wait.withheld_ticketed += usize::from(is_ticketed);
+            }
         }
+        wait
     }
 
     /// Logs a waiting step. Adds the waiting time and the advice requests to `wait`.
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -93,6 +93,11 @@
     }
 }
 
+/// Number of a worker instance, unique within one ownership. A worker that was restarted or
+/// listed again gets a new number, so that what is known about its former instance does
+/// not apply to it.
+pub(super) type InstanceNumber = u32;
+
 /// Contact with a worker. Start orders are sent only to claimed workers. The names
 /// appear in the dump.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -120,6 +125,7 @@
     /// Entry of the worker in the platform's registry; `None` if the worker is known
     /// only from the progress of a job.
     pub(super) listing: Option<WorkerListing>,
+    pub(super) instance: InstanceNumber,
     pub(super) contact: WorkerContact,
     pub(super) runs: BTreeMap<RunKey, WorkerRun>,
     /// Resources that the runs reserve.
@@ -168,9 +174,15 @@
 impl WorkerRecord {
     /// Returns the record of a worker of which earlier records in this ownership have given
     /// up at most `claims` claims.
-    pub(super) fn new(inherited_until: Duration, claims: u64, now: Duration) -> Self {
+    pub(super) fn new(
+        instance: InstanceNumber,
+        inherited_until: Duration,
+        claims: u64,
+        now: Duration,
+    ) -> Self {
         Self {
             listing: None,
+            instance,
             contact: WorkerContact::Unclaimed,
             runs: BTreeMap::new(),
             used: ResourceVector::default(),
@@ -212,8 +224,14 @@
     }
 
     /// Resets the state that belonged to the previous instance of the worker.
-    pub(super) fn reset_instance(&mut self, started_unix_ms: Option<u64>, now: Duration) {
+    pub(super) fn reset_instance(
+        &mut self,
+        instance: InstanceNumber,
+        started_unix_ms: Option<u64>,
+        now: Duration,
+    ) {
         self.reset_claim(now);
+        self.instance = instance;
         self.started_unix_ms = started_unix_ms;
         self.processed_end = 0;
         self.acked_end = 0;
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -88,6 +88,7 @@
                         ("workers", load.workers),
                         ("answering_workers", load.claimed_workers),
                         ("uncommitted_jobs", load.dirty),
+                        ("examined_candidates", load.examined_candidates),
                     ] {
                         let service = KeyValue::new("service", service.to_string());
                         observer.observe(value, &[service, KeyValue::new("kind", kind)]);
