Write job summaries outside of the commits of an owner

Cause: a commit held the summaries of the jobs whose phase changed, and a transaction takes 32 entries, so one commit made at most 26 changes of phase durable.

Ruled out: processor time.

Change: a commit writes the sequence and one record with all changed jobs. Summaries follow in transactions of their own, four at a time, once the phase is durable. Each expects the key of its job in the revision of its creation, and the last one removes it, so a write that the store executes late fails. A successor writes the summaries that its predecessor did not write. As records hold more jobs now, the log is bounded by superseded tasks as well as by records. The takeover logs what it reads.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -217,7 +217,11 @@
                 }
             }
             CellEvent::Jobs(service, epoch, update) => {
-                for event in ShardHandle::job_events(update) {
+                let handle = self.shards.get_mut(&service);
+                let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) else {
+                    return;
+                };
+                for event in handle.apply_jobs(update) {
                     self.dispatch_event(&service, epoch, event);
                 }
             }
@@ -260,6 +264,13 @@
                 }
                 self.perform(&service, finished.actions);
             }
+            CellEvent::SummariesWritten(service, epoch, number, outcome) => {
+                let handle = self.shards.get_mut(&service);
+                if let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) {
+                    handle.shard.finish_summary_write(number, &outcome, now);
+                    handle.has_new_events = true;
+                }
+            }
             CellEvent::Advised(service, epoch, outcome) => {
                 self.advisors.finish(&outcome.daemon, outcome.cost_ms);
                 let event =
@@ -335,11 +346,13 @@
             if let Some(handle) = self.shards.get_mut(&service) {
                 handle.has_new_events = false;
                 self.effects.start_commit(handle);
+                self.effects.start_summary_writes(handle, self.is_draining);
                 let elapsed = self.effects.clock.now().saturating_sub(now);
                 handle.next_pass_at = now + elapsed * PASS_INTERVAL_FACTOR;
             }
         }
-        let is_durable = self.shards.values().all(|handle| handle.shard.is_durable());
+        let mut shards = self.shards.values().map(|handle| &handle.shard);
+        let is_durable = shards.all(|shard| shard.is_durable() && shard.has_stored_summaries());
         match self.drain.take() {
             Some(drain) if is_durable || now >= drain.until => {
                 let services: Vec<ServiceId> = self.shards.keys().cloned().collect();
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -6,10 +6,14 @@
     AdviceOrder, PipelineAction, PipelineEvent, ServiceId, WorkerId, WorkerListing,
 };
 use auburnsaddle_platform::{
-    AdviceClient, HttpEndpoint, ItemChange, KeyLease, StoreItem, WORKER_PREFIX,
+    AdviceClient, HttpEndpoint, ItemChange, KeyLease, StoreItem, TransactionOutcome, WORKER_PREFIX,
     decode_registration, parse_worker_key,
 };
-use tokio::{runtime::Handle, sync::mpsc, task::JoinHandle};
+use tokio::{
+    runtime::Handle,
+    sync::mpsc,
+    task::{JoinHandle, JoinSet},
+};
 
 use super::{
     messages::{AdviceOutcome, CellEvent},
@@ -51,6 +55,8 @@
     pub(super) commit_delay: RetryDelay,
     orders: WorkerOrders,
     watches: Vec<JoinHandle<()>>,
+    /// Writes of summaries, which end with the ownership.
+    summary_writes: JoinSet<()>,
     /// Workers whose entries were removed, and the time at which they count as delisted.
     pending_delists: BTreeMap<WorkerId, Duration>,
     /// The listed workers, as last reported to the scheduling state.
@@ -78,8 +84,8 @@
 }
 
 impl ShardHandle {
-    /// Converts an update of the jobs of a service to events.
-    pub(super) fn job_events(update: PrefixUpdate) -> Vec<PipelineEvent> {
+    /// Applies an update of the jobs of the service. Returns the events.
+    pub(super) fn apply_jobs(&mut self, update: PrefixUpdate) -> Vec<PipelineEvent> {
         let items: Vec<StoreItem> = match update {
             PrefixUpdate::Snapshot(items) => items,
             PrefixUpdate::Changes(changes) => {
@@ -97,6 +103,7 @@
             .filter_map(|item| match CellKey::parse(&item.key) {
                 Some(CellKey::Job(_, id)) => {
                     let spec: StoredJob = decode_value(&item.key, &item.value)?;
+                    self.shard.add_job_key(id, item.revision);
                     Some(PipelineEvent::Stored(id, Arc::new(spec), None))
                 }
                 Some(CellKey::Cancellation(_, id)) => Some(PipelineEvent::Cancelled(id)),
@@ -212,6 +219,7 @@
             commit_delay: RetryDelay::default(),
             orders,
             watches,
+            summary_writes: JoinSet::new(),
             pending_delists: BTreeMap::new(),
             listed: BTreeMap::new(),
         }
@@ -296,6 +304,32 @@
         });
     }
 
+    /// Sends the writes of summaries that are due. With `is_urgent`, summaries do not wait
+    /// for others.
+    pub(super) fn start_summary_writes(&self, handle: &mut ShardHandle, is_urgent: bool) {
+        let now = self.clock.now();
+        while handle.summary_writes.try_join_next().is_some() {}
+        while let Some((number, transaction)) = handle.shard.next_summary_write(is_urgent, now) {
+            let (store, events) = (self.store.clone(), self.events.clone());
+            let (service, epoch) = (handle.shard.service.clone(), handle.shard.epoch());
+            let write = async move {
+                let mut delay = RetryDelay::default();
+                let outcome = loop {
+                    match store.commit(&transaction).await {
+                        TransactionOutcome::Refused | TransactionOutcome::Unknown => {
+                            let (pause, _) = delay.next_delay(rand::random());
+                            tokio::time::sleep(pause).await;
+                        }
+                        outcome => break outcome,
+                    }
+                };
+                let event = CellEvent::SummariesWritten(service, epoch, number, outcome);
+                let _ = events.send(event).await;
+            };
+            handle.summary_writes.spawn_on(write, &self.runtime);
+        }
+    }
+
     /// Executes an action of an owned service.
     pub(super) fn perform(
         &self,
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     job_table::JobSummary,
-    pipelines::AcquireOutcome,
+    pipelines::{AcquireOutcome, WriteNumber},
     session::{LeaseUpdate, PrefixUpdate},
 };
 
@@ -55,6 +55,8 @@
     Acquired(ServiceId, AcquireOutcome),
     /// The outcome of a commit of an owned service.
     Committed(ServiceId, u64, TransactionOutcome),
+    /// The outcome of a write of job summaries.
+    SummariesWritten(ServiceId, u64, WriteNumber, TransactionOutcome),
     /// The outcome of a request for advice.
     Advised(ServiceId, u64, AdviceOutcome),
     /// A job was accepted by this daemon, or its summary was read from a peer or the
--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -1,10 +1,10 @@
 //! Takeover of a service that has no owner.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 
 use auburnsaddle_core::{Epoch, PipelineId, PipelineProgress, ServiceId, WorkerListing};
 use auburnsaddle_platform::{
-    KeyLease, StoreTransaction, TransactionOutcome, WORKER_PREFIX, decode_registration,
+    KeyLease, StoreItem, StoreTransaction, TransactionOutcome, WORKER_PREFIX, decode_registration,
     parse_worker_key,
 };
 
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LoadedJob {
     pub(crate) id: PipelineId,
+    /// Revision at which its key was created.
+    pub(crate) revision: u64,
     pub(crate) spec: Arc<StoredJob>,
     pub(crate) progress: Option<PipelineProgress>,
     pub(crate) is_cancelled: bool,
@@ -149,6 +151,7 @@
 async fn load_shard(store: &CellStore, service: &ServiceId) -> Option<LoadedShard> {
     let jobs_prefix = CellKey::job_prefix(service);
     let record_prefix = CellKey::record_prefix(service);
+    let started_at = Instant::now();
     let (jobs, records, workers) = tokio::join!(
         store.read_range(&jobs_prefix),
         store.read_range(&record_prefix),
@@ -156,6 +159,13 @@
     );
     let ((jobs, jobs_revision), (records, _), (workers, workers_revision)) =
         (jobs.ok()?, records.ok()?, workers.ok()?);
+    log::info!(
+        service = service.as_ref(), elapsed_ms = started_at.elapsed().as_millis(),
+        jobs = jobs.len(), job_bytes = count_bytes(&jobs),
+        records = records.len(), record_bytes = count_bytes(&records),
+        worker_bytes = count_bytes(&workers);
+        "read the state of a service"
+    );
     let mut loaded: BTreeMap<PipelineId, LoadedJob> = BTreeMap::new();
     let mut cancelled = Vec::new();
     for item in &jobs {
@@ -164,6 +174,7 @@
                 if let Some(spec) = decode_value::<StoredJob>(&item.key, &item.value) {
                     let job = LoadedJob {
                         id,
+                        revision: item.revision,
                         spec: Arc::new(spec),
                         progress: None,
                         is_cancelled: false,
@@ -187,7 +198,8 @@
         let record: ProgressRecord = decode_value(&item.key, &item.value)?;
         Some((number, record))
     });
-    let (log, mut progress) = ProgressLog::replay(records);
+    let (mut log, mut progress) = ProgressLog::replay(records);
+    log.retain_jobs(|id| loaded.contains_key(&id));
     for (id, job) in &mut loaded {
         job.progress = progress.remove(id);
     }
@@ -210,3 +222,8 @@
         workers_revision,
     })
 }
+
+/// Returns the size of the values of items.
+fn count_bytes(items: &[StoreItem]) -> usize {
+    items.iter().map(|item| item.value.len()).sum()
+}
--- a/crates/daemon/src/pipelines/log.rs
+++ b/crates/daemon/src/pipelines/log.rs
@@ -17,11 +17,16 @@
 /// that the log that a successor has to read stays short.
 const MAX_LOG_RECORDS: usize = 128;
 
+/// Number of superseded tasks in the records above which jobs in the oldest records are
+/// written again, if they are more than those whose progress is the latest. A takeover
+/// reads both, at about 60 bytes a task.
+const MAX_SUPERSEDED_TASKS: usize = 4_096;
+
 /// Largest number of jobs from the oldest records that one commit writes again.
 const MAX_REWRITES_PER_COMMIT: usize = 16;
 
-/// The jobs that one commit changed, with their progress. `None` marks a job that has
-/// ended.
+/// The jobs that one commit changed, with their progress. Of a job that has ended, only the
+/// phase is kept. `None` marks a job whose keys are removed; earlier versions wrote it.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub(crate) struct ProgressRecord {
@@ -32,10 +37,28 @@
 /// each job.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ProgressLog {
-    /// The jobs whose latest progress is in each record.
-    records: BTreeMap<RecordNumber, BTreeSet<PipelineId>>,
+    records: BTreeMap<RecordNumber, RecordIndex>,
     /// The record with the latest progress of each job.
-    latest: BTreeMap<PipelineId, RecordNumber>,
+    latest: BTreeMap<PipelineId, LatestProgress>,
+    /// Number of tasks in all records.
+    stored_tasks: usize,
+    /// Number of these tasks whose progress is the latest.
+    live_tasks: usize,
+}
+
+/// What a record in the store holds.
+#[derive(Clone, Debug, Default)]
+struct RecordIndex {
+    /// The jobs whose latest progress is in the record.
+    live: BTreeSet<PipelineId>,
+    tasks: usize,
+}
+
+/// Where the latest progress of a job is, and its number of tasks.
+#[derive(Clone, Copy, Debug)]
+struct LatestProgress {
+    number: RecordNumber,
+    tasks: usize,
 }
 
 impl ProgressLog {
@@ -60,18 +83,39 @@
 
     /// Adds a record that was written to the store.
     pub(crate) fn append(&mut self, number: RecordNumber, record: &ProgressRecord) {
-        let mut live = BTreeSet::new();
+        let mut index = RecordIndex::default();
         for (id, progress) in &record.entries {
-            let previous = self.latest.remove(id);
-            if let Some(jobs) = previous.and_then(|previous| self.records.get_mut(&previous)) {
-                jobs.remove(id);
-            }
-            if progress.is_some() {
-                self.latest.insert(*id, number);
-                live.insert(*id);
+            self.remove_job(*id);
+            if let Some(progress) = progress {
+                let tasks = progress.steps().map(|step| step.tasks.len()).sum();
+                self.latest.insert(*id, LatestProgress { number, tasks });
+                self.live_tasks += tasks;
+                index.live.insert(*id);
+                index.tasks += tasks;
             }
         }
-        self.records.insert(number, live);
+        self.stored_tasks += index.tasks;
+        self.records.insert(number, index);
+    }
+
+    /// Drops a job whose progress is superseded, or whose key was removed from the store.
+    pub(crate) fn remove_job(&mut self, id: PipelineId) {
+        let Some(latest) = self.latest.remove(&id) else {
+            return;
+        };
+        self.live_tasks -= latest.tasks;
+        if let Some(record) = self.records.get_mut(&latest.number) {
+            record.live.remove(&id);
+        }
+    }
+
+    /// Drops the jobs for which `is_known` returns false, as their keys are removed.
+    pub(crate) fn retain_jobs(&mut self, is_known: impl Fn(PipelineId) -> bool) {
+        let jobs = self.latest.keys().copied();
+        let removed: Vec<PipelineId> = jobs.filter(|id| !is_known(*id)).collect();
+        for id in removed {
+            self.remove_job(id);
+        }
     }
 
     /// Returns the oldest records without the latest progress of any job, at most
@@ -80,24 +124,29 @@
     /// Stops at the first record that is still needed: a later record may hold the
     /// end of a job whose progress is in an earlier one.
     pub(crate) fn superseded_records(&self, limit: usize) -> Vec<RecordNumber> {
-        let head = self.records.iter().take_while(|(_, live)| live.is_empty());
+        let records = self.records.iter();
+        let head = records.take_while(|(_, record)| record.live.is_empty());
         head.map(|(number, _)| *number).take(limit).collect()
     }
 
     /// Drops records that were removed from the store.
     pub(crate) fn truncate(&mut self, removed: &[RecordNumber]) {
         for number in removed {
-            self.records.remove(number);
+            let record = self.records.remove(number);
+            self.stored_tasks -= record.map_or(0, |record| record.tasks);
         }
     }
 
-    /// Returns jobs whose progress must be written again before a log with too many
-    /// records can be truncated.
+    /// Returns jobs whose progress must be written again before a log that is too long can
+    /// be truncated.
     pub(crate) fn jobs_to_rewrite(&self) -> Vec<PipelineId> {
-        if self.records.len() <= MAX_LOG_RECORDS {
+        let superseded_tasks = self.stored_tasks - self.live_tasks;
+        let is_too_long = self.records.len() > MAX_LOG_RECORDS
+            || superseded_tasks > self.live_tasks.max(MAX_SUPERSEDED_TASKS);
+        if !is_too_long {
             return Vec::new();
         }
-        let jobs = self.records.values().flatten();
+        let jobs = self.records.values().flat_map(|record| &record.live);
         jobs.take(MAX_REWRITES_PER_COMMIT).copied().collect()
     }
 }
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -13,6 +13,9 @@
 | `job/SERVICE/xID` | a cancellation request, until the job has ended |
 | `prog/SERVICE/NUMBER` | the progress of the jobs that one commit changed |
 
+A commit writes the sequence and one record. Summaries follow in writes of their own,
+which also remove the keys of the jobs that have ended.
+
 Each commit of an owner is conditional on the revision of `seq/SERVICE` that its
 previous commit wrote. Commits of a replaced owner therefore fail, and so do
 commits that the store executes late, after newer ones.
@@ -24,6 +27,7 @@
 mod orders;
 mod records;
 mod shard;
+mod summaries;
 #[cfg(test)]
 mod tests;
 
@@ -36,3 +40,4 @@
 pub(crate) use records::{CellKey, PUBLIC_PREFIX, SUMMARY_PREFIX, decode_value, encode_value};
 pub(crate) use records::{MemberEntry, OwnerEntry, StoredJob};
 pub(crate) use shard::{CommitStatus, OwnedShard};
+pub(crate) use summaries::WriteNumber;
--- a/crates/daemon/src/pipelines/records.rs
+++ b/crates/daemon/src/pipelines/records.rs
@@ -16,6 +16,10 @@
 /// less often than those below [`PUBLIC_PREFIX`].
 pub(crate) const SUMMARY_PREFIX: &str = "auburnsaddle/phase/";
 
+/// Largest number of conditions, puts and removals in one transaction. The platform
+/// accepts 32.
+pub(super) const MAX_TRANSACTION_ENTRIES: usize = 32;
+
 /// A key of the store, by the kind of its value.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum CellKey {
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -2,34 +2,23 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    sync::Arc,
     time::Duration,
 };
 
 use auburnsaddle_core::{
     CommitEntry, Epoch, PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad,
-    PipelinePhase, PipelineProgress, PipelineSpec, PipelineState, ProgressCommit, ServiceId,
+    PipelinePhase, PipelineProgress, PipelineState, ProgressCommit, ServiceId,
 };
 use auburnsaddle_platform::{StoreItem, StoreTransaction, TransactionOutcome};
 
 use super::{
-    acquire::LoadedShard,
+    acquire::{LoadedJob, LoadedShard},
     log::{ProgressLog, ProgressRecord, RecordNumber},
-    records::{CellKey, SequenceEntry, decode_value, encode_value},
+    records::{CellKey, MAX_TRANSACTION_ENTRIES, SequenceEntry, decode_value, encode_value},
+    summaries::{SummaryQueue, SummaryUpdate, WriteNumber},
 };
 use crate::job_table::JobSummary;
 
-/// Largest number of conditions, puts and removals in one transaction. The platform
-/// accepts 32.
-const MAX_TRANSACTION_ENTRIES: usize = 32;
-
-/// Entries that each commit needs: the sequence, its condition, and the record.
-const FIXED_COMMIT_ENTRIES: usize = 3;
-
-/// Entries reserved in each commit for the removal of superseded records, so that the
-/// log is truncated as fast as it grows.
-const RESERVED_TRUNCATION_ENTRIES: usize = 3;
-
 /// Largest number of tasks in one record, unless a single job has more. The progress
 /// of a task takes about 60 bytes, and a value of the store at most 1 MB.
 const MAX_RECORD_TASKS: usize = 4_096;
@@ -96,8 +85,9 @@
     log: ProgressLog,
     /// At most one commit is pending at a time.
     pending: Option<PendingCommit>,
-    /// Phases in the stored summaries. A summary is written only if its phase changed.
-    stored_phases: BTreeMap<PipelineId, PipelinePhase>,
+    /// Durable phases of the jobs that are not retired.
+    durable_phases: BTreeMap<PipelineId, PipelinePhase>,
+    summaries: SummaryQueue,
     /// Keys that later commits remove as far as they have room.
     obsolete_keys: Vec<String>,
     /// Ended jobs whose summaries are still in the store. Late events may add them
@@ -121,6 +111,7 @@
         now: Duration,
     ) -> Self {
         let mut shard = Self {
+            summaries: SummaryQueue::new(loaded.service.clone()),
             service: loaded.service,
             state: PipelineState::new(config, loaded.epoch, now),
             sequence: SequenceEntry {
@@ -130,36 +121,59 @@
             sequence_revision: loaded.revision,
             log: loaded.log,
             pending: None,
-            stored_phases: BTreeMap::new(),
+            durable_phases: BTreeMap::new(),
             obsolete_keys: Vec::new(),
             finished_jobs: BTreeSet::new(),
             summary_expiries: VecDeque::new(),
             summary_retention,
         };
         for job in loaded.jobs {
-            shard.add_job(job.id, job.spec, job.progress, now);
+            shard.add_job(job, now);
         }
         shard
     }
 
     /// Adds a job that was read from the store. It causes no orders before workers are
     /// listed.
-    fn add_job(
-        &mut self,
-        id: PipelineId,
-        spec: Arc<PipelineSpec>,
-        progress: Option<PipelineProgress>,
-        now: Duration,
-    ) {
-        if let Some(progress) = &progress {
-            self.stored_phases.insert(id, progress.phase);
+    fn add_job(&mut self, job: LoadedJob, now: Duration) {
+        self.summaries.add_job(job.id, job.revision);
+        // The predecessor may not have written the summary of this phase.
+        let phase = job.progress.as_ref().map(|progress| progress.phase);
+        let is_retired = job
+            .progress
+            .as_ref()
+            .is_some_and(|progress| progress.phase.is_final() && progress.is_unplaced());
+        if let Some(phase) = phase.filter(|phase| *phase > PipelinePhase::Queued) {
+            let update = SummaryUpdate {
+                summary: JobSummary::new(&job.spec, phase),
+                is_retired,
+            };
+            self.summaries.add(job.id, update, now);
+        }
+        match job.progress {
+            Some(_) if is_retired => {
+                self.finished_jobs.insert(job.id);
+                let expiry = now + self.summary_retention;
+                self.summary_expiries.push_back((expiry, job.id));
+            }
+            progress => {
+                let phase = phase.unwrap_or_default();
+                self.durable_phases.insert(job.id, phase);
+                let event = PipelineEvent::Stored(job.id, job.spec, progress);
+                let actions = self.state.handle(event, now);
+                debug_assert!(
+                    actions.is_empty(),
+                    "adding a job caused actions before any worker was listed"
+                );
+            }
+        }
+    }
+
+    /// Records the revision at which the key of a job was created.
+    pub(crate) fn add_job_key(&mut self, id: PipelineId, revision: u64) {
+        if !self.finished_jobs.contains(&id) {
+            self.summaries.add_job(id, revision);
         }
-        let event = PipelineEvent::Stored(id, spec, progress);
-        let actions = self.state.handle(event, now);
-        debug_assert!(
-            actions.is_empty(),
-            "adding a job caused actions before any worker was listed"
-        );
     }
 
     /// Handles an event; returns the actions to carry out.
@@ -185,7 +199,7 @@
         for id in self.log.jobs_to_rewrite() {
             self.state.request_rewrite(id);
         }
-        let mut budget = CommitBudget::new(&self.stored_phases);
+        let mut budget = CommitBudget::new();
         let commit = self.state.take_commit(|entry| budget.try_reserve(entry))?;
         let sequence = SequenceEntry {
             epoch: self.sequence.epoch,
@@ -193,12 +207,16 @@
         };
         let sequence_key = CellKey::Sequence(self.service.clone()).path();
         let record_key = CellKey::Record(self.service.clone(), sequence.commit).path();
+        let entries = commit.entries.iter().map(|entry| {
+            let retired = || PipelineProgress {
+                phase: entry.phase,
+                ..PipelineProgress::default()
+            };
+            let progress = entry.progress.clone().unwrap_or_else(retired);
+            (entry.pipeline, Some(progress))
+        });
         let record = ProgressRecord {
-            entries: commit
-                .entries
-                .iter()
-                .map(|entry| (entry.pipeline, entry.progress.clone()))
-                .collect(),
+            entries: entries.collect(),
         };
         let mut transaction = StoreTransaction {
             expected: vec![(sequence_key.clone(), self.sequence_revision)],
@@ -208,23 +226,6 @@
             ],
             removals: Vec::new(),
         };
-        for entry in &commit.entries {
-            let id = entry.pipeline;
-            if self.stored_phases.get(&id) != Some(&entry.phase) {
-                let summary = JobSummary::new(&entry.spec, entry.phase);
-                let key = CellKey::Summary(id).path();
-                transaction.puts.push((key, encode_value(&summary), 0));
-                self.stored_phases.insert(id, entry.phase);
-            }
-            if entry.progress.is_none() {
-                let key = CellKey::Job(self.service.clone(), id);
-                transaction.removals.push(key.path());
-                if entry.phase == PipelinePhase::Cancelled {
-                    let key = CellKey::Cancellation(self.service.clone(), id);
-                    transaction.removals.push(key.path());
-                }
-            }
-        }
         let truncated = self.log.superseded_records(free_entries(&transaction));
         let numbers = truncated.iter();
         let record_keys =
@@ -305,13 +306,21 @@
                 (entry.pipeline, summary)
             });
             finished.summaries = summaries.collect();
-            for entry in pending
-                .commit
-                .entries
-                .iter()
-                .filter(|entry| entry.progress.is_none())
-            {
-                self.stored_phases.remove(&entry.pipeline);
+            for entry in &pending.commit.entries {
+                let id = entry.pipeline;
+                let phase = self.durable_phases.insert(id, entry.phase);
+                let is_retired = entry.progress.is_none();
+                if is_retired || phase.unwrap_or_default() != entry.phase {
+                    let update = SummaryUpdate {
+                        summary: JobSummary::new(&entry.spec, entry.phase),
+                        is_retired,
+                    };
+                    self.summaries.add(id, update, now);
+                }
+            }
+            let entries = pending.commit.entries.iter();
+            for entry in entries.filter(|entry| entry.progress.is_none()) {
+                self.durable_phases.remove(&entry.pipeline);
                 let expiry = (now + self.summary_retention, entry.pipeline);
                 self.summary_expiries.push_back(expiry);
                 self.finished_jobs.insert(entry.pipeline);
@@ -321,6 +330,28 @@
         finished
     }
 
+    /// Starts the next write of summaries, or returns `None` if none is due. With
+    /// `is_urgent`, summaries do not wait for others.
+    pub(crate) fn next_summary_write(
+        &mut self,
+        is_urgent: bool,
+        now: Duration,
+    ) -> Option<(WriteNumber, StoreTransaction)> {
+        self.summaries.next_write(is_urgent, now)
+    }
+
+    /// Handles the outcome of a write of summaries.
+    pub(crate) fn finish_summary_write(
+        &mut self,
+        number: WriteNumber,
+        outcome: &TransactionOutcome,
+        now: Duration,
+    ) {
+        for id in self.summaries.finish_write(number, outcome, now) {
+            self.log.remove_job(id);
+        }
+    }
+
     /// Returns the revision of the pending commit if an earlier attempt has made it.
     fn committed_revision(&self, sequence: SequenceEntry, items: &[StoreItem]) -> Option<u64> {
         let key = CellKey::Sequence(self.service.clone()).path();
@@ -339,46 +370,38 @@
         self.pending.is_none() && self.state.is_committed()
     }
 
+    /// Returns whether the summaries of all durable phases are stored.
+    pub(crate) fn has_stored_summaries(&self) -> bool {
+        self.summaries.is_empty()
+    }
+
     pub(crate) fn load(&self) -> PipelineLoad {
         self.state.load()
     }
 }
 
-/// The entries and tasks that a commit can still take.
-struct CommitBudget<'a> {
-    stored_phases: &'a BTreeMap<PipelineId, PipelinePhase>,
-    /// Free entries of the transaction.
-    entries: usize,
+/// The tasks that a commit can still take.
+struct CommitBudget {
     /// Tasks for which the record still has space.
     tasks: usize,
 }
 
-impl<'a> CommitBudget<'a> {
-    const fn new(stored_phases: &'a BTreeMap<PipelineId, PipelinePhase>) -> Self {
+impl CommitBudget {
+    const fn new() -> Self {
         Self {
-            stored_phases,
-            entries: MAX_TRANSACTION_ENTRIES - FIXED_COMMIT_ENTRIES - RESERVED_TRUNCATION_ENTRIES,
             tasks: MAX_RECORD_TASKS,
         }
     }
 
     /// Reserves space for a job; returns whether there was enough.
     fn try_reserve(&mut self, entry: &CommitEntry) -> bool {
-        let has_summary = self.stored_phases.get(&entry.pipeline) != Some(&entry.phase);
-        let removals = match entry.progress {
-            Some(_) => 0,
-            None if entry.phase == PipelinePhase::Cancelled => 2,
-            None => 1,
-        };
         let steps = entry.progress.iter().flat_map(PipelineProgress::steps);
         let tasks: usize = steps.map(|step| step.tasks.len()).sum();
-        let entries = usize::from(has_summary) + removals;
         // A job with more tasks than a record takes gets a record of its own.
         let is_first_job = self.tasks == MAX_RECORD_TASKS;
-        if entries > self.entries || (tasks > self.tasks && !is_first_job) {
+        if tasks > self.tasks && !is_first_job {
             return false;
         }
-        self.entries -= entries;
         self.tasks = self.tasks.saturating_sub(tasks.max(1));
         true
     }
