Notice a silent store after two unanswered calls

Owners noticed the return of the store up to 3 s late, as their open commit waited for the peers.

Change: a daemon whose direct calls get no answer relays no calls of others, a relayed call has the time limit of a direct one, and a second peer is not tried after the first one got no answer from the store. A call counts for two of the four failures if no call was answered since it was sent; a single lost answer beside others still counts for one. Page reads, whose time limit is longer, keep half of it for the direct route instead of 600 ms.

Ruled out: rejecting after the first unanswered call. With a third of the answers lost it would reject one call in eight of a daemon with few calls.

Both new tests fail on the code before.

--- a/crates/daemon/src/session/route.rs
+++ b/crates/daemon/src/session/route.rs
@@ -7,9 +7,9 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
@@ -20,9 +20,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
-/// Time limit of a direct call while peers can relay it. Longer than the slow phases
-/// of the store, which last some hundred ms.
-const DIRECT_CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time limit of a probe of the direct route. Longer than the slow phases of the store,
+/// which last some hundred ms.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Part of a call's time limit for each of the two routes, while peers can relay it.
+const ROUTE_SHARE: u32 = 2;
 
 /// Added to the time limit of a relayed call for the exchange with the peer.
 const RELAY_OVERHEAD: Duration = Duration::from_millis(150);
@@ -35,6 +38,11 @@
 /// within a second.
 const OUTAGE_FAILURE_COUNT: usize = 4;
 
+/// Number of failures that a call counts for if no call was answered on either route since
+/// it was sent. A store that gives no answer to several calls is silent, whereas single
+/// answers are lost beside others that arrive.
+const SILENT_FAILURE_COUNT: usize = 2;
+
 /// Time between probes of the direct route while calls are relayed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -95,6 +103,13 @@
     next_peer: AtomicUsize,
     /// Number of calls that failed on both routes since the last success.
     failures: AtomicUsize,
+    /// Whether a direct call got no answer and none was answered since it was sent.
+    is_direct_silent: AtomicBool,
+    created_at: Instant,
+    /// Time of the last answer to a direct call, in ms since `created_at`; 0 before the first.
+    direct_answer_ms: AtomicU64,
+    /// The same for an answer on either route.
+    answer_ms: AtomicU64,
 }
 
 impl StoreRoute {
@@ -107,6 +122,10 @@
                 relay_started: Notify::new(),
                 next_peer: AtomicUsize::new(0),
                 failures: AtomicUsize::new(0),
+                is_direct_silent: AtomicBool::new(false),
+                created_at: Instant::now(),
+                direct_answer_ms: AtomicU64::new(0),
+                answer_ms: AtomicU64::new(0),
             }),
         }
     }
@@ -130,13 +149,13 @@
     }
 
     /// Executes a call for another daemon. Uses the direct route only, so that calls are
-    /// never relayed in a circle.
+    /// never relayed in a circle, and does not let the peer wait for a silent store.
     pub(crate) async fn execute_for_peer(&self, call: RelayedCall) -> RelayedAnswer {
         let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
             log::warn!(method = call.method.as_str(); "a peer's call has an unknown method");
             return RelayedAnswer::NotMade;
         };
-        if self.is_relaying() {
+        if self.is_relaying() || self.state.is_direct_silent.load(Ordering::Relaxed) {
             return RelayedAnswer::NotMade;
         }
         let request = StoreRequest {
@@ -147,7 +166,7 @@
             is_watch: false,
         };
         // A failure is logged by the daemon that sent the call.
-        match self.state.direct.exchange(request).await {
+        match self.call_direct(request).await {
             Ok(answer) => RelayedAnswer::Answered {
                 status: answer.status.as_u16(),
                 body: String::from_utf8_lossy(&answer.body).into_owned(),
@@ -157,6 +176,29 @@
         }
     }
 
+    /// Returns the time since the route was created, in ms, and at least 1.
+    fn elapsed_ms(&self) -> u64 {
+        let elapsed = self.state.created_at.elapsed().as_millis();
+        u64::try_from(elapsed).map_or(u64::MAX, |elapsed| elapsed.saturating_add(1))
+    }
+
+    /// Sends a call directly and records whether the store answers.
+    async fn call_direct(&self, request: StoreRequest) -> Result<BufferedResponse, CallError> {
+        let sent_ms = self.elapsed_ms();
+        let answer = self.state.direct.exchange(request).await;
+        let is_silent = match &answer {
+            Ok(_) => {
+                let answer_ms = &self.state.direct_answer_ms;
+                answer_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
+                false
+            }
+            Err(_) => self.state.direct_answer_ms.load(Ordering::Relaxed) < sent_ms,
+        };
+        let silence = &self.state.is_direct_silent;
+        silence.store(is_silent, Ordering::Relaxed);
+        answer
+    }
+
     fn is_relaying(&self) -> bool {
         self.state.is_relaying.load(Ordering::Relaxed)
     }
@@ -168,9 +210,9 @@
         let Some(body) = encode_call(request) else {
             return outcome;
         };
+        let limit = route_limit(request) + RELAY_OVERHEAD;
         for _ in 0..MAX_RELAY_ATTEMPTS.min(peers.len()) {
             let index = self.state.next_peer.load(Ordering::Relaxed) % peers.len();
-            let limit = request.time_limit + RELAY_OVERHEAD;
             match peers[index].post_json("/store", body.clone(), limit).await {
                 Ok(Some(body)) => match decode_answer(&body) {
                     Some(RelayedAnswer::Answered { status, body }) => {
@@ -181,7 +223,12 @@
                         return outcome;
                     }
                     Some(RelayedAnswer::NotMade) => {}
-                    Some(RelayedAnswer::Unanswered) | None => outcome.is_unresolved = true,
+                    Some(RelayedAnswer::Unanswered) => {
+                        // The store is silent for others as well.
+                        outcome.is_unresolved = true;
+                        return outcome;
+                    }
+                    None => outcome.is_unresolved = true,
                 },
                 Ok(None) | Err(CallError::Refused { .. } | CallError::Malformed { .. }) => {}
                 Err(_) => outcome.is_unresolved = true,
@@ -210,10 +257,10 @@
                     method: Method::GET,
                     path: format!("/kv-key?key={}", auburnsaddle_platform::MANIFEST_KEY),
                     body: None,
-                    time_limit: DIRECT_CALL_TIMEOUT,
+                    time_limit: PROBE_TIMEOUT,
                     is_watch: false,
                 };
-                let answer = route.state.direct.exchange(probe).await;
+                let answer = route.call_direct(probe).await;
                 if answer.is_ok_and(|answer| !is_refusal(answer.status)) {
                     route.state.is_relaying.store(false, Ordering::Relaxed);
                     log::info!("the store serves this daemon again; calls go to it directly");
@@ -227,12 +274,12 @@
     async fn exchange_direct(&self, request: &StoreRequest) -> Result<BufferedResponse, CallError> {
         let has_peers = !self.state.peers.load().is_empty();
         let mut direct = request.clone();
-        if has_peers && !request.is_watch {
-            direct.time_limit = direct.time_limit.min(DIRECT_CALL_TIMEOUT);
+        if has_peers {
+            direct.time_limit = route_limit(request);
         }
         let relay_started = self.state.relay_started.notified();
         tokio::select! {
-            answer = self.state.direct.exchange(direct) => answer,
+            answer = self.call_direct(direct) => answer,
             // A watch that is open on the failed direct route would receive no changes.
             () = relay_started, if request.is_watch => Err(CallError::Unanswered {
                 address: self.address(),
@@ -243,15 +290,25 @@
 
 impl StoreTransport for StoreRoute {
     async fn exchange(&self, request: StoreRequest) -> Result<BufferedResponse, CallError> {
+        let sent_ms = self.elapsed_ms();
         let answer = self.exchange_with_fallback(request).await;
-        match &answer {
+        let state = &self.state;
+        let failures = match &answer {
             Ok(answer) if !is_refusal(answer.status) => {
-                self.state.failures.store(0, Ordering::Relaxed);
+                state
+                    .answer_ms
+                    .fetch_max(self.elapsed_ms(), Ordering::Relaxed);
+                state.failures.store(0, Ordering::Relaxed);
+                0
             }
-            _ => {
-                self.state.failures.fetch_add(1, Ordering::Relaxed);
+            Err(CallError::Unanswered { .. })
+                if state.answer_ms.load(Ordering::Relaxed) < sent_ms =>
+            {
+                SILENT_FAILURE_COUNT
             }
-        }
+            _ => 1,
+        };
+        state.failures.fetch_add(failures, Ordering::Relaxed);
         answer
     }
 
@@ -298,6 +355,16 @@
     }
 }
 
+/// Returns the time limit of a call on one of its two routes. The store delays the response
+/// to a watch, so a watch keeps its whole limit.
+fn route_limit(request: &StoreRequest) -> Duration {
+    if request.is_watch {
+        request.time_limit
+    } else {
+        request.time_limit / ROUTE_SHARE
+    }
+}
+
 /// Encodes a call for a peer. Returns `None` if the body is not UTF-8.
 fn encode_call(request: &StoreRequest) -> Option<Vec<u8>> {
     let body = request.body.clone().map(String::from_utf8).transpose();
@@ -305,7 +372,7 @@
         method: request.method.to_string(),
         path: request.path.clone(),
         body: body.ok()?,
-        time_limit_ms: u64::try_from(request.time_limit.as_millis()).ok()?,
+        time_limit_ms: u64::try_from(route_limit(request).as_millis()).ok()?,
     };
     serde_json::to_vec(&call).ok()
 }
--- a/crates/daemon/src/session/tests.rs
+++ b/crates/daemon/src/session/tests.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
 
-use super::{CellStore, RelayedCall, RetryDelay, StoreRoute};
+use super::{CellStore, RelayedCall, RetryDelay, StoreRoute, route::RelayedAnswer};
 use crate::ingress::{HttpService, IngressResponse, serve_http};
 
 /// Guards against retries every few milliseconds while a dependency is unavailable.
@@ -182,6 +182,49 @@
     assert_eq!(calls.load(Ordering::Relaxed), 2);
 }
 
+/// Guards against submissions that are held until their callers give up: while the store was
+/// silent for all daemons, each call waited for its own time-out on each route, three seconds
+/// together, and four of them had to fail before requests were rejected at once.
+#[tokio::test]
+async fn a_silent_store_counts_as_unavailable_after_two_unanswered_calls() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer_route = StoreRoute::new(&silent.local_addr().unwrap().to_string());
+    let (peer, _) = start(StatusCode::OK, Some(peer_route)).await;
+    let route = StoreRoute::new(&silent.local_addr().unwrap().to_string());
+    route.set_peers(vec![HttpEndpoint::new(&peer)]);
+    let client = CellStore::new(route.clone());
+
+    let first = client.commit(&StoreTransaction::default()).await;
+    let after_one = route.is_unavailable();
+    let second = client.commit(&StoreTransaction::default()).await;
+
+    assert_eq!(
+        [first, second],
+        [TransactionOutcome::Unknown, TransactionOutcome::Unknown]
+    );
+    assert_eq!((after_one, route.is_unavailable()), (false, true));
+}
+
+/// Guards against a daemon that lets a peer wait for the store although its own calls get no
+/// answer.
+#[tokio::test]
+async fn a_daemon_without_answers_from_the_store_relays_no_calls() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let route = StoreRoute::new(&silent.local_addr().unwrap().to_string());
+    let call = RelayedCall {
+        method: "POST".to_owned(),
+        path: "/kv-txn".to_owned(),
+        body: None,
+        time_limit_ms: 20,
+    };
+
+    let first = route.execute_for_peer(call.clone()).await;
+    let second = route.execute_for_peer(call).await;
+
+    assert!(matches!(first, RelayedAnswer::Unanswered), "{first:?}");
+    assert!(matches!(second, RelayedAnswer::NotMade), "{second:?}");
+}
+
 /// Guards against requests that each wait for their own time-out during an outage, and
 /// against a daemon that does not notice the end of the outage.
 #[tokio::test]
