--- a/crates/core/src/pipelines/queue.rs
+++ b/crates/core/src/pipelines/queue.rs
@@ -32,14 +32,15 @@
     pub(super) fn new(spec: &PipelineSpec) -> Self {
         Self {
             critical_path_ms: spec.critical_path_ms(),
-            objective_ms: spec.objective_unix_ms(0) - spec.start_unix_ms(0),
+            objective_ms: spec.objective_ms(),
             is_long_running: spec.steps.iter().any(|step| step.long_running),
         }
     }
 
     /// Returns the time by which an occurrence should be done, in ms since 1970.
     pub(super) fn objective_unix_ms(&self, spec: &PipelineSpec, occurrence: u32) -> u64 {
-        spec.start_unix_ms(occurrence) + self.objective_ms
+        spec.start_unix_ms(occurrence)
+            .saturating_add(self.objective_ms)
     }
 
     /// Returns the position of an occurrence in the queue.
@@ -49,8 +50,9 @@
     /// all of them would be late.
     fn queue_rank(&self, spec: &PipelineSpec, occurrence: u32, wall_ms: u64) -> QueueRank {
         let start = spec.start_unix_ms(occurrence);
-        let objective = start + self.objective_ms;
-        let expires_at = start + self.objective_ms * EXPIRY_FACTOR;
+        let objective = start.saturating_add(self.objective_ms);
+        let expiry_ms = self.objective_ms.saturating_mul(EXPIRY_FACTOR);
+        let expires_at = start.saturating_add(expiry_ms);
         let is_late = !self.is_long_running && wall_ms > objective;
         let is_expired = !self.is_long_running && wall_ms > expires_at;
         (is_expired, spec.policy.priority, is_late, objective)
--- a/crates/core/src/pipelines/spec.rs
+++ b/crates/core/src/pipelines/spec.rs
@@ -250,18 +250,25 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns the time by which an occurrence should be done (its latency
-    /// objective), in ms since 1970.
+    /// Returns the time from the start of an occurrence to its latency objective, in ms.
     #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss,
-        reason = "run times are far below 2^52 ms"
+        reason = "the cast saturates, and run times are far below 2^52 ms"
     )]
-    pub fn objective_unix_ms(&self, occurrence: u32) -> u64 {
+    pub fn objective_ms(&self) -> u64 {
         let stretched_path_ms = (self.critical_path_ms() as f64 * self.policy.stretch) as u64;
-        self.start_unix_ms(occurrence) + stretched_path_ms + self.policy.target_latency_ms
+        stretched_path_ms.saturating_add(self.policy.target_latency_ms)
+    }
+
+    /// Returns the time by which an occurrence should be done (its latency
+    /// objective), in ms since 1970.
+    #[must_use]
+    pub fn objective_unix_ms(&self, occurrence: u32) -> u64 {
+        let start = self.start_unix_ms(occurrence);
+        start.saturating_add(self.objective_ms())
     }
 
     /// Returns the time from which an occurrence may run, in ms since 1970.
