Do not report an accepted job as refused while the store is unavailable

Cause: a submission was answered with 503 as soon as the store was unavailable, before the daemon looked whether it knows the job. 503 says that the job was not accepted and never runs. The same happened to a job whose write was executed and whose answer was lost, if the store then refused the next attempt.

Change: while the store is unavailable, a daemon answers 200 for a job that it or the owner of its service knows. A daemon that has never heard of the job, and whose owner has not either, still answers 503: it cannot tell a first submission from one whose first attempt had an unknown outcome at another daemon.

Ruled out: 504 for all submissions without the store. Callers of an unsafe request cannot tell whether to come back then.

Both new tests of the processes fail on the code before (503 instead of 200 and of 504).

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -281,6 +281,7 @@
             // The send fails only if the requester no longer waits for the reply.
             CellEvent::GetSummary(id, reply) => drop(reply.send(self.jobs.get(id).cloned())),
             CellEvent::FindJob(id, reply) => drop(reply.send(self.find_job(id))),
+            CellEvent::FindOwner(service, reply) => drop(reply.send(self.peer_owner(&service))),
             CellEvent::CountWaiting(queue, reply) => drop(reply.send(self.jobs.waiting(&queue))),
             CellEvent::Dump(reply) => drop(reply.send(self.dump())),
             CellEvent::Drain(reply) => {
@@ -296,12 +297,18 @@
     fn find_job(&self, id: PipelineId) -> JobLookup {
         let summary = self.jobs.get(id).cloned();
         let open = summary.as_ref().filter(|row| !row.phase.is_final());
-        let owner = open.and_then(|row| self.owners.get(&row.service));
-        let owner = owner.filter(|owner| owner.daemon != self.settings.daemon);
-        let owner = owner.and_then(|owner| self.members.get(&owner.daemon).cloned());
+        let owner = open.and_then(|row| self.peer_owner(&row.service));
         JobLookup { summary, owner }
     }
 
+    /// Returns the endpoint of the owner of a service if that is another daemon.
+    fn peer_owner(&self, service: &ServiceId) -> Option<HttpEndpoint> {
+        let owner = self.owners.get(service)?;
+        let is_peer = owner.daemon != self.settings.daemon;
+        let endpoint = self.members.get(&owner.daemon).filter(|_| is_peer);
+        endpoint.cloned()
+    }
+
     /// Passes an event to an owned service and executes the resulting actions. Ignores
     /// events of an earlier epoch.
     fn dispatch_event(&mut self, service: &ServiceId, epoch: u64, event: PipelineEvent) {
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -66,6 +66,8 @@
     GetSummary(PipelineId, oneshot::Sender<Option<JobSummary>>),
     /// Query: the summary of a job, and the owner of its service until the job ends.
     FindJob(PipelineId, oneshot::Sender<JobLookup>),
+    /// Query: the daemon that owns a service, if that is another one.
+    FindOwner(ServiceId, oneshot::Sender<Option<HttpEndpoint>>),
     /// Query: the number of jobs of a queue that have not started.
     CountWaiting(String, oneshot::Sender<u64>),
     /// Query: the state of the control thread as JSON, for operators.
@@ -101,6 +103,14 @@
         lookup.unwrap_or_default()
     }
 
+    /// Returns the owner of a service, if that is another daemon.
+    pub(crate) async fn owner(&self, service: &ServiceId) -> Option<HttpEndpoint> {
+        let service = service.clone();
+        self.send_request(|reply| CellEvent::FindOwner(service, reply))
+            .await
+            .flatten()
+    }
+
     /// Returns the number of jobs of a queue that have not started.
     pub(crate) async fn waiting_jobs(&self, queue: &str) -> u64 {
         let queue = queue.to_owned();
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -36,7 +36,7 @@
     metrics::CellMetrics,
 };
 use crate::{
-    ingress::{JobService, PeerService, ReadyService, serve_http},
+    ingress::{JobService, PeerService, ReadyService, UnresolvedJobs, serve_http},
     pipelines::{MemberEntry, PUBLIC_PREFIX, SUMMARY_PREFIX, encode_value},
     session::{CellStore, RetryDelay, StoreRoute, maintain_lease, watch_prefix},
     telemetry::{BootClock, init_output_logger},
@@ -224,6 +224,7 @@
         control: control.clone(),
         draining: Arc::clone(&draining),
         metrics,
+        unresolved: UnresolvedJobs::default(),
     };
     let (stop_accepting, mut accept_stopped) = watch::channel(false);
     let caller_server = tokio::spawn(serve_http(callers, jobs, async move {
--- a/crates/daemon/src/ingress/jobs.rs
+++ b/crates/daemon/src/ingress/jobs.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use auburnsaddle_core::{PipelineId, PipelinePhase};
+use auburnsaddle_core::{PipelineId, PipelinePhase, ServiceId};
 use auburnsaddle_platform::{
     Manifest, QueueRoute, StoreTransaction, TransactionOutcome, decode_job, encode_pending,
     encode_phase, parse_job_id,
@@ -21,6 +21,7 @@
 
 use super::peers::fetch_summary;
 use super::serve::{HttpService, IngressResponse, empty_response, json_response, retry_response};
+use super::unresolved::UnresolvedJobs;
 use crate::{
     cell::{CellHandle, CellMetrics},
     job_table::JobSummary,
@@ -64,6 +65,8 @@
     pub(crate) control: CellHandle,
     pub(crate) draining: Arc<AtomicBool>,
     pub(crate) metrics: CellMetrics,
+    /// Jobs that this daemon may have stored without learning it.
+    pub(crate) unresolved: UnresolvedJobs,
 }
 
 /// The outcome of a write after all retries.
@@ -128,7 +131,8 @@
         }
     }
 
-    /// Stores a new job. A job that was accepted before is accepted again without effect.
+    /// Stores a new job. A job that was accepted before is accepted again without effect,
+    /// also while the store is unavailable.
     async fn submit(
         &self,
         request: Request<Incoming>,
@@ -137,14 +141,10 @@
         id: PipelineId,
     ) -> IngressResponse {
         let request_id = format!("{id:016x}");
+        let started_at = Instant::now();
         let write_timeout = write_timeout(&request);
         if self.route.is_unavailable() {
-            log::warn!(
-                request_id = request_id.as_str();
-                "job not accepted: the store is unavailable"
-            );
-            self.metrics.record_refusal("store_away");
-            return retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds());
+            return self.answer_without_store(id, &route.policy.service).await;
         }
         let body = Limited::new(request.into_body(), manifest.limits.max_body_bytes).collect();
         let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
@@ -188,26 +188,55 @@
                 empty_response(StatusCode::OK)
             }
             WriteOutcome::Exists => empty_response(StatusCode::OK),
-            WriteOutcome::Refused => {
-                log::warn!(
-                    request_id = request_id.as_str(), queue;
-                    "job not accepted: the store refused the write"
-                );
-                self.metrics.record_refusal("store");
-                retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds())
-            }
+            WriteOutcome::Refused => self.refuse(id, "store"),
             WriteOutcome::Unknown => {
                 log::warn!(
                     request_id = request_id.as_str(), queue,
                     patience_ms = write_timeout.as_millis();
                     "job may have been accepted: the store did not answer in time"
                 );
+                self.unresolved.insert(id, started_at);
                 self.metrics.record_refusal("unknown");
                 empty_response(StatusCode::GATEWAY_TIMEOUT)
             }
         }
     }
 
+    /// Answers the submission of a job that cannot be stored now: with success if the job
+    /// is stored already, as this daemon or the owner of its service knows.
+    async fn answer_without_store(&self, id: PipelineId, service: &ServiceId) -> IngressResponse {
+        if self.control.summary(id).await.is_some() {
+            return empty_response(StatusCode::OK);
+        }
+        if let Some(owner) = self.control.owner(service).await
+            && let Some(summary) = fetch_summary(&owner, id).await
+        {
+            self.control.add_accepted_job(id, summary).await;
+            return empty_response(StatusCode::OK);
+        }
+        self.refuse(id, "store_away")
+    }
+
+    /// Answers a submission that was not stored. If an earlier one of the same job may have
+    /// been, the answer is that the outcome is unknown.
+    fn refuse(&self, id: PipelineId, reason: &'static str) -> IngressResponse {
+        let request_id = format!("{id:016x}");
+        if self.unresolved.contains(id, Instant::now()) {
+            log::warn!(
+                request_id = request_id.as_str(), reason;
+                "job may have been accepted by an earlier request"
+            );
+            self.metrics.record_refusal("unknown");
+            return empty_response(StatusCode::GATEWAY_TIMEOUT);
+        }
+        log::warn!(
+            request_id = request_id.as_str(), reason;
+            "job not accepted: the store is unavailable or refused the write"
+        );
+        self.metrics.record_refusal(reason);
+        retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds())
+    }
+
     /// Logs and counts a rejected job; returns the response.
     fn reject(&self, job_id: &str, reason: &'static str, status: StatusCode) -> IngressResponse {
         log::info!(request_id = job_id, reason, status = status.as_u16(); "rejected a job");
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -3,9 +3,13 @@
 mod jobs;
 mod peers;
 mod serve;
+#[cfg(test)]
+mod tests;
+mod unresolved;
 
 pub(crate) use jobs::JobService;
 pub(crate) use peers::{PeerService, ReadyService};
 pub(crate) use serve::serve_http;
 #[cfg(test)]
 pub(crate) use serve::{HttpService, IngressResponse};
+pub(crate) use unresolved::UnresolvedJobs;
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -522,6 +522,54 @@
     assert_eq!(cell.task_starts().len(), 2);
 }
 
+/// Guards against callers that are told that an accepted job was not accepted, because they
+/// submit it again, at any daemon, while the store is unavailable.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_accepted_job_is_never_reported_as_refused() {
+    let cell = start_cell(2, Duration::from_millis(200)).await;
+    let accepted = cell.submit(0, 1, &job(1)).await;
+    cell.wait_for_job_state(0, 1, "completed").await;
+
+    cell.store.set_unavailable(true);
+    cell.wait_for("a refusal at both daemons", || async {
+        let responses = [
+            cell.submit(0, 2, &job(1)).await,
+            cell.submit(1, 2, &job(1)).await,
+        ];
+        responses == [Some(StatusCode::SERVICE_UNAVAILABLE); 2]
+    })
+    .await;
+    let repeated = [
+        cell.submit(0, 1, &job(1)).await,
+        cell.submit(1, 1, &job(1)).await,
+    ];
+
+    assert_eq!(accepted, Some(StatusCode::OK));
+    assert_eq!(repeated, [Some(StatusCode::OK); 2]);
+    assert_eq!(cell.task_starts().len(), 1);
+}
+
+/// Guards against callers that are told that a job was not accepted, although an earlier
+/// submission of it was stored and its answer was lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_may_be_stored_is_not_reported_as_refused() {
+    let cell = start_cell(1, Duration::from_millis(200)).await;
+
+    cell.store.fail_after_commit();
+    let first = cell.submit(0, 1, &job(1)).await;
+    cell.wait_for("a refusal of another job", || async {
+        cell.submit(0, 2, &job(1)).await == Some(StatusCode::SERVICE_UNAVAILABLE)
+    })
+    .await;
+    let repeated = cell.submit(0, 1, &job(1)).await;
+    cell.store.set_unavailable(false);
+    cell.wait_for_job_state(0, 1, "completed").await;
+
+    assert_eq!(first, Some(StatusCode::GATEWAY_TIMEOUT));
+    assert_eq!(repeated, Some(StatusCode::GATEWAY_TIMEOUT));
+    assert_eq!(cell.task_starts().len(), 1);
+}
+
 /// Guards against an owner that continues after the store has revoked its lease.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_complete_after_their_owner_loses_its_lease() {
