Check the ownership where a start order is sent

Cause: found while looking for a process that acts on a permission that has run out. An owner checks before it releases a start order that the store has confirmed its ownership. The order then waits for one of three connections to the worker. A daemon that is suspended meanwhile, or has handed its service over, still sent it. The worker rejects it by its token and its deadline once the successor has claimed the worker, but not before.

Change: a permit with the confirmed time, on the clock that includes suspensions, is checked where the order is sent. It ends with the ownership. An order that is not sent is reported as such, and its task is placed again. Renewals need no such check: their deadline is a time on the worker's clock, and a successor waits for the longest lease that they can give.

--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -135,6 +135,9 @@
     OtherInstance,
     /// The order is malformed.
     Invalid,
+    /// The order was not sent, because the ownership was not confirmed any more when it
+    /// would have been.
+    NotSent,
     /// There was no answer: the worker may have started the run or may still do so.
     Unanswered,
 }
@@ -153,6 +156,7 @@
             Self::Unhealthy => "unhealthy",
             Self::OtherInstance => "other_instance",
             Self::Invalid => "invalid",
+            Self::NotSent => "not_sent",
             Self::Unanswered => "unanswered",
         }
     }
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -548,6 +548,7 @@
                             cache.reject_ticket(record.instance);
                         }
                     }
+                    StartResult::NotSent => {}
                     _ => record.penalized_until = now + REJECTION_PENALTY,
                 }
                 self.log_rejected_start(worker, run, result);
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -522,8 +522,8 @@
             now,
         );
         let handle = self.effects.create_shard_handle(shard, watches);
+        let confirmed = handle.confirm_ownership(self.lease_valid_until);
         self.shards.insert(service.clone(), handle);
-        let confirmed = PipelineEvent::OwnershipConfirmed(self.lease_valid_until);
         let workers = workers.into_iter().map(PipelineEvent::Listed);
         let cancelled = cancelled.into_iter().map(PipelineEvent::Cancelled);
         let tick = PipelineEvent::Tick(unix_ms());
@@ -552,11 +552,13 @@
             LeaseUpdate::Extended(until) => {
                 self.lease_valid_until = until;
                 let shards = self.shards.iter();
-                let shards: Vec<(ServiceId, u64)> = shards
-                    .map(|(service, handle)| (service.clone(), handle.shard.epoch()))
-                    .collect();
-                for (service, epoch) in shards {
-                    self.dispatch_event(&service, epoch, PipelineEvent::OwnershipConfirmed(until));
+                let confirmations = shards.map(|(service, handle)| {
+                    let event = handle.confirm_ownership(until);
+                    (service.clone(), handle.shard.epoch(), event)
+                });
+                let confirmations: Vec<(ServiceId, u64, PipelineEvent)> = confirmations.collect();
+                for (service, epoch, event) in confirmations {
+                    self.dispatch_event(&service, epoch, event);
                 }
             }
             LeaseUpdate::Granted(lease) => self.lease = Some(lease),
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -86,6 +86,12 @@
 }
 
 impl ShardHandle {
+    /// Records until when the store has confirmed the ownership. Returns the event.
+    pub(super) fn confirm_ownership(&self, until: Duration) -> PipelineEvent {
+        self.orders.permit_until(until);
+        PipelineEvent::OwnershipConfirmed(until)
+    }
+
     /// Applies an update of the jobs of the service. Returns the events.
     pub(super) fn apply_jobs(&mut self, update: PrefixUpdate) -> Vec<PipelineEvent> {
         let items: Vec<StoreItem> = match update {
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -33,7 +33,7 @@
 mod shard;
 mod summaries;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub(crate) use acquire::{AcquireOutcome, LoadedShard, acquire_shard};
 pub(crate) use advisors::count_advisors;
--- a/crates/daemon/src/pipelines/orders.rs
+++ b/crates/daemon/src/pipelines/orders.rs
@@ -1,9 +1,17 @@
 //! Sends orders to workers and reports their outcomes to the control thread.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use auburnsaddle_core::{
-    PaceOrder, PipelineAction, PipelineEvent, RenewalOrder, StartOrder, StopOrder, WorkerId,
+    PaceOrder, PipelineAction, PipelineEvent, RenewalOrder, StartOrder, StartResult, StopOrder,
+    WorkerId,
 };
 use auburnsaddle_platform::WorkerClient;
 use tokio::{
@@ -20,6 +28,28 @@
 /// Delay before a stop that failed is sent a second time.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Until when the store has confirmed an ownership. Clones share the time.
+///
+/// Failure mode: a daemon is suspended, or hands its service over, after an order was decided
+/// and before it is sent. The permit is therefore checked where the order is sent, on a clock
+/// that includes suspensions.
+#[derive(Clone, Debug, Default)]
+struct OwnershipPermit {
+    /// End of the confirmed time in ms; 0 once the ownership has ended.
+    until_ms: Arc<AtomicU64>,
+}
+
+impl OwnershipPermit {
+    fn set(&self, until: Duration) {
+        let until_ms = u64::try_from(until.as_millis()).unwrap_or(u64::MAX);
+        self.until_ms.store(until_ms, Ordering::Release);
+    }
+
+    fn is_valid(&self, now: Duration) -> bool {
+        now.as_millis() < u128::from(self.until_ms.load(Ordering::Acquire))
+    }
+}
+
 /// The client of one worker.
 #[derive(Clone, Debug)]
 struct WorkerConnection {
@@ -38,9 +68,16 @@
     service: Arc<str>,
     /// Epoch of this ownership; outcomes that arrive in another epoch are ignored.
     epoch: u64,
+    permit: OwnershipPermit,
     connections: BTreeMap<WorkerId, WorkerConnection>,
 }
 
+impl Drop for WorkerOrders {
+    fn drop(&mut self) {
+        self.permit.set(Duration::ZERO);
+    }
+}
+
 impl WorkerOrders {
     pub(crate) fn new(
         runtime: Handle,
@@ -55,10 +92,16 @@
             clock,
             service,
             epoch,
+            permit: OwnershipPermit::default(),
             connections: BTreeMap::new(),
         }
     }
 
+    /// Permits start orders to be sent until the given time.
+    pub(crate) fn permit_until(&self, until: Duration) {
+        self.permit.set(until);
+    }
+
     /// Sends an action that is an order to a worker; returns any other action.
     pub(crate) fn send(&mut self, action: PipelineAction) -> Option<PipelineAction> {
         match action {
@@ -100,9 +143,14 @@
     fn start(&mut self, order: StartOrder) {
         let connection = self.connection(&order.worker, &order.address);
         let (wrap_event, events) = (self.event_wrapper(), self.events.clone());
+        let (ownership, clock) = (self.permit.clone(), self.clock);
         self.runtime.spawn(async move {
             let _permit = connection.permits.acquire().await;
-            let result = connection.client.start(&order).await;
+            let result = if ownership.is_valid(clock.now()) {
+                connection.client.start(&order).await
+            } else {
+                StartResult::NotSent
+            };
             let event = PipelineEvent::StartAnswered(order.worker, order.run, result);
             // Sending fails only while the process shuts down, after the end of the
             // control thread.
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -5,21 +5,25 @@
 };
 
 use auburnsaddle_core::{
-    AdviceOrder, AdvicePolicy, PipelineConfig, PipelineEvent, PipelinePhase, PipelineProgress,
-    QueuePolicy, RenewalFailure, RenewalReport, ResourceVector, RunKey, ServiceId, StartResult,
-    StepKey, StepProgress, StepSpec, TaskKey, TaskProgress, WorkerListing,
+    AdviceOrder, AdvicePolicy, PipelineAction, PipelineConfig, PipelineEvent, PipelinePhase,
+    PipelineProgress, QueuePolicy, RenewalFailure, RenewalReport, ResourceVector, RunKey,
+    ServiceId, StartOrder, StartResult, StepKey, StepProgress, StepSpec, TaskKey, TaskProgress,
+    WorkerListing,
 };
 use auburnsaddle_platform::{StoreItem, StoreTransaction, TransactionOutcome};
+use auburnsaddle_platform_standin::WorkerStandin;
+use tokio::{runtime::Handle, sync::mpsc};
 
 use super::{
     acquire::{LoadedJob, LoadedShard},
     advisors::{AdvisorTable, count_advisors},
     log::{ProgressLog, ProgressRecord},
     notices::{JobChange, JobNotice},
+    orders::WorkerOrders,
     records::{CellKey, SequenceEntry, decode_value, encode_value},
     shard::{CommitStatus, OwnedShard},
 };
-use crate::pipelines::StoredJob;
+use crate::{cell::CellEvent, pipelines::StoredJob, telemetry::BootClock};
 
 fn advice_order(decision_ms: f64) -> AdviceOrder {
     AdviceOrder {
@@ -60,7 +64,7 @@
 }
 
 /// Returns what a takeover of a service without jobs reads.
-fn empty_shard() -> LoadedShard {
+pub(crate) fn empty_shard() -> LoadedShard {
     LoadedShard {
         service: service_id(),
         epoch: 3,
@@ -549,6 +553,63 @@
     assert!(!shard.state.contains(1));
 }
 
+/// Returns an order to start a task on the worker.
+fn start_order(worker: &WorkerStandin) -> StartOrder {
+    let (_, registration) = worker.registration("sales");
+    StartOrder {
+        worker: "w1".into(),
+        address: registration["address"].as_str().unwrap().to_owned(),
+        run: RunKey {
+            task: TaskKey {
+                step: StepKey {
+                    pipeline: 1,
+                    occurrence: 0,
+                    step: 0,
+                },
+                index: 0,
+            },
+            attempt: 1,
+        },
+        command: "run".into(),
+        deadline_ms: 60_000,
+        token: 1,
+        checkpoint: String::new(),
+        ticket: None,
+    }
+}
+
+/// Returns the outcome of the order that was sent last.
+async fn next_start_result(events: &mut mpsc::Receiver<CellEvent>) -> Option<StartResult> {
+    match events.recv().await {
+        Some(CellEvent::Pipeline(_, _, PipelineEvent::StartAnswered(_, _, result))) => Some(result),
+        _ => None,
+    }
+}
+
+/// Guards against orders that were decided before a suspension or a hand-over and are sent
+/// after the ownership has run out.
+#[tokio::test]
+async fn a_start_is_not_sent_after_the_ownership_has_run_out() {
+    let worker = WorkerStandin::start("w1", Duration::from_secs(1)).await;
+    let (events, mut received) = mpsc::channel(8);
+    let clock = BootClock::start();
+    let mut orders = WorkerOrders::new(Handle::current(), events, clock, service_id(), 1);
+    let start = || PipelineAction::Start(start_order(&worker));
+
+    orders.permit_until(clock.now());
+    orders.send(start());
+    let expired = next_start_result(&mut received).await;
+    orders.permit_until(clock.now() + Duration::from_mins(1));
+    orders.send(start());
+    // The order is decided, and the service is released before it is sent.
+    drop(orders);
+    let released = next_start_result(&mut received).await;
+
+    assert_eq!(expired, Some(StartResult::NotSent));
+    assert_eq!(released, Some(StartResult::NotSent));
+    assert!(worker.starts().is_empty());
+}
+
 /// Returns a notice about job 1.
 fn notice(revision: u64, change: JobChange) -> JobNotice {
     JobNotice {
