End a takeover with its lease, and know the workers that it has read

Cause: both found while looking for daemons that act twice around a hand-over, and for workers that have left and are used again. If the lease ended and another one was granted while a takeover read the state of the service, the daemon acted as the owner under the new lease, without a key in the store, until its first commit failed or another daemon took over. The workers that a takeover had read were not in the list against which removals are compared. A worker whose entry was removed before it was written again, as that of a worker that crashed before the takeover, stayed known for the whole ownership, and was called every 250 ms.

Change: the outcome of a takeover names its lease and has no effect under another one. The list begins with the workers that were read.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -191,7 +191,7 @@
         due.min().unwrap_or(TICK_INTERVAL)
     }
 
-    fn handle(&mut self, event: CellEvent) {
+    pub(super) fn handle(&mut self, event: CellEvent) {
         let now = self.effects.clock.now();
         match event {
             CellEvent::Pipeline(service, epoch, event) => {
@@ -240,7 +240,9 @@
                 let services = routes.map(|route| route.policy.service.clone());
                 self.services.extend(services);
             }
-            CellEvent::Acquired(service, outcome) => self.finish_takeover(&service, outcome),
+            CellEvent::Acquired(service, lease, outcome) => {
+                self.finish_takeover(&service, lease, outcome);
+            }
             CellEvent::Committed(service, epoch, outcome) => {
                 self.finish_commit(&service, epoch, &outcome);
             }
@@ -407,7 +409,7 @@
     }
 
     /// Checks deadlines, updates the gauges and the readiness, and starts takeovers.
-    fn tick(&mut self) {
+    pub(super) fn tick(&mut self) {
         let now = self.effects.clock.now();
         let wall_ms = unix_ms();
         let services: Vec<ServiceId> = self.shards.keys().cloned().collect();
@@ -488,10 +490,18 @@
         RANK_TAKEOVER_DELAY.saturating_mul(rank) + SHARD_TAKEOVER_DELAY.saturating_mul(owned)
     }
 
-    /// Handles the outcome of a takeover; after a success, starts to schedule the service.
-    fn finish_takeover(&mut self, service: &ServiceId, outcome: AcquireOutcome) {
+    /// Handles the outcome of a takeover under a lease; after a success, starts to schedule
+    /// the service. If the lease has ended meanwhile, so has the ownership.
+    fn finish_takeover(&mut self, service: &ServiceId, lease: u64, outcome: AcquireOutcome) {
         let now = self.effects.clock.now();
         self.acquiring.remove(service);
+        if self.lease.is_none_or(|current| current.id != lease) {
+            log::warn!(
+                service = service.as_ref(), lease;
+                "the lease of a takeover ended before the state of the service was read"
+            );
+            return;
+        }
         let loaded = match outcome {
             AcquireOutcome::Acquired(loaded) => loaded,
             AcquireOutcome::Taken => return,
@@ -521,7 +531,9 @@
             self.settings.status_retention,
             now,
         );
-        let handle = self.effects.create_shard_handle(shard, watches);
+        let handle = self
+            .effects
+            .create_shard_handle(shard, workers.clone(), watches);
         let confirmed = handle.confirm_ownership(self.lease_valid_until);
         self.shards.insert(service.clone(), handle);
         let workers = workers.into_iter().map(PipelineEvent::Listed);
@@ -682,7 +694,7 @@
     }
 
     /// Returns the state of the thread as JSON.
-    fn dump(&self) -> String {
+    pub(super) fn dump(&self) -> String {
         let shards = self.shards.iter().map(|(service, handle)| {
             let load = handle.shard.load();
             json!({
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -207,9 +207,12 @@
 
 impl CellEffects {
     /// Returns the handle of a service that was taken over.
+    ///
+    /// `workers` are those that the takeover has read; the watch reports only changes.
     pub(super) fn create_shard_handle(
         &self,
         shard: OwnedShard,
+        workers: Vec<WorkerListing>,
         watches: Vec<JoinHandle<()>>,
     ) -> ShardHandle {
         let orders = WorkerOrders::new(
@@ -219,6 +222,8 @@
             shard.service.clone(),
             shard.epoch(),
         );
+        let workers = workers.into_iter();
+        let listed = workers.map(|listing| (listing.worker.clone(), listing));
         ShardHandle {
             shard,
             has_new_events: true,
@@ -229,7 +234,7 @@
             watches,
             summary_writes: JoinSet::new(),
             pending_delists: BTreeMap::new(),
-            listed: BTreeMap::new(),
+            listed: listed.collect(),
         }
     }
 
@@ -271,7 +276,8 @@
         self.runtime.spawn(async move {
             let outcome =
                 acquire_shard(&store, service.clone(), &daemon, lease, owner_revision).await;
-            let _ = events.send(CellEvent::Acquired(service, outcome)).await;
+            let event = CellEvent::Acquired(service, lease.id, outcome);
+            let _ = events.send(event).await;
         });
     }
 
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -51,8 +51,8 @@
     Workers(ServiceId, u64, PrefixUpdate),
     /// A newer version of the manifest was read.
     Manifest(Arc<Manifest>),
-    /// The outcome of a takeover.
-    Acquired(ServiceId, AcquireOutcome),
+    /// The outcome of a takeover under the lease with this identifier.
+    Acquired(ServiceId, u64, AcquireOutcome),
     /// The outcome of a commit of an owned service.
     Committed(ServiceId, u64, TransactionOutcome),
     /// The outcome of a write of job summaries.
