--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -254,7 +254,9 @@
                 }
             }
             CellEvent::Advised(service, epoch, outcome) => {
-                self.advisors.finish(&outcome.daemon, outcome.cost_ms);
+                let (daemon, is_answered) = (&outcome.daemon, outcome.report.is_some());
+                self.advisors
+                    .finish(daemon, outcome.cost_ms, is_answered, now);
                 let event =
                     PipelineEvent::AdviceAnswered(outcome.step, outcome.report, outcome.arrived_at);
                 self.dispatch_event(&service, epoch, event);
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -388,7 +388,7 @@
     ) {
         let own = daemon.to_owned();
         let daemons = members.keys().chain([&own]).collect();
-        let Some((advisor, time_limit)) = table.assign(&daemons, &order) else {
+        let Some((advisor, time_limit)) = table.assign(&daemons, &order, self.clock.now()) else {
             return;
         };
         let peer = members.get(&advisor).filter(|_| advisor != own).cloned();
--- a/crates/daemon/src/pipelines/advisors.rs
+++ b/crates/daemon/src/pipelines/advisors.rs
@@ -53,11 +53,18 @@
     pub(crate) valid_ms: u64,
 }
 
+/// Time for which other advisors are preferred to one that a request failed at. A daemon that
+/// has ended refuses requests at once, so it would always have the smallest backlog. Its
+/// membership ends within this time.
+const FAILURE_PENALTY: Duration = Duration::from_secs(2);
+
 /// The open advice requests of this daemon's services at each advisor.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AdvisorTable {
     /// Total expected response time of the open requests at each daemon, in ms.
     backlog_ms: BTreeMap<String, u64>,
+    /// Daemons that a request has failed at, and until when others are preferred.
+    avoided_until: BTreeMap<String, Duration>,
 }
 
 impl AdvisorTable {
@@ -68,8 +75,10 @@
         &mut self,
         daemons: &BTreeSet<&String>,
         order: &AdviceOrder,
+        now: Duration,
     ) -> Option<(String, Duration)> {
         let is_quick = order.policy.decision_ms < SLOW_DECISION_MS;
+        self.avoided_until.retain(|_, until| now < *until);
         let backlog = |daemon: &String| self.backlog_ms.get(daemon).copied().unwrap_or(0);
         let count = daemons.len();
         // Daemons do not know the requests of other owners. The offset depends on the
@@ -80,7 +89,10 @@
             .enumerate()
             .filter(|(index, _)| count < 2 || is_quick == (index % DAEMONS_PER_QUICK_ADVISOR == 0));
         let daemon = candidates
-            .min_by_key(|(index, daemon)| (backlog(daemon), (index + offset) % count))
+            .min_by_key(|(index, daemon)| {
+                let is_avoided = self.avoided_until.contains_key(**daemon);
+                (is_avoided, backlog(daemon), (index + offset) % count)
+            })
             .map(|(_, daemon)| (*daemon).clone())?;
         let cost_ms = expected_answer_ms(order);
         let time_limit = Duration::from_millis(backlog(&daemon) + cost_ms) + TIME_LIMIT_MARGIN;
@@ -89,10 +101,14 @@
     }
 
     /// Subtracts a completed request from the backlog of its daemon.
-    pub(crate) fn finish(&mut self, daemon: &str, cost_ms: u64) {
+    pub(crate) fn finish(&mut self, daemon: &str, cost_ms: u64, is_answered: bool, now: Duration) {
         if let Some(backlog) = self.backlog_ms.get_mut(daemon) {
             *backlog = backlog.saturating_sub(cost_ms);
         }
+        if !is_answered {
+            let until = now + FAILURE_PENALTY;
+            self.avoided_until.insert(daemon.to_owned(), until);
+        }
     }
 }
 
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -513,11 +513,11 @@
     let mut table = AdvisorTable::default();
 
     let slow: BTreeSet<String> = (0..12)
-        .filter_map(|_| table.assign(&daemons, &advice_order(500.0)))
+        .filter_map(|_| table.assign(&daemons, &advice_order(500.0), Duration::ZERO))
         .map(|(daemon, _)| daemon)
         .collect();
     let quick: BTreeSet<String> = (0..4)
-        .filter_map(|_| table.assign(&daemons, &advice_order(20.0)))
+        .filter_map(|_| table.assign(&daemons, &advice_order(20.0), Duration::ZERO))
         .map(|(daemon, _)| daemon)
         .collect();
 
@@ -526,6 +526,29 @@
     assert_eq!(count_advisors(8), (2, 6));
 }
 
+/// Guards against a daemon that has ended and gets all requests, because it refuses each of
+/// them at once and has the smallest backlog.
+#[test]
+fn a_daemon_that_refuses_requests_does_not_attract_them() {
+    let names: Vec<String> = (0..8).map(|index| format!("daemon-{index}")).collect();
+    let daemons: BTreeSet<&String> = names.iter().collect();
+    let mut table = AdvisorTable::default();
+    let (ended, _) = table
+        .assign(&daemons, &advice_order(500.0), Duration::ZERO)
+        .unwrap();
+
+    let mut assigned = Vec::new();
+    for round in 0..10 {
+        let now = Duration::from_millis(round * 200);
+        table.finish(&ended, 501, false, now);
+        assigned.extend(table.assign(&daemons, &advice_order(500.0), now));
+    }
+    let later = table.assign(&daemons, &advice_order(500.0), Duration::from_secs(10));
+
+    assert!(assigned.iter().all(|(daemon, _)| *daemon != ended));
+    assert_eq!(later.map(|(daemon, _)| daemon), Some(ended));
+}
+
 /// Guards against a single daemon that assigns its requests to no advisor.
 #[test]
 fn a_single_daemon_sends_all_advice_requests() {
@@ -533,7 +556,11 @@
     let daemons: BTreeSet<&String> = [&name].into_iter().collect();
     let mut table = AdvisorTable::default();
 
-    let asked = [20.0, 500.0].map(|cost| table.assign(&daemons, &advice_order(cost)).is_some());
+    let asked = [20.0, 500.0].map(|cost| {
+        table
+            .assign(&daemons, &advice_order(cost), Duration::ZERO)
+            .is_some()
+    });
 
     assert_eq!(asked, [true, true]);
     assert_eq!(count_advisors(1), (1, 1));
