--- a/crates/daemon/src/pipelines/advisors.rs
+++ b/crates/daemon/src/pipelines/advisors.rs
@@ -17,36 +17,19 @@
 /// owners that wait at the same daemon.
 const TIME_LIMIT_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// In a large cell, one daemon in this many sends requests for quick decisions only; the
-/// others send requests for slow ones. A quick decision takes a tenth of the time of a slow
-/// one.
-const DAEMONS_PER_QUICK_ADVISOR: usize = 8;
-
-/// The same for the first advisors for quick decisions.
-const DAEMONS_PER_FIRST_QUICK_ADVISOR: usize = 4;
-
-/// Number of first advisors for quick decisions. A second one answers while the first one is
-/// busy or lost.
-const FIRST_QUICK_ADVISORS: usize = 2;
+/// One daemon in this many sends requests for quick decisions only; the others send
+/// requests for slow ones.
+const DAEMONS_PER_QUICK_ADVISOR: usize = 4;
 
 /// Returns the number of advisors for quick and for slow decisions.
-pub(crate) fn count_advisors(daemon_count: usize) -> (usize, usize) {
+pub(crate) const fn count_advisors(daemon_count: usize) -> (usize, usize) {
     if daemon_count < 2 {
         return (daemon_count, daemon_count);
     }
-    let first = daemon_count.div_ceil(DAEMONS_PER_FIRST_QUICK_ADVISOR);
     let quick = daemon_count.div_ceil(DAEMONS_PER_QUICK_ADVISOR);
-    let quick = quick.max(first.min(FIRST_QUICK_ADVISORS));
     (quick, daemon_count - quick)
 }
 
-/// Returns whether the daemon with this index sends requests for quick decisions.
-fn is_quick_advisor(index: usize, daemon_count: usize) -> bool {
-    let (quick, _) = count_advisors(daemon_count);
-    let stride = daemon_count / quick.max(1);
-    index.is_multiple_of(stride) && index / stride < quick
-}
-
 /// A request that the owner of a service sends to another daemon, which passes it on
 /// to the advice service.
 #[derive(Clone, Debug)]
@@ -104,7 +87,7 @@
         let candidates = daemons
             .iter()
             .enumerate()
-            .filter(|(index, _)| count < 2 || is_quick == is_quick_advisor(*index, count));
+            .filter(|(index, _)| count < 2 || is_quick == (index % DAEMONS_PER_QUICK_ADVISOR == 0));
         let daemon = candidates
             .min_by_key(|(index, daemon)| {
                 let is_avoided = self.avoided_until.contains_key(**daemon);
