Read the list of workers again when its watch is silent

An owner does not learn in that time that a worker drains, and gives it tasks; the users allow 2 to 4 s for that. New workers stay unused.

Change: workers rewrite their entries about every 1.5 s, so a list without a change for a second is that of a silent store, or a short one. The owner reads the list then.

Measured: the process test places tasks 3 s after both workers have announced to leave and a third one has joined.

--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -25,7 +25,7 @@
         AdvisorTable, CellKey, LoadedShard, NoticeSender, OwnedShard, StoredJob, WorkerOrders,
         acquire_shard, decode_value, expected_answer_ms, request_advice,
     },
-    session::{CellStore, PrefixUpdate, RetryDelay, StoreRoute, watch_prefix},
+    session::{CellStore, PrefixUpdate, RetryDelay, StoreRoute, WatchTiming, watch_prefix},
     telemetry::BootClock,
 };
 
@@ -33,9 +33,13 @@
 /// jobs are known from notices by then.
 const JOB_BATCH_DELAY: Duration = Duration::from_millis(50);
 
-/// Pause after changes of the list of workers, so that one call returns several changes
-/// together. Each worker rewrites its entry about every 1.5 s.
-const WORKER_BATCH_DELAY: Duration = Duration::from_millis(300);
+/// Timing of the watch on the list of workers. Each worker rewrites its entry about every
+/// 1.5 s, so several changes come together, and a list without changes is that of a store
+/// whose watches are silent.
+const WORKER_WATCH_TIMING: WatchTiming = WatchTiming {
+    batch_delay: Duration::from_millis(300),
+    max_silence: Some(Duration::from_secs(1)),
+};
 
 /// Delay from the removal of a worker's entry until the worker counts as delisted.
 /// Entries that expired during an outage of the store are written again within 2 s of
@@ -246,7 +250,7 @@
             self.store.clone(),
             CellKey::job_prefix(&service),
             Some(loaded.jobs_revision),
-            JOB_BATCH_DELAY,
+            WatchTiming::batched(JOB_BATCH_DELAY),
             self.events.clone(),
             move |update| CellEvent::Jobs(service.clone(), epoch, update),
         );
@@ -255,7 +259,7 @@
             self.store.clone(),
             WORKER_PREFIX.to_owned(),
             Some(loaded.workers_revision),
-            WORKER_BATCH_DELAY,
+            WORKER_WATCH_TIMING,
             self.events.clone(),
             move |update| CellEvent::Workers(service.clone(), epoch, update),
         );
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -40,7 +40,7 @@
     pipelines::{
         MemberEntry, NoticeSender, PUBLIC_PREFIX, SUMMARY_PREFIX, deliver_notices, encode_value,
     },
-    session::{CellStore, RetryDelay, StoreRoute, maintain_lease, watch_prefix},
+    session::{CellStore, RetryDelay, StoreRoute, WatchTiming, maintain_lease, watch_prefix},
     telemetry::{BootClock, init_output_logger},
 };
 
@@ -267,7 +267,7 @@
         store.clone(),
         PUBLIC_PREFIX.to_owned(),
         None,
-        MEMBERSHIP_BATCH_DELAY,
+        WatchTiming::batched(MEMBERSHIP_BATCH_DELAY),
         events.clone(),
         CellEvent::Membership,
     ));
@@ -275,7 +275,7 @@
         store.clone(),
         SUMMARY_PREFIX.to_owned(),
         None,
-        SUMMARY_BATCH_DELAY,
+        WatchTiming::batched(SUMMARY_BATCH_DELAY),
         events,
         CellEvent::Summaries,
     ));
--- a/crates/daemon/src/session/mod.rs
+++ b/crates/daemon/src/session/mod.rs
@@ -8,6 +8,6 @@
 mod tests;
 
 pub(crate) use lease::{LeaseUpdate, maintain_lease};
-pub(crate) use prefix_watch::{PrefixUpdate, watch_prefix};
+pub(crate) use prefix_watch::{PrefixUpdate, WatchTiming, watch_prefix};
 pub(crate) use retry::RetryDelay;
 pub(crate) use route::{CellStore, RelayedCall, StoreRoute};
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -553,6 +553,32 @@
     cell.assert_no_conflicting_runs();
 }
 
+/// Guards against tasks on workers that have announced to leave, and against new workers that
+/// stay unused, for the time in which the store's watches are silent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn workers_are_known_while_the_watches_of_the_store_are_silent() {
+    let mut cell = start_cell(1, Duration::from_millis(200)).await;
+    cell.submit(0, 1, &job(1)).await;
+    cell.wait_for_job_state(0, 1, "completed").await;
+    let later = WorkerStandin::start("w3", Duration::from_millis(200)).await;
+
+    cell.store.set_watches_silent(true);
+    for worker in &cell.workers {
+        let (key, mut value) = worker.registration("sales");
+        value["state"] = json!("draining");
+        cell.store.write(&key, &value);
+    }
+    let (key, value) = later.registration("sales");
+    cell.store.write(&key, &value);
+    cell.workers.push(later);
+    // The users allow three seconds until a worker that drains gets no more tasks.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cell.submit(0, 2, &job(3)).await;
+    cell.wait_for_job_state(0, 2, "completed").await;
+
+    assert_eq!(cell.workers[2].starts().len(), 3);
+}
+
 /// Guards against callers that are told that an accepted job was not accepted, because they
 /// submit it again, at any daemon, while the store is unavailable.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
