Place steps that can still be in time before those that cannot

While more work waits than fits, jobs of one priority are placed in the order of their objectives, and a job counts as late only once its objective has passed. A gang whose four seconds of work end after its objective is still placed before one that could be in time, so in a backlog each is placed just too late.

Change: a step counts as late once the estimated time of the steps that remain does not fit before the objective. Late steps come after the others of their priority, as before.

Ruled out: rejecting such jobs. They are accepted, and late ones are still worth something.

The new test fails on the code before: an older job that cannot be in time is placed.

--- a/crates/core/src/pipelines/queue.rs
+++ b/crates/core/src/pipelines/queue.rs
@@ -8,8 +8,8 @@
     state::PipelineState,
 };
 
-/// Position in the queue; lower is first: whether the job has expired, its priority,
-/// whether it has missed its objective, and the objective in ms since 1970.
+/// Position in the queue; lower is first: whether the job has expired, its priority, whether
+/// it can no longer meet its objective, and the objective in ms since 1970.
 pub(super) type QueueRank = (bool, u32, bool, u64);
 
 /// A job expires after this multiple of the time allowed by its latency objective: its
@@ -18,8 +18,10 @@
 
 /// Times that follow from the specification of a job. They are needed for each ready step
 /// in each placement pass.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct JobTiming {
+    /// Estimated run time of the longest chain of steps that begins with each step, in ms.
+    remaining_path_ms: Vec<u64>,
     /// Estimated run time of the longest chain of dependent steps, in ms.
     pub(super) critical_path_ms: u64,
     /// Time from the start of an occurrence to its latency objective, in ms.
@@ -31,6 +33,7 @@
 impl JobTiming {
     pub(super) fn new(spec: &PipelineSpec) -> Self {
         Self {
+            remaining_path_ms: spec.remaining_paths_ms(),
             critical_path_ms: spec.critical_path_ms(),
             objective_ms: spec.objective_ms(),
             is_long_running: spec.steps.iter().any(|step| step.long_running),
@@ -43,17 +46,26 @@
             .saturating_add(self.objective_ms)
     }
 
-    /// Returns the position of an occurrence in the queue.
+    /// Returns the position of a step of an occurrence in the queue.
     ///
     /// Load pattern: after an outage or a burst, more jobs wait than can meet their
     /// objectives. Jobs that can still meet theirs come first: in the order of arrival,
-    /// all of them would be late.
-    fn queue_rank(&self, spec: &PipelineSpec, occurrence: u32, wall_ms: u64) -> QueueRank {
+    /// all of them would be late, and in the order of their objectives, each would be placed
+    /// just too late.
+    fn queue_rank(
+        &self,
+        spec: &PipelineSpec,
+        occurrence: u32,
+        step: u32,
+        wall_ms: u64,
+    ) -> QueueRank {
         let start = spec.start_unix_ms(occurrence);
         let objective = start.saturating_add(self.objective_ms);
         let expiry_ms = self.objective_ms.saturating_mul(EXPIRY_FACTOR);
         let expires_at = start.saturating_add(expiry_ms);
-        let is_late = !self.is_long_running && wall_ms > objective;
+        let remaining_ms = self.remaining_path_ms.get(step as usize).copied();
+        let end_ms = wall_ms.saturating_add(remaining_ms.unwrap_or(0));
+        let is_late = !self.is_long_running && end_ms > objective;
         let is_expired = !self.is_long_running && wall_ms > expires_at;
         (is_expired, spec.policy.priority, is_late, objective)
     }
@@ -67,7 +79,7 @@
             return;
         };
         let spec = Arc::clone(&record.spec);
-        let timing = record.timing;
+        let timing = record.timing.clone();
         let is_final = record.progress.phase.is_final();
         let mut has_new_occurrence = false;
         if !is_final {
@@ -94,7 +106,6 @@
         }
         if !is_final {
             for (occurrence, steps) in &record.progress.occurrences {
-                let rank = timing.queue_rank(&spec, *occurrence, self.wall_ms);
                 for (index, progress) in (0..).zip(steps) {
                     let step_spec = &spec.steps[index as usize];
                     let is_unblocked = step_spec.after.iter().all(|dependency| {
@@ -109,6 +120,7 @@
                             occurrence: *occurrence,
                             step: index,
                         };
+                        let rank = timing.queue_rank(&spec, *occurrence, index, self.wall_ms);
                         record.ready.insert(key, rank);
                         self.ready.insert((rank, key));
                         self.is_placement_due = true;
@@ -134,7 +146,7 @@
             record.is_some_and(|record| {
                 record
                     .timing
-                    .queue_rank(&record.spec, key.occurrence, wall_ms)
+                    .queue_rank(&record.spec, key.occurrence, key.step, wall_ms)
                     != *rank
             })
         });
--- a/crates/core/src/pipelines/spec.rs
+++ b/crates/core/src/pipelines/spec.rs
@@ -250,6 +250,24 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the estimated run time of the longest chain of dependent steps that begins with
+    /// each step, in ms.
+    pub(super) fn remaining_paths_ms(&self) -> Vec<u64> {
+        let mut paths: Vec<u64> = vec![0; self.steps.len()];
+        // A step depends on earlier steps only.
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            let path_ms = paths[index].saturating_add(step.estimate_ms);
+            paths[index] = path_ms;
+            for dependency in &step.after {
+                let dependency = usize::try_from(*dependency).ok();
+                if let Some(after) = dependency.and_then(|dependency| paths.get_mut(dependency)) {
+                    *after = path_ms.max(*after);
+                }
+            }
+        }
+        paths
+    }
+
     /// Returns the time from the start of an occurrence to its latency objective, in ms.
     #[must_use]
     #[expect(
--- a/crates/core/src/pipelines/tests/load.rs
+++ b/crates/core/src/pipelines/tests/load.rs
@@ -39,6 +39,34 @@
     assert!(started.any(|pipeline| pipeline == 6));
 }
 
+/// Guards against an overload in which each job is placed at the time of its objective, so
+/// that all are late although half of them could be in time.
+#[test]
+fn jobs_that_can_still_be_done_in_time_precede_those_that_cannot() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(4)]));
+    let first = owner.start_all();
+    let mut two_steps = job(vec![step(1), step(1)]);
+    two_steps.steps[1].after = vec![0];
+    for id in 2..6 {
+        owner.submit(id, two_steps.clone());
+    }
+    // The objective of these jobs is after 4.5 s, and they take 2 s.
+    owner.advance_clock(Duration::from_secs(3));
+    let mut fresh = two_steps;
+    fresh.accepted_unix_ms = WALL_MS + 3_000;
+    owner.submit(6, fresh);
+
+    let ends = (1..).zip(&first).take(1);
+    let ends = ends.map(|(number, start)| done(number, start.run));
+    let running = first[1..].iter().map(|start| observed(start.run));
+    owner.report("w1", running.collect(), ends.collect());
+    let starts = owner.start_all();
+
+    let started = starts.iter().map(|start| start.run.task.step.pipeline);
+    assert_eq!(started.collect::<Vec<_>>(), [6]);
+}
+
 /// Guards against tickets that expire unused because the service is full, and whose
 /// requests delay those of steps that fit.
 #[test]
