Try: commits of an owner in four lanes

Each commit waits for the previous one, so a start waits for one and a half answers, and so does an end.

Change: a commit that has no answer after 50 ms is followed by others, at most four at a time. Each expects the owner's key as the takeover wrote it and the previous commit of its lane. Effects follow the order of the numbers.

--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -46,8 +46,9 @@
     /// Returns the next commit, with changed jobs in the order of their changes up to
     /// the first for which `has_room` returns `false`; `None` if it would be empty.
     ///
-    /// The caller makes the commit durable and then calls [`Self::complete_commit`]. It
-    /// does not take another commit before that.
+    /// The caller makes the commit durable and then calls [`Self::complete_commit`]. It may
+    /// take further commits before that, and completes them in the order in which it has
+    /// taken them.
     pub fn take_commit(
         &mut self,
         mut has_room: impl FnMut(&CommitEntry) -> bool,
@@ -56,6 +57,7 @@
             entries: Vec::new(),
             starts: Vec::new(),
         };
+        let first_serial = self.dirty.keys().next().copied();
         while let Some((serial, pipeline)) = self.dirty.first_key_value() {
             let (serial, pipeline) = (*serial, *pipeline);
             match self.commit_entry(pipeline) {
@@ -67,7 +69,11 @@
             let starts = self.pending_starts.remove(&pipeline);
             commit.starts.extend(starts.unwrap_or_default());
         }
-        (!commit.entries.is_empty()).then_some(commit)
+        if commit.entries.is_empty() {
+            return None;
+        }
+        self.open_commits.extend(first_serial);
+        Some(commit)
     }
 
     fn commit_entry(&self, pipeline: PipelineId) -> Option<CommitEntry> {
@@ -95,16 +101,16 @@
         commit: ProgressCommit,
         now: Duration,
     ) -> Vec<PipelineAction> {
+        self.open_commits.pop_front();
         for entry in &commit.entries {
-            if self.is_retired(entry.pipeline) && !self.dirty_serials.contains_key(&entry.pipeline)
-            {
+            let is_retired = entry.progress.is_none();
+            if is_retired && !self.dirty_serials.contains_key(&entry.pipeline) {
                 self.remove_pipeline(entry.pipeline);
             }
         }
-        let durable = match self.dirty.first_key_value() {
-            Some((serial, _)) => serial - 1,
-            None => self.serial,
-        };
+        let first_open = self.open_commits.front().copied();
+        let first_open = first_open.or_else(|| self.dirty.keys().next().copied());
+        let durable = first_open.map_or(self.serial, |serial| serial - 1);
         self.durable_serial = durable;
         for record in self.workers.values_mut() {
             match record.pending_ack {
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -22,8 +22,8 @@
 };
 use crate::{
     pipelines::{
-        AdvisorTable, CellKey, LoadedShard, NoticeSender, OwnedShard, StoredJob, WorkerOrders,
-        acquire_shard, decode_value, expected_answer_ms, request_advice,
+        AdvisorTable, CellKey, LoadedShard, NoticeSender, OwnedShard, RecordNumber, StoredJob,
+        WorkerOrders, acquire_shard, decode_value, expected_answer_ms, request_advice,
     },
     session::{CellStore, PrefixUpdate, RetryDelay, StoreRoute, WatchTiming, watch_prefix},
     telemetry::BootClock,
@@ -55,8 +55,6 @@
     pub(super) has_new_events: bool,
     /// Earliest time of the next pass.
     pub(super) next_pass_at: Duration,
-    /// Whether a commit has no outcome yet.
-    pub(super) is_committing: bool,
     pub(super) commit_delay: RetryDelay,
     orders: WorkerOrders,
     watches: Vec<JoinHandle<()>>,
@@ -232,7 +230,6 @@
             shard,
             has_new_events: true,
             next_pass_at: Duration::ZERO,
-            is_committing: false,
             commit_delay: RetryDelay::default(),
             orders,
             watches,
@@ -285,17 +282,15 @@
         });
     }
 
-    /// Sends the next commit unless one has no outcome yet.
+    /// Sends the next commit unless it has to wait for others.
     pub(super) fn start_commit(&self, handle: &mut ShardHandle) {
-        if handle.is_committing || handle.shard.next_commit(self.clock.now()).is_none() {
-            return;
+        if let Some((number, _)) = handle.shard.next_commit(self.clock.now()) {
+            self.send_commit(handle, number, Duration::ZERO);
         }
-        handle.is_committing = true;
-        self.send_commit(handle, Duration::ZERO);
     }
 
-    /// Sends the commit without an outcome again after a delay.
-    pub(super) fn retry_commit(&self, handle: &mut ShardHandle) {
+    /// Sends a commit without an outcome again after a delay.
+    pub(super) fn retry_commit(&self, handle: &mut ShardHandle, number: RecordNumber) {
         let (delay, is_first) = handle.commit_delay.next_delay(rand::random());
         if is_first {
             log::warn!(
@@ -303,12 +298,12 @@
                 "a commit had no outcome; sending it again until the store answers"
             );
         }
-        self.send_commit(handle, delay);
+        self.send_commit(handle, number, delay);
     }
 
-    /// Sends the commit without an outcome; the outcome arrives as an event.
-    fn send_commit(&self, handle: &ShardHandle, delay: Duration) {
-        let Some(transaction) = handle.shard.pending_transaction() else {
+    /// Sends a commit without an outcome; the outcome arrives as an event.
+    fn send_commit(&self, handle: &ShardHandle, number: RecordNumber, delay: Duration) {
+        let Some(transaction) = handle.shard.pending_transaction(number) else {
             return;
         };
         let (store, events) = (self.store.clone(), self.events.clone());
@@ -317,7 +312,7 @@
             tokio::time::sleep(delay).await;
             let outcome = store.commit(&transaction).await;
             let _ = events
-                .send(CellEvent::Committed(service, epoch, outcome))
+                .send(CellEvent::Committed(service, epoch, number, outcome))
                 .await;
         });
     }
