--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -46,9 +46,8 @@
     /// Returns the next commit, with changed jobs in the order of their changes up to
     /// the first for which `has_room` returns `false`; `None` if it would be empty.
     ///
-    /// The caller makes the commit durable and then calls [`Self::complete_commit`]. It may
-    /// take further commits before that, and completes them in the order in which it has
-    /// taken them.
+    /// The caller makes the commit durable and then calls [`Self::complete_commit`]. It
+    /// does not take another commit before that.
     pub fn take_commit(
         &mut self,
         mut has_room: impl FnMut(&CommitEntry) -> bool,
@@ -57,7 +56,6 @@
             entries: Vec::new(),
             starts: Vec::new(),
         };
-        let first_serial = self.dirty.keys().next().copied();
         while let Some((serial, pipeline)) = self.dirty.first_key_value() {
             let (serial, pipeline) = (*serial, *pipeline);
             match self.commit_entry(pipeline) {
@@ -69,11 +67,7 @@
             let starts = self.pending_starts.remove(&pipeline);
             commit.starts.extend(starts.unwrap_or_default());
         }
-        if commit.entries.is_empty() {
-            return None;
-        }
-        self.open_commits.extend(first_serial);
-        Some(commit)
+        (!commit.entries.is_empty()).then_some(commit)
     }
 
     fn commit_entry(&self, pipeline: PipelineId) -> Option<CommitEntry> {
@@ -101,16 +95,16 @@
         commit: ProgressCommit,
         now: Duration,
     ) -> Vec<PipelineAction> {
-        self.open_commits.pop_front();
         for entry in &commit.entries {
-            let is_retired = entry.progress.is_none();
-            if is_retired && !self.dirty_serials.contains_key(&entry.pipeline) {
+            if self.is_retired(entry.pipeline) && !self.dirty_serials.contains_key(&entry.pipeline)
+            {
                 self.remove_pipeline(entry.pipeline);
             }
         }
-        let first_open = self.open_commits.front().copied();
-        let first_open = first_open.or_else(|| self.dirty.keys().next().copied());
-        let durable = first_open.map_or(self.serial, |serial| serial - 1);
+        let durable = match self.dirty.first_key_value() {
+            Some((serial, _)) => serial - 1,
+            None => self.serial,
+        };
         self.durable_serial = durable;
         for record in self.workers.values_mut() {
             match record.pending_ack {
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -1,7 +1,7 @@
 //! State of the pipelines and workers of one service, and the handling of events.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
@@ -126,8 +126,6 @@
     pub(super) slow_request_limit: usize,
     /// Serial number of the latest change.
     pub(super) serial: u64,
-    /// Serial number of the first change in each commit that is not durable yet.
-    pub(super) open_commits: VecDeque<u64>,
     /// All changes up to this serial number are durable.
     pub(super) durable_serial: u64,
     /// Jobs with changes that no commit contains yet, by the serial number of the
@@ -175,7 +173,6 @@
             quick_request_limit: REQUESTS_PER_ADVISOR,
             slow_request_limit: REQUESTS_PER_ADVISOR,
             serial: 0,
-            open_commits: VecDeque::new(),
             durable_serial: 0,
             dirty: BTreeMap::new(),
             dirty_serials: BTreeMap::new(),
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -26,7 +26,7 @@
 use crate::{
     job_table::{JobSummary, JobTable},
     pipelines::{AcquireOutcome, AdvisorTable, CellKey, CommitStatus, JobNotice, MemberEntry},
-    pipelines::{OwnedShard, OwnerEntry, RecordNumber, count_advisors, decode_value},
+    pipelines::{OwnedShard, OwnerEntry, count_advisors, decode_value},
     session::{LeaseUpdate, PrefixUpdate},
     telemetry::unix_ms,
 };
@@ -243,8 +243,8 @@
             CellEvent::Acquired(service, lease, outcome) => {
                 self.finish_takeover(&service, lease, outcome);
             }
-            CellEvent::Committed(service, epoch, number, outcome) => {
-                self.finish_commit(&service, epoch, number, &outcome);
+            CellEvent::Committed(service, epoch, outcome) => {
+                self.finish_commit(&service, epoch, &outcome);
             }
             CellEvent::SummariesWritten(service, epoch, number, outcome) => {
                 let handle = self.shards.get_mut(&service);
@@ -287,27 +287,20 @@
 
     /// Handles the outcome of a commit: executes what waited for it, sends it again, or
     /// gives up the service.
-    fn finish_commit(
-        &mut self,
-        service: &ServiceId,
-        epoch: u64,
-        number: RecordNumber,
-        outcome: &TransactionOutcome,
-    ) {
+    fn finish_commit(&mut self, service: &ServiceId, epoch: u64, outcome: &TransactionOutcome) {
         let now = self.effects.clock.now();
         let handle = self.shards.get_mut(service);
         let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) else {
             return;
         };
-        let finished = handle.shard.finish_commit(number, outcome, now);
+        let finished = handle.shard.finish_commit(outcome, now);
         match finished.status {
             CommitStatus::Durable => {
+                handle.is_committing = false;
                 handle.commit_delay.reset();
-                for elapsed in finished.elapsed {
-                    self.effects.metrics.record_commit(elapsed);
-                }
+                self.effects.metrics.record_commit(finished.elapsed);
             }
-            CommitStatus::Retry => self.effects.retry_commit(handle, number),
+            CommitStatus::Retry => self.effects.retry_commit(handle),
             CommitStatus::Replaced => {
                 self.drop_shard(service, "another daemon's commit came first");
                 return;
@@ -715,7 +708,6 @@
                 "workers": load.workers,
                 "answering_workers": load.claimed_workers,
                 "uncommitted_jobs": load.dirty,
-                "open_commits": handle.shard.open_commits().collect::<Vec<_>>(),
                 "state": handle.shard.state.describe(),
             })
         });
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -22,8 +22,8 @@
 };
 use crate::{
     pipelines::{
-        AdvisorTable, CellKey, LoadedShard, NoticeSender, OwnedShard, RecordNumber, StoredJob,
-        WorkerOrders, acquire_shard, decode_value, expected_answer_ms, request_advice,
+        AdvisorTable, CellKey, LoadedShard, NoticeSender, OwnedShard, StoredJob, WorkerOrders,
+        acquire_shard, decode_value, expected_answer_ms, request_advice,
     },
     session::{CellStore, PrefixUpdate, RetryDelay, StoreRoute, WatchTiming, watch_prefix},
     telemetry::BootClock,
@@ -55,6 +55,8 @@
     pub(super) has_new_events: bool,
     /// Earliest time of the next pass.
     pub(super) next_pass_at: Duration,
+    /// Whether a commit has no outcome yet.
+    pub(super) is_committing: bool,
     pub(super) commit_delay: RetryDelay,
     orders: WorkerOrders,
     watches: Vec<JoinHandle<()>>,
@@ -230,6 +232,7 @@
             shard,
             has_new_events: true,
             next_pass_at: Duration::ZERO,
+            is_committing: false,
             commit_delay: RetryDelay::default(),
             orders,
             watches,
@@ -282,15 +285,17 @@
         });
     }
 
-    /// Sends the next commit unless it has to wait for others.
+    /// Sends the next commit unless one has no outcome yet.
     pub(super) fn start_commit(&self, handle: &mut ShardHandle) {
-        if let Some((number, _)) = handle.shard.next_commit(self.clock.now()) {
-            self.send_commit(handle, number, Duration::ZERO);
+        if handle.is_committing || handle.shard.next_commit(self.clock.now()).is_none() {
+            return;
         }
+        handle.is_committing = true;
+        self.send_commit(handle, Duration::ZERO);
     }
 
-    /// Sends a commit without an outcome again after a delay.
-    pub(super) fn retry_commit(&self, handle: &mut ShardHandle, number: RecordNumber) {
+    /// Sends the commit without an outcome again after a delay.
+    pub(super) fn retry_commit(&self, handle: &mut ShardHandle) {
         let (delay, is_first) = handle.commit_delay.next_delay(rand::random());
         if is_first {
             log::warn!(
@@ -298,12 +303,12 @@
                 "a commit had no outcome; sending it again until the store answers"
             );
         }
-        self.send_commit(handle, number, delay);
+        self.send_commit(handle, delay);
     }
 
-    /// Sends a commit without an outcome; the outcome arrives as an event.
-    fn send_commit(&self, handle: &ShardHandle, number: RecordNumber, delay: Duration) {
-        let Some(transaction) = handle.shard.pending_transaction(number) else {
+    /// Sends the commit without an outcome; the outcome arrives as an event.
+    fn send_commit(&self, handle: &ShardHandle, delay: Duration) {
+        let Some(transaction) = handle.shard.pending_transaction() else {
             return;
         };
         let (store, events) = (self.store.clone(), self.events.clone());
@@ -312,7 +317,7 @@
             tokio::time::sleep(delay).await;
             let outcome = store.commit(&transaction).await;
             let _ = events
-                .send(CellEvent::Committed(service, epoch, number, outcome))
+                .send(CellEvent::Committed(service, epoch, outcome))
                 .await;
         });
     }
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     job_table::JobSummary,
-    pipelines::{AcquireOutcome, JobNotice, RecordNumber, WriteNumber},
+    pipelines::{AcquireOutcome, JobNotice, WriteNumber},
     session::{LeaseUpdate, PrefixUpdate},
 };
 
@@ -53,8 +53,8 @@
     Manifest(Arc<Manifest>),
     /// The outcome of a takeover under the lease with this identifier.
     Acquired(ServiceId, u64, AcquireOutcome),
-    /// The outcome of a commit of an owned service, and its number.
-    Committed(ServiceId, u64, RecordNumber, TransactionOutcome),
+    /// The outcome of a commit of an owned service.
+    Committed(ServiceId, u64, TransactionOutcome),
     /// The outcome of a write of job summaries.
     SummariesWritten(ServiceId, u64, WriteNumber, TransactionOutcome),
     /// The outcome of a request for advice.
--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -10,9 +10,7 @@
 
 use super::{
     log::{ProgressLog, ProgressRecord, RecordNumber},
-    records::{
-        CellKey, LaneNumber, OwnerEntry, SequenceEntry, StoredJob, decode_value, encode_value,
-    },
+    records::{CellKey, OwnerEntry, SequenceEntry, StoredJob, decode_value, encode_value},
 };
 use crate::session::CellStore;
 
@@ -38,10 +36,8 @@
 pub(crate) struct LoadedShard {
     pub(crate) service: ServiceId,
     pub(crate) epoch: Epoch,
-    /// Number above which no commit was made.
+    /// Number of the previous owner's last commit.
     pub(crate) last_commit: RecordNumber,
-    /// Revision of the key of each lane that has one.
-    pub(crate) lane_revisions: BTreeMap<LaneNumber, u64>,
     /// Revision of the takeover, which wrote the keys of the owner and of the sequence.
     pub(crate) revision: u64,
     pub(crate) log: ProgressLog,
@@ -156,15 +152,13 @@
     let jobs_prefix = CellKey::job_prefix(service);
     let record_prefix = CellKey::record_prefix(service);
     let started_at = Instant::now();
-    let lane_prefix = CellKey::lane_prefix(service);
-    let (jobs, records, workers, lanes) = tokio::join!(
+    let (jobs, records, workers) = tokio::join!(
         store.read_range(&jobs_prefix),
         store.read_range(&record_prefix),
         store.read_range(WORKER_PREFIX),
-        store.read_range(&lane_prefix),
     );
-    let ((jobs, jobs_revision), (records, _), (workers, workers_revision), (lanes, _)) =
-        (jobs.ok()?, records.ok()?, workers.ok()?, lanes.ok()?);
+    let ((jobs, jobs_revision), (records, _), (workers, workers_revision)) =
+        (jobs.ok()?, records.ok()?, workers.ok()?);
     log::info!(
         service = service.as_ref(), elapsed_ms = started_at.elapsed().as_millis(),
         jobs = jobs.len(), job_bytes = count_bytes(&jobs),
@@ -216,17 +210,10 @@
         let entry = decode_registration(worker, &item.value).ok()?;
         (entry.service == *service).then_some(entry.listing)
     });
-    let lane_revisions = lanes.iter().filter_map(|item| {
-        let Some(CellKey::Lane(_, lane)) = CellKey::parse(&item.key) else {
-            return None;
-        };
-        Some((lane, item.revision))
-    });
     Some(LoadedShard {
         service: service.clone(),
         epoch: 0,
         last_commit: 0,
-        lane_revisions: lane_revisions.collect(),
         revision: 0,
         log,
         workers: workers.collect(),
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -8,8 +8,7 @@
 | `pub/owner/SERVICE` | the owner, attached to the lease of that daemon |
 | `pub/member/DAEMON` | the daemon's address for peers, attached to its lease |
 | `phase/ID` | the summary of a job, written when the job is accepted |
-| `seq/SERVICE` | the epoch, and a number above those of all commits |
-| `lane/SERVICE/LANE` | the epoch and number of the latest commit in a lane |
+| `seq/SERVICE` | the epoch and number of the latest commit |
 | `job/SERVICE/jID` | a job, until its final phase is committed |
 | `job/SERVICE/xID` | a cancellation request, until the job has ended |
 | `prog/SERVICE/NUMBER` | the progress of the jobs that one commit changed |
@@ -17,13 +16,12 @@
 The daemon that stores a job or a cancellation request also notifies the owner, which
 otherwise learns of it by its watch.
 
-A commit writes the sequence, its lane and one record. Summaries follow in writes of their own,
+A commit writes the sequence and one record. Summaries follow in writes of their own,
 which also remove the keys of the jobs that have ended.
 
-Each commit of an owner is conditional on the owner's key as the takeover wrote it, so
-commits of a replaced owner fail. It is also conditional on the revision of its lane that
-the previous commit in the lane wrote, so a commit that the store executes late, after it
-was repeated, fails. Commits in different lanes do not wait for each other.
+Each commit of an owner is conditional on the revision of `seq/SERVICE` that its
+previous commit wrote. Commits of a replaced owner therefore fail, and so do
+commits that the store executes late, after newer ones.
 */
 
 mod acquire;
@@ -42,7 +40,6 @@
 pub(crate) use advisors::{
     AdviceRequest, AdviceResponse, AdvisorTable, expected_answer_ms, request_advice,
 };
-pub(crate) use log::RecordNumber;
 pub(crate) use notices::{JobChange, JobNotice, NOTICE_PATH, NoticeSender, deliver_notices};
 pub(crate) use orders::WorkerOrders;
 pub(crate) use records::{CellKey, PUBLIC_PREFIX, SUMMARY_PREFIX, decode_value, encode_value};
--- a/crates/daemon/src/pipelines/records.rs
+++ b/crates/daemon/src/pipelines/records.rs
@@ -20,9 +20,6 @@
 /// accepts 32.
 pub(super) const MAX_TRANSACTION_ENTRIES: usize = 32;
 
-/// Number of a lane, in which the commits of a service follow each other.
-pub(crate) type LaneNumber = u64;
-
 /// A key of the store, by the kind of its value.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum CellKey {
@@ -32,10 +29,8 @@
     Member(String),
     /// The summary of a job.
     Summary(PipelineId),
-    /// The epoch of a service, and a number above those of its commits.
+    /// The epoch and number of the latest commit of a service.
     Sequence(ServiceId),
-    /// The latest commit of a service in a lane.
-    Lane(ServiceId, LaneNumber),
     /// The specification of a job that has not ended.
     Job(ServiceId, PipelineId),
     /// A request to cancel a job.
@@ -52,7 +47,6 @@
             Self::Member(daemon) => format!("{PUBLIC_PREFIX}member/{daemon}"),
             Self::Summary(id) => format!("{SUMMARY_PREFIX}{id:016x}"),
             Self::Sequence(service) => format!("{KEY_PREFIX}seq/{service}"),
-            Self::Lane(service, lane) => format!("{}{lane}", Self::lane_prefix(service)),
             Self::Job(service, id) => format!("{KEY_PREFIX}job/{service}/j{id:016x}"),
             Self::Cancellation(service, id) => format!("{KEY_PREFIX}job/{service}/x{id:016x}"),
             Self::Record(service, number) => {
@@ -72,7 +66,6 @@
             ["pub", "member", daemon] => Some(Self::Member(daemon.to_owned())),
             ["phase", job] => Some(Self::Summary(id(job)?)),
             ["seq", service] => Some(Self::Sequence(service.into())),
-            ["lane", service, lane] => Some(Self::Lane(service.into(), lane.parse().ok()?)),
             ["job", service, job] => match job.split_at_checked(1)? {
                 ("j", job) => Some(Self::Job(service.into(), id(job)?)),
                 ("x", job) => Some(Self::Cancellation(service.into(), id(job)?)),
@@ -86,11 +79,6 @@
         }
     }
 
-    /// Returns the prefix of the keys of a service's lanes.
-    pub(crate) fn lane_prefix(service: &str) -> String {
-        format!("{KEY_PREFIX}lane/{service}/")
-    }
-
     /// Returns the prefix of the keys of a service's jobs and cancellations.
     pub(crate) fn job_prefix(service: &str) -> String {
         format!("{KEY_PREFIX}job/{service}/")
@@ -121,13 +109,13 @@
     pub(crate) cpu_milli: u64,
 }
 
-/// The value of [`CellKey::Sequence`] and of [`CellKey::Lane`].
+/// The value of [`CellKey::Sequence`].
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub(crate) struct SequenceEntry {
     /// Epoch of the owner, increased by each takeover.
     pub(crate) epoch: u64,
-    /// Number of a commit. A takeover does not reset it.
+    /// Number of the latest commit. A takeover does not reset it.
     pub(crate) commit: RecordNumber,
 }
 
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -1,9 +1,4 @@
-//! The pipelines of one owned service and their commits.
-//!
-//! Load pattern: the store takes some hundred ms for each answer while starts and ends are due
-//! all the time. If each commit waited for the previous one, a start would wait for one and a
-//! half of them. A commit that takes long is therefore followed by others in further lanes. They
-//! take effect in order.
+//! The pipelines of one owned service and their commits, which are sent one at a time.
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -20,9 +15,7 @@
     acquire::{LoadedJob, LoadedShard},
     log::{ProgressLog, ProgressRecord, RecordNumber},
     notices::{JobChange, JobNotice},
-    records::{
-        CellKey, LaneNumber, MAX_TRANSACTION_ENTRIES, SequenceEntry, decode_value, encode_value,
-    },
+    records::{CellKey, MAX_TRANSACTION_ENTRIES, SequenceEntry, decode_value, encode_value},
     summaries::{SummaryQueue, SummaryUpdate, WriteNumber},
 };
 use crate::job_table::JobSummary;
@@ -31,17 +24,10 @@
 /// of a task takes about 60 bytes, and a value of the store at most 1 MB.
 const MAX_RECORD_TASKS: usize = 4_096;
 
-/// Number of lanes, and so of commits that are sent and not known to be durable.
-const LANE_COUNT: u64 = 4;
-
-/// Time after the latest commit was sent, from which the next one does not wait for its answer.
-/// A store that works as usual answers earlier.
-const COMMIT_SPACING: Duration = Duration::from_millis(50);
-
 /// Status of a commit after a response of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum CommitStatus {
-    /// The commit is durable, or it was not pending.
+    /// The commit is durable, or none was pending.
     Durable,
     /// The commit was refused or its outcome is unknown; the same transaction must be
     /// sent again.
@@ -50,17 +36,17 @@
     Replaced,
 }
 
-/// The result of handling an outcome of a commit. Only commits that took effect have actions
-/// and summaries: one that is durable, once all commits before it are.
+/// The result of handling an outcome of a commit. Only a durable commit has actions and
+/// summaries.
 #[derive(Debug)]
 pub(crate) struct FinishedCommit {
     pub(crate) status: CommitStatus,
-    /// Actions that had to wait until the commits were durable.
+    /// Actions that had to wait until the commit was durable.
     pub(crate) actions: Vec<PipelineAction>,
-    /// Summaries of the jobs in the commits.
+    /// Summaries of the jobs in the commit.
     pub(crate) summaries: Vec<(PipelineId, JobSummary)>,
-    /// Time since each of the commits was first sent.
-    pub(crate) elapsed: Vec<Duration>,
+    /// Time since the commit was first sent.
+    pub(crate) elapsed: Duration,
 }
 
 impl FinishedCommit {
@@ -70,19 +56,17 @@
             status,
             actions: Vec::new(),
             summaries: Vec::new(),
-            elapsed: Vec::new(),
+            elapsed: Duration::ZERO,
         }
     }
 }
 
-/// A commit that was sent and has not taken effect.
+/// A commit that was sent and is not known to be durable.
 #[derive(Clone, Debug)]
 struct PendingCommit {
     commit: ProgressCommit,
-    /// The value that the commit writes to the key of its lane.
+    /// The value that the commit writes to the sequence key.
     sequence: SequenceEntry,
-    /// Revision of the commit, once it is known to be durable.
-    revision: Option<u64>,
     record: ProgressRecord,
     /// Records that the commit removes.
     truncated: Vec<RecordNumber>,
@@ -95,17 +79,15 @@
 pub(crate) struct OwnedShard {
     pub(crate) service: ServiceId,
     pub(crate) state: PipelineState,
-    /// The epoch, and the number of the commit that was sent last.
+    /// The sequence as the last durable commit or the takeover wrote it.
     sequence: SequenceEntry,
-    /// Revision of the owner's key, which each commit expects.
-    owner_revision: u64,
-    /// Revision of the key of each lane, which the next commit in the lane expects.
-    lane_revisions: BTreeMap<LaneNumber, u64>,
+    /// Revision of the sequence key, which the next commit expects.
+    sequence_revision: u64,
     /// Revision at which the jobs were read in the takeover.
     jobs_revision: u64,
     log: ProgressLog,
-    /// Commits in the order of their numbers.
-    pending: VecDeque<PendingCommit>,
+    /// At most one commit is pending at a time.
+    pending: Option<PendingCommit>,
     /// Durable phases of the jobs that are not retired.
     durable_phases: BTreeMap<PipelineId, PipelinePhase>,
     summaries: SummaryQueue,
@@ -139,11 +121,10 @@
                 epoch: loaded.epoch,
                 commit: loaded.last_commit,
             },
-            owner_revision: loaded.revision,
-            lane_revisions: loaded.lane_revisions,
+            sequence_revision: loaded.revision,
             jobs_revision: loaded.jobs_revision,
             log: loaded.log,
-            pending: VecDeque::new(),
+            pending: None,
             durable_phases: BTreeMap::new(),
             obsolete_keys: Vec::new(),
             finished_jobs: BTreeSet::new(),
@@ -233,24 +214,14 @@
         self.state.handle(event, now)
     }
 
-    /// Starts the next commit and returns its number and its transaction. Returns `None` if
-    /// it has to wait for pending commits or nothing has changed.
-    pub(crate) fn next_commit(
-        &mut self,
-        now: Duration,
-    ) -> Option<(RecordNumber, StoreTransaction)> {
-        let latest = self.pending.back();
-        let is_due = latest.is_none_or(|latest| now >= latest.sent_at + COMMIT_SPACING);
-        if !is_due || self.pending.len() as u64 >= LANE_COUNT {
+    /// Starts the next commit and returns its transaction. Returns `None` if a commit is
+    /// pending or nothing has changed.
+    pub(crate) fn next_commit(&mut self, now: Duration) -> Option<StoreTransaction> {
+        if self.pending.is_some() {
             return None;
         }
-        let pending = self.pending.iter();
-        let entries = pending.flat_map(|pending| &pending.commit.entries);
-        let open_jobs: BTreeSet<PipelineId> = entries.map(|entry| entry.pipeline).collect();
         for id in self.log.jobs_to_rewrite() {
-            if !open_jobs.contains(&id) {
-                self.state.request_rewrite(id);
-            }
+            self.state.request_rewrite(id);
         }
         let mut budget = CommitBudget::new();
         let commit = self.state.take_commit(|entry| budget.try_reserve(entry))?;
@@ -258,15 +229,6 @@
             epoch: self.sequence.epoch,
             commit: self.sequence.commit + 1,
         };
-        // The store may execute commits in another order than that of their numbers.
-        let next_takeover = SequenceEntry {
-            commit: sequence.commit + LANE_COUNT,
-            ..sequence
-        };
-        let lane = lane_of(sequence.commit);
-        let lane_revision = self.lane_revisions.get(&lane).copied();
-        let owner_key = CellKey::Owner(self.service.clone()).path();
-        let lane_key = CellKey::Lane(self.service.clone(), lane).path();
         let sequence_key = CellKey::Sequence(self.service.clone()).path();
         let record_key = CellKey::Record(self.service.clone(), sequence.commit).path();
         let entries = commit.entries.iter().map(|entry| {
@@ -281,13 +243,9 @@
             entries: entries.collect(),
         };
         let mut transaction = StoreTransaction {
-            expected: vec![
-                (owner_key, self.owner_revision),
-                (lane_key.clone(), lane_revision.unwrap_or(0)),
-            ],
+            expected: vec![(sequence_key.clone(), self.sequence_revision)],
             puts: vec![
-                (sequence_key, encode_value(&next_takeover), 0),
-                (lane_key, encode_value(&sequence), 0),
+                (sequence_key, encode_value(&sequence), 0),
                 (record_key, encode_value(&record), 0),
             ],
             removals: Vec::new(),
@@ -298,17 +256,15 @@
             numbers.map(|number| CellKey::Record(self.service.clone(), *number).path());
         transaction.removals.extend(record_keys);
         self.add_key_removals(&mut transaction, now);
-        self.sequence = sequence;
-        self.pending.push_back(PendingCommit {
+        self.pending = Some(PendingCommit {
             commit,
             sequence,
-            revision: None,
             record,
             truncated,
             transaction: transaction.clone(),
             sent_at: now,
         });
-        Some((sequence.commit, transaction))
+        Some(transaction)
     }
 
     /// Adds removals of obsolete keys and expired summaries to the transaction, as far as
@@ -331,34 +287,25 @@
             .extend(self.obsolete_keys.drain(kept..));
     }
 
-    /// Returns the transaction of a pending commit.
-    pub(crate) fn pending_transaction(&self, number: RecordNumber) -> Option<StoreTransaction> {
-        let pending = self.pending.iter();
-        let mut pending = pending.filter(|pending| pending.sequence.commit == number);
-        pending.next().map(|pending| pending.transaction.clone())
-    }
-
-    /// Returns the numbers of the commits that have not taken effect.
-    pub(crate) fn open_commits(&self) -> impl Iterator<Item = RecordNumber> {
-        self.pending.iter().map(|pending| pending.sequence.commit)
+    /// Returns the transaction of the pending commit.
+    pub(crate) fn pending_transaction(&self) -> Option<StoreTransaction> {
+        self.pending
+            .as_ref()
+            .map(|pending| pending.transaction.clone())
     }
 
-    /// Handles the outcome of a pending commit.
+    /// Handles the outcome of the pending commit.
     pub(crate) fn finish_commit(
         &mut self,
-        number: RecordNumber,
         outcome: &TransactionOutcome,
         now: Duration,
     ) -> FinishedCommit {
-        let mut pending = self.pending.iter_mut();
-        let Some(pending) = pending.find(|pending| pending.sequence.commit == number) else {
+        let Some(pending) = &self.pending else {
             return FinishedCommit::without_effects(CommitStatus::Durable);
         };
         let revision = match outcome {
             TransactionOutcome::Done(revision) => Some(*revision),
-            TransactionOutcome::Conflict(items) => {
-                committed_revision(&self.service, pending.sequence, items)
-            }
+            TransactionOutcome::Conflict(items) => self.committed_revision(pending.sequence, items),
             TransactionOutcome::Refused | TransactionOutcome::Unknown => {
                 return FinishedCommit::without_effects(CommitStatus::Retry);
             }
@@ -367,67 +314,44 @@
         let Some(revision) = revision else {
             return FinishedCommit::without_effects(CommitStatus::Replaced);
         };
-        pending.revision = Some(revision);
-        let mut finished = FinishedCommit::without_effects(CommitStatus::Durable);
-        while let Some((pending, revision)) = self.pop_durable_commit() {
-            let lane = lane_of(pending.sequence.commit);
-            self.lane_revisions.insert(lane, revision);
-            self.append_record(pending.sequence.commit, &pending.record);
-            self.log.truncate(&pending.truncated);
-            let elapsed = now.saturating_sub(pending.sent_at);
-            finished.elapsed.push(elapsed);
-            self.record_phases(&pending.commit, now);
+        self.sequence_revision = revision;
+        self.sequence = pending.sequence;
+        self.log.append(pending.sequence.commit, &pending.record);
+        self.log.truncate(&pending.truncated);
+        let elapsed = now.saturating_sub(pending.sent_at);
+        let mut finished = FinishedCommit {
+            elapsed,
+            ..FinishedCommit::without_effects(CommitStatus::Durable)
+        };
+        if let Some(pending) = self.pending.take() {
             let entries = pending.commit.entries.iter();
-            finished.summaries.extend(entries.map(|entry| {
+            let summaries = entries.map(|entry| {
                 let summary = JobSummary::new(&entry.spec, entry.phase);
                 (entry.pipeline, summary)
-            }));
-            let actions = self.state.complete_commit(pending.commit, now);
-            finished.actions.extend(actions);
-        }
-        finished
-    }
-
-    /// Adds a durable record to the log. It may hold jobs whose keys were removed while its
-    /// commit was pending; they do not keep it in the log.
-    fn append_record(&mut self, number: RecordNumber, record: &ProgressRecord) {
-        self.log.append(number, record);
-        for (id, _) in &record.entries {
-            if self.finished_jobs.contains(id) && !self.summaries.has_job_key(*id) {
-                self.log.remove_job(*id);
+            });
+            finished.summaries = summaries.collect();
+            for entry in &pending.commit.entries {
+                let id = entry.pipeline;
+                let phase = self.durable_phases.insert(id, entry.phase);
+                let is_retired = entry.progress.is_none();
+                if is_retired || phase.unwrap_or_default() != entry.phase {
+                    let update = SummaryUpdate {
+                        summary: JobSummary::new(&entry.spec, entry.phase),
+                        is_retired,
+                    };
+                    self.summaries.add(id, update, now);
+                }
             }
-        }
-    }
-
-    /// Removes the first pending commit if it is durable. Returns it and its revision.
-    fn pop_durable_commit(&mut self) -> Option<(PendingCommit, u64)> {
-        let revision = self.pending.front()?.revision?;
-        Some((self.pending.pop_front()?, revision))
-    }
-
-    /// Records the durable phases of the jobs in a commit.
-    fn record_phases(&mut self, commit: &ProgressCommit, now: Duration) {
-        // A job may be in a commit after the one that retired it, if it was written again.
-        let entries = commit.entries.iter();
-        let entries = entries.filter(|entry| !self.finished_jobs.contains(&entry.pipeline));
-        for entry in entries.collect::<Vec<_>>() {
-            let id = entry.pipeline;
-            let phase = self.durable_phases.insert(id, entry.phase);
-            let is_retired = entry.progress.is_none();
-            if is_retired || phase.unwrap_or_default() != entry.phase {
-                let update = SummaryUpdate {
-                    summary: JobSummary::new(&entry.spec, entry.phase),
-                    is_retired,
-                };
-                self.summaries.add(id, update, now);
-            }
-            if is_retired {
-                self.durable_phases.remove(&id);
-                let expiry = (now + self.summary_retention, id);
+            let entries = pending.commit.entries.iter();
+            for entry in entries.filter(|entry| entry.progress.is_none()) {
+                self.durable_phases.remove(&entry.pipeline);
+                let expiry = (now + self.summary_retention, entry.pipeline);
                 self.summary_expiries.push_back(expiry);
-                self.finished_jobs.insert(id);
+                self.finished_jobs.insert(entry.pipeline);
             }
+            finished.actions = self.state.complete_commit(pending.commit, now);
         }
+        finished
     }
 
     /// Starts the next write of summaries, or returns `None` if none is due. With
@@ -452,6 +376,14 @@
         }
     }
 
+    /// Returns the revision of the pending commit if an earlier attempt has made it.
+    fn committed_revision(&self, sequence: SequenceEntry, items: &[StoreItem]) -> Option<u64> {
+        let key = CellKey::Sequence(self.service.clone()).path();
+        let item = items.iter().find(|item| item.key == key)?;
+        let stored: SequenceEntry = decode_value(&item.key, &item.value)?;
+        (stored == sequence).then_some(item.revision)
+    }
+
     /// Returns the epoch of this ownership. No other ownership of the service has it.
     pub(crate) const fn epoch(&self) -> Epoch {
         self.sequence.epoch
@@ -459,7 +391,7 @@
 
     /// Returns whether all changes are durable.
     pub(crate) fn is_durable(&self) -> bool {
-        self.pending.is_empty() && self.state.is_committed()
+        self.pending.is_none() && self.state.is_committed()
     }
 
     /// Returns whether the summaries of all durable phases are stored.
@@ -472,23 +404,6 @@
     }
 }
 
-/// Returns the lane of a commit.
-const fn lane_of(number: RecordNumber) -> LaneNumber {
-    number % LANE_COUNT
-}
-
-/// Returns the revision of a commit if an earlier attempt has made it.
-fn committed_revision(
-    service: &ServiceId,
-    sequence: SequenceEntry,
-    items: &[StoreItem],
-) -> Option<u64> {
-    let key = CellKey::Lane(service.clone(), lane_of(sequence.commit)).path();
-    let item = items.iter().find(|item| item.key == key)?;
-    let stored: SequenceEntry = decode_value(&item.key, &item.value)?;
-    (stored == sequence).then_some(item.revision)
-}
-
 /// The tasks that a commit can still take.
 struct CommitBudget {
     /// Tasks for which the record still has space.
--- a/crates/daemon/src/pipelines/summaries.rs
+++ b/crates/daemon/src/pipelines/summaries.rs
@@ -83,11 +83,6 @@
         self.due.insert(id, DueUpdate { update, due });
     }
 
-    /// Returns whether the key of a job is known and was not removed.
-    pub(crate) fn has_job_key(&self, id: PipelineId) -> bool {
-        self.job_revisions.contains_key(&id)
-    }
-
     /// Returns whether all summaries are stored.
     pub(crate) fn is_empty(&self) -> bool {
         self.due.is_empty() && self.open.is_empty()
@@ -168,7 +163,7 @@
                 TransactionOutcome::Done(_) if !update.is_retired => {}
                 TransactionOutcome::Done(_) => removed.push(id),
                 // The last write has removed the key.
-                TransactionOutcome::Conflict(items) if !self.is_job_stored(id, items) => {
+                TransactionOutcome::Conflict(items) if !self.has_job_key(id, items) => {
                     removed.push(id);
                 }
                 _ => {
@@ -185,7 +180,7 @@
     }
 
     /// Returns whether the key of a job is among the items with the expected revision.
-    fn is_job_stored(&self, id: PipelineId, items: &[StoreItem]) -> bool {
+    fn has_job_key(&self, id: PipelineId, items: &[StoreItem]) -> bool {
         let key = CellKey::Job(self.service.clone(), id).path();
         let item = items.iter().find(|item| item.key == key);
         item.map(|item| &item.revision) == self.job_revisions.get(&id)
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -21,7 +21,7 @@
     notices::{JobChange, JobNotice},
     orders::WorkerOrders,
     records::{CellKey, SequenceEntry, decode_value, encode_value},
-    shard::{CommitStatus, FinishedCommit, OwnedShard},
+    shard::{CommitStatus, OwnedShard},
 };
 use crate::{cell::CellEvent, pipelines::StoredJob, telemetry::BootClock};
 
@@ -69,7 +69,6 @@
         service: service_id(),
         epoch: 3,
         last_commit: 0,
-        lane_revisions: BTreeMap::new(),
         revision: 40,
         log: ProgressLog::default(),
         jobs: Vec::new(),
@@ -106,16 +105,10 @@
     shard
 }
 
-/// Handles the outcome of the oldest pending commit.
-fn finish_oldest_commit(shard: &mut OwnedShard, outcome: &TransactionOutcome) -> FinishedCommit {
-    let number = shard.open_commits().next().unwrap();
-    shard.finish_commit(number, outcome, Duration::ZERO)
-}
-
-/// Returns the conflict of the first commit, which finds this sequence in its lane.
-fn lane_conflict(epoch: u64, commit: u64) -> TransactionOutcome {
+/// Returns the conflict of a commit that finds this sequence in the store.
+fn sequence_conflict(epoch: u64, commit: u64) -> TransactionOutcome {
     TransactionOutcome::Conflict(vec![StoreItem {
-        key: CellKey::Lane(service_id(), 1).path(),
+        key: CellKey::Sequence(service_id()).path(),
         value: encode_value(&SequenceEntry { epoch, commit }),
         revision: 50,
     }])
@@ -129,7 +122,6 @@
         CellKey::Member("edge-1".to_owned()),
         CellKey::Summary(0xab),
         CellKey::Sequence(service_id()),
-        CellKey::Lane(service_id(), 3),
         CellKey::Job(service_id(), 1),
         CellKey::Cancellation(service_id(), u64::MAX),
         CellKey::Record(service_id(), 3),
@@ -146,10 +138,14 @@
 #[test]
 fn a_commit_that_an_earlier_attempt_made_is_durable() {
     let mut shard = shard_with_cancelled_job();
-    let (_, transaction) = shard.next_commit(Duration::ZERO).unwrap();
+    let transaction = shard.next_commit(Duration::ZERO).unwrap();
 
-    let first = finish_oldest_commit(&mut shard, &TransactionOutcome::Unknown).status;
-    let second = finish_oldest_commit(&mut shard, &lane_conflict(3, 1)).status;
+    let first = shard
+        .finish_commit(&TransactionOutcome::Unknown, Duration::ZERO)
+        .status;
+    let second = shard
+        .finish_commit(&sequence_conflict(3, 1), Duration::ZERO)
+        .status;
 
     assert_eq!(transaction.expected[0].1, 40);
     assert_eq!(first, CommitStatus::Retry);
@@ -163,8 +159,8 @@
     let mut shard = shard_with_cancelled_job();
     shard.next_commit(Duration::ZERO).unwrap();
 
-    let open = finish_oldest_commit(&mut shard, &TransactionOutcome::Unknown);
-    let durable = finish_oldest_commit(&mut shard, &TransactionOutcome::Done(50));
+    let open = shard.finish_commit(&TransactionOutcome::Unknown, Duration::ZERO);
+    let durable = shard.finish_commit(&TransactionOutcome::Done(50), Duration::ZERO);
 
     assert!(open.summaries.is_empty());
     assert_eq!(durable.summaries[0].1.phase, PipelinePhase::Cancelled);
@@ -176,7 +172,9 @@
     let mut shard = shard_with_cancelled_job();
     shard.next_commit(Duration::ZERO).unwrap();
 
-    let status = finish_oldest_commit(&mut shard, &lane_conflict(4, 0)).status;
+    let status = shard
+        .finish_commit(&sequence_conflict(4, 0), Duration::ZERO)
+        .status;
 
     assert_eq!(status, CommitStatus::Replaced);
 }
@@ -184,98 +182,7 @@
 /// Makes the pending change of the shard durable.
 fn commit_once(shard: &mut OwnedShard) {
     shard.next_commit(Duration::ZERO).unwrap();
-    finish_oldest_commit(shard, &TransactionOutcome::Done(50));
-}
-
-/// Guards against starts that wait for one and a half answers of a slow store, because each
-/// commit waits for the previous one, and against more commits than a store that works as usual
-/// needs.
-#[test]
-fn commits_do_not_wait_for_a_slow_store() {
-    let mut shard = shard_with_jobs(20);
-    let mut numbers = Vec::new();
-
-    for tick in 0..20 {
-        let now = Duration::from_millis(tick * 20);
-        shard.state.request_rewrite(10 + tick);
-        numbers.extend(shard.next_commit(now).map(|(number, _)| (tick, number)));
-    }
-
-    assert_eq!(numbers, [(0, 1), (3, 2), (6, 3), (9, 4)]);
-}
-
-/// Guards against effects of a commit whose predecessor is not durable: the ends that it
-/// acknowledges may be in the predecessor.
-#[test]
-fn commits_take_effect_in_their_order() {
-    let mut shard = shard_with_jobs(2);
-    let later = Duration::from_millis(60);
-    let (first, _) = shard.next_commit(Duration::ZERO).unwrap();
-    shard.state.schedule(Duration::ZERO);
-    let (second, _) = shard.next_commit(later).unwrap();
-
-    let early = shard.finish_commit(second, &TransactionOutcome::Done(51), later);
-    let is_durable_early = shard.is_durable();
-    let both = shard.finish_commit(first, &TransactionOutcome::Done(52), later);
-
-    assert!(early.actions.is_empty() && early.summaries.is_empty());
-    assert!(!is_durable_early && shard.is_durable());
-    assert_eq!(both.elapsed.len(), 2);
-    let starts = both.actions.iter();
-    let starts = starts.filter(|action| matches!(action, PipelineAction::Start(_)));
-    assert_eq!(starts.count(), 2);
-}
-
-/// Guards against a log that grows for ever, because a job that has ended is also in a commit
-/// that becomes durable after the keys of the job were removed.
-#[test]
-fn a_job_that_is_written_again_after_its_end_leaves_the_log() {
-    let mut shard = shard_with_jobs(2);
-    let mut items = BTreeMap::new();
-    let (first, transaction) = shard.next_commit(Duration::ZERO).unwrap();
-    apply(transaction, &mut items);
-    shard.state.request_rewrite(1);
-    let later = Duration::from_millis(60);
-    let (second, transaction) = shard.next_commit(later).unwrap();
-    apply(transaction, &mut items);
-
-    shard.finish_commit(first, &TransactionOutcome::Done(51), later);
-    let (number, transaction) = shard.next_summary_write(true, later).unwrap();
-    apply(transaction, &mut items);
-    shard.finish_summary_write(number, &TransactionOutcome::Done(52), later);
-    shard.finish_commit(second, &TransactionOutcome::Done(53), later);
-    for _ in 0..1_000 {
-        shard.state.request_rewrite(10);
-        commit_once_into(&mut shard, &mut items);
-    }
-
-    assert!(records(&items).len() <= 130, "{}", records(&items).len());
-}
-
-/// Guards against a commit that the store executes late, after it was repeated, and against
-/// numbers that a successor uses again: the store may execute the commits in another order.
-#[test]
-fn each_commit_expects_its_lane_and_reserves_later_numbers() {
-    let mut shard = shard_with_jobs(20);
-    let mut transactions = Vec::new();
-    for round in 0..5 {
-        shard.state.request_rewrite(10 + round);
-        let now = Duration::from_millis(round * 60);
-        let (number, transaction) = shard.next_commit(now).unwrap();
-        shard.finish_commit(number, &TransactionOutcome::Done(50 + round), now);
-        transactions.push(transaction);
-    }
-
-    let lane = |number: u64| CellKey::Lane(service_id(), number).path();
-    let owner = (CellKey::Owner(service_id()).path(), 40);
-    assert_eq!(transactions[0].expected, [owner.clone(), (lane(1), 0)]);
-    assert_eq!(transactions[4].expected, [owner, (lane(1), 50)]);
-    for (transaction, number) in transactions.iter().zip(1_u64..) {
-        let (key, value, _) = &transaction.puts[0];
-        let stored: SequenceEntry = decode_value(key, value).unwrap();
-        // Up to three later commits may have been executed before.
-        assert!(stored.commit > number + 3, "{stored:?}");
-    }
+    shard.finish_commit(&TransactionOutcome::Done(50), Duration::ZERO);
 }
 
 /// Guards against keys that remain in the store after the end of a job.
@@ -315,7 +222,7 @@
     shard.next_commit(Duration::ZERO).unwrap();
 
     let early = shard.next_summary_write(true, Duration::ZERO);
-    finish_oldest_commit(&mut shard, &TransactionOutcome::Unknown);
+    shard.finish_commit(&TransactionOutcome::Unknown, Duration::ZERO);
     let unknown = shard.next_summary_write(true, Duration::ZERO);
 
     assert_eq!((early, unknown), (None, None));
@@ -424,18 +331,18 @@
 
 /// Commits once and applies the transaction to the items of a store.
 fn commit_once_into(shard: &mut OwnedShard, items: &mut BTreeMap<String, Vec<u8>>) {
-    apply(shard.next_commit(Duration::ZERO).unwrap().1, items);
-    finish_oldest_commit(shard, &TransactionOutcome::Done(50));
+    apply(shard.next_commit(Duration::ZERO).unwrap(), items);
+    shard.finish_commit(&TransactionOutcome::Done(50), Duration::ZERO);
 }
 
 /// Commits until nothing is left, writes the summaries and applies the transactions to the
 /// items of a store. Returns the number of commits.
 fn commit_all(shard: &mut OwnedShard, items: &mut BTreeMap<String, Vec<u8>>) -> usize {
     let mut commit_count = 0;
-    while let Some((_, transaction)) = shard.next_commit(Duration::ZERO) {
+    while let Some(transaction) = shard.next_commit(Duration::ZERO) {
         commit_count += 1;
         apply(transaction, items);
-        finish_oldest_commit(shard, &TransactionOutcome::Done(50));
+        shard.finish_commit(&TransactionOutcome::Done(50), Duration::ZERO);
     }
     while let Some((number, transaction)) = shard.next_summary_write(true, Duration::ZERO) {
         apply(transaction, items);
@@ -665,7 +572,7 @@
 fn a_job_that_is_over_is_not_stored_again() {
     let mut shard = shard_with_cancelled_job();
     shard.next_commit(Duration::ZERO).unwrap();
-    finish_oldest_commit(&mut shard, &TransactionOutcome::Done(50));
+    shard.finish_commit(&TransactionOutcome::Done(50), Duration::ZERO);
 
     let stale = PipelineEvent::Stored(1, Arc::new(job()), None);
     shard.handle(stale, Duration::ZERO);
@@ -759,7 +666,7 @@
 fn a_notice_of_a_job_that_has_ended_adds_nothing() {
     let mut shard = shard_with_cancelled_job();
     shard.next_commit(Duration::ZERO).unwrap();
-    finish_oldest_commit(&mut shard, &TransactionOutcome::Done(41));
+    shard.finish_commit(&TransactionOutcome::Done(41), Duration::ZERO);
     let change = JobChange::Accepted(Arc::new(job()));
 
     let event = shard.apply_notice(notice(50, change)).unwrap();
