Survive progress that does not fit its job, and limit notices

Cause: found while looking for a message that ends a process. Stored progress with more steps than its job ended the control thread of the owner, and of each successor, with an index out of bounds. A notice of another daemon about a job of 2^32 tasks would take the memory of the owner: the limits of submissions are checked where they are accepted.

Change: steps without a specification are ignored. An owner ignores notices about jobs of more than 8,192 tasks.

Measured: `progress_with_more_steps_than_the_job_is_ignored` panics on the code before (index 1 of 1). The property test gives an owner notices with numbers at the bounds of their types; its mutation without the limit was not run, as it would take the memory of the machine.

--- a/crates/core/src/pipelines/queue.rs
+++ b/crates/core/src/pipelines/queue.rs
@@ -106,8 +106,7 @@
         }
         if !is_final {
             for (occurrence, steps) in &record.progress.occurrences {
-                for (index, progress) in (0..).zip(steps) {
-                    let step_spec = &spec.steps[index as usize];
+                for ((index, progress), step_spec) in (0..).zip(steps).zip(&spec.steps) {
                     let is_unblocked = step_spec.after.iter().all(|dependency| {
                         steps
                             .get(*dependency as usize)
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -109,3 +109,16 @@
     assert!(early.is_empty());
     assert_eq!(second.start_all().len(), 1);
 }
+
+/// Guards against progress that does not fit its job and ends the control thread.
+#[test]
+fn progress_with_more_steps_than_the_job_is_ignored() {
+    let mut first = owner(&["w1"]);
+    first.submit(1, job(vec![step(1), step(1)]));
+    first.commit();
+
+    let mut next = successor(&first, &job(vec![step(1)]), &["w1"]);
+    next.report("w1", Vec::new(), Vec::new());
+
+    assert_eq!(next.start_all().len(), 1);
+}
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -376,7 +376,7 @@
 
     /// Runs the passes that are due: places tasks and sends commits. Completes a pending
     /// drain.
-    fn run_due_passes(&mut self) {
+    pub(super) fn run_due_passes(&mut self) {
         let now = self.effects.clock.now();
         let due = |handle: &ShardHandle| handle.has_new_events && now >= handle.next_pass_at;
         let pending = self.shards.iter().filter(|(_, handle)| due(handle));
--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -4,9 +4,10 @@
     time::Duration,
 };
 
-use auburnsaddle_core::{PipelineConfig, ResourceVector, WorkerListing};
+use auburnsaddle_core::{PipelineConfig, ResourceVector, StepSpec, WorkerListing};
 use auburnsaddle_platform::{ItemChange, KeyLease};
-use serde_json::Value;
+use proptest::prelude::*;
+use serde_json::{Value, json};
 use tokio::{runtime::Handle, sync::mpsc};
 
 use super::{
@@ -102,6 +103,85 @@
     assert_eq!(owned_services(&control).len(), 1);
 }
 
+/// Returns a strategy for numbers at the bounds of their types.
+fn extreme_number() -> impl Strategy<Value = u64> {
+    prop_oneof![
+        Just(0),
+        Just(1),
+        Just(41),
+        Just(8_192),
+        Just(u64::from(u32::MAX)),
+        Just(u64::MAX),
+    ]
+}
+
+/// Returns a request of a peer with notices about a job with these numbers.
+fn notices_with(numbers: &[u64]) -> Value {
+    let mut step = serde_json::to_value(StepSpec::default()).unwrap();
+    step["count"] = json!(numbers[0]);
+    step["demand"]["cpu_milli"] = json!(numbers[1]);
+    step["demand"]["memory_mib"] = json!(numbers[2]);
+    step["demand"]["accelerators"] = json!(numbers[3]);
+    step["estimate_ms"] = json!(numbers[4]);
+    step["after"] = json!([numbers[5]]);
+    step["gang"] = json!(numbers[6] > 1);
+    step["per_worker_limit"] = json!(numbers[7]);
+    let spec = json!({
+        "command": "run", "steps": [step.clone(), step], "schedule": {
+            "first_unix_ms": numbers[8], "interval_ms": numbers[9], "occurrences": 1,
+        },
+        "policy": {
+            "queue": "tokens", "service": "sales", "priority": numbers[10],
+            "max_attempts": numbers[11], "stretch": 1.5, "target_latency_ms": numbers[12],
+            "advice": null,
+        },
+        "accepted_unix_ms": numbers[13],
+    });
+    let (id, revision) = (numbers[14], numbers[15]);
+    json!([
+        {"service": "sales", "id": id, "revision": revision, "change": {"accepted": spec}},
+        {"service": "sales", "id": id, "revision": revision, "change": "cancelled"},
+    ])
+}
+
+/// Returns whether the control thread has handled a request of a peer with notices; `false` if
+/// it cannot be decoded.
+fn handle_notices(request: &Value) -> bool {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let _context = runtime.enter();
+    let Ok(notices) = serde_json::from_value(request.clone()) else {
+        return false;
+    };
+    let mut control = isolated_control();
+    control.handle(lease(1));
+    let outcome = AcquireOutcome::Acquired(loaded_shard());
+    control.handle(CellEvent::Acquired("sales".into(), 1, outcome));
+    control.handle(CellEvent::PeerNotices(notices));
+    control.tick();
+    control.run_due_passes();
+    true
+}
+
+proptest! {
+    /// Guards against a message of another daemon that ends the process of an owner: sums of its
+    /// numbers overflow, or its sizes exhaust the memory.
+    #[test]
+    fn messages_of_peers_are_handled_without_a_panic(
+        numbers in prop::collection::vec(extreme_number(), 16),
+    ) {
+        handle_notices(&notices_with(&numbers));
+    }
+}
+
+/// Guards against a property test whose messages are all rejected by the decoder.
+#[test]
+fn notices_with_ordinary_numbers_are_handled() {
+    assert!(handle_notices(&notices_with(&[50; 16])));
+}
+
 /// Guards against a worker that stays known to a new owner although its entry is removed
 /// before it is written again.
 #[tokio::test]
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -187,6 +187,11 @@
     /// in order.
     pub(crate) fn apply_notice(&mut self, notice: JobNotice) -> Option<PipelineEvent> {
         let id = notice.id;
+        if !notice.has_accepted_size() {
+            let request_id = format!("{id:016x}");
+            log::warn!(request_id = request_id.as_str(); "ignored a notice of an oversized job");
+            return None;
+        }
         match notice.change {
             _ if notice.revision <= self.jobs_revision => None,
             JobChange::Accepted(spec) => {
