--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -12,7 +12,7 @@
 };
 
 use auburnsaddle_core::{PipelineConfig, PipelineEvent, PipelineId, PipelinePhase, ServiceId};
-use auburnsaddle_platform::{HttpEndpoint, ItemChange, KeyLease, StoreItem, TransactionOutcome};
+use auburnsaddle_platform::{HttpEndpoint, ItemChange, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -25,8 +25,9 @@
 };
 use crate::{
     job_table::{JobSummary, JobTable},
-    pipelines::{AcquireOutcome, AdvisorTable, CellKey, CommitStatus, JobNotice, MemberEntry},
-    pipelines::{OwnedShard, OwnerEntry, count_advisors, decode_value},
+    pipelines::{
+        AcquireOutcome, AdvisorTable, CommitStatus, JobNotice, OwnedShard, count_advisors,
+    },
     session::{LeaseUpdate, PrefixUpdate},
     telemetry::unix_ms,
 };
@@ -70,9 +71,9 @@
 
 /// The owner of a service, and the revision of the owner's key in the store.
 #[derive(Clone, Debug)]
-struct KnownOwner {
-    daemon: String,
-    revision: u64,
+pub(super) struct KnownOwner {
+    pub(super) daemon: String,
+    pub(super) revision: u64,
 }
 
 /// A drain that waits until all changes are durable or its time is over.
@@ -85,19 +86,19 @@
 /// The state of the control thread.
 #[derive(Debug)]
 pub(super) struct CellControl {
-    settings: ControlSettings,
-    effects: CellEffects,
+    pub(super) settings: ControlSettings,
+    pub(super) effects: CellEffects,
     /// Whether the daemon is ready; read by the readiness endpoint.
     ready: Arc<AtomicBool>,
-    jobs: JobTable,
-    members: BTreeMap<String, HttpEndpoint>,
+    pub(super) jobs: JobTable,
+    pub(super) members: BTreeMap<String, HttpEndpoint>,
     /// Processors of each daemon, in thousandths of a core.
-    cpu_by_daemon: BTreeMap<String, u64>,
-    owners: BTreeMap<ServiceId, KnownOwner>,
+    pub(super) cpu_by_daemon: BTreeMap<String, u64>,
+    pub(super) owners: BTreeMap<ServiceId, KnownOwner>,
     /// Services that need an owner: those of the manifest and of all known jobs.
-    services: BTreeSet<ServiceId>,
+    pub(super) services: BTreeSet<ServiceId>,
     /// Whether owners and members have been read from the store.
-    has_membership: bool,
+    pub(super) has_membership: bool,
     lease: Option<KeyLease>,
     lease_valid_until: Duration,
     /// Services without an owner, and when this daemon starts their takeover.
@@ -552,7 +553,7 @@
 
     /// Stops scheduling a service. The owner's key in the store remains until the lease
     /// ends.
-    fn drop_shard(&mut self, service: &ServiceId, reason: &str) {
+    pub(super) fn drop_shard(&mut self, service: &ServiceId, reason: &str) {
         if let Some(handle) = self.shards.remove(service) {
             log::warn!(
                 service = service.as_ref(), epoch = handle.shard.epoch(), reason;
@@ -586,115 +587,6 @@
         }
     }
 
-    /// Replaces the owners and members by those of the store. Releases services for
-    /// which the store lists no owner.
-    fn reset_membership(&mut self, items: Vec<StoreItem>) {
-        self.has_membership = true;
-        self.members.clear();
-        self.cpu_by_daemon.clear();
-        let previous = std::mem::take(&mut self.owners);
-        for item in items {
-            self.apply_change(ItemChange::Put(item));
-        }
-        for (service, owner) in previous {
-            if !self.owners.contains_key(&service) && owner.daemon == self.settings.daemon {
-                self.drop_shard(&service, "the store holds no owner");
-            }
-        }
-    }
-
-    /// Applies a change of a summary, a member or an owner.
-    fn apply_change(&mut self, change: ItemChange) {
-        match change {
-            ItemChange::Put(item) => match CellKey::parse(&item.key) {
-                Some(CellKey::Summary(id)) => {
-                    if let Some(summary) = decode_value::<JobSummary>(&item.key, &item.value) {
-                        // A service with accepted jobs needs an owner even if no queue of
-                        // the manifest routes to it any more.
-                        self.services.insert(summary.service.clone());
-                        self.jobs.insert(id, summary);
-                    }
-                }
-                Some(CellKey::Member(daemon)) => {
-                    if let Some(entry) = decode_value::<MemberEntry>(&item.key, &item.value) {
-                        self.cpu_by_daemon.insert(daemon.clone(), entry.cpu_milli);
-                        self.add_member(daemon, &entry.address);
-                    }
-                }
-                Some(CellKey::Owner(service)) => {
-                    if let Some(entry) = decode_value::<OwnerEntry>(&item.key, &item.value) {
-                        self.update_owner(service, Some(entry.daemon), item.revision);
-                    }
-                }
-                _ => log::debug!(key = item.key.as_str(); "ignored an unknown key"),
-            },
-            ItemChange::Removed { key, revision } => match CellKey::parse(&key) {
-                Some(CellKey::Summary(id)) => self.jobs.remove(id),
-                Some(CellKey::Member(daemon)) if self.members.remove(&daemon).is_some() => {
-                    log::info!(daemon = daemon.as_str(); "a daemon left the cell");
-                    self.cpu_by_daemon.remove(&daemon);
-                    self.update_relay_peers();
-                }
-                Some(CellKey::Owner(service)) => self.update_owner(service, None, revision),
-                _ => {}
-            },
-        }
-    }
-
-    /// Adds a daemon, or replaces its address after a restart.
-    fn add_member(&mut self, daemon: String, address: &str) {
-        let known = self.members.get(&daemon);
-        if known.is_some_and(|endpoint| *endpoint.address() == address) {
-            return;
-        }
-        log::info!(daemon = daemon.as_str(), address; "a daemon joined the cell");
-        self.members.insert(daemon, HttpEndpoint::new(address));
-        self.update_relay_peers();
-    }
-
-    /// Updates the peers that can relay calls to the store. If no peer is left, the
-    /// previous ones are kept, because this daemon may be the one that cannot reach the
-    /// store.
-    fn update_relay_peers(&self) {
-        let own = self.settings.daemon.as_str();
-        let order = relay_order(own, &self.cpu_by_daemon);
-        let peers = order.iter().filter_map(|daemon| self.members.get(*daemon));
-        let peers: Vec<HttpEndpoint> = peers.cloned().collect();
-        if !peers.is_empty() {
-            self.effects.route.set_peers(peers);
-        }
-    }
-
-    /// Records the owner of a service, and releases the service if another daemon owns
-    /// it.
-    fn update_owner(&mut self, service: ServiceId, daemon: Option<String>, revision: u64) {
-        // A takeover by this daemon may be newer than this change.
-        if self
-            .owners
-            .get(&service)
-            .is_some_and(|owner| owner.revision > revision)
-        {
-            return;
-        }
-        let is_self = daemon.as_ref() == Some(&self.settings.daemon);
-        if !is_self {
-            self.drop_shard(&service, "the store holds another owner or none");
-        }
-        match daemon {
-            Some(daemon) => {
-                log::info!(
-                    service = service.as_ref(), daemon = daemon.as_str();
-                    "read the owner of a service"
-                );
-                let known = KnownOwner { daemon, revision };
-                self.owners.insert(service, known);
-            }
-            None => {
-                self.owners.remove(&service);
-            }
-        }
-    }
-
     /// Returns the state of the thread as JSON.
     pub(super) fn dump(&self) -> String {
         let shards = self.shards.iter().map(|(service, handle)| {
--- /dev/null
+++ b/crates/daemon/src/cell/membership.rs
@@ -0,0 +1,121 @@
+//! The daemons of the cell and the owners of the services, as the store lists them.
+
+use auburnsaddle_core::ServiceId;
+use auburnsaddle_platform::{HttpEndpoint, ItemChange, StoreItem};
+
+use super::control::{CellControl, KnownOwner, relay_order};
+use crate::{
+    job_table::JobSummary,
+    pipelines::{CellKey, MemberEntry, OwnerEntry, decode_value},
+};
+
+impl CellControl {
+    /// Replaces the owners and members by those of the store. Releases services for
+    /// which the store lists no owner.
+    pub(super) fn reset_membership(&mut self, items: Vec<StoreItem>) {
+        self.has_membership = true;
+        self.members.clear();
+        self.cpu_by_daemon.clear();
+        let previous = std::mem::take(&mut self.owners);
+        for item in items {
+            self.apply_change(ItemChange::Put(item));
+        }
+        for (service, owner) in previous {
+            if !self.owners.contains_key(&service) && owner.daemon == self.settings.daemon {
+                self.drop_shard(&service, "the store holds no owner");
+            }
+        }
+    }
+
+    /// Applies a change of a summary, a member or an owner.
+    pub(super) fn apply_change(&mut self, change: ItemChange) {
+        match change {
+            ItemChange::Put(item) => match CellKey::parse(&item.key) {
+                Some(CellKey::Summary(id)) => {
+                    if let Some(summary) = decode_value::<JobSummary>(&item.key, &item.value) {
+                        // A service with accepted jobs needs an owner even if no queue of
+                        // the manifest routes to it any more.
+                        self.services.insert(summary.service.clone());
+                        self.jobs.insert(id, summary);
+                    }
+                }
+                Some(CellKey::Member(daemon)) => {
+                    if let Some(entry) = decode_value::<MemberEntry>(&item.key, &item.value) {
+                        self.cpu_by_daemon.insert(daemon.clone(), entry.cpu_milli);
+                        self.add_member(daemon, &entry.address);
+                    }
+                }
+                Some(CellKey::Owner(service)) => {
+                    if let Some(entry) = decode_value::<OwnerEntry>(&item.key, &item.value) {
+                        self.update_owner(service, Some(entry.daemon), item.revision);
+                    }
+                }
+                _ => log::debug!(key = item.key.as_str(); "ignored an unknown key"),
+            },
+            ItemChange::Removed { key, revision } => match CellKey::parse(&key) {
+                Some(CellKey::Summary(id)) => self.jobs.remove(id),
+                Some(CellKey::Member(daemon)) if self.members.remove(&daemon).is_some() => {
+                    log::info!(daemon = daemon.as_str(); "a daemon left the cell");
+                    self.cpu_by_daemon.remove(&daemon);
+                    self.update_relay_peers();
+                }
+                Some(CellKey::Owner(service)) => self.update_owner(service, None, revision),
+                _ => {}
+            },
+        }
+    }
+
+    /// Adds a daemon, or replaces its address after a restart.
+    fn add_member(&mut self, daemon: String, address: &str) {
+        let known = self.members.get(&daemon);
+        if known.is_some_and(|endpoint| *endpoint.address() == address) {
+            return;
+        }
+        log::info!(daemon = daemon.as_str(), address; "a daemon joined the cell");
+        self.members.insert(daemon, HttpEndpoint::new(address));
+        self.update_relay_peers();
+    }
+
+    /// Updates the peers that can relay calls to the store. If no peer is left, the
+    /// previous ones are kept, because this daemon may be the one that cannot reach the
+    /// store.
+    fn update_relay_peers(&self) {
+        let own = self.settings.daemon.as_str();
+        let order = relay_order(own, &self.cpu_by_daemon);
+        let peers = order.iter().filter_map(|daemon| self.members.get(*daemon));
+        let peers: Vec<HttpEndpoint> = peers.cloned().collect();
+        if !peers.is_empty() {
+            self.effects.route.set_peers(peers);
+        }
+    }
+
+    /// Records the owner of a service, and releases the service if another daemon owns
+    /// it.
+    fn update_owner(&mut self, service: ServiceId, daemon: Option<String>, revision: u64) {
+        // A takeover by this daemon may be newer than this change.
+        if self
+            .owners
+            .get(&service)
+            .is_some_and(|owner| owner.revision > revision)
+        {
+            return;
+        }
+        let is_self = daemon.as_ref() == Some(&self.settings.daemon);
+        if !is_self {
+            self.drop_shard(&service, "the store holds another owner or none");
+        }
+        match daemon {
+            Some(daemon) => {
+                log::info!(
+                    service = service.as_ref(), daemon = daemon.as_str();
+                    "read the owner of a service"
+                );
+                let known = KnownOwner { daemon, revision };
+                self.owners.insert(service, known);
+            }
+            None => {
+                self.owners.remove(&service);
+            }
+        }
+    }
+}
--- a/crates/daemon/src/cell/mod.rs
+++ b/crates/daemon/src/cell/mod.rs
@@ -11,6 +11,7 @@
 mod command;
 mod control;
 mod effects;
+mod membership;
 mod messages;
 mod metrics;
 mod notes;
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -579,8 +579,8 @@
     assert_eq!(cell.workers[2].starts().len(), 3);
 }
 
-/// Guards against callers that are told that an accepted job was not accepted, because they
-/// submit it again, at any daemon, while the store is unavailable.
+/// Guards against the refusal of a job that was accepted, when its caller submits it again, at
+/// any daemon, while the store is unavailable.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_accepted_job_is_never_reported_as_refused() {
     let cell = start_cell(2, Duration::from_millis(200)).await;
@@ -606,8 +606,8 @@
     assert_eq!(cell.task_starts().len(), 1);
 }
 
-/// Guards against callers that are told that a job was not accepted, although an earlier
-/// submission of it was stored and its answer was lost.
+/// Guards against the refusal of a job whose earlier submission was stored, when the answer to
+/// that was lost.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_job_that_may_be_stored_is_not_reported_as_refused() {
     let cell = start_cell(1, Duration::from_millis(200)).await;
