--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,18 +1,22 @@
-"""TWICE: more than 500 ends wait on a runner while the store is down."""
+"""TWICE: more than 500 ends wait on a runner when a new owner takes over its service."""
 
 import asyncio
 import os
 import random
+import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standin"))
 import deployment  # noqa: E402
 
 SERVICE, PREFIX = "balcao", "/lohu930/"
-OUTAGE_S = 4.5
+DOWN_S = 3.5
 TASKS = 800
 CAPACITY = {"cpu": 32000, "mem-mb": 131072, "gpus": 0}
-STEP = {"count": TASKS, "cpu": 40, "mem-mb": 64, "est-runtime-ms": 6000}
+STEP = {"count": TASKS, "cpu": 40, "mem-mb": 64, "est-runtime-ms": 5000}
+# The tasks take 4 to 6 s, and the owner is killed when the first of them end.
+WORK_S = (4.0, 6.0)
+KILL_AFTER_S = 3.9
 
 
 async def case(fleet):
@@ -20,7 +24,7 @@
     times = {}
 
     def work_s(task, attempt):
-        return times.setdefault(task, draw.uniform(4.0, 9.0))
+        return times.setdefault(task, draw.uniform(*WORK_S))
 
     runners = [(f"i-{index:010x}", SERVICE, CAPACITY, ["a", "r1-1"], work_s) for index in (1, 2)]
     await fleet.start([deployment.route("compra", PREFIX, SERVICE)], runners)
@@ -30,14 +34,17 @@
     while sum(run.attempt == 1 for run in fleet.runs) < TASKS:
         await asyncio.sleep(0.02)
     fleet.record.say(f"all {TASKS} tasks of job {job} have begun")
-    await asyncio.sleep(3.8)
+    await asyncio.sleep(KILL_AFTER_S)
     if deployment.TROUBLE:
-        fleet.store.down = "silent"
-        fleet.record.say(f"the store is down for {OUTAGE_S} s")
-        await asyncio.sleep(OUTAGE_S)
-        fleet.store.down = None
-        waiting = max(len(runner.finished) for runner in fleet.runners)
-        fleet.record.say(f"the store is back; {waiting} ends wait on one runner")
+        daemon = fleet.owner(SERVICE)
+        if daemon is None:
+            raise RuntimeError("the service has no owner")
+        daemon.send_signal(signal.SIGKILL)
+        daemon.process.wait()
+        fleet.record.say(f"daemon {daemon.name} is killed, for {DOWN_S} s")
+        await asyncio.sleep(DOWN_S)
+        daemon.launch(fleet.seeds(), bootstrap=False)
+        fleet.record.say(f"daemon {daemon.name} starts again")
     state = None
     until = fleet.record.now() + 40
     while fleet.record.now() < until and state != "completed":
@@ -47,8 +54,10 @@
     pairs = fleet.starts_after_done()
     for first, second in pairs:
         fleet.record.write(f"TWICE: {first.describe()}; {second.describe()}")
-    fleet.record.say(f"job {job} is {state}; {len(fleet.runs)} runs of {TASKS} tasks; "
-                     f"{len(pairs)} starts after a run that had ended done and was taken note of")
+    most = max(runner.most_ends for runner in fleet.runners)
+    fleet.record.say(f"job {job} is {state}; at most {most} ends waited on one runner; "
+                     f"{len(fleet.runs)} runs of {TASKS} tasks; {len(pairs)} starts after a run "
+                     f"that had ended done and was taken note of")
     return not pairs
 
 
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -343,6 +343,8 @@
         self.http = HttpServer(self.handle)
         self.sequence = 0
         self.registered_until = None
+        # Largest number of ends that waited for an acknowledgement.
+        self.most_ends = 0
 
     async def start(self):
         await self.http.start()
@@ -358,6 +360,7 @@
         self.clock_began = time.monotonic()
         self.fence = 0
         self.lease_end = None
+        self.lapsed_at = None
         self.running = {}
         self.finished = []
         self.ended_attempts = {}
@@ -430,6 +433,8 @@
                 continue
             now = self.record.now()
             has_lapsed = self.lease_end is not None and self.clock_ms() >= self.lease_end
+            if has_lapsed:
+                self.lapsed_at = now
             for run in list(self.running.values()):
                 if run.work_s is not None and now >= run.began + run.work_s:
                     self.finish(run, "done", now)
@@ -443,6 +448,7 @@
         self.last_end += 1
         run.end, run.how, run.number = now, how, self.last_end
         self.finished.append(run)
+        self.most_ends = max(self.most_ends, len(self.finished))
         self.ended_attempts[run.task] = max(run.attempt, self.ended_attempts.get(run.task, 0))
         self.record.write(f"runner {run.describe()}")
         event, self.changed = self.changed, asyncio.Event()
@@ -518,7 +524,9 @@
         self.extend_lease(order)
         seen = order.get("last-seen", 0)
         for run in self.finished:
-            if run.number <= seen and run.noted_at is None:
+            has_lapsed = self.lapsed_at is not None and self.lapsed_at > run.end
+            # An end counts as taken note of unless the lease lapsed between the two.
+            if run.number <= seen and run.noted_at is None and not has_lapsed:
                 run.noted_at = self.record.now()
         self.finished = [run for run in self.finished if run.number > seen]
         until = time.monotonic() + min(order.get("wait-ms", 0), 2000) / 1000
@@ -665,9 +673,8 @@
             daemon = Daemon(f"edge-{zone}-{index // len(zones) + 1}", zone,
                             self.store.http.address, self.temporary.name)
             self.daemons.append(daemon)
-        seeds = [f"{HOST}:{daemon.control}" for daemon in self.daemons[:3]]
         for daemon in self.daemons:
-            daemon.launch(seeds)
+            daemon.launch(self.seeds())
             self.record.say(f"daemon {daemon.name} starts, process {daemon.process.pid}")
         for daemon in self.daemons:
             await self.wait_ready(daemon)
@@ -681,6 +688,15 @@
             await asyncio.sleep(0.1)
         raise RuntimeError(f"{daemon.name} isn't ready after {limit_s} s")
 
+    def seeds(self):
+        return [f"{HOST}:{daemon.control}" for daemon in self.daemons[:3]]
+
+    def owner(self, service):
+        """The daemon that the store names as the owner of a service."""
+        item = self.store.items.get(f"auburnsaddle/pub/owner/{service}")
+        value = base64.b64decode(item["value"]) if item else b""
+        return next((daemon for daemon in self.daemons if daemon.name.encode() in value), None)
+
     def new_id(self):
         return f"{self.random.getrandbits(64):016x}"
 
