--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -350,7 +350,7 @@
         await self.http.start()
         self.begin_life(self.base_name)
         asyncio.ensure_future(self.work())
-        asyncio.ensure_future(self.check_in())
+        self.check_in_task = asyncio.ensure_future(self.check_in())
 
     def begin_life(self, runner_id):
         """Begins a life that holds and knows nothing of before."""
@@ -361,6 +361,7 @@
         self.fence = 0
         self.lease_end = None
         self.lapsed_at = None
+        self.leaves_at = None
         self.running = {}
         self.finished = []
         self.ended_attempts = {}
@@ -377,12 +378,16 @@
     def register(self):
         self.sequence += 1
         self.registered_until = time.monotonic() + SILENT_CHECKINS * HEARTBEAT_S
-        self.store.write(f"servers/{self.id}", {
+        entry = {
             "id": self.id, "service": self.service, "address": self.http.address, "zone": "caruaru",
             "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
             "sequence": self.sequence, "born": self.born, "capacity": self.capacity,
             "labels": self.labels, "machine": f"m-{self.base_name}",
-        })
+        }
+        if self.leaves_at is not None:
+            left = max(self.leaves_at - time.monotonic(), 0)
+            entry.update({"state": "draining", "remaining-ms": int(left * 1000)})
+        self.store.write(f"servers/{self.id}", entry)
 
     async def check_in(self):
         while True:
@@ -426,6 +431,26 @@
         self.http.reset_channels()
         self.begin_life(self.id)
 
+    async def drain_and_leave(self, drain_s, linger_s):
+        """Reports that it drains, checks in as always, and leaves a little after `drain_s`."""
+        self.record.say(f"runner {self.id} drains and leaves in {drain_s + linger_s} s, with "
+                        f"{len(self.running)} runs")
+        self.check_in_task.cancel()
+        self.leaves_at = time.monotonic() + drain_s
+        self.register()
+        self.check_in_task = asyncio.ensure_future(self.check_in())
+        await asyncio.sleep(drain_s + linger_s)
+        now = self.record.now()
+        for run in self.running.values():
+            run.end, run.how = now, "gone with its runner"
+        self.record.say(f"runner {self.id} has left with {len(self.running)} runs")
+        self.running = {}
+        self.is_up = False
+        self.http.reset_channels()
+        self.http.stop_listening()
+        self.store.erase(f"servers/{self.id}")
+        self.registered_until = None
+
     async def work(self):
         while True:
             await asyncio.sleep(0.005)
