Keep the runs that a restarted worker may have started (TWICE)

Cause: the owner took the first report of a new instance for proof that every run on the worker had ended, and placed the tasks elsewhere. Start orders that waited for a connection or were sent again during the cut had reached the new instance, which ran them.

Ruled out: a lease that counts as lapsed too early (the cause is Reborn).

Change: only runs that were present before the renewal was sent and are missing from the report are dropped. The others are kept until the new instance is claimed with a higher token, whose report is complete and fences later orders. A start order that waits is not sent once a renewal with a higher token was issued. A renewal to a worker that did not answer acknowledges no ends, since those of a new instance have the same numbers. an_end_is_acknowledged_after_its_commit expected the acknowledgement while the worker did not answer; it now expects none until the worker answers, and then the same one.

--- a/crates/core/src/pipelines/crashes.rs
+++ b/crates/core/src/pipelines/crashes.rs
@@ -39,13 +39,17 @@
 }
 
 impl PipelineState {
-    /// Raises the suspicion of the tasks that ran on a worker that has crashed. Returns the
-    /// runs whose jobs are to fail once the runs are dropped.
+    /// Raises the suspicion of the tasks whose runs have ended with their worker, which has
+    /// crashed. Returns the runs whose jobs are to fail once the runs are dropped.
     ///
     /// The likely causes are the runs that no report has listed yet, as most such tasks crash
     /// their workers when they start, and among these the tasks that are suspects already.
-    pub(super) fn blame_runs(&mut self, worker: &WorkerId) -> Vec<RunKey> {
-        let runs = self.crashed_runs(worker);
+    pub(super) fn blame_runs(
+        &mut self,
+        worker: &WorkerId,
+        has_ended: impl Fn(&RunKey, &WorkerRun) -> bool,
+    ) -> Vec<RunKey> {
+        let runs = self.crashed_runs(worker, has_ended);
         let has_unreported = runs.iter().any(|entry| !entry.is_reported);
         let is_possible = |entry: &CrashedRun| !(has_unreported && entry.is_reported);
         let has_suspect = runs
@@ -76,9 +80,13 @@
         exhausted
     }
 
-    /// Returns the runs that a crashed worker had started, if they are the latest of their tasks
-    /// and have not been at work for long.
-    fn crashed_runs(&mut self, worker: &WorkerId) -> Vec<CrashedRun> {
+    /// Returns the runs that a crashed worker had started and that have ended with it, if they
+    /// are the latest of their tasks and have not been at work for long.
+    fn crashed_runs(
+        &mut self,
+        worker: &WorkerId,
+        has_ended: impl Fn(&RunKey, &WorkerRun) -> bool,
+    ) -> Vec<CrashedRun> {
         let Some(record) = self.workers.get(worker) else {
             return Vec::new();
         };
@@ -86,7 +94,8 @@
         // An order without an answer may have been sent after the crash. Such a worker is
         // preferred for suspects until the crash is noticed, as it has the fewest runs.
         let is_started = |entry: &WorkerRun| matches!(entry.phase, RunPhase::Started(_));
-        let runs = record.runs.iter().filter(|(_, entry)| is_started(entry));
+        let runs = record.runs.iter();
+        let runs = runs.filter(|(run, entry)| is_started(entry) && has_ended(run, entry));
         let runs: Vec<(RunKey, bool, Duration)> = runs
             .map(|(run, entry)| {
                 let age = seen_at.saturating_sub(entry.placed_at);
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -136,7 +136,7 @@
     /// The order is malformed.
     Invalid,
     /// The order was not sent, because the ownership was not confirmed any more when it
-    /// would have been.
+    /// would have been, or the worker is claimed anew.
     NotSent,
     /// There was no answer: the worker may have started the run or may still do so.
     Unanswered,
@@ -440,6 +440,18 @@
         /// Number of runs that are stopped.
         runs: usize,
     },
+    /// A worker was restarted. Runs that may be on its new instance are kept until it is
+    /// claimed.
+    WorkerRestarted {
+        /// The worker that was restarted.
+        worker: WorkerId,
+        /// Number of runs that have ended with the former instance.
+        lost: usize,
+        /// Number of runs that are present on the new instance.
+        running: usize,
+        /// Number of ends on the new instance.
+        ended: usize,
+    },
     /// All runs of a worker are known to have ended.
     WorkerLost {
         /// The worker whose runs have ended.
@@ -456,8 +468,6 @@
 pub enum LossCause {
     /// Its lease lapsed without a renewal.
     LeaseLapsed,
-    /// The worker was restarted.
-    Reborn,
     /// Another worker or instance answers at its address.
     Replaced,
 }
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -11,7 +11,7 @@
     progress::{PipelinePhase, TaskPlace},
     spec::{PipelineId, RunKey},
     state::PipelineState,
-    worker::{PendingAck, ReportStatus, RunPhase, WorkerContact, WorkerRun},
+    worker::{PendingAck, ReportStatus, RunPhase, WorkerContact, WorkerRun, lapse_time},
 };
 use crate::types::WorkerId;
 
@@ -25,6 +25,9 @@
 /// Time for which other workers are preferred to one with consecutive failures.
 const FAILURE_PENALTY: Duration = Duration::from_secs(4);
 
+/// Time within which an order that was sent reaches its worker or is lost.
+const ORDER_TRANSIT_TIME: Duration = Duration::from_secs(3);
+
 /// Delay of the next renewal while reported ends wait to become durable.
 const UNACKED_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -47,10 +50,7 @@
             .started_unix_ms
             .is_some_and(|known_start_ms| known_start_ms != report.started_unix_ms)
         {
-            let suspects = self.blame_runs(worker);
-            self.reset_worker(worker, Some(report.started_unix_ms), now);
-            self.drop_all_runs(worker, LossCause::Reborn, now);
-            self.fail_crashing_jobs(&suspects, now);
+            self.handle_worker_restart(worker, sent_at, report, now);
             return;
         }
         record.started_unix_ms = Some(report.started_unix_ms);
@@ -106,6 +106,58 @@
         }
     }
 
+    /// Handles the first report of a new instance of a worker.
+    ///
+    /// Start orders for the former instance may have reached the new one, or may still do so.
+    /// Until the new instance is claimed with a token that fences them, a run is known to have
+    /// ended only if it was present before the renewal was sent and is not in the report.
+    fn handle_worker_restart(
+        &mut self,
+        worker: &WorkerId,
+        sent_at: Duration,
+        report: &RenewalReport,
+        now: Duration,
+    ) {
+        let running = report.running.iter().map(|observed| observed.run);
+        let ended = report.ended.iter().map(|end| end.run);
+        let present: BTreeSet<RunKey> = running.chain(ended).collect();
+        let has_ended = |run: &RunKey, entry: &WorkerRun| {
+            matches!(entry.phase, RunPhase::Started(at) if at < sent_at) && !present.contains(run)
+        };
+        let suspects = self.blame_runs(worker, has_ended);
+        self.reset_worker(worker, Some(report.started_unix_ms), now);
+        let Some(record) = self.workers.get_mut(worker) else {
+            return;
+        };
+        record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
+        let (mut lost, mut stopping) = (Vec::new(), Vec::new());
+        for (run, entry) in &mut record.runs {
+            match entry.phase {
+                _ if has_ended(run, entry) => lost.push((*run, entry.placed_at)),
+                RunPhase::Stopping(_) => {
+                    // Only the former instance may have confirmed the stop.
+                    entry.phase = RunPhase::Stopping(None);
+                    stopping.push(*run);
+                }
+                _ => entry.phase = RunPhase::Inherited,
+            }
+        }
+        self.log_note(PipelineNote::WorkerRestarted {
+            worker: WorkerId::clone(worker),
+            lost: lost.len(),
+            running: report.running.len(),
+            ended: report.ended.len(),
+        });
+        for (run, placed_at) in lost {
+            self.log_lost_run(worker, run, placed_at, now);
+            self.drop_run(worker, run, now);
+        }
+        for run in stopping {
+            self.stop_run(worker, run, now);
+        }
+        self.fail_crashing_jobs(&suspects, now);
+    }
+
     /// Updates the runs that a worker reports as present, and stops those that are not
     /// placed on it.
     fn update_reported_runs(&mut self, worker: &WorkerId, running: &[ObservedRun], now: Duration) {
@@ -173,8 +225,11 @@
             };
             is_expected && !present.contains(run)
         });
-        let missing: Vec<RunKey> = missing.map(|(run, _)| *run).collect();
-        for run in missing {
+        let missing: Vec<(RunKey, Duration)> = missing
+            .map(|(run, entry)| (*run, entry.placed_at))
+            .collect();
+        for (run, placed_at) in missing {
+            self.log_lost_run(worker, run, placed_at, now);
             self.drop_run(worker, run, now);
         }
     }
@@ -248,16 +303,21 @@
             cause,
         });
         for (run, placed_at) in runs {
-            self.log_note(PipelineNote::RunEnded {
-                run,
-                worker: WorkerId::clone(worker),
-                end: None,
-                age: now.saturating_sub(placed_at),
-            });
+            self.log_lost_run(worker, run, placed_at, now);
             self.drop_run(worker, run, now);
         }
     }
 
+    /// Logs a run that has ended without a report of its end.
+    fn log_lost_run(&mut self, worker: &WorkerId, run: RunKey, placed_at: Duration, now: Duration) {
+        self.log_note(PipelineNote::RunEnded {
+            run,
+            worker: WorkerId::clone(worker),
+            end: None,
+            age: now.saturating_sub(placed_at),
+        });
+    }
+
     /// Applies the end of a run to the progress of its job. `end` is `None` if the run
     /// was not started, or disappeared without a reported end.
     fn apply_run_end(&mut self, run: RunKey, end: Option<RunEnd>, now: Duration) {
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -489,13 +489,19 @@
                 (record.extend_lease(self.config.lease, now), wait)
             }
         };
+        let acked_end = match record.contact {
+            WorkerContact::Claimed => record.acked_end,
+            // The worker may have been restarted, and the ends of its new instance, which have
+            // the same numbers, must not be discarded.
+            WorkerContact::Unclaimed | WorkerContact::Doubted => 0,
+        };
         record.is_renewal_pending = true;
         record.is_renewal_misdirected = false;
         self.actions.push(PipelineAction::Renew(RenewalOrder {
             worker: WorkerId::clone(worker),
             address,
             token: record.token(self.epoch),
-            acked_end: record.acked_end,
+            acked_end,
             deadline_ms,
             wait,
         }));
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -464,7 +464,7 @@
             RenewalFailure::OtherInstance if !record.is_renewal_misdirected => {
                 // Another worker answers at the address, so this instance has ended.
                 record.listing = None;
-                let suspects = self.blame_runs(worker);
+                let suspects = self.blame_runs(worker, |_, _| true);
                 self.reset_worker(worker, None, now);
                 self.drop_all_runs(worker, LossCause::Replaced, now);
                 self.fail_crashing_jobs(&suspects, now);
--- a/crates/core/src/pipelines/tests/crashes.rs
+++ b/crates/core/src/pipelines/tests/crashes.rs
@@ -3,11 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use super::fixtures::{
-    INSTANCE_STARTED_MS, OwnerFixture, done, job, listing, observed, owner, step, unclaimed_owner,
-};
-use crate::{
-    PipelineEvent, PipelinePhase, PipelineSpec, RenewalFailure, RunKey, StartOrder, StartResult,
+    INSTANCE_STARTED_MS, OwnerFixture, done, job, listing, long_running_job, observed, owner, step,
+    unclaimed_owner,
 };
+use crate::{PipelineEvent, PipelinePhase, RenewalFailure, RunKey, StartOrder, StartResult};
 
 /// Largest number of starts of a task under which each of its workers crashes: three crashes,
 /// and less than three further starts.
@@ -70,13 +69,6 @@
     owner.report(worker, running, Vec::new());
 }
 
-/// Returns a job whose single task lasts until it is cancelled.
-fn long_running_job() -> PipelineSpec {
-    let mut spec = job(vec![step(1)]);
-    spec.steps[0].long_running = true;
-    spec
-}
-
 /// Guards against giving up tasks because they ran beside one that crashes its workers.
 #[test]
 fn tasks_beside_one_that_crashes_its_workers_are_not_given_up() {
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -119,6 +119,13 @@
     }
 }
 
+/// Returns a job whose single task lasts until it is cancelled.
+pub(super) fn long_running_job() -> PipelineSpec {
+    let mut spec = job(vec![step(1)]);
+    spec.steps[0].long_running = true;
+    spec
+}
+
 /// Returns the policy of a queue that requires tickets.
 pub(super) fn advice(decision_ms: f64) -> AdvicePolicy {
     AdvicePolicy {
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -23,8 +23,14 @@
     ));
     owner.commit();
     owner.advance_clock(Duration::from_secs(1));
-
-    assert_eq!(before, Some(0));
+    let doubted = owner.acked_end("w1");
+    owner.report(
+        "w1",
+        vec![observed(starts[1].run)],
+        vec![done(7, starts[0].run)],
+    );
+
+    assert_eq!((before, doubted), (Some(0), Some(0)));
     assert_eq!(owner.acked_end("w1"), Some(7));
 }
 
--- /dev/null
+++ b/crates/core/src/pipelines/tests/restarts.rs
@@ -0,0 +1,177 @@
+//! Tests of workers that are restarted with the same identifier.
+
+use std::time::Duration;
+
+use super::fixtures::{
+    INSTANCE_STARTED_MS, OwnerFixture, done, job, listing, long_running_job, observed, owner, step,
+};
+use crate::{
+    EndedRun, ObservedRun, PipelineAction, PipelineEvent, PipelinePhase, RenewalFailure,
+    StartOrder, StartResult,
+};
+
+/// Start time of the second instance of a worker, in ms since 1970.
+const RESTARTED_MS: u64 = INSTANCE_STARTED_MS + 5_000;
+
+/// Returns an owner that has ordered the first run of a task from `w1`, with the order.
+fn owner_with_open_order() -> (OwnerFixture, StartOrder) {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(1)]));
+    owner.commit();
+    let order = owner.take_starts().remove(0);
+    owner.handle_event(PipelineEvent::Listed(listing("w2")));
+    owner.report("w2", Vec::new(), Vec::new());
+    (owner, order)
+}
+
+/// Answers a renewal as the second instance of `w1`.
+fn report_restarted(owner: &mut OwnerFixture, running: Vec<ObservedRun>, ended: Vec<EndedRun>) {
+    owner.report_as_instance("w1", RESTARTED_MS, running, ended);
+}
+
+/// Guards against a second run of a task whose start order reached the worker after its
+/// restart.
+#[test]
+fn a_run_on_a_restarted_worker_is_not_started_elsewhere() {
+    let (mut owner, order) = owner_with_open_order();
+
+    report_restarted(&mut owner, vec![observed(order.run)], Vec::new());
+    let before_claim = owner.start_all();
+    report_restarted(&mut owner, vec![observed(order.run)], Vec::new());
+    let after_claim = owner.start_all();
+    report_restarted(&mut owner, Vec::new(), vec![done(1, order.run)]);
+    owner.commit();
+
+    assert!(before_claim.is_empty() && after_claim.is_empty());
+    assert!(owner.stops().is_empty());
+    assert_eq!(owner.phases[&1], PipelinePhase::Completed);
+}
+
+/// Guards against a second run of a task whose start order is still in transit when the
+/// restarted worker reports for the first time, whatever becomes of the answers to it.
+#[test]
+fn a_start_in_transit_during_a_restart_is_not_repeated_elsewhere() {
+    for answer in [
+        StartResult::Started,
+        StartResult::Unanswered,
+        StartResult::NoRoom,
+    ] {
+        let (mut owner, order) = owner_with_open_order();
+
+        report_restarted(&mut owner, Vec::new(), Vec::new());
+        let before_claim = owner.start_all();
+        let answer = PipelineEvent::StartAnswered(order.worker.clone(), order.run, answer);
+        owner.handle_event(answer);
+        owner.advance_clock(Duration::from_millis(200));
+        let after_answer = owner.start_all();
+        report_restarted(&mut owner, vec![observed(order.run)], Vec::new());
+        let after_claim = owner.start_all();
+
+        assert!(before_claim.is_empty() && after_answer.is_empty() && after_claim.is_empty());
+    }
+}
+
+/// Guards against a second run of a task that has already ended on the restarted worker.
+#[test]
+fn an_end_on_a_restarted_worker_counts() {
+    let (mut owner, order) = owner_with_open_order();
+
+    for _ in 0..2 {
+        report_restarted(&mut owner, Vec::new(), vec![done(1, order.run)]);
+    }
+    let starts = owner.start_all();
+
+    assert!(starts.is_empty());
+    assert_eq!(owner.phases[&1], PipelinePhase::Completed);
+}
+
+/// Guards against a task that waits for a run that the restarted worker never got.
+#[test]
+fn a_start_that_a_restarted_worker_did_not_get_is_repeated() {
+    let (mut owner, order) = owner_with_open_order();
+
+    report_restarted(&mut owner, Vec::new(), Vec::new());
+    let before_claim = owner.start_all();
+    report_restarted(&mut owner, Vec::new(), Vec::new());
+    let after_claim = owner.start_all();
+
+    assert!(before_claim.is_empty());
+    assert_eq!(after_claim[0].run.attempt, order.run.attempt + 1);
+}
+
+/// Guards against several restarts in a row, each of which may have received the order.
+#[test]
+fn each_of_several_restarts_keeps_the_runs_of_the_latest_instance() {
+    let (mut owner, order) = owner_with_open_order();
+
+    for restart in 0..4 {
+        let started_ms = RESTARTED_MS + restart;
+        owner.report_as_instance("w1", started_ms, vec![observed(order.run)], Vec::new());
+    }
+    let before_claim = owner.start_all();
+    let started_ms = RESTARTED_MS + 3;
+    owner.report_as_instance("w1", started_ms, vec![observed(order.run)], Vec::new());
+    let after_claim = owner.start_all();
+
+    assert!(before_claim.is_empty() && after_claim.is_empty());
+}
+
+/// Guards against a task that is lost with its restarted worker: the worker is gone again before
+/// it is claimed.
+#[test]
+fn a_run_on_a_restarted_worker_that_is_gone_again_is_started_elsewhere() {
+    let (mut owner, order) = owner_with_open_order();
+
+    report_restarted(&mut owner, vec![observed(order.run)], Vec::new());
+    let failure = PipelineEvent::RenewalFailed("w1".into(), RenewalFailure::Unanswered);
+    owner.handle_event(failure);
+    owner.advance_clock(Duration::from_secs(9));
+    let early = owner.start_all();
+    owner.advance_clock(Duration::from_secs(1));
+    let late = owner.start_all();
+
+    assert!(early.is_empty());
+    assert_eq!(&*late[0].worker, "w2");
+}
+
+/// Guards against a stop that only the former instance has confirmed.
+#[test]
+fn a_stop_is_repeated_for_a_restarted_worker() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, long_running_job());
+    let start = owner.start_all().remove(0);
+    owner.handle_event(PipelineEvent::Cancelled(1));
+    owner.handle_event(PipelineEvent::StopAnswered("w1".into(), start.run, true));
+    owner.actions.clear();
+
+    report_restarted(&mut owner, vec![observed(start.run)], Vec::new());
+
+    let stops = owner.stops();
+    assert_eq!(stops[0].run, start.run);
+    assert!(stops[0].token > start.token);
+}
+
+/// Guards against an acknowledgement for the former instance that makes the new one discard the
+/// ends of its own runs, which have the same numbers.
+#[test]
+fn ends_are_not_acknowledged_to_a_worker_that_may_have_been_restarted() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(2)]));
+    let starts = owner.start_all();
+    let running = vec![observed(starts[1].run)];
+    owner.report("w1", running.clone(), vec![done(7, starts[0].run)]);
+    owner.commit();
+    let acked = owner.acked_end("w1");
+
+    let failure = PipelineEvent::RenewalFailed("w1".into(), RenewalFailure::Unanswered);
+    owner.handle_event(failure);
+    owner.actions.clear();
+    owner.advance_clock(Duration::from_millis(300));
+    let doubted = owner.acked_end("w1");
+    owner.report("w1", running, Vec::new());
+    let is_renewal = |action: &PipelineAction| matches!(action, PipelineAction::Renew(_));
+
+    assert_eq!((acked, doubted), (Some(7), Some(0)));
+    assert!(owner.actions.iter().any(is_renewal));
+    assert_eq!(owner.acked_end("w1"), Some(7));
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -28,7 +28,8 @@
 /// Phase of a run as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RunPhase {
-    /// A previous owner placed the run. Whether it was started is unknown.
+    /// The run was placed by a previous owner, or before the worker was restarted. Whether it is
+    /// present is unknown until the worker is claimed.
     Inherited,
     /// This owner placed the run. The start order was sent without an answer this many
     /// times.
@@ -153,8 +154,7 @@
     pub(super) clock: Option<(u64, Duration)>,
     /// Latest end of the lease that may have been granted, in ms on the worker's clock.
     pub(super) granted_until_ms: u64,
-    /// Time by which the runs placed by a previous owner have ended if this owner
-    /// cannot claim the worker.
+    /// Time by which the inherited runs have ended if this owner cannot claim the worker.
     pub(super) inherited_until: Duration,
     /// Number of the last reported end that was handled.
     pub(super) processed_end: u64,
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -142,6 +142,15 @@
             service, epoch, worker = worker.as_ref(), runs;
             "stopping the runs of a worker that is about to leave"
         ),
+        PipelineNote::WorkerRestarted {
+            worker,
+            lost,
+            running,
+            ended,
+        } => log::warn!(
+            service, epoch, worker = worker.as_ref(), lost, running, ended;
+            "a worker was restarted; its other runs are known once it is claimed"
+        ),
         PipelineNote::WorkerLost {
             worker,
             runs,
--- a/crates/daemon/src/pipelines/orders.rs
+++ b/crates/daemon/src/pipelines/orders.rs
@@ -56,6 +56,9 @@
     client: WorkerClient,
     /// Limits the concurrent orders.
     permits: Arc<Semaphore>,
+    /// Fencing token of the latest claim. A start order that waits for a connection may belong
+    /// to an earlier one, and a worker that was restarted meanwhile would not reject it.
+    latest_token: Arc<AtomicU64>,
 }
 
 /// Sends the orders of one owned service to its workers.
@@ -123,10 +126,12 @@
     fn connection(&mut self, worker: &WorkerId, address: &str) -> WorkerConnection {
         match self.connections.get(worker) {
             Some(connection) if *connection.client.address() == address => connection.clone(),
-            _ => {
+            former => {
+                let latest_token = former.map(|connection| Arc::clone(&connection.latest_token));
                 let connection = WorkerConnection {
                     client: WorkerClient::new(address),
                     permits: Arc::new(Semaphore::new(MAX_OPEN_ORDERS)),
+                    latest_token: latest_token.unwrap_or_default(),
                 };
                 self.connections.insert(worker.clone(), connection.clone());
                 connection
@@ -146,7 +151,8 @@
         let (ownership, clock) = (self.permit.clone(), self.clock);
         self.runtime.spawn(async move {
             let _permit = connection.permits.acquire().await;
-            let result = if ownership.is_valid(clock.now()) {
+            let is_superseded = order.token < connection.latest_token.load(Ordering::Acquire);
+            let result = if ownership.is_valid(clock.now()) && !is_superseded {
                 connection.client.start(&order).await
             } else {
                 StartResult::NotSent
@@ -188,6 +194,9 @@
 
     fn renew(&mut self, order: RenewalOrder) {
         let connection = self.connection(&order.worker, &order.address);
+        connection
+            .latest_token
+            .fetch_max(order.token, Ordering::AcqRel);
         let (wrap_event, events) = (self.event_wrapper(), self.events.clone());
         let clock = self.clock;
         self.runtime.spawn(async move {
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -8,9 +8,9 @@
 
 use auburnsaddle_core::{
     AdviceOrder, AdvicePolicy, PipelineAction, PipelineConfig, PipelineEvent, PipelinePhase,
-    PipelineProgress, QueuePolicy, RenewalFailure, RenewalReport, ResourceVector, RunKey,
-    ServiceId, StartOrder, StartResult, StepKey, StepProgress, StepSpec, TaskKey, TaskProgress,
-    WorkerListing,
+    PipelineProgress, QueuePolicy, RenewalFailure, RenewalOrder, RenewalReport, ResourceVector,
+    RunKey, ServiceId, StartOrder, StartResult, StepKey, StepProgress, StepSpec, TaskKey,
+    TaskProgress, WorkerListing,
 };
 use auburnsaddle_platform::{StoreItem, StoreTransaction, TransactionOutcome};
 use auburnsaddle_platform_standin::WorkerStandin;
@@ -639,6 +639,35 @@
     assert!(worker.starts().is_empty());
 }
 
+/// Guards against a second run of a task: an order that waits for a connection while its worker
+/// is cut off is sent after the owner has given up the claim, and a restarted worker carries it
+/// out.
+#[tokio::test]
+async fn a_start_of_a_former_claim_is_not_sent() {
+    let worker = WorkerStandin::start("w1", Duration::from_secs(1)).await;
+    let (events, mut received) = mpsc::channel(8);
+    let clock = BootClock::start();
+    let mut orders = WorkerOrders::new(Handle::current(), events, clock, service_id(), 1);
+    orders.permit_until(clock.now() + Duration::from_mins(1));
+    let order = start_order(&worker);
+    let renewal = RenewalOrder {
+        worker: order.worker.clone(),
+        address: order.address.clone(),
+        token: order.token + 1,
+        acked_end: 0,
+        deadline_ms: None,
+        wait: Duration::from_mins(1),
+    };
+
+    orders.send(PipelineAction::Start(order));
+    // Neither order is sent before the test waits.
+    orders.send(PipelineAction::Renew(renewal));
+    let result = next_start_result(&mut received).await;
+
+    assert_eq!(result, Some(StartResult::NotSent));
+    assert!(worker.starts().is_empty());
+}
+
 /// Returns a notice about job 1.
 fn notice(revision: u64, change: JobChange) -> JobNotice {
     JobNotice {
