--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -99,6 +99,8 @@
     pub running: Vec<ObservedRun>,
     /// Ends that have not been acknowledged, by ascending number.
     pub ended: Vec<EndedRun>,
+    /// Whether the worker may have more ends than it lists.
+    pub has_more_ends: bool,
 }
 
 /// Why the renewal of a lease failed.
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -79,7 +79,7 @@
             self.handle_run_end(worker, end, now);
         }
         self.update_reported_runs(worker, &report.running, now);
-        self.drop_missing_runs(worker, &report.running, is_claim, sent_at, now);
+        self.drop_missing_runs(worker, report, sent_at, now);
         self.update_runtime_ratios(worker, now);
         self.pace_best_effort_runs(worker, now);
         // The ends are acknowledged once the changes made here are durable.
@@ -122,7 +122,9 @@
         let ended = report.ended.iter().map(|end| end.run);
         let present: BTreeSet<RunKey> = running.chain(ended).collect();
         let has_ended = |run: &RunKey, entry: &WorkerRun| {
-            matches!(entry.phase, RunPhase::Started(at) if at < sent_at) && !present.contains(run)
+            matches!(entry.phase, RunPhase::Started(at) if at < sent_at)
+                && !present.contains(run)
+                && !report.has_more_ends
         };
         let suspects = self.blame_runs(worker, has_ended);
         self.reset_worker(worker, Some(report.started_unix_ms), now);
@@ -203,22 +205,26 @@
         }
     }
 
-    /// Drops the runs that are missing from the report of their worker.
+    /// Drops the runs that are missing from the report of their worker, which is claimed.
     fn drop_missing_runs(
         &mut self,
         worker: &WorkerId,
-        running: &[ObservedRun],
-        is_claim: bool,
+        report: &RenewalReport,
         sent_at: Duration,
         now: Duration,
     ) {
         let Some(record) = self.workers.get(worker) else {
             return;
         };
-        let present: BTreeSet<RunKey> = running.iter().map(|observed| observed.run).collect();
+        // A missing run may be among the ends that follow once these are acknowledged.
+        if report.has_more_ends {
+            return;
+        }
+        let present = report.running.iter().map(|observed| observed.run);
+        let present: BTreeSet<RunKey> = present.collect();
         let missing = record.runs.iter().filter(|(run, entry)| {
             let is_expected = match entry.phase {
-                RunPhase::Inherited => is_claim,
+                RunPhase::Inherited => true,
                 // An answer on another connection may be newer than the report.
                 RunPhase::Started(at) | RunPhase::Stopping(Some(at)) => at < sent_at,
                 RunPhase::Ordered(_) | RunPhase::Stopping(None) => false,
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -218,12 +218,38 @@
         running: Vec<ObservedRun>,
         ended: Vec<EndedRun>,
     ) {
-        let report = RenewalReport {
-            started_unix_ms,
-            clock_ms: u64::try_from(self.now.as_millis()).unwrap(),
-            running,
-            ended,
-        };
+        self.handle_report(
+            worker,
+            RenewalReport {
+                started_unix_ms,
+                clock_ms: u64::try_from(self.now.as_millis()).unwrap(),
+                running,
+                ended,
+                has_more_ends: false,
+            },
+        );
+    }
+
+    /// Answers a renewal with part of the ends of a worker.
+    pub(super) fn report_with_more_ends(
+        &mut self,
+        worker: &str,
+        running: Vec<ObservedRun>,
+        ended: Vec<EndedRun>,
+    ) {
+        self.handle_report(
+            worker,
+            RenewalReport {
+                started_unix_ms: INSTANCE_STARTED_MS,
+                clock_ms: u64::try_from(self.now.as_millis()).unwrap(),
+                running,
+                ended,
+                has_more_ends: true,
+            },
+        );
+    }
+
+    fn handle_report(&mut self, worker: &str, report: RenewalReport) {
         let event = PipelineEvent::LeaseRenewed(worker.into(), self.now, report);
         self.handle_event(event);
     }
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::fixtures::{INSTANCE_STARTED_MS, done, job, listing, observed, owner, step};
-use crate::{PipelineAction, PipelineEvent, RenewalFailure, StartResult};
+use crate::{PipelineAction, PipelineEvent, PipelinePhase, RenewalFailure, RunKey, StartResult};
 
 /// Guards against an acknowledgement that lets the worker discard an end before it is
 /// durable.
@@ -239,3 +239,25 @@
 
     assert_eq!(owner.start_all().len(), 1);
 }
+
+/// Guards against a second run of tasks that have ended while the store did not answer: their ends
+/// are not acknowledged meanwhile, and a worker lists only the first ones.
+#[test]
+fn a_run_whose_end_a_report_omits_is_kept() {
+    let mut owner = owner(&["w1", "w2"]);
+    owner.submit(1, job(vec![step(3)]));
+    let runs: Vec<RunKey> = owner.start_all().iter().map(|start| start.run).collect();
+    let worker = "w1";
+
+    owner.advance_clock(Duration::from_secs(1));
+    for _ in 0..3 {
+        owner.report_with_more_ends(worker, Vec::new(), vec![done(1, runs[0])]);
+        owner.advance_clock(Duration::from_secs(1));
+    }
+    let early = owner.start_all();
+    owner.report(worker, Vec::new(), vec![done(2, runs[1]), done(3, runs[2])]);
+    owner.commit();
+
+    assert!(early.is_empty());
+    assert_eq!(owner.phases[&1], PipelinePhase::Completed);
+}
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::fixtures::{OwnerFixture, done, ended, job, observed, owner, step, unclaimed_owner};
-use crate::{PipelineEvent, PipelinePhase, PipelineSpec, RenewalFailure, RunEnd};
+use crate::{PipelineEvent, PipelinePhase, PipelineSpec, RenewalFailure, RunEnd, RunKey};
 
 /// Returns the next owner, which starts from the durable progress of `predecessor`.
 fn successor(predecessor: &OwnerFixture, spec: &PipelineSpec, workers: &[&str]) -> OwnerFixture {
@@ -122,3 +122,45 @@
 
     assert_eq!(next.start_all().len(), 1);
 }
+
+/// Guards against a second run of tasks that have ended on a worker with more ends than one report
+/// lists. The successor learns of the others only after it has acknowledged the first ones.
+#[test]
+fn a_successor_waits_for_ends_that_the_first_reports_omit() {
+    let mut first = owner(&["w1"]);
+    let spec = job(vec![step(4)]);
+    first.submit(1, spec.clone());
+    let runs: Vec<RunKey> = first.start_all().iter().map(|start| start.run).collect();
+
+    let mut second = successor(&first, &spec, &["w1"]);
+    second.report_with_more_ends("w1", vec![observed(runs[3])], vec![done(1, runs[0])]);
+    let after_first = second.start_all();
+    second.report_with_more_ends("w1", vec![observed(runs[3])], vec![done(2, runs[1])]);
+    let after_second = second.start_all();
+    second.report("w1", vec![observed(runs[3])], vec![done(3, runs[2])]);
+    let after_last = second.start_all();
+    second.report("w1", Vec::new(), vec![done(4, runs[3])]);
+    second.commit();
+
+    assert!(after_first.is_empty() && after_second.is_empty() && after_last.is_empty());
+    assert_eq!(second.phases[&1], PipelinePhase::Completed);
+}
+
+/// Guards against tasks that are never placed again, because the report that shows that a worker does
+/// not have them is not the first one.
+#[test]
+fn a_successor_places_tasks_again_that_no_complete_report_has() {
+    let mut first = owner(&["w1"]);
+    let spec = job(vec![step(2)]);
+    first.submit(1, spec.clone());
+    let runs: Vec<RunKey> = first.start_all().iter().map(|start| start.run).collect();
+
+    let mut second = successor(&first, &spec, &["w1"]);
+    second.report_with_more_ends("w1", Vec::new(), vec![done(1, runs[0])]);
+    let early = second.start_all();
+    second.report("w1", Vec::new(), Vec::new());
+    let late = second.start_all();
+
+    assert!(early.is_empty());
+    assert_eq!((late.len(), late[0].run.task), (1, runs[1].task));
+}
--- a/crates/core/src/pipelines/tests/sim_worker.rs
+++ b/crates/core/src/pipelines/tests/sim_worker.rs
@@ -217,6 +217,7 @@
             clock_ms: u64::try_from(now.as_millis()).unwrap(),
             running: running.collect(),
             ended: self.ended.clone(),
+            has_more_ends: false,
         };
         Some((renewal.epoch, renewal.sent_at, report))
     }
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -303,6 +303,7 @@
         clock_ms: 1,
         running: Vec::new(),
         ended: Vec::new(),
+        has_more_ends: false,
     };
     let stored = (10..10 + jobs).map(|id| PipelineEvent::Stored(id, spec.clone(), None));
     let events = [
