--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -90,6 +90,7 @@
 pub use objects::{ObjectReport, ServiceSpec, TeamSpec, WorkSpec};
 pub use ownership::{OwnerRecord, OwnerTable, OwnershipAction, OwnershipConfig};
 pub use ownership::{OwnershipEvent, ShardPhase};
+pub use pipelines::MAX_OPEN_TASKS;
 pub use pipelines::{AdviceOrder, AdvicePolicy, AdviceReport, CommitEntry, EndedRun};
 pub use pipelines::{
     LossCause, ObservedRun, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport,
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -57,7 +57,8 @@
 pub use progress::{PipelinePhase, PipelineProgress, StepProgress, TaskPlace, TaskProgress};
 pub use requests::SLOW_DECISION_MS;
 pub use schedule::PipelineConfig;
-pub use spec::{AdvicePolicy, PipelineId, PipelineSchedule, PipelineSpec, QueuePolicy};
+pub use spec::QueuePolicy;
+pub use spec::{AdvicePolicy, MAX_OPEN_TASKS, PipelineId, PipelineSchedule, PipelineSpec};
 pub use spec::{RunKey, StepKey, StepSpec, TaskKey, TaskKeyError};
 pub use state::{PipelineLoad, PipelineState};
 pub use wait::StepWait;
--- a/crates/core/src/pipelines/progress.rs
+++ b/crates/core/src/pipelines/progress.rs
@@ -6,7 +6,7 @@
 
 use super::{
     crashes::BLAME_WEIGHT,
-    spec::{PipelineId, PipelineSpec, StepKey, TaskKey},
+    spec::{MAX_OPEN_TASKS, PipelineId, PipelineSpec, StepKey, TaskKey},
 };
 use crate::types::{Attempt, WorkerId};
 
@@ -148,6 +148,36 @@
         self.occurrences.insert(occurrence, steps.collect());
     }
 
+    /// Returns whether a job of this specification has room for another occurrence in progress.
+    pub(super) fn has_room_for_occurrence(&self, spec: &PipelineSpec) -> bool {
+        let open = u64::try_from(self.occurrences.len()).unwrap_or(u64::MAX);
+        let size = open
+            .saturating_add(1)
+            .saturating_mul(spec.occurrence_size());
+        self.occurrences.is_empty() || size <= MAX_OPEN_TASKS
+    }
+
+    /// Removes the latest occurrences until those in progress do not exceed the limit, as far as
+    /// no task of them was placed. They are added again when there is room.
+    pub(super) fn remove_excess_occurrences(&mut self, spec: &PipelineSpec) {
+        while let Some((occurrence, steps)) = self.occurrences.pop_last() {
+            let mut tasks = steps.iter().flat_map(|step| &step.tasks);
+            let is_untouched = tasks.all(|task| *task == TaskProgress::default());
+            if !is_untouched || self.has_room_for_occurrence(spec) {
+                self.occurrences.insert(occurrence, steps);
+                return;
+            }
+        }
+    }
+
+    /// Removes the checkpoints of all tasks, which then start from the beginning.
+    pub fn discard_checkpoints(&mut self) {
+        let steps = self.occurrences.values_mut().flatten();
+        for task in steps.flat_map(|step| &mut step.tasks) {
+            task.checkpoint.clear();
+        }
+    }
+
     /// Returns whether the occurrence was added, including if it is done.
     pub(super) fn has_occurrence(&self, occurrence: u32) -> bool {
         self.done.contains(&occurrence) || self.occurrences.contains_key(&occurrence)
--- a/crates/core/src/pipelines/queue.rs
+++ b/crates/core/src/pipelines/queue.rs
@@ -72,34 +72,67 @@
 }
 
 impl PipelineState {
+    /// Adds the occurrences of a job that have become due. Returns whether there were any.
+    ///
+    /// Load pattern: the tasks of a recurring job cannot run, or run more slowly than the
+    /// occurrences become due. Occurrences beyond a limit are added when earlier ones are done.
+    fn add_due_occurrences(&mut self, id: PipelineId) -> bool {
+        let wall_ms = self.wall_ms;
+        let Some(record) = self.pipelines.get_mut(&id) else {
+            return false;
+        };
+        if record.progress.phase.is_final() {
+            return false;
+        }
+        let spec = Arc::clone(&record.spec);
+        let due = match &spec.schedule {
+            None => 1,
+            Some(schedule) => {
+                let all = 0..schedule.occurrences;
+                // Occurrences are due in order.
+                let due = all.take_while(|occurrence| schedule.due_unix_ms(*occurrence) < wall_ms);
+                u32::try_from(due.count()).unwrap_or(u32::MAX)
+            }
+        };
+        let mut has_new_occurrence = false;
+        for occurrence in 0..due {
+            if record.progress.has_occurrence(occurrence) {
+                continue;
+            }
+            if !record.progress.has_room_for_occurrence(&spec) {
+                break;
+            }
+            record.progress.add_occurrence(&spec, occurrence);
+            has_new_occurrence = true;
+        }
+        if has_new_occurrence && spec.schedule.is_some() {
+            self.mark_dirty(id);
+        }
+        has_new_occurrence
+    }
+
+    /// Adds the occurrences of recurring jobs that have become due.
+    pub(super) fn refresh_recurring_jobs(&mut self) {
+        let recurring = self.pipelines.iter();
+        let recurring = recurring.filter(|(_, record)| record.spec.schedule.is_some());
+        let recurring: Vec<PipelineId> = recurring.map(|(id, _)| *id).collect();
+        for id in recurring {
+            if self.add_due_occurrences(id) {
+                self.refresh_ready_steps(id);
+            }
+        }
+    }
+
     /// Adds the occurrences of a job that have become due, and updates its ready steps
     /// and their ranks.
     pub(super) fn refresh_ready_steps(&mut self, id: PipelineId) {
+        self.add_due_occurrences(id);
         let Some(record) = self.pipelines.get_mut(&id) else {
             return;
         };
         let spec = Arc::clone(&record.spec);
         let timing = record.timing.clone();
         let is_final = record.progress.phase.is_final();
-        let mut has_new_occurrence = false;
-        if !is_final {
-            let due = match &spec.schedule {
-                None => 1,
-                Some(schedule) => {
-                    let all = 0..schedule.occurrences;
-                    // Occurrences are due in order.
-                    let due = all
-                        .take_while(|occurrence| schedule.due_unix_ms(*occurrence) < self.wall_ms);
-                    u32::try_from(due.count()).unwrap_or(u32::MAX)
-                }
-            };
-            for occurrence in 0..due {
-                if !record.progress.has_occurrence(occurrence) {
-                    record.progress.add_occurrence(&spec, occurrence);
-                    has_new_occurrence = true;
-                }
-            }
-        }
         let previously_ready = std::mem::take(&mut record.ready);
         for (key, rank) in &previously_ready {
             self.ready.remove(&(*rank, *key));
@@ -132,9 +165,6 @@
                 self.waits.remove(key);
             }
         }
-        if has_new_occurrence && spec.schedule.is_some() {
-            self.mark_dirty(id);
-        }
     }
 
     /// Updates the ranks of jobs that have become late or expired.
--- a/crates/core/src/pipelines/spec.rs
+++ b/crates/core/src/pipelines/spec.rs
@@ -10,6 +10,10 @@
     types::{Attempt, ResourceVector},
 };
 
+/// Largest number of tasks of a job in progress, over all of its occurrences. The owner
+/// keeps their progress in memory and in one value of the store.
+pub const MAX_OPEN_TASKS: u64 = 8_192;
+
 /// Identifier of a pipeline, assigned by its caller.
 pub type PipelineId = u64;
 
@@ -233,6 +237,14 @@
 }
 
 impl PipelineSpec {
+    /// Returns the number of tasks of each occurrence. A step without tasks counts as one task,
+    /// as its progress is kept too.
+    #[must_use]
+    pub fn occurrence_size(&self) -> u64 {
+        let sizes = self.steps.iter().map(|step| u64::from(step.count.max(1)));
+        sizes.fold(0, u64::saturating_add)
+    }
+
     /// Returns the estimated run time of the longest chain of dependent steps, in ms.
     #[must_use]
     pub fn critical_path_ms(&self) -> u64 {
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -316,7 +316,8 @@
             return;
         }
         self.top_priority = self.top_priority.min(spec.policy.priority);
-        let progress = progress.unwrap_or_default();
+        let mut progress = progress.unwrap_or_default();
+        progress.remove_excess_occurrences(&spec);
         self.inherit_runs(id, &spec, &progress, now);
         let record = PipelineRecord {
             command: spec.command.as_str().into(),
@@ -588,13 +589,7 @@
     /// runs, leaving workers, lapsed leases and unconfirmed stop orders.
     fn tick(&mut self, wall_ms: u64, now: Duration) {
         self.wall_ms = wall_ms;
-        let scheduled = self.pipelines.iter().filter(|(_, record)| {
-            record.spec.schedule.is_some() && !record.progress.phase.is_final()
-        });
-        let scheduled: Vec<PipelineId> = scheduled.map(|(id, _)| *id).collect();
-        for id in scheduled {
-            self.refresh_ready_steps(id);
-        }
+        self.refresh_recurring_jobs();
         self.update_stale_ranks();
         self.stop_stalled_runs(now);
         self.evacuate_leaving_workers(now);
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -9,6 +9,7 @@
 mod load;
 mod placement;
 mod recovery;
+mod recurring;
 mod restarts;
 mod sim_worker;
 mod simulation;
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use auburnsaddle_core::{PipelineConfig, PipelineEvent, PipelineId, PipelinePhase, ServiceId};
+use auburnsaddle_core::{PipelineEvent, PipelineId, PipelinePhase, ServiceId};
 use auburnsaddle_platform::{HttpEndpoint, ItemChange, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
@@ -26,7 +26,8 @@
 use crate::{
     job_table::{JobSummary, JobTable},
     pipelines::{
-        AcquireOutcome, AdvisorTable, CommitStatus, JobNotice, OwnedShard, count_advisors,
+        AcquireOutcome, AdvisorTable, CommitStatus, JobNotice, OwnedShard, ShardSettings,
+        count_advisors,
     },
     session::{LeaseUpdate, PrefixUpdate},
     telemetry::unix_ms,
@@ -62,9 +63,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct ControlSettings {
     pub(super) daemon: String,
-    pub(super) config: PipelineConfig,
-    /// How long the summary of a job is kept after its end.
-    pub(super) status_retention: Duration,
+    pub(super) shard: ShardSettings,
     /// Processors of this daemon, in thousandths of a core.
     pub(super) cpu_milli: u64,
 }
@@ -528,12 +527,7 @@
         let jobs = loaded.jobs.iter().filter(|job| job.is_cancelled);
         let cancelled: Vec<_> = jobs.map(|job| job.id).collect();
         let watches = self.effects.watch_shard(&loaded);
-        let shard = OwnedShard::new(
-            *loaded,
-            self.settings.config,
-            self.settings.status_retention,
-            now,
-        );
+        let shard = OwnedShard::new(*loaded, self.settings.shard, now);
         let handle = self
             .effects
             .create_shard_handle(shard, workers.clone(), watches);
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -38,7 +38,8 @@
 use crate::{
     ingress::{JobService, PeerService, ReadyService, UnresolvedJobs, serve_http},
     pipelines::{
-        MemberEntry, NoticeSender, PUBLIC_PREFIX, SUMMARY_PREFIX, deliver_notices, encode_value,
+        MemberEntry, NoticeSender, PUBLIC_PREFIX, SUMMARY_PREFIX, ShardSettings, deliver_notices,
+        encode_value,
     },
     session::{CellStore, RetryDelay, StoreRoute, WatchTiming, maintain_lease, watch_prefix},
     telemetry::{BootClock, init_output_logger},
@@ -316,12 +317,15 @@
 ) -> Result<(), CellError> {
     let settings = ControlSettings {
         daemon: settings.daemon_name.clone(),
-        config: PipelineConfig {
-            lease: WORKER_LEASE.min(settings.max_worker_lease),
-            max_lease: settings.max_worker_lease,
-            renewal_wait: MAX_RENEWAL_WAIT,
+        shard: ShardSettings {
+            config: PipelineConfig {
+                lease: WORKER_LEASE.min(settings.max_worker_lease),
+                max_lease: settings.max_worker_lease,
+                renewal_wait: MAX_RENEWAL_WAIT,
+            },
+            summary_retention: settings.status_retention,
+            max_value_bytes: settings.max_value_bytes,
         },
-        status_retention: settings.status_retention,
         cpu_milli: settings.cpu_milli,
     };
     let runtime = Builder::new_current_thread()
--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -17,7 +17,7 @@
     messages::CellEvent,
 };
 use crate::{
-    pipelines::{AcquireOutcome, LoadedShard, NoticeSender, tests::empty_shard},
+    pipelines::{AcquireOutcome, LoadedShard, NoticeSender, ShardSettings, tests::empty_shard},
     session::{CellStore, LeaseUpdate, PrefixUpdate, StoreRoute},
     telemetry::BootClock,
 };
@@ -41,12 +41,15 @@
     };
     let settings = ControlSettings {
         daemon: "daemon-0".to_owned(),
-        config: PipelineConfig {
-            lease: Duration::from_secs(5),
-            max_lease: Duration::from_secs(6),
-            renewal_wait: Duration::from_secs(1),
+        shard: ShardSettings {
+            config: PipelineConfig {
+                lease: Duration::from_secs(5),
+                max_lease: Duration::from_secs(6),
+                renewal_wait: Duration::from_secs(1),
+            },
+            summary_retention: Duration::from_mins(2),
+            max_value_bytes: 1 << 20,
         },
-        status_retention: Duration::from_mins(2),
         cpu_milli: 500,
     };
     CellControl::new(settings, effects, Arc::default())
--- a/crates/daemon/src/pipelines/log.rs
+++ b/crates/daemon/src/pipelines/log.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use auburnsaddle_core::{PipelineId, PipelineProgress, TaskKey};
+use auburnsaddle_core::{PipelineId, PipelineProgress, TaskKey, TaskPlace, TaskProgress};
 
 use super::records::{decode_front, decode_value, encode_value};
 
@@ -26,6 +26,22 @@
 /// Largest number of jobs from the oldest records that one commit writes again.
 const MAX_REWRITES_PER_COMMIT: usize = 16;
 
+/// Largest encoded size of the progress of a job without occurrences, with its identifier.
+pub(super) const MAX_PROGRESS_HEADER_BYTES: usize = 32;
+
+/// Largest encoded size of the number of an occurrence with the count of its steps, and of a step
+/// without tasks.
+const MAX_STEP_BYTES: usize = 24;
+
+/// Largest encoded size of a task apart from its worker and its checkpoint.
+const MAX_TASK_BYTES: usize = 36;
+
+/// Largest encoded size of the suspicion of a task.
+const MAX_SUSPICION_BYTES: usize = 32;
+
+/// Largest encoded size of a number of 32 bits.
+const MAX_NUMBER_BYTES: usize = 5;
+
 /// The jobs that one commit changed, with their progress. Of a job that has ended, only the
 /// phase is kept. `None` marks a job whose keys are removed; earlier versions wrote it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -33,6 +49,23 @@
     pub(crate) entries: Vec<(PipelineId, Option<PipelineProgress>)>,
 }
 
+/// Returns an upper bound of the encoded size of the progress of a job.
+pub(super) fn progress_bytes(progress: &PipelineProgress) -> usize {
+    let task_bytes = |task: &TaskProgress| {
+        let worker_bytes = match &task.place {
+            TaskPlace::Placed(worker) => worker.len(),
+            TaskPlace::Waiting | TaskPlace::Done => 0,
+        };
+        let suspicion_bytes = usize::from(task.suspicion > 0) * MAX_SUSPICION_BYTES;
+        MAX_TASK_BYTES + worker_bytes + task.checkpoint.len() + suspicion_bytes
+    };
+    let steps = progress.steps();
+    let steps = steps.map(|step| MAX_STEP_BYTES + step.tasks.iter().map(task_bytes).sum::<usize>());
+    let occurrences = progress.occurrences.len() * MAX_STEP_BYTES;
+    let done = progress.done.len() * MAX_NUMBER_BYTES;
+    MAX_PROGRESS_HEADER_BYTES + occurrences + done + steps.sum::<usize>()
+}
+
 impl ProgressRecord {
     /// Encodes the record. The suspicions of tasks follow the entries, so that earlier
     /// versions, which do not know them, can read the entries.
--- a/crates/daemon/src/pipelines/notices.rs
+++ b/crates/daemon/src/pipelines/notices.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use auburnsaddle_core::{PipelineId, ServiceId};
+use auburnsaddle_core::{MAX_OPEN_TASKS, PipelineId, ServiceId};
 use auburnsaddle_platform::HttpEndpoint;
 use futures::future::join_all;
 use serde::{Deserialize, Serialize};
@@ -29,10 +29,6 @@
 /// caller.
 const MAX_NOTICES_PER_REQUEST: usize = 64;
 
-/// Largest number of tasks of a job that an owner takes from a notice: more than any daemon
-/// accepts. The owner keeps the progress of each task.
-const MAX_NOTICE_TASKS: u64 = 8_192;
-
 /// A change of a job that is durable in the store.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -59,10 +55,7 @@
     /// Returns whether the job is of a size that daemons accept.
     pub(super) fn has_accepted_size(&self) -> bool {
         match &self.change {
-            JobChange::Accepted(spec) => {
-                let tasks = spec.steps.iter().map(|step| u64::from(step.count));
-                tasks.fold(0, u64::saturating_add) <= MAX_NOTICE_TASKS
-            }
+            JobChange::Accepted(spec) => spec.occurrence_size() <= MAX_OPEN_TASKS,
             JobChange::Cancelled => true,
         }
     }
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -13,6 +13,7 @@
 
 use super::{
     acquire::{LoadedJob, LoadedShard},
+    log::{MAX_PROGRESS_HEADER_BYTES, progress_bytes},
     log::{ProgressLog, ProgressRecord, RecordNumber},
     notices::{JobChange, JobNotice},
     records::{CellKey, MAX_TRANSACTION_ENTRIES, SequenceEntry, decode_value, encode_value},
@@ -20,9 +21,18 @@
 };
 use crate::job_table::JobSummary;
 
-/// Largest number of tasks in one record, unless a single job has more. The progress
-/// of a task takes about 60 bytes, and a value of the store at most 1 MB.
-const MAX_RECORD_TASKS: usize = 4_096;
+/// Size of a record in bytes above which it takes no further job.
+const FULL_RECORD_BYTES: usize = 256 << 10;
+
+/// Settings of an owned service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ShardSettings {
+    pub(crate) config: PipelineConfig,
+    /// How long the summary of a job is kept after its end.
+    pub(crate) summary_retention: Duration,
+    /// Largest value that the store accepts, in bytes.
+    pub(crate) max_value_bytes: usize,
+}
 
 /// Status of a commit after a response of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -99,24 +109,16 @@
     /// The same jobs in the order in which they ended, each with the time at which its
     /// summary is removed.
     summary_expiries: VecDeque<(Duration, PipelineId)>,
-    /// Time for which a summary is kept after the end of its job.
-    summary_retention: Duration,
+    settings: ShardSettings,
 }
 
 impl OwnedShard {
     /// Builds the state of a service from what a takeover read from the store.
-    ///
-    /// `summary_retention` is the time for which the summary of an ended job is kept.
-    pub(crate) fn new(
-        loaded: LoadedShard,
-        config: PipelineConfig,
-        summary_retention: Duration,
-        now: Duration,
-    ) -> Self {
+    pub(crate) fn new(loaded: LoadedShard, settings: ShardSettings, now: Duration) -> Self {
         let mut shard = Self {
             summaries: SummaryQueue::new(loaded.service.clone()),
             service: loaded.service,
-            state: PipelineState::new(config, loaded.epoch, now),
+            state: PipelineState::new(settings.config, loaded.epoch, now),
             sequence: SequenceEntry {
                 epoch: loaded.epoch,
                 commit: loaded.last_commit,
@@ -129,7 +131,7 @@
             obsolete_keys: Vec::new(),
             finished_jobs: BTreeSet::new(),
             summary_expiries: VecDeque::new(),
-            summary_retention,
+            settings,
         };
         for job in loaded.jobs {
             shard.add_job(job, now);
@@ -157,7 +159,7 @@
         match job.progress {
             Some(_) if is_retired => {
                 self.finished_jobs.insert(job.id);
-                let expiry = now + self.summary_retention;
+                let expiry = now + self.settings.summary_retention;
                 self.summary_expiries.push_back((expiry, job.id));
             }
             progress => {
@@ -228,7 +230,7 @@
         for id in self.log.jobs_to_rewrite() {
             self.state.request_rewrite(id);
         }
-        let mut budget = CommitBudget::new();
+        let mut budget = CommitBudget::new(self.settings.max_value_bytes);
         let commit = self.state.take_commit(|entry| budget.try_reserve(entry))?;
         let sequence = SequenceEntry {
             epoch: self.sequence.epoch,
@@ -241,7 +243,16 @@
                 phase: entry.phase,
                 ..PipelineProgress::default()
             };
-            let progress = entry.progress.clone().unwrap_or_else(retired);
+            let mut progress = entry.progress.clone().unwrap_or_else(retired);
+            if progress_bytes(&progress) > self.settings.max_value_bytes {
+                let request_id = format!("{:016x}", entry.pipeline);
+                log::warn!(
+                    request_id = request_id.as_str(),
+                    max_value_bytes = self.settings.max_value_bytes;
+                    "the progress of a job is too large for the store; leaving out its checkpoints"
+                );
+                progress.discard_checkpoints();
+            }
             (entry.pipeline, Some(progress))
         });
         let record = ProgressRecord {
@@ -350,7 +361,7 @@
             let entries = pending.commit.entries.iter();
             for entry in entries.filter(|entry| entry.progress.is_none()) {
                 self.durable_phases.remove(&entry.pipeline);
-                let expiry = (now + self.summary_retention, entry.pipeline);
+                let expiry = (now + self.settings.summary_retention, entry.pipeline);
                 self.summary_expiries.push_back(expiry);
                 self.finished_jobs.insert(entry.pipeline);
             }
@@ -409,29 +420,30 @@
     }
 }
 
-/// The tasks that a commit can still take.
+/// The space that a commit can still take.
 struct CommitBudget {
-    /// Tasks for which the record still has space.
-    tasks: usize,
+    bytes: usize,
+    is_empty: bool,
 }
 
 impl CommitBudget {
-    const fn new() -> Self {
+    fn new(max_value_bytes: usize) -> Self {
         Self {
-            tasks: MAX_RECORD_TASKS,
+            bytes: FULL_RECORD_BYTES.min(max_value_bytes),
+            is_empty: true,
         }
     }
 
     /// Reserves space for a job; returns whether there was enough.
     fn try_reserve(&mut self, entry: &CommitEntry) -> bool {
-        let steps = entry.progress.iter().flat_map(PipelineProgress::steps);
-        let tasks: usize = steps.map(|step| step.tasks.len()).sum();
-        // A job with more tasks than a record takes gets a record of its own.
-        let is_first_job = self.tasks == MAX_RECORD_TASKS;
-        if tasks > self.tasks && !is_first_job {
+        let progress = entry.progress.as_ref();
+        let bytes = progress.map_or(MAX_PROGRESS_HEADER_BYTES, progress_bytes);
+        // A job that is larger than a full record gets a record of its own.
+        if bytes > self.bytes && !self.is_empty {
             return false;
         }
-        self.tasks = self.tasks.saturating_sub(tasks.max(1));
+        self.bytes = self.bytes.saturating_sub(bytes);
+        self.is_empty = false;
         true
     }
 }
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -23,10 +23,13 @@
     notices::{JobChange, JobNotice},
     orders::WorkerOrders,
     records::{CellKey, SequenceEntry, encode_value},
-    shard::{CommitStatus, OwnedShard},
+    shard::{CommitStatus, OwnedShard, ShardSettings},
 };
 use crate::{cell::CellEvent, pipelines::StoredJob, telemetry::BootClock};
 
+/// Largest value that the store of the tests accepts, in bytes.
+const MAX_VALUE_BYTES: usize = 64 << 10;
+
 fn advice_order(decision_ms: f64) -> AdviceOrder {
     AdviceOrder {
         step: StepKey {
@@ -87,7 +90,12 @@
         max_lease: Duration::from_secs(6),
         renewal_wait: Duration::from_secs(1),
     };
-    OwnedShard::new(loaded, config, Duration::from_mins(2), Duration::ZERO)
+    let settings = ShardSettings {
+        config,
+        summary_retention: Duration::from_mins(2),
+        max_value_bytes: MAX_VALUE_BYTES,
+    };
+    OwnedShard::new(loaded, settings, Duration::ZERO)
 }
 
 /// Returns a shard with one cancelled job. The next commit writes the end of the job.
