Shorten the wait for unreachable workers once all earlier owners have ended (LOST)

Cause: a successor that cannot reach a worker waited until a predecessor that lives on without the store could no longer have renewed its lease (3 s + 10 s + the longest lease), also if the predecessor was dead, or was an earlier process of the successor itself.

Ruled out: a late takeover, waiting for room or tickets (no step waited).

Change: a takeover records the ownerships that may not have ended. A daemon registers in the store when it starts, and after it has lost its lease and its control thread has released its services, so a registration newer than an ownership shows that it has ended. Once all have, the wait is one lease from then on. Unrecorded ownerships and daemons that do not return count as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -90,11 +90,11 @@
 pub use objects::{ObjectReport, ServiceSpec, TeamSpec, WorkSpec};
 pub use ownership::{OwnerRecord, OwnerTable, OwnershipAction, OwnershipConfig};
 pub use ownership::{OwnershipEvent, ShardPhase};
-pub use pipelines::MAX_OPEN_TASKS;
 pub use pipelines::{AdviceOrder, AdvicePolicy, AdviceReport, CommitEntry, EndedRun};
 pub use pipelines::{
     LossCause, ObservedRun, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport,
 };
+pub use pipelines::{MAX_OPEN_TASKS, MAX_PREDECESSOR_TIME};
 pub use pipelines::{PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad};
 pub use pipelines::{PipelineNote, SLOW_DECISION_MS};
 pub use pipelines::{PipelinePhase, PipelineProgress, PipelineSchedule, PipelineSpec};
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -271,6 +271,8 @@
     /// Number of daemons that send requests for quick and for slow decisions to the
     /// advice service.
     AdvisorsCounted(usize, usize),
+    /// All earlier owners of the service had ended their ownership by the given time.
+    PredecessorsEnded(Duration),
     /// The store has confirmed the ownership of the service until the given time.
     OwnershipConfirmed(Duration),
     /// Time has passed. Carries the wall clock in ms since 1970.
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -60,5 +60,5 @@
 pub use spec::QueuePolicy;
 pub use spec::{AdvicePolicy, MAX_OPEN_TASKS, PipelineId, PipelineSchedule, PipelineSpec};
 pub use spec::{RunKey, StepKey, StepSpec, TaskKey, TaskKeyError};
-pub use state::{PipelineLoad, PipelineState};
+pub use state::{MAX_PREDECESSOR_TIME, PipelineLoad, PipelineState};
 pub use wait::StepWait;
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -36,9 +36,10 @@
 /// Time for which other workers are preferred to one that rejected a start order.
 const REJECTION_PENALTY: Duration = Duration::from_secs(2);
 
-/// Time after a takeover for which the previous owner may still act as the owner:
-/// the term of its lease in the store, which may have been revoked early.
-const PREDECESSOR_LEASE_TERM: Duration = Duration::from_secs(3);
+/// Time after a takeover for which an earlier owner may still renew leases: the term of its
+/// lease in the store, which may have been revoked early, and its unconfirmed renewals.
+pub const MAX_PREDECESSOR_TIME: Duration =
+    Duration::from_secs(3).saturating_add(UNCONFIRMED_RENEWAL_TIME);
 
 /// Maximum number of pending advice requests for each daemon that sends them. The
 /// advice service handles one call of a host at a time; the second is in transit
@@ -88,6 +89,8 @@
     pub(super) epoch: Epoch,
     /// When this owner took over the service.
     pub(super) taken_over_at: Duration,
+    /// When all earlier owners had ended their ownership; `None` if that is not known.
+    pub(super) predecessors_ended_at: Option<Duration>,
     /// Until when the store has confirmed the ownership.
     pub(super) confirmed_until: Duration,
     /// Wall clock of the latest tick, in ms since 1970.
@@ -155,6 +158,7 @@
             config,
             epoch,
             taken_over_at: now,
+            predecessors_ended_at: None,
             confirmed_until: now,
             wall_ms: 0,
             pipelines: BTreeMap::new(),
@@ -224,6 +228,7 @@
                 self.quick_request_limit = REQUESTS_PER_ADVISOR * quick;
                 self.slow_request_limit = REQUESTS_PER_ADVISOR * slow;
             }
+            PipelineEvent::PredecessorsEnded(ended_at) => self.end_predecessors(ended_at),
             PipelineEvent::OwnershipConfirmed(until) => {
                 self.confirmed_until = self.confirmed_until.max(until);
                 let starts = std::mem::take(&mut self.deferred_starts);
@@ -301,8 +306,19 @@
     /// Returns the time by which the runs placed by the previous owner have ended on
     /// workers that this owner has not reached.
     fn predecessor_runs_until(&self) -> Duration {
-        let last_renewal = self.taken_over_at + PREDECESSOR_LEASE_TERM + UNCONFIRMED_RENEWAL_TIME;
-        last_renewal + lapse_time(self.config.max_lease)
+        let latest = self.taken_over_at + MAX_PREDECESSOR_TIME;
+        self.predecessors_ended_at.unwrap_or(latest) + lapse_time(self.config.max_lease)
+    }
+
+    /// Shortens the wait for workers that this owner has not reached, as no earlier owner has
+    /// renewed their leases since the given time.
+    fn end_predecessors(&mut self, ended_at: Duration) {
+        self.predecessors_ended_at = Some(ended_at);
+        let inherited_until = self.predecessor_runs_until();
+        let records = self.workers.values_mut();
+        for record in records.filter(|record| record.started_unix_ms.is_none()) {
+            record.inherited_until = record.inherited_until.min(inherited_until);
+        }
     }
 
     fn add_pipeline(
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -164,3 +164,51 @@
     assert!(early.is_empty());
     assert_eq!((late.len(), late[0].run.task), (1, runs[1].task));
 }
+
+/// Guards against waiting for a worker that is lost together with the owner for as long as a
+/// predecessor that lives on could renew its lease, although all of them are known to have ended.
+#[test]
+fn a_successor_waits_for_one_lease_after_the_end_of_its_predecessors() {
+    for (delay, ended_before) in [(0, 0), (0, 1_500), (2_500, 400), (9_000, 0)] {
+        let mut first = owner(&["w1"]);
+        let spec = job(vec![step(1)]);
+        first.submit(1, spec.clone());
+        first.start_all();
+        let [delay, ended_before] = [delay, ended_before].map(Duration::from_millis);
+
+        let mut second = successor(&first, &spec, &["w1", "w2"]);
+        second.report("w2", Vec::new(), Vec::new());
+        second.advance_clock(delay);
+        let ended_at = second.now.checked_sub(ended_before).unwrap();
+        second.handle_event(PipelineEvent::PredecessorsEnded(ended_at));
+        // The longest lease is 6 s.
+        let rest = Duration::from_secs(6).checked_sub(ended_before).unwrap();
+        second.advance_clock(rest);
+        let early = second.start_all();
+        second.advance_clock(Duration::from_secs(1));
+        let late = second.start_all();
+
+        assert!(early.is_empty());
+        assert_eq!(late.len(), 1);
+    }
+}
+
+/// Guards against a shorter wait for a worker that this owner has claimed and may have renewed.
+#[test]
+fn the_end_of_the_predecessors_does_not_shorten_the_lease_of_a_claimed_worker() {
+    let mut first = owner(&["w1"]);
+    let spec = job(vec![step(1)]);
+    first.submit(1, spec.clone());
+    let start = first.start_all().remove(0);
+    let mut second = successor(&first, &spec, &["w1", "w2"]);
+    second.report("w2", Vec::new(), Vec::new());
+    second.report("w1", vec![observed(start.run)], Vec::new());
+    let failure = PipelineEvent::RenewalFailed("w1".into(), RenewalFailure::Unanswered);
+    second.handle_event(failure);
+
+    let ended_at = second.now.checked_sub(Duration::from_secs(20)).unwrap();
+    second.handle_event(PipelineEvent::PredecessorsEnded(ended_at));
+    second.advance_clock(Duration::from_millis(5_900));
+
+    assert!(second.start_all().is_empty());
+}
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use auburnsaddle_core::{PipelineEvent, PipelineId, PipelinePhase, ServiceId};
+use auburnsaddle_core::{Epoch, PipelineEvent, PipelineId, PipelinePhase, ServiceId};
 use auburnsaddle_platform::{HttpEndpoint, ItemChange, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
@@ -26,8 +26,8 @@
 use crate::{
     job_table::{JobSummary, JobTable},
     pipelines::{
-        AcquireOutcome, AdvisorTable, CommitStatus, JobNotice, OwnedShard, ShardSettings,
-        count_advisors,
+        AcquireOutcome, AdvisorTable, CommitStatus, DaemonRegistration, JobNotice, OwnedShard,
+        ShardSettings, count_advisors,
     },
     session::{LeaseUpdate, PrefixUpdate},
     telemetry::unix_ms,
@@ -93,6 +93,7 @@
     pub(super) members: BTreeMap<String, HttpEndpoint>,
     /// Processors of each daemon, in thousandths of a core.
     pub(super) cpu_by_daemon: BTreeMap<String, u64>,
+    pub(super) registrations: BTreeMap<String, DaemonRegistration>,
     pub(super) owners: BTreeMap<ServiceId, KnownOwner>,
     /// Services that need an owner: those of the manifest and of all known jobs.
     pub(super) services: BTreeSet<ServiceId>,
@@ -142,6 +143,7 @@
             jobs: JobTable::default(),
             members: BTreeMap::new(),
             cpu_by_daemon: BTreeMap::new(),
+            registrations: BTreeMap::new(),
             owners: BTreeMap::new(),
             services: BTreeSet::new(),
             has_membership: false,
@@ -204,6 +206,7 @@
                 for change in changes {
                     self.apply_change(change);
                 }
+                self.update_predecessors();
             }
             CellEvent::Summaries(update) => {
                 let changes = match update {
@@ -276,6 +279,7 @@
             CellEvent::FindJob(id, reply) => drop(reply.send(self.find_job(id))),
             CellEvent::FindOwner(service, reply) => drop(reply.send(self.peer_owner(&service))),
             CellEvent::CountWaiting(queue, reply) => drop(reply.send(self.jobs.waiting(&queue))),
+            CellEvent::Flush(reply) => drop(reply.send(())),
             CellEvent::Dump(reply) => drop(reply.send(self.dump())),
             CellEvent::Drain(reply) => {
                 self.is_draining = true;
@@ -543,6 +547,26 @@
         for event in events {
             self.dispatch_event(service, epoch, event);
         }
+        self.update_predecessors();
+    }
+
+    /// Checks whether the predecessors of this daemon as the owner of its services have ended their
+    /// ownership.
+    pub(super) fn update_predecessors(&mut self) {
+        let registrations = &self.registrations;
+        let shards = self.shards.iter_mut();
+        let events = shards.filter_map(|(service, handle)| {
+            let event = handle.shard.update_predecessors(registrations)?;
+            log::info!(
+                service = service.as_ref(), epoch = handle.shard.epoch();
+                "all earlier owners of the service have ended their ownership"
+            );
+            Some((service.clone(), handle.shard.epoch(), event))
+        });
+        let events: Vec<(ServiceId, Epoch, PipelineEvent)> = events.collect();
+        for (service, epoch, event) in events {
+            self.dispatch_event(&service, epoch, event);
+        }
     }
 
     /// Stops scheduling a service. The owner's key in the store remains until the lease
--- a/crates/daemon/src/cell/membership.rs
+++ b/crates/daemon/src/cell/membership.rs
@@ -1,12 +1,14 @@
 //! The daemons of the cell and the owners of the services, as the store lists them.
 
+use std::collections::BTreeSet;
+
 use auburnsaddle_core::ServiceId;
 use auburnsaddle_platform::{HttpEndpoint, ItemChange, StoreItem};
 
 use super::control::{CellControl, KnownOwner, relay_order};
 use crate::{
     job_table::JobSummary,
-    pipelines::{CellKey, MemberEntry, OwnerEntry, decode_value},
+    pipelines::{CellKey, DaemonRegistration, MemberEntry, OwnerEntry, decode_value},
 };
 
 impl CellControl {
@@ -15,6 +17,15 @@
     pub(super) fn reset_membership(&mut self, items: Vec<StoreItem>) {
         self.has_membership = true;
         self.members.clear();
+        let daemons: BTreeSet<String> = items
+            .iter()
+            .filter_map(|item| match CellKey::parse(&item.key) {
+                Some(CellKey::Member(daemon)) => Some(daemon),
+                _ => None,
+            })
+            .collect();
+        self.registrations
+            .retain(|daemon, _| daemons.contains(daemon));
         self.cpu_by_daemon.clear();
         let previous = std::mem::take(&mut self.owners);
         for item in items {
@@ -25,6 +36,7 @@
                 self.drop_shard(&service, "the store holds no owner");
             }
         }
+        self.update_predecessors();
     }
 
     /// Applies a change of a summary, a member or an owner.
@@ -42,6 +54,7 @@
                 Some(CellKey::Member(daemon)) => {
                     if let Some(entry) = decode_value::<MemberEntry>(&item.key, &item.value) {
                         self.cpu_by_daemon.insert(daemon.clone(), entry.cpu_milli);
+                        self.update_registration(&daemon, item.revision);
                         self.add_member(daemon, &entry.address);
                     }
                 }
@@ -55,6 +68,7 @@
             ItemChange::Removed { key, revision } => match CellKey::parse(&key) {
                 Some(CellKey::Summary(id)) => self.jobs.remove(id),
                 Some(CellKey::Member(daemon)) if self.members.remove(&daemon).is_some() => {
+                    self.registrations.remove(&daemon);
                     log::info!(daemon = daemon.as_str(); "a daemon left the cell");
                     self.cpu_by_daemon.remove(&daemon);
                     self.update_relay_peers();
@@ -65,6 +79,18 @@
         }
     }
 
+    /// Records the registration of a daemon if it is newer than the known one.
+    fn update_registration(&mut self, daemon: &str, revision: u64) {
+        let known = self.registrations.get(daemon);
+        if known.is_none_or(|known| known.revision < revision) {
+            let registration = DaemonRegistration {
+                revision,
+                seen_at: self.effects.clock.now(),
+            };
+            self.registrations.insert(daemon.to_owned(), registration);
+        }
+    }
+
     /// Adds a daemon, or replaces its address after a restart.
     fn add_member(&mut self, daemon: String, address: &str) {
         let known = self.members.get(&daemon);
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -41,6 +41,8 @@
     Pipeline(ServiceId, u64, PipelineEvent),
     /// The daemon's lease was granted, extended or lost.
     Lease(LeaseUpdate),
+    /// Replies once all earlier events are handled.
+    Flush(oneshot::Sender<()>),
     /// The owners of the services and the members of the cell changed.
     Membership(PrefixUpdate),
     /// Job summaries changed.
--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -11,6 +11,7 @@
 use super::{
     log::{ProgressLog, ProgressRecord, RecordNumber},
     records::{CellKey, OwnerEntry, SequenceEntry, StoredJob, decode_value, encode_value},
+    sessions::{OwnerSession, PredecessorList},
 };
 use crate::session::CellStore;
 
@@ -47,6 +48,9 @@
     pub(crate) jobs_revision: u64,
     /// Revision after which changes of workers are watched.
     pub(crate) workers_revision: u64,
+    /// The ownership that the takeover began.
+    pub(crate) session: OwnerSession,
+    pub(crate) predecessors: PredecessorList,
 }
 
 /// The outcome of a takeover.
@@ -73,7 +77,13 @@
     owner_revision: u64,
 ) -> AcquireOutcome {
     let sequence_key = CellKey::Sequence(service.clone()).path();
-    let Ok(item) = store.read(&sequence_key).await else {
+    let sessions_key = CellKey::Sessions(service.clone()).path();
+    // Every takeover writes both keys, so the condition on the sequence holds for both, and
+    // sessions that were read before another takeover do not match the epoch.
+    let (Ok(sessions), Ok(item)) = (
+        store.read(&sessions_key).await,
+        store.read(&sequence_key).await,
+    ) else {
         return AcquireOutcome::Failed;
     };
     let (revision, sequence) = match &item {
@@ -84,6 +94,12 @@
         None => (0, SequenceEntry::default()),
     };
     let epoch = sequence.epoch + 1;
+    let predecessors = PredecessorList::read(sessions.as_ref(), sequence.epoch, daemon);
+    let session = OwnerSession {
+        daemon: daemon.to_owned(),
+        epoch,
+        revision: 0,
+    };
     let owner_key = CellKey::Owner(service.clone()).path();
     let owner = OwnerEntry {
         daemon: daemon.to_owned(),
@@ -100,6 +116,11 @@
         puts: vec![
             (owner_key, encode_value(&owner), lease.id),
             (sequence_key.clone(), encode_value(&next), 0),
+            (
+                sessions_key,
+                encode_value(&predecessors.followed_by(&session)),
+                0,
+            ),
         ],
         removals: Vec::new(),
     };
@@ -112,6 +133,8 @@
             loaded.epoch = epoch;
             loaded.last_commit = next.commit;
             loaded.revision = revision;
+            loaded.session = session;
+            loaded.predecessors = predecessors;
             return AcquireOutcome::Acquired(Box::new(loaded));
         }
     }
@@ -219,6 +242,12 @@
         jobs: loaded.into_values().collect(),
         jobs_revision,
         workers_revision,
+        session: OwnerSession {
+            daemon: String::new(),
+            epoch: 0,
+            revision: 0,
+        },
+        predecessors: PredecessorList::default(),
     })
 }
 
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -30,6 +30,7 @@
 mod notices;
 mod orders;
 mod records;
+mod sessions;
 mod shard;
 mod summaries;
 #[cfg(test)]
@@ -44,5 +45,6 @@
 pub(crate) use orders::WorkerOrders;
 pub(crate) use records::{CellKey, PUBLIC_PREFIX, SUMMARY_PREFIX, decode_value, encode_value};
 pub(crate) use records::{MemberEntry, OwnerEntry, StoredJob};
+pub(crate) use sessions::DaemonRegistration;
 pub(crate) use shard::{CommitStatus, OwnedShard, ShardSettings};
 pub(crate) use summaries::WriteNumber;
--- a/crates/daemon/src/pipelines/records.rs
+++ b/crates/daemon/src/pipelines/records.rs
@@ -31,6 +31,8 @@
     Summary(PipelineId),
     /// The epoch and number of the latest commit of a service.
     Sequence(ServiceId),
+    /// The ownerships of a service that may not have ended.
+    Sessions(ServiceId),
     /// The specification of a job that has not ended.
     Job(ServiceId, PipelineId),
     /// A request to cancel a job.
@@ -47,6 +49,7 @@
             Self::Member(daemon) => format!("{PUBLIC_PREFIX}member/{daemon}"),
             Self::Summary(id) => format!("{SUMMARY_PREFIX}{id:016x}"),
             Self::Sequence(service) => format!("{KEY_PREFIX}seq/{service}"),
+            Self::Sessions(service) => format!("{KEY_PREFIX}own/{service}"),
             Self::Job(service, id) => format!("{KEY_PREFIX}job/{service}/j{id:016x}"),
             Self::Cancellation(service, id) => format!("{KEY_PREFIX}job/{service}/x{id:016x}"),
             Self::Record(service, number) => {
@@ -66,6 +69,7 @@
             ["pub", "member", daemon] => Some(Self::Member(daemon.to_owned())),
             ["phase", job] => Some(Self::Summary(id(job)?)),
             ["seq", service] => Some(Self::Sequence(service.into())),
+            ["own", service] => Some(Self::Sessions(service.into())),
             ["job", service, job] => match job.split_at_checked(1)? {
                 ("j", job) => Some(Self::Job(service.into(), id(job)?)),
                 ("x", job) => Some(Self::Cancellation(service.into(), id(job)?)),
--- /dev/null
+++ b/crates/daemon/src/pipelines/sessions.rs
@@ -0,0 +1,115 @@
+//! The ownerships of a service that may not have ended.
+//!
+//! Failure mode: an owner and a worker with its tasks are lost together. The successor cannot
+//! reach the worker, and a predecessor that only lost contact with the store would renew the
+//! worker's lease for a while, so the successor has to wait for longer than that. It need not
+//! wait once it knows that each predecessor has ended its ownership: a daemon registers in the
+//! store when it starts, and again after it has lost its lease and released its services. A
+//! registration that is newer than an ownership therefore shows that the ownership has ended.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use auburnsaddle_core::Epoch;
+use auburnsaddle_platform::StoreItem;
+use serde::{Deserialize, Serialize};
+
+use super::records::decode_value;
+
+/// One ownership of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct OwnerSession {
+    /// Name of the owner; empty if an earlier version has not recorded it.
+    pub(crate) daemon: String,
+    pub(crate) epoch: Epoch,
+    /// Revision of the takeover. It is 0 in the value that the takeover writes, and is then that
+    /// of the item.
+    pub(crate) revision: u64,
+}
+
+/// The registration of a daemon in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct DaemonRegistration {
+    pub(crate) revision: u64,
+    /// When this daemon read it for the first time.
+    pub(crate) seen_at: Duration,
+}
+
+/// The ownerships before a takeover that are not known to have ended.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct PredecessorList {
+    sessions: Vec<OwnerSession>,
+    /// When the last one that is known to have ended was seen to have.
+    ended_at: Duration,
+    /// Whether the daemon itself has owned the service before, perhaps until its restart.
+    has_own: bool,
+}
+
+impl PredecessorList {
+    /// Returns the predecessors of an owner that takes over after the given epoch. `item` is the
+    /// value that the takeover of that epoch wrote.
+    ///
+    /// Earlier ownerships of the same daemon have ended: it takes over only what it does not own.
+    pub(crate) fn read(item: Option<&StoreItem>, last_epoch: Epoch, daemon: &str) -> Self {
+        let sessions = item.and_then(|item| {
+            let mut sessions: Vec<OwnerSession> = decode_value(&item.key, &item.value)?;
+            let last = sessions.last_mut()?;
+            if last.revision == 0 {
+                last.revision = item.revision;
+            }
+            (last.epoch == last_epoch).then_some(sessions)
+        });
+        let unrecorded = || {
+            let session = OwnerSession {
+                daemon: String::new(),
+                epoch: last_epoch,
+                revision: 0,
+            };
+            Vec::from_iter((last_epoch > 0).then_some(session))
+        };
+        let mut sessions = sessions.unwrap_or_else(unrecorded);
+        let count = sessions.len();
+        sessions.retain(|session| session.daemon != daemon);
+        Self {
+            has_own: sessions.len() < count,
+            sessions,
+            ended_at: Duration::ZERO,
+        }
+    }
+
+    /// Returns the value that a takeover writes.
+    pub(crate) fn followed_by(&self, session: &OwnerSession) -> Vec<OwnerSession> {
+        let sessions = self.sessions.iter();
+        // A later ownership of a daemon shows that its earlier ones have ended.
+        let earlier = sessions.filter(|earlier| earlier.daemon != session.daemon);
+        earlier.cloned().chain([session.clone()]).collect()
+    }
+
+    /// Removes the ownerships that have ended according to the registrations of the daemons.
+    pub(crate) fn remove_ended(&mut self, registrations: &BTreeMap<String, DaemonRegistration>) {
+        let ended_at = &mut self.ended_at;
+        self.sessions.retain(|session| {
+            let registration = registrations.get(&session.daemon);
+            match registration.filter(|registration| registration.revision > session.revision) {
+                Some(registration) => {
+                    *ended_at = registration.seen_at.max(*ended_at);
+                    false
+                }
+                None => true,
+            }
+        });
+    }
+
+    /// Returns when all of the ownerships before a takeover at the given time were known to have
+    /// ended, or `None` if they are not.
+    pub(crate) fn ended_at(&self, taken_over_at: Duration) -> Option<Duration> {
+        let own_end = if self.has_own {
+            taken_over_at
+        } else {
+            Duration::ZERO
+        };
+        self.sessions
+            .is_empty()
+            .then_some(self.ended_at.max(own_end))
+    }
+}
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -2,12 +2,14 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    slice,
     time::Duration,
 };
 
 use auburnsaddle_core::{
-    CommitEntry, Epoch, PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad,
-    PipelinePhase, PipelineProgress, PipelineState, ProgressCommit, ServiceId,
+    CommitEntry, Epoch, MAX_PREDECESSOR_TIME, PipelineAction, PipelineConfig, PipelineEvent,
+    PipelineId, PipelineLoad, PipelinePhase, PipelineProgress, PipelineState, ProgressCommit,
+    ServiceId,
 };
 use auburnsaddle_platform::{StoreItem, StoreTransaction, TransactionOutcome};
 
@@ -17,6 +19,7 @@
     log::{ProgressLog, ProgressRecord, RecordNumber},
     notices::{JobChange, JobNotice},
     records::{CellKey, MAX_TRANSACTION_ENTRIES, SequenceEntry, decode_value, encode_value},
+    sessions::{DaemonRegistration, OwnerSession, PredecessorList},
     summaries::{SummaryQueue, SummaryUpdate, WriteNumber},
 };
 use crate::job_table::JobSummary;
@@ -110,6 +113,14 @@
     /// summary is removed.
     summary_expiries: VecDeque<(Duration, PipelineId)>,
     settings: ShardSettings,
+    /// The present ownership.
+    session: OwnerSession,
+    predecessors: PredecessorList,
+    /// Whether the store lists no ownership but the present one.
+    is_only_session: bool,
+    /// Whether the ends of all predecessors are known.
+    have_known_end: bool,
+    taken_over_at: Duration,
 }
 
 impl OwnedShard {
@@ -132,6 +143,11 @@
             finished_jobs: BTreeSet::new(),
             summary_expiries: VecDeque::new(),
             settings,
+            is_only_session: loaded.predecessors.ended_at(now).is_some(),
+            session: loaded.session,
+            predecessors: loaded.predecessors,
+            have_known_end: false,
+            taken_over_at: now,
         };
         for job in loaded.jobs {
             shard.add_job(job, now);
@@ -175,6 +191,26 @@
         }
     }
 
+    /// Checks the registrations of the daemons for predecessors that have ended their ownership.
+    /// Returns an event when it is known of all of them.
+    pub(crate) fn update_predecessors(
+        &mut self,
+        registrations: &BTreeMap<String, DaemonRegistration>,
+    ) -> Option<PipelineEvent> {
+        if self.have_known_end {
+            return None;
+        }
+        self.predecessors.remove_ended(registrations);
+        let ended_at = self.predecessors.ended_at(self.taken_over_at)?;
+        self.have_known_end = true;
+        Some(PipelineEvent::PredecessorsEnded(ended_at))
+    }
+
+    /// Returns whether all ownerships before the present one have ended.
+    fn have_predecessors_ended(&self, now: Duration) -> bool {
+        self.have_known_end || now >= self.taken_over_at + MAX_PREDECESSOR_TIME
+    }
+
     /// Records the revision at which the key of a job was created.
     pub(crate) fn add_job_key(&mut self, id: PipelineId, revision: u64) {
         if !self.finished_jobs.contains(&id) {
@@ -266,6 +302,12 @@
             ],
             removals: Vec::new(),
         };
+        if !self.is_only_session && self.have_predecessors_ended(now) {
+            self.is_only_session = true;
+            let sessions_key = CellKey::Sessions(self.service.clone()).path();
+            let sessions = encode_value(&slice::from_ref(&self.session));
+            transaction.puts.push((sessions_key, sessions, 0));
+        }
         let truncated = self.log.superseded_records(free_entries(&transaction));
         let numbers = truncated.iter();
         let record_keys =
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -1,4 +1,5 @@
 mod records;
+mod sessions;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -23,6 +24,7 @@
     notices::{JobChange, JobNotice},
     orders::WorkerOrders,
     records::{CellKey, SequenceEntry, encode_value},
+    sessions::{OwnerSession, PredecessorList},
     shard::{CommitStatus, OwnedShard, ShardSettings},
 };
 use crate::{cell::CellEvent, pipelines::StoredJob, telemetry::BootClock};
@@ -68,6 +70,15 @@
     }
 }
 
+/// Returns an ownership of the service.
+fn session(daemon: &str, epoch: u64, revision: u64) -> OwnerSession {
+    OwnerSession {
+        daemon: daemon.to_owned(),
+        epoch,
+        revision,
+    }
+}
+
 /// Returns what a takeover of a service without jobs reads.
 pub(crate) fn empty_shard() -> LoadedShard {
     LoadedShard {
@@ -80,6 +91,8 @@
         workers: Vec::new(),
         jobs_revision: 40,
         workers_revision: 40,
+        session: session("edge-0", 3, 0),
+        predecessors: PredecessorList::default(),
     }
 }
 
@@ -98,17 +111,21 @@
     OwnedShard::new(loaded, settings, Duration::ZERO)
 }
 
-/// Returns a shard with one cancelled job. The next commit writes the end of the job.
-fn shard_with_cancelled_job() -> OwnedShard {
-    let job = LoadedJob {
+/// Returns a job that was cancelled.
+fn cancelled_job() -> LoadedJob {
+    LoadedJob {
         id: 1,
         revision: 30,
         spec: Arc::new(job()),
         progress: None,
         is_cancelled: true,
-    };
+    }
+}
+
+/// Returns a shard with one cancelled job. The next commit writes the end of the job.
+fn shard_with_cancelled_job() -> OwnedShard {
     let mut shard = shard_with(LoadedShard {
-        jobs: vec![job],
+        jobs: vec![cancelled_job()],
         ..empty_shard()
     });
     shard.handle(PipelineEvent::Cancelled(1), Duration::ZERO);
@@ -132,6 +149,7 @@
         CellKey::Member("edge-1".to_owned()),
         CellKey::Summary(0xab),
         CellKey::Sequence(service_id()),
+        CellKey::Sessions(service_id()),
         CellKey::Job(service_id(), 1),
         CellKey::Cancellation(service_id(), u64::MAX),
         CellKey::Record(service_id(), 3),
--- a/crates/daemon/src/session/lease.rs
+++ b/crates/daemon/src/session/lease.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use auburnsaddle_platform::{KeyLease, StoreTransaction, TransactionOutcome};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{retry::RetryDelay, route::CellStore};
 use crate::{cell::CellEvent, pipelines::CellKey, telemetry::BootClock};
@@ -83,6 +83,11 @@
         }
         log::warn!(lease = lease.id; "the store has ended this daemon's lease");
         let _ = events.send(CellEvent::Lease(LeaseUpdate::Lost)).await;
+        // The next registration shows others that the ownerships under this lease have ended.
+        let (reply, is_released) = oneshot::channel();
+        let _ = events.send(CellEvent::Flush(reply)).await;
+        // An error means that the control thread has ended.
+        let _ = is_released.await;
     }
 }
 
