--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -67,10 +67,13 @@
         }
         record.contact = WorkerContact::Claimed;
         if is_claim {
-            // The claim fences the previous owner, which may have granted the longest
-            // lease just before.
+            // The claim fences the previous owner, which may have granted a lease just before.
             record.inherited_until = Duration::ZERO;
-            record.assume_lease(report.clock_ms, self.config.max_lease);
+            record.assume_lease(report.clock_ms, self.config.inherited_lease);
+            // The clock of an instance starts with it, and an order for the former instance has
+            // a deadline on another clock.
+            let transit_ms = u64::try_from(ORDER_TRANSIT_TIME.as_millis()).unwrap_or(u64::MAX);
+            record.assume_lease(report.clock_ms.min(transit_ms), self.config.max_lease);
         }
         let processed = record.processed_end;
         let ended = report.ended.iter().filter(|end| end.number > processed);
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -42,8 +42,10 @@
 pub struct PipelineConfig {
     /// Term for which each renewal extends the lease of a worker.
     pub lease: Duration,
-    /// Longest term that a worker accepts. A previous owner may have granted it.
+    /// Longest term that a worker accepts, as it may get by an order for its former instance.
     pub max_lease: Duration,
+    /// Longest term that an earlier owner may have granted.
+    pub inherited_lease: Duration,
     /// How long a worker may delay its answer to a renewal until a run ends.
     pub renewal_wait: Duration,
 }
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -307,7 +307,7 @@
     /// workers that this owner has not reached.
     fn predecessor_runs_until(&self) -> Duration {
         let latest = self.taken_over_at + MAX_PREDECESSOR_TIME;
-        self.predecessors_ended_at.unwrap_or(latest) + lapse_time(self.config.max_lease)
+        self.predecessors_ended_at.unwrap_or(latest) + lapse_time(self.config.inherited_lease)
     }
 
     /// Shortens the wait for workers that this owner has not reached, as no earlier owner has
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -54,11 +54,25 @@
 
 /// Returns an owner whose workers are listed and have not answered a renewal.
 pub(super) fn unclaimed_owner(epoch: u64, workers: &[&str]) -> OwnerFixture {
-    let config = PipelineConfig {
+    unclaimed_owner_with(pipeline_config(), epoch, workers)
+}
+
+/// Returns the settings of the fixtures.
+pub(super) const fn pipeline_config() -> PipelineConfig {
+    PipelineConfig {
         lease: Duration::from_secs(5),
         max_lease: Duration::from_secs(6),
+        inherited_lease: Duration::from_secs(6),
         renewal_wait: Duration::from_secs(1),
-    };
+    }
+}
+
+/// Returns an owner with these settings whose workers are listed and have not answered a renewal.
+pub(super) fn unclaimed_owner_with(
+    config: PipelineConfig,
+    epoch: u64,
+    workers: &[&str],
+) -> OwnerFixture {
     let now = Duration::from_secs(100);
     let mut owner = OwnerFixture {
         state: PipelineState::new(config, epoch, now),
@@ -249,7 +263,7 @@
         );
     }
 
-    fn handle_report(&mut self, worker: &str, report: RenewalReport) {
+    pub(super) fn handle_report(&mut self, worker: &str, report: RenewalReport) {
         let event = PipelineEvent::LeaseRenewed(worker.into(), self.now, report);
         self.handle_event(event);
     }
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -2,8 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::fixtures::{OwnerFixture, done, ended, job, observed, owner, step, unclaimed_owner};
-use crate::{PipelineEvent, PipelinePhase, PipelineSpec, RenewalFailure, RunEnd, RunKey};
+use super::fixtures::{
+    OwnerFixture, done, ended, job, observed, owner, pipeline_config, step, unclaimed_owner,
+    unclaimed_owner_with,
+};
+use crate::{
+    PipelineConfig, PipelineEvent, PipelinePhase, PipelineSpec, RenewalFailure, RenewalReport,
+    RunEnd, RunKey,
+};
 
 /// Returns the next owner, which starts from the durable progress of `predecessor`.
 fn successor(predecessor: &OwnerFixture, spec: &PipelineSpec, workers: &[&str]) -> OwnerFixture {
@@ -212,3 +218,71 @@
 
     assert!(second.start_all().is_empty());
 }
+
+/// Returns a successor, with workers that accept leases of 30 s, of an owner that granted at most
+/// 2 s, and the run that it inherits on `w1`.
+fn successor_with_short_leases() -> (OwnerFixture, RunKey) {
+    let mut first = owner(&["w1"]);
+    let spec = job(vec![step(1)]);
+    first.submit(1, spec.clone());
+    let run = first.start_all().remove(0).run;
+    let config = PipelineConfig {
+        max_lease: Duration::from_secs(30),
+        inherited_lease: Duration::from_secs(2),
+        ..pipeline_config()
+    };
+    let mut second = unclaimed_owner_with(config, 2, &["w1", "w2"]);
+    let progress = first.durable.get(&1).cloned();
+    second.handle_event(PipelineEvent::Stored(1, Arc::new(spec), progress));
+    second.report("w2", Vec::new(), Vec::new());
+    (second, run)
+}
+
+/// Guards against waiting for the longest lease that a worker accepts, which no owner grants.
+#[test]
+fn a_successor_waits_for_the_longest_lease_that_owners_grant() {
+    for is_claimed in [true, false] {
+        let (mut second, run) = successor_with_short_leases();
+        if is_claimed {
+            second.report("w1", vec![observed(run)], Vec::new());
+            let failure = PipelineEvent::RenewalFailed("w1".into(), RenewalFailure::Unanswered);
+            second.handle_event(failure);
+        }
+        let ended_at = second.now;
+        second.handle_event(PipelineEvent::PredecessorsEnded(ended_at));
+
+        second.advance_clock(Duration::from_secs(2));
+        let early = second.start_all();
+        // A claimed worker has also got the lease of the successor, of 5 s.
+        second.advance_clock(Duration::from_secs(if is_claimed { 4 } else { 1 }));
+        let late = second.start_all();
+
+        assert!(early.is_empty());
+        assert_eq!(late.len(), 1);
+    }
+}
+
+/// Guards against a second run of a task on a restarted worker: it got an order for its former
+/// instance, whose deadline is far ahead on its own clock, and grants the longest lease.
+#[test]
+fn a_successor_allows_for_the_longest_lease_of_a_young_worker() {
+    let (mut second, run) = successor_with_short_leases();
+    let report = RenewalReport {
+        started_unix_ms: 1,
+        clock_ms: 2_000,
+        running: vec![observed(run)],
+        ended: Vec::new(),
+        has_more_ends: false,
+    };
+
+    second.handle_report("w1", report);
+    let failure = PipelineEvent::RenewalFailed("w1".into(), RenewalFailure::Unanswered);
+    second.handle_event(failure);
+    second.advance_clock(Duration::from_secs(30));
+    let early = second.start_all();
+    second.advance_clock(Duration::from_secs(2));
+    let late = second.start_all();
+
+    assert!(early.is_empty());
+    assert_eq!(late.len(), 1);
+}
--- a/crates/core/src/pipelines/tests/simulation.rs
+++ b/crates/core/src/pipelines/tests/simulation.rs
@@ -490,6 +490,7 @@
     PipelineConfig {
         lease: Duration::from_secs(5),
         max_lease: Duration::from_secs(6),
+        inherited_lease: Duration::from_secs(6),
         renewal_wait: Duration::from_secs(1),
     }
 }
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -49,6 +49,10 @@
 /// full.
 const EVENT_QUEUE_CAPACITY: usize = 4_096;
 
+/// Longest term of a worker's lease that a daemon of any version grants. The successor of its
+/// owner waits for it, so it must be raised in a version before that of [`WORKER_LEASE`].
+const LONGEST_GRANTED_LEASE: Duration = Duration::from_secs(5);
+
 /// Term of a worker's lease after each renewal, unless the platform allows less.
 const WORKER_LEASE: Duration = Duration::from_secs(5);
 
@@ -321,6 +325,7 @@
             config: PipelineConfig {
                 lease: WORKER_LEASE.min(settings.max_worker_lease),
                 max_lease: settings.max_worker_lease,
+                inherited_lease: LONGEST_GRANTED_LEASE.min(settings.max_worker_lease),
                 renewal_wait: MAX_RENEWAL_WAIT,
             },
             summary_retention: settings.status_retention,
--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -45,6 +45,7 @@
             config: PipelineConfig {
                 lease: Duration::from_secs(5),
                 max_lease: Duration::from_secs(6),
+                inherited_lease: Duration::from_secs(6),
                 renewal_wait: Duration::from_secs(1),
             },
             summary_retention: Duration::from_mins(2),
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -101,6 +101,7 @@
     let config = PipelineConfig {
         lease: Duration::from_secs(5),
         max_lease: Duration::from_secs(6),
+        inherited_lease: Duration::from_secs(6),
         renewal_wait: Duration::from_secs(1),
     };
     let settings = ShardSettings {
