Count the age of the entries of leaving workers (LOST)

Cause: the remaining time in a worker's entry was counted from when the owner read it. A successor reads an entry that may be as old as the heartbeat interval. Later entries were ignored.

Change: an entry that is read for the first time counts as one heartbeat interval old, and the earliest time of all entries counts.

--- a/crates/core/src/pipelines/health.rs
+++ b/crates/core/src/pipelines/health.rs
@@ -190,10 +190,14 @@
     }
 }
 
-/// Returns the time at which the runs of a worker that began to drain at `now` are
-/// stopped.
-pub(super) fn evacuation_start(leaves_in: Option<Duration>, now: Duration) -> Duration {
+/// Returns the time at which the runs of a worker are stopped whose entry was read at `now`. The
+/// entry was written this `age` before.
+pub(super) fn evacuation_start(
+    leaves_in: Option<Duration>,
+    age: Duration,
+    now: Duration,
+) -> Duration {
     now + leaves_in
         .unwrap_or(DEFAULT_LEAVE_NOTICE)
-        .saturating_sub(EVACUATION_TIME)
+        .saturating_sub(age + EVACUATION_TIME)
 }
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -46,6 +46,9 @@
     pub max_lease: Duration,
     /// Longest term that an earlier owner may have granted.
     pub inherited_lease: Duration,
+    /// Interval at which workers update their entries in the registry, and so the age that an
+    /// entry may have when it is read.
+    pub listing_interval: Duration,
     /// How long a worker may delay its answer to a renewal until a run ends.
     pub renewal_wait: Duration,
 }
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -428,13 +428,23 @@
     fn update_listing(&mut self, listing: WorkerListing, now: Duration) {
         self.is_placement_due = true;
         let inherited_until = self.predecessor_runs_until();
+        let listing_interval = self.config.listing_interval;
         let record = self.ensure_worker(&listing.worker, inherited_until, now);
+        let is_new = record.listing.is_none();
         let is_already_draining = record
             .listing
             .as_ref()
             .is_some_and(|known| known.is_draining);
-        if listing.is_draining && !is_already_draining {
-            record.evacuate_at = Some(evacuation_start(listing.leaves_in, now));
+        let is_pending = record.evacuate_at.is_some();
+        if listing.is_draining && (is_pending || !is_already_draining) {
+            // An entry that is read for the first time may be as old as the interval.
+            let age = if is_new {
+                listing_interval
+            } else {
+                Duration::ZERO
+            };
+            let start = evacuation_start(listing.leaves_in, age, now);
+            record.evacuate_at = Some(record.evacuate_at.map_or(start, |known| known.min(start)));
         }
         let has_new_address = record
             .address()
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -63,6 +63,7 @@
         lease: Duration::from_secs(5),
         max_lease: Duration::from_secs(6),
         inherited_lease: Duration::from_secs(6),
+        listing_interval: Duration::from_millis(1_500),
         renewal_wait: Duration::from_secs(1),
     }
 }
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -3,12 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use super::fixtures::{
-    OwnerFixture, done, ended, job, observed, owner, pipeline_config, step, unclaimed_owner,
-    unclaimed_owner_with,
+    OwnerFixture, done, ended, job, listing, long_running_job, observed, owner, pipeline_config,
+    step, unclaimed_owner, unclaimed_owner_with,
 };
 use crate::{
     PipelineConfig, PipelineEvent, PipelinePhase, PipelineSpec, RenewalFailure, RenewalReport,
-    RunEnd, RunKey,
+    RunEnd, RunKey, WorkerListing,
 };
 
 /// Returns the next owner, which starts from the durable progress of `predecessor`.
@@ -286,3 +286,47 @@
     assert!(early.is_empty());
     assert_eq!(late.len(), 1);
 }
+
+/// Returns the entry of a worker that leaves after the given time.
+fn leaving(worker: &str, leaves_in: Duration) -> WorkerListing {
+    WorkerListing {
+        is_draining: true,
+        leaves_in: Some(leaves_in),
+        ..listing(worker)
+    }
+}
+
+/// Guards against a task that is lost with its leaving worker: the successor counts the time until
+/// the worker leaves from when it reads the entry, which is older.
+#[test]
+fn a_successor_allows_for_the_age_of_the_entry_of_a_leaving_worker() {
+    let mut first = owner(&["w1"]);
+    let spec = long_running_job();
+    first.submit(1, spec.clone());
+    let run = first.start_all().remove(0).run;
+    let mut second = successor(&first, &spec, &["w2"]);
+    let entry = leaving("w1", Duration::from_millis(1_500));
+
+    second.handle_event(PipelineEvent::Listed(entry));
+    second.report("w1", vec![observed(run)], Vec::new());
+    second.advance_clock(Duration::from_millis(50));
+
+    assert_eq!(second.stops().len(), 1);
+}
+
+/// Guards against an owner that counts only the first entry of a leaving worker, although a later
+/// one says that it leaves sooner.
+#[test]
+fn a_later_entry_of_a_leaving_worker_counts() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, long_running_job());
+    owner.start_all();
+
+    owner.handle_event(PipelineEvent::Listed(leaving("w1", Duration::from_secs(9))));
+    owner.advance_clock(Duration::from_secs(1));
+    let early = owner.stops().len();
+    owner.handle_event(PipelineEvent::Listed(leaving("w1", Duration::from_secs(1))));
+    owner.advance_clock(Duration::from_millis(400));
+
+    assert_eq!((early, owner.stops().len()), (0, 1));
+}
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -326,6 +326,7 @@
                 lease: WORKER_LEASE.min(settings.max_worker_lease),
                 max_lease: settings.max_worker_lease,
                 inherited_lease: LONGEST_GRANTED_LEASE.min(settings.max_worker_lease),
+                listing_interval: settings.worker_heartbeat,
                 renewal_wait: MAX_RENEWAL_WAIT,
             },
             summary_retention: settings.status_retention,
--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -46,6 +46,7 @@
                 lease: Duration::from_secs(5),
                 max_lease: Duration::from_secs(6),
                 inherited_lease: Duration::from_secs(6),
+                listing_interval: Duration::from_millis(1_500),
                 renewal_wait: Duration::from_secs(1),
             },
             summary_retention: Duration::from_mins(2),
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -102,6 +102,7 @@
         lease: Duration::from_secs(5),
         max_lease: Duration::from_secs(6),
         inherited_lease: Duration::from_secs(6),
+        listing_interval: Duration::from_millis(1_500),
         renewal_wait: Duration::from_secs(1),
     };
     let settings = ShardSettings {
