--- a/crates/daemon/src/session/tests.rs
+++ b/crates/daemon/src/session/tests.rs
@@ -7,13 +7,25 @@
 };
 
 use auburnsaddle_platform::{HttpEndpoint, MANIFEST_KEY, StoreTransaction, TransactionOutcome};
+use auburnsaddle_platform_standin::StoreStandin;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+};
 
-use super::{CellStore, RelayedCall, RetryDelay, StoreRoute, route::RelayedAnswer};
-use crate::ingress::{HttpService, IngressResponse, serve_http};
+use super::{
+    CellStore, LeaseUpdate, RelayedCall, RetryDelay, StoreRoute, maintain_lease,
+    route::RelayedAnswer,
+};
+use crate::{
+    cell::CellEvent,
+    ingress::{HttpService, IngressResponse, serve_http},
+    pipelines::PUBLIC_PREFIX,
+    telemetry::BootClock,
+};
 
 /// Guards against retries every few milliseconds while a dependency is unavailable.
 #[test]
@@ -286,3 +298,43 @@
         (false, true, false)
     );
 }
+
+/// Guards against a registration that shows others that the ownerships of this daemon have ended
+/// although it still acts on them.
+#[tokio::test]
+async fn a_daemon_registers_again_only_when_its_services_are_released() {
+    let standin = StoreStandin::start().await;
+    let store = CellStore::new(StoreRoute::new(&standin.address()));
+    let (events, mut received) = mpsc::channel(8);
+    let (_keep, stop) = watch::channel(false);
+    let clock = BootClock::start();
+    let term = Duration::from_secs(30);
+    let daemon = "daemon-0".to_owned();
+    tokio::spawn(maintain_lease(
+        store,
+        daemon,
+        Vec::new(),
+        term,
+        clock,
+        events,
+        stop,
+    ));
+    let mut flush = None;
+
+    while flush.is_none() {
+        match received.recv().await.unwrap() {
+            CellEvent::Lease(LeaseUpdate::Granted(_)) => standin.revoke_leases(),
+            CellEvent::Flush(reply) => flush = Some(reply),
+            _ => {}
+        }
+    }
+    let early = tokio::time::timeout(Duration::from_millis(200), received.recv()).await;
+    let keys_before = standin.keys(PUBLIC_PREFIX);
+    flush.unwrap().send(()).unwrap();
+    let next = received.recv().await.unwrap();
+
+    assert!(early.is_err());
+    assert!(keys_before.is_empty());
+    assert!(matches!(next, CellEvent::Lease(LeaseUpdate::Granted(_))));
+    assert_eq!(standin.keys(PUBLIC_PREFIX).len(), 1);
+}
