Log workers that a successor has not reached (LOST)

An owner said nothing about a worker with runs that it had never reached until the lease had lapsed, so a wait for a predecessor looked like a wait for tickets or room, and tasks that last were not told from others. Change: one line for each such worker, one second after the takeover, with its runs, those that last, whether the earlier owners are known to have ended, and the time until the runs count as ended. The line about runs that have ended gives the time without an answer and the runs that last. Test: a_worker_that_a_successor_has_not_reached_is_logged_with_its_wait. No decision changes.

--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -425,6 +425,20 @@
         /// Time until the lease lapses.
         lapses_in: Duration,
     },
+    /// A worker with runs of an earlier owner has not answered since the takeover. Its runs are
+    /// kept until its lease has lapsed.
+    WorkerUnreached {
+        /// The worker that has not answered.
+        worker: WorkerId,
+        /// Number of runs that may be on the worker.
+        runs: usize,
+        /// Number of these runs that last until their jobs are cancelled.
+        long_running: usize,
+        /// Whether all earlier owners are known to have ended their ownership.
+        have_predecessors_ended: bool,
+        /// Time until the runs count as ended.
+        lapses_in: Duration,
+    },
     /// A run makes no progress. It is stopped, and its task is placed again.
     RunStalled {
         /// The run that is stopped.
@@ -462,6 +476,10 @@
         worker: WorkerId,
         /// Number of runs that have ended.
         runs: usize,
+        /// Number of these runs that last until their jobs are cancelled.
+        long_running: usize,
+        /// Time for which this owner had waited for an answer.
+        silent_for: Duration,
         /// Why the runs have ended.
         cause: LossCause,
     },
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -46,6 +46,7 @@
         };
         record.is_renewal_pending = false;
         record.missed_renewals = 0;
+        record.answered_at = now;
         if record
             .started_unix_ms
             .is_some_and(|known_start_ms| known_start_ms != report.started_unix_ms)
@@ -309,6 +310,8 @@
         self.log_note(PipelineNote::WorkerLost {
             worker: WorkerId::clone(worker),
             runs: runs.len(),
+            long_running: record.long_running_count(),
+            silent_for: now.saturating_sub(record.answered_at),
             cause,
         });
         for (run, placed_at) in runs {
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -41,6 +41,9 @@
 pub const MAX_PREDECESSOR_TIME: Duration =
     Duration::from_secs(3).saturating_add(UNCONFIRMED_RENEWAL_TIME);
 
+/// Time without an answer after which the log says that a worker has not been reached.
+const UNREACHED_LOG_DELAY: Duration = Duration::from_secs(1);
+
 /// Maximum number of pending advice requests for each daemon that sends them. The
 /// advice service handles one call of a host at a time; the second is in transit
 /// meanwhile.
@@ -619,6 +622,7 @@
         self.update_stale_ranks();
         self.stop_stalled_runs(now);
         self.evacuate_leaving_workers(now);
+        self.log_unreached_workers(now);
         let lapsed = self.workers.iter().filter(|(_, record)| {
             !record.runs.is_empty()
                 && record.contact != WorkerContact::Claimed
@@ -643,6 +647,27 @@
         }
     }
 
+    /// Logs the workers with runs of an earlier owner that have not answered, once each.
+    fn log_unreached_workers(&mut self, now: Duration) {
+        let have_predecessors_ended = self.predecessors_ended_at.is_some();
+        for (worker, record) in &mut self.workers {
+            let is_unreached = record.contact == WorkerContact::Unclaimed
+                && !record.runs.is_empty()
+                && now >= record.answered_at + UNREACHED_LOG_DELAY;
+            if is_unreached && !record.is_unreached_logged {
+                record.is_unreached_logged = true;
+                let note = PipelineNote::WorkerUnreached {
+                    worker: WorkerId::clone(worker),
+                    runs: record.runs.len(),
+                    long_running: record.long_running_count(),
+                    have_predecessors_ended,
+                    lapses_in: record.lapses_at().saturating_sub(now),
+                };
+                self.actions.push(PipelineAction::Log(note));
+            }
+        }
+    }
+
     /// Sends a stop order. The run occupies its worker until its end is known.
     pub(super) fn stop_run(&mut self, worker: &WorkerId, run: RunKey, now: Duration) {
         let Some(record) = self.workers.get_mut(worker) else {
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -7,8 +7,8 @@
     step, unclaimed_owner, unclaimed_owner_with,
 };
 use crate::{
-    PipelineConfig, PipelineEvent, PipelinePhase, PipelineSpec, RenewalFailure, RenewalReport,
-    RunEnd, RunKey, WorkerListing,
+    PipelineAction, PipelineConfig, PipelineEvent, PipelineNote, PipelinePhase, PipelineSpec,
+    RenewalFailure, RenewalReport, RunEnd, RunKey, WorkerListing,
 };
 
 /// Returns the next owner, which starts from the durable progress of `predecessor`.
@@ -330,3 +330,36 @@
 
     assert_eq!((early, owner.stops().len()), (0, 1));
 }
+
+/// Guards against a log that does not show why the tasks of a lost worker stay away after a change
+/// of the owner.
+#[test]
+fn a_worker_that_a_successor_has_not_reached_is_logged_with_its_wait() {
+    let mut first = owner(&["w1"]);
+    let spec = long_running_job();
+    first.submit(1, spec.clone());
+    first.start_all();
+
+    let mut second = successor(&first, &spec, &["w1", "w2"]);
+    second.report("w2", Vec::new(), Vec::new());
+    second.advance_clock(Duration::from_secs(3));
+
+    let notes = second.actions.iter().filter_map(|action| match action {
+        PipelineAction::Log(note @ PipelineNote::WorkerUnreached { .. }) => Some(note.clone()),
+        _ => None,
+    });
+    let notes: Vec<PipelineNote> = notes.collect();
+    assert!(
+        matches!(
+            &notes[..],
+            [PipelineNote::WorkerUnreached {
+                runs: 1,
+                long_running: 1,
+                have_predecessors_ended: false,
+                lapses_in,
+                ..
+            }] if *lapses_in > Duration::from_secs(15)
+        ),
+        "{notes:?}"
+    );
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -184,6 +184,10 @@
     /// Number of claims that were given up in this ownership, the low bits of the
     /// fencing token.
     pub(super) claims: u64,
+    /// When the worker last answered, or when it became known if it never did.
+    pub(super) answered_at: Duration,
+    /// Whether the log says that the worker has not been reached.
+    pub(super) is_unreached_logged: bool,
 }
 
 impl WorkerRecord {
@@ -219,6 +223,8 @@
             evacuate_at: None,
             runtime_ratio: RuntimeRatio::default(),
             claims,
+            answered_at: now,
+            is_unreached_logged: false,
         }
     }
 
@@ -315,6 +321,12 @@
         runs.take_while(|(key, _)| key.task.step == step).count()
     }
 
+    /// Returns the number of runs that last until their jobs are cancelled.
+    pub(super) fn long_running_count(&self) -> usize {
+        let runs = self.runs.values();
+        runs.filter(|run| run.is_long_running).count()
+    }
+
     /// Returns whether a run that may crash the worker at its start is not known to have
     /// survived it.
     pub(super) fn has_unproven_suspect(&self) -> bool {
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -127,6 +127,17 @@
             lapses_in_ms = lapses_in.as_millis();
             "a renewal of a worker's lease failed; nothing is placed there"
         ),
+        PipelineNote::WorkerUnreached {
+            worker,
+            runs,
+            long_running,
+            have_predecessors_ended,
+            lapses_in,
+        } => log::warn!(
+            service, epoch, worker = worker.as_ref(), runs, long_running, have_predecessors_ended,
+            lapses_in_ms = lapses_in.as_millis();
+            "a worker has not answered since the takeover; its runs are kept until its lease lapses"
+        ),
         PipelineNote::RunStalled {
             run,
             worker,
@@ -154,9 +165,12 @@
         PipelineNote::WorkerLost {
             worker,
             runs,
+            long_running,
+            silent_for,
             cause,
         } => log::warn!(
-            service, epoch, worker = worker.as_ref(), runs, cause:? = cause;
+            service, epoch, worker = worker.as_ref(), runs, long_running,
+            silent_ms = silent_for.as_millis(), cause:? = cause;
             "the runs of a worker have ended"
         ),
         PipelineNote::Placed { .. }
