--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -102,13 +102,22 @@
 }
 
 pub(crate) async fn start_cell(daemons: usize, run_time: Duration) -> CellFixture {
+    start_cell_with_workers(daemons, 2, run_time).await
+}
+
+/// Like [`start_cell`], with any number of workers.
+pub(crate) async fn start_cell_with_workers(
+    daemons: usize,
+    workers: usize,
+    run_time: Duration,
+) -> CellFixture {
     let store = StoreStandin::start().await;
-    let mut workers = Vec::new();
-    for id in ["w1", "w2"] {
-        let worker = WorkerStandin::start(id, run_time).await;
+    let mut standins = Vec::new();
+    for number in 1..=workers {
+        let worker = WorkerStandin::start(&format!("w{number}"), run_time).await;
         let (key, value) = worker.registration("sales");
         store.write(&key, &value);
-        workers.push(worker);
+        standins.push(worker);
     }
     store.write("op/config", &manifest(1, &["/tokens/"]));
     let folder = std::env::temp_dir().join(format!(
@@ -119,7 +128,7 @@
     fs::create_dir_all(&folder).unwrap();
     let mut cell = CellFixture {
         store,
-        workers,
+        workers: standins,
         daemons: Vec::new(),
         client: Client::builder(TokioExecutor::new()).build_http(),
         folder,
