--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -94,7 +94,7 @@
 pub use pipelines::{
     LossCause, ObservedRun, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport,
 };
-pub use pipelines::{MAX_OPEN_TASKS, MAX_PREDECESSOR_TIME};
+pub use pipelines::{MAX_OPEN_TASKS, MAX_PREDECESSOR_TIME, UNCONFIRMED_RENEWAL_TIME};
 pub use pipelines::{PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad};
 pub use pipelines::{PipelineNote, SLOW_DECISION_MS};
 pub use pipelines::{PipelinePhase, PipelineProgress, PipelineSchedule, PipelineSpec};
--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -33,8 +33,8 @@
     pub progress: Option<PipelineProgress>,
 }
 
-/// Changes that the caller makes durable together.
-#[derive(Clone, Debug)]
+/// Changes that the caller makes durable together. The default has none.
+#[derive(Clone, Debug, Default)]
 pub struct ProgressCommit {
     /// The changed jobs, in the order of their changes.
     pub entries: Vec<CommitEntry>,
@@ -164,7 +164,11 @@
         let pipeline = self.pipelines.get_mut(&start.run.task.step.pipeline)?;
         let task = pipeline.progress.task_mut(start.run.task)?;
         let record = self.workers.get_mut(&start.worker)?;
-        let deadline_ms = record.extend_lease(self.config.lease, now)?;
+        let deadline_ms = if now < self.extensions_until {
+            record.extend_lease(self.config.lease, now)?
+        } else {
+            record.unexpired_lease(now)?
+        };
         Some(StartOrder {
             worker: WorkerId::clone(&start.worker),
             address: record.address()?.to_owned(),
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -275,6 +275,9 @@
     PredecessorsEnded(Duration),
     /// The store has confirmed the ownership of the service until the given time.
     OwnershipConfirmed(Duration),
+    /// Leases of workers may be extended until the given time, which may be earlier than a
+    /// previous one: no later owner of the service assumes by then that they have lapsed.
+    ExtensionsPermitted(Duration),
     /// Time has passed. Carries the wall clock in ms since 1970.
     Tick(u64),
 }
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -56,7 +56,7 @@
 pub use messages::{LossCause, PipelineNote, StartResult, StopOrder, WorkerListing};
 pub use progress::{PipelinePhase, PipelineProgress, StepProgress, TaskPlace, TaskProgress};
 pub use requests::SLOW_DECISION_MS;
-pub use schedule::PipelineConfig;
+pub use schedule::{PipelineConfig, UNCONFIRMED_RENEWAL_TIME};
 pub use spec::QueuePolicy;
 pub use spec::{AdvicePolicy, MAX_OPEN_TASKS, PipelineId, PipelineSchedule, PipelineSpec};
 pub use spec::{RunKey, StepKey, StepSpec, TaskKey, TaskKeyError};
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -34,8 +34,9 @@
 const MAX_UNTICKETED_STEPS_PER_QUEUE: u32 = 24;
 
 /// Time for which leases are renewed after the confirmed ownership has run out, so
-/// that runs survive an outage of the store.
-pub(super) const UNCONFIRMED_RENEWAL_TIME: Duration = Duration::from_secs(10);
+/// that runs survive an outage of the store. They are extended only as far as
+/// [`PipelineEvent::ExtensionsPermitted`](super::PipelineEvent::ExtensionsPermitted) permits.
+pub const UNCONFIRMED_RENEWAL_TIME: Duration = Duration::from_secs(10);
 
 /// Settings of [`PipelineState`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -471,6 +472,7 @@
     /// Sends the renewal of a worker's lease if it is due.
     pub(super) fn renew_lease(&mut self, worker: &WorkerId, now: Duration) {
         let may_renew = now < self.confirmed_until + UNCONFIRMED_RENEWAL_TIME;
+        let may_extend = now < self.extensions_until;
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
@@ -491,7 +493,8 @@
                     Some(_) => Duration::ZERO,
                     None => self.config.renewal_wait,
                 };
-                (record.extend_lease(self.config.lease, now), wait)
+                let extended = may_extend.then(|| record.extend_lease(self.config.lease, now));
+                (extended.flatten(), wait)
             }
         };
         let acked_end = match record.contact {
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -36,8 +36,9 @@
 /// Time for which other workers are preferred to one that rejected a start order.
 const REJECTION_PENALTY: Duration = Duration::from_secs(2);
 
-/// Time after a takeover for which an earlier owner may still renew leases: the term of its
-/// lease in the store, which may have been revoked early, and its unconfirmed renewals.
+/// Time after a takeover for which an earlier owner without witnesses may still extend leases: the
+/// term of its lease in the store, which may have been revoked early, and the time without the
+/// store.
 pub const MAX_PREDECESSOR_TIME: Duration =
     Duration::from_secs(3).saturating_add(UNCONFIRMED_RENEWAL_TIME);
 
@@ -96,6 +97,8 @@
     pub(super) predecessors_ended_at: Option<Duration>,
     /// Until when the store has confirmed the ownership.
     pub(super) confirmed_until: Duration,
+    /// Until when leases of workers may be extended.
+    pub(super) extensions_until: Duration,
     /// Wall clock of the latest tick, in ms since 1970.
     pub(super) wall_ms: u64,
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
@@ -163,6 +166,7 @@
             taken_over_at: now,
             predecessors_ended_at: None,
             confirmed_until: now,
+            extensions_until: now,
             wall_ms: 0,
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
@@ -237,6 +241,7 @@
                 let starts = std::mem::take(&mut self.deferred_starts);
                 self.release_starts(starts, now);
             }
+            PipelineEvent::ExtensionsPermitted(until) => self.extensions_until = until,
             PipelineEvent::Tick(wall_ms) => {
                 // Tickets may have expired, and failed advice requests may be retried.
                 self.is_placement_due = true;
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -82,9 +82,9 @@
         durable: BTreeMap::new(),
         phases: BTreeMap::new(),
     };
-    owner.handle_event(PipelineEvent::OwnershipConfirmed(
-        now + Duration::from_hours(1),
-    ));
+    let confirmed_until = now + Duration::from_hours(1);
+    owner.handle_event(PipelineEvent::OwnershipConfirmed(confirmed_until));
+    owner.handle_event(PipelineEvent::ExtensionsPermitted(confirmed_until));
     owner.handle_event(PipelineEvent::Tick(WALL_MS));
     for worker in workers {
         owner.handle_event(PipelineEvent::Listed(listing(worker)));
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::fixtures::{INSTANCE_STARTED_MS, done, job, listing, observed, owner, step};
+use super::fixtures::{
+    INSTANCE_STARTED_MS, OwnerFixture, done, job, listing, observed, owner, step,
+};
 use crate::{PipelineAction, PipelineEvent, PipelinePhase, RenewalFailure, RunKey, StartResult};
 
 /// Guards against an acknowledgement that lets the worker discard an end before it is
@@ -160,6 +162,7 @@
     let unconfirmed = owner.take_starts().len();
     owner.submit(2, job(vec![step(1)]));
     let until = owner.now + Duration::from_secs(2);
+    owner.handle_event(PipelineEvent::ExtensionsPermitted(until));
     owner.handle_event(PipelineEvent::OwnershipConfirmed(until));
 
     assert_eq!(unconfirmed, 0);
@@ -183,6 +186,48 @@
     assert!(!owner.actions.iter().any(is_renewal));
 }
 
+/// Guards against leases that are extended by renewals and start orders after a later owner may
+/// count them as lapsed.
+#[test]
+fn leases_are_not_extended_without_a_permission() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(1)]));
+    let first = owner.start_all().remove(0);
+    owner.now += Duration::from_hours(1);
+    let until = owner.now + Duration::from_mins(1);
+    owner.report("w1", vec![observed(first.run)], Vec::new());
+    owner.handle_event(PipelineEvent::ExtensionsPermitted(until));
+    owner.handle_event(PipelineEvent::OwnershipConfirmed(
+        until + Duration::from_mins(1),
+    ));
+    let deadlines = |owner: &mut OwnerFixture| -> Vec<Option<u64>> {
+        let actions = std::mem::take(&mut owner.actions).into_iter();
+        let deadlines = actions.filter_map(|action| match action {
+            PipelineAction::Renew(order) => Some(order.deadline_ms),
+            PipelineAction::Start(order) => Some(Some(order.deadline_ms)),
+            _ => None,
+        });
+        deadlines.collect()
+    };
+
+    owner.actions.clear();
+    owner.now = until.checked_sub(Duration::from_millis(1)).unwrap();
+    owner.report("w1", vec![observed(first.run)], Vec::new());
+    let permitted = deadlines(&mut owner);
+    owner.now = until;
+    owner.report("w1", vec![observed(first.run)], Vec::new());
+    let renewed = deadlines(&mut owner);
+    owner.submit(2, job(vec![step(1)]));
+    owner.commit();
+    let started = deadlines(&mut owner);
+
+    let lease = Duration::from_millis(4_999);
+    let granted = u64::try_from((until + lease).as_millis()).unwrap();
+    assert_eq!(permitted, [Some(granted)]);
+    assert_eq!(renewed, [None]);
+    assert_eq!(started, [Some(granted)]);
+}
+
 /// Guards against acknowledging an end whose commit is not yet durable: a successor
 /// would not know of the end and would run the task again.
 #[test]
--- a/crates/core/src/pipelines/tests/simulation.rs
+++ b/crates/core/src/pipelines/tests/simulation.rs
@@ -252,6 +252,7 @@
         if self.now >= self.store_down_until {
             let until = self.now + CONFIRMATION_TERM;
             self.handle_event(PipelineEvent::OwnershipConfirmed(until));
+            self.handle_event(PipelineEvent::ExtensionsPermitted(until));
         }
     }
 
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -363,6 +363,13 @@
         Some(self.granted_until_ms)
     }
 
+    /// Returns the end of the lease that was granted, in ms on the worker's clock, unless it may
+    /// have passed.
+    pub(super) fn unexpired_lease(&self, now: Duration) -> Option<u64> {
+        let is_unexpired = self.clock_at(now)? < self.granted_until_ms;
+        is_unexpired.then_some(self.granted_until_ms)
+    }
+
     /// Returns the time by which all runs on the worker have ended if its lease is not
     /// renewed.
     pub(super) fn lapses_at(&self) -> Duration {
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -29,8 +29,9 @@
         AcquireOutcome, AdvisorTable, CommitStatus, DaemonRegistration, JobNotice, OwnedShard,
         ShardSettings, count_advisors,
     },
-    session::{LeaseUpdate, PrefixUpdate},
+    session::{LeaseConfirmation, LeaseUpdate, PrefixUpdate},
     telemetry::unix_ms,
+    witness::{EpochNotice, EpochRegister, EpochReply, WitnessEntry, choose_witnesses},
 };
 
 /// Interval between ticks, which check deadlines, readiness and services without an
@@ -100,7 +101,12 @@
     /// Whether owners and members have been read from the store.
     pub(super) has_membership: bool,
     lease: Option<KeyLease>,
-    lease_valid_until: Duration,
+    /// Revision of this daemon's registration in the store; 0 while it has no lease.
+    registration: u64,
+    /// The latest confirmation of the lease.
+    lease_confirmation: LeaseConfirmation,
+    /// The ownerships that other daemons and this one have announced.
+    epochs: EpochRegister,
     /// Services without an owner, and when this daemon starts their takeover.
     takeover_times: BTreeMap<ServiceId, Duration>,
     /// Services whose takeover has no outcome yet.
@@ -148,7 +154,9 @@
             services: BTreeSet::new(),
             has_membership: false,
             lease: None,
-            lease_valid_until: Duration::ZERO,
+            registration: 0,
+            lease_confirmation: LeaseConfirmation::default(),
+            epochs: EpochRegister::default(),
             takeover_times: BTreeMap::new(),
             acquiring: BTreeSet::new(),
             shards: BTreeMap::new(),
@@ -207,6 +215,7 @@
                     self.apply_change(change);
                 }
                 self.update_predecessors();
+                self.update_witnesses();
             }
             CellEvent::Summaries(update) => {
                 let changes = match update {
@@ -274,6 +283,14 @@
                 }
             }
             CellEvent::JobAccepted(id, summary) => self.jobs.insert(id, summary),
+            CellEvent::EpochAnnounced(notice, reply) => {
+                let answer = self.answer_notice(&notice);
+                // The send fails only if the announcing daemon no longer waits.
+                drop(reply.send(answer));
+            }
+            CellEvent::EpochAnswered(service, epoch, sent_at, reply) => {
+                self.handle_witness_reply(&service, epoch, sent_at, &reply);
+            }
             // The send fails only if the requester no longer waits for the reply.
             CellEvent::GetSummary(id, reply) => drop(reply.send(self.jobs.get(id).cloned())),
             CellEvent::FindJob(id, reply) => drop(reply.send(self.find_job(id))),
@@ -435,7 +452,8 @@
         let loads = self.shards.iter();
         let loads = loads.map(|(service, handle)| (service.clone(), handle.shard.load()));
         self.effects.metrics.set_loads(loads.collect());
-        let has_store = self.has_membership && now < self.lease_valid_until + STORE_OUTAGE_GRACE;
+        let valid_until = self.lease_confirmation.valid_until;
+        let has_store = self.has_membership && now < valid_until + STORE_OUTAGE_GRACE;
         let is_ready = self.manifest_version.is_some() && has_store && !self.is_draining;
         if self.ready.swap(is_ready, Ordering::Relaxed) != is_ready {
             log::info!(
@@ -445,6 +463,7 @@
             );
         }
         self.claim_vacant_services(now);
+        self.announce_epochs(now);
     }
 
     /// Starts the takeover of services without an owner whose delay has passed.
@@ -452,7 +471,8 @@
         let Some(lease) = self.lease else {
             return;
         };
-        if self.is_draining || !self.has_membership || now >= self.lease_valid_until {
+        let valid_until = self.lease_confirmation.valid_until;
+        if self.is_draining || !self.has_membership || now >= valid_until {
             return;
         }
         for service in self.services.clone() {
@@ -469,8 +489,10 @@
             if now >= due {
                 self.takeover_times.remove(&service);
                 self.acquiring.insert(service.clone());
+                let witnesses = self.witnesses(&service);
+                let daemon = &self.settings.daemon;
                 self.effects
-                    .start_takeover(service, &self.settings.daemon, lease, revision);
+                    .start_takeover(service, daemon, lease, revision, witnesses);
             }
         }
     }
@@ -532,10 +554,10 @@
         let cancelled: Vec<_> = jobs.map(|job| job.id).collect();
         let watches = self.effects.watch_shard(&loaded);
         let shard = OwnedShard::new(*loaded, self.settings.shard, now);
-        let handle = self
+        let mut handle = self
             .effects
             .create_shard_handle(shard, workers.clone(), watches);
-        let confirmed = handle.confirm_ownership(self.lease_valid_until);
+        let confirmed = handle.confirm_ownership(self.lease_confirmation);
         self.shards.insert(service.clone(), handle);
         let workers = workers.into_iter().map(PipelineEvent::Listed);
         let cancelled = cancelled.into_iter().map(PipelineEvent::Cancelled);
@@ -548,6 +570,111 @@
             self.dispatch_event(service, epoch, event);
         }
         self.update_predecessors();
+        // This daemon may be a witness of an earlier owner.
+        let notice = EpochNotice {
+            service: service.clone(),
+            epoch,
+        };
+        let answer = self.answer_notice(&notice);
+        self.handle_witness_reply(service, epoch, now, &answer);
+        self.announce_epochs(now);
+    }
+
+    /// Returns the present witnesses of an ownership of a service by this daemon.
+    fn witnesses(&self, service: &ServiceId) -> Vec<WitnessEntry> {
+        let daemons = self.members.iter().filter_map(|(daemon, endpoint)| {
+            let registration = self.registrations.get(daemon)?.revision;
+            Some(WitnessEntry {
+                daemon: daemon.clone(),
+                address: endpoint.address().to_string(),
+                registration,
+            })
+        });
+        choose_witnesses(service, &self.settings.daemon, daemons)
+    }
+
+    /// Records the announcement of an owner, and releases the service if it is a later owner.
+    fn answer_notice(&mut self, notice: &EpochNotice) -> EpochReply {
+        let epoch = self.epochs.raise(notice);
+        self.release_if_replaced(&notice.service, epoch);
+        EpochReply {
+            daemon: self.settings.daemon.clone(),
+            registration: self.registration,
+            epoch,
+        }
+    }
+
+    /// Releases a service of which a later ownership is known.
+    fn release_if_replaced(&mut self, service: &ServiceId, latest_epoch: Epoch) {
+        let handle = self.shards.get(service);
+        if handle.is_some_and(|handle| handle.shard.epoch() < latest_epoch) {
+            self.drop_shard(service, "another daemon announced a later ownership");
+        }
+    }
+
+    /// Announces the ownerships of this daemon to the witnesses that have to know them now.
+    fn announce_epochs(&mut self, now: Duration) {
+        for (service, handle) in &mut self.shards {
+            let notice = EpochNotice {
+                service: service.clone(),
+                epoch: handle.shard.epoch(),
+            };
+            for entry in handle.shard.due_notices(now).into_values() {
+                let known = self.members.get(&entry.daemon).cloned();
+                let witness = known.unwrap_or_else(|| HttpEndpoint::new(&entry.address));
+                self.effects.announce_epoch(witness, notice.clone());
+            }
+        }
+    }
+
+    /// Handles the answer of a witness to an announcement of an ownership of this daemon.
+    fn handle_witness_reply(
+        &mut self,
+        service: &ServiceId,
+        epoch: Epoch,
+        sent_at: Duration,
+        reply: &EpochReply,
+    ) {
+        let now = self.effects.clock.now();
+        let handle = self.shards.get_mut(service);
+        let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) else {
+            return;
+        };
+        if reply.epoch > epoch {
+            self.release_if_replaced(service, reply.epoch);
+            return;
+        }
+        let shard = &mut handle.shard;
+        shard.confirm_by_witness(&reply.daemon, reply.registration, sent_at);
+        if let Some(event) = shard.record_told(&reply.daemon, now) {
+            self.dispatch_predecessors_ended(service, epoch, event);
+        }
+    }
+
+    /// Passes on that no predecessor extends a lease any more.
+    fn dispatch_predecessors_ended(
+        &mut self,
+        service: &ServiceId,
+        epoch: Epoch,
+        event: PipelineEvent,
+    ) {
+        log::info!(
+            service = service.as_ref(), epoch;
+            "all earlier owners of the service have ended their ownership or extend no lease"
+        );
+        self.dispatch_event(service, epoch, event);
+    }
+
+    /// Passes the present witnesses to the owned services.
+    pub(super) fn update_witnesses(&mut self) {
+        let now = self.effects.clock.now();
+        let services: Vec<ServiceId> = self.shards.keys().cloned().collect();
+        for service in services {
+            let witnesses = self.witnesses(&service);
+            if let Some(handle) = self.shards.get_mut(&service) {
+                handle.shard.set_witnesses(witnesses, now);
+            }
+        }
     }
 
     /// Checks whether the predecessors of this daemon as the owner of its services have ended their
@@ -557,15 +684,11 @@
         let shards = self.shards.iter_mut();
         let events = shards.filter_map(|(service, handle)| {
             let event = handle.shard.update_predecessors(registrations)?;
-            log::info!(
-                service = service.as_ref(), epoch = handle.shard.epoch();
-                "all earlier owners of the service have ended their ownership"
-            );
             Some((service.clone(), handle.shard.epoch(), event))
         });
         let events: Vec<(ServiceId, Epoch, PipelineEvent)> = events.collect();
         for (service, epoch, event) in events {
-            self.dispatch_event(&service, epoch, event);
+            self.dispatch_predecessors_ended(&service, epoch, event);
         }
     }
 
@@ -582,11 +705,11 @@
 
     fn handle_lease_update(&mut self, update: LeaseUpdate) {
         match update {
-            LeaseUpdate::Extended(until) => {
-                self.lease_valid_until = until;
-                let shards = self.shards.iter();
+            LeaseUpdate::Extended(confirmation) => {
+                self.lease_confirmation = confirmation;
+                let shards = self.shards.iter_mut();
                 let confirmations = shards.map(|(service, handle)| {
-                    let event = handle.confirm_ownership(until);
+                    let event = handle.confirm_ownership(confirmation);
                     (service.clone(), handle.shard.epoch(), event)
                 });
                 let confirmations: Vec<(ServiceId, u64, PipelineEvent)> = confirmations.collect();
@@ -594,9 +717,13 @@
                     self.dispatch_event(&service, epoch, event);
                 }
             }
-            LeaseUpdate::Granted(lease) => self.lease = Some(lease),
+            LeaseUpdate::Granted(lease, registration) => {
+                self.lease = Some(lease);
+                self.registration = registration;
+            }
             LeaseUpdate::Lost => {
                 self.lease = None;
+                self.registration = 0;
                 let services: Vec<ServiceId> = self.shards.keys().cloned().collect();
                 for service in services {
                     self.drop_shard(&service, "the store ended the lease");
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -25,8 +25,12 @@
         AdvisorTable, CellKey, LoadedShard, NoticeSender, OwnedShard, StoredJob, WorkerOrders,
         acquire_shard, decode_value, expected_answer_ms, request_advice,
     },
-    session::{CellStore, PrefixUpdate, RetryDelay, StoreRoute, WatchTiming, watch_prefix},
+    session::{
+        CellStore, LeaseConfirmation, PrefixUpdate, RetryDelay, StoreRoute, WatchTiming,
+        watch_prefix,
+    },
     telemetry::BootClock,
+    witness::{EpochNotice, WitnessEntry, announce_epoch},
 };
 
 /// Pause after changes of jobs, so that one call returns several changes together. Most
@@ -91,9 +95,14 @@
 
 impl ShardHandle {
     /// Records until when the store has confirmed the ownership. Returns the event.
-    pub(super) fn confirm_ownership(&self, until: Duration) -> PipelineEvent {
-        self.orders.permit_until(until);
-        PipelineEvent::OwnershipConfirmed(until)
+    pub(super) fn confirm_ownership(&mut self, confirmation: LeaseConfirmation) -> PipelineEvent {
+        let LeaseConfirmation {
+            sent_at,
+            valid_until,
+        } = confirmation;
+        self.orders.permit_until(valid_until);
+        self.shard.confirm_by_store(sent_at, valid_until);
+        PipelineEvent::OwnershipConfirmed(valid_until)
     }
 
     /// Applies an update of the jobs of the service. Returns the events.
@@ -274,17 +283,39 @@
         daemon: &str,
         lease: KeyLease,
         owner_revision: u64,
+        witnesses: Vec<WitnessEntry>,
     ) {
         let (store, events) = (self.store.clone(), self.events.clone());
         let daemon = daemon.to_owned();
         self.runtime.spawn(async move {
-            let outcome =
-                acquire_shard(&store, service.clone(), &daemon, lease, owner_revision).await;
+            let taken_over = service.clone();
+            let outcome = acquire_shard(
+                &store,
+                taken_over,
+                &daemon,
+                lease,
+                owner_revision,
+                witnesses,
+            )
+            .await;
             let event = CellEvent::Acquired(service, lease.id, outcome);
             let _ = events.send(event).await;
         });
     }
 
+    /// Announces an ownership of this daemon to a witness.
+    pub(super) fn announce_epoch(&self, witness: HttpEndpoint, notice: EpochNotice) {
+        let (clock, events) = (self.clock, self.events.clone());
+        self.runtime.spawn(async move {
+            let sent_at = clock.now();
+            if let Some(reply) = announce_epoch(&witness, &notice).await {
+                let EpochNotice { service, epoch } = notice;
+                let event = CellEvent::EpochAnswered(service, epoch, sent_at, reply);
+                let _ = events.send(event).await;
+            }
+        });
+    }
+
     /// Sends the next commit unless one has no outcome yet.
     pub(super) fn start_commit(&self, handle: &mut ShardHandle) {
         if handle.is_committing || handle.shard.next_commit(self.clock.now()).is_none() {
--- a/crates/daemon/src/cell/membership.rs
+++ b/crates/daemon/src/cell/membership.rs
@@ -37,6 +37,7 @@
             }
         }
         self.update_predecessors();
+        self.update_witnesses();
     }
 
     /// Applies a change of a summary, a member or an owner.
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -10,6 +10,7 @@
     job_table::JobSummary,
     pipelines::{AcquireOutcome, JobNotice, WriteNumber},
     session::{LeaseUpdate, PrefixUpdate},
+    witness::{EpochNotice, EpochReply},
 };
 
 /// The outcome of a request for advice about a step, and the daemon that sent it.
@@ -69,6 +70,11 @@
     /// A job was accepted by this daemon, or its summary was read from a peer or the
     /// store.
     JobAccepted(PipelineId, JobSummary),
+    /// Another daemon announces its ownership of a service. Replies as a witness.
+    EpochAnnounced(EpochNotice, oneshot::Sender<EpochReply>),
+    /// A witness has answered the announcement of an owned service that was sent at the given
+    /// time.
+    EpochAnswered(ServiceId, u64, Duration, EpochReply),
     /// Query: the summary of a job.
     GetSummary(PipelineId, oneshot::Sender<Option<JobSummary>>),
     /// Query: the summary of a job, and the owner of its service until the job ends.
@@ -154,6 +160,13 @@
         let _ = self.events.send(CellEvent::PeerNotices(notices)).await;
     }
 
+    /// Handles the announcement of another daemon. Returns `None` if the control thread has
+    /// ended.
+    pub(crate) async fn announce_epoch(&self, notice: EpochNotice) -> Option<EpochReply> {
+        self.send_request(|reply| CellEvent::EpochAnnounced(notice, reply))
+            .await
+    }
+
     /// Sends a query and waits for its reply; `None` if the control thread has ended.
     async fn send_request<T>(
         &self,
--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -58,10 +58,11 @@
 }
 
 fn lease(id: u64) -> CellEvent {
-    CellEvent::Lease(LeaseUpdate::Granted(KeyLease {
+    let lease = KeyLease {
         id,
         ttl: Duration::from_secs(2),
-    }))
+    };
+    CellEvent::Lease(LeaseUpdate::Granted(lease, 30 + id))
 }
 
 /// Returns what a takeover of a service with one worker reads.
--- a/crates/daemon/src/ingress/peers.rs
+++ b/crates/daemon/src/ingress/peers.rs
@@ -20,6 +20,7 @@
     job_table::JobSummary,
     pipelines::{AdviceRequest, AdviceResponse, JobNotice, NOTICE_PATH},
     session::{RelayedCall, StoreRoute},
+    witness::{EpochNotice, WITNESS_PATH},
 };
 
 /// Largest body of a summary or advice request: an identifier and a hundred workers.
@@ -69,6 +70,7 @@
             "/store" => self.relay_store_call(request).await,
             SUMMARY_PATH => self.send_summary(request).await,
             NOTICE_PATH => self.accept_notices(request).await,
+            WITNESS_PATH => self.confirm_epoch(request).await,
             "/metrics" => json_response(StatusCode::OK, self.metrics.encode_text().into_bytes()),
             "/dump" => json_response(StatusCode::OK, self.control.dump().await.into_bytes()),
             _ => empty_response(StatusCode::NOT_FOUND),
@@ -128,6 +130,26 @@
         empty_response(StatusCode::OK)
     }
 
+    /// Answers the announcement of an ownership as a witness.
+    async fn confirm_epoch(&self, request: Request<Incoming>) -> IngressResponse {
+        let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES).collect();
+        let Ok(body) = body.await else {
+            return empty_response(StatusCode::BAD_REQUEST);
+        };
+        let notice: EpochNotice = match serde_json::from_slice(&body.to_bytes()) {
+            Ok(notice) => notice,
+            Err(error) => {
+                log::warn!("a peer's announcement cannot be decoded: {error}");
+                return empty_response(StatusCode::BAD_REQUEST);
+            }
+        };
+        let reply = self.control.announce_epoch(notice).await;
+        match reply.map(|reply| serde_json::to_vec(&reply)) {
+            Some(Ok(body)) => json_response(StatusCode::OK, body),
+            Some(Err(_)) | None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
     /// Makes a store call for a daemon that cannot reach the store.
     async fn relay_store_call(&self, request: Request<Incoming>) -> IngressResponse {
         let body = Limited::new(request.into_body(), MAX_JOB_REQUEST_BYTES).collect();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -35,6 +35,7 @@
 * `session`: the daemon's lease and its watches in the store.
 * `job_table`: the phases of all jobs.
 * `pipelines`: the owned services, with their commits and worker orders.
+* `witness`: announcements of ownerships to other daemons.
 * `ingress`: HTTP server for callers of jobs, the load balancer and peers.
 
 # Use
@@ -70,6 +71,7 @@
 mod store;
 mod tasks;
 mod telemetry;
+mod witness;
 mod workers;
 
 pub use cell::{CellCommand, CellError};
--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -13,7 +13,10 @@
     records::{CellKey, OwnerEntry, SequenceEntry, StoredJob, decode_value, encode_value},
     sessions::{OwnerSession, PredecessorList},
 };
-use crate::session::CellStore;
+use crate::{
+    session::CellStore,
+    witness::{WitnessEntry, WitnessList},
+};
 
 /// Attempts to send the takeover transaction while its outcome is unknown.
 const TRANSACTION_ATTEMPTS: u32 = 3;
@@ -51,6 +54,8 @@
     /// The ownership that the takeover began.
     pub(crate) session: OwnerSession,
     pub(crate) predecessors: PredecessorList,
+    /// The witnesses of this ownership, as the takeover has recorded them.
+    pub(crate) witnesses: WitnessList,
 }
 
 /// The outcome of a takeover.
@@ -68,20 +73,24 @@
 /// Makes this daemon the owner of a service and reads the state of the service.
 ///
 /// `owner_revision` is the expected revision of the owner's key: 0 if the key does
-/// not exist, or the revision that an earlier process of this daemon wrote.
+/// not exist, or the revision that an earlier process of this daemon wrote. `witnesses` are
+/// those of the new ownership.
 pub(crate) async fn acquire_shard(
     store: &CellStore,
     service: ServiceId,
     daemon: &str,
     lease: KeyLease,
     owner_revision: u64,
+    witnesses: Vec<WitnessEntry>,
 ) -> AcquireOutcome {
     let sequence_key = CellKey::Sequence(service.clone()).path();
     let sessions_key = CellKey::Sessions(service.clone()).path();
-    // Every takeover writes both keys, so the condition on the sequence holds for both, and
-    // sessions that were read before another takeover do not match the epoch.
-    let (Ok(sessions), Ok(item)) = (
+    let witnesses_key = CellKey::Witnesses(service.clone()).path();
+    // The other keys are written only together with the sequence, which is read last, so the
+    // condition on the sequence holds for them as well.
+    let (Ok(sessions), Ok(recorded), Ok(item)) = (
         store.read(&sessions_key).await,
+        store.read(&witnesses_key).await,
         store.read(&sequence_key).await,
     ) else {
         return AcquireOutcome::Failed;
@@ -94,7 +103,12 @@
         None => (0, SequenceEntry::default()),
     };
     let epoch = sequence.epoch + 1;
-    let predecessors = PredecessorList::read(sessions.as_ref(), sequence.epoch, daemon);
+    let predecessors =
+        PredecessorList::read(sessions.as_ref(), recorded.as_ref(), sequence.epoch, daemon);
+    let witnesses = WitnessList {
+        epoch,
+        entries: witnesses,
+    };
     let session = OwnerSession {
         daemon: daemon.to_owned(),
         epoch,
@@ -121,6 +135,11 @@
                 encode_value(&predecessors.followed_by(&session)),
                 0,
             ),
+            (
+                witnesses_key,
+                encode_value(&predecessors.lists_followed_by(&witnesses)),
+                0,
+            ),
         ],
         removals: Vec::new(),
     };
@@ -135,6 +154,7 @@
             loaded.revision = revision;
             loaded.session = session;
             loaded.predecessors = predecessors;
+            loaded.witnesses = witnesses;
             return AcquireOutcome::Acquired(Box::new(loaded));
         }
     }
@@ -248,6 +268,7 @@
             revision: 0,
         },
         predecessors: PredecessorList::default(),
+        witnesses: WitnessList::default(),
     })
 }
 
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -9,6 +9,8 @@
 | `pub/member/DAEMON` | the daemon's address for peers, attached to its lease |
 | `phase/ID` | the summary of a job, written when the job is accepted |
 | `seq/SERVICE` | the epoch and number of the latest commit |
+| `own/SERVICE` | the ownerships that may not have ended |
+| `wit/SERVICE` | the witnesses of these ownerships |
 | `job/SERVICE/jID` | a job, until its final phase is committed |
 | `job/SERVICE/xID` | a cancellation request, until the job has ended |
 | `prog/SERVICE/NUMBER` | the progress of the jobs that one commit changed |
--- a/crates/daemon/src/pipelines/records.rs
+++ b/crates/daemon/src/pipelines/records.rs
@@ -33,6 +33,8 @@
     Sequence(ServiceId),
     /// The ownerships of a service that may not have ended.
     Sessions(ServiceId),
+    /// The witnesses of these ownerships.
+    Witnesses(ServiceId),
     /// The specification of a job that has not ended.
     Job(ServiceId, PipelineId),
     /// A request to cancel a job.
@@ -50,6 +52,7 @@
             Self::Summary(id) => format!("{SUMMARY_PREFIX}{id:016x}"),
             Self::Sequence(service) => format!("{KEY_PREFIX}seq/{service}"),
             Self::Sessions(service) => format!("{KEY_PREFIX}own/{service}"),
+            Self::Witnesses(service) => format!("{KEY_PREFIX}wit/{service}"),
             Self::Job(service, id) => format!("{KEY_PREFIX}job/{service}/j{id:016x}"),
             Self::Cancellation(service, id) => format!("{KEY_PREFIX}job/{service}/x{id:016x}"),
             Self::Record(service, number) => {
@@ -70,6 +73,7 @@
             ["phase", job] => Some(Self::Summary(id(job)?)),
             ["seq", service] => Some(Self::Sequence(service.into())),
             ["own", service] => Some(Self::Sessions(service.into())),
+            ["wit", service] => Some(Self::Witnesses(service.into())),
             ["job", service, job] => match job.split_at_checked(1)? {
                 ("j", job) => Some(Self::Job(service.into(), id(job)?)),
                 ("x", job) => Some(Self::Cancellation(service.into(), id(job)?)),
--- a/crates/daemon/src/pipelines/sessions.rs
+++ b/crates/daemon/src/pipelines/sessions.rs
@@ -5,7 +5,8 @@
 //! worker's lease for a while, so the successor has to wait for longer than that. It need not
 //! wait once it knows that each predecessor has ended its ownership: a daemon registers in the
 //! store when it starts, and again after it has lost its lease and released its services. A
-//! registration that is newer than an ownership therefore shows that the ownership has ended.
+//! registration that is newer than an ownership therefore shows that the ownership has ended. If a
+//! predecessor does not return, the answers of its witnesses show that it extends no lease.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -14,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::records::decode_value;
+use crate::witness::{EXTENSION_END_DELAY, WitnessEntry, WitnessList};
 
 /// One ownership of a service.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -39,6 +41,10 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct PredecessorList {
     sessions: Vec<OwnerSession>,
+    /// The witnesses of these ownerships, as far as they are recorded.
+    witnesses: Vec<WitnessList>,
+    /// When each witness had been told of the takeover.
+    told_at: BTreeMap<String, Duration>,
     /// When the last one that is known to have ended was seen to have.
     ended_at: Duration,
     /// Whether the daemon itself has owned the service before, perhaps until its restart.
@@ -47,10 +53,15 @@
 
 impl PredecessorList {
     /// Returns the predecessors of an owner that takes over after the given epoch. `item` is the
-    /// value that the takeover of that epoch wrote.
+    /// value that the takeover of that epoch wrote, and `witnesses` the latest lists of witnesses.
     ///
     /// Earlier ownerships of the same daemon have ended: it takes over only what it does not own.
-    pub(crate) fn read(item: Option<&StoreItem>, last_epoch: Epoch, daemon: &str) -> Self {
+    pub(crate) fn read(
+        item: Option<&StoreItem>,
+        witnesses: Option<&StoreItem>,
+        last_epoch: Epoch,
+        daemon: &str,
+    ) -> Self {
         let sessions = item.and_then(|item| {
             let mut sessions: Vec<OwnerSession> = decode_value(&item.key, &item.value)?;
             let last = sessions.last_mut()?;
@@ -70,9 +81,14 @@
         let mut sessions = sessions.unwrap_or_else(unrecorded);
         let count = sessions.len();
         sessions.retain(|session| session.daemon != daemon);
+        let lists = witnesses.and_then(|item| decode_value(&item.key, &item.value));
+        let mut lists: Vec<WitnessList> = lists.unwrap_or_default();
+        lists.retain(|list| sessions.iter().any(|session| session.epoch == list.epoch));
         Self {
             has_own: sessions.len() < count,
             sessions,
+            witnesses: lists,
+            told_at: BTreeMap::new(),
             ended_at: Duration::ZERO,
         }
     }
@@ -85,6 +101,48 @@
         earlier.cloned().chain([session.clone()]).collect()
     }
 
+    /// Returns the lists of witnesses that are recorded together with the sessions.
+    pub(crate) fn lists_followed_by(&self, list: &WitnessList) -> Vec<WitnessList> {
+        let earlier = self.witnesses.iter();
+        earlier.cloned().chain([list.clone()]).collect()
+    }
+
+    /// Returns the witnesses that have not been told of the takeover and may matter.
+    pub(crate) fn untold_witnesses(&self) -> Vec<WitnessEntry> {
+        let entries = self.witnesses.iter().flat_map(|list| &list.entries);
+        let untold = entries.filter(|entry| !self.told_at.contains_key(&entry.daemon));
+        untold.cloned().collect()
+    }
+
+    /// Records that a daemon had been told of the takeover by the given time, and removes the
+    /// ownerships that extend no lease as their witnesses have been told.
+    pub(crate) fn record_told(&mut self, daemon: &str, at: Duration) {
+        self.told_at.entry(daemon.to_owned()).or_insert(at);
+        let told_at = |entry: &WitnessEntry| self.told_at.get(&entry.daemon).copied();
+        let fenced = self.witnesses.iter().filter_map(|list| {
+            let fenced_at = list.fenced_at(told_at)?;
+            Some((list.epoch, fenced_at + EXTENSION_END_DELAY))
+        });
+        let fenced: BTreeMap<Epoch, Duration> = fenced.collect();
+        let ended_at = &mut self.ended_at;
+        self.sessions
+            .retain(|session| match fenced.get(&session.epoch) {
+                Some(fenced_at) => {
+                    *ended_at = (*ended_at).max(*fenced_at);
+                    false
+                }
+                None => true,
+            });
+        self.remove_unused_lists();
+    }
+
+    /// Removes the lists of witnesses of ownerships that have ended.
+    fn remove_unused_lists(&mut self) {
+        let sessions = &self.sessions;
+        self.witnesses
+            .retain(|list| sessions.iter().any(|session| session.epoch == list.epoch));
+    }
+
     /// Removes the ownerships that have ended according to the registrations of the daemons.
     pub(crate) fn remove_ended(&mut self, registrations: &BTreeMap<String, DaemonRegistration>) {
         let ended_at = &mut self.ended_at;
@@ -98,10 +156,11 @@
                 None => true,
             }
         });
+        self.remove_unused_lists();
     }
 
-    /// Returns when all of the ownerships before a takeover at the given time were known to have
-    /// ended, or `None` if they are not.
+    /// Returns when all of the ownerships before a takeover at the given time had ended, or `None`
+    /// if that is not known.
     pub(crate) fn ended_at(&self, taken_over_at: Duration) -> Option<Duration> {
         let own_end = if self.has_own {
             taken_over_at
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -22,11 +22,20 @@
     sessions::{DaemonRegistration, OwnerSession, PredecessorList},
     summaries::{SummaryQueue, SummaryUpdate, WriteNumber},
 };
-use crate::job_table::JobSummary;
+use crate::{
+    job_table::JobSummary,
+    witness::{ExtensionPermit, WitnessEntry},
+};
 
 /// Size of a record in bytes above which it takes no further job.
 const FULL_RECORD_BYTES: usize = 256 << 10;
 
+/// Time between two rounds of announcements to witnesses that have not answered.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How long a change of the witnesses waits for a commit of progress before it is committed alone.
+const WITNESS_CHANGE_DELAY: Duration = Duration::from_secs(1);
+
 /// Settings of an owned service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ShardSettings {
@@ -121,6 +130,12 @@
     /// Whether the ends of all predecessors are known.
     have_known_end: bool,
     taken_over_at: Duration,
+    permit: ExtensionPermit,
+    /// The present witnesses, and since when the store holds others.
+    present_witnesses: Vec<WitnessEntry>,
+    witnesses_changed_at: Option<Duration>,
+    /// Earliest time of the next announcements to witnesses.
+    next_notices_at: Duration,
 }
 
 impl OwnedShard {
@@ -148,6 +163,10 @@
             predecessors: loaded.predecessors,
             have_known_end: false,
             taken_over_at: now,
+            present_witnesses: loaded.witnesses.entries.clone(),
+            permit: ExtensionPermit::new(loaded.witnesses),
+            witnesses_changed_at: None,
+            next_notices_at: now,
         };
         for job in loaded.jobs {
             shard.add_job(job, now);
@@ -201,11 +220,85 @@
             return None;
         }
         self.predecessors.remove_ended(registrations);
+        self.predecessors_ended()
+    }
+
+    /// Records that a daemon has been told of this ownership. Returns an event when it is known
+    /// that no predecessor extends a lease.
+    pub(crate) fn record_told(&mut self, daemon: &str, at: Duration) -> Option<PipelineEvent> {
+        if self.have_known_end {
+            return None;
+        }
+        self.predecessors.record_told(daemon, at);
+        self.predecessors_ended()
+    }
+
+    /// Returns an event if the ends of all predecessors have become known.
+    fn predecessors_ended(&mut self) -> Option<PipelineEvent> {
         let ended_at = self.predecessors.ended_at(self.taken_over_at)?;
         self.have_known_end = true;
         Some(PipelineEvent::PredecessorsEnded(ended_at))
     }
 
+    /// Records until when the store has confirmed the ownership, as requested at `sent_at`.
+    pub(crate) fn confirm_by_store(&mut self, sent_at: Duration, until: Duration) {
+        self.permit.confirm_by_store(sent_at, until);
+        self.apply_permit();
+    }
+
+    /// Records that a witness, by its registration, has confirmed the ownership.
+    pub(crate) fn confirm_by_witness(
+        &mut self,
+        daemon: &str,
+        registration: u64,
+        sent_at: Duration,
+    ) {
+        self.permit
+            .confirm_by_witness(daemon, registration, sent_at);
+        self.apply_permit();
+    }
+
+    /// Updates the time until which the state may extend leases.
+    fn apply_permit(&mut self) {
+        let event = PipelineEvent::ExtensionsPermitted(self.permit.until());
+        let actions = self.state.handle(event, Duration::ZERO);
+        debug_assert!(actions.is_empty(), "a permission caused actions");
+    }
+
+    /// Returns the witnesses to which this ownership is to be announced now: those of the
+    /// predecessors, and its own while the store does not confirm it.
+    pub(crate) fn due_notices(&mut self, now: Duration) -> BTreeMap<String, WitnessEntry> {
+        if now < self.next_notices_at {
+            return BTreeMap::new();
+        }
+        let mut entries = self.permit.witnesses_to_ask(now);
+        if !self.have_predecessors_ended(now) {
+            entries.extend(self.predecessors.untold_witnesses());
+        }
+        if !entries.is_empty() {
+            self.next_notices_at = now + NOTICE_INTERVAL;
+        }
+        let entries = entries.into_iter();
+        entries.map(|entry| (entry.daemon.clone(), entry)).collect()
+    }
+
+    /// Sets the present witnesses, which a coming commit records.
+    pub(crate) fn set_witnesses(&mut self, entries: Vec<WitnessEntry>, now: Duration) {
+        self.present_witnesses = entries;
+        let is_changed = self.permit.latest_list().entries != self.present_witnesses;
+        self.witnesses_changed_at = match self.witnesses_changed_at {
+            known @ Some(_) if is_changed => known,
+            _ => is_changed.then_some(now),
+        };
+    }
+
+    /// Returns whether a change of the witnesses has waited long enough for other changes.
+    pub(crate) fn is_witness_change_due(&self, now: Duration) -> bool {
+        let changed_at = self.witnesses_changed_at;
+        self.pending.is_none()
+            && changed_at.is_some_and(|changed_at| now >= changed_at + WITNESS_CHANGE_DELAY)
+    }
+
     /// Returns whether all ownerships before the present one have ended.
     fn have_predecessors_ended(&self, now: Duration) -> bool {
         self.have_known_end || now >= self.taken_over_at + MAX_PREDECESSOR_TIME
@@ -267,7 +360,11 @@
             self.state.request_rewrite(id);
         }
         let mut budget = CommitBudget::new(self.settings.max_value_bytes);
-        let commit = self.state.take_commit(|entry| budget.try_reserve(entry))?;
+        let commit = self.state.take_commit(|entry| budget.try_reserve(entry));
+        let commit = match commit {
+            None if self.is_witness_change_due(now) => ProgressCommit::default(),
+            commit => commit?,
+        };
         let sequence = SequenceEntry {
             epoch: self.sequence.epoch,
             commit: self.sequence.commit + 1,
@@ -308,6 +405,7 @@
             let sessions = encode_value(&slice::from_ref(&self.session));
             transaction.puts.push((sessions_key, sessions, 0));
         }
+        self.add_witness_change(&mut transaction);
         let truncated = self.log.superseded_records(free_entries(&transaction));
         let numbers = truncated.iter();
         let record_keys =
@@ -325,6 +423,23 @@
         Some(transaction)
     }
 
+    /// Adds the present witnesses to the transaction if the store holds others.
+    fn add_witness_change(&mut self, transaction: &mut StoreTransaction) {
+        let Some(list) = self.permit.changed_list(&self.present_witnesses) else {
+            return;
+        };
+        let lists = if self.is_only_session {
+            vec![list.clone()]
+        } else {
+            self.predecessors.lists_followed_by(&list)
+        };
+        let key = CellKey::Witnesses(self.service.clone()).path();
+        transaction.puts.push((key, encode_value(&lists), 0));
+        self.permit.begin_change(list);
+        self.witnesses_changed_at = None;
+        self.apply_permit();
+    }
+
     /// Adds removals of obsolete keys and expired summaries to the transaction, as far as
     /// it has free entries.
     fn add_key_removals(&mut self, transaction: &mut StoreTransaction, now: Duration) {
@@ -376,6 +491,7 @@
         self.sequence = pending.sequence;
         self.log.append(pending.sequence.commit, &pending.record);
         self.log.truncate(&pending.truncated);
+        self.permit.finish_change();
         let elapsed = now.saturating_sub(pending.sent_at);
         let mut finished = FinishedCommit {
             elapsed,
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -27,7 +27,7 @@
     sessions::{OwnerSession, PredecessorList},
     shard::{CommitStatus, OwnedShard, ShardSettings},
 };
-use crate::{cell::CellEvent, pipelines::StoredJob, telemetry::BootClock};
+use crate::{cell::CellEvent, pipelines::StoredJob, telemetry::BootClock, witness::WitnessList};
 
 /// Largest value that the store of the tests accepts, in bytes.
 const MAX_VALUE_BYTES: usize = 64 << 10;
@@ -93,6 +93,7 @@
         workers_revision: 40,
         session: session("edge-0", 3, 0),
         predecessors: PredecessorList::default(),
+        witnesses: WitnessList::default(),
     }
 }
 
@@ -336,6 +337,7 @@
     let stored = (10..10 + jobs).map(|id| PipelineEvent::Stored(id, spec.clone(), None));
     let events = [
         PipelineEvent::OwnershipConfirmed(confirmed_until),
+        PipelineEvent::ExtensionsPermitted(confirmed_until),
         PipelineEvent::Tick(1_000),
         PipelineEvent::Listed(listing),
         PipelineEvent::LeaseRenewed("w1".into(), Duration::ZERO, report),
--- a/crates/daemon/src/pipelines/tests/sessions.rs
+++ b/crates/daemon/src/pipelines/tests/sessions.rs
@@ -6,9 +6,12 @@
 use auburnsaddle_platform::StoreItem;
 
 use super::{cancelled_job, empty_shard, service_id, session, shard_with};
-use crate::pipelines::{
-    CellKey, DaemonRegistration, LoadedShard, decode_value, encode_value,
-    sessions::{OwnerSession, PredecessorList},
+use crate::{
+    pipelines::{
+        CellKey, DaemonRegistration, LoadedShard, decode_value, encode_value,
+        sessions::{OwnerSession, PredecessorList},
+    },
+    witness::{EXTENSION_END_DELAY, WitnessEntry, WitnessList},
 };
 
 /// Time at which the registrations of the tests were read.
@@ -41,7 +44,7 @@
 /// Returns when the predecessors of `edge-0`, which takes over after epoch 5, had ended.
 fn ended_at(sessions: &[OwnerSession], revisions: &[(&str, u64)]) -> Option<Duration> {
     let item = sessions_item(sessions, 50);
-    let mut predecessors = PredecessorList::read(Some(&item), 5, "edge-0");
+    let mut predecessors = PredecessorList::read(Some(&item), None, 5, "edge-0");
     predecessors.remove_ended(&registrations(revisions));
     predecessors.ended_at(TAKEN_OVER_AT)
 }
@@ -90,9 +93,9 @@
 fn an_unrecorded_predecessor_is_not_known_to_have_ended() {
     let every_daemon = [("edge-0", 99), ("edge-1", 99)];
     let stale = ended_at(&[session("edge-1", 4, 0)], &[("edge-1", 99)]);
-    let mut missing = PredecessorList::read(None, 5, "edge-0");
+    let mut missing = PredecessorList::read(None, None, 5, "edge-0");
     missing.remove_ended(&registrations(&every_daemon));
-    let first = PredecessorList::read(None, 0, "edge-0");
+    let first = PredecessorList::read(None, None, 0, "edge-0");
 
     let written = missing.followed_by(&session("edge-0", 6, 0));
 
@@ -106,7 +109,7 @@
 #[test]
 fn predecessors_that_have_ended_are_removed_from_the_store() {
     let item = sessions_item(&[session("edge-1", 2, 0)], 30);
-    let predecessors = || PredecessorList::read(Some(&item), 2, "edge-0");
+    let predecessors = || PredecessorList::read(Some(&item), None, 2, "edge-0");
     let written = |now: Duration, is_registered: bool| {
         let mut shard = shard_with(LoadedShard {
             predecessors: predecessors(),
@@ -138,7 +141,7 @@
 fn the_end_of_the_predecessors_is_an_event_once() {
     let item = sessions_item(&[session("edge-1", 2, 0)], 30);
     let mut shard = shard_with(LoadedShard {
-        predecessors: PredecessorList::read(Some(&item), 2, "edge-0"),
+        predecessors: PredecessorList::read(Some(&item), None, 2, "edge-0"),
         ..empty_shard()
     });
 
@@ -149,3 +152,95 @@
     let ended = Some(PipelineEvent::PredecessorsEnded(SEEN_AT));
     assert_eq!((before, first, second), (None, ended, None));
 }
+
+/// Returns the witnesses of an ownership, which have been registered at revision 10.
+fn witness_list(epoch: u64, daemons: &[&str]) -> WitnessList {
+    let entries = daemons.iter().map(|daemon| WitnessEntry {
+        daemon: (*daemon).to_owned(),
+        address: format!("{daemon}:1"),
+        registration: 10,
+    });
+    WitnessList {
+        epoch,
+        entries: entries.collect(),
+    }
+}
+
+/// Returns the predecessors of `edge-0`, which takes over after epoch 5.
+fn witnessed_predecessors(sessions: &[OwnerSession], lists: &[WitnessList]) -> PredecessorList {
+    let item = sessions_item(sessions, 50);
+    let witnesses = StoreItem {
+        key: CellKey::Witnesses(service_id()).path(),
+        value: encode_value(&lists),
+        revision: 50,
+    };
+    PredecessorList::read(Some(&item), Some(&witnesses), 5, "edge-0")
+}
+
+/// Guards against tasks that stay away for 20 s because their worker is lost together with an owner
+/// whose daemon does not return: its witnesses show that it extends no lease.
+#[test]
+fn an_owner_that_does_not_return_has_ended_once_its_witnesses_are_told() {
+    let lists = [witness_list(5, &["edge-0", "edge-2", "edge-3", "edge-4"])];
+    let mut predecessors = witnessed_predecessors(&[session("edge-1", 5, 0)], &lists);
+    let told_at = |seconds| TAKEN_OVER_AT + Duration::from_secs(seconds);
+
+    let untold = predecessors.untold_witnesses().len();
+    predecessors.record_told("edge-0", told_at(0));
+    predecessors.record_told("edge-0", told_at(1));
+    predecessors.record_told("edge-9", told_at(1));
+    let minority = predecessors.ended_at(TAKEN_OVER_AT);
+    predecessors.record_told("edge-3", told_at(2));
+
+    assert_eq!((untold, minority), (4, None));
+    let ended_at = predecessors.ended_at(TAKEN_OVER_AT);
+    assert_eq!(ended_at, Some(told_at(2) + EXTENSION_END_DELAY));
+}
+
+/// Guards against a chain of takeovers in which the witnesses of only one owner are told, and against
+/// witnesses that are recorded for another ownership.
+#[test]
+fn the_witnesses_of_each_predecessor_are_told() {
+    let sessions = [session("edge-1", 3, 30), session("edge-2", 5, 0)];
+    let lists = [witness_list(3, &["edge-3"]), witness_list(5, &["edge-4"])];
+    let mut both = witnessed_predecessors(&sessions, &lists);
+    let mut unrecorded = witnessed_predecessors(&sessions, &lists[1..]);
+    let mut stale = witnessed_predecessors(&sessions[1..], &[witness_list(4, &["edge-4"])]);
+
+    both.record_told("edge-4", TAKEN_OVER_AT);
+    let last_only = both.ended_at(TAKEN_OVER_AT);
+    both.record_told("edge-3", TAKEN_OVER_AT);
+    for predecessors in [&mut unrecorded, &mut stale] {
+        predecessors.record_told("edge-3", TAKEN_OVER_AT);
+        predecessors.record_told("edge-4", TAKEN_OVER_AT);
+    }
+
+    let ended = Some(TAKEN_OVER_AT + EXTENSION_END_DELAY);
+    assert_eq!((last_only, both.ended_at(TAKEN_OVER_AT)), (None, ended));
+    assert_eq!(unrecorded.ended_at(TAKEN_OVER_AT), None);
+    assert_eq!(stale.ended_at(TAKEN_OVER_AT), None);
+}
+
+/// Guards against witnesses that stay recorded after their daemons have left, so that an owner finds no
+/// majority in an outage of the store, also while no job changes.
+#[test]
+fn a_change_of_the_witnesses_is_recorded_without_a_change_of_jobs() {
+    let mut shard = shard_with(LoadedShard {
+        witnesses: witness_list(3, &["edge-1"]),
+        ..empty_shard()
+    });
+    let present = witness_list(3, &["edge-1", "edge-2"]);
+
+    shard.set_witnesses(present.entries.clone(), Duration::ZERO);
+    let early = shard.next_commit(Duration::from_millis(900));
+    shard.set_witnesses(present.entries.clone(), Duration::from_millis(900));
+    let transaction = shard.next_commit(Duration::from_secs(1)).unwrap();
+
+    let key = CellKey::Witnesses(service_id()).path();
+    let mut puts = transaction.puts.into_iter();
+    let written = puts.find(|(put_key, ..)| *put_key == key);
+    let written =
+        written.and_then(|(key, value, _)| decode_value::<Vec<WitnessList>>(&key, &value));
+    assert!(early.is_none());
+    assert_eq!(written, Some(vec![present]));
+}
--- a/crates/daemon/src/session/lease.rs
+++ b/crates/daemon/src/session/lease.rs
@@ -22,14 +22,34 @@
 /// A change of the daemon's lease.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum LeaseUpdate {
-    /// The store granted a new lease. Ownerships under an earlier lease have ended.
-    Granted(KeyLease),
-    /// The lease is valid at least until this time.
-    Extended(Duration),
+    /// The store granted a new lease, and holds the daemon's registration under it at the given
+    /// revision. Ownerships under an earlier lease have ended.
+    Granted(KeyLease, u64),
+    /// The store has confirmed the lease.
+    Extended(LeaseConfirmation),
     /// The lease expired or was revoked, and with it all ownerships.
     Lost,
 }
 
+/// A confirmation of the lease by the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LeaseConfirmation {
+    /// When it was requested.
+    pub(crate) sent_at: Duration,
+    /// The lease is valid at least until this time.
+    pub(crate) valid_until: Duration,
+}
+
+impl LeaseConfirmation {
+    /// Returns the confirmation of a lease of this term.
+    const fn new(sent_at: Duration, term: Duration) -> Self {
+        Self {
+            sent_at,
+            valid_until: sent_at.saturating_add(term.saturating_sub(LEASE_MARGIN)),
+        }
+    }
+}
+
 /// Acquires a lease, registers the daemon under it and renews it until `stop` turns
 /// true; then revokes it. A lost lease is replaced by a new one.
 pub(crate) async fn maintain_lease(
@@ -57,20 +77,17 @@
             )],
             ..StoreTransaction::default()
         };
-        if !matches!(
-            store.commit(&registration).await,
-            TransactionOutcome::Done(_)
-        ) {
+        let TransactionOutcome::Done(revision) = store.commit(&registration).await else {
             wait_before_retry(&mut delay, &mut stop).await;
             continue;
-        }
+        };
         if delay.reset() {
             log::info!("regained contact with the store");
         }
-        let valid_until = requested_at + lease.ttl.saturating_sub(LEASE_MARGIN);
+        let confirmation = LeaseConfirmation::new(requested_at, lease.ttl);
         for update in [
-            LeaseUpdate::Granted(lease),
-            LeaseUpdate::Extended(valid_until),
+            LeaseUpdate::Granted(lease, revision),
+            LeaseUpdate::Extended(confirmation),
         ] {
             let _ = events.send(CellEvent::Lease(update)).await;
         }
@@ -112,8 +129,8 @@
                     if delay.reset() {
                         log::info!(lease = lease.id; "the lease is renewed again");
                     }
-                    let valid_until = sent_at + lease.ttl.saturating_sub(LEASE_MARGIN);
-                    let update = CellEvent::Lease(LeaseUpdate::Extended(valid_until));
+                    let confirmation = LeaseConfirmation::new(sent_at, lease.ttl);
+                    let update = CellEvent::Lease(LeaseUpdate::Extended(confirmation));
                     let _ = events.send(update).await;
                     break;
                 }
--- a/crates/daemon/src/session/mod.rs
+++ b/crates/daemon/src/session/mod.rs
@@ -7,7 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use lease::{LeaseUpdate, maintain_lease};
+pub(crate) use lease::{LeaseConfirmation, LeaseUpdate, maintain_lease};
 pub(crate) use prefix_watch::{PrefixUpdate, WatchTiming, watch_prefix};
 pub(crate) use retry::RetryDelay;
 pub(crate) use route::{CellStore, RelayedCall, StoreRoute};
--- a/crates/daemon/src/session/tests.rs
+++ b/crates/daemon/src/session/tests.rs
@@ -323,7 +323,7 @@
 
     while flush.is_none() {
         match received.recv().await.unwrap() {
-            CellEvent::Lease(LeaseUpdate::Granted(_)) => standin.revoke_leases(),
+            CellEvent::Lease(LeaseUpdate::Granted(..)) => standin.revoke_leases(),
             CellEvent::Flush(reply) => flush = Some(reply),
             _ => {}
         }
@@ -335,6 +335,6 @@
 
     assert!(early.is_err());
     assert!(keys_before.is_empty());
-    assert!(matches!(next, CellEvent::Lease(LeaseUpdate::Granted(_))));
+    assert!(matches!(next, CellEvent::Lease(LeaseUpdate::Granted(..))));
     assert_eq!(standin.keys(PUBLIC_PREFIX).len(), 1);
 }
--- /dev/null
+++ b/crates/daemon/src/witness/mod.rs
@@ -0,0 +1,28 @@
+/*!
+Peers that confirm an ownership while the store does not answer.
+
+Failure mode: an owner loses contact with the store. During an outage of the store it must
+go on extending the leases of its workers, or all runs end. If it alone has lost contact,
+another daemon takes over, and the runs of a worker which that successor cannot reach have to
+be kept for as long as the former owner may extend their lease.
+
+Each daemon keeps the highest epoch of each service that an owner has announced to it. An owner
+records peers in the store, its witnesses, and extends leases only for a moment after the store
+or a majority of its witnesses has confirmed that it knows no later epoch. A successor announces
+its own epoch to the witnesses of the owners before it. Once so many have answered that no
+majority is left without one of them, the former owners extend no lease.
+
+A daemon that restarts forgets the epochs. Its registration in the store changes, so an owner
+does not count it until it has recorded the new one.
+*/
+
+mod messages;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use messages::{EpochNotice, EpochReply, WITNESS_PATH, announce_epoch};
+pub(crate) use state::{
+    EXTENSION_END_DELAY, EpochRegister, ExtensionPermit, WitnessEntry, WitnessList,
+    choose_witnesses,
+};
--- /dev/null
+++ b/crates/daemon/src/witness/state.rs
@@ -0,0 +1,212 @@
+//! Which epochs a daemon has been told, and until when its witnesses let an owner extend leases.
+
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
+
+use auburnsaddle_core::{Epoch, ServiceId, UNCONFIRMED_RENEWAL_TIME};
+use serde::{Deserialize, Serialize};
+
+use super::messages::EpochNotice;
+
+/// Time for which a confirmation permits leases to be extended, from when it was requested.
+const EXTENSION_TERM: Duration = Duration::from_millis(900);
+
+/// Time after which every permission has ended that was confirmed before. Longer than
+/// [`EXTENSION_TERM`], as the clocks of two hosts differ.
+pub(crate) const EXTENSION_END_DELAY: Duration = Duration::from_secs(1);
+
+/// Time without a confirmation by the store after which an owner asks its witnesses: longer than
+/// the interval at which a daemon renews its lease in the store.
+const STORE_SILENCE: Duration = Duration::from_millis(600);
+
+/// Largest number of witnesses of an ownership. It limits the calls during an outage of the store.
+const MAX_WITNESSES: usize = 31;
+
+/// The highest epoch of each service that was announced to this daemon.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EpochRegister {
+    epochs: BTreeMap<ServiceId, Epoch>,
+}
+
+impl EpochRegister {
+    /// Records an announcement. Returns the highest epoch of its service.
+    pub(crate) fn raise(&mut self, notice: &EpochNotice) -> Epoch {
+        let epoch = self.epochs.entry(notice.service.clone()).or_default();
+        *epoch = notice.epoch.max(*epoch);
+        *epoch
+    }
+}
+
+/// A daemon that may confirm an ownership, by its registration in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WitnessEntry {
+    pub(crate) daemon: String,
+    /// Address at which it serves peers.
+    pub(crate) address: String,
+    /// Revision of its registration.
+    pub(crate) registration: u64,
+}
+
+/// The witnesses of one ownership.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WitnessList {
+    pub(crate) epoch: Epoch,
+    pub(crate) entries: Vec<WitnessEntry>,
+}
+
+impl WitnessList {
+    /// Returns when the latest majority of the witnesses had confirmed the ownership.
+    /// `confirmed_at` returns that time for one of them.
+    fn majority_at(
+        &self,
+        confirmed_at: impl Fn(&WitnessEntry) -> Option<Duration>,
+    ) -> Option<Duration> {
+        let mut times: Vec<Duration> = self.entries.iter().filter_map(confirmed_at).collect();
+        times.sort_unstable();
+        times.into_iter().rev().nth(self.entries.len() / 2)
+    }
+
+    /// Returns when so many witnesses had been told a later epoch that each majority has one of
+    /// them. `told_at` returns that time for one of them.
+    pub(crate) fn fenced_at(
+        &self,
+        told_at: impl Fn(&WitnessEntry) -> Option<Duration>,
+    ) -> Option<Duration> {
+        let mut times: Vec<Duration> = self.entries.iter().filter_map(told_at).collect();
+        times.sort_unstable();
+        let count = self.entries.len() - self.entries.len() / 2;
+        times.get(count.checked_sub(1)?).copied()
+    }
+}
+
+/// Returns the witnesses for an ownership of a service among the registered daemons, in an order
+/// that differs for each service, so that the calls are spread.
+pub(crate) fn choose_witnesses(
+    service: &ServiceId,
+    own: &str,
+    daemons: impl IntoIterator<Item = WitnessEntry>,
+) -> Vec<WitnessEntry> {
+    let peers = daemons.into_iter().filter(|entry| entry.daemon != own);
+    let ranked = peers.map(|entry| {
+        let mut hasher = DefaultHasher::new();
+        (service, &entry.daemon).hash(&mut hasher);
+        ((hasher.finish(), entry.daemon.clone()), entry)
+    });
+    let ranked: BTreeMap<(u64, String), WitnessEntry> = ranked.collect();
+    ranked.into_values().take(MAX_WITNESSES).collect()
+}
+
+/// Until when an owner may extend the leases of its workers.
+#[derive(Clone, Debug)]
+pub(crate) struct ExtensionPermit {
+    /// The list that the store holds.
+    recorded: WitnessList,
+    /// A list that replaces it by a commit without an outcome. A successor may read either.
+    pending: Option<WitnessList>,
+    /// When each witness, by its registration, was sent the latest announcement that it confirmed.
+    confirmations: BTreeMap<(String, u64), Duration>,
+    /// When the latest renewal that the store confirmed was sent.
+    store_confirmed_at: Duration,
+    /// Until when the store has confirmed the ownership.
+    confirmed_until: Duration,
+}
+
+impl ExtensionPermit {
+    /// Returns the permit of an owner whose takeover has recorded these witnesses.
+    pub(crate) const fn new(recorded: WitnessList) -> Self {
+        Self {
+            recorded,
+            pending: None,
+            confirmations: BTreeMap::new(),
+            store_confirmed_at: Duration::ZERO,
+            confirmed_until: Duration::ZERO,
+        }
+    }
+
+    /// Returns until when leases may be extended.
+    pub(crate) fn until(&self) -> Duration {
+        let lists = [Some(&self.recorded), self.pending.as_ref()];
+        let limits = lists.into_iter().flatten().map(|list| self.limit(list));
+        limits.min().unwrap_or_default()
+    }
+
+    /// Returns until when leases may be extended if a successor reads this list.
+    fn limit(&self, list: &WitnessList) -> Duration {
+        if list.entries.is_empty() {
+            // The successor waits for the longest time.
+            return self.confirmed_until + UNCONFIRMED_RENEWAL_TIME;
+        }
+        let witnessed_at = list.majority_at(|entry| {
+            let witness = (entry.daemon.clone(), entry.registration);
+            self.confirmations.get(&witness).copied()
+        });
+        let confirmed_at = self
+            .store_confirmed_at
+            .max(witnessed_at.unwrap_or_default());
+        confirmed_at + EXTENSION_TERM
+    }
+
+    /// Records a confirmation by the store, requested at `sent_at` and valid until `until`.
+    pub(crate) fn confirm_by_store(&mut self, sent_at: Duration, until: Duration) {
+        self.store_confirmed_at = self.store_confirmed_at.max(sent_at);
+        self.confirmed_until = self.confirmed_until.max(until);
+    }
+
+    /// Records a confirmation by a witness, requested at `sent_at`.
+    pub(crate) fn confirm_by_witness(
+        &mut self,
+        daemon: &str,
+        registration: u64,
+        sent_at: Duration,
+    ) {
+        let witness = (daemon.to_owned(), registration);
+        let confirmed_at = self.confirmations.entry(witness).or_default();
+        *confirmed_at = sent_at.max(*confirmed_at);
+    }
+
+    /// Returns the witnesses to ask, if the store has not confirmed the ownership for a while.
+    pub(crate) fn witnesses_to_ask(&self, now: Duration) -> Vec<WitnessEntry> {
+        let is_due = now >= self.store_confirmed_at + STORE_SILENCE
+            && now < self.confirmed_until + UNCONFIRMED_RENEWAL_TIME;
+        let lists = [Some(&self.recorded), self.pending.as_ref()];
+        let entries = lists.into_iter().flatten().flat_map(|list| &list.entries);
+        entries.filter(|_| is_due).cloned().collect()
+    }
+
+    /// Returns the list for the present witnesses, unless the store holds it already.
+    pub(crate) fn changed_list(&self, entries: &[WitnessEntry]) -> Option<WitnessList> {
+        let is_changed = self.pending.is_none() && self.recorded.entries != entries;
+        is_changed.then(|| WitnessList {
+            epoch: self.recorded.epoch,
+            entries: entries.to_vec(),
+        })
+    }
+
+    /// Records that a commit with a new list is sent. It is binding from then on, as the commit
+    /// may become durable at any time.
+    pub(crate) fn begin_change(&mut self, list: WitnessList) {
+        self.pending = Some(list);
+    }
+
+    /// Records that the commit with the new list, if there was one, is durable.
+    pub(crate) fn finish_change(&mut self) {
+        if let Some(list) = self.pending.take() {
+            self.recorded = list;
+            let entries = &self.recorded.entries;
+            self.confirmations.retain(|(daemon, registration), _| {
+                let mut entries = entries.iter();
+                entries.any(|entry| (&entry.daemon, entry.registration) == (daemon, *registration))
+            });
+        }
+    }
+
+    /// Returns the list that the store holds or will hold.
+    pub(crate) fn latest_list(&self) -> &WitnessList {
+        self.pending.as_ref().unwrap_or(&self.recorded)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/witness/tests.rs
@@ -0,0 +1,192 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use auburnsaddle_core::UNCONFIRMED_RENEWAL_TIME;
+use proptest::prelude::*;
+
+use super::{
+    EXTENSION_END_DELAY, EpochNotice, EpochRegister, ExtensionPermit, WitnessEntry, WitnessList,
+    choose_witnesses,
+};
+
+/// Time of the latest confirmation by the store in the tests.
+const STORE_CONFIRMED_AT: Duration = Duration::from_secs(50);
+
+fn entry(daemon: &str, registration: u64) -> WitnessEntry {
+    WitnessEntry {
+        daemon: daemon.to_owned(),
+        address: format!("{daemon}:1"),
+        registration,
+    }
+}
+
+/// Returns the entries of this many daemons, named `d0`, `d1` and so on.
+fn entries(count: usize) -> Vec<WitnessEntry> {
+    let entries = (0..count).map(|index| entry(&format!("d{index}"), 10));
+    entries.collect()
+}
+
+/// Returns the permit of an owner that the store has confirmed.
+fn permit(entries: Vec<WitnessEntry>) -> ExtensionPermit {
+    let mut permit = ExtensionPermit::new(WitnessList { epoch: 4, entries });
+    permit.confirm_by_store(STORE_CONFIRMED_AT, STORE_CONFIRMED_AT);
+    permit
+}
+
+fn notice(epoch: u64) -> EpochNotice {
+    EpochNotice {
+        service: "sales".into(),
+        epoch,
+    }
+}
+
+/// Guards against a witness that confirms an owner after it has been told of a later one.
+#[test]
+fn a_witness_answers_with_the_highest_epoch() {
+    let mut register = EpochRegister::default();
+
+    let answers = [4, 6, 5].map(|epoch| register.raise(&notice(epoch)));
+    let other = register.raise(&EpochNotice {
+        service: "settlement".into(),
+        epoch: 2,
+    });
+
+    assert_eq!((answers, other), ([4, 6, 6], 2));
+}
+
+/// Guards against leases that an owner extends without the store on the word of a minority, which a
+/// successor may not have asked.
+#[test]
+fn a_majority_of_the_witnesses_permits_extensions() {
+    for count in 1..6 {
+        let mut permit = permit(entries(count));
+        let before = permit.until();
+        let majority = count / 2 + 1;
+        let later = STORE_CONFIRMED_AT + Duration::from_secs(3);
+
+        let limits = (0..majority).map(|index| {
+            permit.confirm_by_witness(&format!("d{index}"), 10, later);
+            permit.until()
+        });
+        let limits: Vec<Duration> = limits.collect();
+
+        let (last, earlier) = limits.split_last().unwrap();
+        assert!(earlier.iter().all(|limit| *limit == before));
+        assert_eq!(*last, before + Duration::from_secs(3));
+    }
+}
+
+/// Guards against a confirmation by a witness that has forgotten the later owner in a restart.
+#[test]
+fn a_witness_that_has_restarted_does_not_count() {
+    let mut permit = permit(entries(1));
+    let before = permit.until();
+
+    permit.confirm_by_witness("d0", 11, STORE_CONFIRMED_AT + Duration::from_secs(3));
+    permit.confirm_by_witness("d9", 10, STORE_CONFIRMED_AT + Duration::from_secs(3));
+
+    assert_eq!(permit.until(), before);
+}
+
+/// Guards against the end of all runs in an outage of the store if there is no other daemon. The
+/// successor then waits for the longest time.
+#[test]
+fn an_owner_without_witnesses_extends_leases_by_itself() {
+    let mut alone = permit(Vec::new());
+    let before = alone.until();
+
+    alone.begin_change(WitnessList {
+        epoch: 4,
+        entries: entries(2),
+    });
+    let while_joining = alone.until();
+
+    assert_eq!(before, STORE_CONFIRMED_AT + UNCONFIRMED_RENEWAL_TIME);
+    assert!(while_joining < STORE_CONFIRMED_AT + EXTENSION_END_DELAY);
+}
+
+/// Guards against extensions that a successor does not know of, because it reads the list of a
+/// commit that has no outcome yet.
+#[test]
+fn both_lists_count_until_the_outcome_of_a_change_is_known() {
+    let mut permit = permit(entries(1));
+    let later = STORE_CONFIRMED_AT + Duration::from_secs(3);
+    let next = WitnessList {
+        epoch: 4,
+        entries: vec![entry("d7", 20)],
+    };
+
+    permit.begin_change(next);
+    let before = permit.until();
+    permit.confirm_by_witness("d0", 10, later);
+    let former_only = permit.until();
+    permit.confirm_by_witness("d7", 20, later);
+    let both = permit.until();
+    permit.finish_change();
+    permit.confirm_by_witness("d0", 10, later * 2);
+
+    assert_eq!(former_only, before);
+    assert_eq!(both, before + Duration::from_secs(3));
+    assert_eq!(permit.until(), both);
+}
+
+/// Guards against calls to the witnesses while the store answers, and against none while it does not.
+#[test]
+fn witnesses_are_asked_while_the_store_is_silent() {
+    let permit = permit(entries(3));
+    let asked = |after_ms| {
+        let now = STORE_CONFIRMED_AT + Duration::from_millis(after_ms);
+        permit.witnesses_to_ask(now).len()
+    };
+
+    assert_eq!([500, 700, 9_900, 10_000].map(asked), [0, 3, 3, 0]);
+}
+
+/// Guards against a daemon that counts itself, and against witnesses that change with the order in
+/// which daemons join.
+#[test]
+fn witnesses_are_other_daemons_in_a_fixed_order() {
+    let mut daemons = entries(40);
+
+    let chosen = choose_witnesses(&"sales".into(), "d3", daemons.clone());
+    daemons.reverse();
+    let again = choose_witnesses(&"sales".into(), "d3", daemons);
+
+    assert_eq!(chosen, again);
+    assert_eq!(chosen.len(), 31);
+    assert!(chosen.iter().all(|entry| entry.daemon != "d3"));
+}
+
+proptest! {
+    /// Guards against an owner that extends leases after its successor counts them as not extended:
+    /// each witness confirms the owner up to the time at which the successor reaches it.
+    #[test]
+    fn no_extension_is_permitted_after_the_witnesses_fence_the_owner(
+        told_ms in prop::collection::vec(prop::option::of(0_u64..5_000), 1..12),
+        asked_ms in prop::collection::vec(0_u64..6_000, 1..60),
+    ) {
+        let entries = entries(told_ms.len());
+        let told_at: BTreeMap<String, Duration> = entries
+            .iter()
+            .zip(&told_ms)
+            .filter_map(|(entry, told)| {
+                Some((entry.daemon.clone(), STORE_CONFIRMED_AT + Duration::from_millis((*told)?)))
+            })
+            .collect();
+        let list = WitnessList { epoch: 4, entries: entries.clone() };
+        let mut permit = permit(entries.clone());
+        for asked in asked_ms {
+            let sent_at = STORE_CONFIRMED_AT + Duration::from_millis(asked);
+            for entry in &entries {
+                if told_at.get(&entry.daemon).is_none_or(|told| sent_at < *told) {
+                    permit.confirm_by_witness(&entry.daemon, 10, sent_at);
+                }
+            }
+        }
+
+        let fenced_at = list.fenced_at(|entry| told_at.get(&entry.daemon).copied());
+
+        if let Some(fenced_at) = fenced_at {
+            prop_assert!(permit.until() <= fenced_at + EXTENSION_END_DELAY);
+        }
+    }
+}
