--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -43,6 +43,7 @@
 mod schedule;
 mod spec;
 mod state;
+mod takeover;
 #[cfg(test)]
 mod tests;
 mod wait;
@@ -60,5 +61,6 @@
 pub use spec::QueuePolicy;
 pub use spec::{AdvicePolicy, MAX_OPEN_TASKS, PipelineId, PipelineSchedule, PipelineSpec};
 pub use spec::{RunKey, StepKey, StepSpec, TaskKey, TaskKeyError};
-pub use state::{MAX_PREDECESSOR_TIME, PipelineLoad, PipelineState};
+pub use state::{PipelineLoad, PipelineState};
+pub use takeover::MAX_PREDECESSOR_TIME;
 pub use wait::StepWait;
--- /dev/null
+++ b/crates/core/src/pipelines/takeover.rs
@@ -0,0 +1,97 @@
+//! The runs that earlier owners of the service have placed, and how long they are kept on workers
+//! that this owner has not reached.
+
+use std::time::Duration;
+
+use super::{
+    messages::{PipelineAction, PipelineNote},
+    progress::{PipelineProgress, TaskPlace},
+    schedule::UNCONFIRMED_RENEWAL_TIME,
+    spec::{PipelineId, PipelineSpec, RunKey, StepKey, TaskKey},
+    state::PipelineState,
+    worker::{RunPhase, WorkerContact, WorkerRun, lapse_time},
+};
+use crate::types::WorkerId;
+
+/// Time after a takeover for which an earlier owner without witnesses may still extend leases: the
+/// term of its lease in the store, which may have been revoked early, and the time without the
+/// store.
+pub const MAX_PREDECESSOR_TIME: Duration =
+    Duration::from_secs(3).saturating_add(UNCONFIRMED_RENEWAL_TIME);
+
+/// Time without an answer after which the log says that a worker has not been reached.
+const UNREACHED_LOG_DELAY: Duration = Duration::from_secs(1);
+
+impl PipelineState {
+    /// Returns the time by which the runs placed by the previous owner have ended on
+    /// workers that this owner has not reached.
+    pub(super) fn predecessor_runs_until(&self) -> Duration {
+        let latest = self.taken_over_at + MAX_PREDECESSOR_TIME;
+        self.predecessors_ended_at.unwrap_or(latest) + lapse_time(self.config.inherited_lease)
+    }
+
+    /// Shortens the wait for workers that this owner has not reached, as no earlier owner has
+    /// renewed their leases since the given time.
+    pub(super) fn end_predecessors(&mut self, ended_at: Duration) {
+        self.predecessors_ended_at = Some(ended_at);
+        let inherited_until = self.predecessor_runs_until();
+        let records = self.workers.values_mut();
+        for record in records.filter(|record| record.started_unix_ms.is_none()) {
+            record.inherited_until = record.inherited_until.min(inherited_until);
+        }
+    }
+
+    /// Adds the runs that a previous owner placed. They occupy their workers until
+    /// their ends are known.
+    pub(super) fn inherit_runs(
+        &mut self,
+        id: PipelineId,
+        spec: &PipelineSpec,
+        progress: &PipelineProgress,
+        now: Duration,
+    ) {
+        let inherited_until = self.predecessor_runs_until();
+        for (occurrence, steps) in &progress.occurrences {
+            for ((step, step_progress), step_spec) in (0..).zip(steps).zip(&spec.steps) {
+                let tasks = (0..).zip(&step_progress.tasks);
+                for (index, task) in tasks {
+                    let TaskPlace::Placed(worker) = &task.place else {
+                        continue;
+                    };
+                    let step = StepKey {
+                        pipeline: id,
+                        occurrence: *occurrence,
+                        step,
+                    };
+                    let run = RunKey {
+                        task: TaskKey { step, index },
+                        attempt: task.attempt,
+                    };
+                    self.ensure_worker(worker, inherited_until, now)
+                        .insert_run(run, WorkerRun::new(step_spec, RunPhase::Inherited, now));
+                }
+            }
+        }
+    }
+
+    /// Logs the workers with runs of an earlier owner that have not answered, once each.
+    pub(super) fn log_unreached_workers(&mut self, now: Duration) {
+        let have_predecessors_ended = self.predecessors_ended_at.is_some();
+        for (worker, record) in &mut self.workers {
+            let is_unreached = record.contact == WorkerContact::Unclaimed
+                && !record.runs.is_empty()
+                && now >= record.answered_at + UNREACHED_LOG_DELAY;
+            if is_unreached && !record.is_unreached_logged {
+                record.is_unreached_logged = true;
+                let note = PipelineNote::WorkerUnreached {
+                    worker: WorkerId::clone(worker),
+                    runs: record.runs.len(),
+                    long_running: record.long_running_count(),
+                    have_predecessors_ended,
+                    lapses_in: record.lapses_at().saturating_sub(now),
+                };
+                self.actions.push(PipelineAction::Log(note));
+            }
+        }
+    }
+}
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use auburnsaddle_core::{Epoch, PipelineEvent, PipelineId, PipelinePhase, ServiceId};
+use auburnsaddle_core::{PipelineEvent, PipelineId, PipelinePhase, ServiceId};
 use auburnsaddle_platform::{HttpEndpoint, ItemChange, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
@@ -31,7 +31,7 @@
     },
     session::{LeaseConfirmation, LeaseUpdate, PrefixUpdate},
     telemetry::unix_ms,
-    witness::{EpochNotice, EpochRegister, EpochReply, WitnessEntry, choose_witnesses},
+    witness::{EpochNotice, EpochRegister},
 };
 
 /// Interval between ticks, which check deadlines, readiness and services without an
@@ -102,17 +102,17 @@
     pub(super) has_membership: bool,
     lease: Option<KeyLease>,
     /// Revision of this daemon's registration in the store; 0 while it has no lease.
-    registration: u64,
+    pub(super) registration: u64,
     /// The latest confirmation of the lease.
     lease_confirmation: LeaseConfirmation,
     /// The ownerships that other daemons and this one have announced.
-    epochs: EpochRegister,
+    pub(super) epochs: EpochRegister,
     /// Services without an owner, and when this daemon starts their takeover.
     takeover_times: BTreeMap<ServiceId, Duration>,
     /// Services whose takeover has no outcome yet.
     acquiring: BTreeSet<ServiceId>,
     /// The services that this daemon owns.
-    shards: BTreeMap<ServiceId, ShardHandle>,
+    pub(super) shards: BTreeMap<ServiceId, ShardHandle>,
     advisors: AdvisorTable,
     manifest_version: Option<u64>,
     drain: Option<PendingDrain>,
@@ -369,7 +369,7 @@
 
     /// Passes an event to an owned service and executes the resulting actions. Ignores
     /// events of an earlier epoch.
-    fn dispatch_event(&mut self, service: &ServiceId, epoch: u64, event: PipelineEvent) {
+    pub(super) fn dispatch_event(&mut self, service: &ServiceId, epoch: u64, event: PipelineEvent) {
         let now = self.effects.clock.now();
         let handle = self.shards.get_mut(service);
         let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) else {
@@ -580,118 +580,6 @@
         self.announce_epochs(now);
     }
 
-    /// Returns the present witnesses of an ownership of a service by this daemon.
-    fn witnesses(&self, service: &ServiceId) -> Vec<WitnessEntry> {
-        let daemons = self.members.iter().filter_map(|(daemon, endpoint)| {
-            let registration = self.registrations.get(daemon)?.revision;
-            Some(WitnessEntry {
-                daemon: daemon.clone(),
-                address: endpoint.address().to_string(),
-                registration,
-            })
-        });
-        choose_witnesses(service, &self.settings.daemon, daemons)
-    }
-
-    /// Records the announcement of an owner, and releases the service if it is a later owner.
-    fn answer_notice(&mut self, notice: &EpochNotice) -> EpochReply {
-        let epoch = self.epochs.raise(notice);
-        self.release_if_replaced(&notice.service, epoch);
-        EpochReply {
-            daemon: self.settings.daemon.clone(),
-            registration: self.registration,
-            epoch,
-        }
-    }
-
-    /// Releases a service of which a later ownership is known.
-    fn release_if_replaced(&mut self, service: &ServiceId, latest_epoch: Epoch) {
-        let handle = self.shards.get(service);
-        if handle.is_some_and(|handle| handle.shard.epoch() < latest_epoch) {
-            self.drop_shard(service, "another daemon announced a later ownership");
-        }
-    }
-
-    /// Announces the ownerships of this daemon to the witnesses that have to know them now.
-    fn announce_epochs(&mut self, now: Duration) {
-        for (service, handle) in &mut self.shards {
-            let notice = EpochNotice {
-                service: service.clone(),
-                epoch: handle.shard.epoch(),
-            };
-            for entry in handle.shard.due_notices(now).into_values() {
-                let known = self.members.get(&entry.daemon).cloned();
-                let witness = known.unwrap_or_else(|| HttpEndpoint::new(&entry.address));
-                self.effects.announce_epoch(witness, notice.clone());
-            }
-        }
-    }
-
-    /// Handles the answer of a witness to an announcement of an ownership of this daemon.
-    fn handle_witness_reply(
-        &mut self,
-        service: &ServiceId,
-        epoch: Epoch,
-        sent_at: Duration,
-        reply: &EpochReply,
-    ) {
-        let now = self.effects.clock.now();
-        let handle = self.shards.get_mut(service);
-        let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) else {
-            return;
-        };
-        if reply.epoch > epoch {
-            self.release_if_replaced(service, reply.epoch);
-            return;
-        }
-        let shard = &mut handle.shard;
-        shard.confirm_by_witness(&reply.daemon, reply.registration, sent_at);
-        if let Some(event) = shard.record_told(&reply.daemon, now) {
-            self.dispatch_predecessors_ended(service, epoch, event);
-        }
-    }
-
-    /// Passes on that no predecessor extends a lease any more.
-    fn dispatch_predecessors_ended(
-        &mut self,
-        service: &ServiceId,
-        epoch: Epoch,
-        event: PipelineEvent,
-    ) {
-        log::info!(
-            service = service.as_ref(), epoch;
-            "all earlier owners of the service have ended their ownership or extend no lease"
-        );
-        self.dispatch_event(service, epoch, event);
-    }
-
-    /// Passes the present witnesses to the owned services.
-    pub(super) fn update_witnesses(&mut self) {
-        let now = self.effects.clock.now();
-        let services: Vec<ServiceId> = self.shards.keys().cloned().collect();
-        for service in services {
-            let witnesses = self.witnesses(&service);
-            if let Some(handle) = self.shards.get_mut(&service) {
-                handle.shard.set_witnesses(witnesses, now);
-            }
-        }
-    }
-
-    /// Checks whether the predecessors of this daemon as the owner of its services have ended their
-    /// ownership.
-    pub(super) fn update_predecessors(&mut self) {
-        let registrations = &self.registrations;
-        let shards = self.shards.iter_mut();
-        let events = shards.filter_map(|(service, handle)| {
-            let event = handle.shard.update_predecessors(registrations)?;
-            Some((service.clone(), handle.shard.epoch(), event))
-        });
-        let events: Vec<(ServiceId, Epoch, PipelineEvent)> = events.collect();
-        for (service, epoch, event) in events {
-            self.dispatch_predecessors_ended(&service, epoch, event);
-        }
-    }
-
     /// Stops scheduling a service. The owner's key in the store remains until the lease
     /// ends.
     pub(super) fn drop_shard(&mut self, service: &ServiceId, reason: &str) {
--- a/crates/daemon/src/cell/mod.rs
+++ b/crates/daemon/src/cell/mod.rs
@@ -18,6 +18,7 @@
 mod process;
 #[cfg(test)]
 mod tests;
+mod witnesses;
 
 pub use command::CellCommand;
 pub(crate) use messages::{CellEvent, CellHandle};
