Grant no lease that is longer than successors wait for (TWICE)

Cause: an owner that claims a young worker assumes that an order for its former instance was granted the longest lease that workers accept. Its next renewals and starts carried the end of that lease as their deadline, up to 10.5 s instead of 5 s ahead, while a successor that cannot reach the worker waits for 5 s. Change: the deadlines of orders count apart from the lease that may have been granted.

--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -3,9 +3,13 @@
 use std::time::Duration;
 
 use super::fixtures::{
-    INSTANCE_STARTED_MS, OwnerFixture, done, job, listing, observed, owner, step,
+    INSTANCE_STARTED_MS, OwnerFixture, done, job, listing, observed, owner, pipeline_config, step,
+    unclaimed_owner_with,
+};
+use crate::{
+    PipelineAction, PipelineConfig, PipelineEvent, PipelinePhase, RenewalFailure, RenewalReport,
+    RunKey, StartResult,
 };
-use crate::{PipelineAction, PipelineEvent, PipelinePhase, RenewalFailure, RunKey, StartResult};
 
 /// Guards against an acknowledgement that lets the worker discard an end before it is
 /// durable.
@@ -306,3 +310,35 @@
     assert!(early.is_empty());
     assert_eq!(owner.phases[&1], PipelinePhase::Completed);
 }
+
+/// Guards against a second run of a task: a successor that cannot reach a worker waits for the longest
+/// lease that an owner grants, and the owner has granted a young worker more.
+#[test]
+fn no_order_grants_more_than_a_successor_waits_for() {
+    let lease = Duration::from_secs(5);
+    let config = PipelineConfig {
+        max_lease: Duration::from_millis(10_500),
+        inherited_lease: lease,
+        ..pipeline_config()
+    };
+    let mut owner = unclaimed_owner_with(config, 1, &["w1"]);
+    let report = RenewalReport {
+        started_unix_ms: INSTANCE_STARTED_MS,
+        clock_ms: 500,
+        running: Vec::new(),
+        ended: Vec::new(),
+        has_more_ends: false,
+    };
+    owner.handle_report("w1", report);
+    owner.submit(1, job(vec![step(1)]));
+    owner.commit();
+
+    let deadlines = owner.actions.iter().filter_map(|action| match action {
+        PipelineAction::Renew(order) => order.deadline_ms,
+        PipelineAction::Start(order) => Some(order.deadline_ms),
+        _ => None,
+    });
+    let latest = deadlines.max();
+
+    assert_eq!(latest, Some(500 + 5_000));
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -152,8 +152,12 @@
     pub(super) started_unix_ms: Option<u64>,
     /// Latest reading of the worker's clock in ms, and the time at which it arrived.
     pub(super) clock: Option<(u64, Duration)>,
-    /// Latest end of the lease that may have been granted, in ms on the worker's clock.
+    /// Latest end of the lease that may have been granted, by any owner, in ms on the worker's
+    /// clock.
     pub(super) granted_until_ms: u64,
+    /// Latest end of the lease in the orders of this owner's claim, in ms on the worker's clock.
+    /// A successor counts on it that none has a longer term than a renewal.
+    pub(super) ordered_until_ms: u64,
     /// Time by which the inherited runs have ended if this owner cannot claim the worker.
     pub(super) inherited_until: Duration,
     /// Number of the last reported end that was handled.
@@ -209,6 +213,7 @@
             started_unix_ms: None,
             clock: None,
             granted_until_ms: 0,
+            ordered_until_ms: 0,
             inherited_until,
             processed_end: 0,
             acked_end: 0,
@@ -238,6 +243,7 @@
         self.contact = WorkerContact::Unclaimed;
         self.claims = (self.claims + 1).min((1 << CLAIM_BITS) - 1);
         self.granted_until_ms = 0;
+        self.ordered_until_ms = 0;
         self.clock = None;
         self.pending_ack = None;
         self.renewal_due = now;
@@ -359,15 +365,16 @@
     pub(super) fn extend_lease(&mut self, term: Duration, now: Duration) -> Option<u64> {
         let term = u64::try_from(term.as_millis()).ok()?;
         let deadline = self.clock_at(now)? + term;
+        self.ordered_until_ms = self.ordered_until_ms.max(deadline);
         self.granted_until_ms = self.granted_until_ms.max(deadline);
-        Some(self.granted_until_ms)
+        Some(self.ordered_until_ms)
     }
 
-    /// Returns the end of the lease that was granted, in ms on the worker's clock, unless it may
+    /// Returns the end of the lease in the latest order, in ms on the worker's clock, unless it may
     /// have passed.
     pub(super) fn unexpired_lease(&self, now: Duration) -> Option<u64> {
-        let is_unexpired = self.clock_at(now)? < self.granted_until_ms;
-        is_unexpired.then_some(self.granted_until_ms)
+        let is_unexpired = self.clock_at(now)? < self.ordered_until_ms;
+        is_unexpired.then_some(self.ordered_until_ms)
     }
 
     /// Returns the time by which all runs on the worker have ended if its lease is not
