--- a/crates/daemon/src/witness/mod.rs
+++ b/crates/daemon/src/witness/mod.rs
@@ -8,9 +8,9 @@
 
 Each daemon keeps the highest epoch of each service that an owner has announced to it. An owner
 records peers in the store, its witnesses, and extends leases only for a moment after the store
-or a majority of its witnesses has confirmed that it knows no later epoch. A successor announces
-its own epoch to the witnesses of the owners before it. Once so many have answered that no
-majority is left without one of them, the former owners extend no lease.
+or half of its witnesses, with itself a majority, have confirmed that they know no later epoch. A
+successor announces its own epoch to the witnesses of the owners before it. Once more than half
+of them have answered, the former owners extend no lease.
 
 A daemon that restarts forgets the epochs. Its registration in the store changes, so an owner
 does not count it until it has recorded the new one.
--- a/crates/daemon/src/witness/state.rs
+++ b/crates/daemon/src/witness/state.rs
@@ -60,27 +60,27 @@
 }
 
 impl WitnessList {
-    /// Returns when the latest majority of the witnesses had confirmed the ownership.
-    /// `confirmed_at` returns that time for one of them.
+    /// Returns when the latest majority of the daemons, the owner and half of its witnesses, had
+    /// confirmed the ownership. `confirmed_at` returns that time for one of the witnesses.
     fn majority_at(
         &self,
         confirmed_at: impl Fn(&WitnessEntry) -> Option<Duration>,
     ) -> Option<Duration> {
         let mut times: Vec<Duration> = self.entries.iter().filter_map(confirmed_at).collect();
         times.sort_unstable();
-        times.into_iter().rev().nth(self.entries.len() / 2)
+        let count = self.entries.len().div_ceil(2);
+        times.into_iter().rev().nth(count.checked_sub(1)?)
     }
 
-    /// Returns when so many witnesses had been told a later epoch that each majority has one of
-    /// them. `told_at` returns that time for one of them.
+    /// Returns when so many witnesses had been told a later epoch that each half has one of them.
+    /// `told_at` returns that time for one of them.
     pub(crate) fn fenced_at(
         &self,
         told_at: impl Fn(&WitnessEntry) -> Option<Duration>,
     ) -> Option<Duration> {
         let mut times: Vec<Duration> = self.entries.iter().filter_map(told_at).collect();
         times.sort_unstable();
-        let count = self.entries.len() - self.entries.len() / 2;
-        times.get(count.checked_sub(1)?).copied()
+        times.get(self.entries.len() / 2).copied()
     }
 }
 
--- a/crates/daemon/src/witness/tests.rs
+++ b/crates/daemon/src/witness/tests.rs
@@ -54,16 +54,17 @@
 }
 
 /// Guards against leases that an owner extends without the store on the word of a minority, which a
-/// successor may not have asked.
+/// successor may not have asked, and against the end of all runs in an outage of the store although a
+/// majority of the daemons, the owner among them, is alive.
 #[test]
-fn a_majority_of_the_witnesses_permits_extensions() {
-    for count in 1..6 {
-        let mut permit = permit(entries(count));
+fn a_majority_of_all_daemons_permits_extensions() {
+    for daemons in 2..9 {
+        let mut permit = permit(entries(daemons - 1));
         let before = permit.until();
-        let majority = count / 2 + 1;
+        let others = daemons / 2;
         let later = STORE_CONFIRMED_AT + Duration::from_secs(3);
 
-        let limits = (0..majority).map(|index| {
+        let limits = (0..others).map(|index| {
             permit.confirm_by_witness(&format!("d{index}"), 10, later);
             permit.until()
         });
