--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -86,12 +86,12 @@
     let sequence_key = CellKey::Sequence(service.clone()).path();
     let sessions_key = CellKey::Sessions(service.clone()).path();
     let witnesses_key = CellKey::Witnesses(service.clone()).path();
-    // The other keys are written only together with the sequence, which is read last, so the
-    // condition on the sequence holds for them as well.
-    let (Ok(sessions), Ok(recorded), Ok(item)) = (
+    // The other keys are written only together with the sequence, which is read first, so the
+    // condition on its revision shows that they have not changed since they were read.
+    let (Ok(item), Ok(sessions), Ok(recorded)) = (
+        store.read(&sequence_key).await,
         store.read(&sessions_key).await,
         store.read(&witnesses_key).await,
-        store.read(&sequence_key).await,
     ) else {
         return AcquireOutcome::Failed;
     };
@@ -147,6 +147,14 @@
     else {
         return AcquireOutcome::Taken;
     };
+    // An earlier takeover by this daemon, carried out late, may have recorded other witnesses.
+    let witnesses_key = CellKey::Witnesses(service.clone()).path();
+    let Ok(recorded) = store.read(&witnesses_key).await else {
+        return AcquireOutcome::Failed;
+    };
+    let recorded = recorded.and_then(|item| decode_value(&item.key, &item.value));
+    let recorded: Vec<WitnessList> = recorded.unwrap_or_default();
+    let witnesses = recorded.into_iter().find(|list| list.epoch == epoch);
     for _ in 0..LOAD_ATTEMPTS {
         if let Some(mut loaded) = load_shard(store, &service).await {
             loaded.epoch = epoch;
@@ -154,7 +162,10 @@
             loaded.revision = revision;
             loaded.session = session;
             loaded.predecessors = predecessors;
-            loaded.witnesses = witnesses;
+            loaded.witnesses = witnesses.unwrap_or(WitnessList {
+                epoch,
+                entries: Vec::new(),
+            });
             return AcquireOutcome::Acquired(Box::new(loaded));
         }
     }
--- a/crates/daemon/src/pipelines/tests/sessions.rs
+++ b/crates/daemon/src/pipelines/tests/sessions.rs
@@ -4,13 +4,17 @@
 
 use auburnsaddle_core::{MAX_PREDECESSOR_TIME, PipelineEvent};
 use auburnsaddle_platform::StoreItem;
+use auburnsaddle_platform_standin::StoreStandin;
 
 use super::{cancelled_job, empty_shard, service_id, session, shard_with};
 use crate::{
     pipelines::{
-        CellKey, DaemonRegistration, LoadedShard, decode_value, encode_value,
+        AcquireOutcome, CellKey, DaemonRegistration, LoadedShard, acquire_shard, decode_value,
+        encode_value,
+        records::SequenceEntry,
         sessions::{OwnerSession, PredecessorList},
     },
+    session::{CellStore, StoreRoute},
     witness::{EXTENSION_END_DELAY, WitnessEntry, WitnessList},
 };
 
@@ -117,7 +121,11 @@
             ..empty_shard()
         });
         if is_registered {
-            shard.update_predecessors(&registrations(&[("edge-1", 31)]));
+            let mut registrations = registrations(&[("edge-1", 31)]);
+            for registration in registrations.values_mut() {
+                registration.seen_at = now;
+            }
+            shard.update_predecessors(&registrations);
         }
         shard.handle(PipelineEvent::Cancelled(1), now);
         let transaction = shard.next_commit(now).unwrap();
@@ -245,3 +253,65 @@
     assert!(early.is_none());
     assert_eq!(written, Some(vec![present]));
 }
+
+/// Guards against an owner that asks other witnesses than its successor: the store has carried out an
+/// earlier takeover of the same daemon late, which had other witnesses.
+#[tokio::test]
+async fn the_witnesses_of_a_takeover_are_those_in_the_store() {
+    let standin = StoreStandin::start().await;
+    let store = CellStore::new(StoreRoute::new(&standin.address()));
+    let lease = store.grant_lease(Duration::from_secs(30)).await.unwrap();
+    let take_over = |witness: &str| {
+        let entries = witness_list(1, &[witness]).entries;
+        acquire_shard(&store, service_id(), "edge-0", lease, 0, entries)
+    };
+
+    // The first one gets no answer in time; its transaction arrives after the reads of the second.
+    let (_, second) = tokio::join!(take_over("edge-1"), take_over("edge-2"));
+    let key = CellKey::Witnesses(service_id()).path();
+    let item = store.read(&key).await.unwrap().unwrap();
+    let stored: Vec<WitnessList> = decode_value(&item.key, &item.value).unwrap();
+
+    // A takeover that fails is correct as well.
+    if let AcquireOutcome::Acquired(loaded) = second {
+        assert_eq!(stored, [loaded.witnesses]);
+    }
+}
+
+/// Guards against a successor that tells the former witnesses of its predecessor: the predecessor's
+/// last commit, which changes them, is carried out between the reads of the takeover.
+#[tokio::test]
+async fn the_witnesses_of_a_takeover_are_those_of_its_sequence() {
+    let standin = StoreStandin::start().await;
+    let store = CellStore::new(StoreRoute::new(&standin.address()));
+    let lease = store.grant_lease(Duration::from_secs(30)).await.unwrap();
+    let write = |key: CellKey, value: Vec<u8>| {
+        standin.write_text(&key.path(), &String::from_utf8(value).unwrap());
+    };
+    let commit = |witness: &str, commit: u64| {
+        let lists = [witness_list(1, &[witness])];
+        let witnesses = encode_value(&lists.as_slice());
+        write(CellKey::Witnesses(service_id()), witnesses);
+        let sequence = encode_value(&SequenceEntry { epoch: 1, commit });
+        write(CellKey::Sequence(service_id()), sequence);
+    };
+    let sessions = encode_value(&[session("edge-1", 1, 0)].as_slice());
+    write(CellKey::Sessions(service_id()), sessions);
+    commit("edge-2", 0);
+
+    let key = CellKey::Witnesses(service_id()).path();
+    let change = async {
+        while standin.transfers(&key) == 0 {
+            tokio::task::yield_now().await;
+        }
+        commit("edge-3", 1);
+    };
+    let take_over = acquire_shard(&store, service_id(), "edge-0", lease, 0, Vec::new());
+    let (outcome, ()) = tokio::join!(take_over, change);
+
+    // A takeover that fails is correct as well.
+    if let AcquireOutcome::Acquired(loaded) = outcome {
+        let told = loaded.predecessors.untold_witnesses();
+        assert_eq!(told, witness_list(1, &["edge-3"]).entries);
+    }
+}
