Keep an earlier ownership recorded until it extends no lease (TWICE)

Cause: an owner removed its predecessors from the store as soon as their witnesses were told, up to 1 s before they extend no lease. If it was restarted within that time, it counted from its own takeover. A change of the witnesses in turn removed the list of an ownership that was still recorded, so the next successor waited for it by time. Found by the review, which showed both with tests. Change: the record is shortened at the time at which all predecessors have ended, and holds the witnesses of each ownership until then.

--- a/crates/daemon/src/pipelines/sessions.rs
+++ b/crates/daemon/src/pipelines/sessions.rs
@@ -41,7 +41,8 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct PredecessorList {
     sessions: Vec<OwnerSession>,
-    /// The witnesses of these ownerships, as far as they are recorded.
+    /// The recorded witnesses of these ownerships, and of those that have ended since the
+    /// takeover, as the store lists them until none is left.
     witnesses: Vec<WitnessList>,
     /// When each witness had been told of the takeover.
     told_at: BTreeMap<String, Duration>,
@@ -109,7 +110,11 @@
 
     /// Returns the witnesses that have not been told of the takeover and may matter.
     pub(crate) fn untold_witnesses(&self) -> Vec<WitnessEntry> {
-        let entries = self.witnesses.iter().flat_map(|list| &list.entries);
+        let lists = self.witnesses.iter().filter(|list| {
+            let mut sessions = self.sessions.iter();
+            sessions.any(|session| session.epoch == list.epoch)
+        });
+        let entries = lists.flat_map(|list| &list.entries);
         let untold = entries.filter(|entry| !self.told_at.contains_key(&entry.daemon));
         untold.cloned().collect()
     }
@@ -133,14 +138,6 @@
                 }
                 None => true,
             });
-        self.remove_unused_lists();
-    }
-
-    /// Removes the lists of witnesses of ownerships that have ended.
-    fn remove_unused_lists(&mut self) {
-        let sessions = &self.sessions;
-        self.witnesses
-            .retain(|list| sessions.iter().any(|session| session.epoch == list.epoch));
     }
 
     /// Removes the ownerships that have ended according to the registrations of the daemons.
@@ -156,7 +153,6 @@
                 None => true,
             }
         });
-        self.remove_unused_lists();
     }
 
     /// Returns when all of the ownerships before a takeover at the given time had ended, or `None`
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -127,8 +127,8 @@
     predecessors: PredecessorList,
     /// Whether the store lists no ownership but the present one.
     is_only_session: bool,
-    /// Whether the ends of all predecessors are known.
-    have_known_end: bool,
+    /// When all predecessors had ended, once that is known. It may be a moment ahead.
+    known_end: Option<Duration>,
     taken_over_at: Duration,
     permit: ExtensionPermit,
     /// The present witnesses, and since when the store holds others.
@@ -161,7 +161,7 @@
             is_only_session: loaded.predecessors.ended_at(now).is_some(),
             session: loaded.session,
             predecessors: loaded.predecessors,
-            have_known_end: false,
+            known_end: None,
             taken_over_at: now,
             present_witnesses: loaded.witnesses.entries.clone(),
             permit: ExtensionPermit::new(loaded.witnesses),
@@ -216,7 +216,7 @@
         &mut self,
         registrations: &BTreeMap<String, DaemonRegistration>,
     ) -> Option<PipelineEvent> {
-        if self.have_known_end {
+        if self.known_end.is_some() {
             return None;
         }
         self.predecessors.remove_ended(registrations);
@@ -226,7 +226,7 @@
     /// Records that a daemon has been told of this ownership. Returns an event when it is known
     /// that no predecessor extends a lease.
     pub(crate) fn record_told(&mut self, daemon: &str, at: Duration) -> Option<PipelineEvent> {
-        if self.have_known_end {
+        if self.known_end.is_some() {
             return None;
         }
         self.predecessors.record_told(daemon, at);
@@ -236,7 +236,7 @@
     /// Returns an event if the ends of all predecessors have become known.
     fn predecessors_ended(&mut self) -> Option<PipelineEvent> {
         let ended_at = self.predecessors.ended_at(self.taken_over_at)?;
-        self.have_known_end = true;
+        self.known_end = Some(ended_at);
         Some(PipelineEvent::PredecessorsEnded(ended_at))
     }
 
@@ -301,7 +301,8 @@
 
     /// Returns whether all ownerships before the present one have ended.
     fn have_predecessors_ended(&self, now: Duration) -> bool {
-        self.have_known_end || now >= self.taken_over_at + MAX_PREDECESSOR_TIME
+        let latest = self.taken_over_at + MAX_PREDECESSOR_TIME;
+        now >= self.known_end.unwrap_or(latest)
     }
 
     /// Records the revision at which the key of a job was created.
--- a/crates/daemon/src/pipelines/tests/sessions.rs
+++ b/crates/daemon/src/pipelines/tests/sessions.rs
@@ -13,6 +13,7 @@
         encode_value,
         records::SequenceEntry,
         sessions::{OwnerSession, PredecessorList},
+        shard::OwnedShard,
     },
     session::{CellStore, StoreRoute},
     witness::{EXTENSION_END_DELAY, WitnessEntry, WitnessList},
@@ -254,6 +255,46 @@
     assert_eq!(written, Some(vec![present]));
 }
 
+/// Guards against a predecessor that is waited for by time although its witnesses are known: the owner
+/// removes its list from the store while the store still lists its ownership.
+#[test]
+fn each_recorded_ownership_keeps_its_witnesses() {
+    let sessions = [session("edge-1", 1, 10), session("edge-2", 2, 0)];
+    let lists = [witness_list(1, &["edge-3"]), witness_list(2, &["edge-4"])];
+    let item = sessions_item(&sessions, 30);
+    let witnesses = StoreItem {
+        key: CellKey::Witnesses(service_id()).path(),
+        value: encode_value(&lists.as_slice()),
+        revision: 30,
+    };
+    let predecessors = PredecessorList::read(Some(&item), Some(&witnesses), 2, "edge-0");
+    let recorded = predecessors.followed_by(&session("edge-0", 3, 0));
+    let mut shard = shard_with(LoadedShard {
+        predecessors,
+        witnesses: witness_list(3, &[]),
+        ..empty_shard()
+    });
+
+    shard.record_told("edge-3", Duration::ZERO);
+    shard.set_witnesses(witness_list(3, &["edge-3"]).entries, Duration::ZERO);
+    let transaction = shard.next_commit(Duration::from_secs(1)).unwrap();
+
+    let written = |key: CellKey| {
+        let mut puts = transaction.puts.iter();
+        let put = puts.find(|(put_key, ..)| *put_key == key.path());
+        put.map(|(_, value, _)| value.clone())
+    };
+    let sessions = written(CellKey::Sessions(service_id()));
+    let sessions = sessions.map_or(recorded, |value| decode_value("own", &value).unwrap());
+    let lists = written(CellKey::Witnesses(service_id())).unwrap();
+    let lists: Vec<WitnessList> = decode_value("wit", &lists).unwrap();
+    let epochs = |sessions: &[OwnerSession]| -> Vec<u64> {
+        sessions.iter().map(|session| session.epoch).collect()
+    };
+    let listed: Vec<u64> = lists.iter().map(|list| list.epoch).collect();
+    assert_eq!(listed, epochs(&sessions));
+}
+
 /// Guards against an owner that asks other witnesses than its successor: the store has carried out an
 /// earlier takeover of the same daemon late, which had other witnesses.
 #[tokio::test]
@@ -315,3 +356,28 @@
         assert_eq!(told, witness_list(1, &["edge-3"]).entries);
     }
 }
+
+/// Guards against a successor that counts from a time at which an earlier owner still extends leases:
+/// the owner removes it from the store as soon as its witnesses are told, and restarts at once.
+#[test]
+fn an_ownership_is_recorded_until_it_extends_no_lease() {
+    let lists = [witness_list(5, &["edge-3"])];
+    let now = Duration::from_secs(1);
+    let mut shard = shard_with(LoadedShard {
+        predecessors: witnessed_predecessors(&[session("edge-1", 5, 0)], &lists),
+        jobs: vec![cancelled_job()],
+        ..empty_shard()
+    });
+    let written = |shard: &mut OwnedShard, now: Duration| {
+        let transaction = shard.next_commit(now)?;
+        let key = CellKey::Sessions(service_id()).path();
+        let mut puts = transaction.puts.into_iter();
+        puts.find(|(put_key, ..)| *put_key == key)
+    };
+
+    shard.record_told("edge-3", now);
+    shard.handle(PipelineEvent::Cancelled(1), now);
+    let early = written(&mut shard, now);
+
+    assert_eq!(early, None);
+}
