--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -570,6 +570,8 @@
             self.dispatch_event(service, epoch, event);
         }
         self.update_predecessors();
+        // Daemons may have joined during the takeover.
+        self.update_witnesses();
         // This daemon may be a witness of an earlier owner.
         let notice = EpochNotice {
             service: service.clone(),
--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -5,7 +5,7 @@
 };
 
 use auburnsaddle_core::{PipelineConfig, ResourceVector, StepSpec, WorkerListing};
-use auburnsaddle_platform::{ItemChange, KeyLease};
+use auburnsaddle_platform::{ItemChange, KeyLease, StoreItem};
 use proptest::prelude::*;
 use serde_json::{Value, json};
 use tokio::{runtime::Handle, sync::mpsc};
@@ -17,7 +17,10 @@
     messages::CellEvent,
 };
 use crate::{
-    pipelines::{AcquireOutcome, LoadedShard, NoticeSender, ShardSettings, tests::empty_shard},
+    pipelines::{
+        AcquireOutcome, CellKey, LoadedShard, MemberEntry, NoticeSender, ShardSettings,
+        encode_value, tests::empty_shard,
+    },
     session::{CellStore, LeaseUpdate, PrefixUpdate, StoreRoute},
     telemetry::BootClock,
 };
@@ -109,6 +112,36 @@
     assert_eq!(owned_services(&control).len(), 1);
 }
 
+/// Returns the registration of a daemon in the store.
+fn member_item(daemon: &str, revision: u64) -> StoreItem {
+    let member = MemberEntry {
+        address: CLOSED_ADDRESS.to_owned(),
+        cpu_milli: 500,
+    };
+    StoreItem {
+        key: CellKey::Member(daemon.to_owned()).path(),
+        value: encode_value(&member),
+        revision,
+    }
+}
+
+/// Guards against an owner without witnesses, whose successor waits for the longest time: the other
+/// daemons joined while the service was taken over.
+#[tokio::test]
+async fn daemons_that_join_during_a_takeover_become_witnesses() {
+    let mut control = isolated_control();
+    control.handle(lease(1));
+    let joined = ItemChange::Put(member_item("daemon-1", 35));
+
+    control.handle(CellEvent::Membership(PrefixUpdate::Changes(vec![joined])));
+    let outcome = AcquireOutcome::Acquired(loaded_shard());
+    control.handle(CellEvent::Acquired("sales".into(), 1, outcome));
+
+    let now = control.effects.clock.now() + Duration::from_secs(2);
+    let shard = &control.shards["sales"].shard;
+    assert!(shard.is_witness_change_due(now));
+}
+
 /// Returns a strategy for numbers at the bounds of their types.
 fn extreme_number() -> impl Strategy<Value = u64> {
     prop_oneof![
--- a/crates/daemon/src/pipelines/tests/sessions.rs
+++ b/crates/daemon/src/pipelines/tests/sessions.rs
@@ -2,8 +2,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use auburnsaddle_core::{MAX_PREDECESSOR_TIME, PipelineEvent};
-use auburnsaddle_platform::StoreItem;
+use auburnsaddle_core::{
+    MAX_PREDECESSOR_TIME, PipelineAction, PipelineEvent, RenewalReport, ResourceVector,
+    WorkerListing,
+};
+use auburnsaddle_platform::{StoreItem, TransactionOutcome};
 use auburnsaddle_platform_standin::StoreStandin;
 
 use super::{cancelled_job, empty_shard, service_id, session, shard_with};
@@ -381,3 +384,91 @@
 
     assert_eq!(early, None);
 }
+
+/// Returns whether the next renewal of the worker extends its lease.
+fn extends_lease(shard: &mut OwnedShard, now: Duration) -> bool {
+    let report = RenewalReport {
+        started_unix_ms: 1,
+        clock_ms: u64::try_from(now.as_millis()).unwrap(),
+        running: Vec::new(),
+        ended: Vec::new(),
+        has_more_ends: false,
+    };
+    let event = PipelineEvent::LeaseRenewed("w1".into(), now, report);
+    let actions = shard.handle(event, now);
+    let mut renewals = actions.iter().filter_map(|action| match action {
+        PipelineAction::Renew(order) => Some(order.deadline_ms.is_some()),
+        _ => None,
+    });
+    renewals.next().unwrap()
+}
+
+/// Returns a shard with this witness and one worker, confirmed by the store at time zero.
+fn witnessed_shard(witness: &str) -> OwnedShard {
+    let mut shard = shard_with(LoadedShard {
+        witnesses: witness_list(3, &[witness]),
+        ..empty_shard()
+    });
+    let confirmed_until = Duration::from_secs(2);
+    shard.confirm_by_store(Duration::ZERO, confirmed_until);
+    let listing = WorkerListing {
+        worker: "w1".into(),
+        address: "w1:1".to_owned(),
+        capacity: ResourceVector::default(),
+        labels: Vec::new(),
+        rack: None,
+        is_draining: false,
+        leaves_in: None,
+    };
+    let events = [
+        PipelineEvent::OwnershipConfirmed(confirmed_until),
+        PipelineEvent::Listed(listing),
+    ];
+    for event in events {
+        shard.handle(event, Duration::ZERO);
+    }
+    shard
+}
+
+/// Guards against leases that are extended long after the store has confirmed the ownership, and
+/// against the end of all runs in an outage of the store.
+#[test]
+fn leases_are_extended_while_the_store_or_a_witness_confirms() {
+    let mut shard = witnessed_shard("edge-1");
+    let [confirmed, silent, witnessed] = [500, 1_500, 2_500].map(Duration::from_millis);
+
+    let early_notices = shard.due_notices(confirmed);
+    let by_store = extends_lease(&mut shard, confirmed);
+    let notices = shard.due_notices(silent);
+    let repeated = shard.due_notices(silent);
+    let unconfirmed = extends_lease(&mut shard, silent);
+    shard.confirm_by_witness("edge-1", 10, silent * 3 / 2);
+    let by_witness = extends_lease(&mut shard, witnessed);
+
+    assert!(early_notices.is_empty() && repeated.is_empty());
+    assert!(notices.contains_key("edge-1"));
+    assert_eq!((by_store, unconfirmed, by_witness), (true, false, true));
+}
+
+/// Guards against extensions that a successor does not know of, as it reads the witnesses of a commit
+/// whose outcome the owner does not know.
+#[test]
+fn a_change_of_the_witnesses_binds_when_it_is_sent() {
+    let mut shard = witnessed_shard("edge-1");
+    let [sent_at, asked_at, now] = [1_100, 2_000, 2_500].map(Duration::from_millis);
+
+    shard.set_witnesses(witness_list(3, &["edge-2"]).entries, Duration::ZERO);
+    shard.next_commit(sent_at);
+    shard.confirm_by_witness("edge-1", 10, asked_at);
+    let by_former = extends_lease(&mut shard, now);
+    shard.confirm_by_witness("edge-2", 10, asked_at);
+    let by_both = extends_lease(&mut shard, now);
+    shard.finish_commit(&TransactionOutcome::Done(41), now);
+    shard.confirm_by_witness("edge-1", 10, now);
+    let by_former_later = extends_lease(&mut shard, now + Duration::from_millis(500));
+    shard.confirm_by_witness("edge-2", 10, now);
+    let by_present = extends_lease(&mut shard, now + Duration::from_millis(500));
+
+    assert_eq!((by_former, by_both), (false, true));
+    assert_eq!((by_former_later, by_present), (false, true));
+}
