Do not release a service because of an announced epoch

Cause: one announcement with an impossible epoch made a daemon release each later ownership of the service at once, take it over again and release it, until it was restarted. Change: announcements only keep a witness from confirming lower epochs. Whether an ownership has ended is decided by the store, as before. Tests: an_announcement_with_an_impossible_epoch_does_not_block_a_service (failed before), an_announcement_is_answered_with_the_latest_epoch_and_the_registration.

--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -8,7 +8,10 @@
 use auburnsaddle_platform::{ItemChange, KeyLease, StoreItem};
 use proptest::prelude::*;
 use serde_json::{Value, json};
-use tokio::{runtime::Handle, sync::mpsc};
+use tokio::{
+    runtime::Handle,
+    sync::{mpsc, oneshot},
+};
 
 use super::{
     CellMetrics,
@@ -23,6 +26,7 @@
     },
     session::{CellStore, LeaseUpdate, PrefixUpdate, StoreRoute},
     telemetry::BootClock,
+    witness::EpochNotice,
 };
 
 /// Address at which nothing listens.
@@ -112,6 +116,24 @@
     assert_eq!(owned_services(&control).len(), 1);
 }
 
+/// Guards against a service without an owner until the restart of all daemons: one announcement
+/// with an epoch that no takeover has had makes each later owner release it at once.
+#[tokio::test]
+async fn an_announcement_with_an_impossible_epoch_does_not_block_a_service() {
+    let mut control = isolated_control();
+    control.handle(lease(1));
+    let notice = EpochNotice {
+        service: "sales".into(),
+        epoch: u64::MAX,
+    };
+
+    control.handle(CellEvent::EpochAnnounced(notice, oneshot::channel().0));
+    let outcome = AcquireOutcome::Acquired(loaded_shard());
+    control.handle(CellEvent::Acquired("sales".into(), 1, outcome));
+
+    assert_eq!(owned_services(&control).len(), 1);
+}
+
 /// Returns the registration of a daemon in the store.
 fn member_item(daemon: &str, revision: u64) -> StoreItem {
     let member = MemberEntry {
@@ -142,6 +164,29 @@
     assert!(shard.is_witness_change_due(now));
 }
 
+/// Guards against confirmations of an owner after a later one has announced itself.
+#[tokio::test]
+async fn an_announcement_is_answered_with_the_latest_epoch_and_the_registration() {
+    let mut control = isolated_control();
+    control.handle(lease(1));
+    let mut announce = |epoch| {
+        let (reply, mut answer) = oneshot::channel();
+        let service = "sales".into();
+        let notice = EpochNotice { service, epoch };
+        control.handle(CellEvent::EpochAnnounced(notice, reply));
+        answer.try_recv().unwrap()
+    };
+
+    let replies = [announce(4), announce(6), announce(5)];
+
+    assert_eq!(replies.clone().map(|reply| reply.epoch), [4, 6, 6]);
+    assert!(
+        replies
+            .iter()
+            .all(|reply| (reply.daemon.as_str(), reply.registration) == ("daemon-0", 31))
+    );
+}
+
 /// Returns a strategy for numbers at the bounds of their types.
 fn extreme_number() -> impl Strategy<Value = u64> {
     prop_oneof![
--- a/crates/daemon/src/cell/witnesses.rs
+++ b/crates/daemon/src/cell/witnesses.rs
@@ -23,22 +23,12 @@
         choose_witnesses(service, &self.settings.daemon, daemons)
     }
 
-    /// Records the announcement of an owner, and releases the service if it is a later owner.
+    /// Records the announcement of an owner.
     pub(super) fn answer_notice(&mut self, notice: &EpochNotice) -> EpochReply {
-        let epoch = self.epochs.raise(notice);
-        self.release_if_replaced(&notice.service, epoch);
         EpochReply {
             daemon: self.settings.daemon.clone(),
             registration: self.registration,
-            epoch,
-        }
-    }
-
-    /// Releases a service of which a later ownership is known.
-    fn release_if_replaced(&mut self, service: &ServiceId, latest_epoch: Epoch) {
-        let handle = self.shards.get(service);
-        if handle.is_some_and(|handle| handle.shard.epoch() < latest_epoch) {
-            self.drop_shard(service, "another daemon announced a later ownership");
+            epoch: self.epochs.raise(notice),
         }
     }
 
@@ -70,12 +60,10 @@
         let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) else {
             return;
         };
-        if reply.epoch > epoch {
-            self.release_if_replaced(service, reply.epoch);
-            return;
-        }
         let shard = &mut handle.shard;
-        shard.confirm_by_witness(&reply.daemon, reply.registration, sent_at);
+        if reply.epoch == epoch {
+            shard.confirm_by_witness(&reply.daemon, reply.registration, sent_at);
+        }
         if let Some(event) = shard.record_told(&reply.daemon, now) {
             self.dispatch_predecessors_ended(service, epoch, event);
         }
