--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -553,18 +553,34 @@
 /// that a request names.
 const MAX_EMPTY_ANSWER_PERMILLE: usize = 50;
 
+/// Part of the workers that the advice service is expected to allow a queue.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AllowedShare {
+    /// Expected part, in percent.
+    pub(super) expected_percent: usize,
+    /// Part below which an empty answer need not be unlikely, in percent.
+    pub(super) least_percent: usize,
+}
+
+impl AllowedShare {
+    /// The share of workers that are known to be allowed.
+    const ALL: Self = Self {
+        expected_percent: 100,
+        least_percent: 100,
+    };
+}
+
 /// Returns which of the candidates to name in an advice request, so that enough tickets for
 /// `count` tasks can be expected.
 ///
-/// `allowed_percent` is the part of the workers that the advice service is expected to
-/// allow.
+/// `allowed` is the part of the workers that the advice service is expected to allow.
 pub(super) fn choose_for_advice(
     table: &PlacementTable,
     candidates: impl Iterator<Item = PlaceCandidate>,
     cache: &TicketCache,
     step: &StepSpec,
     count: usize,
-    allowed_percent: usize,
+    allowed: AllowedShare,
 ) -> Vec<(WorkerId, InstanceNumber)> {
     let mut ranking: BinaryHeap<Reverse<RequestRank>> = candidates
         .map(|candidate| {
@@ -596,9 +612,13 @@
         if expected >= needed && is_answer_likely {
             break;
         }
-        let percent = if is_unknown { allowed_percent } else { 100 };
-        expected += fitting_tasks.max(1) * percent;
-        empty_answer_permille = empty_answer_permille * (100 - percent.min(100)) / 100;
+        let share = if is_unknown {
+            allowed
+        } else {
+            AllowedShare::ALL
+        };
+        expected += fitting_tasks.max(1) * share.expected_percent;
+        empty_answer_permille = empty_answer_permille * (100 - share.least_percent.min(100)) / 100;
         let row = &table.rows[row_index];
         chosen.push((WorkerId::clone(&row.worker), row.instance));
     }
--- a/crates/core/src/pipelines/requests.rs
+++ b/crates/core/src/pipelines/requests.rs
@@ -7,7 +7,7 @@
 use super::{
     advice::{PendingRequest, TicketCache},
     messages::{AdviceOrder, PipelineAction},
-    place::{PlaceCandidate, PlacementTable, choose_for_advice, choose_for_step},
+    place::{AllowedShare, PlaceCandidate, PlacementTable, choose_for_advice, choose_for_step},
     schedule::{PlacementPass, StepSearch},
     spec::AdvicePolicy,
     state::PipelineState,
@@ -37,6 +37,11 @@
 /// in percent.
 const DEFAULT_ALLOWED_PERCENT: usize = 40;
 
+/// Part of the workers that a queue is assumed to be allowed at least before its first answer, in
+/// percent. A request for few tasks names so many workers that an empty answer is unlikely even
+/// then: after a takeover, it would delay tasks that are away already.
+const DEFAULT_LEAST_PERCENT: usize = 20;
+
 /// Requests that a placement pass may still send.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RequestBudget {
@@ -149,9 +154,11 @@
     ) -> Vec<(WorkerId, InstanceNumber)> {
         let (step_spec, now) = (search.step_spec, search.now);
         let average_percent = self.allowed_percent.get(&search.spec.policy.queue).copied();
-        let percent = average_percent
-            .unwrap_or(DEFAULT_ALLOWED_PERCENT)
-            .max(MIN_ALLOWED_PERCENT);
+        let average_percent = average_percent.map(|percent| percent.max(MIN_ALLOWED_PERCENT));
+        let allowed = AllowedShare {
+            expected_percent: average_percent.unwrap_or(DEFAULT_ALLOWED_PERCENT),
+            least_percent: average_percent.unwrap_or(DEFAULT_LEAST_PERCENT),
+        };
         let task_allowance = |worker: &WorkerId| self.task_allowance(worker, search.key, step_spec);
         let eligible = table.eligible(step_spec, task_allowance);
         // Tickets for withheld workers would expire unused.
@@ -159,7 +166,7 @@
             .filter(|candidate| search.may_use(table.row(candidate)) || !candidate.fits(step_spec));
         let requestable = eligible
             .filter(|candidate| cache.can_request_ticket(table.row(candidate).instance, now));
-        let mut workers = choose_for_advice(table, requestable, cache, step_spec, count, percent);
+        let mut workers = choose_for_advice(table, requestable, cache, step_spec, count, allowed);
         if step_spec.gang && !is_early && !workers.is_empty() {
             let ticketed = table.eligible_among(cache.ticketed(now), step_spec, task_allowance);
             let ticketed = ticketed.filter(|candidate: &PlaceCandidate| {
