Soak tasks that last, and losses of workers and daemons for good (LOST)

Workers restart or are lost, a minority of the daemons is killed for good, and in the last 6 s of the load workers are lost and, within 1.5 s, the owner is killed for good, suspended or cut off from the store; no other fault begins then. The check "a lasting task is at work" fails on more than 10 s without a run and without a fault. Without tasks that last, the plans of former seeds are the same.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use auburnsaddle_platform_standin::LASTING_COMMAND;
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -156,7 +157,7 @@
     }
 
     /// Submits a job, retrying at random daemons, and queries it once after its acceptance.
-    pub(crate) async fn submit_job(self, id: JobId, tasks_per_step: Vec<u32>) {
+    pub(crate) async fn submit_job(self, id: JobId, tasks_per_step: Vec<u32>, is_lasting: bool) {
         let pipeline = tasks_per_step.iter().enumerate().map(|(index, count)| {
             let mut step = json!({
                 "count": count, "cpu": 1_000, "mem-mb": 100, "est-runtime-ms": 200,
@@ -164,12 +165,21 @@
             if let Some(previous) = index.checked_sub(1) {
                 step["after"] = json!([previous]);
             }
+            if is_lasting {
+                step["long-running"] = json!(true);
+            }
             step
         });
         let pipeline: Vec<Value> = pipeline.collect();
-        let body = json!({"command": format!("run {id}"), "pipeline": pipeline});
+        let command = if is_lasting {
+            LASTING_COMMAND.to_owned()
+        } else {
+            format!("run {id}")
+        };
+        let body = json!({"command": command, "pipeline": pipeline});
         let record = JobRecord {
             tasks_per_step,
+            is_lasting,
             ..JobRecord::default()
         };
         self.state().jobs.insert(id, record);
@@ -194,6 +204,7 @@
                 job.outcomes.push(outcome);
             });
             if outcome == SubmitOutcome::Accepted {
+                self.update_job(id, |job| job.accepted_at = Some(Instant::now()));
                 tokio::time::sleep(VISIBILITY_DELAY).await;
                 self.query_job(id).await;
                 return;
@@ -228,7 +239,9 @@
     /// Cancels a job, retrying at random daemons.
     pub(crate) async fn cancel_job(self, id: JobId) {
         let path = format!("{QUEUE_PREFIX}{id:016x}");
-        self.update_job(id, |job| job.is_cancel_requested = true);
+        self.update_job(id, |job| {
+            job.cancel_requested_at.get_or_insert_with(Instant::now);
+        });
         for _ in 0..MAX_CANCEL_ATTEMPTS {
             if let Some(daemon) = self.random_daemon() {
                 let response = self.send_request(daemon, Method::DELETE, &path, None).await;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -11,6 +11,15 @@
 /// before a stop may not have been read, so that its failure breaks no promise.
 const DELIVERY_TIME: Duration = Duration::from_millis(100);
 
+/// Maximum time for which a task that lasts may be without a run, counted from the last fault:
+/// the 3 s of `contact-ms`, the 4 s that the rule LOST requires to be calm, and the 3 s that it
+/// allows.
+pub(crate) const RESTORE_BOUND: Duration = Duration::from_secs(10);
+
+/// Time from the cancellation of a job until its tasks have stopped: `cancel_ms` and
+/// `stop-grace-ms`.
+pub(crate) const CANCEL_TIME: Duration = Duration::from_millis(3_200);
+
 /// A violation of a promise.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct BrokenPromise {
@@ -28,6 +37,7 @@
     for (id, job) in &history.jobs {
         check_job(*id, job, history, &mut broken);
     }
+    check_lasting_tasks(history, &mut broken);
     check_single_placement(history, &mut broken);
     check_capacity(history, capacity, &mut broken);
     check_planned_stops(history, &mut broken);
@@ -58,8 +68,8 @@
         );
     }
     let has_ended = match job.state.as_deref() {
-        Some("completed") => true,
-        Some("cancelled") => job.is_cancel_requested,
+        Some("completed") => !job.is_lasting,
+        Some("cancelled") => job.cancel_requested_at.is_some(),
         _ => false,
     };
     if is_accepted && (job.has_gone_response || !has_ended) {
@@ -103,17 +113,94 @@
             );
         }
     }
-    let late_runs = runs.iter().filter(|run| match history.settled_at {
-        Some(at) if job.state.as_deref() == Some("cancelled") => {
-            run.began_at > at || run.ended.is_none()
-        }
-        _ => false,
-    });
+    // A job may be cancelled shortly before the end of the run.
+    let stops_by = job.cancel_requested_at.map(|at| at + CANCEL_TIME);
+    let late_runs = runs
+        .iter()
+        .filter(|run| match history.settled_at.max(stops_by) {
+            Some(at) if job.state.as_deref() == Some("cancelled") => {
+                run.began_at > at || run.ended.is_none()
+            }
+            _ => false,
+        });
     for run in late_runs {
         report_broken("cancelled work stops", format!("{id:016x}: {run:?}"));
     }
 }
 
+/// Checks that each task that lasts has a run within [`RESTORE_BOUND`] of the latest fault, from
+/// the acceptance of its job to its cancellation.
+fn check_lasting_tasks(history: &SoakHistory, broken: &mut Vec<BrokenPromise>) {
+    let faults = collect_faults(history);
+    for (id, job) in history.jobs.iter().filter(|(_, job)| job.is_lasting) {
+        let cancelled_at = job.cancel_requested_at.or(history.settled_at);
+        let (Some(accepted_at), Some(cancelled_at)) = (job.accepted_at, cancelled_at) else {
+            continue;
+        };
+        let steps = (0..).zip(&job.tasks_per_step);
+        let tasks = steps.flat_map(|(step, count)| (0..*count).map(move |index| (step, index)));
+        for (step, index) in tasks {
+            let runs = history.runs.iter();
+            let runs = runs.filter(|run| run.task == (*id, step, index));
+            let runs = runs.map(|run| (run.began_at, run.ended.map_or(cancelled_at, |(at, _)| at)));
+            for (from, to) in free_spans((accepted_at, cancelled_at), runs.collect()) {
+                let calm_spans = free_spans((from, to), faults.clone());
+                let calm_times = calm_spans.into_iter().map(|(from, to)| to - from);
+                let longest_calm = calm_times.max().unwrap_or_default();
+                if longest_calm > RESTORE_BOUND {
+                    broken.push(BrokenPromise {
+                        promise: "a lasting task is at work",
+                        detail: format!(
+                            "{id:016x}.{step}.{index}: without a run for {:?}, {:?} after its \
+                             acceptance, and {longest_calm:?} of that without a fault",
+                            to - from,
+                            from - accepted_at,
+                        ),
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// Returns the spans of all faults that can affect a task, up to the time at which all faults
+/// had ended.
+fn collect_faults(history: &SoakHistory) -> Vec<(Instant, Instant)> {
+    let spans = history.daemon_faults.iter().chain(&history.worker_faults);
+    let spans = spans.chain(&history.store_faults);
+    let spans = spans.map(|span| {
+        (
+            span.from,
+            span.to.min(history.faults_ended_at.unwrap_or(span.to)),
+        )
+    });
+    let stops = history.planned_stops.iter();
+    spans
+        .chain(stops.map(|stop| (stop.from, stop.to)))
+        .collect()
+}
+
+/// Returns the parts of a time span that none of the given spans covers. A span without a
+/// duration divides the part that contains it.
+fn free_spans(
+    (from, to): (Instant, Instant),
+    mut covered: Vec<(Instant, Instant)>,
+) -> Vec<(Instant, Instant)> {
+    covered.sort_unstable();
+    let mut free = Vec::new();
+    let mut free_from = from;
+    for (covered_from, covered_to) in covered {
+        if free_from < covered_from.min(to) {
+            free.push((free_from, covered_from.min(to)));
+        }
+        free_from = free_from.max(covered_to);
+    }
+    if free_from < to {
+        free.push((free_from, to));
+    }
+    free
+}
+
 /// Checks that the runs of a task neither overlap nor follow a successful run.
 fn check_single_placement(history: &SoakHistory, broken: &mut Vec<BrokenPromise>) {
     let mut tasks: BTreeMap<(JobId, u32, u32), Vec<&RunRecord>> = BTreeMap::new();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -21,10 +21,14 @@
 pub struct JobRecord {
     /// Number of tasks of each step. A step starts after the previous one has completed.
     pub tasks_per_step: Vec<u32>,
+    /// Whether its tasks last: they run until the job is cancelled.
+    pub is_lasting: bool,
+    /// Time of the response that accepted the job.
+    pub accepted_at: Option<Instant>,
     /// Outcomes of the submit requests, in the order in which they were sent.
     pub outcomes: Vec<SubmitOutcome>,
-    /// Whether the caller has asked for a cancellation, whether or not it succeeded.
-    pub is_cancel_requested: bool,
+    /// Time at which the caller first asked for a cancellation, whether or not it succeeded.
+    pub cancel_requested_at: Option<Instant>,
     /// Whether a daemon responded with 410 (Gone) to a query for the job, which means that it
     /// does not exist. Only accepted jobs are queried.
     pub has_gone_response: bool,
@@ -78,10 +82,16 @@
     pub broken_requests: Vec<BrokenRequest>,
     /// Planned stops, from SIGTERM to the exit of the process.
     pub planned_stops: Vec<FaultSpan>,
-    /// Kills and pauses of daemons, and faults of their connections to the store.
+    /// Kills and pauses of daemons, and faults of their connections to the store. A kill for
+    /// good has no duration.
     pub daemon_faults: Vec<FaultSpan>,
-    /// Faults of the connections to workers, and late starts of tasks.
+    /// Faults of the connections to workers, late starts of tasks, restarts of workers, and
+    /// losses for good, which have no duration.
     pub worker_faults: Vec<FaultSpan>,
+    /// Faults of the store. Their index is 0.
+    pub store_faults: Vec<FaultSpan>,
+    /// Time at which all faults had ended, also those whose span is longer.
+    pub faults_ended_at: Option<Instant>,
     /// Daemons that went back to an older manifest: index of the daemon, version before
     /// and version after.
     pub manifest_reverts: Vec<(usize, u64, u64)>,
@@ -89,3 +99,10 @@
     /// all faults have ended.
     pub settled_at: Option<Instant>,
 }
+
+impl SoakHistory {
+    /// Returns whether this is a run of a task that lasts.
+    pub(crate) fn is_lasting(&self, run: &RunRecord) -> bool {
+        self.jobs.get(&run.task.0).is_some_and(|job| job.is_lasting)
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,12 +5,13 @@
 stand-ins from `platform/standin`, which the daemons reach through loopback proxies.
 While callers submit jobs, the run injects faults from outside the daemons:
 
-* processes are killed, stopped, paused and restarted;
+* processes are killed, stopped, paused and restarted, and a minority is killed for good;
 * connections are delayed, stalled in one or both directions, or reset;
 * the store refuses requests, drops responses and revokes leases;
-* workers execute starts late.
+* workers execute starts late, restart under their identifiers, and are lost for good.
 
-Faults overlap. The same seed and size give the same faults at the same times.
+Faults overlap. A run with tasks that last ends with the loss of workers together with a fault of
+the owner of the service. The same seed and size give the same faults at the same times.
 
 Callers and workers record what they observe in a [`SoakHistory`]. [`check_history`]
 returns the promises that the history breaks. A promise is a property that must hold
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -17,6 +17,8 @@
   --seconds N        time with load and faults of each run (20)
   --daemons N        daemons (4)
   --workers N        workers (8)
+  --lasting N        tasks that last, with losses for good and restarts of workers; 0 plays
+                     neither (as many as workers)
   --logs FOLDER      where settings and logs go (soak-logs below the temporary folder)
   --plan             prints the faults of the seeds and plays nothing
 ";
@@ -47,6 +49,7 @@
 }
 
 fn parse_options(arguments: &mut Arguments) -> Result<SoakOptions, SoakError> {
+    let workers = arguments.opt_value_from_str("--workers")?.unwrap_or(8);
     let output_root = arguments.opt_value_from_str("--logs")?;
     Ok(SoakOptions {
         daemon_path: arguments.value_from_str("--daemon")?,
@@ -54,7 +57,10 @@
         seed_count: arguments.opt_value_from_str("--seeds")?.unwrap_or(1),
         size: SoakSize {
             daemons: arguments.opt_value_from_str("--daemons")?.unwrap_or(4),
-            workers: arguments.opt_value_from_str("--workers")?.unwrap_or(8),
+            workers,
+            lasting_tasks: arguments
+                .opt_value_from_str("--lasting")?
+                .unwrap_or(workers),
             load_duration: Duration::from_secs(
                 arguments.opt_value_from_str("--seconds")?.unwrap_or(20),
             ),
@@ -87,10 +93,12 @@
         };
         let report = runtime.block_on(run.execute())?;
         println!(
-            "seed {seed}: {} jobs, {} accepted, {} runs, {} faults, {} promises broken",
+            "seed {seed}: {} jobs, {} accepted, {} runs, {} of tasks that last, {} faults, \
+             {} promises broken",
             report.submitted_jobs,
             report.accepted_jobs,
             report.task_runs,
+            report.lasting_runs,
             plan.len(),
             report.broken_promises.len()
         );
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -15,6 +15,17 @@
 /// Range of the duration of a fault.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..4_500;
 
+/// Time at the end of the load in which workers are lost together with the owner, and no other
+/// fault begins, so that the bound for tasks that last is not put off by other faults.
+const LOSS_TIME: Duration = Duration::from_secs(6);
+
+/// Range of the duration of a suspension or a cut of the owner that follows the loss of a worker.
+/// The lease of a daemon takes 2 s, so most of them change the owner.
+const OWNER_FAULT_MS: std::ops::Range<u64> = 2_000..6_000;
+
+/// Exclusive upper bound of the time from the loss of a worker to the fault of the owner.
+const MAX_OWNER_DELAY_MS: u64 = 1_500;
+
 /// Size of a run: its processes, its workers and its duration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SoakSize {
@@ -24,6 +35,26 @@
     pub workers: usize,
     /// Time during which jobs are submitted and faults are injected.
     pub load_duration: Duration,
+    /// Number of tasks that last until the end of the run. Without them, no worker is lost or
+    /// restarted, and no daemon is killed for good. Beside them and the other jobs, the workers
+    /// that are left need room for the tasks of those that are lost.
+    pub lasting_tasks: usize,
+}
+
+impl SoakSize {
+    /// Returns the maximum number of daemons that are killed for good: a minority.
+    const fn max_lost_daemons(&self) -> usize {
+        self.daemons.saturating_sub(1) / 2
+    }
+
+    /// Returns the maximum number of workers that are lost: a quarter, and at least one.
+    const fn max_lost_workers(&self) -> usize {
+        if self.workers < 8 {
+            1
+        } else {
+            self.workers / 4
+        }
+    }
 }
 
 /// How a proxy handles the bytes of its connections.
@@ -42,7 +73,8 @@
     Reset,
 }
 
-/// A fault. A `usize` is the index of a daemon or a worker.
+/// A fault. A `usize` is the index of a daemon or a worker, except where it is a rank: where
+/// tasks run and which daemon is the owner is known only when the fault begins.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SoakFault {
     /// SIGKILL to a daemon, and a restart at the end of the fault.
@@ -63,6 +95,21 @@
     LostAnswers(u32),
     /// The store revokes all leases at once.
     RevokedLeases,
+    /// SIGKILL to a daemon, without a restart.
+    LoseDaemon(usize),
+    /// SIGKILL to the owner of the service, without a restart.
+    LoseOwner,
+    /// SIGSTOP to the owner of the service, and SIGCONT at the end of the fault.
+    PauseOwner,
+    /// State of the connections of the owner of the service to the store.
+    OwnerStoreLink(LinkState),
+    /// A worker is lost for good: its runs end, it answers nothing, and its entry in the store
+    /// is removed after three heartbeats. The rank is that among the workers that are up, by
+    /// their tasks that last, the largest number first.
+    LoseWorker(usize, LinkState),
+    /// A worker is lost, and starts again under its identifier at the end of the fault. Ranks
+    /// are those of [`Self::LoseWorker`].
+    RestartWorker(usize),
     /// A worker executes its next two starts after this delay, without sending a response.
     LateStarts(usize, Duration),
     /// A new version of the manifest is published.
@@ -92,15 +139,85 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut faults = Vec::new();
     let mut at = WARM_UP_TIME;
+    let end = match size.lasting_tasks {
+        0 => size.load_duration,
+        _ => size.load_duration.saturating_sub(LOSS_TIME),
+    };
     loop {
         at += Duration::from_millis(rng.random_range(0..MAX_FAULT_GAP_MS));
-        if at >= size.load_duration {
-            return faults;
+        if at >= end {
+            break;
         }
         let lasts = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
         let fault = generate_fault(&mut rng, size);
         faults.push(PlannedFault { at, lasts, fault });
     }
+    if size.lasting_tasks > 0 {
+        faults.extend(generate_losses(&mut rng, size, end));
+        faults.sort_by_key(|planned| planned.at);
+    }
+    faults
+}
+
+/// Returns restarts and single losses before `end`, and after it the loss of workers together
+/// with a fault of the owner.
+fn generate_losses(rng: &mut impl Rng, size: &SoakSize, end: Duration) -> Vec<PlannedFault> {
+    let mut losses = Vec::new();
+    let mut push_loss = |at, lasts, fault| losses.push(PlannedFault { at, lasts, fault });
+    let early_ms = as_millis(WARM_UP_TIME)..as_millis(end.max(WARM_UP_TIME)) + 1;
+    let (mut daemons, mut workers) = (size.max_lost_daemons(), size.max_lost_workers());
+    for _ in 0..rng.random_range(0..3) {
+        let lasts = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        let rank = rng.random_range(0..size.workers);
+        let at = Duration::from_millis(rng.random_range(early_ms.clone()));
+        push_loss(at, lasts, SoakFault::RestartWorker(rank));
+    }
+    if workers > 1 && rng.random_bool(0.5) {
+        workers -= 1;
+        let at = Duration::from_millis(rng.random_range(early_ms.clone()));
+        let fault = SoakFault::LoseWorker(0, generate_loss_state(rng));
+        push_loss(at, Duration::ZERO, fault);
+    }
+    if daemons > 1 && rng.random_bool(0.5) {
+        daemons -= 1;
+        let at = Duration::from_millis(rng.random_range(early_ms));
+        let fault = SoakFault::LoseDaemon(rng.random_range(0..size.daemons));
+        push_loss(at, Duration::ZERO, fault);
+    }
+    let at = end.max(WARM_UP_TIME) + Duration::from_millis(rng.random_range(0..1_000));
+    for _ in 0..rng.random_range(1..=workers.min(3)) {
+        let fault = SoakFault::LoseWorker(0, generate_loss_state(rng));
+        push_loss(at, Duration::ZERO, fault);
+    }
+    let fault = match rng.random_range(0..4) {
+        0..=1 if daemons > 0 => SoakFault::LoseOwner,
+        0..=2 => SoakFault::PauseOwner,
+        _ => SoakFault::OwnerStoreLink(generate_cut_state(rng)),
+    };
+    let at = at + Duration::from_millis(rng.random_range(0..MAX_OWNER_DELAY_MS));
+    let lasts = Duration::from_millis(rng.random_range(OWNER_FAULT_MS));
+    push_loss(at, lasts, fault);
+    losses
+}
+
+fn as_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns how connections to a lost worker behave: its host is gone, or only its process.
+fn generate_loss_state(rng: &mut impl Rng) -> LinkState {
+    match rng.random_range(0..2) {
+        0 => LinkState::Silent,
+        _ => LinkState::Reset,
+    }
+}
+
+fn generate_cut_state(rng: &mut impl Rng) -> LinkState {
+    match rng.random_range(0..3) {
+        0 => LinkState::Silent,
+        1 => LinkState::AnswersSilent,
+        _ => LinkState::Reset,
+    }
 }
 
 fn generate_fault(rng: &mut impl Rng, size: &SoakSize) -> SoakFault {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     callers::{QUEUE_PREFIX, SoakCallers},
-    checks::{BrokenPromise, check_history},
+    checks::{BrokenPromise, CANCEL_TIME, RESTORE_BOUND, check_history},
     error::SoakError,
     history::{FaultSpan, JobId, RunRecord, SoakHistory, SubmitOutcome},
     plan::{LinkState, PlannedFault, SoakFault, SoakSize, generate_plan},
@@ -32,6 +32,26 @@
 /// Time between the submissions of two jobs.
 const JOB_INTERVAL: Duration = Duration::from_millis(60);
 
+/// The same in a run with tasks that last, which need the room.
+const SPARSE_JOB_INTERVAL: Duration = Duration::from_millis(120);
+
+/// Time from which jobs with tasks that last are submitted: the daemons have read the manifest.
+const LASTING_JOBS_AT: Duration = Duration::from_millis(1_500);
+
+/// Largest number of tasks of a job with tasks that last.
+const MAX_LASTING_COUNT: usize = 2;
+
+/// Time from the loss of a worker until the platform removes its entry: three check-in intervals
+/// of 1.5 s.
+const ENTRY_REMOVAL_DELAY: Duration = Duration::from_millis(4_500);
+
+/// Key of the entry that names the owner of the service.
+const OWNER_KEY: &str = "auburnsaddle/pub/owner/sales";
+
+/// Time after the last fault at which the jobs with tasks that last are cancelled. It covers
+/// the bound for their return.
+const LASTING_WATCH_TIME: Duration = RESTORE_BOUND.saturating_add(Duration::from_millis(500));
+
 /// Time between two checks for faults that start or end, jobs to submit and daemons that
 /// have exited.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -68,6 +88,8 @@
     pub accepted_jobs: usize,
     /// Number of runs of tasks on all workers.
     pub task_runs: usize,
+    /// Number of those of tasks that last.
+    pub lasting_runs: usize,
 }
 
 /// A daemon of the cell and the proxy between it and the store.
@@ -76,14 +98,54 @@
     proxy: LinkProxy,
     /// `None` from a kill to the restart.
     process: Option<DaemonProcess>,
+    /// Whether the daemon was killed for good.
+    is_lost: bool,
     /// Time at which SIGTERM was sent to the process, if it is shutting down.
     stop_requested_at: Option<Instant>,
 }
 
+/// Whether a worker runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WorkerStatus {
+    Up,
+    Restarting,
+    Lost,
+}
+
 /// A worker stand-in and the proxy between it and the daemons.
 struct WorkerHandle {
     worker: WorkerStandin,
     proxy: LinkProxy,
+    status: WorkerStatus,
+}
+
+impl WorkerHandle {
+    /// Writes the worker's entry to the store, with the address of the proxy.
+    fn register(&self, store: &StoreStandin) {
+        let address = self.proxy.address();
+        let (key, value) = self.worker.registration_with_address("sales", address);
+        store.write(&key, &value);
+    }
+
+    /// Starts the worker again if it is restarting, and reopens its connections unless it is
+    /// lost.
+    fn recover(&mut self, store: &StoreStandin) {
+        if self.status == WorkerStatus::Restarting {
+            self.worker.restart();
+            self.status = WorkerStatus::Up;
+            self.register(store);
+        }
+        if self.status == WorkerStatus::Up {
+            self.proxy.set(LinkState::Open);
+        }
+    }
+
+    /// Returns the number of tasks that last and run on the worker.
+    fn lasting_count(&self) -> usize {
+        let starts = self.worker.starts().into_iter();
+        let running = starts.filter(|start| start.is_lasting && start.ended.is_none());
+        running.count()
+    }
 }
 
 /// The processes, stand-ins and callers of one run, with its history.
@@ -124,9 +186,13 @@
         for index in 0..run.size.workers {
             let worker = WorkerStandin::start(&format!("worker-{index}"), TASK_RUN_TIME).await;
             let proxy = LinkProxy::start(worker.address()).await?;
-            let (key, value) = worker.registration_with_address("sales", proxy.address());
-            store.write(&key, &value);
-            workers.push(WorkerHandle { worker, proxy });
+            let handle = WorkerHandle {
+                worker,
+                proxy,
+                status: WorkerStatus::Up,
+            };
+            handle.register(&store);
+            workers.push(handle);
         }
         let mut cell = Self {
             callers: SoakCallers::new(run.size.daemons),
@@ -145,6 +211,7 @@
                 name: format!("daemon-{index}"),
                 proxy: LinkProxy::start(store_socket).await?,
                 process: None,
+                is_lost: false,
                 stop_requested_at: None,
             });
             cell.launch_daemon(index)?;
@@ -196,11 +263,17 @@
         let mut active_faults: Vec<(Duration, SoakFault)> = Vec::new();
         let mut next_job_at = Duration::ZERO;
         let mut id: JobId = 0;
+        let mut lasting_left = self.run.size.lasting_tasks;
+        let job_interval = match lasting_left {
+            0 => JOB_INTERVAL,
+            _ => SPARSE_JOB_INTERVAL,
+        };
         while started_at.elapsed() < self.run.size.load_duration {
             let now = started_at.elapsed();
             while let Some(planned) = upcoming.next_if(|planned| planned.at <= now) {
-                self.begin_fault(planned)?;
-                active_faults.push((planned.at + planned.lasts, planned.fault));
+                let fault = self.resolve_fault(planned.fault);
+                self.begin_fault(fault, planned.lasts)?;
+                active_faults.push((planned.at + planned.lasts, fault));
             }
             let (due, rest) = active_faults.into_iter().partition(|(end, _)| *end <= now);
             active_faults = rest;
@@ -209,28 +282,78 @@
             }
             self.relaunch_stopped().await?;
             while next_job_at <= now {
-                next_job_at += JOB_INTERVAL;
+                next_job_at += job_interval;
                 id += 1;
+                if lasting_left > 0 && now >= LASTING_JOBS_AT {
+                    let count = lasting_left.min(MAX_LASTING_COUNT);
+                    lasting_left -= count;
+                    let tasks_per_step = vec![u32::try_from(count).unwrap_or(1)];
+                    tokio::spawn(self.callers.clone().submit_job(id, tasks_per_step, true));
+                    continue;
+                }
                 let step_count = self.rng.random_range(1..3);
                 let tasks_per_step = (0..step_count).map(|_| self.rng.random_range(1..5));
                 let tasks_per_step = tasks_per_step.collect();
-                tokio::spawn(self.callers.clone().submit_job(id, tasks_per_step));
+                tokio::spawn(self.callers.clone().submit_job(id, tasks_per_step, false));
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
         Ok(())
     }
 
+    /// Replaces the owner and the rank of a worker by the index of a daemon or a worker.
+    fn resolve_fault(&self, fault: SoakFault) -> SoakFault {
+        match fault {
+            SoakFault::LoseOwner => SoakFault::LoseDaemon(self.find_owner()),
+            SoakFault::PauseOwner => SoakFault::Pause(self.find_owner()),
+            SoakFault::OwnerStoreLink(state) => SoakFault::StoreLink(self.find_owner(), state),
+            SoakFault::LoseWorker(rank, state) => {
+                SoakFault::LoseWorker(self.find_worker(rank), state)
+            }
+            SoakFault::RestartWorker(rank) => SoakFault::RestartWorker(self.find_worker(rank)),
+            _ => fault,
+        }
+    }
+
+    /// Returns the index of the daemon that owns the service, or of one that runs if the service
+    /// has no owner.
+    fn find_owner(&self) -> usize {
+        let owner = self.store.value(OWNER_KEY).unwrap_or_default();
+        let mut daemons = self.daemons.iter();
+        let owner = daemons.position(|handle| owner.ends_with(handle.name.as_bytes()));
+        let mut daemons = self.daemons.iter();
+        let running = || daemons.position(|handle| handle.process.is_some());
+        owner.or_else(running).unwrap_or(0)
+    }
+
+    /// Returns the index of the worker with this rank among those that are up, by their tasks
+    /// that last.
+    fn find_worker(&self, rank: usize) -> usize {
+        let workers = self.workers.iter().enumerate();
+        let workers = workers.filter(|(_, handle)| handle.status == WorkerStatus::Up);
+        let mut ranked: Vec<(usize, usize)> = workers
+            .map(|(index, handle)| (handle.lasting_count(), index))
+            .collect();
+        ranked.sort_unstable_by(|left, right| right.cmp(left));
+        let rank = rank % ranked.len().max(1);
+        ranked.get(rank).map_or(0, |(_, index)| *index)
+    }
+
     /// Injects a fault and records its span for the checks.
-    fn begin_fault(&mut self, planned: &PlannedFault) -> Result<(), SoakError> {
+    fn begin_fault(&mut self, fault: SoakFault, lasts: Duration) -> Result<(), SoakError> {
         let from = Instant::now();
         let span = |index: usize| FaultSpan {
             index,
             from,
             // The fault ends at the first poll after its duration.
-            to: from + planned.lasts + POLL_INTERVAL * 2,
+            to: from + lasts + POLL_INTERVAL * 2,
+        };
+        let moment = |index: usize| FaultSpan {
+            index,
+            from,
+            to: from,
         };
-        match planned.fault {
+        match fault {
             SoakFault::Kill(daemon) => self.kill_daemon(daemon, span(daemon)),
             SoakFault::KillAll => {
                 for daemon in 0..self.daemons.len() {
@@ -262,9 +385,30 @@
                 self.history.worker_faults.push(span(worker));
                 self.workers[worker].worker.delay_starts(2, late_by);
             }
-            SoakFault::StoreAway => self.store.set_unavailable(true),
-            SoakFault::LostAnswers(count) => self.store.drop_commit_responses(count),
-            SoakFault::RevokedLeases => self.store.revoke_leases(),
+            SoakFault::LoseDaemon(daemon) => {
+                self.daemons[daemon].is_lost = true;
+                self.kill_daemon(daemon, moment(daemon));
+            }
+            SoakFault::LoseWorker(worker, state) => {
+                self.history.worker_faults.push(moment(worker));
+                self.lose_worker(worker, WorkerStatus::Lost, state);
+            }
+            SoakFault::RestartWorker(worker) => {
+                self.history.worker_faults.push(span(worker));
+                self.lose_worker(worker, WorkerStatus::Restarting, LinkState::Reset);
+            }
+            SoakFault::StoreAway => {
+                self.history.store_faults.push(span(0));
+                self.store.set_unavailable(true);
+            }
+            SoakFault::LostAnswers(count) => {
+                self.history.store_faults.push(span(0));
+                self.store.drop_commit_responses(count);
+            }
+            SoakFault::RevokedLeases => {
+                self.history.store_faults.push(moment(0));
+                self.store.revoke_leases();
+            }
             SoakFault::Manifest => self.publish_manifest(),
             SoakFault::Hangup(daemon) => {
                 let handle = &self.daemons[daemon];
@@ -277,17 +421,35 @@
             SoakFault::Cancellations(percent) => {
                 for (id, job) in self.callers.jobs() {
                     let can_cancel = job.outcomes.contains(&SubmitOutcome::Accepted)
-                        && !job.is_cancel_requested
+                        && job.cancel_requested_at.is_none()
                         && job.state.is_none();
                     if can_cancel && self.rng.random_range(0..100) < percent {
                         tokio::spawn(self.callers.clone().cancel_job(id));
                     }
                 }
             }
+            // Resolved to a fault of the daemon that is the owner.
+            SoakFault::LoseOwner | SoakFault::PauseOwner | SoakFault::OwnerStoreLink(_) => {}
         }
         Ok(())
     }
 
+    /// Ends the runs of a worker and sets the state of its connections. The entry of a worker
+    /// that is lost for good is removed later.
+    fn lose_worker(&mut self, worker: usize, status: WorkerStatus, state: LinkState) {
+        let handle = &mut self.workers[worker];
+        handle.status = status;
+        handle.worker.lose();
+        handle.proxy.set(state);
+        if status == WorkerStatus::Lost {
+            let (store, key) = (self.store.clone(), handle.worker.registration_key());
+            tokio::spawn(async move {
+                tokio::time::sleep(ENTRY_REMOVAL_DELAY).await;
+                store.remove(&key);
+            });
+        }
+    }
+
     /// Kills a daemon by dropping its process.
     fn kill_daemon(&mut self, daemon: usize, span: FaultSpan) {
         self.history.daemon_faults.push(span);
@@ -312,18 +474,26 @@
                 }
             }
             SoakFault::StoreLink(daemon, _) => self.daemons[daemon].proxy.set(LinkState::Open),
-            SoakFault::WorkerLink(worker, _) => self.workers[worker].proxy.set(LinkState::Open),
+            SoakFault::WorkerLink(worker, _) => {
+                let handle = &self.workers[worker];
+                if handle.status == WorkerStatus::Up {
+                    handle.proxy.set(LinkState::Open);
+                }
+            }
+            SoakFault::RestartWorker(worker) => self.workers[worker].recover(&self.store),
             SoakFault::StoreAway => self.store.set_unavailable(false),
             _ => {}
         }
         Ok(())
     }
 
-    /// Launches a daemon that a fault has killed, unless it was launched since.
+    /// Launches a daemon that a fault has killed, unless it was launched since or is killed for
+    /// good.
     fn ensure_running(&mut self, daemon: usize) -> Result<(), SoakError> {
-        match self.daemons[daemon].process {
-            Some(_) => Ok(()),
-            None => self.launch_daemon(daemon),
+        let handle = &self.daemons[daemon];
+        match handle.process {
+            None if !handle.is_lost => self.launch_daemon(daemon),
+            _ => Ok(()),
         }
     }
 
@@ -348,13 +518,13 @@
         Ok(())
     }
 
-    /// Ends all faults and waits until all accepted jobs have ended, up to
-    /// [`FINISH_TIMEOUT`].
+    /// Ends all faults, cancels the jobs with tasks that last after [`LASTING_WATCH_TIME`], and
+    /// waits until all accepted jobs have ended, up to [`FINISH_TIMEOUT`].
     async fn finish_jobs(&mut self) -> Result<(), SoakError> {
         self.store.set_unavailable(false);
         self.store.drop_commit_responses(0);
-        for handle in &self.workers {
-            handle.proxy.set(LinkState::Open);
+        for handle in &mut self.workers {
+            handle.recover(&self.store);
         }
         for daemon in 0..self.daemons.len() {
             self.daemons[daemon].proxy.set(LinkState::Open);
@@ -364,16 +534,28 @@
             self.ensure_running(daemon)?;
         }
         let faults_ended_at = Instant::now();
+        self.history.faults_ended_at = Some(faults_ended_at);
         self.history.settled_at = Some(faults_ended_at + SETTLE_TIME);
+        let settle_time = match self.run.size.lasting_tasks {
+            0 => SETTLE_TIME,
+            _ => LASTING_WATCH_TIME + CANCEL_TIME,
+        };
+        let mut has_cancelled = false;
         while faults_ended_at.elapsed() < FINISH_TIMEOUT {
             self.relaunch_stopped().await?;
             let jobs = self.callers.jobs();
+            if !has_cancelled && faults_ended_at.elapsed() > LASTING_WATCH_TIME {
+                has_cancelled = true;
+                for (id, _) in jobs.iter().filter(|(_, job)| job.is_lasting) {
+                    tokio::spawn(self.callers.clone().cancel_job(*id));
+                }
+            }
             let open_jobs = jobs.iter().filter(|(_, job)| {
                 let has_ended = matches!(job.state.as_deref(), Some("completed" | "cancelled"));
                 job.outcomes.contains(&SubmitOutcome::Accepted) && !has_ended
             });
             let open_jobs: Vec<JobId> = open_jobs.map(|(id, _)| *id).collect();
-            if open_jobs.is_empty() && faults_ended_at.elapsed() > SETTLE_TIME {
+            if open_jobs.is_empty() && faults_ended_at.elapsed() > settle_time {
                 break;
             }
             for id in open_jobs {
@@ -403,7 +585,10 @@
         self.history.manifest_reverts = self.callers.manifest_reverts();
         let outcomes = self.history.jobs.values().map(|job| &job.outcomes);
         let accepted = outcomes.filter(|rows| rows.contains(&SubmitOutcome::Accepted));
+        let runs = self.history.runs.iter();
+        let lasting_runs = runs.filter(|run| self.history.is_lasting(run));
         SoakReport {
+            lasting_runs: lasting_runs.count(),
             accepted_jobs: accepted.count(),
             broken_promises: check_history(&self.history, TASKS_PER_WORKER),
             submitted_jobs: self.history.jobs.len(),
--- a/crates/soak/src/tests.rs
+++ b/crates/soak/src/tests.rs
@@ -8,8 +8,9 @@
 use serde_json::Value;
 
 use crate::{
-    BrokenRequest, FaultSpan, HOST, JobRecord, RunRecord, SoakHistory, SoakSize, SubmitOutcome,
-    check_history, generate_plan, process::write_settings, proxy::LinkProxy,
+    BrokenRequest, FaultSpan, HOST, JobRecord, PlannedFault, RunRecord, SoakFault, SoakHistory,
+    SoakSize, SubmitOutcome, check_history, generate_plan, process::write_settings,
+    proxy::LinkProxy,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -19,6 +20,7 @@
         daemons: 3,
         workers: 4,
         load_duration: Duration::from_secs(30),
+        lasting_tasks: 0,
     }
 }
 
@@ -152,6 +154,168 @@
     assert_eq!(repeated(true), BTreeSet::new());
 }
 
+/// Returns a valid history: a job with one task that lasts for 60 s on worker 0, which is lost
+/// after 20 s, and then on worker 1.
+fn lasting_history(start: Instant) -> SoakHistory {
+    let job = JobRecord {
+        tasks_per_step: vec![1],
+        is_lasting: true,
+        outcomes: vec![SubmitOutcome::Accepted],
+        accepted_at: Some(start),
+        cancel_requested_at: Some(start + SECOND * 60),
+        state: Some("cancelled".to_owned()),
+        ..JobRecord::default()
+    };
+    let run = |worker, from: u32, to: u32, end| RunRecord {
+        worker,
+        ended: Some((start + SECOND * to, end)),
+        ..run_record((1, 0, 0), start + SECOND * from, None)
+    };
+    SoakHistory {
+        jobs: [(1, job)].into(),
+        runs: vec![run(0, 1, 20, "lost"), run(1, 29, 60, "stopped")],
+        worker_faults: vec![fault_span(start, 0, 20, 20)],
+        faults_ended_at: Some(start + SECOND * 50),
+        settled_at: Some(start + SECOND * 62),
+        ..SoakHistory::default()
+    }
+}
+
+fn fault_span(start: Instant, index: usize, from: u32, to: u32) -> FaultSpan {
+    FaultSpan {
+        index,
+        from: start + SECOND * from,
+        to: start + SECOND * to,
+    }
+}
+
+/// Returns the promises that a history with a task that lasts breaks after `change`.
+fn broken_lasting_promises(
+    change: impl FnOnce(&mut SoakHistory, Instant),
+) -> BTreeSet<&'static str> {
+    broken_promises(|history, start| {
+        *history = lasting_history(start);
+        change(history, start);
+    })
+}
+
+/// Guards against a check of tasks that last that misses one without a run for longer than 10 s
+/// after the last fault: the task comes back late, begins late, or does not come back.
+#[test]
+fn lasting_task_without_a_run_is_detected() {
+    let valid = broken_lasting_promises(|_, _| {});
+    let late_return = broken_lasting_promises(|history, start| {
+        history.runs[1].began_at = start + SECOND * 31;
+    });
+    let late_begin = broken_lasting_promises(|history, start| {
+        history.runs[0].began_at = start + SECOND * 11;
+    });
+    let no_return = broken_lasting_promises(|history, _| {
+        history.runs.pop();
+    });
+    let completed = broken_lasting_promises(|history, _| {
+        history.jobs.get_mut(&1).unwrap().state = Some("completed".to_owned());
+    });
+
+    assert_eq!(valid, BTreeSet::new());
+    assert_eq!(late_return, only("a lasting task is at work"));
+    assert_eq!(late_begin, only("a lasting task is at work"));
+    assert_eq!(no_return, only("a lasting task is at work"));
+    assert_eq!(
+        completed,
+        ["accepted work is kept", "completed work is done"].into()
+    );
+}
+
+/// Guards against a check of tasks that last that ignores the end of a suspension, or that takes
+/// a kill for good, an earlier fault or the time after all faults for a disturbance that lasts.
+#[test]
+fn lasting_task_is_owed_from_the_last_fault() {
+    let return_after = |seconds: u32, spans: &[(u32, u32)]| {
+        broken_lasting_promises(|history, start| {
+            history.runs[1].began_at = start + SECOND * seconds;
+            let spans = spans.iter();
+            let spans = spans.map(|(from, to)| fault_span(start, 1, *from, *to));
+            history.daemon_faults.extend(spans);
+        })
+    };
+
+    assert_eq!(return_after(35, &[(21, 26)]), BTreeSet::new());
+    assert_eq!(
+        return_after(37, &[(21, 26)]),
+        only("a lasting task is at work")
+    );
+    assert_eq!(
+        return_after(32, &[(21, 21)]),
+        only("a lasting task is at work")
+    );
+    assert_eq!(
+        return_after(31, &[(2, 19)]),
+        only("a lasting task is at work")
+    );
+    assert_eq!(return_after(59, &[(20, 70)]), BTreeSet::new());
+    assert_eq!(
+        return_after(59, &[(20, 48)]),
+        only("a lasting task is at work")
+    );
+}
+
+/// Guards against a check that counts the run of a lost worker as running, and against one that
+/// misses a second run of a task that lasts.
+#[test]
+fn second_run_of_a_lasting_task_is_detected() {
+    let after_loss = broken_lasting_promises(|history, start| {
+        history.runs[1].began_at = start + SECOND * 20;
+    });
+    let before_loss = broken_lasting_promises(|history, start| {
+        history.runs[1].began_at = start + SECOND * 19;
+    });
+
+    assert_eq!(after_loss, BTreeSet::new());
+    assert_eq!(before_loss, only("a task runs in one place"));
+}
+
+/// Guards against plans that lose a majority of the daemons or too many workers, that lack the
+/// loss of a worker shortly before a fault of the owner, or that have losses without tasks
+/// that last, which would change the plans of former seeds.
+#[test]
+fn plan_with_lasting_tasks_has_bounded_losses() {
+    let size = SoakSize {
+        daemons: 5,
+        workers: 8,
+        lasting_tasks: 8,
+        ..soak_size()
+    };
+    let is_worker_loss = |row: &&PlannedFault| matches!(row.fault, SoakFault::LoseWorker(..));
+    let is_owner_fault = |row: &&PlannedFault| {
+        matches!(
+            row.fault,
+            SoakFault::LoseOwner | SoakFault::PauseOwner | SoakFault::OwnerStoreLink(_)
+        )
+    };
+    let is_daemon_loss =
+        |row: &&PlannedFault| matches!(row.fault, SoakFault::LoseOwner | SoakFault::LoseDaemon(_));
+
+    for seed in 0..200 {
+        let plan = generate_plan(seed, &size);
+        let former = generate_plan(
+            seed,
+            &SoakSize {
+                lasting_tasks: 0,
+                ..size
+            },
+        );
+
+        let owner_fault = plan.iter().find(is_owner_fault).unwrap();
+        let latest_loss = plan.iter().rfind(is_worker_loss).unwrap();
+        assert!(owner_fault.at < latest_loss.at + SECOND * 3 / 2, "{seed}");
+        assert!(plan.iter().filter(is_worker_loss).count() <= 2, "{seed}");
+        assert!(plan.iter().filter(is_daemon_loss).count() <= 2, "{seed}");
+        assert!(!former.iter().any(|row| is_worker_loss(&row)), "{seed}");
+        assert!(!former.iter().any(|row| is_daemon_loss(&row)), "{seed}");
+    }
+}
+
 /// Guards against a check of the capacity that misses an overloaded worker.
 #[test]
 fn overloaded_worker_is_detected() {
@@ -187,7 +351,7 @@
     let cancel = |history: &mut SoakHistory| {
         let job = history.jobs.get_mut(&1).unwrap();
         job.state = Some("cancelled".to_owned());
-        job.is_cancel_requested = true;
+        job.cancel_requested_at = history.runs.first().map(|run| run.began_at);
     };
     let all_stopped = broken_promises(|history, _| cancel(history));
     let still_running = broken_promises(|history, _| {
