--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -43,6 +43,7 @@
 mod schedule;
 mod spec;
 mod state;
+mod takeover;
 #[cfg(test)]
 mod tests;
 mod wait;
@@ -56,9 +57,10 @@
 pub use messages::{LossCause, PipelineNote, StartResult, StopOrder, WorkerListing};
 pub use progress::{PipelinePhase, PipelineProgress, StepProgress, TaskPlace, TaskProgress};
 pub use requests::SLOW_DECISION_MS;
-pub use schedule::PipelineConfig;
+pub use schedule::{PipelineConfig, UNCONFIRMED_RENEWAL_TIME};
 pub use spec::QueuePolicy;
 pub use spec::{AdvicePolicy, MAX_OPEN_TASKS, PipelineId, PipelineSchedule, PipelineSpec};
 pub use spec::{RunKey, StepKey, StepSpec, TaskKey, TaskKeyError};
-pub use state::{MAX_PREDECESSOR_TIME, PipelineLoad, PipelineState};
+pub use state::{PipelineLoad, PipelineState};
+pub use takeover::MAX_PREDECESSOR_TIME;
 pub use wait::StepWait;
