Lose up to a minority of the daemons for good in a soak run (LOST)

Before, a run lost at most two daemons of any number, so that a majority of the daemons that confirm an owner was hardly ever close.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -178,11 +178,15 @@
         let fault = SoakFault::LoseWorker(0, generate_loss_state(rng));
         push_loss(at, Duration::ZERO, fault);
     }
-    if daemons > 1 && rng.random_bool(0.5) {
-        daemons -= 1;
-        let at = Duration::from_millis(rng.random_range(early_ms));
-        let fault = SoakFault::LoseDaemon(rng.random_range(0..size.daemons));
-        push_loss(at, Duration::ZERO, fault);
+    if daemons > 1 {
+        // One is left for the owner.
+        let count = rng.random_range(0..daemons);
+        daemons -= count;
+        for _ in 0..count {
+            let at = Duration::from_millis(rng.random_range(early_ms.clone()));
+            let fault = SoakFault::LoseDaemon(rng.random_range(0..size.daemons));
+            push_loss(at, Duration::ZERO, fault);
+        }
     }
     let at = end.max(WARM_UP_TIME) + Duration::from_millis(rng.random_range(0..1_000));
     for _ in 0..rng.random_range(1..=workers.min(3)) {
--- a/crates/soak/src/tests.rs
+++ b/crates/soak/src/tests.rs
@@ -281,7 +281,7 @@
 #[test]
 fn plan_with_lasting_tasks_has_bounded_losses() {
     let size = SoakSize {
-        daemons: 5,
+        daemons: 9,
         workers: 8,
         lasting_tasks: 8,
         ..soak_size()
@@ -310,7 +310,7 @@
         let latest_loss = plan.iter().rfind(is_worker_loss).unwrap();
         assert!(owner_fault.at < latest_loss.at + SECOND * 3 / 2, "{seed}");
         assert!(plan.iter().filter(is_worker_loss).count() <= 2, "{seed}");
-        assert!(plan.iter().filter(is_daemon_loss).count() <= 2, "{seed}");
+        assert!(plan.iter().filter(is_daemon_loss).count() <= 4, "{seed}");
         assert!(!former.iter().any(|row| is_worker_loss(&row)), "{seed}");
         assert!(!former.iter().any(|row| is_daemon_loss(&row)), "{seed}");
     }
