--- a/crates/daemon/src/pipelines/tests/sessions.rs
+++ b/crates/daemon/src/pipelines/tests/sessions.rs
@@ -2,15 +2,23 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use auburnsaddle_core::{MAX_PREDECESSOR_TIME, PipelineEvent};
-use auburnsaddle_platform::StoreItem;
+use auburnsaddle_core::{
+    MAX_PREDECESSOR_TIME, PipelineAction, PipelineEvent, RenewalReport, ResourceVector,
+    WorkerListing,
+};
+use auburnsaddle_platform::{StoreItem, TransactionOutcome};
+use auburnsaddle_platform_standin::StoreStandin;
 
 use super::{cancelled_job, empty_shard, service_id, session, shard_with};
 use crate::{
     pipelines::{
-        CellKey, DaemonRegistration, LoadedShard, decode_value, encode_value,
+        AcquireOutcome, CellKey, DaemonRegistration, LoadedShard, acquire_shard, decode_value,
+        encode_value,
+        records::SequenceEntry,
         sessions::{OwnerSession, PredecessorList},
+        shard::OwnedShard,
     },
+    session::{CellStore, StoreRoute},
     witness::{EXTENSION_END_DELAY, WitnessEntry, WitnessList},
 };
 
@@ -117,7 +125,11 @@
             ..empty_shard()
         });
         if is_registered {
-            shard.update_predecessors(&registrations(&[("edge-1", 31)]));
+            let mut registrations = registrations(&[("edge-1", 31)]);
+            for registration in registrations.values_mut() {
+                registration.seen_at = now;
+            }
+            shard.update_predecessors(&registrations);
         }
         shard.handle(PipelineEvent::Cancelled(1), now);
         let transaction = shard.next_commit(now).unwrap();
@@ -189,10 +201,11 @@
     predecessors.record_told("edge-0", told_at(0));
     predecessors.record_told("edge-0", told_at(1));
     predecessors.record_told("edge-9", told_at(1));
-    let minority = predecessors.ended_at(TAKEN_OVER_AT);
+    predecessors.record_told("edge-4", told_at(1));
+    let half = predecessors.ended_at(TAKEN_OVER_AT);
     predecessors.record_told("edge-3", told_at(2));
 
-    assert_eq!((untold, minority), (4, None));
+    assert_eq!((untold, half), (4, None));
     let ended_at = predecessors.ended_at(TAKEN_OVER_AT);
     assert_eq!(ended_at, Some(told_at(2) + EXTENSION_END_DELAY));
 }
@@ -244,3 +257,218 @@
     assert!(early.is_none());
     assert_eq!(written, Some(vec![present]));
 }
+
+/// Guards against a predecessor that is waited for by time although its witnesses are known: the owner
+/// removes its list from the store while the store still lists its ownership.
+#[test]
+fn each_recorded_ownership_keeps_its_witnesses() {
+    let sessions = [session("edge-1", 1, 10), session("edge-2", 2, 0)];
+    let lists = [witness_list(1, &["edge-3"]), witness_list(2, &["edge-4"])];
+    let item = sessions_item(&sessions, 30);
+    let witnesses = StoreItem {
+        key: CellKey::Witnesses(service_id()).path(),
+        value: encode_value(&lists.as_slice()),
+        revision: 30,
+    };
+    let predecessors = PredecessorList::read(Some(&item), Some(&witnesses), 2, "edge-0");
+    let recorded = predecessors.followed_by(&session("edge-0", 3, 0));
+    let mut shard = shard_with(LoadedShard {
+        predecessors,
+        witnesses: witness_list(3, &[]),
+        ..empty_shard()
+    });
+
+    shard.record_told("edge-3", Duration::ZERO);
+    shard.set_witnesses(witness_list(3, &["edge-3"]).entries, Duration::ZERO);
+    let transaction = shard.next_commit(Duration::from_secs(1)).unwrap();
+
+    let written = |key: CellKey| {
+        let mut puts = transaction.puts.iter();
+        let put = puts.find(|(put_key, ..)| *put_key == key.path());
+        put.map(|(_, value, _)| value.clone())
+    };
+    let sessions = written(CellKey::Sessions(service_id()));
+    let sessions = sessions.map_or(recorded, |value| decode_value("own", &value).unwrap());
+    let lists = written(CellKey::Witnesses(service_id())).unwrap();
+    let lists: Vec<WitnessList> = decode_value("wit", &lists).unwrap();
+    let epochs = |sessions: &[OwnerSession]| -> Vec<u64> {
+        sessions.iter().map(|session| session.epoch).collect()
+    };
+    let listed: Vec<u64> = lists.iter().map(|list| list.epoch).collect();
+    assert_eq!(listed, epochs(&sessions));
+}
+
+/// Guards against an owner that asks other witnesses than its successor: the store has carried out an
+/// earlier takeover of the same daemon late, which had other witnesses.
+#[tokio::test]
+async fn the_witnesses_of_a_takeover_are_those_in_the_store() {
+    let standin = StoreStandin::start().await;
+    let store = CellStore::new(StoreRoute::new(&standin.address()));
+    let lease = store.grant_lease(Duration::from_secs(30)).await.unwrap();
+    let take_over = |witness: &str| {
+        let entries = witness_list(1, &[witness]).entries;
+        acquire_shard(&store, service_id(), "edge-0", lease, 0, entries)
+    };
+
+    // The first one gets no answer in time; its transaction arrives after the reads of the second.
+    let (_, second) = tokio::join!(take_over("edge-1"), take_over("edge-2"));
+    let key = CellKey::Witnesses(service_id()).path();
+    let item = store.read(&key).await.unwrap().unwrap();
+    let stored: Vec<WitnessList> = decode_value(&item.key, &item.value).unwrap();
+
+    // A takeover that fails is correct as well.
+    if let AcquireOutcome::Acquired(loaded) = second {
+        assert_eq!(stored, [loaded.witnesses]);
+    }
+}
+
+/// Guards against a successor that tells the former witnesses of its predecessor: the predecessor's
+/// last commit, which changes them, is carried out between the reads of the takeover.
+#[tokio::test]
+async fn the_witnesses_of_a_takeover_are_those_of_its_sequence() {
+    let standin = StoreStandin::start().await;
+    let store = CellStore::new(StoreRoute::new(&standin.address()));
+    let lease = store.grant_lease(Duration::from_secs(30)).await.unwrap();
+    let write = |key: CellKey, value: Vec<u8>| {
+        standin.write_text(&key.path(), &String::from_utf8(value).unwrap());
+    };
+    let commit = |witness: &str, commit: u64| {
+        let lists = [witness_list(1, &[witness])];
+        let witnesses = encode_value(&lists.as_slice());
+        write(CellKey::Witnesses(service_id()), witnesses);
+        let sequence = encode_value(&SequenceEntry { epoch: 1, commit });
+        write(CellKey::Sequence(service_id()), sequence);
+    };
+    let sessions = encode_value(&[session("edge-1", 1, 0)].as_slice());
+    write(CellKey::Sessions(service_id()), sessions);
+    commit("edge-2", 0);
+
+    let key = CellKey::Witnesses(service_id()).path();
+    let change = async {
+        while standin.transfers(&key) == 0 {
+            tokio::task::yield_now().await;
+        }
+        commit("edge-3", 1);
+    };
+    let take_over = acquire_shard(&store, service_id(), "edge-0", lease, 0, Vec::new());
+    let (outcome, ()) = tokio::join!(take_over, change);
+
+    // A takeover that fails is correct as well.
+    if let AcquireOutcome::Acquired(loaded) = outcome {
+        let told = loaded.predecessors.untold_witnesses();
+        assert_eq!(told, witness_list(1, &["edge-3"]).entries);
+    }
+}
+
+/// Guards against a successor that counts from a time at which an earlier owner still extends leases:
+/// the owner removes it from the store as soon as its witnesses are told, and restarts at once.
+#[test]
+fn an_ownership_is_recorded_until_it_extends_no_lease() {
+    let lists = [witness_list(5, &["edge-3"])];
+    let now = Duration::from_secs(1);
+    let mut shard = shard_with(LoadedShard {
+        predecessors: witnessed_predecessors(&[session("edge-1", 5, 0)], &lists),
+        jobs: vec![cancelled_job()],
+        ..empty_shard()
+    });
+    let written = |shard: &mut OwnedShard, now: Duration| {
+        let transaction = shard.next_commit(now)?;
+        let key = CellKey::Sessions(service_id()).path();
+        let mut puts = transaction.puts.into_iter();
+        puts.find(|(put_key, ..)| *put_key == key)
+    };
+
+    shard.record_told("edge-3", now);
+    shard.handle(PipelineEvent::Cancelled(1), now);
+    let early = written(&mut shard, now);
+
+    assert_eq!(early, None);
+}
+
+/// Returns whether the next renewal of the worker extends its lease.
+fn extends_lease(shard: &mut OwnedShard, now: Duration) -> bool {
+    let report = RenewalReport {
+        started_unix_ms: 1,
+        clock_ms: u64::try_from(now.as_millis()).unwrap(),
+        running: Vec::new(),
+        ended: Vec::new(),
+        has_more_ends: false,
+    };
+    let event = PipelineEvent::LeaseRenewed("w1".into(), now, report);
+    let actions = shard.handle(event, now);
+    let mut renewals = actions.iter().filter_map(|action| match action {
+        PipelineAction::Renew(order) => Some(order.deadline_ms.is_some()),
+        _ => None,
+    });
+    renewals.next().unwrap()
+}
+
+/// Returns a shard with this witness and one worker, confirmed by the store at time zero.
+fn witnessed_shard(witness: &str) -> OwnedShard {
+    let mut shard = shard_with(LoadedShard {
+        witnesses: witness_list(3, &[witness]),
+        ..empty_shard()
+    });
+    let confirmed_until = Duration::from_secs(2);
+    shard.confirm_by_store(Duration::ZERO, confirmed_until);
+    let listing = WorkerListing {
+        worker: "w1".into(),
+        address: "w1:1".to_owned(),
+        capacity: ResourceVector::default(),
+        labels: Vec::new(),
+        rack: None,
+        is_draining: false,
+        leaves_in: None,
+    };
+    let events = [
+        PipelineEvent::OwnershipConfirmed(confirmed_until),
+        PipelineEvent::Listed(listing),
+    ];
+    for event in events {
+        shard.handle(event, Duration::ZERO);
+    }
+    shard
+}
+
+/// Guards against leases that are extended long after the store has confirmed the ownership, and
+/// against the end of all runs in an outage of the store.
+#[test]
+fn leases_are_extended_while_the_store_or_a_witness_confirms() {
+    let mut shard = witnessed_shard("edge-1");
+    let [confirmed, silent, witnessed] = [500, 1_500, 2_500].map(Duration::from_millis);
+
+    let early_notices = shard.due_notices(confirmed);
+    let by_store = extends_lease(&mut shard, confirmed);
+    let notices = shard.due_notices(silent);
+    let repeated = shard.due_notices(silent);
+    let unconfirmed = extends_lease(&mut shard, silent);
+    shard.confirm_by_witness("edge-1", 10, silent * 3 / 2);
+    let by_witness = extends_lease(&mut shard, witnessed);
+
+    assert!(early_notices.is_empty() && repeated.is_empty());
+    assert!(notices.contains_key("edge-1"));
+    assert_eq!((by_store, unconfirmed, by_witness), (true, false, true));
+}
+
+/// Guards against extensions that a successor does not know of, as it reads the witnesses of a commit
+/// whose outcome the owner does not know.
+#[test]
+fn a_change_of_the_witnesses_binds_when_it_is_sent() {
+    let mut shard = witnessed_shard("edge-1");
+    let [sent_at, asked_at, now] = [1_100, 2_000, 2_500].map(Duration::from_millis);
+
+    shard.set_witnesses(witness_list(3, &["edge-2"]).entries, Duration::ZERO);
+    shard.next_commit(sent_at);
+    shard.confirm_by_witness("edge-1", 10, asked_at);
+    let by_former = extends_lease(&mut shard, now);
+    shard.confirm_by_witness("edge-2", 10, asked_at);
+    let by_both = extends_lease(&mut shard, now);
+    shard.finish_commit(&TransactionOutcome::Done(41), now);
+    shard.confirm_by_witness("edge-1", 10, now);
+    let by_former_later = extends_lease(&mut shard, now + Duration::from_millis(500));
+    shard.confirm_by_witness("edge-2", 10, now);
+    let by_present = extends_lease(&mut shard, now + Duration::from_millis(500));
+
+    assert_eq!((by_former, by_both), (false, true));
+    assert_eq!((by_former_later, by_present), (false, true));
+}
