Reproduce the wait for an owner that had no witnesses (LOST)

All daemons were killed and restarted; daemon-0 owned the service at 8.57 s with itself as the only registered daemon, the others registered from 9.56 s on, and it was killed for good within about 0.1 s. Its successor logged have_predecessors_ended false and lapses_in_ms 17396.

--- a/crates/daemon/tests/lost_owners.rs
+++ b/crates/daemon/tests/lost_owners.rs
@@ -268,3 +268,20 @@
     assert_eq!(before.len(), TASK_COUNT);
     assert_eq!(cell.task_starts(), before);
 }
+
+/// Guards against tasks that stay away because the lost owner had no witnesses: it had taken over
+/// before any other daemon was registered, as after a restart of all daemons.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_return_after_an_owner_without_witnesses_is_lost() {
+    let (mut cell, owner) = start_lasting_cell(1).await;
+
+    lose_workers(&cell, 1);
+    tokio::time::sleep(OWNER_LOSS_DELAY).await;
+    kill(&mut cell, owner);
+    cell.launch("daemon-1");
+    cell.launch("daemon-2");
+    let last_event = Instant::now();
+    let restored = watch_until_restored(&cell, last_event).await;
+
+    assert_restored(&cell, "owner without witnesses", last_event, restored);
+}
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -6,17 +6,29 @@
 
 use auburnsaddle_soak::{SoakReport, SoakRun, SoakSize};
 
-async fn run_soak(seed: u64, daemons: usize, seconds: u64, lasting_tasks: usize) -> SoakReport {
+fn soak_size(daemons: usize, workers: usize, seconds: u64) -> SoakSize {
+    SoakSize {
+        daemons,
+        workers,
+        load_duration: Duration::from_secs(seconds),
+        lasting_tasks: 0,
+    }
+}
+
+/// Returns a size with as many tasks that last as workers.
+fn lasting_size(daemons: usize, workers: usize, seconds: u64) -> SoakSize {
+    SoakSize {
+        lasting_tasks: workers,
+        ..soak_size(daemons, workers, seconds)
+    }
+}
+
+async fn run_soak(seed: u64, size: SoakSize) -> SoakReport {
     let run = SoakRun {
         daemon_path: PathBuf::from(env!("CARGO_BIN_EXE_auburnsaddled")),
         output_dir: std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id())),
         seed,
-        size: SoakSize {
-            daemons,
-            workers: 6,
-            load_duration: Duration::from_secs(seconds),
-            lasting_tasks,
-        },
+        size,
     };
     run.execute().await.unwrap()
 }
@@ -24,7 +36,7 @@
 /// Guards against violated guarantees under overlapping faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_short_run_violates_no_guarantee() {
-    let report = run_soak(1, 3, 10, 0).await;
+    let report = run_soak(1, soak_size(3, 6, 10)).await;
 
     assert_eq!(report.broken_promises, Vec::new());
     assert!(report.accepted_jobs > 0 && report.task_runs >= report.accepted_jobs);
@@ -34,8 +46,17 @@
 /// of the owner for good.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_short_run_with_losses_violates_no_guarantee() {
-    let report = run_soak(9, 3, 14, 6).await;
+    let report = run_soak(9, lasting_size(3, 6, 14)).await;
 
     assert_eq!(report.broken_promises, Vec::new());
     assert!(report.lasting_runs > 6, "no task was at the lost worker");
 }
+
+/// Guards against tasks that last and stay away for the longest time if the lost owner has taken
+/// over before any other daemon was registered again: it has no witnesses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_loss_of_an_owner_without_witnesses_violates_no_guarantee() {
+    let report = run_soak(122_050, lasting_size(4, 8, 14)).await;
+
+    assert_eq!(report.broken_promises, Vec::new());
+}
