--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -108,6 +108,7 @@
     let witnesses = WitnessList {
         epoch,
         entries: witnesses,
+        is_alone: false,
     };
     let session = OwnerSession {
         daemon: daemon.to_owned(),
@@ -164,7 +165,7 @@
             loaded.predecessors = predecessors;
             loaded.witnesses = witnesses.unwrap_or(WitnessList {
                 epoch,
-                entries: Vec::new(),
+                ..WitnessList::default()
             });
             return AcquireOutcome::Acquired(Box::new(loaded));
         }
--- a/crates/daemon/src/pipelines/sessions.rs
+++ b/crates/daemon/src/pipelines/sessions.rs
@@ -124,8 +124,10 @@
     pub(crate) fn record_told(&mut self, daemon: &str, at: Duration) {
         self.told_at.entry(daemon.to_owned()).or_insert(at);
         let told_at = |entry: &WitnessEntry| self.told_at.get(&entry.daemon).copied();
+        // The first to be told is the successor itself, at its takeover.
+        let taken_over_at = self.told_at.values().copied().min().unwrap_or(at);
         let fenced = self.witnesses.iter().filter_map(|list| {
-            let fenced_at = list.fenced_at(told_at)?;
+            let fenced_at = list.fenced_at(taken_over_at, told_at)?;
             Some((list.epoch, fenced_at + EXTENSION_END_DELAY))
         });
         let fenced: BTreeMap<Epoch, Duration> = fenced.collect();
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -24,7 +24,7 @@
 };
 use crate::{
     job_table::JobSummary,
-    witness::{ExtensionPermit, WitnessEntry},
+    witness::{ExtensionPermit, WitnessEntry, WitnessList},
 };
 
 /// Size of a record in bytes above which it takes no further job.
@@ -36,6 +36,10 @@
 /// How long a change of the witnesses waits for a commit of progress before it is committed alone.
 const WITNESS_CHANGE_DELAY: Duration = Duration::from_secs(1);
 
+/// Time without other daemons after which an owner extends leases without witnesses. Longer than
+/// the others need to register after a restart of all daemons.
+const ALONE_DELAY: Duration = Duration::from_secs(10);
+
 /// Settings of an owned service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ShardSettings {
@@ -131,9 +135,9 @@
     known_end: Option<Duration>,
     taken_over_at: Duration,
     permit: ExtensionPermit,
-    /// The present witnesses, and since when the store holds others.
+    /// The present witnesses, and since when they are.
     present_witnesses: Vec<WitnessEntry>,
-    witnesses_changed_at: Option<Duration>,
+    present_since: Duration,
     /// Earliest time of the next announcements to witnesses.
     next_notices_at: Duration,
 }
@@ -165,7 +169,7 @@
             taken_over_at: now,
             present_witnesses: loaded.witnesses.entries.clone(),
             permit: ExtensionPermit::new(loaded.witnesses),
-            witnesses_changed_at: None,
+            present_since: now,
             next_notices_at: now,
         };
         for job in loaded.jobs {
@@ -284,19 +288,23 @@
 
     /// Sets the present witnesses, which a coming commit records.
     pub(crate) fn set_witnesses(&mut self, entries: Vec<WitnessEntry>, now: Duration) {
-        self.present_witnesses = entries;
-        let is_changed = self.permit.latest_list().entries != self.present_witnesses;
-        self.witnesses_changed_at = match self.witnesses_changed_at {
-            known @ Some(_) if is_changed => known,
-            _ => is_changed.then_some(now),
-        };
+        if self.present_witnesses != entries {
+            self.present_witnesses = entries;
+            self.present_since = now;
+        }
+    }
+
+    /// Returns the list of the present witnesses if the store holds another one.
+    fn changed_witnesses(&self, now: Duration) -> Option<WitnessList> {
+        let is_alone = self.present_witnesses.is_empty() && now >= self.present_since + ALONE_DELAY;
+        self.permit.changed_list(&self.present_witnesses, is_alone)
     }
 
     /// Returns whether a change of the witnesses has waited long enough for other changes.
     pub(crate) fn is_witness_change_due(&self, now: Duration) -> bool {
-        let changed_at = self.witnesses_changed_at;
         self.pending.is_none()
-            && changed_at.is_some_and(|changed_at| now >= changed_at + WITNESS_CHANGE_DELAY)
+            && now >= self.present_since + WITNESS_CHANGE_DELAY
+            && self.changed_witnesses(now).is_some()
     }
 
     /// Returns whether all ownerships before the present one have ended.
@@ -406,7 +414,7 @@
             let sessions = encode_value(&slice::from_ref(&self.session));
             transaction.puts.push((sessions_key, sessions, 0));
         }
-        self.add_witness_change(&mut transaction);
+        self.add_witness_change(&mut transaction, now);
         let truncated = self.log.superseded_records(free_entries(&transaction));
         let numbers = truncated.iter();
         let record_keys =
@@ -425,8 +433,8 @@
     }
 
     /// Adds the present witnesses to the transaction if the store holds others.
-    fn add_witness_change(&mut self, transaction: &mut StoreTransaction) {
-        let Some(list) = self.permit.changed_list(&self.present_witnesses) else {
+    fn add_witness_change(&mut self, transaction: &mut StoreTransaction, now: Duration) {
+        let Some(list) = self.changed_witnesses(now) else {
             return;
         };
         let lists = if self.is_only_session {
@@ -437,7 +445,6 @@
         let key = CellKey::Witnesses(self.service.clone()).path();
         transaction.puts.push((key, encode_value(&lists), 0));
         self.permit.begin_change(list);
-        self.witnesses_changed_at = None;
         self.apply_permit();
     }
 
--- a/crates/daemon/src/pipelines/tests/sessions.rs
+++ b/crates/daemon/src/pipelines/tests/sessions.rs
@@ -175,6 +175,7 @@
     WitnessList {
         epoch,
         entries: entries.collect(),
+        is_alone: false,
     }
 }
 
@@ -472,3 +473,25 @@
     assert_eq!((by_former, by_both), (false, true));
     assert_eq!((by_former_later, by_present), (false, true));
 }
+
+/// Guards against the end of all runs in an outage of the store at the only daemon, and against a
+/// successor that waits for an owner which was alone for a moment after a restart of all daemons.
+#[test]
+fn an_owner_records_that_it_is_alone_after_a_while() {
+    let mut shard = shard_with(LoadedShard {
+        witnesses: witness_list(3, &[]),
+        ..empty_shard()
+    });
+
+    let early = shard.next_commit(Duration::from_millis(9_900));
+    let transaction = shard.next_commit(Duration::from_secs(10)).unwrap();
+
+    let key = CellKey::Witnesses(service_id()).path();
+    let mut puts = transaction.puts.into_iter();
+    let written = puts.find(|(put_key, ..)| *put_key == key);
+    let written =
+        written.and_then(|(key, value, _)| decode_value::<Vec<WitnessList>>(&key, &value));
+    let is_alone: Vec<bool> = written.unwrap().iter().map(|list| list.is_alone).collect();
+    assert!(early.is_none());
+    assert_eq!(is_alone, [true]);
+}
--- a/crates/daemon/src/witness/state.rs
+++ b/crates/daemon/src/witness/state.rs
@@ -57,6 +57,8 @@
 pub(crate) struct WitnessList {
     pub(crate) epoch: Epoch,
     pub(crate) entries: Vec<WitnessEntry>,
+    /// Whether the owner extends leases without witnesses, as it has been the only daemon for long.
+    pub(crate) is_alone: bool,
 }
 
 impl WitnessList {
@@ -73,11 +75,16 @@
     }
 
     /// Returns when so many witnesses had been told a later epoch that each half has one of them.
-    /// `told_at` returns that time for one of them.
+    /// `told_at` returns that time for one of them. Without witnesses it is the time of the
+    /// takeover, unless the owner extends leases by itself.
     pub(crate) fn fenced_at(
         &self,
+        taken_over_at: Duration,
         told_at: impl Fn(&WitnessEntry) -> Option<Duration>,
     ) -> Option<Duration> {
+        if self.entries.is_empty() {
+            return (!self.is_alone).then_some(taken_over_at);
+        }
         let mut times: Vec<Duration> = self.entries.iter().filter_map(told_at).collect();
         times.sort_unstable();
         times.get(self.entries.len() / 2).copied()
@@ -137,7 +144,7 @@
 
     /// Returns until when leases may be extended if a successor reads this list.
     fn limit(&self, list: &WitnessList) -> Duration {
-        if list.entries.is_empty() {
+        if list.is_alone {
             // The successor waits for the longest time.
             return self.confirmed_until + UNCONFIRMED_RENEWAL_TIME;
         }
@@ -178,13 +185,19 @@
         entries.filter(|_| is_due).cloned().collect()
     }
 
-    /// Returns the list for the present witnesses, unless the store holds it already.
-    pub(crate) fn changed_list(&self, entries: &[WitnessEntry]) -> Option<WitnessList> {
-        let is_changed = self.pending.is_none() && self.recorded.entries != entries;
-        is_changed.then(|| WitnessList {
+    /// Returns the list for the present witnesses, unless the store holds it already or a change
+    /// has no outcome yet. `is_alone` is whether there have been none for long.
+    pub(crate) fn changed_list(
+        &self,
+        entries: &[WitnessEntry],
+        is_alone: bool,
+    ) -> Option<WitnessList> {
+        let list = WitnessList {
             epoch: self.recorded.epoch,
             entries: entries.to_vec(),
-        })
+            is_alone,
+        };
+        (self.pending.is_none() && self.recorded != list).then_some(list)
     }
 
     /// Records that a commit with a new list is sent. It is binding from then on, as the commit
@@ -204,9 +217,4 @@
             });
         }
     }
-
-    /// Returns the list that the store holds or will hold.
-    pub(crate) fn latest_list(&self) -> &WitnessList {
-        self.pending.as_ref().unwrap_or(&self.recorded)
-    }
 }
--- a/crates/daemon/src/witness/tests.rs
+++ b/crates/daemon/src/witness/tests.rs
@@ -27,7 +27,20 @@
 
 /// Returns the permit of an owner that the store has confirmed.
 fn permit(entries: Vec<WitnessEntry>) -> ExtensionPermit {
-    let mut permit = ExtensionPermit::new(WitnessList { epoch: 4, entries });
+    permit_for(list(entries))
+}
+
+fn list(entries: Vec<WitnessEntry>) -> WitnessList {
+    WitnessList {
+        epoch: 4,
+        entries,
+        is_alone: false,
+    }
+}
+
+/// Like [`permit`], for any list.
+fn permit_for(list: WitnessList) -> ExtensionPermit {
+    let mut permit = ExtensionPermit::new(list);
     permit.confirm_by_store(STORE_CONFIRMED_AT, STORE_CONFIRMED_AT);
     permit
 }
@@ -88,21 +101,25 @@
     assert_eq!(permit.until(), before);
 }
 
-/// Guards against the end of all runs in an outage of the store if there is no other daemon. The
-/// successor then waits for the longest time.
+/// Guards against the end of all runs in an outage of the store if there has been no other daemon for
+/// long, and against a successor that waits for an owner which had none for a moment only.
 #[test]
-fn an_owner_without_witnesses_extends_leases_by_itself() {
-    let mut alone = permit(Vec::new());
-    let before = alone.until();
+fn only_an_owner_that_is_alone_for_long_extends_leases_by_itself() {
+    let alone = WitnessList {
+        is_alone: true,
+        ..list(Vec::new())
+    };
+    let mut joining = permit_for(alone.clone());
+    joining.begin_change(list(entries(2)));
+    let taken_over_at = STORE_CONFIRMED_AT * 2;
 
-    alone.begin_change(WitnessList {
-        epoch: 4,
-        entries: entries(2),
-    });
-    let while_joining = alone.until();
+    let limits = [permit_for(alone.clone()), permit(Vec::new()), joining].map(|p| p.until());
+    let fences = [alone, list(Vec::new())].map(|list| list.fenced_at(taken_over_at, |_| None));
 
-    assert_eq!(before, STORE_CONFIRMED_AT + UNCONFIRMED_RENEWAL_TIME);
-    assert!(while_joining < STORE_CONFIRMED_AT + EXTENSION_END_DELAY);
+    let by_itself = STORE_CONFIRMED_AT + UNCONFIRMED_RENEWAL_TIME;
+    let by_store = permit(entries(1)).until();
+    assert_eq!(limits, [by_itself, by_store, by_store]);
+    assert_eq!(fences, [None, Some(taken_over_at)]);
 }
 
 /// Guards against extensions that a successor does not know of, because it reads the list of a
@@ -111,10 +128,7 @@
 fn both_lists_count_until_the_outcome_of_a_change_is_known() {
     let mut permit = permit(entries(1));
     let later = STORE_CONFIRMED_AT + Duration::from_secs(3);
-    let next = WitnessList {
-        epoch: 4,
-        entries: vec![entry("d7", 20)],
-    };
+    let next = list(vec![entry("d7", 20)]);
 
     permit.begin_change(next);
     let before = permit.until();
@@ -173,7 +187,7 @@
                 Some((entry.daemon.clone(), STORE_CONFIRMED_AT + Duration::from_millis((*told)?)))
             })
             .collect();
-        let list = WitnessList { epoch: 4, entries: entries.clone() };
+        let list = list(entries.clone());
         let mut permit = permit(entries.clone());
         for asked in asked_ms {
             let sent_at = STORE_CONFIRMED_AT + Duration::from_millis(asked);
@@ -184,7 +198,7 @@
             }
         }
 
-        let fenced_at = list.fenced_at(|entry| told_at.get(&entry.daemon).copied());
+        let fenced_at = list.fenced_at(STORE_CONFIRMED_AT, |entry| told_at.get(&entry.daemon).copied());
 
         if let Some(fenced_at) = fenced_at {
             prop_assert!(permit.until() <= fenced_at + EXTENSION_END_DELAY);
