--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -420,7 +420,10 @@
             }
             SoakFault::Cancellations(percent) => {
                 for (id, job) in self.callers.jobs() {
-                    let can_cancel = job.outcomes.contains(&SubmitOutcome::Accepted)
+                    // Some tasks that last have to be left for the losses.
+                    let is_kept = job.is_lasting && id % 2 == 0;
+                    let can_cancel = !is_kept
+                        && job.outcomes.contains(&SubmitOutcome::Accepted)
                         && job.cancel_requested_at.is_none()
                         && job.state.is_none();
                     if can_cancel && self.rng.random_range(0..100) < percent {
