Assume the least allowed share in the first request of a queue for advice (LOST)

A task that lasts runs apart from the others of its job, which occupy most of the allowed workers. Change: until the first answer the least share is 10 %, the bound that holds for known shares. The probability of an empty answer is counted in millionths, as thousandths were rounded down.

--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -549,9 +549,9 @@
     usize,
 );
 
-/// Largest probability, in thousandths, that the advice service allows none of the workers
+/// Largest probability, in parts per million, that the advice service allows none of the workers
 /// that a request names.
-const MAX_EMPTY_ANSWER_PERMILLE: usize = 50;
+const MAX_EMPTY_ANSWER_PPM: usize = 50_000;
 
 /// Part of the workers that the advice service is expected to allow a queue.
 #[derive(Clone, Copy, Debug)]
@@ -601,14 +601,14 @@
     let mut expected = 0;
     // All tasks that fit on one worker depend on one decision, so a request that names few
     // workers may yield no ticket although enough are expected.
-    let mut empty_answer_permille = 1_000;
+    let mut empty_answer_ppm = 1_000_000;
     let mut chosen = Vec::new();
     // One task more than needed, in percent of a task.
     let needed = (count + 1) * 100;
     while let Some(Reverse((is_full, _, is_unknown, .., Reverse(fitting_tasks), _, row_index))) =
         ranking.pop()
     {
-        let is_answer_likely = is_full || empty_answer_permille <= MAX_EMPTY_ANSWER_PERMILLE;
+        let is_answer_likely = is_full || empty_answer_ppm <= MAX_EMPTY_ANSWER_PPM;
         if expected >= needed && is_answer_likely {
             break;
         }
@@ -618,7 +618,7 @@
             AllowedShare::ALL
         };
         expected += fitting_tasks.max(1) * share.expected_percent;
-        empty_answer_permille = empty_answer_permille * (100 - share.least_percent.min(100)) / 100;
+        empty_answer_ppm = empty_answer_ppm * (100 - share.least_percent.min(100)) / 100;
         let row = &table.rows[row_index];
         chosen.push((WorkerId::clone(&row.worker), row.instance));
     }
--- a/crates/core/src/pipelines/requests.rs
+++ b/crates/core/src/pipelines/requests.rs
@@ -27,7 +27,8 @@
 pub const SLOW_DECISION_MS: f64 = 100.0;
 
 /// Lower bound of the part of the workers that a queue is assumed to be allowed, in
-/// percent.
+/// percent. Before the first answer, a request for few tasks names so many workers that an empty
+/// answer is unlikely even then: after a takeover, it would delay tasks that are away already.
 const MIN_ALLOWED_PERCENT: usize = 10;
 
 /// Maximum number of workers that one advice request names.
@@ -37,11 +38,6 @@
 /// in percent.
 const DEFAULT_ALLOWED_PERCENT: usize = 40;
 
-/// Part of the workers that a queue is assumed to be allowed at least before its first answer, in
-/// percent. A request for few tasks names so many workers that an empty answer is unlikely even
-/// then: after a takeover, it would delay tasks that are away already.
-const DEFAULT_LEAST_PERCENT: usize = 20;
-
 /// Requests that a placement pass may still send.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RequestBudget {
@@ -157,7 +153,7 @@
         let average_percent = average_percent.map(|percent| percent.max(MIN_ALLOWED_PERCENT));
         let allowed = AllowedShare {
             expected_percent: average_percent.unwrap_or(DEFAULT_ALLOWED_PERCENT),
-            least_percent: average_percent.unwrap_or(DEFAULT_LEAST_PERCENT),
+            least_percent: average_percent.unwrap_or(MIN_ALLOWED_PERCENT),
         };
         let task_allowance = |worker: &WorkerId| self.task_allowance(worker, search.key, step_spec);
         let eligible = table.eligible(step_spec, task_allowance);
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -256,8 +256,8 @@
 }
 
 /// Guards against an empty answer to the first request after a takeover, which delays tasks that
-/// are away already: the new owner does not know yet that a queue is allowed less than a third of
-/// the workers.
+/// are away already: the new owner does not know yet that a queue is allowed a third of the workers,
+/// most of which run the other tasks of the step.
 #[test]
 fn a_first_request_for_one_task_names_enough_workers() {
     let mut owner = owner_of_workers(40);
@@ -265,7 +265,7 @@
     owner.submit(2, ticketed_job_with_slack(1));
 
     let (_, worker_count) = owner.advice_requests()[0];
-    let empty_answer_probability = 0.7_f64.powi(i32::try_from(worker_count).unwrap());
+    let empty_answer_probability = 0.9_f64.powi(i32::try_from(worker_count).unwrap());
     assert!(
         empty_answer_probability <= 0.05,
         "{worker_count} of the workers are named"
