--- a/crates/daemon/src/cell/witnesses.rs
+++ b/crates/daemon/src/cell/witnesses.rs
@@ -64,7 +64,7 @@
         if reply.epoch == epoch {
             shard.confirm_by_witness(&reply.daemon, reply.registration, sent_at);
         }
-        if let Some(event) = shard.record_told(&reply.daemon, now) {
+        if let Some(event) = shard.record_ack(&reply.daemon, now) {
             self.dispatch_predecessors_ended(service, epoch, event);
         }
     }
--- a/crates/daemon/src/pipelines/sessions.rs
+++ b/crates/daemon/src/pipelines/sessions.rs
@@ -44,8 +44,8 @@
     /// The recorded witnesses of these ownerships, and of those that have ended since the
     /// takeover, as the store lists them until none is left.
     witnesses: Vec<WitnessList>,
-    /// When each witness had been told of the takeover.
-    told_at: BTreeMap<String, Duration>,
+    /// When each daemon had acknowledged the takeover.
+    acked_at: BTreeMap<String, Duration>,
     /// When the last one that is known to have ended was seen to have.
     ended_at: Duration,
     /// Whether the daemon itself has owned the service before, perhaps until its restart.
@@ -89,7 +89,7 @@
             has_own: sessions.len() < count,
             sessions,
             witnesses: lists,
-            told_at: BTreeMap::new(),
+            acked_at: BTreeMap::new(),
             ended_at: Duration::ZERO,
         }
     }
@@ -108,26 +108,27 @@
         earlier.cloned().chain([list.clone()]).collect()
     }
 
-    /// Returns the witnesses that have not been told of the takeover and may matter.
-    pub(crate) fn untold_witnesses(&self) -> Vec<WitnessEntry> {
+    /// Returns the witnesses that have not acknowledged the takeover, of ownerships that may not
+    /// have ended.
+    pub(crate) fn unacked_witnesses(&self) -> Vec<WitnessEntry> {
         let lists = self.witnesses.iter().filter(|list| {
             let mut sessions = self.sessions.iter();
             sessions.any(|session| session.epoch == list.epoch)
         });
         let entries = lists.flat_map(|list| &list.entries);
-        let untold = entries.filter(|entry| !self.told_at.contains_key(&entry.daemon));
-        untold.cloned().collect()
+        let unacked = entries.filter(|entry| !self.acked_at.contains_key(&entry.daemon));
+        unacked.cloned().collect()
     }
 
-    /// Records that a daemon had been told of the takeover by the given time, and removes the
-    /// ownerships that extend no lease as their witnesses have been told.
-    pub(crate) fn record_told(&mut self, daemon: &str, at: Duration) {
-        self.told_at.entry(daemon.to_owned()).or_insert(at);
-        let told_at = |entry: &WitnessEntry| self.told_at.get(&entry.daemon).copied();
-        // The first to be told is the successor itself, at its takeover.
-        let taken_over_at = self.told_at.values().copied().min().unwrap_or(at);
+    /// Records that a daemon had acknowledged the takeover by the given time, and removes the
+    /// ownerships that extend no lease any more, as enough of their witnesses have.
+    pub(crate) fn record_ack(&mut self, daemon: &str, at: Duration) {
+        self.acked_at.entry(daemon.to_owned()).or_insert(at);
+        let acked_at = |entry: &WitnessEntry| self.acked_at.get(&entry.daemon).copied();
+        // The first acknowledgement is that of the successor itself, at its takeover.
+        let taken_over_at = self.acked_at.values().copied().min().unwrap_or(at);
         let fenced = self.witnesses.iter().filter_map(|list| {
-            let fenced_at = list.fenced_at(taken_over_at, told_at)?;
+            let fenced_at = list.fenced_at(taken_over_at, acked_at)?;
             Some((list.epoch, fenced_at + EXTENSION_END_DELAY))
         });
         let fenced: BTreeMap<Epoch, Duration> = fenced.collect();
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -227,13 +227,13 @@
         self.predecessors_ended()
     }
 
-    /// Records that a daemon has been told of this ownership. Returns an event when it is known
+    /// Records that a daemon has acknowledged this ownership. Returns an event when it is known
     /// that no predecessor extends a lease.
-    pub(crate) fn record_told(&mut self, daemon: &str, at: Duration) -> Option<PipelineEvent> {
+    pub(crate) fn record_ack(&mut self, daemon: &str, at: Duration) -> Option<PipelineEvent> {
         if self.known_end.is_some() {
             return None;
         }
-        self.predecessors.record_told(daemon, at);
+        self.predecessors.record_ack(daemon, at);
         self.predecessors_ended()
     }
 
@@ -277,7 +277,7 @@
         }
         let mut entries = self.permit.witnesses_to_ask(now);
         if !self.have_predecessors_ended(now) {
-            entries.extend(self.predecessors.untold_witnesses());
+            entries.extend(self.predecessors.unacked_witnesses());
         }
         if !entries.is_empty() {
             self.next_notices_at = now + NOTICE_INTERVAL;
--- a/crates/daemon/src/pipelines/tests/sessions.rs
+++ b/crates/daemon/src/pipelines/tests/sessions.rs
@@ -193,40 +193,40 @@
 /// Guards against tasks that stay away for 20 s because their worker is lost together with an owner
 /// whose daemon does not return: its witnesses show that it extends no lease.
 #[test]
-fn an_owner_that_does_not_return_has_ended_once_its_witnesses_are_told() {
+fn an_owner_that_does_not_return_has_ended_once_its_witnesses_know_of_the_takeover() {
     let lists = [witness_list(5, &["edge-0", "edge-2", "edge-3", "edge-4"])];
     let mut predecessors = witnessed_predecessors(&[session("edge-1", 5, 0)], &lists);
-    let told_at = |seconds| TAKEN_OVER_AT + Duration::from_secs(seconds);
+    let acked_at = |seconds| TAKEN_OVER_AT + Duration::from_secs(seconds);
 
-    let untold = predecessors.untold_witnesses().len();
-    predecessors.record_told("edge-0", told_at(0));
-    predecessors.record_told("edge-0", told_at(1));
-    predecessors.record_told("edge-9", told_at(1));
-    predecessors.record_told("edge-4", told_at(1));
+    let unacked = predecessors.unacked_witnesses().len();
+    predecessors.record_ack("edge-0", acked_at(0));
+    predecessors.record_ack("edge-0", acked_at(1));
+    predecessors.record_ack("edge-9", acked_at(1));
+    predecessors.record_ack("edge-4", acked_at(1));
     let half = predecessors.ended_at(TAKEN_OVER_AT);
-    predecessors.record_told("edge-3", told_at(2));
+    predecessors.record_ack("edge-3", acked_at(2));
 
-    assert_eq!((untold, half), (4, None));
+    assert_eq!((unacked, half), (4, None));
     let ended_at = predecessors.ended_at(TAKEN_OVER_AT);
-    assert_eq!(ended_at, Some(told_at(2) + EXTENSION_END_DELAY));
+    assert_eq!(ended_at, Some(acked_at(2) + EXTENSION_END_DELAY));
 }
 
-/// Guards against a chain of takeovers in which the witnesses of only one owner are told, and against
+/// Guards against a chain of takeovers in which the witnesses of only one owner know of the successor, and against
 /// witnesses that are recorded for another ownership.
 #[test]
-fn the_witnesses_of_each_predecessor_are_told() {
+fn the_witnesses_of_each_predecessor_must_know_of_the_takeover() {
     let sessions = [session("edge-1", 3, 30), session("edge-2", 5, 0)];
     let lists = [witness_list(3, &["edge-3"]), witness_list(5, &["edge-4"])];
     let mut both = witnessed_predecessors(&sessions, &lists);
     let mut unrecorded = witnessed_predecessors(&sessions, &lists[1..]);
     let mut stale = witnessed_predecessors(&sessions[1..], &[witness_list(4, &["edge-4"])]);
 
-    both.record_told("edge-4", TAKEN_OVER_AT);
+    both.record_ack("edge-4", TAKEN_OVER_AT);
     let last_only = both.ended_at(TAKEN_OVER_AT);
-    both.record_told("edge-3", TAKEN_OVER_AT);
+    both.record_ack("edge-3", TAKEN_OVER_AT);
     for predecessors in [&mut unrecorded, &mut stale] {
-        predecessors.record_told("edge-3", TAKEN_OVER_AT);
-        predecessors.record_told("edge-4", TAKEN_OVER_AT);
+        predecessors.record_ack("edge-3", TAKEN_OVER_AT);
+        predecessors.record_ack("edge-4", TAKEN_OVER_AT);
     }
 
     let ended = Some(TAKEN_OVER_AT + EXTENSION_END_DELAY);
@@ -279,7 +279,7 @@
         ..empty_shard()
     });
 
-    shard.record_told("edge-3", Duration::ZERO);
+    shard.record_ack("edge-3", Duration::ZERO);
     shard.set_witnesses(witness_list(3, &["edge-3"]).entries, Duration::ZERO);
     let transaction = shard.next_commit(Duration::from_secs(1)).unwrap();
 
@@ -356,13 +356,13 @@
 
     // A takeover that fails is correct as well.
     if let AcquireOutcome::Acquired(loaded) = outcome {
-        let told = loaded.predecessors.untold_witnesses();
-        assert_eq!(told, witness_list(1, &["edge-3"]).entries);
+        let unacked = loaded.predecessors.unacked_witnesses();
+        assert_eq!(unacked, witness_list(1, &["edge-3"]).entries);
     }
 }
 
 /// Guards against a successor that counts from a time at which an earlier owner still extends leases:
-/// the owner removes it from the store as soon as its witnesses are told, and restarts at once.
+/// the owner removes it from the store as soon as its witnesses know of the takeover, and restarts at once.
 #[test]
 fn an_ownership_is_recorded_until_it_extends_no_lease() {
     let lists = [witness_list(5, &["edge-3"])];
@@ -379,7 +379,7 @@
         puts.find(|(put_key, ..)| *put_key == key)
     };
 
-    shard.record_told("edge-3", now);
+    shard.record_ack("edge-3", now);
     shard.handle(PipelineEvent::Cancelled(1), now);
     let early = written(&mut shard, now);
 
--- a/crates/daemon/src/witness/state.rs
+++ b/crates/daemon/src/witness/state.rs
@@ -1,4 +1,4 @@
-//! Which epochs a daemon has been told, and until when its witnesses let an owner extend leases.
+//! The epochs that were announced to a daemon, and until when witnesses let an owner extend leases.
 
 use std::{
     collections::BTreeMap,
@@ -74,18 +74,18 @@
         times.into_iter().rev().nth(count.checked_sub(1)?)
     }
 
-    /// Returns when so many witnesses had been told a later epoch that each half has one of them.
-    /// `told_at` returns that time for one of them. Without witnesses it is the time of the
+    /// Returns when so many witnesses had acknowledged a later epoch that each half has one of them.
+    /// `acked_at` returns that time for one of them. Without witnesses it is the time of the
     /// takeover, unless the owner extends leases by itself.
     pub(crate) fn fenced_at(
         &self,
         taken_over_at: Duration,
-        told_at: impl Fn(&WitnessEntry) -> Option<Duration>,
+        acked_at: impl Fn(&WitnessEntry) -> Option<Duration>,
     ) -> Option<Duration> {
         if self.entries.is_empty() {
             return (!self.is_alone).then_some(taken_over_at);
         }
-        let mut times: Vec<Duration> = self.entries.iter().filter_map(told_at).collect();
+        let mut times: Vec<Duration> = self.entries.iter().filter_map(acked_at).collect();
         times.sort_unstable();
         times.get(self.entries.len() / 2).copied()
     }
--- a/crates/daemon/src/witness/tests.rs
+++ b/crates/daemon/src/witness/tests.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Guards against a witness that confirms an owner after it has been told of a later one.
+/// Guards against a witness that confirms an owner after a later one was announced to it.
 #[test]
 fn a_witness_answers_with_the_highest_epoch() {
     let mut register = EpochRegister::default();
@@ -176,15 +176,15 @@
     /// each witness confirms the owner up to the time at which the successor reaches it.
     #[test]
     fn no_extension_is_permitted_after_the_witnesses_fence_the_owner(
-        told_ms in prop::collection::vec(prop::option::of(0_u64..5_000), 1..12),
+        acked_ms in prop::collection::vec(prop::option::of(0_u64..5_000), 1..12),
         asked_ms in prop::collection::vec(0_u64..6_000, 1..60),
     ) {
-        let entries = entries(told_ms.len());
-        let told_at: BTreeMap<String, Duration> = entries
+        let entries = entries(acked_ms.len());
+        let acked_at: BTreeMap<String, Duration> = entries
             .iter()
-            .zip(&told_ms)
-            .filter_map(|(entry, told)| {
-                Some((entry.daemon.clone(), STORE_CONFIRMED_AT + Duration::from_millis((*told)?)))
+            .zip(&acked_ms)
+            .filter_map(|(entry, acked)| {
+                Some((entry.daemon.clone(), STORE_CONFIRMED_AT + Duration::from_millis((*acked)?)))
             })
             .collect();
         let list = list(entries.clone());
@@ -192,13 +192,13 @@
         for asked in asked_ms {
             let sent_at = STORE_CONFIRMED_AT + Duration::from_millis(asked);
             for entry in &entries {
-                if told_at.get(&entry.daemon).is_none_or(|told| sent_at < *told) {
+                if acked_at.get(&entry.daemon).is_none_or(|acked| sent_at < *acked) {
                     permit.confirm_by_witness(&entry.daemon, 10, sent_at);
                 }
             }
         }
 
-        let fenced_at = list.fenced_at(STORE_CONFIRMED_AT, |entry| told_at.get(&entry.daemon).copied());
+        let fenced_at = list.fenced_at(STORE_CONFIRMED_AT, |entry| acked_at.get(&entry.daemon).copied());
 
         if let Some(fenced_at) = fenced_at {
             prop_assert!(permit.until() <= fenced_at + EXTENSION_END_DELAY);
--- a/crates/daemon/tests/lost_owners.rs
+++ b/crates/daemon/tests/lost_owners.rs
@@ -27,7 +27,7 @@
 /// Time from the loss of a worker until that of the owner.
 const OWNER_LOSS_DELAY: Duration = Duration::from_secs(1);
 
-/// Time from the loss of a worker until the platform removes its entry: three check-in
+/// Time from the loss of a worker until the platform removes its entry: three heartbeat
 /// intervals of 1.5 s.
 const ENTRY_REMOVAL_DELAY: Duration = Duration::from_millis(4_500);
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -41,7 +41,7 @@
 /// Largest number of tasks of a job with tasks that last.
 const MAX_LASTING_COUNT: usize = 2;
 
-/// Time from the loss of a worker until the platform removes its entry: three check-in intervals
+/// Time from the loss of a worker until the platform removes its entry: three heartbeat intervals
 /// of 1.5 s.
 const ENTRY_REMOVAL_DELAY: Duration = Duration::from_millis(4_500);
 
--- a/crates/soak/src/tests.rs
+++ b/crates/soak/src/tests.rs
@@ -228,7 +228,7 @@
 }
 
 /// Guards against a check of tasks that last that ignores the end of a suspension, or that takes
-/// a kill for good, an earlier fault or the time after all faults for a disturbance that lasts.
+/// a kill for good, an earlier fault or the time after all faults for a fault that lasts.
 #[test]
 fn lasting_task_is_owed_from_the_last_fault() {
     let return_after = |seconds: u32, spans: &[(u32, u32)]| {
