--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -226,6 +226,9 @@
         self.capacity = capacity or {"cpu": 4000, "mem-mb": 8192, "gpus": 0}
         self.http = HttpServer(self.handle)
         self.is_up, self.beat = False, None
+        self.state, self.remaining_ms = "ready", None
+        # The address in the entry, if it isn't the runner's own.
+        self.public_address = None
         # All runs of all lives: task, attempt, life, start, end, how.
         self.runs, self.life = [], 0
 
@@ -237,7 +240,7 @@
         self.token, self.lease_until, self.stopped = 0, None, {}
         self.present, self.ends, self.end_count = {}, [], 0
         self.changed = asyncio.Event()
-        self.is_up = True
+        self.is_up, self.state, self.remaining_ms = True, "ready", None
         await self.http.start()
         self.beat = asyncio.ensure_future(self.register())
         asyncio.ensure_future(self.work(self.life))
@@ -252,16 +255,32 @@
             run.update(end=time.monotonic(), how="crash of the runner")
         self.present = {}
 
+    async def leave(self, drain_s):
+        """A planned shutdown: the runner reports that it drains, goes on serving, and exits."""
+        self.state, self.remaining_ms = "draining", int(drain_s * 1000)
+        self.write_entry()
+        self.record(f"runner {self.name} reports that it drains")
+        await asyncio.sleep(drain_s)
+        self.crash()
+        self.store.remove(f"servers/{self.name}")
+        self.record(f"runner {self.name} has left")
+
+    def write_entry(self):
+        self.sequence += 1
+        entry = {
+            "service": self.service, "address": self.public_address or self.http.address,
+            "zone": "z1", "version": "v1", "slots": 8, "state": self.state, "cold-left-ms": 0,
+            "sequence": self.sequence, "born": self.born_ms, "capacity": self.capacity,
+            "labels": self.labels,
+        }
+        if self.remaining_ms is not None:
+            entry["remaining-ms"] = self.remaining_ms
+        self.store.write(f"servers/{self.name}", entry)
+
     async def register(self):
-        sequence = 0
+        self.sequence = 0
         while True:
-            sequence += 1
-            self.store.write(f"servers/{self.name}", {
-                "service": self.service, "address": self.http.address, "zone": "z1",
-                "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
-                "sequence": sequence, "born": self.born_ms, "capacity": self.capacity,
-                "labels": self.labels,
-            })
+            self.write_entry()
             await asyncio.sleep(HEARTBEAT_S)
 
     def clock_ms(self):
@@ -350,6 +369,49 @@
         return 200, {"clock-ms": self.clock_ms()}
 
 
+class OrderProxy:
+    """A proxy in front of a runner, at the address that the runner registers.
+
+    `delay` decides what becomes of an order: None passes it on, and a number of seconds delivers
+    it that much later, unanswered, to the process that then listens for the runner.
+    """
+
+    def __init__(self, runner, record):
+        self.runner, self.record = runner, record
+        self.delay = lambda target, body: None
+        self.http = HttpServer(self.handle)
+
+    async def start(self):
+        await self.http.start()
+        self.runner.public_address = self.http.address
+        return self
+
+    async def forward(self, method, target, headers, data, limit_s=10.0):
+        extra = {"X-Expect-Instance": headers["x-expect-instance"]} if "x-expect-instance" in headers else {}
+        try:
+            return await call((HOST, self.runner.http.port), method, target,
+                              json.loads(data) if data else None, deadline_ms=limit_s * 1000,
+                              extra=extra)
+        except OSError:
+            return 0, None
+
+    async def deliver_late(self, delay, request):
+        await asyncio.sleep(delay)
+        status, answer = await self.forward(*request)
+        self.record(f"proxy delivers the unanswered order {request[1]} {request[3].decode()} now: "
+                    f"{status} {answer}")
+
+    async def handle(self, method, target, headers, data):
+        delay = self.delay(target, json.loads(data or b"{}"))
+        if delay is not None:
+            self.record(f"proxy keeps the order {target} {data.decode()} for {delay} s")
+            asyncio.ensure_future(self.deliver_late(delay, (method, target, headers, data)))
+            await asyncio.sleep(60)
+            return None
+        status, answer = await self.forward(method, target, headers, data)
+        return (status, answer) if status else None
+
+
 class Daemon:
     """One process of the system, started with the command of the deploy file."""
 
@@ -405,7 +467,7 @@
             await self.process.wait()
 
 
-async def call(address, method, path, body=None, host=None, deadline_ms=3000):
+async def call(address, method, path, body=None, host=None, deadline_ms=3000, extra=None):
     """Sends one request on a channel of its own. Status 0 means that no answer came."""
     writer = None
 
@@ -413,9 +475,11 @@
         nonlocal writer
         reader, writer = await asyncio.open_connection(*address)
         data = b"" if body is None else json.dumps(body).encode()
-        writer.write(
-            f"{method} {path} HTTP/1.1\r\nHost: {host or 'x'}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
-            f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {host or 'x'}",
+                 f"X-Deadline-Ms: {int(deadline_ms)}", "Content-Type: application/json",
+                 f"Content-Length: {len(data)}"]
+        lines += [f"{name}: {value}" for name, value in (extra or {}).items()]
+        writer.write("\r\n".join(lines + ["", ""]).encode() + data)
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
         headers = {k.strip().lower(): v.strip() for k, _, v in (h.partition(":") for h in head[1:])}
         data = await reader.readexactly(int(headers.get("content-length", 0)))
@@ -436,13 +500,16 @@
     def __init__(self, record):
         self.record, self.folder = record, tempfile.mkdtemp(prefix="review-")
         self.store, self.runners, self.daemons = Store(record), [], []
+        self.proxies = []
 
-    async def start(self, daemons, runners, run_s, routes, **runner_options):
+    async def start(self, daemons, runners, run_s, routes, with_proxies=False, **runner_options):
         await self.store.start()
         self.publish(1, routes)
         for index in range(runners):
             options = {k: v(index) for k, v in runner_options.items()}
             runner = Runner(f"i-{index:04x}", "balcao", self.store, self.record, run_s, **options)
+            if with_proxies:
+                self.proxies.append(await OrderProxy(runner, self.record).start())
             self.runners.append(await runner.start())
         for index in range(daemons):
             daemon = Daemon(f"edge-z1-{index}", self.store.http.address, self.folder, self.record)
