--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -231,6 +231,8 @@
         self.public_address = None
         # All runs of all lives: task, attempt, life, start, end, how.
         self.runs, self.life = [], 0
+        # When the lease was seen to have lapsed.
+        self.lapses = []
 
     async def start(self):
         """Begins a life: nothing runs, and nothing of an earlier one is known."""
@@ -304,10 +306,20 @@
                 if run["until"] is not None and now >= run["until"]:
                     self.finish(key, run["how_done"])
             if self.lease_until is not None and self.clock_ms() >= self.lease_until:
+                self.lapses.append(now)
                 for key in list(self.present):
                     self.finish(key, "lapsed")
             await asyncio.sleep(0.01)
 
+    def forget_ends(self, last_seen):
+        """Ends up to `last_seen` are taken note of."""
+        for end in self.ends:
+            if end[0] <= last_seen:
+                for run in self.runs:
+                    if run["life"] == self.life and (run["task"], run["attempt"]) == (end[1], end[2]):
+                        run["noted"] = time.monotonic()
+        self.ends = [end for end in self.ends if end[0] > last_seen]
+
     def extend(self, body):
         if body.get("deadline-ms") is not None:
             deadline = min(body["deadline-ms"], self.clock_ms() + 6000)
@@ -338,7 +350,7 @@
         self.extend(body)
         until = time.monotonic() + min(body.get("wait-ms", 0), 2000) / 1000
         while True:
-            self.ends = [end for end in self.ends if end[0] > body.get("last-seen", 0)]
+            self.forget_ends(body.get("last-seen", 0))
             left = until - time.monotonic()
             if self.ends or left <= 0:
                 running = [[task, attempt, "", 100 if run["until"] is None else 50]
@@ -361,7 +373,7 @@
             seconds, how = self.run_s(key[0], body["command"])
             now = time.monotonic()
             run = {"task": key[0], "attempt": key[1], "runner": self.name, "life": self.life,
-                   "start": now, "end": None, "how": None, "how_done": how,
+                   "start": now, "end": None, "how": None, "how_done": how, "noted": None,
                    "until": None if seconds is None else now + seconds}
             self.present[key] = run
             self.runs.append(run)
