--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -225,7 +225,7 @@
         self.run_s, self.labels = run_s, list(labels)
         self.capacity = capacity or {"cpu": 4000, "mem-mb": 8192, "gpus": 0}
         self.http = HttpServer(self.handle)
-        self.is_up, self.beat = False, None
+        self.is_up, self.beat, self.clock_rate = False, None, 1.0
         self.state, self.remaining_ms = "ready", None
         # The address in the entry, if it isn't the runner's own.
         self.public_address = None
@@ -286,7 +286,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def clock_ms(self):
-        return int((time.monotonic() - self.origin) * 1000)
+        return int((time.monotonic() - self.origin) * 1000 * self.clock_rate)
 
     def finish(self, key, how):
         run = self.present.pop(key)
