--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import tempfile
@@ -563,6 +564,7 @@
     async def end(self):
         for daemon in self.daemons:
             await daemon.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run_case(folder, case):
