--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -574,6 +574,9 @@
     record(f"trouble: {trouble}")
 
     async def main():
+        # A case that is terminated ends its daemons, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         deployment = Deployment(record)
         try:
             return await asyncio.wait_for(case(deployment, record, trouble), 110)
@@ -582,7 +585,7 @@
 
     try:
         held = asyncio.run(main())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         record(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
