Log what tells a restarted worker from the known one, and orders since its last report

The answers to start orders carry a reading of the worker's clock, which is decoded now. A line says when it does not fit the clock of the known instance; the line of a claim has the start time of the instance, the token and the time until the lease lapses; the line about ended runs has the number of runs that were ordered since the latest answered renewal, and the age of the latest order that extends the lease.

No decision is changed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -100,7 +100,7 @@
 pub use pipelines::{PipelinePhase, PipelineProgress, PipelineSchedule, PipelineSpec};
 pub use pipelines::{PipelineState, ProgressCommit, QueuePolicy, RunEnd, RunKey};
 pub use pipelines::{
-    StartOrder, StartResult, StepKey, StepProgress, StepSpec, StepWait, StopOrder,
+    StartAnswer, StartOrder, StartResult, StepKey, StepProgress, StepSpec, StepWait, StopOrder,
 };
 pub use pipelines::{TaskKey, TaskKeyError, TaskPlace, TaskProgress, WorkerListing};
 pub use publication::{ConfigAction, ConfigDelta, ConfigDigest, ConfigEvent, ConfigHead};
--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -169,6 +169,9 @@
         } else {
             record.unexpired_lease(now)?
         };
+        if let Some(entry) = record.runs.get_mut(&start.run) {
+            entry.ordered_at = Some(now);
+        }
         Some(StartOrder {
             worker: WorkerId::clone(&start.worker),
             address: record.address()?.to_owned(),
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -164,6 +164,28 @@
     }
 }
 
+/// The answer to a start order, or how the order failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartAnswer {
+    /// The outcome of the order.
+    pub result: StartResult,
+    /// When the order was sent.
+    pub sent_at: Duration,
+    /// Reading of the worker's own clock in ms, if the answer has one.
+    pub clock_ms: Option<u64>,
+}
+
+impl From<StartResult> for StartAnswer {
+    /// Returns an answer without a reading of the worker's clock.
+    fn from(result: StartResult) -> Self {
+        Self {
+            result,
+            sent_at: Duration::ZERO,
+            clock_ms: None,
+        }
+    }
+}
+
 /// An order to start a run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StartOrder {
@@ -261,7 +283,7 @@
     /// The renewal of a worker's lease failed.
     RenewalFailed(WorkerId, RenewalFailure),
     /// The outcome of a start order.
-    StartAnswered(WorkerId, RunKey, StartResult),
+    StartAnswered(WorkerId, RunKey, StartAnswer),
     /// The outcome of a stop order: `true` if it was carried out, `false` if that is
     /// unknown.
     StopAnswered(WorkerId, RunKey, bool),
@@ -415,6 +437,26 @@
         running: usize,
         /// Number of ends that have not been acknowledged.
         ended: usize,
+        /// Start time of the worker instance in ms since 1970.
+        started_unix_ms: u64,
+        /// Fencing token of the claim.
+        token: Epoch,
+        /// Time until the lease lapses if it is not renewed.
+        lapses_in: Duration,
+    },
+    /// The answer to a start order has a reading of the worker's clock that does not fit that
+    /// of the known instance.
+    ClockDiffers {
+        /// The worker that answered.
+        worker: WorkerId,
+        /// The run that was ordered.
+        run: RunKey,
+        /// The outcome of the order.
+        result: StartResult,
+        /// Reading of the clock in the answer, in ms.
+        clock_ms: u64,
+        /// Reading of the clock of the known instance that was expected, in ms.
+        expected_ms: u64,
     },
     /// The renewal of a worker's lease failed. Nothing is placed on the worker until
     /// it answers.
@@ -472,6 +514,10 @@
         running: usize,
         /// Number of ends on the new instance.
         ended: usize,
+        /// Start time of the new instance in ms since 1970.
+        started_unix_ms: u64,
+        /// Start time of the former instance in ms since 1970.
+        former_started_unix_ms: u64,
     },
     /// All runs of a worker are known to have ended.
     WorkerLost {
@@ -483,6 +529,10 @@
         long_running: usize,
         /// Time for which this owner had waited for an answer.
         silent_for: Duration,
+        /// Number of the runs that were ordered since the latest answered renewal was sent.
+        unreported: usize,
+        /// Time since the latest order that extends the lease, if this owner has sent one.
+        ordered_ago: Option<Duration>,
         /// Why the runs have ended.
         cause: LossCause,
     },
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -54,7 +54,7 @@
     AdviceOrder, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport, StartOrder,
 };
 pub use messages::{AdviceReport, EndedRun, ObservedRun, PipelineAction, PipelineEvent, RunEnd};
-pub use messages::{LossCause, PipelineNote, StartResult, StopOrder, WorkerListing};
+pub use messages::{LossCause, PipelineNote, StartAnswer, StartResult, StopOrder, WorkerListing};
 pub use progress::{PipelinePhase, PipelineProgress, StepProgress, TaskPlace, TaskProgress};
 pub use requests::SLOW_DECISION_MS;
 pub use schedule::{PipelineConfig, UNCONFIRMED_RENEWAL_TIME};
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -47,6 +47,8 @@
         record.is_renewal_pending = false;
         record.missed_renewals = 0;
         record.answered_at = now;
+        record.reported_at = sent_at;
+        record.clock_logged_at = None;
         if record
             .started_unix_ms
             .is_some_and(|known_start_ms| known_start_ms != report.started_unix_ms)
@@ -57,15 +59,7 @@
         record.started_unix_ms = Some(report.started_unix_ms);
         record.clock = Some((report.clock_ms, now));
         let is_claim = record.contact == WorkerContact::Unclaimed;
-        if record.contact != WorkerContact::Claimed {
-            self.is_placement_due = true;
-            self.actions
-                .push(PipelineAction::Log(PipelineNote::WorkerClaimed {
-                    worker: WorkerId::clone(worker),
-                    running: report.running.len(),
-                    ended: report.ended.len(),
-                }));
-        }
+        let is_contact_new = record.contact != WorkerContact::Claimed;
         record.contact = WorkerContact::Claimed;
         if is_claim {
             // The claim fences the previous owner, which may have granted a lease just before.
@@ -76,6 +70,18 @@
             let transit_ms = u64::try_from(ORDER_TRANSIT_TIME.as_millis()).unwrap_or(u64::MAX);
             record.assume_lease(report.clock_ms.min(transit_ms), self.config.max_lease);
         }
+        if is_contact_new {
+            self.is_placement_due = true;
+            let note = PipelineNote::WorkerClaimed {
+                worker: WorkerId::clone(worker),
+                running: report.running.len(),
+                ended: report.ended.len(),
+                started_unix_ms: report.started_unix_ms,
+                token: record.token(self.epoch),
+                lapses_in: record.lapses_at().saturating_sub(now),
+            };
+            self.actions.push(PipelineAction::Log(note));
+        }
         let processed = record.processed_end;
         let ended = report.ended.iter().filter(|end| end.number > processed);
         let ended: Vec<&EndedRun> = ended.collect();
@@ -131,6 +137,8 @@
                 && !report.has_more_ends
         };
         let suspects = self.blame_runs(worker, has_ended);
+        let former = self.workers.get(worker);
+        let former_started_unix_ms = former.and_then(|record| record.started_unix_ms);
         self.reset_worker(worker, Some(report.started_unix_ms), now);
         let Some(record) = self.workers.get_mut(worker) else {
             return;
@@ -153,6 +161,8 @@
             lost: lost.len(),
             running: report.running.len(),
             ended: report.ended.len(),
+            started_unix_ms: report.started_unix_ms,
+            former_started_unix_ms: former_started_unix_ms.unwrap_or_default(),
         });
         for (run, placed_at) in lost {
             self.log_lost_run(worker, run, placed_at, now);
@@ -312,6 +322,8 @@
             runs: runs.len(),
             long_running: record.long_running_count(),
             silent_for: now.saturating_sub(record.answered_at),
+            unreported: record.unreported_count(),
+            ordered_ago: record.extended_at.map(|at| now.saturating_sub(at)),
             cause,
         });
         for (run, placed_at) in runs {
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -11,8 +11,8 @@
     commit::PendingStart,
     health::evacuation_start,
     messages::{
-        LossCause, PipelineAction, PipelineEvent, PipelineNote, RenewalFailure, StartResult,
-        WorkerListing,
+        LossCause, PipelineAction, PipelineEvent, PipelineNote, RenewalFailure, StartAnswer,
+        StartResult, WorkerListing,
     },
     progress::{PipelinePhase, PipelineProgress},
     queue::{JobTiming, QueueRank},
@@ -200,8 +200,9 @@
             PipelineEvent::RenewalFailed(worker, failure) => {
                 self.handle_renewal_failure(&worker, failure, now);
             }
-            PipelineEvent::StartAnswered(worker, run, result) => {
-                self.handle_start_result(&worker, run, result, now);
+            PipelineEvent::StartAnswered(worker, run, answer) => {
+                self.log_clock_difference(&worker, run, answer, now);
+                self.handle_start_result(&worker, run, answer.result, now);
             }
             PipelineEvent::StopAnswered(worker, run, is_done) => {
                 let worker_record = self.workers.get_mut(&worker);
@@ -468,6 +469,34 @@
         }
     }
 
+    /// Logs an answer to a start order whose clock is not that of the known instance, once
+    /// between two reports.
+    fn log_clock_difference(
+        &mut self,
+        worker: &WorkerId,
+        run: RunKey,
+        answer: StartAnswer,
+        now: Duration,
+    ) {
+        let Some(record) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let (Some(clock_ms), Some(expected_ms)) = (answer.clock_ms, record.clock_at(now)) else {
+            return;
+        };
+        let differs = record.fits_clock(clock_ms, answer.sent_at, now) == Some(false);
+        if differs && record.clock_logged_at.is_none() {
+            record.clock_logged_at = Some(now);
+            self.log_note(PipelineNote::ClockDiffers {
+                worker: WorkerId::clone(worker),
+                run,
+                result: answer.result,
+                clock_ms,
+                expected_ms,
+            });
+        }
+    }
+
     fn handle_start_result(
         &mut self,
         worker: &WorkerId,
--- a/crates/core/src/pipelines/tests/crashes.rs
+++ b/crates/core/src/pipelines/tests/crashes.rs
@@ -190,7 +190,8 @@
         owner.commit();
         let order = owner.take_starts().pop().expect("the task was given up");
         let worker = order.worker.clone();
-        let answer = PipelineEvent::StartAnswered(worker, order.run, StartResult::Unanswered);
+        let answer =
+            PipelineEvent::StartAnswered(worker, order.run, StartResult::Unanswered.into());
         owner.handle_event(answer);
         replace_worker(&mut owner, &order.worker, &format!("r{crashes}"));
     }
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -5,8 +5,8 @@
 use crate::{
     AdvicePolicy, AdviceReport, EndedRun, ObservedRun, PipelineAction, PipelineConfig,
     PipelineEvent, PipelineId, PipelinePhase, PipelineProgress, PipelineSpec, PipelineState,
-    QueuePolicy, RenewalReport, ResourceVector, RunEnd, RunKey, StartOrder, StartResult, StepKey,
-    StepSpec, StopOrder, WorkerId, WorkerListing, types::Epoch,
+    QueuePolicy, RenewalReport, ResourceVector, RunEnd, RunKey, StartAnswer, StartOrder,
+    StartResult, StepKey, StepSpec, StopOrder, WorkerId, WorkerListing, types::Epoch,
 };
 
 /// Wall clock of the fixtures at time zero, in ms since 1970.
@@ -214,8 +214,12 @@
         let starts = self.take_starts();
         for start in &starts {
             let worker = start.worker.clone();
-            let result = StartResult::Started;
-            self.handle_event(PipelineEvent::StartAnswered(worker, start.run, result));
+            let answer = StartAnswer {
+                result: StartResult::Started,
+                sent_at: self.now,
+                clock_ms: Some(u64::try_from(self.now.as_millis()).unwrap()),
+            };
+            self.handle_event(PipelineEvent::StartAnswered(worker, start.run, answer));
         }
         starts
     }
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -47,7 +47,9 @@
     owner.submit(1, job(vec![step(1)]));
     owner.commit();
     let first = owner.take_starts().remove(0);
-    let answer = |result| PipelineEvent::StartAnswered(first.worker.clone(), first.run, result);
+    let answer = |result: StartResult| {
+        PipelineEvent::StartAnswered(first.worker.clone(), first.run, result.into())
+    };
 
     owner.handle_event(answer(StartResult::Unanswered));
     let second = owner.take_starts();
@@ -78,7 +80,9 @@
     owner.submit(1, job(vec![step(1)]));
     owner.commit();
     let first = owner.take_starts().remove(0);
-    let answer = |result| PipelineEvent::StartAnswered(first.worker.clone(), first.run, result);
+    let answer = |result: StartResult| {
+        PipelineEvent::StartAnswered(first.worker.clone(), first.run, result.into())
+    };
 
     owner.handle_event(answer(StartResult::Unanswered));
     owner.handle_event(answer(StartResult::Unhealthy));
--- a/crates/core/src/pipelines/tests/placement.rs
+++ b/crates/core/src/pipelines/tests/placement.rs
@@ -255,7 +255,7 @@
     owner.commit();
     let placed = owner.phases[&1];
     let start = owner.take_starts().remove(0);
-    let answer = PipelineEvent::StartAnswered(start.worker, start.run, StartResult::Started);
+    let answer = PipelineEvent::StartAnswered(start.worker, start.run, StartResult::Started.into());
     owner.handle_event(answer);
     owner.commit();
 
--- a/crates/core/src/pipelines/tests/restarts.rs
+++ b/crates/core/src/pipelines/tests/restarts.rs
@@ -60,7 +60,7 @@
 
         report_restarted(&mut owner, Vec::new(), Vec::new());
         let before_claim = owner.start_all();
-        let answer = PipelineEvent::StartAnswered(order.worker.clone(), order.run, answer);
+        let answer = PipelineEvent::StartAnswered(order.worker.clone(), order.run, answer.into());
         owner.handle_event(answer);
         owner.advance_clock(Duration::from_millis(200));
         let after_answer = owner.start_all();
--- a/crates/core/src/pipelines/tests/simulation.rs
+++ b/crates/core/src/pipelines/tests/simulation.rs
@@ -309,7 +309,7 @@
             let delay = self.draw_delay(0.5);
             self.send(delay, SimMessage::Start(self.epoch, order, false));
         }
-        let event = PipelineEvent::StartAnswered(worker, run, StartResult::Unanswered);
+        let event = PipelineEvent::StartAnswered(worker, run, StartResult::Unanswered.into());
         self.send(ORDER_TIMEOUT, SimMessage::Event(self.epoch, event));
     }
 
@@ -395,7 +395,7 @@
         };
         if is_awaited {
             let delay = self.draw_transit();
-            let event = PipelineEvent::StartAnswered(order.worker, order.run, result);
+            let event = PipelineEvent::StartAnswered(order.worker, order.run, result.into());
             self.send(delay, SimMessage::Event(epoch, event));
         }
     }
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -328,7 +328,7 @@
                 accepted += 1;
             }
             let result = StartResult::BadTicket;
-            let answer = PipelineEvent::StartAnswered(start.worker, start.run, result);
+            let answer = PipelineEvent::StartAnswered(start.worker, start.run, result.into());
             owner.handle_event(answer);
         }
         owner.advance_clock(Duration::from_millis(300));
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -25,6 +25,10 @@
     lease * 100 / MIN_CLOCK_RATE_PERCENT + LEASE_LAPSE_SLACK
 }
 
+/// Largest difference between two readings of one clock that is not explained by the time
+/// between them: readings are whole milliseconds, and threads are scheduled late.
+const CLOCK_SLACK: Duration = Duration::from_millis(50);
+
 /// Phase of a run as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RunPhase {
@@ -85,6 +89,8 @@
     pub(super) stop_sent_at: Duration,
     /// When the run was placed or became known, for the log.
     pub(super) placed_at: Duration,
+    /// When the latest start order for the run was released.
+    pub(super) ordered_at: Option<Duration>,
 }
 
 impl WorkerRun {
@@ -105,6 +111,7 @@
             is_progress_ignored: step.long_running || step.gang,
             stop_sent_at: now,
             placed_at: now,
+            ordered_at: None,
         }
     }
 }
@@ -192,6 +199,12 @@
     pub(super) answered_at: Duration,
     /// Whether the log says that the worker has not been reached.
     pub(super) is_unreached_logged: bool,
+    /// When the latest answered renewal was sent.
+    pub(super) reported_at: Duration,
+    /// When the latest order that extends the lease was released.
+    pub(super) extended_at: Option<Duration>,
+    /// When the log said that the clock differs, if it did since the latest report.
+    pub(super) clock_logged_at: Option<Duration>,
 }
 
 impl WorkerRecord {
@@ -230,6 +243,9 @@
             claims,
             answered_at: now,
             is_unreached_logged: false,
+            reported_at: Duration::ZERO,
+            extended_at: None,
+            clock_logged_at: None,
         }
     }
 
@@ -353,6 +369,32 @@
         Some(clock + elapsed)
     }
 
+    /// Returns whether a reading of a worker's clock, in the answer to an order that was sent at
+    /// `sent_at` and answered at `now`, fits the latest reading of the known instance. `None` if
+    /// no reading is known.
+    pub(super) fn fits_clock(
+        &self,
+        clock_ms: u64,
+        sent_at: Duration,
+        now: Duration,
+    ) -> Option<bool> {
+        let (known_ms, read_at) = self.clock?;
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let slack = millis(CLOCK_SLACK);
+        let elapsed = sent_at.saturating_sub(read_at) * MIN_CLOCK_RATE_PERCENT / 100;
+        let overlap = read_at.saturating_sub(sent_at);
+        let earliest = (known_ms + millis(elapsed)).saturating_sub(millis(overlap) + slack);
+        let longest = now.saturating_sub(self.reported_at) * 100 / MIN_CLOCK_RATE_PERCENT;
+        Some((earliest..=known_ms + millis(longest) + slack).contains(&clock_ms))
+    }
+
+    /// Returns the number of runs that were ordered since the latest answered renewal was sent.
+    pub(super) fn unreported_count(&self) -> usize {
+        let runs = self.runs.values();
+        let unreported = runs.filter(|run| run.ordered_at.is_some_and(|at| at >= self.reported_at));
+        unreported.count()
+    }
+
     /// Records that a lease of this length may have been granted at a reading of the
     /// worker's clock.
     pub(super) fn assume_lease(&mut self, clock_ms: u64, term: Duration) {
@@ -367,6 +409,7 @@
         let deadline = self.clock_at(now)? + term;
         self.ordered_until_ms = self.ordered_until_ms.max(deadline);
         self.granted_until_ms = self.granted_until_ms.max(deadline);
+        self.extended_at = Some(now);
         Some(self.ordered_until_ms)
     }
 
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -450,7 +450,7 @@
     /// Records the metrics of an event.
     pub(super) fn record_event(&self, event: &PipelineEvent) {
         match event {
-            PipelineEvent::StartAnswered(_, _, result) => self.metrics.record_start(*result),
+            PipelineEvent::StartAnswered(_, _, answer) => self.metrics.record_start(answer.result),
             PipelineEvent::LeaseRenewed(_, _, report) => {
                 for ended in &report.ended {
                     self.metrics.record_run_end(Some(ended.end));
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -109,14 +109,6 @@
             worker = worker.as_ref();
             "stopping a run that is not placed on this worker"
         ),
-        PipelineNote::WorkerClaimed {
-            worker,
-            running,
-            ended,
-        } => log::info!(
-            service, epoch, worker = worker.as_ref(), running, ended;
-            "a worker answered; its running and ended runs are known"
-        ),
         PipelineNote::WorkerSuspected {
             worker,
             runs,
@@ -153,26 +145,63 @@
             service, epoch, worker = worker.as_ref(), runs;
             "stopping the runs of a worker that is about to leave"
         ),
-        PipelineNote::WorkerRestarted {
-            worker,
-            lost,
-            running,
-            ended,
-        } => log::warn!(
-            service, epoch, worker = worker.as_ref(), lost, running, ended;
-            "a worker was restarted; its other runs are known once it is claimed"
-        ),
         PipelineNote::WorkerLost {
             worker,
             runs,
             long_running,
             silent_for,
+            unreported,
+            ordered_ago,
             cause,
         } => log::warn!(
-            service, epoch, worker = worker.as_ref(), runs, long_running,
+            service, epoch, worker = worker.as_ref(), runs, long_running, unreported,
+            ordered_ms_ago = ordered_ago.map(|ago| ago.as_millis()),
             silent_ms = silent_for.as_millis(), cause:? = cause;
             "the runs of a worker have ended"
         ),
+        other => log_instance_note(service, epoch, other),
+    }
+}
+
+/// Logs a decision that follows from which instance of a worker has answered.
+fn log_instance_note(service: &str, epoch: Epoch, note: &PipelineNote) {
+    match note {
+        PipelineNote::WorkerClaimed {
+            worker,
+            running,
+            ended,
+            started_unix_ms,
+            token,
+            lapses_in,
+        } => log::info!(
+            service, epoch, worker = worker.as_ref(), running, ended, started_unix_ms, token,
+            lapses_in_ms = lapses_in.as_millis();
+            "a worker answered; its running and ended runs are known"
+        ),
+        PipelineNote::ClockDiffers {
+            worker,
+            run,
+            result,
+            clock_ms,
+            expected_ms,
+        } => log::warn!(
+            request_id = format!("{:016x}", run.task.step.pipeline).as_str(), service, epoch,
+            task = run.task.to_string().as_str(), attempt = run.attempt,
+            worker = worker.as_ref(), result = result.name(), clock_ms, expected_ms;
+            "the clock in the answer to a start order is not that of the known worker instance"
+        ),
+        PipelineNote::WorkerRestarted {
+            worker,
+            lost,
+            running,
+            ended,
+            started_unix_ms,
+            former_started_unix_ms,
+        } => log::warn!(
+            service, epoch, worker = worker.as_ref(), lost, running, ended, started_unix_ms,
+            former_started_unix_ms;
+            "a worker was restarted; its other runs are known once it is claimed"
+        ),
         PipelineNote::Placed { .. }
         | PipelineNote::Completed { .. }
         | PipelineNote::Failed { .. }
@@ -181,6 +210,12 @@
         | PipelineNote::Cancelled { .. }
         | PipelineNote::StepWaiting { .. }
         | PipelineNote::RunEnded { .. }
-        | PipelineNote::StartRejected { .. } => {}
+        | PipelineNote::StartRejected { .. }
+        | PipelineNote::UnexpectedRun { .. }
+        | PipelineNote::WorkerSuspected { .. }
+        | PipelineNote::WorkerUnreached { .. }
+        | PipelineNote::RunStalled { .. }
+        | PipelineNote::WorkerEvacuated { .. }
+        | PipelineNote::WorkerLost { .. } => {}
     }
 }
--- a/crates/daemon/src/pipelines/orders.rs
+++ b/crates/daemon/src/pipelines/orders.rs
@@ -10,8 +10,8 @@
 };
 
 use auburnsaddle_core::{
-    PaceOrder, PipelineAction, PipelineEvent, RenewalOrder, StartOrder, StartResult, StopOrder,
-    WorkerId,
+    PaceOrder, PipelineAction, PipelineEvent, RenewalOrder, StartAnswer, StartOrder, StartResult,
+    StopOrder, WorkerId,
 };
 use auburnsaddle_platform::WorkerClient;
 use tokio::{
@@ -152,12 +152,18 @@
         self.runtime.spawn(async move {
             let _permit = connection.permits.acquire().await;
             let is_superseded = order.token < connection.latest_token.load(Ordering::Acquire);
-            let result = if ownership.is_valid(clock.now()) && !is_superseded {
+            let sent_at = clock.now();
+            let (result, clock_ms) = if ownership.is_valid(sent_at) && !is_superseded {
                 connection.client.start(&order).await
             } else {
-                StartResult::NotSent
+                (StartResult::NotSent, None)
+            };
+            let answer = StartAnswer {
+                result,
+                sent_at,
+                clock_ms,
             };
-            let event = PipelineEvent::StartAnswered(order.worker, order.run, result);
+            let event = PipelineEvent::StartAnswered(order.worker, order.run, answer);
             // Sending fails only while the process shuts down, after the end of the
             // control thread.
             let _ = events.send(wrap_event(event)).await;
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -430,7 +430,8 @@
             },
             attempt: 1,
         };
-        let rejected = PipelineEvent::StartAnswered("w1".into(), run, StartResult::OtherInstance);
+        let rejected =
+            PipelineEvent::StartAnswered("w1".into(), run, StartResult::OtherInstance.into());
         shard.handle(rejected, Duration::ZERO);
         commit_all(&mut shard, &mut items);
     }
@@ -641,7 +642,9 @@
 /// Returns the outcome of the order that was sent last.
 async fn next_start_result(events: &mut mpsc::Receiver<CellEvent>) -> Option<StartResult> {
     match events.recv().await {
-        Some(CellEvent::Pipeline(_, _, PipelineEvent::StartAnswered(_, _, result))) => Some(result),
+        Some(CellEvent::Pipeline(_, _, PipelineEvent::StartAnswered(_, _, answer))) => {
+            Some(answer.result)
+        }
         _ => None,
     }
 }
