--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod fixtures;
+mod former_clocks;
 mod health;
 mod large;
 mod leases;
