Put what belongs to one instance of a worker into one value

The record of a worker held what was inferred from the reports of one instance (clock, lease, numbers of ends, speed, penalties, tickets) beside what outlives it (entry, token, runs), and each field was reset by hand, or not, when the worker was restarted. WorkerInstance, in a slice of its own, is replaced as a whole by the first report with another start time. EndCounter, ClockReading and RuntimeRatio move there.

Decisions change in one point: ends that wait for their commit when a claim is given up are acknowledged later, as the instance is the same; before, they were not until another one ended.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 mod calls;
 mod health;
 mod hosts;
+mod instances;
 mod journal;
 mod keys;
 mod membership;
--- a/crates/core/src/pipelines/advice.rs
+++ b/crates/core/src/pipelines/advice.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{messages::AdviceReport, worker::InstanceNumber};
-use crate::types::WorkerId;
+use super::messages::AdviceReport;
+use crate::{instances::InstanceNumber, types::WorkerId};
 
 /// Longest part of the validity of a ticket that is not used. It covers the transit of the
 /// answer, the commit and the transit of the start order.
--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -107,13 +107,9 @@
         };
         self.durable_serial = durable;
         for record in self.workers.values_mut() {
-            match record.pending_ack {
-                Some(ack) if ack.serial <= durable => {
-                    record.acked_end = ack.end;
-                    record.pending_ack = None;
-                    record.renewal_due = now;
-                }
-                _ => {}
+            let instance = record.instance.as_mut();
+            if instance.is_some_and(|instance| instance.ends.record_durable(durable)) {
+                record.renewal_due = now;
             }
         }
         self.release_starts(commit.starts, now);
@@ -167,7 +163,7 @@
         let deadline_ms = if now < self.extensions_until {
             record.extend_lease(self.config.lease, now)?
         } else {
-            record.unexpired_lease(now)?
+            record.instance.as_ref()?.unexpired_lease(now)?
         };
         if let Some(entry) = record.runs.get_mut(&start.run) {
             entry.ordered_at = Some(now);
--- a/crates/core/src/pipelines/crashes.rs
+++ b/crates/core/src/pipelines/crashes.rs
@@ -90,7 +90,8 @@
         let Some(record) = self.workers.get(worker) else {
             return Vec::new();
         };
-        let seen_at = record.clock.map_or(Duration::ZERO, |(_, read_at)| read_at);
+        let instance = record.instance.as_ref();
+        let seen_at = instance.map_or(Duration::ZERO, |instance| instance.reading().read_at);
         // An order without an answer may have been sent after the crash. Such a worker is
         // preferred for suspects until the crash is noticed, as it has the fewest runs.
         let is_started = |entry: &WorkerRun| matches!(entry.phase, RunPhase::Started(_));
--- a/crates/core/src/pipelines/health.rs
+++ b/crates/core/src/pipelines/health.rs
@@ -11,7 +11,7 @@
     state::PipelineState,
     worker::{RunPhase, WorkerRun},
 };
-use crate::types::WorkerId;
+use crate::{instances::SAMPLE_WEIGHT_DIVISOR, types::WorkerId};
 
 /// Time without a change of its progress after which a run counts as stalled. The
 /// progress of the longest tasks also changes within it: reports arrive each second, and
@@ -22,20 +22,9 @@
 /// show no progress although it is not stalled.
 const MIN_STALL_CHECK_SHARE_PERCENT: u32 = 50;
 
-/// Run time ratio of a worker, in percent of the typical ratio, above which other workers
-/// are preferred.
-const SLOW_RATIO_PERCENT: u64 = 220;
-
 /// Minimum age of a run whose progress is used as a sample.
 const MIN_SAMPLE_AGE: Duration = Duration::from_millis(400);
 
-/// Divisor of the weight of a new sample in the moving average of a worker.
-const SAMPLE_WEIGHT_DIVISOR: u64 = 6;
-
-/// Time in which the excess of a worker's ratio over the typical one is halved. A slow
-/// worker that is avoided yields no samples, so its ratio must decay by itself.
-const RATIO_HALF_LIFE: Duration = Duration::from_secs(3);
-
 /// Time before the departure of a worker at which its runs are stopped. It covers the
 /// stop order, the report of the end and the commit.
 const EVACUATION_TIME: Duration = Duration::from_millis(700);
@@ -43,51 +32,6 @@
 /// Assumed time until a draining worker leaves that has not announced it.
 const DEFAULT_LEAVE_NOTICE: Duration = Duration::from_secs(2);
 
-/// Ratio of run time to estimate that is assumed before the first sample, in percent.
-const INITIAL_RATIO_PERCENT: u64 = 100;
-
-/// Moving average of the ratio of run time to estimate on a worker, in percent. A
-/// higher ratio means a slower worker.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct RuntimeRatio {
-    percent: u64,
-    sampled_at: Duration,
-}
-
-impl Default for RuntimeRatio {
-    fn default() -> Self {
-        Self {
-            percent: INITIAL_RATIO_PERCENT,
-            sampled_at: Duration::ZERO,
-        }
-    }
-}
-
-impl RuntimeRatio {
-    /// Returns the ratio after its decay towards `typical` since the latest sample.
-    fn decayed_percent(self, typical: u64, now: Duration) -> u64 {
-        let halvings =
-            now.saturating_sub(self.sampled_at).as_millis() / RATIO_HALF_LIFE.as_millis();
-        let halvings = u32::try_from(halvings).unwrap_or(u32::MAX).min(16);
-        if self.percent > typical {
-            typical + ((self.percent - typical) >> halvings)
-        } else {
-            self.percent
-        }
-    }
-
-    fn add_sample(&mut self, sample: u64, typical: u64, now: Duration) {
-        let previous = self.decayed_percent(typical, now);
-        self.percent = (previous * (SAMPLE_WEIGHT_DIVISOR - 1) + sample) / SAMPLE_WEIGHT_DIVISOR;
-        self.sampled_at = now;
-    }
-
-    /// Returns whether the worker is much slower than typical.
-    pub(super) fn is_slow(self, typical: u64, now: Duration) -> bool {
-        self.decayed_percent(typical, now) * 100 > typical * SLOW_RATIO_PERCENT
-    }
-}
-
 /// Returns the ratio of the expected run time of a run to its estimate, in percent, or
 /// `None` if its progress does not allow a prediction.
 fn ratio_sample(run: &WorkerRun, now: Duration) -> Option<u64> {
@@ -122,7 +66,9 @@
             return;
         }
         let mean = samples.iter().sum::<u64>() / samples.len() as u64;
-        record.runtime_ratio.add_sample(mean, typical, now);
+        if let Some(instance) = &mut record.instance {
+            instance.runtime_ratio.add_sample(mean, typical, now);
+        }
         // Limits the effect of slow workers on the typical ratio.
         let bounded = mean.min(typical * 2);
         let divisor = SAMPLE_WEIGHT_DIVISOR * 16;
@@ -133,7 +79,9 @@
     pub(super) fn stop_stalled_runs(&mut self, now: Duration) {
         let stalled = self.workers.iter().flat_map(|(worker, record)| {
             // Without a recent report, the progress is unknown.
-            let reported_at = record.clock.map_or(Duration::ZERO, |(_, read_at)| read_at);
+            let instance = record.instance.as_ref();
+            let reported_at =
+                instance.map_or(Duration::ZERO, |instance| instance.reading().read_at);
             let runs = record.runs.iter().filter(move |(_, run)| {
                 matches!(run.phase, RunPhase::Started(_))
                     && !run.is_progress_ignored
@@ -151,8 +99,9 @@
         });
         let stalled: Vec<(WorkerId, RunKey, u32, Duration)> = stalled.collect();
         for (worker, run, percent, progressed_at) in stalled {
-            if let Some(record) = self.workers.get_mut(&worker) {
-                record.penalized_until = now + STALL_TIMEOUT * 2;
+            let record = self.workers.get_mut(&worker);
+            if let Some(instance) = record.and_then(|record| record.instance.as_mut()) {
+                instance.penalized_until = now + STALL_TIMEOUT * 2;
             }
             self.stop_run(&worker, run, now);
             self.log_note(PipelineNote::RunStalled {
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -7,12 +7,11 @@
     time::Duration,
 };
 
-use super::{
-    advice::TicketCache,
-    spec::StepSpec,
-    worker::{InstanceNumber, WorkerRecord},
+use super::{advice::TicketCache, spec::StepSpec, worker::WorkerRecord};
+use crate::{
+    instances::InstanceNumber,
+    types::{RackId, ResourceVector, WorkerId},
 };
-use crate::types::{RackId, ResourceVector, WorkerId};
 
 /// Maximum number of exhausted demands that are compared with the demand of a step.
 const MAX_EXHAUSTED_DEMANDS: usize = 16;
@@ -97,19 +96,19 @@
         now: Duration,
     ) -> Self {
         let rows = workers.filter_map(|(worker, record)| {
-            let listing = record.listing.as_ref()?;
+            let (listing, instance) = (record.listing.as_ref()?, record.instance.as_ref()?);
             let row = record.can_accept_tasks().then(|| TableRow {
                 worker: WorkerId::clone(worker),
-                instance: record.instance,
+                instance: instance.number,
                 rack: listing.rack.clone(),
                 capacity: listing.capacity,
                 reclaimable: record.reclaimable_resources(),
                 best_effort_cpu_milli: record.best_effort_cpu_milli,
                 run_count: record.runs.len(),
                 has_serving_task: record.has_serving_task(),
-                is_penalized: record.penalized_until > now
+                is_penalized: instance.penalized_until > now
                     || record.has_unproven_suspect()
-                    || record.runtime_ratio.is_slow(typical_ratio_percent, now),
+                    || instance.runtime_ratio.is_slow(typical_ratio_percent, now),
                 is_headroom: false,
             });
             Some((row?, record.free_resources()))
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -11,9 +11,12 @@
     progress::{PipelinePhase, TaskPlace},
     spec::{PipelineId, RunKey},
     state::PipelineState,
-    worker::{PendingAck, ReportStatus, RunPhase, WorkerContact, WorkerRun, lapse_time},
+    worker::{ReportStatus, RunPhase, WorkerContact, WorkerRun},
+};
+use crate::{
+    instances::{ClockReading, WorkerInstance, lapse_time},
+    types::WorkerId,
 };
-use crate::types::WorkerId;
 
 /// Minimum time between two changes of the shares on a worker. A report covers half a
 /// second.
@@ -49,28 +52,70 @@
         record.answered_at = now;
         record.reported_at = sent_at;
         record.clock_logged_at = None;
-        if record
-            .started_unix_ms
-            .is_some_and(|known_start_ms| known_start_ms != report.started_unix_ms)
-        {
-            self.handle_worker_restart(worker, sent_at, report, now);
+        let reading = ClockReading {
+            clock_ms: report.clock_ms,
+            sent_at,
+            read_at: now,
+        };
+        match &mut record.instance {
+            Some(instance) if instance.started_unix_ms != report.started_unix_ms => {
+                self.handle_worker_restart(worker, reading, report, now);
+                return;
+            }
+            Some(instance) => instance.set_reading(reading),
+            None => {
+                let instance = self.create_instance(report.started_unix_ms, reading);
+                self.insert_instance(worker, instance);
+            }
+        }
+        self.claim_worker(worker, report, now);
+        let Some(processed) = self.processed_end(worker) else {
             return;
+        };
+        let ended = report.ended.iter().filter(|end| end.number > processed);
+        let ended: Vec<&EndedRun> = ended.collect();
+        for end in &ended {
+            self.handle_run_end(worker, end, now);
         }
-        record.started_unix_ms = Some(report.started_unix_ms);
-        record.clock = Some((report.clock_ms, now));
-        let is_claim = record.contact == WorkerContact::Unclaimed;
-        let is_contact_new = record.contact != WorkerContact::Claimed;
+        self.update_reported_runs(worker, &report.running, now);
+        self.drop_missing_runs(worker, report, sent_at, now);
+        self.update_runtime_ratios(worker, now);
+        self.pace_best_effort_runs(worker, now);
+        let last_end = ended.last().map(|end| end.number);
+        self.schedule_renewal(worker, last_end, now);
+    }
+
+    fn insert_instance(&mut self, worker: &WorkerId, instance: WorkerInstance) {
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.instance = Some(instance);
+        }
+    }
+
+    /// Returns the number of the last end of the known instance that was handled.
+    fn processed_end(&self, worker: &WorkerId) -> Option<u64> {
+        let instance = self.workers.get(worker)?.instance.as_ref()?;
+        Some(instance.ends.processed())
+    }
+
+    /// Claims a worker whose instance has answered with the current token.
+    fn claim_worker(&mut self, worker: &WorkerId, report: &RenewalReport, now: Duration) {
+        let Some(record) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let former_contact = record.contact;
         record.contact = WorkerContact::Claimed;
-        if is_claim {
+        if former_contact == WorkerContact::Unclaimed {
             // The claim fences the previous owner, which may have granted a lease just before.
             record.inherited_until = Duration::ZERO;
-            record.assume_lease(report.clock_ms, self.config.inherited_lease);
-            // The clock of an instance starts with it, and an order for the former instance has
-            // a deadline on another clock.
-            let transit_ms = u64::try_from(ORDER_TRANSIT_TIME.as_millis()).unwrap_or(u64::MAX);
-            record.assume_lease(report.clock_ms.min(transit_ms), self.config.max_lease);
+            if let Some(instance) = &mut record.instance {
+                instance.assume_lease(report.clock_ms, self.config.inherited_lease);
+                // The clock of an instance starts with it, and an order for the former instance
+                // has a deadline on another clock.
+                let transit_ms = u64::try_from(ORDER_TRANSIT_TIME.as_millis()).unwrap_or(u64::MAX);
+                instance.assume_lease(report.clock_ms.min(transit_ms), self.config.max_lease);
+            }
         }
-        if is_contact_new {
+        if former_contact != WorkerContact::Claimed {
             self.is_placement_due = true;
             let note = PipelineNote::WorkerClaimed {
                 worker: WorkerId::clone(worker),
@@ -82,37 +127,25 @@
             };
             self.actions.push(PipelineAction::Log(note));
         }
-        let processed = record.processed_end;
-        let ended = report.ended.iter().filter(|end| end.number > processed);
-        let ended: Vec<&EndedRun> = ended.collect();
-        for end in &ended {
-            self.handle_run_end(worker, end, now);
-        }
-        self.update_reported_runs(worker, &report.running, now);
-        self.drop_missing_runs(worker, report, sent_at, now);
-        self.update_runtime_ratios(worker, now);
-        self.pace_best_effort_runs(worker, now);
-        // The ends are acknowledged once the changes made here are durable.
-        let serial = self.serial;
-        let durable = self.durable_serial;
+    }
+
+    /// Sets the time of the next renewal after a report, whose last new end has this number. The
+    /// ends are acknowledged once the changes made so far are durable.
+    fn schedule_renewal(&mut self, worker: &WorkerId, last_end: Option<u64>, now: Duration) {
+        let (serial, durable) = (self.serial, self.durable_serial);
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
         record.renewal_due = now;
-        if let Some(last) = ended.last() {
-            record.processed_end = last.number;
-            record.pending_ack = Some(PendingAck {
-                serial,
-                end: last.number,
-            });
+        let Some(instance) = &mut record.instance else {
+            return;
+        };
+        if let Some(end) = last_end {
+            instance.ends.record_processed(end, serial);
         }
-        match record.pending_ack {
-            Some(ack) if ack.serial <= durable => {
-                record.acked_end = ack.end;
-                record.pending_ack = None;
-            }
-            Some(_) => record.renewal_due = now + UNACKED_RENEWAL_INTERVAL,
-            None => {}
+        instance.ends.record_durable(durable);
+        if instance.ends.has_pending() {
+            record.renewal_due = now + UNACKED_RENEWAL_INTERVAL;
         }
     }
 
@@ -124,7 +157,7 @@
     fn handle_worker_restart(
         &mut self,
         worker: &WorkerId,
-        sent_at: Duration,
+        reading: ClockReading,
         report: &RenewalReport,
         now: Duration,
     ) {
@@ -132,17 +165,17 @@
         let ended = report.ended.iter().map(|end| end.run);
         let present: BTreeSet<RunKey> = running.chain(ended).collect();
         let has_ended = |run: &RunKey, entry: &WorkerRun| {
-            matches!(entry.phase, RunPhase::Started(at) if at < sent_at)
+            matches!(entry.phase, RunPhase::Started(at) if at < reading.sent_at)
                 && !present.contains(run)
                 && !report.has_more_ends
         };
         let suspects = self.blame_runs(worker, has_ended);
-        let former = self.workers.get(worker);
-        let former_started_unix_ms = former.and_then(|record| record.started_unix_ms);
-        self.reset_worker(worker, Some(report.started_unix_ms), now);
+        let instance = self.create_instance(report.started_unix_ms, reading);
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
+        let former = record.instance.replace(instance);
+        record.give_up_claim(now);
         record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
         let (mut lost, mut stopping) = (Vec::new(), Vec::new());
         for (run, entry) in &mut record.runs {
@@ -162,7 +195,7 @@
             running: report.running.len(),
             ended: report.ended.len(),
             started_unix_ms: report.started_unix_ms,
-            former_started_unix_ms: former_started_unix_ms.unwrap_or_default(),
+            former_started_unix_ms: former.map_or(0, |former| former.started_unix_ms),
         });
         for (run, placed_at) in lost {
             self.log_lost_run(worker, run, placed_at, now);
@@ -261,12 +294,12 @@
             return;
         };
         let run = record.remove_run(ended.run);
-        match ended.end {
-            RunEnd::Done => record.consecutive_failures = 0,
-            RunEnd::Failed => {
-                record.consecutive_failures += 1;
-                if record.consecutive_failures >= FAILURES_BEFORE_PENALTY {
-                    record.penalized_until = now + FAILURE_PENALTY;
+        match (&mut record.instance, ended.end) {
+            (Some(instance), RunEnd::Done) => instance.consecutive_failures = 0,
+            (Some(instance), RunEnd::Failed) => {
+                instance.consecutive_failures += 1;
+                if instance.consecutive_failures >= FAILURES_BEFORE_PENALTY {
+                    instance.penalized_until = now + FAILURE_PENALTY;
                 }
             }
             _ => {}
@@ -449,8 +482,9 @@
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        if now < record.pace_due {
-            return;
+        match &record.instance {
+            Some(instance) if now >= instance.pace_due => {}
+            _ => return,
         }
         let tails = record.runs.values().filter_map(|run| {
             let objective = run.target_tail_ms?;
@@ -466,7 +500,9 @@
         });
         let changes: Vec<(RunKey, u32)> = changes.collect();
         for (key, percent) in changes {
-            record.pace_due = now + PACE_INTERVAL;
+            if let Some(instance) = &mut record.instance {
+                instance.pace_due = now + PACE_INTERVAL;
+            }
             if let Some(run) = record.runs.get_mut(&key) {
                 run.pace_percent = percent;
             }
--- a/crates/core/src/pipelines/requests.rs
+++ b/crates/core/src/pipelines/requests.rs
@@ -11,9 +11,8 @@
     schedule::{PlacementPass, StepSearch},
     spec::AdvicePolicy,
     state::PipelineState,
-    worker::InstanceNumber,
 };
-use crate::types::WorkerId;
+use crate::{instances::InstanceNumber, types::WorkerId};
 
 /// Maximum number of pending requests of steps at the head of the queue that do not fit
 /// yet. They start as soon as they fit, but their tickets may expire before that, and
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -439,7 +439,9 @@
             let mut ticket = None;
             if let Some(record) = self.workers.get_mut(&worker) {
                 let cache = self.ticket_caches.get(&key);
-                let usable = cache.and_then(|cache| cache.ticket(record.instance, now));
+                let usable = cache.zip(record.instance.as_ref());
+                let usable =
+                    usable.and_then(|(cache, instance)| cache.ticket(instance.number, now));
                 ticket = usable.map(str::to_owned);
                 let mut entry = WorkerRun::new(&step_spec, RunPhase::Ordered(0), now);
                 if task.is_suspect() {
@@ -489,16 +491,24 @@
             // not extended.
             WorkerContact::Unclaimed | WorkerContact::Doubted => (None, Duration::ZERO),
             WorkerContact::Claimed => {
-                let wait = match record.pending_ack {
-                    Some(_) => Duration::ZERO,
-                    None => self.config.renewal_wait,
+                let has_pending = record
+                    .instance
+                    .as_ref()
+                    .is_some_and(|known| known.ends.has_pending());
+                let wait = if has_pending {
+                    Duration::ZERO
+                } else {
+                    self.config.renewal_wait
                 };
                 let extended = may_extend.then(|| record.extend_lease(self.config.lease, now));
                 (extended.flatten(), wait)
             }
         };
         let acked_end = match record.contact {
-            WorkerContact::Claimed => record.acked_end,
+            WorkerContact::Claimed => {
+                let instance = record.instance.as_ref();
+                instance.map_or(0, |instance| instance.ends.acked())
+            }
             // The worker may have been restarted, and the ends of its new instance, which have
             // the same numbers, must not be discarded.
             WorkerContact::Unclaimed | WorkerContact::Doubted => 0,
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -19,9 +19,12 @@
     schedule::PipelineConfig,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
     wait::WaitRecord,
-    worker::{InstanceNumber, RunPhase, WorkerContact, WorkerRecord},
+    worker::{RunPhase, WorkerContact, WorkerRecord},
+};
+use crate::{
+    instances::{ClockReading, InstanceNumber, WorkerInstance},
+    types::{Epoch, WorkerId},
 };
-use crate::types::{Epoch, WorkerId};
 
 /// Number of times that a start order is sent without an answer before the run is
 /// stopped.
@@ -340,25 +343,19 @@
         inherited_until: Duration,
         now: Duration,
     ) -> &mut WorkerRecord {
-        let (last_instance, claims) = (&mut self.last_instance, self.removed_claims);
+        let claims = self.removed_claims;
         let record = self.workers.entry(WorkerId::clone(worker));
-        record.or_insert_with(|| {
-            *last_instance += 1;
-            WorkerRecord::new(*last_instance, inherited_until, claims, now)
-        })
+        record.or_insert_with(|| WorkerRecord::new(inherited_until, claims, now))
     }
 
-    /// Resets a worker that was restarted, which invalidates its tickets.
-    pub(super) fn reset_worker(
+    /// Returns the state of an instance that has answered for the first time.
+    pub(super) fn create_instance(
         &mut self,
-        worker: &WorkerId,
-        started_unix_ms: Option<u64>,
-        now: Duration,
-    ) {
+        started_unix_ms: u64,
+        reading: ClockReading,
+    ) -> WorkerInstance {
         self.last_instance += 1;
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.reset_instance(self.last_instance, started_unix_ms, now);
-        }
+        WorkerInstance::new(self.last_instance, started_unix_ms, reading)
     }
 
     fn cancel_pipeline(&mut self, id: PipelineId, now: Duration) {
@@ -441,7 +438,6 @@
                 // Another worker answers at the address, so this instance has ended.
                 record.listing = None;
                 let suspects = self.blame_runs(worker, |_, _| true);
-                self.reset_worker(worker, None, now);
                 self.drop_all_runs(worker, LossCause::Replaced, now);
                 self.fail_crashing_jobs(&suspects, now);
                 self.remove_worker(worker);
@@ -481,11 +477,16 @@
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        let (Some(clock_ms), Some(expected_ms)) = (answer.clock_ms, record.clock_at(now)) else {
+        let (Some(clock_ms), Some(instance)) = (answer.clock_ms, &record.instance) else {
             return;
         };
-        let differs = record.fits_clock(clock_ms, answer.sent_at, now) == Some(false);
-        if differs && record.clock_logged_at.is_none() {
+        let reading = ClockReading {
+            clock_ms,
+            sent_at: answer.sent_at,
+            read_at: now,
+        };
+        let expected_ms = instance.clock_at(now);
+        if !instance.reading().agrees_with(reading) && record.clock_logged_at.is_none() {
             record.clock_logged_at = Some(now);
             self.log_note(PipelineNote::ClockDiffers {
                 worker: WorkerId::clone(worker),
@@ -551,11 +552,16 @@
                     }
                     StartResult::BadTicket => {
                         if let Some(cache) = self.ticket_caches.get_mut(&run.task.step) {
-                            cache.reject_ticket(record.instance);
+                            let instance = record.instance.as_ref();
+                            cache.reject_ticket(instance.map_or(0, |known| known.number));
                         }
                     }
                     StartResult::NotSent => {}
-                    _ => record.penalized_until = now + REJECTION_PENALTY,
+                    _ => {
+                        if let Some(instance) = &mut record.instance {
+                            instance.penalized_until = now + REJECTION_PENALTY;
+                        }
+                    }
                 }
                 self.log_rejected_start(worker, run, result);
                 self.drop_run(worker, run, now);
@@ -605,7 +611,7 @@
         let lapsed: Vec<WorkerId> = lapsed.map(|(id, _)| WorkerId::clone(id)).collect();
         for worker in lapsed {
             if let Some(record) = self.workers.get_mut(&worker) {
-                record.reset_claim(now);
+                record.give_up_claim(now);
             }
             self.drop_all_runs(&worker, LossCause::LeaseLapsed, now);
         }
--- a/crates/core/src/pipelines/takeover.rs
+++ b/crates/core/src/pipelines/takeover.rs
@@ -9,9 +9,9 @@
     schedule::UNCONFIRMED_RENEWAL_TIME,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, TaskKey},
     state::PipelineState,
-    worker::{RunPhase, WorkerContact, WorkerRun, lapse_time},
+    worker::{RunPhase, WorkerContact, WorkerRun},
 };
-use crate::types::WorkerId;
+use crate::{instances::lapse_time, types::WorkerId};
 
 /// Time after a takeover for which an earlier owner without witnesses may still extend leases: the
 /// term of its lease in the store, which may have been revoked early, and the time without the
@@ -36,7 +36,7 @@
         self.predecessors_ended_at = Some(ended_at);
         let inherited_until = self.predecessor_runs_until();
         let records = self.workers.values_mut();
-        for record in records.filter(|record| record.started_unix_ms.is_none()) {
+        for record in records.filter(|record| record.instance.is_none()) {
             record.inherited_until = record.inherited_until.min(inherited_until);
         }
     }
--- a/crates/core/src/pipelines/tests/former_clocks.rs
+++ b/crates/core/src/pipelines/tests/former_clocks.rs
@@ -52,12 +52,13 @@
     u64::try_from(owner.now.as_millis()).unwrap()
 }
 
-/// Answers a start order that the second instance of `w1` has received.
+/// Reports what became of a start order that the second instance of `w1` has received.
 fn answer_restarted(owner: &mut OwnerFixture, order: &StartOrder, result: StartResult) {
+    let clock_ms = first_clock_ms(owner) + CLOCK_LEAD_MS;
     let answer = StartAnswer {
         result,
         sent_at: owner.now,
-        clock_ms: Some(first_clock_ms(owner) + CLOCK_LEAD_MS),
+        clock_ms: (result != StartResult::Unanswered).then_some(clock_ms),
     };
     let worker = order.worker.clone();
     owner.handle_event(PipelineEvent::StartAnswered(worker, order.run, answer));
@@ -88,14 +89,7 @@
     for result in [StartResult::Started, StartResult::Unanswered] {
         let (mut owner, order) = owner_with_open_order();
 
-        match result {
-            StartResult::Started => answer_restarted(&mut owner, &order, result),
-            _ => {
-                let answer =
-                    PipelineEvent::StartAnswered(order.worker.clone(), order.run, result.into());
-                owner.handle_event(answer);
-            }
-        }
+        answer_restarted(&mut owner, &order, result);
         cut_off(&mut owner);
         owner.advance_clock(LONGEST_LEASE);
         let early = owner.start_all();
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -3,32 +3,18 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    health::RuntimeRatio,
     messages::{StopOrder, WorkerListing},
     spec::{RunKey, StepKey, StepSpec, TaskKey},
 };
-use crate::types::{Epoch, ResourceVector, WorkerId};
+use crate::{
+    instances::WorkerInstance,
+    types::{Epoch, ResourceVector, WorkerId},
+};
 
 /// Number of low bits of a fencing token that count the claims of the worker within
 /// one ownership. The bits above hold the epoch.
 const CLAIM_BITS: u32 = 8;
 
-/// Lowest assumed rate of a worker's clock relative to that of the owner, in percent.
-const MIN_CLOCK_RATE_PERCENT: u32 = 98;
-
-/// Allowance for the delay of the worker's timers after the end of a lease.
-const LEASE_LAPSE_SLACK: Duration = Duration::from_millis(300);
-
-/// Returns the time on the clock of the owner after which a lease of this length on
-/// the clock of a worker has lapsed.
-pub(super) fn lapse_time(lease: Duration) -> Duration {
-    lease * 100 / MIN_CLOCK_RATE_PERCENT + LEASE_LAPSE_SLACK
-}
-
-/// Largest difference between two readings of one clock that is not explained by the time
-/// between them: readings are whole milliseconds, and threads are scheduled late.
-const CLOCK_SLACK: Duration = Duration::from_millis(50);
-
 /// Phase of a run as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RunPhase {
@@ -116,11 +102,6 @@
     }
 }
 
-/// Number of a worker instance, unique within one ownership. A worker that was restarted or
-/// listed again gets a new number, so that what is known about its former instance does
-/// not apply to it.
-pub(super) type InstanceNumber = u32;
-
 /// Contact with a worker. Start orders are sent only to claimed workers. The names
 /// appear in the dump.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -133,46 +114,23 @@
     Doubted,
 }
 
-/// Ends that are acknowledged once all changes up to a serial number are durable.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct PendingAck {
-    /// Serial number of the change that must be durable.
-    pub(super) serial: u64,
-    /// Number of the last end to acknowledge.
-    pub(super) end: u64,
-}
-
-/// A worker of the service, with its runs and its lease.
+/// A worker of the service, with its runs and the instance that answered last.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerRecord {
     /// Entry of the worker in the platform's registry; `None` if the worker is known
     /// only from the progress of a job.
     pub(super) listing: Option<WorkerListing>,
-    pub(super) instance: InstanceNumber,
+    /// What is known of the instance that answered last; `None` before the first answer.
+    pub(super) instance: Option<WorkerInstance>,
     pub(super) contact: WorkerContact,
+    /// Runs that may be on any instance of the worker.
     pub(super) runs: BTreeMap<RunKey, WorkerRun>,
     /// Resources that the runs reserve.
     pub(super) used: ResourceVector,
     /// CPU demand of the best-effort runs, in thousandths of a core.
     pub(super) best_effort_cpu_milli: u64,
-    /// Start time of the worker instance in ms since 1970, once it has answered.
-    pub(super) started_unix_ms: Option<u64>,
-    /// Latest reading of the worker's clock in ms, and the time at which it arrived.
-    pub(super) clock: Option<(u64, Duration)>,
-    /// Latest end of the lease that may have been granted, by any owner, in ms on the worker's
-    /// clock.
-    pub(super) granted_until_ms: u64,
-    /// Latest end of the lease in the orders of this owner's claim, in ms on the worker's clock.
-    /// A successor counts on it that none has a longer term than a renewal.
-    pub(super) ordered_until_ms: u64,
     /// Time by which the inherited runs have ended if this owner cannot claim the worker.
     pub(super) inherited_until: Duration,
-    /// Number of the last reported end that was handled.
-    pub(super) processed_end: u64,
-    /// Number of the last end that is durable, which renewals acknowledge.
-    pub(super) acked_end: u64,
-    /// Reported ends that are not durable yet.
-    pub(super) pending_ack: Option<PendingAck>,
     /// Whether a renewal was sent and its outcome is not known.
     pub(super) is_renewal_pending: bool,
     /// Whether the pending renewal was sent to a former address of the worker.
@@ -181,17 +139,9 @@
     pub(super) renewal_due: Duration,
     /// Number of failed renewals since the last report.
     pub(super) missed_renewals: u32,
-    /// Until when other workers are preferred, because starts or runs failed here.
-    pub(super) penalized_until: Duration,
-    /// Number of consecutive failed runs.
-    pub(super) consecutive_failures: u32,
-    /// Earliest time of the next change of the CPU shares.
-    pub(super) pace_due: Duration,
     /// When the runs of a draining worker are stopped, so that their tasks are placed
     /// elsewhere; `None` if that was done or the worker is not draining.
     pub(super) evacuate_at: Option<Duration>,
-    /// Ratio of run time to estimate on this worker.
-    pub(super) runtime_ratio: RuntimeRatio,
     /// Number of claims that were given up in this ownership, the low bits of the
     /// fencing token.
     pub(super) claims: u64,
@@ -201,7 +151,7 @@
     pub(super) is_unreached_logged: bool,
     /// When the latest answered renewal was sent.
     pub(super) reported_at: Duration,
-    /// When the latest order that extends the lease was released.
+    /// When the latest order that extends the lease was released, to whichever instance.
     pub(super) extended_at: Option<Duration>,
     /// When the log said that the clock differs, if it did since the latest report.
     pub(super) clock_logged_at: Option<Duration>,
@@ -210,36 +160,20 @@
 impl WorkerRecord {
     /// Returns the record of a worker of which earlier records in this ownership have given
     /// up at most `claims` claims.
-    pub(super) fn new(
-        instance: InstanceNumber,
-        inherited_until: Duration,
-        claims: u64,
-        now: Duration,
-    ) -> Self {
+    pub(super) fn new(inherited_until: Duration, claims: u64, now: Duration) -> Self {
         Self {
             listing: None,
-            instance,
+            instance: None,
             contact: WorkerContact::Unclaimed,
             runs: BTreeMap::new(),
             used: ResourceVector::default(),
             best_effort_cpu_milli: 0,
-            started_unix_ms: None,
-            clock: None,
-            granted_until_ms: 0,
-            ordered_until_ms: 0,
             inherited_until,
-            processed_end: 0,
-            acked_end: 0,
-            pending_ack: None,
             is_renewal_pending: false,
             is_renewal_misdirected: false,
             renewal_due: now,
             missed_renewals: 0,
-            penalized_until: Duration::ZERO,
-            consecutive_failures: 0,
-            pace_due: Duration::ZERO,
             evacuate_at: None,
-            runtime_ratio: RuntimeRatio::default(),
             claims,
             answered_at: now,
             is_unreached_logged: false,
@@ -255,29 +189,10 @@
     }
 
     /// Gives up the claim. The next one has a higher token than every order sent so far.
-    pub(super) fn reset_claim(&mut self, now: Duration) {
+    pub(super) fn give_up_claim(&mut self, now: Duration) {
         self.contact = WorkerContact::Unclaimed;
         self.claims = (self.claims + 1).min((1 << CLAIM_BITS) - 1);
-        self.granted_until_ms = 0;
-        self.ordered_until_ms = 0;
-        self.clock = None;
-        self.pending_ack = None;
         self.renewal_due = now;
-        self.inherited_until = now;
-    }
-
-    /// Resets the state that belonged to the previous instance of the worker.
-    pub(super) fn reset_instance(
-        &mut self,
-        instance: InstanceNumber,
-        started_unix_ms: Option<u64>,
-        now: Duration,
-    ) {
-        self.reset_claim(now);
-        self.instance = instance;
-        self.started_unix_ms = started_unix_ms;
-        self.processed_end = 0;
-        self.acked_end = 0;
     }
 
     pub(super) fn address(&self) -> Option<&str> {
@@ -361,33 +276,6 @@
         self.runs.values().any(|run| run.target_tail_ms.is_some())
     }
 
-    /// Returns an estimate of the worker's clock, which is ahead of it by at most the
-    /// drift since the latest reading.
-    pub(super) fn clock_at(&self, now: Duration) -> Option<u64> {
-        let (clock, read_at) = self.clock?;
-        let elapsed = u64::try_from(now.saturating_sub(read_at).as_millis()).ok()?;
-        Some(clock + elapsed)
-    }
-
-    /// Returns whether a reading of a worker's clock, in the answer to an order that was sent at
-    /// `sent_at` and answered at `now`, fits the latest reading of the known instance. `None` if
-    /// no reading is known.
-    pub(super) fn fits_clock(
-        &self,
-        clock_ms: u64,
-        sent_at: Duration,
-        now: Duration,
-    ) -> Option<bool> {
-        let (known_ms, read_at) = self.clock?;
-        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-        let slack = millis(CLOCK_SLACK);
-        let elapsed = sent_at.saturating_sub(read_at) * MIN_CLOCK_RATE_PERCENT / 100;
-        let overlap = read_at.saturating_sub(sent_at);
-        let earliest = (known_ms + millis(elapsed)).saturating_sub(millis(overlap) + slack);
-        let longest = now.saturating_sub(self.reported_at) * 100 / MIN_CLOCK_RATE_PERCENT;
-        Some((earliest..=known_ms + millis(longest) + slack).contains(&clock_ms))
-    }
-
     /// Returns the number of runs that were ordered since the latest answered renewal was sent.
     pub(super) fn unreported_count(&self) -> usize {
         let runs = self.runs.values();
@@ -395,39 +283,18 @@
         unreported.count()
     }
 
-    /// Records that a lease of this length may have been granted at a reading of the
-    /// worker's clock.
-    pub(super) fn assume_lease(&mut self, clock_ms: u64, term: Duration) {
-        let term = u64::try_from(term.as_millis()).unwrap_or(u64::MAX);
-        self.granted_until_ms = self.granted_until_ms.max(clock_ms.saturating_add(term));
-    }
-
-    /// Extends the lease, and returns its end in ms on the worker's clock if the clock is
-    /// known.
+    /// Extends the lease of the known instance, and returns its end in ms on the worker's clock.
     pub(super) fn extend_lease(&mut self, term: Duration, now: Duration) -> Option<u64> {
-        let term = u64::try_from(term.as_millis()).ok()?;
-        let deadline = self.clock_at(now)? + term;
-        self.ordered_until_ms = self.ordered_until_ms.max(deadline);
-        self.granted_until_ms = self.granted_until_ms.max(deadline);
+        let deadline_ms = self.instance.as_mut()?.extend_lease(term, now);
         self.extended_at = Some(now);
-        Some(self.ordered_until_ms)
-    }
-
-    /// Returns the end of the lease in the latest order, in ms on the worker's clock, unless it may
-    /// have passed.
-    pub(super) fn unexpired_lease(&self, now: Duration) -> Option<u64> {
-        let is_unexpired = self.clock_at(now)? < self.ordered_until_ms;
-        is_unexpired.then_some(self.ordered_until_ms)
+        Some(deadline_ms)
     }
 
     /// Returns the time by which all runs on the worker have ended if its lease is not
     /// renewed.
     pub(super) fn lapses_at(&self) -> Duration {
-        let Some((clock, read_at)) = self.clock else {
-            return self.inherited_until;
-        };
-        let left = Duration::from_millis(self.granted_until_ms.saturating_sub(clock));
-        (read_at + lapse_time(left)).max(self.inherited_until)
+        let lapses_at = self.instance.as_ref().map(WorkerInstance::lapses_at);
+        lapses_at.unwrap_or_default().max(self.inherited_until)
     }
 
     pub(super) fn stop_order(
