--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -93,7 +93,7 @@
 pub use ownership::{OwnershipEvent, ShardPhase};
 pub use pipelines::{AdviceOrder, AdvicePolicy, AdviceReport, CommitEntry, EndedRun};
 pub use pipelines::{
-    LossCause, ObservedRun, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport,
+    LossCause, ObservedRun, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport, RenewalStamp,
 };
 pub use pipelines::{MAX_OPEN_TASKS, MAX_PREDECESSOR_TIME, UNCONFIRMED_RENEWAL_TIME};
 pub use pipelines::{PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad};
--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -165,6 +165,8 @@
         } else {
             record.instance.as_ref()?.unexpired_lease(now)?
         };
+        record.deadline_sent_at = Some(now);
+        record.is_token_used = true;
         if let Some(entry) = record.runs.get_mut(&start.run) {
             entry.ordered_at = Some(now);
         }
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -103,6 +103,15 @@
     pub has_more_ends: bool,
 }
 
+/// Which renewal a worker has answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RenewalStamp {
+    /// Fencing token of the renewal. The worker rejects orders with lower ones from then on.
+    pub token: Epoch,
+    /// When the renewal was sent.
+    pub sent_at: Duration,
+}
+
 /// Why the renewal of a lease failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RenewalFailure {
@@ -278,8 +287,8 @@
     Listed(WorkerListing),
     /// A worker was removed from the registry.
     Delisted(WorkerId),
-    /// A worker answered the renewal of its lease that was sent at the given time.
-    LeaseRenewed(WorkerId, Duration, RenewalReport),
+    /// A worker answered a renewal of its lease.
+    LeaseRenewed(WorkerId, RenewalStamp, RenewalReport),
     /// The renewal of a worker's lease failed.
     RenewalFailed(WorkerId, RenewalFailure),
     /// The outcome of a start order.
@@ -525,13 +534,15 @@
         worker: WorkerId,
         /// Number of runs that have ended.
         runs: usize,
-        /// Number of these runs that last until their jobs are cancelled.
+        /// Number of other runs, which may be on an instance that the owner has not met.
+        kept: usize,
+        /// Number of the ended runs that last until their jobs are cancelled.
         long_running: usize,
         /// Time for which this owner had waited for an answer.
         silent_for: Duration,
         /// Number of the runs that were ordered since the latest answered renewal was sent.
         unreported: usize,
-        /// Time since the latest order that extends the lease, if this owner has sent one.
+        /// Time since the latest order with a deadline, if this owner has sent one.
         ordered_ago: Option<Duration>,
         /// Why the runs have ended.
         cause: LossCause,
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -33,6 +33,7 @@
 mod crashes;
 mod headroom;
 mod health;
+mod losses;
 mod messages;
 mod pace;
 mod place;
@@ -51,7 +52,7 @@
 
 pub use commit::{CommitEntry, ProgressCommit};
 pub use messages::{
-    AdviceOrder, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport, StartOrder,
+    AdviceOrder, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport, RenewalStamp, StartOrder,
 };
 pub use messages::{AdviceReport, EndedRun, ObservedRun, PipelineAction, PipelineEvent, RunEnd};
 pub use messages::{LossCause, PipelineNote, StartAnswer, StartResult, StopOrder, WorkerListing};
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -4,14 +4,14 @@
 
 use super::{
     messages::{
-        EndedRun, LossCause, ObservedRun, PaceOrder, PipelineAction, PipelineNote, RenewalReport,
-        RunEnd,
+        EndedRun, ObservedRun, PaceOrder, PipelineAction, PipelineNote, RenewalReport,
+        RenewalStamp, RunEnd,
     },
     pace::next_share_percent,
     progress::{PipelinePhase, TaskPlace},
     spec::{PipelineId, RunKey},
     state::PipelineState,
-    worker::{ReportStatus, RunPhase, WorkerContact, WorkerRun},
+    worker::{RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
 };
 use crate::{
     instances::{ClockReading, WorkerInstance, lapse_time},
@@ -35,23 +35,26 @@
 const UNACKED_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
 impl PipelineState {
-    /// Handles the answer of a worker to a renewal that was sent at `sent_at`: claims the
-    /// worker, applies the ends, and compares the runs with those that are expected.
+    /// Handles the answer of a worker to a renewal with this stamp: claims the worker, applies the ends, and compares the runs with those that are expected.
     pub(super) fn handle_renewal_report(
         &mut self,
         worker: &WorkerId,
-        sent_at: Duration,
+        stamp: RenewalStamp,
         report: &RenewalReport,
         now: Duration,
     ) {
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        record.is_renewal_pending = false;
+        // A report under a former claim says nothing about orders that may have arrived since.
+        if stamp.token != record.token(self.epoch) {
+            return;
+        }
+        let sent_at = stamp.sent_at;
+        record.renewal = RenewalStatus::Settled;
         record.missed_renewals = 0;
         record.answered_at = now;
         record.reported_at = sent_at;
-        record.clock_logged_at = None;
         let reading = ClockReading {
             clock_ms: report.clock_ms,
             sent_at,
@@ -59,8 +62,12 @@
         };
         match &mut record.instance {
             Some(instance) if instance.started_unix_ms != report.started_unix_ms => {
+                let is_fenced = !record.is_token_used;
                 self.handle_worker_restart(worker, reading, report, now);
-                return;
+                // Start orders with the token of this renewal may have reached the new instance.
+                if !is_fenced {
+                    return;
+                }
             }
             Some(instance) => instance.set_reading(reading),
             None => {
@@ -175,10 +182,13 @@
             return;
         };
         let former = record.instance.replace(instance);
-        record.give_up_claim(now);
-        record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
+        if record.is_token_used {
+            record.give_up_claim(now);
+            record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
+        }
         let (mut lost, mut stopping) = (Vec::new(), Vec::new());
         for (run, entry) in &mut record.runs {
+            entry.is_located = false;
             match entry.phase {
                 _ if has_ended(run, entry) => lost.push((*run, entry.placed_at)),
                 RunPhase::Stopping(_) => {
@@ -218,6 +228,7 @@
             match record.runs.get_mut(&observed.run) {
                 Some(entry) => {
                     entry.report = ReportStatus::Reported;
+                    entry.is_located = true;
                     if matches!(entry.phase, RunPhase::Inherited | RunPhase::Ordered(_)) {
                         entry.phase = RunPhase::Started(now);
                         entry.progressed_at = now;
@@ -334,50 +345,9 @@
         }
     }
 
-    /// Removes a run that is not on the worker, so that its task is placed again.
-    pub(super) fn drop_run(&mut self, worker: &WorkerId, run: RunKey, now: Duration) {
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.remove_run(run);
-        }
-        self.apply_run_end(run, None, now);
-    }
-
-    /// Removes all runs of a worker, which are known to have ended.
-    pub(super) fn drop_all_runs(&mut self, worker: &WorkerId, cause: LossCause, now: Duration) {
-        let Some(record) = self.workers.get(worker) else {
-            return;
-        };
-        let runs = record.runs.iter();
-        let runs: Vec<(RunKey, Duration)> =
-            runs.map(|(run, entry)| (*run, entry.placed_at)).collect();
-        self.log_note(PipelineNote::WorkerLost {
-            worker: WorkerId::clone(worker),
-            runs: runs.len(),
-            long_running: record.long_running_count(),
-            silent_for: now.saturating_sub(record.answered_at),
-            unreported: record.unreported_count(),
-            ordered_ago: record.extended_at.map(|at| now.saturating_sub(at)),
-            cause,
-        });
-        for (run, placed_at) in runs {
-            self.log_lost_run(worker, run, placed_at, now);
-            self.drop_run(worker, run, now);
-        }
-    }
-
-    /// Logs a run that has ended without a report of its end.
-    fn log_lost_run(&mut self, worker: &WorkerId, run: RunKey, placed_at: Duration, now: Duration) {
-        self.log_note(PipelineNote::RunEnded {
-            run,
-            worker: WorkerId::clone(worker),
-            end: None,
-            age: now.saturating_sub(placed_at),
-        });
-    }
-
     /// Applies the end of a run to the progress of its job. `end` is `None` if the run
     /// was not started, or disappeared without a reported end.
-    fn apply_run_end(&mut self, run: RunKey, end: Option<RunEnd>, now: Duration) {
+    pub(super) fn apply_run_end(&mut self, run: RunKey, end: Option<RunEnd>, now: Duration) {
         // The resources of the run are free again.
         self.is_placement_due = true;
         let key = run.task.step;
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -20,7 +20,7 @@
     spec::{PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
     wait::StepWait,
-    worker::{ReportStatus, RunPhase, WorkerContact, WorkerRun},
+    worker::{RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
 };
 use crate::types::WorkerId;
 
@@ -463,7 +463,8 @@
     /// Sends the renewals that are due.
     pub(super) fn renew_leases(&mut self, now: Duration) {
         let due = self.workers.iter().filter(|(_, record)| {
-            record.listing.is_some() && !record.is_renewal_pending && now >= record.renewal_due
+            let is_settled = record.renewal == RenewalStatus::Settled;
+            record.listing.is_some() && is_settled && now >= record.renewal_due
         });
         let due: Vec<WorkerId> = due.map(|(worker, _)| WorkerId::clone(worker)).collect();
         for worker in due {
@@ -481,7 +482,8 @@
         let Some(listing) = &record.listing else {
             return;
         };
-        if record.is_renewal_pending || now < record.renewal_due || !may_renew {
+        let is_pending = record.renewal != RenewalStatus::Settled;
+        if is_pending || now < record.renewal_due || !may_renew {
             return;
         }
         let address = listing.address.clone();
@@ -501,7 +503,9 @@
                     self.config.renewal_wait
                 };
                 let extended = may_extend.then(|| record.extend_lease(self.config.lease, now));
-                (extended.flatten(), wait)
+                let deadline_ms = extended.flatten();
+                record.deadline_sent_at = deadline_ms.map(|_| now).or(record.deadline_sent_at);
+                (deadline_ms, wait)
             }
         };
         let acked_end = match record.contact {
@@ -513,8 +517,7 @@
             // the same numbers, must not be discarded.
             WorkerContact::Unclaimed | WorkerContact::Doubted => 0,
         };
-        record.is_renewal_pending = true;
-        record.is_renewal_misdirected = false;
+        record.renewal = RenewalStatus::Pending;
         self.actions.push(PipelineAction::Renew(RenewalOrder {
             worker: WorkerId::clone(worker),
             address,
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -11,15 +11,15 @@
     commit::PendingStart,
     health::evacuation_start,
     messages::{
-        LossCause, PipelineAction, PipelineEvent, PipelineNote, RenewalFailure, StartAnswer,
-        StartResult, WorkerListing,
+        LossCause, PipelineAction, PipelineEvent, PipelineNote, RenewalFailure, StartResult,
+        WorkerListing,
     },
     progress::{PipelinePhase, PipelineProgress},
     queue::{JobTiming, QueueRank},
     schedule::PipelineConfig,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
     wait::WaitRecord,
-    worker::{RunPhase, WorkerContact, WorkerRecord},
+    worker::{RenewalStatus, RunPhase, WorkerContact, WorkerRecord},
 };
 use crate::{
     instances::{ClockReading, InstanceNumber, WorkerInstance},
@@ -197,14 +197,14 @@
             PipelineEvent::Cancelled(id) => self.cancel_pipeline(id, now),
             PipelineEvent::Listed(listing) => self.update_listing(listing, now),
             PipelineEvent::Delisted(worker) => self.remove_listing(&worker),
-            PipelineEvent::LeaseRenewed(worker, sent_at, report) => {
-                self.handle_renewal_report(&worker, sent_at, &report, now);
+            PipelineEvent::LeaseRenewed(worker, stamp, report) => {
+                self.handle_renewal_report(&worker, stamp, &report, now);
             }
             PipelineEvent::RenewalFailed(worker, failure) => {
                 self.handle_renewal_failure(&worker, failure, now);
             }
             PipelineEvent::StartAnswered(worker, run, answer) => {
-                self.log_clock_difference(&worker, run, answer, now);
+                self.compare_clock(&worker, run, answer, now);
                 self.handle_start_result(&worker, run, answer.result, now);
             }
             PipelineEvent::StopAnswered(worker, run, is_done) => {
@@ -397,7 +397,9 @@
             .is_some_and(|address| address != listing.address);
         record.listing = Some(listing);
         if has_new_address {
-            record.is_renewal_misdirected = record.is_renewal_pending;
+            if record.renewal == RenewalStatus::Pending {
+                record.renewal = RenewalStatus::Misdirected;
+            }
             record.renewal_due = now;
         }
     }
@@ -432,13 +434,13 @@
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        record.is_renewal_pending = false;
+        let status = std::mem::replace(&mut record.renewal, RenewalStatus::Settled);
         match failure {
-            RenewalFailure::OtherInstance if !record.is_renewal_misdirected => {
+            RenewalFailure::OtherInstance if status != RenewalStatus::Misdirected => {
                 // Another worker answers at the address, so this instance has ended.
                 record.listing = None;
                 let suspects = self.blame_runs(worker, |_, _| true);
-                self.drop_all_runs(worker, LossCause::Replaced, now);
+                self.drop_runs(worker, LossCause::Replaced, now, |_, _| true);
                 self.fail_crashing_jobs(&suspects, now);
                 self.remove_worker(worker);
             }
@@ -465,39 +467,6 @@
         }
     }
 
-    /// Logs an answer to a start order whose clock is not that of the known instance, once
-    /// between two reports.
-    fn log_clock_difference(
-        &mut self,
-        worker: &WorkerId,
-        run: RunKey,
-        answer: StartAnswer,
-        now: Duration,
-    ) {
-        let Some(record) = self.workers.get_mut(worker) else {
-            return;
-        };
-        let (Some(clock_ms), Some(instance)) = (answer.clock_ms, &record.instance) else {
-            return;
-        };
-        let reading = ClockReading {
-            clock_ms,
-            sent_at: answer.sent_at,
-            read_at: now,
-        };
-        let expected_ms = instance.clock_at(now);
-        if !instance.reading().agrees_with(reading) && record.clock_logged_at.is_none() {
-            record.clock_logged_at = Some(now);
-            self.log_note(PipelineNote::ClockDiffers {
-                worker: WorkerId::clone(worker),
-                run,
-                result: answer.result,
-                clock_ms,
-                expected_ms,
-            });
-        }
-    }
-
     fn handle_start_result(
         &mut self,
         worker: &WorkerId,
@@ -603,18 +572,7 @@
         self.stop_stalled_runs(now);
         self.evacuate_leaving_workers(now);
         self.log_unreached_workers(now);
-        let lapsed = self.workers.iter().filter(|(_, record)| {
-            !record.runs.is_empty()
-                && record.contact != WorkerContact::Claimed
-                && now >= record.lapses_at()
-        });
-        let lapsed: Vec<WorkerId> = lapsed.map(|(id, _)| WorkerId::clone(id)).collect();
-        for worker in lapsed {
-            if let Some(record) = self.workers.get_mut(&worker) {
-                record.give_up_claim(now);
-            }
-            self.drop_all_runs(&worker, LossCause::LeaseLapsed, now);
-        }
+        self.drop_lapsed_runs(now);
         let overdue = self.workers.iter().flat_map(|(worker, record)| {
             let runs = record.runs.iter().filter(|(_, run)| {
                 run.phase == RunPhase::Stopping(None) && now >= run.stop_sent_at + STOP_RETRY_DELAY
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -5,8 +5,8 @@
 use crate::{
     AdvicePolicy, AdviceReport, EndedRun, ObservedRun, PipelineAction, PipelineConfig,
     PipelineEvent, PipelineId, PipelinePhase, PipelineProgress, PipelineSpec, PipelineState,
-    QueuePolicy, RenewalReport, ResourceVector, RunEnd, RunKey, StartAnswer, StartOrder,
-    StartResult, StepKey, StepSpec, StopOrder, WorkerId, WorkerListing, types::Epoch,
+    QueuePolicy, RenewalReport, RenewalStamp, ResourceVector, RunEnd, RunKey, StartAnswer,
+    StartOrder, StartResult, StepKey, StepSpec, StopOrder, WorkerId, WorkerListing, types::Epoch,
 };
 
 /// Wall clock of the fixtures at time zero, in ms since 1970.
@@ -269,7 +269,12 @@
     }
 
     pub(super) fn handle_report(&mut self, worker: &str, report: RenewalReport) {
-        let event = PipelineEvent::LeaseRenewed(worker.into(), self.now, report);
+        let token = self.state.workers[worker].token(self.state.epoch);
+        let stamp = RenewalStamp {
+            token,
+            sent_at: self.now,
+        };
+        let event = PipelineEvent::LeaseRenewed(worker.into(), stamp, report);
         self.handle_event(event);
     }
 
--- a/crates/core/src/pipelines/tests/former_clocks.rs
+++ b/crates/core/src/pipelines/tests/former_clocks.rs
@@ -76,10 +76,11 @@
     owner.handle_report("w1", report);
 }
 
-/// Fails the pending renewal of `w1`.
+/// Fails the pending renewal of `w1`. No later order reaches it.
 fn cut_off(owner: &mut OwnerFixture) {
     let failure = PipelineEvent::RenewalFailed("w1".into(), RenewalFailure::Unanswered);
     owner.handle_event(failure);
+    owner.actions.clear();
 }
 
 /// Guards against a second run of a task whose order reached a new instance of its worker, which
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -262,6 +262,10 @@
 #[test]
 fn a_worker_that_is_listed_again_is_claimed_with_the_same_token() {
     let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(1)]));
+    let start = owner.start_all().remove(0);
+    owner.report("w1", Vec::new(), vec![done(1, start.run)]);
+    owner.commit();
     owner.report_as_instance("w1", INSTANCE_STARTED_MS + 5_000, Vec::new(), Vec::new());
     let before = owner.renewal_token("w1");
 
--- a/crates/core/src/pipelines/tests/sim_worker.rs
+++ b/crates/core/src/pipelines/tests/sim_worker.rs
@@ -7,8 +7,9 @@
 
 use super::fixtures::ended;
 use crate::{
-    EndedRun, ObservedRun, RenewalFailure, RenewalOrder, RenewalReport, ResourceVector, RunEnd,
-    RunKey, StartOrder, StartResult, StepKey, StepSpec, StopOrder, TaskKey, WorkerListing,
+    EndedRun, ObservedRun, RenewalFailure, RenewalOrder, RenewalReport, RenewalStamp,
+    ResourceVector, RunEnd, RunKey, StartOrder, StartResult, StepKey, StepSpec, StopOrder, TaskKey,
+    WorkerListing,
     types::{Attempt, Epoch},
 };
 
@@ -34,7 +35,7 @@
 #[derive(Clone, Debug)]
 struct WaitingRenewal {
     epoch: Epoch,
-    sent_at: Duration,
+    stamp: RenewalStamp,
     answer_at: Duration,
 }
 
@@ -183,7 +184,10 @@
         }
         self.renewals.push(WaitingRenewal {
             epoch,
-            sent_at,
+            stamp: RenewalStamp {
+                token: order.token,
+                sent_at,
+            },
             answer_at: now + order.wait,
         });
         Ok(())
@@ -193,7 +197,7 @@
     pub(super) fn pop_due_report(
         &mut self,
         now: Duration,
-    ) -> Option<(Epoch, Duration, RenewalReport)> {
+    ) -> Option<(Epoch, RenewalStamp, RenewalReport)> {
         let has_ends = !self.ended.is_empty();
         let is_due = |renewal: &WaitingRenewal| has_ends || now >= renewal.answer_at;
         let index = self.renewals.iter().position(is_due)?;
@@ -219,7 +223,7 @@
             ended: self.ended.clone(),
             has_more_ends: false,
         };
-        Some((renewal.epoch, renewal.sent_at, report))
+        Some((renewal.epoch, renewal.stamp, report))
     }
 
     /// Ends the runs that are over. Returns the gangs of which a member failed or lapsed.
--- a/crates/core/src/pipelines/tests/simulation.rs
+++ b/crates/core/src/pipelines/tests/simulation.rs
@@ -479,9 +479,9 @@
                     .map(|report| (id.clone(), report)),
             );
         }
-        for (id, (epoch, sent_at, report)) in reports {
+        for (id, (epoch, stamp, report)) in reports {
             let delay = self.draw_transit();
-            let event = PipelineEvent::LeaseRenewed(id, sent_at, report);
+            let event = PipelineEvent::LeaseRenewed(id, stamp, report);
             self.send(delay, SimMessage::Event(epoch, event));
         }
     }
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -7,7 +7,7 @@
     spec::{RunKey, StepKey, StepSpec, TaskKey},
 };
 use crate::{
-    instances::WorkerInstance,
+    instances::{WorkerInstance, lapse_time},
     types::{Epoch, ResourceVector, WorkerId},
 };
 
@@ -77,6 +77,9 @@
     pub(super) placed_at: Duration,
     /// When the latest start order for the run was released.
     pub(super) ordered_at: Option<Duration>,
+    /// Whether a report, or an answer with its clock, shows that the run is on the known instance
+    /// of the worker.
+    pub(super) is_located: bool,
 }
 
 impl WorkerRun {
@@ -98,8 +101,14 @@
             stop_sent_at: now,
             placed_at: now,
             ordered_at: None,
+            is_located: false,
         }
     }
+
+    /// Returns whether the run may be on an instance that the owner has not met.
+    pub(super) const fn may_be_elsewhere(&self) -> bool {
+        self.ordered_at.is_some() && !self.is_located
+    }
 }
 
 /// Contact with a worker. Start orders are sent only to claimed workers. The names
@@ -114,6 +123,17 @@
     Doubted,
 }
 
+/// The latest renewal of a worker's lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RenewalStatus {
+    /// Its outcome is known or has no effect, or none was sent.
+    Settled,
+    /// It was sent and its outcome is not known.
+    Pending,
+    /// It is pending and was sent to a former address of the worker.
+    Misdirected,
+}
+
 /// A worker of the service, with its runs and the instance that answered last.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerRecord {
@@ -131,10 +151,7 @@
     pub(super) best_effort_cpu_milli: u64,
     /// Time by which the inherited runs have ended if this owner cannot claim the worker.
     pub(super) inherited_until: Duration,
-    /// Whether a renewal was sent and its outcome is not known.
-    pub(super) is_renewal_pending: bool,
-    /// Whether the pending renewal was sent to a former address of the worker.
-    pub(super) is_renewal_misdirected: bool,
+    pub(super) renewal: RenewalStatus,
     /// Earliest time of the next renewal.
     pub(super) renewal_due: Duration,
     /// Number of failed renewals since the last report.
@@ -151,10 +168,10 @@
     pub(super) is_unreached_logged: bool,
     /// When the latest answered renewal was sent.
     pub(super) reported_at: Duration,
-    /// When the latest order that extends the lease was released, to whichever instance.
-    pub(super) extended_at: Option<Duration>,
-    /// When the log said that the clock differs, if it did since the latest report.
-    pub(super) clock_logged_at: Option<Duration>,
+    /// When the latest order with a deadline was released, to whichever instance.
+    pub(super) deadline_sent_at: Option<Duration>,
+    /// Whether a start order was released with the current token.
+    pub(super) is_token_used: bool,
 }
 
 impl WorkerRecord {
@@ -169,8 +186,7 @@
             used: ResourceVector::default(),
             best_effort_cpu_milli: 0,
             inherited_until,
-            is_renewal_pending: false,
-            is_renewal_misdirected: false,
+            renewal: RenewalStatus::Settled,
             renewal_due: now,
             missed_renewals: 0,
             evacuate_at: None,
@@ -178,8 +194,8 @@
             answered_at: now,
             is_unreached_logged: false,
             reported_at: Duration::ZERO,
-            extended_at: None,
-            clock_logged_at: None,
+            deadline_sent_at: None,
+            is_token_used: false,
         }
     }
 
@@ -188,10 +204,13 @@
         (epoch << CLAIM_BITS) | self.claims
     }
 
-    /// Gives up the claim. The next one has a higher token than every order sent so far.
+    /// Gives up the claim. The next one has a higher token than every order sent so far. An answer
+    /// to the pending renewal has no effect.
     pub(super) fn give_up_claim(&mut self, now: Duration) {
         self.contact = WorkerContact::Unclaimed;
         self.claims = (self.claims + 1).min((1 << CLAIM_BITS) - 1);
+        self.is_token_used = false;
+        self.renewal = RenewalStatus::Settled;
         self.renewal_due = now;
     }
 
@@ -276,17 +295,9 @@
         self.runs.values().any(|run| run.target_tail_ms.is_some())
     }
 
-    /// Returns the number of runs that were ordered since the latest answered renewal was sent.
-    pub(super) fn unreported_count(&self) -> usize {
-        let runs = self.runs.values();
-        let unreported = runs.filter(|run| run.ordered_at.is_some_and(|at| at >= self.reported_at));
-        unreported.count()
-    }
-
     /// Extends the lease of the known instance, and returns its end in ms on the worker's clock.
     pub(super) fn extend_lease(&mut self, term: Duration, now: Duration) -> Option<u64> {
         let deadline_ms = self.instance.as_mut()?.extend_lease(term, now);
-        self.extended_at = Some(now);
         Some(deadline_ms)
     }
 
@@ -297,6 +308,19 @@
         lapses_at.unwrap_or_default().max(self.inherited_until)
     }
 
+    /// Returns the time by which a run on the worker has ended if its lease is not renewed. An
+    /// instance that the owner has not met holds it for at most `max_lease` after an order, as the
+    /// deadline of the order is on another clock.
+    pub(super) fn run_lapses_at(&self, run: &WorkerRun, max_lease: Duration) -> Duration {
+        let lapses_at = self.lapses_at();
+        match self.deadline_sent_at {
+            Some(sent_at) if run.may_be_elsewhere() => {
+                lapses_at.max(sent_at + lapse_time(max_lease))
+            }
+            _ => lapses_at,
+        }
+    }
+
     pub(super) fn stop_order(
         &self,
         worker: &WorkerId,
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -148,13 +148,14 @@
         PipelineNote::WorkerLost {
             worker,
             runs,
+            kept,
             long_running,
             silent_for,
             unreported,
             ordered_ago,
             cause,
         } => log::warn!(
-            service, epoch, worker = worker.as_ref(), runs, long_running, unreported,
+            service, epoch, worker = worker.as_ref(), runs, kept, long_running, unreported,
             ordered_ms_ago = ordered_ago.map(|ago| ago.as_millis()),
             silent_ms = silent_for.as_millis(), cause:? = cause;
             "the runs of a worker have ended"
--- a/crates/daemon/src/pipelines/orders.rs
+++ b/crates/daemon/src/pipelines/orders.rs
@@ -10,8 +10,8 @@
 };
 
 use auburnsaddle_core::{
-    PaceOrder, PipelineAction, PipelineEvent, RenewalOrder, StartAnswer, StartOrder, StartResult,
-    StopOrder, WorkerId,
+    PaceOrder, PipelineAction, PipelineEvent, RenewalOrder, RenewalStamp, StartAnswer, StartOrder,
+    StartResult, StopOrder, WorkerId,
 };
 use auburnsaddle_platform::WorkerClient;
 use tokio::{
@@ -208,7 +208,15 @@
         self.runtime.spawn(async move {
             let sent_at = clock.now();
             let event = match connection.client.renew_lease(&order).await {
-                Ok(report) => PipelineEvent::LeaseRenewed(order.worker, sent_at, report),
+                Ok(report) => {
+                    let stamp = RenewalStamp {
+                        token: order.token,
+                        sent_at,
+                    };
+                    PipelineEvent::LeaseRenewed(order.worker, stamp, report)
+                }
+                // The claim was given up, and a later renewal may be pending.
+                Err(_) if order.token < connection.latest_token.load(Ordering::Acquire) => return,
                 Err(failure) => PipelineEvent::RenewalFailed(order.worker, failure),
             };
             let _ = events.send(wrap_event(event)).await;
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -8,10 +8,10 @@
 };
 
 use auburnsaddle_core::{
-    AdviceOrder, AdvicePolicy, PipelineAction, PipelineConfig, PipelineEvent, PipelinePhase,
-    PipelineProgress, QueuePolicy, RenewalFailure, RenewalOrder, RenewalReport, ResourceVector,
-    RunKey, ServiceId, StartOrder, StartResult, StepKey, StepProgress, StepSpec, TaskKey,
-    TaskProgress, WorkerListing,
+    AdviceOrder, AdvicePolicy, Epoch, PipelineAction, PipelineConfig, PipelineEvent, PipelinePhase,
+    PipelineProgress, QueuePolicy, RenewalFailure, RenewalOrder, RenewalReport, RenewalStamp,
+    ResourceVector, RunKey, ServiceId, StartOrder, StartResult, StepKey, StepProgress, StepSpec,
+    TaskKey, TaskProgress, WorkerListing,
 };
 use auburnsaddle_platform::{StoreItem, StoreTransaction, TransactionOutcome};
 use auburnsaddle_platform_standin::WorkerStandin;
@@ -304,6 +304,11 @@
     assert!(shard.has_stored_summaries());
 }
 
+/// Returns the fencing token of the first claim of a worker in an ownership.
+const fn first_token(epoch: Epoch) -> Epoch {
+    epoch << 8
+}
+
 /// Returns a shard with one large worker and `jobs` additional jobs of one task each.
 fn shard_with_jobs(jobs: u64) -> OwnedShard {
     let step = StepSpec {
@@ -334,13 +339,17 @@
         ended: Vec::new(),
         has_more_ends: false,
     };
+    let stamp = RenewalStamp {
+        token: first_token(shard.epoch()),
+        sent_at: Duration::ZERO,
+    };
     let stored = (10..10 + jobs).map(|id| PipelineEvent::Stored(id, spec.clone(), None));
     let events = [
         PipelineEvent::OwnershipConfirmed(confirmed_until),
         PipelineEvent::ExtensionsPermitted(confirmed_until),
         PipelineEvent::Tick(1_000),
         PipelineEvent::Listed(listing),
-        PipelineEvent::LeaseRenewed("w1".into(), Duration::ZERO, report),
+        PipelineEvent::LeaseRenewed("w1".into(), stamp, report),
     ];
     for event in events.into_iter().chain(stored) {
         shard.handle(event, Duration::ZERO);
--- a/crates/daemon/src/pipelines/tests/sessions.rs
+++ b/crates/daemon/src/pipelines/tests/sessions.rs
@@ -3,13 +3,13 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use auburnsaddle_core::{
-    MAX_PREDECESSOR_TIME, PipelineAction, PipelineEvent, RenewalReport, ResourceVector,
-    WorkerListing,
+    MAX_PREDECESSOR_TIME, PipelineAction, PipelineEvent, RenewalReport, RenewalStamp,
+    ResourceVector, WorkerListing,
 };
 use auburnsaddle_platform::{StoreItem, TransactionOutcome};
 use auburnsaddle_platform_standin::StoreStandin;
 
-use super::{cancelled_job, empty_shard, service_id, session, shard_with};
+use super::{cancelled_job, empty_shard, first_token, service_id, session, shard_with};
 use crate::{
     pipelines::{
         AcquireOutcome, CellKey, DaemonRegistration, LoadedShard, acquire_shard, decode_value,
@@ -395,7 +395,11 @@
         ended: Vec::new(),
         has_more_ends: false,
     };
-    let event = PipelineEvent::LeaseRenewed("w1".into(), now, report);
+    let stamp = RenewalStamp {
+        token: first_token(shard.epoch()),
+        sent_at: now,
+    };
+    let event = PipelineEvent::LeaseRenewed("w1".into(), stamp, report);
     let actions = shard.handle(event, now);
     let mut renewals = actions.iter().filter_map(|action| match action {
         PipelineAction::Renew(order) => Some(order.deadline_ms.is_some()),
