--- a/crates/core/src/instances/state.rs
+++ b/crates/core/src/instances/state.rs
@@ -20,6 +20,8 @@
     pub(crate) number: InstanceNumber,
     /// Start time in ms since 1970, by which reports and entries name the instance.
     pub(crate) started_unix_ms: u64,
+    /// When this owner met the instance.
+    pub(crate) met_at: Duration,
     /// Latest reading of the clock in a report.
     reading: ClockReading,
     /// Latest end of the lease that may have been granted, by any owner, in ms on the clock.
@@ -45,6 +47,7 @@
         Self {
             number,
             started_unix_ms,
+            met_at: reading.read_at,
             reading,
             granted_until_ms: 0,
             ordered_until_ms: 0,
@@ -72,9 +75,10 @@
         self.reading.clock_at(now)
     }
 
-    /// Records that a lease of this length may have been granted at a reading of the clock.
-    pub(crate) fn assume_lease(&mut self, clock_ms: u64, term: Duration) {
-        let until_ms = clock_ms.saturating_add(whole_ms(term));
+    /// Records that a lease of this length may have been granted at the latest reading of the
+    /// clock.
+    pub(crate) fn assume_lease(&mut self, term: Duration) {
+        let until_ms = self.reading.clock_ms.saturating_add(whole_ms(term));
         self.granted_until_ms = self.granted_until_ms.max(until_ms);
     }
 
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -11,7 +11,7 @@
     progress::{PipelinePhase, TaskPlace},
     spec::{PipelineId, RunKey},
     state::PipelineState,
-    worker::{RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
+    worker::{ORDER_TRANSIT_TIME, RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
 };
 use crate::{
     instances::{ClockReading, WorkerInstance, lapse_time},
@@ -28,9 +28,6 @@
 /// Time for which other workers are preferred to one with consecutive failures.
 const FAILURE_PENALTY: Duration = Duration::from_secs(4);
 
-/// Time within which an order that was sent reaches its worker or is lost.
-const ORDER_TRANSIT_TIME: Duration = Duration::from_secs(3);
-
 /// Delay of the next renewal while reported ends wait to become durable.
 const UNACKED_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -114,12 +111,11 @@
         if former_contact == WorkerContact::Unclaimed {
             // The claim fences the previous owner, which may have granted a lease just before.
             record.inherited_until = Duration::ZERO;
+            let age_ms = self.wall_ms.saturating_sub(report.started_unix_ms);
+            let max_lease = self.config.max_lease;
+            let misjudged = record.misjudged_lease(Duration::from_millis(age_ms), max_lease, now);
             if let Some(instance) = &mut record.instance {
-                instance.assume_lease(report.clock_ms, self.config.inherited_lease);
-                // The clock of an instance starts with it, and an order for the former instance
-                // has a deadline on another clock.
-                let transit_ms = u64::try_from(ORDER_TRANSIT_TIME.as_millis()).unwrap_or(u64::MAX);
-                instance.assume_lease(report.clock_ms.min(transit_ms), self.config.max_lease);
+                instance.assume_lease(self.config.inherited_lease.max(misjudged));
             }
         }
         if former_contact != WorkerContact::Claimed {
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use super::fixtures::{
-    OwnerFixture, done, ended, job, listing, long_running_job, observed, owner, pipeline_config,
-    step, unclaimed_owner, unclaimed_owner_with,
+    OwnerFixture, WALL_MS, done, ended, job, listing, long_running_job, observed, owner,
+    pipeline_config, step, unclaimed_owner, unclaimed_owner_with,
 };
 use crate::{
     PipelineAction, PipelineConfig, PipelineEvent, PipelineNote, PipelinePhase, PipelineSpec,
@@ -268,8 +268,8 @@
 fn a_successor_allows_for_the_longest_lease_of_a_young_worker() {
     let (mut second, run) = successor_with_short_leases();
     let report = RenewalReport {
-        started_unix_ms: 1,
-        clock_ms: 2_000,
+        started_unix_ms: WALL_MS - 2_000,
+        clock_ms: 8_000_000,
         running: vec![observed(run)],
         ended: Vec::new(),
         has_more_ends: false,
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -15,6 +15,14 @@
 /// one ownership. The bits above hold the epoch.
 const CLAIM_BITS: u32 = 8;
 
+/// Time within which an order that was sent reaches its worker or is lost.
+pub(super) const ORDER_TRANSIT_TIME: Duration = Duration::from_secs(3);
+
+/// Age of an instance until which it may receive orders for its former one. An owner meets the
+/// instance with a renewal, which waits for up to 1 s, takes up to 2 s to fail and is followed by
+/// one without a wait; what it has sent until then is in transit.
+const FORMER_ORDER_TIME: Duration = Duration::from_secs(4).saturating_add(ORDER_TRANSIT_TIME);
+
 /// Phase of a run as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RunPhase {
@@ -308,6 +316,26 @@
         lapses_at.unwrap_or_default().max(self.inherited_until)
     }
 
+    /// Returns the rest of a lease that orders for a former instance may have granted to the known
+    /// one, which has this age. Such orders have deadlines on another clock, so the lease may be as
+    /// long as `max_lease`.
+    pub(super) fn misjudged_lease(
+        &self,
+        age: Duration,
+        max_lease: Duration,
+        now: Duration,
+    ) -> Duration {
+        let since_order = match (&self.instance, self.deadline_sent_at) {
+            (Some(instance), Some(sent_at)) if sent_at <= instance.met_at => {
+                now.saturating_sub(sent_at + ORDER_TRANSIT_TIME)
+            }
+            (_, Some(_)) => return Duration::ZERO,
+            // Orders of earlier owners.
+            (_, None) => age.saturating_sub(FORMER_ORDER_TIME),
+        };
+        max_lease.saturating_sub(since_order)
+    }
+
     /// Returns the time by which a run on the worker has ended if its lease is not renewed. An
     /// instance that the owner has not met holds it for at most `max_lease` after an order, as the
     /// deadline of the order is on another clock.
