--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -483,7 +483,7 @@
             return;
         };
         let is_pending = record.renewal != RenewalStatus::Settled;
-        if is_pending || now < record.renewal_due || !may_renew {
+        if is_pending || now < record.renewal_due || !may_renew || !record.has_token() {
             return;
         }
         let address = listing.address.clone();
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -98,9 +98,9 @@
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
     /// Workers that are listed or may have runs.
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
-    /// Largest number of claims that were given up on a worker that was removed. If it
-    /// returns, it must not be claimed with a lower fencing token than before.
-    pub(super) removed_claims: u64,
+    /// Number of claims that were given up on each worker that was removed. If it returns, it is
+    /// claimed with a higher fencing token than before.
+    pub(super) removed_claims: BTreeMap<WorkerId, u64>,
     /// Number of the worker instance that was added last.
     pub(super) last_instance: InstanceNumber,
     /// Ready steps of all jobs, in the order in which they are placed.
@@ -164,7 +164,7 @@
             wall_ms: 0,
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
-            removed_claims: 0,
+            removed_claims: BTreeMap::new(),
             last_instance: 0,
             ready: BTreeSet::new(),
             waits: BTreeMap::new(),
@@ -343,9 +343,12 @@
         inherited_until: Duration,
         now: Duration,
     ) -> &mut WorkerRecord {
-        let claims = self.removed_claims;
+        let removed = &self.removed_claims;
         let record = self.workers.entry(WorkerId::clone(worker));
-        record.or_insert_with(|| WorkerRecord::new(inherited_until, claims, now))
+        record.or_insert_with(|| {
+            let claims = removed.get(worker).copied().unwrap_or_default();
+            WorkerRecord::new(inherited_until, claims, now)
+        })
     }
 
     /// Returns the state of an instance that has answered for the first time.
@@ -421,7 +424,8 @@
 
     fn remove_worker(&mut self, worker: &WorkerId) {
         if let Some(record) = self.workers.remove(worker) {
-            self.removed_claims = self.removed_claims.max(record.claims);
+            self.removed_claims
+                .insert(WorkerId::clone(worker), record.claims + 1);
         }
     }
 
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -258,9 +258,10 @@
 }
 
 /// Guards against a worker that is never claimed again: it left the list and returned, and
-/// the owner's fencing token for it was lower than the one it had seen.
+/// the owner's fencing token for it was lower than the one it had seen; and against an order for
+/// its former instance that is carried out after the claim, as the token is the same.
 #[test]
-fn a_worker_that_is_listed_again_is_claimed_with_the_same_token() {
+fn a_worker_that_is_listed_again_is_claimed_with_a_higher_token() {
     let mut owner = owner(&["w1"]);
     owner.submit(1, job(vec![step(1)]));
     let start = owner.start_all().remove(0);
@@ -273,7 +274,7 @@
     owner.handle_event(PipelineEvent::Listed(listing("w1")));
 
     assert!(before > Some(1 << 8));
-    assert_eq!(owner.renewal_token("w1"), before);
+    assert!(owner.renewal_token("w1") > before);
 }
 
 /// Guards against the loss of a worker that was restarted at another address, because the
@@ -350,3 +351,22 @@
 
     assert_eq!(latest, Some(500 + 5_000));
 }
+
+/// Guards against orders of a former claim that are carried out because the tokens of one ownership
+/// are used up, and against tokens of the next ownership.
+#[test]
+fn a_worker_is_not_claimed_once_the_tokens_of_the_ownership_are_used_up() {
+    let mut owner = owner(&["w1"]);
+    let mut tokens = Vec::new();
+
+    for _ in 0..300 {
+        owner.handle_event(PipelineEvent::Delisted("w1".into()));
+        owner.actions.clear();
+        owner.handle_event(PipelineEvent::Listed(listing("w1")));
+        tokens.extend(owner.renewal_token("w1"));
+    }
+
+    let next_epoch = 2 << 8;
+    assert!(tokens.is_sorted_by(|earlier, later| earlier < later));
+    assert_eq!(tokens.last(), Some(&(next_epoch - 1)));
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -15,6 +15,10 @@
 /// one ownership. The bits above hold the epoch.
 const CLAIM_BITS: u32 = 8;
 
+/// Largest number of claims of a worker that are given up in one ownership. The tokens of further
+/// ones would be those of the next epoch.
+const MAX_CLAIMS: u64 = (1 << CLAIM_BITS) - 1;
+
 /// Time within which an order that was sent reaches its worker or is lost.
 pub(super) const ORDER_TRANSIT_TIME: Duration = Duration::from_secs(3);
 
@@ -184,7 +188,7 @@
 
 impl WorkerRecord {
     /// Returns the record of a worker of which earlier records in this ownership have given
-    /// up at most `claims` claims.
+    /// up this number of claims.
     pub(super) fn new(inherited_until: Duration, claims: u64, now: Duration) -> Self {
         Self {
             listing: None,
@@ -207,6 +211,12 @@
         }
     }
 
+    /// Returns whether this owner has a token left with which it can claim the worker. If not, no
+    /// order is sent until the next ownership.
+    pub(super) const fn has_token(&self) -> bool {
+        self.claims <= MAX_CLAIMS
+    }
+
     /// Returns the fencing token of the current claim, in an ownership with this epoch.
     pub(super) const fn token(&self, epoch: Epoch) -> Epoch {
         (epoch << CLAIM_BITS) | self.claims
@@ -216,7 +226,7 @@
     /// to the pending renewal has no effect.
     pub(super) fn give_up_claim(&mut self, now: Duration) {
         self.contact = WorkerContact::Unclaimed;
-        self.claims = (self.claims + 1).min((1 << CLAIM_BITS) - 1);
+        self.claims += 1;
         self.is_token_used = false;
         self.renewal = RenewalStatus::Settled;
         self.renewal_due = now;
@@ -355,6 +365,7 @@
         run: RunKey,
         epoch: Epoch,
     ) -> Option<StopOrder> {
+        self.has_token().then_some(())?;
         Some(StopOrder {
             worker: WorkerId::clone(worker),
             address: self.address()?.to_owned(),
