--- a/crates/core/src/instances/ends.rs
+++ b/crates/core/src/instances/ends.rs
@@ -15,6 +15,8 @@
     processed: u64,
     acked: u64,
     pending: Option<PendingAck>,
+    /// Whether the latest renewal did not acknowledge the ends that are durable.
+    is_withheld: bool,
 }
 
 impl EndCounter {
@@ -23,9 +25,16 @@
         self.processed
     }
 
-    /// Returns the number of the last end that is durable, which renewals acknowledge.
-    pub(crate) const fn acked(&self) -> u64 {
-        self.acked
+    /// Returns the number of the last end that is durable, which a renewal acknowledges unless it is
+    /// to be withheld.
+    pub(crate) const fn next_ack(&mut self, is_withheld: bool) -> u64 {
+        self.is_withheld = is_withheld && self.acked > 0;
+        if is_withheld { 0 } else { self.acked }
+    }
+
+    /// Returns whether the latest renewal did not acknowledge the ends that are durable.
+    pub(crate) const fn is_withheld(&self) -> bool {
+        self.is_withheld
     }
 
     /// Returns whether reported ends are not durable yet.
--- a/crates/core/src/pipelines/losses.rs
+++ b/crates/core/src/pipelines/losses.rs
@@ -40,7 +40,10 @@
         let is_ordered = matches!(entry.phase, RunPhase::Ordered(_));
         match instance.reading().agrees_with(reading) {
             _ if !is_ordered => {}
-            true => entry.is_located |= answer.result == StartResult::Started,
+            true => {
+                entry.is_located |= answer.result == StartResult::Started;
+                record.request_ack(now);
+            }
             false if record.contact == WorkerContact::Unclaimed => {}
             false => {
                 let note = PipelineNote::ClockDiffers {
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -28,6 +28,10 @@
 /// Time for which other workers are preferred to one with consecutive failures.
 const FAILURE_PENALTY: Duration = Duration::from_secs(4);
 
+/// Delay of the next renewal while ends are not acknowledged as start orders have no answer: the
+/// worker answers at once while it has ends.
+const WITHHELD_RENEWAL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Delay of the next renewal while reported ends wait to become durable.
 const UNACKED_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -140,6 +144,7 @@
             return;
         };
         record.renewal_due = now;
+        let has_open_orders = record.may_have_unmet_runs();
         let Some(instance) = &mut record.instance else {
             return;
         };
@@ -149,6 +154,8 @@
         instance.ends.record_durable(durable);
         if instance.ends.has_pending() {
             record.renewal_due = now + UNACKED_RENEWAL_INTERVAL;
+        } else if has_open_orders && last_end.is_none() && instance.ends.is_withheld() {
+            record.renewal_due = now + WITHHELD_RENEWAL_INTERVAL;
         }
     }
 
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -508,15 +508,11 @@
                 (deadline_ms, wait)
             }
         };
-        let acked_end = match record.contact {
-            WorkerContact::Claimed => {
-                let instance = record.instance.as_ref();
-                instance.map_or(0, |instance| instance.ends.acked())
-            }
-            // The worker may have been restarted, and the ends of its new instance, which have
-            // the same numbers, must not be discarded.
-            WorkerContact::Unclaimed | WorkerContact::Doubted => 0,
-        };
+        // A new instance must not discard ends of its own, which have the same numbers. It has none
+        // if the known one has got all orders.
+        let is_withheld = record.contact != WorkerContact::Claimed || record.may_have_unmet_runs();
+        let instance = record.instance.as_mut();
+        let acked_end = instance.map_or(0, |instance| instance.ends.next_ack(is_withheld));
         record.renewal = RenewalStatus::Pending;
         self.actions.push(PipelineAction::Renew(RenewalOrder {
             worker: WorkerId::clone(worker),
--- a/crates/core/src/pipelines/tests/restarts.rs
+++ b/crates/core/src/pipelines/tests/restarts.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     EndedRun, ObservedRun, PipelineAction, PipelineEvent, PipelinePhase, RenewalFailure,
-    StartOrder, StartResult,
+    StartAnswer, StartOrder, StartResult,
 };
 
 /// Start time of the second instance of a worker, in ms since 1970.
@@ -175,3 +175,58 @@
     assert!(owner.actions.iter().any(is_renewal));
     assert_eq!(owner.acked_end("w1"), Some(7));
 }
+
+/// Guards against an acknowledgement that reaches a new instance, which discards the end of a run
+/// that it has got by an order for its former one.
+#[test]
+fn ends_are_not_acknowledged_while_a_start_has_no_answer() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(1)]));
+    let start = owner.start_all().remove(0);
+    owner.report("w1", Vec::new(), vec![done(7, start.run)]);
+    owner.commit();
+    let acked = owner.acked_end("w1");
+
+    owner.submit(2, job(vec![step(1)]));
+    owner.commit();
+    let open = owner.take_starts().remove(0);
+    owner.report("w1", Vec::new(), Vec::new());
+    let withheld = owner.acked_end("w1");
+    owner.report("w1", vec![observed(open.run)], vec![done(7, start.run)]);
+
+    assert_eq!((acked, withheld), (Some(7), Some(0)));
+    assert_eq!(owner.acked_end("w1"), Some(7));
+}
+
+/// Guards against a second run of a task that has ended on a new instance, to which its order and
+/// an acknowledgement for the former instance came before the owner met it.
+#[test]
+fn an_end_on_an_instance_that_the_owner_has_not_met_counts() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(1)]));
+    let first = owner.start_all().remove(0);
+    owner.report("w1", Vec::new(), vec![done(1, first.run)]);
+    owner.commit();
+    owner.submit(2, job(vec![step(1)]));
+    owner.commit();
+    let second = owner.take_starts().remove(0);
+
+    let answer = StartAnswer {
+        result: StartResult::Started,
+        sent_at: owner.now,
+        clock_ms: Some(300),
+    };
+    owner.handle_event(PipelineEvent::StartAnswered(
+        "w1".into(),
+        second.run,
+        answer,
+    ));
+    owner.now += Duration::from_millis(200);
+    let acked = owner.acked_end("w1");
+    report_restarted(&mut owner, Vec::new(), vec![done(1, second.run)]);
+    let repeated = owner.start_all();
+
+    assert_eq!(acked, Some(0));
+    assert!(repeated.is_empty());
+    assert_eq!(owner.phases[&2], PipelinePhase::Completed);
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -295,6 +295,20 @@
         runs.take_while(|(key, _)| key.task.step == step).count()
     }
 
+    /// Returns whether a run may be on an instance that the owner has not met.
+    pub(super) fn may_have_unmet_runs(&self) -> bool {
+        self.runs.values().any(WorkerRun::may_be_elsewhere)
+    }
+
+    /// Makes a renewal due if the latest one withheld an acknowledgement for no more reason.
+    pub(super) fn request_ack(&mut self, now: Duration) {
+        let instance = self.instance.as_ref();
+        let is_withheld = instance.is_some_and(|instance| instance.ends.is_withheld());
+        if is_withheld && !self.may_have_unmet_runs() {
+            self.renewal_due = self.renewal_due.min(now);
+        }
+    }
+
     /// Returns the number of runs that last until their jobs are cancelled.
     pub(super) fn long_running_count(&self) -> usize {
         let runs = self.runs.values();
