--- a/crates/core/src/pipelines/health.rs
+++ b/crates/core/src/pipelines/health.rs
@@ -117,7 +117,8 @@
     /// elsewhere.
     pub(super) fn evacuate_leaving_workers(&mut self, now: Duration) {
         let due = self.workers.iter().filter(|(_, record)| {
-            record.evacuate_at.is_some_and(|at| now >= at) && !record.runs.is_empty()
+            let is_due = record.evacuate_at.is_some_and(|at| now >= at);
+            is_due && record.has_current_entry() && !record.runs.is_empty()
         });
         let due: Vec<WorkerId> = due.map(|(worker, _)| WorkerId::clone(worker)).collect();
         for worker in due {
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -14,6 +14,8 @@
 pub struct WorkerListing {
     /// Identifier of the worker.
     pub worker: WorkerId,
+    /// Start time in ms since 1970 of the instance that wrote the entry, if the entry has it.
+    pub started_unix_ms: Option<u64>,
     /// Address at which the worker accepts orders.
     pub address: String,
     /// Total resources of the worker.
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -380,10 +380,13 @@
         let listing_interval = self.config.listing_interval;
         let record = self.ensure_worker(&listing.worker, inherited_until, now);
         let is_new = record.listing.is_none();
-        let is_already_draining = record
-            .listing
-            .as_ref()
-            .is_some_and(|known| known.is_draining);
+        // The departure in an entry is that of the instance that wrote it.
+        let known = record.listing.as_ref();
+        let known = known.filter(|known| known.started_unix_ms == listing.started_unix_ms);
+        let is_already_draining = known.is_some_and(|known| known.is_draining);
+        if known.is_none() {
+            record.evacuate_at = None;
+        }
         let is_pending = record.evacuate_at.is_some();
         if listing.is_draining && (is_pending || !is_already_draining) {
             // An entry that is read for the first time may be as old as the interval.
@@ -398,6 +401,9 @@
         let has_new_address = record
             .address()
             .is_some_and(|address| address != listing.address);
+        if record.contact != WorkerContact::Unclaimed && record.is_superseded_by(&listing) {
+            record.give_up_claim(now);
+        }
         record.listing = Some(listing);
         if has_new_address {
             if record.renewal == RenewalStatus::Pending {
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -102,6 +102,7 @@
         rack: Some("r1-1".into()),
         is_draining: false,
         leaves_in: None,
+        started_unix_ms: None,
     }
 }
 
--- a/crates/core/src/pipelines/tests/restarts.rs
+++ b/crates/core/src/pipelines/tests/restarts.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     EndedRun, ObservedRun, PipelineAction, PipelineEvent, PipelinePhase, RenewalFailure,
-    StartAnswer, StartOrder, StartResult,
+    StartAnswer, StartOrder, StartResult, StepSpec, WorkerListing,
 };
 
 /// Start time of the second instance of a worker, in ms since 1970.
@@ -230,3 +230,78 @@
     assert!(repeated.is_empty());
     assert_eq!(owner.phases[&2], PipelinePhase::Completed);
 }
+
+/// Returns the entry of an instance of `w1` of this kind.
+fn entry_of_kind(started_unix_ms: u64, kind: &str) -> WorkerListing {
+    WorkerListing {
+        labels: vec![kind.to_owned()],
+        started_unix_ms: Some(started_unix_ms),
+        ..listing("w1")
+    }
+}
+
+/// Guards against a task that is started on a worker without the required label, because the entry
+/// is that of its former instance, which was of another kind.
+#[test]
+fn a_restarted_worker_gets_no_task_by_the_entry_of_its_former_instance() {
+    let mut owner = owner(&[]);
+    let entry = entry_of_kind(INSTANCE_STARTED_MS, "a");
+    owner.handle_event(PipelineEvent::Listed(entry));
+    owner.report("w1", Vec::new(), Vec::new());
+    let labelled = StepSpec {
+        required_label: Some("a".to_owned()),
+        ..step(1)
+    };
+
+    report_restarted(&mut owner, Vec::new(), Vec::new());
+    owner.submit(1, job(vec![labelled]));
+    let former_entry = owner.start_all();
+    let entry = entry_of_kind(RESTARTED_MS, "b");
+    owner.handle_event(PipelineEvent::Listed(entry));
+    let other_kind = owner.start_all();
+    let entry = entry_of_kind(RESTARTED_MS, "a");
+    owner.handle_event(PipelineEvent::Listed(entry));
+    let same_kind = owner.start_all();
+
+    assert!(former_entry.is_empty() && other_kind.is_empty());
+    assert_eq!(same_kind.len(), 1);
+}
+
+/// Guards against tasks that are placed on a worker until a renewal fails, although its entry shows
+/// that it was restarted.
+#[test]
+fn an_entry_of_a_new_instance_is_followed_by_a_renewal_with_a_higher_token() {
+    let mut owner = owner(&["w1"]);
+    let before = owner.renewal_token("w1");
+
+    let entry = entry_of_kind(RESTARTED_MS, "a");
+    owner.handle_event(PipelineEvent::Listed(entry));
+    owner.submit(1, job(vec![step(1)]));
+
+    assert!(owner.start_all().is_empty());
+    assert!(owner.renewal_token("w1") > before);
+}
+
+/// Guards against runs on a new instance that are stopped at the time at which the former one was to
+/// leave.
+#[test]
+fn a_restarted_worker_is_not_evacuated_for_its_former_instance() {
+    let mut owner = owner(&["w1"]);
+    owner.handle_event(PipelineEvent::Listed(WorkerListing {
+        is_draining: true,
+        leaves_in: Some(Duration::from_secs(2)),
+        ..entry_of_kind(INSTANCE_STARTED_MS, "a")
+    }));
+    owner.advance_clock(Duration::from_millis(500));
+
+    let entry = entry_of_kind(RESTARTED_MS, "a");
+    owner.handle_event(PipelineEvent::Listed(entry));
+    report_restarted(&mut owner, Vec::new(), Vec::new());
+    owner.submit(1, long_running_job());
+    let start = owner.start_all().remove(0);
+    owner.advance_clock(Duration::from_millis(200));
+    report_restarted(&mut owner, vec![observed(start.run)], Vec::new());
+    owner.advance_clock(Duration::from_secs(2));
+
+    assert!(owner.stops().is_empty());
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -244,7 +244,28 @@
             .listing
             .as_ref()
             .is_some_and(|listing| !listing.is_draining);
-        self.contact == WorkerContact::Claimed && is_listed
+        self.contact == WorkerContact::Claimed && is_listed && self.has_current_entry()
+    }
+
+    /// Returns whether the entry in the registry is that of the known instance. The capacity, the
+    /// labels and the departure in an entry are those of the instance that wrote it.
+    pub(super) fn has_current_entry(&self) -> bool {
+        let listing = self.listing.as_ref();
+        let started_ms = listing.and_then(|listing| listing.started_unix_ms);
+        let instance = self.instance.as_ref();
+        let is_other = started_ms
+            .zip(instance)
+            .is_some_and(|(started_ms, instance)| started_ms != instance.started_unix_ms);
+        !is_other
+    }
+
+    /// Returns whether an entry shows that the worker was restarted after the known instance began.
+    pub(super) fn is_superseded_by(&self, listing: &WorkerListing) -> bool {
+        let known_ms = self
+            .instance
+            .as_ref()
+            .map(|instance| instance.started_unix_ms);
+        listing.started_unix_ms > known_ms && known_ms.is_some()
     }
 
     pub(super) fn free_resources(&self) -> ResourceVector {
--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -82,6 +82,7 @@
         rack: None,
         is_draining: false,
         leaves_in: None,
+        started_unix_ms: None,
     };
     Box::new(LoadedShard {
         workers: vec![worker],
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -331,6 +331,7 @@
         rack: None,
         is_draining: false,
         leaves_in: None,
+        started_unix_ms: None,
     };
     let report = RenewalReport {
         started_unix_ms: 1,
--- a/crates/daemon/src/pipelines/tests/sessions.rs
+++ b/crates/daemon/src/pipelines/tests/sessions.rs
@@ -424,6 +424,7 @@
         rack: None,
         is_draining: false,
         leaves_in: None,
+        started_unix_ms: None,
     };
     let events = [
         PipelineEvent::OwnershipConfirmed(confirmed_until),
