--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -110,11 +110,22 @@
     daemons: usize,
     workers: usize,
     run_time: Duration,
+) -> CellFixture {
+    start_cell_with_clocks(daemons, workers, run_time, Duration::ZERO).await
+}
+
+/// Like [`start_cell_with_workers`], with workers whose clocks begin at `initial_clock`.
+pub(crate) async fn start_cell_with_clocks(
+    daemons: usize,
+    workers: usize,
+    run_time: Duration,
+    initial_clock: Duration,
 ) -> CellFixture {
     let store = StoreStandin::start().await;
     let mut standins = Vec::new();
     for number in 1..=workers {
-        let worker = WorkerStandin::start(&format!("w{number}"), run_time).await;
+        let id = format!("w{number}");
+        let worker = WorkerStandin::start_with_clock(&id, run_time, initial_clock).await;
         let (key, value) = worker.registration("sales");
         store.write(&key, &value);
         standins.push(worker);
