--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -376,7 +376,7 @@
 
     fn update_listing(&mut self, listing: WorkerListing, now: Duration) {
         self.is_placement_due = true;
-        let inherited_until = self.predecessor_runs_until();
+        let inherited_until = self.predecessor_runs_until(Duration::ZERO);
         let listing_interval = self.config.listing_interval;
         let record = self.ensure_worker(&listing.worker, inherited_until, now);
         let is_new = record.listing.is_none();
@@ -404,6 +404,7 @@
         if record.contact != WorkerContact::Unclaimed && record.is_superseded_by(&listing) {
             record.give_up_claim(now);
         }
+        let entry = listing.clone();
         record.listing = Some(listing);
         if has_new_address {
             if record.renewal == RenewalStatus::Pending {
@@ -411,6 +412,7 @@
             }
             record.renewal_due = now;
         }
+        self.keep_runs_of_young_instance(&entry, now);
     }
 
     /// Removes a worker that left the registry, once it has no runs.
--- a/crates/core/src/pipelines/takeover.rs
+++ b/crates/core/src/pipelines/takeover.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use super::{
-    messages::{PipelineAction, PipelineNote},
+    messages::{PipelineAction, PipelineNote, WorkerListing},
     progress::{PipelineProgress, TaskPlace},
     schedule::UNCONFIRMED_RENEWAL_TIME,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, TaskKey},
     state::PipelineState,
-    worker::{RunPhase, WorkerContact, WorkerRun},
+    worker::{FORMER_ORDER_TIME, RunPhase, WorkerContact, WorkerRun},
 };
 use crate::{instances::lapse_time, types::WorkerId};
 
@@ -23,21 +23,61 @@
 const UNREACHED_LOG_DELAY: Duration = Duration::from_secs(1);
 
 impl PipelineState {
-    /// Returns the time by which the runs placed by the previous owner have ended on
-    /// workers that this owner has not reached.
-    pub(super) fn predecessor_runs_until(&self) -> Duration {
+    /// Returns the time by which the runs placed by the previous owner have ended on a worker that
+    /// this owner has not reached. Its instance may hold runs until `former_orders_until` by orders
+    /// for a former one.
+    pub(super) fn predecessor_runs_until(&self, former_orders_until: Duration) -> Duration {
         let latest = self.taken_over_at + MAX_PREDECESSOR_TIME;
-        self.predecessors_ended_at.unwrap_or(latest) + lapse_time(self.config.inherited_lease)
+        let ended_at = self.predecessors_ended_at.unwrap_or(latest);
+        let longest = ended_at + lapse_time(self.config.max_lease);
+        let granted = ended_at + lapse_time(self.config.inherited_lease);
+        granted.max(former_orders_until.min(longest))
+    }
+
+    /// Returns the time by which a lease has lapsed that orders for a former instance have granted to
+    /// the one that wrote an entry, as an owner has met that by then.
+    fn former_orders_until(&self, listing: &WorkerListing, now: Duration) -> Duration {
+        let Some(started_ms) = listing.started_unix_ms else {
+            return Duration::ZERO;
+        };
+        let age = Duration::from_millis(self.wall_ms.saturating_sub(started_ms));
+        match FORMER_ORDER_TIME + self.config.max_lease {
+            longest if age < longest => now + lapse_time(longest.saturating_sub(age)),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Keeps the inherited runs of a worker that this owner has not reached for as long as the
+    /// instance in its entry may hold them.
+    pub(super) fn keep_runs_of_young_instance(&mut self, listing: &WorkerListing, now: Duration) {
+        let former_orders_until = self.former_orders_until(listing, now);
+        let inherited_until = self.predecessor_runs_until(former_orders_until);
+        match self.workers.get_mut(&listing.worker) {
+            Some(record) if record.instance.is_none() && former_orders_until > Duration::ZERO => {
+                record.former_orders_until = former_orders_until;
+                record.inherited_until = record.inherited_until.max(inherited_until);
+            }
+            _ => {}
+        }
     }
 
     /// Shortens the wait for workers that this owner has not reached, as no earlier owner has
     /// renewed their leases since the given time.
     pub(super) fn end_predecessors(&mut self, ended_at: Duration) {
         self.predecessors_ended_at = Some(ended_at);
-        let inherited_until = self.predecessor_runs_until();
-        let records = self.workers.values_mut();
-        for record in records.filter(|record| record.instance.is_none()) {
-            record.inherited_until = record.inherited_until.min(inherited_until);
+        let unreached = self
+            .workers
+            .iter()
+            .filter(|(_, record)| record.instance.is_none());
+        let limits = unreached.map(|(worker, record)| {
+            let until = self.predecessor_runs_until(record.former_orders_until);
+            (WorkerId::clone(worker), until)
+        });
+        let limits: Vec<(WorkerId, Duration)> = limits.collect();
+        for (worker, until) in limits {
+            if let Some(record) = self.workers.get_mut(&worker) {
+                record.inherited_until = record.inherited_until.min(until);
+            }
         }
     }
 
@@ -50,7 +90,7 @@
         progress: &PipelineProgress,
         now: Duration,
     ) {
-        let inherited_until = self.predecessor_runs_until();
+        let inherited_until = self.predecessor_runs_until(Duration::ZERO);
         for (occurrence, steps) in &progress.occurrences {
             for ((step, step_progress), step_spec) in (0..).zip(steps).zip(&spec.steps) {
                 let tasks = (0..).zip(&step_progress.tasks);
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -287,6 +287,27 @@
     assert_eq!(late.len(), 1);
 }
 
+/// Guards against a second run of a task on a worker that a successor cannot reach, and whose entry
+/// shows a restart that the predecessor may not have met: its orders had deadlines on another clock.
+#[test]
+fn a_successor_waits_for_the_longest_lease_of_an_unreached_worker_that_was_restarted() {
+    let (mut second, _) = successor_with_short_leases();
+    second.handle_event(PipelineEvent::Listed(WorkerListing {
+        started_unix_ms: Some(WALL_MS - 2_000),
+        ..listing("w1")
+    }));
+    let ended_at = second.now;
+    second.handle_event(PipelineEvent::PredecessorsEnded(ended_at));
+
+    second.advance_clock(Duration::from_secs(30));
+    let early = second.start_all();
+    second.advance_clock(Duration::from_secs(2));
+    let late = second.start_all();
+
+    assert!(early.is_empty());
+    assert_eq!(late.len(), 1);
+}
+
 /// Returns the entry of a worker that leaves after the given time.
 fn leaving(worker: &str, leaves_in: Duration) -> WorkerListing {
     WorkerListing {
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -25,7 +25,8 @@
 /// Age of an instance until which it may receive orders for its former one. An owner meets the
 /// instance with a renewal, which waits for up to 1 s, takes up to 2 s to fail and is followed by
 /// one without a wait; what it has sent until then is in transit.
-const FORMER_ORDER_TIME: Duration = Duration::from_secs(4).saturating_add(ORDER_TRANSIT_TIME);
+pub(super) const FORMER_ORDER_TIME: Duration =
+    Duration::from_secs(4).saturating_add(ORDER_TRANSIT_TIME);
 
 /// Phase of a run as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -163,6 +164,9 @@
     pub(super) best_effort_cpu_milli: u64,
     /// Time by which the inherited runs have ended if this owner cannot claim the worker.
     pub(super) inherited_until: Duration,
+    /// Time by which a lease has lapsed that orders for a former instance have granted to the
+    /// instance in the entry; zero if that instance is not known or was listed after an answer.
+    pub(super) former_orders_until: Duration,
     pub(super) renewal: RenewalStatus,
     /// Earliest time of the next renewal.
     pub(super) renewal_due: Duration,
@@ -198,6 +202,7 @@
             used: ResourceVector::default(),
             best_effort_cpu_milli: 0,
             inherited_until,
+            former_orders_until: Duration::ZERO,
             renewal: RenewalStatus::Settled,
             renewal_due: now,
             missed_renewals: 0,
