Judge a stalled run by the time that a percent of its task takes

Cause: a run counted as stalled after 3 s without a change of its whole percent, which takes 6 s there.

Change: the time is that of ten percent of the task, by its estimate or by the progress so far, and at least 3 s as before, so that nothing changes for estimates of up to 30 s. From the fourth attempt on it doubles, for tasks whose estimate is far too short.

With the former time a_run_that_reports_its_true_progress_is_not_stopped_however_long_it_is and a_task_with_too_short_an_estimate_gets_more_time_with_each_attempt fail; tasks of 10, 600 and 3,600 s, from 0 and from 40 percent. a_run_that_stands_still_is_stopped_in_a_part_of_its_estimate guards the other side.

--- a/crates/core/src/pipelines/health.rs
+++ b/crates/core/src/pipelines/health.rs
@@ -13,10 +13,20 @@
 };
 use crate::{instances::SAMPLE_WEIGHT_DIVISOR, types::WorkerId};
 
-/// Time without a change of its progress after which a run counts as stalled. The
-/// progress of the longest tasks also changes within it: reports arrive each second, and
-/// one percent takes less than that.
-const STALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Shortest time without a change of its progress after which a run counts as stalled. Reports
+/// arrive each second.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Number of percent that a run could have done in the time after which it counts as stalled.
+/// Estimates are rough, and slow workers take several times as long.
+const STALL_PERCENT: u32 = 10;
+
+/// Number of attempts after which the time doubles with each further one, so that a task whose
+/// estimate is far too short still ends.
+const ATTEMPTS_BEFORE_DOUBLING: u32 = 3;
+
+/// Largest number of doublings.
+const MAX_DOUBLINGS: u32 = 6;
 
 /// Lowest CPU share of a run that is checked for stalls, in percent. Below it a run may
 /// show no progress although it is not stalled.
@@ -49,6 +59,30 @@
     u64::try_from(expected * 100 / estimate).ok()
 }
 
+/// Returns the time without a change of its progress after which a run counts as stalled. It
+/// follows from the time that one percent takes, by the estimate and by the progress so far.
+fn stall_timeout(run: RunKey, entry: &WorkerRun, started_at: Duration) -> Duration {
+    let estimated = entry.estimate / 100;
+    let worked = entry.progressed_at.saturating_sub(started_at);
+    let measured = worked / entry.progress_percent.max(1);
+    let doublings = run.attempt.saturating_sub(ATTEMPTS_BEFORE_DOUBLING);
+    let timeout = (estimated.max(measured) * STALL_PERCENT).max(MIN_STALL_TIMEOUT);
+    timeout * (1 << doublings.min(MAX_DOUBLINGS))
+}
+
+/// Returns whether the latest report shows that a run has made no progress for too long.
+fn is_stalled(run: RunKey, entry: &WorkerRun, reported_at: Duration) -> bool {
+    match entry.phase {
+        RunPhase::Started(at)
+            if !entry.is_progress_ignored
+                && entry.pace_percent >= MIN_STALL_CHECK_SHARE_PERCENT =>
+        {
+            reported_at >= entry.progressed_at + stall_timeout(run, entry, at)
+        }
+        _ => false,
+    }
+}
+
 impl PipelineState {
     /// Updates the run time ratio of a worker, and the typical one, from the progress of
     /// its runs.
@@ -82,12 +116,8 @@
             let instance = record.instance.as_ref();
             let reported_at =
                 instance.map_or(Duration::ZERO, |instance| instance.reading().read_at);
-            let runs = record.runs.iter().filter(move |(_, run)| {
-                matches!(run.phase, RunPhase::Started(_))
-                    && !run.is_progress_ignored
-                    && run.pace_percent >= MIN_STALL_CHECK_SHARE_PERCENT
-                    && reported_at >= run.progressed_at + STALL_TIMEOUT
-            });
+            let runs = record.runs.iter();
+            let runs = runs.filter(move |(key, run)| is_stalled(**key, run, reported_at));
             runs.map(|(key, run)| {
                 (
                     WorkerId::clone(worker),
@@ -101,7 +131,7 @@
         for (worker, run, percent, progressed_at) in stalled {
             let record = self.workers.get_mut(&worker);
             if let Some(instance) = record.and_then(|record| record.instance.as_mut()) {
-                instance.penalized_until = now + STALL_TIMEOUT * 2;
+                instance.penalized_until = now + MIN_STALL_TIMEOUT * 2;
             }
             self.stop_run(&worker, run, now);
             self.log_note(PipelineNote::RunStalled {
--- a/crates/core/src/pipelines/tests/health.rs
+++ b/crates/core/src/pipelines/tests/health.rs
@@ -48,6 +48,75 @@
     assert!(owner.stops().is_empty());
 }
 
+/// Returns a step with one task of this estimate in s.
+fn long_step(estimate_s: u32) -> StepSpec {
+    StepSpec {
+        estimate_ms: u64::from(estimate_s) * 1_000,
+        ..step(1)
+    }
+}
+
+/// Guards against a task that never ends: a percent of it takes longer than the shortest time
+/// after which a run counts as stalled. With checkpoints, a run begins where the one before ended.
+#[test]
+fn a_run_that_reports_its_true_progress_is_not_stopped_however_long_it_is() {
+    for estimate_s in [10, 600, 3_600] {
+        for first_percent in [0, 40] {
+            let mut owner = owner(&["w1"]);
+            owner.submit(1, job(vec![long_step(estimate_s)]));
+            let run = owner.start_all().remove(0).run;
+
+            let percent = |tick: u32| first_percent + tick * 50 / estimate_s;
+            let seconds = estimate_s * (100 - first_percent) / 100;
+            report_progress(&mut owner, "w1", &[run], seconds, percent);
+
+            assert!(
+                owner.stops().is_empty(),
+                "{estimate_s} s from {first_percent} %"
+            );
+        }
+    }
+}
+
+/// Guards against a task that never ends because its run stands still, however long it is.
+#[test]
+fn a_run_that_stands_still_is_stopped_in_a_part_of_its_estimate() {
+    // Two seconds for the first progress and a report beside a tenth of the estimate or 3 s.
+    for (estimate_s, bound_s) in [(10, 5), (600, 62), (3_600, 362)] {
+        let mut owner = owner(&["w1"]);
+        owner.submit(1, job(vec![long_step(estimate_s)]));
+        let run = owner.start_all().remove(0).run;
+
+        let percent = |tick: u32| 1 + tick.min(2);
+        report_progress(&mut owner, "w1", &[run], bound_s, percent);
+
+        assert!(!owner.stops().is_empty(), "{estimate_s} s");
+    }
+}
+
+/// Guards against a task that never ends because its estimate is far too short: a percent of it
+/// takes longer than each run is given.
+#[test]
+fn a_task_with_too_short_an_estimate_gets_more_time_with_each_attempt() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![long_step(1)]));
+    let mut is_stopped = true;
+
+    for _ in 0..8 {
+        let Some(start) = owner.start_all().pop() else {
+            continue;
+        };
+        owner.actions.clear();
+        report_progress(&mut owner, "w1", &[start.run], 60, |tick| tick / 50);
+        is_stopped = !owner.stops().is_empty();
+        owner.handle_event(PipelineEvent::StopAnswered("w1".into(), start.run, true));
+        owner.advance_clock(Duration::from_millis(500));
+        owner.report("w1", Vec::new(), Vec::new());
+    }
+
+    assert!(!is_stopped);
+}
+
 /// Guards against stopping a long-running task, whose progress never changes.
 #[test]
 fn a_long_running_task_does_not_count_as_stalled() {
