Remove the summaries of jobs that ended under an earlier owner

Cause: an owner schedules the removal of a summary when its commit ends the job, in memory only. A successor loads jobs by their keys, which are gone by then, so the summaries that its predecessor had not removed yet stayed in the store and in the memory of each daemon for good. The last summaries of an idle service stayed as well, as they were removed only with a later commit.

Ruled out: removal without conditions by the successor, as the summary of a job that was submitted again may stand under the key; a read of all summaries in the takeover, which would delay it.

Change: each daemon keeps the revision of the summary of each ended job and the time at which it read it. The owner removes those that none of its commits removes, `status_s` and 3 s after that time, by transactions that expect these revisions: at most 16 summaries each, one at a time, four a second. It leaves out jobs of which a key or a run is left.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -24,10 +24,10 @@
     messages::{CellEvent, JobLookup},
 };
 use crate::{
-    job_table::{JobSummary, JobTable},
+    job_table::{EndedJobs, JobSummary, JobTable},
     pipelines::{
-        AcquireOutcome, AdvisorTable, CommitStatus, DaemonRegistration, JobNotice, OwnedShard,
-        ShardSettings, count_advisors,
+        AcquireOutcome, AdvisorTable, CellKey, CommitStatus, DaemonRegistration, JobNotice,
+        OwnedShard, ShardSettings, count_advisors,
     },
     session::{LeaseConfirmation, LeaseUpdate, PrefixUpdate},
     telemetry::unix_ms,
@@ -91,6 +91,8 @@
     /// Whether the daemon is ready; read by the readiness endpoint.
     ready: Arc<AtomicBool>,
     pub(super) jobs: JobTable,
+    /// Ended jobs, by their summaries in the store.
+    pub(super) ended: EndedJobs,
     pub(super) members: BTreeMap<String, HttpEndpoint>,
     /// Processors of each daemon, in thousandths of a core.
     pub(super) cpu_by_daemon: BTreeMap<String, u64>,
@@ -147,6 +149,7 @@
             effects,
             ready,
             jobs: JobTable::default(),
+            ended: EndedJobs::default(),
             members: BTreeMap::new(),
             cpu_by_daemon: BTreeMap::new(),
             registrations: BTreeMap::new(),
@@ -265,6 +268,10 @@
                     handle.has_new_events = true;
                 }
             }
+            CellEvent::SummariesRemoved(outcome) => {
+                let summary_key = |id| CellKey::Summary(id).path();
+                self.ended.finish_removal(&outcome, summary_key);
+            }
             CellEvent::Advised(service, epoch, outcome) => {
                 let (daemon, is_answered) = (&outcome.daemon, outcome.report.is_some());
                 self.advisors
@@ -441,6 +448,7 @@
                 continue;
             };
             let epoch = handle.shard.epoch();
+            handle.shard.release_expired_summaries(now);
             let mut events = handle.delist_expired_workers(now);
             let (quick, slow) = count_advisors(self.members.len().max(1));
             events.push(PipelineEvent::AdvisorsCounted(quick, slow));
@@ -464,6 +472,28 @@
         }
         self.claim_vacant_services(now);
         self.announce_epochs(now);
+        self.remove_ended_summaries(now);
+    }
+
+    /// Removes summaries of ended jobs of the owned services that no commit removes, such as
+    /// those of jobs that ended under an earlier owner.
+    fn remove_ended_summaries(&mut self, now: Duration) {
+        if self.is_draining || self.effects.route.is_unavailable() {
+            return;
+        }
+        let shards = &self.shards;
+        let is_removable = |id, service: &ServiceId| {
+            let handle = shards.get(service);
+            handle.is_some_and(|handle| !handle.shard.keeps_summary(id))
+        };
+        let retention = self.settings.shard.summary_retention;
+        let summary_key = |id| CellKey::Summary(id).path();
+        let removal = self
+            .ended
+            .next_removal(retention, now, is_removable, summary_key);
+        if let Some(transaction) = removal {
+            self.effects.remove_summaries(transaction);
+        }
     }
 
     /// Starts the takeover of services without an owner whose delay has passed.
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -6,8 +6,8 @@
     AdviceOrder, PipelineAction, PipelineEvent, ServiceId, WorkerId, WorkerListing,
 };
 use auburnsaddle_platform::{
-    AdviceClient, HttpEndpoint, ItemChange, KeyLease, StoreItem, TransactionOutcome, WORKER_PREFIX,
-    decode_registration, parse_worker_key,
+    AdviceClient, HttpEndpoint, ItemChange, KeyLease, StoreItem, StoreTransaction,
+    TransactionOutcome, WORKER_PREFIX, decode_registration, parse_worker_key,
 };
 use tokio::{
     runtime::Handle,
@@ -379,6 +379,15 @@
         }
     }
 
+    /// Sends a removal of summaries; the outcome arrives as an event.
+    pub(super) fn remove_summaries(&self, transaction: StoreTransaction) {
+        let (store, events) = (self.store.clone(), self.events.clone());
+        self.runtime.spawn(async move {
+            let outcome = store.commit(&transaction).await;
+            let _ = events.send(CellEvent::SummariesRemoved(outcome)).await;
+        });
+    }
+
     /// Executes an action of an owned service.
     pub(super) fn perform(
         &self,
--- a/crates/daemon/src/cell/membership.rs
+++ b/crates/daemon/src/cell/membership.rs
@@ -49,6 +49,8 @@
                         // A service with accepted jobs needs an owner even if no queue of
                         // the manifest routes to it any more.
                         self.services.insert(summary.service.clone());
+                        let now = self.effects.clock.now();
+                        self.ended.update(id, &summary, item.revision, now);
                         self.jobs.insert(id, summary);
                     }
                 }
@@ -67,7 +69,10 @@
                 _ => log::debug!(key = item.key.as_str(); "ignored an unknown key"),
             },
             ItemChange::Removed { key, revision } => match CellKey::parse(&key) {
-                Some(CellKey::Summary(id)) => self.jobs.remove(id),
+                Some(CellKey::Summary(id)) => {
+                    self.ended.remove(id);
+                    self.jobs.remove(id);
+                }
                 Some(CellKey::Member(daemon)) if self.members.remove(&daemon).is_some() => {
                     self.registrations.remove(&daemon);
                     log::info!(daemon = daemon.as_str(); "a daemon left the cell");
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -60,6 +60,8 @@
     Committed(ServiceId, u64, TransactionOutcome),
     /// The outcome of a write of job summaries.
     SummariesWritten(ServiceId, u64, WriteNumber, TransactionOutcome),
+    /// The outcome of a removal of summaries that no owner removed with its commits.
+    SummariesRemoved(TransactionOutcome),
     /// The outcome of a request for advice.
     Advised(ServiceId, u64, AdviceOutcome),
     /// This daemon has stored a job or a cancellation request.
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -23,7 +23,7 @@
     summaries::{SummaryQueue, SummaryUpdate, WriteNumber},
 };
 use crate::{
-    job_table::JobSummary,
+    job_table::{JobSummary, REMOVAL_SLACK},
     witness::{ExtensionPermit, WitnessEntry, WitnessList},
 };
 
@@ -468,6 +468,22 @@
             .extend(self.obsolete_keys.drain(kept..));
     }
 
+    /// Leaves the summaries that no commit has removed for some time to writes of their own, as
+    /// the service may be idle for long.
+    pub(crate) fn release_expired_summaries(&mut self, now: Duration) {
+        while let Some((expiry, id)) = self.summary_expiries.front().copied()
+            && expiry + REMOVAL_SLACK <= now
+        {
+            self.summary_expiries.pop_front();
+            self.finished_jobs.remove(&id);
+        }
+    }
+
+    /// Returns whether the summary of a job is still needed, or removed with a commit.
+    pub(crate) fn keeps_summary(&self, id: PipelineId) -> bool {
+        self.finished_jobs.contains(&id) || self.summaries.has_job(id) || self.state.contains(id)
+    }
+
     /// Returns the transaction of the pending commit.
     pub(crate) fn pending_transaction(&self) -> Option<StoreTransaction> {
         self.pending
--- a/crates/daemon/src/pipelines/summaries.rs
+++ b/crates/daemon/src/pipelines/summaries.rs
@@ -77,6 +77,11 @@
         self.job_revisions.insert(id, revision);
     }
 
+    /// Returns whether the key of a job is known and was not removed by the last write.
+    pub(crate) fn has_job(&self, id: PipelineId) -> bool {
+        self.job_revisions.contains_key(&id)
+    }
+
     /// Adds a summary whose phase is durable in the progress of the job.
     pub(crate) fn add(&mut self, id: PipelineId, update: SummaryUpdate, now: Duration) {
         let due = self.due.get(&id).map_or(now + BATCH_DELAY, |due| due.due);
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -13,7 +13,7 @@
 use auburnsaddle_platform_standin::WorkerStandin;
 use http::{Method, StatusCode};
 use serde_json::json;
-use support::{job, manifest, start_cell};
+use support::{job, manifest, start_cell, start_cell_with_retention};
 
 /// Guards against outdated job states at daemons that do not own the service.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -362,6 +362,38 @@
     assert_eq!(cell.task_starts().len(), 1);
 }
 
+/// Guards against summaries that stay in the store, and in the memory of each daemon, for good
+/// because the owner under which their jobs ended is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_successor_removes_the_summaries_of_its_predecessor() {
+    let mut cell = start_cell_with_retention(2, Duration::from_millis(100), 2).await;
+    let owner = cell.wait_for_owner().await;
+    let other = 1 - owner;
+    for id in 1..=20 {
+        cell.submit(other, id, &job(1)).await;
+    }
+    for id in 1..=20 {
+        cell.wait_for_job_state(other, id, "completed").await;
+    }
+
+    cell.daemons[owner].child.kill().unwrap();
+    let kept = cell.store.keys("auburnsaddle/phase/").len();
+    cell.wait_for("the removal of all summaries", || async {
+        cell.store.keys("auburnsaddle/phase/").is_empty()
+    })
+    .await;
+    let peer_port = cell.daemons[other].peer_port;
+    cell.wait_for("a daemon that knows no job", || async {
+        let dump = cell
+            .send_to_port(peer_port, Method::GET, "/dump", None)
+            .await;
+        dump.is_some_and(|(_, dump)| dump["known_jobs"] == 0)
+    })
+    .await;
+
+    assert_eq!(kept, 20);
+}
+
 /// Guards against an owner that continues after the store has revoked its lease.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_complete_after_their_owner_loses_its_lease() {
--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -56,6 +56,8 @@
     pub(crate) daemons: Vec<DaemonProcess>,
     client: Client<HttpConnector, Full<Bytes>>,
     folder: PathBuf,
+    /// Time in s for which the daemons keep the states of ended jobs.
+    status_s: u32,
 }
 
 impl Drop for CellFixture {
@@ -70,7 +72,7 @@
 }
 
 /// Returns settings of a daemon that listens on ephemeral ports.
-fn daemon_settings(name: &str, store: &str) -> Value {
+fn daemon_settings(name: &str, store: &str, status_s: u32) -> Value {
     let address = "127.0.0.1:0";
     json!({
         "node-name": name, "zone": "z1", "an-unknown-field": [1, 2],
@@ -78,7 +80,7 @@
             "frontend": address, "readiness": address, "control-plane": address,
         },
         "platform": {"address": store, "min-ttl-ms": 1_000},
-        "bounds": {"max-hold-ms": 6_000, "grace-s": 6, "status_s": 120},
+        "bounds": {"max-hold-ms": 6_000, "grace-s": 6, "status_s": status_s},
     })
 }
 
@@ -110,6 +112,24 @@
     daemons: usize,
     workers: usize,
     run_time: Duration,
+) -> CellFixture {
+    launch_cell(daemons, workers, run_time, 120).await
+}
+
+/// Like [`start_cell`], with any time for which the states of ended jobs are kept.
+pub(crate) async fn start_cell_with_retention(
+    daemons: usize,
+    run_time: Duration,
+    status_s: u32,
+) -> CellFixture {
+    launch_cell(daemons, 2, run_time, status_s).await
+}
+
+async fn launch_cell(
+    daemons: usize,
+    workers: usize,
+    run_time: Duration,
+    status_s: u32,
 ) -> CellFixture {
     let store = StoreStandin::start().await;
     let mut standins = Vec::new();
@@ -132,6 +152,7 @@
         daemons: Vec::new(),
         client: Client::builder(TokioExecutor::new()).build_http(),
         folder,
+        status_s,
     };
     for index in 0..daemons {
         cell.launch(&format!("daemon-{index}"));
@@ -164,7 +185,7 @@
     /// Starts a daemon and stops reading its standard output once it listens.
     pub(crate) fn launch_without_log_reader(&mut self, name: &str) {
         let path = self.folder.join(format!("{name}.json"));
-        let text = daemon_settings(name, &self.store.address()).to_string();
+        let text = daemon_settings(name, &self.store.address(), self.status_s).to_string();
         fs::write(&path, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
             .env("AUBURNSADDLE_SETTINGS", &path)
