Mark a cancelled job that the store does not have, so that it never runs

The caller cancels the job, and the daemon finds no summary in the store and answers 410. Nothing stopped the submission, whose only condition is that no summary exists; the store carried it out seconds later and the job ran. A query was answered 410 in the same way.

Ruled out: an answer that the outcome is not known, from the daemon's own list of such submissions, as the cancellation may arrive at another daemon; a mark below the key of cancellations, as its name contains the service, which the manifest may change between the two requests; marks under a lease of the store, which may end in an outage.

Change: a cancellation of a job that the store does not have writes a mark under the key of the summary, on the condition that there is none, and is answered 410 only then. All attempts of the submission, direct, relayed or repeated, fail on it, also those of daemons without this change. A mark is no job: no daemon keeps it among its jobs, and queries are answered 410. A later submission of the job turns the mark into the summary of a cancelled job and is answered 200. The owner of the service removes marks after `status_s`, but not within a minute, with the summaries of ended jobs. A daemon with a submission without an outcome answers queries of the job with 503.

--- a/crates/daemon/src/ingress/jobs.rs
+++ b/crates/daemon/src/ingress/jobs.rs
@@ -12,13 +12,14 @@
 use arc_swap::ArcSwapOption;
 use auburnsaddle_core::{PipelineId, PipelinePhase, ServiceId};
 use auburnsaddle_platform::{
-    Manifest, QueueRoute, StoreTransaction, TransactionOutcome, decode_job, encode_pending,
-    encode_phase, parse_job_id,
+    Manifest, QueueRoute, StoreItem, StoreTransaction, TransactionOutcome, decode_job,
+    encode_pending, encode_phase, parse_job_id,
 };
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
+use super::cancellations::stored_mark;
 use super::peers::fetch_summary;
 use super::serve::{HttpService, IngressResponse, empty_response, json_response, retry_response};
 use super::unresolved::UnresolvedJobs;
@@ -70,11 +71,11 @@
 }
 
 /// The outcome of a write after all retries.
-enum WriteOutcome {
+pub(super) enum WriteOutcome {
     /// The transaction was committed at this revision.
     Done(u64),
-    /// A condition failed because an earlier write has stored the keys.
-    Exists,
+    /// A condition failed because an earlier write has stored the keys. Contains their items.
+    Exists(Vec<StoreItem>),
     /// Nothing was written.
     Refused,
     /// The transaction may have been committed, or may still be.
@@ -117,7 +118,7 @@
         match (request.method().clone(), id) {
             (Method::POST, Some(id)) => self.submit(request, &manifest, route, id).await,
             (Method::GET, Some(id)) => self.report_phase(id).await,
-            (Method::DELETE, Some(id)) => self.cancel(&request, id).await,
+            (Method::DELETE, Some(id)) => self.cancel(&request, route, id).await,
             (Method::GET, None) if id_text.is_empty() => {
                 let waiting = self.control.waiting_jobs(&route.policy.queue).await;
                 json_response(StatusCode::OK, encode_pending(waiting))
@@ -177,8 +178,13 @@
             removals: Vec::new(),
         };
         let queue = route.policy.queue.as_str();
+        // From here on the job may be stored, also if the caller closes its connection and this
+        // function does not continue.
+        let was_unresolved = self.unresolved.contains(id, started_at);
+        self.unresolved.insert(id, started_at);
         match self.commit_with_retries(&transaction, write_timeout).await {
             WriteOutcome::Done(revision) => {
+                self.unresolved.remove(id);
                 log::info!(
                     request_id = request_id.as_str(), queue, steps = spec.steps.len(),
                     version = manifest.version;
@@ -194,15 +200,29 @@
                 self.control.notify_owner(notice).await;
                 empty_response(StatusCode::OK)
             }
-            WriteOutcome::Exists => empty_response(StatusCode::OK),
-            WriteOutcome::Refused => self.refuse(id, "store"),
+            WriteOutcome::Exists(items) => {
+                self.unresolved.remove(id);
+                match stored_mark(&items) {
+                    Some(revision) => {
+                        let write_timeout = write_timeout.saturating_sub(started_at.elapsed());
+                        self.accept_cancelled_job(id, &spec, revision, write_timeout)
+                            .await
+                    }
+                    None => empty_response(StatusCode::OK),
+                }
+            }
+            WriteOutcome::Refused => {
+                if !was_unresolved {
+                    self.unresolved.remove(id);
+                }
+                self.refuse(id, "store")
+            }
             WriteOutcome::Unknown => {
                 log::warn!(
                     request_id = request_id.as_str(), queue,
                     patience_ms = write_timeout.as_millis();
                     "job may have been accepted: the store did not answer in time"
                 );
-                self.unresolved.insert(id, started_at);
                 self.metrics.record_refusal("unknown");
                 empty_response(StatusCode::GATEWAY_TIMEOUT)
             }
@@ -265,23 +285,33 @@
             return json_response(StatusCode::OK, encode_phase(newest_phase));
         }
         match self.find_summary(id).await {
+            Ok(Some(summary)) if summary.is_mark() => empty_response(StatusCode::GONE),
             Ok(Some(summary)) => json_response(StatusCode::OK, encode_phase(summary.phase)),
-            Ok(None) => empty_response(StatusCode::GONE),
-            Err(()) => {
-                log::info!(
-                    request_id = format!("{id:016x}").as_str();
-                    "the state of a job is not known: the store did not answer"
-                );
-                self.metrics.record_refusal("store");
-                retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds())
+            Ok(None) if self.unresolved.contains(id, Instant::now()) => {
+                self.report_unknown_phase(id, "its submission has no outcome yet")
             }
+            Ok(None) => empty_response(StatusCode::GONE),
+            Err(()) => self.report_unknown_phase(id, "the store did not answer"),
         }
     }
 
+    /// Logs and counts that the state of a job is not known; returns the response.
+    fn report_unknown_phase(&self, id: PipelineId, reason: &'static str) -> IngressResponse {
+        log::info!(
+            request_id = format!("{id:016x}").as_str(), reason;
+            "the state of a job is not known"
+        );
+        self.metrics.record_refusal("store");
+        retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds())
+    }
+
     /// Returns the summary of a job, read from the store if this daemon does not have it
     /// yet. Fails if the store does not respond.
-    async fn find_summary(&self, id: PipelineId) -> Result<Option<JobSummary>, ()> {
+    ///
+    /// The summary of a job that was cancelled while the store had none is a mark.
+    pub(super) async fn find_summary(&self, id: PipelineId) -> Result<Option<JobSummary>, ()> {
         if let Some(summary) = self.control.summary(id).await {
+            self.unresolved.remove(id);
             return Ok(Some(summary));
         }
         if self.route.is_unavailable() {
@@ -293,56 +323,16 @@
         let summary: Option<JobSummary> =
             item.and_then(|item| decode_value(&item.key, &item.value));
         if let Some(summary) = &summary {
+            self.unresolved.remove(id);
             self.control.add_accepted_job(id, summary.clone()).await;
         }
         Ok(summary)
     }
 
-    /// Stores a cancellation request, which the owner of the job's service carries out.
-    async fn cancel(&self, request: &Request<Incoming>, id: PipelineId) -> IngressResponse {
-        let request_id = format!("{id:016x}");
-        let write_timeout = write_timeout(request);
-        let summary = match self.find_summary(id).await {
-            Ok(Some(summary)) => summary,
-            Ok(None) => return empty_response(StatusCode::GONE),
-            Err(()) => return retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds()),
-        };
-        if summary.phase.is_final() {
-            return empty_response(StatusCode::OK);
-        }
-        let key = CellKey::Cancellation(summary.service.clone(), id).path();
-        let transaction = StoreTransaction {
-            puts: vec![(key, Vec::new(), 0)],
-            ..StoreTransaction::default()
-        };
-        match self.commit_with_retries(&transaction, write_timeout).await {
-            outcome @ (WriteOutcome::Done(_) | WriteOutcome::Exists) => {
-                log::info!(
-                    request_id = request_id.as_str(), phase = summary.phase.name();
-                    "cancellation accepted"
-                );
-                if let WriteOutcome::Done(revision) = outcome {
-                    let notice = JobNotice {
-                        service: summary.service,
-                        id,
-                        revision,
-                        change: JobChange::Cancelled,
-                    };
-                    self.control.notify_owner(notice).await;
-                }
-                empty_response(StatusCode::OK)
-            }
-            WriteOutcome::Refused => {
-                retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds())
-            }
-            WriteOutcome::Unknown => empty_response(StatusCode::GATEWAY_TIMEOUT),
-        }
-    }
-
     /// Commits a transaction, with retries until its outcome is known or the time limit
     /// is reached. The transaction must be safe to repeat: its conditions or its values
     /// keep a second commit from changing anything.
-    async fn commit_with_retries(
+    pub(super) async fn commit_with_retries(
         &self,
         transaction: &StoreTransaction,
         write_timeout: Duration,
@@ -353,7 +343,7 @@
         loop {
             match self.store.commit(transaction).await {
                 TransactionOutcome::Done(revision) => return WriteOutcome::Done(revision),
-                TransactionOutcome::Conflict(_) => return WriteOutcome::Exists,
+                TransactionOutcome::Conflict(items) => return WriteOutcome::Exists(items),
                 TransactionOutcome::Unknown => is_unknown = true,
                 TransactionOutcome::Refused | TransactionOutcome::NoLease => {
                     refused_count += 1;
@@ -375,12 +365,12 @@
 }
 
 /// Returns a random value for the `Retry-After` header.
-fn retry_seconds() -> u64 {
+pub(super) fn retry_seconds() -> u64 {
     rand::random_range(RETRY_SECONDS)
 }
 
 /// Returns the time for which a write may be retried, from the header of the caller.
-fn write_timeout(request: &Request<Incoming>) -> Duration {
+pub(super) fn write_timeout(request: &Request<Incoming>) -> Duration {
     let header = request.headers().get(TIMEOUT_HEADER);
     let text = header.and_then(|value| value.to_str().ok());
     let caller_timeout = text
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP services for callers of jobs, for the load balancer and for other daemons.
 
+mod cancellations;
 mod jobs;
 mod peers;
 mod serve;
--- a/crates/daemon/src/ingress/unresolved.rs
+++ b/crates/daemon/src/ingress/unresolved.rs
@@ -2,7 +2,7 @@
 //!
 //! Failure mode: the store executes a write and its answer is lost, or it executes the write
 //! seconds later. The caller submits the job again while the store refuses writes. That the
-//! job was not accepted would be false then.
+//! job was not accepted would be false then, and so would be that no such job exists.
 
 use std::{
     collections::BTreeMap,
@@ -26,7 +26,7 @@
 }
 
 impl UnresolvedJobs {
-    /// Remembers a job whose submission has an unknown outcome.
+    /// Remembers a job whose submission has no outcome yet.
     pub(super) fn insert(&self, id: PipelineId, submitted_at: Instant) {
         let mut jobs = self.lock();
         jobs.retain(|_, known_at| submitted_at.saturating_duration_since(*known_at) < RETENTION);
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Forgets a job whose submission has an outcome.
+    pub(super) fn remove(&self, id: PipelineId) {
+        self.lock().remove(&id);
+    }
+
     /// Returns whether an earlier submission of a job has an unknown outcome.
     pub(super) fn contains(&self, id: PipelineId, now: Instant) -> bool {
         let jobs = self.lock();
--- a/crates/daemon/src/job_table/ended.rs
+++ b/crates/daemon/src/job_table/ended.rs
@@ -15,6 +15,10 @@
 
 use super::JobSummary;
 
+/// Shortest time for which the mark of a cancelled job is kept. The store carries writes out
+/// some seconds late, and callers repeat a submission for less than this.
+const MIN_MARK_RETENTION: Duration = Duration::from_mins(1);
+
 /// Delay of a removal after the retention has passed. The owner's commits remove summaries
 /// without a write of their own, and the watch of the summaries reports that by then.
 pub(crate) const REMOVAL_SLACK: Duration = Duration::from_secs(3);
@@ -35,6 +39,8 @@
     revision: u64,
     /// When this daemon first read that revision.
     seen_at: Duration,
+    /// Whether it is the mark of a job that was cancelled while the store had none.
+    is_mark: bool,
 }
 
 /// The ended jobs whose summaries this daemon has read from the store.
@@ -62,6 +68,7 @@
                     service: summary.service.clone(),
                     revision,
                     seen_at: now,
+                    is_mark: summary.is_mark(),
                 };
                 self.jobs.insert(id, job);
             }
@@ -138,6 +145,11 @@
 
 impl EndedJob {
     fn removal_time(&self, retention: Duration) -> Duration {
+        let retention = if self.is_mark {
+            retention.max(MIN_MARK_RETENTION)
+        } else {
+            retention
+        };
         self.seen_at + retention + REMOVAL_SLACK
     }
 }
--- a/crates/daemon/src/job_table/state.rs
+++ b/crates/daemon/src/job_table/state.rs
@@ -11,7 +11,8 @@
 pub(crate) struct JobSummary {
     /// The service whose workers run its tasks.
     pub(crate) service: ServiceId,
-    /// Name of the queue that accepted the job.
+    /// Name of the queue that accepted the job; empty in the mark of a job that was cancelled
+    /// while the store had none.
     pub(crate) queue: String,
     /// Phase of the job when the summary was written. Phases only advance.
     pub(crate) phase: PipelinePhase,
@@ -29,6 +30,25 @@
             is_scheduled: spec.schedule.is_some(),
         }
     }
+
+    /// Returns the mark of a job that is cancelled while the store has none.
+    ///
+    /// Failure mode: the store carries out a submission seconds after its caller has cancelled
+    /// the job. The mark stands under the key of the summary, which each submission expects
+    /// not to exist, so a later one fails. Versions without marks show the job as cancelled.
+    pub(crate) const fn mark(service: ServiceId) -> Self {
+        Self {
+            service,
+            queue: String::new(),
+            phase: PipelinePhase::Cancelled,
+            is_scheduled: false,
+        }
+    }
+
+    /// Returns whether this is a mark: no accepted job is known under its identifier.
+    pub(crate) fn is_mark(&self) -> bool {
+        self.queue.is_empty() && self.phase == PipelinePhase::Cancelled
+    }
 }
 
 /// The summaries that this daemon has received.
@@ -54,10 +74,11 @@
     }
 
     /// Adds or updates a summary. Ignores one whose phase is not later than the known
-    /// phase, because updates may arrive out of order.
+    /// phase, because updates may arrive out of order, and a mark, which is no job.
     pub(crate) fn insert(&mut self, id: PipelineId, summary: JobSummary) {
         match self.jobs.get(&id) {
             Some(known) if known.phase >= summary.phase => return,
+            _ if summary.is_mark() => return,
             _ => {}
         }
         self.remove(id);
--- a/crates/daemon/src/job_table/tests.rs
+++ b/crates/daemon/src/job_table/tests.rs
@@ -130,3 +130,30 @@
     assert_eq!(second, None);
     assert_eq!(repeated, first);
 }
+
+/// Guards against a mark that is removed before a late submission has failed on it, and against
+/// one that stays in the store for good.
+#[test]
+fn the_mark_of_a_cancelled_job_is_kept_for_a_minute() {
+    let mut ended = EndedJobs::default();
+    let mark = JobSummary::mark("sales".into());
+    ended.update(1, &mark, 11, Duration::ZERO);
+
+    let early = next_removal(&mut ended, Duration::from_mins(1));
+    let due = next_removal(&mut ended, Duration::from_secs(65));
+
+    assert_eq!(early, None);
+    assert_eq!(due.unwrap().expected, [("phase/1".to_owned(), 11)]);
+}
+
+/// Guards against a job that nobody submitted and that is shown as cancelled, and against the
+/// memory of each daemon for it.
+#[test]
+fn a_mark_is_not_shown_as_a_job() {
+    let mut table = JobTable::default();
+
+    table.insert(1, JobSummary::mark("sales".into()));
+    table.insert(2, summary(PipelinePhase::Cancelled));
+
+    assert_eq!((table.get(1), table.len()), (None, 1));
+}
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -7,7 +7,7 @@
 |---|---|
 | `pub/owner/SERVICE` | the owner, attached to the lease of that daemon |
 | `pub/member/DAEMON` | the daemon's address for peers, attached to its lease |
-| `phase/ID` | the summary of a job, written when the job is accepted |
+| `phase/ID` | the summary of a job, written when the job is accepted, or the mark of a job that was cancelled while there was none |
 | `seq/SERVICE` | the epoch and number of the latest commit |
 | `own/SERVICE` | the ownerships that may not have ended |
 | `wit/SERVICE` | the witnesses of these ownerships |
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -362,6 +362,61 @@
     assert_eq!(cell.task_starts().len(), 1);
 }
 
+/// Guards against a job that runs although its cancellation was acknowledged before the store
+/// carried its submission out.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_is_cancelled_before_it_is_stored_does_not_run() {
+    let cell = start_cell(2, Duration::from_millis(200)).await;
+    let path = "/tokens/0000000000000001";
+
+    cell.store
+        .delay_commits("phase/0000000000000001", Duration::from_secs(4));
+    let submitted = cell.submit(0, 1, &job(1)).await;
+    cell.store.answer_all_commits();
+    let state_before = cell.send(0, Method::GET, path, None).await;
+    let cancelled = cell.send(0, Method::DELETE, path, None).await;
+    let state_after = cell.send(0, Method::GET, path, None).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    assert_eq!(submitted, Some(StatusCode::GATEWAY_TIMEOUT));
+    let states = [state_before, state_after].map(|response| response.map(|row| row.0));
+    assert_eq!(
+        states,
+        [
+            Some(StatusCode::SERVICE_UNAVAILABLE),
+            Some(StatusCode::GONE)
+        ]
+    );
+    assert_eq!(cancelled.map(|row| row.0), Some(StatusCode::GONE));
+    assert_eq!(cell.task_starts().len(), 0);
+}
+
+/// Guards against the same after a cancellation at a daemon that knows nothing of the
+/// submission, and against a repeated submission that starts the cancelled job.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_is_cancelled_at_another_daemon_before_it_is_stored_does_not_run() {
+    let cell = start_cell(2, Duration::from_millis(200)).await;
+    let path = "/tokens/0000000000000001";
+
+    cell.store
+        .delay_commits("phase/0000000000000001", Duration::from_secs(4));
+    let submitted = cell.submit(0, 1, &job(1)).await;
+    cell.store.answer_all_commits();
+    let cancelled = cell.send(1, Method::DELETE, path, None).await;
+    let unknown = cell.send(1, Method::GET, path, None).await;
+    let repeated = cell.submit(0, 1, &job(1)).await;
+    let states = [cell.job_state(0, 1).await, cell.job_state(1, 1).await];
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    assert_eq!(submitted, Some(StatusCode::GATEWAY_TIMEOUT));
+    assert_eq!(cancelled.map(|row| row.0), Some(StatusCode::GONE));
+    assert_eq!(unknown.map(|row| row.0), Some(StatusCode::GONE));
+    // The job is accepted as it was submitted, in the state to which it was cancelled.
+    assert_eq!(repeated, Some(StatusCode::OK));
+    assert_eq!(states, [(); 2].map(|()| Some("cancelled".to_owned())));
+    assert_eq!(cell.task_starts().len(), 0);
+}
+
 /// Guards against summaries that stay in the store, and in the memory of each daemon, for good
 /// because the owner under which their jobs ended is gone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
