Reject identifiers of jobs that have upper-case digits

Cause: the interface of the callers has identifiers that are strings of 16 hexadecimal digits. They were parsed to numbers, so two that differ only in case were one job: the second was answered 200, shown as the first one and never run.

Ruled out: keeping both, as a PipelineId and the names of tasks sent to workers have no case.

Change: a submission is answered 400 before anything is stored, and queries and cancellations 410, as no such job is ever accepted.

The commit also adds the_last_summaries_of_an_idle_service_are_removed, a test of the removal of summaries, which passes.

--- a/crates/daemon/src/ingress/jobs.rs
+++ b/crates/daemon/src/ingress/jobs.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwapOption;
 use auburnsaddle_core::{PipelineId, PipelinePhase, ServiceId};
 use auburnsaddle_platform::{
-    Manifest, QueueRoute, StoreItem, StoreTransaction, TransactionOutcome, decode_job,
+    JobIdError, Manifest, QueueRoute, StoreItem, StoreTransaction, TransactionOutcome, decode_job,
     encode_pending, encode_phase, parse_job_id,
 };
 use http::{Method, Request, StatusCode, header};
@@ -116,14 +116,21 @@
         let id_text = path.strip_prefix(&route.prefix).unwrap_or_default();
         let id = parse_job_id(id_text);
         match (request.method().clone(), id) {
-            (Method::POST, Some(id)) => self.submit(request, &manifest, route, id).await,
-            (Method::GET, Some(id)) => self.report_phase(id).await,
-            (Method::DELETE, Some(id)) => self.cancel(&request, route, id).await,
-            (Method::GET, None) if id_text.is_empty() => {
+            (Method::POST, Ok(id)) => self.submit(request, &manifest, route, id).await,
+            (Method::GET, Ok(id)) => self.report_phase(id).await,
+            (Method::DELETE, Ok(id)) => self.cancel(&request, route, id).await,
+            (Method::GET, Err(_)) if id_text.is_empty() => {
                 let waiting = self.control.waiting_jobs(&route.policy.queue).await;
                 json_response(StatusCode::OK, encode_pending(waiting))
             }
-            (Method::POST | Method::GET | Method::DELETE, None) => {
+            (Method::POST, Err(JobIdError::UpperCaseId)) => {
+                self.reject(id_text, "upper_case_id", StatusCode::BAD_REQUEST)
+            }
+            // No job of such an identifier is ever accepted.
+            (Method::GET | Method::DELETE, Err(JobIdError::UpperCaseId)) => {
+                empty_response(StatusCode::GONE)
+            }
+            (Method::POST | Method::GET | Method::DELETE, Err(_)) => {
                 log::info!(path = path.as_str(); "rejected a request: its path ends with no job id");
                 self.metrics.record_refusal("no_id");
                 empty_response(StatusCode::NOT_FOUND)
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -417,6 +417,45 @@
     assert_eq!(cell.task_starts().len(), 0);
 }
 
+/// Guards against a job that is accepted under the identifier of another one, which differs only
+/// in case, and never runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_whose_id_has_upper_case_digits_is_rejected_at_once() {
+    let cell = start_cell(1, Duration::from_millis(200)).await;
+    let (lower, upper) = ("/tokens/00000000000000ab", "/tokens/00000000000000AB");
+
+    let accepted = cell.send(0, Method::POST, lower, Some(&job(1))).await;
+    let rejected = cell.send(0, Method::POST, upper, Some(&job(2))).await;
+    cell.wait_for_job_state(0, 0xab, "completed").await;
+    let queried = cell.send(0, Method::GET, upper, None).await;
+    let cancelled = cell.send(0, Method::DELETE, upper, None).await;
+
+    assert_eq!(accepted.map(|row| row.0), Some(StatusCode::OK));
+    assert_eq!(rejected.map(|row| row.0), Some(StatusCode::BAD_REQUEST));
+    let statuses = [queried, cancelled].map(|response| response.map(|row| row.0));
+    assert_eq!(statuses, [Some(StatusCode::GONE); 2]);
+    assert_eq!(cell.task_starts().len(), 1);
+}
+
+/// Guards against the summaries of a service in which nothing happens any more, as no commit
+/// removes them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_last_summaries_of_an_idle_service_are_removed() {
+    let cell = start_cell_with_retention(1, Duration::from_millis(100), 2).await;
+    cell.submit(0, 1, &job(1)).await;
+    cell.wait_for_job_state(0, 1, "completed").await;
+
+    cell.wait_for("the removal of the summary", || async {
+        cell.store.keys("auburnsaddle/phase/").is_empty()
+    })
+    .await;
+    let response = cell
+        .send(0, Method::GET, "/tokens/0000000000000001", None)
+        .await;
+
+    assert_eq!(response.map(|row| row.0), Some(StatusCode::GONE));
+}
+
 /// Guards against summaries that stay in the store, and in the memory of each daemon, for good
 /// because the owner under which their jobs ended is gone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
