Bound the wait for an owner that lacks one of its witnesses

A successor counted the former owner's extensions as ended once more than half of its witnesses had answered, and otherwise 13 s after the takeover, as the silent ones may be cut off together with the owner and go on to confirm it.

Ruled out: counting a witness out by the end of its registration in the store, which proves nothing about a witness that is cut off; and witnesses that stop to confirm some time after their last contact with the store, as all of them would stop in an outage that no daemon is lost in.

Half of the witnesses now permit extensions only for 4 s after the owner's latest confirmation by the store, and all of them for the 10 s as before. The store confirms no owner after the next takeover, so one witness that knows the successor ends the extensions 4.2 s after the takeover. Epochs of owners that follow this rule are recorded behind the lists in wit/SERVICE, where earlier versions ignore them; other owners are waited for as before.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -463,6 +463,7 @@
             );
         }
         self.claim_vacant_services(now);
+        self.update_predecessors();
         self.announce_epochs(now);
     }
 
--- a/crates/daemon/src/cell/witnesses.rs
+++ b/crates/daemon/src/cell/witnesses.rs
@@ -96,13 +96,16 @@
     }
 
     /// Checks whether the predecessors of this daemon as the owner of its services have ended their
-    /// ownership.
+    /// ownership or extend no lease any more.
     pub(super) fn update_predecessors(&mut self) {
+        let now = self.effects.clock.now();
         let registrations = &self.registrations;
         let shards = self.shards.iter_mut();
         let events = shards.filter_map(|(service, handle)| {
-            let event = handle.shard.update_predecessors(registrations)?;
-            Some((service.clone(), handle.shard.epoch(), event))
+            let shard = &mut handle.shard;
+            let ended = shard.update_predecessors(registrations);
+            let event = ended.or_else(|| shard.expire_predecessors(now))?;
+            Some((service.clone(), shard.epoch(), event))
         });
         let events: Vec<(ServiceId, Epoch, PipelineEvent)> = events.collect();
         for (service, epoch, event) in events {
--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -11,7 +11,7 @@
 use super::{
     log::{ProgressLog, ProgressRecord, RecordNumber},
     records::{CellKey, OwnerEntry, SequenceEntry, StoredJob, decode_value, encode_value},
-    sessions::{OwnerSession, PredecessorList},
+    sessions::{OwnerSession, PredecessorList, decode_witnesses},
 };
 use crate::{
     session::CellStore,
@@ -138,7 +138,7 @@
             ),
             (
                 witnesses_key,
-                encode_value(&predecessors.lists_followed_by(&witnesses)),
+                encode_value(&predecessors.witnesses_followed_by(&witnesses)),
                 0,
             ),
         ],
@@ -153,9 +153,9 @@
     let Ok(recorded) = store.read(&witnesses_key).await else {
         return AcquireOutcome::Failed;
     };
-    let recorded = recorded.and_then(|item| decode_value(&item.key, &item.value));
-    let recorded: Vec<WitnessList> = recorded.unwrap_or_default();
-    let witnesses = recorded.into_iter().find(|list| list.epoch == epoch);
+    let recorded = recorded.and_then(|item| decode_witnesses(&item));
+    let lists = recorded.unwrap_or_default().lists;
+    let witnesses = lists.into_iter().find(|list| list.epoch == epoch);
     for _ in 0..LOAD_ATTEMPTS {
         if let Some(mut loaded) = load_shard(store, &service).await {
             loaded.epoch = epoch;
--- a/crates/daemon/src/pipelines/sessions.rs
+++ b/crates/daemon/src/pipelines/sessions.rs
@@ -6,16 +6,34 @@
 //! wait once it knows that each predecessor has ended its ownership: a daemon registers in the
 //! store when it starts, and again after it has lost its lease and released its services. A
 //! registration that is newer than an ownership therefore shows that the ownership has ended. If a
-//! predecessor does not return, the answers of its witnesses show that it extends no lease.
+//! predecessor does not return, the answers of its witnesses show that it extends no lease: at once those
+//! of more than half of them, and after a limited time that of one.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use auburnsaddle_core::Epoch;
 use auburnsaddle_platform::StoreItem;
 use serde::{Deserialize, Serialize};
 
-use super::records::decode_value;
-use crate::witness::{EXTENSION_END_DELAY, WitnessEntry, WitnessList};
+use super::records::{decode_front, decode_value};
+use crate::witness::{EXTENSION_END_DELAY, WitnessEntry, WitnessList, WitnessRecord};
+
+/// Decodes the recorded witnesses of a service.
+pub(crate) fn decode_witnesses(item: &StoreItem) -> Option<WitnessRecord> {
+    let (lists, rest) = decode_front(&item.key, &item.value)?;
+    let partly_limited = match rest {
+        // An earlier version has written the value.
+        [] => BTreeSet::new(),
+        rest => decode_value(&item.key, rest)?,
+    };
+    Some(WitnessRecord {
+        lists,
+        partly_limited,
+    })
+}
 
 /// One ownership of a service.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -43,7 +61,7 @@
     sessions: Vec<OwnerSession>,
     /// The recorded witnesses of these ownerships, and of those that have ended since the
     /// takeover, as the store lists them until none is left.
-    witnesses: Vec<WitnessList>,
+    witnesses: WitnessRecord,
     /// When each daemon had acknowledged the takeover.
     acked_at: BTreeMap<String, Duration>,
     /// When the last one that is known to have ended was seen to have.
@@ -82,13 +100,14 @@
         let mut sessions = sessions.unwrap_or_else(unrecorded);
         let count = sessions.len();
         sessions.retain(|session| session.daemon != daemon);
-        let lists = witnesses.and_then(|item| decode_value(&item.key, &item.value));
-        let mut lists: Vec<WitnessList> = lists.unwrap_or_default();
-        lists.retain(|list| sessions.iter().any(|session| session.epoch == list.epoch));
+        let mut record = witnesses.and_then(decode_witnesses).unwrap_or_default();
+        let is_listed = |epoch| sessions.iter().any(|session| session.epoch == epoch);
+        record.lists.retain(|list| is_listed(list.epoch));
+        record.partly_limited.retain(|epoch| is_listed(*epoch));
         Self {
             has_own: sessions.len() < count,
             sessions,
-            witnesses: lists,
+            witnesses: record,
             acked_at: BTreeMap::new(),
             ended_at: Duration::ZERO,
         }
@@ -102,16 +121,15 @@
         earlier.cloned().chain([session.clone()]).collect()
     }
 
-    /// Returns the lists of witnesses that are recorded together with the sessions.
-    pub(crate) fn lists_followed_by(&self, list: &WitnessList) -> Vec<WitnessList> {
-        let earlier = self.witnesses.iter();
-        earlier.cloned().chain([list.clone()]).collect()
+    /// Returns the witnesses that are recorded together with the sessions.
+    pub(crate) fn witnesses_followed_by(&self, list: &WitnessList) -> WitnessRecord {
+        self.witnesses.clone().with_list(list.clone())
     }
 
     /// Returns the witnesses that have not acknowledged the takeover, of ownerships that may not
     /// have ended.
     pub(crate) fn unacked_witnesses(&self) -> Vec<WitnessEntry> {
-        let lists = self.witnesses.iter().filter(|list| {
+        let lists = self.witnesses.lists.iter().filter(|list| {
             let mut sessions = self.sessions.iter();
             sessions.any(|session| session.epoch == list.epoch)
         });
@@ -127,11 +145,31 @@
         let acked_at = |entry: &WitnessEntry| self.acked_at.get(&entry.daemon).copied();
         // The first acknowledgement is that of the successor itself, at its takeover.
         let taken_over_at = self.acked_at.values().copied().min().unwrap_or(at);
-        let fenced = self.witnesses.iter().filter_map(|list| {
+        let fenced = self.witnesses.lists.iter().filter_map(|list| {
             let fenced_at = list.fenced_at(taken_over_at, acked_at)?;
             Some((list.epoch, fenced_at + EXTENSION_END_DELAY))
         });
         let fenced: BTreeMap<Epoch, Duration> = fenced.collect();
+        self.remove_fenced(&fenced);
+    }
+
+    /// Removes the ownerships that extend no lease any more at `now`, as each lacks one of its
+    /// witnesses.
+    pub(crate) fn remove_partly_fenced(&mut self, taken_over_at: Duration, now: Duration) {
+        let acked_at = |entry: &WitnessEntry| self.acked_at.get(&entry.daemon).copied();
+        let record = &self.witnesses;
+        let lists = record.lists.iter();
+        let limited = lists.filter(|list| record.partly_limited.contains(&list.epoch));
+        let fenced = limited.filter_map(|list| {
+            let fenced_at = list.partly_fenced_at(taken_over_at, acked_at)?;
+            (now >= fenced_at).then_some((list.epoch, fenced_at))
+        });
+        let fenced: BTreeMap<Epoch, Duration> = fenced.collect();
+        self.remove_fenced(&fenced);
+    }
+
+    /// Removes the ownerships of these epochs, which extend no lease from the given times on.
+    fn remove_fenced(&mut self, fenced: &BTreeMap<Epoch, Duration>) {
         let ended_at = &mut self.ended_at;
         self.sessions
             .retain(|session| match fenced.get(&session.epoch) {
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -24,7 +24,7 @@
 };
 use crate::{
     job_table::JobSummary,
-    witness::{ExtensionPermit, WitnessEntry, WitnessList},
+    witness::{ExtensionPermit, WitnessEntry, WitnessList, WitnessRecord},
 };
 
 /// Size of a record in bytes above which it takes no further job.
@@ -237,6 +237,17 @@
         self.predecessors_ended()
     }
 
+    /// Checks whether the time has passed for which predecessors that lack a witness may extend leases.
+    /// Returns an event when no predecessor is left.
+    pub(crate) fn expire_predecessors(&mut self, now: Duration) -> Option<PipelineEvent> {
+        if self.known_end.is_some() {
+            return None;
+        }
+        self.predecessors
+            .remove_partly_fenced(self.taken_over_at, now);
+        self.predecessors_ended()
+    }
+
     /// Returns an event if the ends of all predecessors have become known.
     fn predecessors_ended(&mut self) -> Option<PipelineEvent> {
         let ended_at = self.predecessors.ended_at(self.taken_over_at)?;
@@ -437,13 +448,13 @@
         let Some(list) = self.changed_witnesses(now) else {
             return;
         };
-        let lists = if self.is_only_session {
-            vec![list.clone()]
+        let record = if self.is_only_session {
+            WitnessRecord::default().with_list(list.clone())
         } else {
-            self.predecessors.lists_followed_by(&list)
+            self.predecessors.witnesses_followed_by(&list)
         };
         let key = CellKey::Witnesses(self.service.clone()).path();
-        transaction.puts.push((key, encode_value(&lists), 0));
+        transaction.puts.push((key, encode_value(&record), 0));
         self.permit.begin_change(list);
         self.apply_permit();
     }
--- a/crates/daemon/src/witness/mod.rs
+++ b/crates/daemon/src/witness/mod.rs
@@ -12,6 +12,11 @@
 successor announces its own epoch to the witnesses of the owners before it. Once more than half
 of them have answered, the former owners extend no lease.
 
+If most witnesses are lost with the owner, more than half of them never answer, and those that are cut
+off may still confirm it. Half of the witnesses therefore permit extensions only for a limited time
+after the latest confirmation by the store, and all of them for longer. One witness that knows the
+successor bounds the time for which the former owner extends leases.
+
 A daemon that restarts forgets the epochs. Its registration in the store changes, so an owner
 does not count it until it has recorded the new one.
 */
@@ -23,6 +28,6 @@
 
 pub(crate) use messages::{EpochNotice, EpochReply, WITNESS_PATH, announce_epoch};
 pub(crate) use state::{
-    EXTENSION_END_DELAY, EpochRegister, ExtensionPermit, WitnessEntry, WitnessList,
+    EXTENSION_END_DELAY, EpochRegister, ExtensionPermit, WitnessEntry, WitnessList, WitnessRecord,
     choose_witnesses,
 };
--- a/crates/daemon/src/witness/state.rs
+++ b/crates/daemon/src/witness/state.rs
@@ -1,7 +1,7 @@
 //! The epochs that were announced to a daemon, and until when witnesses let an owner extend leases.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     hash::{DefaultHasher, Hash, Hasher},
     time::Duration,
 };
@@ -18,6 +18,16 @@
 /// [`EXTENSION_TERM`], as the clocks of two hosts differ.
 pub(crate) const EXTENSION_END_DELAY: Duration = Duration::from_secs(1);
 
+/// Time after the latest confirmation by the store for which half of the witnesses permit extensions.
+/// Afterwards all of them are needed, so a successor which knows that one does not confirm the owner
+/// waits for no longer.
+const PARTIAL_EXTENSION_TIME: Duration = Duration::from_secs(4);
+
+/// Time after a takeover by which every extension has ended that half of the witnesses permitted:
+/// [`PARTIAL_EXTENSION_TIME`] on clocks that differ by up to 5 %. The store has confirmed no owner
+/// after the takeover that followed it.
+pub(crate) const PARTIAL_EXTENSION_END_DELAY: Duration = Duration::from_millis(4_200);
+
 /// Time without a confirmation by the store after which an owner asks its witnesses: longer than
 /// the interval at which a daemon renews its lease in the store.
 const STORE_SILENCE: Duration = Duration::from_millis(600);
@@ -61,6 +71,27 @@
     pub(crate) is_alone: bool,
 }
 
+/// The witnesses of the ownerships of a service that may not have ended, as the store holds them.
+///
+/// Earlier versions write and read the lists only: the encoding of the epochs follows them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct WitnessRecord {
+    pub(crate) lists: Vec<WitnessList>,
+    /// Epochs of the owners that need all of their witnesses after [`PARTIAL_EXTENSION_TIME`]. Those
+    /// of earlier versions do not.
+    pub(crate) partly_limited: BTreeSet<Epoch>,
+}
+
+impl WitnessRecord {
+    /// Returns the record with a list of an owner of this version.
+    pub(crate) fn with_list(mut self, list: WitnessList) -> Self {
+        self.partly_limited.insert(list.epoch);
+        self.lists.push(list);
+        self
+    }
+}
+
 impl WitnessList {
     /// Returns when the latest majority of the daemons, the owner and half of its witnesses, had
     /// confirmed the ownership. `confirmed_at` returns that time for one of the witnesses.
@@ -74,6 +105,29 @@
         times.into_iter().rev().nth(count.checked_sub(1)?)
     }
 
+    /// Returns the latest time by which all of the witnesses had confirmed the ownership, or `None` if
+    /// one has not or there are none.
+    fn unanimous_at(
+        &self,
+        confirmed_at: impl Fn(&WitnessEntry) -> Option<Duration>,
+    ) -> Option<Duration> {
+        let times: Option<Vec<Duration>> = self.entries.iter().map(confirmed_at).collect();
+        times?.into_iter().min()
+    }
+
+    /// Returns when the owner extends no lease any more as one of its witnesses had acknowledged a
+    /// later epoch: from then on it lacks one of them, and half of them permit extensions only for a
+    /// limited time. `taken_over_at` is the time of a later takeover.
+    pub(crate) fn partly_fenced_at(
+        &self,
+        taken_over_at: Duration,
+        acked_at: impl Fn(&WitnessEntry) -> Option<Duration>,
+    ) -> Option<Duration> {
+        let first_ack = self.entries.iter().filter_map(acked_at).min();
+        let unanimous_until = first_ack? + EXTENSION_END_DELAY;
+        Some(unanimous_until.max(taken_over_at + PARTIAL_EXTENSION_END_DELAY))
+    }
+
     /// Returns when so many witnesses had acknowledged a later epoch that each half has one of them.
     /// `acked_at` returns that time for one of them. Without witnesses it is the time of the
     /// takeover, unless the owner extends leases by itself.
@@ -148,14 +202,19 @@
             // The successor waits for the longest time.
             return self.confirmed_until + UNCONFIRMED_RENEWAL_TIME;
         }
-        let witnessed_at = list.majority_at(|entry| {
+        let confirmed_at = |entry: &WitnessEntry| {
             let witness = (entry.daemon.clone(), entry.registration);
             self.confirmations.get(&witness).copied()
-        });
-        let confirmed_at = self
-            .store_confirmed_at
-            .max(witnessed_at.unwrap_or_default());
-        confirmed_at + EXTENSION_TERM
+        };
+        let partial_limit = self.store_confirmed_at + PARTIAL_EXTENSION_TIME;
+        let by_half = list
+            .majority_at(confirmed_at)
+            .map(|at| (at + EXTENSION_TERM).min(partial_limit));
+        let by_all = list
+            .unanimous_at(confirmed_at)
+            .map(|at| at + EXTENSION_TERM);
+        let by_store = self.store_confirmed_at + EXTENSION_TERM;
+        by_store.max(by_half.max(by_all).unwrap_or_default())
     }
 
     /// Records a confirmation by the store, requested at `sent_at` and valid until `until`.
--- a/crates/daemon/src/witness/tests.rs
+++ b/crates/daemon/src/witness/tests.rs
@@ -89,6 +89,28 @@
     }
 }
 
+/// Guards against an owner that half of its witnesses let extend leases for longer than a successor
+/// waits which cannot reach them, and against the end of all runs in an outage of the store that
+/// every daemon survives.
+#[test]
+fn only_all_witnesses_permit_extensions_for_long() {
+    let mut permit = permit(entries(4));
+    let confirm = |permit: &mut ExtensionPermit, daemons: &[&str], seconds| {
+        let sent_at = STORE_CONFIRMED_AT + Duration::from_secs(seconds);
+        for daemon in daemons {
+            permit.confirm_by_witness(daemon, 10, sent_at);
+        }
+        permit.until().saturating_sub(STORE_CONFIRMED_AT)
+    };
+
+    let half = confirm(&mut permit, &["d0", "d1"], 3);
+    let late_half = confirm(&mut permit, &["d0", "d1", "d2"], 9);
+    let all = confirm(&mut permit, &["d0", "d1", "d2", "d3"], 9);
+
+    let expected = [3_900, 4_000, 9_900].map(Duration::from_millis);
+    assert_eq!([half, late_half, all], expected);
+}
+
 /// Guards against a confirmation by a witness that has forgotten the later owner in a restart.
 #[test]
 fn a_witness_that_has_restarted_does_not_count() {
@@ -204,4 +226,42 @@
             prop_assert!(permit.until() <= fenced_at + EXTENSION_END_DELAY);
         }
     }
+
+    /// Guards against an owner that extends leases after a successor which reaches only some of its
+    /// witnesses counts them as not extended. The clock of the owner is 2 % slow, and the store has
+    /// confirmed the owner up to the takeover.
+    #[test]
+    fn no_extension_is_permitted_after_one_witness_fences_the_owner(
+        acked_ms in prop::collection::vec(prop::option::of(0_u64..9_000), 1..12),
+        asked_ms in prop::collection::vec(0_u64..12_000, 1..60),
+    ) {
+        let entries = entries(acked_ms.len());
+        let acked_at: BTreeMap<String, Duration> = entries
+            .iter()
+            .zip(&acked_ms)
+            .filter_map(|(entry, acked)| {
+                Some((entry.daemon.clone(), STORE_CONFIRMED_AT + Duration::from_millis((*acked)?)))
+            })
+            .collect();
+        let list = list(entries.clone());
+        let mut permit = permit(entries.clone());
+        for asked in asked_ms {
+            let sent_at = STORE_CONFIRMED_AT + Duration::from_millis(asked);
+            let owner_clock = STORE_CONFIRMED_AT + Duration::from_millis(asked) * 98 / 100;
+            for entry in &entries {
+                if acked_at.get(&entry.daemon).is_none_or(|acked| sent_at < *acked) {
+                    permit.confirm_by_witness(&entry.daemon, 10, owner_clock);
+                }
+            }
+        }
+
+        let fenced_at = list.partly_fenced_at(STORE_CONFIRMED_AT, |entry| {
+            acked_at.get(&entry.daemon).copied()
+        });
+
+        if let Some(fenced_at) = fenced_at {
+            let permitted = permit.until().saturating_sub(STORE_CONFIRMED_AT) * 100 / 98;
+            prop_assert!(STORE_CONFIRMED_AT + permitted <= fenced_at);
+        }
+    }
 }
