--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -220,17 +220,7 @@
                 self.update_predecessors();
                 self.update_witnesses();
             }
-            CellEvent::Summaries(update) => {
-                let changes = match update {
-                    PrefixUpdate::Snapshot(items) => {
-                        items.into_iter().map(ItemChange::Put).collect()
-                    }
-                    PrefixUpdate::Changes(changes) => changes,
-                };
-                for change in changes {
-                    self.apply_change(change);
-                }
-            }
+            CellEvent::Summaries(update) => self.apply_summaries(update),
             CellEvent::Jobs(service, epoch, update) => {
                 let handle = self.shards.get_mut(&service);
                 let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) else {
@@ -313,6 +303,17 @@
         }
     }
 
+    /// Applies what the store's watch of the summaries delivers.
+    fn apply_summaries(&mut self, update: PrefixUpdate) {
+        let changes = match update {
+            PrefixUpdate::Snapshot(items) => items.into_iter().map(ItemChange::Put).collect(),
+            PrefixUpdate::Changes(changes) => changes,
+        };
+        for change in changes {
+            self.apply_change(change);
+        }
+    }
+
     /// Handles the outcome of a commit: executes what waited for it, sends it again, or
     /// gives up the service.
     fn finish_commit(&mut self, service: &ServiceId, epoch: u64, outcome: &TransactionOutcome) {
@@ -471,6 +472,7 @@
             );
         }
         self.claim_vacant_services(now);
+        self.update_predecessors();
         self.announce_epochs(now);
         self.remove_ended_summaries(now);
     }
