Let a run count as elsewhere only while an order for it may be in transit

Cause: a run that was ordered without an answer counted as possibly on an instance that the owner has not met for as long as no report listed it. Acknowledgements were withheld until then, and a worker that lists only part of its ends never listed the rest.

Change: once the known instance has answered a renewal that was sent after an order's transit, the order is no more in transit. An order without an answer counts although its repetition was answered.

ends_of_a_long_list_are_acknowledged_although_a_start_had_no_answer fails before.

--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -4,6 +4,7 @@
 mod fixtures;
 mod former_clocks;
 mod health;
+mod instance_faults;
 mod large;
 mod leases;
 mod liveness;
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -90,6 +90,8 @@
     pub(super) placed_at: Duration,
     /// When the latest start order for the run was released.
     pub(super) ordered_at: Option<Duration>,
+    /// When the latest start order for the run counted as unanswered.
+    pub(super) unanswered_at: Option<Duration>,
     /// Whether a report, or an answer with its clock, shows that the run is on the known instance
     /// of the worker.
     pub(super) is_located: bool,
@@ -114,13 +116,17 @@
             stop_sent_at: now,
             placed_at: now,
             ordered_at: None,
+            unanswered_at: None,
             is_located: false,
         }
     }
 
-    /// Returns whether the run may be on an instance that the owner has not met.
-    pub(super) const fn may_be_elsewhere(&self) -> bool {
-        self.ordered_at.is_some() && !self.is_located
+    /// Returns whether the run may be on an instance that the owner has not met, or get there by an
+    /// order in transit. The known instance has answered a renewal that was sent at `reported_at`.
+    pub(super) fn may_be_elsewhere(&self, reported_at: Duration) -> bool {
+        let open_at = self.ordered_at.filter(|_| !self.is_located);
+        let latest = open_at.max(self.unanswered_at);
+        latest.is_some_and(|sent_at| sent_at + ORDER_TRANSIT_TIME > reported_at)
     }
 }
 
@@ -323,7 +329,8 @@
 
     /// Returns whether a run may be on an instance that the owner has not met.
     pub(super) fn may_have_unmet_runs(&self) -> bool {
-        self.runs.values().any(WorkerRun::may_be_elsewhere)
+        let mut runs = self.runs.values();
+        runs.any(|run| run.may_be_elsewhere(self.reported_at))
     }
 
     /// Makes a renewal due if the latest one withheld an acknowledgement for no more reason.
@@ -392,7 +399,7 @@
     pub(super) fn run_lapses_at(&self, run: &WorkerRun, max_lease: Duration) -> Duration {
         let lapses_at = self.lapses_at();
         match self.deadline_sent_at {
-            Some(sent_at) if run.may_be_elsewhere() => {
+            Some(sent_at) if run.may_be_elsewhere(self.reported_at) => {
                 lapses_at.max(sent_at + lapse_time(max_lease))
             }
             _ => lapses_at,
