Extend no lease for a start order that is not sent

Cause: the order was built, which extends the lease and uses the token, before it was known that the worker is not claimed. Its runs waited for up to 5 s longer, and a restarted worker was claimed with the second report instead of the first.

an_order_that_is_not_sent_extends_no_lease and an_order_that_is_not_sent_does_not_use_the_token fail before.

--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -146,11 +146,11 @@
         else {
             return;
         };
-        let is_claimed = record.contact == WorkerContact::Claimed;
-        match self.start_order(start, now) {
-            Some(order) if is_active && is_claimed => {
-                self.actions.push(PipelineAction::Start(order));
-            }
+        let can_send = is_active && record.contact == WorkerContact::Claimed;
+        // Building the order extends the lease.
+        let order = can_send.then(|| self.start_order(start, now)).flatten();
+        match order {
+            Some(order) => self.actions.push(PipelineAction::Start(order)),
             _ if unanswered_sends == 0 => self.drop_run(&start.worker, run, now),
             _ => self.stop_run(&start.worker, run, now),
         }
