Assume a lease for each new instance that is claimed at once (TWICE)

Cause: a restarted worker whose token no start order has had is claimed by its first report, but the worker counted as claimed already, so no lease was assumed for the new instance, which orders of an earlier owner may have reached.

a_lease_is_assumed_for_each_new_instance fails before.

--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -185,6 +185,7 @@
             return;
         };
         let former = record.instance.replace(instance);
+        record.contact = WorkerContact::Unclaimed;
         if record.is_token_used {
             record.give_up_claim(now);
             record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
