--- a/crates/core/src/instances/clock.rs
+++ b/crates/core/src/instances/clock.rs
@@ -12,6 +12,10 @@
 /// between them: readings are whole milliseconds, and threads are scheduled late.
 const READING_SLACK: Duration = Duration::from_millis(50);
 
+/// Longest time of an answer whose reading tells how far a clock is behind. With
+/// [`READING_SLACK`] it is less than [`LEASE_LAPSE_SLACK`].
+const MAX_READING_TIME: Duration = Duration::from_millis(200);
+
 /// Returns the time on the clock of the owner after which a lease of this length on
 /// the clock of a worker has lapsed.
 pub(crate) fn lapse_time(lease: Duration) -> Duration {
@@ -42,9 +46,14 @@
         self.clock_ms.saturating_add(elapsed)
     }
 
+    /// Returns whether the reading was taken at most [`MAX_READING_TIME`] after its order was sent.
+    /// A lease on a clock with such a reading that agrees with a known one lapses in time also if
+    /// it is another clock.
+    pub(crate) fn is_exact(self) -> bool {
+        self.read_at <= self.sent_at + MAX_READING_TIME
+    }
+
     /// Returns whether another reading may be one of the same clock.
-    ///
-    /// A lease that was granted on this clock lapses in time on every clock with such a reading.
     pub(crate) fn agrees_with(self, other: Self) -> bool {
         let shortest = other.sent_at.saturating_sub(self.read_at) * MIN_CLOCK_RATE_PERCENT / 100;
         let overlap = self.read_at.saturating_sub(other.sent_at);
--- a/crates/core/src/pipelines/losses.rs
+++ b/crates/core/src/pipelines/losses.rs
@@ -41,7 +41,7 @@
         match instance.reading().agrees_with(reading) {
             _ if !is_ordered => {}
             true => {
-                entry.is_located |= answer.result == StartResult::Started;
+                entry.is_located |= answer.result == StartResult::Started && reading.is_exact();
                 record.request_ack(now);
             }
             false if record.contact == WorkerContact::Unclaimed => {}
