Pause starts on a worker whose acknowledgements have waited for long

Cause: acknowledgements are withheld while a start order has no answer, which at a worker that gets one order after the other may be always. Change: after 0.5 s nothing is placed there until they are sent; acknowledgements that are not due do not count.

--- a/crates/core/src/instances/ends.rs
+++ b/crates/core/src/instances/ends.rs
@@ -1,5 +1,10 @@
 //! The ends that an instance has reported, and their acknowledgement.
 
+use std::time::Duration;
+
+/// Time for which acknowledgements wait for start orders without a pause between them.
+const MAX_WITHHOLD_TIME: Duration = Duration::from_millis(500);
+
 /// Ends that are acknowledged once all changes up to a serial number are durable.
 #[derive(Clone, Copy, Debug)]
 struct PendingAck {
@@ -15,8 +20,10 @@
     processed: u64,
     acked: u64,
     pending: Option<PendingAck>,
-    /// Whether the latest renewal did not acknowledge the ends that are durable.
-    is_withheld: bool,
+    /// Number of the last end that a renewal has acknowledged.
+    sent: u64,
+    /// Since when renewals do not acknowledge ends that are durable.
+    withheld_since: Option<Duration>,
 }
 
 impl EndCounter {
@@ -27,14 +34,27 @@
 
     /// Returns the number of the last end that is durable, which a renewal acknowledges unless it is
     /// to be withheld.
-    pub(crate) const fn next_ack(&mut self, is_withheld: bool) -> u64 {
-        self.is_withheld = is_withheld && self.acked > 0;
-        if is_withheld { 0 } else { self.acked }
+    pub(crate) fn next_ack(&mut self, is_withheld: bool, now: Duration) -> u64 {
+        if is_withheld {
+            let is_due = self.acked > self.sent;
+            self.withheld_since = is_due.then(|| self.withheld_since.unwrap_or(now));
+            return 0;
+        }
+        self.withheld_since = None;
+        self.sent = self.acked;
+        self.acked
     }
 
-    /// Returns whether the latest renewal did not acknowledge the ends that are durable.
+    /// Returns whether the latest renewal did not acknowledge ends that are durable.
     pub(crate) const fn is_withheld(&self) -> bool {
-        self.is_withheld
+        self.withheld_since.is_some()
+    }
+
+    /// Returns whether acknowledgements have been withheld for so long that the worker is to get no
+    /// more start orders until they are sent.
+    pub(crate) fn is_ack_overdue(&self, now: Duration) -> bool {
+        let since = self.withheld_since;
+        since.is_some_and(|since| now >= since + MAX_WITHHOLD_TIME)
     }
 
     /// Returns whether reported ends are not durable yet.
--- a/crates/core/src/instances/tests.rs
+++ b/crates/core/src/instances/tests.rs
@@ -66,8 +66,8 @@
     let mut ends = EndCounter::default();
 
     ends.record_processed(3, 7);
-    let early = (ends.record_durable(6), ends.next_ack(false));
-    let late = (ends.record_durable(7), ends.next_ack(false));
+    let early = (ends.record_durable(6), ends.next_ack(false, Duration::ZERO));
+    let late = (ends.record_durable(7), ends.next_ack(false, Duration::ZERO));
 
     assert_eq!(early, (false, 0));
     assert_eq!(late, (true, 3));
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -97,7 +97,8 @@
     ) -> Self {
         let rows = workers.filter_map(|(worker, record)| {
             let (listing, instance) = (record.listing.as_ref()?, record.instance.as_ref()?);
-            let row = record.can_accept_tasks().then(|| TableRow {
+            let is_open = record.can_accept_tasks() && !instance.ends.is_ack_overdue(now);
+            let row = is_open.then(|| TableRow {
                 worker: WorkerId::clone(worker),
                 instance: instance.number,
                 rack: listing.rack.clone(),
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -512,7 +512,7 @@
         // if the known one has got all orders.
         let is_withheld = record.contact != WorkerContact::Claimed || record.may_have_unmet_runs();
         let instance = record.instance.as_mut();
-        let acked_end = instance.map_or(0, |instance| instance.ends.next_ack(is_withheld));
+        let acked_end = instance.map_or(0, |instance| instance.ends.next_ack(is_withheld, now));
         record.renewal = RenewalStatus::Pending;
         self.actions.push(PipelineAction::Renew(RenewalOrder {
             worker: WorkerId::clone(worker),
