Soak workers that restart with other clocks and kinds, get late orders and are cut off

Change: `SoakSize::restart_series` (`--restarts`, 3) adds series of restarts of up to three workers at once: clocks behind, ahead or at any reading; the label changes on odd workers; orders of the next starts reach the worker up to 6 s late, also its next instance; cuts begin up to 3 s after a restart, last 0.3 to 9.5 s and may overlap each other and the next restart. The faults come from a random stream of their own, so the plans of former seeds are as they were. In such runs small tasks that last are submitted at restarts and the load pauses each 2 s, as an order without an answer tells an owner what a lost renewal does; capacity is checked by processor requests instead of by tasks.

New check: no task starts on an instance without its required label once an owner can know of the instance. The check that a task runs in one place compares all pairs of runs, and allows a run by an order for a former instance until an owner can know of the new one.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -12,6 +12,7 @@
         workers,
         load_duration: Duration::from_secs(seconds),
         lasting_tasks: 0,
+        restart_series: 0,
     }
 }
 
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -156,20 +156,31 @@
         }
     }
 
-    /// Submits a job, retrying at random daemons, and queries it once after its acceptance.
-    pub(crate) async fn submit_job(self, id: JobId, tasks_per_step: Vec<u32>, is_lasting: bool) {
-        let pipeline = tasks_per_step.iter().enumerate().map(|(index, count)| {
-            let mut step = json!({
-                "count": count, "cpu": 1_000, "mem-mb": 100, "est-runtime-ms": 200,
+    /// Submits a job of which nothing was observed yet, retrying at random daemons, and queries it once after its acceptance.
+    pub(crate) async fn submit_job(self, id: JobId, record: JobRecord) {
+        let is_lasting = record.is_lasting;
+        let pipeline = record
+            .tasks_per_step
+            .iter()
+            .enumerate()
+            .map(|(index, count)| {
+                let mut step = json!({
+                    "count": count, "cpu": record.cpu, "mem-mb": 100, "est-runtime-ms": 200,
+                });
+                if let Some(max_per_worker) = record.max_per_worker {
+                    step["anti-affinity"] = json!(max_per_worker);
+                }
+                if let Some(previous) = index.checked_sub(1) {
+                    step["after"] = json!([previous]);
+                }
+                if let Some(label) = record.required_label {
+                    step["required-label"] = json!(label);
+                }
+                if is_lasting {
+                    step["long-running"] = json!(true);
+                }
+                step
             });
-            if let Some(previous) = index.checked_sub(1) {
-                step["after"] = json!([previous]);
-            }
-            if is_lasting {
-                step["long-running"] = json!(true);
-            }
-            step
-        });
         let pipeline: Vec<Value> = pipeline.collect();
         let command = if is_lasting {
             LASTING_COMMAND.to_owned()
@@ -177,11 +188,6 @@
             format!("run {id}")
         };
         let body = json!({"command": command, "pipeline": pipeline});
-        let record = JobRecord {
-            tasks_per_step,
-            is_lasting,
-            ..JobRecord::default()
-        };
         self.state().jobs.insert(id, record);
         let path = format!("{QUEUE_PREFIX}{id:016x}");
         for _ in 0..MAX_SUBMIT_ATTEMPTS {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -11,6 +11,10 @@
 /// before a stop may not have been read, so that its failure breaks no promise.
 const DELIVERY_TIME: Duration = Duration::from_millis(100);
 
+/// Time without a fault in which an owner has met each instance of a worker that answers: a takeover
+/// (2.5 s) and the renewal of a worker (1.9 s until one without an answer fails).
+const CONTACT_TIME: Duration = Duration::from_secs(5);
+
 /// Maximum time for which a task that lasts may be without a run, counted from the last fault:
 /// the 3 s of `contact-ms`, the 4 s that the rule LOST requires to be calm, and the 3 s that it
 /// allows.
@@ -29,8 +33,8 @@
     pub detail: String,
 }
 
-/// Returns the violations in a history, sorted. `capacity` is the number of tasks that a
-/// worker can run at a time.
+/// Returns the violations in a history, sorted. `capacity` is that of a worker, in thousandths of
+/// a core.
 #[must_use]
 pub fn check_history(history: &SoakHistory, capacity: usize) -> Vec<BrokenPromise> {
     let mut broken = Vec::new();
@@ -39,6 +43,7 @@
     }
     check_lasting_tasks(history, &mut broken);
     check_single_placement(history, &mut broken);
+    check_labels(history, &mut broken);
     check_capacity(history, capacity, &mut broken);
     check_planned_stops(history, &mut broken);
     for (daemon, before, after) in &history.manifest_reverts {
@@ -202,6 +207,11 @@
 }
 
 /// Checks that the runs of a task neither overlap nor follow a successful run.
+///
+/// A run that an instance has started by an order for its former one, before an owner knew of it,
+/// is allowed beside another one: the instance knows no higher fencing token, the deadline is on the
+/// clock of the former instance, and an owner cannot bound the time for which the network holds an
+/// order.
 fn check_single_placement(history: &SoakHistory, broken: &mut Vec<BrokenPromise>) {
     let mut tasks: BTreeMap<(JobId, u32, u32), Vec<&RunRecord>> = BTreeMap::new();
     for run in &history.runs {
@@ -209,8 +219,12 @@
     }
     for ((id, step, index), mut runs) in tasks {
         runs.sort_by_key(|run| run.began_at);
-        for pair in runs.windows(2) {
-            let (first, second) = (pair[0], pair[1]);
+        let pairs = runs.iter().enumerate();
+        let pairs = pairs.flat_map(|(index, first)| {
+            let later_runs = runs[index + 1..].iter();
+            later_runs.map(move |second| (*first, *second))
+        });
+        for (first, second) in pairs {
             let has_ended = first.ended.is_some_and(|(at, _)| at <= second.began_at);
             // If a fault of the worker delays the report of an end until the lease of the
             // worker has expired, the task may run again.
@@ -221,7 +235,9 @@
                     .any(|span| overlaps(span, at, second.began_at))
             };
             let is_repeated = matches!(first.ended, Some((at, "done")) if was_reported(at));
-            if !has_ended || is_repeated {
+            let is_preventable =
+                [first, second].map(|run| !run.is_for_former_instance || is_known(history, run));
+            if is_preventable == [true; 2] && (!has_ended || is_repeated) {
                 broken.push(BrokenPromise {
                     promise: "a task runs in one place",
                     detail: format!("{id:016x}.{step}.{index}: {first:?}, {second:?}"),
@@ -231,37 +247,86 @@
     }
 }
 
+/// Checks that no task starts on an instance of a worker without the label that it requires.
+///
+/// Starts before an owner knows of a new instance are by orders for the former one.
+fn check_labels(history: &SoakHistory, broken: &mut Vec<BrokenPromise>) {
+    for run in &history.runs {
+        let job = history.jobs.get(&run.task.0);
+        let required_label = job.and_then(|job| job.required_label);
+        let has_label = required_label.is_none_or(|label| label == run.kind);
+        if !has_label && is_known(history, run) {
+            let (id, step, index) = run.task;
+            broken.push(BrokenPromise {
+                promise: "a task runs on a worker with its label",
+                detail: format!("{id:016x}.{step}.{index}: {run:?}"),
+            });
+        }
+    }
+}
+
+/// Returns whether an owner knew of the instance of a worker when it started a run, so that it
+/// could have called the instance with a higher fencing token.
+///
+/// Only the answer to a renewal names an instance. The first one counts if no fault of the daemons,
+/// the store or the links of the worker follows before the next call is under way, and otherwise
+/// those in [`CONTACT_TIME`] without such a fault.
+fn is_known(history: &SoakHistory, run: &RunRecord) -> bool {
+    let Some(renewed_at) = run.renewed_at else {
+        return false;
+    };
+    let links = history.worker_link_faults.iter();
+    let faults = links
+        .filter(|span| span.index == run.worker)
+        .chain(&history.daemon_faults)
+        .chain(&history.store_faults)
+        .chain(&history.planned_stops)
+        .map(|span| (span.from, span.to));
+    let calm_spans = free_spans((renewed_at, run.began_at), faults.collect());
+    calm_spans.into_iter().any(|(from, to)| {
+        let time_to_know = match from {
+            _ if from == renewed_at => DELIVERY_TIME,
+            _ => CONTACT_TIME,
+        };
+        to - from > time_to_know
+    })
+}
+
 /// Returns whether the span has an instant between `from` and `to`, both included.
 fn overlaps(span: &FaultSpan, from: Instant, to: Instant) -> bool {
     span.from <= to && from <= span.to
 }
 
-/// Checks that no worker runs more tasks at a time than it has capacity for.
+/// Checks that the tasks that a worker runs at a time fit into its capacity. Runs that no owner
+/// can prevent, as in [`check_single_placement`], do not count.
 fn check_capacity(history: &SoakHistory, capacity: usize, broken: &mut Vec<BrokenPromise>) {
-    let mut starts_and_ends: BTreeMap<usize, Vec<(Instant, bool)>> = BTreeMap::new();
-    for run in &history.runs {
+    let mut starts_and_ends: BTreeMap<usize, Vec<(Instant, bool, usize)>> = BTreeMap::new();
+    let runs = history.runs.iter();
+    for run in runs.filter(|run| !run.is_for_former_instance || is_known(history, run)) {
+        let job = history.jobs.get(&run.task.0);
+        let cpu = job.map_or(0, |job| job.cpu);
         let changes = starts_and_ends.entry(run.worker).or_default();
-        changes.push((run.began_at, true));
-        changes.extend(run.ended.map(|(at, _)| (at, false)));
+        changes.push((run.began_at, true, cpu));
+        changes.extend(run.ended.map(|(at, _)| (at, false, cpu)));
     }
     for (worker, mut changes) in starts_and_ends {
         // At the same instant, ends sort before starts.
         changes.sort_unstable();
-        let mut running = 0_usize;
+        let mut used = 0_usize;
         let mut peak = 0;
-        for (_, is_start) in changes {
-            running = if is_start {
-                running + 1
+        for (_, is_start, cpu) in changes {
+            used = if is_start {
+                used + cpu
             } else {
-                running.saturating_sub(1)
+                used.saturating_sub(cpu)
             };
-            peak = peak.max(running);
+            peak = peak.max(used);
         }
         if peak > capacity {
             broken.push(BrokenPromise {
                 promise: "no worker is over its size",
                 detail: format!(
-                    "worker {worker} ran {peak} tasks at a time, with capacity for {capacity}"
+                    "worker {worker} ran tasks for {peak} of {capacity} thousandths of a core"
                 ),
             });
         }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -23,6 +23,12 @@
     pub tasks_per_step: Vec<u32>,
     /// Whether its tasks last: they run until the job is cancelled.
     pub is_lasting: bool,
+    /// Processor request of each task, in thousandths of a core.
+    pub cpu: usize,
+    /// Largest number of its tasks on one worker, if there is a limit.
+    pub max_per_worker: Option<usize>,
+    /// Label that the workers of its tasks must have.
+    pub required_label: Option<&'static str>,
     /// Time of the response that accepted the job.
     pub accepted_at: Option<Instant>,
     /// Outcomes of the submit requests, in the order in which they were sent.
@@ -47,6 +53,12 @@
     pub began_at: Instant,
     /// End time and result, such as `done`; `None` while the task runs.
     pub ended: Option<(Instant, &'static str)>,
+    /// Label of the kind of the worker's instance.
+    pub kind: String,
+    /// Whether it was started by an order for a former instance of the worker.
+    pub is_for_former_instance: bool,
+    /// Time at which the instance first answered a renewal, if that was before the start.
+    pub renewed_at: Option<Instant>,
 }
 
 /// A request whose connection failed before the response was complete.
@@ -85,9 +97,11 @@
     /// Kills and pauses of daemons, and faults of their connections to the store. A kill for
     /// good has no duration.
     pub daemon_faults: Vec<FaultSpan>,
-    /// Faults of the connections to workers, late starts of tasks, restarts of workers, and
+    /// Faults of the connections to workers, cuts, late starts of tasks, restarts of workers, and
     /// losses for good, which have no duration.
     pub worker_faults: Vec<FaultSpan>,
+    /// Those of the worker faults that keep calls from a worker, or its answers from the daemons.
+    pub worker_link_faults: Vec<FaultSpan>,
     /// Faults of the store. Their index is 0.
     pub store_faults: Vec<FaultSpan>,
     /// Time at which all faults had ended, also those whose span is longer.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,9 @@
 * processes are killed, stopped, paused and restarted, and a minority is killed for good;
 * connections are delayed, stalled in one or both directions, or reset;
 * the store refuses requests, drops responses and revokes leases;
-* workers execute starts late, restart under their identifiers, and are lost for good.
+* workers execute starts late, restart under their identifiers, and are lost for good;
+* workers restart under their identifiers with other clocks and labels, get orders for their
+  former instances, and are cut off from all daemons.
 
 Faults overlap. A run with tasks that last ends with the loss of workers together with a fault of
 the owner of the service. The same seed and size give the same faults at the same times.
@@ -38,5 +40,5 @@
 pub use error::SoakError;
 pub use history::{BrokenRequest, JobId, JobRecord, RunRecord};
 pub use history::{FaultSpan, SoakHistory, SubmitOutcome};
-pub use plan::{LinkState, PlannedFault, SoakFault, SoakSize, generate_plan};
+pub use plan::{InstanceClock, LinkState, PlannedFault, SoakFault, SoakSize, generate_plan};
 pub use run::{SoakReport, SoakRun};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -19,6 +19,8 @@
   --workers N        workers (8)
   --lasting N        tasks that last, with losses for good and restarts of workers; 0 plays
                      neither (as many as workers)
+  --restarts N       series of restarts of workers with other clocks and labels, with late
+                     orders and cuts (3)
   --logs FOLDER      where settings and logs go (soak-logs below the temporary folder)
   --plan             prints the faults of the seeds and plays nothing
 ";
@@ -61,6 +63,7 @@
             lasting_tasks: arguments
                 .opt_value_from_str("--lasting")?
                 .unwrap_or(workers),
+            restart_series: arguments.opt_value_from_str("--restarts")?.unwrap_or(3),
             load_duration: Duration::from_secs(
                 arguments.opt_value_from_str("--seconds")?.unwrap_or(20),
             ),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use auburnsaddle_platform_standin::FIRST_KIND;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -26,6 +27,25 @@
 /// Exclusive upper bound of the time from the loss of a worker to the fault of the owner.
 const MAX_OWNER_DELAY_MS: u64 = 1_500;
 
+/// Exclusive upper bounds of the time from a restart of a worker to its cut: just after the first
+/// orders to the new instance, and any time. The pending renewal of the former instance fails
+/// after 1.9 s, so the owner has met the new instance in some cases and not in others.
+const MAX_CUT_DELAYS_MS: [u64; 2] = [600, 3_000];
+
+/// Ranges of the duration of a cut: any time, and longer than a worker holds its runs, which is at
+/// most 6 s.
+const CUT_DURATIONS_MS: [std::ops::Range<u64>; 2] = [300..6_000, 6_000..9_500];
+
+/// Exclusive upper bound of the delay of a late order. It is longer than the lease of a daemon
+/// and than most of the lease of a worker.
+const MAX_ORDER_DELAY_MS: u64 = 6_000;
+
+/// Exclusive upper bound of the reading at which a clock begins: one day.
+const MAX_CLOCK_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Label of workers that were restarted as another kind.
+const OTHER_KIND: &str = "b";
+
 /// Size of a run: its processes, its workers and its duration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SoakSize {
@@ -39,6 +59,9 @@
     /// restarted, and no daemon is killed for good. Beside them and the other jobs, the workers
     /// that are left need room for the tasks of those that are lost.
     pub lasting_tasks: usize,
+    /// Number of series of restarts of a worker under its identifier, with other clocks and
+    /// labels, late orders and cuts. Some jobs require a label then.
+    pub restart_series: usize,
 }
 
 impl SoakSize {
@@ -73,6 +96,17 @@
     Reset,
 }
 
+/// Reading at which the clock of a restarted worker begins.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum InstanceClock {
+    /// This far behind the clock of the former instance, or zero if that reads less.
+    Behind(Duration),
+    /// This far ahead of the clock of the former instance.
+    Ahead(Duration),
+    /// At this reading.
+    At(Duration),
+}
+
 /// A fault. A `usize` is the index of a daemon or a worker, except where it is a rank: where
 /// tasks run and which daemon is the owner is known only when the fault begins.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -110,6 +144,15 @@
     /// A worker is lost, and starts again under its identifier at the end of the fault. Ranks
     /// are those of [`Self::LoseWorker`].
     RestartWorker(usize),
+    /// A worker is restarted under its identifier at once, with this clock and this label of its
+    /// kind. It writes its entry in the store at the end of the fault. The `usize` is an index.
+    RestartInstance(usize, InstanceClock, &'static str),
+    /// A worker is cut off from all daemons: requests have no effect and no response, while its
+    /// runs and its lease go on.
+    CutWorker(usize),
+    /// The next orders to start a task, this many, reach a worker after this delay, without a
+    /// response, also if it was restarted since.
+    LateOrders(usize, u32, Duration),
     /// A worker executes its next two starts after this delay, without sending a response.
     LateStarts(usize, Duration),
     /// A new version of the manifest is published.
@@ -154,11 +197,84 @@
     }
     if size.lasting_tasks > 0 {
         faults.extend(generate_losses(&mut rng, size, end));
-        faults.sort_by_key(|planned| planned.at);
     }
+    // A stream of its own leaves the other faults of a seed as they are.
+    rng.set_stream(1);
+    for _ in 0..size.restart_series {
+        faults.extend(generate_restarts(&mut rng, size, end));
+    }
+    faults.sort_by_key(|planned| planned.at);
     faults
 }
 
+/// Returns a series of restarts of up to three workers at once, such as those of a zone, each
+/// with late orders before some of them and with cuts that may overlap the next restart.
+fn generate_restarts(rng: &mut impl Rng, size: &SoakSize, end: Duration) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let first_worker = rng.random_range(0..size.workers);
+    let worker_count = rng.random_range(1..=size.workers.min(3));
+    let begin_ms = rng.random_range(as_millis(WARM_UP_TIME)..as_millis(end.max(WARM_UP_TIME)) + 1);
+    for worker in (first_worker..).take(worker_count) {
+        let worker = worker % size.workers;
+        let mut at_ms = begin_ms;
+        for _ in 0..rng.random_range(1..4) {
+            let mut push_fault = |at_ms, lasts_ms, fault| {
+                let (at, lasts) = (
+                    Duration::from_millis(at_ms),
+                    Duration::from_millis(lasts_ms),
+                );
+                if at < end {
+                    faults.push(PlannedFault { at, lasts, fault });
+                }
+            };
+            if rng.random_bool(0.5) {
+                let late_by_ms = rng.random_range(200..MAX_ORDER_DELAY_MS);
+                let late_by = Duration::from_millis(late_by_ms);
+                let fault = SoakFault::LateOrders(worker, rng.random_range(1..5), late_by);
+                let before_ms = rng.random_range(0..late_by_ms.min(1_500));
+                push_fault(
+                    at_ms.saturating_sub(before_ms),
+                    before_ms + late_by_ms,
+                    fault,
+                );
+            }
+            // Workers with even indices keep their kind, so that some have each label.
+            let kind = match worker % 2 {
+                1 if rng.random_bool(0.5) => OTHER_KIND,
+                _ => FIRST_KIND,
+            };
+            let fault = SoakFault::RestartInstance(worker, generate_clock(rng), kind);
+            push_fault(at_ms, rng.random_range(0..1_500), fault);
+            if rng.random_bool(0.75) {
+                let max_delay_ms = MAX_CUT_DELAYS_MS[rng.random_range(0..2)];
+                let cut_at_ms = at_ms + rng.random_range(0..max_delay_ms);
+                let [short_ms, long_ms] = CUT_DURATIONS_MS;
+                let duration_ms = if rng.random_bool(0.5) {
+                    short_ms
+                } else {
+                    long_ms
+                };
+                let lasts_ms = rng.random_range(duration_ms);
+                push_fault(cut_at_ms, lasts_ms, SoakFault::CutWorker(worker));
+            }
+            at_ms += rng.random_range(500..8_000);
+        }
+    }
+    faults
+}
+
+fn generate_clock(rng: &mut impl Rng) -> InstanceClock {
+    let any_time = Duration::from_millis(rng.random_range(0..MAX_CLOCK_MS));
+    let short_time = Duration::from_millis(rng.random_range(0..10_000));
+    match rng.random_range(0..5) {
+        0 => InstanceClock::Behind(any_time),
+        1 => InstanceClock::Behind(short_time),
+        2 => InstanceClock::Ahead(any_time),
+        3 => InstanceClock::Ahead(short_time),
+        _ => InstanceClock::At(any_time),
+    }
+}
+
 /// Returns restarts and single losses before `end`, and after it the loss of workers together
 /// with a fault of the owner.
 fn generate_losses(rng: &mut impl Rng, size: &SoakSize, end: Duration) -> Vec<PlannedFault> {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -18,6 +18,8 @@
 pub(crate) struct LinkProxy {
     address: SocketAddr,
     state: watch::Sender<LinkState>,
+    /// Number of times at which all connections were dropped.
+    drop_count: watch::Sender<u64>,
 }
 
 impl LinkProxy {
@@ -26,19 +28,39 @@
         let listener = TcpListener::bind((HOST, 0)).await?;
         let address = listener.local_addr()?;
         let state = watch::Sender::new(LinkState::Open);
-        let states = state.clone();
+        let drop_count = watch::Sender::new(0);
+        let (states, drops) = (state.clone(), drop_count.clone());
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(proxy_connection(client, upstream, states.subscribe()));
+                let mut drops = drops.subscribe();
+                let connection = proxy_connection(client, upstream, states.subscribe());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = connection => {}
+                        _ = drops.changed() => {}
+                    }
+                });
             }
         });
-        Ok(Self { address, state })
+        Ok(Self {
+            address,
+            state,
+            drop_count,
+        })
     }
 
     pub(crate) const fn address(&self) -> SocketAddr {
         self.address
     }
 
+    /// Drops all connections, with the bytes that wait in them, unless the proxy forwards bytes
+    /// immediately.
+    pub(crate) fn drop_waiting_bytes(&self) {
+        if *self.state.borrow() != LinkState::Open {
+            self.drop_count.send_modify(|count| *count += 1);
+        }
+    }
+
     pub(crate) fn set(&self, state: LinkState) {
         self.state.send_replace(state);
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use auburnsaddle_platform_standin::{StoreStandin, WorkerStandin};
+use auburnsaddle_platform_standin::{FIRST_KIND, StoreStandin, WorkerStandin};
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -16,8 +16,8 @@
     callers::{QUEUE_PREFIX, SoakCallers},
     checks::{BrokenPromise, CANCEL_TIME, RESTORE_BOUND, check_history},
     error::SoakError,
-    history::{FaultSpan, JobId, RunRecord, SoakHistory, SubmitOutcome},
-    plan::{LinkState, PlannedFault, SoakFault, SoakSize, generate_plan},
+    history::{FaultSpan, JobId, JobRecord, RunRecord, SoakHistory, SubmitOutcome},
+    plan::{InstanceClock, LinkState, PlannedFault, SoakFault, SoakSize, generate_plan},
     process::DaemonProcess,
     proxy::LinkProxy,
 };
@@ -25,9 +25,36 @@
 /// Time for which a worker runs each task.
 const TASK_RUN_TIME: Duration = Duration::from_millis(250);
 
-/// Number of tasks that a worker can run at a time: it has four cores, and each task needs
-/// one.
-const TASKS_PER_WORKER: usize = 4;
+/// Processor capacity of a worker, in thousandths of a core.
+const WORKER_CPU: usize = 4_000;
+
+/// Processor request of a task. A worker can run four at a time.
+const TASK_CPU: usize = 1_000;
+
+/// The same in a run with restarts. A worker has room for four and for some small tasks.
+const REDUCED_TASK_CPU: usize = 950;
+
+/// Processor request of a small task.
+const SMALL_TASK_CPU: usize = 10;
+
+/// Number of jobs with small tasks that last in a run with restarts. They are submitted at
+/// restarts, so that a new instance gets orders for its former one whose tasks are at work when
+/// its lease lapses. With three for a worker, all fit on the workers that are left.
+const SMALL_JOB_COUNT: u64 = 5;
+
+/// Largest number of small tasks of a job on one worker.
+const MAX_SMALL_PER_WORKER: usize = 3;
+
+/// Identifier of the first job with small tasks, above those of the other jobs.
+const FIRST_SMALL_JOB: JobId = 0x1_0000;
+
+/// Time between the submissions of two jobs with small tasks.
+const SMALL_JOB_INTERVAL: Duration = Duration::from_millis(500);
+
+/// In a run with restarts, jobs are submitted for this time, and then none is for as long. An
+/// order that has no response tells the owner as much as a lost renewal, so cuts also need
+/// workers that get no orders.
+const LOAD_PHASE: Duration = Duration::from_secs(2);
 
 /// Time between the submissions of two jobs.
 const JOB_INTERVAL: Duration = Duration::from_millis(60);
@@ -45,6 +72,13 @@
 /// of 1.5 s.
 const ENTRY_REMOVAL_DELAY: Duration = Duration::from_millis(4_500);
 
+/// Reading of the clocks of the workers at the start of a run with restarts, so that a later
+/// clock can be behind: half of the longest time by which one is.
+const FIRST_CLOCK: Duration = Duration::from_hours(12);
+
+/// In a run with restarts, one of this many jobs requires a label.
+const LABELLED_JOB_INTERVAL: u64 = 4;
+
 /// Key of the entry that names the owner of the service.
 const OWNER_KEY: &str = "auburnsaddle/pub/owner/sales";
 
@@ -117,6 +151,8 @@
     worker: WorkerStandin,
     proxy: LinkProxy,
     status: WorkerStatus,
+    /// Number of cuts from all daemons in progress, which can overlap.
+    cut_count: usize,
 }
 
 impl WorkerHandle {
@@ -140,6 +176,23 @@
         }
     }
 
+    /// Restarts the worker at once, unless it is lost or restarting. Orders that wait in
+    /// connections to the former instance are lost with it: only those of
+    /// [`SoakFault::LateOrders`] are known to be late.
+    fn restart_instance(&self, clock: InstanceClock, kind: &str) {
+        if self.status != WorkerStatus::Up {
+            return;
+        }
+        self.proxy.drop_waiting_bytes();
+        let former_clock = self.worker.clock();
+        let clock = match clock {
+            InstanceClock::Behind(time) => former_clock.saturating_sub(time),
+            InstanceClock::Ahead(time) => former_clock + time,
+            InstanceClock::At(reading) => reading,
+        };
+        self.worker.restart_as_kind(clock, kind);
+    }
+
     /// Returns the number of tasks that last and run on the worker.
     fn lasting_count(&self) -> usize {
         let starts = self.worker.starts().into_iter();
@@ -157,6 +210,9 @@
     callers: SoakCallers,
     /// Latest version that was published.
     manifest_version: u64,
+    /// Number of jobs with small tasks so far, and the time of the latest.
+    small_job_count: u64,
+    last_small_job_at: Option<Instant>,
     history: SoakHistory,
     rng: ChaCha8Rng,
 }
@@ -184,12 +240,18 @@
         let store = StoreStandin::start().await;
         let mut workers = Vec::new();
         for index in 0..run.size.workers {
-            let worker = WorkerStandin::start(&format!("worker-{index}"), TASK_RUN_TIME).await;
+            let id = format!("worker-{index}");
+            let clock = match run.size.restart_series {
+                0 => Duration::ZERO,
+                _ => FIRST_CLOCK,
+            };
+            let worker = WorkerStandin::start_with_clock(&id, TASK_RUN_TIME, clock).await;
             let proxy = LinkProxy::start(worker.address()).await?;
             let handle = WorkerHandle {
                 worker,
                 proxy,
                 status: WorkerStatus::Up,
+                cut_count: 0,
             };
             handle.register(&store);
             workers.push(handle);
@@ -201,6 +263,8 @@
             workers,
             daemons: Vec::new(),
             manifest_version: 0,
+            small_job_count: 0,
+            last_small_job_at: None,
             history: SoakHistory::default(),
             run,
         };
@@ -264,6 +328,12 @@
         let mut next_job_at = Duration::ZERO;
         let mut id: JobId = 0;
         let mut lasting_left = self.run.size.lasting_tasks;
+        let has_restarts = self.run.size.restart_series > 0;
+        let task_cpu = if has_restarts {
+            REDUCED_TASK_CPU
+        } else {
+            TASK_CPU
+        };
         let job_interval = match lasting_left {
             0 => JOB_INTERVAL,
             _ => SPARSE_JOB_INTERVAL,
@@ -273,6 +343,9 @@
             while let Some(planned) = upcoming.next_if(|planned| planned.at <= now) {
                 let fault = self.resolve_fault(planned.fault);
                 self.begin_fault(fault, planned.lasts)?;
+                if let SoakFault::RestartInstance(..) = fault {
+                    self.submit_small_job();
+                }
                 active_faults.push((planned.at + planned.lasts, fault));
             }
             let (due, rest) = active_faults.into_iter().partition(|(end, _)| *end <= now);
@@ -284,23 +357,60 @@
             while next_job_at <= now {
                 next_job_at += job_interval;
                 id += 1;
+                let phase = now.as_millis() / LOAD_PHASE.as_millis();
+                if has_restarts && now >= LASTING_JOBS_AT + LOAD_PHASE && phase % 2 == 1 {
+                    continue;
+                }
                 if lasting_left > 0 && now >= LASTING_JOBS_AT {
                     let count = lasting_left.min(MAX_LASTING_COUNT);
                     lasting_left -= count;
-                    let tasks_per_step = vec![u32::try_from(count).unwrap_or(1)];
-                    tokio::spawn(self.callers.clone().submit_job(id, tasks_per_step, true));
+                    let record = JobRecord {
+                        tasks_per_step: vec![u32::try_from(count).unwrap_or(1)],
+                        is_lasting: true,
+                        cpu: task_cpu,
+                        ..JobRecord::default()
+                    };
+                    tokio::spawn(self.callers.clone().submit_job(id, record));
                     continue;
                 }
                 let step_count = self.rng.random_range(1..3);
                 let tasks_per_step = (0..step_count).map(|_| self.rng.random_range(1..5));
-                let tasks_per_step = tasks_per_step.collect();
-                tokio::spawn(self.callers.clone().submit_job(id, tasks_per_step, false));
+                let has_label = has_restarts && id.is_multiple_of(LABELLED_JOB_INTERVAL);
+                let record = JobRecord {
+                    tasks_per_step: tasks_per_step.collect(),
+                    cpu: task_cpu,
+                    required_label: has_label.then_some(FIRST_KIND),
+                    ..JobRecord::default()
+                };
+                tokio::spawn(self.callers.clone().submit_job(id, record));
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
         Ok(())
     }
 
+    /// Submits a job with small tasks that last, twice as many as workers, unless one was submitted
+    /// just now.
+    fn submit_small_job(&mut self) {
+        let is_due = self
+            .last_small_job_at
+            .is_none_or(|at| at.elapsed() > SMALL_JOB_INTERVAL);
+        if !is_due || self.small_job_count == SMALL_JOB_COUNT {
+            return;
+        }
+        let id = FIRST_SMALL_JOB + self.small_job_count;
+        self.small_job_count += 1;
+        self.last_small_job_at = Some(Instant::now());
+        let record = JobRecord {
+            tasks_per_step: vec![u32::try_from(self.workers.len() * 2).unwrap_or(1)],
+            is_lasting: true,
+            cpu: SMALL_TASK_CPU,
+            max_per_worker: Some(MAX_SMALL_PER_WORKER),
+            ..JobRecord::default()
+        };
+        tokio::spawn(self.callers.clone().submit_job(id, record));
+    }
+
     /// Replaces the owner and the rank of a worker by the index of a daemon or a worker.
     fn resolve_fault(&self, fault: SoakFault) -> SoakFault {
         match fault {
@@ -377,25 +487,28 @@
                 self.history.daemon_faults.push(span(daemon));
                 self.daemons[daemon].proxy.set(state);
             }
-            SoakFault::WorkerLink(worker, state) => {
-                self.history.worker_faults.push(span(worker));
-                self.workers[worker].proxy.set(state);
-            }
-            SoakFault::LateStarts(worker, late_by) => {
-                self.history.worker_faults.push(span(worker));
-                self.workers[worker].worker.delay_starts(2, late_by);
-            }
             SoakFault::LoseDaemon(daemon) => {
                 self.daemons[daemon].is_lost = true;
                 self.kill_daemon(daemon, moment(daemon));
             }
-            SoakFault::LoseWorker(worker, state) => {
-                self.history.worker_faults.push(moment(worker));
-                self.lose_worker(worker, WorkerStatus::Lost, state);
-            }
-            SoakFault::RestartWorker(worker) => {
-                self.history.worker_faults.push(span(worker));
-                self.lose_worker(worker, WorkerStatus::Restarting, LinkState::Reset);
+            SoakFault::WorkerLink(worker, _)
+            | SoakFault::LateStarts(worker, _)
+            | SoakFault::LateOrders(worker, ..)
+            | SoakFault::LoseWorker(worker, _)
+            | SoakFault::RestartWorker(worker)
+            | SoakFault::RestartInstance(worker, ..)
+            | SoakFault::CutWorker(worker) => {
+                let is_loss = matches!(fault, SoakFault::LoseWorker(..));
+                let span = if is_loss {
+                    moment(worker)
+                } else {
+                    span(worker)
+                };
+                self.history.worker_faults.push(span);
+                if let SoakFault::WorkerLink(..) | SoakFault::CutWorker(_) = fault {
+                    self.history.worker_link_faults.push(span);
+                }
+                self.begin_worker_fault(worker, fault);
             }
             SoakFault::StoreAway => {
                 self.history.store_faults.push(span(0));
@@ -437,6 +550,28 @@
         Ok(())
     }
 
+    /// Injects a fault of one worker or of the connections to it.
+    fn begin_worker_fault(&mut self, worker: usize, fault: SoakFault) {
+        let handle = &mut self.workers[worker];
+        match fault {
+            SoakFault::WorkerLink(_, state) => handle.proxy.set(state),
+            SoakFault::LateStarts(_, late_by) => handle.worker.delay_starts(2, late_by),
+            SoakFault::LateOrders(_, count, late_by) => {
+                handle.worker.deliver_starts_late(count, late_by);
+            }
+            SoakFault::LoseWorker(_, state) => self.lose_worker(worker, WorkerStatus::Lost, state),
+            SoakFault::RestartWorker(_) => {
+                self.lose_worker(worker, WorkerStatus::Restarting, LinkState::Reset);
+            }
+            SoakFault::RestartInstance(_, clock, kind) => handle.restart_instance(clock, kind),
+            SoakFault::CutWorker(_) => {
+                handle.cut_count += 1;
+                handle.worker.cut_off();
+            }
+            _ => {}
+        }
+    }
+
     /// Ends the runs of a worker and sets the state of its connections. The entry of a worker
     /// that is lost for good is removed later.
     fn lose_worker(&mut self, worker: usize, status: WorkerStatus, state: LinkState) {
@@ -484,6 +619,19 @@
                 }
             }
             SoakFault::RestartWorker(worker) => self.workers[worker].recover(&self.store),
+            SoakFault::RestartInstance(worker, ..) => {
+                let handle = &self.workers[worker];
+                if handle.status == WorkerStatus::Up {
+                    handle.register(&self.store);
+                }
+            }
+            SoakFault::CutWorker(worker) => {
+                let handle = &mut self.workers[worker];
+                handle.cut_count = handle.cut_count.saturating_sub(1);
+                if handle.cut_count == 0 {
+                    handle.worker.reconnect();
+                }
+            }
             SoakFault::StoreAway => self.store.set_unavailable(false),
             _ => {}
         }
@@ -528,6 +676,11 @@
         self.store.drop_commit_responses(0);
         for handle in &mut self.workers {
             handle.recover(&self.store);
+            handle.worker.reconnect();
+            handle.worker.delay_starts(0, Duration::ZERO);
+            if handle.status == WorkerStatus::Up {
+                handle.register(&self.store);
+            }
         }
         for daemon in 0..self.daemons.len() {
             self.daemons[daemon].proxy.set(LinkState::Open);
@@ -579,6 +732,9 @@
                     task: parse_task_name(&start.task)?,
                     began_at: start.began_at,
                     ended: start.ended,
+                    kind: start.kind.clone(),
+                    is_for_former_instance: start.is_for_former_instance,
+                    renewed_at: start.renewed_at,
                 })
             });
             self.history.runs.extend(runs);
@@ -593,7 +749,7 @@
         SoakReport {
             lasting_runs: lasting_runs.count(),
             accepted_jobs: accepted.count(),
-            broken_promises: check_history(&self.history, TASKS_PER_WORKER),
+            broken_promises: check_history(&self.history, WORKER_CPU),
             submitted_jobs: self.history.jobs.len(),
             task_runs: self.history.runs.len(),
         }
--- a/crates/soak/src/tests.rs
+++ b/crates/soak/src/tests.rs
@@ -5,11 +5,16 @@
     time::{Duration, Instant},
 };
 
-use serde_json::Value;
+use auburnsaddle_platform_standin::{FIRST_KIND, LASTING_COMMAND, WorkerStandin};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use serde_json::{Value, json};
 
 use crate::{
-    BrokenRequest, FaultSpan, HOST, JobRecord, PlannedFault, RunRecord, SoakFault, SoakHistory,
-    SoakSize, SubmitOutcome, check_history, generate_plan, process::write_settings,
+    BrokenRequest, FaultSpan, HOST, InstanceClock, JobRecord, PlannedFault, RunRecord, SoakFault,
+    SoakHistory, SoakSize, SubmitOutcome, check_history, generate_plan, process::write_settings,
     proxy::LinkProxy,
 };
 
@@ -21,6 +26,7 @@
         workers: 4,
         load_duration: Duration::from_secs(30),
         lasting_tasks: 0,
+        restart_series: 0,
     }
 }
 
@@ -30,6 +36,9 @@
         task,
         began_at,
         ended: end.map(|end| (began_at + SECOND, end)),
+        kind: FIRST_KIND.to_owned(),
+        is_for_former_instance: false,
+        renewed_at: None,
     }
 }
 
@@ -37,6 +46,7 @@
 fn valid_history(start: Instant) -> SoakHistory {
     let job = JobRecord {
         tasks_per_step: vec![1, 1],
+        cpu: 1,
         outcomes: vec![SubmitOutcome::Accepted],
         state: Some("completed".to_owned()),
         ..JobRecord::default()
@@ -154,6 +164,181 @@
     assert_eq!(repeated(true), BTreeSet::new());
 }
 
+/// Guards against a check that reports a second run that no owner can prevent, by an order for a
+/// former instance that precedes the first answer of the new one, and against one that also allows
+/// a third run beside it, or such runs after the answer.
+#[test]
+fn run_before_an_owner_knows_of_the_instance_is_allowed() {
+    let second_run = |is_for_former_instance: bool, start: Instant| RunRecord {
+        worker: 1,
+        is_for_former_instance,
+        ..run_record((1, 1, 0), start + SECOND * 3 / 2, Some("lapsed"))
+    };
+    let late_order = broken_promises(|history, start| history.runs.push(second_run(true, start)));
+    let with_third_run = broken_promises(|history, start| {
+        history.runs.push(second_run(true, start));
+        history.runs.push(RunRecord {
+            worker: 2,
+            ..second_run(false, start + SECOND / 4)
+        });
+    });
+    let after_answer = |faults: &[(u32, u32)], age: Duration| {
+        broken_promises(|history, start| {
+            let second = second_run(true, start);
+            history.runs.push(RunRecord {
+                renewed_at: second.began_at.checked_sub(age),
+                ..second
+            });
+            let faults = faults.iter();
+            let faults = faults.map(|(from, to)| {
+                fault_span(start.checked_sub(SECOND * 10).unwrap(), 0, *from, *to)
+            });
+            history.daemon_faults.extend(faults);
+        })
+    };
+    let repeated = |is_for_former_instance: bool| {
+        broken_promises(|history, start| {
+            let began_at = start + SECOND * 3;
+            history.runs.push(RunRecord {
+                began_at,
+                ended: Some((began_at + SECOND, "done")),
+                ..second_run(is_for_former_instance, start)
+            });
+        })
+    };
+
+    assert_eq!(late_order, BTreeSet::new());
+    assert_eq!(
+        after_answer(&[], SECOND / 2),
+        only("a task runs in one place")
+    );
+    assert_eq!(after_answer(&[(9, 12)], SECOND / 2), BTreeSet::new());
+    assert_eq!(
+        after_answer(&[(0, 5)], SECOND * 8),
+        only("a task runs in one place")
+    );
+    assert_eq!(after_answer(&[(0, 7)], SECOND * 8), BTreeSet::new());
+    assert_eq!(
+        after_answer(&[(4, 12)], SECOND * 8),
+        only("a task runs in one place")
+    );
+    assert_eq!(with_third_run, only("a task runs in one place"));
+    assert_eq!(repeated(true), BTreeSet::new());
+    assert_eq!(repeated(false), only("a task runs in one place"));
+}
+
+/// Guards against a check of labels that misses a start on an instance without the required one,
+/// or that reports one that the owner could not prevent: before the instance has answered it,
+/// shortly afterwards, or during a cut.
+#[test]
+fn start_without_the_required_label_is_detected() {
+    let started_after = |renewal_age: Option<Duration>, fault: Option<FaultSpan>, kind: &str| {
+        broken_promises(|history, _| {
+            history.jobs.get_mut(&1).unwrap().required_label = Some(FIRST_KIND);
+            let run = &mut history.runs[1];
+            run.kind = kind.to_owned();
+            run.renewed_at = renewal_age.map(|age| run.began_at.checked_sub(age).unwrap());
+            history.worker_link_faults.extend(fault);
+        })
+    };
+    let cut = fault_span(Instant::now(), 0, 0, 5);
+
+    assert_eq!(
+        started_after(Some(SECOND / 2), None, FIRST_KIND),
+        BTreeSet::new()
+    );
+    assert_eq!(
+        started_after(Some(SECOND / 2), None, "b"),
+        only("a task runs on a worker with its label")
+    );
+    assert_eq!(started_after(None, None, "b"), BTreeSet::new());
+    assert_eq!(started_after(Some(SECOND / 20), None, "b"), BTreeSet::new());
+    assert_eq!(
+        started_after(Some(SECOND / 2), Some(cut), "b"),
+        BTreeSet::new()
+    );
+}
+
+/// Guards against plans whose restarts lack one kind of clock, the other label, a cut after a
+/// restart, cuts that overlap or orders that arrive after a restart, and against restarts that
+/// change the other faults of a seed.
+#[test]
+fn plan_with_restarts_has_clocks_labels_cuts_and_late_orders() {
+    let size = SoakSize {
+        workers: 8,
+        lasting_tasks: 8,
+        restart_series: 3,
+        ..soak_size()
+    };
+    let former_size = SoakSize {
+        restart_series: 0,
+        ..size
+    };
+    let is_new = |row: &PlannedFault| {
+        matches!(
+            row.fault,
+            SoakFault::RestartInstance(..) | SoakFault::CutWorker(_) | SoakFault::LateOrders(..)
+        )
+    };
+    let mut seen = BTreeSet::new();
+
+    for seed in 0..200 {
+        let plan = generate_plan(seed, &size);
+        let former: Vec<PlannedFault> = plan.iter().copied().filter(|row| !is_new(row)).collect();
+        assert_eq!(former, generate_plan(seed, &former_size), "{seed}");
+        for row in plan.iter().filter(|row| is_new(row)) {
+            let follows = |other: &&PlannedFault, lasts: Duration| {
+                row.at < other.at && other.at < row.at + lasts
+            };
+            let later = |lasts| plan.iter().filter(move |other| follows(other, lasts));
+            match row.fault {
+                SoakFault::RestartInstance(worker, clock, kind) => {
+                    seen.insert(match clock {
+                        InstanceClock::Behind(_) => "clock behind",
+                        InstanceClock::Ahead(_) => "clock ahead",
+                        InstanceClock::At(_) => "any clock",
+                    });
+                    seen.extend((kind != FIRST_KIND).then_some("other label"));
+                    let cuts = later(SECOND * 3).map(|other| other.fault);
+                    let has_cut = cuts
+                        .into_iter()
+                        .any(|fault| fault == SoakFault::CutWorker(worker));
+                    seen.extend(has_cut.then_some("cut after a restart"));
+                }
+                SoakFault::CutWorker(worker) => {
+                    for other in later(row.lasts) {
+                        seen.extend(match other.fault {
+                            SoakFault::CutWorker(_) => Some("overlapping cuts"),
+                            SoakFault::RestartInstance(restarted, ..) if restarted == worker => {
+                                Some("restart during a cut")
+                            }
+                            _ => None,
+                        });
+                    }
+                }
+                SoakFault::LateOrders(worker, _, late_by) => {
+                    let is_restart = |other: &PlannedFault| matches!(other.fault, SoakFault::RestartInstance(of, ..) if of == worker);
+                    let outlives_instance = later(late_by).any(is_restart);
+                    seen.extend(outlives_instance.then_some("order for a former instance"));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    let expected = [
+        "any clock",
+        "clock ahead",
+        "clock behind",
+        "cut after a restart",
+        "order for a former instance",
+        "other label",
+        "overlapping cuts",
+        "restart during a cut",
+    ];
+    assert_eq!(seen, expected.into());
+}
+
 /// Returns a valid history: a job with one task that lasts for 60 s on worker 0, which is lost
 /// after 20 s, and then on worker 1.
 fn lasting_history(start: Instant) -> SoakHistory {
@@ -316,17 +501,73 @@
     }
 }
 
-/// Guards against a check of the capacity that misses an overloaded worker.
+/// Guards against a check of the capacity that misses an overloaded worker, or that counts a run
+/// that no owner can prevent.
 #[test]
 fn overloaded_worker_is_detected() {
-    let broken = broken_promises(|history, start| {
-        history.jobs.get_mut(&1).unwrap().tasks_per_step = vec![3];
-        history.runs = (0..3)
-            .map(|index| run_record((1, 0, index), start, Some("done")))
-            .collect();
+    let with_third_run = |is_for_former_instance: bool| {
+        broken_promises(|history, start| {
+            history.jobs.get_mut(&1).unwrap().tasks_per_step = vec![3];
+            history.runs = (0..3)
+                .map(|index| run_record((1, 0, index), start, Some("done")))
+                .collect();
+            history.runs[2].is_for_former_instance = is_for_former_instance;
+        })
+    };
+
+    assert_eq!(with_third_run(false), only("no worker is over its size"));
+    assert_eq!(with_third_run(true), BTreeSet::new());
+}
+
+/// Sends a start order with a deadline of one second on the worker's clock. Returns whether there
+/// was a response within 200 ms.
+async fn send_start(worker: &WorkerStandin, task: &str) -> bool {
+    let deadline = worker.clock() + SECOND;
+    let body = json!({
+        "task": task, "attempt": 1, "command": LASTING_COMMAND, "fencing-token": 5,
+        "deadline-ms": u64::try_from(deadline.as_millis()).unwrap(),
     });
+    let request = Request::post(format!("http://{}/run-start", worker.address()))
+        .body(Full::<Bytes>::from(body.to_string()))
+        .unwrap();
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let response = tokio::time::timeout(SECOND / 5, client.request(request)).await;
+    matches!(response, Ok(Ok(_)))
+}
 
-    assert_eq!(broken, only("no worker is over its size"));
+/// Guards against late orders that a restart loses, against records that take a direct order for
+/// one for a former instance, and against cuts that a restart ends.
+#[tokio::test]
+async fn late_orders_reach_the_next_instance_unless_it_is_cut_off() {
+    let worker = WorkerStandin::start("worker-0", SECOND).await;
+    let restart_behind = || worker.restart_as_kind(Duration::ZERO, "b");
+    let delay_next = || worker.deliver_starts_late(1, SECOND / 2);
+
+    delay_next();
+    let first_response = send_start(&worker, "1.0.0.0").await;
+    restart_behind();
+    tokio::time::sleep(SECOND).await;
+    delay_next();
+    let second_response = send_start(&worker, "1.0.0.1").await;
+    restart_behind();
+    let direct_response = send_start(&worker, "1.0.0.2").await;
+    tokio::time::sleep(SECOND).await;
+    delay_next();
+    send_start(&worker, "1.0.0.3").await;
+    worker.cut_off();
+    restart_behind();
+    tokio::time::sleep(SECOND).await;
+
+    let starts = worker.starts().into_iter();
+    let starts = starts.map(|start| (start.task, start.kind, start.is_for_former_instance));
+    let starts: Vec<(String, String, bool)> = starts.collect();
+    let expected = [("1.0.0.0", true), ("1.0.0.2", false), ("1.0.0.1", true)];
+    let expected = expected.map(|(task, is_former)| (task.to_owned(), "b".to_owned(), is_former));
+    assert_eq!(starts, expected);
+    assert_eq!(
+        (first_response, second_response, direct_response),
+        (false, false, true)
+    );
 }
 
 /// Guards against checks that miss a step that starts too early, or a completed job with a
