--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -15,13 +15,18 @@
 /// one ownership. The bits above hold the epoch.
 const CLAIM_BITS: u32 = 8;
 
+/// Largest number of claims of a worker that are given up in one ownership. The tokens of further
+/// ones would be those of the next epoch.
+const MAX_CLAIMS: u64 = (1 << CLAIM_BITS) - 1;
+
 /// Time within which an order that was sent reaches its worker or is lost.
 pub(super) const ORDER_TRANSIT_TIME: Duration = Duration::from_secs(3);
 
 /// Age of an instance until which it may receive orders for its former one. An owner meets the
 /// instance with a renewal, which waits for up to 1 s, takes up to 2 s to fail and is followed by
 /// one without a wait; what it has sent until then is in transit.
-const FORMER_ORDER_TIME: Duration = Duration::from_secs(4).saturating_add(ORDER_TRANSIT_TIME);
+pub(super) const FORMER_ORDER_TIME: Duration =
+    Duration::from_secs(4).saturating_add(ORDER_TRANSIT_TIME);
 
 /// Phase of a run as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -159,6 +164,9 @@
     pub(super) best_effort_cpu_milli: u64,
     /// Time by which the inherited runs have ended if this owner cannot claim the worker.
     pub(super) inherited_until: Duration,
+    /// Time by which a lease has lapsed that orders for a former instance have granted to the
+    /// instance in the entry; zero if that instance is not known or was listed after an answer.
+    pub(super) former_orders_until: Duration,
     pub(super) renewal: RenewalStatus,
     /// Earliest time of the next renewal.
     pub(super) renewal_due: Duration,
@@ -184,7 +192,7 @@
 
 impl WorkerRecord {
     /// Returns the record of a worker of which earlier records in this ownership have given
-    /// up at most `claims` claims.
+    /// up this number of claims.
     pub(super) fn new(inherited_until: Duration, claims: u64, now: Duration) -> Self {
         Self {
             listing: None,
@@ -194,6 +202,7 @@
             used: ResourceVector::default(),
             best_effort_cpu_milli: 0,
             inherited_until,
+            former_orders_until: Duration::ZERO,
             renewal: RenewalStatus::Settled,
             renewal_due: now,
             missed_renewals: 0,
@@ -207,6 +216,12 @@
         }
     }
 
+    /// Returns whether this owner has a token left with which it can claim the worker. If not, no
+    /// order is sent until the next ownership.
+    pub(super) const fn has_token(&self) -> bool {
+        self.claims <= MAX_CLAIMS
+    }
+
     /// Returns the fencing token of the current claim, in an ownership with this epoch.
     pub(super) const fn token(&self, epoch: Epoch) -> Epoch {
         (epoch << CLAIM_BITS) | self.claims
@@ -216,7 +231,7 @@
     /// to the pending renewal has no effect.
     pub(super) fn give_up_claim(&mut self, now: Duration) {
         self.contact = WorkerContact::Unclaimed;
-        self.claims = (self.claims + 1).min((1 << CLAIM_BITS) - 1);
+        self.claims += 1;
         self.is_token_used = false;
         self.renewal = RenewalStatus::Settled;
         self.renewal_due = now;
@@ -234,7 +249,28 @@
             .listing
             .as_ref()
             .is_some_and(|listing| !listing.is_draining);
-        self.contact == WorkerContact::Claimed && is_listed
+        self.contact == WorkerContact::Claimed && is_listed && self.has_current_entry()
+    }
+
+    /// Returns whether the entry in the registry is that of the known instance. The capacity, the
+    /// labels and the departure in an entry are those of the instance that wrote it.
+    pub(super) fn has_current_entry(&self) -> bool {
+        let listing = self.listing.as_ref();
+        let started_ms = listing.and_then(|listing| listing.started_unix_ms);
+        let instance = self.instance.as_ref();
+        let is_other = started_ms
+            .zip(instance)
+            .is_some_and(|(started_ms, instance)| started_ms != instance.started_unix_ms);
+        !is_other
+    }
+
+    /// Returns whether an entry shows that the worker was restarted after the known instance began.
+    pub(super) fn is_superseded_by(&self, listing: &WorkerListing) -> bool {
+        let known_ms = self
+            .instance
+            .as_ref()
+            .map(|instance| instance.started_unix_ms);
+        listing.started_unix_ms > known_ms && known_ms.is_some()
     }
 
     pub(super) fn free_resources(&self) -> ResourceVector {
@@ -285,6 +321,20 @@
         runs.take_while(|(key, _)| key.task.step == step).count()
     }
 
+    /// Returns whether a run may be on an instance that the owner has not met.
+    pub(super) fn may_have_unmet_runs(&self) -> bool {
+        self.runs.values().any(WorkerRun::may_be_elsewhere)
+    }
+
+    /// Makes a renewal due if the latest one withheld an acknowledgement for no more reason.
+    pub(super) fn request_ack(&mut self, now: Duration) {
+        let instance = self.instance.as_ref();
+        let is_withheld = instance.is_some_and(|instance| instance.ends.is_withheld());
+        if is_withheld && !self.may_have_unmet_runs() {
+            self.renewal_due = self.renewal_due.min(now);
+        }
+    }
+
     /// Returns the number of runs that last until their jobs are cancelled.
     pub(super) fn long_running_count(&self) -> usize {
         let runs = self.runs.values();
@@ -355,6 +405,7 @@
         run: RunKey,
         epoch: Epoch,
     ) -> Option<StopOrder> {
+        self.has_token().then_some(())?;
         Some(StopOrder {
             worker: WorkerId::clone(worker),
             address: self.address()?.to_owned(),
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -24,10 +24,10 @@
     messages::{CellEvent, JobLookup},
 };
 use crate::{
-    job_table::{JobSummary, JobTable},
+    job_table::{EndedJobs, JobSummary, JobTable},
     pipelines::{
-        AcquireOutcome, AdvisorTable, CommitStatus, DaemonRegistration, JobNotice, OwnedShard,
-        ShardSettings, count_advisors,
+        AcquireOutcome, AdvisorTable, CellKey, CommitStatus, DaemonRegistration, JobNotice,
+        OwnedShard, ShardSettings, count_advisors,
     },
     session::{LeaseConfirmation, LeaseUpdate, PrefixUpdate},
     telemetry::unix_ms,
@@ -91,6 +91,8 @@
     /// Whether the daemon is ready; read by the readiness endpoint.
     ready: Arc<AtomicBool>,
     pub(super) jobs: JobTable,
+    /// Ended jobs, by their summaries in the store.
+    pub(super) ended: EndedJobs,
     pub(super) members: BTreeMap<String, HttpEndpoint>,
     /// Processors of each daemon, in thousandths of a core.
     pub(super) cpu_by_daemon: BTreeMap<String, u64>,
@@ -147,6 +149,7 @@
             effects,
             ready,
             jobs: JobTable::default(),
+            ended: EndedJobs::default(),
             members: BTreeMap::new(),
             cpu_by_daemon: BTreeMap::new(),
             registrations: BTreeMap::new(),
@@ -217,17 +220,7 @@
                 self.update_predecessors();
                 self.update_witnesses();
             }
-            CellEvent::Summaries(update) => {
-                let changes = match update {
-                    PrefixUpdate::Snapshot(items) => {
-                        items.into_iter().map(ItemChange::Put).collect()
-                    }
-                    PrefixUpdate::Changes(changes) => changes,
-                };
-                for change in changes {
-                    self.apply_change(change);
-                }
-            }
+            CellEvent::Summaries(update) => self.apply_summaries(update),
             CellEvent::Jobs(service, epoch, update) => {
                 let handle = self.shards.get_mut(&service);
                 let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) else {
@@ -265,6 +258,10 @@
                     handle.has_new_events = true;
                 }
             }
+            CellEvent::SummariesRemoved(outcome) => {
+                let summary_key = |id| CellKey::Summary(id).path();
+                self.ended.finish_removal(&outcome, summary_key);
+            }
             CellEvent::Advised(service, epoch, outcome) => {
                 let (daemon, is_answered) = (&outcome.daemon, outcome.report.is_some());
                 self.advisors
@@ -306,6 +303,17 @@
         }
     }
 
+    /// Applies what the store's watch of the summaries delivers.
+    fn apply_summaries(&mut self, update: PrefixUpdate) {
+        let changes = match update {
+            PrefixUpdate::Snapshot(items) => items.into_iter().map(ItemChange::Put).collect(),
+            PrefixUpdate::Changes(changes) => changes,
+        };
+        for change in changes {
+            self.apply_change(change);
+        }
+    }
+
     /// Handles the outcome of a commit: executes what waited for it, sends it again, or
     /// gives up the service.
     fn finish_commit(&mut self, service: &ServiceId, epoch: u64, outcome: &TransactionOutcome) {
@@ -441,6 +449,7 @@
                 continue;
             };
             let epoch = handle.shard.epoch();
+            handle.shard.release_expired_summaries(now);
             let mut events = handle.delist_expired_workers(now);
             let (quick, slow) = count_advisors(self.members.len().max(1));
             events.push(PipelineEvent::AdvisorsCounted(quick, slow));
@@ -463,7 +472,30 @@
             );
         }
         self.claim_vacant_services(now);
+        self.update_predecessors();
         self.announce_epochs(now);
+        self.remove_ended_summaries(now);
+    }
+
+    /// Removes summaries of ended jobs of the owned services that no commit removes, such as
+    /// those of jobs that ended under an earlier owner.
+    fn remove_ended_summaries(&mut self, now: Duration) {
+        if self.is_draining || self.effects.route.is_unavailable() {
+            return;
+        }
+        let shards = &self.shards;
+        let is_removable = |id, service: &ServiceId| {
+            let handle = shards.get(service);
+            handle.is_some_and(|handle| !handle.shard.keeps_summary(id))
+        };
+        let retention = self.settings.shard.summary_retention;
+        let summary_key = |id| CellKey::Summary(id).path();
+        let removal = self
+            .ended
+            .next_removal(retention, now, is_removable, summary_key);
+        if let Some(transaction) = removal {
+            self.effects.remove_summaries(transaction);
+        }
     }
 
     /// Starts the takeover of services without an owner whose delay has passed.
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -23,8 +23,8 @@
     summaries::{SummaryQueue, SummaryUpdate, WriteNumber},
 };
 use crate::{
-    job_table::JobSummary,
-    witness::{ExtensionPermit, WitnessEntry, WitnessList},
+    job_table::{JobSummary, REMOVAL_SLACK},
+    witness::{ExtensionPermit, WitnessEntry, WitnessList, WitnessRecord},
 };
 
 /// Size of a record in bytes above which it takes no further job.
@@ -237,6 +237,17 @@
         self.predecessors_ended()
     }
 
+    /// Checks whether the time has passed for which predecessors that lack a witness may extend leases.
+    /// Returns an event when no predecessor is left.
+    pub(crate) fn expire_predecessors(&mut self, now: Duration) -> Option<PipelineEvent> {
+        if self.known_end.is_some() {
+            return None;
+        }
+        self.predecessors
+            .remove_partly_fenced(self.taken_over_at, now);
+        self.predecessors_ended()
+    }
+
     /// Returns an event if the ends of all predecessors have become known.
     fn predecessors_ended(&mut self) -> Option<PipelineEvent> {
         let ended_at = self.predecessors.ended_at(self.taken_over_at)?;
@@ -437,13 +448,13 @@
         let Some(list) = self.changed_witnesses(now) else {
             return;
         };
-        let lists = if self.is_only_session {
-            vec![list.clone()]
+        let record = if self.is_only_session {
+            WitnessRecord::default().with_list(list.clone())
         } else {
-            self.predecessors.lists_followed_by(&list)
+            self.predecessors.witnesses_followed_by(&list)
         };
         let key = CellKey::Witnesses(self.service.clone()).path();
-        transaction.puts.push((key, encode_value(&lists), 0));
+        transaction.puts.push((key, encode_value(&record), 0));
         self.permit.begin_change(list);
         self.apply_permit();
     }
@@ -468,6 +479,22 @@
             .extend(self.obsolete_keys.drain(kept..));
     }
 
+    /// Leaves the summaries that no commit has removed for some time to writes of their own, as
+    /// the service may be idle for long.
+    pub(crate) fn release_expired_summaries(&mut self, now: Duration) {
+        while let Some((expiry, id)) = self.summary_expiries.front().copied()
+            && expiry + REMOVAL_SLACK <= now
+        {
+            self.summary_expiries.pop_front();
+            self.finished_jobs.remove(&id);
+        }
+    }
+
+    /// Returns whether the summary of a job is still needed, or removed with a commit.
+    pub(crate) fn keeps_summary(&self, id: PipelineId) -> bool {
+        self.finished_jobs.contains(&id) || self.summaries.has_job(id) || self.state.contains(id)
+    }
+
     /// Returns the transaction of the pending commit.
     pub(crate) fn pending_transaction(&self) -> Option<StoreTransaction> {
         self.pending
