--- a/crates/core/src/pipelines/losses.rs
+++ b/crates/core/src/pipelines/losses.rs
@@ -26,6 +26,10 @@
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
+        if answer.result != StartResult::NotSent {
+            // The order may have waited for a connection.
+            record.deadline_sent_at = record.deadline_sent_at.max(Some(answer.sent_at));
+        }
         let Some(entry) = record.runs.get_mut(&run) else {
             return;
         };
@@ -38,14 +42,15 @@
             read_at: now,
         };
         let is_ordered = matches!(entry.phase, RunPhase::Ordered(_));
-        match instance.reading().agrees_with(reading) {
+        let agrees = instance.reading().agrees_with(reading);
+        match answer.result {
             _ if !is_ordered => {}
-            true => {
-                entry.is_located |= answer.result == StartResult::Started && reading.is_exact();
+            result if agrees => {
+                entry.is_located |= result == StartResult::Started && reading.is_exact();
                 record.request_ack(now);
             }
-            false if record.contact == WorkerContact::Unclaimed => {}
-            false => {
+            _ if record.contact == WorkerContact::Unclaimed => {}
+            _ => {
                 let note = PipelineNote::ClockDiffers {
                     worker: WorkerId::clone(worker),
                     run,
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -530,7 +530,7 @@
         /// Start time of the former instance in ms since 1970.
         former_started_unix_ms: u64,
     },
-    /// All runs of a worker are known to have ended.
+    /// Runs of a worker are known to have ended without a report.
     WorkerLost {
         /// The worker whose runs have ended.
         worker: WorkerId,
@@ -551,7 +551,7 @@
     },
 }
 
-/// Why all runs of a worker are known to have ended.
+/// Why runs of a worker are known to have ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LossCause {
     /// Its lease lapsed without a renewal.
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -36,7 +36,8 @@
 const UNACKED_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
 impl PipelineState {
-    /// Handles the answer of a worker to a renewal with this stamp: claims the worker, applies the ends, and compares the runs with those that are expected.
+    /// Handles the answer of a worker to a renewal with this stamp: claims the worker, applies the
+    /// ends, and compares the runs with those that are expected.
     pub(super) fn handle_renewal_report(
         &mut self,
         worker: &WorkerId,
@@ -117,9 +118,9 @@
             record.inherited_until = Duration::ZERO;
             let age_ms = self.wall_ms.saturating_sub(report.started_unix_ms);
             let max_lease = self.config.max_lease;
-            let misjudged = record.misjudged_lease(Duration::from_millis(age_ms), max_lease, now);
+            let former = record.former_order_lease(Duration::from_millis(age_ms), max_lease, now);
             if let Some(instance) = &mut record.instance {
-                instance.assume_lease(self.config.inherited_lease.max(misjudged));
+                instance.assume_lease(self.config.inherited_lease.max(former));
             }
         }
         if former_contact != WorkerContact::Claimed {
--- a/crates/core/src/pipelines/tests/instance_faults.rs
+++ b/crates/core/src/pipelines/tests/instance_faults.rs
@@ -7,8 +7,8 @@
     pipeline_config, step, unclaimed_owner_with,
 };
 use crate::{
-    PipelineAction, PipelineConfig, PipelineEvent, RenewalFailure, StartAnswer, StartOrder,
-    StartResult,
+    PipelineAction, PipelineConfig, PipelineEvent, RenewalFailure, RenewalReport, RenewalStamp,
+    StartAnswer, StartOrder, StartResult,
 };
 
 /// Start time of the second instance of `w1`, in ms since 1970.
@@ -264,3 +264,120 @@
     assert!(start_count > 10);
     assert!(owner.actions.iter().any(is_ack));
 }
+
+/// Returns an owner that has acknowledged the first end of `w1` in a renewal without an answer yet.
+fn owner_with_pending_ack() -> OwnerFixture {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(1)]));
+    let first = owner.start_all().remove(0);
+    owner.report("w1", Vec::new(), vec![done(1, first.run)]);
+    owner.commit();
+    owner.submit(2, job(vec![step(1)]));
+    owner.commit();
+    owner
+}
+
+/// Reports the end of a run as the first one of the second instance, which lists it unless the
+/// latest renewal to which it could answer has acknowledged it.
+fn end_on_restarted(owner: &mut OwnerFixture, order: &StartOrder, acked_end: Option<u64>) {
+    let ended = match acked_end {
+        Some(0) | None => vec![done(1, order.run)],
+        Some(_) => Vec::new(),
+    };
+    owner.advance_clock(Duration::from_millis(100));
+    for _ in 0..2 {
+        owner.report_as_instance("w1", RESTARTED_MS, Vec::new(), ended.clone());
+    }
+}
+
+/// Guards against a second run of a task that ends on an instance that the owner has not met while
+/// an acknowledgement for the former one waits there: the stand-in of a worker forgets ends up to
+/// `last-seen` until it answers.
+#[test]
+fn a_start_is_not_sent_while_an_acknowledgement_has_no_answer() {
+    let mut owner = owner_with_pending_ack();
+    let acked_end = owner.acked_end("w1");
+    let order = owner.take_starts().remove(0);
+    let started = StartAnswer {
+        result: StartResult::Started,
+        sent_at: owner.now,
+        clock_ms: Some(300),
+    };
+    let event = PipelineEvent::StartAnswered("w1".into(), order.run, started);
+    owner.handle_event(event);
+
+    end_on_restarted(&mut owner, &order, acked_end);
+    let repeated = owner.start_all();
+
+    assert!(repeated.is_empty());
+}
+
+/// Guards against a claim by a report that answers a renewal of a former claim: orders that were
+/// sent since may have reached the worker after it.
+#[test]
+fn a_report_of_a_former_claim_has_no_effect() {
+    let mut owner = owner_of_w1(Duration::from_secs(6));
+    owner.submit(1, job(vec![step(1)]));
+    let start = owner.start_all().remove(0);
+    let former = RenewalStamp {
+        token: start.token,
+        sent_at: owner.now,
+    };
+    let report = RenewalReport {
+        started_unix_ms: INSTANCE_STARTED_MS,
+        clock_ms: u64::try_from(owner.now.as_millis()).unwrap(),
+        running: Vec::new(),
+        ended: Vec::new(),
+        has_more_ends: false,
+    };
+    add_w2(&mut owner);
+
+    fail_renewal(&mut owner);
+    owner.advance_clock(Duration::from_secs(7));
+    owner.start_all();
+    owner.handle_event(PipelineEvent::LeaseRenewed("w1".into(), former, report));
+    for number in 2..12 {
+        owner.submit(number, job(vec![step(1)]));
+    }
+    let starts = owner.start_all();
+
+    assert!(starts.iter().all(|order| &*order.worker == "w2"));
+}
+
+/// Guards against a run that counts as located on a new instance because it was on the former one.
+#[test]
+fn a_run_on_a_former_instance_is_not_located_on_the_new_one() {
+    let mut owner = owner_of_w1(Duration::from_secs(6));
+    owner.submit(1, job(vec![step(1)]));
+    let start = owner.start_all().remove(0);
+    owner.report("w1", vec![observed(start.run)], Vec::new());
+    add_w2(&mut owner);
+
+    owner.report_as_instance("w1", RESTARTED_MS, vec![observed(start.run)], Vec::new());
+    let record = &owner.state.workers["w1"];
+
+    assert!(!record.runs[&start.run].is_located);
+}
+
+/// Guards against renewals without a pause while a start order has no answer: a worker that lists
+/// ends answers each at once.
+#[test]
+fn renewals_pause_while_an_acknowledgement_is_withheld() {
+    let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(1)]));
+    let first = owner.start_all().remove(0);
+    owner.submit(2, job(vec![step(1)]));
+    owner.commit();
+    owner.take_starts();
+    owner.report("w1", Vec::new(), vec![done(1, first.run)]);
+    owner.commit();
+    owner.actions.clear();
+
+    let is_renewal = |action: &PipelineAction| matches!(action, PipelineAction::Renew(_));
+    owner.report("w1", Vec::new(), vec![done(1, first.run)]);
+    let at_once = owner.actions.iter().any(is_renewal);
+    owner.advance_clock(Duration::from_millis(100));
+
+    assert!(!at_once);
+    assert!(owner.actions.iter().any(is_renewal));
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -333,7 +333,7 @@
         runs.any(|run| run.may_be_elsewhere(self.reported_at))
     }
 
-    /// Makes a renewal due if the latest one withheld an acknowledgement for no more reason.
+    /// Makes a renewal due if the latest one withheld an acknowledgement and it can be sent now.
     pub(super) fn request_ack(&mut self, now: Duration) {
         let instance = self.instance.as_ref();
         let is_withheld = instance.is_some_and(|instance| instance.ends.is_withheld());
@@ -376,7 +376,7 @@
     /// Returns the rest of a lease that orders for a former instance may have granted to the known
     /// one, which has this age. Such orders have deadlines on another clock, so the lease may be as
     /// long as `max_lease`.
-    pub(super) fn misjudged_lease(
+    pub(super) fn former_order_lease(
         &self,
         age: Duration,
         max_lease: Duration,
--- a/crates/daemon/src/pipelines/orders.rs
+++ b/crates/daemon/src/pipelines/orders.rs
@@ -25,6 +25,10 @@
 /// renewals are not counted.
 const MAX_OPEN_ORDERS: usize = 3;
 
+/// Longest time for which a start order may wait for a connection. The owner counts the lease
+/// from its release.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(1);
+
 /// Delay before a stop that failed is sent a second time.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -149,11 +153,14 @@
         let connection = self.connection(&order.worker, &order.address);
         let (wrap_event, events) = (self.event_wrapper(), self.events.clone());
         let (ownership, clock) = (self.permit.clone(), self.clock);
+        let released_at = clock.now();
         self.runtime.spawn(async move {
             let _permit = connection.permits.acquire().await;
             let is_superseded = order.token < connection.latest_token.load(Ordering::Acquire);
             let sent_at = clock.now();
-            let (result, clock_ms) = if ownership.is_valid(sent_at) && !is_superseded {
+            let is_overdue = sent_at > released_at + MAX_ORDER_DELAY;
+            let can_send = ownership.is_valid(sent_at) && !is_superseded && !is_overdue;
+            let (result, clock_ms) = if can_send {
                 connection.client.start(&order).await
             } else {
                 (StartResult::NotSent, None)
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -683,6 +683,32 @@
     assert!(worker.starts().is_empty());
 }
 
+/// Guards against a lease that lasts longer than the owner waits: an order that has waited for a
+/// connection for long is sent, and the lease counts from its arrival.
+#[tokio::test]
+async fn a_start_that_has_waited_for_a_connection_for_long_is_not_sent() {
+    let worker = WorkerStandin::start("w1", Duration::from_secs(1)).await;
+    worker.cut_off();
+    let (events, mut received) = mpsc::channel(16);
+    let clock = BootClock::start();
+    let mut orders = WorkerOrders::new(Handle::current(), events, clock, service_id(), 1);
+    orders.permit_until(clock.now() + Duration::from_mins(1));
+
+    // Three orders are sent at a time, and each takes 0.7 s without an answer.
+    for _ in 0..9 {
+        orders.send(PipelineAction::Start(start_order(&worker)));
+    }
+    let mut results = Vec::new();
+    for _ in 0..9 {
+        results.extend(next_start_result(&mut received).await);
+    }
+
+    let unsent = results
+        .iter()
+        .filter(|result| **result == StartResult::NotSent);
+    assert_eq!(unsent.count(), 3);
+}
+
 /// Guards against a second run of a task: an order that waits for a connection while its worker
 /// is cut off is sent after the owner has given up the claim, and a restarted worker carries it
 /// out.
