Test that the summaries of an idle service are removed, and keep the event handler short

The test of an idle service passed without the release of its summaries: a daemon that is alone commits a change of its witnesses after 10 s, which removed them. It has two daemons now and waits for their witnesses first. A unit test shows when summaries are left to writes of their own.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -12,7 +12,7 @@
 };
 
 use auburnsaddle_core::{PipelineEvent, PipelineId, PipelinePhase, ServiceId};
-use auburnsaddle_platform::{HttpEndpoint, ItemChange, KeyLease, TransactionOutcome};
+use auburnsaddle_platform::{HttpEndpoint, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -220,17 +220,7 @@
                 self.update_predecessors();
                 self.update_witnesses();
             }
-            CellEvent::Summaries(update) => {
-                let changes = match update {
-                    PrefixUpdate::Snapshot(items) => {
-                        items.into_iter().map(ItemChange::Put).collect()
-                    }
-                    PrefixUpdate::Changes(changes) => changes,
-                };
-                for change in changes {
-                    self.apply_change(change);
-                }
-            }
+            CellEvent::Summaries(update) => self.apply_summaries(update),
             CellEvent::Jobs(service, epoch, update) => {
                 let handle = self.shards.get_mut(&service);
                 let Some(handle) = handle.filter(|handle| handle.shard.epoch() == epoch) else {
--- a/crates/daemon/src/cell/membership.rs
+++ b/crates/daemon/src/cell/membership.rs
@@ -9,6 +9,7 @@
 use crate::{
     job_table::JobSummary,
     pipelines::{CellKey, DaemonRegistration, MemberEntry, OwnerEntry, decode_value},
+    session::PrefixUpdate,
 };
 
 impl CellControl {
@@ -40,6 +41,17 @@
         self.update_witnesses();
     }
 
+    /// Applies an update of the summaries.
+    pub(super) fn apply_summaries(&mut self, update: PrefixUpdate) {
+        let changes = match update {
+            PrefixUpdate::Snapshot(items) => items.into_iter().map(ItemChange::Put).collect(),
+            PrefixUpdate::Changes(changes) => changes,
+        };
+        for change in changes {
+            self.apply_change(change);
+        }
+    }
+
     /// Applies a change of a summary, a member or an owner.
     pub(super) fn apply_change(&mut self, change: ItemChange) {
         match change {
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -27,7 +27,10 @@
     sessions::{OwnerSession, PredecessorList},
     shard::{CommitStatus, OwnedShard, ShardSettings},
 };
-use crate::{cell::CellEvent, pipelines::StoredJob, telemetry::BootClock, witness::WitnessList};
+use crate::{
+    cell::CellEvent, job_table::REMOVAL_SLACK, pipelines::StoredJob, telemetry::BootClock,
+    witness::WitnessList,
+};
 
 /// Largest value that the store of the tests accepts, in bytes.
 const MAX_VALUE_BYTES: usize = 64 << 10;
@@ -538,6 +541,21 @@
     assert!(records(&items).len() <= 130);
 }
 
+/// Guards against the last summaries of an idle service, which no commit removes, and against two
+/// removals of a summary, by a commit and by a write of its own.
+#[test]
+fn a_summary_that_no_commit_removes_is_released() {
+    let mut shard = shard_with_cancelled_job();
+    commit_all(&mut shard, &mut BTreeMap::new());
+    let expiry = Duration::from_mins(2);
+
+    shard.release_expired_summaries(expiry);
+    let is_kept_for_commits = shard.keeps_summary(1);
+    shard.release_expired_summaries(expiry + REMOVAL_SLACK);
+
+    assert_eq!((is_kept_for_commits, shard.keeps_summary(1)), (true, false));
+}
+
 /// Guards against quick advice requests that share a daemon with slow ones and wait
 /// half a second behind them.
 #[test]
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -441,7 +441,10 @@
 /// removes them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_last_summaries_of_an_idle_service_are_removed() {
-    let cell = start_cell_with_retention(1, Duration::from_millis(100), 2).await;
+    let cell = start_cell_with_retention(2, Duration::from_millis(100), 2).await;
+    cell.wait_for_owner().await;
+    // The owner commits a change of its witnesses after one second.
+    tokio::time::sleep(Duration::from_secs(3)).await;
     cell.submit(0, 1, &job(1)).await;
     cell.wait_for_job_state(0, 1, "completed").await;
 
