--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -12,7 +12,7 @@
 };
 
 use auburnsaddle_core::{PipelineEvent, PipelineId, PipelinePhase, ServiceId};
-use auburnsaddle_platform::{HttpEndpoint, ItemChange, KeyLease, TransactionOutcome};
+use auburnsaddle_platform::{HttpEndpoint, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
     sync::{mpsc, oneshot},
