--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -24,6 +24,14 @@
     }
 }
 
+/// Returns the size of a run by hand, with three series of restarts of workers.
+fn restart_size() -> SoakSize {
+    SoakSize {
+        restart_series: 3,
+        ..lasting_size(4, 8, 20)
+    }
+}
+
 async fn run_soak(seed: u64, size: SoakSize) -> SoakReport {
     let run = SoakRun {
         daemon_path: PathBuf::from(env!("CARGO_BIN_EXE_auburnsaddled")),
@@ -61,3 +69,20 @@
 
     assert_eq!(report.broken_promises, Vec::new());
 }
+
+/// Guards against second runs of tasks whose worker is restarted with an earlier clock and cut off
+/// before its owner has met the new instance (docs/incidents/twice-former-clock.md).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_workers_that_are_cut_off_violate_no_guarantee() {
+    let report = run_soak(460_011, restart_size()).await;
+
+    assert_eq!(report.broken_promises, Vec::new());
+}
+
+/// Guards against the same with a worker on which one task is at work in both places.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_worker_with_one_task_violates_no_guarantee() {
+    let report = run_soak(460_008, restart_size()).await;
+
+    assert_eq!(report.broken_promises, Vec::new());
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -206,9 +206,11 @@
     rng.set_stream(1);
     if size.restart_series > 0 && rng.random_bool(0.5) {
         faults.retain(|_| rng.random_bool(KEPT_SHARE));
-    }
-    for _ in 0..size.restart_series {
-        faults.extend(generate_restarts(&mut rng, size, end));
+        faults.extend(generate_single_restarts(&mut rng, size, end));
+    } else {
+        for _ in 0..size.restart_series {
+            faults.extend(generate_restarts(&mut rng, size, end));
+        }
     }
     faults.sort_by_key(|planned| planned.at);
     faults
@@ -270,6 +272,44 @@
     faults
 }
 
+/// Returns restarts of different workers, one each, with clocks behind that of the former
+/// instance. Each worker is cut off just after the first orders to the new instance, for longer
+/// than it holds its runs.
+fn generate_single_restarts(
+    rng: &mut impl Rng,
+    size: &SoakSize,
+    end: Duration,
+) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let first_worker = rng.random_range(0..size.workers);
+    let worker_count = (size.restart_series * 2).min(size.workers);
+    let mut at_ms = as_millis(WARM_UP_TIME);
+    for worker in (first_worker..).take(worker_count) {
+        let worker = worker % size.workers;
+        let clock = InstanceClock::Behind(Duration::from_millis(
+            rng.random_range(1_000..MAX_CLOCK_MS / 2),
+        ));
+        let restart = SoakFault::RestartInstance(worker, clock, FIRST_KIND);
+        let cut_at_ms = at_ms + rng.random_range(100..MAX_CUT_DELAYS_MS[0]);
+        let rows = [
+            (at_ms, rng.random_range(0..1_500), restart),
+            (
+                cut_at_ms,
+                rng.random_range(CUT_DURATIONS_MS[1].clone()),
+                SoakFault::CutWorker(worker),
+            ),
+        ];
+        let rows = rows.map(|(at_ms, lasts_ms, fault)| PlannedFault {
+            at: Duration::from_millis(at_ms),
+            lasts: Duration::from_millis(lasts_ms),
+            fault,
+        });
+        faults.extend(rows.into_iter().filter(|row| row.at < end));
+        at_ms += rng.random_range(0..3_000);
+    }
+    faults
+}
+
 fn generate_clock(rng: &mut impl Rng) -> InstanceClock {
     let any_time = Duration::from_millis(rng.random_range(0..MAX_CLOCK_MS));
     let short_time = Duration::from_millis(rng.random_range(0..10_000));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -48,13 +48,10 @@
 /// Identifier of the first job with small tasks, above those of the other jobs.
 const FIRST_SMALL_JOB: JobId = 0x1_0000;
 
-/// Time between the submissions of two jobs with small tasks.
-const SMALL_JOB_INTERVAL: Duration = Duration::from_millis(500);
-
-/// In a run with restarts, jobs are submitted for this time, and then none is for as long. An
-/// order that has no response tells the owner as much as a lost renewal, so cuts also need
-/// workers that get no orders.
-const LOAD_PHASE: Duration = Duration::from_secs(2);
+/// Time from the submission of a job with small tasks in which no other job is submitted. An order
+/// that has no response tells the owner as much as a lost renewal, so the workers that are cut off
+/// after a restart must get no orders then.
+const QUIET_TIME: Duration = Duration::from_secs(2);
 
 /// Time between the submissions of two jobs.
 const JOB_INTERVAL: Duration = Duration::from_millis(60);
@@ -357,8 +354,7 @@
             while next_job_at <= now {
                 next_job_at += job_interval;
                 id += 1;
-                let phase = now.as_millis() / LOAD_PHASE.as_millis();
-                if has_restarts && now >= LASTING_JOBS_AT + LOAD_PHASE && phase % 2 == 1 {
+                if self.is_quiet() {
                     continue;
                 }
                 if lasting_left > 0 && now >= LASTING_JOBS_AT {
@@ -389,13 +385,16 @@
         Ok(())
     }
 
+    /// Returns whether a job with small tasks was submitted less than [`QUIET_TIME`] ago.
+    fn is_quiet(&self) -> bool {
+        self.last_small_job_at
+            .is_some_and(|at| at.elapsed() < QUIET_TIME)
+    }
+
     /// Submits a job with small tasks that last, twice as many as workers, unless one was submitted
     /// just now.
     fn submit_small_job(&mut self) {
-        let is_due = self
-            .last_small_job_at
-            .is_none_or(|at| at.elapsed() > SMALL_JOB_INTERVAL);
-        if !is_due || self.small_job_count == SMALL_JOB_COUNT {
+        if self.is_quiet() || self.small_job_count == SMALL_JOB_COUNT {
             return;
         }
         let id = FIRST_SMALL_JOB + self.small_job_count;
