--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -12,7 +12,7 @@
 };
 
 use auburnsaddle_core::{PipelineEvent, PipelineId, PipelinePhase, ServiceId};
-use auburnsaddle_platform::{HttpEndpoint, ItemChange, KeyLease, TransactionOutcome};
+use auburnsaddle_platform::{HttpEndpoint, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -303,17 +303,6 @@
         }
     }
 
-    /// Applies what the store's watch of the summaries delivers.
-    fn apply_summaries(&mut self, update: PrefixUpdate) {
-        let changes = match update {
-            PrefixUpdate::Snapshot(items) => items.into_iter().map(ItemChange::Put).collect(),
-            PrefixUpdate::Changes(changes) => changes,
-        };
-        for change in changes {
-            self.apply_change(change);
-        }
-    }
-
     /// Handles the outcome of a commit: executes what waited for it, sends it again, or
     /// gives up the service.
     fn finish_commit(&mut self, service: &ServiceId, epoch: u64, outcome: &TransactionOutcome) {
