--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -272,11 +272,10 @@
 
     /// Returns whether an entry shows that the worker was restarted after the known instance began.
     pub(super) fn is_superseded_by(&self, listing: &WorkerListing) -> bool {
-        let known_ms = self
-            .instance
-            .as_ref()
-            .map(|instance| instance.started_unix_ms);
-        listing.started_unix_ms > known_ms && known_ms.is_some()
+        let started_ms = listing.started_unix_ms;
+        started_ms
+            .zip(self.instance.as_ref())
+            .is_some_and(|(started_ms, instance)| started_ms > instance.started_unix_ms)
     }
 
     pub(super) fn free_resources(&self) -> ResourceVector {
