--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 mod calls;
 mod health;
 mod hosts;
+mod instances;
 mod journal;
 mod keys;
 mod membership;
@@ -92,7 +93,7 @@
 pub use ownership::{OwnershipEvent, ShardPhase};
 pub use pipelines::{AdviceOrder, AdvicePolicy, AdviceReport, CommitEntry, EndedRun};
 pub use pipelines::{
-    LossCause, ObservedRun, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport,
+    LossCause, ObservedRun, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport, RenewalStamp,
 };
 pub use pipelines::{MAX_OPEN_TASKS, MAX_PREDECESSOR_TIME, UNCONFIRMED_RENEWAL_TIME};
 pub use pipelines::{PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad};
@@ -100,7 +101,7 @@
 pub use pipelines::{PipelinePhase, PipelineProgress, PipelineSchedule, PipelineSpec};
 pub use pipelines::{PipelineState, ProgressCommit, QueuePolicy, RunEnd, RunKey};
 pub use pipelines::{
-    StartOrder, StartResult, StepKey, StepProgress, StepSpec, StepWait, StopOrder,
+    StartAnswer, StartOrder, StartResult, StepKey, StepProgress, StepSpec, StepWait, StopOrder,
 };
 pub use pipelines::{TaskKey, TaskKeyError, TaskPlace, TaskProgress, WorkerListing};
 pub use publication::{ConfigAction, ConfigDelta, ConfigDigest, ConfigEvent, ConfigHead};
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -14,6 +14,8 @@
 pub struct WorkerListing {
     /// Identifier of the worker.
     pub worker: WorkerId,
+    /// Start time in ms since 1970 of the instance that wrote the entry, if the entry has it.
+    pub started_unix_ms: Option<u64>,
     /// Address at which the worker accepts orders.
     pub address: String,
     /// Total resources of the worker.
@@ -103,6 +105,15 @@
     pub has_more_ends: bool,
 }
 
+/// Which renewal a worker has answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RenewalStamp {
+    /// Fencing token of the renewal. The worker rejects orders with lower ones from then on.
+    pub token: Epoch,
+    /// When the renewal was sent.
+    pub sent_at: Duration,
+}
+
 /// Why the renewal of a lease failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RenewalFailure {
@@ -164,6 +175,28 @@
     }
 }
 
+/// The answer to a start order, or how the order failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartAnswer {
+    /// The outcome of the order.
+    pub result: StartResult,
+    /// When the order was sent.
+    pub sent_at: Duration,
+    /// Reading of the worker's own clock in ms, if the answer has one.
+    pub clock_ms: Option<u64>,
+}
+
+impl From<StartResult> for StartAnswer {
+    /// Returns an answer without a reading of the worker's clock.
+    fn from(result: StartResult) -> Self {
+        Self {
+            result,
+            sent_at: Duration::ZERO,
+            clock_ms: None,
+        }
+    }
+}
+
 /// An order to start a run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StartOrder {
@@ -256,12 +289,12 @@
     Listed(WorkerListing),
     /// A worker was removed from the registry.
     Delisted(WorkerId),
-    /// A worker answered the renewal of its lease that was sent at the given time.
-    LeaseRenewed(WorkerId, Duration, RenewalReport),
+    /// A worker answered a renewal of its lease.
+    LeaseRenewed(WorkerId, RenewalStamp, RenewalReport),
     /// The renewal of a worker's lease failed.
     RenewalFailed(WorkerId, RenewalFailure),
     /// The outcome of a start order.
-    StartAnswered(WorkerId, RunKey, StartResult),
+    StartAnswered(WorkerId, RunKey, StartAnswer),
     /// The outcome of a stop order: `true` if it was carried out, `false` if that is
     /// unknown.
     StopAnswered(WorkerId, RunKey, bool),
@@ -415,6 +448,26 @@
         running: usize,
         /// Number of ends that have not been acknowledged.
         ended: usize,
+        /// Start time of the worker instance in ms since 1970.
+        started_unix_ms: u64,
+        /// Fencing token of the claim.
+        token: Epoch,
+        /// Time until the lease lapses if it is not renewed.
+        lapses_in: Duration,
+    },
+    /// The answer to a start order has a reading of the worker's clock that does not fit that
+    /// of the known instance.
+    ClockDiffers {
+        /// The worker that answered.
+        worker: WorkerId,
+        /// The run that was ordered.
+        run: RunKey,
+        /// The outcome of the order.
+        result: StartResult,
+        /// Reading of the clock in the answer, in ms.
+        clock_ms: u64,
+        /// Reading of the clock of the known instance that was expected, in ms.
+        expected_ms: u64,
     },
     /// The renewal of a worker's lease failed. Nothing is placed on the worker until
     /// it answers.
@@ -472,6 +525,10 @@
         running: usize,
         /// Number of ends on the new instance.
         ended: usize,
+        /// Start time of the new instance in ms since 1970.
+        started_unix_ms: u64,
+        /// Start time of the former instance in ms since 1970.
+        former_started_unix_ms: u64,
     },
     /// All runs of a worker are known to have ended.
     WorkerLost {
@@ -479,10 +536,16 @@
         worker: WorkerId,
         /// Number of runs that have ended.
         runs: usize,
-        /// Number of these runs that last until their jobs are cancelled.
+        /// Number of other runs, which may be on an instance that the owner has not met.
+        kept: usize,
+        /// Number of the ended runs that last until their jobs are cancelled.
         long_running: usize,
         /// Time for which this owner had waited for an answer.
         silent_for: Duration,
+        /// Number of the runs that were ordered since the latest answered renewal was sent.
+        unreported: usize,
+        /// Time since the latest order with a deadline, if this owner has sent one.
+        ordered_ago: Option<Duration>,
         /// Why the runs have ended.
         cause: LossCause,
     },
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -33,6 +33,7 @@
 mod crashes;
 mod headroom;
 mod health;
+mod losses;
 mod messages;
 mod pace;
 mod place;
@@ -51,10 +52,10 @@
 
 pub use commit::{CommitEntry, ProgressCommit};
 pub use messages::{
-    AdviceOrder, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport, StartOrder,
+    AdviceOrder, PaceOrder, RenewalFailure, RenewalOrder, RenewalReport, RenewalStamp, StartOrder,
 };
 pub use messages::{AdviceReport, EndedRun, ObservedRun, PipelineAction, PipelineEvent, RunEnd};
-pub use messages::{LossCause, PipelineNote, StartResult, StopOrder, WorkerListing};
+pub use messages::{LossCause, PipelineNote, StartAnswer, StartResult, StopOrder, WorkerListing};
 pub use progress::{PipelinePhase, PipelineProgress, StepProgress, TaskPlace, TaskProgress};
 pub use requests::SLOW_DECISION_MS;
 pub use schedule::{PipelineConfig, UNCONFIRMED_RENEWAL_TIME};
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -4,16 +4,19 @@
 
 use super::{
     messages::{
-        EndedRun, LossCause, ObservedRun, PaceOrder, PipelineAction, PipelineNote, RenewalReport,
-        RunEnd,
+        EndedRun, ObservedRun, PaceOrder, PipelineAction, PipelineNote, RenewalReport,
+        RenewalStamp, RunEnd,
     },
     pace::next_share_percent,
     progress::{PipelinePhase, TaskPlace},
     spec::{PipelineId, RunKey},
     state::PipelineState,
-    worker::{PendingAck, ReportStatus, RunPhase, WorkerContact, WorkerRun, lapse_time},
+    worker::{ORDER_TRANSIT_TIME, RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
+};
+use crate::{
+    instances::{ClockReading, WorkerInstance, lapse_time},
+    types::WorkerId,
 };
-use crate::types::WorkerId;
 
 /// Minimum time between two changes of the shares on a worker. A report covers half a
 /// second.
@@ -25,58 +28,58 @@
 /// Time for which other workers are preferred to one with consecutive failures.
 const FAILURE_PENALTY: Duration = Duration::from_secs(4);
 
-/// Time within which an order that was sent reaches its worker or is lost.
-const ORDER_TRANSIT_TIME: Duration = Duration::from_secs(3);
+/// Delay of the next renewal while ends are not acknowledged as start orders have no answer: the
+/// worker answers at once while it has ends.
+const WITHHELD_RENEWAL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Delay of the next renewal while reported ends wait to become durable.
 const UNACKED_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
 impl PipelineState {
-    /// Handles the answer of a worker to a renewal that was sent at `sent_at`: claims the
-    /// worker, applies the ends, and compares the runs with those that are expected.
+    /// Handles the answer of a worker to a renewal with this stamp: claims the worker, applies the ends, and compares the runs with those that are expected.
     pub(super) fn handle_renewal_report(
         &mut self,
         worker: &WorkerId,
-        sent_at: Duration,
+        stamp: RenewalStamp,
         report: &RenewalReport,
         now: Duration,
     ) {
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        record.is_renewal_pending = false;
-        record.missed_renewals = 0;
-        record.answered_at = now;
-        if record
-            .started_unix_ms
-            .is_some_and(|known_start_ms| known_start_ms != report.started_unix_ms)
-        {
-            self.handle_worker_restart(worker, sent_at, report, now);
+        // A report under a former claim says nothing about orders that may have arrived since.
+        if stamp.token != record.token(self.epoch) {
             return;
         }
-        record.started_unix_ms = Some(report.started_unix_ms);
-        record.clock = Some((report.clock_ms, now));
-        let is_claim = record.contact == WorkerContact::Unclaimed;
-        if record.contact != WorkerContact::Claimed {
-            self.is_placement_due = true;
-            self.actions
-                .push(PipelineAction::Log(PipelineNote::WorkerClaimed {
-                    worker: WorkerId::clone(worker),
-                    running: report.running.len(),
-                    ended: report.ended.len(),
-                }));
-        }
-        record.contact = WorkerContact::Claimed;
-        if is_claim {
-            // The claim fences the previous owner, which may have granted a lease just before.
-            record.inherited_until = Duration::ZERO;
-            record.assume_lease(report.clock_ms, self.config.inherited_lease);
-            // The clock of an instance starts with it, and an order for the former instance has
-            // a deadline on another clock.
-            let transit_ms = u64::try_from(ORDER_TRANSIT_TIME.as_millis()).unwrap_or(u64::MAX);
-            record.assume_lease(report.clock_ms.min(transit_ms), self.config.max_lease);
+        let sent_at = stamp.sent_at;
+        record.renewal = RenewalStatus::Settled;
+        record.missed_renewals = 0;
+        record.answered_at = now;
+        record.reported_at = sent_at;
+        let reading = ClockReading {
+            clock_ms: report.clock_ms,
+            sent_at,
+            read_at: now,
+        };
+        match &mut record.instance {
+            Some(instance) if instance.started_unix_ms != report.started_unix_ms => {
+                let is_fenced = !record.is_token_used;
+                self.handle_worker_restart(worker, reading, report, now);
+                // Start orders with the token of this renewal may have reached the new instance.
+                if !is_fenced {
+                    return;
+                }
+            }
+            Some(instance) => instance.set_reading(reading),
+            None => {
+                let instance = self.create_instance(report.started_unix_ms, reading);
+                self.insert_instance(worker, instance);
+            }
         }
-        let processed = record.processed_end;
+        self.claim_worker(worker, report, now);
+        let Some(processed) = self.processed_end(worker) else {
+            return;
+        };
         let ended = report.ended.iter().filter(|end| end.number > processed);
         let ended: Vec<&EndedRun> = ended.collect();
         for end in &ended {
@@ -86,27 +89,73 @@
         self.drop_missing_runs(worker, report, sent_at, now);
         self.update_runtime_ratios(worker, now);
         self.pace_best_effort_runs(worker, now);
-        // The ends are acknowledged once the changes made here are durable.
-        let serial = self.serial;
-        let durable = self.durable_serial;
+        let last_end = ended.last().map(|end| end.number);
+        self.schedule_renewal(worker, last_end, now);
+    }
+
+    fn insert_instance(&mut self, worker: &WorkerId, instance: WorkerInstance) {
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.instance = Some(instance);
+        }
+    }
+
+    /// Returns the number of the last end of the known instance that was handled.
+    fn processed_end(&self, worker: &WorkerId) -> Option<u64> {
+        let instance = self.workers.get(worker)?.instance.as_ref()?;
+        Some(instance.ends.processed())
+    }
+
+    /// Claims a worker whose instance has answered with the current token.
+    fn claim_worker(&mut self, worker: &WorkerId, report: &RenewalReport, now: Duration) {
+        let Some(record) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let former_contact = record.contact;
+        record.contact = WorkerContact::Claimed;
+        if former_contact == WorkerContact::Unclaimed {
+            // The claim fences the previous owner, which may have granted a lease just before.
+            record.inherited_until = Duration::ZERO;
+            let age_ms = self.wall_ms.saturating_sub(report.started_unix_ms);
+            let max_lease = self.config.max_lease;
+            let misjudged = record.misjudged_lease(Duration::from_millis(age_ms), max_lease, now);
+            if let Some(instance) = &mut record.instance {
+                instance.assume_lease(self.config.inherited_lease.max(misjudged));
+            }
+        }
+        if former_contact != WorkerContact::Claimed {
+            self.is_placement_due = true;
+            let note = PipelineNote::WorkerClaimed {
+                worker: WorkerId::clone(worker),
+                running: report.running.len(),
+                ended: report.ended.len(),
+                started_unix_ms: report.started_unix_ms,
+                token: record.token(self.epoch),
+                lapses_in: record.lapses_at().saturating_sub(now),
+            };
+            self.actions.push(PipelineAction::Log(note));
+        }
+    }
+
+    /// Sets the time of the next renewal after a report, whose last new end has this number. The
+    /// ends are acknowledged once the changes made so far are durable.
+    fn schedule_renewal(&mut self, worker: &WorkerId, last_end: Option<u64>, now: Duration) {
+        let (serial, durable) = (self.serial, self.durable_serial);
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
         record.renewal_due = now;
-        if let Some(last) = ended.last() {
-            record.processed_end = last.number;
-            record.pending_ack = Some(PendingAck {
-                serial,
-                end: last.number,
-            });
+        let has_open_orders = record.may_have_unmet_runs();
+        let Some(instance) = &mut record.instance else {
+            return;
+        };
+        if let Some(end) = last_end {
+            instance.ends.record_processed(end, serial);
         }
-        match record.pending_ack {
-            Some(ack) if ack.serial <= durable => {
-                record.acked_end = ack.end;
-                record.pending_ack = None;
-            }
-            Some(_) => record.renewal_due = now + UNACKED_RENEWAL_INTERVAL,
-            None => {}
+        instance.ends.record_durable(durable);
+        if instance.ends.has_pending() {
+            record.renewal_due = now + UNACKED_RENEWAL_INTERVAL;
+        } else if has_open_orders && last_end.is_none() && instance.ends.is_withheld() {
+            record.renewal_due = now + WITHHELD_RENEWAL_INTERVAL;
         }
     }
 
@@ -118,7 +167,7 @@
     fn handle_worker_restart(
         &mut self,
         worker: &WorkerId,
-        sent_at: Duration,
+        reading: ClockReading,
         report: &RenewalReport,
         now: Duration,
     ) {
@@ -126,18 +175,23 @@
         let ended = report.ended.iter().map(|end| end.run);
         let present: BTreeSet<RunKey> = running.chain(ended).collect();
         let has_ended = |run: &RunKey, entry: &WorkerRun| {
-            matches!(entry.phase, RunPhase::Started(at) if at < sent_at)
+            matches!(entry.phase, RunPhase::Started(at) if at < reading.sent_at)
                 && !present.contains(run)
                 && !report.has_more_ends
         };
         let suspects = self.blame_runs(worker, has_ended);
-        self.reset_worker(worker, Some(report.started_unix_ms), now);
+        let instance = self.create_instance(report.started_unix_ms, reading);
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
+        let former = record.instance.replace(instance);
+        if record.is_token_used {
+            record.give_up_claim(now);
+            record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
+        }
         let (mut lost, mut stopping) = (Vec::new(), Vec::new());
         for (run, entry) in &mut record.runs {
+            entry.is_located = false;
             match entry.phase {
                 _ if has_ended(run, entry) => lost.push((*run, entry.placed_at)),
                 RunPhase::Stopping(_) => {
@@ -153,6 +207,8 @@
             lost: lost.len(),
             running: report.running.len(),
             ended: report.ended.len(),
+            started_unix_ms: report.started_unix_ms,
+            former_started_unix_ms: former.map_or(0, |former| former.started_unix_ms),
         });
         for (run, placed_at) in lost {
             self.log_lost_run(worker, run, placed_at, now);
@@ -175,6 +231,7 @@
             match record.runs.get_mut(&observed.run) {
                 Some(entry) => {
                     entry.report = ReportStatus::Reported;
+                    entry.is_located = true;
                     if matches!(entry.phase, RunPhase::Inherited | RunPhase::Ordered(_)) {
                         entry.phase = RunPhase::Started(now);
                         entry.progressed_at = now;
@@ -251,12 +308,12 @@
             return;
         };
         let run = record.remove_run(ended.run);
-        match ended.end {
-            RunEnd::Done => record.consecutive_failures = 0,
-            RunEnd::Failed => {
-                record.consecutive_failures += 1;
-                if record.consecutive_failures >= FAILURES_BEFORE_PENALTY {
-                    record.penalized_until = now + FAILURE_PENALTY;
+        match (&mut record.instance, ended.end) {
+            (Some(instance), RunEnd::Done) => instance.consecutive_failures = 0,
+            (Some(instance), RunEnd::Failed) => {
+                instance.consecutive_failures += 1;
+                if instance.consecutive_failures >= FAILURES_BEFORE_PENALTY {
+                    instance.penalized_until = now + FAILURE_PENALTY;
                 }
             }
             _ => {}
@@ -291,48 +348,9 @@
         }
     }
 
-    /// Removes a run that is not on the worker, so that its task is placed again.
-    pub(super) fn drop_run(&mut self, worker: &WorkerId, run: RunKey, now: Duration) {
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.remove_run(run);
-        }
-        self.apply_run_end(run, None, now);
-    }
-
-    /// Removes all runs of a worker, which are known to have ended.
-    pub(super) fn drop_all_runs(&mut self, worker: &WorkerId, cause: LossCause, now: Duration) {
-        let Some(record) = self.workers.get(worker) else {
-            return;
-        };
-        let runs = record.runs.iter();
-        let runs: Vec<(RunKey, Duration)> =
-            runs.map(|(run, entry)| (*run, entry.placed_at)).collect();
-        self.log_note(PipelineNote::WorkerLost {
-            worker: WorkerId::clone(worker),
-            runs: runs.len(),
-            long_running: record.long_running_count(),
-            silent_for: now.saturating_sub(record.answered_at),
-            cause,
-        });
-        for (run, placed_at) in runs {
-            self.log_lost_run(worker, run, placed_at, now);
-            self.drop_run(worker, run, now);
-        }
-    }
-
-    /// Logs a run that has ended without a report of its end.
-    fn log_lost_run(&mut self, worker: &WorkerId, run: RunKey, placed_at: Duration, now: Duration) {
-        self.log_note(PipelineNote::RunEnded {
-            run,
-            worker: WorkerId::clone(worker),
-            end: None,
-            age: now.saturating_sub(placed_at),
-        });
-    }
-
     /// Applies the end of a run to the progress of its job. `end` is `None` if the run
     /// was not started, or disappeared without a reported end.
-    fn apply_run_end(&mut self, run: RunKey, end: Option<RunEnd>, now: Duration) {
+    pub(super) fn apply_run_end(&mut self, run: RunKey, end: Option<RunEnd>, now: Duration) {
         // The resources of the run are free again.
         self.is_placement_due = true;
         let key = run.task.step;
@@ -437,8 +455,9 @@
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        if now < record.pace_due {
-            return;
+        match &record.instance {
+            Some(instance) if now >= instance.pace_due => {}
+            _ => return,
         }
         let tails = record.runs.values().filter_map(|run| {
             let objective = run.target_tail_ms?;
@@ -454,7 +473,9 @@
         });
         let changes: Vec<(RunKey, u32)> = changes.collect();
         for (key, percent) in changes {
-            record.pace_due = now + PACE_INTERVAL;
+            if let Some(instance) = &mut record.instance {
+                instance.pace_due = now + PACE_INTERVAL;
+            }
             if let Some(run) = record.runs.get_mut(&key) {
                 run.pace_percent = percent;
             }
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -20,7 +20,7 @@
     spec::{PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
     wait::StepWait,
-    worker::{ReportStatus, RunPhase, WorkerContact, WorkerRun},
+    worker::{RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
 };
 use crate::types::WorkerId;
 
@@ -439,7 +439,9 @@
             let mut ticket = None;
             if let Some(record) = self.workers.get_mut(&worker) {
                 let cache = self.ticket_caches.get(&key);
-                let usable = cache.and_then(|cache| cache.ticket(record.instance, now));
+                let usable = cache.zip(record.instance.as_ref());
+                let usable =
+                    usable.and_then(|(cache, instance)| cache.ticket(instance.number, now));
                 ticket = usable.map(str::to_owned);
                 let mut entry = WorkerRun::new(&step_spec, RunPhase::Ordered(0), now);
                 if task.is_suspect() {
@@ -461,7 +463,8 @@
     /// Sends the renewals that are due.
     pub(super) fn renew_leases(&mut self, now: Duration) {
         let due = self.workers.iter().filter(|(_, record)| {
-            record.listing.is_some() && !record.is_renewal_pending && now >= record.renewal_due
+            let is_settled = record.renewal == RenewalStatus::Settled;
+            record.listing.is_some() && is_settled && now >= record.renewal_due
         });
         let due: Vec<WorkerId> = due.map(|(worker, _)| WorkerId::clone(worker)).collect();
         for worker in due {
@@ -479,7 +482,8 @@
         let Some(listing) = &record.listing else {
             return;
         };
-        if record.is_renewal_pending || now < record.renewal_due || !may_renew {
+        let is_pending = record.renewal != RenewalStatus::Settled;
+        if is_pending || now < record.renewal_due || !may_renew || !record.has_token() {
             return;
         }
         let address = listing.address.clone();
@@ -489,22 +493,27 @@
             // not extended.
             WorkerContact::Unclaimed | WorkerContact::Doubted => (None, Duration::ZERO),
             WorkerContact::Claimed => {
-                let wait = match record.pending_ack {
-                    Some(_) => Duration::ZERO,
-                    None => self.config.renewal_wait,
+                let has_pending = record
+                    .instance
+                    .as_ref()
+                    .is_some_and(|known| known.ends.has_pending());
+                let wait = if has_pending {
+                    Duration::ZERO
+                } else {
+                    self.config.renewal_wait
                 };
                 let extended = may_extend.then(|| record.extend_lease(self.config.lease, now));
-                (extended.flatten(), wait)
+                let deadline_ms = extended.flatten();
+                record.deadline_sent_at = deadline_ms.map(|_| now).or(record.deadline_sent_at);
+                (deadline_ms, wait)
             }
         };
-        let acked_end = match record.contact {
-            WorkerContact::Claimed => record.acked_end,
-            // The worker may have been restarted, and the ends of its new instance, which have
-            // the same numbers, must not be discarded.
-            WorkerContact::Unclaimed | WorkerContact::Doubted => 0,
-        };
-        record.is_renewal_pending = true;
-        record.is_renewal_misdirected = false;
+        // A new instance must not discard ends of its own, which have the same numbers. It has none
+        // if the known one has got all orders.
+        let is_withheld = record.contact != WorkerContact::Claimed || record.may_have_unmet_runs();
+        let instance = record.instance.as_mut();
+        let acked_end = instance.map_or(0, |instance| instance.ends.next_ack(is_withheld));
+        record.renewal = RenewalStatus::Pending;
         self.actions.push(PipelineAction::Renew(RenewalOrder {
             worker: WorkerId::clone(worker),
             address,
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -19,9 +19,12 @@
     schedule::PipelineConfig,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
     wait::WaitRecord,
-    worker::{InstanceNumber, RunPhase, WorkerContact, WorkerRecord},
+    worker::{RenewalStatus, RunPhase, WorkerContact, WorkerRecord},
+};
+use crate::{
+    instances::{ClockReading, InstanceNumber, WorkerInstance},
+    types::{Epoch, WorkerId},
 };
-use crate::types::{Epoch, WorkerId};
 
 /// Number of times that a start order is sent without an answer before the run is
 /// stopped.
@@ -95,9 +98,9 @@
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
     /// Workers that are listed or may have runs.
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
-    /// Largest number of claims that were given up on a worker that was removed. If it
-    /// returns, it must not be claimed with a lower fencing token than before.
-    pub(super) removed_claims: u64,
+    /// Number of claims that were given up on each worker that was removed. If it returns, it is
+    /// claimed with a higher fencing token than before.
+    pub(super) removed_claims: BTreeMap<WorkerId, u64>,
     /// Number of the worker instance that was added last.
     pub(super) last_instance: InstanceNumber,
     /// Ready steps of all jobs, in the order in which they are placed.
@@ -161,7 +164,7 @@
             wall_ms: 0,
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
-            removed_claims: 0,
+            removed_claims: BTreeMap::new(),
             last_instance: 0,
             ready: BTreeSet::new(),
             waits: BTreeMap::new(),
@@ -194,14 +197,15 @@
             PipelineEvent::Cancelled(id) => self.cancel_pipeline(id, now),
             PipelineEvent::Listed(listing) => self.update_listing(listing, now),
             PipelineEvent::Delisted(worker) => self.remove_listing(&worker),
-            PipelineEvent::LeaseRenewed(worker, sent_at, report) => {
-                self.handle_renewal_report(&worker, sent_at, &report, now);
+            PipelineEvent::LeaseRenewed(worker, stamp, report) => {
+                self.handle_renewal_report(&worker, stamp, &report, now);
             }
             PipelineEvent::RenewalFailed(worker, failure) => {
                 self.handle_renewal_failure(&worker, failure, now);
             }
-            PipelineEvent::StartAnswered(worker, run, result) => {
-                self.handle_start_result(&worker, run, result, now);
+            PipelineEvent::StartAnswered(worker, run, answer) => {
+                self.compare_clock(&worker, run, answer, now);
+                self.handle_start_result(&worker, run, answer.result, now);
             }
             PipelineEvent::StopAnswered(worker, run, is_done) => {
                 let worker_record = self.workers.get_mut(&worker);
@@ -339,25 +343,22 @@
         inherited_until: Duration,
         now: Duration,
     ) -> &mut WorkerRecord {
-        let (last_instance, claims) = (&mut self.last_instance, self.removed_claims);
+        let removed = &self.removed_claims;
         let record = self.workers.entry(WorkerId::clone(worker));
         record.or_insert_with(|| {
-            *last_instance += 1;
-            WorkerRecord::new(*last_instance, inherited_until, claims, now)
+            let claims = removed.get(worker).copied().unwrap_or_default();
+            WorkerRecord::new(inherited_until, claims, now)
         })
     }
 
-    /// Resets a worker that was restarted, which invalidates its tickets.
-    pub(super) fn reset_worker(
+    /// Returns the state of an instance that has answered for the first time.
+    pub(super) fn create_instance(
         &mut self,
-        worker: &WorkerId,
-        started_unix_ms: Option<u64>,
-        now: Duration,
-    ) {
+        started_unix_ms: u64,
+        reading: ClockReading,
+    ) -> WorkerInstance {
         self.last_instance += 1;
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.reset_instance(self.last_instance, started_unix_ms, now);
-        }
+        WorkerInstance::new(self.last_instance, started_unix_ms, reading)
     }
 
     fn cancel_pipeline(&mut self, id: PipelineId, now: Duration) {
@@ -379,10 +380,13 @@
         let listing_interval = self.config.listing_interval;
         let record = self.ensure_worker(&listing.worker, inherited_until, now);
         let is_new = record.listing.is_none();
-        let is_already_draining = record
-            .listing
-            .as_ref()
-            .is_some_and(|known| known.is_draining);
+        // The departure in an entry is that of the instance that wrote it.
+        let known = record.listing.as_ref();
+        let known = known.filter(|known| known.started_unix_ms == listing.started_unix_ms);
+        let is_already_draining = known.is_some_and(|known| known.is_draining);
+        if known.is_none() {
+            record.evacuate_at = None;
+        }
         let is_pending = record.evacuate_at.is_some();
         if listing.is_draining && (is_pending || !is_already_draining) {
             // An entry that is read for the first time may be as old as the interval.
@@ -397,9 +401,14 @@
         let has_new_address = record
             .address()
             .is_some_and(|address| address != listing.address);
+        if record.contact != WorkerContact::Unclaimed && record.is_superseded_by(&listing) {
+            record.give_up_claim(now);
+        }
         record.listing = Some(listing);
         if has_new_address {
-            record.is_renewal_misdirected = record.is_renewal_pending;
+            if record.renewal == RenewalStatus::Pending {
+                record.renewal = RenewalStatus::Misdirected;
+            }
             record.renewal_due = now;
         }
     }
@@ -421,7 +430,8 @@
 
     fn remove_worker(&mut self, worker: &WorkerId) {
         if let Some(record) = self.workers.remove(worker) {
-            self.removed_claims = self.removed_claims.max(record.claims);
+            self.removed_claims
+                .insert(WorkerId::clone(worker), record.claims + 1);
         }
     }
 
@@ -434,14 +444,13 @@
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        record.is_renewal_pending = false;
+        let status = std::mem::replace(&mut record.renewal, RenewalStatus::Settled);
         match failure {
-            RenewalFailure::OtherInstance if !record.is_renewal_misdirected => {
+            RenewalFailure::OtherInstance if status != RenewalStatus::Misdirected => {
                 // Another worker answers at the address, so this instance has ended.
                 record.listing = None;
                 let suspects = self.blame_runs(worker, |_, _| true);
-                self.reset_worker(worker, None, now);
-                self.drop_all_runs(worker, LossCause::Replaced, now);
+                self.drop_runs(worker, LossCause::Replaced, now, |_, _| true);
                 self.fail_crashing_jobs(&suspects, now);
                 self.remove_worker(worker);
             }
@@ -522,11 +531,16 @@
                     }
                     StartResult::BadTicket => {
                         if let Some(cache) = self.ticket_caches.get_mut(&run.task.step) {
-                            cache.reject_ticket(record.instance);
+                            let instance = record.instance.as_ref();
+                            cache.reject_ticket(instance.map_or(0, |known| known.number));
                         }
                     }
                     StartResult::NotSent => {}
-                    _ => record.penalized_until = now + REJECTION_PENALTY,
+                    _ => {
+                        if let Some(instance) = &mut record.instance {
+                            instance.penalized_until = now + REJECTION_PENALTY;
+                        }
+                    }
                 }
                 self.log_rejected_start(worker, run, result);
                 self.drop_run(worker, run, now);
@@ -568,18 +582,7 @@
         self.stop_stalled_runs(now);
         self.evacuate_leaving_workers(now);
         self.log_unreached_workers(now);
-        let lapsed = self.workers.iter().filter(|(_, record)| {
-            !record.runs.is_empty()
-                && record.contact != WorkerContact::Claimed
-                && now >= record.lapses_at()
-        });
-        let lapsed: Vec<WorkerId> = lapsed.map(|(id, _)| WorkerId::clone(id)).collect();
-        for worker in lapsed {
-            if let Some(record) = self.workers.get_mut(&worker) {
-                record.reset_claim(now);
-            }
-            self.drop_all_runs(&worker, LossCause::LeaseLapsed, now);
-        }
+        self.drop_lapsed_runs(now);
         let overdue = self.workers.iter().flat_map(|(worker, record)| {
             let runs = record.runs.iter().filter(|(_, run)| {
                 run.phase == RunPhase::Stopping(None) && now >= run.stop_sent_at + STOP_RETRY_DELAY
--- a/crates/core/src/pipelines/tests/leases.rs
+++ b/crates/core/src/pipelines/tests/leases.rs
@@ -47,7 +47,9 @@
     owner.submit(1, job(vec![step(1)]));
     owner.commit();
     let first = owner.take_starts().remove(0);
-    let answer = |result| PipelineEvent::StartAnswered(first.worker.clone(), first.run, result);
+    let answer = |result: StartResult| {
+        PipelineEvent::StartAnswered(first.worker.clone(), first.run, result.into())
+    };
 
     owner.handle_event(answer(StartResult::Unanswered));
     let second = owner.take_starts();
@@ -78,7 +80,9 @@
     owner.submit(1, job(vec![step(1)]));
     owner.commit();
     let first = owner.take_starts().remove(0);
-    let answer = |result| PipelineEvent::StartAnswered(first.worker.clone(), first.run, result);
+    let answer = |result: StartResult| {
+        PipelineEvent::StartAnswered(first.worker.clone(), first.run, result.into())
+    };
 
     owner.handle_event(answer(StartResult::Unanswered));
     owner.handle_event(answer(StartResult::Unhealthy));
@@ -254,10 +258,15 @@
 }
 
 /// Guards against a worker that is never claimed again: it left the list and returned, and
-/// the owner's fencing token for it was lower than the one it had seen.
+/// the owner's fencing token for it was lower than the one it had seen; and against an order for
+/// its former instance that is carried out after the claim, as the token is the same.
 #[test]
-fn a_worker_that_is_listed_again_is_claimed_with_the_same_token() {
+fn a_worker_that_is_listed_again_is_claimed_with_a_higher_token() {
     let mut owner = owner(&["w1"]);
+    owner.submit(1, job(vec![step(1)]));
+    let start = owner.start_all().remove(0);
+    owner.report("w1", Vec::new(), vec![done(1, start.run)]);
+    owner.commit();
     owner.report_as_instance("w1", INSTANCE_STARTED_MS + 5_000, Vec::new(), Vec::new());
     let before = owner.renewal_token("w1");
 
@@ -265,7 +274,7 @@
     owner.handle_event(PipelineEvent::Listed(listing("w1")));
 
     assert!(before > Some(1 << 8));
-    assert_eq!(owner.renewal_token("w1"), before);
+    assert!(owner.renewal_token("w1") > before);
 }
 
 /// Guards against the loss of a worker that was restarted at another address, because the
@@ -342,3 +351,22 @@
 
     assert_eq!(latest, Some(500 + 5_000));
 }
+
+/// Guards against orders of a former claim that are carried out because the tokens of one ownership
+/// are used up, and against tokens of the next ownership.
+#[test]
+fn a_worker_is_not_claimed_once_the_tokens_of_the_ownership_are_used_up() {
+    let mut owner = owner(&["w1"]);
+    let mut tokens = Vec::new();
+
+    for _ in 0..300 {
+        owner.handle_event(PipelineEvent::Delisted("w1".into()));
+        owner.actions.clear();
+        owner.handle_event(PipelineEvent::Listed(listing("w1")));
+        tokens.extend(owner.renewal_token("w1"));
+    }
+
+    let next_epoch = 2 << 8;
+    assert!(tokens.is_sorted_by(|earlier, later| earlier < later));
+    assert_eq!(tokens.last(), Some(&(next_epoch - 1)));
+}
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -3,27 +3,29 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    health::RuntimeRatio,
     messages::{StopOrder, WorkerListing},
     spec::{RunKey, StepKey, StepSpec, TaskKey},
 };
-use crate::types::{Epoch, ResourceVector, WorkerId};
+use crate::{
+    instances::{WorkerInstance, lapse_time},
+    types::{Epoch, ResourceVector, WorkerId},
+};
 
 /// Number of low bits of a fencing token that count the claims of the worker within
 /// one ownership. The bits above hold the epoch.
 const CLAIM_BITS: u32 = 8;
 
-/// Lowest assumed rate of a worker's clock relative to that of the owner, in percent.
-const MIN_CLOCK_RATE_PERCENT: u32 = 98;
+/// Largest number of claims of a worker that are given up in one ownership. The tokens of further
+/// ones would be those of the next epoch.
+const MAX_CLAIMS: u64 = (1 << CLAIM_BITS) - 1;
 
-/// Allowance for the delay of the worker's timers after the end of a lease.
-const LEASE_LAPSE_SLACK: Duration = Duration::from_millis(300);
+/// Time within which an order that was sent reaches its worker or is lost.
+pub(super) const ORDER_TRANSIT_TIME: Duration = Duration::from_secs(3);
 
-/// Returns the time on the clock of the owner after which a lease of this length on
-/// the clock of a worker has lapsed.
-pub(super) fn lapse_time(lease: Duration) -> Duration {
-    lease * 100 / MIN_CLOCK_RATE_PERCENT + LEASE_LAPSE_SLACK
-}
+/// Age of an instance until which it may receive orders for its former one. An owner meets the
+/// instance with a renewal, which waits for up to 1 s, takes up to 2 s to fail and is followed by
+/// one without a wait; what it has sent until then is in transit.
+const FORMER_ORDER_TIME: Duration = Duration::from_secs(4).saturating_add(ORDER_TRANSIT_TIME);
 
 /// Phase of a run as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -85,6 +87,11 @@
     pub(super) stop_sent_at: Duration,
     /// When the run was placed or became known, for the log.
     pub(super) placed_at: Duration,
+    /// When the latest start order for the run was released.
+    pub(super) ordered_at: Option<Duration>,
+    /// Whether a report, or an answer with its clock, shows that the run is on the known instance
+    /// of the worker.
+    pub(super) is_located: bool,
 }
 
 impl WorkerRun {
@@ -105,14 +112,16 @@
             is_progress_ignored: step.long_running || step.gang,
             stop_sent_at: now,
             placed_at: now,
+            ordered_at: None,
+            is_located: false,
         }
     }
-}
 
-/// Number of a worker instance, unique within one ownership. A worker that was restarted or
-/// listed again gets a new number, so that what is known about its former instance does
-/// not apply to it.
-pub(super) type InstanceNumber = u32;
+    /// Returns whether the run may be on an instance that the owner has not met.
+    pub(super) const fn may_be_elsewhere(&self) -> bool {
+        self.ordered_at.is_some() && !self.is_located
+    }
+}
 
 /// Contact with a worker. Start orders are sent only to claimed workers. The names
 /// appear in the dump.
@@ -126,65 +135,42 @@
     Doubted,
 }
 
-/// Ends that are acknowledged once all changes up to a serial number are durable.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct PendingAck {
-    /// Serial number of the change that must be durable.
-    pub(super) serial: u64,
-    /// Number of the last end to acknowledge.
-    pub(super) end: u64,
+/// The latest renewal of a worker's lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RenewalStatus {
+    /// Its outcome is known or has no effect, or none was sent.
+    Settled,
+    /// It was sent and its outcome is not known.
+    Pending,
+    /// It is pending and was sent to a former address of the worker.
+    Misdirected,
 }
 
-/// A worker of the service, with its runs and its lease.
+/// A worker of the service, with its runs and the instance that answered last.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerRecord {
     /// Entry of the worker in the platform's registry; `None` if the worker is known
     /// only from the progress of a job.
     pub(super) listing: Option<WorkerListing>,
-    pub(super) instance: InstanceNumber,
+    /// What is known of the instance that answered last; `None` before the first answer.
+    pub(super) instance: Option<WorkerInstance>,
     pub(super) contact: WorkerContact,
+    /// Runs that may be on any instance of the worker.
     pub(super) runs: BTreeMap<RunKey, WorkerRun>,
     /// Resources that the runs reserve.
     pub(super) used: ResourceVector,
     /// CPU demand of the best-effort runs, in thousandths of a core.
     pub(super) best_effort_cpu_milli: u64,
-    /// Start time of the worker instance in ms since 1970, once it has answered.
-    pub(super) started_unix_ms: Option<u64>,
-    /// Latest reading of the worker's clock in ms, and the time at which it arrived.
-    pub(super) clock: Option<(u64, Duration)>,
-    /// Latest end of the lease that may have been granted, by any owner, in ms on the worker's
-    /// clock.
-    pub(super) granted_until_ms: u64,
-    /// Latest end of the lease in the orders of this owner's claim, in ms on the worker's clock.
-    /// A successor counts on it that none has a longer term than a renewal.
-    pub(super) ordered_until_ms: u64,
     /// Time by which the inherited runs have ended if this owner cannot claim the worker.
     pub(super) inherited_until: Duration,
-    /// Number of the last reported end that was handled.
-    pub(super) processed_end: u64,
-    /// Number of the last end that is durable, which renewals acknowledge.
-    pub(super) acked_end: u64,
-    /// Reported ends that are not durable yet.
-    pub(super) pending_ack: Option<PendingAck>,
-    /// Whether a renewal was sent and its outcome is not known.
-    pub(super) is_renewal_pending: bool,
-    /// Whether the pending renewal was sent to a former address of the worker.
-    pub(super) is_renewal_misdirected: bool,
+    pub(super) renewal: RenewalStatus,
     /// Earliest time of the next renewal.
     pub(super) renewal_due: Duration,
     /// Number of failed renewals since the last report.
     pub(super) missed_renewals: u32,
-    /// Until when other workers are preferred, because starts or runs failed here.
-    pub(super) penalized_until: Duration,
-    /// Number of consecutive failed runs.
-    pub(super) consecutive_failures: u32,
-    /// Earliest time of the next change of the CPU shares.
-    pub(super) pace_due: Duration,
     /// When the runs of a draining worker are stopped, so that their tasks are placed
     /// elsewhere; `None` if that was done or the worker is not draining.
     pub(super) evacuate_at: Option<Duration>,
-    /// Ratio of run time to estimate on this worker.
-    pub(super) runtime_ratio: RuntimeRatio,
     /// Number of claims that were given up in this ownership, the low bits of the
     /// fencing token.
     pub(super) claims: u64,
@@ -192,76 +178,58 @@
     pub(super) answered_at: Duration,
     /// Whether the log says that the worker has not been reached.
     pub(super) is_unreached_logged: bool,
+    /// When the latest answered renewal was sent.
+    pub(super) reported_at: Duration,
+    /// When the latest order with a deadline was released, to whichever instance.
+    pub(super) deadline_sent_at: Option<Duration>,
+    /// Whether a start order was released with the current token.
+    pub(super) is_token_used: bool,
 }
 
 impl WorkerRecord {
     /// Returns the record of a worker of which earlier records in this ownership have given
-    /// up at most `claims` claims.
-    pub(super) fn new(
-        instance: InstanceNumber,
-        inherited_until: Duration,
-        claims: u64,
-        now: Duration,
-    ) -> Self {
+    /// up this number of claims.
+    pub(super) fn new(inherited_until: Duration, claims: u64, now: Duration) -> Self {
         Self {
             listing: None,
-            instance,
+            instance: None,
             contact: WorkerContact::Unclaimed,
             runs: BTreeMap::new(),
             used: ResourceVector::default(),
             best_effort_cpu_milli: 0,
-            started_unix_ms: None,
-            clock: None,
-            granted_until_ms: 0,
-            ordered_until_ms: 0,
             inherited_until,
-            processed_end: 0,
-            acked_end: 0,
-            pending_ack: None,
-            is_renewal_pending: false,
-            is_renewal_misdirected: false,
+            renewal: RenewalStatus::Settled,
             renewal_due: now,
             missed_renewals: 0,
-            penalized_until: Duration::ZERO,
-            consecutive_failures: 0,
-            pace_due: Duration::ZERO,
             evacuate_at: None,
-            runtime_ratio: RuntimeRatio::default(),
             claims,
             answered_at: now,
             is_unreached_logged: false,
+            reported_at: Duration::ZERO,
+            deadline_sent_at: None,
+            is_token_used: false,
         }
     }
 
+    /// Returns whether this owner has a token left with which it can claim the worker. If not, no
+    /// order is sent until the next ownership.
+    pub(super) const fn has_token(&self) -> bool {
+        self.claims <= MAX_CLAIMS
+    }
+
     /// Returns the fencing token of the current claim, in an ownership with this epoch.
     pub(super) const fn token(&self, epoch: Epoch) -> Epoch {
         (epoch << CLAIM_BITS) | self.claims
     }
 
-    /// Gives up the claim. The next one has a higher token than every order sent so far.
-    pub(super) fn reset_claim(&mut self, now: Duration) {
+    /// Gives up the claim. The next one has a higher token than every order sent so far. An answer
+    /// to the pending renewal has no effect.
+    pub(super) fn give_up_claim(&mut self, now: Duration) {
         self.contact = WorkerContact::Unclaimed;
-        self.claims = (self.claims + 1).min((1 << CLAIM_BITS) - 1);
-        self.granted_until_ms = 0;
-        self.ordered_until_ms = 0;
-        self.clock = None;
-        self.pending_ack = None;
+        self.claims += 1;
+        self.is_token_used = false;
+        self.renewal = RenewalStatus::Settled;
         self.renewal_due = now;
-        self.inherited_until = now;
-    }
-
-    /// Resets the state that belonged to the previous instance of the worker.
-    pub(super) fn reset_instance(
-        &mut self,
-        instance: InstanceNumber,
-        started_unix_ms: Option<u64>,
-        now: Duration,
-    ) {
-        self.reset_claim(now);
-        self.instance = instance;
-        self.started_unix_ms = started_unix_ms;
-        self.processed_end = 0;
-        self.acked_end = 0;
     }
 
     pub(super) fn address(&self) -> Option<&str> {
@@ -276,7 +244,28 @@
             .listing
             .as_ref()
             .is_some_and(|listing| !listing.is_draining);
-        self.contact == WorkerContact::Claimed && is_listed
+        self.contact == WorkerContact::Claimed && is_listed && self.has_current_entry()
+    }
+
+    /// Returns whether the entry in the registry is that of the known instance. The capacity, the
+    /// labels and the departure in an entry are those of the instance that wrote it.
+    pub(super) fn has_current_entry(&self) -> bool {
+        let listing = self.listing.as_ref();
+        let started_ms = listing.and_then(|listing| listing.started_unix_ms);
+        let instance = self.instance.as_ref();
+        let is_other = started_ms
+            .zip(instance)
+            .is_some_and(|(started_ms, instance)| started_ms != instance.started_unix_ms);
+        !is_other
+    }
+
+    /// Returns whether an entry shows that the worker was restarted after the known instance began.
+    pub(super) fn is_superseded_by(&self, listing: &WorkerListing) -> bool {
+        let known_ms = self
+            .instance
+            .as_ref()
+            .map(|instance| instance.started_unix_ms);
+        listing.started_unix_ms > known_ms && known_ms.is_some()
     }
 
     pub(super) fn free_resources(&self) -> ResourceVector {
@@ -327,6 +316,20 @@
         runs.take_while(|(key, _)| key.task.step == step).count()
     }
 
+    /// Returns whether a run may be on an instance that the owner has not met.
+    pub(super) fn may_have_unmet_runs(&self) -> bool {
+        self.runs.values().any(WorkerRun::may_be_elsewhere)
+    }
+
+    /// Makes a renewal due if the latest one withheld an acknowledgement for no more reason.
+    pub(super) fn request_ack(&mut self, now: Duration) {
+        let instance = self.instance.as_ref();
+        let is_withheld = instance.is_some_and(|instance| instance.ends.is_withheld());
+        if is_withheld && !self.may_have_unmet_runs() {
+            self.renewal_due = self.renewal_due.min(now);
+        }
+    }
+
     /// Returns the number of runs that last until their jobs are cancelled.
     pub(super) fn long_running_count(&self) -> usize {
         let runs = self.runs.values();
@@ -345,46 +348,50 @@
         self.runs.values().any(|run| run.target_tail_ms.is_some())
     }
 
-    /// Returns an estimate of the worker's clock, which is ahead of it by at most the
-    /// drift since the latest reading.
-    pub(super) fn clock_at(&self, now: Duration) -> Option<u64> {
-        let (clock, read_at) = self.clock?;
-        let elapsed = u64::try_from(now.saturating_sub(read_at).as_millis()).ok()?;
-        Some(clock + elapsed)
-    }
-
-    /// Records that a lease of this length may have been granted at a reading of the
-    /// worker's clock.
-    pub(super) fn assume_lease(&mut self, clock_ms: u64, term: Duration) {
-        let term = u64::try_from(term.as_millis()).unwrap_or(u64::MAX);
-        self.granted_until_ms = self.granted_until_ms.max(clock_ms.saturating_add(term));
-    }
-
-    /// Extends the lease, and returns its end in ms on the worker's clock if the clock is
-    /// known.
+    /// Extends the lease of the known instance, and returns its end in ms on the worker's clock.
     pub(super) fn extend_lease(&mut self, term: Duration, now: Duration) -> Option<u64> {
-        let term = u64::try_from(term.as_millis()).ok()?;
-        let deadline = self.clock_at(now)? + term;
-        self.ordered_until_ms = self.ordered_until_ms.max(deadline);
-        self.granted_until_ms = self.granted_until_ms.max(deadline);
-        Some(self.ordered_until_ms)
-    }
-
-    /// Returns the end of the lease in the latest order, in ms on the worker's clock, unless it may
-    /// have passed.
-    pub(super) fn unexpired_lease(&self, now: Duration) -> Option<u64> {
-        let is_unexpired = self.clock_at(now)? < self.ordered_until_ms;
-        is_unexpired.then_some(self.ordered_until_ms)
+        let deadline_ms = self.instance.as_mut()?.extend_lease(term, now);
+        Some(deadline_ms)
     }
 
     /// Returns the time by which all runs on the worker have ended if its lease is not
     /// renewed.
     pub(super) fn lapses_at(&self) -> Duration {
-        let Some((clock, read_at)) = self.clock else {
-            return self.inherited_until;
+        let lapses_at = self.instance.as_ref().map(WorkerInstance::lapses_at);
+        lapses_at.unwrap_or_default().max(self.inherited_until)
+    }
+
+    /// Returns the rest of a lease that orders for a former instance may have granted to the known
+    /// one, which has this age. Such orders have deadlines on another clock, so the lease may be as
+    /// long as `max_lease`.
+    pub(super) fn misjudged_lease(
+        &self,
+        age: Duration,
+        max_lease: Duration,
+        now: Duration,
+    ) -> Duration {
+        let since_order = match (&self.instance, self.deadline_sent_at) {
+            (Some(instance), Some(sent_at)) if sent_at <= instance.met_at => {
+                now.saturating_sub(sent_at + ORDER_TRANSIT_TIME)
+            }
+            (_, Some(_)) => return Duration::ZERO,
+            // Orders of earlier owners.
+            (_, None) => age.saturating_sub(FORMER_ORDER_TIME),
         };
-        let left = Duration::from_millis(self.granted_until_ms.saturating_sub(clock));
-        (read_at + lapse_time(left)).max(self.inherited_until)
+        max_lease.saturating_sub(since_order)
+    }
+
+    /// Returns the time by which a run on the worker has ended if its lease is not renewed. An
+    /// instance that the owner has not met holds it for at most `max_lease` after an order, as the
+    /// deadline of the order is on another clock.
+    pub(super) fn run_lapses_at(&self, run: &WorkerRun, max_lease: Duration) -> Duration {
+        let lapses_at = self.lapses_at();
+        match self.deadline_sent_at {
+            Some(sent_at) if run.may_be_elsewhere() => {
+                lapses_at.max(sent_at + lapse_time(max_lease))
+            }
+            _ => lapses_at,
+        }
     }
 
     pub(super) fn stop_order(
@@ -393,6 +400,7 @@
         run: RunKey,
         epoch: Epoch,
     ) -> Option<StopOrder> {
+        self.has_token().then_some(())?;
         Some(StopOrder {
             worker: WorkerId::clone(worker),
             address: self.address()?.to_owned(),
