--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -376,7 +376,7 @@
 
     fn update_listing(&mut self, listing: WorkerListing, now: Duration) {
         self.is_placement_due = true;
-        let inherited_until = self.predecessor_runs_until();
+        let inherited_until = self.predecessor_runs_until(Duration::ZERO);
         let listing_interval = self.config.listing_interval;
         let record = self.ensure_worker(&listing.worker, inherited_until, now);
         let is_new = record.listing.is_none();
@@ -404,6 +404,7 @@
         if record.contact != WorkerContact::Unclaimed && record.is_superseded_by(&listing) {
             record.give_up_claim(now);
         }
+        let entry = listing.clone();
         record.listing = Some(listing);
         if has_new_address {
             if record.renewal == RenewalStatus::Pending {
@@ -411,6 +412,7 @@
             }
             record.renewal_due = now;
         }
+        self.keep_runs_of_young_instance(&entry, now);
     }
 
     /// Removes a worker that left the registry, once it has no runs.
@@ -501,6 +503,7 @@
                 self.mark_running(run.task.step.pipeline);
             }
             StartResult::Unanswered if unanswered_sends + 1 < MAX_START_SENDS => {
+                entry.unanswered_at = Some(now);
                 entry.phase = RunPhase::Ordered(unanswered_sends + 1);
                 let ticket = entry.ticket.clone();
                 let worker = WorkerId::clone(worker);
@@ -520,6 +523,9 @@
             // An earlier order may still arrive and start the run, so it is stopped
             // before its task is placed again.
             _ if !is_first_send || result == StartResult::Unanswered => {
+                if result == StartResult::Unanswered {
+                    entry.unanswered_at = Some(now);
+                }
                 self.log_rejected_start(worker, run, result);
                 self.stop_run(worker, run, now);
             }
