--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -98,9 +98,9 @@
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
     /// Workers that are listed or may have runs.
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
-    /// Largest number of claims that were given up on a worker that was removed. If it
-    /// returns, it must not be claimed with a lower fencing token than before.
-    pub(super) removed_claims: u64,
+    /// Number of claims that were given up on each worker that was removed. If it returns, it is
+    /// claimed with a higher fencing token than before.
+    pub(super) removed_claims: BTreeMap<WorkerId, u64>,
     /// Number of the worker instance that was added last.
     pub(super) last_instance: InstanceNumber,
     /// Ready steps of all jobs, in the order in which they are placed.
@@ -164,7 +164,7 @@
             wall_ms: 0,
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
-            removed_claims: 0,
+            removed_claims: BTreeMap::new(),
             last_instance: 0,
             ready: BTreeSet::new(),
             waits: BTreeMap::new(),
@@ -343,9 +343,12 @@
         inherited_until: Duration,
         now: Duration,
     ) -> &mut WorkerRecord {
-        let claims = self.removed_claims;
+        let removed = &self.removed_claims;
         let record = self.workers.entry(WorkerId::clone(worker));
-        record.or_insert_with(|| WorkerRecord::new(inherited_until, claims, now))
+        record.or_insert_with(|| {
+            let claims = removed.get(worker).copied().unwrap_or_default();
+            WorkerRecord::new(inherited_until, claims, now)
+        })
     }
 
     /// Returns the state of an instance that has answered for the first time.
@@ -377,10 +380,13 @@
         let listing_interval = self.config.listing_interval;
         let record = self.ensure_worker(&listing.worker, inherited_until, now);
         let is_new = record.listing.is_none();
-        let is_already_draining = record
-            .listing
-            .as_ref()
-            .is_some_and(|known| known.is_draining);
+        // The departure in an entry is that of the instance that wrote it.
+        let known = record.listing.as_ref();
+        let known = known.filter(|known| known.started_unix_ms == listing.started_unix_ms);
+        let is_already_draining = known.is_some_and(|known| known.is_draining);
+        if known.is_none() {
+            record.evacuate_at = None;
+        }
         let is_pending = record.evacuate_at.is_some();
         if listing.is_draining && (is_pending || !is_already_draining) {
             // An entry that is read for the first time may be as old as the interval.
@@ -395,6 +401,9 @@
         let has_new_address = record
             .address()
             .is_some_and(|address| address != listing.address);
+        if record.contact != WorkerContact::Unclaimed && record.is_superseded_by(&listing) {
+            record.give_up_claim(now);
+        }
         record.listing = Some(listing);
         if has_new_address {
             if record.renewal == RenewalStatus::Pending {
@@ -421,7 +430,8 @@
 
     fn remove_worker(&mut self, worker: &WorkerId) {
         if let Some(record) = self.workers.remove(worker) {
-            self.removed_claims = self.removed_claims.max(record.claims);
+            self.removed_claims
+                .insert(WorkerId::clone(worker), record.claims + 1);
         }
     }
 
