--- a/crates/daemon/src/cell/membership.rs
+++ b/crates/daemon/src/cell/membership.rs
@@ -9,6 +9,7 @@
 use crate::{
     job_table::JobSummary,
     pipelines::{CellKey, DaemonRegistration, MemberEntry, OwnerEntry, decode_value},
+    session::PrefixUpdate,
 };
 
 impl CellControl {
@@ -40,6 +41,17 @@
         self.update_witnesses();
     }
 
+    /// Applies an update of the summaries.
+    pub(super) fn apply_summaries(&mut self, update: PrefixUpdate) {
+        let changes = match update {
+            PrefixUpdate::Snapshot(items) => items.into_iter().map(ItemChange::Put).collect(),
+            PrefixUpdate::Changes(changes) => changes,
+        };
+        for change in changes {
+            self.apply_change(change);
+        }
+    }
+
     /// Applies a change of a summary, a member or an owner.
     pub(super) fn apply_change(&mut self, change: ItemChange) {
         match change {
@@ -49,6 +61,8 @@
                         // A service with accepted jobs needs an owner even if no queue of
                         // the manifest routes to it any more.
                         self.services.insert(summary.service.clone());
+                        let now = self.effects.clock.now();
+                        self.ended.update(id, &summary, item.revision, now);
                         self.jobs.insert(id, summary);
                     }
                 }
@@ -67,7 +81,10 @@
                 _ => log::debug!(key = item.key.as_str(); "ignored an unknown key"),
             },
             ItemChange::Removed { key, revision } => match CellKey::parse(&key) {
-                Some(CellKey::Summary(id)) => self.jobs.remove(id),
+                Some(CellKey::Summary(id)) => {
+                    self.ended.remove(id);
+                    self.jobs.remove(id);
+                }
                 Some(CellKey::Member(daemon)) if self.members.remove(&daemon).is_some() => {
                     self.registrations.remove(&daemon);
                     log::info!(daemon = daemon.as_str(); "a daemon left the cell");
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -13,7 +13,7 @@
 use auburnsaddle_platform_standin::WorkerStandin;
 use http::{Method, StatusCode};
 use serde_json::json;
-use support::{job, manifest, start_cell};
+use support::{job, manifest, start_cell, start_cell_with_retention};
 
 /// Guards against outdated job states at daemons that do not own the service.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -362,6 +362,135 @@
     assert_eq!(cell.task_starts().len(), 1);
 }
 
+/// Guards against a job that runs although its cancellation was acknowledged before the store
+/// carried its submission out.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_is_cancelled_before_it_is_stored_does_not_run() {
+    let cell = start_cell(2, Duration::from_millis(200)).await;
+    let path = "/tokens/0000000000000001";
+
+    cell.store
+        .delay_commits("phase/0000000000000001", Duration::from_secs(4));
+    let submitted = cell.submit(0, 1, &job(1)).await;
+    cell.store.answer_all_commits();
+    let state_before = cell.send(0, Method::GET, path, None).await;
+    let cancelled = cell.send(0, Method::DELETE, path, None).await;
+    let state_after = cell.send(0, Method::GET, path, None).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    assert_eq!(submitted, Some(StatusCode::GATEWAY_TIMEOUT));
+    let states = [state_before, state_after].map(|response| response.map(|row| row.0));
+    assert_eq!(
+        states,
+        [
+            Some(StatusCode::SERVICE_UNAVAILABLE),
+            Some(StatusCode::GONE)
+        ]
+    );
+    assert_eq!(cancelled.map(|row| row.0), Some(StatusCode::GONE));
+    assert_eq!(cell.task_starts().len(), 0);
+}
+
+/// Guards against the same after a cancellation at a daemon that knows nothing of the
+/// submission, and against a repeated submission that starts the cancelled job.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_is_cancelled_at_another_daemon_before_it_is_stored_does_not_run() {
+    let cell = start_cell(2, Duration::from_millis(200)).await;
+    let path = "/tokens/0000000000000001";
+
+    cell.store
+        .delay_commits("phase/0000000000000001", Duration::from_secs(4));
+    let submitted = cell.submit(0, 1, &job(1)).await;
+    cell.store.answer_all_commits();
+    let cancelled = cell.send(1, Method::DELETE, path, None).await;
+    let unknown = cell.send(1, Method::GET, path, None).await;
+    let repeated = cell.submit(0, 1, &job(1)).await;
+    let states = [cell.job_state(0, 1).await, cell.job_state(1, 1).await];
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    assert_eq!(submitted, Some(StatusCode::GATEWAY_TIMEOUT));
+    assert_eq!(cancelled.map(|row| row.0), Some(StatusCode::GONE));
+    assert_eq!(unknown.map(|row| row.0), Some(StatusCode::GONE));
+    // The job is accepted as it was submitted, in the state to which it was cancelled.
+    assert_eq!(repeated, Some(StatusCode::OK));
+    assert_eq!(states, [(); 2].map(|()| Some("cancelled".to_owned())));
+    assert_eq!(cell.task_starts().len(), 0);
+}
+
+/// Guards against a job that is accepted under the identifier of another one, which differs only
+/// in case, and never runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_whose_id_has_upper_case_digits_is_rejected_at_once() {
+    let cell = start_cell(1, Duration::from_millis(200)).await;
+    let (lower, upper) = ("/tokens/00000000000000ab", "/tokens/00000000000000AB");
+
+    let accepted = cell.send(0, Method::POST, lower, Some(&job(1))).await;
+    let rejected = cell.send(0, Method::POST, upper, Some(&job(2))).await;
+    cell.wait_for_job_state(0, 0xab, "completed").await;
+    let queried = cell.send(0, Method::GET, upper, None).await;
+    let cancelled = cell.send(0, Method::DELETE, upper, None).await;
+
+    assert_eq!(accepted.map(|row| row.0), Some(StatusCode::OK));
+    assert_eq!(rejected.map(|row| row.0), Some(StatusCode::BAD_REQUEST));
+    let statuses = [queried, cancelled].map(|response| response.map(|row| row.0));
+    assert_eq!(statuses, [Some(StatusCode::GONE); 2]);
+    assert_eq!(cell.task_starts().len(), 1);
+}
+
+/// Guards against the summaries of a service in which nothing happens any more, as no commit
+/// removes them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_last_summaries_of_an_idle_service_are_removed() {
+    let cell = start_cell_with_retention(2, Duration::from_millis(100), 2).await;
+    cell.wait_for_owner().await;
+    // The owner commits a change of its witnesses after one second.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cell.submit(0, 1, &job(1)).await;
+    cell.wait_for_job_state(0, 1, "completed").await;
+
+    cell.wait_for("the removal of the summary", || async {
+        cell.store.keys("auburnsaddle/phase/").is_empty()
+    })
+    .await;
+    let response = cell
+        .send(0, Method::GET, "/tokens/0000000000000001", None)
+        .await;
+
+    assert_eq!(response.map(|row| row.0), Some(StatusCode::GONE));
+}
+
+/// Guards against summaries that stay in the store, and in the memory of each daemon, for good
+/// because the owner under which their jobs ended is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_successor_removes_the_summaries_of_its_predecessor() {
+    let mut cell = start_cell_with_retention(2, Duration::from_millis(100), 2).await;
+    let owner = cell.wait_for_owner().await;
+    let other = 1 - owner;
+    for id in 1..=20 {
+        cell.submit(other, id, &job(1)).await;
+    }
+    for id in 1..=20 {
+        cell.wait_for_job_state(other, id, "completed").await;
+    }
+
+    cell.daemons[owner].child.kill().unwrap();
+    let kept = cell.store.keys("auburnsaddle/phase/").len();
+    cell.wait_for("the removal of all summaries", || async {
+        cell.store.keys("auburnsaddle/phase/").is_empty()
+    })
+    .await;
+    let peer_port = cell.daemons[other].peer_port;
+    cell.wait_for("a daemon that knows no job", || async {
+        let dump = cell
+            .send_to_port(peer_port, Method::GET, "/dump", None)
+            .await;
+        dump.is_some_and(|(_, dump)| dump["known_jobs"] == 0)
+    })
+    .await;
+
+    assert_eq!(kept, 20);
+}
+
 /// Guards against an owner that continues after the store has revoked its lease.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_complete_after_their_owner_loses_its_lease() {
--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -56,6 +56,8 @@
     pub(crate) daemons: Vec<DaemonProcess>,
     client: Client<HttpConnector, Full<Bytes>>,
     folder: PathBuf,
+    /// Time in s for which the daemons keep the states of ended jobs.
+    status_s: u32,
 }
 
 impl Drop for CellFixture {
@@ -69,8 +71,26 @@
     }
 }
 
+/// What differs between the cells of the tests.
+#[derive(Clone, Copy, Debug)]
+struct CellSetup {
+    /// Reading of the clocks of all workers at their start.
+    initial_clock: Duration,
+    /// Time in s for which the states of ended jobs are kept.
+    status_s: u32,
+}
+
+impl Default for CellSetup {
+    fn default() -> Self {
+        Self {
+            initial_clock: Duration::ZERO,
+            status_s: 120,
+        }
+    }
+}
+
 /// Returns settings of a daemon that listens on ephemeral ports.
-fn daemon_settings(name: &str, store: &str) -> Value {
+fn daemon_settings(name: &str, store: &str, status_s: u32) -> Value {
     let address = "127.0.0.1:0";
     json!({
         "node-name": name, "zone": "z1", "an-unknown-field": [1, 2],
@@ -78,7 +98,7 @@
             "frontend": address, "readiness": address, "control-plane": address,
         },
         "platform": {"address": store, "min-ttl-ms": 1_000},
-        "bounds": {"max-hold-ms": 6_000, "grace-s": 6, "status_s": 120},
+        "bounds": {"max-hold-ms": 6_000, "grace-s": 6, "status_s": status_s},
     })
 }
 
@@ -111,7 +131,8 @@
     workers: usize,
     run_time: Duration,
 ) -> CellFixture {
-    start_cell_with_clocks(daemons, workers, run_time, Duration::ZERO).await
+    let setup = CellSetup::default();
+    launch_cell(daemons, workers, run_time, setup).await
 }
 
 /// Like [`start_cell_with_workers`], with workers whose clocks begin at `initial_clock`.
@@ -120,12 +141,38 @@
     workers: usize,
     run_time: Duration,
     initial_clock: Duration,
+) -> CellFixture {
+    let setup = CellSetup {
+        initial_clock,
+        ..CellSetup::default()
+    };
+    launch_cell(daemons, workers, run_time, setup).await
+}
+
+/// Like [`start_cell`], with any time for which the states of ended jobs are kept.
+pub(crate) async fn start_cell_with_retention(
+    daemons: usize,
+    run_time: Duration,
+    status_s: u32,
+) -> CellFixture {
+    let setup = CellSetup {
+        status_s,
+        ..CellSetup::default()
+    };
+    launch_cell(daemons, 2, run_time, setup).await
+}
+
+async fn launch_cell(
+    daemons: usize,
+    workers: usize,
+    run_time: Duration,
+    setup: CellSetup,
 ) -> CellFixture {
     let store = StoreStandin::start().await;
     let mut standins = Vec::new();
     for number in 1..=workers {
         let id = format!("w{number}");
-        let worker = WorkerStandin::start_with_clock(&id, run_time, initial_clock).await;
+        let worker = WorkerStandin::start_with_clock(&id, run_time, setup.initial_clock).await;
         let (key, value) = worker.registration("sales");
         store.write(&key, &value);
         standins.push(worker);
@@ -143,6 +190,7 @@
         daemons: Vec::new(),
         client: Client::builder(TokioExecutor::new()).build_http(),
         folder,
+        status_s: setup.status_s,
     };
     for index in 0..daemons {
         cell.launch(&format!("daemon-{index}"));
@@ -175,7 +223,7 @@
     /// Starts a daemon and stops reading its standard output once it listens.
     pub(crate) fn launch_without_log_reader(&mut self, name: &str) {
         let path = self.folder.join(format!("{name}.json"));
-        let text = daemon_settings(name, &self.store.address()).to_string();
+        let text = daemon_settings(name, &self.store.address(), self.status_s).to_string();
         fs::write(&path, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
             .env("AUBURNSADDLE_SETTINGS", &path)
