--- a/crates/core/src/pipelines/losses.rs
+++ b/crates/core/src/pipelines/losses.rs
@@ -58,7 +58,7 @@
                     clock_ms,
                     expected_ms: instance.clock_at(now),
                 };
-                record.give_up_claim(now);
+                record.reset_claim(now);
                 self.log_note(note);
             }
         }
@@ -77,7 +77,7 @@
             let Some(record) = self.workers.get_mut(&worker) else {
                 continue;
             };
-            record.give_up_claim(now);
+            record.reset_claim(now);
             self.drop_runs(&worker, LossCause::LeaseLapsed, now, |record, run| {
                 now >= record.run_lapses_at(run, max_lease)
             });
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -54,7 +54,6 @@
         }
         let sent_at = stamp.sent_at;
         record.renewal = RenewalStatus::Settled;
-        record.missed_renewals = 0;
         record.answered_at = now;
         record.reported_at = sent_at;
         let reading = ClockReading {
@@ -145,7 +144,7 @@
             return;
         };
         record.renewal_due = now;
-        let has_open_orders = record.may_have_unmet_runs();
+        let has_open_orders = record.can_have_runs_elsewhere();
         let Some(instance) = &mut record.instance else {
             return;
         };
@@ -188,7 +187,7 @@
         let former = record.instance.replace(instance);
         record.contact = WorkerContact::Unclaimed;
         if record.is_token_used {
-            record.give_up_claim(now);
+            record.reset_claim(now);
             record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
         }
         let (mut lost, mut stopping) = (Vec::new(), Vec::new());
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -510,7 +510,8 @@
         };
         // A new instance must not discard ends of its own, which have the same numbers. It has none
         // if the known one has got all orders.
-        let is_withheld = record.contact != WorkerContact::Claimed || record.may_have_unmet_runs();
+        let is_withheld =
+            record.contact != WorkerContact::Claimed || record.can_have_runs_elsewhere();
         let instance = record.instance.as_mut();
         let acked_end = instance.map_or(0, |instance| instance.ends.next_ack(is_withheld, now));
         record.renewal = RenewalStatus::Pending;
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -402,9 +402,9 @@
             .address()
             .is_some_and(|address| address != listing.address);
         if record.contact != WorkerContact::Unclaimed && record.is_superseded_by(&listing) {
-            record.give_up_claim(now);
+            record.reset_claim(now);
         }
-        let entry = listing.clone();
+        let (worker, started_ms) = (WorkerId::clone(&listing.worker), listing.started_unix_ms);
         record.listing = Some(listing);
         if has_new_address {
             if record.renewal == RenewalStatus::Pending {
@@ -412,7 +412,7 @@
             }
             record.renewal_due = now;
         }
-        self.keep_runs_of_young_instance(&entry, now);
+        self.keep_runs_of_young_instance(&worker, started_ms, now);
     }
 
     /// Removes a worker that left the registry, once it has no runs.
@@ -463,7 +463,6 @@
             RenewalFailure::Unanswered
             | RenewalFailure::Unhealthy
             | RenewalFailure::OtherInstance => {
-                record.missed_renewals += 1;
                 record.renewal_due = now + RENEWAL_RETRY_DELAY;
                 if record.contact == WorkerContact::Claimed {
                     record.contact = WorkerContact::Doubted;
--- a/crates/core/src/pipelines/takeover.rs
+++ b/crates/core/src/pipelines/takeover.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{
-    messages::{PipelineAction, PipelineNote, WorkerListing},
+    messages::{PipelineAction, PipelineNote},
     progress::{PipelineProgress, TaskPlace},
     schedule::UNCONFIRMED_RENEWAL_TIME,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, TaskKey},
@@ -35,9 +35,9 @@
     }
 
     /// Returns the time by which a lease has lapsed that orders for a former instance have granted to
-    /// the one that wrote an entry, as an owner has met that by then.
-    fn former_orders_until(&self, listing: &WorkerListing, now: Duration) -> Duration {
-        let Some(started_ms) = listing.started_unix_ms else {
+    /// one that began at this time, as an owner has met it by then.
+    fn former_orders_until(&self, started_ms: Option<u64>, now: Duration) -> Duration {
+        let Some(started_ms) = started_ms else {
             return Duration::ZERO;
         };
         let age = Duration::from_millis(self.wall_ms.saturating_sub(started_ms));
@@ -49,10 +49,15 @@
 
     /// Keeps the inherited runs of a worker that this owner has not reached for as long as the
     /// instance in its entry may hold them.
-    pub(super) fn keep_runs_of_young_instance(&mut self, listing: &WorkerListing, now: Duration) {
-        let former_orders_until = self.former_orders_until(listing, now);
+    pub(super) fn keep_runs_of_young_instance(
+        &mut self,
+        worker: &WorkerId,
+        started_ms: Option<u64>,
+        now: Duration,
+    ) {
+        let former_orders_until = self.former_orders_until(started_ms, now);
         let inherited_until = self.predecessor_runs_until(former_orders_until);
-        match self.workers.get_mut(&listing.worker) {
+        match self.workers.get_mut(worker) {
             Some(record) if record.instance.is_none() && former_orders_until > Duration::ZERO => {
                 record.former_orders_until = former_orders_until;
                 record.inherited_until = record.inherited_until.max(inherited_until);
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -123,7 +123,7 @@
 
     /// Returns whether the run may be on an instance that the owner has not met, or get there by an
     /// order in transit. The known instance has answered a renewal that was sent at `reported_at`.
-    pub(super) fn may_be_elsewhere(&self, reported_at: Duration) -> bool {
+    pub(super) fn can_be_elsewhere(&self, reported_at: Duration) -> bool {
         let open_at = self.ordered_at.filter(|_| !self.is_located);
         let latest = open_at.max(self.unanswered_at);
         latest.is_some_and(|sent_at| sent_at + ORDER_TRANSIT_TIME > reported_at)
@@ -176,8 +176,6 @@
     pub(super) renewal: RenewalStatus,
     /// Earliest time of the next renewal.
     pub(super) renewal_due: Duration,
-    /// Number of failed renewals since the last report.
-    pub(super) missed_renewals: u32,
     /// When the runs of a draining worker are stopped, so that their tasks are placed
     /// elsewhere; `None` if that was done or the worker is not draining.
     pub(super) evacuate_at: Option<Duration>,
@@ -211,7 +209,6 @@
             former_orders_until: Duration::ZERO,
             renewal: RenewalStatus::Settled,
             renewal_due: now,
-            missed_renewals: 0,
             evacuate_at: None,
             claims,
             answered_at: now,
@@ -235,7 +232,7 @@
 
     /// Gives up the claim. The next one has a higher token than every order sent so far. An answer
     /// to the pending renewal has no effect.
-    pub(super) fn give_up_claim(&mut self, now: Duration) {
+    pub(super) fn reset_claim(&mut self, now: Duration) {
         self.contact = WorkerContact::Unclaimed;
         self.claims += 1;
         self.is_token_used = false;
@@ -327,16 +324,16 @@
     }
 
     /// Returns whether a run may be on an instance that the owner has not met.
-    pub(super) fn may_have_unmet_runs(&self) -> bool {
+    pub(super) fn can_have_runs_elsewhere(&self) -> bool {
         let mut runs = self.runs.values();
-        runs.any(|run| run.may_be_elsewhere(self.reported_at))
+        runs.any(|run| run.can_be_elsewhere(self.reported_at))
     }
 
     /// Makes a renewal due if the latest one withheld an acknowledgement and it can be sent now.
     pub(super) fn request_ack(&mut self, now: Duration) {
         let instance = self.instance.as_ref();
         let is_withheld = instance.is_some_and(|instance| instance.ends.is_withheld());
-        if is_withheld && !self.may_have_unmet_runs() {
+        if is_withheld && !self.can_have_runs_elsewhere() {
             self.renewal_due = self.renewal_due.min(now);
         }
     }
@@ -398,7 +395,7 @@
     pub(super) fn run_lapses_at(&self, run: &WorkerRun, max_lease: Duration) -> Duration {
         let lapses_at = self.lapses_at();
         match self.deadline_sent_at {
-            Some(sent_at) if run.may_be_elsewhere(self.reported_at) => {
+            Some(sent_at) if run.can_be_elsewhere(self.reported_at) => {
                 lapses_at.max(sent_at + lapse_time(max_lease))
             }
             _ => lapses_at,
