--- a/crates/core/src/instances/state.rs
+++ b/crates/core/src/instances/state.rs
@@ -82,6 +82,11 @@
         self.granted_until_ms = self.granted_until_ms.max(until_ms);
     }
 
+    /// Returns whether no lease that other orders may have granted outlasts those of this owner.
+    pub(crate) const fn has_only_ordered_lease(&self) -> bool {
+        self.granted_until_ms <= self.ordered_until_ms
+    }
+
     /// Extends the lease, and returns its end in ms on the clock.
     pub(crate) fn extend_lease(&mut self, term: Duration, now: Duration) -> u64 {
         let deadline = self.clock_at(now).saturating_add(whole_ms(term));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -99,7 +99,7 @@
 pub use pipelines::{PipelineAction, PipelineConfig, PipelineEvent, PipelineId, PipelineLoad};
 pub use pipelines::{PipelineNote, SLOW_DECISION_MS};
 pub use pipelines::{PipelinePhase, PipelineProgress, PipelineSchedule, PipelineSpec};
-pub use pipelines::{PipelineState, ProgressCommit, QueuePolicy, RunEnd, RunKey};
+pub use pipelines::{PipelineState, ProgressCommit, QueuePolicy, RunEnd, RunHolder, RunKey};
 pub use pipelines::{
     StartAnswer, StartOrder, StartResult, StepKey, StepProgress, StepSpec, StepWait, StopOrder,
 };
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -492,8 +492,12 @@
         long_running: usize,
         /// Whether all earlier owners are known to have ended their ownership.
         have_predecessors_ended: bool,
-        /// Time until the runs count as ended.
+        /// Time until the runs whose holder is known count as ended.
         lapses_in: Duration,
+        /// Number of the other runs, which may be on an instance that no owner has met.
+        unlocated: usize,
+        /// Time until these count as ended.
+        unlocated_lapse_in: Duration,
     },
     /// A run makes no progress. It is stopped, and its task is placed again.
     RunStalled {
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -56,7 +56,8 @@
 };
 pub use messages::{AdviceReport, EndedRun, ObservedRun, PipelineAction, PipelineEvent, RunEnd};
 pub use messages::{LossCause, PipelineNote, StartAnswer, StartResult, StopOrder, WorkerListing};
-pub use progress::{PipelinePhase, PipelineProgress, StepProgress, TaskPlace, TaskProgress};
+pub use progress::{PipelinePhase, PipelineProgress, RunHolder};
+pub use progress::{StepProgress, TaskPlace, TaskProgress};
 pub use requests::SLOW_DECISION_MS;
 pub use schedule::{PipelineConfig, UNCONFIRMED_RENEWAL_TIME};
 pub use spec::QueuePolicy;
--- a/crates/core/src/pipelines/progress.rs
+++ b/crates/core/src/pipelines/progress.rs
@@ -80,8 +80,17 @@
     /// encoding is up to the caller, as it is 0 for almost all tasks.
     #[serde(skip)]
     pub suspicion: u32,
+    /// Worker instance that is known to hold the latest run, for no longer than the leases that
+    /// owners have granted on its clock. Kept for tasks that last, as that costs a commit; its
+    /// encoding is up to the caller.
+    #[serde(skip)]
+    pub holder: Option<RunHolder>,
 }
 
+/// Start time of the instance that holds a run, in ms since 1970. It is only compared for equality,
+/// as it is a reading of the clock of another host.
+pub type RunHolder = u64;
+
 /// Durable progress of a step.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -204,6 +213,13 @@
 
     /// Returns the tasks that are suspected to crash their workers, with their suspicions.
     pub fn suspicions(&self, pipeline: PipelineId) -> impl Iterator<Item = (TaskKey, u32)> {
+        let tasks = self.tasks(pipeline);
+        let suspects = tasks.filter(|(_, task)| task.suspicion > 0);
+        suspects.map(|(key, task)| (key, task.suspicion))
+    }
+
+    /// Returns the tasks of all occurrences in progress.
+    fn tasks(&self, pipeline: PipelineId) -> impl Iterator<Item = (TaskKey, &TaskProgress)> {
         let steps = self
             .occurrences
             .iter()
@@ -219,8 +235,7 @@
             });
         steps.flat_map(|(step, progress)| {
             let tasks = (0..).zip(&progress.tasks);
-            let suspects = tasks.filter(|(_, task)| task.suspicion > 0);
-            suspects.map(move |(index, task)| (TaskKey { step, index }, task.suspicion))
+            tasks.map(move |(index, task)| (TaskKey { step, index }, task))
         })
     }
 
@@ -231,6 +246,25 @@
         }
     }
 
+    /// Returns the tasks whose latest run is on a known worker instance, with its attempt and that
+    /// instance.
+    pub fn holders(
+        &self,
+        pipeline: PipelineId,
+    ) -> impl Iterator<Item = (TaskKey, Attempt, RunHolder)> {
+        let tasks = self.tasks(pipeline);
+        tasks.filter_map(|(key, task)| Some((key, task.attempt, task.holder?)))
+    }
+
+    /// Sets the instance that holds a run, which a record stores apart from the progress. It is
+    /// ignored unless the run is the latest of its task.
+    pub fn set_holder(&mut self, key: TaskKey, attempt: Attempt, holder: RunHolder) {
+        match self.task_mut(key) {
+            Some(task) if task.attempt == attempt => task.holder = Some(holder),
+            _ => {}
+        }
+    }
+
     /// Returns the steps of all occurrences in progress.
     pub fn steps(&self) -> impl Iterator<Item = &StepProgress> {
         self.occurrences.values().flatten()
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -86,6 +86,7 @@
             self.handle_run_end(worker, end, now);
         }
         self.update_reported_runs(worker, &report.running, now);
+        self.record_holders(worker, &report.running);
         self.drop_missing_runs(worker, report, sent_at, now);
         self.update_runtime_ratios(worker, now);
         self.pace_best_effort_runs(worker, now);
@@ -107,6 +108,7 @@
 
     /// Claims a worker whose instance has answered with the current token.
     fn claim_worker(&mut self, worker: &WorkerId, report: &RenewalReport, now: Duration) {
+        let predecessors_end = self.predecessors_end();
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
@@ -115,9 +117,9 @@
         if former_contact == WorkerContact::Unclaimed {
             // The claim fences the previous owner, which may have granted a lease just before.
             record.inherited_until = Duration::ZERO;
-            let age_ms = self.wall_ms.saturating_sub(report.started_unix_ms);
+            record.unlocated_until = Duration::ZERO;
             let max_lease = self.config.max_lease;
-            let former = record.former_order_lease(Duration::from_millis(age_ms), max_lease, now);
+            let former = record.former_order_lease(predecessors_end, max_lease, now);
             if let Some(instance) = &mut record.instance {
                 instance.assume_lease(self.config.inherited_lease.max(former));
             }
@@ -189,10 +191,12 @@
         if record.is_token_used {
             record.reset_claim(now);
             record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
+            record.unlocated_until = record.inherited_until;
         }
         let (mut lost, mut stopping) = (Vec::new(), Vec::new());
         for (run, entry) in &mut record.runs {
             entry.is_located = false;
+            entry.holder = None;
             match entry.phase {
                 _ if has_ended(run, entry) => lost.push((*run, entry.placed_at)),
                 RunPhase::Stopping(_) => {
@@ -267,6 +271,40 @@
         }
     }
 
+    /// Makes durable which instance holds the lasting runs of a worker, so that a successor that
+    /// cannot reach it waits for the granted lease only.
+    ///
+    /// That is known once no order for the run can reach another instance, and no order for a former
+    /// instance can have granted a longer lease than the orders on this one's clock.
+    fn record_holders(&mut self, worker: &WorkerId, running: &[ObservedRun]) {
+        let Some(record) = self.workers.get(worker) else {
+            return;
+        };
+        let holder = match &record.instance {
+            Some(instance) if instance.has_only_ordered_lease() => instance.started_unix_ms,
+            _ => return,
+        };
+        let held = running.iter().filter(|observed| {
+            let entry = record.runs.get(&observed.run);
+            entry.is_some_and(|entry| {
+                entry.is_long_running && !entry.can_be_elsewhere(record.reported_at)
+            })
+        });
+        let held: Vec<RunKey> = held.map(|observed| observed.run).collect();
+        for run in held {
+            let id = run.task.step.pipeline;
+            let pipeline = self.pipelines.get_mut(&id);
+            let task = pipeline.and_then(|pipeline| pipeline.progress.task_mut(run.task));
+            match task {
+                Some(task) if task.attempt == run.attempt && task.holder != Some(holder) => {
+                    task.holder = Some(holder);
+                    self.mark_dirty(id);
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Drops the runs that are missing from the report of their worker, which is claimed.
     fn drop_missing_runs(
         &mut self,
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -428,6 +428,7 @@
                 continue;
             };
             task.attempt += 1;
+            task.holder = None;
             task.place = TaskPlace::Placed(WorkerId::clone(&worker));
             let run = RunKey {
                 task: TaskKey {
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -19,7 +19,7 @@
     schedule::PipelineConfig,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
     wait::WaitRecord,
-    worker::{RenewalStatus, RunPhase, WorkerContact, WorkerRecord},
+    worker::{InheritedWait, RenewalStatus, RunPhase, WorkerContact, WorkerRecord},
 };
 use crate::{
     instances::{ClockReading, InstanceNumber, WorkerInstance},
@@ -340,14 +340,14 @@
     pub(super) fn ensure_worker(
         &mut self,
         worker: &WorkerId,
-        inherited_until: Duration,
+        wait: InheritedWait,
         now: Duration,
     ) -> &mut WorkerRecord {
         let removed = &self.removed_claims;
         let record = self.workers.entry(WorkerId::clone(worker));
         record.or_insert_with(|| {
             let claims = removed.get(worker).copied().unwrap_or_default();
-            WorkerRecord::new(inherited_until, claims, now)
+            WorkerRecord::new(wait, claims, now)
         })
     }
 
@@ -376,9 +376,9 @@
 
     fn update_listing(&mut self, listing: WorkerListing, now: Duration) {
         self.is_placement_due = true;
-        let inherited_until = self.predecessor_runs_until(Duration::ZERO);
+        let wait = self.inherited_wait();
         let listing_interval = self.config.listing_interval;
-        let record = self.ensure_worker(&listing.worker, inherited_until, now);
+        let record = self.ensure_worker(&listing.worker, wait, now);
         let is_new = record.listing.is_none();
         // The departure in an entry is that of the instance that wrote it.
         let known = record.listing.as_ref();
@@ -404,7 +404,6 @@
         if record.contact != WorkerContact::Unclaimed && record.is_superseded_by(&listing) {
             record.reset_claim(now);
         }
-        let (worker, started_ms) = (WorkerId::clone(&listing.worker), listing.started_unix_ms);
         record.listing = Some(listing);
         if has_new_address {
             if record.renewal == RenewalStatus::Pending {
@@ -412,7 +411,6 @@
             }
             record.renewal_due = now;
         }
-        self.keep_runs_of_young_instance(&worker, started_ms, now);
     }
 
     /// Removes a worker that left the registry, once it has no runs.
--- a/crates/core/src/pipelines/takeover.rs
+++ b/crates/core/src/pipelines/takeover.rs
@@ -9,7 +9,7 @@
     schedule::UNCONFIRMED_RENEWAL_TIME,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, TaskKey},
     state::PipelineState,
-    worker::{FORMER_ORDER_TIME, RunPhase, WorkerContact, WorkerRun},
+    worker::{InheritedWait, RunPhase, WorkerContact, WorkerRun},
 };
 use crate::{instances::lapse_time, types::WorkerId};
 
@@ -23,46 +23,20 @@
 const UNREACHED_LOG_DELAY: Duration = Duration::from_secs(1);
 
 impl PipelineState {
-    /// Returns the time by which the runs placed by the previous owner have ended on a worker that
-    /// this owner has not reached. Its instance may hold runs until `former_orders_until` by orders
-    /// for a former one.
-    pub(super) fn predecessor_runs_until(&self, former_orders_until: Duration) -> Duration {
+    /// Returns the latest time at which an earlier owner may have sent an order.
+    pub(super) fn predecessors_end(&self) -> Duration {
         let latest = self.taken_over_at + MAX_PREDECESSOR_TIME;
-        let ended_at = self.predecessors_ended_at.unwrap_or(latest);
-        let longest = ended_at + lapse_time(self.config.max_lease);
-        let granted = ended_at + lapse_time(self.config.inherited_lease);
-        granted.max(former_orders_until.min(longest))
+        self.predecessors_ended_at.unwrap_or(latest)
     }
 
-    /// Returns the time by which a lease has lapsed that orders for a former instance have granted to
-    /// one that began at this time, as an owner has met it by then.
-    fn former_orders_until(&self, started_ms: Option<u64>, now: Duration) -> Duration {
-        let Some(started_ms) = started_ms else {
-            return Duration::ZERO;
-        };
-        let age = Duration::from_millis(self.wall_ms.saturating_sub(started_ms));
-        match FORMER_ORDER_TIME + self.config.max_lease {
-            longest if age < longest => now + lapse_time(longest.saturating_sub(age)),
-            _ => Duration::ZERO,
-        }
-    }
-
-    /// Keeps the inherited runs of a worker that this owner has not reached for as long as the
-    /// instance in its entry may hold them.
-    pub(super) fn keep_runs_of_young_instance(
-        &mut self,
-        worker: &WorkerId,
-        started_ms: Option<u64>,
-        now: Duration,
-    ) {
-        let former_orders_until = self.former_orders_until(started_ms, now);
-        let inherited_until = self.predecessor_runs_until(former_orders_until);
-        match self.workers.get_mut(worker) {
-            Some(record) if record.instance.is_none() && former_orders_until > Duration::ZERO => {
-                record.former_orders_until = former_orders_until;
-                record.inherited_until = record.inherited_until.max(inherited_until);
-            }
-            _ => {}
+    /// Returns the times by which the runs placed by earlier owners have ended on a worker that this
+    /// owner has not reached. Only the order of events on one host bounds them: the age of an
+    /// instance by the time of day would end them early when a clock is set.
+    pub(super) fn inherited_wait(&self) -> InheritedWait {
+        let ended_at = self.predecessors_end();
+        InheritedWait {
+            inherited_until: ended_at + lapse_time(self.config.inherited_lease),
+            unlocated_until: ended_at + lapse_time(self.config.max_lease),
         }
     }
 
@@ -70,19 +44,11 @@
     /// renewed their leases since the given time.
     pub(super) fn end_predecessors(&mut self, ended_at: Duration) {
         self.predecessors_ended_at = Some(ended_at);
-        let unreached = self
-            .workers
-            .iter()
-            .filter(|(_, record)| record.instance.is_none());
-        let limits = unreached.map(|(worker, record)| {
-            let until = self.predecessor_runs_until(record.former_orders_until);
-            (WorkerId::clone(worker), until)
-        });
-        let limits: Vec<(WorkerId, Duration)> = limits.collect();
-        for (worker, until) in limits {
-            if let Some(record) = self.workers.get_mut(&worker) {
-                record.inherited_until = record.inherited_until.min(until);
-            }
+        let wait = self.inherited_wait();
+        let records = self.workers.values_mut();
+        for record in records.filter(|record| record.instance.is_none()) {
+            record.inherited_until = record.inherited_until.min(wait.inherited_until);
+            record.unlocated_until = record.unlocated_until.min(wait.unlocated_until);
         }
     }
 
@@ -95,7 +61,7 @@
         progress: &PipelineProgress,
         now: Duration,
     ) {
-        let inherited_until = self.predecessor_runs_until(Duration::ZERO);
+        let wait = self.inherited_wait();
         for (occurrence, steps) in &progress.occurrences {
             for ((step, step_progress), step_spec) in (0..).zip(steps).zip(&spec.steps) {
                 let tasks = (0..).zip(&step_progress.tasks);
@@ -112,8 +78,9 @@
                         task: TaskKey { step, index },
                         attempt: task.attempt,
                     };
-                    self.ensure_worker(worker, inherited_until, now)
-                        .insert_run(run, WorkerRun::new(step_spec, RunPhase::Inherited, now));
+                    let mut entry = WorkerRun::new(step_spec, RunPhase::Inherited, now);
+                    entry.holder = task.holder;
+                    self.ensure_worker(worker, wait, now).insert_run(run, entry);
                 }
             }
         }
@@ -134,6 +101,8 @@
                     long_running: record.long_running_count(),
                     have_predecessors_ended,
                     lapses_in: record.lapses_at().saturating_sub(now),
+                    unlocated: record.unlocated_count(),
+                    unlocated_lapse_in: record.unlocated_until.saturating_sub(now),
                 };
                 self.actions.push(PipelineAction::Log(note));
             }
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of [`PipelineState`](super::PipelineState) in virtual time.
 
+mod clock_steps;
 mod crashes;
 mod fixtures;
 mod former_clocks;
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -182,6 +182,12 @@
         self.actions.extend(actions);
     }
 
+    /// Reports that no order of an earlier owner has been sent in the last minute.
+    pub(super) fn end_predecessors_long_ago(&mut self) {
+        let ended_at = self.now.saturating_sub(Duration::from_mins(1));
+        self.handle_event(PipelineEvent::PredecessorsEnded(ended_at));
+    }
+
     /// Adds a job and runs a placement pass.
     pub(super) fn submit(&mut self, id: PipelineId, spec: PipelineSpec) {
         self.handle_event(PipelineEvent::Stored(id, Arc::new(spec), None));
--- a/crates/core/src/pipelines/tests/former_clocks.rs
+++ b/crates/core/src/pipelines/tests/former_clocks.rs
@@ -31,6 +31,7 @@
         ..pipeline_config()
     };
     let mut owner = unclaimed_owner_with(config, 1, &["w1"]);
+    owner.end_predecessors_long_ago();
     owner.report("w1", Vec::new(), Vec::new());
     owner
 }
--- a/crates/core/src/pipelines/tests/instance_faults.rs
+++ b/crates/core/src/pipelines/tests/instance_faults.rs
@@ -29,6 +29,7 @@
 /// Returns an owner with these settings that has claimed `w1`.
 fn owner_of_w1(max_lease: Duration) -> OwnerFixture {
     let mut owner = unclaimed_owner_with(config_with(max_lease), 1, &["w1"]);
+    owner.end_predecessors_long_ago();
     owner.report("w1", Vec::new(), Vec::new());
     owner
 }
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -220,12 +220,16 @@
 }
 
 /// Returns a successor, with workers that accept leases of 30 s, of an owner that granted at most
-/// 2 s, and the run that it inherits on `w1`.
-fn successor_with_short_leases() -> (OwnerFixture, RunKey) {
+/// 2 s, and the run that it inherits on `w1`. The owner has recorded the holder of a lasting run.
+fn successor_with_short_leases(spec: PipelineSpec) -> (OwnerFixture, RunKey) {
     let mut first = owner(&["w1"]);
-    let spec = job(vec![step(1)]);
+    // The lease that was assumed at the claim ends.
+    first.advance_clock(Duration::from_secs(7));
+    first.report("w1", Vec::new(), Vec::new());
     first.submit(1, spec.clone());
     let run = first.start_all().remove(0).run;
+    first.report("w1", vec![observed(run)], Vec::new());
+    first.commit();
     let config = PipelineConfig {
         max_lease: Duration::from_secs(30),
         inherited_lease: Duration::from_secs(2),
@@ -238,11 +242,12 @@
     (second, run)
 }
 
-/// Guards against waiting for the longest lease that a worker accepts, which no owner grants.
+/// Guards against waiting for the longest lease that a worker accepts, which no owner grants, with a
+/// lasting task on an instance that is known to have been granted no longer one.
 #[test]
 fn a_successor_waits_for_the_longest_lease_that_owners_grant() {
     for is_claimed in [true, false] {
-        let (mut second, run) = successor_with_short_leases();
+        let (mut second, run) = successor_with_short_leases(long_running_job());
         if is_claimed {
             second.report("w1", vec![observed(run)], Vec::new());
             let failure = PipelineEvent::RenewalFailed("w1".into(), RenewalFailure::Unanswered);
@@ -266,7 +271,7 @@
 /// instance, whose deadline is far ahead on its own clock, and grants the longest lease.
 #[test]
 fn a_successor_allows_for_the_longest_lease_of_a_young_worker() {
-    let (mut second, run) = successor_with_short_leases();
+    let (mut second, run) = successor_with_short_leases(job(vec![step(1)]));
     let report = RenewalReport {
         started_unix_ms: WALL_MS - 2_000,
         clock_ms: 8_000_000,
@@ -291,7 +296,7 @@
 /// shows a restart that the predecessor may not have met: its orders had deadlines on another clock.
 #[test]
 fn a_successor_waits_for_the_longest_lease_of_an_unreached_worker_that_was_restarted() {
-    let (mut second, _) = successor_with_short_leases();
+    let (mut second, _) = successor_with_short_leases(job(vec![step(1)]));
     second.handle_event(PipelineEvent::Listed(WorkerListing {
         started_unix_ms: Some(WALL_MS - 2_000),
         ..listing("w1")
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -4,6 +4,7 @@
 
 use super::{
     messages::{StopOrder, WorkerListing},
+    progress::RunHolder,
     spec::{RunKey, StepKey, StepSpec, TaskKey},
 };
 use crate::{
@@ -22,12 +23,6 @@
 /// Time within which an order that was sent reaches its worker or is lost.
 pub(super) const ORDER_TRANSIT_TIME: Duration = Duration::from_secs(3);
 
-/// Age of an instance until which it may receive orders for its former one. An owner meets the
-/// instance with a renewal, which waits for up to 1 s, takes up to 2 s to fail and is followed by
-/// one without a wait; what it has sent until then is in transit.
-pub(super) const FORMER_ORDER_TIME: Duration =
-    Duration::from_secs(4).saturating_add(ORDER_TRANSIT_TIME);
-
 /// Phase of a run as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RunPhase {
@@ -95,6 +90,9 @@
     /// Whether a report, or an answer with its clock, shows that the run is on the known instance
     /// of the worker.
     pub(super) is_located: bool,
+    /// Instance that holds an inherited run according to its owner, which granted all leases on its
+    /// clock.
+    pub(super) holder: Option<RunHolder>,
 }
 
 impl WorkerRun {
@@ -118,6 +116,7 @@
             ordered_at: None,
             unanswered_at: None,
             is_located: false,
+            holder: None,
         }
     }
 
@@ -153,6 +152,15 @@
     Misdirected,
 }
 
+/// Times by which inherited runs have ended on a worker that this owner has not reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct InheritedWait {
+    /// For runs whose holder is known.
+    pub(super) inherited_until: Duration,
+    /// For the others.
+    pub(super) unlocated_until: Duration,
+}
+
 /// A worker of the service, with its runs and the instance that answered last.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerRecord {
@@ -168,11 +176,11 @@
     pub(super) used: ResourceVector,
     /// CPU demand of the best-effort runs, in thousandths of a core.
     pub(super) best_effort_cpu_milli: u64,
-    /// Time by which the inherited runs have ended if this owner cannot claim the worker.
+    /// Time by which the inherited runs whose holder is known have ended if this owner cannot
+    /// claim the worker.
     pub(super) inherited_until: Duration,
-    /// Time by which a lease has lapsed that orders for a former instance have granted to the
-    /// instance in the entry; zero if that instance is not known or was listed after an answer.
-    pub(super) former_orders_until: Duration,
+    /// The same for the other inherited runs, which may be on an instance that no owner has met.
+    pub(super) unlocated_until: Duration,
     pub(super) renewal: RenewalStatus,
     /// Earliest time of the next renewal.
     pub(super) renewal_due: Duration,
@@ -197,7 +205,7 @@
 impl WorkerRecord {
     /// Returns the record of a worker of which earlier records in this ownership have given
     /// up this number of claims.
-    pub(super) fn new(inherited_until: Duration, claims: u64, now: Duration) -> Self {
+    pub(super) fn new(wait: InheritedWait, claims: u64, now: Duration) -> Self {
         Self {
             listing: None,
             instance: None,
@@ -205,8 +213,8 @@
             runs: BTreeMap::new(),
             used: ResourceVector::default(),
             best_effort_cpu_milli: 0,
-            inherited_until,
-            former_orders_until: Duration::ZERO,
+            inherited_until: wait.inherited_until,
+            unlocated_until: wait.unlocated_until,
             renewal: RenewalStatus::Settled,
             renewal_due: now,
             evacuate_at: None,
@@ -338,6 +346,13 @@
         }
     }
 
+    /// Returns the number of inherited runs that may be on an instance that no owner has met.
+    pub(super) fn unlocated_count(&self) -> usize {
+        let runs = self.runs.values();
+        let unlocated = runs.filter(|run| run.phase == RunPhase::Inherited && run.holder.is_none());
+        unlocated.count()
+    }
+
     /// Returns the number of runs that last until their jobs are cancelled.
     pub(super) fn long_running_count(&self) -> usize {
         let runs = self.runs.values();
@@ -370,31 +385,42 @@
     }
 
     /// Returns the rest of a lease that orders for a former instance may have granted to the known
-    /// one, which has this age. Such orders have deadlines on another clock, so the lease may be as
-    /// long as `max_lease`.
+    /// one. Such orders have deadlines on another clock, so the lease may be as long as `max_lease`.
+    /// Earlier owners have sent their last orders by `predecessors_end`.
     pub(super) fn former_order_lease(
         &self,
-        age: Duration,
+        predecessors_end: Duration,
         max_lease: Duration,
         now: Duration,
     ) -> Duration {
-        let since_order = match (&self.instance, self.deadline_sent_at) {
-            (Some(instance), Some(sent_at)) if sent_at <= instance.met_at => {
-                now.saturating_sub(sent_at + ORDER_TRANSIT_TIME)
-            }
+        let sent_at = match (&self.instance, self.deadline_sent_at) {
+            (Some(instance), Some(sent_at)) if sent_at <= instance.met_at => sent_at,
             (_, Some(_)) => return Duration::ZERO,
-            // Orders of earlier owners.
-            (_, None) => age.saturating_sub(FORMER_ORDER_TIME),
+            (Some(instance), None) if self.is_holder(instance.started_unix_ms) => {
+                return Duration::ZERO;
+            }
+            (_, None) => predecessors_end,
         };
+        let since_order = now.saturating_sub(sent_at + ORDER_TRANSIT_TIME);
         max_lease.saturating_sub(since_order)
     }
 
+    /// Returns whether an earlier owner knew the instance with this start time, and had granted all
+    /// of its leases on its clock.
+    fn is_holder(&self, started_unix_ms: RunHolder) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.holder == Some(started_unix_ms))
+    }
+
     /// Returns the time by which a run on the worker has ended if its lease is not renewed. An
     /// instance that the owner has not met holds it for at most `max_lease` after an order, as the
     /// deadline of the order is on another clock.
     pub(super) fn run_lapses_at(&self, run: &WorkerRun, max_lease: Duration) -> Duration {
         let lapses_at = self.lapses_at();
         match self.deadline_sent_at {
+            _ if run.phase == RunPhase::Inherited && run.holder.is_none() => {
+                lapses_at.max(self.unlocated_until)
+            }
             Some(sent_at) if run.can_be_elsewhere(self.reported_at) => {
                 lapses_at.max(sent_at + lapse_time(max_lease))
             }
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -125,9 +125,12 @@
             long_running,
             have_predecessors_ended,
             lapses_in,
+            unlocated,
+            unlocated_lapse_in,
         } => log::warn!(
             service, epoch, worker = worker.as_ref(), runs, long_running, have_predecessors_ended,
-            lapses_in_ms = lapses_in.as_millis();
+            lapses_in_ms = lapses_in.as_millis(), unlocated,
+            unlocated_lapse_in_ms = unlocated_lapse_in.as_millis();
             "a worker has not answered since the takeover; its runs are kept until its lease lapses"
         ),
         PipelineNote::RunStalled {
--- a/crates/daemon/src/pipelines/log.rs
+++ b/crates/daemon/src/pipelines/log.rs
@@ -7,7 +7,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use auburnsaddle_core::{PipelineId, PipelineProgress, TaskKey, TaskPlace, TaskProgress};
+use auburnsaddle_core::{Attempt, PipelineId, PipelineProgress};
+use auburnsaddle_core::{RunHolder, TaskKey, TaskPlace, TaskProgress};
 
 use super::records::{decode_front, decode_value, encode_value};
 
@@ -39,9 +40,15 @@
 /// Largest encoded size of the suspicion of a task.
 const MAX_SUSPICION_BYTES: usize = 32;
 
+/// Largest encoded size of the instance that holds a run.
+const MAX_HOLDER_BYTES: usize = 38;
+
 /// Largest encoded size of a number of 32 bits.
 const MAX_NUMBER_BYTES: usize = 5;
 
+/// The latest run of a task, with its attempt and the worker instance that holds it.
+type HolderEntry = (TaskKey, Attempt, RunHolder);
+
 /// The jobs that one commit changed, with their progress. Of a job that has ended, only the
 /// phase is kept. `None` marks a job whose keys are removed; earlier versions wrote it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -57,7 +64,9 @@
             TaskPlace::Waiting | TaskPlace::Done => 0,
         };
         let suspicion_bytes = usize::from(task.suspicion > 0) * MAX_SUSPICION_BYTES;
-        MAX_TASK_BYTES + worker_bytes + task.checkpoint.len() + suspicion_bytes
+        let holder_bytes = usize::from(task.holder.is_some()) * MAX_HOLDER_BYTES;
+        let appended_bytes = suspicion_bytes + holder_bytes;
+        MAX_TASK_BYTES + worker_bytes + task.checkpoint.len() + appended_bytes
     };
     let steps = progress.steps();
     let steps = steps.map(|step| MAX_STEP_BYTES + step.tasks.iter().map(task_bytes).sum::<usize>());
@@ -67,23 +76,29 @@
 }
 
 impl ProgressRecord {
-    /// Encodes the record. The suspicions of tasks follow the entries, so that earlier
-    /// versions, which do not know them, can read the entries.
+    /// Encodes the record. The suspicions of tasks and the holders of their runs follow the
+    /// entries, so that earlier versions, which do not know them, can read what comes before.
     pub(crate) fn encode(&self) -> Vec<u8> {
-        let suspicions = self.entries.iter().flat_map(|(id, progress)| {
-            let progress = progress.iter();
-            progress.flat_map(|progress| progress.suspicions(*id))
-        });
+        let jobs = self.entries.iter();
+        let jobs = jobs.filter_map(|(id, progress)| Some((*id, progress.as_ref()?)));
+        let suspicions = jobs.clone();
+        let suspicions = suspicions.flat_map(|(id, progress)| progress.suspicions(id));
         let suspicions: Vec<(TaskKey, u32)> = suspicions.collect();
-        encode_value(&(&self.entries, suspicions))
+        let holders = jobs.flat_map(|(id, progress)| progress.holders(id));
+        let holders: Vec<HolderEntry> = holders.collect();
+        encode_value(&(&self.entries, suspicions, holders))
     }
 
     /// Decodes the value of a key. Logs a value that cannot be decoded and returns `None`.
     pub(crate) fn decode(key: &str, value: &[u8]) -> Option<Self> {
         type Entries = Vec<(PipelineId, Option<PipelineProgress>)>;
         let (mut entries, rest): (Entries, &[u8]) = decode_front(key, value)?;
-        let suspicions: Vec<(TaskKey, u32)> = match rest {
-            // Earlier versions wrote the entries only.
+        // Earlier versions wrote the entries only, or these and the suspicions.
+        let (suspicions, rest): (Vec<(TaskKey, u32)>, &[u8]) = match rest {
+            [] => (Vec::new(), rest),
+            rest => decode_front(key, rest)?,
+        };
+        let holders: Vec<HolderEntry> = match rest {
             [] => Vec::new(),
             rest => decode_value(key, rest)?,
         };
@@ -94,6 +109,13 @@
                 _ => log::warn!(key, task = task.to_string().as_str(); "a suspicion has no job"),
             }
         }
+        for (task, attempt, holder) in holders {
+            let id = task.step.pipeline;
+            match entries.iter_mut().find(|(other, _)| *other == id) {
+                Some((_, Some(progress))) => progress.set_holder(task, attempt, holder),
+                _ => log::warn!(key, task = task.to_string().as_str(); "a holder has no job"),
+            }
+        }
         Some(Self { entries })
     }
 }
--- a/crates/daemon/src/pipelines/tests/records.rs
+++ b/crates/daemon/src/pipelines/tests/records.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use auburnsaddle_core::{
-    PipelineEvent, PipelineId, PipelineProgress, PipelineSchedule, StepSpec, TaskPlace,
+    PipelineEvent, PipelineId, PipelineProgress, PipelineSchedule, StepSpec, TaskKey, TaskPlace,
 };
 use auburnsaddle_platform::TransactionOutcome;
 
@@ -49,6 +49,43 @@
     assert_eq!(read_again, Some(record_with_suspicion(0)));
 }
 
+/// Returns a record with two jobs, with the holder of the only placed run of the second one.
+fn record_with_holder() -> ProgressRecord {
+    let mut record = record_with_suspicion(4);
+    let progress = record.entries[1].1.as_mut().unwrap();
+    let task = &mut progress.occurrences.get_mut(&0).unwrap()[0].tasks[1];
+    task.attempt = 3;
+    task.place = TaskPlace::Placed("w1".into());
+    task.holder = Some(1_784_960_978_815);
+    record
+}
+
+/// Guards against a successor that waits for the longest lease for a lasting task whose instance its
+/// predecessor knew.
+#[test]
+fn a_record_keeps_the_holders_of_its_runs() {
+    let record = record_with_holder();
+
+    let decoded = ProgressRecord::decode(KEY, &record.encode());
+
+    assert_eq!(decoded, Some(record));
+}
+
+/// Guards against a holder that counts for a later run, which a version without holders has placed.
+#[test]
+fn an_earlier_version_drops_the_holders_and_keeps_the_suspicions() {
+    type SuspicionRecord = (EarlierRecord, Vec<(TaskKey, u32)>);
+    let record = record_with_holder();
+
+    let read_by_earlier: SuspicionRecord = decode_value(KEY, &record.encode()).unwrap();
+    let written_by_earlier = encode_value(&read_by_earlier);
+    let read_again = ProgressRecord::decode(KEY, &written_by_earlier).unwrap();
+
+    let progress = read_again.entries[1].1.as_ref().unwrap();
+    assert_eq!(progress.suspicions(2).count(), 1);
+    assert_eq!(progress.holders(2).count(), 0);
+}
+
 /// Returns progress in which everything takes as much space as possible.
 fn largest_progress(tasks: usize) -> PipelineProgress {
     let mut record = record_with_jobs([1], tasks);
@@ -63,6 +100,7 @@
         task.place = TaskPlace::Placed("i-0123456789".into());
         task.checkpoint = "c".repeat(300);
         task.suspicion = u32::MAX;
+        task.holder = Some(u64::MAX);
     }
     for occurrence in u32::MAX - 2..=u32::MAX {
         progress.occurrences.insert(occurrence, steps.clone());
