Recognise a new instance by another start time in its entry, not by a later one

Cause: an entry gave the claim up only if its start time was later than that of the known instance. Start times are by the wall clock of the worker's host; set back between two instances, the new one has an earlier time, and starts went to it as if it were the former one until a renewal met it. The same comparison gave a claim up for a new draining entry of a former instance with a later time.

Change: entries of one worker arrive in the order of their writes, so one whose start time differs from that of the known instance and from that of the entry before it is of a newer instance. An old entry that is read first at a takeover, before or after the new instance has answered, and the entry of the known instance that follows it give nothing up. After two restarts in a row the late entry of the instance between gives one claim up without need; the next renewal claims the worker again.

--- a/crates/core/src/pipelines/tests/restarts.rs
+++ b/crates/core/src/pipelines/tests/restarts.rs
@@ -282,6 +282,65 @@
     assert!(owner.renewal_token("w1") > before);
 }
 
+/// Guards against a claim that is kept for a former instance, because the host's clock was set back
+/// before the worker was restarted.
+#[test]
+fn an_entry_of_a_new_instance_with_an_earlier_start_time_gives_the_claim_up() {
+    let mut owner = owner(&[]);
+    let entry = entry_of_kind(INSTANCE_STARTED_MS, "a");
+    owner.handle_event(PipelineEvent::Listed(entry));
+    owner.report("w1", Vec::new(), Vec::new());
+    let before = owner.renewal_token("w1");
+
+    let entry = entry_of_kind(INSTANCE_STARTED_MS - 5_000, "a");
+    owner.handle_event(PipelineEvent::Listed(entry));
+
+    assert!(owner.renewal_token("w1") > before);
+}
+
+/// Guards against a claim that is given up for a former instance: its entry is read first at a
+/// takeover, before or after the new one has answered, and it may be written again.
+#[test]
+fn an_entry_of_a_former_instance_does_not_give_the_claim_up() {
+    for former_ms in [RESTARTED_MS - 5_000, RESTARTED_MS + 5_000] {
+        let mut owner = owner(&[]);
+        let entry = entry_of_kind(former_ms, "a");
+        owner.handle_event(PipelineEvent::Listed(entry.clone()));
+        report_restarted(&mut owner, Vec::new(), Vec::new());
+        let before = owner.renewal_token("w1");
+
+        let draining = WorkerListing {
+            is_draining: true,
+            ..entry
+        };
+        owner.handle_event(PipelineEvent::Listed(draining));
+        let entry = entry_of_kind(RESTARTED_MS, "a");
+        owner.handle_event(PipelineEvent::Listed(entry));
+
+        assert!(before.is_some());
+        assert_eq!(owner.renewal_token("w1"), before);
+    }
+}
+
+/// Guards against an entry of a new instance that counts as known, as the worker was removed from
+/// the registry and listed again.
+#[test]
+fn an_entry_of_a_new_instance_after_a_removal_gives_the_claim_up() {
+    let mut owner = owner(&[]);
+    let entry = entry_of_kind(RESTARTED_MS, "a");
+    owner.handle_event(PipelineEvent::Listed(entry));
+    report_restarted(&mut owner, Vec::new(), Vec::new());
+    owner.submit(1, long_running_job());
+    owner.start_all();
+    let before = owner.renewal_token("w1");
+
+    owner.handle_event(PipelineEvent::Delisted("w1".into()));
+    let entry = entry_of_kind(INSTANCE_STARTED_MS, "a");
+    owner.handle_event(PipelineEvent::Listed(entry));
+
+    assert!(owner.renewal_token("w1") > before);
+}
+
 /// Guards against runs on a new instance that are stopped at the time at which the former one was to
 /// leave.
 #[test]
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -276,11 +276,23 @@
     }
 
     /// Returns whether an entry shows that the worker was restarted after the known instance began.
+    ///
+    /// Entries of a worker arrive in the order of their writes, so one with another start time than
+    /// both the entry before it and the known instance is of a newer instance. Which start time is
+    /// later says nothing, as the host's clock may have been set.
     pub(super) fn is_superseded_by(&self, listing: &WorkerListing) -> bool {
+        let former = self.listing.as_ref();
+        let former_ms = former.and_then(|former| former.started_unix_ms);
         let started_ms = listing.started_unix_ms;
-        started_ms
-            .zip(self.instance.as_ref())
-            .is_some_and(|(started_ms, instance)| started_ms > instance.started_unix_ms)
+        let met_ms = self
+            .instance
+            .as_ref()
+            .map(|instance| instance.started_unix_ms);
+        match started_ms {
+            Some(_) if started_ms == former_ms || started_ms == met_ms => false,
+            Some(_) => met_ms.is_some(),
+            None => false,
+        }
     }
 
     pub(super) fn free_resources(&self) -> ResourceVector {
