Wait for an order in transit to an unmet instance before its task is placed again (TWICE)

Cause: a run that may be on an instance that the owner has not met counted as ended one longest lease after the latest order was sent. An order without an answer may arrive up to 3 s later, and its lease counts from the arrival, also if its repetition was answered by the known instance.

Change: while an order for the run has no answer, its task waits for 3 s more. A run whose orders were all answered waits as before. So do tasks that last: where workers accept leases of 10 s they wait for 10.5 s already, and callers would be without them for 13.5 s.

--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -127,6 +127,25 @@
         let latest = open_at.max(self.unanswered_at);
         latest.is_some_and(|sent_at| sent_at + ORDER_TRANSIT_TIME > reported_at)
     }
+
+    /// Returns for how long the latest order may be in transit to an instance that the owner has not
+    /// met, which the owner waits on top of the longest lease. That is no time if all orders for the
+    /// run were answered.
+    ///
+    /// Nor does it wait for long-running tasks: with leases of 10 s it waits for 10.5 s already, and
+    /// 3 s more would keep them from their callers for too long. For these a late order is a risk.
+    fn transit_allowance(&self, reported_at: Duration) -> Duration {
+        let is_answered = self.is_located || matches!(self.phase, RunPhase::Started(_));
+        let open_at = self.ordered_at.filter(|_| !is_answered);
+        let latest = open_at.max(self.unanswered_at);
+        let is_in_transit =
+            latest.is_some_and(|sent_at| sent_at + ORDER_TRANSIT_TIME > reported_at);
+        if is_in_transit && !self.is_long_running {
+            ORDER_TRANSIT_TIME
+        } else {
+            Duration::ZERO
+        }
+    }
 }
 
 /// Contact with a worker. Start orders are sent only to claimed workers. The names
@@ -425,8 +444,8 @@
     }
 
     /// Returns the time by which a run on the worker has ended if its lease is not renewed. An
-    /// instance that the owner has not met holds it for at most `max_lease` after an order, as the
-    /// deadline of the order is on another clock.
+    /// instance that the owner has not met holds it for at most `max_lease` after the arrival of an
+    /// order, as the deadline of the order is on another clock.
     pub(super) fn run_lapses_at(&self, run: &WorkerRun, max_lease: Duration) -> Duration {
         let lapses_at = self.lapses_at();
         match self.deadline_sent_at {
@@ -434,7 +453,8 @@
                 lapses_at.max(self.unlocated_until)
             }
             Some(sent_at) if run.can_be_elsewhere(self.reported_at) => {
-                lapses_at.max(sent_at + lapse_time(max_lease))
+                let arrived_at = sent_at + run.transit_allowance(self.reported_at);
+                lapses_at.max(arrived_at + lapse_time(max_lease))
             }
             _ => lapses_at,
         }
