--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -14,6 +14,7 @@
 mod recovery;
 mod recurring;
 mod restarts;
+mod review_holders;
 mod sim_worker;
 mod simulation;
 mod waiting;
