--- a/crates/core/src/pipelines/tests/review_holders.rs
+++ b/crates/core/src/pipelines/tests/review_holders.rs
@@ -287,6 +287,106 @@
     assert!(time >= slow_lease(MAX_LEASE), "{time:?}");
 }
 
+/// Guards against a second run of a task that a successor has found on the holder of another one: that
+/// instance ends, and an order of the predecessor that had no answer reaches the next one.
+#[test]
+fn an_order_of_an_earlier_owner_in_transit_counts_after_the_claim() {
+    let mut former = settled_owner(MAX_LEASE);
+    let (lasting, spec) = (long_running_job(), job(vec![step(1)]));
+    let known = order_first(&mut former, 1, &lasting).run;
+    renew(&mut former, &[known], Duration::from_millis(200));
+    let order = order_first(&mut former, 2, &spec);
+    let sent_at = former.now;
+    leave_unanswered(&mut former, &order, sent_at);
+
+    let mut owner = successor(&former, MAX_LEASE, &[lasting, spec]);
+    renew(&mut owner, &[known, order.run], Duration::from_millis(200));
+    add_w2(&mut owner);
+    fail_renewal(&mut owner);
+    let time = time_until_start(&mut owner, 2);
+
+    assert!(time >= slow_lease(MAX_LEASE), "{time:?}");
+}
+
+/// Guards against a second run of a lasting task whose repeated order waited for a connection for 1 s,
+/// had no answer and reaches a restarted worker, although the run is present by its first order.
+#[test]
+fn the_holder_of_a_run_is_not_recorded_while_its_repeated_order_may_be_in_transit() {
+    let mut former = settled_owner(MAX_LEASE);
+    let spec = long_running_job();
+    let order = order_first(&mut former, 1, &spec);
+    let repeated_at = former.now;
+    leave_unanswered(&mut former, &order, repeated_at);
+    former.report("w1", vec![observed(order.run)], Vec::new());
+    former.advance_clock(Duration::from_secs(1));
+    let sent_at = former.now;
+    leave_unanswered(&mut former, &order, sent_at);
+    renew(&mut former, &[order.run], Duration::from_millis(2_500));
+
+    let mut owner = successor(&former, MAX_LEASE, &[spec]);
+    add_w2(&mut owner);
+    fail_renewal(&mut owner);
+    let time = time_until_start(&mut owner, 1);
+
+    assert!(former.now < sent_at + TRANSIT_TIME);
+    assert!(time >= slow_lease(MAX_LEASE), "{time:?}");
+}
+
+/// Guards against a shorter wait for orders in transit to a restarted worker, as the end of the earlier
+/// ownerships becomes known after the restart.
+#[test]
+fn the_end_of_the_predecessors_does_not_shorten_the_wait_after_a_restart() {
+    let mut owner = owner_in(1, MAX_LEASE, &["w1"]);
+    owner.report("w1", Vec::new(), Vec::new());
+    order_first(&mut owner, 1, &job(vec![step(1)]));
+    owner.report_as_instance("w1", RESTARTED_MS, Vec::new(), Vec::new());
+    add_w2(&mut owner);
+
+    owner.end_predecessors_long_ago();
+    fail_renewal(&mut owner);
+    let time = time_until_start(&mut owner, 1);
+
+    assert!(time >= TRANSIT_TIME + slow_lease(MAX_LEASE), "{time:?}");
+}
+
+/// Guards against a second run of a task on an instance that a successor takes for a known one, as
+/// its worker has a run with another holder.
+#[test]
+fn a_longer_lease_is_assumed_for_an_instance_that_is_not_the_holder() {
+    let mut former = settled_owner(MAX_LEASE);
+    let spec = long_running_job();
+    let known = order_first(&mut former, 1, &spec).run;
+    renew(&mut former, &[known], Duration::from_millis(200));
+    let mut owner = successor(&former, MAX_LEASE, &[spec]);
+    owner.report_as_instance("w1", RESTARTED_MS, Vec::new(), Vec::new());
+    let run = order_first(&mut owner, 2, &job(vec![step(1)])).run;
+    owner.report_as_instance("w1", RESTARTED_MS, vec![observed(run)], Vec::new());
+    add_w2(&mut owner);
+
+    fail_renewal(&mut owner);
+    let time = time_until_start(&mut owner, 2);
+
+    assert!(time >= slow_lease(MAX_LEASE), "{time:?}");
+}
+
+/// Guards against the holder of a former run, which its worker still lists, that counts for the latest
+/// run of the task on another worker.
+#[test]
+fn a_former_run_that_is_listed_again_sets_no_holder() {
+    let mut owner = settled_owner(MAX_LEASE);
+    owner.report("w1", Vec::new(), Vec::new());
+    let run = order_first(&mut owner, 1, &long_running_job()).run;
+    renew(&mut owner, &[run], Duration::from_millis(200));
+    add_w2(&mut owner);
+    fail_renewal(&mut owner);
+    let time = time_until_start(&mut owner, 1);
+
+    renew(&mut owner, &[run], Duration::from_secs(2));
+
+    assert!(time < Duration::from_secs(6));
+    assert_eq!(owner.durable[&1].holders(1).count(), 0);
+}
+
 /// Returns the time from the order for a lasting task until its holder is durable, with a report each
 /// 100 ms. After a loss in this time, the task is away for the longest lease.
 fn time_without_holder(owner: &mut OwnerFixture) -> Duration {
