--- a/crates/core/src/pipelines/tests/review_holders.rs
+++ b/crates/core/src/pipelines/tests/review_holders.rs
@@ -68,7 +68,9 @@
 fn order_first(owner: &mut OwnerFixture, id: u64, spec: &PipelineSpec) -> StartOrder {
     owner.submit(id, spec.clone());
     owner.commit();
-    owner.take_starts().remove(0)
+    let mut starts = owner.take_starts().into_iter();
+    let start = starts.find(|start| start.run.task.step.pipeline == id);
+    start.unwrap()
 }
 
 /// Reports that an order that was sent at this time had no answer.
@@ -391,8 +393,8 @@
 /// 100 ms. After a loss in this time, the task is away for the longest lease.
 fn time_without_holder(owner: &mut OwnerFixture) -> Duration {
     let run = order_first(owner, 9, &long_running_job()).run;
-    let began_at = owner.now;
-    while owner.durable[&9].holders(9).count() == 0 {
+    let (began_at, end) = (owner.now, owner.now + Duration::from_mins(1));
+    while owner.durable[&9].holders(9).count() == 0 && owner.now < end {
         owner.advance_clock(Duration::from_millis(100));
         let started_ms = owner.state.workers["w1"].instance.as_ref();
         let started_ms = started_ms.map_or(0, |instance| instance.started_unix_ms);
