--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -377,11 +377,11 @@
         }
     }
 
-    /// Returns the number of inherited runs that may be on an instance that no owner has met.
+    /// Returns the number of runs without a holder, which may be on an instance that no owner has met
+    /// if this owner has not met one either.
     pub(super) fn unlocated_count(&self) -> usize {
         let runs = self.runs.values();
-        let unlocated = runs.filter(|run| run.phase == RunPhase::Inherited && run.holder.is_none());
-        unlocated.count()
+        runs.filter(|run| run.holder.is_none()).count()
     }
 
     /// Returns the number of runs that last until their jobs are cancelled.
@@ -447,11 +447,11 @@
     /// instance that the owner has not met holds it for at most `max_lease` after the arrival of an
     /// order, as the deadline of the order is on another clock.
     pub(super) fn run_lapses_at(&self, run: &WorkerRun, max_lease: Duration) -> Duration {
-        let lapses_at = self.lapses_at();
+        let lapses_at = match run.holder {
+            Some(_) => self.lapses_at(),
+            None => self.lapses_at().max(self.unlocated_until),
+        };
         match self.deadline_sent_at {
-            _ if run.phase == RunPhase::Inherited && run.holder.is_none() => {
-                lapses_at.max(self.unlocated_until)
-            }
             Some(sent_at) if run.can_be_elsewhere(self.reported_at) => {
                 let arrived_at = sent_at + run.transit_allowance(self.reported_at);
                 lapses_at.max(arrived_at + lapse_time(max_lease))
