--- a/crates/core/src/pipelines/losses.rs
+++ b/crates/core/src/pipelines/losses.rs
@@ -66,11 +66,11 @@
 
     /// Drops the runs that have ended as the lease of their worker has lapsed.
     pub(super) fn drop_lapsed_runs(&mut self, now: Duration) {
-        let max_lease = self.config.max_lease;
+        let limits = self.order_limits();
         let lapsed = self.workers.iter().filter(|(_, record)| {
             let mut runs = record.runs.values();
             record.contact != WorkerContact::Claimed
-                && runs.any(|run| now >= record.run_lapses_at(run, max_lease))
+                && runs.any(|run| now >= record.run_lapses_at(run, limits))
         });
         let lapsed: Vec<WorkerId> = lapsed.map(|(id, _)| WorkerId::clone(id)).collect();
         for worker in lapsed {
@@ -79,7 +79,7 @@
             };
             record.reset_claim(now);
             self.drop_runs(&worker, LossCause::LeaseLapsed, now, |record, run| {
-                now >= record.run_lapses_at(run, max_lease)
+                now >= record.run_lapses_at(run, limits)
             });
         }
     }
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -496,7 +496,7 @@
         lapses_in: Duration,
         /// Number of the other runs, which may be on an instance that no owner has met.
         unlocated: usize,
-        /// Time until these count as ended.
+        /// Time until all runs count as ended.
         unlocated_lapse_in: Duration,
     },
     /// A run makes no progress. It is stopped, and its task is placed again.
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -108,7 +108,7 @@
 
     /// Claims a worker whose instance has answered with the current token.
     fn claim_worker(&mut self, worker: &WorkerId, report: &RenewalReport, now: Duration) {
-        let predecessors_end = self.predecessors_end();
+        let limits = self.order_limits();
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
@@ -117,9 +117,7 @@
         if former_contact == WorkerContact::Unclaimed {
             // The claim fences the previous owner, which may have granted a lease just before.
             record.inherited_until = Duration::ZERO;
-            record.unlocated_until = Duration::ZERO;
-            let max_lease = self.config.max_lease;
-            let former = record.former_order_lease(predecessors_end, max_lease, now);
+            let former = record.former_order_lease(limits, now);
             if let Some(instance) = &mut record.instance {
                 instance.assume_lease(self.config.inherited_lease.max(former));
             }
@@ -191,7 +189,6 @@
         if record.is_token_used {
             record.reset_claim(now);
             record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
-            record.unlocated_until = record.inherited_until;
         }
         let (mut lost, mut stopping) = (Vec::new(), Vec::new());
         for (run, entry) in &mut record.runs {
@@ -233,8 +230,11 @@
             let Some(record) = self.workers.get_mut(worker) else {
                 return;
             };
+            let instance = record.instance.as_ref();
+            let started_ms = instance.map(|instance| instance.started_unix_ms);
             match record.runs.get_mut(&observed.run) {
                 Some(entry) => {
+                    entry.holder = entry.holder.filter(|holder| Some(*holder) == started_ms);
                     entry.report = ReportStatus::Reported;
                     entry.is_located = true;
                     if matches!(entry.phase, RunPhase::Inherited | RunPhase::Ordered(_)) {
@@ -277,6 +277,7 @@
     /// That is known once no order for the run can reach another instance, and no order for a former
     /// instance can have granted a longer lease than the orders on this one's clock.
     fn record_holders(&mut self, worker: &WorkerId, running: &[ObservedRun]) {
+        let predecessors_end = self.order_limits().predecessors_end;
         let Some(record) = self.workers.get(worker) else {
             return;
         };
@@ -287,7 +288,11 @@
         let held = running.iter().filter(|observed| {
             let entry = record.runs.get(&observed.run);
             entry.is_some_and(|entry| {
-                entry.is_long_running && !entry.can_be_elsewhere(record.reported_at)
+                let reported_at = record.reported_at;
+                let inherited_order = entry.inherited_order_at(predecessors_end, reported_at);
+                entry.is_long_running
+                    && !entry.can_be_elsewhere(reported_at)
+                    && inherited_order.is_none()
             })
         });
         let held: Vec<RunKey> = held.map(|observed| observed.run).collect();
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -19,7 +19,7 @@
     schedule::PipelineConfig,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
     wait::WaitRecord,
-    worker::{InheritedWait, RenewalStatus, RunPhase, WorkerContact, WorkerRecord},
+    worker::{RenewalStatus, RunPhase, WorkerContact, WorkerRecord},
 };
 use crate::{
     instances::{ClockReading, InstanceNumber, WorkerInstance},
@@ -340,14 +340,14 @@
     pub(super) fn ensure_worker(
         &mut self,
         worker: &WorkerId,
-        wait: InheritedWait,
+        inherited_until: Duration,
         now: Duration,
     ) -> &mut WorkerRecord {
         let removed = &self.removed_claims;
         let record = self.workers.entry(WorkerId::clone(worker));
         record.or_insert_with(|| {
             let claims = removed.get(worker).copied().unwrap_or_default();
-            WorkerRecord::new(wait, claims, now)
+            WorkerRecord::new(inherited_until, claims, now)
         })
     }
 
@@ -376,9 +376,9 @@
 
     fn update_listing(&mut self, listing: WorkerListing, now: Duration) {
         self.is_placement_due = true;
-        let wait = self.inherited_wait();
+        let inherited_until = self.inherited_until();
         let listing_interval = self.config.listing_interval;
-        let record = self.ensure_worker(&listing.worker, wait, now);
+        let record = self.ensure_worker(&listing.worker, inherited_until, now);
         let is_new = record.listing.is_none();
         // The departure in an entry is that of the instance that wrote it.
         let known = record.listing.as_ref();
--- a/crates/core/src/pipelines/takeover.rs
+++ b/crates/core/src/pipelines/takeover.rs
@@ -9,7 +9,7 @@
     schedule::UNCONFIRMED_RENEWAL_TIME,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, TaskKey},
     state::PipelineState,
-    worker::{InheritedWait, RunPhase, WorkerContact, WorkerRun},
+    worker::{OrderLimits, RunPhase, WorkerContact, WorkerRun},
 };
 use crate::{instances::lapse_time, types::WorkerId};
 
@@ -23,32 +23,31 @@
 const UNREACHED_LOG_DELAY: Duration = Duration::from_secs(1);
 
 impl PipelineState {
-    /// Returns the latest time at which an earlier owner may have sent an order.
-    pub(super) fn predecessors_end(&self) -> Duration {
+    /// Returns the bounds of the leases that orders for other instances have granted. They follow from
+    /// the order of events on this host only: an age by the time of day of another host would end a
+    /// lease early when a clock is set.
+    pub(super) fn order_limits(&self) -> OrderLimits {
         let latest = self.taken_over_at + MAX_PREDECESSOR_TIME;
-        self.predecessors_ended_at.unwrap_or(latest)
+        OrderLimits {
+            max_lease: self.config.max_lease,
+            predecessors_end: self.predecessors_ended_at.unwrap_or(latest),
+        }
     }
 
-    /// Returns the times by which the runs placed by earlier owners have ended on a worker that this
-    /// owner has not reached. Only the order of events on one host bounds them: the age of an
-    /// instance by the time of day would end them early when a clock is set.
-    pub(super) fn inherited_wait(&self) -> InheritedWait {
-        let ended_at = self.predecessors_end();
-        InheritedWait {
-            inherited_until: ended_at + lapse_time(self.config.inherited_lease),
-            unlocated_until: ended_at + lapse_time(self.config.max_lease),
-        }
+    /// Returns the time by which the runs of earlier owners whose holder is known have ended on a
+    /// worker that this owner has not reached.
+    pub(super) fn inherited_until(&self) -> Duration {
+        self.order_limits().predecessors_end + lapse_time(self.config.inherited_lease)
     }
 
     /// Shortens the wait for workers that this owner has not reached, as no earlier owner has
     /// renewed their leases since the given time.
     pub(super) fn end_predecessors(&mut self, ended_at: Duration) {
         self.predecessors_ended_at = Some(ended_at);
-        let wait = self.inherited_wait();
+        let inherited_until = self.inherited_until();
         let records = self.workers.values_mut();
         for record in records.filter(|record| record.instance.is_none()) {
-            record.inherited_until = record.inherited_until.min(wait.inherited_until);
-            record.unlocated_until = record.unlocated_until.min(wait.unlocated_until);
+            record.inherited_until = record.inherited_until.min(inherited_until);
         }
     }
 
@@ -61,7 +60,7 @@
         progress: &PipelineProgress,
         now: Duration,
     ) {
-        let wait = self.inherited_wait();
+        let inherited_until = self.inherited_until();
         for (occurrence, steps) in &progress.occurrences {
             for ((step, step_progress), step_spec) in (0..).zip(steps).zip(&spec.steps) {
                 let tasks = (0..).zip(&step_progress.tasks);
@@ -80,7 +79,8 @@
                     };
                     let mut entry = WorkerRun::new(step_spec, RunPhase::Inherited, now);
                     entry.holder = task.holder;
-                    self.ensure_worker(worker, wait, now).insert_run(run, entry);
+                    self.ensure_worker(worker, inherited_until, now)
+                        .insert_run(run, entry);
                 }
             }
         }
@@ -88,6 +88,7 @@
 
     /// Logs the workers with runs of an earlier owner that have not answered, once each.
     pub(super) fn log_unreached_workers(&mut self, now: Duration) {
+        let limits = self.order_limits();
         let have_predecessors_ended = self.predecessors_ended_at.is_some();
         for (worker, record) in &mut self.workers {
             let is_unreached = record.contact == WorkerContact::Unclaimed
@@ -102,7 +103,7 @@
                     have_predecessors_ended,
                     lapses_in: record.lapses_at().saturating_sub(now),
                     unlocated: record.unlocated_count(),
-                    unlocated_lapse_in: record.unlocated_until.saturating_sub(now),
+                    unlocated_lapse_in: record.last_run_lapses_at(limits).saturating_sub(now),
                 };
                 self.actions.push(PipelineAction::Log(note));
             }
--- a/crates/core/src/pipelines/tests/review_holders.rs
+++ b/crates/core/src/pipelines/tests/review_holders.rs
@@ -49,6 +49,7 @@
 /// Returns the next owner, at the time at which the former one ended.
 fn successor(former: &OwnerFixture, max_lease: Duration, jobs: &[PipelineSpec]) -> OwnerFixture {
     let mut owner = owner_in(former.state.epoch + 1, max_lease, &["w1"]);
+    owner.durable.clone_from(&former.durable);
     for (id, spec) in (1..).zip(jobs) {
         let progress = former.durable.get(&id).cloned();
         owner.handle_event(PipelineEvent::Stored(id, Arc::new(spec.clone()), progress));
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -128,22 +128,41 @@
         latest.is_some_and(|sent_at| sent_at + ORDER_TRANSIT_TIME > reported_at)
     }
 
-    /// Returns for how long the latest order may be in transit to an instance that the owner has not
-    /// met, which the owner waits on top of the longest lease. That is no time if all orders for the
-    /// run were answered.
-    ///
-    /// Nor does it wait for long-running tasks: with leases of 10 s it waits for 10.5 s already, and
-    /// 3 s more would keep them from their callers for too long. For these a late order is a risk.
-    fn transit_allowance(&self, reported_at: Duration) -> Duration {
+    /// Returns by when an earlier owner has sent its last order for the run, if that may still reach
+    /// an instance that no owner has met. The known instance has answered a renewal that was sent at
+    /// `reported_at`.
+    pub(super) fn inherited_order_at(
+        &self,
+        predecessors_end: Duration,
+        reported_at: Duration,
+    ) -> Option<Duration> {
+        let is_inherited = self.ordered_at.is_none() && self.holder.is_none();
+        let can_arrive = predecessors_end + ORDER_TRANSIT_TIME > reported_at;
+        (is_inherited && can_arrive).then_some(predecessors_end)
+    }
+
+    /// Returns for how long the latest order of this owner, sent while it had met the instance that
+    /// answered last, may be in transit to another one: no time if all orders were answered.
+    fn transit_time(&self, reported_at: Duration) -> Duration {
         let is_answered = self.is_located || matches!(self.phase, RunPhase::Started(_));
         let open_at = self.ordered_at.filter(|_| !is_answered);
         let latest = open_at.max(self.unanswered_at);
-        let is_in_transit =
-            latest.is_some_and(|sent_at| sent_at + ORDER_TRANSIT_TIME > reported_at);
-        if is_in_transit && !self.is_long_running {
-            ORDER_TRANSIT_TIME
-        } else {
+        match latest {
+            Some(sent_at) if sent_at + ORDER_TRANSIT_TIME > reported_at => self.allowed_transit(),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Returns the time for which the owner waits for an order in transit, on top of the longest
+    /// lease.
+    ///
+    /// It does not wait for long-running tasks: with leases of 10 s it waits for 10.5 s already, and
+    /// 3 s more would keep them from their callers for too long. For these a late order is a risk.
+    const fn allowed_transit(&self) -> Duration {
+        if self.is_long_running {
             Duration::ZERO
+        } else {
+            ORDER_TRANSIT_TIME
         }
     }
 }
@@ -171,13 +190,14 @@
     Misdirected,
 }
 
-/// Times by which inherited runs have ended on a worker that this owner has not reached.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct InheritedWait {
-    /// For runs whose holder is known.
-    pub(super) inherited_until: Duration,
-    /// For the others.
-    pub(super) unlocated_until: Duration,
+/// Bounds of the leases that orders have granted whose deadlines are on the clock of another
+/// instance.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OrderLimits {
+    /// Longest lease that workers accept.
+    pub(super) max_lease: Duration,
+    /// When the earlier owners have sent their last orders.
+    pub(super) predecessors_end: Duration,
 }
 
 /// A worker of the service, with its runs and the instance that answered last.
@@ -198,8 +218,6 @@
     /// Time by which the inherited runs whose holder is known have ended if this owner cannot
     /// claim the worker.
     pub(super) inherited_until: Duration,
-    /// The same for the other inherited runs, which may be on an instance that no owner has met.
-    pub(super) unlocated_until: Duration,
     pub(super) renewal: RenewalStatus,
     /// Earliest time of the next renewal.
     pub(super) renewal_due: Duration,
@@ -224,7 +242,7 @@
 impl WorkerRecord {
     /// Returns the record of a worker of which earlier records in this ownership have given
     /// up this number of claims.
-    pub(super) fn new(wait: InheritedWait, claims: u64, now: Duration) -> Self {
+    pub(super) fn new(inherited_until: Duration, claims: u64, now: Duration) -> Self {
         Self {
             listing: None,
             instance: None,
@@ -232,8 +250,7 @@
             runs: BTreeMap::new(),
             used: ResourceVector::default(),
             best_effort_cpu_milli: 0,
-            inherited_until: wait.inherited_until,
-            unlocated_until: wait.unlocated_until,
+            inherited_until,
             renewal: RenewalStatus::Settled,
             renewal_due: now,
             evacuate_at: None,
@@ -416,24 +433,18 @@
     }
 
     /// Returns the rest of a lease that orders for a former instance may have granted to the known
-    /// one. Such orders have deadlines on another clock, so the lease may be as long as `max_lease`.
-    /// Earlier owners have sent their last orders by `predecessors_end`.
-    pub(super) fn former_order_lease(
-        &self,
-        predecessors_end: Duration,
-        max_lease: Duration,
-        now: Duration,
-    ) -> Duration {
+    /// one. Such orders have deadlines on another clock, so the lease may be the longest.
+    pub(super) fn former_order_lease(&self, limits: OrderLimits, now: Duration) -> Duration {
         let sent_at = match (&self.instance, self.deadline_sent_at) {
             (Some(instance), Some(sent_at)) if sent_at <= instance.met_at => sent_at,
             (_, Some(_)) => return Duration::ZERO,
             (Some(instance), None) if self.is_holder(instance.started_unix_ms) => {
                 return Duration::ZERO;
             }
-            (_, None) => predecessors_end,
+            (_, None) => limits.predecessors_end,
         };
         let since_order = now.saturating_sub(sent_at + ORDER_TRANSIT_TIME);
-        max_lease.saturating_sub(since_order)
+        limits.max_lease.saturating_sub(since_order)
     }
 
     /// Returns whether an earlier owner knew the instance with this start time, and had granted all
@@ -444,20 +455,24 @@
     }
 
     /// Returns the time by which a run on the worker has ended if its lease is not renewed. An
-    /// instance that the owner has not met holds it for at most `max_lease` after the arrival of an
+    /// instance that no owner has met holds it for at most the longest lease after the arrival of an
     /// order, as the deadline of the order is on another clock.
-    pub(super) fn run_lapses_at(&self, run: &WorkerRun, max_lease: Duration) -> Duration {
-        let lapses_at = match run.holder {
-            Some(_) => self.lapses_at(),
-            None => self.lapses_at().max(self.unlocated_until),
-        };
-        match self.deadline_sent_at {
-            Some(sent_at) if run.can_be_elsewhere(self.reported_at) => {
-                let arrived_at = sent_at + run.transit_allowance(self.reported_at);
-                lapses_at.max(arrived_at + lapse_time(max_lease))
-            }
-            _ => lapses_at,
-        }
+    pub(super) fn run_lapses_at(&self, run: &WorkerRun, limits: OrderLimits) -> Duration {
+        let own = self.deadline_sent_at;
+        let own = own.filter(|_| run.can_be_elsewhere(self.reported_at));
+        let own = own.map(|sent_at| sent_at + run.transit_time(self.reported_at));
+        let inherited = run.inherited_order_at(limits.predecessors_end, self.reported_at);
+        let inherited = inherited.map(|sent_at| sent_at + run.allowed_transit());
+        let lapses_at = own.max(inherited);
+        let lapses_at = lapses_at.map(|arrived_at| arrived_at + lapse_time(limits.max_lease));
+        self.lapses_at().max(lapses_at.unwrap_or_default())
+    }
+
+    /// Returns the time by which all runs on the worker have ended if its lease is not renewed.
+    pub(super) fn last_run_lapses_at(&self, limits: OrderLimits) -> Duration {
+        let runs = self.runs.values();
+        let last = runs.map(|run| self.run_lapses_at(run, limits)).max();
+        last.unwrap_or_default()
     }
 
     pub(super) fn stop_order(
