--- a/crates/core/src/pipelines/tests/review_holders.rs
+++ b/crates/core/src/pipelines/tests/review_holders.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use super::fixtures::{
-    INSTANCE_STARTED_MS, OwnerFixture, job, listing, long_running_job, observed, pipeline_config,
-    step, unclaimed_owner_with,
+    INSTANCE_STARTED_MS, OwnerFixture, WALL_MS, job, listing, long_running_job, observed,
+    pipeline_config, step, unclaimed_owner_with,
 };
 use crate::{
     PipelineConfig, PipelineEvent, PipelineSchedule, PipelineSpec, RenewalFailure, RunKey,
@@ -146,6 +146,7 @@
     owner.handle_event(PipelineEvent::Listed(WorkerListing {
         is_draining: true,
         leaves_in: Some(Duration::ZERO),
+        started_unix_ms: Some(WALL_MS - 300),
         ..listing("w1")
     }));
     fail_renewal(&mut owner);
@@ -167,6 +168,10 @@
     order_first(&mut former, 1, &spec);
 
     let mut owner = successor(&former, MAX_LEASE, &[spec]);
+    owner.handle_event(PipelineEvent::Listed(WorkerListing {
+        started_unix_ms: Some(WALL_MS - 300),
+        ..listing("w1")
+    }));
     // The member on this worker is missing.
     add_w2(&mut owner);
     owner.handle_event(PipelineEvent::Listed(listing("w3")));
@@ -221,22 +226,37 @@
     assert!(time >= slow_lease(MAX_LEASE), "{time:?}");
 }
 
-/// Guards against a second run of a task on a new instance that gets a renewal for its former one
-/// after its claim, which has the same token as no start was ordered with it.
-#[test]
-fn a_renewal_in_transit_counts_after_a_claim_with_the_same_token() {
+/// Renews the lease of a worker that ends then, meets its new instance, under the same token, after
+/// this time, places a task there and loses contact. Returns the time from the renewal until the task
+/// is placed again.
+fn time_after_renewal(met_after: Duration) -> Duration {
     let mut owner = settled_owner(MAX_LEASE);
     owner.report("w1", Vec::new(), Vec::new());
     let sent_at = owner.now;
     fail_renewal(&mut owner);
-    owner.advance_clock(Duration::from_millis(500));
+    owner.advance_clock(met_after);
     owner.report_as_instance("w1", RESTARTED_MS, Vec::new(), Vec::new());
     let run = order_first(&mut owner, 1, &job(vec![step(1)])).run;
     owner.report_as_instance("w1", RESTARTED_MS, vec![observed(run)], Vec::new());
     add_w2(&mut owner);
-
     fail_renewal(&mut owner);
-    let time = owner.now.saturating_sub(sent_at) + time_until_start(&mut owner, 1);
+    owner.now.saturating_sub(sent_at) + time_until_start(&mut owner, 1)
+}
+
+/// Guards against a second run of a task on a new instance that gets a renewal for its former one
+/// after its claim, which has the same token as no start was ordered with it.
+#[test]
+fn a_renewal_in_transit_counts_after_a_claim_with_the_same_token() {
+    let time = time_after_renewal(Duration::from_millis(500));
+
+    assert!(time >= TRANSIT_TIME + slow_lease(MAX_LEASE), "{time:?}");
+}
+
+/// Guards against a second run of a task on a new instance that gets a renewal for its former one as
+/// late as an order may arrive, just before its claim.
+#[test]
+fn a_renewal_before_a_claim_counts_from_its_latest_arrival() {
+    let time = time_after_renewal(TRANSIT_TIME);
 
     assert!(time >= TRANSIT_TIME + slow_lease(MAX_LEASE), "{time:?}");
 }
