--- a/crates/core/src/pipelines/tests/review_holders.rs
+++ b/crates/core/src/pipelines/tests/review_holders.rs
@@ -331,6 +331,25 @@
     assert!(time >= slow_lease(MAX_LEASE), "{time:?}");
 }
 
+/// Guards against a second run of a task whose order by the predecessor arrives after the instance that
+/// a successor has claimed ended: the next instance has seen no token.
+#[test]
+fn an_order_of_an_earlier_owner_in_transit_counts_although_its_run_is_missing_at_the_claim() {
+    let mut former = settled_owner(MAX_LEASE);
+    let spec = job(vec![step(1)]);
+    let order = order_first(&mut former, 1, &spec);
+    let sent_at = former.now;
+    leave_unanswered(&mut former, &order, sent_at);
+
+    let mut owner = successor(&former, MAX_LEASE, &[spec]);
+    add_w2(&mut owner);
+    owner.report("w1", Vec::new(), Vec::new());
+    fail_renewal(&mut owner);
+    let time = time_until_start(&mut owner, 1);
+
+    assert!(time >= TRANSIT_TIME, "{time:?}");
+}
+
 /// Guards against a second run of a lasting task whose repeated order waited for a connection for 1 s,
 /// had no answer and reaches a restarted worker, although the run is present by its first order.
 #[test]
