Record which orders had deadlines on the clock of a former instance (TWICE)

Whether an order was for a former instance was inferred from the time at which it was sent: one that had waited for a connection until the owner had met the new instance counted as an order for that one. A worker that was delisted and listed again had no order at all in its new record. In both cases the lease that orders for the former instance may have granted was not assumed at the claim, and a task ran twice after a cut (5.5 and 5.45 s instead of 10.2 s).

Change: the record of a worker holds when the latest order with a deadline on another clock was sent, which is settled when an instance is met and by the time of release of an order; what outlives the record of a removed worker includes its latest order.

--- a/crates/core/src/pipelines/losses.rs
+++ b/crates/core/src/pipelines/losses.rs
@@ -27,8 +27,9 @@
             return;
         };
         if answer.result != StartResult::NotSent {
-            // The order may have waited for a connection.
-            record.deadline_sent_at = record.deadline_sent_at.max(Some(answer.sent_at));
+            let entry = record.runs.get(&run);
+            let released_at = entry.and_then(|entry| entry.ordered_at);
+            record.record_deadline(released_at, answer.sent_at);
         }
         let Some(entry) = record.runs.get_mut(&run) else {
             return;
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -96,7 +96,7 @@
 
     fn insert_instance(&mut self, worker: &WorkerId, instance: WorkerInstance) {
         if let Some(record) = self.workers.get_mut(worker) {
-            record.instance = Some(instance);
+            record.meet_instance(instance);
         }
     }
 
@@ -184,7 +184,7 @@
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        let former = record.instance.replace(instance);
+        let former = record.meet_instance(instance);
         record.contact = WorkerContact::Unclaimed;
         if record.is_token_used {
             record.reset_claim(now);
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -19,7 +19,7 @@
     schedule::PipelineConfig,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
     wait::WaitRecord,
-    worker::{RenewalStatus, RunPhase, WorkerContact, WorkerRecord},
+    worker::{RemovedWorker, RenewalStatus, RunPhase, WorkerContact, WorkerRecord},
 };
 use crate::{
     instances::{ClockReading, InstanceNumber, WorkerInstance},
@@ -98,9 +98,8 @@
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
     /// Workers that are listed or may have runs.
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
-    /// Number of claims that were given up on each worker that was removed. If it returns, it is
-    /// claimed with a higher fencing token than before.
-    pub(super) removed_claims: BTreeMap<WorkerId, u64>,
+    /// What is kept of each worker that was removed, as it may return.
+    pub(super) removed_workers: BTreeMap<WorkerId, RemovedWorker>,
     /// Number of the worker instance that was added last.
     pub(super) last_instance: InstanceNumber,
     /// Ready steps of all jobs, in the order in which they are placed.
@@ -164,7 +163,7 @@
             wall_ms: 0,
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
-            removed_claims: BTreeMap::new(),
+            removed_workers: BTreeMap::new(),
             last_instance: 0,
             ready: BTreeSet::new(),
             waits: BTreeMap::new(),
@@ -343,11 +342,11 @@
         inherited_until: Duration,
         now: Duration,
     ) -> &mut WorkerRecord {
-        let removed = &self.removed_claims;
+        let removed = &self.removed_workers;
         let record = self.workers.entry(WorkerId::clone(worker));
         record.or_insert_with(|| {
-            let claims = removed.get(worker).copied().unwrap_or_default();
-            WorkerRecord::new(inherited_until, claims, now)
+            let former = removed.get(worker).copied().unwrap_or_default();
+            WorkerRecord::new(inherited_until, former, now)
         })
     }
 
@@ -430,8 +429,12 @@
 
     fn remove_worker(&mut self, worker: &WorkerId) {
         if let Some(record) = self.workers.remove(worker) {
-            self.removed_claims
-                .insert(WorkerId::clone(worker), record.claims + 1);
+            let removed = RemovedWorker {
+                claims: record.claims + 1,
+                deadline_sent_at: record.deadline_sent_at,
+            };
+            self.removed_workers
+                .insert(WorkerId::clone(worker), removed);
         }
     }
 
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -190,6 +190,15 @@
     Misdirected,
 }
 
+/// What outlives the record of a worker that was removed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RemovedWorker {
+    /// Number of claims that were given up. The next claim has a higher token than all orders.
+    pub(super) claims: u64,
+    /// When the latest order with a deadline was sent.
+    pub(super) deadline_sent_at: Option<Duration>,
+}
+
 /// Bounds of the leases that orders have granted whose deadlines are on the clock of another
 /// instance.
 #[derive(Clone, Copy, Debug)]
@@ -235,14 +244,16 @@
     pub(super) reported_at: Duration,
     /// When the latest order with a deadline was released, to whichever instance.
     pub(super) deadline_sent_at: Option<Duration>,
+    /// When the latest order was sent whose deadline is on the clock of another instance than the
+    /// known one.
+    pub(super) former_deadline_sent_at: Option<Duration>,
     /// Whether a start order was released with the current token.
     pub(super) is_token_used: bool,
 }
 
 impl WorkerRecord {
-    /// Returns the record of a worker of which earlier records in this ownership have given
-    /// up this number of claims.
-    pub(super) fn new(inherited_until: Duration, claims: u64, now: Duration) -> Self {
+    /// Returns the record of a worker of which earlier records in this ownership have left this.
+    pub(super) fn new(inherited_until: Duration, former: RemovedWorker, now: Duration) -> Self {
         Self {
             listing: None,
             instance: None,
@@ -254,11 +265,12 @@
             renewal: RenewalStatus::Settled,
             renewal_due: now,
             evacuate_at: None,
-            claims,
+            claims: former.claims,
             answered_at: now,
             is_unreached_logged: false,
             reported_at: Duration::ZERO,
-            deadline_sent_at: None,
+            deadline_sent_at: former.deadline_sent_at,
+            former_deadline_sent_at: None,
             is_token_used: false,
         }
     }
@@ -432,18 +444,34 @@
         lapses_at.unwrap_or_default().max(self.inherited_until)
     }
 
+    /// Makes an instance the known one. Orders that were sent before have deadlines on another clock.
+    pub(super) fn meet_instance(&mut self, instance: WorkerInstance) -> Option<WorkerInstance> {
+        self.former_deadline_sent_at = self.former_deadline_sent_at.max(self.deadline_sent_at);
+        self.instance.replace(instance)
+    }
+
+    /// Records when an order with a deadline was sent that was released at another time, as it
+    /// waited for a connection.
+    pub(super) fn record_deadline(&mut self, released_at: Option<Duration>, sent_at: Duration) {
+        self.deadline_sent_at = self.deadline_sent_at.max(Some(sent_at));
+        match &self.instance {
+            Some(instance) if released_at <= Some(instance.met_at) => {
+                self.former_deadline_sent_at = self.former_deadline_sent_at.max(Some(sent_at));
+            }
+            _ => {}
+        }
+    }
+
     /// Returns the rest of a lease that orders for a former instance may have granted to the known
     /// one. Such orders have deadlines on another clock, so the lease may be the longest.
     pub(super) fn former_order_lease(&self, limits: OrderLimits, now: Duration) -> Duration {
-        let sent_at = match (&self.instance, self.deadline_sent_at) {
-            (Some(instance), Some(sent_at)) if sent_at <= instance.met_at => sent_at,
-            (_, Some(_)) => return Duration::ZERO,
-            (Some(instance), None) if self.is_holder(instance.started_unix_ms) => {
-                return Duration::ZERO;
-            }
-            (_, None) => limits.predecessors_end,
+        let instance = self.instance.as_ref();
+        let is_holder = instance.is_some_and(|instance| self.is_holder(instance.started_unix_ms));
+        let inherited = (!is_holder).then_some(limits.predecessors_end);
+        let since_order = match self.former_deadline_sent_at.max(inherited) {
+            Some(sent_at) => now.saturating_sub(sent_at + ORDER_TRANSIT_TIME),
+            None => return Duration::ZERO,
         };
-        let since_order = now.saturating_sub(sent_at + ORDER_TRANSIT_TIME);
         limits.max_lease.saturating_sub(since_order)
     }
 
