--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -506,6 +506,8 @@
                 let extended = may_extend.then(|| record.extend_lease(self.config.lease, now));
                 let deadline_ms = extended.flatten();
                 record.deadline_sent_at = deadline_ms.map(|_| now).or(record.deadline_sent_at);
+                // A next instance must reject it once it is claimed.
+                record.is_token_used |= deadline_ms.is_some();
                 (deadline_ms, wait)
             }
         };
--- a/crates/core/src/pipelines/tests/restarts.rs
+++ b/crates/core/src/pipelines/tests/restarts.rs
@@ -253,6 +253,8 @@
         ..step(1)
     };
 
+    // The second report answers the claim.
+    report_restarted(&mut owner, Vec::new(), Vec::new());
     report_restarted(&mut owner, Vec::new(), Vec::new());
     owner.submit(1, job(vec![labelled]));
     let former_entry = owner.start_all();
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -247,7 +247,7 @@
     /// When the latest order was sent whose deadline is on the clock of another instance than the
     /// known one.
     pub(super) former_deadline_sent_at: Option<Duration>,
-    /// Whether a start order was released with the current token.
+    /// Whether an order with a deadline was released with the current token.
     pub(super) is_token_used: bool,
 }
 
