Count a repeated start order as in transit although a report has listed its run (TWICE)

The missing answer to a start order counted only while its run was not known to be present. A report may list the run due to its first order, while the repetition is in transit; the run then counted as nowhere else, and its holder was recorded.

Change: the outcome of an order is recorded whatever is known of the run, and a repetition counts as open until then. A report that lists a run with one order still shows that it has arrived.

--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -169,6 +169,7 @@
         record.is_token_used = true;
         if let Some(entry) = record.runs.get_mut(&start.run) {
             entry.ordered_at = Some(now);
+            entry.open_repeat_at = entry.unanswered_at.map(|_| now);
         }
         Some(StartOrder {
             worker: WorkerId::clone(&start.worker),
--- a/crates/core/src/pipelines/losses.rs
+++ b/crates/core/src/pipelines/losses.rs
@@ -34,6 +34,7 @@
         let Some(entry) = record.runs.get_mut(&run) else {
             return;
         };
+        entry.record_answer(answer.result, now);
         let (Some(clock_ms), Some(instance)) = (answer.clock_ms, &record.instance) else {
             return;
         };
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -503,7 +503,6 @@
                 self.mark_running(run.task.step.pipeline);
             }
             StartResult::Unanswered if unanswered_sends + 1 < MAX_START_SENDS => {
-                entry.unanswered_at = Some(now);
                 entry.phase = RunPhase::Ordered(unanswered_sends + 1);
                 let ticket = entry.ticket.clone();
                 let worker = WorkerId::clone(worker);
@@ -523,9 +522,6 @@
             // An earlier order may still arrive and start the run, so it is stopped
             // before its task is placed again.
             _ if !is_first_send || result == StartResult::Unanswered => {
-                if result == StartResult::Unanswered {
-                    entry.unanswered_at = Some(now);
-                }
                 self.log_rejected_start(worker, run, result);
                 self.stop_run(worker, run, now);
             }
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    messages::{StopOrder, WorkerListing},
+    messages::{StartResult, StopOrder, WorkerListing},
     progress::RunHolder,
     spec::{RunKey, StepKey, StepSpec, TaskKey},
 };
@@ -85,6 +85,9 @@
     pub(super) placed_at: Duration,
     /// When the latest start order for the run was released.
     pub(super) ordered_at: Option<Duration>,
+    /// When the latest start order was released, if it is a repetition whose outcome is not known
+    /// yet. A report that lists the run may be due to an order before it.
+    pub(super) open_repeat_at: Option<Duration>,
     /// When the latest start order for the run counted as unanswered.
     pub(super) unanswered_at: Option<Duration>,
     /// Whether a report, or an answer with its clock, shows that the run is on the known instance
@@ -114,6 +117,7 @@
             stop_sent_at: now,
             placed_at: now,
             ordered_at: None,
+            open_repeat_at: None,
             unanswered_at: None,
             is_located: false,
             holder: None,
@@ -124,10 +128,19 @@
     /// order in transit. The known instance has answered a renewal that was sent at `reported_at`.
     pub(super) fn can_be_elsewhere(&self, reported_at: Duration) -> bool {
         let open_at = self.ordered_at.filter(|_| !self.is_located);
-        let latest = open_at.max(self.unanswered_at);
+        let latest = open_at.max(self.open_repeat_at).max(self.unanswered_at);
         latest.is_some_and(|sent_at| sent_at + ORDER_TRANSIT_TIME > reported_at)
     }
 
+    /// Records the outcome of the latest start order, also if a report has listed the run before: an
+    /// order without an answer may still arrive.
+    pub(super) fn record_answer(&mut self, result: StartResult, now: Duration) {
+        self.open_repeat_at = None;
+        if result == StartResult::Unanswered {
+            self.unanswered_at = Some(now);
+        }
+    }
+
     /// Returns by when an earlier owner has sent its last order for the run, if that may still reach
     /// an instance that no owner has met. The known instance has answered a renewal that was sent at
     /// `reported_at`.
@@ -146,7 +159,7 @@
     fn transit_time(&self, reported_at: Duration) -> Duration {
         let is_answered = self.is_located || matches!(self.phase, RunPhase::Started(_));
         let open_at = self.ordered_at.filter(|_| !is_answered);
-        let latest = open_at.max(self.unanswered_at);
+        let latest = open_at.max(self.open_repeat_at).max(self.unanswered_at);
         match latest {
             Some(sent_at) if sent_at + ORDER_TRANSIT_TIME > reported_at => self.allowed_transit(),
             _ => Duration::ZERO,
