Hold starts back until an acknowledgement of ends is answered (TWICE)

Cause: a renewal that acknowledges ends waited at the worker for up to 1 s, and a worker may forget ends up to `last-seen` until it answers (its stand-in does). A restarted worker to which such a renewal came, and which got and ended a start meanwhile, forgot that end by its number; neither run nor end were listed, and the task ran again. Acknowledgements were withheld while a start had no answer, but starts were sent while an acknowledgement had none.

Change: a renewal with an acknowledgement does not wait for an end, starts to its worker are held back until it is answered, and all other renewals acknowledge nothing. If it fails, held starts are placed anew and the claim is given up, so that the acknowledgement has too low a token when it arrives late; at most half of the tokens of an ownership go to that. Ends that are listed again after an answered acknowledgement are acknowledged again. A start waits for at most one round trip to the worker.

Ruled out (docs/incidents/twice-former-instances.md): gathering acknowledgements while other renewals wait, as a worker that has ends to list is assumed to answer at once; acknowledging in renewals that wait and letting starts wait for their rest, up to 1 s.

--- a/crates/core/src/instances/ends.rs
+++ b/crates/core/src/instances/ends.rs
@@ -22,6 +22,8 @@
     pending: Option<PendingAck>,
     /// Number of the last end that a renewal has acknowledged.
     sent: u64,
+    /// Number of the last end whose acknowledgement was answered.
+    answered: u64,
     /// Since when renewals do not acknowledge ends that are durable.
     withheld_since: Option<Duration>,
 }
@@ -32,17 +34,31 @@
         self.processed
     }
 
-    /// Returns the number of the last end that is durable, which a renewal acknowledges unless it is
-    /// to be withheld.
+    /// Returns the number of the last end that a renewal is to acknowledge, which is 0 unless there
+    /// are durable ends whose acknowledgement has no answer.
     pub(crate) fn next_ack(&mut self, is_withheld: bool, now: Duration) -> u64 {
+        let is_due = self.acked > self.answered;
         if is_withheld {
-            let is_due = self.acked > self.sent;
             self.withheld_since = is_due.then(|| self.withheld_since.unwrap_or(now));
             return 0;
         }
         self.withheld_since = None;
+        if !is_due {
+            return 0;
+        }
         self.sent = self.acked;
-        self.acked
+        self.sent
+    }
+
+    /// Records that the latest acknowledgement was answered.
+    pub(crate) const fn record_ack_answer(&mut self) {
+        self.answered = self.sent;
+    }
+
+    /// Records that a report lists this end as its first. It is to be acknowledged again if that was
+    /// answered already.
+    pub(crate) fn record_listed(&mut self, first_end: u64) {
+        self.answered = self.answered.min(first_end.saturating_sub(1));
     }
 
     /// Returns whether the latest renewal did not acknowledge ends that are durable.
--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -7,7 +7,7 @@
     progress::{PipelinePhase, PipelineProgress},
     spec::{PipelineId, PipelineSpec, RunKey},
     state::PipelineState,
-    worker::{RunPhase, WorkerContact},
+    worker::{RunPhase, WorkerContact, WorkerRecord},
 };
 use crate::types::WorkerId;
 
@@ -129,6 +129,13 @@
         }
     }
 
+    /// Sends the starts to a worker that were held back for an acknowledgement, if it was answered.
+    pub(super) fn release_held_starts(&mut self, worker: &WorkerId, now: Duration) {
+        let record = self.workers.get_mut(worker);
+        let starts = record.map(WorkerRecord::take_held_starts);
+        self.release_starts(starts.unwrap_or_default(), now);
+    }
+
     /// Sends a start order. If its job is over or its worker is not claimed any more, the
     /// placement is undone instead, or the run is stopped if an order may have arrived.
     pub(super) fn send_start(&mut self, start: &PendingStart, now: Duration) {
@@ -146,6 +153,10 @@
         else {
             return;
         };
+        if is_active && record.must_hold_starts() {
+            record.held_starts.push(start.clone());
+            return;
+        }
         let can_send = is_active && record.contact == WorkerContact::Claimed;
         // Building the order extends the lease.
         let order = can_send.then(|| self.start_order(start, now)).flatten();
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -70,7 +70,10 @@
                     return;
                 }
             }
-            Some(instance) => instance.set_reading(reading),
+            Some(instance) => {
+                instance.set_reading(reading);
+                record.settle_ack(&report.ended);
+            }
             None => {
                 let instance = self.create_instance(report.started_unix_ms, reading);
                 self.insert_instance(worker, instance);
@@ -186,6 +189,7 @@
         };
         let former = record.meet_instance(instance);
         record.contact = WorkerContact::Unclaimed;
+        record.is_ack_pending = false;
         if record.is_token_used {
             record.reset_claim(now);
             record.inherited_until = now + ORDER_TRANSIT_TIME + lapse_time(self.config.max_lease);
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -488,6 +488,12 @@
             return;
         }
         let address = listing.address.clone();
+        // A new instance must not discard ends of its own, which have the same numbers. It has none
+        // if the known one has got all orders.
+        let is_withheld =
+            record.contact != WorkerContact::Claimed || record.can_have_runs_elsewhere();
+        let instance = record.instance.as_mut();
+        let acked_end = instance.map_or(0, |instance| instance.ends.next_ack(is_withheld, now));
         let (deadline_ms, wait) = match record.contact {
             // The answer to the first renewal reports the worker's clock, on which
             // the deadline is given. The lease of a worker that does not answer is
@@ -498,7 +504,8 @@
                     .instance
                     .as_ref()
                     .is_some_and(|known| known.ends.has_pending());
-                let wait = if has_pending {
+                // Starts are held back until an acknowledgement is answered.
+                let wait = if has_pending || acked_end > 0 {
                     Duration::ZERO
                 } else {
                     self.config.renewal_wait
@@ -511,13 +518,8 @@
                 (deadline_ms, wait)
             }
         };
-        // A new instance must not discard ends of its own, which have the same numbers. It has none
-        // if the known one has got all orders.
-        let is_withheld =
-            record.contact != WorkerContact::Claimed || record.can_have_runs_elsewhere();
-        let instance = record.instance.as_mut();
-        let acked_end = instance.map_or(0, |instance| instance.ends.next_ack(is_withheld, now));
         record.renewal = RenewalStatus::Pending;
+        record.is_ack_pending = acked_end > 0;
         self.actions.push(PipelineAction::Renew(RenewalOrder {
             worker: WorkerId::clone(worker),
             address,
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -244,6 +244,7 @@
             }
         }
         if let Some(worker) = worker {
+            self.release_held_starts(&worker, now);
             self.renew_lease(&worker, now);
         }
         std::mem::take(&mut self.actions)
@@ -459,12 +460,12 @@
             }
             RenewalFailure::Fenced => {
                 record.contact = WorkerContact::Unclaimed;
+                record.is_ack_pending = false;
                 record.renewal_due = now + RENEWAL_RETRY_DELAY;
             }
             RenewalFailure::Unanswered
             | RenewalFailure::Unhealthy
             | RenewalFailure::OtherInstance => {
-                record.renewal_due = now + RENEWAL_RETRY_DELAY;
                 if record.contact == WorkerContact::Claimed {
                     record.contact = WorkerContact::Doubted;
                     self.actions
@@ -475,6 +476,11 @@
                             lapses_in: record.lapses_at().saturating_sub(now),
                         }));
                 }
+                if failure != RenewalFailure::Unhealthy {
+                    record.reset_claim_of_ack(now);
+                }
+                record.is_ack_pending = false;
+                record.renewal_due = now + RENEWAL_RETRY_DELAY;
             }
         }
     }
--- a/crates/core/src/pipelines/tests/recovery.rs
+++ b/crates/core/src/pipelines/tests/recovery.rs
@@ -97,6 +97,7 @@
     let mut second = successor(&first, &spec, &["w1"]);
     second.report("w1", Vec::new(), failed);
     second.commit();
+    second.report("w1", Vec::new(), Vec::new());
 
     assert_ne!(second.phases.get(&1), Some(&PipelinePhase::Failed));
     assert_eq!(second.start_all()[0].run.attempt, 2);
--- a/crates/core/src/pipelines/tests/recurring.rs
+++ b/crates/core/src/pipelines/tests/recurring.rs
@@ -87,6 +87,10 @@
             owner.report(&worker, Vec::new(), ended);
         }
         owner.commit();
+        // The workers answer the acknowledgements.
+        for worker in ["w1", "w2"] {
+            owner.report(worker, Vec::new(), Vec::new());
+        }
     }
 
     assert_eq!(owner.phases[&1], PipelinePhase::Completed);
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    messages::{StartResult, StopOrder, WorkerListing},
+    commit::PendingStart,
+    messages::{EndedRun, StartResult, StopOrder, WorkerListing},
     progress::RunHolder,
     spec::{RunKey, StepKey, StepSpec, TaskKey},
 };
@@ -20,6 +21,10 @@
 /// ones would be those of the next epoch.
 const MAX_CLAIMS: u64 = (1 << CLAIM_BITS) - 1;
 
+/// Number of claims after which a failed acknowledgement gives no more of them up. It keeps tokens
+/// for workers whose leases lapse or that are restarted.
+const MAX_CLAIMS_FOR_ACKS: u64 = MAX_CLAIMS / 2;
+
 /// Time within which an order that was sent reaches its worker or is lost.
 pub(super) const ORDER_TRANSIT_TIME: Duration = Duration::from_secs(3);
 
@@ -262,6 +267,11 @@
     pub(super) former_deadline_sent_at: Option<Duration>,
     /// Whether an order with a deadline was released with the current token.
     pub(super) is_token_used: bool,
+    /// Whether the pending renewal acknowledges ends. An instance that the owner has not met may
+    /// discard ends of its own until it has answered.
+    pub(super) is_ack_pending: bool,
+    /// Starts that are held back until that renewal is answered.
+    pub(super) held_starts: Vec<PendingStart>,
 }
 
 impl WorkerRecord {
@@ -285,6 +295,8 @@
             deadline_sent_at: former.deadline_sent_at,
             former_deadline_sent_at: None,
             is_token_used: false,
+            is_ack_pending: false,
+            held_starts: Vec::new(),
         }
     }
 
@@ -305,10 +317,47 @@
         self.contact = WorkerContact::Unclaimed;
         self.claims += 1;
         self.is_token_used = false;
+        self.is_ack_pending = false;
         self.renewal = RenewalStatus::Settled;
         self.renewal_due = now;
     }
 
+    /// Records that the pending renewal was answered with a list of ends.
+    pub(super) fn settle_ack(&mut self, listed: &[EndedRun]) {
+        let is_answered = std::mem::take(&mut self.is_ack_pending);
+        let Some(instance) = &mut self.instance else {
+            return;
+        };
+        if is_answered {
+            instance.ends.record_ack_answer();
+        }
+        if let Some(first_end) = listed.iter().map(|end| end.number).min() {
+            instance.ends.record_listed(first_end);
+        }
+    }
+
+    /// Gives up the claim if the pending renewal, which has failed, acknowledges ends. It may still
+    /// arrive, and has no effect once the worker has answered to a higher token.
+    pub(super) fn reset_claim_of_ack(&mut self, now: Duration) {
+        let is_pending = std::mem::take(&mut self.is_ack_pending);
+        if is_pending && self.claims < MAX_CLAIMS_FOR_ACKS {
+            self.reset_claim(now);
+        }
+    }
+
+    /// Returns the starts that need not wait for an acknowledgement any more.
+    pub(super) fn take_held_starts(&mut self) -> Vec<PendingStart> {
+        if self.must_hold_starts() {
+            return Vec::new();
+        }
+        std::mem::take(&mut self.held_starts)
+    }
+
+    /// Returns whether start orders wait for the answer to an acknowledgement.
+    pub(super) fn must_hold_starts(&self) -> bool {
+        self.contact == WorkerContact::Claimed && self.is_ack_pending
+    }
+
     pub(super) fn address(&self) -> Option<&str> {
         self.listing
             .as_ref()
