--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -65,6 +65,7 @@
 mod publication;
 mod tasks;
 mod types;
+mod wall_clock;
 
 pub use calls::{CallAction, CallConfig, CallConfigBuilder, CallEvent, CallLoad, CallQueue};
 pub use calls::{CallRequest, GrantResult, RunnerEntry, SlotGrant, SlotLender};
@@ -120,3 +121,4 @@
 pub use types::{CallOutcome, NotRunReason, ResourceVector, ShardName, UnknownReason};
 pub use types::{PoolId, RackId, RegionId, RequestId, RestartPolicy, RunnerId, ServiceId};
 pub use types::{ShardNameError, TaskId, TeamId, UrgencyClass, WorkerId, ZoneId};
+pub use wall_clock::WallClock;
--- a/crates/core/src/pipelines/tests/review_holders.rs
+++ b/crates/core/src/pipelines/tests/review_holders.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     PipelineConfig, PipelineEvent, PipelineSchedule, PipelineSpec, RenewalFailure, RunKey,
-    StartAnswer, StartOrder, StartResult, WorkerListing,
+    StartAnswer, StartOrder, StartResult, WallClock, WorkerListing,
 };
 
 /// Longest lease that workers accept.
@@ -508,8 +508,11 @@
     });
     owner.submit(1, spec);
     owner.advance_clock(Duration::from_millis(100));
+    let mut clock = WallClock::default();
+    clock.read(wall_ms, Duration::ZERO);
 
-    owner.handle_event(PipelineEvent::Tick(wall_ms + 12_100));
+    let time_ms = clock.read(wall_ms + 12_100, Duration::from_millis(100));
+    owner.handle_event(PipelineEvent::Tick(time_ms));
     owner.run_placement_pass();
     owner.commit();
     let early = owner.take_starts();
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use auburnsaddle_core::{PipelineEvent, PipelineId, PipelinePhase, ServiceId};
+use auburnsaddle_core::{PipelineEvent, PipelineId, PipelinePhase, ServiceId, WallClock};
 use auburnsaddle_platform::{HttpEndpoint, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
@@ -119,6 +119,7 @@
     manifest_version: Option<u64>,
     drain: Option<PendingDrain>,
     is_draining: bool,
+    wall_clock: WallClock,
 }
 
 /// Returns the other daemons in the order in which they relay calls to the store.
@@ -167,6 +168,7 @@
             manifest_version: None,
             drain: None,
             is_draining: false,
+            wall_clock: WallClock::default(),
         }
     }
 
@@ -428,10 +430,15 @@
         }
     }
 
+    /// Returns the time of day by which scheduled work is due, in ms since 1970.
+    fn wall_ms(&mut self) -> u64 {
+        self.wall_clock.read(unix_ms(), self.effects.clock.now())
+    }
+
     /// Checks deadlines, updates the gauges and the readiness, and starts takeovers.
     pub(super) fn tick(&mut self) {
         let now = self.effects.clock.now();
-        let wall_ms = unix_ms();
+        let wall_ms = self.wall_ms();
         let services: Vec<ServiceId> = self.shards.keys().cloned().collect();
         for service in services {
             let Some(handle) = self.shards.get_mut(&service) else {
@@ -582,7 +589,7 @@
         self.shards.insert(service.clone(), handle);
         let workers = workers.into_iter().map(PipelineEvent::Listed);
         let cancelled = cancelled.into_iter().map(PipelineEvent::Cancelled);
-        let tick = PipelineEvent::Tick(unix_ms());
+        let tick = PipelineEvent::Tick(self.wall_ms());
         let events = [tick, confirmed]
             .into_iter()
             .chain(cancelled)
