Log what precedes a waiting step, and which allowed workers are full

The line `tasks of a step wait` did not tell whether it stands behind other work, lacks tickets, or lacks workers with its label. It now has the ready steps before the step, the tasks that the pass placed before it, the waiting tasks that had a run, the workers with the label and their free CPU, and the allowed workers that short tasks keep full.

Ruled out: labels (all workers qualify), refusals by the advice service, lost requests.

--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -267,6 +267,24 @@
             .unwrap_or(0)
     }
 
+    /// Returns the number of the workers that `is_selected` accepts and the free part of their
+    /// CPU, in percent.
+    pub(super) fn free_percent_among(
+        &self,
+        is_selected: impl Fn(&WorkerId) -> bool,
+    ) -> (usize, u64) {
+        let rows = self.rows.iter().zip(&self.free);
+        let selected = rows.filter(|(row, _)| is_selected(&row.worker));
+        let (count, free, all) = selected.fold((0, 0, 0), |(count, free, all), (row, left)| {
+            (
+                count + 1,
+                free + left.cpu_milli,
+                all + row.capacity.cpu_milli,
+            )
+        });
+        (count, (free * 100_u64).checked_div(all).unwrap_or(0))
+    }
+
     /// Allocates the resources of a task on a worker for the rest of the pass.
     pub(super) fn allocate(&mut self, row_index: usize, step: &StepSpec) {
         let row = &mut self.rows[row_index];
--- a/crates/core/src/pipelines/progress.rs
+++ b/crates/core/src/pipelines/progress.rs
@@ -124,6 +124,14 @@
             .filter(|(_, task)| task.place == TaskPlace::Waiting)
             .map(|(index, _)| index)
     }
+
+    /// Returns the waiting tasks that had a run before.
+    pub(super) fn lost_tasks(&self) -> impl Iterator<Item = u32> {
+        let tasks = (0..).zip(&self.tasks);
+        tasks
+            .filter(|(_, task)| task.place == TaskPlace::Waiting && task.attempt > 0)
+            .map(|(index, _)| index)
+    }
 }
 
 /// Durable progress of a pipeline.
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -100,6 +100,10 @@
     exhausted: Vec<ExhaustedGroup>,
     /// Number of workers that are reserved for gangs.
     reserved_workers: usize,
+    /// Number of steps that the pass has dealt with.
+    step_count: usize,
+    /// Number of tasks that the pass has placed.
+    placed_tasks: usize,
     /// Priority of the most urgent queue of the service.
     top_priority: u32,
     pub(super) requests: RequestBudget,
@@ -154,12 +158,15 @@
                 backlogs: BTreeMap::new(),
                 exhausted: Vec::new(),
                 reserved_workers: 0,
+                step_count: 0,
+                placed_tasks: 0,
                 top_priority: self.top_priority,
                 requests: self.request_budget(),
             };
             let ready: Vec<(QueueRank, StepKey)> = self.ready.iter().copied().collect();
             for (rank, key) in ready {
                 self.place_step(rank, key, &mut pass, now);
+                pass.step_count += 1;
             }
             self.examined_candidates += pass.table.examined();
         }
@@ -177,13 +184,8 @@
         let Some(record) = self.workers.get(worker) else {
             return 0;
         };
-        let has_label = match (&step_spec.required_label, &record.listing) {
-            (Some(label), Some(listing)) => listing.labels.contains(label),
-            (Some(_), None) => false,
-            (None, _) => true,
-        };
         match step_spec.per_worker_limit {
-            _ if !has_label => 0,
+            _ if !self.has_label(worker, step_spec) => 0,
             Some(limit) => {
                 let limit = usize::try_from(limit).unwrap_or(usize::MAX);
                 limit.saturating_sub(record.step_run_count(key))
@@ -192,6 +194,26 @@
         }
     }
 
+    /// Returns whether a worker has the label that a step requires.
+    pub(super) fn has_label(&self, worker: &WorkerId, step_spec: &StepSpec) -> bool {
+        let record = self.workers.get(worker);
+        match (
+            &step_spec.required_label,
+            record.and_then(|record| record.listing.as_ref()),
+        ) {
+            (Some(label), Some(listing)) => listing.labels.contains(label),
+            (Some(_), None) => false,
+            (None, _) => true,
+        }
+    }
+
+    /// Returns the number of waiting tasks of a step that had a run before.
+    fn count_lost_tasks(&self, key: StepKey) -> usize {
+        let pipeline = self.pipelines.get(&key.pipeline);
+        let progress = pipeline.and_then(|pipeline| pipeline.progress.step(key));
+        progress.map_or(0, |progress| progress.lost_tasks().count())
+    }
+
     /// Places the waiting tasks of a step, requests tickets for those that lack them, and
     /// reserves workers for a gang that does not fit.
     fn place_step(
@@ -248,6 +270,8 @@
         for suspect in &suspects {
             placed_count += self.place_waiting(&cautious, std::slice::from_ref(suspect), pass);
         }
+        let placed_before = pass.placed_tasks;
+        pass.placed_tasks += placed_count;
         let has_progress = placed_count > 0;
         let unplaced_count = waiting.len() - placed_count;
         if unplaced_count == 0 {
@@ -273,6 +297,9 @@
         if self.is_wait_log_due(key, now) {
             let wait = StepWait {
                 waiting_tasks: unplaced_count,
+                lost_tasks: self.count_lost_tasks(key),
+                steps_before: pass.step_count,
+                placed_before,
                 ..self.describe_wait(&search, &pass.table)
             };
             self.log_wait(key, wait, now);
@@ -358,6 +385,7 @@
         if self.is_wait_log_due(key, now) {
             let wait = StepWait {
                 is_skipped: true,
+                lost_tasks: self.count_lost_tasks(key),
                 ..StepWait::default()
             };
             self.log_wait(key, wait, now);
--- a/crates/core/src/pipelines/wait.rs
+++ b/crates/core/src/pipelines/wait.rs
@@ -9,6 +9,7 @@
     advice::TicketCache, messages::PipelineNote, place::PlacementTable, schedule::StepSearch,
     spec::StepKey, state::PipelineState,
 };
+use crate::types::WorkerId;
 
 /// Waiting time after which a step is logged, and time between two log entries of a step.
 const STEP_LOG_INTERVAL: Duration = Duration::from_secs(2);
@@ -26,6 +27,19 @@
     pub is_skipped: bool,
     /// Number of tasks that wait.
     pub waiting_tasks: usize,
+    /// Number of these tasks that had a run before.
+    pub lost_tasks: usize,
+    /// Number of ready steps that precede the step in the queue.
+    pub steps_before: usize,
+    /// Number of tasks of these steps that the pass placed.
+    pub placed_before: usize,
+    /// Number of workers with the required label that accept tasks.
+    pub labelled: usize,
+    /// Free part of the CPU of the workers with the required label, in percent.
+    pub labelled_free_percent: u64,
+    /// Number of workers that the advice service allows and on which a task would fit beside the
+    /// long-running tasks alone, but on which none fits now.
+    pub allowed_full: usize,
     /// Number of workers on which a task fits and may be placed.
     pub fitting: usize,
     /// Number of these workers with a usable ticket.
@@ -99,7 +113,12 @@
     ) -> StepWait {
         let unknown = TicketCache::default();
         let cache = self.ticket_caches.get(&search.key).unwrap_or(&unknown);
-        let mut wait = StepWait::default();
+        let mut wait = StepWait {
+            allowed_full: self.count_allowed_full(search, table, cache),
+            ..StepWait::default()
+        };
+        (wait.labelled, wait.labelled_free_percent) =
+            table.free_percent_among(|worker| self.has_label(worker, search.step_spec));
         for candidate in self.fitting(search, table) {
             let row = table.row(&candidate);
             let is_ticketed = cache.ticket(row.instance, search.now).is_some();
@@ -116,6 +135,21 @@
         wait
     }
 
+    /// Returns the number of allowed workers that short tasks keep full for a step.
+    fn count_allowed_full(
+        &self,
+        search: &StepSearch<'_>,
+        table: &PlacementTable,
+        cache: &TicketCache,
+    ) -> usize {
+        let task_allowance =
+            |worker: &WorkerId| self.task_allowance(worker, search.key, search.step_spec);
+        let allowed = table.eligible_among(cache.allowed(), search.step_spec, task_allowance);
+        allowed
+            .filter(|candidate| !candidate.fits(search.step_spec))
+            .count()
+    }
+
     /// Logs a waiting step. Adds the waiting time and the advice requests to `wait`.
     pub(super) fn log_wait(&mut self, key: StepKey, wait: StepWait, now: Duration) {
         let (Some(record), Some(pipeline)) =
