Place lasting tasks that have lost their run before the queue, and hold workers for them

A long-running task that has lost its run stood behind every arrival of a more urgent queue, the capacity that short tasks release bit by bit was used before it was enough, and the tickets of its slow advice expired on full workers.

The new slice `restoration` runs at the start of each pass, for steps that last and have waiting tasks with an attempt: their tasks are placed first; for each one that does not fit, one worker that may run it is held, at most 10 % of the workers; tickets for these workers are renewed before they expire. Long-running tasks leave 25 % of the CPU to others while that goes on. A new long-running job keeps its place by priority; gangs reserve workers as before.

Not needed: stopping other tasks.

Tests: pipelines::tests::restoration, a service of 20 workers at 1.3 times its capacity, 5 workers restarted.

--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -41,6 +41,7 @@
 mod queue;
 mod reports;
 mod requests;
+mod restoration;
 mod schedule;
 mod spec;
 mod state;
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -34,6 +34,8 @@
     row_indexes: Vec<(InstanceNumber, usize)>,
     /// CPU of all workers, in thousandths of a core.
     total_cpu_milli: u64,
+    /// CPU of all workers that long-running tasks do not occupy, in thousandths of a core.
+    reclaimable_cpu_milli: u64,
     /// Free CPU of all workers, as far as the scarcest resource of each is free.
     usable_cpu_milli: u64,
     /// Whether rows are marked as headroom.
@@ -121,6 +123,7 @@
         Self {
             row_indexes,
             total_cpu_milli: rows.iter().map(|row| row.capacity.cpu_milli).sum(),
+            reclaimable_cpu_milli: rows.iter().map(|row| row.reclaimable.cpu_milli).sum(),
             usable_cpu_milli: rows
                 .iter()
                 .zip(&free)
@@ -267,6 +270,22 @@
             .unwrap_or(0)
     }
 
+    /// Returns how many further long-running tasks of a step may be placed if such tasks leave
+    /// this part of the CPU to others.
+    pub(super) fn room_for_lasting(&self, step: &StepSpec, percent: u64) -> usize {
+        let left_milli = self.total_cpu_milli * percent / 100;
+        let room_milli = self.reclaimable_cpu_milli.saturating_sub(left_milli);
+        let tasks = room_milli.checked_div(step.occupied().cpu_milli);
+        tasks.map_or(usize::MAX, |tasks| {
+            usize::try_from(tasks).unwrap_or(usize::MAX)
+        })
+    }
+
+    /// Returns whether others are preferred to the worker.
+    pub(super) fn is_penalized(&self, candidate: &PlaceCandidate) -> bool {
+        self.rows[candidate.row_index].is_penalized
+    }
+
     /// Returns the number of the workers that `is_selected` accepts and the free part of their
     /// CPU, in percent.
     pub(super) fn free_percent_among(
@@ -294,6 +313,12 @@
         if step.fills {
             row.best_effort_cpu_milli += step.demand.cpu_milli;
         }
+        if step.long_running {
+            row.reclaimable = row.reclaimable.minus(&occupied).unwrap_or_default();
+            self.reclaimable_cpu_milli = self
+                .reclaimable_cpu_milli
+                .saturating_sub(occupied.cpu_milli);
+        }
         let free = self.free[row_index];
         self.set_free(
             row_index,
@@ -313,7 +338,7 @@
     }
 
     /// Returns the free part of a candidate's scarcest resource, in thousandths.
-    fn free_share_permille(&self, candidate: &PlaceCandidate) -> u64 {
+    pub(super) fn free_share_permille(&self, candidate: &PlaceCandidate) -> u64 {
         let index = candidate.row_index;
         self.rows[index].free_share_permille(&self.free[index])
     }
--- a/crates/core/src/pipelines/requests.rs
+++ b/crates/core/src/pipelines/requests.rs
@@ -78,12 +78,7 @@
         let is_slow = policy.decision_ms >= SLOW_DECISION_MS;
         let unknown = TicketCache::default();
         let cache = self.ticket_caches.get(&search.key).unwrap_or(&unknown);
-        let has_budget = if is_slow {
-            pass.requests.slow > 0
-        } else {
-            pass.requests.quick > 0
-        };
-        let can_request = has_budget && cache.can_begin_request(search.now);
+        let can_request = pass.requests.has_room(is_slow) && cache.can_begin_request(search.now);
         let table = &pass.table;
         let possible = self.usable(search, table);
         let mut possible =
@@ -115,7 +110,7 @@
     }
 
     /// Sends a request that names these workers.
-    fn begin_request(
+    pub(super) fn begin_request(
         &mut self,
         search: &StepSearch<'_>,
         policy: AdvicePolicy,
@@ -139,7 +134,7 @@
     ///
     /// The members of a gang need tickets that are valid at the same time, so once the gang
     /// fits, its request also names the workers whose tickets have not expired.
-    fn workers_for_advice(
+    pub(super) fn workers_for_advice(
         &self,
         search: &StepSearch<'_>,
         cache: &TicketCache,
@@ -176,8 +171,14 @@
 }
 
 impl RequestBudget {
+    /// Returns whether a further request for a slow or for a quick decision may be sent.
+    pub(super) const fn has_room(&self, is_slow: bool) -> bool {
+        let limit = if is_slow { self.slow } else { self.quick };
+        limit > 0
+    }
+
     /// Subtracts a request that is sent.
-    const fn count(&mut self, request: PendingRequest) {
+    pub(super) const fn count(&mut self, request: PendingRequest) {
         let limit = if request.is_slow {
             &mut self.slow
         } else {
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -74,7 +74,24 @@
     pub(super) now: Duration,
 }
 
-impl StepSearch<'_> {
+impl<'a> StepSearch<'a> {
+    /// Returns the search of a step that uses the headroom.
+    pub(super) const fn new(
+        key: StepKey,
+        spec: &'a PipelineSpec,
+        step_spec: &'a StepSpec,
+        now: Duration,
+    ) -> Self {
+        Self {
+            key,
+            spec,
+            step_spec,
+            withholds_headroom: false,
+            prefers_idle: false,
+            now,
+        }
+    }
+
     /// Returns whether the step may use a worker if its queue allows it.
     pub(super) const fn may_use(&self, row: &TableRow) -> bool {
         !(self.withholds_headroom && row.is_headroom)
@@ -100,10 +117,14 @@
     exhausted: Vec<ExhaustedGroup>,
     /// Number of workers that are reserved for gangs.
     reserved_workers: usize,
+    /// Number of workers that are held for lost tasks.
+    pub(super) held_workers: usize,
+    /// Steps for whose lost tasks workers are held, with their number.
+    pub(super) held_steps: BTreeMap<StepKey, usize>,
     /// Number of steps that the pass has dealt with.
     step_count: usize,
     /// Number of tasks that the pass has placed.
-    placed_tasks: usize,
+    pub(super) placed_tasks: usize,
     /// Priority of the most urgent queue of the service.
     top_priority: u32,
     pub(super) requests: RequestBudget,
@@ -158,12 +179,15 @@
                 backlogs: BTreeMap::new(),
                 exhausted: Vec::new(),
                 reserved_workers: 0,
+                held_workers: 0,
+                held_steps: BTreeMap::new(),
                 step_count: 0,
                 placed_tasks: 0,
                 top_priority: self.top_priority,
                 requests: self.request_budget(),
             };
             let ready: Vec<(QueueRank, StepKey)> = self.ready.iter().copied().collect();
+            self.restore_lost_tasks(&ready, &mut pass, now);
             for (rank, key) in ready {
                 self.place_step(rank, key, &mut pass, now);
                 pass.step_count += 1;
@@ -207,13 +231,6 @@
         }
     }
 
-    /// Returns the number of waiting tasks of a step that had a run before.
-    fn count_lost_tasks(&self, key: StepKey) -> usize {
-        let pipeline = self.pipelines.get(&key.pipeline);
-        let progress = pipeline.and_then(|pipeline| pipeline.progress.step(key));
-        progress.map_or(0, |progress| progress.lost_tasks().count())
-    }
-
     /// Places the waiting tasks of a step, requests tickets for those that lack them, and
     /// reserves workers for a gang that does not fit.
     fn place_step(
@@ -245,31 +262,14 @@
             return;
         }
         let waiting: Vec<u32> = progress.waiting_tasks().collect();
-        let (suspects, unsuspected): (Vec<u32>, Vec<u32>) = waiting
-            .iter()
-            .partition(|index| !step_spec.gang && progress.is_suspect(**index));
         if can_wait {
             pass.table.mark_headroom(HEADROOM_PERCENT);
         }
         let search = StepSearch {
-            key,
-            spec: &spec,
-            step_spec,
             withholds_headroom: can_wait && !self.needs_headroom(key, step_spec, &pass.table),
-            prefers_idle: false,
-            now,
+            ..StepSearch::new(key, &spec, step_spec, now)
         };
-        let mut placed_count = self.place_waiting(&search, &unsuspected, pass);
-        // One at a time, so that each crash tells which of them is the cause. The idlest workers
-        // are those of the headroom.
-        let cautious = StepSearch {
-            withholds_headroom: false,
-            prefers_idle: true,
-            ..search
-        };
-        for suspect in &suspects {
-            placed_count += self.place_waiting(&cautious, std::slice::from_ref(suspect), pass);
-        }
+        let placed_count = self.place_by_suspicion(&search, &waiting, pass);
         let placed_before = pass.placed_tasks;
         pass.placed_tasks += placed_count;
         let has_progress = placed_count > 0;
@@ -287,7 +287,8 @@
                 return;
             }
         }
-        let is_unticketed = self.request_tickets(&search, unplaced_count, pass);
+        let is_held = pass.held_steps.contains_key(&key);
+        let is_unticketed = !is_held && self.request_tickets(&search, unplaced_count, pass);
         pass.add_backlog(&spec.policy.queue, is_unticketed);
         let (is_expired, ..) = rank;
         if step_spec.gang && !is_expired {
@@ -297,7 +298,8 @@
         if self.is_wait_log_due(key, now) {
             let wait = StepWait {
                 waiting_tasks: unplaced_count,
-                lost_tasks: self.count_lost_tasks(key),
+                lost_tasks: self.lost_tasks(key).count(),
+                held: pass.held_steps.get(&key).copied().unwrap_or(0),
                 steps_before: pass.step_count,
                 placed_before,
                 ..self.describe_wait(&search, &pass.table)
@@ -306,6 +308,34 @@
         }
     }
 
+    /// Places as many of the given waiting tasks of a step as fit, suspects after the others and
+    /// on the idlest workers. Returns their number.
+    pub(super) fn place_by_suspicion(
+        &mut self,
+        search: &StepSearch<'_>,
+        waiting: &[u32],
+        pass: &mut PlacementPass,
+    ) -> usize {
+        let pipeline = self.pipelines.get(&search.key.pipeline);
+        let progress = pipeline.and_then(|pipeline| pipeline.progress.step(search.key));
+        let is_suspect = |index| progress.is_some_and(|progress| progress.is_suspect(index));
+        let (suspects, unsuspected): (Vec<u32>, Vec<u32>) = waiting
+            .iter()
+            .partition(|index| !search.step_spec.gang && is_suspect(**index));
+        let mut placed_count = self.place_waiting(search, &unsuspected, pass);
+        // One at a time, so that each crash tells which of them is the cause. The idlest workers
+        // are those of the headroom.
+        let cautious = StepSearch {
+            withholds_headroom: false,
+            prefers_idle: true,
+            ..*search
+        };
+        for suspect in &suspects {
+            placed_count += self.place_waiting(&cautious, std::slice::from_ref(suspect), pass);
+        }
+        placed_count
+    }
+
     /// Places as many of the given waiting tasks of a step as fit, and returns their number.
     fn place_waiting(
         &mut self,
@@ -385,7 +415,7 @@
         if self.is_wait_log_due(key, now) {
             let wait = StepWait {
                 is_skipped: true,
-                lost_tasks: self.count_lost_tasks(key),
+                lost_tasks: self.lost_tasks(key).count(),
                 ..StepWait::default()
             };
             self.log_wait(key, wait, now);
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -13,6 +13,7 @@
 mod recovery;
 mod recurring;
 mod restarts;
+mod restoration;
 mod sim_worker;
 mod simulation;
 mod waiting;
--- a/crates/core/src/pipelines/wait.rs
+++ b/crates/core/src/pipelines/wait.rs
@@ -29,6 +29,8 @@
     pub waiting_tasks: usize,
     /// Number of these tasks that had a run before.
     pub lost_tasks: usize,
+    /// Number of workers that are held for tasks of the step that lasts and had a run before.
+    pub held: usize,
     /// Number of ready steps that precede the step in the queue.
     pub steps_before: usize,
     /// Number of tasks of these steps that the pass placed.
