--- a/crates/core/src/pipelines/tests/instance_faults.rs
+++ b/crates/core/src/pipelines/tests/instance_faults.rs
@@ -381,6 +381,22 @@
     assert!(Some(late[0].token) > ack_token);
 }
 
+/// Guards against tokens that are given up for acknowledgements that cannot arrive late: an unhealthy
+/// worker has done nothing.
+#[test]
+fn an_acknowledgement_to_an_unhealthy_worker_does_not_give_the_claim_up() {
+    let mut owner = owner_with_pending_ack();
+    let before = owner.renewal_token("w1");
+
+    let failure = PipelineEvent::RenewalFailed("w1".into(), RenewalFailure::Unhealthy);
+    owner.handle_event(failure);
+    owner.advance_clock(Duration::from_millis(300));
+    owner.report("w1", Vec::new(), Vec::new());
+
+    assert_eq!(owner.renewal_token("w1"), before);
+    assert_eq!(owner.acked_end("w1"), Some(1));
+}
+
 /// Guards against an owner that has no tokens left for lapsed leases and restarts, as each
 /// acknowledgement that failed took one.
 #[test]
