Limit the steps for which a pass holds workers

Each step that holds workers searches all workers of the service. After the loss of many workers of a large service, a pass could search thousands of them for hundreds of steps. At most 32 steps hold workers in a pass; the lost tasks of the others still precede the queue. No such loss was measured.

--- a/crates/core/src/pipelines/restoration.rs
+++ b/crates/core/src/pipelines/restoration.rs
@@ -23,6 +23,9 @@
 /// Largest part of the workers that is held for lost tasks, in percent.
 const HELD_WORKERS_PERCENT: usize = 10;
 
+/// Maximum number of steps for which a pass holds workers. Each of them searches all workers.
+const MAX_HOLDING_STEPS: usize = 32;
+
 /// Smallest part of the CPU of a service that long-running tasks leave to other work while lost
 /// tasks precede the queue, in percent.
 const SHORT_WORK_PERCENT: u64 = 25;
@@ -103,7 +106,10 @@
         };
         let room = pass.table.room_for_lasting(step_spec, SHORT_WORK_PERCENT);
         let count = self.lost_tasks(key).take(room).count();
-        if count == 0 {
+        let limit = pass.table.len() * HELD_WORKERS_PERCENT / 100;
+        let limit = limit.max(1);
+        let is_limited = pass.held_workers >= limit || pass.held_steps.len() >= MAX_HOLDING_STEPS;
+        if count == 0 || is_limited {
             return;
         }
         let search = StepSearch::new(key, &spec, step_spec, now);
@@ -111,8 +117,6 @@
         if let Some(policy) = spec.policy.advice {
             self.request_held_tickets(&search, policy, &candidates, count, pass);
         }
-        let limit = pass.table.len() * HELD_WORKERS_PERCENT / 100;
-        let limit = limit.max(1);
         let mut unheld_count = count;
         let mut held_workers = 0;
         for candidate in &candidates {
