--- a/crates/daemon/tests/restarted_workers.rs
+++ b/crates/daemon/tests/restarted_workers.rs
@@ -9,16 +9,12 @@
     time::{Duration, Instant},
 };
 
-use auburnsaddle_platform_standin::{StartRecord, WorkerStandin};
+use auburnsaddle_platform_standin::{StartRecord, WorkerSetup, WorkerStandin};
 use http::StatusCode;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
-use support::{CellFixture, start_cell_with_clocks};
-
-/// Time until all tasks must be at work again, from the last event: `contact-ms` (3 s), 4 s and
-/// 3 s of the rule LOST of the platform.
-const RESTORE_BOUND: Duration = Duration::from_secs(10);
+use support::{CellFixture, RESTORE_BOUND, start_cell_with_setup};
 
 /// Shortest time for which a test watches the runs after the last event. Daemons renew leases
 /// each second, so that they have met each worker again.
@@ -90,7 +86,12 @@
 
 /// Starts a cell with as many tasks at work as workers.
 async fn start_busy_cell(daemons: usize) -> CellFixture {
-    let cell = start_cell_with_clocks(daemons, WORKER_COUNT, ENDLESS_RUN_TIME, FORMER_CLOCK).await;
+    let setup = WorkerSetup {
+        run_time: ENDLESS_RUN_TIME,
+        initial_clock: FORMER_CLOCK,
+        ..WorkerSetup::default()
+    };
+    let cell = start_cell_with_setup(daemons, WORKER_COUNT, setup).await;
     let accepted = cell.submit(0, 1, &lasting_job()).await;
     assert_eq!(accepted, Some(StatusCode::OK));
     cell.wait_for("the first tasks to be at work", || async {
@@ -206,29 +207,6 @@
     restored
 }
 
-/// Prints the runs of the restarted workers, and of the tasks that they ran, in seconds from
-/// their restart.
-fn print_records(cell: &CellFixture, case: &str, restarted_at: Instant, count: usize) {
-    let seconds = |at: Instant| {
-        at.saturating_duration_since(restarted_at).as_secs_f64()
-            - restarted_at.saturating_duration_since(at).as_secs_f64()
-    };
-    let restarted = cell.workers[..count].iter().flat_map(WorkerStandin::starts);
-    let tasks: BTreeSet<String> = restarted.map(|start| start.task).collect();
-    for (number, worker) in (1..).zip(&cell.workers) {
-        let starts = worker.starts().into_iter();
-        for start in starts.filter(|start| tasks.contains(&start.task)) {
-            let ended = start.ended.map(|(at, end)| (seconds(at), end));
-            println!(
-                "{case}: w{number} {} attempt {} began {:.2} ended {ended:.2?}",
-                start.task,
-                start.attempt,
-                seconds(start.began_at)
-            );
-        }
-    }
-}
-
 /// Asserts that no task ran twice at once and that all tasks are at work again.
 fn assert_one_run_each(
     cell: &CellFixture,
@@ -238,7 +216,7 @@
     restored: Option<Duration>,
 ) {
     println!("{case}: all tasks at work {restored:.2?} after the last event");
-    print_records(cell, case, restarted_at, moments.len());
+    cell.print_runs(case, restarted_at, moments.len());
     cell.assert_no_conflicting_runs();
     assert!(restored.is_some(), "{case}: a task is away");
 }
--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -9,7 +9,7 @@
 mod child;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs,
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -20,7 +20,7 @@
     time::{Duration, Instant},
 };
 
-use auburnsaddle_platform_standin::{StartRecord, StoreStandin, WorkerStandin};
+use auburnsaddle_platform_standin::{StartRecord, StoreStandin, WorkerSetup, WorkerStandin};
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -38,6 +38,10 @@
 /// Time limit of a request to a daemon, with its response.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time until all lasting tasks must be at work again, from the last event: `contact-ms` (3 s), 4 s
+/// and 3 s of the rule LOST of the platform.
+pub(crate) const RESTORE_BOUND: Duration = Duration::from_secs(10);
+
 pub(crate) struct DaemonProcess {
     pub(crate) child: Child,
     pub(crate) caller_port: u16,
@@ -56,8 +60,7 @@
     pub(crate) daemons: Vec<DaemonProcess>,
     client: Client<HttpConnector, Full<Bytes>>,
     folder: PathBuf,
-    /// Time in s for which the daemons keep the states of ended jobs.
-    status_s: u32,
+    setup: CellSetup,
 }
 
 impl Drop for CellFixture {
@@ -74,8 +77,8 @@
 /// What differs between the cells of the tests.
 #[derive(Clone, Copy, Debug)]
 struct CellSetup {
-    /// Reading of the clocks of all workers at their start.
-    initial_clock: Duration,
+    /// Setup of all workers. The daemons are told its longest lease.
+    worker: WorkerSetup,
     /// Time in s for which the states of ended jobs are kept.
     status_s: u32,
 }
@@ -83,14 +86,15 @@
 impl Default for CellSetup {
     fn default() -> Self {
         Self {
-            initial_clock: Duration::ZERO,
+            worker: WorkerSetup::default(),
             status_s: 120,
         }
     }
 }
 
 /// Returns settings of a daemon that listens on ephemeral ports.
-fn daemon_settings(name: &str, store: &str, status_s: u32) -> Value {
+fn daemon_settings(name: &str, store: &str, setup: &CellSetup) -> Value {
+    let max_hold_ms = u64::try_from(setup.worker.max_lease.as_millis()).unwrap();
     let address = "127.0.0.1:0";
     json!({
         "node-name": name, "zone": "z1", "an-unknown-field": [1, 2],
@@ -98,7 +102,7 @@
             "frontend": address, "readiness": address, "control-plane": address,
         },
         "platform": {"address": store, "min-ttl-ms": 1_000},
-        "bounds": {"max-hold-ms": 6_000, "grace-s": 6, "status_s": status_s},
+        "bounds": {"max-hold-ms": max_hold_ms, "grace-s": 6, "status_s": setup.status_s},
     })
 }
 
@@ -131,22 +135,24 @@
     workers: usize,
     run_time: Duration,
 ) -> CellFixture {
-    let setup = CellSetup::default();
-    launch_cell(daemons, workers, run_time, setup).await
+    let setup = WorkerSetup {
+        run_time,
+        ..WorkerSetup::default()
+    };
+    start_cell_with_setup(daemons, workers, setup).await
 }
 
-/// Like [`start_cell_with_workers`], with workers whose clocks begin at `initial_clock`.
-pub(crate) async fn start_cell_with_clocks(
+/// Like [`start_cell_with_workers`], with any setup of the workers.
+pub(crate) async fn start_cell_with_setup(
     daemons: usize,
     workers: usize,
-    run_time: Duration,
-    initial_clock: Duration,
+    worker: WorkerSetup,
 ) -> CellFixture {
     let setup = CellSetup {
-        initial_clock,
+        worker,
         ..CellSetup::default()
     };
-    launch_cell(daemons, workers, run_time, setup).await
+    launch_cell(daemons, workers, setup).await
 }
 
 /// Like [`start_cell`], with any time for which the states of ended jobs are kept.
@@ -155,24 +161,19 @@
     run_time: Duration,
     status_s: u32,
 ) -> CellFixture {
-    let setup = CellSetup {
-        status_s,
-        ..CellSetup::default()
+    let worker = WorkerSetup {
+        run_time,
+        ..WorkerSetup::default()
     };
-    launch_cell(daemons, 2, run_time, setup).await
+    launch_cell(daemons, 2, CellSetup { worker, status_s }).await
 }
 
-async fn launch_cell(
-    daemons: usize,
-    workers: usize,
-    run_time: Duration,
-    setup: CellSetup,
-) -> CellFixture {
+async fn launch_cell(daemons: usize, workers: usize, setup: CellSetup) -> CellFixture {
     let store = StoreStandin::start().await;
     let mut standins = Vec::new();
     for number in 1..=workers {
         let id = format!("w{number}");
-        let worker = WorkerStandin::start_with_clock(&id, run_time, setup.initial_clock).await;
+        let worker = WorkerStandin::start_with(&id, setup.worker).await;
         let (key, value) = worker.registration("sales");
         store.write(&key, &value);
         standins.push(worker);
@@ -190,7 +191,7 @@
         daemons: Vec::new(),
         client: Client::builder(TokioExecutor::new()).build_http(),
         folder,
-        status_s: setup.status_s,
+        setup,
     };
     for index in 0..daemons {
         cell.launch(&format!("daemon-{index}"));
@@ -223,7 +224,7 @@
     /// Starts a daemon and stops reading its standard output once it listens.
     pub(crate) fn launch_without_log_reader(&mut self, name: &str) {
         let path = self.folder.join(format!("{name}.json"));
-        let text = daemon_settings(name, &self.store.address(), self.status_s).to_string();
+        let text = daemon_settings(name, &self.store.address(), &self.setup).to_string();
         fs::write(&path, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
             .env("AUBURNSADDLE_SETTINGS", &path)
@@ -394,6 +395,29 @@
         }
     }
 
+    /// Prints the runs of the tasks that the first workers have run, in seconds from their restart.
+    pub(crate) fn print_runs(&self, case: &str, restarted_at: Instant, count: usize) {
+        let seconds = |at: Instant| {
+            at.saturating_duration_since(restarted_at).as_secs_f64()
+                - restarted_at.saturating_duration_since(at).as_secs_f64()
+        };
+        let restarted = self.workers[..count].iter();
+        let starts = restarted.flat_map(WorkerStandin::starts);
+        let tasks: BTreeSet<String> = starts.map(|start| start.task).collect();
+        for (number, worker) in (1..).zip(&self.workers) {
+            let starts = worker.starts().into_iter();
+            for start in starts.filter(|start| tasks.contains(&start.task)) {
+                let ended = start.ended.map(|(at, end)| (seconds(at), end));
+                println!(
+                    "{case}: w{number} {} attempt {} began {:.2} ended {ended:.2?}",
+                    start.task,
+                    start.attempt,
+                    seconds(start.began_at)
+                );
+            }
+        }
+    }
+
     /// Returns the collected log lines of a daemon with this message.
     pub(crate) fn log_lines_with(&self, daemon: usize, message: &str) -> Vec<Value> {
         let lines = self.daemons[daemon].log_lines.lock().unwrap();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use auburnsaddle_platform_standin::{FIRST_KIND, StoreStandin, WorkerStandin};
+use auburnsaddle_platform_standin::{FIRST_KIND, StoreStandin, WorkerSetup, WorkerStandin};
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -242,7 +242,12 @@
                 0 => Duration::ZERO,
                 _ => FIRST_CLOCK,
             };
-            let worker = WorkerStandin::start_with_clock(&id, TASK_RUN_TIME, clock).await;
+            let setup = WorkerSetup {
+                run_time: TASK_RUN_TIME,
+                initial_clock: clock,
+                ..WorkerSetup::default()
+            };
+            let worker = WorkerStandin::start_with(&id, setup).await;
             let proxy = LinkProxy::start(worker.address()).await?;
             let handle = WorkerHandle {
                 worker,
