Play restarts of workers on hosts with a wrong time of day in the soak

Cause: no seed of the soak could show that a successor takes a young worker for an old one by the time of day. Start times of the stand-in were just after 1970, and workers accepted leases of 6 s, which a takeover and the granted lease outlast.

Change: `--clock-steps N` (1 by default) adds series of restarts on hosts whose clocks are 1 to 60 s behind or ahead, with cuts that are longer than the longest lease of 10 s. The owner is killed, paused or cut off from the store 0.2 to 0.8 s after them. Three of four plans with clock steps keep a fifth of their other faults, as another change of the owner hides the fault.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -13,6 +13,7 @@
         load_duration: Duration::from_secs(seconds),
         lasting_tasks: 0,
         restart_series: 0,
+        clock_steps: 0,
     }
 }
 
@@ -86,3 +87,18 @@
 
     assert_eq!(report.broken_promises, Vec::new());
 }
+
+/// Guards against second runs of tasks whose worker is restarted on a host with a wrong time of day and
+/// cut off before its owner stands still: the age of the instance by the time of day hid from the
+/// successor that its runs may last for 10 s (docs/incidents/twice-recut-record.md).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn workers_with_wrong_start_times_that_are_cut_off_violate_no_guarantee() {
+    let size = SoakSize {
+        clock_steps: 1,
+        ..restart_size()
+    };
+
+    let report = run_soak(452_026, size).await;
+
+    assert_eq!(report.broken_promises, Vec::new());
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,7 +10,9 @@
 * the store refuses requests, drops responses and revokes leases;
 * workers execute starts late, restart under their identifiers, and are lost for good;
 * workers restart under their identifiers with other clocks and labels, get orders for their
-  former instances, and are cut off from all daemons.
+  former instances, and are cut off from all daemons;
+* the clocks of the workers' hosts are set to a wrong time before such a restart, and the owner of the
+  service fails after it.
 
 Faults overlap. A run with tasks that last ends with the loss of workers together with a fault of
 the owner of the service. The same seed and size give the same faults at the same times.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -21,6 +21,9 @@
                      neither (as many as workers)
   --restarts N       series of restarts of workers with other clocks and labels, with late
                      orders and cuts (3)
+  --clock-steps N    series of restarts of workers whose hosts have a wrong time of day, with long
+                     cuts and faults of the owner (1); with any, workers accept leases of 10 s
+                     instead of 6 s
   --logs FOLDER      where settings and logs go (soak-logs below the temporary folder)
   --plan             prints the faults of the seeds and plays nothing
 ";
@@ -64,6 +67,7 @@
                 .opt_value_from_str("--lasting")?
                 .unwrap_or(workers),
             restart_series: arguments.opt_value_from_str("--restarts")?.unwrap_or(3),
+            clock_steps: arguments.opt_value_from_str("--clock-steps")?.unwrap_or(1),
             load_duration: Duration::from_secs(
                 arguments.opt_value_from_str("--seconds")?.unwrap_or(20),
             ),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use auburnsaddle_platform_standin::FIRST_KIND;
+use auburnsaddle_platform_standin::{FIRST_KIND, HostClock};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -47,6 +47,27 @@
 /// Exclusive upper bound of the reading at which a clock begins: one day.
 const MAX_CLOCK_MS: u64 = 24 * 60 * 60 * 1_000;
 
+/// Share of the plans with clock steps that have few other faults. Another change of the owner within
+/// some 8 s hides that the first successor waited for too short a time.
+const SPARSE_SHARE: f64 = 0.75;
+
+/// Range of the time from a restart on a host with a wrong clock to the fault of the owner. A takeover
+/// and the granted lease take some 8.5 s, so that after a later fault they outlast the longest lease.
+const EARLY_OWNER_DELAY_MS: std::ops::Range<u64> = 200..800;
+
+/// Range of the time by which the clock of a host is wrong: up to far above the age, of about 17 s,
+/// after which a worker can no longer hold runs by orders for its former instance.
+const CLOCK_ERROR_MS: std::ops::Range<u64> = 1_000..60_000;
+
+/// Range of the duration of a cut after a restart on a host with a wrong clock. It is longer than the
+/// longest lease of 10 s, so that an owner that starts tasks elsewhere too early is seen.
+const LONG_CUT_MS: std::ops::Range<u64> = 10_500..14_500;
+
+/// Longest lease that workers accept, counted from an order, in runs without clock steps and in those
+/// with them. Only the second is far above the 5.4 s that an owner waits after its own orders and
+/// the 2 s of a takeover.
+const MAX_LEASES: [Duration; 2] = [Duration::from_secs(6), Duration::from_secs(10)];
+
 /// Label of workers that were restarted as another kind.
 const OTHER_KIND: &str = "b";
 
@@ -66,6 +87,9 @@
     /// Number of series of restarts of a worker under its identifier, with other clocks and
     /// labels, late orders and cuts. Some jobs require a label then.
     pub restart_series: usize,
+    /// Number of series of restarts of workers on hosts whose clocks were set to a wrong time, each
+    /// with long cuts and a fault of the owner. Workers accept longer leases then.
+    pub clock_steps: usize,
 }
 
 impl SoakSize {
@@ -74,6 +98,15 @@
         self.daemons.saturating_sub(1) / 2
     }
 
+    /// Returns the longest lease that workers accept, counted from an order.
+    pub(crate) const fn max_lease(&self) -> Duration {
+        let [usual, long] = MAX_LEASES;
+        match self.clock_steps {
+            0 => usual,
+            _ => long,
+        }
+    }
+
     /// Returns the maximum number of workers that are lost: a quarter, and at least one.
     const fn max_lost_workers(&self) -> usize {
         if self.workers < 8 {
@@ -137,6 +170,8 @@
     LoseDaemon(usize),
     /// SIGKILL to the owner of the service, without a restart.
     LoseOwner,
+    /// SIGKILL to the owner of the service, and a restart at the end of the fault.
+    KillOwner,
     /// SIGSTOP to the owner of the service, and SIGCONT at the end of the fault.
     PauseOwner,
     /// State of the connections of the owner of the service to the store.
@@ -151,6 +186,9 @@
     /// A worker is restarted under its identifier at once, with this clock and this label of its
     /// kind. It writes its entry in the store at the end of the fault. The `usize` is an index.
     RestartInstance(usize, InstanceClock, &'static str),
+    /// The clock of a worker's host is set. It gives the start times of the instances that begin
+    /// later.
+    SetHostClock(usize, HostClock),
     /// A worker is cut off from all daemons: requests have no effect and no response, while its
     /// runs and its lease go on.
     CutWorker(usize),
@@ -212,10 +250,78 @@
             faults.extend(generate_restarts(&mut rng, size, end));
         }
     }
+    rng.set_stream(2);
+    if size.clock_steps > 0 {
+        if rng.random_bool(SPARSE_SHARE) {
+            faults.retain(|_| rng.random_bool(KEPT_SHARE));
+        }
+        faults.extend((0..size.workers).map(|worker| PlannedFault {
+            at: Duration::ZERO,
+            lasts: Duration::ZERO,
+            fault: SoakFault::SetHostClock(worker, generate_host_clock(&mut rng)),
+        }));
+    }
+    for _ in 0..size.clock_steps {
+        faults.extend(generate_clock_steps(&mut rng, size));
+    }
     faults.sort_by_key(|planned| planned.at);
     faults
 }
 
+/// Returns restarts of up to three workers at once on hosts whose clocks were set. The workers are cut
+/// off just after the first orders to their new instances, and a fault of the owner follows.
+/// They come in the first half of the load, so that a successor that starts tasks elsewhere too early
+/// does so before all faults end.
+fn generate_clock_steps(rng: &mut impl Rng, size: &SoakSize) -> Vec<PlannedFault> {
+    let mut rows = Vec::new();
+    let first_worker = rng.random_range(0..size.workers);
+    let worker_count = rng.random_range(1..=size.workers.min(3));
+    let end = WARM_UP_TIME.max(size.load_duration / 2);
+    let at_ms = rng.random_range(as_millis(WARM_UP_TIME)..as_millis(end) + 1);
+    for worker in (first_worker..).take(worker_count) {
+        let worker = worker % size.workers;
+        let host_clock = SoakFault::SetHostClock(worker, generate_host_clock(rng));
+        rows.push((at_ms, 0, host_clock));
+        // Only a clock that is behind takes the deadlines of orders for the former instance.
+        let clock = match rng.random_range(0..4) {
+            0 => generate_clock(rng),
+            _ => InstanceClock::Behind(Duration::from_millis(
+                rng.random_range(60_000..MAX_CLOCK_MS / 2),
+            )),
+        };
+        let restart = SoakFault::RestartInstance(worker, clock, FIRST_KIND);
+        rows.push((at_ms, rng.random_range(0..1_500), restart));
+        let cut_at_ms = at_ms + rng.random_range(50..MAX_CUT_DELAYS_MS[0]);
+        let cut_ms = rng.random_range(LONG_CUT_MS);
+        rows.push((cut_at_ms, cut_ms, SoakFault::CutWorker(worker)));
+    }
+    let fault = match rng.random_range(0..4) {
+        0..=1 => SoakFault::KillOwner,
+        2 => SoakFault::PauseOwner,
+        _ => SoakFault::OwnerStoreLink(generate_cut_state(rng)),
+    };
+    let owner_at_ms = at_ms + rng.random_range(EARLY_OWNER_DELAY_MS);
+    rows.push((owner_at_ms, rng.random_range(OWNER_FAULT_MS), fault));
+    let rows = rows
+        .into_iter()
+        .map(|(at_ms, lasts_ms, fault)| PlannedFault {
+            at: Duration::from_millis(at_ms),
+            lasts: Duration::from_millis(lasts_ms),
+            fault,
+        });
+    rows.collect()
+}
+
+/// Returns a time of day that is wrong in either direction.
+fn generate_host_clock(rng: &mut impl Rng) -> HostClock {
+    let error = Duration::from_millis(rng.random_range(CLOCK_ERROR_MS));
+    // Only a clock that is behind makes an instance look older than it is.
+    match rng.random_range(0..3) {
+        0 => HostClock::Ahead(error),
+        _ => HostClock::Behind(error),
+    }
+}
+
 /// Returns a series of restarts of up to three workers at once, such as those of a zone, each
 /// with late orders before some of them and with cuts that may overlap the next restart.
 fn generate_restarts(rng: &mut impl Rng, size: &SoakSize, end: Duration) -> Vec<PlannedFault> {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -29,6 +29,8 @@
 pub(crate) struct DaemonProcess {
     child: Child,
     settings_path: PathBuf,
+    /// Longest lease that workers accept.
+    max_lease: Duration,
     /// Port for callers. The operating system assigns a new one at each start.
     pub(crate) port: u16,
 }
@@ -47,10 +49,11 @@
         daemon_path: &Path,
         name: &str,
         store_address: &str,
+        max_lease: Duration,
         output_dir: &Path,
     ) -> Result<Self, SoakError> {
         let settings_path = output_dir.join(format!("{name}.json"));
-        write_settings(&settings_path, name, store_address)?;
+        write_settings(&settings_path, name, store_address, max_lease)?;
         let mut child = Command::new(daemon_path)
             .env(SETTINGS_VARIABLE, &settings_path)
             .stdout(Stdio::piped())
@@ -85,6 +88,7 @@
         Ok(Self {
             child,
             settings_path,
+            max_lease,
             port,
         })
     }
@@ -110,7 +114,7 @@
         name: &str,
         store_address: &str,
     ) -> Result<(), SoakError> {
-        write_settings(&self.settings_path, name, store_address)
+        write_settings(&self.settings_path, name, store_address, self.max_lease)
     }
 }
 
@@ -119,7 +123,9 @@
     path: &Path,
     name: &str,
     store_address: &str,
+    max_lease: Duration,
 ) -> Result<(), SoakError> {
+    let max_hold_ms = u64::try_from(max_lease.as_millis()).unwrap_or(u64::MAX);
     let address = format!("{HOST}:0");
     let settings = json!({
         "node-name": name, "zone": "z1",
@@ -127,7 +133,7 @@
             "frontend": address, "readiness": address, "control-plane": address,
         },
         "platform": {"address": store_address, "min-ttl-ms": 1_000},
-        "bounds": {"max-hold-ms": 6_000, "grace-s": 6, "status_s": 120},
+        "bounds": {"max-hold-ms": max_hold_ms, "grace-s": 6, "status_s": 120},
     });
     fs::write(path, settings.to_string())?;
     Ok(())
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,9 @@
     time::{Duration, Instant},
 };
 
-use auburnsaddle_platform_standin::{FIRST_KIND, StoreStandin, WorkerSetup, WorkerStandin};
+use auburnsaddle_platform_standin::{
+    FIRST_KIND, HostClock, StoreStandin, WorkerSetup, WorkerStandin,
+};
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -245,7 +247,9 @@
             let setup = WorkerSetup {
                 run_time: TASK_RUN_TIME,
                 initial_clock: clock,
-                ..WorkerSetup::default()
+                max_lease: run.size.max_lease(),
+                // Wrong start times are to be compared with true ones.
+                host_clock: (run.size.clock_steps > 0).then_some(HostClock::Ahead(Duration::ZERO)),
             };
             let worker = WorkerStandin::start_with(&id, setup).await;
             let proxy = LinkProxy::start(worker.address()).await?;
@@ -295,6 +299,7 @@
             &self.run.daemon_path,
             &handle.name,
             &store_address,
+            self.run.size.max_lease(),
             output_dir,
         )?;
         self.callers.set_daemon_port(daemon, Some(process.port));
@@ -419,6 +424,7 @@
     fn resolve_fault(&self, fault: SoakFault) -> SoakFault {
         match fault {
             SoakFault::LoseOwner => SoakFault::LoseDaemon(self.find_owner()),
+            SoakFault::KillOwner => SoakFault::Kill(self.find_owner()),
             SoakFault::PauseOwner => SoakFault::Pause(self.find_owner()),
             SoakFault::OwnerStoreLink(state) => SoakFault::StoreLink(self.find_owner(), state),
             SoakFault::LoseWorker(rank, state) => {
@@ -514,6 +520,9 @@
                 }
                 self.begin_worker_fault(worker, fault);
             }
+            SoakFault::SetHostClock(worker, clock) => {
+                self.workers[worker].worker.set_host_clock(clock);
+            }
             SoakFault::StoreAway => {
                 self.history.store_faults.push(span(0));
                 self.store.set_unavailable(true);
@@ -549,7 +558,10 @@
                 }
             }
             // Resolved to a fault of the daemon that is the owner.
-            SoakFault::LoseOwner | SoakFault::PauseOwner | SoakFault::OwnerStoreLink(_) => {}
+            SoakFault::LoseOwner
+            | SoakFault::KillOwner
+            | SoakFault::PauseOwner
+            | SoakFault::OwnerStoreLink(_) => {}
         }
         Ok(())
     }
--- a/crates/soak/src/tests.rs
+++ b/crates/soak/src/tests.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use auburnsaddle_platform_standin::{FIRST_KIND, LASTING_COMMAND, WorkerStandin};
+use auburnsaddle_platform_standin::{FIRST_KIND, HostClock, LASTING_COMMAND, WorkerStandin};
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
@@ -27,6 +27,7 @@
         load_duration: Duration::from_secs(30),
         lasting_tasks: 0,
         restart_series: 0,
+        clock_steps: 0,
     }
 }
 
@@ -351,6 +352,75 @@
     assert_eq!(seen, expected.into());
 }
 
+/// Guards against plans without restarts on hosts whose clocks are wrong in either direction, without
+/// a long cut and each kind of fault of the owner after them, and against a change of the other
+/// faults of a seed, except that half of the plans have few of them.
+#[test]
+fn plan_with_clock_steps_has_restarts_with_cuts_and_faults_of_the_owner() {
+    let size = SoakSize {
+        workers: 8,
+        lasting_tasks: 8,
+        restart_series: 3,
+        clock_steps: 1,
+        ..soak_size()
+    };
+    let former_size = SoakSize {
+        clock_steps: 0,
+        ..size
+    };
+    let mut seen = BTreeSet::new();
+
+    for seed in 0..200 {
+        let plan = generate_plan(seed, &size);
+        let former = generate_plan(seed, &former_size);
+        let kept = former.iter().filter(|row| plan.contains(row)).count();
+        assert!(kept == former.len() || kept * 2 < former.len(), "{seed}");
+        seen.insert(if kept == former.len() {
+            "all other faults"
+        } else {
+            "few other faults"
+        });
+        for row in plan.iter().filter(|row| row.at > Duration::ZERO) {
+            let SoakFault::SetHostClock(worker, clock) = row.fault else {
+                continue;
+            };
+            seen.insert(match clock {
+                HostClock::Behind(_) => "clock behind",
+                HostClock::Ahead(_) => "clock ahead",
+            });
+            let is_soon =
+                |other: &&PlannedFault| row.at <= other.at && other.at <= row.at + SECOND * 3;
+            let later = plan
+                .iter()
+                .filter(is_soon)
+                .filter(|other| !former.contains(other));
+            seen.extend(later.filter_map(|other| match other.fault {
+                SoakFault::RestartInstance(of, ..) if of == worker => Some("restart"),
+                SoakFault::CutWorker(of) if of == worker && other.lasts > SECOND * 10 => {
+                    Some("long cut")
+                }
+                SoakFault::KillOwner => Some("owner killed"),
+                SoakFault::PauseOwner => Some("owner paused"),
+                SoakFault::OwnerStoreLink(_) => Some("owner cut off"),
+                _ => None,
+            }));
+        }
+    }
+
+    let expected = [
+        "all other faults",
+        "clock ahead",
+        "clock behind",
+        "few other faults",
+        "long cut",
+        "owner cut off",
+        "owner killed",
+        "owner paused",
+        "restart",
+    ];
+    assert_eq!(seen, expected.into());
+}
+
 /// Returns a valid history: a job with one task that lasts for 60 s on worker 0, which is lost
 /// after 20 s, and then on worker 1.
 fn lasting_history(start: Instant) -> SoakHistory {
@@ -658,7 +728,7 @@
     let proxy = LinkProxy::start(upstream).await.unwrap();
     let path = std::env::temp_dir().join(format!("soak-settings-{}", std::process::id()));
 
-    write_settings(&path, "daemon-0", &proxy.address().to_string()).unwrap();
+    write_settings(&path, "daemon-0", &proxy.address().to_string(), SECOND * 6).unwrap();
     let settings: Value = serde_json::from_slice(&fs::read(&path).unwrap()).unwrap();
     fs::remove_file(&path).unwrap();
 
