Test that few workers are held for lost tasks

Without the bound of 10 % of the workers (100 in its place), 4 instead of 11 urgent tasks start when one of four short tasks ends on each of 12 workers and eight lost tasks need whole workers. With SHORT_WORK_PERCENT 0, lost_tasks_leave_urgent_jobs_their_share fails (0 instead of 2 urgent starts). The specification of a job is shared, not copied, as in schedule.rs.

--- a/crates/core/src/pipelines/restoration.rs
+++ b/crates/core/src/pipelines/restoration.rs
@@ -6,7 +6,7 @@
 //! capacity that short tasks release bit by bit is used before it is enough for them. What they
 //! take is what they had before the loss, and other work keeps a share of the service.
 
-use std::{cmp::Reverse, time::Duration};
+use std::{cmp::Reverse, sync::Arc, time::Duration};
 
 use super::{
     advice::{PendingRequest, TicketCache},
@@ -79,7 +79,7 @@
         let Some(record) = self.pipelines.get(&key.pipeline) else {
             return;
         };
-        let spec = record.spec.clone();
+        let spec = Arc::clone(&record.spec);
         let Some(step_spec) = spec.steps.get(key.step as usize) else {
             return;
         };
@@ -99,7 +99,7 @@
         let Some(record) = self.pipelines.get(&key.pipeline) else {
             return;
         };
-        let spec = record.spec.clone();
+        let spec = Arc::clone(&record.spec);
         let step_spec = spec.steps.get(key.step as usize);
         let Some(step_spec) = step_spec.filter(|step| !step.gang) else {
             return;
--- a/crates/core/src/pipelines/tests/restoration.rs
+++ b/crates/core/src/pipelines/tests/restoration.rs
@@ -7,13 +7,14 @@
 
 use super::{
     fixtures::{
-        WALL_MS, done, ended, first_step, job, listing, long_running_job, observed, owner, step,
+        WALL_MS, done, ended, first_step, job, listing, long_running_job, observed, owner,
+        owner_of_workers, step,
     },
     simulation::SimulatedService,
 };
 use crate::{
-    AdvicePolicy, PipelineId, PipelineSpec, ResourceVector, RunEnd, RunKey, TaskKey, WorkerId,
-    WorkerListing,
+    AdvicePolicy, PipelineEvent, PipelineId, PipelineSpec, ResourceVector, RunEnd, RunKey, TaskKey,
+    WorkerId, WorkerListing,
 };
 
 /// Number of workers, of four cores each.
@@ -287,3 +288,44 @@
     assert_eq!(first.len(), 8);
     assert_eq!(urgent.count(), 2);
 }
+
+/// Guards against lost tasks that need whole workers and take all capacity that becomes free from
+/// urgent jobs: a tenth of the workers is held at most.
+#[test]
+fn workers_that_are_held_for_lost_tasks_are_few() {
+    let mut owner = owner_of_workers(20);
+    let mut lasting = long_running_job();
+    lasting.steps[0].count = 8;
+    lasting.steps[0].demand = ResourceVector::new(4_000, 100, 0);
+    owner.submit(1, lasting);
+    let lost = owner.start_all();
+    let mut urgent = urgent_job(WALL_MS);
+    urgent.steps[0].count = 48;
+    owner.submit(2, urgent.clone());
+    let short = owner.start_all();
+    for start in &lost {
+        let mut draining = listing(&start.worker);
+        draining.is_draining = true;
+        owner.handle_event(PipelineEvent::Listed(draining));
+        let failed = ended(1, start.run, RunEnd::Failed);
+        owner.report(&start.worker, Vec::new(), vec![failed]);
+    }
+    urgent.steps[0].count = 12;
+    owner.submit(3, urgent);
+
+    // One of the four short tasks of each of the other workers ends.
+    let mut runs: BTreeMap<WorkerId, Vec<RunKey>> = BTreeMap::new();
+    for start in &short {
+        runs.entry(start.worker.clone())
+            .or_default()
+            .push(start.run);
+    }
+    for (worker, runs) in &runs {
+        let running = runs[1..].iter().map(|run| observed(*run));
+        owner.report(worker, running.collect(), vec![done(1, runs[0])]);
+    }
+    let starts = owner.start_all();
+
+    assert_eq!((lost.len(), short.len(), runs.len()), (8, 48, 12));
+    assert_eq!(starts.len(), 11);
+}
