Allow a soak job to be given up after three of its workers have ended under a task

The users permit that once two workers have crashed under a task (their page on deadly tasks, BUDGET); the owner waits for three.

Change: the promises 'accepted work is kept' and 'a lasting task is at work' do not hold for a job that failed after three workers had ended under one of its tasks, as the workers recorded it. A job that failed after two, or after three other ends, still breaks both (lasting_job_may_fail_after_three_ends_of_its_workers_only).

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -24,6 +24,10 @@
 /// `stop-grace-ms`.
 pub(crate) const CANCEL_TIME: Duration = Duration::from_millis(3_200);
 
+/// Number of workers that must have ended under a task before its job may be given up. The users
+/// permit it from two on; an owner is to be surer than that.
+const MIN_CRASHES: usize = 3;
+
 /// A violation of a promise.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct BrokenPromise {
@@ -75,6 +79,7 @@
     let has_ended = match job.state.as_deref() {
         Some("completed") => !job.is_lasting,
         Some("cancelled") => job.cancel_requested_at.is_some(),
+        Some("failed") => may_be_given_up(id, history),
         _ => false,
     };
     if is_accepted && (job.has_gone_response || !has_ended) {
@@ -133,6 +138,18 @@
     }
 }
 
+/// Returns whether so many workers have ended under a task of a job that the job may be given up. The
+/// owner cannot tell a task that crashes its workers from one whose workers are restarted.
+fn may_be_given_up(id: JobId, history: &SoakHistory) -> bool {
+    let mut crashes: BTreeMap<(u32, u32), usize> = BTreeMap::new();
+    for run in history.runs.iter().filter(|run| run.task.0 == id) {
+        let (_, step, index) = run.task;
+        let is_crash = matches!(run.ended, Some((_, "lost")));
+        *crashes.entry((step, index)).or_default() += usize::from(is_crash);
+    }
+    crashes.values().any(|count| *count >= MIN_CRASHES)
+}
+
 /// Checks that each task that lasts has a run within [`RESTORE_BOUND`] of the latest fault, from
 /// the acceptance of its job to its cancellation.
 fn check_lasting_tasks(history: &SoakHistory, broken: &mut Vec<BrokenPromise>) {
@@ -142,6 +159,9 @@
         let (Some(accepted_at), Some(cancelled_at)) = (job.accepted_at, cancelled_at) else {
             continue;
         };
+        if job.state.as_deref() == Some("failed") && may_be_given_up(*id, history) {
+            continue;
+        }
         let steps = (0..).zip(&job.tasks_per_step);
         let tasks = steps.flat_map(|(step, count)| (0..*count).map(move |index| (step, index)));
         for (step, index) in tasks {
--- a/crates/soak/src/tests.rs
+++ b/crates/soak/src/tests.rs
@@ -494,6 +494,30 @@
     );
 }
 
+/// Returns the promises that a job of a task that lasts breaks which failed at 10 s, after this many of
+/// its workers had ended under the task, one a second.
+fn broken_by_giving_up(crashes: u32, end: &'static str) -> BTreeSet<&'static str> {
+    broken_lasting_promises(|history, start| {
+        history.jobs.get_mut(&1).unwrap().state = Some("failed".to_owned());
+        let runs = (1..=crashes).map(|second| RunRecord {
+            ended: Some((start + SECOND * (second + 1), end)),
+            ..run_record((1, 0, 0), start + SECOND * second, None)
+        });
+        history.runs = runs.collect();
+    })
+}
+
+/// Guards against a check that allows a job of tasks that last to fail although fewer than three of
+/// its workers have ended under a task, or that takes other ends for those of a worker.
+#[test]
+fn lasting_job_may_fail_after_three_ends_of_its_workers_only() {
+    let all = ["a lasting task is at work", "accepted work is kept"];
+
+    assert_eq!(broken_by_giving_up(2, "lost"), all.into());
+    assert_eq!(broken_by_giving_up(3, "failed"), all.into());
+    assert_eq!(broken_by_giving_up(3, "lost"), BTreeSet::new());
+}
+
 /// Guards against a check of tasks that last that ignores the end of a suspension, or that takes
 /// a kill for good, an earlier fault or the time after all faults for a fault that lasts.
 #[test]
