Share the machinery of restarted workers, and let the worker stand-in lose answers and show its age

Its runs report 50 % at all times, so that owners stop a task of 8.5 s for lack of progress; its instances appear to have begun in 1970, so that no owner takes one for young; and only both directions of its traffic can be cut.

Change: the restarts, cuts and prints of restarted_workers.rs move to support/restarts.rs. The stand-in reports the share of the run time that has passed, can report start times by the wall clock, can be cut off for answers only, can answer slowly, and takes a largest lease.

--- a/crates/daemon/tests/restarted_workers.rs
+++ b/crates/daemon/tests/restarted_workers.rs
@@ -9,12 +9,18 @@
     time::{Duration, Instant},
 };
 
-use auburnsaddle_platform_standin::{StartRecord, WorkerStandin};
+use auburnsaddle_platform_standin::StartRecord;
 use http::StatusCode;
 use serde_json::{Value, json};
-use tokio::sync::watch;
 
-use support::{CellFixture, start_cell_with_clocks};
+use support::{
+    CellFixture,
+    restarts::{
+        CutDirection, CutMoment, CutPlan, EARLIER_CLOCK, FORMER_CLOCK, RestartTime, SubmissionEnd,
+        cut_off_and_reconnect, print_records, restart_workers,
+    },
+    start_cell_with_clocks,
+};
 
 /// Time until all tasks must be at work again, from the last event: `contact-ms` (3 s), 4 s and
 /// 3 s of the rule LOST of the platform.
@@ -27,55 +33,14 @@
 /// Pause between two checks of the runs.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time from the restart of a worker until its next heartbeat writes its entry.
-const HEARTBEAT_DELAY: Duration = Duration::from_millis(1_500);
-
-/// Time limit of the wait for the event after which a worker is cut off. A new instance that
-/// rejects the orders for the former one may start nothing before.
-const CUT_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// Duration of a cut: longer than the longest lease that workers accept, 6 s on a clock that is
-/// 2 % slow, with the time of an owner to start tasks elsewhere.
-const CUT_TIME: Duration = Duration::from_millis(8_500);
-
 /// Run time that no test reaches.
 const ENDLESS_RUN_TIME: Duration = Duration::from_hours(1);
 
-/// Reading of the clocks of all workers at their first start. A clock that is restarted can begin
-/// before or after it.
-const FORMER_CLOCK: Duration = Duration::from_hours(2);
-
-/// Reading far behind the clock of the former instance.
-const EARLIER_CLOCK: Duration = Duration::from_hours(1);
-
 /// Reading far ahead of the clock of the former instance.
 const LATER_CLOCK: Duration = Duration::from_hours(3);
 
 const WORKER_COUNT: usize = 8;
 
-/// Pause between two submissions after the restarts. It is far below the 0.6 s by which the
-/// longest lease of a worker exceeds the time after which an owner takes its runs for ended, so
-/// that a start comes just before the event after which a worker is cut off.
-const SUBMIT_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Moment at which a restarted worker is cut off, relative to an event on its new instance.
-#[derive(Clone, Copy, Debug)]
-enum CutMoment {
-    /// After the first run that it starts.
-    Start(Duration),
-    /// After the first renewal that it answers.
-    Renewal(Duration),
-}
-
-/// What happened until all workers were reconnected.
-#[derive(Debug)]
-struct CutReport {
-    /// Number of jobs that were submitted after the restarts.
-    job_count: usize,
-    /// For each worker, whether it was cut off after its event.
-    has_event: Vec<bool>,
-}
-
 /// Returns a job with a task that lasts for each worker. The workers that are not restarted have
 /// room for the tasks of all.
 fn lasting_job() -> Value {
@@ -88,6 +53,17 @@
     })
 }
 
+/// Returns a plan of cuts in both directions, with jobs for a daemon until the first event.
+fn cut_plan<'a>(daemon: usize, job: &'a Value, moments: &'a [CutMoment]) -> CutPlan<'a> {
+    CutPlan {
+        daemon,
+        job,
+        moments,
+        direction: CutDirection::Both,
+        submission_end: SubmissionEnd::FirstEvent,
+    }
+}
+
 /// Starts a cell with as many tasks at work as workers.
 async fn start_busy_cell(daemons: usize) -> CellFixture {
     let cell = start_cell_with_clocks(daemons, WORKER_COUNT, ENDLESS_RUN_TIME, FORMER_CLOCK).await;
@@ -111,82 +87,6 @@
     starts.filter(is_running).map(|start| start.task).collect()
 }
 
-/// Restarts the first workers.
-fn restart_workers(cell: &CellFixture, clock: Duration, count: usize) {
-    for worker in &cell.workers[..count] {
-        worker.restart_with_clock(clock);
-        let (store, worker) = (cell.store.clone(), worker.clone());
-        tokio::spawn(async move {
-            tokio::time::sleep(HEARTBEAT_DELAY).await;
-            let (key, value) = worker.registration("sales");
-            store.write(&key, &value);
-        });
-    }
-}
-
-/// Waits for the event before a cut. Returns whether it came in time.
-async fn wait_for_event(worker: &WorkerStandin, moment: CutMoment) -> bool {
-    let event = async {
-        match moment {
-            CutMoment::Start(_) => worker.wait_for_start().await,
-            CutMoment::Renewal(_) => worker.wait_for_renewal().await,
-        }
-    };
-    tokio::time::timeout(CUT_TIMEOUT, event).await.is_ok()
-}
-
-/// Submits jobs to a daemon until a worker has seen the event after which it is cut off, so that
-/// tasks are started on all workers. No order follows a cut for long, as its missing answer
-/// would tell the owner as much as that of a renewal. Returns the number of jobs.
-async fn submit_jobs(
-    cell: &CellFixture,
-    daemon: usize,
-    mut is_event_seen: watch::Receiver<bool>,
-) -> usize {
-    for id in 2.. {
-        let accepted = cell.submit(daemon, id, &lasting_job()).await;
-        assert_eq!(accepted, Some(StatusCode::OK));
-        let event = is_event_seen.wait_for(|is_seen| *is_seen);
-        if tokio::time::timeout(SUBMIT_INTERVAL, event).await.is_ok() {
-            return usize::try_from(id - 1).unwrap();
-        }
-    }
-    unreachable!("each worker is cut off after CUT_TIMEOUT")
-}
-
-/// Cuts the first workers off, each at its own moment, and reconnects them after `CUT_TIME`.
-/// Meanwhile submits jobs to a daemon.
-async fn cut_off_and_reconnect(
-    cell: &CellFixture,
-    daemon: usize,
-    moments: &[CutMoment],
-) -> CutReport {
-    let event_seen = watch::Sender::new(false);
-    let cuts = cell.workers.iter().zip(moments).map(|(worker, moment)| {
-        let (worker, moment, event_seen) = (worker.clone(), *moment, event_seen.clone());
-        tokio::spawn(async move {
-            let has_event = wait_for_event(&worker, moment).await;
-            event_seen.send_replace(true);
-            let (CutMoment::Start(delay) | CutMoment::Renewal(delay)) = moment;
-            tokio::time::sleep(delay).await;
-            worker.cut_off();
-            tokio::time::sleep(CUT_TIME).await;
-            worker.reconnect();
-            has_event
-        })
-    });
-    let cuts: Vec<_> = cuts.collect();
-    let job_count = submit_jobs(cell, daemon, event_seen.subscribe()).await;
-    let mut has_event = Vec::new();
-    for cut in cuts {
-        has_event.push(cut.await.unwrap());
-    }
-    CutReport {
-        job_count,
-        has_event,
-    }
-}
-
 /// Watches the runs until the tasks of all jobs are at work, and at least for `WATCH_TIME`.
 /// Returns the time from the last event until then; `None` if a task is still away after
 /// `RESTORE_BOUND`.
@@ -206,34 +106,11 @@
     restored
 }
 
-/// Prints the runs of the restarted workers, and of the tasks that they ran, in seconds from
-/// their restart.
-fn print_records(cell: &CellFixture, case: &str, restarted_at: Instant, count: usize) {
-    let seconds = |at: Instant| {
-        at.saturating_duration_since(restarted_at).as_secs_f64()
-            - restarted_at.saturating_duration_since(at).as_secs_f64()
-    };
-    let restarted = cell.workers[..count].iter().flat_map(WorkerStandin::starts);
-    let tasks: BTreeSet<String> = restarted.map(|start| start.task).collect();
-    for (number, worker) in (1..).zip(&cell.workers) {
-        let starts = worker.starts().into_iter();
-        for start in starts.filter(|start| tasks.contains(&start.task)) {
-            let ended = start.ended.map(|(at, end)| (seconds(at), end));
-            println!(
-                "{case}: w{number} {} attempt {} began {:.2} ended {ended:.2?}",
-                start.task,
-                start.attempt,
-                seconds(start.began_at)
-            );
-        }
-    }
-}
-
 /// Asserts that no task ran twice at once and that all tasks are at work again.
 fn assert_one_run_each(
     cell: &CellFixture,
     case: &str,
-    restarted_at: Instant,
+    restarted_at: RestartTime,
     moments: &[CutMoment],
     restored: Option<Duration>,
 ) {
@@ -247,10 +124,11 @@
 /// this moment. Asserts that no task runs twice, and that all are at work in the end.
 async fn assert_no_second_run(case: &str, clock: Duration, moments: &[CutMoment]) -> Vec<bool> {
     let cell = start_busy_cell(2).await;
+    let job = lasting_job();
 
-    let restarted_at = Instant::now();
+    let restarted_at = RestartTime::now();
     restart_workers(&cell, clock, moments.len());
-    let report = cut_off_and_reconnect(&cell, 0, moments).await;
+    let report = cut_off_and_reconnect(&cell, &cut_plan(0, &job, moments)).await;
     let restored = watch_until_restored(&cell, report.job_count + 1).await;
 
     assert_one_run_each(&cell, case, restarted_at, moments, restored);
@@ -323,14 +201,14 @@
 async fn a_task_on_a_restarted_worker_does_not_run_twice_after_a_cut_and_the_loss_of_its_owner() {
     let mut cell = start_busy_cell(3).await;
     let owner = cell.wait_for_owner().await;
-    let moments = moments_after_start();
+    let (job, moments) = (lasting_job(), moments_after_start());
 
-    let restarted_at = Instant::now();
+    let restarted_at = RestartTime::now();
     restart_workers(&cell, EARLIER_CLOCK, moments.len());
-    let accepted = cell.submit(owner, 100, &lasting_job()).await;
+    let accepted = cell.submit(owner, 100, &job).await;
     cell.workers[0].wait_for_start().await;
     cell.daemons[owner].child.kill().unwrap();
-    let report = cut_off_and_reconnect(&cell, (owner + 1) % 3, &moments).await;
+    let report = cut_off_and_reconnect(&cell, &cut_plan((owner + 1) % 3, &job, &moments)).await;
     let restored = watch_until_restored(&cell, report.job_count + 2).await;
 
     assert_eq!(accepted, Some(StatusCode::OK));
--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -7,6 +7,7 @@
 )]
 
 mod child;
+pub(crate) mod restarts;
 
 use std::{
     collections::BTreeMap,
@@ -58,6 +59,8 @@
     folder: PathBuf,
     /// Time in s for which the daemons keep the states of ended jobs.
     status_s: u32,
+    /// Longest lease that the workers accept.
+    max_lease: Duration,
 }
 
 impl Drop for CellFixture {
@@ -78,6 +81,10 @@
     initial_clock: Duration,
     /// Time in s for which the states of ended jobs are kept.
     status_s: u32,
+    /// Whether workers report the times of their starts by the wall clock.
+    has_wall_clock: bool,
+    /// Longest lease that the workers accept.
+    max_lease: Duration,
 }
 
 impl Default for CellSetup {
@@ -85,20 +92,23 @@
         Self {
             initial_clock: Duration::ZERO,
             status_s: 120,
+            has_wall_clock: false,
+            max_lease: Duration::from_secs(6),
         }
     }
 }
 
 /// Returns settings of a daemon that listens on ephemeral ports.
-fn daemon_settings(name: &str, store: &str, status_s: u32) -> Value {
+fn daemon_settings(name: &str, store: &str, status_s: u32, max_lease: Duration) -> Value {
     let address = "127.0.0.1:0";
+    let max_lease_ms = u64::try_from(max_lease.as_millis()).unwrap();
     json!({
         "node-name": name, "zone": "z1", "an-unknown-field": [1, 2],
         "listen-addrs": {
             "frontend": address, "readiness": address, "control-plane": address,
         },
         "platform": {"address": store, "min-ttl-ms": 1_000},
-        "bounds": {"max-hold-ms": 6_000, "grace-s": 6, "status_s": status_s},
+        "bounds": {"max-hold-ms": max_lease_ms, "grace-s": 6, "status_s": status_s},
     })
 }
 
@@ -149,6 +159,24 @@
     launch_cell(daemons, workers, run_time, setup).await
 }
 
+/// Like [`start_cell_with_clocks`], with workers that report the times of their starts by the wall
+/// clock, so that owners know the ages of their instances, and that accept leases up to `max_lease`.
+pub(crate) async fn start_cell_with_dated_workers(
+    daemons: usize,
+    workers: usize,
+    run_time: Duration,
+    initial_clock: Duration,
+    max_lease: Duration,
+) -> CellFixture {
+    let setup = CellSetup {
+        initial_clock,
+        max_lease,
+        has_wall_clock: true,
+        ..CellSetup::default()
+    };
+    launch_cell(daemons, workers, run_time, setup).await
+}
+
 /// Like [`start_cell`], with any time for which the states of ended jobs are kept.
 pub(crate) async fn start_cell_with_retention(
     daemons: usize,
@@ -173,6 +201,10 @@
     for number in 1..=workers {
         let id = format!("w{number}");
         let worker = WorkerStandin::start_with_clock(&id, run_time, setup.initial_clock).await;
+        worker.set_max_lease(setup.max_lease);
+        if setup.has_wall_clock {
+            worker.use_wall_clock();
+        }
         let (key, value) = worker.registration("sales");
         store.write(&key, &value);
         standins.push(worker);
@@ -191,6 +223,7 @@
         client: Client::builder(TokioExecutor::new()).build_http(),
         folder,
         status_s: setup.status_s,
+        max_lease: setup.max_lease,
     };
     for index in 0..daemons {
         cell.launch(&format!("daemon-{index}"));
@@ -223,7 +256,8 @@
     /// Starts a daemon and stops reading its standard output once it listens.
     pub(crate) fn launch_without_log_reader(&mut self, name: &str) {
         let path = self.folder.join(format!("{name}.json"));
-        let text = daemon_settings(name, &self.store.address(), self.status_s).to_string();
+        let text =
+            daemon_settings(name, &self.store.address(), self.status_s, self.max_lease).to_string();
         fs::write(&path, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_auburnsaddled"))
             .env("AUBURNSADDLE_SETTINGS", &path)
@@ -394,10 +428,14 @@
         }
     }
 
+    /// Returns the collected log lines of a daemon.
+    pub(crate) fn log_lines(&self, daemon: usize) -> Vec<Value> {
+        self.daemons[daemon].log_lines.lock().unwrap().clone()
+    }
+
     /// Returns the collected log lines of a daemon with this message.
     pub(crate) fn log_lines_with(&self, daemon: usize, message: &str) -> Vec<Value> {
-        let lines = self.daemons[daemon].log_lines.lock().unwrap();
-        let lines = lines.iter().filter(|line| line["message"] == message);
-        lines.cloned().collect()
+        let lines = self.log_lines(daemon).into_iter();
+        lines.filter(|line| line["message"] == message).collect()
     }
 }
