--- a/crates/daemon/tests/clock_steps.rs
+++ b/crates/daemon/tests/clock_steps.rs
@@ -14,7 +14,11 @@
 use serde_json::{Value, json};
 use tokio::{task::JoinSet, time::timeout};
 
-use support::{CellFixture, RESTORE_BOUND, start_cell_with_setup};
+use support::{
+    CellFixture, RESTORE_BOUND,
+    restarts::{EARLIER_CLOCK, FORMER_CLOCK, RestartTime, print_records},
+    start_cell_with_setup,
+};
 
 /// Longest lease of the workers, as on the deployment ntra-sched-grown. It is far longer than the
 /// 5.4 s for which an owner waits after its own orders.
@@ -37,13 +41,6 @@
 /// Age of the workers by their first start times, which tell nothing of later instances.
 const FORMER_AGE: Duration = Duration::from_hours(1);
 
-/// Reading of the clocks of all workers at their first start.
-const FORMER_CLOCK: Duration = Duration::from_hours(2);
-
-/// Reading at which the clocks of restarted workers begin. Orders for the former instances have
-/// deadlines far ahead of it.
-const EARLIER_CLOCK: Duration = Duration::from_hours(1);
-
 const WORKER_COUNT: usize = 8;
 
 /// Number of workers that are restarted. The others have room for the tasks of all.
@@ -212,7 +209,7 @@
     let (mut cell, mut jobs) = start_busy_cell().await;
     let owner = cell.wait_for_owner().await;
 
-    let restarted_at = Instant::now();
+    let restarted_at = RestartTime::now();
     restart_workers(&cell, host_clock);
     cut_off_after_first_start(&cell, owner, kind, entry, &mut jobs).await;
     cell.daemons[owner].child.kill().unwrap();
@@ -227,7 +224,7 @@
     }
 
     let case = format!("{kind:?}, {host_clock:?}, {entry:?}");
-    cell.print_runs(&case, restarted_at, RESTART_COUNT);
+    print_records(&cell, &case, restarted_at, RESTART_COUNT);
     println!("{case}: all lasting tasks at work {restored:.2?} after the last event");
     cell.assert_no_conflicting_runs();
     assert!(restored.is_some(), "a lasting task is away");
--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -7,9 +7,10 @@
 )]
 
 mod child;
+pub(crate) mod restarts;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     fs,
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -395,27 +396,9 @@
         }
     }
 
-    /// Prints the runs of the tasks that the first workers have run, in seconds from their restart.
-    pub(crate) fn print_runs(&self, case: &str, restarted_at: Instant, count: usize) {
-        let seconds = |at: Instant| {
-            at.saturating_duration_since(restarted_at).as_secs_f64()
-                - restarted_at.saturating_duration_since(at).as_secs_f64()
-        };
-        let restarted = self.workers[..count].iter();
-        let starts = restarted.flat_map(WorkerStandin::starts);
-        let tasks: BTreeSet<String> = starts.map(|start| start.task).collect();
-        for (number, worker) in (1..).zip(&self.workers) {
-            let starts = worker.starts().into_iter();
-            for start in starts.filter(|start| tasks.contains(&start.task)) {
-                let ended = start.ended.map(|(at, end)| (seconds(at), end));
-                println!(
-                    "{case}: w{number} {} attempt {} began {:.2} ended {ended:.2?}",
-                    start.task,
-                    start.attempt,
-                    seconds(start.began_at)
-                );
-            }
-        }
+    /// Returns the collected log lines of a daemon.
+    pub(crate) fn log_lines(&self, daemon: usize) -> Vec<Value> {
+        self.daemons[daemon].log_lines.lock().unwrap().clone()
     }
 
     /// Returns the collected log lines of a daemon with this message.
