Check the keys of callers, and store the team of a job

Callers of a queue that is not public need the key of a team where the manifest lists teams or the settings require it. A job belongs to the team of its key, which is stored behind the job and its summary, so that earlier versions still read both. Another team learns nothing of the job. A daemon that was suspended confirms its manifest before it answers.

--- a/crates/core/benches/restoration.rs
+++ b/crates/core/benches/restoration.rs
@@ -140,6 +140,7 @@
             advice,
         },
         accepted_unix_ms: WALL_MS,
+        team: None,
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -64,6 +64,7 @@
 mod pipelines;
 mod publication;
 mod tasks;
+mod teams;
 mod types;
 mod wall_clock;
 
@@ -117,6 +118,7 @@
 pub use tasks::{TaskQueue, TaskRecord, TaskState, TaskView, TeamQuota, WaitReason, WaitingFirst};
 pub use tasks::{TaskRefusal, TaskReply, TaskRequest, TaskStatus, WatchReply};
 pub use tasks::{WorkCounter, WorkerEntry, WorkerReport};
+pub use teams::{ResourceCap, TeamTable, TeamTerms};
 pub use types::{Attempt, ConfigVersion, DaemonId, Epoch, GrantId, HostId, ObjectName};
 pub use types::{CallOutcome, NotRunReason, ResourceVector, ShardName, UnknownReason};
 pub use types::{PoolId, RackId, RegionId, RequestId, RestartPolicy, RunnerId, ServiceId};
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -7,7 +7,10 @@
     spec::{AdvicePolicy, PipelineId, PipelineSpec, RunKey, StepKey},
     wait::StepWait,
 };
-use crate::types::{Epoch, RackId, ResourceVector, WorkerId};
+use crate::{
+    teams::TeamTable,
+    types::{Epoch, RackId, ResourceVector, WorkerId},
+};
 
 /// A worker's own entry in the platform's registry.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -311,6 +314,8 @@
     /// Leases of workers may be extended until the given time, which may be earlier than a
     /// previous one: no later owner of the service assumes by then that they have lapsed.
     ExtensionsPermitted(Duration),
+    /// The terms of the teams have changed.
+    TeamsChanged(Arc<TeamTable>),
     /// Time has passed. Carries the wall clock in ms since 1970.
     Tick(u64),
 }
--- a/crates/core/src/pipelines/spec.rs
+++ b/crates/core/src/pipelines/spec.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     ServiceId,
-    types::{Attempt, ResourceVector},
+    types::{Attempt, ResourceVector, TeamId},
 };
 
 /// Largest number of tasks of a job in progress, over all of its occurrences. The owner
@@ -123,6 +123,10 @@
     /// Wall-clock time of the acceptance in ms since 1970. The position of an
     /// unscheduled job in the queue depends on it.
     pub accepted_unix_ms: u64,
+    /// Team that the job is charged to; `None` for a job of a public queue. Its encoding is up to
+    /// the caller, so that versions without teams can decode the rest.
+    #[serde(skip)]
+    pub team: Option<TeamId>,
 }
 
 /// Times at which the steps of a recurring pipeline run.
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -23,6 +23,7 @@
 };
 use crate::{
     instances::{ClockReading, InstanceNumber, WorkerInstance},
+    teams::{TeamTable, TeamTerms},
     types::{Epoch, WorkerId},
 };
 
@@ -95,6 +96,8 @@
     pub(super) extensions_until: Duration,
     /// Wall clock of the latest tick, in ms since 1970.
     pub(super) wall_ms: u64,
+    /// Terms of the teams; empty if jobs belong to none.
+    pub(super) teams: Arc<TeamTable>,
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
     /// Workers that are listed or may have runs.
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
@@ -161,6 +164,7 @@
             confirmed_until: now,
             extensions_until: now,
             wall_ms: 0,
+            teams: Arc::default(),
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
             removed_workers: BTreeMap::new(),
@@ -236,6 +240,10 @@
                 self.release_starts(starts, now);
             }
             PipelineEvent::ExtensionsPermitted(until) => self.extensions_until = until,
+            PipelineEvent::TeamsChanged(teams) => {
+                self.teams = teams;
+                self.is_placement_due = true;
+            }
             PipelineEvent::Tick(wall_ms) => {
                 // Tickets may have expired, and failed advice requests may be retried.
                 self.is_placement_due = true;
@@ -278,7 +286,7 @@
         self.dirty.is_empty()
     }
 
-    /// Returns one line for each job and each worker, for the dump.
+    /// Returns one line for each job, each worker and each team, for the dump.
     #[must_use]
     pub fn describe(&self) -> Vec<String> {
         let jobs = self.pipelines.iter().map(|(id, record)| {
@@ -297,7 +305,11 @@
             let runs: Vec<String> = record.runs.keys().map(|run| run.task.to_string()).collect();
             format!("worker {worker} {contact:?} used {used:?} runs {runs:?}")
         });
-        jobs.chain(workers).collect()
+        let teams = self.teams.iter().map(|(team, terms)| {
+            let TeamTerms { weight, cap } = terms;
+            format!("team {team} weight {weight} cap {cap:?}")
+        });
+        jobs.chain(workers).chain(teams).collect()
     }
 
     /// Returns whether the job is known and not retired.
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -132,6 +132,7 @@
             advice: None,
         },
         accepted_unix_ms: WALL_MS,
+        team: None,
     }
 }
 
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -11,7 +11,9 @@
     time::Duration,
 };
 
-use auburnsaddle_core::{PipelineEvent, PipelineId, PipelinePhase, ServiceId, WallClock};
+use auburnsaddle_core::{
+    PipelineEvent, PipelineId, PipelinePhase, ServiceId, TeamTable, WallClock,
+};
 use auburnsaddle_platform::{HttpEndpoint, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
@@ -117,6 +119,8 @@
     pub(super) shards: BTreeMap<ServiceId, ShardHandle>,
     advisors: AdvisorTable,
     manifest_version: Option<u64>,
+    /// Terms of the teams in the manifest.
+    teams: Arc<TeamTable>,
     drain: Option<PendingDrain>,
     is_draining: bool,
     wall_clock: WallClock,
@@ -166,6 +170,7 @@
             shards: BTreeMap::new(),
             advisors: AdvisorTable::default(),
             manifest_version: None,
+            teams: Arc::default(),
             drain: None,
             is_draining: false,
             wall_clock: WallClock::default(),
@@ -246,6 +251,7 @@
                 let routes = manifest.routes.iter();
                 let services = routes.map(|route| route.policy.service.clone());
                 self.services.extend(services);
+                self.update_teams(&manifest.teams);
             }
             CellEvent::Acquired(service, lease, outcome) => {
                 self.finish_takeover(&service, lease, outcome);
@@ -430,6 +436,21 @@
         }
     }
 
+    /// Passes changed terms of the teams to the owned services.
+    fn update_teams(&mut self, teams: &TeamTable) {
+        if *self.teams == *teams {
+            return;
+        }
+        self.teams = Arc::new(teams.clone());
+        let shards = self.shards.iter();
+        let shards = shards.map(|(service, handle)| (service.clone(), handle.shard.epoch()));
+        let shards: Vec<(ServiceId, u64)> = shards.collect();
+        for (service, epoch) in shards {
+            let event = PipelineEvent::TeamsChanged(Arc::clone(&self.teams));
+            self.dispatch_event(&service, epoch, event);
+        }
+    }
+
     /// Returns the time of day by which scheduled work is due, in ms since 1970.
     fn wall_ms(&mut self) -> u64 {
         self.wall_clock.read(unix_ms(), self.effects.clock.now())
@@ -590,7 +611,8 @@
         let workers = workers.into_iter().map(PipelineEvent::Listed);
         let cancelled = cancelled.into_iter().map(PipelineEvent::Cancelled);
         let tick = PipelineEvent::Tick(self.wall_ms());
-        let events = [tick, confirmed]
+        let teams = PipelineEvent::TeamsChanged(Arc::clone(&self.teams));
+        let events = [teams, tick, confirmed]
             .into_iter()
             .chain(cancelled)
             .chain(workers);
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -23,7 +23,7 @@
 use crate::{
     pipelines::{
         AdvisorTable, CellKey, LoadedShard, NoticeSender, OwnedShard, StoredJob, WorkerOrders,
-        acquire_shard, decode_value, expected_answer_ms, request_advice,
+        acquire_shard, decode_team_value, expected_answer_ms, request_advice,
     },
     session::{
         CellStore, LeaseConfirmation, PrefixUpdate, RetryDelay, StoreRoute, WatchTiming,
@@ -123,7 +123,7 @@
             .iter()
             .filter_map(|item| match CellKey::parse(&item.key) {
                 Some(CellKey::Job(_, id)) => {
-                    let spec: StoredJob = decode_value(&item.key, &item.value)?;
+                    let spec: StoredJob = decode_team_value(&item.key, &item.value)?;
                     self.shard.add_job_key(id, item.revision);
                     Some(PipelineEvent::Stored(id, Arc::new(spec), None))
                 }
--- a/crates/daemon/src/cell/membership.rs
+++ b/crates/daemon/src/cell/membership.rs
@@ -8,7 +8,9 @@
 use super::control::{CellControl, KnownOwner, relay_order};
 use crate::{
     job_table::JobSummary,
-    pipelines::{CellKey, DaemonRegistration, MemberEntry, OwnerEntry, decode_value},
+    pipelines::{
+        CellKey, DaemonRegistration, MemberEntry, OwnerEntry, decode_team_value, decode_value,
+    },
     session::PrefixUpdate,
 };
 
@@ -57,7 +59,7 @@
         match change {
             ItemChange::Put(item) => match CellKey::parse(&item.key) {
                 Some(CellKey::Summary(id)) => {
-                    if let Some(summary) = decode_value::<JobSummary>(&item.key, &item.value) {
+                    if let Some(summary) = decode_team_value::<JobSummary>(&item.key, &item.value) {
                         // A service with accepted jobs needs an owner even if no queue of
                         // the manifest routes to it any more.
                         self.services.insert(summary.service.clone());
--- a/crates/daemon/src/cell/mod.rs
+++ b/crates/daemon/src/cell/mod.rs
@@ -11,6 +11,7 @@
 mod command;
 mod control;
 mod effects;
+mod manifest;
 mod membership;
 mod messages;
 mod metrics;
@@ -21,6 +22,7 @@
 mod witnesses;
 
 pub use command::CellCommand;
+pub(crate) use manifest::{CurrentManifest, ManifestCell};
 pub(crate) use messages::{CellEvent, CellHandle};
 pub(crate) use metrics::CellMetrics;
 pub use process::CellError;
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -12,11 +12,8 @@
     time::Duration,
 };
 
-use arc_swap::ArcSwapOption;
 use auburnsaddle_core::PipelineConfig;
-use auburnsaddle_platform::{
-    AdviceClient, MANIFEST_KEY, Manifest, PlatformSettings, SettingsFileError, StoreItem,
-};
+use auburnsaddle_platform::{AdviceClient, MANIFEST_KEY, PlatformSettings, SettingsFileError};
 use hyper_util::server::graceful::GracefulShutdown;
 use log::LevelFilter;
 use snafu::{ResultExt, Snafu};
@@ -32,11 +29,12 @@
 use super::{
     control::{CellControl, ControlSettings},
     effects::CellEffects,
+    manifest::ManifestCell,
     messages::{CellEvent, CellHandle},
     metrics::CellMetrics,
 };
 use crate::{
-    ingress::{JobService, PeerService, ReadyService, UnresolvedJobs, serve_http},
+    ingress::{AccessPolicy, JobService, PeerService, ReadyService, UnresolvedJobs, serve_http},
     pipelines::{
         MemberEntry, NoticeSender, PUBLIC_PREFIX, SUMMARY_PREFIX, ShardSettings, deliver_notices,
         encode_value,
@@ -172,7 +170,7 @@
     let metrics = CellMetrics::new(store.counters());
     let ready = Arc::new(AtomicBool::new(false));
     let draining = Arc::new(AtomicBool::new(false));
-    let manifest: Arc<ArcSwapOption<Manifest>> = Arc::default();
+    let manifest = Arc::new(ManifestCell::new(clock));
     let effects = CellEffects {
         runtime: tokio::runtime::Handle::current(),
         events: sender.clone(),
@@ -198,7 +196,7 @@
         sender.clone(),
         stopped,
     ));
-    watch_store(&store, &manifest, sender);
+    watch_store(&store, &manifest, clock, sender);
     tokio::spawn(watch_settings(
         path,
         settings.clone(),
@@ -211,15 +209,7 @@
         control: control.clone(),
         metrics: metrics.clone(),
     };
-    if let Some(port) = metrics_port {
-        let listener = bind(SocketAddr::from((Ipv4Addr::UNSPECIFIED, port))).await?;
-        tokio::spawn(serve_http(
-            listener,
-            peer_service.clone(),
-            std::future::pending(),
-        ));
-    }
-    tokio::spawn(serve_http(peers, peer_service, std::future::pending()));
+    serve_peers(peers, peer_service, metrics_port).await?;
     tokio::spawn(serve_http(
         readiness,
         ReadyService { ready },
@@ -227,6 +217,7 @@
     ));
     let jobs = JobService {
         manifest,
+        access: AccessPolicy::from(&settings),
         store,
         route,
         control: control.clone(),
@@ -253,6 +244,24 @@
     Ok(())
 }
 
+/// Serves other daemons and operators, the latter also on the port for metrics.
+async fn serve_peers(
+    peers: TcpListener,
+    service: PeerService,
+    metrics_port: Option<u16>,
+) -> Result<(), CellError> {
+    if let Some(port) = metrics_port {
+        let listener = bind(SocketAddr::from((Ipv4Addr::UNSPECIFIED, port))).await?;
+        tokio::spawn(serve_http(
+            listener,
+            service.clone(),
+            std::future::pending(),
+        ));
+    }
+    tokio::spawn(serve_http(peers, service, std::future::pending()));
+    Ok(())
+}
+
 /// Starts the delivery of notices to other daemons.
 fn start_notices() -> NoticeSender {
     let (notices, queue) = NoticeSender::new();
@@ -263,11 +272,17 @@
 /// Starts the watches on owners, members and summaries, and the poll of the manifest.
 fn watch_store(
     store: &CellStore,
-    manifest: &Arc<ArcSwapOption<Manifest>>,
+    manifest: &Arc<ManifestCell>,
+    clock: BootClock,
     events: mpsc::Sender<CellEvent>,
 ) {
     let manifest = Arc::clone(manifest);
-    tokio::spawn(poll_manifest(store.clone(), manifest, events.clone()));
+    tokio::spawn(poll_manifest(
+        store.clone(),
+        manifest,
+        clock,
+        events.clone(),
+    ));
     tokio::spawn(watch_prefix(
         store.clone(),
         PUBLIC_PREFIX.to_owned(),
@@ -353,18 +368,20 @@
 /// some hosts have slow links.
 async fn poll_manifest(
     store: CellStore,
-    manifest: Arc<ArcSwapOption<Manifest>>,
+    manifest: Arc<ManifestCell>,
+    clock: BootClock,
     events: mpsc::Sender<CellEvent>,
 ) {
     let mut delay = RetryDelay::default();
     let mut revision = 0;
     loop {
-        let started_at = Instant::now();
+        let sent_at = clock.now();
         let outcome = store.read_newer(MANIFEST_KEY, revision).await;
-        let elapsed = started_at.elapsed();
+        let elapsed = clock.now().saturating_sub(sent_at);
         let item = match outcome {
             Ok(item) => item,
             Err(error) => {
+                manifest.record_failure();
                 let (pause, is_first) = delay.next_delay(rand::random());
                 if is_first {
                     log::warn!(
@@ -381,38 +398,13 @@
         }
         if let Some(item) = item {
             revision = item.revision;
-            apply_manifest(&item, elapsed, &manifest, &events).await;
-        }
-        tokio::time::sleep(MANIFEST_POLL_INTERVAL).await;
-    }
-}
-
-/// Publishes a stored manifest, unless it cannot be decoded or its version is not newer
-/// than the current one.
-async fn apply_manifest(
-    item: &StoreItem,
-    read_time: Duration,
-    manifest: &ArcSwapOption<Manifest>,
-    events: &mpsc::Sender<CellEvent>,
-) {
-    let next = match Manifest::decode(&item.value) {
-        Ok(next) => Arc::new(next),
-        Err(error) => {
-            log::error!(revision = item.revision; "{error}");
-            return;
+            if let Some(next) = manifest.apply(&item, elapsed) {
+                let _ = events.send(CellEvent::Manifest(next)).await;
+            }
         }
-    };
-    let known = manifest.load().as_ref().map(|known| known.version);
-    if known.is_some_and(|known| known >= next.version) {
-        return;
+        manifest.confirm(sent_at);
+        manifest.wait_for_poll(MANIFEST_POLL_INTERVAL).await;
     }
-    log::info!(
-        version = next.version, routes = next.routes.len(), before:? = known,
-        bytes = item.value.len(), read_ms = read_time.as_millis();
-        "a version of the manifest is in force"
-    );
-    manifest.store(Some(Arc::clone(&next)));
-    let _ = events.send(CellEvent::Manifest(next)).await;
 }
 
 /// Applies the addresses of the store and the advice service from the settings file,
--- a/crates/daemon/src/ingress/cancellations.rs
+++ b/crates/daemon/src/ingress/cancellations.rs
@@ -10,16 +10,17 @@
 
 use std::time::Duration;
 
-use auburnsaddle_core::{PipelineId, PipelinePhase, PipelineSpec};
+use auburnsaddle_core::{PipelineId, PipelinePhase, PipelineSpec, TeamId};
 use auburnsaddle_platform::{QueueRoute, StoreItem, StoreTransaction};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 
+use super::access::is_visible;
 use super::jobs::{JobService, WriteOutcome, retry_seconds, write_timeout};
 use super::serve::{IngressResponse, empty_response, retry_response};
 use crate::{
     job_table::JobSummary,
-    pipelines::{CellKey, JobChange, JobNotice, decode_value, encode_value},
+    pipelines::{CellKey, JobChange, JobNotice, decode_team_value, encode_team_value},
 };
 
 impl JobService {
@@ -30,12 +31,16 @@
         request: &Request<Incoming>,
         route: &QueueRoute,
         id: PipelineId,
+        team: Option<TeamId>,
     ) -> IngressResponse {
         let request_id = format!("{id:016x}");
         let write_timeout = write_timeout(request);
         let summary = match self.find_summary(id).await {
+            Ok(Some(summary)) if !is_visible(&summary, team.as_ref()) => {
+                return empty_response(StatusCode::GONE);
+            }
             Ok(Some(summary)) => summary,
-            Ok(None) => match self.mark_cancelled(id, route, write_timeout).await {
+            Ok(None) => match self.mark_cancelled(id, route, team, write_timeout).await {
                 Ok(summary) => summary,
                 Err(status) => return failure_response(status),
             },
@@ -62,6 +67,7 @@
                         service: summary.service,
                         id,
                         revision,
+                        team: None,
                         change: JobChange::Cancelled,
                     };
                     self.control.notify_owner(notice).await;
@@ -79,13 +85,14 @@
         &self,
         id: PipelineId,
         route: &QueueRoute,
+        team: Option<TeamId>,
         write_timeout: Duration,
     ) -> Result<JobSummary, StatusCode> {
-        let mark = JobSummary::mark(route.policy.service.clone());
+        let mark = JobSummary::mark(route.policy.service.clone(), team);
         let key = CellKey::Summary(id).path();
         let transaction = StoreTransaction {
             expected: vec![(key.clone(), 0)],
-            puts: vec![(key, encode_value(&mark), 0)],
+            puts: vec![(key, encode_team_value(&mark), 0)],
             removals: Vec::new(),
         };
         match self.commit_with_retries(&transaction, write_timeout).await {
@@ -100,7 +107,15 @@
             WriteOutcome::Exists(items) => {
                 self.unresolved.remove(id);
                 let summary = stored_summary(&items).map(|(summary, _)| summary);
-                summary.ok_or(StatusCode::GATEWAY_TIMEOUT)
+                // A job or a mark of another team counts as none.
+                let visible = summary.map(|summary| {
+                    if is_visible(&summary, mark.team.as_ref()) {
+                        summary
+                    } else {
+                        mark
+                    }
+                });
+                visible.ok_or(StatusCode::GATEWAY_TIMEOUT)
             }
             WriteOutcome::Refused => Err(StatusCode::SERVICE_UNAVAILABLE),
             WriteOutcome::Unknown => Err(StatusCode::GATEWAY_TIMEOUT),
@@ -120,7 +135,7 @@
         let key = CellKey::Summary(id).path();
         let transaction = StoreTransaction {
             expected: vec![(key.clone(), revision)],
-            puts: vec![(key, encode_value(&summary), 0)],
+            puts: vec![(key, encode_team_value(&summary), 0)],
             removals: Vec::new(),
         };
         match self.commit_with_retries(&transaction, write_timeout).await {
@@ -143,18 +158,17 @@
     }
 }
 
-/// Returns the revision of the mark if that is what a submission has met in the store.
-pub(super) fn stored_mark(items: &[StoreItem]) -> Option<u64> {
-    let (summary, revision) = stored_summary(items)?;
-    summary.is_mark().then_some(revision)
+/// Returns the mark and its revision if that is what a submission has met in the store.
+pub(super) fn stored_mark(items: &[StoreItem]) -> Option<(JobSummary, u64)> {
+    stored_summary(items).filter(|(summary, _)| summary.is_mark())
 }
 
 /// Returns the summary among the items of a failed condition, with its revision.
-fn stored_summary(items: &[StoreItem]) -> Option<(JobSummary, u64)> {
+pub(super) fn stored_summary(items: &[StoreItem]) -> Option<(JobSummary, u64)> {
     let is_summary =
         |item: &&StoreItem| matches!(CellKey::parse(&item.key), Some(CellKey::Summary(_)));
     let item = items.iter().find(is_summary)?;
-    Some((decode_value(&item.key, &item.value)?, item.revision))
+    Some((decode_team_value(&item.key, &item.value)?, item.revision))
 }
 
 /// Returns the response to a request whose write failed with this status.
--- a/crates/daemon/src/ingress/jobs.rs
+++ b/crates/daemon/src/ingress/jobs.rs
@@ -9,8 +9,7 @@
     time::{Duration, Instant},
 };
 
-use arc_swap::ArcSwapOption;
-use auburnsaddle_core::{PipelineId, PipelinePhase, ServiceId};
+use auburnsaddle_core::{PipelineId, PipelinePhase, PipelineSpec, ServiceId, TeamId};
 use auburnsaddle_platform::{
     JobIdError, Manifest, QueueRoute, StoreItem, StoreTransaction, TransactionOutcome, decode_job,
     encode_pending, encode_phase, parse_job_id,
@@ -19,14 +18,15 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use super::cancellations::stored_mark;
+use super::access::{AccessDenial, AccessPolicy, is_visible, unauthorized_response};
+use super::cancellations::{stored_mark, stored_summary};
 use super::peers::fetch_summary;
 use super::serve::{HttpService, IngressResponse, empty_response, json_response, retry_response};
 use super::unresolved::UnresolvedJobs;
 use crate::{
-    cell::{CellHandle, CellMetrics},
+    cell::{CellHandle, CellMetrics, CurrentManifest, ManifestCell},
     job_table::JobSummary,
-    pipelines::{CellKey, JobChange, JobNotice, decode_value, encode_value},
+    pipelines::{CellKey, JobChange, JobNotice, decode_team_value, encode_team_value},
     session::{CellStore, StoreRoute},
     telemetry::unix_ms,
 };
@@ -60,7 +60,8 @@
 /// Handles the requests of callers that submit, query or cancel jobs.
 #[derive(Clone, Debug)]
 pub(crate) struct JobService {
-    pub(crate) manifest: Arc<ArcSwapOption<Manifest>>,
+    pub(crate) manifest: Arc<ManifestCell>,
+    pub(crate) access: AccessPolicy,
     pub(crate) store: CellStore,
     pub(crate) route: StoreRoute,
     pub(crate) control: CellHandle,
@@ -101,10 +102,11 @@
 impl JobService {
     /// Calls the handler for the method and path of a request.
     async fn dispatch_request(&self, request: Request<Incoming>) -> IngressResponse {
-        let Some(manifest) = self.manifest.load_full() else {
+        let Some(current) = self.current_manifest().await else {
             self.metrics.record_refusal("no_manifest");
             return retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds());
         };
+        let manifest = &current.manifest;
         let host = request.headers().get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
         let path = request.uri().path().to_owned();
@@ -114,11 +116,15 @@
             return empty_response(StatusCode::NOT_FOUND);
         };
         let id_text = path.strip_prefix(&route.prefix).unwrap_or_default();
+        let team = match self.access.caller_team(request.headers(), route, &current) {
+            Ok(team) => team,
+            Err(denial) => return self.deny(id_text, &route.policy.queue, denial),
+        };
         let id = parse_job_id(id_text);
         match (request.method().clone(), id) {
-            (Method::POST, Ok(id)) => self.submit(request, &manifest, route, id).await,
-            (Method::GET, Ok(id)) => self.report_phase(id).await,
-            (Method::DELETE, Ok(id)) => self.cancel(&request, route, id).await,
+            (Method::POST, Ok(id)) => self.submit(request, manifest, route, id, team).await,
+            (Method::GET, Ok(id)) => self.report_phase(id, team.as_ref()).await,
+            (Method::DELETE, Ok(id)) => self.cancel(&request, route, id, team).await,
             (Method::GET, Err(_)) if id_text.is_empty() => {
                 let waiting = self.control.waiting_jobs(&route.policy.queue).await;
                 json_response(StatusCode::OK, encode_pending(waiting))
@@ -139,6 +145,30 @@
         }
     }
 
+    /// Returns the manifest by which a request is handled. If callers have keys, it waits for a short
+    /// time for a confirmation of a version that was read long ago.
+    async fn current_manifest(&self) -> Option<CurrentManifest> {
+        let known = self.manifest.load()?;
+        if self.access.needs_keys(&known) {
+            self.manifest.load_confirmed().await
+        } else {
+            Some(known)
+        }
+    }
+
+    /// Logs and counts a request without a valid key; returns the response. The key is not logged.
+    fn deny(&self, id_text: &str, queue: &str, denial: AccessDenial) -> IngressResponse {
+        let reason = denial.name();
+        log::info!(request_id = id_text, queue, reason; "denied a request");
+        self.metrics.record_refusal(reason);
+        match denial {
+            AccessDenial::MissingKey | AccessDenial::UnknownKey => unauthorized_response(),
+            AccessDenial::UnconfirmedKeys => {
+                retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds())
+            }
+        }
+    }
+
     /// Stores a new job. A job that was accepted before is accepted again without effect,
     /// also while the store is unavailable.
     async fn submit(
@@ -147,12 +177,15 @@
         manifest: &Manifest,
         route: &QueueRoute,
         id: PipelineId,
+        team: Option<TeamId>,
     ) -> IngressResponse {
         let request_id = format!("{id:016x}");
         let started_at = Instant::now();
         let write_timeout = write_timeout(&request);
         if self.route.is_unavailable() {
-            return self.answer_without_store(id, &route.policy.service).await;
+            return self
+                .answer_without_store(id, &route.policy.service, team.as_ref())
+                .await;
         }
         let body = Limited::new(request.into_body(), manifest.limits.max_body_bytes).collect();
         let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
@@ -164,37 +197,34 @@
             Err(_) => return self.reject(&request_id, "body_late", StatusCode::REQUEST_TIMEOUT),
         };
         let spec = match decode_job(&body, &route.policy, unix_ms()) {
-            Ok(spec) => spec,
+            Ok(spec) => PipelineSpec { team, ..spec },
             Err(error) => {
                 log::info!(request_id = request_id.as_str(); "rejected a job: {error}");
                 return self.reject(&request_id, "malformed", StatusCode::BAD_REQUEST);
             }
         };
-        if self.control.summary(id).await.is_some() {
-            return empty_response(StatusCode::OK);
+        if let Some(known) = self.control.summary(id).await {
+            return self.accept_again(id, &known, spec.team.as_ref());
         }
         let summary = JobSummary::new(&spec, PipelinePhase::Queued);
-        let summary_key = CellKey::Summary(id).path();
-        let job_key = CellKey::Job(spec.policy.service.clone(), id).path();
-        let transaction = StoreTransaction {
-            expected: vec![(summary_key.clone(), 0)],
-            puts: vec![
-                (summary_key, encode_value(&summary), 0),
-                (job_key, encode_value(&spec), 0),
-            ],
-            removals: Vec::new(),
-        };
+        let transaction = submission(id, &spec, &summary, 0);
         let queue = route.policy.queue.as_str();
         // From here on the job may be stored, also if the caller closes its connection and this
         // function does not continue.
         let was_unresolved = self.unresolved.contains(id, started_at);
         self.unresolved.insert(id, started_at);
-        match self.commit_with_retries(&transaction, write_timeout).await {
+        let mut outcome = self.commit_with_retries(&transaction, write_timeout).await;
+        if let Some(revision) = foreign_mark(&outcome, spec.team.as_ref()) {
+            let transaction = submission(id, &spec, &summary, revision);
+            let write_timeout = write_timeout.saturating_sub(started_at.elapsed());
+            outcome = self.commit_with_retries(&transaction, write_timeout).await;
+        }
+        match outcome {
             WriteOutcome::Done(revision) => {
                 self.unresolved.remove(id);
                 log::info!(
                     request_id = request_id.as_str(), queue, steps = spec.steps.len(),
-                    version = manifest.version;
+                    team = spec.team.as_deref(), version = manifest.version;
                     "job accepted"
                 );
                 self.control.add_accepted_job(id, summary).await;
@@ -202,6 +232,7 @@
                     service: spec.policy.service.clone(),
                     id,
                     revision,
+                    team: spec.team.clone(),
                     change: JobChange::Accepted(Arc::new(spec)),
                 };
                 self.control.notify_owner(notice).await;
@@ -209,13 +240,17 @@
             }
             WriteOutcome::Exists(items) => {
                 self.unresolved.remove(id);
-                match stored_mark(&items) {
-                    Some(revision) => {
+                match stored_summary(&items) {
+                    Some((known, _)) if !known.is_mark() => {
+                        self.accept_again(id, &known, spec.team.as_ref())
+                    }
+                    Some((mark, revision)) if is_visible(&mark, spec.team.as_ref()) => {
                         let write_timeout = write_timeout.saturating_sub(started_at.elapsed());
                         self.accept_cancelled_job(id, &spec, revision, write_timeout)
                             .await
                     }
-                    None => empty_response(StatusCode::OK),
+                    // The key has changed while a mark was replaced. The caller submits again.
+                    _ => empty_response(StatusCode::GATEWAY_TIMEOUT),
                 }
             }
             WriteOutcome::Refused => {
@@ -236,17 +271,40 @@
         }
     }
 
+    /// Answers the submission of a job that is stored already.
+    fn accept_again(
+        &self,
+        id: PipelineId,
+        known: &JobSummary,
+        team: Option<&TeamId>,
+    ) -> IngressResponse {
+        if is_visible(known, team) {
+            return empty_response(StatusCode::OK);
+        }
+        self.reject(
+            &format!("{id:016x}"),
+            "id_of_other_team",
+            StatusCode::CONFLICT,
+        )
+    }
+
     /// Answers the submission of a job that cannot be stored now: with success if the job
     /// is stored already, as this daemon or the owner of its service knows.
-    async fn answer_without_store(&self, id: PipelineId, service: &ServiceId) -> IngressResponse {
-        if self.control.summary(id).await.is_some() {
-            return empty_response(StatusCode::OK);
+    async fn answer_without_store(
+        &self,
+        id: PipelineId,
+        service: &ServiceId,
+        team: Option<&TeamId>,
+    ) -> IngressResponse {
+        if let Some(known) = self.control.summary(id).await {
+            return self.accept_again(id, &known, team);
         }
         if let Some(owner) = self.control.owner(service).await
-            && let Some(summary) = fetch_summary(&owner, id).await
+            && let Some(known) = fetch_summary(&owner, id).await
         {
-            self.control.add_accepted_job(id, summary).await;
-            return empty_response(StatusCode::OK);
+            let response = self.accept_again(id, &known, team);
+            self.control.add_accepted_job(id, known).await;
+            return response;
         }
         self.refuse(id, "store_away")
     }
@@ -279,12 +337,15 @@
     }
 
     /// Returns the phase of a job, from the owner of its service if that is another
-    /// daemon.
-    async fn report_phase(&self, id: PipelineId) -> IngressResponse {
+    /// daemon. A caller of another team learns nothing of the job.
+    async fn report_phase(&self, id: PipelineId, team: Option<&TeamId>) -> IngressResponse {
         let lookup = self.control.lookup(id).await;
         if let Some(owner) = &lookup.owner
             && let Some(summary) = fetch_summary(owner, id).await
         {
+            if !is_visible(&summary, team) {
+                return empty_response(StatusCode::GONE);
+            }
             let newest_phase = lookup
                 .summary
                 .map_or(summary.phase, |known| known.phase.max(summary.phase));
@@ -292,7 +353,9 @@
             return json_response(StatusCode::OK, encode_phase(newest_phase));
         }
         match self.find_summary(id).await {
-            Ok(Some(summary)) if summary.is_mark() => empty_response(StatusCode::GONE),
+            Ok(Some(summary)) if summary.is_mark() || !is_visible(&summary, team) => {
+                empty_response(StatusCode::GONE)
+            }
             Ok(Some(summary)) => json_response(StatusCode::OK, encode_phase(summary.phase)),
             Ok(None) if self.unresolved.contains(id, Instant::now()) => {
                 self.report_unknown_phase(id, "its submission has no outcome yet")
@@ -328,7 +391,7 @@
         // The store client counts and logs the failure.
         let item = self.store.read(&key).await.map_err(|_| ())?;
         let summary: Option<JobSummary> =
-            item.and_then(|item| decode_value(&item.key, &item.value));
+            item.and_then(|item| decode_team_value(&item.key, &item.value));
         if let Some(summary) = &summary {
             self.unresolved.remove(id);
             self.control.add_accepted_job(id, summary.clone()).await;
@@ -371,6 +434,36 @@
     }
 }
 
+/// Returns the transaction that stores a job, on the condition that its summary has the given
+/// revision: 0 if there is none.
+fn submission(
+    id: PipelineId,
+    spec: &PipelineSpec,
+    summary: &JobSummary,
+    expected_revision: u64,
+) -> StoreTransaction {
+    let summary_key = CellKey::Summary(id).path();
+    let job_key = CellKey::Job(spec.policy.service.clone(), id).path();
+    StoreTransaction {
+        expected: vec![(summary_key.clone(), expected_revision)],
+        puts: vec![
+            (summary_key, encode_team_value(summary), 0),
+            (job_key, encode_team_value(spec), 0),
+        ],
+        removals: Vec::new(),
+    }
+}
+
+/// Returns the revision of a mark that a submission has met, if a caller of another team left it.
+/// It does not concern this job.
+fn foreign_mark(outcome: &WriteOutcome, team: Option<&TeamId>) -> Option<u64> {
+    let WriteOutcome::Exists(items) = outcome else {
+        return None;
+    };
+    let (mark, revision) = stored_mark(items)?;
+    (!is_visible(&mark, team)).then_some(revision)
+}
+
 /// Returns a random value for the `Retry-After` header.
 pub(super) fn retry_seconds() -> u64 {
     rand::random_range(RETRY_SECONDS)
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP services for callers of jobs, for the load balancer and for other daemons.
 
+mod access;
 mod cancellations;
 mod jobs;
 mod peers;
@@ -8,6 +9,7 @@
 mod tests;
 mod unresolved;
 
+pub(crate) use access::AccessPolicy;
 pub(crate) use jobs::JobService;
 pub(crate) use peers::{PeerService, ReadyService};
 pub(crate) use serve::serve_http;
--- a/crates/daemon/src/ingress/peers.rs
+++ b/crates/daemon/src/ingress/peers.rs
@@ -8,11 +8,12 @@
     time::Duration,
 };
 
-use auburnsaddle_core::PipelineId;
+use auburnsaddle_core::{PipelineId, TeamId};
 use auburnsaddle_platform::{AdviceClient, HttpEndpoint};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
 
 use super::serve::{HttpService, IngressResponse, empty_response, json_response};
 use crate::{
@@ -37,6 +38,15 @@
 /// notices.
 const MAX_JOB_REQUEST_BYTES: usize = 4 << 20;
 
+/// A summary as one daemon sends it to another. Versions without teams ignore the team.
+#[derive(Deserialize, Serialize)]
+struct SummaryBody {
+    #[serde(flatten)]
+    summary: JobSummary,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    team: Option<TeamId>,
+}
+
 /// Handles the readiness checks of the load balancer.
 #[derive(Clone, Debug)]
 pub(crate) struct ReadyService {
@@ -88,7 +98,7 @@
         .await
         .ok()??;
     match serde_json::from_slice(&response) {
-        Ok(summary) => Some(summary),
+        Ok(SummaryBody { summary, team }) => Some(JobSummary { team, ..summary }),
         Err(error) => {
             log::warn!("a peer's summary cannot be decoded: {error}");
             None
@@ -107,7 +117,11 @@
             return empty_response(StatusCode::BAD_REQUEST);
         };
         let summary = self.control.summary(id).await;
-        match summary.map(|summary| serde_json::to_vec(&summary)) {
+        let body = summary.map(|mut summary| {
+            let team = summary.team.take();
+            serde_json::to_vec(&SummaryBody { summary, team })
+        });
+        match body {
             Some(Ok(body)) => json_response(StatusCode::OK, body),
             Some(Err(_)) | None => empty_response(StatusCode::NOT_FOUND),
         }
@@ -119,13 +133,14 @@
         let Ok(body) = body.await else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
-        let notices: Vec<JobNotice> = match serde_json::from_slice(&body.to_bytes()) {
+        let mut notices: Vec<JobNotice> = match serde_json::from_slice(&body.to_bytes()) {
             Ok(notices) => notices,
             Err(error) => {
                 log::warn!("a peer's notices cannot be decoded: {error}");
                 return empty_response(StatusCode::BAD_REQUEST);
             }
         };
+        notices.iter_mut().for_each(JobNotice::restore_team);
         self.control.add_peer_notices(notices).await;
         empty_response(StatusCode::OK)
     }
--- a/crates/daemon/src/ingress/tests.rs
+++ b/crates/daemon/src/ingress/tests.rs
@@ -1,3 +1,5 @@
+mod access;
+
 use std::time::{Duration, Instant};
 
 use super::UnresolvedJobs;
--- a/crates/daemon/src/job_table/state.rs
+++ b/crates/daemon/src/job_table/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use auburnsaddle_core::{PipelineId, PipelinePhase, PipelineSpec, ServiceId};
+use auburnsaddle_core::{PipelineId, PipelinePhase, PipelineSpec, ServiceId, TeamId};
 use serde::{Deserialize, Serialize};
 
 /// The part of a job that is stored under its own key and read by every daemon.
@@ -18,6 +18,10 @@
     pub(crate) phase: PipelinePhase,
     /// Whether the job has a schedule. Scheduled jobs are not counted as waiting.
     pub(crate) is_scheduled: bool,
+    /// Team that the job or the mark belongs to. It is stored behind the summary, as versions
+    /// without teams decode the other fields only.
+    #[serde(skip)]
+    pub(crate) team: Option<TeamId>,
 }
 
 impl JobSummary {
@@ -28,6 +32,7 @@
             queue: spec.policy.queue.clone(),
             phase,
             is_scheduled: spec.schedule.is_some(),
+            team: spec.team.clone(),
         }
     }
 
@@ -36,12 +41,13 @@
     /// Failure mode: the store carries out a submission seconds after its caller has cancelled
     /// the job. The mark stands under the key of the summary, which each submission expects
     /// not to exist, so a later one fails. Versions without marks show the job as cancelled.
-    pub(crate) const fn mark(service: ServiceId) -> Self {
+    pub(crate) const fn mark(service: ServiceId, team: Option<TeamId>) -> Self {
         Self {
             service,
             queue: String::new(),
             phase: PipelinePhase::Cancelled,
             is_scheduled: false,
+            team,
         }
     }
 
--- a/crates/daemon/src/job_table/tests.rs
+++ b/crates/daemon/src/job_table/tests.rs
@@ -17,6 +17,7 @@
         queue: "tokens".to_owned(),
         phase,
         is_scheduled: false,
+        team: None,
     }
 }
 
@@ -136,7 +137,7 @@
 #[test]
 fn the_mark_of_a_cancelled_job_is_kept_for_a_minute() {
     let mut ended = EndedJobs::default();
-    let mark = JobSummary::mark("sales".into());
+    let mark = JobSummary::mark("sales".into(), None);
     ended.update(1, &mark, 11, Duration::ZERO);
 
     let early = next_removal(&mut ended, Duration::from_mins(1));
@@ -152,7 +153,7 @@
 fn a_mark_is_not_shown_as_a_job() {
     let mut table = JobTable::default();
 
-    table.insert(1, JobSummary::mark("sales".into()));
+    table.insert(1, JobSummary::mark("sales".into(), None));
     table.insert(2, summary(PipelinePhase::Cancelled));
 
     assert_eq!((table.get(1), table.len()), (None, 1));
--- a/crates/daemon/src/pipelines/acquire.rs
+++ b/crates/daemon/src/pipelines/acquire.rs
@@ -10,7 +10,10 @@
 
 use super::{
     log::{ProgressLog, ProgressRecord, RecordNumber},
-    records::{CellKey, OwnerEntry, SequenceEntry, StoredJob, decode_value, encode_value},
+    records::{
+        CellKey, OwnerEntry, SequenceEntry, StoredJob, decode_team_value, decode_value,
+        encode_value,
+    },
     sessions::{OwnerSession, PredecessorList, decode_witnesses},
 };
 use crate::{
@@ -226,7 +229,7 @@
     for item in &jobs {
         match CellKey::parse(&item.key) {
             Some(CellKey::Job(_, id)) => {
-                if let Some(spec) = decode_value::<StoredJob>(&item.key, &item.value) {
+                if let Some(spec) = decode_team_value::<StoredJob>(&item.key, &item.value) {
                     let job = LoadedJob {
                         id,
                         revision: item.revision,
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -47,6 +47,7 @@
 pub(crate) use orders::WorkerOrders;
 pub(crate) use records::{CellKey, PUBLIC_PREFIX, SUMMARY_PREFIX, decode_value, encode_value};
 pub(crate) use records::{MemberEntry, OwnerEntry, StoredJob};
+pub(crate) use records::{decode_team_value, encode_team_value};
 pub(crate) use sessions::DaemonRegistration;
 pub(crate) use shard::{CommitStatus, OwnedShard, ShardSettings};
 pub(crate) use summaries::WriteNumber;
--- a/crates/daemon/src/pipelines/notices.rs
+++ b/crates/daemon/src/pipelines/notices.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use auburnsaddle_core::{MAX_OPEN_TASKS, PipelineId, ServiceId};
+use auburnsaddle_core::{MAX_OPEN_TASKS, PipelineId, ServiceId, TeamId};
 use auburnsaddle_platform::HttpEndpoint;
 use futures::future::join_all;
 use serde::{Deserialize, Serialize};
@@ -37,6 +37,9 @@
     pub(crate) id: PipelineId,
     /// Revision of the write that made the change.
     pub(crate) revision: u64,
+    /// Team of an accepted job, which the encoding of the job leaves out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) team: Option<TeamId>,
     pub(crate) change: JobChange,
 }
 
@@ -52,6 +55,13 @@
 }
 
 impl JobNotice {
+    /// Sets the team of the job in a notice that was received from another daemon.
+    pub(crate) fn restore_team(&mut self) {
+        if let JobChange::Accepted(spec) = &mut self.change {
+            Arc::make_mut(spec).team = self.team.take();
+        }
+    }
+
     /// Returns whether the job is of a size that daemons accept.
     pub(super) fn has_accepted_size(&self) -> bool {
         match &self.change {
--- a/crates/daemon/src/pipelines/records.rs
+++ b/crates/daemon/src/pipelines/records.rs
@@ -1,10 +1,11 @@
 //! Keys and values that the daemons keep in the store.
 
-use auburnsaddle_core::{PipelineId, PipelineSpec, ServiceId};
+use auburnsaddle_core::{PipelineId, PipelineSpec, ServiceId, TeamId};
 use bincode::config;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::log::RecordNumber;
+use crate::job_table::JobSummary;
 
 /// Prefix of all keys that the daemons write.
 pub(crate) const KEY_PREFIX: &str = "auburnsaddle/";
@@ -144,6 +145,54 @@
     Some(decoded)
 }
 
+/// A value whose team is stored behind it, where versions without teams do not look.
+pub(crate) trait TeamValue: Serialize + DeserializeOwned {
+    /// Returns the team that the value belongs to.
+    fn team(&self) -> Option<&TeamId>;
+
+    /// Sets the team that the value belongs to.
+    fn set_team(&mut self, team: Option<TeamId>);
+}
+
+impl TeamValue for StoredJob {
+    fn team(&self) -> Option<&TeamId> {
+        self.team.as_ref()
+    }
+
+    fn set_team(&mut self, team: Option<TeamId>) {
+        self.team = team;
+    }
+}
+
+impl TeamValue for JobSummary {
+    fn team(&self) -> Option<&TeamId> {
+        self.team.as_ref()
+    }
+
+    fn set_team(&mut self, team: Option<TeamId>) {
+        self.team = team;
+    }
+}
+
+/// Encodes a value for the store, followed by its team if it has one.
+pub(crate) fn encode_team_value<T: TeamValue>(value: &T) -> Vec<u8> {
+    let mut encoded = encode_value(value);
+    if let Some(team) = value.team() {
+        encoded.extend(encode_value(team));
+    }
+    encoded
+}
+
+/// Decodes the value of a key and the team that follows it. Logs a value that cannot be decoded
+/// and returns `None`.
+pub(crate) fn decode_team_value<T: TeamValue>(key: &str, value: &[u8]) -> Option<T> {
+    let (mut decoded, rest): (T, _) = decode_front(key, value)?;
+    if !rest.is_empty() {
+        decoded.set_team(Some(decode_value(key, rest)?));
+    }
+    Some(decoded)
+}
+
 /// Like [`decode_value`], and also returns what follows the decoded part.
 pub(super) fn decode_front<'a, T: DeserializeOwned>(
     key: &str,
--- a/crates/daemon/src/pipelines/summaries.rs
+++ b/crates/daemon/src/pipelines/summaries.rs
@@ -18,7 +18,7 @@
 use auburnsaddle_core::{PipelineId, PipelinePhase, ServiceId};
 use auburnsaddle_platform::{StoreItem, StoreTransaction, TransactionOutcome};
 
-use super::records::{CellKey, MAX_TRANSACTION_ENTRIES, encode_value};
+use super::records::{CellKey, MAX_TRANSACTION_ENTRIES, encode_team_value};
 use crate::job_table::JobSummary;
 
 /// Number of a write, unique within one ownership.
@@ -145,7 +145,7 @@
         let key = CellKey::Summary(id).path();
         transaction
             .puts
-            .push((key, encode_value(&update.summary), 0));
+            .push((key, encode_team_value(&update.summary), 0));
         if update.is_retired {
             transaction.removals.push(job_key);
         }
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -1,5 +1,6 @@
 mod records;
 mod sessions;
+mod team_values;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -70,6 +71,7 @@
             advice: None,
         },
         accepted_unix_ms: 0,
+        team: None,
     }
 }
 
@@ -762,6 +764,7 @@
         service: service_id(),
         id: 1,
         revision,
+        team: None,
         change,
     }
 }
--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -126,6 +126,14 @@
     })
 }
 
+/// Returns a request to a port of this machine, without a body.
+fn request(port: u16, method: Method, path: &str) -> http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://127.0.0.1:{port}{path}"))
+        .header("host", "jobs.test")
+}
+
 pub(crate) async fn start_cell(daemons: usize, run_time: Duration) -> CellFixture {
     start_cell_with_workers(daemons, 2, run_time).await
 }
@@ -291,6 +299,24 @@
         self.send_to_port(port, method, path, body).await
     }
 
+    /// Like [`Self::send`], with the key of a team.
+    pub(crate) async fn send_with_key(
+        &self,
+        daemon: usize,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+        key: Option<&str>,
+    ) -> Option<(StatusCode, Value)> {
+        let port = self.daemons[daemon].caller_port;
+        let request = request(port, method, path);
+        let request = match key {
+            Some(key) => request.header("authorization", format!("Bearer {key}")),
+            None => request,
+        };
+        self.exchange(request, body).await
+    }
+
     /// Like [`Self::send`], to any port of this machine.
     pub(crate) async fn send_to_port(
         &self,
@@ -299,12 +325,16 @@
         path: &str,
         body: Option<&Value>,
     ) -> Option<(StatusCode, Value)> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://127.0.0.1:{port}{path}"))
-            .header("host", "jobs.test")
-            .body(Full::from(body.map(Value::to_string).unwrap_or_default()))
-            .unwrap();
+        self.exchange(request(port, method, path), body).await
+    }
+
+    async fn exchange(
+        &self,
+        request: http::request::Builder,
+        body: Option<&Value>,
+    ) -> Option<(StatusCode, Value)> {
+        let body = Full::from(body.map(Value::to_string).unwrap_or_default());
+        let request = request.body(body).unwrap();
         let exchange = async {
             let response = self.client.request(request).await.ok()?;
             let status = response.status();
