Keep what a team has running under its cap across all services

Cause: caps were not read.

The store holds a record for each team with an allotment for each service; the sum is at most the cap. Nothing is read, written or counted where the settings do not list the contract.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -63,6 +63,7 @@
 mod ownership;
 mod pipelines;
 mod publication;
+mod quotas;
 mod tasks;
 mod teams;
 mod types;
@@ -110,6 +111,8 @@
 pub use publication::{ConfigPull, ConfigReply, ConfigSnapshot, ConfigSource, ConfigState};
 pub use publication::{ConfigRejection, SNAPSHOT_INTERVAL, StatusReply, digest_objects};
 pub use publication::{ConfigUpdate, ErrorReply, PublishError, PublishReply, PublishRequest};
+pub use quotas::{QuotaAllotment, QuotaChange, QuotaLedger, QuotaOutcome, QuotaRecord};
+pub use quotas::{QuotaWrite, StoredQuota, TeamUsage};
 pub use tasks::{CancelItem, CancelReply, SubmitReply, SubmitRequest, TaskList, TaskPhase};
 pub use tasks::{
     CancelResult, GangMode, JobId, JobRejection, JobSpec, PackingFirst, WorkerCandidate,
--- a/crates/core/src/pipelines/losses.rs
+++ b/crates/core/src/pipelines/losses.rs
@@ -130,9 +130,7 @@
 
     /// Removes a run that is not on the worker, so that its task is placed again.
     pub(super) fn drop_run(&mut self, worker: &WorkerId, run: RunKey, now: Duration) {
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.remove_run(run);
-        }
+        self.remove_run(worker, run);
         self.apply_run_end(run, None, now);
     }
 
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -8,8 +8,9 @@
     wait::StepWait,
 };
 use crate::{
+    quotas::{QuotaOutcome, StoredQuota, TeamUsage},
     teams::TeamTable,
-    types::{Epoch, RackId, ResourceVector, WorkerId},
+    types::{Epoch, RackId, ResourceVector, TeamId, WorkerId},
 };
 
 /// A worker's own entry in the platform's registry.
@@ -316,6 +317,13 @@
     ExtensionsPermitted(Duration),
     /// The terms of the teams have changed.
     TeamsChanged(Arc<TeamTable>),
+    /// The quota records of all teams were read after
+    /// [`QuotaLedger::due_read`](crate::QuotaLedger::due_read) returned this number.
+    QuotasRead(u64, BTreeMap<TeamId, StoredQuota>),
+    /// Quota records of teams have changed.
+    QuotasChanged(BTreeMap<TeamId, StoredQuota>),
+    /// The outcome of a change of allotments.
+    QuotaWritten(QuotaOutcome),
     /// Time has passed. Carries the wall clock in ms since 1970.
     Tick(u64),
 }
@@ -417,6 +425,13 @@
         /// What keeps the tasks from being placed.
         wait: StepWait,
     },
+    /// Tasks of a team wait for its cap.
+    TeamCapped {
+        /// The team.
+        team: TeamId,
+        /// What it uses of its cap in this service.
+        usage: TeamUsage,
+    },
     /// A run ended without a result.
     RunEnded {
         /// The run that ended.
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -39,6 +39,7 @@
 mod place;
 mod progress;
 mod queue;
+mod quota;
 mod reports;
 mod requests;
 mod restoration;
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -268,9 +268,7 @@
             });
             let step_spec = self.step_spec(run.task.step).cloned().unwrap_or_default();
             let entry = WorkerRun::new(&step_spec, RunPhase::Stopping(None), now);
-            if let Some(record) = self.workers.get_mut(worker) {
-                record.insert_run(run, entry);
-            }
+            self.insert_run(worker, run, entry);
             self.stop_run(worker, run, now);
         }
     }
@@ -352,10 +350,10 @@
     /// Handles a reported end: frees the resources of the run, and updates the penalty of
     /// the worker and the progress of the job.
     fn handle_run_end(&mut self, worker: &WorkerId, ended: &EndedRun, now: Duration) {
+        let run = self.remove_run(worker, ended.run);
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        let run = record.remove_run(ended.run);
         match (&mut record.instance, ended.end) {
             (Some(instance), RunEnd::Done) => instance.consecutive_failures = 0,
             (Some(instance), RunEnd::Failed) => {
--- a/crates/core/src/pipelines/restoration.rs
+++ b/crates/core/src/pipelines/restoration.rs
@@ -84,7 +84,8 @@
             return;
         };
         let room = pass.table.room_for_lasting(step_spec, SHORT_WORK_PERCENT);
-        let waiting: Vec<u32> = self.lost_tasks(key).take(room).collect();
+        let mut waiting: Vec<u32> = self.lost_tasks(key).take(room).collect();
+        self.limit_by_quota(&spec, step_spec, &mut waiting);
         let search = StepSearch::new(key, &spec, step_spec, now);
         let placed_count = self.place_by_suspicion(&search, &waiting, pass);
         pass.placed_tasks += placed_count;
@@ -106,6 +107,8 @@
         };
         let room = pass.table.room_for_lasting(step_spec, SHORT_WORK_PERCENT);
         let count = self.lost_tasks(key).take(room).count();
+        let team = spec.team.as_ref();
+        let count = self.quotas.admit(team, &step_spec.demand, count);
         let limit = pass.table.len() * HELD_WORKERS_PERCENT / 100;
         let limit = limit.max(1);
         let is_limited = pass.held_workers >= limit || pass.held_steps.len() >= MAX_HOLDING_STEPS;
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -172,6 +172,9 @@
     /// of them may have changed what can be placed.
     pub fn schedule(&mut self, now: Duration) -> Vec<PipelineAction> {
         let is_due = std::mem::take(&mut self.is_placement_due);
+        if is_due {
+            self.quotas.begin_pass();
+        }
         if is_due && now < self.confirmed_until && !self.ready.is_empty() {
             let table = PlacementTable::new(self.workers.iter(), self.typical_ratio_percent, now);
             let mut pass = PlacementPass {
@@ -261,7 +264,14 @@
             self.skip_step(key, now);
             return;
         }
-        let waiting: Vec<u32> = progress.waiting_tasks().collect();
+        let mut waiting: Vec<u32> = progress.waiting_tasks().collect();
+        let capped = self.limit_by_quota(&spec, step_spec, &mut waiting);
+        if capped > 0 {
+            self.log_capped_step(key, capped, waiting.is_empty(), now);
+        }
+        if waiting.is_empty() {
+            return;
+        }
         if can_wait {
             pass.table.mark_headroom(HEADROOM_PERCENT);
         }
@@ -474,6 +484,7 @@
             };
             self.actions.push(PipelineAction::Log(note));
         }
+        let team = record.spec.team.clone();
         let Some(step) = record.progress.step_mut(key) else {
             return;
         };
@@ -507,7 +518,9 @@
                     entry.report = ReportStatus::UnreportedSuspect;
                 }
                 entry.ticket.clone_from(&ticket);
+                entry.team.clone_from(&team);
                 record.insert_run(run, entry);
+                self.quotas.charge(team.as_ref(), &step_spec.demand);
             }
             starts.push(PendingStart {
                 worker,
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -23,6 +23,7 @@
 };
 use crate::{
     instances::{ClockReading, InstanceNumber, WorkerInstance},
+    quotas::{QuotaLedger, TeamUsage},
     teams::{TeamTable, TeamTerms},
     types::{Epoch, WorkerId},
 };
@@ -98,6 +99,8 @@
     pub(super) wall_ms: u64,
     /// Terms of the teams; empty if jobs belong to none.
     pub(super) teams: Arc<TeamTable>,
+    /// What the teams may have running in this service.
+    pub(super) quotas: QuotaLedger,
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
     /// Workers that are listed or may have runs.
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
@@ -165,6 +168,7 @@
             extensions_until: now,
             wall_ms: 0,
             teams: Arc::default(),
+            quotas: QuotaLedger::default(),
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
             removed_workers: BTreeMap::new(),
@@ -242,6 +246,19 @@
             PipelineEvent::ExtensionsPermitted(until) => self.extensions_until = until,
             PipelineEvent::TeamsChanged(teams) => {
                 self.teams = teams;
+                self.quotas.set_caps(&self.teams);
+                self.is_placement_due = true;
+            }
+            PipelineEvent::QuotasRead(number, records) => {
+                self.quotas.finish_read(number, records);
+                self.is_placement_due = true;
+            }
+            PipelineEvent::QuotasChanged(records) => {
+                self.quotas.update_records(records);
+                self.is_placement_due = true;
+            }
+            PipelineEvent::QuotaWritten(outcome) => {
+                self.quotas.finish_change(outcome);
                 self.is_placement_due = true;
             }
             PipelineEvent::Tick(wall_ms) => {
@@ -309,7 +326,16 @@
             let TeamTerms { weight, cap } = terms;
             format!("team {team} weight {weight} cap {cap:?}")
         });
-        jobs.chain(workers).chain(teams).collect()
+        let usage = self.quotas.usage().map(|(team, usage)| {
+            let TeamUsage {
+                used,
+                allotted,
+                lacking,
+                ..
+            } = usage;
+            format!("quota {team} used {used:?} allotted {allotted:?} lacking {lacking:?}")
+        });
+        jobs.chain(workers).chain(teams).chain(usage).collect()
     }
 
     /// Returns whether the job is known and not retired.
@@ -331,7 +357,6 @@
         self.top_priority = self.top_priority.min(spec.policy.priority);
         let mut progress = progress.unwrap_or_default();
         progress.remove_excess_occurrences(&spec);
-        self.inherit_runs(id, &spec, &progress, now);
         let record = PipelineRecord {
             command: spec.command.as_str().into(),
             timing: JobTiming::new(&spec),
@@ -342,6 +367,7 @@
         };
         let is_final = record.progress.phase.is_final();
         self.pipelines.insert(id, record);
+        self.inherit_runs(id, now);
         if is_final {
             self.stop_pipeline(id, now);
         }
--- a/crates/core/src/pipelines/takeover.rs
+++ b/crates/core/src/pipelines/takeover.rs
@@ -5,9 +5,9 @@
 
 use super::{
     messages::{PipelineAction, PipelineNote},
-    progress::{PipelineProgress, TaskPlace},
+    progress::TaskPlace,
     schedule::UNCONFIRMED_RENEWAL_TIME,
-    spec::{PipelineId, PipelineSpec, RunKey, StepKey, TaskKey},
+    spec::{PipelineId, RunKey, StepKey, TaskKey},
     state::PipelineState,
     worker::{OrderLimits, RunPhase, WorkerContact, WorkerRun},
 };
@@ -51,18 +51,16 @@
         }
     }
 
-    /// Adds the runs that a previous owner placed. They occupy their workers until
+    /// Adds the runs of a job that a previous owner placed. They occupy their workers until
     /// their ends are known.
-    pub(super) fn inherit_runs(
-        &mut self,
-        id: PipelineId,
-        spec: &PipelineSpec,
-        progress: &PipelineProgress,
-        now: Duration,
-    ) {
+    pub(super) fn inherit_runs(&mut self, id: PipelineId, now: Duration) {
         let inherited_until = self.inherited_until();
-        for (occurrence, steps) in &progress.occurrences {
-            for ((step, step_progress), step_spec) in (0..).zip(steps).zip(&spec.steps) {
+        let Some(record) = self.pipelines.get(&id) else {
+            return;
+        };
+        let mut inherited = Vec::new();
+        for (occurrence, steps) in &record.progress.occurrences {
+            for ((step, step_progress), step_spec) in (0..).zip(steps).zip(&record.spec.steps) {
                 let tasks = (0..).zip(&step_progress.tasks);
                 for (index, task) in tasks {
                     let TaskPlace::Placed(worker) = &task.place else {
@@ -79,11 +77,14 @@
                     };
                     let mut entry = WorkerRun::new(step_spec, RunPhase::Inherited, now);
                     entry.holder = task.holder;
-                    self.ensure_worker(worker, inherited_until, now)
-                        .insert_run(run, entry);
+                    inherited.push((WorkerId::clone(worker), run, entry));
                 }
             }
         }
+        for (worker, run, entry) in inherited {
+            self.ensure_worker(&worker, inherited_until, now);
+            self.insert_run(&worker, run, entry);
+        }
     }
 
     /// Logs the workers with runs of an earlier owner that have not answered, once each.
--- a/crates/core/src/pipelines/wait.rs
+++ b/crates/core/src/pipelines/wait.rs
@@ -27,6 +27,8 @@
     pub is_skipped: bool,
     /// Number of tasks that wait.
     pub waiting_tasks: usize,
+    /// Number of these tasks that the cap of their team does not admit.
+    pub capped_tasks: usize,
     /// Number of these tasks that had a run before.
     pub lost_tasks: usize,
     /// Number of workers that are held for tasks of the step that lasts and had a run before.
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     instances::{WorkerInstance, lapse_time},
-    types::{Epoch, ResourceVector, WorkerId},
+    types::{Epoch, ResourceVector, TeamId, WorkerId},
 };
 
 /// Number of low bits of a fencing token that count the claims of the worker within
@@ -101,6 +101,10 @@
     /// Instance that holds an inherited run according to its owner, which granted all leases on its
     /// clock.
     pub(super) holder: Option<RunHolder>,
+    /// Team of the job.
+    pub(super) team: Option<TeamId>,
+    /// Resources that count towards the cap of the team.
+    pub(super) demand: ResourceVector,
 }
 
 impl WorkerRun {
@@ -126,6 +130,8 @@
             unanswered_at: None,
             is_located: false,
             holder: None,
+            team: None,
+            demand: step.demand,
         }
     }
 
@@ -427,11 +433,13 @@
         })
     }
 
-    pub(super) fn insert_run(&mut self, key: RunKey, run: WorkerRun) {
-        self.remove_run(key);
+    /// Adds a run; returns the one that it replaces.
+    pub(super) fn insert_run(&mut self, key: RunKey, run: WorkerRun) -> Option<WorkerRun> {
+        let former = self.remove_run(key);
         self.used = self.used.plus(&run.occupied);
         self.best_effort_cpu_milli += run.best_effort_cpu_milli;
         self.runs.insert(key, run);
+        former
     }
 
     pub(super) fn remove_run(&mut self, key: RunKey) -> Option<WorkerRun> {
--- /dev/null
+++ b/crates/core/src/quotas/tests.rs
@@ -0,0 +1,5 @@
+//! Tests of [`QuotaLedger`](super::QuotaLedger) in virtual time.
+
+mod allotments;
+mod owners;
+mod simulation;
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -93,6 +93,26 @@
         })
     }
 
+    /// Returns the smaller amount of each dimension.
+    #[must_use]
+    pub fn min_with(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Returns the larger amount of each dimension.
+    #[must_use]
+    pub fn max_with(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Returns this amount multiplied by `count`, saturating in each dimension.
     #[must_use]
     pub const fn times(&self, count: u64) -> Self {
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -118,9 +118,11 @@
     /// The services that this daemon owns.
     pub(super) shards: BTreeMap<ServiceId, ShardHandle>,
     advisors: AdvisorTable,
-    manifest_version: Option<u64>,
+    pub(super) manifest_version: Option<u64>,
+    /// Revision at which the manifest was read last.
+    manifest_revision: u64,
     /// Terms of the teams in the manifest.
-    teams: Arc<TeamTable>,
+    pub(super) teams: Arc<TeamTable>,
     drain: Option<PendingDrain>,
     is_draining: bool,
     wall_clock: WallClock,
@@ -170,6 +172,7 @@
             shards: BTreeMap::new(),
             advisors: AdvisorTable::default(),
             manifest_version: None,
+            manifest_revision: 0,
             teams: Arc::default(),
             drain: None,
             is_draining: false,
@@ -246,12 +249,14 @@
                     self.dispatch_event(&service, epoch, event);
                 }
             }
-            CellEvent::Manifest(manifest) => {
-                self.manifest_version = Some(manifest.version);
-                let routes = manifest.routes.iter();
-                let services = routes.map(|route| route.policy.service.clone());
-                self.services.extend(services);
-                self.update_teams(&manifest.teams);
+            CellEvent::Manifest(manifest, revision) => {
+                self.manifest_revision = revision;
+                if let Some(manifest) = manifest {
+                    self.update_manifest(&manifest);
+                }
+            }
+            CellEvent::Quotas(service, epoch, update) => {
+                self.apply_quota_update(&service, epoch, update);
             }
             CellEvent::Acquired(service, lease, outcome) => {
                 self.finish_takeover(&service, lease, outcome);
@@ -416,6 +421,10 @@
             if let Some(handle) = self.shards.get_mut(&service) {
                 handle.has_new_events = false;
                 self.effects.start_commit(handle);
+                if !self.is_draining {
+                    self.effects
+                        .start_quota_calls(handle, self.manifest_revision);
+                }
                 self.effects.start_summary_writes(handle, self.is_draining);
                 let elapsed = self.effects.clock.now().saturating_sub(now);
                 handle.next_pass_at = now + elapsed * PASS_INTERVAL_FACTOR;
@@ -436,21 +445,6 @@
         }
     }
 
-    /// Passes changed terms of the teams to the owned services.
-    fn update_teams(&mut self, teams: &TeamTable) {
-        if *self.teams == *teams {
-            return;
-        }
-        self.teams = Arc::new(teams.clone());
-        let shards = self.shards.iter();
-        let shards = shards.map(|(service, handle)| (service.clone(), handle.shard.epoch()));
-        let shards: Vec<(ServiceId, u64)> = shards.collect();
-        for (service, epoch) in shards {
-            let event = PipelineEvent::TeamsChanged(Arc::clone(&self.teams));
-            self.dispatch_event(&service, epoch, event);
-        }
-    }
-
     /// Returns the time of day by which scheduled work is due, in ms since 1970.
     fn wall_ms(&mut self) -> u64 {
         self.wall_clock.read(unix_ms(), self.effects.clock.now())
@@ -478,6 +472,7 @@
         let loads = self.shards.iter();
         let loads = loads.map(|(service, handle)| (service.clone(), handle.shard.load()));
         self.effects.metrics.set_loads(loads.collect());
+        self.report_team_usage();
         let valid_until = self.lease_confirmation.valid_until;
         let has_store = self.has_membership && now < valid_until + STORE_OUTAGE_GRACE;
         let is_ready = self.manifest_version.is_some() && has_store && !self.is_draining;
@@ -601,7 +596,10 @@
         let workers = loaded.workers.clone();
         let jobs = loaded.jobs.iter().filter(|job| job.is_cancelled);
         let cancelled: Vec<_> = jobs.map(|job| job.id).collect();
-        let watches = self.effects.watch_shard(&loaded);
+        let mut watches = self.effects.watch_shard(&loaded);
+        if self.settings.shard.enforces_caps {
+            watches.push(self.effects.watch_quotas(service, epoch));
+        }
         let shard = OwnedShard::new(*loaded, self.settings.shard, now);
         let mut handle = self
             .effects
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -61,6 +61,8 @@
     pub(super) next_pass_at: Duration,
     /// Whether a commit has no outcome yet.
     pub(super) is_committing: bool,
+    /// Whether a reading of the quota records has no outcome yet.
+    pub(super) is_reading_quotas: bool,
     pub(super) commit_delay: RetryDelay,
     orders: WorkerOrders,
     watches: Vec<JoinHandle<()>>,
@@ -242,6 +244,7 @@
             has_new_events: true,
             next_pass_at: Duration::ZERO,
             is_committing: false,
+            is_reading_quotas: false,
             commit_delay: RetryDelay::default(),
             orders,
             watches,
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use auburnsaddle_core::{AdviceReport, PipelineEvent, PipelineId, ServiceId, StepKey};
-use auburnsaddle_platform::{HttpEndpoint, Manifest, TransactionOutcome};
+use auburnsaddle_platform::{HttpEndpoint, Manifest, StoreItem, TransactionOutcome};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
@@ -34,6 +34,17 @@
     pub(crate) owner: Option<HttpEndpoint>,
 }
 
+/// An answer of the store about the quota records of teams.
+#[derive(Debug)]
+pub(crate) enum QuotaUpdate {
+    /// Records changed.
+    Changed(PrefixUpdate),
+    /// The reading with this number has ended. `None` if the store did not answer.
+    Read(u64, Option<Vec<StoreItem>>),
+    /// The outcome of a change that this owner has sent.
+    Written(TransactionOutcome),
+}
+
 /// An input to the control thread. Events of an owned service carry the service and
 /// the epoch of the ownership; events of an earlier epoch are ignored.
 #[derive(Debug)]
@@ -52,8 +63,10 @@
     Jobs(ServiceId, u64, PrefixUpdate),
     /// The platform's list of workers changed.
     Workers(ServiceId, u64, PrefixUpdate),
-    /// A newer version of the manifest was read.
-    Manifest(Arc<Manifest>),
+    /// The manifest was read at this revision. Contains its newer version, unless that is invalid.
+    Manifest(Option<Arc<Manifest>>, u64),
+    /// An input to the quotas of an owned service.
+    Quotas(ServiceId, u64, QuotaUpdate),
     /// The outcome of a takeover under the lease with this identifier.
     Acquired(ServiceId, u64, AcquireOutcome),
     /// The outcome of a commit of an owned service.
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -6,12 +6,12 @@
 };
 
 use arc_swap::ArcSwap;
-use auburnsaddle_core::{PipelineLoad, RunEnd, StartResult};
+use auburnsaddle_core::{PipelineLoad, ResourceVector, RunEnd, StartResult, TeamUsage};
 use auburnsaddle_platform::StoreCounters;
 use http::StatusCode;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -24,6 +24,9 @@
 /// The load of each owned service, read by the gauges.
 pub(crate) type LoadTable = Vec<(Arc<str>, PipelineLoad)>;
 
+/// What each team uses of its cap in each owned service, read by the gauges.
+pub(crate) type UsageTable = Vec<(Arc<str>, Arc<str>, TeamUsage)>;
+
 /// The instruments of the process and the registry that exports them.
 #[derive(Clone, Debug)]
 pub(crate) struct CellMetrics {
@@ -38,6 +41,45 @@
     commit_seconds: Histogram<f64>,
     job_wait_seconds: Histogram<f64>,
     loads: Arc<ArcSwap<LoadTable>>,
+    team_usage: Arc<ArcSwap<UsageTable>>,
+}
+
+/// Registers the gauges of what teams use of their caps; returns what they report.
+fn register_team_usage(meter: &Meter) -> Arc<ArcSwap<UsageTable>> {
+    let team_usage: Arc<ArcSwap<UsageTable>> = Arc::default();
+    let observed = Arc::clone(&team_usage);
+    meter
+        .u64_observable_gauge("auburnsaddle_team_usage")
+        .with_callback(move |observer| {
+            for (service, team, usage) in observed.load().iter() {
+                for (kind, amount) in [
+                    ("used", usage.used),
+                    ("allotted", usage.allotted),
+                    ("lacking", usage.lacking),
+                ] {
+                    let ResourceVector {
+                        cpu_milli,
+                        memory_mib,
+                        accelerators,
+                    } = amount;
+                    for (resource, value) in [
+                        ("cpu_milli", cpu_milli),
+                        ("memory_mib", memory_mib),
+                        ("accelerators", accelerators),
+                    ] {
+                        let labels = [
+                            KeyValue::new("service", service.to_string()),
+                            KeyValue::new("team", team.to_string()),
+                            KeyValue::new("kind", kind),
+                            KeyValue::new("resource", resource),
+                        ];
+                        observer.observe(value, &labels);
+                    }
+                }
+            }
+        })
+        .build();
+    team_usage
 }
 
 impl CellMetrics {
@@ -103,7 +145,9 @@
                 }
             })
             .build();
+        let team_usage = register_team_usage(&meter);
         Self {
+            team_usage,
             request_seconds: histogram("auburnsaddle_request_seconds"),
             commit_seconds: histogram("auburnsaddle_commit_seconds"),
             job_wait_seconds: histogram("auburnsaddle_job_wait_seconds"),
@@ -163,6 +207,11 @@
         self.loads.store(Arc::new(loads));
     }
 
+    /// Replaces the usage of the teams that the gauges report.
+    pub(crate) fn set_team_usage(&self, usage: UsageTable) {
+        self.team_usage.store(Arc::new(usage));
+    }
+
     /// Returns all metrics in the text format of Prometheus.
     pub(crate) fn encode_text(&self) -> String {
         let families = self.registry.gather();
--- a/crates/daemon/src/cell/mod.rs
+++ b/crates/daemon/src/cell/mod.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod notes;
 mod process;
+mod teams;
 #[cfg(test)]
 mod tests;
 mod witnesses;
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -65,7 +65,7 @@
             request_id = format!("{:016x}", step.pipeline).as_str(), service, epoch,
             step = step.to_string().as_str(), queue = queue.as_str(),
             waited_ms = wait.waited.as_millis(), is_skipped = wait.is_skipped,
-            waiting_tasks = wait.waiting_tasks, lost_tasks = wait.lost_tasks, held = wait.held,
+            waiting_tasks = wait.waiting_tasks, capped_tasks = wait.capped_tasks, lost_tasks = wait.lost_tasks, held = wait.held,
             steps_before = wait.steps_before, placed_before = wait.placed_before,
             labelled = wait.labelled, labelled_free_percent = wait.labelled_free_percent,
             allowed_full = wait.allowed_full, fitting = wait.fitting, ticketed = wait.ticketed,
@@ -77,6 +77,11 @@
             pending_requests = wait.pending_requests;
             "tasks of a step wait"
         ),
+        PipelineNote::TeamCapped { team, usage } => log::info!(
+            service, epoch, team = team.as_ref(), cap:? = usage.cap, used:? = usage.used,
+            allotted:? = usage.allotted, lacking:? = usage.lacking;
+            "tasks of a team wait for its cap"
+        ),
         PipelineNote::RunEnded {
             run,
             worker,
@@ -216,6 +221,7 @@
         | PipelineNote::CrashBlamed { .. }
         | PipelineNote::Cancelled { .. }
         | PipelineNote::StepWaiting { .. }
+        | PipelineNote::TeamCapped { .. }
         | PipelineNote::RunEnded { .. }
         | PipelineNote::StartRejected { .. }
         | PipelineNote::UnexpectedRun { .. }
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -346,6 +346,7 @@
             },
             summary_retention: settings.status_retention,
             max_value_bytes: settings.max_value_bytes,
+            enforces_caps: settings.enforces_caps,
         },
         cpu_milli: settings.cpu_milli,
     };
@@ -398,9 +399,9 @@
         }
         if let Some(item) = item {
             revision = item.revision;
-            if let Some(next) = manifest.apply(&item, elapsed) {
-                let _ = events.send(CellEvent::Manifest(next)).await;
-            }
+            let next = manifest.apply(&item, elapsed);
+            // The send fails only if the control thread has ended, as the process stops.
+            let _ = events.send(CellEvent::Manifest(next, revision)).await;
         }
         manifest.confirm(sent_at);
         manifest.wait_for_poll(MANIFEST_POLL_INTERVAL).await;
--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -58,6 +58,7 @@
             },
             summary_retention: Duration::from_mins(2),
             max_value_bytes: 1 << 20,
+            enforces_caps: false,
         },
         cpu_milli: 500,
     };
--- a/crates/daemon/src/pipelines/mod.rs
+++ b/crates/daemon/src/pipelines/mod.rs
@@ -14,6 +14,7 @@
 | `job/SERVICE/jID` | a job, until its final phase is committed |
 | `job/SERVICE/xID` | a cancellation request, until the job has ended |
 | `prog/SERVICE/NUMBER` | the progress of the jobs that one commit changed |
+| `quota/TEAM` | what each service may have running of a team; only where caps are enforced |
 
 The daemon that stores a job or a cancellation request also notifies the owner, which
 otherwise learns of it by its watch.
@@ -31,6 +32,7 @@
 mod log;
 mod notices;
 mod orders;
+mod quotas;
 mod records;
 mod sessions;
 mod shard;
@@ -45,9 +47,11 @@
 };
 pub(crate) use notices::{JobChange, JobNotice, NOTICE_PATH, NoticeSender, deliver_notices};
 pub(crate) use orders::WorkerOrders;
-pub(crate) use records::{CellKey, PUBLIC_PREFIX, SUMMARY_PREFIX, decode_value, encode_value};
+pub(crate) use quotas::{decode_quotas, quota_event};
+pub(crate) use records::{CellKey, PUBLIC_PREFIX, QUOTA_PREFIX, SUMMARY_PREFIX};
 pub(crate) use records::{MemberEntry, OwnerEntry, StoredJob};
 pub(crate) use records::{decode_team_value, encode_team_value};
+pub(crate) use records::{decode_value, encode_value};
 pub(crate) use sessions::DaemonRegistration;
 pub(crate) use shard::{CommitStatus, OwnedShard, ShardSettings};
 pub(crate) use summaries::WriteNumber;
--- a/crates/daemon/src/pipelines/records.rs
+++ b/crates/daemon/src/pipelines/records.rs
@@ -17,6 +17,9 @@
 /// less often than those below [`PUBLIC_PREFIX`].
 pub(crate) const SUMMARY_PREFIX: &str = "auburnsaddle/phase/";
 
+/// Prefix of the records of what the services may have running of each team.
+pub(crate) const QUOTA_PREFIX: &str = "auburnsaddle/quota/";
+
 /// Largest number of conditions, puts and removals in one transaction. The platform
 /// accepts 32.
 pub(super) const MAX_TRANSACTION_ENTRIES: usize = 32;
@@ -42,6 +45,8 @@
     Cancellation(ServiceId, PipelineId),
     /// A record in the progress log of a service.
     Record(ServiceId, RecordNumber),
+    /// What the services may have running of a team.
+    Quota(TeamId),
 }
 
 impl CellKey {
@@ -59,12 +64,16 @@
             Self::Record(service, number) => {
                 format!("{}{number:016x}", Self::record_prefix(service))
             }
+            Self::Quota(team) => format!("{QUOTA_PREFIX}{team}"),
         }
     }
 
     /// Parses the text of a key. Returns `None` for a key of unknown format, such as one
     /// of another version of the daemon.
     pub(crate) fn parse(path: &str) -> Option<Self> {
+        if let Some(team) = path.strip_prefix(QUOTA_PREFIX) {
+            return Some(Self::Quota(team.into()));
+        }
         let rest = path.strip_prefix(KEY_PREFIX)?;
         let id = |text: &str| PipelineId::from_str_radix(text, 16).ok();
         let parts: Vec<&str> = rest.split('/').collect();
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -9,7 +9,7 @@
 use auburnsaddle_core::{
     CommitEntry, Epoch, MAX_PREDECESSOR_TIME, PipelineAction, PipelineConfig, PipelineEvent,
     PipelineId, PipelineLoad, PipelinePhase, PipelineProgress, PipelineState, ProgressCommit,
-    ServiceId,
+    QuotaLedger, ServiceId,
 };
 use auburnsaddle_platform::{StoreItem, StoreTransaction, TransactionOutcome};
 
@@ -48,6 +48,8 @@
     pub(crate) summary_retention: Duration,
     /// Largest value that the store accepts, in bytes.
     pub(crate) max_value_bytes: usize,
+    /// Whether the caps of teams are enforced.
+    pub(crate) enforces_caps: bool,
 }
 
 /// Status of a commit after a response of the store.
@@ -109,6 +111,8 @@
     sequence: SequenceEntry,
     /// Revision of the sequence key, which the next commit expects.
     sequence_revision: u64,
+    /// Revision of the owner's key, which the takeover wrote.
+    pub(super) owner_revision: u64,
     /// Revision at which the jobs were read in the takeover.
     jobs_revision: u64,
     log: ProgressLog,
@@ -154,6 +158,7 @@
                 commit: loaded.last_commit,
             },
             sequence_revision: loaded.revision,
+            owner_revision: loaded.revision,
             jobs_revision: loaded.jobs_revision,
             log: loaded.log,
             pending: None,
@@ -172,6 +177,10 @@
             present_since: now,
             next_notices_at: now,
         };
+        if settings.enforces_caps {
+            let ledger = QuotaLedger::new(shard.service.clone());
+            shard.state.enforce_quotas(ledger);
+        }
         for job in loaded.jobs {
             shard.add_job(job, now);
         }
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -1,3 +1,4 @@
+mod quotas;
 mod records;
 mod sessions;
 mod team_values;
@@ -102,8 +103,8 @@
     }
 }
 
-/// Returns the shard after a takeover.
-fn shard_with(loaded: LoadedShard) -> OwnedShard {
+/// Returns the settings of the fixtures.
+fn shard_settings() -> ShardSettings {
     let config = PipelineConfig {
         lease: Duration::from_secs(5),
         max_lease: Duration::from_secs(6),
@@ -111,12 +112,17 @@
         listing_interval: Duration::from_millis(1_500),
         renewal_wait: Duration::from_secs(1),
     };
-    let settings = ShardSettings {
+    ShardSettings {
         config,
         summary_retention: Duration::from_mins(2),
         max_value_bytes: MAX_VALUE_BYTES,
-    };
-    OwnedShard::new(loaded, settings, Duration::ZERO)
+        enforces_caps: false,
+    }
+}
+
+/// Returns the shard after a takeover.
+fn shard_with(loaded: LoadedShard) -> OwnedShard {
+    OwnedShard::new(loaded, shard_settings(), Duration::ZERO)
 }
 
 /// Returns a job that was cancelled.
@@ -161,6 +167,7 @@
         CellKey::Job(service_id(), 1),
         CellKey::Cancellation(service_id(), u64::MAX),
         CellKey::Record(service_id(), 3),
+        CellKey::Quota("red/day".into()),
     ];
 
     for key in keys {
