Bound the memory and descriptors that clients can take

Cause: each connection was limited at most by itself. A read buffer grew to 400 KB, a body was kept as one buffer a chunk, and any number of connections could hold a body of 262,144 bytes open.

Each listener has a budget of bytes and a number of connections, which follow from the host's memory and descriptors in the settings. Connections that have held the most for the longest time are closed first, never one whose request may be stored; a request without memory gets 503 before anything of it is stored (docs/design/intake.md). Bodies are copied together, read buffers have 24 KiB, and a head has 10 s from its first byte.

Found by the property test before it landed: a refused newcomer, and a connection that was shed already, closed others in the table only, so they stayed open.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,9 @@
 * `calls`: short calls, queued at their shard until a runner slot is free.
 * `tasks`: batch runs, gang jobs and long-running tasks, placed on workers.
 * `pipelines`: jobs of dependent steps on the workers of a service.
+* `teams`: terms of teams, which share the workers.
+* `quotas`: caps on what a team has running across services.
+* `intake`: what the connections of a listener hold in memory.
 * `health`: detection of workers, runners and jobs that fail repeatedly.
 
 # Time
@@ -56,6 +59,7 @@
 mod health;
 mod hosts;
 mod instances;
+mod intake;
 mod journal;
 mod keys;
 mod membership;
@@ -76,6 +80,7 @@
 pub use calls::{QueueView, RunnerHealth, RunnerView};
 pub use health::{HealthAction, HealthConfig, HealthEvent, HealthTable};
 pub use hosts::{HostEntry, HostKind, HostState, HostTable};
+pub use intake::{ConnectionNumber, IntakeLimits, IntakeRefusal, IntakeTable};
 pub use journal::{BatchNumber, JournalAction, JournalBatch, JournalCodec, JournalConfig};
 pub use journal::{JournalError, JournalEvent, JournalKey, JournalRecord, JournalReplay};
 pub use journal::{RecordId, RecordKind, RecordLog, RecordUrgency, SegmentBody, SegmentPosition};
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -35,6 +35,7 @@
     _provider: SdkMeterProvider,
     request_seconds: Histogram<f64>,
     refusals: Counter<u64>,
+    shed_connections: Counter<u64>,
     starts: Counter<u64>,
     run_ends: Counter<u64>,
     orders: Counter<u64>,
@@ -152,6 +153,7 @@
             commit_seconds: histogram("auburnsaddle_commit_seconds"),
             job_wait_seconds: histogram("auburnsaddle_job_wait_seconds"),
             refusals: meter.u64_counter("auburnsaddle_refusals").build(),
+            shed_connections: meter.u64_counter("auburnsaddle_shed_connections").build(),
             starts: meter.u64_counter("auburnsaddle_starts").build(),
             run_ends: meter.u64_counter("auburnsaddle_run_ends").build(),
             orders: meter.u64_counter("auburnsaddle_orders").build(),
@@ -175,6 +177,12 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts connections of callers that were closed for the given reason.
+    pub(crate) fn record_shed(&self, reason: &'static str, count: u64) {
+        self.shed_connections
+            .add(count, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts the outcome of a start order.
     pub(crate) fn record_start(&self, result: StartResult) {
         self.starts
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -34,7 +34,10 @@
     metrics::CellMetrics,
 };
 use crate::{
-    ingress::{AccessPolicy, JobService, PeerService, ReadyService, UnresolvedJobs, serve_http},
+    ingress::{
+        AccessPolicy, HostLimits, IntakeGate, IntakeRole, JobService, PeerService, ReadyService,
+        UnresolvedJobs, serve_http,
+    },
     pipelines::{
         MemberEntry, NoticeSender, PUBLIC_PREFIX, SUMMARY_PREFIX, ShardSettings, deliver_notices,
         encode_value,
@@ -209,12 +212,18 @@
         control: control.clone(),
         metrics: metrics.clone(),
     };
-    serve_peers(peers, peer_service, metrics_port).await?;
+    let host = HostLimits {
+        memory_mb: settings.memory_mb,
+        descriptors: settings.max_descriptors,
+    };
+    serve_peers(peers, peer_service, host, metrics_port).await?;
     tokio::spawn(serve_http(
         readiness,
         ReadyService { ready },
+        IntakeGate::new(IntakeRole::Probes, host, None),
         std::future::pending(),
     ));
+    let caller_gate = IntakeGate::new(IntakeRole::Callers, host, Some(metrics.clone()));
     let jobs = JobService {
         manifest,
         access: AccessPolicy::from(&settings),
@@ -226,7 +235,7 @@
         unresolved: UnresolvedJobs::default(),
     };
     let (stop_accepting, mut accept_stopped) = watch::channel(false);
-    let caller_server = tokio::spawn(serve_http(callers, jobs, async move {
+    let caller_server = tokio::spawn(serve_http(callers, jobs, caller_gate, async move {
         let _ = accept_stopped.changed().await;
     }));
     terminate.recv().await;
@@ -248,6 +257,7 @@
 async fn serve_peers(
     peers: TcpListener,
     service: PeerService,
+    host: HostLimits,
     metrics_port: Option<u16>,
 ) -> Result<(), CellError> {
     if let Some(port) = metrics_port {
@@ -255,10 +265,12 @@
         tokio::spawn(serve_http(
             listener,
             service.clone(),
+            IntakeGate::new(IntakeRole::Probes, host, None),
             std::future::pending(),
         ));
     }
-    tokio::spawn(serve_http(peers, service, std::future::pending()));
+    let gate = IntakeGate::new(IntakeRole::Peers, host, None);
+    tokio::spawn(serve_http(peers, service, gate, std::future::pending()));
     Ok(())
 }
 
--- a/crates/daemon/src/ingress/jobs.rs
+++ b/crates/daemon/src/ingress/jobs.rs
@@ -15,11 +15,11 @@
     encode_pending, encode_phase, parse_job_id,
 };
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use super::access::{AccessDenial, AccessPolicy, is_visible, unauthorized_response};
 use super::cancellations::{stored_mark, stored_summary};
+use super::intake::{BodyError, read_body, request_intake};
 use super::peers::fetch_summary;
 use super::serve::{HttpService, IngressResponse, empty_response, json_response, retry_response};
 use super::unresolved::UnresolvedJobs;
@@ -187,15 +187,23 @@
                 .answer_without_store(id, &route.policy.service, team.as_ref())
                 .await;
         }
-        let body = Limited::new(request.into_body(), manifest.limits.max_body_bytes).collect();
+        let intake = request_intake(&request);
+        let body = read_body(request, manifest.limits.max_body_bytes);
         let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyError::TooLarge)) => {
                 return self.reject(&request_id, "body_too_large", StatusCode::PAYLOAD_TOO_LARGE);
             }
-            Ok(Err(_)) => return self.reject(&request_id, "body_broken", StatusCode::BAD_REQUEST),
+            Ok(Err(BodyError::Broken)) => {
+                return self.reject(&request_id, "body_broken", StatusCode::BAD_REQUEST);
+            }
+            Ok(Err(BodyError::NoMemory)) => return self.refuse(id, "memory"),
             Err(_) => return self.reject(&request_id, "body_late", StatusCode::REQUEST_TIMEOUT),
         };
+        let protection = intake.map_or(Ok(()), |intake| intake.protect(body.len()));
+        if protection.is_err() {
+            return self.refuse(id, "memory");
+        }
         let spec = match decode_job(&body, &route.policy, unix_ms()) {
             Ok(spec) => PipelineSpec { team, ..spec },
             Err(error) => {
@@ -323,7 +331,7 @@
         }
         log::warn!(
             request_id = request_id.as_str(), reason;
-            "job not accepted: the store is unavailable or refused the write"
+            "job not accepted: there is no memory for it, or the store is unavailable or refused it"
         );
         self.metrics.record_refusal(reason);
         retry_response(StatusCode::SERVICE_UNAVAILABLE, retry_seconds())
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod cancellations;
+mod intake;
 mod jobs;
 mod peers;
 mod serve;
@@ -10,6 +11,7 @@
 mod unresolved;
 
 pub(crate) use access::AccessPolicy;
+pub(crate) use intake::{HostLimits, IntakeGate, IntakeRole};
 pub(crate) use jobs::JobService;
 pub(crate) use peers::{PeerService, ReadyService};
 pub(crate) use serve::serve_http;
--- a/crates/daemon/src/ingress/peers.rs
+++ b/crates/daemon/src/ingress/peers.rs
@@ -11,10 +11,10 @@
 use auburnsaddle_core::{PipelineId, TeamId};
 use auburnsaddle_platform::{AdviceClient, HttpEndpoint};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 
+use super::intake::read_body;
 use super::serve::{HttpService, IngressResponse, empty_response, json_response};
 use crate::{
     cell::{CellHandle, CellMetrics},
@@ -109,11 +109,11 @@
 impl PeerService {
     /// Returns this daemon's summary of a job.
     async fn send_summary(&self, request: Request<Incoming>) -> IngressResponse {
-        let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES).collect();
+        let body = read_body(request, MAX_REQUEST_BYTES);
         let Ok(body) = body.await else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
-        let Ok(id) = serde_json::from_slice(&body.to_bytes()) else {
+        let Ok(id) = serde_json::from_slice(&body) else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
         let summary = self.control.summary(id).await;
@@ -129,11 +129,11 @@
 
     /// Accepts notices about jobs of the services that this daemon owns.
     async fn accept_notices(&self, request: Request<Incoming>) -> IngressResponse {
-        let body = Limited::new(request.into_body(), MAX_JOB_REQUEST_BYTES).collect();
+        let body = read_body(request, MAX_JOB_REQUEST_BYTES);
         let Ok(body) = body.await else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
-        let mut notices: Vec<JobNotice> = match serde_json::from_slice(&body.to_bytes()) {
+        let mut notices: Vec<JobNotice> = match serde_json::from_slice(&body) {
             Ok(notices) => notices,
             Err(error) => {
                 log::warn!("a peer's notices cannot be decoded: {error}");
@@ -147,11 +147,11 @@
 
     /// Answers the announcement of an ownership as a witness.
     async fn confirm_epoch(&self, request: Request<Incoming>) -> IngressResponse {
-        let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES).collect();
+        let body = read_body(request, MAX_REQUEST_BYTES);
         let Ok(body) = body.await else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
-        let notice: EpochNotice = match serde_json::from_slice(&body.to_bytes()) {
+        let notice: EpochNotice = match serde_json::from_slice(&body) {
             Ok(notice) => notice,
             Err(error) => {
                 log::warn!("a peer's announcement cannot be decoded: {error}");
@@ -167,11 +167,11 @@
 
     /// Makes a store call for a daemon that cannot reach the store.
     async fn relay_store_call(&self, request: Request<Incoming>) -> IngressResponse {
-        let body = Limited::new(request.into_body(), MAX_JOB_REQUEST_BYTES).collect();
+        let body = read_body(request, MAX_JOB_REQUEST_BYTES);
         let Ok(body) = body.await else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
-        let call: RelayedCall = match serde_json::from_slice(&body.to_bytes()) {
+        let call: RelayedCall = match serde_json::from_slice(&body) {
             Ok(call) => call,
             Err(error) => {
                 log::warn!("a peer's store call cannot be decoded: {error}");
@@ -190,11 +190,11 @@
 
     /// Sends a request to the advice service for the owner of a service.
     async fn relay_advice_request(&self, request: Request<Incoming>) -> IngressResponse {
-        let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES).collect();
+        let body = read_body(request, MAX_REQUEST_BYTES);
         let Ok(body) = body.await else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
-        let request: AdviceRequest = match serde_json::from_slice(&body.to_bytes()) {
+        let request: AdviceRequest = match serde_json::from_slice(&body) {
             Ok(request) => request,
             Err(error) => {
                 log::warn!("a peer's advice request cannot be decoded: {error}");
--- a/crates/daemon/src/ingress/serve.rs
+++ b/crates/daemon/src/ingress/serve.rs
@@ -1,6 +1,6 @@
 //! HTTP/1 server for callers, the load balancer and other daemons.
 
-use std::{convert::Infallible, pin::pin, time::Duration};
+use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -10,11 +10,18 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use tokio::net::TcpListener;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{MissedTickBehavior, interval},
+};
+
+use super::intake::{IntakeGate, IntakeStream, READ_BUFFER_BYTES, RequestIntake};
+
+/// Time after which an idle connection is closed. Callers reuse connections.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
 
-/// Time limit for the headers of a request on a new connection. Idle connections are
-/// kept open because callers reuse them.
-const HEADER_TIMEOUT: Duration = Duration::from_mins(2);
+/// Interval between checks for heads that are late.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Delay after a failed accept. A shortage of file descriptors lasts for some time, so
 /// that an immediate retry would fail again.
@@ -39,13 +46,20 @@
 pub(crate) async fn serve_http<S: HttpService, F: Future<Output = ()>>(
     listener: TcpListener,
     service: S,
+    gate: IntakeGate,
     stopped: F,
 ) -> GracefulShutdown {
     let graceful = GracefulShutdown::new();
     let mut stopped = pin!(stopped);
+    let mut next_check = interval(CHECK_INTERVAL);
+    next_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            _ = next_check.tick() => {
+                gate.check();
+                continue;
+            }
             () = &mut stopped => return graceful,
         };
         let stream = match accepted {
@@ -56,33 +70,57 @@
                 continue;
             }
         };
-        // Without TCP_NODELAY, a small response would wait for a delayed acknowledgement.
-        let _ = stream.set_nodelay(true);
+        serve_connection(stream, &service, &gate, &graceful);
+    }
+}
+
+/// Spawns a task that serves a connection until the client or the gate closes it. Closes it at once
+/// if the gate has no room for it.
+fn serve_connection<S: HttpService>(
+    stream: TcpStream,
+    service: &S,
+    gate: &IntakeGate,
+    graceful: &GracefulShutdown,
+) {
+    let Some((connection, shed)) = gate.open() else {
+        return;
+    };
+    // Without TCP_NODELAY, a small response would wait for a delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let stream = IntakeStream::new(stream, Arc::clone(&connection));
+    let service = service.clone();
+    let handler = service_fn(move |mut request: Request<Incoming>| {
         let service = service.clone();
-        let handler = service_fn(move |request| {
-            let service = service.clone();
-            async move {
-                let mut response = service.handle(request).await;
-                if service.is_draining() {
-                    let close = HeaderValue::from_static("close");
-                    response.headers_mut().insert(header::CONNECTION, close);
-                }
-                Ok::<_, Infallible>(response)
+        let intake = RequestIntake::begin(&connection);
+        request.extensions_mut().insert(intake.clone());
+        async move {
+            let mut response = service.handle(request).await;
+            intake.finish();
+            if service.is_draining() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
             }
-        });
-        let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIMEOUT)
-            .keep_alive(true);
-        let connection = builder.serve_connection(TokioIo::new(stream), handler);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("a connection failed: {error}");
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES)
+        .keep_alive(true);
+    let server = builder.serve_connection(TokioIo::new(stream), handler);
+    let server = graceful.watch(server);
+    tokio::spawn(async move {
+        tokio::select! {
+            ended = server => {
+                if let Err(error) = ended {
+                    log::debug!("a connection failed: {error}");
+                }
             }
-        });
-    }
+            _ = shed => {}
+        }
+    });
 }
 
 /// Returns a response without a body.
--- a/crates/daemon/src/ingress/tests.rs
+++ b/crates/daemon/src/ingress/tests.rs
@@ -1,4 +1,5 @@
 mod access;
+mod intake;
 
 use std::time::{Duration, Instant};
 
--- a/crates/daemon/src/session/tests.rs
+++ b/crates/daemon/src/session/tests.rs
@@ -22,7 +22,7 @@
 };
 use crate::{
     cell::CellEvent,
-    ingress::{HttpService, IngressResponse, serve_http},
+    ingress::{HostLimits, HttpService, IngressResponse, IntakeGate, IntakeRole, serve_http},
     pipelines::PUBLIC_PREFIX,
     telemetry::BootClock,
 };
@@ -98,6 +98,7 @@
     tokio::spawn(serve_http(
         listener,
         service.clone(),
+        IntakeGate::new(IntakeRole::Peers, HostLimits::default(), None),
         std::future::pending(),
     ));
     (address, service)
--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -82,6 +82,8 @@
     worker: WorkerSetup,
     /// Time in s for which the states of ended jobs are kept.
     status_s: u32,
+    /// Memory of a daemon's host in MB, and the descriptors of a daemon; `None` leaves them out.
+    limits: Option<(u64, usize)>,
 }
 
 impl Default for CellSetup {
@@ -89,6 +91,7 @@
         Self {
             worker: WorkerSetup::default(),
             status_s: 120,
+            limits: None,
         }
     }
 }
@@ -97,14 +100,18 @@
 fn daemon_settings(name: &str, store: &str, setup: &CellSetup) -> Value {
     let max_hold_ms = u64::try_from(setup.worker.max_lease.as_millis()).unwrap();
     let address = "127.0.0.1:0";
-    json!({
+    let mut settings = json!({
         "node-name": name, "zone": "z1", "an-unknown-field": [1, 2],
         "listen-addrs": {
             "frontend": address, "readiness": address, "control-plane": address,
         },
         "platform": {"address": store, "min-ttl-ms": 1_000},
         "bounds": {"max-hold-ms": max_hold_ms, "grace-s": 6, "status_s": setup.status_s},
-    })
+    });
+    if let Some((memory_mb, max_fds)) = setup.limits {
+        settings["limits"] = json!({"memory-mb": memory_mb, "max-fds": max_fds});
+    }
+    settings
 }
 
 pub(crate) fn manifest(version: u64, prefixes: &[&str]) -> Value {
@@ -174,7 +181,26 @@
         run_time,
         ..WorkerSetup::default()
     };
-    launch_cell(daemons, 2, CellSetup { worker, status_s }).await
+    let setup = CellSetup {
+        worker,
+        status_s,
+        limits: None,
+    };
+    launch_cell(daemons, 2, setup).await
+}
+
+/// Starts one daemon whose host has this memory in MB and this number of descriptors.
+pub(crate) async fn start_cell_with_limits(memory_mb: u64, descriptors: usize) -> CellFixture {
+    let worker = WorkerSetup {
+        run_time: Duration::from_millis(200),
+        ..WorkerSetup::default()
+    };
+    let setup = CellSetup {
+        worker,
+        limits: Some((memory_mb, descriptors)),
+        ..CellSetup::default()
+    };
+    launch_cell(1, 2, setup).await
 }
 
 async fn launch_cell(daemons: usize, workers: usize, setup: CellSetup) -> CellFixture {
@@ -317,6 +343,19 @@
         self.exchange(request, body).await
     }
 
+    /// Like [`Self::send`], with a header that has no meaning.
+    pub(crate) async fn send_with_header(
+        &self,
+        daemon: usize,
+        method: Method,
+        path: &str,
+        filler: &str,
+    ) -> Option<(StatusCode, Value)> {
+        let port = self.daemons[daemon].caller_port;
+        let request = request(port, method, path).header("x-filler", filler);
+        self.exchange(request, None).await
+    }
+
     /// Like [`Self::send`], to any port of this machine.
     pub(crate) async fn send_to_port(
         &self,
