Put workers on probation on which runs of two jobs fail in a row

Cause: a worker that fails each run within moments of its start is always the least loaded one of a full service, so whole steps were placed on it, and the second and last attempt of their tasks on another such worker. Two failures in a row only made others preferred, and a full service has no others.

Such a worker gets one run at a time, after a backoff of 1 to 8 s, until a run that was placed after its latest failure succeeds. A task with one attempt left after a failure uses only workers without a failure since their latest success, if there are any. One job that fails everywhere puts no worker on probation.

--- a/crates/core/src/instances/mod.rs
+++ b/crates/core/src/instances/mod.rs
@@ -15,10 +15,12 @@
 mod clock;
 mod ends;
 mod ratio;
+mod reliability;
 mod state;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use clock::{ClockReading, lapse_time};
 pub(crate) use ratio::SAMPLE_WEIGHT_DIVISOR;
+pub(crate) use reliability::WorkerStanding;
 pub(crate) use state::{InstanceNumber, WorkerInstance};
--- /dev/null
+++ b/crates/core/src/instances/reliability.rs
@@ -0,0 +1,100 @@
+//! Whether the runs that a worker instance starts succeed.
+
+use std::time::Duration;
+
+/// Number of jobs in a row whose runs failed, from which a worker is on probation. One job may fail
+/// on every worker.
+const JOBS_BEFORE_PROBATION: u32 = 2;
+
+/// Time without a run at the begin of a probation. It doubles with each further failure.
+const FIRST_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Longest time without a run.
+const MAX_BACKOFF: Duration = Duration::from_secs(8);
+
+/// What the outcomes of the latest runs of a worker instance show.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum WorkerStanding {
+    /// No run has failed since the latest success.
+    Proven,
+    /// Runs have failed since the latest success.
+    Failing,
+    /// The worker gets one run at a time.
+    OnProbation,
+}
+
+/// Outcomes of the latest runs of a worker instance.
+///
+/// Load pattern: some workers fail each run within moments of its start. They are always the least
+/// loaded ones, so whole steps are placed on them, and the next attempts as well.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RunReliability {
+    /// Number of jobs in a row whose runs failed.
+    failed_jobs: u32,
+    /// Job of the latest failed run.
+    last_job: Option<u64>,
+    /// When the latest run failed. Runs that were placed before tell nothing about the time since.
+    failed_at: Duration,
+    probation: Option<WorkerProbation>,
+}
+
+/// A time in which a worker gets one run after another.
+#[derive(Clone, Copy, Debug)]
+struct WorkerProbation {
+    since: Duration,
+    backoff: Duration,
+    /// Earliest time of the next run.
+    retry_at: Duration,
+}
+
+impl RunReliability {
+    /// Records that a run of a job failed.
+    pub(crate) fn record_failure(&mut self, job: u64, placed_at: Duration, now: Duration) {
+        if self.last_job != Some(job) {
+            self.failed_jobs += 1;
+            self.last_job = Some(job);
+        }
+        self.failed_at = now;
+        match &mut self.probation {
+            Some(probation) if placed_at >= probation.retry_at => {
+                probation.backoff = (probation.backoff * 2).min(MAX_BACKOFF);
+                probation.retry_at = now + probation.backoff;
+            }
+            None if self.failed_jobs >= JOBS_BEFORE_PROBATION => {
+                self.probation = Some(WorkerProbation {
+                    since: now,
+                    backoff: FIRST_BACKOFF,
+                    retry_at: now + FIRST_BACKOFF,
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Records that a run succeeded. It ends a probation if it was placed after the latest failure.
+    pub(crate) fn record_success(&mut self, placed_at: Duration) {
+        if placed_at >= self.failed_at {
+            *self = Self::default();
+        }
+    }
+
+    /// Returns what the outcomes show.
+    pub(crate) const fn standing(&self) -> WorkerStanding {
+        match (self.probation, self.failed_jobs) {
+            (Some(_), _) => WorkerStanding::OnProbation,
+            (None, 0) => WorkerStanding::Proven,
+            (None, _) => WorkerStanding::Failing,
+        }
+    }
+
+    /// Returns whether the worker gets at most one run at a time, and if so, since when.
+    pub(crate) fn probation_since(&self) -> Option<Duration> {
+        self.probation.map(|probation| probation.since)
+    }
+
+    /// Returns whether the worker may get a run, if it has none on probation.
+    pub(crate) fn can_retry(&self, now: Duration) -> bool {
+        self.probation
+            .is_none_or(|probation| now >= probation.retry_at)
+    }
+}
--- a/crates/core/src/instances/state.rs
+++ b/crates/core/src/instances/state.rs
@@ -6,6 +6,7 @@
     clock::{ClockReading, lapse_time, whole_ms},
     ends::EndCounter,
     ratio::RuntimeRatio,
+    reliability::RunReliability,
 };
 
 /// Number of a worker instance, unique within one ownership. A worker that was restarted or
@@ -39,6 +40,8 @@
     pub(crate) pace_due: Duration,
     /// Ratio of run time to estimate.
     pub(crate) runtime_ratio: RuntimeRatio,
+    /// Whether the latest runs have succeeded.
+    pub(crate) reliability: RunReliability,
 }
 
 impl WorkerInstance {
@@ -56,6 +59,7 @@
             consecutive_failures: 0,
             pace_due: Duration::ZERO,
             runtime_ratio: RuntimeRatio::default(),
+            reliability: RunReliability::default(),
         }
     }
 
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -425,6 +425,12 @@
         /// What keeps the tasks from being placed.
         wait: StepWait,
     },
+    /// Runs of several jobs have failed on a worker in a row. It gets one run after another until one
+    /// succeeds.
+    WorkerOnProbation {
+        /// The worker.
+        worker: WorkerId,
+    },
     /// Tasks of a team wait for its cap.
     TeamCapped {
         /// The team.
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -9,7 +9,7 @@
 
 use super::{advice::TicketCache, spec::StepSpec, worker::WorkerRecord};
 use crate::{
-    instances::InstanceNumber,
+    instances::{InstanceNumber, WorkerStanding},
     types::{RackId, ResourceVector, WorkerId},
 };
 
@@ -56,6 +56,8 @@
     run_count: usize,
     has_serving_task: bool,
     is_penalized: bool,
+    /// What the outcomes of the latest runs show.
+    standing: WorkerStanding,
     /// Whether jobs with slack leave the worker free for urgent jobs.
     pub(super) is_headroom: bool,
 }
@@ -99,7 +101,9 @@
     ) -> Self {
         let rows = workers.filter_map(|(worker, record)| {
             let (listing, instance) = (record.listing.as_ref()?, record.instance.as_ref()?);
-            let is_open = record.can_accept_tasks() && !instance.ends.is_ack_overdue(now);
+            let is_open = record.can_accept_tasks()
+                && !instance.ends.is_ack_overdue(now)
+                && record.can_retry(now);
             let row = is_open.then(|| TableRow {
                 worker: WorkerId::clone(worker),
                 instance: instance.number,
@@ -110,8 +114,10 @@
                 run_count: record.runs.len(),
                 has_serving_task: record.has_serving_task(),
                 is_penalized: instance.penalized_until > now
+                    || instance.reliability.standing() == WorkerStanding::OnProbation
                     || record.has_unproven_suspect()
                     || instance.runtime_ratio.is_slow(typical_ratio_percent, now),
+                standing: instance.reliability.standing(),
                 is_headroom: false,
             });
             Some((row?, record.free_resources()))
@@ -208,6 +214,10 @@
         } else {
             usize::MAX
         };
+        let task_allowance = match row.standing {
+            WorkerStanding::OnProbation => task_allowance.min(1),
+            WorkerStanding::Proven | WorkerStanding::Failing => task_allowance,
+        };
         let home = step.home_rack.as_deref();
         (task_allowance > 0).then_some(PlaceCandidate {
             row_index,
@@ -319,6 +329,10 @@
                 .reclaimable_cpu_milli
                 .saturating_sub(occupied.cpu_milli);
         }
+        if self.rows[row_index].standing == WorkerStanding::OnProbation {
+            self.reserve_worker(row_index);
+            return;
+        }
         let free = self.free[row_index];
         self.set_free(
             row_index,
@@ -345,6 +359,11 @@
 }
 
 impl TableRow {
+    /// Returns whether no run has failed on the worker since the latest success.
+    pub(super) fn is_proven(&self) -> bool {
+        self.standing == WorkerStanding::Proven
+    }
+
     /// Returns the free CPU, as far as the scarcest resource is free.
     fn usable_cpu_milli(&self, free: &ResourceVector) -> u64 {
         self.capacity.cpu_milli * self.free_share_permille(free) / 1_000
--- a/crates/core/src/pipelines/progress.rs
+++ b/crates/core/src/pipelines/progress.rs
@@ -121,6 +121,16 @@
         tasks.all(|task| !matches!(task.place, TaskPlace::Placed(_)))
     }
 
+    /// Returns the number of failed runs of the task at an index, or of its gang.
+    pub(super) fn failures(&self, index: u32, is_gang: bool) -> u32 {
+        let task = self.tasks.get(index as usize);
+        if is_gang {
+            self.gang_failures
+        } else {
+            task.map_or(0, |task| task.failures)
+        }
+    }
+
     /// Returns whether the task at an index is a suspect.
     pub(super) fn is_suspect(&self, index: u32) -> bool {
         let task = self.tasks.get(index as usize);
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -354,9 +354,23 @@
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
+        let placed_at = run.as_ref().map_or(now, |run| run.placed_at);
+        let job = ended.run.task.step.pipeline;
         match (&mut record.instance, ended.end) {
-            (Some(instance), RunEnd::Done) => instance.consecutive_failures = 0,
+            (Some(instance), RunEnd::Done) => {
+                instance.consecutive_failures = 0;
+                instance.reliability.record_success(placed_at);
+            }
             (Some(instance), RunEnd::Failed) => {
+                let reliability = &mut instance.reliability;
+                let was_on_probation = reliability.probation_since().is_some();
+                reliability.record_failure(job, placed_at, now);
+                let is_on_probation = reliability.probation_since().is_some();
+                if is_on_probation && !was_on_probation {
+                    let worker = WorkerId::clone(worker);
+                    let note = PipelineNote::WorkerOnProbation { worker };
+                    self.actions.push(PipelineAction::Log(note));
+                }
                 instance.consecutive_failures += 1;
                 if instance.consecutive_failures >= FAILURES_BEFORE_PENALTY {
                     instance.penalized_until = now + FAILURE_PENALTY;
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -71,6 +71,8 @@
     pub(super) withholds_headroom: bool,
     /// Whether workers with the fewest runs are preferred.
     pub(super) prefers_idle: bool,
+    /// Whether only workers without a failure since their latest success are used.
+    pub(super) needs_proven: bool,
     pub(super) now: Duration,
 }
 
@@ -88,13 +90,14 @@
             step_spec,
             withholds_headroom: false,
             prefers_idle: false,
+            needs_proven: false,
             now,
         }
     }
 
     /// Returns whether the step may use a worker if its queue allows it.
-    pub(super) const fn may_use(&self, row: &TableRow) -> bool {
-        !(self.withholds_headroom && row.is_headroom)
+    pub(super) fn may_use(&self, row: &TableRow) -> bool {
+        !(self.withholds_headroom && row.is_headroom) && (row.is_proven() || !self.needs_proven)
     }
 }
 
@@ -332,7 +335,14 @@
         let (suspects, unsuspected): (Vec<u32>, Vec<u32>) = waiting
             .iter()
             .partition(|index| !search.step_spec.gang && is_suspect(**index));
-        let mut placed_count = self.place_waiting(search, &unsuspected, pass);
+        let (last_attempts, others) = self.split_last_attempts(search, &unsuspected, pass);
+        let mut placed_count = self.place_waiting(search, &others, pass);
+        // The job fails with its last attempt, so it takes no risk.
+        let proven = StepSearch {
+            needs_proven: true,
+            ..*search
+        };
+        placed_count += self.place_waiting(&proven, &last_attempts, pass);
         // One at a time, so that each crash tells which of them is the cause. The idlest workers
         // are those of the headroom.
         let cautious = StepSearch {
@@ -346,6 +356,36 @@
         placed_count
     }
 
+    /// Splits tasks into those with one attempt left after a failure, if any worker of the step is
+    /// proven, and the others. A gang is not split.
+    fn split_last_attempts(
+        &self,
+        search: &StepSearch<'_>,
+        tasks: &[u32],
+        pass: &PlacementPass,
+    ) -> (Vec<u32>, Vec<u32>) {
+        let step_spec = search.step_spec;
+        let pipeline = self.pipelines.get(&search.key.pipeline);
+        let progress = pipeline.and_then(|pipeline| pipeline.progress.step(search.key));
+        let max_attempts = search.spec.policy.max_attempts;
+        let is_last = |index: &u32| {
+            let failures = progress.map_or(0, |progress| progress.failures(*index, step_spec.gang));
+            failures > 0 && failures + 1 >= max_attempts && !step_spec.long_running
+        };
+        let (last, others): (Vec<u32>, Vec<u32>) = tasks.iter().partition(|index| is_last(index));
+        let has_proven = || {
+            let mut eligible = pass.table.eligible(step_spec, |worker| {
+                self.task_allowance(worker, search.key, step_spec)
+            });
+            eligible.any(|candidate| pass.table.row(&candidate).is_proven())
+        };
+        if last.is_empty() || has_proven() {
+            (last, others)
+        } else {
+            (Vec::new(), tasks.to_vec())
+        }
+    }
+
     /// Places as many of the given waiting tasks of a step as fit, and returns their number.
     fn place_waiting(
         &mut self,
@@ -353,6 +393,9 @@
         waiting: &[u32],
         pass: &mut PlacementPass,
     ) -> usize {
+        if waiting.is_empty() {
+            return 0;
+        }
         let chosen = self.choose_workers(search, &pass.table, waiting.len());
         for candidate in &chosen {
             pass.table.allocate(candidate.row_index, search.step_spec);
--- a/crates/core/src/pipelines/tests/health.rs
+++ b/crates/core/src/pipelines/tests/health.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use super::fixtures::{job, listing, observed, owner, step};
-use crate::{ObservedRun, PipelineEvent, RunKey, StepSpec, WorkerListing};
+use super::fixtures::{OwnerFixture, ended, job, listing, observed, owner, step};
+use crate::{
+    ObservedRun, PipelineEvent, PipelineId, RunEnd, RunKey, StartOrder, StepSpec, WorkerListing,
+};
 
 /// Reports the runs each half second with the progress that `percent` returns.
 fn report_progress(
@@ -192,3 +194,119 @@
 
     assert_eq!((early, owner.stops().len()), (0, 2));
 }
+
+/// Places a job of one task on the only worker, where it fails with this number of its end.
+fn fail_run(owner: &mut OwnerFixture, id: PipelineId, number: u64) {
+    owner.submit(id, job(vec![step(1)]));
+    let run = owner.start_all().remove(0).run;
+    owner.report("w1", Vec::new(), vec![ended(number, run, RunEnd::Failed)]);
+    // Answers the acknowledgement, for which starts wait.
+    owner.commit();
+    owner.report("w1", Vec::new(), Vec::new());
+}
+
+/// Returns the number of starts on a worker.
+fn count_on(starts: &[StartOrder], worker: &str) -> usize {
+    let starts = starts.iter();
+    starts.filter(|start| &*start.worker == worker).count()
+}
+
+/// Returns an owner of `w1`, on which runs of two jobs have failed, and of three further workers.
+fn owner_with_failing_worker() -> OwnerFixture {
+    let mut owner = owner(&["w1"]);
+    for (id, number) in [(1, 1), (2, 2)] {
+        fail_run(&mut owner, id, number);
+        owner.handle_event(PipelineEvent::Cancelled(id));
+        owner.commit();
+    }
+    for worker in ["w2", "w3", "w4"] {
+        owner.handle_event(PipelineEvent::Listed(listing(worker)));
+        owner.report(worker, Vec::new(), Vec::new());
+    }
+    owner.actions.clear();
+    owner
+}
+
+/// Guards against whole steps that are placed on a worker which fails all runs at once, as it is always
+/// the idlest one of a full service.
+#[test]
+fn a_worker_that_fails_the_runs_of_two_jobs_gets_one_run_at_a_time() {
+    let mut owner = owner_with_failing_worker();
+
+    owner.submit(3, job(vec![step(20)]));
+    let at_once = owner.start_all();
+    owner.advance_clock(Duration::from_millis(1_100));
+    let after_backoff = owner.start_all();
+    owner.advance_clock(Duration::from_millis(500));
+    let while_it_runs = owner.start_all();
+
+    assert_eq!((count_on(&at_once, "w1"), at_once.len()), (0, 12));
+    assert_eq!(count_on(&after_backoff, "w1"), 1);
+    assert_eq!(while_it_runs, Vec::new());
+}
+
+/// Guards against a worker that stays on probation although it works again.
+#[test]
+fn a_success_ends_the_probation() {
+    let mut owner = owner_with_failing_worker();
+    owner.submit(3, job(vec![step(20)]));
+    owner.start_all();
+    owner.advance_clock(Duration::from_millis(1_100));
+    let probe = owner.start_all().remove(0).run;
+
+    owner.report("w1", Vec::new(), vec![ended(3, probe, RunEnd::Done)]);
+    owner.commit();
+    owner.report("w1", Vec::new(), Vec::new());
+    let starts = owner.start_all();
+
+    assert_eq!(count_on(&starts, "w1"), 4);
+}
+
+/// Guards against sound workers that count as failing, as one job fails everywhere.
+#[test]
+fn runs_of_one_job_put_no_worker_on_probation() {
+    let mut owner = owner(&["w1"]);
+    let mut spec = job(vec![step(3)]);
+    spec.policy.max_attempts = 9;
+    owner.submit(1, spec);
+    for start in owner.start_all().into_iter().zip(1..) {
+        let (start, number) = start;
+        owner.report(
+            "w1",
+            Vec::new(),
+            vec![ended(number, start.run, RunEnd::Failed)],
+        );
+    }
+
+    let again = owner.start_all();
+
+    assert_eq!(count_on(&again, "w1"), 3);
+}
+
+/// Guards against a job that fails for good as its last attempt is placed on a worker that fails.
+#[test]
+fn the_last_attempt_of_a_task_waits_for_a_proven_worker() {
+    let mut owner = owner(&["w1"]);
+    fail_run(&mut owner, 1, 1);
+    owner.handle_event(PipelineEvent::Listed(listing("w2")));
+    owner.report("w2", Vec::new(), Vec::new());
+    owner.submit(2, job(vec![step(4)]));
+
+    let starts = owner.start_all();
+
+    let last = starts
+        .iter()
+        .find(|start| start.run.task.step.pipeline == 1);
+    assert_eq!(last.map(|start| &*start.worker), Some("w2"));
+}
+
+/// Guards against a task that is never placed, as no worker is proven.
+#[test]
+fn a_last_attempt_uses_any_worker_if_none_is_proven() {
+    let mut owner = owner(&["w1"]);
+
+    fail_run(&mut owner, 1, 1);
+    let starts = owner.start_all();
+
+    assert_eq!(starts.len(), 1);
+}
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -202,6 +202,10 @@
             worker = worker.as_ref(), result = result.name(), clock_ms, expected_ms;
             "the clock in the answer to a start order is not that of the known worker instance"
         ),
+        PipelineNote::WorkerOnProbation { worker } => log::warn!(
+            service, epoch, worker = worker.as_ref();
+            "runs of several jobs failed on a worker; it gets one run at a time until one succeeds"
+        ),
         PipelineNote::WorkerRestarted {
             worker,
             lost,
