Wait only for earlier changes when an owner drains

Cause: an owner that stops waited until no change was left to commit.

A drain now ends when the changes before it are durable, and waits 0.1 s more for summaries, which the successor writes as well. Ends that come later are not acknowledged, so workers report them again to the successor.

--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -297,6 +297,18 @@
         }
     }
 
+    /// Returns the number of the latest change.
+    #[must_use]
+    pub const fn latest_change(&self) -> u64 {
+        self.serial
+    }
+
+    /// Returns the number up to which all changes are durable.
+    #[must_use]
+    pub const fn durable_change(&self) -> u64 {
+        self.durable_serial
+    }
+
     /// Returns whether every change is contained in a commit, which may still be open.
     #[must_use]
     pub fn is_committed(&self) -> bool {
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -56,6 +56,10 @@
 /// How long a drain waits until all changes are durable.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// How long a drain waits for the summaries of durable phases. The successor writes those that are
+/// missing, and nothing is placed meanwhile.
+const DRAIN_SUMMARY_TIME: Duration = Duration::from_millis(100);
+
 /// Shortest time from the start of one pass of a service to the next, as a multiple of
 /// the time that the pass takes. It limits the passes of a service to a quarter of
 /// the thread's time, so that renewals and reports are still handled on a host with
@@ -78,11 +82,13 @@
     pub(super) revision: u64,
 }
 
-/// A drain that waits until all changes are durable or its time is over.
+/// A drain that waits until all changes before it are durable or its time is over.
 #[derive(Debug)]
 struct PendingDrain {
     reply: oneshot::Sender<()>,
     until: Duration,
+    /// How long the drain waits for summaries once all else is durable.
+    summary_time: Duration,
 }
 
 /// The state of the control thread.
@@ -308,14 +314,19 @@
             CellEvent::CountWaiting(queue, reply) => drop(reply.send(self.jobs.waiting(&queue))),
             CellEvent::Flush(reply) => drop(reply.send(())),
             CellEvent::Dump(reply) => drop(reply.send(self.dump())),
-            CellEvent::Drain(reply) => {
-                self.is_draining = true;
-                let until = now + DRAIN_TIMEOUT;
-                self.drain = Some(PendingDrain { reply, until });
-            }
+            CellEvent::Drain(reply) => self.begin_drain(reply, now),
         }
     }
 
+    fn begin_drain(&mut self, reply: oneshot::Sender<()>, now: Duration) {
+        self.is_draining = true;
+        self.drain = Some(PendingDrain {
+            reply,
+            until: now + DRAIN_TIMEOUT,
+            summary_time: DRAIN_SUMMARY_TIME,
+        });
+    }
+
     /// Handles the outcome of a commit: executes what waited for it, sends it again, or
     /// gives up the service.
     fn finish_commit(&mut self, service: &ServiceId, epoch: u64, outcome: &TransactionOutcome) {
@@ -430,10 +441,21 @@
                 handle.next_pass_at = now + elapsed * PASS_INTERVAL_FACTOR;
             }
         }
-        let mut shards = self.shards.values().map(|handle| &handle.shard);
-        let is_durable = shards.all(|shard| shard.is_durable() && shard.has_stored_summaries());
-        match self.drain.take() {
-            Some(drain) if is_durable || now >= drain.until => {
+        let Some(mut drain) = self.drain.take() else {
+            return;
+        };
+        let mut are_drained = true;
+        for handle in self.shards.values_mut() {
+            are_drained &= handle.shard.is_drained();
+        }
+        if are_drained {
+            drain.until = drain.until.min(now + drain.summary_time);
+            drain.summary_time = drain.until.saturating_sub(now);
+        }
+        let mut shards = self.shards.values();
+        let is_complete = are_drained && shards.all(|handle| handle.shard.has_stored_summaries());
+        match drain {
+            drain if is_complete || now >= drain.until => {
                 let services: Vec<ServiceId> = self.shards.keys().cloned().collect();
                 for service in services {
                     self.drop_shard(&service, "the daemon is stopping");
@@ -441,7 +463,7 @@
                 // The send fails only if the process no longer waits for the drain.
                 let _ = drain.reply.send(());
             }
-            open => self.drain = open,
+            open => self.drain = Some(open),
         }
     }
 
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -144,6 +144,8 @@
     present_since: Duration,
     /// Earliest time of the next announcements to witnesses.
     next_notices_at: Duration,
+    /// The latest change at the begin of a drain.
+    drained_change: Option<u64>,
 }
 
 impl OwnedShard {
@@ -176,6 +178,7 @@
             permit: ExtensionPermit::new(loaded.witnesses),
             present_since: now,
             next_notices_at: now,
+            drained_change: None,
         };
         if settings.enforces_caps {
             let ledger = QuotaLedger::new(shard.service.clone());
@@ -608,10 +611,19 @@
     }
 
     /// Returns whether all changes are durable.
+    #[cfg(test)]
     pub(crate) fn is_durable(&self) -> bool {
         self.pending.is_none() && self.state.is_committed()
     }
 
+    /// Returns whether all changes are durable that were made before this was first asked. Workers
+    /// go on to report ends, which they report again to the successor.
+    pub(crate) fn is_drained(&mut self) -> bool {
+        let latest = self.state.latest_change();
+        let drained_change = *self.drained_change.get_or_insert(latest);
+        self.state.durable_change() >= drained_change
+    }
+
     /// Returns whether the summaries of all durable phases are stored.
     pub(crate) fn has_stored_summaries(&self) -> bool {
         self.summaries.is_empty()
