Shorten time limits while answers are lost, and let excess jobs of teams wait

Two parts that were built in one tree:

Lost answers. Cause: an order without an answer was repeated after 0.7 s and a renewal given up after 1.9 s. While one answer in twenty is lost, a short job of fifteen tasks with a slack of 0.25 to 0.6 s is late more often than not. The limits now follow the measured response times while between 1 % and 25 % of the answers are lost, and renewals ask for a report each 0.25 s; otherwise they are as before.

Jobs that a team sends beyond its weight a second rank behind all jobs of other teams that are of use, across priorities, and leave the headroom free. A successor finds out which they are from the jobs that it reads. Lasting tasks that have lost their run precede the queue as before.

--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -159,7 +159,8 @@
         }
         let can_send = is_active && record.contact == WorkerContact::Claimed;
         // Building the order extends the lease.
-        let order = can_send.then(|| self.start_order(start, now)).flatten();
+        let order = can_send.then(|| self.start_order(start, unanswered_sends, now));
+        let order = order.flatten();
         match order {
             Some(order) => self.actions.push(PipelineAction::Start(order)),
             _ if unanswered_sends == 0 => self.drop_run(&start.worker, run, now),
@@ -167,7 +168,12 @@
         }
     }
 
-    fn start_order(&mut self, start: &PendingStart, now: Duration) -> Option<StartOrder> {
+    fn start_order(
+        &mut self,
+        start: &PendingStart,
+        unanswered_sends: u32,
+        now: Duration,
+    ) -> Option<StartOrder> {
         let pipeline = self.pipelines.get_mut(&start.run.task.step.pipeline)?;
         let task = pipeline.progress.task_mut(start.run.task)?;
         let record = self.workers.get_mut(&start.worker)?;
@@ -191,6 +197,7 @@
             token: record.token(self.epoch),
             checkpoint: task.checkpoint.clone(),
             ticket: start.ticket.clone(),
+            time_limit: self.responses.order_timeout(unanswered_sends),
         })
     }
 
--- a/crates/core/src/pipelines/headroom.rs
+++ b/crates/core/src/pipelines/headroom.rs
@@ -27,7 +27,8 @@
 /// multiple of its estimated run time. Jobs often take twice their estimate.
 const SLACK_FACTOR: u64 = 2;
 
-/// Returns whether an occurrence of a job can wait and still meet its objective.
+/// Returns whether an occurrence of a job can wait and still meet its objective, or must wait as it is
+/// beyond the rate of its team.
 ///
 /// `top_priority` is the priority of the most urgent queue of the service. Jobs of
 /// that queue and long-running jobs have no slack.
@@ -41,7 +42,8 @@
     let needed_ms = timing.critical_path_ms.saturating_mul(SLACK_FACTOR);
     let objective_ms = timing.objective_unix_ms(spec, occurrence);
     let left_ms = objective_ms.saturating_sub(wall_ms);
-    spec.policy.priority > top_priority && !timing.is_long_running && left_ms > needed_ms
+    let has_time = spec.policy.priority > top_priority && left_ms > needed_ms;
+    !timing.is_long_running && (has_time || timing.is_excess)
 }
 
 impl PipelineState {
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -220,6 +220,8 @@
     pub checkpoint: String,
     /// Ticket for the step, if its queue requires one.
     pub ticket: Option<String>,
+    /// Time after which the order counts as unanswered.
+    pub time_limit: Duration,
 }
 
 /// An order to stop a run.
@@ -260,6 +262,8 @@
     pub deadline_ms: Option<u64>,
     /// How long the worker may wait for a run to end before it answers.
     pub wait: Duration,
+    /// Time after which the order counts as unanswered, with `wait`.
+    pub time_limit: Duration,
 }
 
 /// A request to the advice service: which workers may run a step.
@@ -431,6 +435,13 @@
         /// The worker.
         worker: WorkerId,
     },
+    /// A job is beyond the rate of its team, and waits behind those that are not.
+    JobBeyondRate {
+        /// The team.
+        team: TeamId,
+        /// Queue of the job.
+        queue: String,
+    },
     /// Tasks of a team wait for its cap.
     TeamCapped {
         /// The team.
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -42,6 +42,7 @@
 mod quota;
 mod reports;
 mod requests;
+mod responses;
 mod restoration;
 mod schedule;
 mod spec;
--- a/crates/core/src/pipelines/queue.rs
+++ b/crates/core/src/pipelines/queue.rs
@@ -8,9 +8,10 @@
     state::PipelineState,
 };
 
-/// Position in the queue; lower is first: whether the job has expired, its priority, whether
-/// it can no longer meet its objective, and the objective in ms since 1970.
-pub(super) type QueueRank = (bool, u32, bool, u64);
+/// Position in the queue; lower is first: whether the job has expired, whether it is beyond the rate
+/// of its team, its priority, whether it can no longer meet its objective, and the objective in ms
+/// since 1970.
+pub(super) type QueueRank = (bool, bool, u32, bool, u64);
 
 /// A job expires after this multiple of the time allowed by its latency objective: its
 /// result is of no use any more, and it is placed after all others.
@@ -28,11 +29,14 @@
     objective_ms: u64,
     /// Whether a step runs until the job is cancelled.
     pub(super) is_long_running: bool,
+    /// Whether the team had submitted as many jobs in the second before as its weight allows.
+    pub(super) is_excess: bool,
 }
 
 impl JobTiming {
-    pub(super) fn new(spec: &PipelineSpec) -> Self {
+    pub(super) fn new(spec: &PipelineSpec, is_excess: bool) -> Self {
         Self {
+            is_excess,
             remaining_path_ms: spec.remaining_paths_ms(),
             critical_path_ms: spec.critical_path_ms(),
             objective_ms: spec.objective_ms(),
@@ -51,7 +55,8 @@
     /// Load pattern: after an outage or a burst, more jobs wait than can meet their
     /// objectives. Jobs that can still meet theirs come first: in the order of arrival,
     /// all of them would be late, and in the order of their objectives, each would be placed
-    /// just too late.
+    /// just too late. Jobs beyond the rate of their team come after all others that are of use, so
+    /// that a team that sends too much delays nobody else.
     fn queue_rank(
         &self,
         spec: &PipelineSpec,
@@ -67,7 +72,8 @@
         let end_ms = wall_ms.saturating_add(remaining_ms.unwrap_or(0));
         let is_late = !self.is_long_running && end_ms > objective;
         let is_expired = !self.is_long_running && wall_ms > expires_at;
-        (is_expired, spec.policy.priority, is_late, objective)
+        let priority = spec.policy.priority;
+        (is_expired, self.is_excess, priority, is_late, objective)
     }
 }
 
--- a/crates/core/src/pipelines/quota.rs
+++ b/crates/core/src/pipelines/quota.rs
@@ -1,24 +1,77 @@
-//! Tasks that wait for the cap of their team.
+//! Jobs beyond the rate of their team, and tasks that wait for its cap.
 //!
 //! Load pattern: one team sends many times its usual load, or its cap is lowered below what it
 //! has running. Its tasks beyond the cap wait and take part in no search for workers, so that they
 //! delay no other team.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use super::{
-    messages::PipelineNote,
-    spec::{PipelineSpec, RunKey, StepKey, StepSpec},
+    messages::{PipelineAction, PipelineNote},
+    spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
     state::PipelineState,
     wait::StepWait,
     worker::WorkerRun,
 };
 use crate::{
     quotas::{QuotaChange, QuotaLedger},
+    teams::TeamTable,
     types::WorkerId,
 };
 
 impl PipelineState {
+    /// Sets the terms of the teams.
+    pub(super) fn change_teams(&mut self, teams: Arc<TeamTable>) {
+        let are_first = self.teams.is_empty();
+        self.teams = teams;
+        self.quotas.set_caps(&self.teams);
+        if are_first {
+            self.assess_known_jobs();
+        }
+        self.is_placement_due = true;
+    }
+
+    /// Finds out which jobs are beyond the rates of their teams. A takeover reads the jobs before the
+    /// terms are known.
+    fn assess_known_jobs(&mut self) {
+        let known = self.pipelines.iter();
+        let mut known: Vec<(u64, PipelineId)> = known
+            .map(|(id, record)| (record.spec.accepted_unix_ms, *id))
+            .collect();
+        known.sort_unstable();
+        for (_, id) in known {
+            let spec = self
+                .pipelines
+                .get(&id)
+                .map(|record| Arc::clone(&record.spec));
+            let is_excess = spec.is_some_and(|spec| self.is_beyond_rate(&spec));
+            match self.pipelines.get_mut(&id) {
+                Some(record) if is_excess => {
+                    record.timing.is_excess = true;
+                    self.refresh_ready_steps(id);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns whether a new job is beyond the rate of its team.
+    pub(super) fn is_beyond_rate(&mut self, spec: &PipelineSpec) -> bool {
+        let team = spec.team.as_ref();
+        let terms = team.and_then(|team| Some((team, self.teams.get(team)?)));
+        let is_excess = terms.is_some_and(|(team, terms)| {
+            self.rates.record(team, spec.accepted_unix_ms, terms.weight)
+        });
+        if is_excess {
+            let team = team.cloned();
+            let queue = spec.policy.queue.clone();
+            self.actions.extend(
+                team.map(|team| PipelineAction::Log(PipelineNote::JobBeyondRate { team, queue })),
+            );
+        }
+        is_excess
+    }
+
     /// Enforces the caps of teams by a ledger, which counts the runs that are added from now on.
     pub fn enforce_quotas(&mut self, ledger: QuotaLedger) {
         self.quotas = ledger;
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -73,6 +73,9 @@
             Some(instance) => {
                 instance.set_reading(reading);
                 record.settle_ack(&report.ended);
+                if record.contact == WorkerContact::Claimed {
+                    self.responses.record_outcome(true);
+                }
             }
             None => {
                 let instance = self.create_instance(report.started_unix_ms, reading);
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -622,7 +622,7 @@
                 let wait = if has_pending || acked_end > 0 {
                     Duration::ZERO
                 } else {
-                    self.config.renewal_wait
+                    self.responses.renewal_wait(self.config.renewal_wait)
                 };
                 let extended = may_extend.then(|| record.extend_lease(self.config.lease, now));
                 let deadline_ms = extended.flatten();
@@ -641,6 +641,7 @@
             acked_end,
             deadline_ms,
             wait,
+            time_limit: wait + self.responses.renewal_margin(),
         }));
     }
 }
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -16,6 +16,7 @@
     },
     progress::{PipelinePhase, PipelineProgress},
     queue::{JobTiming, QueueRank},
+    responses::ResponseTimes,
     schedule::PipelineConfig,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
     wait::WaitRecord,
@@ -24,7 +25,7 @@
 use crate::{
     instances::{ClockReading, InstanceNumber, WorkerInstance},
     quotas::{QuotaLedger, TeamUsage},
-    teams::{TeamTable, TeamTerms},
+    teams::{SubmissionRates, TeamTable, TeamTerms},
     types::{Epoch, WorkerId},
 };
 
@@ -99,8 +100,12 @@
     pub(super) wall_ms: u64,
     /// Terms of the teams; empty if jobs belong to none.
     pub(super) teams: Arc<TeamTable>,
+    /// Jobs that the teams have submitted lately.
+    pub(super) rates: SubmissionRates,
     /// What the teams may have running in this service.
     pub(super) quotas: QuotaLedger,
+    /// How long the answers of workers take, and how many are lost.
+    pub(super) responses: ResponseTimes,
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
     /// Workers that are listed or may have runs.
     pub(super) workers: BTreeMap<WorkerId, WorkerRecord>,
@@ -168,7 +173,9 @@
             extensions_until: now,
             wall_ms: 0,
             teams: Arc::default(),
+            rates: SubmissionRates::default(),
             quotas: QuotaLedger::default(),
+            responses: ResponseTimes::default(),
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
             removed_workers: BTreeMap::new(),
@@ -212,6 +219,7 @@
             }
             PipelineEvent::StartAnswered(worker, run, answer) => {
                 self.compare_clock(&worker, run, answer, now);
+                self.record_start_response(&worker, answer.result, answer.sent_at, now);
                 self.handle_start_result(&worker, run, answer.result, now);
             }
             PipelineEvent::StopAnswered(worker, run, is_done) => {
@@ -244,11 +252,7 @@
                 self.release_starts(starts, now);
             }
             PipelineEvent::ExtensionsPermitted(until) => self.extensions_until = until,
-            PipelineEvent::TeamsChanged(teams) => {
-                self.teams = teams;
-                self.quotas.set_caps(&self.teams);
-                self.is_placement_due = true;
-            }
+            PipelineEvent::TeamsChanged(teams) => self.change_teams(teams),
             PipelineEvent::QuotasRead(number, records) => {
                 self.quotas.finish_read(number, records);
                 self.is_placement_due = true;
@@ -336,7 +340,11 @@
         });
         let teams = self.teams.iter().map(|(team, terms)| {
             let TeamTerms { weight, cap } = terms;
-            format!("team {team} weight {weight} cap {cap:?}")
+            let excess = self.pipelines.values().filter(|pipeline| {
+                pipeline.timing.is_excess && pipeline.spec.team.as_ref() == Some(team)
+            });
+            let excess = excess.count();
+            format!("team {team} weight {weight} cap {cap:?} jobs beyond its rate {excess}")
         });
         let usage = self.quotas.usage().map(|(team, usage)| {
             let TeamUsage {
@@ -369,9 +377,10 @@
         self.top_priority = self.top_priority.min(spec.policy.priority);
         let mut progress = progress.unwrap_or_default();
         progress.remove_excess_occurrences(&spec);
+        let is_excess = self.is_beyond_rate(&spec);
         let record = PipelineRecord {
             command: spec.command.as_str().into(),
-            timing: JobTiming::new(&spec),
+            timing: JobTiming::new(&spec, is_excess),
             spec,
             progress,
             ready: BTreeMap::new(),
@@ -516,7 +525,11 @@
             RenewalFailure::Unanswered
             | RenewalFailure::Unhealthy
             | RenewalFailure::OtherInstance => {
+                let mut retry_delay = RENEWAL_RETRY_DELAY;
                 if record.contact == WorkerContact::Claimed {
+                    let is_lost = failure == RenewalFailure::Unanswered;
+                    self.responses.record_outcome(!is_lost);
+                    retry_delay = self.responses.retry_delay(RENEWAL_RETRY_DELAY);
                     record.contact = WorkerContact::Doubted;
                     self.actions
                         .push(PipelineAction::Log(PipelineNote::WorkerSuspected {
@@ -530,7 +543,7 @@
                     record.reset_claim_of_ack(now);
                 }
                 record.is_ack_pending = false;
-                record.renewal_due = now + RENEWAL_RETRY_DELAY;
+                record.renewal_due = now + retry_delay;
             }
         }
     }
--- a/crates/core/src/teams/mod.rs
+++ b/crates/core/src/teams/mod.rs
@@ -6,8 +6,10 @@
 across all services.
 */
 
+mod rates;
 mod state;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use rates::SubmissionRates;
 pub use state::{ResourceCap, TeamTable, TeamTerms};
--- a/crates/core/src/teams/tests.rs
+++ b/crates/core/src/teams/tests.rs
@@ -1,5 +1,5 @@
-use super::ResourceCap;
-use crate::types::ResourceVector;
+use super::{ResourceCap, SubmissionRates};
+use crate::types::{ResourceVector, TeamId};
 
 /// Returns a cap on accelerators only.
 fn accelerator_cap(accelerators: u64) -> ResourceCap {
@@ -32,3 +32,27 @@
     assert!(unlimited.admits(&largest));
     assert!(!accelerator_cap(0).is_unlimited());
 }
+
+/// Failure: a team that keeps to its rate counts as one that does not, or a second begins anew at a
+/// fixed time, so that twice the rate passes around it.
+#[test]
+fn any_second_has_as_many_jobs_as_the_weight_allows() {
+    let (mut rates, team) = (SubmissionRates::default(), TeamId::from("red"));
+
+    let times = [0, 900, 950, 1_000, 1_850, 1_950];
+    let excess = times.map(|offset| rates.record(&team, 50_000 + offset, 2));
+
+    assert_eq!(excess, [false, false, true, false, true, false]);
+}
+
+/// Failure: a successor that learns of jobs out of order counts those of other seconds.
+#[test]
+fn jobs_that_are_learnt_out_of_order_count_in_their_own_seconds() {
+    let (mut rates, team) = (SubmissionRates::default(), TeamId::from("red"));
+
+    let later = rates.record(&team, 55_000, 1);
+    let earlier = rates.record(&team, 50_000, 1);
+    let same = rates.record(&team, 50_400, 1);
+
+    assert_eq!((later, earlier, same), (false, false, true));
+}
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -202,6 +202,10 @@
             worker = worker.as_ref(), result = result.name(), clock_ms, expected_ms;
             "the clock in the answer to a start order is not that of the known worker instance"
         ),
+        PipelineNote::JobBeyondRate { team, queue } => log::info!(
+            service, epoch, team = team.as_ref(), queue = queue.as_str();
+            "a job is beyond the rate of its team; it waits behind the others while there is too little room"
+        ),
         PipelineNote::WorkerOnProbation { worker } => log::warn!(
             service, epoch, worker = worker.as_ref();
             "runs of several jobs failed on a worker; it gets one run at a time until one succeeds"
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -691,6 +691,7 @@
         token: 1,
         checkpoint: String::new(),
         ticket: None,
+        time_limit: Duration::from_millis(700),
     }
 }
 
@@ -772,6 +773,7 @@
         acked_end: 0,
         deadline_ms: None,
         wait: Duration::from_mins(1),
+        time_limit: Duration::from_secs(2),
     };
 
     orders.send(PipelineAction::Start(order));
