Preempt runs with checkpoints for urgent jobs, and keep the queue moving

Cause: in a burst of short urgent jobs, these waited for wide runs of several seconds, although most of those resume where they are stopped and their jobs have many seconds left. Where the settings list the `pressure` contract, such runs are stopped when urgent steps that can still be in time have no room: those of jobs that are of no use any more first, then those with the most time left, each task at most twice, and at most a fifth of the capacity at a time.

A step with a last attempt now uses proven workers as a whole, also in its requests for tickets. Before, it would wait for tickets of workers that it does not use, and steps behind it were skipped.

Tests: pipelines::tests::preemption, steps_with_last_attempts_do_not_hold_up_the_queue.

--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -5,7 +5,7 @@
 use super::{
     messages::{PipelineAction, StartOrder},
     progress::{PipelinePhase, PipelineProgress},
-    spec::{PipelineId, PipelineSpec, RunKey},
+    spec::{PipelineId, PipelineSpec, RunKey, StepKey},
     state::PipelineState,
     worker::{RunPhase, WorkerContact, WorkerRecord},
 };
@@ -206,6 +206,11 @@
         let Some(record) = self.pipelines.remove(&id) else {
             return;
         };
+        self.preemptions.remove_pipeline(StepKey {
+            pipeline: id,
+            occurrence: 0,
+            step: 0,
+        });
         for (key, rank) in record.ready {
             self.ready.remove(&(rank, key));
             self.waits.remove(&key);
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -435,6 +435,17 @@
         /// The worker.
         worker: WorkerId,
     },
+    /// Runs that resume from a checkpoint are stopped, as urgent work has too little room.
+    RunsPreempted {
+        /// Number of runs.
+        runs: u64,
+        /// Their CPU in thousandths of a core.
+        cpu_milli: u64,
+        /// CPU that waiting urgent steps lack.
+        unplaced_cpu_milli: u64,
+        /// CPU that was free.
+        free_cpu_milli: u64,
+    },
     /// A job is beyond the rate of its team, and waits behind those that are not.
     JobBeyondRate {
         /// The team.
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -37,6 +37,7 @@
 mod messages;
 mod pace;
 mod place;
+mod preemption;
 mod progress;
 mod queue;
 mod quota;
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -280,6 +280,16 @@
             .unwrap_or(0)
     }
 
+    /// Returns the CPU of all workers, in thousandths of a core.
+    pub(super) const fn total_cpu_milli(&self) -> u64 {
+        self.total_cpu_milli
+    }
+
+    /// Returns the free CPU of all workers, as far as the scarcest resource of each is free.
+    pub(super) const fn usable_cpu_milli(&self) -> u64 {
+        self.usable_cpu_milli
+    }
+
     /// Returns how many further long-running tasks of a step may be placed if such tasks leave
     /// this part of the CPU to others.
     pub(super) fn room_for_lasting(&self, step: &StepSpec, percent: u64) -> usize {
--- a/crates/core/src/pipelines/queue.rs
+++ b/crates/core/src/pipelines/queue.rs
@@ -50,6 +50,13 @@
             .saturating_add(self.objective_ms)
     }
 
+    /// Returns whether the result of an occurrence is of no use any more.
+    pub(super) fn is_expired(&self, spec: &PipelineSpec, occurrence: u32, wall_ms: u64) -> bool {
+        let expiry_ms = self.objective_ms.saturating_mul(EXPIRY_FACTOR);
+        let expires_at = spec.start_unix_ms(occurrence).saturating_add(expiry_ms);
+        !self.is_long_running && wall_ms > expires_at
+    }
+
     /// Returns the position of a step of an occurrence in the queue.
     ///
     /// Load pattern: after an outage or a burst, more jobs wait than can meet their
@@ -64,14 +71,11 @@
         step: u32,
         wall_ms: u64,
     ) -> QueueRank {
-        let start = spec.start_unix_ms(occurrence);
-        let objective = start.saturating_add(self.objective_ms);
-        let expiry_ms = self.objective_ms.saturating_mul(EXPIRY_FACTOR);
-        let expires_at = start.saturating_add(expiry_ms);
+        let objective = self.objective_unix_ms(spec, occurrence);
         let remaining_ms = self.remaining_path_ms.get(step as usize).copied();
         let end_ms = wall_ms.saturating_add(remaining_ms.unwrap_or(0));
         let is_late = !self.is_long_running && end_ms > objective;
-        let is_expired = !self.is_long_running && wall_ms > expires_at;
+        let is_expired = self.is_expired(spec, occurrence, wall_ms);
         let priority = spec.policy.priority;
         (is_expired, self.is_excess, priority, is_late, objective)
     }
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -52,6 +52,8 @@
     pub listing_interval: Duration,
     /// How long a worker may delay its answer to a renewal until a run ends.
     pub renewal_wait: Duration,
+    /// Whether runs that resume from a checkpoint are stopped for urgent work.
+    pub preempts: bool,
 }
 
 /// Steps of one queue that a placement pass has left with waiting tasks.
@@ -194,10 +196,13 @@
             };
             let ready: Vec<(QueueRank, StepKey)> = self.ready.iter().copied().collect();
             self.restore_lost_tasks(&ready, &mut pass, now);
-            for (rank, key) in ready {
-                self.place_step(rank, key, &mut pass, now);
+            for (rank, key) in &ready {
+                self.place_step(*rank, *key, &mut pass, now);
                 pass.step_count += 1;
             }
+            if self.config.preempts {
+                self.preempt_for_urgent(&ready, &pass.table, now);
+            }
             self.examined_candidates += pass.table.examined();
         }
         std::mem::take(&mut self.actions)
@@ -280,6 +285,7 @@
         }
         let search = StepSearch {
             withholds_headroom: can_wait && !self.needs_headroom(key, step_spec, &pass.table),
+            needs_proven: self.must_use_proven(key, &spec, step_spec, &pass.table),
             ..StepSearch::new(key, &spec, step_spec, now)
         };
         let placed_count = self.place_by_suspicion(&search, &waiting, pass);
@@ -335,14 +341,7 @@
         let (suspects, unsuspected): (Vec<u32>, Vec<u32>) = waiting
             .iter()
             .partition(|index| !search.step_spec.gang && is_suspect(**index));
-        let (last_attempts, others) = self.split_last_attempts(search, &unsuspected, pass);
-        let mut placed_count = self.place_waiting(search, &others, pass);
-        // The job fails with its last attempt, so it takes no risk.
-        let proven = StepSearch {
-            needs_proven: true,
-            ..*search
-        };
-        placed_count += self.place_waiting(&proven, &last_attempts, pass);
+        let mut placed_count = self.place_waiting(search, &unsuspected, pass);
         // One at a time, so that each crash tells which of them is the cause. The idlest workers
         // are those of the headroom.
         let cautious = StepSearch {
@@ -356,34 +355,34 @@
         placed_count
     }
 
-    /// Splits tasks into those with one attempt left after a failure, if any worker of the step is
-    /// proven, and the others. A gang is not split.
-    fn split_last_attempts(
+    /// Returns whether a step uses only proven workers: a waiting task of it has failed and has one
+    /// attempt left, with which the job fails, and such a worker exists.
+    ///
+    /// This holds for the whole step, also for its requests for tickets. If they named other workers,
+    /// the step would wait for tickets that it does not use, and the steps behind it with it.
+    fn must_use_proven(
         &self,
-        search: &StepSearch<'_>,
-        tasks: &[u32],
-        pass: &PlacementPass,
-    ) -> (Vec<u32>, Vec<u32>) {
-        let step_spec = search.step_spec;
-        let pipeline = self.pipelines.get(&search.key.pipeline);
-        let progress = pipeline.and_then(|pipeline| pipeline.progress.step(search.key));
-        let max_attempts = search.spec.policy.max_attempts;
-        let is_last = |index: &u32| {
-            let failures = progress.map_or(0, |progress| progress.failures(*index, step_spec.gang));
-            failures > 0 && failures + 1 >= max_attempts && !step_spec.long_running
-        };
-        let (last, others): (Vec<u32>, Vec<u32>) = tasks.iter().partition(|index| is_last(index));
+        key: StepKey,
+        spec: &PipelineSpec,
+        step_spec: &StepSpec,
+        table: &PlacementTable,
+    ) -> bool {
+        let pipeline = self.pipelines.get(&key.pipeline);
+        let progress = pipeline.and_then(|pipeline| pipeline.progress.step(key));
+        let max_attempts = spec.policy.max_attempts;
+        let has_last_attempt = progress.is_some_and(|progress| {
+            let mut waiting = progress.waiting_tasks();
+            waiting.any(|index| {
+                let failures = progress.failures(index, step_spec.gang);
+                failures > 0 && failures + 1 >= max_attempts
+            })
+        });
         let has_proven = || {
-            let mut eligible = pass.table.eligible(step_spec, |worker| {
-                self.task_allowance(worker, search.key, step_spec)
-            });
-            eligible.any(|candidate| pass.table.row(&candidate).is_proven())
+            let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
+            let mut eligible = table.eligible(step_spec, task_allowance);
+            eligible.any(|candidate| table.row(&candidate).is_proven())
         };
-        if last.is_empty() || has_proven() {
-            (last, others)
-        } else {
-            (Vec::new(), tasks.to_vec())
-        }
+        has_last_attempt && !step_spec.long_running && has_proven()
     }
 
     /// Places as many of the given waiting tasks of a step as fit, and returns their number.
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -14,6 +14,7 @@
         LossCause, PipelineAction, PipelineEvent, PipelineNote, RenewalFailure, StartResult,
         WorkerListing,
     },
+    preemption::PreemptionHistory,
     progress::{PipelinePhase, PipelineProgress},
     queue::{JobTiming, QueueRank},
     responses::ResponseTimes,
@@ -80,6 +81,8 @@
     /// Number of workers that placement passes have examined for a step, in all passes of
     /// this owner.
     pub examined_candidates: u64,
+    /// Number of runs that this owner has stopped for urgent work.
+    pub preempted_runs: u64,
 }
 
 /// State machine of the owner of a service: its pipelines, its workers and their runs.
@@ -104,6 +107,8 @@
     pub(super) rates: SubmissionRates,
     /// What the teams may have running in this service.
     pub(super) quotas: QuotaLedger,
+    /// Runs that were stopped for urgent work.
+    pub(super) preemptions: PreemptionHistory,
     /// How long the answers of workers take, and how many are lost.
     pub(super) responses: ResponseTimes,
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
@@ -175,6 +180,7 @@
             teams: Arc::default(),
             rates: SubmissionRates::default(),
             quotas: QuotaLedger::default(),
+            preemptions: PreemptionHistory::default(),
             responses: ResponseTimes::default(),
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
@@ -298,6 +304,7 @@
             claimed_workers: claimed.count() as u64,
             dirty: self.dirty.len() as u64,
             examined_candidates: self.examined_candidates,
+            preempted_runs: self.preemptions.total,
         }
     }
 
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -11,6 +11,7 @@
 mod liveness;
 mod load;
 mod placement;
+mod preemption;
 mod quotas;
 mod recovery;
 mod recurring;
--- a/crates/core/src/pipelines/tests/health.rs
+++ b/crates/core/src/pipelines/tests/health.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use super::fixtures::{OwnerFixture, ended, job, listing, observed, owner, step};
+use super::fixtures::{
+    OwnerFixture, advice, ended, first_step, job, listing, observed, owner, step,
+};
 use crate::{
-    ObservedRun, PipelineEvent, PipelineId, RunEnd, RunKey, StartOrder, StepSpec, WorkerListing,
+    AdviceReport, ObservedRun, PipelineEvent, PipelineId, PipelineSpec, ResourceVector, RunEnd,
+    RunKey, StartOrder, StepSpec, WorkerListing,
 };
 
 /// Reports the runs each half second with the progress that `percent` returns.
@@ -310,3 +313,57 @@
 
     assert_eq!(starts.len(), 1);
 }
+
+/// Returns a job of one small task whose queue requires quick advice.
+fn advised_job() -> PipelineSpec {
+    let small = StepSpec {
+        demand: ResourceVector::new(100, 10, 0),
+        ..step(1)
+    };
+    let mut spec = job(vec![small]);
+    spec.policy.advice = Some(advice(5.0));
+    spec
+}
+
+/// Guards against a queue in which nothing is placed any more: tasks with one attempt left wait for
+/// tickets of workers that they do not use, and the steps behind them are skipped.
+#[test]
+fn steps_with_last_attempts_do_not_hold_up_the_queue() {
+    let mut owner = owner(&["w1"]);
+    owner.handle_event(PipelineEvent::AdvisorsCounted(50, 50));
+    for id in 1..=30 {
+        owner.submit(id, advised_job());
+        owner.grant_tickets(first_step(id), &["w1"]);
+    }
+    let starts = owner.start_all();
+    let ends = starts.iter().zip(1..);
+    let ends = ends.map(|(start, number)| ended(number, start.run, RunEnd::Failed));
+    owner.report("w1", Vec::new(), ends.collect());
+    owner.commit();
+    owner.report("w1", Vec::new(), Vec::new());
+    owner.handle_event(PipelineEvent::Listed(listing("w2")));
+    owner.report("w2", Vec::new(), Vec::new());
+    owner.advance_clock(Duration::from_millis(1_100));
+    owner.run_placement_pass();
+    for id in 1..=30 {
+        // The advice service allows only the worker where the tasks have failed.
+        let report = AdviceReport {
+            tickets: [("w1".into(), "t".to_owned())].into(),
+            valid: Duration::from_mins(1),
+        };
+        let answered_at = owner.now;
+        let event = PipelineEvent::AdviceAnswered(first_step(id), Some(report), answered_at);
+        owner.handle_event(event);
+    }
+    owner.run_placement_pass();
+
+    owner.submit(31, advised_job());
+    owner.grant_tickets(first_step(31), &["w2"]);
+    let next = owner.start_all();
+
+    assert_eq!(starts.len(), 30);
+    assert!(
+        next.iter()
+            .any(|start| start.run.task.step == first_step(31))
+    );
+}
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -139,6 +139,7 @@
                         ("answering_workers", load.claimed_workers),
                         ("uncommitted_jobs", load.dirty),
                         ("examined_candidates", load.examined_candidates),
+                        ("preempted_runs", load.preempted_runs),
                     ] {
                         let service = KeyValue::new("service", service.to_string());
                         observer.observe(value, &[service, KeyValue::new("kind", kind)]);
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -202,6 +202,15 @@
             worker = worker.as_ref(), result = result.name(), clock_ms, expected_ms;
             "the clock in the answer to a start order is not that of the known worker instance"
         ),
+        PipelineNote::RunsPreempted {
+            runs,
+            cpu_milli,
+            unplaced_cpu_milli,
+            free_cpu_milli,
+        } => log::info!(
+            service, epoch, runs, cpu_milli, unplaced_cpu_milli, free_cpu_milli;
+            "stopping runs with checkpoints for urgent work"
+        ),
         PipelineNote::JobBeyondRate { team, queue } => log::info!(
             service, epoch, team = team.as_ref(), queue = queue.as_str();
             "a job is beyond the rate of its team; it waits behind the others while there is too little room"
