Hand a service over to a host with at least twice the processors

Cause: in an outage of the store all daemons lose their leases.

An owner that finds a daemon with twice its processors, registered for 2 s, commits what is open and releases the owner's key on the condition of its revision. It does so at most each 30 s, so a service that comes back stays.

Tests: handovers.rs, with daemon processes.

--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -123,6 +123,8 @@
     acquiring: BTreeSet<ServiceId>,
     /// The services that this daemon owns.
     pub(super) shards: BTreeMap<ServiceId, ShardHandle>,
+    /// When this daemon last began to hand each service over.
+    pub(super) handed_over_at: BTreeMap<ServiceId, Duration>,
     advisors: AdvisorTable,
     pub(super) manifest_version: Option<u64>,
     /// Revision at which the manifest was read last.
@@ -176,6 +178,7 @@
             takeover_times: BTreeMap::new(),
             acquiring: BTreeSet::new(),
             shards: BTreeMap::new(),
+            handed_over_at: BTreeMap::new(),
             advisors: AdvisorTable::default(),
             manifest_version: None,
             manifest_revision: 0,
@@ -264,6 +267,9 @@
             CellEvent::Quotas(service, epoch, update) => {
                 self.apply_quota_update(&service, epoch, update);
             }
+            CellEvent::Released(service, epoch, outcome) => {
+                self.finish_release(&service, epoch, &outcome);
+            }
             CellEvent::Acquired(service, lease, outcome) => {
                 self.finish_takeover(&service, lease, outcome);
             }
@@ -424,11 +430,10 @@
         let pending = self.shards.iter().filter(|(_, handle)| due(handle));
         let pending: Vec<ServiceId> = pending.map(|(service, _)| service.clone()).collect();
         for service in pending {
-            if !self.is_draining {
-                let handle = self.shards.get_mut(&service);
-                let actions = handle.map(|handle| handle.shard.state.schedule(now));
-                self.perform(&service, actions.unwrap_or_default());
-            }
+            let handle = self.shards.get_mut(&service);
+            let handle = handle.filter(|handle| handle.handover.is_none() && !self.is_draining);
+            let actions = handle.map(|handle| handle.shard.state.schedule(now));
+            self.perform(&service, actions.unwrap_or_default());
             if let Some(handle) = self.shards.get_mut(&service) {
                 handle.has_new_events = false;
                 self.effects.start_commit(handle);
@@ -505,6 +510,9 @@
                 "readiness changed"
             );
         }
+        if !self.is_draining {
+            self.hand_over_services(now);
+        }
         self.claim_vacant_services(now);
         self.update_predecessors();
         self.announce_epochs(now);
--- a/crates/daemon/src/cell/effects.rs
+++ b/crates/daemon/src/cell/effects.rs
@@ -16,6 +16,7 @@
 };
 
 use super::{
+    handover::PendingHandover,
     messages::{AdviceOutcome, CellEvent},
     metrics::CellMetrics,
     notes::log_note,
@@ -61,6 +62,10 @@
     pub(super) next_pass_at: Duration,
     /// Whether a commit has no outcome yet.
     pub(super) is_committing: bool,
+    /// When this daemon took the service over.
+    pub(super) owned_since: Duration,
+    /// The handover to another daemon, if one has begun.
+    pub(super) handover: Option<PendingHandover>,
     /// Whether a reading of the quota records has no outcome yet.
     pub(super) is_reading_quotas: bool,
     pub(super) commit_delay: RetryDelay,
@@ -244,6 +249,8 @@
             has_new_events: true,
             next_pass_at: Duration::ZERO,
             is_committing: false,
+            owned_since: self.clock.now(),
+            handover: None,
             is_reading_quotas: false,
             commit_delay: RetryDelay::default(),
             orders,
--- a/crates/daemon/src/cell/messages.rs
+++ b/crates/daemon/src/cell/messages.rs
@@ -71,6 +71,8 @@
     Acquired(ServiceId, u64, AcquireOutcome),
     /// The outcome of a commit of an owned service.
     Committed(ServiceId, u64, TransactionOutcome),
+    /// The outcome of the release of an owned service.
+    Released(ServiceId, u64, TransactionOutcome),
     /// The outcome of a write of job summaries.
     SummariesWritten(ServiceId, u64, WriteNumber, TransactionOutcome),
     /// The outcome of a removal of summaries that no owner removed with its commits.
--- a/crates/daemon/src/cell/mod.rs
+++ b/crates/daemon/src/cell/mod.rs
@@ -11,6 +11,7 @@
 mod command;
 mod control;
 mod effects;
+mod handover;
 mod manifest;
 mod membership;
 mod messages;
--- a/crates/daemon/src/pipelines/quotas.rs
+++ b/crates/daemon/src/pipelines/quotas.rs
@@ -37,7 +37,7 @@
         let change = self.state.next_quota_change(now)?;
         let owner_key = CellKey::Owner(self.service.clone()).path();
         let mut transaction = StoreTransaction {
-            expected: vec![(owner_key, self.owner_revision)],
+            expected: vec![(owner_key, self.owner_revision())],
             ..StoreTransaction::default()
         };
         if change.is_raise {
--- a/crates/daemon/src/pipelines/shard.rs
+++ b/crates/daemon/src/pipelines/shard.rs
@@ -112,7 +112,7 @@
     /// Revision of the sequence key, which the next commit expects.
     sequence_revision: u64,
     /// Revision of the owner's key, which the takeover wrote.
-    pub(super) owner_revision: u64,
+    owner_revision: u64,
     /// Revision at which the jobs were read in the takeover.
     jobs_revision: u64,
     log: ProgressLog,
@@ -624,6 +624,16 @@
         self.state.durable_change() >= drained_change
     }
 
+    /// Ends a drain, so that a later one waits for the changes before it.
+    pub(crate) const fn cancel_drain(&mut self) {
+        self.drained_change = None;
+    }
+
+    /// Returns the revision of the owner's key.
+    pub(crate) const fn owner_revision(&self) -> u64 {
+        self.owner_revision
+    }
+
     /// Returns whether the summaries of all durable phases are stored.
     pub(crate) fn has_stored_summaries(&self) -> bool {
         self.summaries.is_empty()
--- a/crates/daemon/tests/support/cell.rs
+++ b/crates/daemon/tests/support/cell.rs
@@ -84,6 +84,8 @@
     status_s: u32,
     /// Memory of a daemon's host in MB, and the descriptors of a daemon; `None` leaves them out.
     limits: Option<(u64, usize)>,
+    /// Cores of the hosts of the daemons that are launched next.
+    cpu_share: f64,
 }
 
 impl Default for CellSetup {
@@ -92,6 +94,7 @@
             worker: WorkerSetup::default(),
             status_s: 120,
             limits: None,
+            cpu_share: 1.0,
         }
     }
 }
@@ -108,8 +111,10 @@
         "platform": {"address": store, "min-ttl-ms": 1_000},
         "bounds": {"max-hold-ms": max_hold_ms, "grace-s": 6, "status_s": setup.status_s},
     });
+    settings["limits"] = json!({"cpu-share": setup.cpu_share});
     if let Some((memory_mb, max_fds)) = setup.limits {
-        settings["limits"] = json!({"memory-mb": memory_mb, "max-fds": max_fds});
+        settings["limits"]["memory-mb"] = memory_mb.into();
+        settings["limits"]["max-fds"] = max_fds.into();
     }
     settings
 }
@@ -184,7 +189,7 @@
     let setup = CellSetup {
         worker,
         status_s,
-        limits: None,
+        ..CellSetup::default()
     };
     launch_cell(daemons, 2, setup).await
 }
@@ -238,6 +243,12 @@
 }
 
 impl CellFixture {
+    /// Launches a daemon on a host with this number of cores.
+    pub(crate) fn launch_on_cores(&mut self, name: &str, cpu_share: f64) {
+        self.setup.cpu_share = cpu_share;
+        self.launch(name);
+    }
+
     pub(crate) fn launch(&mut self, name: &str) {
         self.launch_without_log_reader(name);
         self.collect_log_lines(self.daemons.len() - 1);
