Defer steps that cannot all be in time by their work and value

Cause: in the order of objectives, large jobs at the head of an overloaded queue can make many small ones late. Where the settings list the `pressure` contract, the owner compares the work of the waiting steps of a priority with the CPU that becomes free until their objectives, and defers those with the least value that are large enough, or the most work for their value.

--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -45,6 +45,7 @@
 mod requests;
 mod responses;
 mod restoration;
+mod scarcity;
 mod schedule;
 mod spec;
 mod state;
--- a/crates/core/src/pipelines/queue.rs
+++ b/crates/core/src/pipelines/queue.rs
@@ -50,6 +50,20 @@
             .saturating_add(self.objective_ms)
     }
 
+    /// Returns the time left until a step must be done so that the job can meet its objective, in ms.
+    pub(super) fn time_left_ms(&self, spec: &PipelineSpec, key: StepKey, wall_ms: u64) -> u64 {
+        let path = |step: u32| self.remaining_path_ms.get(step as usize).copied();
+        let estimate_ms = spec
+            .steps
+            .get(key.step as usize)
+            .map(|step| step.estimate_ms);
+        let later_ms = path(key.step)
+            .unwrap_or(0)
+            .saturating_sub(estimate_ms.unwrap_or(0));
+        let objective = self.objective_unix_ms(spec, key.occurrence);
+        objective.saturating_sub(wall_ms).saturating_sub(later_ms)
+    }
+
     /// Returns whether the result of an occurrence is of no use any more.
     pub(super) fn is_expired(&self, spec: &PipelineSpec, occurrence: u32, wall_ms: u64) -> bool {
         let expiry_ms = self.objective_ms.saturating_mul(EXPIRY_FACTOR);
@@ -163,6 +177,7 @@
                             step: index,
                         };
                         let rank = timing.queue_rank(&spec, *occurrence, index, self.wall_ms);
+                        let rank = self.scarcity.adjust_rank(key, rank);
                         record.ready.insert(key, rank);
                         self.ready.insert((rank, key));
                         self.is_placement_due = true;
@@ -183,10 +198,9 @@
         let ready = self.ready.iter().filter(|(rank, key)| {
             let record = self.pipelines.get(&key.pipeline);
             record.is_some_and(|record| {
-                record
-                    .timing
-                    .queue_rank(&record.spec, key.occurrence, key.step, wall_ms)
-                    != *rank
+                let timing = &record.timing;
+                let current = timing.queue_rank(&record.spec, key.occurrence, key.step, wall_ms);
+                self.scarcity.adjust_rank(*key, current) != *rank
             })
         });
         let stale: BTreeSet<PipelineId> = ready.map(|(_, key)| key.pipeline).collect();
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -52,8 +52,9 @@
     pub listing_interval: Duration,
     /// How long a worker may delay its answer to a renewal until a run ends.
     pub renewal_wait: Duration,
-    /// Whether runs that resume from a checkpoint are stopped for urgent work.
-    pub preempts: bool,
+    /// Whether callers compete for too little room: work that cannot all be in time is ordered by what
+    /// its delay costs, and runs that resume from a checkpoint are stopped for urgent work.
+    pub manages_scarcity: bool,
 }
 
 /// Steps of one queue that a placement pass has left with waiting tasks.
@@ -200,8 +201,9 @@
                 self.place_step(*rank, *key, &mut pass, now);
                 pass.step_count += 1;
             }
-            if self.config.preempts {
+            if self.config.manages_scarcity {
                 self.preempt_for_urgent(&ready, &pass.table, now);
+                self.update_deferred_steps(&ready, pass.table.usable_cpu_milli(), now);
             }
             self.examined_candidates += pass.table.examined();
         }
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -18,6 +18,7 @@
     progress::{PipelinePhase, PipelineProgress},
     queue::{JobTiming, QueueRank},
     responses::ResponseTimes,
+    scarcity::ScarcityState,
     schedule::PipelineConfig,
     spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
     wait::WaitRecord,
@@ -83,6 +84,8 @@
     pub examined_candidates: u64,
     /// Number of runs that this owner has stopped for urgent work.
     pub preempted_runs: u64,
+    /// Number of steps that are deferred, as not all waiting steps can be in time.
+    pub deferred_steps: u64,
 }
 
 /// State machine of the owner of a service: its pipelines, its workers and their runs.
@@ -107,6 +110,8 @@
     pub(super) rates: SubmissionRates,
     /// What the teams may have running in this service.
     pub(super) quotas: QuotaLedger,
+    /// Steps that are deferred as they cannot all be in time.
+    pub(super) scarcity: ScarcityState,
     /// Runs that were stopped for urgent work.
     pub(super) preemptions: PreemptionHistory,
     /// How long the answers of workers take, and how many are lost.
@@ -180,6 +185,7 @@
             teams: Arc::default(),
             rates: SubmissionRates::default(),
             quotas: QuotaLedger::default(),
+            scarcity: ScarcityState::default(),
             preemptions: PreemptionHistory::default(),
             responses: ResponseTimes::default(),
             pipelines: BTreeMap::new(),
@@ -305,6 +311,7 @@
             dirty: self.dirty.len() as u64,
             examined_candidates: self.examined_candidates,
             preempted_runs: self.preemptions.total,
+            deferred_steps: self.scarcity.deferred.len() as u64,
         }
     }
 
@@ -384,6 +391,9 @@
         self.top_priority = self.top_priority.min(spec.policy.priority);
         let mut progress = progress.unwrap_or_default();
         progress.remove_excess_occurrences(&spec);
+        if self.config.manages_scarcity {
+            self.scarcity.record_job(&spec);
+        }
         let is_excess = self.is_beyond_rate(&spec);
         let record = PipelineRecord {
             command: spec.command.as_str().into(),
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -19,6 +19,7 @@
 mod restarts;
 mod restoration;
 mod review_holders;
+mod scarcity;
 mod shares;
 mod sim_worker;
 mod simulation;
--- a/crates/core/src/pipelines/tests/fixtures.rs
+++ b/crates/core/src/pipelines/tests/fixtures.rs
@@ -65,7 +65,7 @@
         inherited_lease: Duration::from_secs(6),
         listing_interval: Duration::from_millis(1_500),
         renewal_wait: Duration::from_secs(1),
-        preempts: false,
+        manages_scarcity: false,
     }
 }
 
--- a/crates/core/src/pipelines/tests/preemption.rs
+++ b/crates/core/src/pipelines/tests/preemption.rs
@@ -14,9 +14,9 @@
 }
 
 /// Returns an owner of ten workers, which a job with checkpoints and much time left fills.
-fn full_owner(preempts: bool, wide: PipelineSpec) -> OwnerFixture {
+fn full_owner(manages_scarcity: bool, wide: PipelineSpec) -> OwnerFixture {
     let config = PipelineConfig {
-        preempts,
+        manages_scarcity,
         ..pipeline_config()
     };
     let names = worker_names();
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -140,6 +140,7 @@
                         ("uncommitted_jobs", load.dirty),
                         ("examined_candidates", load.examined_candidates),
                         ("preempted_runs", load.preempted_runs),
+                        ("deferred_steps", load.deferred_steps),
                     ] {
                         let service = KeyValue::new("service", service.to_string());
                         observer.observe(value, &[service, KeyValue::new("kind", kind)]);
--- a/crates/daemon/src/cell/process.rs
+++ b/crates/daemon/src/cell/process.rs
@@ -355,7 +355,7 @@
                 inherited_lease: LONGEST_GRANTED_LEASE.min(settings.max_worker_lease),
                 listing_interval: settings.worker_heartbeat,
                 renewal_wait: MAX_RENEWAL_WAIT,
-                preempts: settings.is_under_pressure,
+                manages_scarcity: settings.is_under_pressure,
             },
             summary_retention: settings.status_retention,
             max_value_bytes: settings.max_value_bytes,
--- a/crates/daemon/src/cell/tests.rs
+++ b/crates/daemon/src/cell/tests.rs
@@ -55,7 +55,7 @@
                 inherited_lease: Duration::from_secs(6),
                 listing_interval: Duration::from_millis(1_500),
                 renewal_wait: Duration::from_secs(1),
-                preempts: false,
+                manages_scarcity: false,
             },
             summary_retention: Duration::from_mins(2),
             max_value_bytes: 1 << 20,
--- a/crates/daemon/src/pipelines/tests.rs
+++ b/crates/daemon/src/pipelines/tests.rs
@@ -111,7 +111,7 @@
         inherited_lease: Duration::from_secs(6),
         listing_interval: Duration::from_millis(1_500),
         renewal_wait: Duration::from_secs(1),
-        preempts: false,
+        manages_scarcity: false,
     };
     ShardSettings {
         config,
