--- a/crates/core/src/pipelines/tests/scarcity.rs
+++ b/crates/core/src/pipelines/tests/scarcity.rs
@@ -167,6 +167,8 @@
     for id in 2..=3 {
         owner.handle_event(PipelineEvent::Stored(id, Arc::new(short_job(2)), None));
     }
+    // The choice of the deferred steps is made at most each 100 ms.
+    owner.advance_clock(std::time::Duration::from_millis(100));
     owner.run_placement_pass();
 
     for worker in ["w1", "w2"] {
