Let the soak use teams with keys and a cap

Jobs with even identifiers belong to a team with a cap of three tasks, the others to one without; callers send the keys. The check: no start brings the team above its cap by more than a tenth and one task, over all workers whose runs have an end.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -40,6 +40,10 @@
 /// Path prefix of the queue to which jobs are submitted. Every manifest version has it.
 pub(crate) const QUEUE_PREFIX: &str = "/jobs/";
 
+/// Keys of the team with a cap and of the one without.
+pub(crate) const CAPPED_KEY: &str = "key-of-the-capped-team";
+pub(crate) const UNCAPPED_KEY: &str = "key-of-the-other-team";
+
 /// Port and number of starts of a daemon.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct DaemonEndpoint {
@@ -126,6 +130,7 @@
             .uri(format!("http://{HOST}:{port}{path}"))
             .header("host", "jobs.test")
             .header("x-deadline-ms", REQUEST_TIMEOUT.as_millis().to_string())
+            .header("authorization", format!("Bearer {}", self.key(path)))
             .body(Full::from(body.map(Value::to_string).unwrap_or_default()))
             .ok()?;
         let sent_at = Instant::now();
@@ -156,6 +161,17 @@
         }
     }
 
+    /// Returns the key of the team of the job at a path.
+    fn key(&self, path: &str) -> &'static str {
+        let id = path.strip_prefix(QUEUE_PREFIX);
+        let id = id.and_then(|id| JobId::from_str_radix(id, 16).ok());
+        let is_capped = id.is_some_and(|id| {
+            let state = self.state();
+            state.jobs.get(&id).is_some_and(|job| job.is_capped)
+        });
+        if is_capped { CAPPED_KEY } else { UNCAPPED_KEY }
+    }
+
     /// Submits a job of which nothing was observed yet, retrying at random daemons, and queries it once after its acceptance.
     pub(crate) async fn submit_job(self, id: JobId, record: JobRecord) {
         let is_lasting = record.is_lasting;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -49,6 +49,7 @@
     check_single_placement(history, &mut broken);
     check_labels(history, &mut broken);
     check_capacity(history, capacity, &mut broken);
+    check_team_cap(history, &mut broken);
     check_planned_stops(history, &mut broken);
     for (daemon, before, after) in &history.manifest_reverts {
         broken.push(BrokenPromise {
@@ -353,6 +354,33 @@
     }
 }
 
+/// Checks that no start brings the team with a cap above it by more than a tenth and one task. Runs on
+/// workers that were lost have no end.
+fn check_team_cap(history: &SoakHistory, broken: &mut Vec<BrokenPromise>) {
+    let is_capped = |run: &&RunRecord| {
+        let job = history.jobs.get(&run.task.0);
+        job.is_some_and(|job| job.is_capped) && run.ended.is_some()
+    };
+    let runs: Vec<&RunRecord> = history.runs.iter().filter(is_capped).collect();
+    for run in &runs {
+        let running = runs.iter().filter(|other| {
+            let is_over = other.ended.is_some_and(|(at, _)| at <= run.began_at);
+            other.began_at <= run.began_at && !is_over
+        });
+        let cpu = |run: &RunRecord| history.jobs.get(&run.task.0).map_or(0, |job| job.cpu);
+        let used: usize = running.map(|other| cpu(other)).sum();
+        if used > history.team_cap * 11 / 10 + cpu(run) {
+            broken.push(BrokenPromise {
+                promise: "a team keeps to its cap",
+                detail: format!(
+                    "the start of {:x?} brought it to {used} of {} thousandths of a core",
+                    run.task, history.team_cap
+                ),
+            });
+        }
+    }
+}
+
 /// Checks that a planned stop breaks no connection with an open request, unless another
 /// fault affects the daemon during the stop.
 fn check_planned_stops(history: &SoakHistory, broken: &mut Vec<BrokenPromise>) {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -23,6 +23,8 @@
     pub tasks_per_step: Vec<u32>,
     /// Whether its tasks last: they run until the job is cancelled.
     pub is_lasting: bool,
+    /// Whether it belongs to the team with a cap.
+    pub is_capped: bool,
     /// Processor request of each task, in thousandths of a core.
     pub cpu: usize,
     /// Largest number of its tasks on one worker, if there is a limit.
@@ -104,6 +106,8 @@
     pub worker_link_faults: Vec<FaultSpan>,
     /// Faults of the store. Their index is 0.
     pub store_faults: Vec<FaultSpan>,
+    /// Cap of the team that has one, in thousandths of a core.
+    pub team_cap: usize,
     /// Time at which all faults had ended, also those whose span is longer.
     pub faults_ended_at: Option<Instant>,
     /// Daemons that went back to an older manifest: index of the daemon, version before
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -133,6 +133,7 @@
             "frontend": address, "readiness": address, "control-plane": address,
         },
         "platform": {"address": store_address, "min-ttl-ms": 1_000},
+        "contracts": ["tenants", "quota", "pressure"],
         "bounds": {"max-hold-ms": max_hold_ms, "grace-s": 6, "status_s": 120},
     });
     fs::write(path, settings.to_string())?;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    callers::{QUEUE_PREFIX, SoakCallers},
+    callers::{CAPPED_KEY, QUEUE_PREFIX, SoakCallers, UNCAPPED_KEY},
     checks::{BrokenPromise, CANCEL_TIME, RESTORE_BOUND, check_history},
     error::SoakError,
     history::{FaultSpan, JobId, JobRecord, RunRecord, SoakHistory, SubmitOutcome},
@@ -39,6 +39,9 @@
 /// Processor request of a small task.
 const SMALL_TASK_CPU: usize = 10;
 
+/// Number of tasks that the cap of a team admits at a time.
+const CAPPED_TASKS: usize = 3;
+
 /// Number of jobs with small tasks that last in a run with restarts. They are submitted at
 /// restarts, so that a new instance gets orders for its former one whose tasks are at work when
 /// its lease lapses. With three for a worker, all fit on the workers that are left.
@@ -316,13 +319,20 @@
         let routes = prefixes.map(|prefix| {
             json!({
                 "name": format!("queue{prefix}"), "host": "jobs.test", "prefix": prefix,
-                "service": "sales", "priority": 1, "max-attempts": 3, "stretch": 3.0,
+                "public": prefix != QUEUE_PREFIX, "service": "sales", "priority": 1, "max-attempts": 3, "stretch": 3.0,
                 "target-latency-ms": 1_000, "kind": "unsafe", "timeout-ms": 3_000,
             })
         });
         let routes: Vec<Value> = routes.collect();
         let manifest = json!({
-            "version": self.manifest_version, "routes": routes, "services": [], "limits": {}
+            "version": self.manifest_version, "routes": routes, "services": [], "limits": {},
+            "tenants": [
+                {
+                    "name": "capped", "api-keys": [CAPPED_KEY], "weight": 100,
+                    "cap": {"cpu": self.team_cap()},
+                },
+                {"name": "other", "api-keys": [UNCAPPED_KEY], "weight": 100},
+            ],
         });
         self.store.write("op/config", &manifest);
     }
@@ -336,11 +346,7 @@
         let mut id: JobId = 0;
         let mut lasting_left = self.run.size.lasting_tasks;
         let has_restarts = self.run.size.restart_series > 0;
-        let task_cpu = if has_restarts {
-            REDUCED_TASK_CPU
-        } else {
-            TASK_CPU
-        };
+        let task_cpu = self.task_cpu();
         let job_interval = match lasting_left {
             0 => JOB_INTERVAL,
             _ => SPARSE_JOB_INTERVAL,
@@ -384,6 +390,7 @@
                 let has_label = has_restarts && id.is_multiple_of(LABELLED_JOB_INTERVAL);
                 let record = JobRecord {
                     tasks_per_step: tasks_per_step.collect(),
+                    is_capped: id.is_multiple_of(2),
                     cpu: task_cpu,
                     required_label: has_label.then_some(FIRST_KIND),
                     ..JobRecord::default()
@@ -395,6 +402,20 @@
         Ok(())
     }
 
+    /// Returns the CPU of each task but the small ones, in thousandths of a core.
+    const fn task_cpu(&self) -> usize {
+        if self.run.size.restart_series > 0 {
+            REDUCED_TASK_CPU
+        } else {
+            TASK_CPU
+        }
+    }
+
+    /// Returns the cap of the team that has one, in thousandths of a core.
+    const fn team_cap(&self) -> usize {
+        CAPPED_TASKS * self.task_cpu()
+    }
+
     /// Returns whether a job with small tasks was submitted less than [`QUIET_TIME`] ago.
     fn is_quiet(&self) -> bool {
         self.last_small_job_at
@@ -755,6 +776,7 @@
             });
             self.history.runs.extend(runs);
         }
+        self.history.team_cap = self.team_cap();
         self.history.jobs = self.callers.jobs();
         self.history.broken_requests = self.callers.broken_requests();
         self.history.manifest_reverts = self.callers.manifest_reverts();
