Place deferred steps before late ones

Cause: deferred steps ranked with the late ones, so late jobs with earlier objectives preceded steps that can be in time.

--- a/crates/core/src/pipelines/preemption.rs
+++ b/crates/core/src/pipelines/preemption.rs
@@ -11,7 +11,7 @@
     headroom::has_slack,
     messages::PipelineNote,
     place::PlacementTable,
-    queue::QueueRank,
+    queue::{QueueRank, StepPunctuality},
     spec::{RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
     worker::{RunPhase, WorkerContact, WorkerRecord, WorkerRun},
@@ -151,11 +151,11 @@
     /// Returns the CPU that the most urgent steps lack which can still be in time and which the
     /// caps of their teams admit.
     fn unplaced_urgent_cpu(&self, ready: &[(QueueRank, StepKey)]) -> u64 {
-        let urgent = ready
-            .iter()
-            .filter(|((is_expired, is_excess, priority, is_late, _), _)| {
-                !is_expired && !is_excess && !is_late && *priority == self.top_priority
-            });
+        let urgent = ready.iter().filter(|(rank, _)| {
+            let (is_expired, is_excess, priority, punctuality, _) = *rank;
+            let can_be_in_time = punctuality != StepPunctuality::Late;
+            !is_expired && !is_excess && can_be_in_time && priority == self.top_priority
+        });
         let lacking = urgent.map(|(_, key)| {
             let record = self.pipelines.get(&key.pipeline);
             let step_spec = self.step_spec(*key);
--- a/crates/core/src/pipelines/queue.rs
+++ b/crates/core/src/pipelines/queue.rs
@@ -9,9 +9,19 @@
 };
 
 /// Position in the queue; lower is first: whether the job has expired, whether it is beyond the rate
-/// of its team, its priority, whether it can no longer meet its objective, and the objective in ms
-/// since 1970.
-pub(super) type QueueRank = (bool, bool, u32, bool, u64);
+/// of its team, its priority, whether it can meet its objective, and the objective in ms since 1970.
+pub(super) type QueueRank = (bool, bool, u32, StepPunctuality, u64);
+
+/// Whether a step can be done so that its job meets the objective.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum StepPunctuality {
+    /// It can.
+    InTime,
+    /// It can by itself, but not all waiting steps can, and others are preferred.
+    Deferred,
+    /// It cannot.
+    Late,
+}
 
 /// A job expires after this multiple of the time allowed by its latency objective: its
 /// result is of no use any more, and it is placed after all others.
@@ -91,7 +101,12 @@
         let is_late = !self.is_long_running && end_ms > objective;
         let is_expired = self.is_expired(spec, occurrence, wall_ms);
         let priority = spec.policy.priority;
-        (is_expired, self.is_excess, priority, is_late, objective)
+        let punctuality = if is_late {
+            StepPunctuality::Late
+        } else {
+            StepPunctuality::InTime
+        };
+        (is_expired, self.is_excess, priority, punctuality, objective)
     }
 }
 
--- a/crates/core/src/pipelines/scarcity.rs
+++ b/crates/core/src/pipelines/scarcity.rs
@@ -4,8 +4,9 @@
 //! the objectives. In the order of their objectives, large jobs at the head make many small ones late
 //! behind them. Those that cost callers least are deferred instead: of the jobs that precede one that
 //! would be late, and of that one, the job with the most work for its value (the rule of Moore and
-//! Hodgson, with values), or a job of less value that is large enough. Deferred jobs come behind those of their priority that can be in time, as
-//! late ones do, so nothing is lost and they run as soon as there is room.
+//! Hodgson, with values), or a job of less value that is large enough. Deferred jobs come behind
+//! those of their priority that can be in time and before those that are late, so nothing is lost
+//! and they run as soon as there is room.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -13,7 +14,7 @@
 };
 
 use super::{
-    queue::QueueRank,
+    queue::{QueueRank, StepPunctuality},
     spec::{PipelineId, PipelineSpec, StepKey},
     state::PipelineState,
     worker::RunPhase,
@@ -152,11 +153,15 @@
 }
 
 impl ScarcityState {
-    /// Returns the position of a step, behind those that can be in time if it is deferred.
+    /// Returns the position of a step: if it is deferred, behind those that can be in time and before
+    /// those that are late.
     pub(super) fn adjust_rank(&self, key: StepKey, rank: QueueRank) -> QueueRank {
-        let (is_expired, is_excess, priority, is_late, objective) = rank;
-        let is_late = is_late || self.deferred.contains(&key);
-        (is_expired, is_excess, priority, is_late, objective)
+        let (is_expired, is_excess, priority, punctuality, objective) = rank;
+        let punctuality = match punctuality {
+            StepPunctuality::InTime if self.deferred.contains(&key) => StepPunctuality::Deferred,
+            punctuality => punctuality,
+        };
+        (is_expired, is_excess, priority, punctuality, objective)
     }
 
     /// Adds a job to the mean work of its queue.
@@ -213,11 +218,11 @@
     /// compete for other workers.
     fn waiting_steps(&self, ready: &[(QueueRank, StepKey)]) -> Vec<WaitingStep> {
         let waiting = ready.iter().filter_map(|(rank, key)| {
-            let (is_expired, is_excess, priority, is_late, _) = *rank;
+            let (is_expired, is_excess, priority, punctuality, _) = *rank;
             let record = self.pipelines.get(&key.pipeline)?;
             let step_spec = record.spec.steps.get(key.step as usize)?;
-            let is_deferred = self.scarcity.deferred.contains(key);
-            let is_sound = !is_expired && !is_excess && (!is_late || is_deferred);
+            let is_late = punctuality == StepPunctuality::Late;
+            let is_sound = !is_expired && !is_excess && !is_late;
             let has_room_elsewhere = step_spec.demand.accelerators > 0 || step_spec.long_running;
             if !is_sound || has_room_elsewhere || !record.ready.contains_key(key) {
                 return None;
