Do not count failures before a later success towards a probation

Cause: a run that failed counted unless a run that was placed after its end succeeded.

A failure counts only if no run that was placed later has succeeded, and a success ends the probation if it was placed after all runs that failed. A worker that fails all that it starts still finishes what it has started before, which clears nothing.

Test: failures_of_runs_before_a_success_put_no_worker_on_probation.

--- a/crates/core/src/instances/reliability.rs
+++ b/crates/core/src/instances/reliability.rs
@@ -33,8 +33,10 @@
     failed_jobs: u32,
     /// Job of the latest failed run.
     last_job: Option<u64>,
-    /// When the latest run failed. Runs that were placed before tell nothing about the time since.
-    failed_at: Duration,
+    /// When the run was placed that was placed last of those that failed.
+    failed_placed_at: Duration,
+    /// When the run was placed that was placed last of those that succeeded; `None` before the first.
+    succeeded_placed_at: Option<Duration>,
     probation: Option<WorkerProbation>,
 }
 
@@ -48,13 +50,20 @@
 }
 
 impl RunReliability {
-    /// Records that a run of a job failed.
+    /// Records that a run of a job failed. If a run that was placed later has succeeded, the failure
+    /// says nothing about the worker: some tasks fail everywhere.
     pub(crate) fn record_failure(&mut self, job: u64, placed_at: Duration, now: Duration) {
+        if self
+            .succeeded_placed_at
+            .is_some_and(|success| success > placed_at)
+        {
+            return;
+        }
         if self.last_job != Some(job) {
             self.failed_jobs += 1;
             self.last_job = Some(job);
         }
-        self.failed_at = now;
+        self.failed_placed_at = self.failed_placed_at.max(placed_at);
         match &mut self.probation {
             Some(probation) if placed_at >= probation.retry_at => {
                 probation.backoff = (probation.backoff * 2).min(MAX_BACKOFF);
@@ -71,11 +80,14 @@
         }
     }
 
-    /// Records that a run succeeded. It ends a probation if it was placed after the latest failure.
+    /// Records that a run succeeded. It ends a probation if it was placed after all runs that failed:
+    /// a worker that fails what it starts may still finish what it has started before.
     pub(crate) fn record_success(&mut self, placed_at: Duration) {
-        if placed_at >= self.failed_at {
+        let latest = self.succeeded_placed_at.max(Some(placed_at));
+        if placed_at > self.failed_placed_at {
             *self = Self::default();
         }
+        self.succeeded_placed_at = latest;
     }
 
     /// Returns what the outcomes show.
--- a/crates/core/src/pipelines/tests/health.rs
+++ b/crates/core/src/pipelines/tests/health.rs
@@ -248,6 +248,33 @@
     assert_eq!(while_it_runs, Vec::new());
 }
 
+/// Guards against sound workers that get one run at a time in a busy service, in which one task in thirty
+/// fails everywhere: runs that were placed later have succeeded.
+#[test]
+fn failures_of_runs_before_a_success_put_no_worker_on_probation() {
+    let mut owner = owner(&["w1"]);
+    for id in 1..=2 {
+        owner.submit(id, job(vec![step(1)]));
+    }
+    let early = owner.start_all();
+    owner.advance_clock(Duration::from_millis(500));
+    owner.submit(3, job(vec![step(1)]));
+    let late = owner.start_all();
+
+    let failed = early.iter().zip(2..);
+    let failed = failed.map(|(start, number)| ended(number, start.run, RunEnd::Failed));
+    let ends = [ended(1, late[0].run, RunEnd::Done)]
+        .into_iter()
+        .chain(failed);
+    owner.report("w1", Vec::new(), ends.collect());
+    owner.commit();
+    owner.report("w1", Vec::new(), Vec::new());
+    owner.submit(4, job(vec![step(4)]));
+    let starts = owner.start_all();
+
+    assert_eq!(count_on(&starts, "w1"), 4);
+}
+
 /// Guards against a worker that stays on probation although it works again.
 #[test]
 fn a_success_ends_the_probation() {
