--- a/crates/core/src/intake/tests.rs
+++ b/crates/core/src/intake/tests.rs
@@ -42,7 +42,7 @@
     assert_eq!(shed, [1]);
 }
 
-/// Failure: a connection is closed whose request may be stored, and its caller is told nothing true.
+/// Failure: a connection is closed whose request may be stored, so its caller cannot know the outcome.
 #[test]
 fn a_request_that_may_be_stored_is_not_shed() {
     let mut table = table_of(2);
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -26,8 +26,8 @@
 };
 use crate::{
     instances::{ClockReading, InstanceNumber, WorkerInstance},
-    quotas::{QuotaLedger, TeamUsage},
-    teams::{SubmissionRates, TeamTable, TeamTerms},
+    quotas::QuotaLedger,
+    teams::{SubmissionRates, TeamTable},
     types::{Epoch, WorkerId},
 };
 
@@ -63,31 +63,6 @@
     pub(super) has_placed_task: bool,
 }
 
-/// Numbers of jobs, runs and workers of a service, for metrics and the dump.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct PipelineLoad {
-    /// Number of jobs that are not retired.
-    pub pipelines: u64,
-    /// Number of steps that may be placed and have waiting tasks.
-    pub ready_steps: u64,
-    /// Number of runs that may be on workers.
-    pub runs: u64,
-    /// Number of known workers, including those that were removed from the registry
-    /// but may still have runs.
-    pub workers: u64,
-    /// Number of workers on which tasks may be placed.
-    pub claimed_workers: u64,
-    /// Number of jobs with changes that no commit contains yet.
-    pub dirty: u64,
-    /// Number of workers that placement passes have examined for a step, in all passes of
-    /// this owner.
-    pub examined_candidates: u64,
-    /// Number of runs that this owner has stopped for urgent work.
-    pub preempted_runs: u64,
-    /// Number of steps that are deferred, as not all waiting steps can be in time.
-    pub deferred_steps: u64,
-}
-
 /// State machine of the owner of a service: its pipelines, its workers and their runs.
 #[derive(Clone, Debug)]
 pub struct PipelineState {
@@ -291,30 +266,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Returns the numbers of jobs, runs and workers.
-    #[must_use]
-    pub fn load(&self) -> PipelineLoad {
-        let claimed = self
-            .workers
-            .values()
-            .filter(|record| record.can_accept_tasks());
-        PipelineLoad {
-            pipelines: self.pipelines.len() as u64,
-            ready_steps: self.ready.len() as u64,
-            runs: self
-                .workers
-                .values()
-                .map(|record| record.runs.len() as u64)
-                .sum(),
-            workers: self.workers.len() as u64,
-            claimed_workers: claimed.count() as u64,
-            dirty: self.dirty.len() as u64,
-            examined_candidates: self.examined_candidates,
-            preempted_runs: self.preemptions.total,
-            deferred_steps: self.scarcity.deferred.len() as u64,
-        }
-    }
-
     /// Returns the number of the latest change.
     #[must_use]
     pub const fn latest_change(&self) -> u64 {
@@ -333,45 +284,6 @@
         self.dirty.is_empty()
     }
 
-    /// Returns one line for each job, each worker and each team, for the dump.
-    #[must_use]
-    pub fn describe(&self) -> Vec<String> {
-        let jobs = self.pipelines.iter().map(|(id, record)| {
-            let phase = record.progress.phase.name();
-            let queue = &record.spec.policy.queue;
-            let progress = &record.progress.occurrences;
-            let ready = record.ready.keys().map(|key| match self.waits.get(key) {
-                Some(wait) => format!("{key} {wait}"),
-                None => key.to_string(),
-            });
-            let ready: Vec<String> = ready.collect();
-            format!("job {id:016x} {queue} {phase} ready {ready:?} progress {progress:?}")
-        });
-        let workers = self.workers.iter().map(|(worker, record)| {
-            let (contact, used) = (record.contact, record.used);
-            let runs: Vec<String> = record.runs.keys().map(|run| run.task.to_string()).collect();
-            format!("worker {worker} {contact:?} used {used:?} runs {runs:?}")
-        });
-        let teams = self.teams.iter().map(|(team, terms)| {
-            let TeamTerms { weight, cap } = terms;
-            let excess = self.pipelines.values().filter(|pipeline| {
-                pipeline.timing.is_excess && pipeline.spec.team.as_ref() == Some(team)
-            });
-            let excess = excess.count();
-            format!("team {team} weight {weight} cap {cap:?} jobs beyond its rate {excess}")
-        });
-        let usage = self.quotas.usage().map(|(team, usage)| {
-            let TeamUsage {
-                used,
-                allotted,
-                lacking,
-                ..
-            } = usage;
-            format!("quota {team} used {used:?} allotted {allotted:?} lacking {lacking:?}")
-        });
-        jobs.chain(workers).chain(teams).chain(usage).collect()
-    }
-
     /// Returns whether the job is known and not retired.
     #[must_use]
     pub fn contains(&self, id: PipelineId) -> bool {
--- a/crates/core/src/quotas/tests/allotments.rs
+++ b/crates/core/src/quotas/tests/allotments.rs
@@ -46,6 +46,18 @@
     BTreeMap::from([(red(), StoredQuota { record, revision })])
 }
 
+/// Returns the next record, in which this service has an allotment and another one wants capacity.
+fn records_with_want(allotted: u64, wanted: u64) -> BTreeMap<TeamId, StoredQuota> {
+    let mut records = record_of_other(0, wanted, 8);
+    let own = QuotaAllotment {
+        allotted: accelerators(allotted),
+        wanted: accelerators(0),
+    };
+    let record = &mut records.get_mut("red").unwrap().record;
+    record.services.insert("own".into(), own);
+    records
+}
+
 /// Returns a ledger that has read these records.
 fn loaded_ledger(cap: u64, records: BTreeMap<TeamId, StoredQuota>) -> QuotaLedger {
     let mut ledger = QuotaLedger::new("own".into());
@@ -120,14 +132,7 @@
     raise(&mut ledger, 16, 7);
     ledger.charge(Some(&red()), &accelerators(2));
     ledger.begin_pass();
-    let mut records = record_of_other(0, 4, 8);
-    let own = QuotaAllotment {
-        allotted: accelerators(16),
-        wanted: accelerators(0),
-    };
-    let record = &mut records.get_mut("red").unwrap().record;
-    record.services.insert("own".into(), own);
-    ledger.update_records(records);
+    ledger.update_records(records_with_want(16, 4));
 
     let change = ledger.next_change(LATER).unwrap();
 
@@ -144,14 +149,7 @@
     let mut ledger = loaded_ledger(16, BTreeMap::new());
     raise(&mut ledger, 16, 7);
     ledger.charge(Some(&red()), &accelerators(16));
-    let mut records = record_of_other(0, 4, 8);
-    let own = QuotaAllotment {
-        allotted: accelerators(16),
-        wanted: accelerators(0),
-    };
-    let record = &mut records.get_mut("red").unwrap().record;
-    record.services.insert("own".into(), own);
-    ledger.update_records(records);
+    ledger.update_records(records_with_want(16, 4));
 
     ledger.release(Some(&red()), &accelerators(4));
     let admitted = ledger.admit(Some(&red()), &accelerators(1), 16);
--- a/crates/daemon/src/cell/control.rs
+++ b/crates/daemon/src/cell/control.rs
@@ -17,12 +17,13 @@
 use auburnsaddle_platform::{HttpEndpoint, KeyLease, TransactionOutcome};
 use serde_json::json;
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::mpsc,
     time::{Instant, timeout_at},
 };
 
 use super::{
     effects::{CellEffects, ShardHandle},
+    handover::PendingDrain,
     messages::{CellEvent, JobLookup},
 };
 use crate::{
@@ -53,13 +54,6 @@
 /// store all daemons lose their leases, and all would become unready at once.
 const STORE_OUTAGE_GRACE: Duration = Duration::from_secs(2);
 
-/// How long a drain waits until all changes are durable.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(900);
-
-/// How long a drain waits for the summaries of durable phases. The successor writes those that are
-/// missing, and nothing is placed meanwhile.
-const DRAIN_SUMMARY_TIME: Duration = Duration::from_millis(100);
-
 /// Shortest time from the start of one pass of a service to the next, as a multiple of
 /// the time that the pass takes. It limits the passes of a service to a quarter of
 /// the thread's time, so that renewals and reports are still handled on a host with
@@ -82,15 +76,6 @@
     pub(super) revision: u64,
 }
 
-/// A drain that waits until all changes before it are durable or its time is over.
-#[derive(Debug)]
-struct PendingDrain {
-    reply: oneshot::Sender<()>,
-    until: Duration,
-    /// How long the drain waits for summaries once all else is durable.
-    summary_time: Duration,
-}
-
 /// The state of the control thread.
 #[derive(Debug)]
 pub(super) struct CellControl {
@@ -131,8 +116,8 @@
     manifest_revision: u64,
     /// Terms of the teams in the manifest.
     pub(super) teams: Arc<TeamTable>,
-    drain: Option<PendingDrain>,
-    is_draining: bool,
+    pub(super) drain: Option<PendingDrain>,
+    pub(super) is_draining: bool,
     wall_clock: WallClock,
 }
 
@@ -324,15 +309,6 @@
         }
     }
 
-    fn begin_drain(&mut self, reply: oneshot::Sender<()>, now: Duration) {
-        self.is_draining = true;
-        self.drain = Some(PendingDrain {
-            reply,
-            until: now + DRAIN_TIMEOUT,
-            summary_time: DRAIN_SUMMARY_TIME,
-        });
-    }
-
     /// Handles the outcome of a commit: executes what waited for it, sends it again, or
     /// gives up the service.
     fn finish_commit(&mut self, service: &ServiceId, epoch: u64, outcome: &TransactionOutcome) {
@@ -446,30 +422,7 @@
                 handle.next_pass_at = now + elapsed * PASS_INTERVAL_FACTOR;
             }
         }
-        let Some(mut drain) = self.drain.take() else {
-            return;
-        };
-        let mut are_drained = true;
-        for handle in self.shards.values_mut() {
-            are_drained &= handle.shard.is_drained();
-        }
-        if are_drained {
-            drain.until = drain.until.min(now + drain.summary_time);
-            drain.summary_time = drain.until.saturating_sub(now);
-        }
-        let mut shards = self.shards.values();
-        let is_complete = are_drained && shards.all(|handle| handle.shard.has_stored_summaries());
-        match drain {
-            drain if is_complete || now >= drain.until => {
-                let services: Vec<ServiceId> = self.shards.keys().cloned().collect();
-                for service in services {
-                    self.drop_shard(&service, "the daemon is stopping");
-                }
-                // The send fails only if the process no longer waits for the drain.
-                let _ = drain.reply.send(());
-            }
-            open => self.drain = Some(open),
-        }
+        self.continue_drain(now);
     }
 
     /// Returns the time of day by which scheduled work is due, in ms since 1970.
--- a/crates/daemon/src/cell/handover.rs
+++ b/crates/daemon/src/cell/handover.rs
@@ -1,4 +1,5 @@
-//! Handover of a service to a host with more processors.
+//! Handover of services: of all of them when the daemon stops, and of one to a host with more
+//! processors.
 //!
 //! Failure mode: all daemons lose their leases in an outage of the store, and a host with a tenth of a
 //! core is the first to return and takes a service over. It decides too slowly for the load: tickets
@@ -8,6 +9,7 @@
 
 use auburnsaddle_core::ServiceId;
 use auburnsaddle_platform::{StoreTransaction, TransactionOutcome};
+use tokio::sync::oneshot;
 
 use super::{
     control::CellControl,
@@ -16,6 +18,13 @@
 };
 use crate::pipelines::{CellKey, DaemonRegistration};
 
+/// How long a drain waits until all changes are durable.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// How long a drain waits for the summaries of durable phases. The successor writes those that are
+/// missing, and nothing is placed meanwhile.
+const DRAIN_SUMMARY_TIME: Duration = Duration::from_millis(100);
+
 /// Multiple of this daemon's processors from which another daemon is a better owner. The handover
 /// itself costs some tenths of a second, in which nothing is placed.
 const CPU_FACTOR: u64 = 2;
@@ -31,6 +40,13 @@
 /// Longest time for which a service is not scheduled while its changes become durable.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// A drain that waits until all changes before it are durable or its time is over.
+#[derive(Debug)]
+pub(super) struct PendingDrain {
+    reply: oneshot::Sender<()>,
+    until: Duration,
+}
+
 /// A handover that has begun.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PendingHandover {
@@ -56,6 +72,42 @@
 }
 
 impl CellControl {
+    /// Begins to release all services, as the process stops.
+    pub(super) fn begin_drain(&mut self, reply: oneshot::Sender<()>, now: Duration) {
+        self.is_draining = true;
+        self.drain = Some(PendingDrain {
+            reply,
+            until: now + DRAIN_TIMEOUT,
+        });
+    }
+
+    /// Completes a drain whose changes are durable or whose time is over.
+    pub(super) fn continue_drain(&mut self, now: Duration) {
+        let Some(mut drain) = self.drain.take() else {
+            return;
+        };
+        let mut are_drained = true;
+        for handle in self.shards.values_mut() {
+            are_drained &= handle.shard.is_drained();
+        }
+        if are_drained {
+            drain.until = drain.until.min(now + DRAIN_SUMMARY_TIME);
+        }
+        let mut shards = self.shards.values();
+        let is_complete = are_drained && shards.all(|handle| handle.shard.has_stored_summaries());
+        match drain {
+            drain if is_complete || now >= drain.until => {
+                let services: Vec<ServiceId> = self.shards.keys().cloned().collect();
+                for service in services {
+                    self.drop_shard(&service, "the daemon is stopping");
+                }
+                // The send fails only if the process no longer waits for the drain.
+                let _ = drain.reply.send(());
+            }
+            open => self.drain = Some(open),
+        }
+    }
+
     /// Begins the handover of services that a better owner should have, and continues those that
     /// have begun.
     pub(super) fn hand_over_services(&mut self, now: Duration) {
