--- a/crates/daemon/src/ingress/cancellations.rs
+++ b/crates/daemon/src/ingress/cancellations.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 
 use super::access::is_visible;
+use super::intake::request_intake;
 use super::jobs::{JobService, WriteOutcome, retry_seconds, write_timeout};
 use super::serve::{IngressResponse, empty_response, retry_response};
 use crate::{
@@ -35,6 +36,11 @@
     ) -> IngressResponse {
         let request_id = format!("{id:016x}");
         let write_timeout = write_timeout(request);
+        // From here on the cancellation may be stored.
+        let protection = request_intake(request).map_or(Ok(()), |intake| intake.protect(0));
+        if protection.is_err() {
+            return failure_response(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let summary = match self.find_summary(id).await {
             Ok(Some(summary)) if !is_visible(&summary, team.as_ref()) => {
                 return empty_response(StatusCode::GONE);
