Do not send held-back starts to a worker that leaves

A start that waits for the confirmation of the ownership or for proven workers was sent without a look at the worker again, so a task could start on a worker seconds after it had said that it leaves.

--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -7,7 +7,7 @@
     progress::{PipelinePhase, PipelineProgress},
     spec::{PipelineId, PipelineSpec, RunKey, StepKey},
     state::PipelineState,
-    worker::{RunPhase, WorkerContact, WorkerRecord},
+    worker::{RunPhase, WorkerRecord},
 };
 use crate::types::WorkerId;
 
@@ -157,7 +157,8 @@
             record.held_starts.push(start.clone());
             return;
         }
-        let can_send = is_active && record.contact == WorkerContact::Claimed;
+        // A start may have been held back for seconds, and the worker may leave by now.
+        let can_send = is_active && record.can_accept_tasks();
         // Building the order extends the lease.
         let order = can_send.then(|| self.start_order(start, unanswered_sends, now));
         let order = order.flatten();
--- a/crates/core/src/pipelines/tests/health.rs
+++ b/crates/core/src/pipelines/tests/health.rs
@@ -394,3 +394,26 @@
             .any(|start| start.run.task.step == first_step(31))
     );
 }
+
+/// Guards against a task that starts on a worker seconds after it has said that it leaves: the start was
+/// held back while the ownership was not confirmed.
+#[test]
+fn a_start_that_was_held_back_is_not_sent_to_a_leaving_worker() {
+    let mut owner = owner(&["w1", "w2"]);
+    owner.submit(1, job(vec![step(8)]));
+    owner.now += Duration::from_hours(2);
+    owner.commit();
+    let held_back = owner.take_starts();
+
+    owner.handle_event(PipelineEvent::Listed(WorkerListing {
+        is_draining: true,
+        ..listing("w1")
+    }));
+    let confirmed_until = owner.now + Duration::from_hours(1);
+    owner.handle_event(PipelineEvent::ExtensionsPermitted(confirmed_until));
+    owner.handle_event(PipelineEvent::OwnershipConfirmed(confirmed_until));
+    let starts = owner.take_starts();
+
+    assert_eq!(held_back, Vec::new());
+    assert_eq!((count_on(&starts, "w1"), count_on(&starts, "w2")), (0, 4));
+}
