--- a/review/standin3/cell.py
+++ b/review/standin3/cell.py
@@ -472,6 +472,7 @@
                 "config-apply-ms": 2000, "max-hold-ms": 6000, "stop-grace-ms": 200,
                 "gang-wait-ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "finish_s": 14,
                 "status_s": 120, "checkpoint-s": 1, "restore-ms": 600, "lease-ms": 3000,
+                **cell.bounds,
             },
             "control-mode": "call",
             "advice": cell.advice.server.address if cell.advice else None,
@@ -566,6 +567,17 @@
         self.services, self.routes = services, routes
         self.workers, self.daemons = [], []
         self.advice = None
+        self.bounds = {}
+
+    def owner(self):
+        """Returns the daemon that the store names as an owner, if there is one."""
+        for key, item in self.store.items.items():
+            if "/owner/" in key:
+                value = base64.b64decode(item["value"])
+                for daemon in self.daemons:
+                    if daemon.name.encode() in value:
+                        return daemon
+        return None
 
     async def start(self, daemons):
         self.store = await Store().start()
