Bound the wait of last attempts for proven workers

Cause: a step with one attempt left used only workers without a failure since their latest success, as long as there were any, and workers counted that the advice service had refused. Only a success of other work on the failed worker ended that.

Change: refused workers do not count, and the step leaves other workers unused for 2 s at most, as a job must not be without a run for 3 s while capacity is idle. It still prefers proven workers then. The log tells withheld workers that are not proven (`withheld_unproven`).

--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -244,6 +244,13 @@
         self.rows[row_index].is_penalized = true;
     }
 
+    /// Makes proven workers preferred among these candidates.
+    pub(super) fn penalize_unproven(&self, candidates: &mut [PlaceCandidate]) {
+        for candidate in candidates {
+            candidate.is_penalized |= !self.row(candidate).is_proven();
+        }
+    }
+
     /// Makes a worker unavailable for the rest of the pass.
     pub(super) fn reserve_worker(&mut self, row_index: usize) {
         self.set_free(row_index, ResourceVector::default());
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -33,6 +33,10 @@
 /// behind them would wait for the same answers.
 const MAX_UNTICKETED_STEPS_PER_QUEUE: u32 = 24;
 
+/// Longest time for which a step with a last attempt leaves workers unused that are not proven. A
+/// job must not be without a run for 3 s while capacity for it is idle.
+const MAX_PROVEN_WAIT: Duration = Duration::from_secs(2);
+
 /// Time for which leases are renewed after the confirmed ownership has run out, so
 /// that runs survive an outage of the store. They are extended only as far as
 /// [`PipelineEvent::ExtensionsPermitted`](super::PipelineEvent::ExtensionsPermitted) permits.
@@ -65,6 +69,17 @@
     unticketed_steps: u32,
 }
 
+/// How a step treats proven workers, on which no run has failed since the latest success.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ProvenUse {
+    /// It uses any worker.
+    Indifferent,
+    /// It uses any worker, and proven ones first.
+    Preferred,
+    /// It uses proven workers only.
+    Required,
+}
+
 /// A ready step with waiting tasks, and which workers it may use.
 pub(super) struct StepSearch<'a> {
     pub(super) key: StepKey,
@@ -74,8 +89,7 @@
     pub(super) withholds_headroom: bool,
     /// Whether workers with the fewest runs are preferred.
     pub(super) prefers_idle: bool,
-    /// Whether only workers without a failure since their latest success are used.
-    pub(super) needs_proven: bool,
+    pub(super) proven_use: ProvenUse,
     pub(super) now: Duration,
 }
 
@@ -93,14 +107,19 @@
             step_spec,
             withholds_headroom: false,
             prefers_idle: false,
-            needs_proven: false,
+            proven_use: ProvenUse::Indifferent,
             now,
         }
     }
 
+    /// Returns whether the step leaves all but proven workers unused.
+    pub(super) fn needs_proven(&self) -> bool {
+        self.proven_use == ProvenUse::Required
+    }
+
     /// Returns whether the step may use a worker if its queue allows it.
     pub(super) fn may_use(&self, row: &TableRow) -> bool {
-        !(self.withholds_headroom && row.is_headroom) && (row.is_proven() || !self.needs_proven)
+        !(self.withholds_headroom && row.is_headroom) && (row.is_proven() || !self.needs_proven())
     }
 }
 
@@ -287,7 +306,7 @@
         }
         let search = StepSearch {
             withholds_headroom: can_wait && !self.needs_headroom(key, step_spec, &pass.table),
-            needs_proven: self.must_use_proven(key, &spec, step_spec, &pass.table),
+            proven_use: self.proven_use(key, &spec, step_spec, &pass.table, now),
             ..StepSearch::new(key, &spec, step_spec, now)
         };
         let placed_count = self.place_by_suspicion(&search, &waiting, pass);
@@ -357,18 +376,9 @@
         placed_count
     }
 
-    /// Returns whether a step uses only proven workers: a waiting task of it has failed and has one
-    /// attempt left, with which the job fails, and such a worker exists.
-    ///
-    /// This holds for the whole step, also for its requests for tickets. If they named other workers,
-    /// the step would wait for tickets that it does not use, and the steps behind it with it.
-    fn must_use_proven(
-        &self,
-        key: StepKey,
-        spec: &PipelineSpec,
-        step_spec: &StepSpec,
-        table: &PlacementTable,
-    ) -> bool {
+    /// Returns whether a waiting task of a step has failed and has one attempt left, with which the
+    /// job fails.
+    fn has_last_attempt(&self, key: StepKey, spec: &PipelineSpec, step_spec: &StepSpec) -> bool {
         let pipeline = self.pipelines.get(&key.pipeline);
         let progress = pipeline.and_then(|pipeline| pipeline.progress.step(key));
         let max_attempts = spec.policy.max_attempts;
@@ -379,12 +389,48 @@
                 failures > 0 && failures + 1 >= max_attempts
             })
         });
-        let has_proven = || {
-            let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
-            let mut eligible = table.eligible(step_spec, task_allowance);
-            eligible.any(|candidate| table.row(&candidate).is_proven())
-        };
-        has_last_attempt && !step_spec.long_running && has_proven()
+        has_last_attempt && !step_spec.long_running
+    }
+
+    /// Returns how a step treats proven workers.
+    fn proven_use(
+        &self,
+        key: StepKey,
+        spec: &PipelineSpec,
+        step_spec: &StepSpec,
+        table: &PlacementTable,
+        now: Duration,
+    ) -> ProvenUse {
+        match self.has_last_attempt(key, spec, step_spec) {
+            true if self.can_await_proven(key, step_spec, table, now) => ProvenUse::Required,
+            true => ProvenUse::Preferred,
+            false => ProvenUse::Indifferent,
+        }
+    }
+
+    /// Returns whether a step may leave all but proven workers unused: there is a proven worker that
+    /// may run it, and the step has not waited for long.
+    ///
+    /// This holds for the whole step, also for its requests for tickets. If they named other workers,
+    /// the step would wait for tickets that it does not use, and the steps behind it with it.
+    fn can_await_proven(
+        &self,
+        key: StepKey,
+        step_spec: &StepSpec,
+        table: &PlacementTable,
+        now: Duration,
+    ) -> bool {
+        let waited = self.waited_time(key, now);
+        if waited >= MAX_PROVEN_WAIT {
+            return false;
+        }
+        let cache = self.ticket_caches.get(&key);
+        let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
+        let mut eligible = table.eligible(step_spec, task_allowance);
+        eligible.any(|candidate| {
+            let row = table.row(&candidate);
+            row.is_proven() && !cache.is_some_and(|cache| cache.is_refused(row.instance))
+        })
     }
 
     /// Places as many of the given waiting tasks of a step as fit, and returns their number.
@@ -442,7 +488,7 @@
         count: usize,
     ) -> Vec<PlaceCandidate> {
         let step_spec = search.step_spec;
-        let candidates: Vec<PlaceCandidate> = if search.spec.policy.advice.is_none() {
+        let mut candidates: Vec<PlaceCandidate> = if search.spec.policy.advice.is_none() {
             self.usable(search, table).collect()
         } else if let Some(cache) = self.ticket_caches.get(&search.key) {
             let ticketed = cache.ticketed(search.now);
@@ -456,6 +502,9 @@
         } else {
             Vec::new()
         };
+        if search.proven_use == ProvenUse::Preferred {
+            table.penalize_unproven(&mut candidates);
+        }
         if search.prefers_idle {
             choose_idlest(table, candidates, count)
         } else {
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -7,6 +7,7 @@
 mod health;
 mod instance_faults;
 mod large;
+mod last_attempts;
 mod leases;
 mod liveness;
 mod load;
--- a/crates/core/src/pipelines/tests/waiting.rs
+++ b/crates/core/src/pipelines/tests/waiting.rs
@@ -39,7 +39,7 @@
 
 /// Runs the owner until a task starts, at most for `limit`, and answers its advice
 /// requests.
-fn run_until_start(
+pub(super) fn run_until_start(
     owner: &mut OwnerFixture,
     limit: Duration,
     is_allowed: impl Fn(&str) -> bool,
--- a/crates/core/src/pipelines/wait.rs
+++ b/crates/core/src/pipelines/wait.rs
@@ -53,8 +53,10 @@
     /// Number of these workers that the advice service refused.
     pub refused: usize,
     /// Number of further workers on which a task fits, but which are left free for urgent
-    /// jobs.
+    /// jobs or are not proven.
     pub withheld: usize,
+    /// Number of withheld workers that are left unused as they are not proven.
+    pub withheld_unproven: usize,
     /// Number of withheld workers with a usable ticket.
     pub withheld_ticketed: usize,
     /// Number of advice requests that were sent for the step.
@@ -102,6 +104,13 @@
         }
     }
 
+    /// Returns the time since the step became ready or a task of it was placed, as far as passes
+    /// have left it waiting.
+    pub(super) fn waited_time(&self, key: StepKey, now: Duration) -> Duration {
+        let record = self.waits.get(&key);
+        record.map_or(Duration::ZERO, |record| now.saturating_sub(record.since))
+    }
+
     /// Returns whether a log entry about a waiting step is due.
     pub(super) fn is_wait_log_due(&self, key: StepKey, now: Duration) -> bool {
         let record = self.waits.get(&key);
@@ -133,6 +142,8 @@
                 wait.refused += usize::from(cache.is_refused(row.instance));
             } else {
                 wait.withheld += 1;
+                let is_unproven = search.needs_proven() && !row.is_proven();
+                wait.withheld_unproven += usize::from(is_unproven);
                 wait.withheld_ticketed += usize::from(is_ticketed);
             }
         }
