End probations without a success

Cause: a worker on probation got one run at a time, and only the success of a run ended the probation. Runs that last never succeed. A long run kept others away for as long as it took, and the time without a run doubled with each failure, up to 8 s.

Change: a run that a report lists 1 s after its start counts as a success; a run without a reported failure keeps the next one away for 1 s at most; the time without a run after a failure is always 1 s. Together they are less than the 3 s for which a job may be without a run while capacity is idle.

Tests: three in probation.rs, all fail on (3 of 6 tasks away; one run in 3 s; no run in 3 s after the fourth failure).

--- a/crates/core/src/instances/mod.rs
+++ b/crates/core/src/instances/mod.rs
@@ -22,5 +22,5 @@
 
 pub(crate) use clock::{ClockReading, lapse_time};
 pub(crate) use ratio::SAMPLE_WEIGHT_DIVISOR;
-pub(crate) use reliability::WorkerStanding;
+pub(crate) use reliability::{PROBE_TIME, WorkerStanding};
 pub(crate) use state::{InstanceNumber, WorkerInstance};
--- a/crates/core/src/instances/reliability.rs
+++ b/crates/core/src/instances/reliability.rs
@@ -6,11 +6,13 @@
 /// on every worker.
 const JOBS_BEFORE_PROBATION: u32 = 2;
 
-/// Time without a run at the begin of a probation. It doubles with each further failure.
-const FIRST_BACKOFF: Duration = Duration::from_secs(1);
+/// Time without a run after a failure on probation. With [`PROBE_TIME`] it is less than the 3 s for which
+/// a job may be without a run while capacity for it is idle.
+const PROBATION_BACKOFF: Duration = Duration::from_secs(1);
 
-/// Longest time without a run.
-const MAX_BACKOFF: Duration = Duration::from_secs(8);
+/// Time after which a run that has not failed shows that the worker does not fail all that it starts.
+/// Runs that last never succeed.
+pub(crate) const PROBE_TIME: Duration = Duration::from_secs(1);
 
 /// What the outcomes of the latest runs of a worker instance show.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -19,7 +21,7 @@
     Proven,
     /// Runs have failed since the latest success.
     Failing,
-    /// The worker gets one run at a time.
+    /// The worker gets one run at a time, until that has shown that it is sound.
     OnProbation,
 }
 
@@ -44,7 +46,6 @@
 #[derive(Clone, Copy, Debug)]
 struct WorkerProbation {
     since: Duration,
-    backoff: Duration,
     /// Earliest time of the next run.
     retry_at: Duration,
 }
@@ -66,21 +67,19 @@
         self.failed_placed_at = self.failed_placed_at.max(placed_at);
         match &mut self.probation {
             Some(probation) if placed_at >= probation.retry_at => {
-                probation.backoff = (probation.backoff * 2).min(MAX_BACKOFF);
-                probation.retry_at = now + probation.backoff;
+                probation.retry_at = now + PROBATION_BACKOFF;
             }
             None if self.failed_jobs >= JOBS_BEFORE_PROBATION => {
                 self.probation = Some(WorkerProbation {
                     since: now,
-                    backoff: FIRST_BACKOFF,
-                    retry_at: now + FIRST_BACKOFF,
+                    retry_at: now + PROBATION_BACKOFF,
                 });
             }
             _ => {}
         }
     }
 
-    /// Records that a run succeeded. It ends a probation if it was placed after all runs that failed:
+    /// Records that a run succeeded, or has not failed for [`PROBE_TIME`]. It ends a probation if it was placed after all runs that failed:
     /// a worker that fails what it starts may still finish what it has started before.
     pub(crate) fn record_success(&mut self, placed_at: Duration) {
         let latest = self.succeeded_placed_at.max(Some(placed_at));
@@ -99,14 +98,24 @@
         }
     }
 
-    /// Returns whether the worker gets at most one run at a time, and if so, since when.
-    pub(crate) fn probation_since(&self) -> Option<Duration> {
-        self.probation.map(|probation| probation.since)
+    /// Returns whether the worker is on probation.
+    pub(crate) const fn is_on_probation(&self) -> bool {
+        self.probation.is_some()
     }
 
-    /// Returns whether the worker may get a run, if it has none on probation.
-    pub(crate) fn can_retry(&self, now: Duration) -> bool {
-        self.probation
-            .is_none_or(|probation| now >= probation.retry_at)
+    /// Returns whether the worker may get a run. `placed_at` has the times at which its present runs
+    /// were placed.
+    ///
+    /// On probation, it gets none for some time after a failure, and none while another one may still
+    /// fail at its start.
+    pub(crate) fn can_retry(
+        &self,
+        mut placed_at: impl Iterator<Item = Duration>,
+        now: Duration,
+    ) -> bool {
+        self.probation.is_none_or(|probation| {
+            let is_probe = |placed_at| placed_at >= probation.since && now < placed_at + PROBE_TIME;
+            now >= probation.retry_at && !placed_at.any(is_probe)
+        })
     }
 }
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -14,7 +14,7 @@
     worker::{ORDER_TRANSIT_TIME, RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
 };
 use crate::{
-    instances::{ClockReading, WorkerInstance, lapse_time},
+    instances::{ClockReading, PROBE_TIME, WorkerInstance, lapse_time},
     types::WorkerId,
 };
 
@@ -256,6 +256,13 @@
                     if entry.target_tail_ms.is_some() {
                         entry.tail_ms = observed.load;
                     }
+                    let placed_at = entry.placed_at;
+                    match (&mut record.instance, entry.phase) {
+                        (Some(instance), RunPhase::Started(at)) if now >= at + PROBE_TIME => {
+                            instance.reliability.record_success(placed_at);
+                        }
+                        _ => {}
+                    }
                     self.update_checkpoint(observed.run, &observed.checkpoint);
                 }
                 None => unexpected.push(observed.run),
@@ -366,9 +373,9 @@
             }
             (Some(instance), RunEnd::Failed) => {
                 let reliability = &mut instance.reliability;
-                let was_on_probation = reliability.probation_since().is_some();
+                let was_on_probation = reliability.is_on_probation();
                 reliability.record_failure(job, placed_at, now);
-                let is_on_probation = reliability.probation_since().is_some();
+                let is_on_probation = reliability.is_on_probation();
                 if is_on_probation && !was_on_probation {
                     let worker = WorkerId::clone(worker);
                     let note = PipelineNote::WorkerOnProbation { worker };
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -13,6 +13,7 @@
 mod load;
 mod placement;
 mod preemption;
+mod probation;
 mod quotas;
 mod recovery;
 mod recurring;
--- a/crates/core/src/pipelines/tests/health.rs
+++ b/crates/core/src/pipelines/tests/health.rs
@@ -199,7 +199,7 @@
 }
 
 /// Places a job of one task on the only worker, where it fails with this number of its end.
-fn fail_run(owner: &mut OwnerFixture, id: PipelineId, number: u64) {
+pub(super) fn fail_run(owner: &mut OwnerFixture, id: PipelineId, number: u64) {
     owner.submit(id, job(vec![step(1)]));
     let run = owner.start_all().remove(0).run;
     owner.report("w1", Vec::new(), vec![ended(number, run, RunEnd::Failed)]);
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -364,17 +364,11 @@
         self.contact == WorkerContact::Claimed && self.is_ack_pending
     }
 
-    /// Returns whether tasks may be placed on the worker as far as its latest runs are concerned. On
-    /// probation, it gets one run at a time.
+    /// Returns whether tasks may be placed on the worker as far as its latest runs are concerned.
     pub(super) fn can_retry(&self, now: Duration) -> bool {
-        let Some(instance) = &self.instance else {
-            return true;
-        };
-        let Some(since) = instance.reliability.probation_since() else {
-            return true;
-        };
-        let has_run = self.runs.values().any(|run| run.placed_at >= since);
-        instance.reliability.can_retry(now) && !has_run
+        let instance = self.instance.as_ref();
+        let placed_at = self.runs.values().map(|run| run.placed_at);
+        instance.is_none_or(|instance| instance.reliability.can_retry(placed_at, now))
     }
 
     pub(super) fn address(&self) -> Option<&str> {
