Update only the steps that a start, an end or a tick concerns

Cause: each placement and each end removed and added all ready steps of all open occurrences of the job, and looked for done occurrences among all. Each tick went through all occurrences that are over and all ready steps. Under scarcity, the value of a job was summed over its steps for each of them. So work for one step grew with all steps of its job, on the thread that renews leases.

Evidence: updates of steps are counted now (`refreshed_steps`, `visited_steps` in the load of a service).

Change: a job keeps counts for each open step, so that an event updates its step and those that depend on it (readiness.rs). Ready steps are ordered by the time of their next change of rank. Equal steps of a job are a group, of which a pass leaves out the rest once it has skipped one (ready_queue.rs).

Tests: readiness.rs. The randomized test of the placement compares the queue with the progress of all jobs each 100 ms.

--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -204,18 +204,15 @@
 
     /// Removes a retired job.
     fn remove_pipeline(&mut self, id: PipelineId) {
-        let Some(record) = self.pipelines.remove(&id) else {
-            return;
-        };
-        self.preemptions.remove_pipeline(StepKey {
-            pipeline: id,
-            occurrence: 0,
-            step: 0,
-        });
-        for (key, rank) in record.ready {
-            self.ready.remove(&(rank, key));
-            self.waits.remove(&key);
+        self.clear_ready_steps(id);
+        self.pipelines.remove(&id);
+        let first_step = StepKey::first_of(id);
+        self.preemptions.remove_pipeline(first_step);
+        let caches = self.ticket_caches.range(first_step..);
+        let caches = caches.map(|(key, _)| *key);
+        let caches: Vec<StepKey> = caches.take_while(|key| key.pipeline == id).collect();
+        for key in caches {
+            self.ticket_caches.remove(&key);
         }
-        self.ticket_caches.retain(|key, _| key.pipeline != id);
     }
 }
--- a/crates/core/src/pipelines/crashes.rs
+++ b/crates/core/src/pipelines/crashes.rs
@@ -148,7 +148,7 @@
                     self.log_note(PipelineNote::GivenUp { run: *run });
                     self.stop_pipeline(id, now);
                     self.mark_dirty(id);
-                    self.refresh_ready_steps(id);
+                    self.clear_ready_steps(id);
                 }
                 _ => {}
             }
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -42,6 +42,8 @@
 mod progress;
 mod queue;
 mod quota;
+mod readiness;
+mod ready_queue;
 mod reports;
 mod requests;
 mod responses;
--- a/crates/core/src/pipelines/overview.rs
+++ b/crates/core/src/pipelines/overview.rs
@@ -22,6 +22,10 @@
     /// Number of workers that placement passes have examined for a step, in all passes of
     /// this owner.
     pub examined_candidates: u64,
+    /// Number of times that the readiness and the rank of a step were updated.
+    pub refreshed_steps: u64,
+    /// Number of ready steps that placement passes have dealt with.
+    pub visited_steps: u64,
     /// Number of runs that this owner has stopped for urgent work.
     pub preempted_runs: u64,
     /// Number of steps that are deferred, as not all waiting steps can be in time.
@@ -48,6 +52,8 @@
             claimed_workers: claimed.count() as u64,
             dirty: self.dirty.len() as u64,
             examined_candidates: self.examined_candidates,
+            refreshed_steps: self.refreshed_steps,
+            visited_steps: self.visited_steps,
             preempted_runs: self.preemptions.total,
             deferred_steps: self.scarcity.deferred.len() as u64,
         }
--- a/crates/core/src/pipelines/preemption.rs
+++ b/crates/core/src/pipelines/preemption.rs
@@ -11,7 +11,7 @@
     headroom::has_slack,
     messages::PipelineNote,
     place::PlacementTable,
-    queue::{QueueRank, StepPunctuality},
+    queue::StepPunctuality,
     spec::{RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
     worker::{RunPhase, WorkerContact, WorkerRecord, WorkerRun},
@@ -99,16 +99,11 @@
 impl PipelineState {
     /// Stops runs of jobs with slack if the most urgent steps that can still be in time have too little
     /// room after a pass.
-    pub(super) fn preempt_for_urgent(
-        &mut self,
-        ready: &[(QueueRank, StepKey)],
-        table: &PlacementTable,
-        now: Duration,
-    ) {
+    pub(super) fn preempt_for_urgent(&mut self, table: &PlacementTable, now: Duration) {
         if now < self.preemptions.due {
             return;
         }
-        let unplaced = self.unplaced_urgent_cpu(ready);
+        let unplaced = self.unplaced_urgent_cpu();
         let total = table.total_cpu_milli();
         let free = table.usable_cpu_milli();
         let has_urgent = unplaced > 0 || free * 100 < total * LOW_FREE_PERCENT;
@@ -150,22 +145,22 @@
 
     /// Returns the CPU that the most urgent steps lack which can still be in time and which the
     /// caps of their teams admit.
-    fn unplaced_urgent_cpu(&self, ready: &[(QueueRank, StepKey)]) -> u64 {
-        let urgent = ready.iter().filter(|(rank, _)| {
+    fn unplaced_urgent_cpu(&self) -> u64 {
+        let urgent = self.ready.steps().filter(|(rank, _)| {
             let (is_expired, is_excess, priority, punctuality, _) = *rank;
             let can_be_in_time = punctuality != StepPunctuality::Late;
             !is_expired && !is_excess && can_be_in_time && priority == self.top_priority
         });
         let lacking = urgent.map(|(_, key)| {
             let record = self.pipelines.get(&key.pipeline);
-            let step_spec = self.step_spec(*key);
+            let step_spec = self.step_spec(key);
             let Some((record, step_spec)) = record.zip(step_spec) else {
                 return 0;
             };
-            if !record.ready.contains_key(key) || step_spec.long_running {
+            if step_spec.long_running {
                 return 0;
             }
-            let progress = record.progress.step(*key);
+            let progress = record.progress.step(key);
             let waiting = progress.map_or(0, |progress| progress.waiting_tasks().count());
             let team = record.spec.team.as_ref();
             let admitted = self.quotas.admit(team, &step_spec.demand, waiting);
--- a/crates/core/src/pipelines/progress.rs
+++ b/crates/core/src/pipelines/progress.rs
@@ -111,10 +111,6 @@
 }
 
 impl StepProgress {
-    pub(super) fn is_done(&self) -> bool {
-        self.tasks.iter().all(|task| task.place == TaskPlace::Done)
-    }
-
     /// Returns whether no task of the step is placed on a worker.
     pub(super) fn is_unplaced(&self) -> bool {
         let mut tasks = self.tasks.iter();
@@ -175,22 +171,21 @@
         self.occurrences.insert(occurrence, steps.collect());
     }
 
-    /// Returns whether a job of this specification has room for another occurrence in progress.
-    pub(super) fn has_room_for_occurrence(&self, spec: &PipelineSpec) -> bool {
+    /// Returns whether there is room for another occurrence with this number of tasks in progress.
+    pub(super) fn has_room_for(&self, occurrence_size: u64) -> bool {
         let open = u64::try_from(self.occurrences.len()).unwrap_or(u64::MAX);
-        let size = open
-            .saturating_add(1)
-            .saturating_mul(spec.occurrence_size());
+        let size = open.saturating_add(1).saturating_mul(occurrence_size);
         self.occurrences.is_empty() || size <= MAX_OPEN_TASKS
     }
 
     /// Removes the latest occurrences until those in progress do not exceed the limit, as far as
     /// no task of them was placed. They are added again when there is room.
     pub(super) fn remove_excess_occurrences(&mut self, spec: &PipelineSpec) {
+        let occurrence_size = spec.occurrence_size();
         while let Some((occurrence, steps)) = self.occurrences.pop_last() {
             let mut tasks = steps.iter().flat_map(|step| &step.tasks);
             let is_untouched = tasks.all(|task| *task == TaskProgress::default());
-            if !is_untouched || self.has_room_for_occurrence(spec) {
+            if !is_untouched || self.has_room_for(occurrence_size) {
                 self.occurrences.insert(occurrence, steps);
                 return;
             }
@@ -294,20 +289,4 @@
         let mut steps = self.steps();
         steps.all(StepProgress::is_unplaced)
     }
-
-    /// Moves occurrences whose steps are all done to `done`. Returns whether there
-    /// were any.
-    pub(super) fn retire_occurrences(&mut self) -> bool {
-        let before = self.done.len();
-        let ended = self.occurrences.iter().filter(|(_, steps)| {
-            let mut steps = steps.iter();
-            steps.all(StepProgress::is_done)
-        });
-        let ended: Vec<u32> = ended.map(|(occurrence, _)| *occurrence).collect();
-        for occurrence in ended {
-            self.occurrences.remove(&occurrence);
-            self.done.insert(occurrence);
-        }
-        self.done.len() > before
-    }
 }
--- a/crates/core/src/pipelines/quota.rs
+++ b/crates/core/src/pipelines/quota.rs
@@ -48,7 +48,7 @@
             match self.pipelines.get_mut(&id) {
                 Some(record) if is_excess => {
                     record.timing.is_excess = true;
-                    self.refresh_ready_steps(id);
+                    self.refresh_pipeline(id);
                 }
                 _ => {}
             }
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -9,7 +9,7 @@
     },
     pace::next_share_percent,
     progress::{PipelinePhase, TaskPlace},
-    spec::{PipelineId, RunKey},
+    spec::{PipelineId, RunKey, TaskKey},
     state::PipelineState,
     worker::{ORDER_TRANSIT_TIME, RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
 };
@@ -440,23 +440,18 @@
         if end.is_some() && record.progress.phase == PipelinePhase::Queued {
             record.progress.phase = PipelinePhase::Running;
         }
-        let Some(task) = record.progress.task_mut(run.task) else {
-            return;
-        };
-        task.place = TaskPlace::Waiting;
         let mut failures = 0;
         match end {
-            Some(RunEnd::Done) if !step_spec.long_running => {
-                if let Some(step) = record.progress.step_mut(key) {
-                    let index = run.task.index as usize;
-                    let ended = (0..).zip(&mut step.tasks);
-                    // All members of a gang are done once one of them is.
-                    for (_, task) in ended.filter(|(other, _)| step_spec.gang || *other == index) {
-                        task.place = TaskPlace::Done;
-                        task.checkpoint.clear();
-                    }
+            // All members of a gang are done once one of them is.
+            Some(RunEnd::Done) if step_spec.gang && !step_spec.long_running => {
+                for index in 0..step_spec.count {
+                    record.complete_task(TaskKey { step: key, index });
                 }
             }
+            Some(RunEnd::Done) if !step_spec.long_running => record.complete_task(run.task),
+            _ => record.set_place(run.task, TaskPlace::Waiting),
+        }
+        match end {
             Some(RunEnd::Failed) if step_spec.gang => {
                 if let Some(step) = record.progress.step_mut(key) {
                     if run.attempt > step.gang_failed_attempt {
@@ -467,11 +462,13 @@
                 }
             }
             Some(RunEnd::Failed) => {
-                if run.attempt > task.failed_attempt {
-                    task.failed_attempt = run.attempt;
-                    task.failures += 1;
+                if let Some(task) = record.progress.task_mut(run.task) {
+                    if run.attempt > task.failed_attempt {
+                        task.failed_attempt = run.attempt;
+                        task.failures += 1;
+                    }
+                    failures = task.failures;
                 }
-                failures = task.failures;
             }
             _ => {}
         }
@@ -488,8 +485,13 @@
             self.stop_gang(key, now);
         }
         self.mark_dirty(key.pipeline);
-        self.complete_pipeline(key.pipeline);
-        self.refresh_ready_steps(key.pipeline);
+        if has_exhausted_attempts {
+            self.clear_ready_steps(key.pipeline);
+        }
+        if self.refresh_after_end(key) {
+            self.complete_pipeline(key.pipeline);
+            self.add_due_occurrences(key.pipeline);
+        }
     }
 
     /// Moves a job to the completed phase if all of its occurrences are done.
@@ -497,7 +499,7 @@
         let Some(record) = self.pipelines.get_mut(&id) else {
             return;
         };
-        if !record.progress.retire_occurrences() || record.progress.phase.is_final() {
+        if record.progress.phase.is_final() {
             return;
         }
         let occurrences = record
--- a/crates/core/src/pipelines/restoration.rs
+++ b/crates/core/src/pipelines/restoration.rs
@@ -12,7 +12,6 @@
     advice::{PendingRequest, TicketCache},
     place::{PlaceCandidate, PlacementTable},
     progress::StepProgress,
-    queue::QueueRank,
     requests::SLOW_DECISION_MS,
     schedule::{PlacementPass, StepSearch},
     spec::{AdvicePolicy, StepKey},
@@ -43,13 +42,12 @@
 impl PipelineState {
     /// Places the lost tasks of the ready steps before the rest of the queue, and holds workers
     /// for those that do not fit.
-    pub(super) fn restore_lost_tasks(
-        &mut self,
-        ready: &[(QueueRank, StepKey)],
-        pass: &mut PlacementPass,
-        now: Duration,
-    ) {
-        let lost = ready.iter().map(|(_, key)| *key);
+    pub(super) fn restore_lost_tasks(&mut self, pass: &mut PlacementPass, now: Duration) {
+        let lasting = self.ready.steps_of(|id| {
+            let pipeline = self.pipelines.get(&id);
+            pipeline.is_some_and(|pipeline| pipeline.timing.is_long_running)
+        });
+        let lost = lasting.into_iter();
         let lost: Vec<StepKey> = lost.filter(|key| self.has_lost_task(*key)).collect();
         for key in &lost {
             self.place_lost_tasks(*key, pass, now);
--- a/crates/core/src/pipelines/scarcity.rs
+++ b/crates/core/src/pipelines/scarcity.rs
@@ -14,7 +14,7 @@
 
 use super::{
     queue::{QueueRank, StepPunctuality},
-    spec::{PipelineId, PipelineSpec, StepKey},
+    spec::{PipelineSpec, StepKey},
     state::PipelineState,
     worker::RunPhase,
 };
@@ -33,7 +33,7 @@
 const MEAN_WEIGHT_DIVISOR: u64 = 16;
 
 /// Thousandths of a core times ms.
-type CpuWork = u64;
+pub(super) type CpuWork = u64;
 
 /// The CPU that becomes free over time, while nothing new is placed.
 #[derive(Clone, Debug, Default)]
@@ -120,7 +120,7 @@
 }
 
 /// Returns the CPU work of a job by its estimates.
-fn job_work(spec: &PipelineSpec) -> CpuWork {
+pub(super) fn job_work(spec: &PipelineSpec) -> CpuWork {
     let steps = spec.steps.iter().filter(|step| !step.long_running);
     let work = steps.map(|step| {
         let task = step.demand.cpu_milli.saturating_mul(step.estimate_ms);
@@ -157,61 +157,58 @@
     }
 
     /// Returns the value of a job in percent of that of a mean job of its queue.
-    fn value_percent(&self, spec: &PipelineSpec) -> u64 {
-        let mean = self.mean_work.get(&spec.policy.queue).copied();
+    fn value_percent(&self, queue: &str, work: CpuWork) -> u64 {
+        let mean = self.mean_work.get(queue).copied();
         let mean = mean.unwrap_or_default().max(1);
-        let share = job_work(spec).saturating_mul(100 - FIXED_VALUE_PERCENT) / mean;
+        let share = work.saturating_mul(100 - FIXED_VALUE_PERCENT) / mean;
         (FIXED_VALUE_PERCENT + share).min(MAX_VALUE_PERCENT)
     }
 }
 
 impl PipelineState {
     /// Chooses the steps to defer after a pass, if it has left steps unplaced that can be in time.
-    pub(super) fn update_deferred_steps(
-        &mut self,
-        ready: &[(QueueRank, StepKey)],
-        free_milli: u64,
-        now: Duration,
-    ) {
+    pub(super) fn update_deferred_steps(&mut self, free_milli: u64, now: Duration) {
         if now < self.scarcity.due {
             return;
         }
         self.scarcity.due = now + CHOICE_INTERVAL;
-        let waiting = self.waiting_steps(ready);
+        let waiting = self.waiting_steps();
         let deferred = if waiting.is_empty() {
             BTreeSet::new()
         } else {
             choose_deferred(waiting, &self.capacity_supply(free_milli, now))
         };
         let changed = self.scarcity.deferred.symmetric_difference(&deferred);
-        let changed: BTreeSet<PipelineId> = changed.map(|key| key.pipeline).collect();
+        let changed: Vec<StepKey> = changed.copied().collect();
         self.scarcity.deferred = deferred;
-        for id in changed {
-            self.refresh_ready_steps(id);
+        for key in changed {
+            self.refresh_step(key);
         }
     }
 
     /// Returns the steps that wait for CPU and can be in time by themselves. Those for accelerators
     /// compete for other workers.
-    fn waiting_steps(&self, ready: &[(QueueRank, StepKey)]) -> Vec<WaitingStep> {
-        let waiting = ready.iter().filter_map(|(rank, key)| {
-            let (is_expired, is_excess, priority, punctuality, _) = *rank;
+    fn waiting_steps(&self) -> Vec<WaitingStep> {
+        let waiting = self.ready.steps().filter_map(|(rank, key)| {
+            let (is_expired, is_excess, priority, punctuality, _) = rank;
             let record = self.pipelines.get(&key.pipeline)?;
             let step_spec = record.spec.steps.get(key.step as usize)?;
             let is_late = punctuality == StepPunctuality::Late;
             let is_sound = !is_expired && !is_excess && !is_late;
             let has_room_elsewhere = step_spec.demand.accelerators > 0 || step_spec.long_running;
-            if !is_sound || has_room_elsewhere || !record.ready.contains_key(key) {
+            if !is_sound || has_room_elsewhere {
                 return None;
             }
-            let tasks = record.progress.step(*key)?.waiting_tasks().count() as u64;
+            let tasks = record.progress.step(key)?.waiting_tasks().count() as u64;
             let task_work = step_spec.occupied().cpu_milli * step_spec.estimate_ms;
             Some(WaitingStep {
-                key: *key,
+                key,
                 priority,
-                left_ms: record.timing.time_left_ms(&record.spec, *key, self.wall_ms),
+                left_ms: record.timing.time_left_ms(&record.spec, key, self.wall_ms),
                 work: task_work.saturating_mul(tasks),
-                value_percent: self.scarcity.value_percent(&record.spec),
+                value_percent: self
+                    .scarcity
+                    .value_percent(&record.spec.policy.queue, record.timing.work),
             })
         });
         waiting.collect()
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -133,6 +133,16 @@
     demands: ExhaustedDemands,
 }
 
+/// What a placement pass has done with a step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StepOutcome {
+    /// It has placed the step as far as it fits.
+    Considered,
+    /// It has skipped the step, and so would it those that need the same: there is no room for
+    /// them, or many steps of their queue wait for tickets before them.
+    Skipped,
+}
+
 /// State of one placement pass over the ready steps.
 #[derive(Debug)]
 pub(super) struct PlacementPass {
@@ -214,15 +224,19 @@
                 top_priority: self.top_priority,
                 requests: self.request_budget(),
             };
-            let ready: Vec<(QueueRank, StepKey)> = self.ready.iter().copied().collect();
-            self.restore_lost_tasks(&ready, &mut pass, now);
-            for (rank, key) in &ready {
-                self.place_step(*rank, *key, &mut pass, now);
+            self.restore_lost_tasks(&mut pass, now);
+            let mut cursor = self.ready.cursor();
+            while let Some(entry) = cursor.pop() {
+                let outcome = self.place_step(entry.rank, entry.key, &mut pass, now);
+                if outcome == StepOutcome::Considered {
+                    cursor.continue_group(&entry, &self.ready);
+                }
                 pass.step_count += 1;
             }
+            self.visited_steps += pass.step_count as u64;
             if self.config.manages_scarcity {
-                self.preempt_for_urgent(&ready, &pass.table, now);
-                self.update_deferred_steps(&ready, pass.table.usable_cpu_milli(), now);
+                self.preempt_for_urgent(&pass.table, now);
+                self.update_deferred_steps(pass.table.usable_cpu_milli(), now);
             }
             self.examined_candidates += pass.table.examined();
         }
@@ -264,23 +278,24 @@
     }
 
     /// Places the waiting tasks of a step, requests tickets for those that lack them, and
-    /// reserves workers for a gang that does not fit.
+    /// reserves workers for a gang that does not fit. Skips the step instead if many steps of its
+    /// queue wait before it and it cannot be placed.
     fn place_step(
         &mut self,
         rank: QueueRank,
         key: StepKey,
         pass: &mut PlacementPass,
         now: Duration,
-    ) {
+    ) -> StepOutcome {
         let Some(record) = self.pipelines.get(&key.pipeline) else {
-            return;
+            return StepOutcome::Considered;
         };
         let spec = Arc::clone(&record.spec);
         let can_wait = has_slack(record, key.occurrence, pass.top_priority, self.wall_ms);
         let (Some(step_spec), Some(progress)) =
             (spec.steps.get(key.step as usize), record.progress.step(key))
         else {
-            return;
+            return StepOutcome::Considered;
         };
         let backlog = pass.backlog(&spec.policy.queue);
         let is_behind = backlog.steps >= MAX_UNPLACED_STEPS_PER_QUEUE;
@@ -291,7 +306,7 @@
                     .contains(step_spec))
         {
             self.skip_step(key, now);
-            return;
+            return StepOutcome::Skipped;
         }
         let mut waiting: Vec<u32> = progress.waiting_tasks().collect();
         let capped = self.limit_by_quota(&spec, step_spec, &mut waiting);
@@ -299,7 +314,7 @@
             self.log_capped_step(key, capped, waiting.is_empty(), now);
         }
         if waiting.is_empty() {
-            return;
+            return StepOutcome::Considered;
         }
         if can_wait {
             pass.table.mark_headroom(HEADROOM_PERCENT);
@@ -315,7 +330,7 @@
         let has_progress = placed_count > 0;
         let unplaced_count = waiting.len() - placed_count;
         if unplaced_count == 0 {
-            return;
+            return StepOutcome::Considered;
         }
         if !has_progress && self.usable(&search, &pass.table).next().is_none() {
             if self.fitting(&search, &pass.table).next().is_none() {
@@ -324,7 +339,7 @@
             }
             if is_behind {
                 self.skip_step(key, now);
-                return;
+                return StepOutcome::Considered;
             }
         }
         let is_held = pass.held_steps.contains_key(&key);
@@ -346,6 +361,7 @@
             };
             self.log_wait(key, wait, now);
         }
+        StepOutcome::Considered
     }
 
     /// Places as many of the given waiting tasks of a step as fit, suspects after the others and
@@ -586,19 +602,19 @@
         }
         let starts = self.pending_starts.entry(key.pipeline).or_default();
         for (index, worker) in waiting.iter().zip(chosen) {
-            let Some(task) = step.tasks.get_mut(*index as usize) else {
+            let step = record.progress.step_mut(key);
+            let Some(task) = step.and_then(|step| step.tasks.get_mut(*index as usize)) else {
                 continue;
             };
             task.attempt += 1;
             task.holder = None;
-            task.place = TaskPlace::Placed(WorkerId::clone(&worker));
-            let run = RunKey {
-                task: TaskKey {
-                    step: key,
-                    index: *index,
-                },
-                attempt: task.attempt,
+            let (attempt, is_suspect) = (task.attempt, task.is_suspect());
+            let task = TaskKey {
+                step: key,
+                index: *index,
             };
+            record.set_place(task, TaskPlace::Placed(WorkerId::clone(&worker)));
+            let run = RunKey { task, attempt };
             let mut ticket = None;
             if let Some(record) = self.workers.get_mut(&worker) {
                 let cache = self.ticket_caches.get(&key);
@@ -607,7 +623,7 @@
                     usable.and_then(|(cache, instance)| cache.ticket(instance.number, now));
                 ticket = usable.map(str::to_owned);
                 let mut entry = WorkerRun::new(&step_spec, RunPhase::Ordered(0), now);
-                if task.is_suspect() {
+                if is_suspect {
                     entry.report = ReportStatus::UnreportedSuspect;
                 }
                 entry.ticket.clone_from(&ticket);
@@ -622,7 +638,7 @@
             });
         }
         self.mark_dirty(key.pipeline);
-        self.refresh_ready_steps(key.pipeline);
+        self.refresh_step(key);
     }
 
     /// Sends the renewals that are due.
--- a/crates/core/src/pipelines/spec.rs
+++ b/crates/core/src/pipelines/spec.rs
@@ -29,6 +29,17 @@
     pub step: u32,
 }
 
+impl StepKey {
+    /// Returns the lowest key of the steps of a pipeline.
+    pub(super) const fn first_of(pipeline: PipelineId) -> Self {
+        Self {
+            pipeline,
+            occurrence: 0,
+            step: 0,
+        }
+    }
+}
+
 /// Identifies a task of a step.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 #[derive(Deserialize, Serialize)]
@@ -307,6 +318,22 @@
         start.saturating_add(self.objective_ms())
     }
 
+    /// Returns the number of occurrences that are due at this time in ms since 1970. They become due
+    /// in order.
+    pub(super) fn due_occurrences(&self, wall_ms: u64) -> u32 {
+        let Some(schedule) = &self.schedule else {
+            return 1;
+        };
+        let since_first_ms = wall_ms.saturating_sub(schedule.first_unix_ms);
+        let due = match since_first_ms.checked_sub(1) {
+            None => 0,
+            Some(last_ms) => last_ms
+                .checked_div(schedule.interval_ms)
+                .map_or(u64::MAX, |later| later.saturating_add(1)),
+        };
+        u32::try_from(due).map_or(schedule.occurrences, |due| due.min(schedule.occurrences))
+    }
+
     /// Returns the time from which an occurrence may run, in ms since 1970.
     #[must_use]
     pub fn start_unix_ms(&self, occurrence: u32) -> u64 {
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -16,7 +16,9 @@
     },
     preemption::PreemptionHistory,
     progress::{PipelinePhase, PipelineProgress},
-    queue::{JobTiming, QueueRank},
+    queue::{JobTiming, StepRank},
+    readiness::StepIndex,
+    ready_queue::ReadyQueue,
     responses::ResponseTimes,
     scarcity::ScarcityState,
     schedule::PipelineConfig,
@@ -57,8 +59,9 @@
     /// Command of the job, shared by its start orders.
     pub(super) command: Arc<str>,
     pub(super) progress: PipelineProgress,
-    /// Steps that may be placed and have waiting tasks, with their queue ranks.
-    pub(super) ready: BTreeMap<StepKey, QueueRank>,
+    pub(super) index: StepIndex,
+    /// Steps that may be placed and have waiting tasks.
+    pub(super) ready: BTreeMap<StepKey, StepRank>,
     /// Whether this owner has placed a task of the job.
     pub(super) has_placed_task: bool,
 }
@@ -99,7 +102,13 @@
     /// Number of the worker instance that was added last.
     pub(super) last_instance: InstanceNumber,
     /// Ready steps of all jobs, in the order in which they are placed.
-    pub(super) ready: BTreeSet<(QueueRank, StepKey)>,
+    pub(super) ready: ReadyQueue,
+    /// Ready steps by the time in ms since 1970 at which their ranks change.
+    pub(super) rank_changes: BTreeSet<(u64, StepKey)>,
+    /// Number of times that the readiness and the rank of a step were updated.
+    pub(super) refreshed_steps: u64,
+    /// Number of ready steps that placement passes have dealt with.
+    pub(super) visited_steps: u64,
     /// Ready steps that the latest pass did not place completely.
     pub(super) waits: BTreeMap<StepKey, WaitRecord>,
     /// Earliest time of the next log entry about a waiting step.
@@ -167,7 +176,10 @@
             workers: BTreeMap::new(),
             removed_workers: BTreeMap::new(),
             last_instance: 0,
-            ready: BTreeSet::new(),
+            ready: ReadyQueue::default(),
+            rank_changes: BTreeSet::new(),
+            refreshed_steps: 0,
+            visited_steps: 0,
             waits: BTreeMap::new(),
             wait_log_due: Duration::ZERO,
             ticket_caches: BTreeMap::new(),
@@ -310,6 +322,7 @@
         let record = PipelineRecord {
             command: spec.command.as_str().into(),
             timing: JobTiming::new(&spec, is_excess),
+            index: StepIndex::new(&spec, &progress),
             spec,
             progress,
             ready: BTreeMap::new(),
@@ -321,7 +334,7 @@
         if is_final {
             self.stop_pipeline(id, now);
         }
-        self.refresh_ready_steps(id);
+        self.refresh_pipeline(id);
     }
 
     /// Returns the record of a worker, which is added if the worker is unknown.
@@ -356,7 +369,7 @@
                 self.log_note(PipelineNote::Cancelled { pipeline: id });
                 self.mark_dirty(id);
                 self.stop_pipeline(id, now);
-                self.refresh_ready_steps(id);
+                self.clear_ready_steps(id);
             }
             _ => {}
         }
@@ -576,9 +589,9 @@
     /// Performs the work that depends on the time: due occurrences, late jobs, stalled
     /// runs, leaving workers, lapsed leases and unconfirmed stop orders.
     fn tick(&mut self, wall_ms: u64, now: Duration) {
-        self.wall_ms = wall_ms;
+        let former_wall_ms = std::mem::replace(&mut self.wall_ms, wall_ms);
         self.refresh_recurring_jobs();
-        self.update_stale_ranks();
+        self.update_stale_ranks(former_wall_ms);
         self.stop_stalled_runs(now);
         self.evacuate_leaving_workers(now);
         self.log_unreached_workers(now);
@@ -612,20 +625,22 @@
 
     /// Stops all runs of a job.
     pub(super) fn stop_pipeline(&mut self, id: PipelineId, now: Duration) {
-        self.stop_runs(now, |run| run.task.step.pipeline == id);
+        let first = StepKey::first_of(id);
+        self.stop_runs(first, |step| step.pipeline == id, now);
     }
 
     /// Stops all members of a gang.
     pub(super) fn stop_gang(&mut self, step: StepKey, now: Duration) {
-        self.stop_runs(now, |run| run.task.step == step);
+        self.stop_runs(step, |other| other == step, now);
     }
 
-    fn stop_runs(&mut self, now: Duration, is_selected: impl Fn(&RunKey) -> bool) {
+    /// Stops the runs of the steps from `first` on, as far as they are selected.
+    fn stop_runs(&mut self, first: StepKey, is_selected: impl Fn(StepKey) -> bool, now: Duration) {
         let runs = self.workers.iter().flat_map(|(worker, record)| {
-            let runs = record.runs.iter().filter(|(run, entry)| {
-                is_selected(run) && !matches!(entry.phase, RunPhase::Stopping(_))
-            });
-            runs.map(|(run, _)| (WorkerId::clone(worker), *run))
+            let runs = record.runs_from(first);
+            let runs = runs.take_while(|(run, _)| is_selected(run.task.step));
+            let active = runs.filter(|(_, run)| !matches!(run.phase, RunPhase::Stopping(_)));
+            active.map(|(run, _)| (WorkerId::clone(worker), *run))
         });
         let runs: Vec<(WorkerId, RunKey)> = runs.collect();
         for (worker, run) in runs {
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -15,6 +15,7 @@
 mod preemption;
 mod probation;
 mod quotas;
+mod readiness;
 mod recovery;
 mod recurring;
 mod responses;
--- a/crates/core/src/pipelines/tests/liveness.rs
+++ b/crates/core/src/pipelines/tests/liveness.rs
@@ -11,6 +11,7 @@
 
 use super::{
     fixtures::{advice, job, listing, step},
+    readiness::find_wrong_readiness,
     simulation::SimulatedService,
 };
 use crate::{
@@ -270,8 +271,8 @@
 
 /// Returns whether a waiting gang precedes the step in the queue.
 fn is_behind_gang(service: &SimulatedService, key: StepKey) -> bool {
-    let ready = service.owner.ready.iter().map(|(_, key)| key);
-    let mut ahead = ready.take_while(|ready| **ready != key);
+    let ready = service.owner.ready.steps_of(|_| true).into_iter();
+    let mut ahead = ready.take_while(|ready| *ready != key);
     ahead.any(|key| service.jobs[&key.pipeline].spec.steps[key.step as usize].gang)
 }
 
@@ -287,9 +288,9 @@
 /// Returns the state of the owner, with the jobs that have ready steps.
 fn describe_owner(service: &SimulatedService) -> String {
     let mut report = String::new();
-    for (rank, key) in &service.owner.ready {
+    for (rank, key) in service.owner.ready.steps() {
         let spec = &service.jobs[&key.pipeline].spec;
-        let (step_spec, wait) = (&spec.steps[key.step as usize], service.waits.get(key));
+        let (step_spec, wait) = (&spec.steps[key.step as usize], service.waits.get(&key));
         let policy = &spec.policy;
         writeln!(report, "{key} {rank:?} {policy:?} {step_spec:?} {wait:?}").unwrap();
     }
@@ -402,6 +403,9 @@
         service.advance();
         let now_ms = service.now.as_millis();
         let is_check_due = now_ms.is_multiple_of(CHECK_INTERVAL.as_millis());
+        if is_check_due && let Some(report) = find_wrong_readiness(&service.owner) {
+            return Err(format!("seed {seed}: {report} at {:?}", service.now));
+        }
         if service.now >= watch_start
             && is_check_due
             && let Some(report) = watch.check(&service)
--- a/crates/core/src/pipelines/wait.rs
+++ b/crates/core/src/pipelines/wait.rs
@@ -33,9 +33,9 @@
     pub lost_tasks: usize,
     /// Number of workers that are held for tasks of the step that lasts and had a run before.
     pub held: usize,
-    /// Number of ready steps that precede the step in the queue.
+    /// Number of ready steps that the pass has dealt with before the step.
     pub steps_before: usize,
-    /// Number of tasks of these steps that the pass placed.
+    /// Number of tasks of these steps that it placed.
     pub placed_before: usize,
     /// Number of workers with the required label that accept tasks.
     pub labelled: usize,
--- a/crates/core/src/pipelines/worker.rs
+++ b/crates/core/src/pipelines/worker.rs
@@ -458,13 +458,18 @@
         Some(run)
     }
 
-    /// Returns the number of runs of a step that may be on the worker.
-    pub(super) fn step_run_count(&self, step: StepKey) -> usize {
+    /// Returns the runs of a step and of those that follow it, in the order of their keys.
+    pub(super) fn runs_from(&self, step: StepKey) -> impl Iterator<Item = (&RunKey, &WorkerRun)> {
         let first = RunKey {
             task: TaskKey { step, index: 0 },
             attempt: 0,
         };
-        let runs = self.runs.range(first..);
+        self.runs.range(first..)
+    }
+
+    /// Returns the number of runs of a step that may be on the worker.
+    pub(super) fn step_run_count(&self, step: StepKey) -> usize {
+        let runs = self.runs_from(step);
         runs.take_while(|(key, _)| key.task.step == step).count()
     }
 
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -139,6 +139,8 @@
                         ("answering_workers", load.claimed_workers),
                         ("uncommitted_jobs", load.dirty),
                         ("examined_candidates", load.examined_candidates),
+                        ("refreshed_steps", load.refreshed_steps),
+                        ("visited_steps", load.visited_steps),
                         ("preempted_runs", load.preempted_runs),
                         ("deferred_steps", load.deferred_steps),
                     ] {
