--- a/crates/core/benches/open_steps.rs
+++ b/crates/core/benches/open_steps.rs
@@ -275,8 +275,8 @@
 fn measure(phase: Phase, shape: JobShape, jobs: u32, steps: u32) -> (f64, f64) {
     let spec = create_spec(shape, steps / jobs);
     let capacity = match phase {
-        Phase::Run | Phase::Cancel | Phase::TakeOver => CAPACITY,
-        Phase::Wait => ResourceVector::new(1, 1, 0),
+        Phase::Run | Phase::TakeOver => CAPACITY,
+        Phase::Wait | Phase::Cancel => ResourceVector::new(1, 1, 0),
     };
     let mut owner = BenchOwner::new(capacity);
     let ids = 1..=PipelineId::from(jobs);
