Hold no worker for a best-effort task that cannot fit there

What callers would see: in a service of few workers, a job never starts although its worker has room.

Cause: a worker is held for a task that lasts and had a run before, if the task would fit once short tasks have ended. For best-effort tasks only the memory was compared. They also need idle CPU, which other tasks that last never give back, so the worker was held for ever.

Change: a worker is held only if the task would fit beside the tasks that last and the best-effort ones.

Test: no_worker_is_held_for_a_best_effort_task_that_cannot_fit fails before (no start instead of one).

--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -395,12 +395,15 @@
             .min(share(free.accelerators, capacity.accelerators))
     }
 
-    /// Returns how many tasks of the step would fit if only long-running tasks were on
-    /// the worker.
-    fn fitting_tasks_when_reclaimed(&self, candidate: &PlaceCandidate, step: &StepSpec) -> usize {
+    /// Returns how many tasks of the step would fit if only long-running and best-effort
+    /// tasks were on the worker.
+    pub(super) fn fitting_tasks_when_reclaimed(
+        &self,
+        candidate: &PlaceCandidate,
+        step: &StepSpec,
+    ) -> usize {
         let reclaimed = PlaceCandidate {
             free: self.reclaimable,
-            best_effort_cpu_milli: 0,
             ..*candidate
         };
         reclaimed.fitting_tasks(step)
--- a/crates/core/src/pipelines/restoration.rs
+++ b/crates/core/src/pipelines/restoration.rs
@@ -157,6 +157,11 @@
         } else {
             Vec::new()
         };
+        // Other tasks that last, which do not end, may leave too little CPU for best-effort tasks.
+        candidates.retain(|candidate| {
+            let row = table.row(candidate);
+            row.fitting_tasks_when_reclaimed(candidate, step_spec) > 0
+        });
         candidates.sort_by_cached_key(|candidate| {
             (
                 table.is_penalized(candidate),
--- a/crates/core/src/pipelines/tests/restoration.rs
+++ b/crates/core/src/pipelines/tests/restoration.rs
@@ -329,3 +329,38 @@
     assert_eq!((lost.len(), short.len(), runs.len()), (8, 48, 12));
     assert_eq!(starts.len(), 11);
 }
+
+/// Guards against a worker that is kept from all other work for ever: it is held for a best-effort task
+/// that had a run before, and tasks that last leave too little CPU for it.
+#[test]
+fn no_worker_is_held_for_a_best_effort_task_that_cannot_fit() {
+    let mut owner = owner(&["w1"]);
+    let mut best_effort = long_running_job();
+    best_effort.steps[0].fills = true;
+    best_effort.steps[0].demand = ResourceVector::new(2_000, 100, 0);
+    let mut lasting = long_running_job();
+    lasting.steps[0].demand = ResourceVector::new(3_000, 100, 0);
+    owner.submit(1, best_effort);
+    owner.submit(2, lasting);
+    let starts = owner.start_all();
+    let failed = starts
+        .iter()
+        .find(|start| start.run.task.step == first_step(1));
+    let failed = ended(1, failed.unwrap().run, RunEnd::Failed);
+    let lasting = starts
+        .iter()
+        .find(|start| start.run.task.step == first_step(2));
+    let lasting = observed(lasting.unwrap().run);
+    owner.report("w1", vec![lasting.clone()], vec![failed]);
+    owner.commit();
+    owner.report("w1", vec![lasting], Vec::new());
+
+    owner.submit(3, job(vec![step(1)]));
+    let starts = owner.start_all();
+
+    let started: Vec<PipelineId> = starts
+        .iter()
+        .map(|start| start.run.task.step.pipeline)
+        .collect();
+    assert_eq!(started, [3]);
+}
