Count the members of a gang as one run on probation

What callers would see: a gang never starts on idle workers.

Cause: a worker on probation gets one run at a time. A gang that needs several tasks on it starts as a whole or not at all, and if no other work comes, nothing ends the probation.

Change: the members of a gang count as one run. A worker on probation still gets none for 1 s after a failure, and other workers are preferred.

Test: a_gang_alone_is_placed_on_workers_on_probation fails before (no start in 3 s, three with the change).

--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -215,8 +215,9 @@
             usize::MAX
         };
         let task_allowance = match row.standing {
-            WorkerStanding::OnProbation => task_allowance.min(1),
-            WorkerStanding::Proven | WorkerStanding::Failing => task_allowance,
+            // A gang may need several tasks on the worker, and nothing else may ever run there.
+            WorkerStanding::OnProbation if !step.gang => task_allowance.min(1),
+            _ => task_allowance,
         };
         let home = step.home_rack.as_deref();
         (task_allowance > 0).then_some(PlaceCandidate {
--- a/crates/core/src/pipelines/tests/probation.rs
+++ b/crates/core/src/pipelines/tests/probation.rs
@@ -137,3 +137,27 @@
         owner.report("w1", Vec::new(), Vec::new());
     }
 }
+
+/// Guards against a gang that is never placed: it needs more than one task on workers on probation, and
+/// without other work nothing ends the probation.
+#[test]
+fn a_gang_alone_is_placed_on_workers_on_probation() {
+    let mut owner = owner(&["w1"]);
+    for (id, number) in [(1, 1), (2, 2)] {
+        fail_run(&mut owner, id, number);
+        owner.handle_event(PipelineEvent::Cancelled(id));
+        owner.commit();
+    }
+    let mut gang = step(3);
+    gang.gang = true;
+    owner.submit(3, job(vec![gang]));
+
+    let mut starts = owner.start_all();
+    let end = owner.now + START_LIMIT;
+    while starts.is_empty() && owner.now < end {
+        owner.advance_clock(Duration::from_millis(50));
+        starts = owner.start_all();
+    }
+
+    assert_eq!(starts.len(), 3);
+}
