Test that failing workers keep no step waiting, with random jobs

The randomized test of the placement has runs that fail at random and jobs that keep coming, so a success always ends what failures have begun. The new one has workers that fail all their runs for 6 s, and no further jobs after that.

--- a/crates/core/src/pipelines/tests/liveness.rs
+++ b/crates/core/src/pipelines/tests/liveness.rs
@@ -19,10 +19,13 @@
     TaskPlace, WorkerId, WorkerListing, pipelines::worker::WorkerContact,
 };
 
-/// Seeds with which the test runs by default. A range in `AUBURNSADDLE_LIVENESS_SEEDS`, such
+/// Seeds with which the test of all faults runs by default. A range in `AUBURNSADDLE_LIVENESS_SEEDS`, such
 /// as `100..200`, replaces them.
 const SEEDS: [u64; 13] = [3, 5, 6, 11, 22, 29, 40, 64, 70, 101, 129, 158, 446];
 
+/// Seeds with which the test of workers that fail runs by default.
+const FAILURE_SEEDS: [u64; 13] = [2, 5, 14, 30, 60, 77, 78, 79, 84, 111, 112, 153, 173];
+
 /// Identifier of the first job that no worker can run.
 const FIRST_OVERSIZED_JOB: PipelineId = 10_000;
 
@@ -32,6 +35,9 @@
 /// Time in which faults occur.
 const FAULT_TIME: Duration = Duration::from_secs(18);
 
+/// Time in which jobs arrive before workers fail, and in which they fail then.
+const FAILURE_TIME: Duration = Duration::from_secs(6);
+
 /// Time until the runs of the previous owner are known to have ended on workers that have
 /// left.
 const SETTLING_TIME: Duration = Duration::from_secs(22);
@@ -57,10 +63,10 @@
 /// Smallest free part of the CPU of the service at which a step has room, in percent.
 const FREE_PERCENT: u64 = 50;
 
-fn read_seeds() -> Vec<u64> {
+fn read_seeds(default: &[u64]) -> Vec<u64> {
     let range = std::env::var("AUBURNSADDLE_LIVENESS_SEEDS").ok();
     let Some(range) = range else {
-        return SEEDS.to_vec();
+        return default.to_vec();
     };
     let (first, end) = range.split_once("..").unwrap();
     (first.parse().unwrap()..end.parse().unwrap()).collect()
@@ -416,12 +422,73 @@
     Ok(())
 }
 
+/// Runs the service with random jobs and workers that fail all their runs, and watches the jobs that
+/// are left once no others arrive.
+///
+/// # Errors
+///
+/// Returns a description of the first violation.
+fn run_with_failing_workers(seed: u64) -> Result<(), String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut service = SimulatedService::new(seed, listings());
+    let failing_from = service.now + FAILURE_TIME;
+    let failing_until = failing_from + FAILURE_TIME;
+    let end = failing_until + WATCH_TIME;
+    let mut failing: BTreeSet<WorkerId> = service.workers.keys().cloned().collect();
+    let sound_percent = rng.random_range(0..90);
+    failing.retain(|_| rng.random_range(0..100) >= sound_percent);
+    let (mut next_job, mut next_id) = (service.now, 1);
+    let mut watch = LivenessWatch::default();
+    while service.now < end {
+        if service.now >= next_job && service.now < failing_until {
+            let spec = random_job(&mut rng, service.wall_ms());
+            service.submit(next_id, spec);
+            next_id += 1;
+            next_job += Duration::from_millis(rng.random_range(100..1_200));
+        }
+        service.advance();
+        if (failing_from..failing_until).contains(&service.now) {
+            let workers = service.workers.iter_mut();
+            let workers = workers.filter(|(worker, _)| failing.contains(*worker));
+            for run in workers.flat_map(|(_, worker)| worker.runs.values_mut()) {
+                run.is_failing = true;
+            }
+        }
+        let now_ms = service.now.as_millis();
+        let is_check_due = now_ms.is_multiple_of(CHECK_INTERVAL.as_millis());
+        if service.now >= failing_until
+            && is_check_due
+            && let Some(report) = watch.check(&service)
+        {
+            return Err(format!("seed {seed}: {report}"));
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a step that waits for a worker on which runs have failed, and that nothing but other
+/// work would show to be sound.
+#[test]
+fn a_due_step_with_room_is_placed_after_failures() {
+    let seeds = read_seeds(&FAILURE_SEEDS).into_iter();
+
+    let failures = seeds.filter_map(|seed| run_with_failing_workers(seed).err());
+    let failures: Vec<String> = failures.collect();
+
+    let reports = failures.join("\n");
+    assert!(
+        failures.is_empty(),
+        "{} seeds failed\n{reports}",
+        failures.len()
+    );
+}
+
 /// Guards against a step that waits although its turn has come and there is room: a
 /// request that never ends, a run that does not exist, a step behind others that never
 /// fit, or capacity that is reserved in vain.
 #[test]
 fn a_due_step_with_room_is_placed() {
-    let seeds = read_seeds().into_iter();
+    let seeds = read_seeds(&SEEDS).into_iter();
 
     let failures: Vec<String> = seeds.filter_map(|seed| run(seed).err()).collect();
 
