--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -31,6 +31,7 @@
 mod advice;
 mod commit;
 mod crashes;
+mod exhausted;
 mod headroom;
 mod health;
 mod losses;
@@ -40,6 +41,7 @@
 mod place;
 mod preemption;
 mod progress;
+mod proven;
 mod queue;
 mod quota;
 mod readiness;
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -10,11 +10,13 @@
 
 use super::{
     commit::PendingStart,
+    exhausted::ExhaustedDemands,
     headroom::{GANG_RESERVATION_PERCENT, HEADROOM_PERCENT, has_slack},
     messages::{PipelineAction, PipelineNote, RenewalOrder},
-    place::{ExhaustedDemands, PlaceCandidate, PlacementTable},
+    place::{PlaceCandidate, PlacementTable},
     place::{TableRow, choose_for_reservation, choose_for_step, choose_idlest},
     progress::{PipelinePhase, StepProgress, TaskPlace},
+    proven::ProvenUse,
     queue::QueueRank,
     requests::RequestBudget,
     spec::{PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
@@ -33,10 +35,6 @@
 /// behind them would wait for the same answers.
 const MAX_UNTICKETED_STEPS_PER_QUEUE: u32 = 24;
 
-/// Longest time for which a step with a last attempt leaves workers unused that are not proven. A
-/// job must not be without a run for 3 s while capacity for it is idle.
-const MAX_PROVEN_WAIT: Duration = Duration::from_secs(2);
-
 /// Time for which leases are renewed after the confirmed ownership has run out, so
 /// that runs survive an outage of the store. They are extended only as far as
 /// [`PipelineEvent::ExtensionsPermitted`](super::PipelineEvent::ExtensionsPermitted) permits.
@@ -69,17 +67,6 @@
     unticketed_steps: u32,
 }
 
-/// How a step treats proven workers, on which no run has failed since the latest success.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum ProvenUse {
-    /// It uses any worker.
-    Indifferent,
-    /// It uses any worker, and proven ones first.
-    Preferred,
-    /// It uses proven workers only.
-    Required,
-}
-
 /// A ready step with waiting tasks, and which workers it may use.
 pub(super) struct StepSearch<'a> {
     pub(super) key: StepKey,
@@ -392,63 +379,6 @@
         placed_count
     }
 
-    /// Returns whether a waiting task of a step has failed and has one attempt left, with which the
-    /// job fails.
-    fn has_last_attempt(&self, key: StepKey, spec: &PipelineSpec, step_spec: &StepSpec) -> bool {
-        let pipeline = self.pipelines.get(&key.pipeline);
-        let progress = pipeline.and_then(|pipeline| pipeline.progress.step(key));
-        let max_attempts = spec.policy.max_attempts;
-        let has_last_attempt = progress.is_some_and(|progress| {
-            let mut waiting = progress.waiting_tasks();
-            waiting.any(|index| {
-                let failures = progress.failures(index, step_spec.gang);
-                failures > 0 && failures + 1 >= max_attempts
-            })
-        });
-        has_last_attempt && !step_spec.long_running
-    }
-
-    /// Returns how a step treats proven workers.
-    fn proven_use(
-        &self,
-        key: StepKey,
-        spec: &PipelineSpec,
-        step_spec: &StepSpec,
-        table: &PlacementTable,
-        now: Duration,
-    ) -> ProvenUse {
-        match self.has_last_attempt(key, spec, step_spec) {
-            true if self.can_await_proven(key, step_spec, table, now) => ProvenUse::Required,
-            true => ProvenUse::Preferred,
-            false => ProvenUse::Indifferent,
-        }
-    }
-
-    /// Returns whether a step may leave all but proven workers unused: there is a proven worker that
-    /// may run it, and the step has not waited for long.
-    ///
-    /// This holds for the whole step, also for its requests for tickets. If they named other workers,
-    /// the step would wait for tickets that it does not use, and the steps behind it with it.
-    fn can_await_proven(
-        &self,
-        key: StepKey,
-        step_spec: &StepSpec,
-        table: &PlacementTable,
-        now: Duration,
-    ) -> bool {
-        let waited = self.waited_time(key, now);
-        if waited >= MAX_PROVEN_WAIT {
-            return false;
-        }
-        let cache = self.ticket_caches.get(&key);
-        let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
-        let mut eligible = table.eligible(step_spec, task_allowance);
-        eligible.any(|candidate| {
-            let row = table.row(&candidate);
-            row.is_proven() && !cache.is_some_and(|cache| cache.is_refused(row.instance))
-        })
-    }
-
     /// Places as many of the given waiting tasks of a step as fit, and returns their number.
     fn place_waiting(
         &mut self,
