--- a/crates/core/src/pipelines/readiness.rs
+++ b/crates/core/src/pipelines/readiness.rs
@@ -16,7 +16,7 @@
 
 /// Counts of an open step.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(super) struct StepCounts {
+struct StepCounts {
     /// Number of tasks that are not done.
     open_tasks: u32,
     /// Number of tasks that wait for a worker.
@@ -138,7 +138,7 @@
     }
 
     /// Returns the group of a step.
-    pub(super) fn group(&self, key: StepKey) -> StepGroup {
+    fn group(&self, key: StepKey) -> StepGroup {
         let first_step = self.groups.get(key.step as usize).copied();
         StepGroup {
             pipeline: key.pipeline,
@@ -147,13 +147,13 @@
     }
 
     /// Returns whether all tasks of a step are done.
-    pub(super) fn is_step_done(&self, key: StepKey) -> bool {
+    fn is_step_done(&self, key: StepKey) -> bool {
         let counts = self.step(key).copied();
         counts.is_none_or(StepCounts::is_done)
     }
 
     /// Returns whether all steps of an occurrence are done.
-    pub(super) fn is_occurrence_done(&self, occurrence: u32) -> bool {
+    fn is_occurrence_done(&self, occurrence: u32) -> bool {
         let counts = self.occurrences.get(&occurrence);
         counts.is_none_or(|counts| counts.open_steps == 0)
     }
@@ -256,26 +256,18 @@
             None => record.ready.remove(&key),
         };
         let group = record.index.group(key);
-        match former {
-            Some(step) if former != current => {
-                self.ready.remove(group, step.rank, key);
-                self.rank_changes.remove(&(step.changes_at, key));
-            }
-            _ => {}
+        let is_changed = former != current;
+        if let Some(step) = former.filter(|_| is_changed) {
+            self.ready.remove(group, step.rank, key);
+            self.rank_changes.remove(&(step.changes_at, key));
         }
-        match current {
-            Some(step) if former != current => {
-                self.ready.insert(group, step.rank, key);
-                self.rank_changes.insert((step.changes_at, key));
-            }
-            _ => {}
+        if let Some(step) = current.filter(|_| is_changed) {
+            self.ready.insert(group, step.rank, key);
+            self.rank_changes.insert((step.changes_at, key));
         }
-        match current {
-            Some(_) => self.is_placement_due = true,
-            None if former.is_some() => {
-                self.waits.remove(&key);
-            }
-            None => {}
+        self.is_placement_due |= current.is_some();
+        if former.is_some() && current.is_none() {
+            self.waits.remove(&key);
         }
     }
 
--- a/crates/core/src/pipelines/tests/probation.rs
+++ b/crates/core/src/pipelines/tests/probation.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    fixtures::{ended, job, listing, long_running_job, observed, owner, step},
+    fixtures::{OwnerFixture, ended, job, listing, long_running_job, observed, owner, step},
     health::fail_run,
     simulation::SimulatedService,
 };
@@ -21,6 +21,17 @@
     names.map(|name| listing(&name)).collect()
 }
 
+/// Returns an owner whose only worker is on probation.
+fn owner_of_worker_on_probation() -> OwnerFixture {
+    let mut owner = owner(&["w1"]);
+    for (id, number) in [(1, 1), (2, 2)] {
+        fail_run(&mut owner, id, number);
+        owner.handle_event(PipelineEvent::Cancelled(id));
+        owner.commit();
+    }
+    owner
+}
+
 /// Advances the service, and records when each of the jobs has last had a run.
 fn advance(
     service: &mut SimulatedService,
@@ -84,12 +95,7 @@
 #[test]
 fn a_long_run_on_probation_does_not_keep_other_tasks_from_the_worker() {
     for is_reported in [true, false] {
-        let mut owner = owner(&["w1"]);
-        for (id, number) in [(1, 1), (2, 2)] {
-            fail_run(&mut owner, id, number);
-            owner.handle_event(PipelineEvent::Cancelled(id));
-            owner.commit();
-        }
+        let mut owner = owner_of_worker_on_probation();
         let mut long = step(3);
         long.estimate_ms = 60_000;
         owner.submit(3, job(vec![long]));
@@ -142,12 +148,7 @@
 /// without other work nothing ends the probation.
 #[test]
 fn a_gang_alone_is_placed_on_workers_on_probation() {
-    let mut owner = owner(&["w1"]);
-    for (id, number) in [(1, 1), (2, 2)] {
-        fail_run(&mut owner, id, number);
-        owner.handle_event(PipelineEvent::Cancelled(id));
-        owner.commit();
-    }
+    let mut owner = owner_of_worker_on_probation();
     let mut gang = step(3);
     gang.gang = true;
     owner.submit(3, job(vec![gang]));
