Place sound jobs before failing ones on workers on probation

What callers saw: two jobs whose task fails 0.3 s after each start keep three sound workers on probation, and six sound jobs have no run for the 30 s that were watched, on idle workers. Both jobs are allowed: a task may fail at any time.

Cause: a failure was evidence about the worker alone, and on probation the order was that of the queue. The failing jobs are older, and lost tasks that last precede the queue, so they took each turn, and no run that would show the workers to be sound was tried.

`held` is 0, which rules out workers that are held for lost tasks. The lines did not tell probation from a worker that is gone; the field `on_probation` does now.

Change: failures in a row are counted for each task as well (`streaks`). A task that fails where a later run holds is at fault, and its further failures are no evidence about workers. On workers on probation, tasks that have not failed go first, whatever their priority, then those that wait longest. A step that has waited for 2 s uses workers on probation like others if they are at least half of those that it may use; that is the bound, whatever the number of failing jobs. A task is rather placed on other workers than the one where it failed last, and a last attempt waits up to 2 s for another one.

Tests: sound_jobs_do_not_wait_for_jobs_that_always_fail, 16 forms with one owner and with owners that are replaced every 3 s and 10 s, with and without advice.

--- a/crates/core/src/instances/reliability.rs
+++ b/crates/core/src/instances/reliability.rs
@@ -51,15 +51,15 @@
 }
 
 impl RunReliability {
-    /// Records that a run of a job failed. If a run that was placed later has succeeded, the failure
-    /// says nothing about the worker: some tasks fail everywhere.
-    pub(crate) fn record_failure(&mut self, job: u64, placed_at: Duration, now: Duration) {
-        if self
-            .succeeded_placed_at
+    /// Returns whether a run has succeeded that was placed after this time, so that the worker did not
+    /// fail all that it started then.
+    pub(crate) fn has_succeeded_since(&self, placed_at: Duration) -> bool {
+        self.succeeded_placed_at
             .is_some_and(|success| success > placed_at)
-        {
-            return;
-        }
+    }
+
+    /// Records that a run of a job failed and that its task is not known to be at fault.
+    pub(crate) fn record_failure(&mut self, job: u64, placed_at: Duration, now: Duration) {
         if self.last_job != Some(job) {
             self.failed_jobs += 1;
             self.last_job = Some(job);
@@ -79,8 +79,8 @@
         }
     }
 
-    /// Records that a run succeeded, or has not failed for [`PROBE_TIME`]. It ends a probation if it was placed after all runs that failed:
-    /// a worker that fails what it starts may still finish what it has started before.
+    /// Records that a run succeeded, or has not failed for [`PROBE_TIME`]. It ends a probation if it was
+    /// placed after all runs that failed: a worker that fails what it starts may still finish what it has started before.
     pub(crate) fn record_success(&mut self, placed_at: Duration) {
         let latest = self.succeeded_placed_at.max(Some(placed_at));
         if placed_at > self.failed_placed_at {
@@ -103,8 +103,8 @@
         self.probation.is_some()
     }
 
-    /// Returns whether the worker may get a run. `placed_at` has the times at which its present runs
-    /// were placed.
+    /// Returns whether the worker may get a run in its turn. `placed_at` has the times at which its
+    /// present runs were placed.
     ///
     /// On probation, it gets none for some time after a failure, and none while another one may still
     /// fail at its start.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -68,6 +68,7 @@
 mod pipelines;
 mod publication;
 mod quotas;
+mod streaks;
 mod tasks;
 mod teams;
 mod types;
--- a/crates/core/src/pipelines/commit.rs
+++ b/crates/core/src/pipelines/commit.rs
@@ -5,7 +5,7 @@
 use super::{
     messages::{PipelineAction, StartOrder},
     progress::{PipelinePhase, PipelineProgress},
-    spec::{PipelineId, PipelineSpec, RunKey, StepKey},
+    spec::{PipelineId, PipelineSpec, RunKey, StepKey, TaskKey},
     state::PipelineState,
     worker::{RunPhase, WorkerRecord},
 };
@@ -208,6 +208,12 @@
         self.pipelines.remove(&id);
         let first_step = StepKey::first_of(id);
         self.preemptions.remove_pipeline(first_step);
+        let first_task = TaskKey {
+            step: first_step,
+            index: 0,
+        };
+        let is_removed = |task: TaskKey| task.step.pipeline == id;
+        self.streaks.remove_from(first_task, is_removed);
         let caches = self.ticket_caches.range(first_step..);
         let caches = caches.map(|(key, _)| *key);
         let caches: Vec<StepKey> = caches.take_while(|key| key.pipeline == id).collect();
--- a/crates/core/src/pipelines/headroom.rs
+++ b/crates/core/src/pipelines/headroom.rs
@@ -8,6 +8,7 @@
 
 use super::{
     place::{PlacementTable, choose_for_step},
+    probation::ProbationUse,
     progress::StepProgress,
     spec::{StepKey, StepSpec},
     state::{PipelineRecord, PipelineState},
@@ -62,7 +63,7 @@
             return false;
         }
         let cache = self.ticket_caches.get(&key);
-        let fitting = table.fitting(step_spec, |worker| {
+        let fitting = table.fitting(step_spec, ProbationUse::InTurn, |worker| {
             self.task_allowance(worker, key, step_spec)
         });
         let mut usable = fitting.filter(|candidate| {
--- a/crates/core/src/pipelines/messages.rs
+++ b/crates/core/src/pipelines/messages.rs
@@ -429,8 +429,16 @@
         /// What keeps the tasks from being placed.
         wait: StepWait,
     },
+    /// A task has failed on a worker that is known to be sound. Its failures do not count against
+    /// workers until a run of it holds.
+    TaskAtFault {
+        /// The run that failed last.
+        run: RunKey,
+        /// Number of failures in a row.
+        failures: u32,
+    },
     /// Runs of several jobs have failed on a worker in a row. It gets one run after another until one
-    /// succeeds.
+    /// holds.
     WorkerOnProbation {
         /// The worker.
         worker: WorkerId,
--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -40,6 +40,7 @@
 mod pace;
 mod place;
 mod preemption;
+mod probation;
 mod progress;
 mod proven;
 mod queue;
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use super::{advice::TicketCache, spec::StepSpec, worker::WorkerRecord};
+use super::{advice::TicketCache, probation::ProbationUse, spec::StepSpec, worker::WorkerRecord};
 use crate::{
     instances::{InstanceNumber, WorkerStanding},
     types::{RackId, ResourceVector, WorkerId},
@@ -37,6 +37,42 @@
     usable_cpu_milli: u64,
     /// Whether rows are marked as headroom.
     has_headroom: bool,
+    /// Number of workers that were open to all when the pass began.
+    open_count: usize,
+    /// Number of workers on probation.
+    probation_count: usize,
+}
+
+/// Whether a worker may get a run as far as its probation is concerned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ProbationTurn {
+    /// It is not on probation.
+    Unlimited,
+    /// It is on probation and may get one run.
+    Due,
+    /// It is on probation and gets no run in this pass.
+    Over,
+}
+
+impl ProbationTurn {
+    fn new(record: &WorkerRecord, now: Duration) -> Self {
+        let instance = record.instance.as_ref();
+        match instance.map(|instance| instance.reliability.standing()) {
+            Some(WorkerStanding::OnProbation) if record.can_retry(now) => Self::Due,
+            Some(WorkerStanding::OnProbation) => Self::Over,
+            _ => Self::Unlimited,
+        }
+    }
+}
+
+/// Order in which a step prefers workers.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum WorkerPreference {
+    Usual,
+    /// Others are preferred, as starts or runs have failed or are slow on the worker.
+    Penalized,
+    /// The tasks have failed on the worker.
+    Avoided,
 }
 
 /// A worker and its free resources.
@@ -55,6 +91,7 @@
     is_penalized: bool,
     /// What the outcomes of the latest runs show.
     standing: WorkerStanding,
+    turn: ProbationTurn,
     /// Whether jobs with slack leave the worker free for urgent jobs.
     pub(super) is_headroom: bool,
 }
@@ -68,17 +105,17 @@
     best_effort_cpu_milli: u64,
     /// Number of further tasks of the step that the worker may run.
     task_allowance: usize,
-    is_penalized: bool,
+    preference: WorkerPreference,
     /// Whether the worker is outside the home rack of the step.
     is_remote: bool,
     /// Whether best-effort tasks would run on the same worker as serving tasks.
     is_mixed: bool,
 }
 
-/// Cost of placing a task on a worker; the lowest is preferred: whether the worker is
-/// penalized, mixed or remote, and the capacity that stays free (negative for
+/// Cost of placing a task on a worker; the lowest is preferred: the preference of the worker,
+/// whether it is mixed or remote, and the capacity that stays free (negative for
 /// best-effort tasks, which prefer the most).
-type PlaceCost = (bool, bool, bool, i64);
+type PlaceCost = (WorkerPreference, bool, bool, i64);
 
 impl PlacementTable {
     pub(super) fn new<'a>(
@@ -88,10 +125,8 @@
     ) -> Self {
         let rows = workers.filter_map(|(worker, record)| {
             let (listing, instance) = (record.listing.as_ref()?, record.instance.as_ref()?);
-            let is_open = record.can_accept_tasks()
-                && !instance.ends.is_ack_overdue(now)
-                && record.can_retry(now);
-            let row = is_open.then(|| TableRow {
+            let can_accept = record.can_accept_tasks() && !instance.ends.is_ack_overdue(now);
+            let row = can_accept.then(|| TableRow {
                 worker: WorkerId::clone(worker),
                 instance: instance.number,
                 rack: listing.rack.clone(),
@@ -105,6 +140,7 @@
                     || record.has_unproven_suspect()
                     || instance.runtime_ratio.is_slow(typical_ratio_percent, now),
                 standing: instance.reliability.standing(),
+                turn: ProbationTurn::new(record, now),
                 is_headroom: false,
             });
             Some((row?, record.free_resources()))
@@ -113,10 +149,13 @@
         let instances = rows.iter().map(|row| row.instance);
         let mut row_indexes: Vec<(InstanceNumber, usize)> = instances.zip(0..).collect();
         row_indexes.sort_unstable();
+        let open_rows = || rows.iter().filter(|row| row.is_open());
         Self {
             row_indexes,
-            total_cpu_milli: rows.iter().map(|row| row.capacity.cpu_milli).sum(),
-            reclaimable_cpu_milli: rows.iter().map(|row| row.reclaimable.cpu_milli).sum(),
+            total_cpu_milli: open_rows().map(|row| row.capacity.cpu_milli).sum(),
+            reclaimable_cpu_milli: open_rows().map(|row| row.reclaimable.cpu_milli).sum(),
+            open_count: open_rows().count(),
+            probation_count: rows.iter().filter(|row| row.is_on_probation()).count(),
             usable_cpu_milli: rows
                 .iter()
                 .zip(&free)
@@ -145,13 +184,15 @@
     pub(super) fn fitting(
         &self,
         step: &StepSpec,
+        probation_use: ProbationUse,
         task_allowance: impl Fn(&WorkerId) -> usize,
     ) -> impl Iterator<Item = PlaceCandidate> {
         let occupied = step.occupied();
         let free = self.free.iter().enumerate();
         let rows = free.filter(move |(_, free)| occupied.fits_in(free));
-        let candidates =
-            rows.filter_map(move |(index, _)| self.candidate(index, step, &task_allowance));
+        let candidates = rows.filter_map(move |(index, _)| {
+            self.candidate(index, step, probation_use, &task_allowance)
+        });
         candidates.filter(|candidate| candidate.fits(step))
     }
 
@@ -160,10 +201,11 @@
     pub(super) fn eligible(
         &self,
         step: &StepSpec,
+        probation_use: ProbationUse,
         task_allowance: impl Fn(&WorkerId) -> usize,
     ) -> impl Iterator<Item = PlaceCandidate> {
         let rows = 0..self.rows.len();
-        rows.filter_map(move |index| self.candidate(index, step, &task_allowance))
+        rows.filter_map(move |index| self.candidate(index, step, probation_use, &task_allowance))
     }
 
     /// Returns those of the given workers that [`Self::eligible`] would return.
@@ -171,6 +213,7 @@
         &self,
         instances: impl Iterator<Item = InstanceNumber>,
         step: &StepSpec,
+        probation_use: ProbationUse,
         task_allowance: impl Fn(&WorkerId) -> usize,
     ) -> impl Iterator<Item = PlaceCandidate> {
         instances.filter_map(move |instance| {
@@ -178,7 +221,7 @@
                 .row_indexes
                 .binary_search_by_key(&instance, |(instance, _)| *instance);
             let (_, index) = self.row_indexes[found.ok()?];
-            self.candidate(index, step, &task_allowance)
+            self.candidate(index, step, probation_use, &task_allowance)
         })
     }
 
@@ -188,11 +231,17 @@
         &self,
         row_index: usize,
         step: &StepSpec,
+        probation_use: ProbationUse,
         task_allowance: &impl Fn(&WorkerId) -> usize,
     ) -> Option<PlaceCandidate> {
         self.examined.set(self.examined.get() + 1);
         let row = &self.rows[row_index];
-        if !step.occupied().fits_in(&row.reclaimable) {
+        let is_admitted = match probation_use {
+            ProbationUse::Excluded => !row.is_on_probation(),
+            ProbationUse::InTurn => row.is_open(),
+            ProbationUse::Unrestricted => true,
+        };
+        if !is_admitted || !step.occupied().fits_in(&row.reclaimable) {
             return None;
         }
         let is_restricted = step.per_worker_limit.is_some() || step.required_label.is_some();
@@ -201,9 +250,9 @@
         } else {
             usize::MAX
         };
-        let task_allowance = match row.standing {
+        let task_allowance = match probation_use {
             // A gang may need several tasks on the worker, and nothing else may ever run there.
-            WorkerStanding::OnProbation if !step.gang => task_allowance.min(1),
+            ProbationUse::InTurn if row.is_on_probation() && !step.gang => task_allowance.min(1),
             _ => task_allowance,
         };
         let home = step.home_rack.as_deref();
@@ -212,7 +261,11 @@
             free: self.free[row_index],
             best_effort_cpu_milli: row.best_effort_cpu_milli,
             task_allowance,
-            is_penalized: row.is_penalized,
+            preference: if row.is_penalized {
+                WorkerPreference::Penalized
+            } else {
+                WorkerPreference::Usual
+            },
             is_remote: home.is_some_and(|home| row.rack.as_deref() != Some(home)),
             is_mixed: if step.fills {
                 row.has_serving_task
@@ -222,9 +275,21 @@
         })
     }
 
-    /// Returns the number of workers.
-    pub(super) const fn len(&self) -> usize {
-        self.rows.len()
+    /// Returns the number of workers, except for those on probation whose turn had not come when the
+    /// pass began.
+    pub(super) const fn open_count(&self) -> usize {
+        self.open_count
+    }
+
+    /// Returns the number of workers on probation.
+    pub(super) const fn probation_count(&self) -> usize {
+        self.probation_count
+    }
+
+    /// Returns whether a worker on probation may get a run in its turn.
+    pub(super) fn has_turn(&self) -> bool {
+        let mut rows = self.rows.iter();
+        self.probation_count > 0 && rows.any(|row| row.turn == ProbationTurn::Due)
     }
 
     /// Makes other workers preferred to this one for the rest of the pass.
@@ -235,7 +300,18 @@
     /// Makes proven workers preferred among these candidates.
     pub(super) fn penalize_unproven(&self, candidates: &mut [PlaceCandidate]) {
         for candidate in candidates {
-            candidate.is_penalized |= !self.row(candidate).is_proven();
+            if !self.row(candidate).is_proven() {
+                candidate.preference = candidate.preference.max(WorkerPreference::Penalized);
+            }
+        }
+    }
+
+    /// Makes all other workers preferred to this one among these candidates.
+    pub(super) fn avoid_worker(&self, candidates: &mut [PlaceCandidate], worker: &WorkerId) {
+        for candidate in candidates {
+            if self.row(candidate).worker == *worker {
+                candidate.preference = WorkerPreference::Avoided;
+            }
         }
     }
 
@@ -308,7 +384,7 @@
         is_selected: impl Fn(&WorkerId) -> bool,
     ) -> (usize, u64) {
         let rows = self.rows.iter().zip(&self.free);
-        let selected = rows.filter(|(row, _)| is_selected(&row.worker));
+        let selected = rows.filter(|(row, _)| row.is_open() && is_selected(&row.worker));
         let (count, free, all) = selected.fold((0, 0, 0), |(count, free, all), (row, left)| {
             (
                 count + 1,
@@ -334,9 +410,8 @@
                 .reclaimable_cpu_milli
                 .saturating_sub(occupied.cpu_milli);
         }
-        if self.rows[row_index].standing == WorkerStanding::OnProbation {
-            self.reserve_worker(row_index);
-            return;
+        if self.rows[row_index].is_on_probation() {
+            self.close_row(row_index);
         }
         let free = self.free[row_index];
         self.set_free(
@@ -349,6 +424,13 @@
         );
     }
 
+    /// Ends the turn of a worker on probation.
+    fn close_row(&mut self, row_index: usize) {
+        let row = &mut self.rows[row_index];
+        self.usable_cpu_milli -= row.usable_cpu_milli(&self.free[row_index]);
+        row.turn = ProbationTurn::Over;
+    }
+
     fn set_free(&mut self, row_index: usize, free: ResourceVector) {
         let row = &self.rows[row_index];
         self.usable_cpu_milli -= row.usable_cpu_milli(&self.free[row_index]);
@@ -369,8 +451,20 @@
         self.standing == WorkerStanding::Proven
     }
 
-    /// Returns the free CPU, as far as the scarcest resource is free.
+    pub(super) fn is_on_probation(&self) -> bool {
+        self.turn != ProbationTurn::Unlimited
+    }
+
+    /// Returns whether a step may use the worker in its turn, if it has one.
+    fn is_open(&self) -> bool {
+        self.turn != ProbationTurn::Over
+    }
+
+    /// Returns the free CPU, as far as the scarcest resource is free and the worker open.
     fn usable_cpu_milli(&self, free: &ResourceVector) -> u64 {
+        if !self.is_open() {
+            return 0;
+        }
         self.capacity.cpu_milli * self.free_share_permille(free) / 1_000
     }
 
@@ -456,7 +550,7 @@
                 + share(remaining.accelerators, capacity.accelerators) * 2
         };
         (
-            self.is_penalized,
+            self.preference,
             self.is_mixed,
             self.is_remote,
             remaining_capacity,
@@ -490,7 +584,7 @@
 ) -> Vec<PlaceCandidate> {
     candidates.sort_by_key(|candidate| {
         let run_count = table.row(candidate).run_count;
-        (run_count, candidate.is_remote, candidate.is_penalized)
+        (run_count, candidate.is_remote, candidate.preference)
     });
     candidates.truncate(count);
     candidates
@@ -580,7 +674,7 @@
 
 /// Position of a worker in an advice request; lower is first: whether no task fits,
 /// whether it did not accept a ticket of the step, whether it is unknown if the worker is
-/// allowed, whether it is penalized, whether it is remote or mixed, how many tasks fit now
+/// allowed, its preference, whether it is remote or mixed, how many tasks fit now
 /// and beside its long-running tasks, and its row.
 ///
 /// Load pattern: the workers that a step may use are full of other tasks. Tickets for
@@ -589,7 +683,7 @@
     bool,
     bool,
     bool,
-    bool,
+    WorkerPreference,
     bool,
     Reverse<usize>,
     Reverse<usize>,
@@ -637,7 +731,7 @@
                 fitting_tasks == 0,
                 cache.has_rejected_ticket(row.instance),
                 !cache.is_allowed(row.instance),
-                candidate.is_penalized,
+                candidate.preference,
                 candidate.is_remote || candidate.is_mixed,
                 Reverse(fitting_tasks),
                 Reverse(row.fitting_tasks_when_reclaimed(&candidate, step)),
--- /dev/null
+++ b/crates/core/src/pipelines/probation.rs
@@ -0,0 +1,284 @@
+//! Evidence from the ends of runs, and who uses workers on probation.
+//!
+//! Load pattern: a worker fails each run within moments of its start, or a few jobs fail on each worker
+//! within moments of their starts. Both look alike until some other run holds. So a worker on
+//! probation gets one run at a time, tasks that have not failed come first, and no step leaves the
+//! workers of a service unused for long because of them.
+
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{
+    messages::PipelineNote,
+    place::PlacementTable,
+    progress::StepProgress,
+    schedule::{PlacementPass, StepSearch},
+    spec::{RunKey, StepKey, StepSpec, TaskKey},
+    state::PipelineState,
+};
+use crate::{instances::WorkerInstance, streaks::RunFailure, types::WorkerId};
+
+/// Longest time for which a step leaves workers unused that are on probation, if they are at least half
+/// of those that it may use. A job must not be without a run for 3 s while capacity for it is idle.
+const MAX_PROBATION_WAIT: Duration = Duration::from_secs(2);
+
+/// Number of consecutive failed runs after which a worker is penalized.
+const FAILURES_BEFORE_PENALTY: u32 = 2;
+
+/// Time for which other workers are preferred to one with consecutive failures.
+const FAILURE_PENALTY: Duration = Duration::from_secs(4);
+
+/// How a search for workers treats those on probation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ProbationUse {
+    /// It leaves them to others.
+    Excluded,
+    /// It places one run on each whose turn has come.
+    InTurn,
+    /// It uses them like others.
+    Unrestricted,
+}
+
+/// Returns the key under which the failures of a task are counted; the members of a gang fail
+/// together.
+const fn streak_key(task: TaskKey, is_gang: bool) -> TaskKey {
+    if is_gang {
+        TaskKey { index: 0, ..task }
+    } else {
+        task
+    }
+}
+
+impl PipelineState {
+    fn streak_key_of(&self, task: TaskKey) -> TaskKey {
+        let step_spec = self.step_spec(task.step);
+        streak_key(task, step_spec.is_some_and(|step_spec| step_spec.gang))
+    }
+
+    /// Records that a run has succeeded, or has not failed for as long as a run takes to show that its
+    /// worker is sound.
+    pub(super) fn record_run_success(
+        &mut self,
+        worker: &WorkerId,
+        run: RunKey,
+        placed_at: Duration,
+    ) {
+        if !self.streaks.is_empty() {
+            let key = self.streak_key_of(run.task);
+            self.streaks.end_streak(key);
+        }
+        if let Some(instance) = self.instance_mut(worker) {
+            instance.reliability.record_success(placed_at);
+        }
+    }
+
+    /// Records that a run has failed, as evidence about its task, and unless that is at fault, about
+    /// the worker.
+    pub(super) fn record_run_failure(
+        &mut self,
+        worker: &WorkerId,
+        run: RunKey,
+        placed_at: Duration,
+        now: Duration,
+    ) {
+        let key = self.streak_key_of(run.task);
+        let Some(instance) = self.instance_mut(worker) else {
+            return;
+        };
+        let failure = RunFailure {
+            worker: WorkerId::clone(worker),
+            instance: instance.number,
+            placed_at,
+        };
+        let was_at_fault = self.streaks.streak(key).is_some_and(|it| it.is_at_fault);
+        let workers = &self.workers;
+        let is_sound_since = |failure: &RunFailure| {
+            let record = workers.get(&failure.worker);
+            let instance = record.and_then(|record| record.instance.as_ref());
+            instance.is_some_and(|instance| {
+                instance.number == failure.instance
+                    && instance.reliability.has_succeeded_since(failure.placed_at)
+            })
+        };
+        let streak = self.streaks.record_failure(key, failure, is_sound_since);
+        let (failures, is_at_fault) = (streak.failures, streak.is_at_fault);
+        if is_at_fault {
+            if !was_at_fault {
+                self.log_note(PipelineNote::TaskAtFault { run, failures });
+            }
+            return;
+        }
+        let Some(instance) = self.instance_mut(worker) else {
+            return;
+        };
+        let was_on_probation = instance.reliability.is_on_probation();
+        let job = run.task.step.pipeline;
+        instance.reliability.record_failure(job, placed_at, now);
+        instance.consecutive_failures += 1;
+        if instance.consecutive_failures >= FAILURES_BEFORE_PENALTY {
+            instance.penalized_until = now + FAILURE_PENALTY;
+        }
+        if instance.reliability.is_on_probation() && !was_on_probation {
+            let worker = WorkerId::clone(worker);
+            self.log_note(PipelineNote::WorkerOnProbation { worker });
+        }
+    }
+
+    pub(super) fn instance_mut(&mut self, worker: &WorkerId) -> Option<&mut WorkerInstance> {
+        self.workers.get_mut(worker)?.instance.as_mut()
+    }
+
+    /// Returns the tasks of a step that have failed since a run of them held, with the worker of the
+    /// latest failure; for a gang, its first task.
+    fn failing_tasks(&self, key: StepKey) -> impl Iterator<Item = (u32, &WorkerId)> {
+        let first = TaskKey {
+            step: key,
+            index: 0,
+        };
+        let streaks = self.streaks.streaks_from(first);
+        let streaks = streaks.take_while(move |(task, _)| task.step == key);
+        streaks.map(|(task, streak)| (task.index, &streak.latest.worker))
+    }
+
+    /// Returns whether a task of a step has failed since a run of it held.
+    pub(super) fn has_failing_task(&self, key: StepKey) -> bool {
+        self.failing_tasks(key).next().is_some()
+    }
+
+    /// Returns whether all waiting tasks of a step have failed since a run of them held.
+    fn are_all_failing(&self, key: StepKey, step_spec: &StepSpec) -> bool {
+        let failing: BTreeMap<u32, &WorkerId> = self.failing_tasks(key).collect();
+        let pipeline = self.pipelines.get(&key.pipeline);
+        let progress = pipeline.and_then(|pipeline| pipeline.progress.step(key));
+        let mut waiting = progress.into_iter().flat_map(StepProgress::waiting_tasks);
+        !failing.is_empty() && (step_spec.gang || waiting.all(|index| failing.contains_key(&index)))
+    }
+
+    /// Returns how a step uses workers on probation.
+    pub(super) fn probation_use(
+        &self,
+        key: StepKey,
+        step_spec: &StepSpec,
+        table: &PlacementTable,
+        now: Duration,
+    ) -> ProbationUse {
+        match () {
+            () if table.probation_count() == 0 => ProbationUse::InTurn,
+            () if self.waited_time(key, now) >= MAX_PROBATION_WAIT
+                && self.needs_probation(key, step_spec, table) =>
+            {
+                ProbationUse::Unrestricted
+            }
+            () if self.are_all_failing(key, step_spec) => ProbationUse::Excluded,
+            () => ProbationUse::InTurn,
+        }
+    }
+
+    /// Returns whether at least half of the workers that a step may use are on probation. Workers fail
+    /// one by one, so the jobs are rather at fault then.
+    fn needs_probation(&self, key: StepKey, step_spec: &StepSpec, table: &PlacementTable) -> bool {
+        let cache = self.ticket_caches.get(&key);
+        let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
+        let eligible = table.eligible(step_spec, ProbationUse::Unrestricted, task_allowance);
+        let mut standings = eligible.filter_map(|candidate| {
+            let row = table.row(&candidate);
+            let is_refused = cache.is_some_and(|cache| cache.is_refused(row.instance));
+            (!is_refused).then(|| row.is_on_probation())
+        });
+        let limit = table.probation_count();
+        let (mut on_probation, mut others) = (0, 0);
+        while others <= limit
+            && let Some(is_on_probation) = standings.next()
+        {
+            on_probation += usize::from(is_on_probation);
+            others += usize::from(!is_on_probation);
+        }
+        on_probation > 0 && on_probation >= others
+    }
+
+    /// Places as many of the given waiting tasks of a step as fit, those that have failed after the
+    /// others and rather on other workers than before. Returns their number.
+    pub(super) fn place_by_streak(
+        &mut self,
+        search: &StepSearch<'_>,
+        waiting: &[u32],
+        pass: &mut PlacementPass,
+    ) -> usize {
+        let is_gang = search.step_spec.gang;
+        let failing = self.failing_tasks(search.key);
+        let failing = failing.map(|(index, worker)| (index, WorkerId::clone(worker)));
+        let failing: BTreeMap<u32, WorkerId> = failing.collect();
+        if failing.is_empty() {
+            return self.place_waiting(search, waiting, pass);
+        }
+        let mut others = Vec::new();
+        let mut by_worker: BTreeMap<&WorkerId, Vec<u32>> = BTreeMap::new();
+        for index in waiting {
+            let streak_index = if is_gang { 0 } else { *index };
+            match failing.get(&streak_index) {
+                Some(worker) => by_worker.entry(worker).or_default().push(*index),
+                None => others.push(*index),
+            }
+        }
+        let mut placed_count = self.place_waiting(search, &others, pass);
+        for (worker, tasks) in by_worker {
+            let probation_use = match search.probation_use {
+                ProbationUse::InTurn if !search.is_retry => ProbationUse::Excluded,
+                probation_use => probation_use,
+            };
+            let retry = StepSearch {
+                probation_use,
+                avoided: Some(worker),
+                ..*search
+            };
+            placed_count += self.place_waiting(&retry, &tasks, pass);
+        }
+        placed_count
+    }
+
+    /// Gives the turns on workers on probation that are left after a pass to tasks that have failed,
+    /// the step that has waited longest first.
+    pub(super) fn place_retries(&mut self, pass: &mut PlacementPass, now: Duration) {
+        let mut retries = std::mem::take(&mut pass.retries);
+        retries.sort_by_cached_key(|key| (Reverse(self.waited_time(*key, now)), *key));
+        for key in retries {
+            if !pass.table.has_turn() {
+                return;
+            }
+            self.place_retry(key, pass, now);
+        }
+    }
+
+    /// Places one task of a step that has failed, or its gang, on workers on probation, or requests
+    /// tickets for that.
+    fn place_retry(&mut self, key: StepKey, pass: &mut PlacementPass, now: Duration) {
+        let Some(record) = self.pipelines.get(&key.pipeline) else {
+            return;
+        };
+        let spec = Arc::clone(&record.spec);
+        let (Some(step_spec), Some(progress)) =
+            (spec.steps.get(key.step as usize), record.progress.step(key))
+        else {
+            return;
+        };
+        let mut waiting: Vec<u32> = progress.waiting_tasks().collect();
+        if !step_spec.gang {
+            let failing: BTreeMap<u32, &WorkerId> = self.failing_tasks(key).collect();
+            waiting.retain(|index| failing.contains_key(index));
+            waiting.truncate(1);
+        }
+        self.limit_by_quota(&spec, step_spec, &mut waiting);
+        if waiting.is_empty() {
+            return;
+        }
+        let search = StepSearch {
+            is_retry: true,
+            proven_use: self.proven_use(key, &spec, step_spec, &pass.table, now),
+            ..StepSearch::new(key, &spec, step_spec, now)
+        };
+        let placed_count = self.place_by_suspicion(&search, &waiting, pass);
+        pass.placed_tasks += placed_count;
+        if placed_count == 0 {
+            self.request_tickets(&search, waiting.len(), pass);
+        }
+    }
+}
--- a/crates/core/src/pipelines/proven.rs
+++ b/crates/core/src/pipelines/proven.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use super::{
-    place::PlacementTable,
+    place::{PlacementTable, TableRow},
+    probation::ProbationUse,
+    schedule::StepSearch,
     spec::{PipelineSpec, StepKey, StepSpec},
     state::PipelineState,
 };
@@ -77,12 +79,38 @@
         if waited >= MAX_PROVEN_WAIT {
             return false;
         }
+        self.has_eligible(key, step_spec, table, TableRow::is_proven)
+    }
+
+    /// Returns whether a step with a last attempt may leave a worker unused on which its tasks have
+    /// failed: there is another one that may run it, and the step has not waited for long.
+    pub(super) fn can_await_other(
+        &self,
+        search: &StepSearch<'_>,
+        worker: &WorkerId,
+        table: &PlacementTable,
+    ) -> bool {
+        search.proven_use != ProvenUse::Indifferent
+            && self.waited_time(search.key, search.now) < MAX_PROVEN_WAIT
+            && self.has_eligible(search.key, search.step_spec, table, |row| {
+                row.worker != *worker
+            })
+    }
+
+    /// Returns whether one of the selected workers may run a step.
+    fn has_eligible(
+        &self,
+        key: StepKey,
+        step_spec: &StepSpec,
+        table: &PlacementTable,
+        is_selected: impl Fn(&TableRow) -> bool,
+    ) -> bool {
         let cache = self.ticket_caches.get(&key);
         let task_allowance = |worker: &WorkerId| self.task_allowance(worker, key, step_spec);
-        let mut eligible = table.eligible(step_spec, task_allowance);
+        let mut eligible = table.eligible(step_spec, ProbationUse::Unrestricted, task_allowance);
         eligible.any(|candidate| {
             let row = table.row(&candidate);
-            row.is_proven() && !cache.is_some_and(|cache| cache.is_refused(row.instance))
+            is_selected(row) && !cache.is_some_and(|cache| cache.is_refused(row.instance))
         })
     }
 }
--- a/crates/core/src/pipelines/reports.rs
+++ b/crates/core/src/pipelines/reports.rs
@@ -22,12 +22,6 @@
 /// second.
 const PACE_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Number of consecutive failed runs after which a worker is penalized.
-const FAILURES_BEFORE_PENALTY: u32 = 2;
-
-/// Time for which other workers are preferred to one with consecutive failures.
-const FAILURE_PENALTY: Duration = Duration::from_secs(4);
-
 /// Delay of the next renewal while ends are not acknowledged as start orders have no answer: the
 /// worker answers at once while it has ends.
 const WITHHELD_RENEWAL_INTERVAL: Duration = Duration::from_millis(100);
@@ -232,7 +226,7 @@
     /// Updates the runs that a worker reports as present, and stops those that are not
     /// placed on it.
     fn update_reported_runs(&mut self, worker: &WorkerId, running: &[ObservedRun], now: Duration) {
-        let (mut unexpected, mut started_jobs) = (Vec::new(), Vec::new());
+        let (mut unexpected, mut started_jobs, mut held) = (Vec::new(), Vec::new(), Vec::new());
         for observed in running {
             let Some(record) = self.workers.get_mut(worker) else {
                 return;
@@ -256,10 +250,9 @@
                     if entry.target_tail_ms.is_some() {
                         entry.tail_ms = observed.load;
                     }
-                    let placed_at = entry.placed_at;
-                    match (&mut record.instance, entry.phase) {
-                        (Some(instance), RunPhase::Started(at)) if now >= at + PROBE_TIME => {
-                            instance.reliability.record_success(placed_at);
+                    match entry.phase {
+                        RunPhase::Started(at) if now >= at + PROBE_TIME => {
+                            held.push((observed.run, entry.placed_at));
                         }
                         _ => {}
                     }
@@ -271,6 +264,9 @@
         for id in started_jobs {
             self.mark_running(id);
         }
+        for (run, placed_at) in held {
+            self.record_run_success(worker, run, placed_at);
+        }
         for run in unexpected {
             self.log_note(PipelineNote::UnexpectedRun {
                 run,
@@ -361,31 +357,15 @@
     /// the worker and the progress of the job.
     fn handle_run_end(&mut self, worker: &WorkerId, ended: &EndedRun, now: Duration) {
         let run = self.remove_run(worker, ended.run);
-        let Some(record) = self.workers.get_mut(worker) else {
-            return;
-        };
         let placed_at = run.as_ref().map_or(now, |run| run.placed_at);
-        let job = ended.run.task.step.pipeline;
-        match (&mut record.instance, ended.end) {
-            (Some(instance), RunEnd::Done) => {
-                instance.consecutive_failures = 0;
-                instance.reliability.record_success(placed_at);
-            }
-            (Some(instance), RunEnd::Failed) => {
-                let reliability = &mut instance.reliability;
-                let was_on_probation = reliability.is_on_probation();
-                reliability.record_failure(job, placed_at, now);
-                let is_on_probation = reliability.is_on_probation();
-                if is_on_probation && !was_on_probation {
-                    let worker = WorkerId::clone(worker);
-                    let note = PipelineNote::WorkerOnProbation { worker };
-                    self.actions.push(PipelineAction::Log(note));
-                }
-                instance.consecutive_failures += 1;
-                if instance.consecutive_failures >= FAILURES_BEFORE_PENALTY {
-                    instance.penalized_until = now + FAILURE_PENALTY;
+        match ended.end {
+            RunEnd::Done => {
+                if let Some(instance) = self.instance_mut(worker) {
+                    instance.consecutive_failures = 0;
                 }
+                self.record_run_success(worker, ended.run, placed_at);
             }
+            RunEnd::Failed => self.record_run_failure(worker, ended.run, placed_at, now),
             _ => {}
         }
         if ended.end != RunEnd::Done {
--- a/crates/core/src/pipelines/requests.rs
+++ b/crates/core/src/pipelines/requests.rs
@@ -150,7 +150,7 @@
             least_percent: average_percent.unwrap_or(MIN_ALLOWED_PERCENT),
         };
         let task_allowance = |worker: &WorkerId| self.task_allowance(worker, search.key, step_spec);
-        let eligible = table.eligible(step_spec, task_allowance);
+        let eligible = table.eligible(step_spec, search.probation_use, task_allowance);
         // Tickets for withheld workers would expire unused.
         let eligible = eligible
             .filter(|candidate| search.may_use(table.row(candidate)) || !candidate.fits(step_spec));
@@ -158,7 +158,12 @@
             .filter(|candidate| cache.can_request_ticket(table.row(candidate).instance, now));
         let mut workers = choose_for_advice(table, requestable, cache, step_spec, count, allowed);
         if step_spec.gang && !is_early && !workers.is_empty() {
-            let ticketed = table.eligible_among(cache.ticketed(now), step_spec, task_allowance);
+            let ticketed = table.eligible_among(
+                cache.ticketed(now),
+                step_spec,
+                search.probation_use,
+                task_allowance,
+            );
             let ticketed = ticketed.filter(|candidate: &PlaceCandidate| {
                 candidate.fits(step_spec) && search.may_use(table.row(candidate))
             });
--- a/crates/core/src/pipelines/restoration.rs
+++ b/crates/core/src/pipelines/restoration.rs
@@ -84,7 +84,10 @@
         let room = pass.table.room_for_lasting(step_spec, SHORT_WORK_PERCENT);
         let mut waiting: Vec<u32> = self.lost_tasks(key).take(room).collect();
         self.limit_by_quota(&spec, step_spec, &mut waiting);
-        let search = StepSearch::new(key, &spec, step_spec, now);
+        let search = StepSearch {
+            probation_use: self.probation_use(key, step_spec, &pass.table, now),
+            ..StepSearch::new(key, &spec, step_spec, now)
+        };
         let placed_count = self.place_by_suspicion(&search, &waiting, pass);
         pass.placed_tasks += placed_count;
         if placed_count > 0 && self.has_lost_task(key) {
@@ -107,13 +110,16 @@
         let count = self.lost_tasks(key).take(room).count();
         let team = spec.team.as_ref();
         let count = self.quotas.admit(team, &step_spec.demand, count);
-        let limit = pass.table.len() * HELD_WORKERS_PERCENT / 100;
+        let limit = pass.table.open_count() * HELD_WORKERS_PERCENT / 100;
         let limit = limit.max(1);
         let is_limited = pass.held_workers >= limit || pass.held_steps.len() >= MAX_HOLDING_STEPS;
         if count == 0 || is_limited {
             return;
         }
-        let search = StepSearch::new(key, &spec, step_spec, now);
+        let search = StepSearch {
+            probation_use: self.probation_use(key, step_spec, &pass.table, now),
+            ..StepSearch::new(key, &spec, step_spec, now)
+        };
         let candidates = self.rank_for_holding(&search, &pass.table);
         if let Some(policy) = spec.policy.advice {
             self.request_held_tickets(&search, policy, &candidates, count, pass);
@@ -149,10 +155,17 @@
         let step_spec = search.step_spec;
         let task_allowance = |worker: &WorkerId| self.task_allowance(worker, search.key, step_spec);
         let mut candidates: Vec<PlaceCandidate> = if search.spec.policy.advice.is_none() {
-            table.eligible(step_spec, task_allowance).collect()
+            table
+                .eligible(step_spec, search.probation_use, task_allowance)
+                .collect()
         } else if let Some(cache) = self.ticket_caches.get(&search.key) {
             table
-                .eligible_among(cache.allowed(), step_spec, task_allowance)
+                .eligible_among(
+                    cache.allowed(),
+                    step_spec,
+                    search.probation_use,
+                    task_allowance,
+                )
                 .collect()
         } else {
             Vec::new()
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -15,6 +15,7 @@
     messages::{PipelineAction, PipelineNote, RenewalOrder},
     place::{PlaceCandidate, PlacementTable},
     place::{TableRow, choose_for_reservation, choose_for_step, choose_idlest},
+    probation::ProbationUse,
     progress::{PipelinePhase, StepProgress, TaskPlace},
     proven::ProvenUse,
     queue::QueueRank,
@@ -77,6 +78,11 @@
     /// Whether workers with the fewest runs are preferred.
     pub(super) prefers_idle: bool,
     pub(super) proven_use: ProvenUse,
+    pub(super) probation_use: ProbationUse,
+    /// Whether the search is for tasks that have failed, in the turns that others have left.
+    pub(super) is_retry: bool,
+    /// Worker that is used last.
+    pub(super) avoided: Option<&'a WorkerId>,
     pub(super) now: Duration,
 }
 
@@ -95,6 +101,9 @@
             withholds_headroom: false,
             prefers_idle: false,
             proven_use: ProvenUse::Indifferent,
+            probation_use: ProbationUse::InTurn,
+            is_retry: false,
+            avoided: None,
             now,
         }
     }
@@ -116,6 +125,7 @@
 struct ExhaustedGroup {
     /// Whether the steps leave the headroom free.
     can_wait: bool,
+    probation_use: ProbationUse,
     required_label: Option<String>,
     demands: ExhaustedDemands,
 }
@@ -147,6 +157,8 @@
     step_count: usize,
     /// Number of tasks that the pass has placed.
     pub(super) placed_tasks: usize,
+    /// Steps with waiting tasks that have failed.
+    pub(super) retries: Vec<StepKey>,
     /// Priority of the most urgent queue of the service.
     top_priority: u32,
     pub(super) requests: RequestBudget,
@@ -154,13 +166,21 @@
 
 impl PlacementPass {
     /// Returns the exhausted demands of the steps like this one.
-    fn exhausted_demands(&mut self, can_wait: bool, step_spec: &StepSpec) -> &mut ExhaustedDemands {
+    fn exhausted_demands(
+        &mut self,
+        can_wait: bool,
+        probation_use: ProbationUse,
+        step_spec: &StepSpec,
+    ) -> &mut ExhaustedDemands {
         let found = self.exhausted.iter().position(|group| {
-            group.can_wait == can_wait && group.required_label == step_spec.required_label
+            group.can_wait == can_wait
+                && group.probation_use == probation_use
+                && group.required_label == step_spec.required_label
         });
         let index = found.unwrap_or_else(|| {
             self.exhausted.push(ExhaustedGroup {
                 can_wait,
+                probation_use,
                 required_label: step_spec.required_label.clone(),
                 demands: ExhaustedDemands::default(),
             });
@@ -208,6 +228,7 @@
                 held_steps: BTreeMap::new(),
                 step_count: 0,
                 placed_tasks: 0,
+                retries: Vec::new(),
                 top_priority: self.top_priority,
                 requests: self.request_budget(),
             };
@@ -220,6 +241,7 @@
                 }
                 pass.step_count += 1;
             }
+            self.place_retries(&mut pass, now);
             self.visited_steps += pass.step_count as u64;
             if self.config.manages_scarcity {
                 self.preempt_for_urgent(&pass.table, now);
@@ -284,12 +306,13 @@
         else {
             return StepOutcome::Considered;
         };
+        let probation_use = self.probation_use(key, step_spec, &pass.table, now);
         let backlog = pass.backlog(&spec.policy.queue);
         let is_behind = backlog.steps >= MAX_UNPLACED_STEPS_PER_QUEUE;
         if backlog.unticketed_steps >= MAX_UNTICKETED_STEPS_PER_QUEUE
             || (is_behind
                 && pass
-                    .exhausted_demands(can_wait, step_spec)
+                    .exhausted_demands(can_wait, probation_use, step_spec)
                     .contains(step_spec))
         {
             self.skip_step(key, now);
@@ -309,6 +332,7 @@
         let search = StepSearch {
             withholds_headroom: can_wait && !self.needs_headroom(key, step_spec, &pass.table),
             proven_use: self.proven_use(key, &spec, step_spec, &pass.table, now),
+            probation_use,
             ..StepSearch::new(key, &spec, step_spec, now)
         };
         let placed_count = self.place_by_suspicion(&search, &waiting, pass);
@@ -319,9 +343,12 @@
         if unplaced_count == 0 {
             return StepOutcome::Considered;
         }
+        if probation_use != ProbationUse::Unrestricted && self.has_failing_task(key) {
+            pass.retries.push(key);
+        }
         if !has_progress && self.usable(&search, &pass.table).next().is_none() {
             if self.fitting(&search, &pass.table).next().is_none() {
-                pass.exhausted_demands(can_wait, step_spec)
+                pass.exhausted_demands(can_wait, probation_use, step_spec)
                     .insert(step_spec);
             }
             if is_behind {
@@ -365,7 +392,7 @@
         let (suspects, unsuspected): (Vec<u32>, Vec<u32>) = waiting
             .iter()
             .partition(|index| !search.step_spec.gang && is_suspect(**index));
-        let mut placed_count = self.place_waiting(search, &unsuspected, pass);
+        let mut placed_count = self.place_by_streak(search, &unsuspected, pass);
         // One at a time, so that each crash tells which of them is the cause. The idlest workers
         // are those of the headroom.
         let cautious = StepSearch {
@@ -380,7 +407,7 @@
     }
 
     /// Places as many of the given waiting tasks of a step as fit, and returns their number.
-    fn place_waiting(
+    pub(super) fn place_waiting(
         &mut self,
         search: &StepSearch<'_>,
         waiting: &[u32],
@@ -410,7 +437,7 @@
         search: &StepSearch<'_>,
         table: &PlacementTable,
     ) -> impl Iterator<Item = PlaceCandidate> {
-        table.fitting(search.step_spec, |worker| {
+        table.fitting(search.step_spec, search.probation_use, |worker| {
             self.task_allowance(worker, search.key, search.step_spec)
         })
     }
@@ -440,7 +467,8 @@
             let ticketed = cache.ticketed(search.now);
             let task_allowance =
                 |worker: &WorkerId| self.task_allowance(worker, search.key, step_spec);
-            let eligible = table.eligible_among(ticketed, step_spec, task_allowance);
+            let eligible =
+                table.eligible_among(ticketed, step_spec, search.probation_use, task_allowance);
             let usable = eligible.filter(|candidate| {
                 candidate.fits(step_spec) && search.may_use(table.row(candidate))
             });
@@ -451,6 +479,13 @@
         if search.proven_use == ProvenUse::Preferred {
             table.penalize_unproven(&mut candidates);
         }
+        match search.avoided {
+            Some(worker) if self.can_await_other(search, worker, table) => {
+                candidates.retain(|candidate| table.row(candidate).worker != *worker);
+            }
+            Some(worker) => table.avoid_worker(&mut candidates, worker),
+            None => {}
+        }
         if search.prefers_idle {
             choose_idlest(table, candidates, count)
         } else {
@@ -475,7 +510,7 @@
     /// the capacity that becomes free there bit by bit. A gang that can wait reserves no
     /// worker of the headroom, as it is not placed there.
     fn reserve_for_gang(&self, search: &StepSearch<'_>, can_wait: bool, pass: &mut PlacementPass) {
-        let limit = pass.table.len() * GANG_RESERVATION_PERCENT / 100;
+        let limit = pass.table.open_count() * GANG_RESERVATION_PERCENT / 100;
         let limit = limit.max(1);
         if pass.reserved_workers >= limit {
             return;
@@ -485,10 +520,15 @@
         let task_allowance = |worker: &WorkerId| self.task_allowance(worker, search.key, step_spec);
         let may_use = |candidate: &PlaceCandidate| !(can_wait && table.row(candidate).is_headroom);
         let candidates: Vec<PlaceCandidate> = if search.spec.policy.advice.is_none() {
-            let eligible = table.eligible(step_spec, task_allowance);
+            let eligible = table.eligible(step_spec, search.probation_use, task_allowance);
             eligible.filter(may_use).collect()
         } else if let Some(cache) = self.ticket_caches.get(&search.key) {
-            let eligible = table.eligible_among(cache.allowed(), step_spec, task_allowance);
+            let eligible = table.eligible_among(
+                cache.allowed(),
+                step_spec,
+                search.probation_use,
+                task_allowance,
+            );
             eligible.filter(may_use).collect()
         } else {
             Vec::new()
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -22,13 +22,14 @@
     responses::ResponseTimes,
     scarcity::ScarcityState,
     schedule::PipelineConfig,
-    spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec},
+    spec::{PipelineId, PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
     wait::WaitRecord,
     worker::{RemovedWorker, RenewalStatus, RunPhase, WorkerContact, WorkerRecord},
 };
 use crate::{
     instances::{ClockReading, InstanceNumber, WorkerInstance},
     quotas::QuotaLedger,
+    streaks::StreakTable,
     teams::{SubmissionRates, TeamTable},
     types::{Epoch, WorkerId},
 };
@@ -92,6 +93,8 @@
     pub(super) scarcity: ScarcityState,
     /// Runs that were stopped for urgent work.
     pub(super) preemptions: PreemptionHistory,
+    /// Tasks that have failed since a run of them held.
+    pub(super) streaks: StreakTable<TaskKey>,
     /// How long the answers of workers take, and how many are lost.
     pub(super) responses: ResponseTimes,
     pub(super) pipelines: BTreeMap<PipelineId, PipelineRecord>,
@@ -171,6 +174,7 @@
             quotas: QuotaLedger::default(),
             scarcity: ScarcityState::default(),
             preemptions: PreemptionHistory::default(),
+            streaks: StreakTable::default(),
             responses: ResponseTimes::default(),
             pipelines: BTreeMap::new(),
             workers: BTreeMap::new(),
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -2,6 +2,7 @@
 
 mod clock_steps;
 mod crashes;
+mod failing_jobs;
 mod fixtures;
 mod former_clocks;
 mod health;
--- a/crates/core/src/pipelines/tests/simulation.rs
+++ b/crates/core/src/pipelines/tests/simulation.rs
@@ -16,9 +16,9 @@
 };
 use crate::{
     AdviceOrder, AdviceReport, PipelineAction, PipelineConfig, PipelineEvent, PipelineId,
-    PipelineNote, PipelineProgress, PipelineSpec, PipelineState, ProgressCommit, RenewalFailure,
-    RenewalOrder, StartOrder, StartResult, StepKey, StepWait, StopOrder, WorkerId, WorkerListing,
-    types::Epoch,
+    PipelineNote, PipelinePhase, PipelineProgress, PipelineSpec, PipelineState, ProgressCommit,
+    RenewalFailure, RenewalOrder, RunKey, StartOrder, StartResult, StepKey, StepWait, StopOrder,
+    WorkerId, WorkerListing, types::Epoch,
 };
 
 /// Time between two steps of the simulation.
@@ -68,6 +68,9 @@
     progress: Option<PipelineProgress>,
 }
 
+/// Returns whether a run fails on a worker.
+pub(super) type FailureRule = fn(RunKey, &str) -> bool;
+
 /// The simulated service.
 #[derive(Debug)]
 pub(super) struct SimulatedService {
@@ -79,6 +82,8 @@
     pub(super) jobs: BTreeMap<PipelineId, StoredJob>,
     /// Whether orders, commits, requests and runs fail at random.
     pub(super) is_faulty: bool,
+    /// Which runs fail on which workers, at the end of their estimates.
+    pub(super) failure_rule: FailureRule,
     /// Until when the store is down.
     pub(super) store_down_until: Duration,
     /// Latest log entry about each step that has waited.
@@ -88,6 +93,8 @@
     /// Specifications of all jobs, including those that are retired.
     specs: BTreeMap<PipelineId, Arc<PipelineSpec>>,
     cancelled: BTreeSet<PipelineId>,
+    /// Jobs that have failed.
+    pub(super) failed: BTreeSet<PipelineId>,
     epoch: Epoch,
     messages: BTreeMap<(Duration, u64), SimMessage>,
     sent_count: u64,
@@ -108,11 +115,13 @@
             workers: workers.collect(),
             jobs: BTreeMap::new(),
             is_faulty: false,
+            failure_rule: |_, _| false,
             store_down_until: Duration::ZERO,
             waits: BTreeMap::new(),
             advisors: ADVISORS,
             specs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
+            failed: BTreeSet::new(),
             epoch: 0,
             messages: BTreeMap::new(),
             sent_count: 0,
@@ -372,7 +381,7 @@
         let spec = &self.specs[&key.pipeline];
         let step_spec = spec.steps[key.step as usize].clone();
         let needs_ticket = spec.policy.advice.is_some();
-        let is_failing = self.has_fault(0.1);
+        let is_failing = self.has_fault(0.1) || (self.failure_rule)(order.run, &order.worker);
         let is_stalling = self.has_fault(0.05);
         let rejection = [
             StartResult::Unhealthy,
@@ -434,6 +443,9 @@
 
     fn store_commit(&mut self, commit: &ProgressCommit) {
         for entry in &commit.entries {
+            if entry.phase == PipelinePhase::Failed {
+                self.failed.insert(entry.pipeline);
+            }
             let job = self.jobs.get_mut(&entry.pipeline);
             if let (Some(progress), Some(job)) = (&entry.progress, job) {
                 job.progress = Some(progress.clone());
--- a/crates/core/src/pipelines/wait.rs
+++ b/crates/core/src/pipelines/wait.rs
@@ -57,6 +57,8 @@
     pub withheld: usize,
     /// Number of withheld workers that are left unused as they are not proven.
     pub withheld_unproven: usize,
+    /// Number of workers on probation, whether or not the step may use them.
+    pub on_probation: usize,
     /// Number of withheld workers with a usable ticket.
     pub withheld_ticketed: usize,
     /// Number of advice requests that were sent for the step.
@@ -128,6 +130,7 @@
         let cache = self.ticket_caches.get(&search.key).unwrap_or(&unknown);
         let mut wait = StepWait {
             allowed_full: self.count_allowed_full(search, table, cache),
+            on_probation: table.probation_count(),
             ..StepWait::default()
         };
         (wait.labelled, wait.labelled_free_percent) =
@@ -159,7 +162,12 @@
     ) -> usize {
         let task_allowance =
             |worker: &WorkerId| self.task_allowance(worker, search.key, search.step_spec);
-        let allowed = table.eligible_among(cache.allowed(), search.step_spec, task_allowance);
+        let allowed = table.eligible_among(
+            cache.allowed(),
+            search.step_spec,
+            search.probation_use,
+            task_allowance,
+        );
         allowed
             .filter(|candidate| !candidate.fits(search.step_spec))
             .count()
--- a/crates/daemon/src/cell/notes.rs
+++ b/crates/daemon/src/cell/notes.rs
@@ -71,7 +71,8 @@
             allowed_full = wait.allowed_full, fitting = wait.fitting, ticketed = wait.ticketed,
             allowed = wait.allowed, refused = wait.refused, withheld = wait.withheld,
             withheld_ticketed = wait.withheld_ticketed,
-            withheld_unproven = wait.withheld_unproven, requests = wait.requests,
+            withheld_unproven = wait.withheld_unproven, on_probation = wait.on_probation,
+            requests = wait.requests,
             failed_requests = wait.failed_requests,
             is_request_pending = wait.request_age.is_some(),
             request_age_ms = wait.request_age.unwrap_or_default().as_millis(),
@@ -216,9 +217,14 @@
             service, epoch, team = team.as_ref(), queue = queue.as_str();
             "a job is beyond the rate of its team; it waits behind the others while there is too little room"
         ),
+        PipelineNote::TaskAtFault { run, failures } => log::info!(
+            request_id = format!("{:016x}", run.task.step.pipeline).as_str(), service, epoch,
+            task = run.task.to_string().as_str(), attempt = run.attempt, failures;
+            "a task fails on sound workers; its failures do not count against workers until a run holds"
+        ),
         PipelineNote::WorkerOnProbation { worker } => log::warn!(
             service, epoch, worker = worker.as_ref();
-            "runs of several jobs failed on a worker; it gets one run at a time until one succeeds"
+            "runs of several jobs failed on a worker; it gets one run at a time until one holds"
         ),
         PipelineNote::WorkerRestarted {
             worker,
