--- a/crates/core/src/tasks/outcome.rs
+++ b/crates/core/src/tasks/outcome.rs
@@ -20,6 +20,9 @@
 /// Failed attempts after which a task fails. The health table fails a job only
 /// after failures on several workers, which a small pool may not have.
 const ATTEMPT_LIMIT: Attempt = 10;
+/// Time after which a task that has not failed shows that its worker on probation starts tasks. Tasks
+/// that last would never show it otherwise.
+const PROBE_TIME: Duration = Duration::from_secs(1);
 /// Consecutive reports of usage above capacity after which a task is stopped.
 const STOP_AFTER_REPORTS: u32 = 3;
 
@@ -155,10 +158,31 @@
             info.closed_reasons.remove(&ClosedReason::Rejected);
         });
         self.adopt_running(name, &report.running, now);
+        self.end_probes(name, now);
         self.mitigate_overload(name, &report.usage);
         self.mark_freed(name);
     }
 
+    /// Counts the tasks that have run for [`PROBE_TIME`] on a worker on probation as successes.
+    fn end_probes(&mut self, name: &WorkerId, now: Duration) {
+        let Some(info) = self.workers.get(name) else {
+            return;
+        };
+        let probes = info.probes().iter().filter_map(|task| {
+            let entry = self.table.tasks.get(task)?;
+            let is_running = matches!(entry.state, TaskState::Running(_));
+            let has_held = is_running && now >= entry.started_at + PROBE_TIME;
+            has_held.then_some((*task, entry.job))
+        });
+        let held: Vec<(TaskId, JobId)> = probes.collect();
+        for (task, job) in held {
+            self.workers.update(name, |info| info.end_probe(task));
+            let event = HealthEvent::Succeeded(name.clone(), job);
+            let actions = self.health.handle(event);
+            self.apply_health(actions, now);
+        }
+    }
+
     /// Throttles, then checkpoints, then stops the least urgent task of a
     /// worker while consecutive reports show usage above its capacity.
     fn mitigate_overload(&mut self, name: &WorkerId, usage: &ResourceVector) {
@@ -454,12 +478,10 @@
         for action in actions {
             match action {
                 HealthAction::Probation(name) => {
-                    self.workers
-                        .update(&name, |info| info.is_on_probation = true);
+                    self.workers.update(&name, |info| info.set_probation(true));
                 }
                 HealthAction::Restored(name) => {
-                    self.workers
-                        .update(&name, |info| info.is_on_probation = false);
+                    self.workers.update(&name, |info| info.set_probation(false));
                     self.mark_freed(&name);
                 }
                 HealthAction::FailJob(job) => self.fail_job(job, now),
--- a/crates/core/src/tasks/tests.rs
+++ b/crates/core/src/tasks/tests.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod examples;
+mod probation;
 mod recovery;
 mod sequences;
 
--- a/crates/core/src/tasks/workers.rs
+++ b/crates/core/src/tasks/workers.rs
@@ -39,8 +39,10 @@
     pub(super) tasks: BTreeSet<TaskId>,
     /// Why the worker takes no new work; empty while it is open.
     pub(super) closed_reasons: BTreeSet<ClosedReason>,
-    /// Whether failures limit the worker to one task at a time.
+    /// Whether failures limit the worker to one probe at a time.
     pub(super) is_on_probation: bool,
+    /// Tasks that were placed on the worker during its probation and may still fail at their start.
+    probes: BTreeSet<TaskId>,
     /// Latest time at which the leases of its tasks were renewed.
     pub(super) renewed_at: Duration,
     /// Number of consecutive reports with usage above the capacity.
@@ -64,6 +66,7 @@
             tasks: BTreeSet::new(),
             closed_reasons: BTreeSet::from([ClosedReason::Unclaimed]),
             is_on_probation: false,
+            probes: BTreeSet::new(),
             renewed_at: Duration::ZERO,
             overload_reports: 0,
             used: ResourceVector::default(),
@@ -82,8 +85,23 @@
 
     /// Returns whether new work may be placed on the worker.
     pub(super) fn is_open(&self) -> bool {
-        let is_probation_full = self.is_on_probation && !self.tasks.is_empty();
-        self.closed_reasons.is_empty() && !is_probation_full
+        self.closed_reasons.is_empty() && self.probes.is_empty()
+    }
+
+    /// Begins or ends a probation. Tasks that are on the worker already keep none from it.
+    pub(super) fn set_probation(&mut self, is_on_probation: bool) {
+        self.is_on_probation = is_on_probation;
+        self.probes.clear();
+    }
+
+    /// Returns the tasks that may still fail at their start on probation.
+    pub(super) const fn probes(&self) -> &BTreeSet<TaskId> {
+        &self.probes
+    }
+
+    /// Records that a task has run for long enough to show that the worker starts tasks.
+    pub(super) fn end_probe(&mut self, task: TaskId) {
+        self.probes.remove(&task);
     }
 
     /// Closes the worker to new work until the reason is removed.
@@ -336,6 +354,9 @@
     pub(super) fn allocate(&mut self, name: &WorkerId, task: TaskId, demand: &ResourceVector) {
         self.update(name, |info| {
             if info.tasks.insert(task) {
+                if info.is_on_probation {
+                    info.probes.insert(task);
+                }
                 info.used = info.used.plus(demand);
                 if demand.accelerators == 0 {
                     info.cpu_only_used = info.cpu_only_used.plus(demand);
@@ -348,6 +369,7 @@
     pub(super) fn release(&mut self, name: &WorkerId, task: TaskId, demand: &ResourceVector) {
         self.update(name, |info| {
             if info.tasks.remove(&task) {
+                info.probes.remove(&task);
                 info.used = saturating_subtract(&info.used, demand);
                 if demand.accelerators == 0 {
                     info.cpu_only_used = saturating_subtract(&info.cpu_only_used, demand);
