Pause before restarts of lasting tasks that keep failing

Cause: a task that lasts has no limit of attempts, and was placed again with the next pass.

Change: after two failures in a row it is started again after a pause of 0.25 s, which doubles with each further failure, up to 2 s, as a task that lasts must not be without a run for 3 s while capacity is idle. A run that holds ends the row. The pause counts towards the 2 s after which a step uses workers on probation like others, so both together stay below 3 s.

Tried and dropped: a pause after the second failure, as a_long_running_task_is_restarted_however_it_ends expects the third start at once.

--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -38,6 +38,7 @@
 mod messages;
 mod overview;
 mod pace;
+mod pauses;
 mod place;
 mod preemption;
 mod probation;
--- a/crates/core/src/pipelines/probation.rs
+++ b/crates/core/src/pipelines/probation.rs
@@ -49,7 +49,7 @@
 }
 
 impl PipelineState {
-    fn streak_key_of(&self, task: TaskKey) -> TaskKey {
+    pub(super) fn streak_key_of(&self, task: TaskKey) -> TaskKey {
         let step_spec = self.step_spec(task.step);
         streak_key(task, step_spec.is_some_and(|step_spec| step_spec.gang))
     }
@@ -88,6 +88,7 @@
             worker: WorkerId::clone(worker),
             instance: instance.number,
             placed_at,
+            failed_at: now,
         };
         let was_at_fault = self.streaks.streak(key).is_some_and(|it| it.is_at_fault);
         let workers = &self.workers;
@@ -264,6 +265,9 @@
         if !step_spec.gang {
             let failing: BTreeMap<u32, &WorkerId> = self.failing_tasks(key).collect();
             waiting.retain(|index| failing.contains_key(index));
+        }
+        self.remove_paused_tasks(key, step_spec, &mut waiting, now);
+        if !step_spec.gang {
             waiting.truncate(1);
         }
         self.limit_by_quota(&spec, step_spec, &mut waiting);
--- a/crates/core/src/pipelines/restoration.rs
+++ b/crates/core/src/pipelines/restoration.rs
@@ -82,7 +82,9 @@
             return;
         };
         let room = pass.table.room_for_lasting(step_spec, SHORT_WORK_PERCENT);
-        let mut waiting: Vec<u32> = self.lost_tasks(key).take(room).collect();
+        let mut waiting: Vec<u32> = self.lost_tasks(key).collect();
+        self.remove_paused_tasks(key, step_spec, &mut waiting, now);
+        waiting.truncate(room);
         self.limit_by_quota(&spec, step_spec, &mut waiting);
         let search = StepSearch {
             probation_use: self.probation_use(key, step_spec, &pass.table, now),
@@ -107,7 +109,9 @@
             return;
         };
         let room = pass.table.room_for_lasting(step_spec, SHORT_WORK_PERCENT);
-        let count = self.lost_tasks(key).take(room).count();
+        let mut lost: Vec<u32> = self.lost_tasks(key).collect();
+        self.remove_paused_tasks(key, step_spec, &mut lost, now);
+        let count = lost.len().min(room);
         let team = spec.team.as_ref();
         let count = self.quotas.admit(team, &step_spec.demand, count);
         let limit = pass.table.open_count() * HELD_WORKERS_PERCENT / 100;
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -319,6 +319,12 @@
             return StepOutcome::Skipped;
         }
         let mut waiting: Vec<u32> = progress.waiting_tasks().collect();
+        self.remove_paused_tasks(key, step_spec, &mut waiting, now);
+        if waiting.is_empty() {
+            // The pause is part of the time without a run.
+            self.record_wait(key, false, now);
+            return StepOutcome::Considered;
+        }
         let capped = self.limit_by_quota(&spec, step_spec, &mut waiting);
         if capped > 0 {
             self.log_capped_step(key, capped, waiting.is_empty(), now);
--- a/crates/core/src/pipelines/tests/failing_jobs.rs
+++ b/crates/core/src/pipelines/tests/failing_jobs.rs
@@ -27,6 +27,9 @@
 /// its predecessor has seen.
 const MAX_WAIT_WITH_TAKEOVER: Duration = Duration::from_secs(6);
 
+/// Largest number of starts of a job whose task lasts and fails at once, in a minute.
+const MAX_STARTS: u32 = 40;
+
 /// Time in which only jobs that fail are in the service.
 const LEAD_TIME: Duration = Duration::from_secs(4);
 
@@ -337,3 +340,41 @@
 
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Guards against a task that fails at once and is started several times a second, with its orders
+/// and commits, and against one that is not started again in time.
+#[test]
+fn a_task_that_fails_at_once_is_started_after_growing_pauses() {
+    for jobs in [1, 20, 200] {
+        let mut service = SimulatedService::new(7, listings(3));
+        service.failure_rule = |run, _| run.task.step.pipeline >= FIRST_FAILING;
+        let ids = (0..jobs).map(|index| FIRST_FAILING + ID_STEP * index);
+        for id in ids.clone() {
+            service.submit(id, lasting(300));
+        }
+        let mut last_runs: BTreeMap<PipelineId, Duration> = BTreeMap::new();
+        let mut longest_wait = Duration::ZERO;
+
+        let start = service.now;
+        for tick in 1..=60 {
+            // Its success shows that the workers are sound.
+            service.submit(tick, short(1));
+            while service.now < start + Duration::from_secs(tick) {
+                service.advance();
+                let workers = service.workers.values();
+                for run in workers.flat_map(|worker| worker.runs.keys()) {
+                    let last_run = last_runs.insert(run.task.step.pipeline, service.now);
+                    let wait = service.now.saturating_sub(last_run.unwrap_or(service.now));
+                    longest_wait = longest_wait.max(wait);
+                }
+            }
+        }
+
+        let starts: Vec<u32> = ids.map(|id| service.starts[&id]).collect();
+        assert!(
+            starts.iter().all(|starts| *starts <= MAX_STARTS),
+            "{starts:?}"
+        );
+        assert!(longest_wait <= MAX_WAIT, "{jobs} jobs: {longest_wait:?}");
+    }
+}
--- a/crates/core/src/pipelines/tests/simulation.rs
+++ b/crates/core/src/pipelines/tests/simulation.rs
@@ -93,6 +93,8 @@
     /// Specifications of all jobs, including those that are retired.
     specs: BTreeMap<PipelineId, Arc<PipelineSpec>>,
     cancelled: BTreeSet<PipelineId>,
+    /// Number of runs that were started, by job.
+    pub(super) starts: BTreeMap<PipelineId, u32>,
     /// Jobs that have failed.
     pub(super) failed: BTreeSet<PipelineId>,
     epoch: Epoch,
@@ -121,6 +123,7 @@
             advisors: ADVISORS,
             specs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
+            starts: BTreeMap::new(),
             failed: BTreeSet::new(),
             epoch: 0,
             messages: BTreeMap::new(),
@@ -394,6 +397,7 @@
             }
             Some(worker) => {
                 let result = worker.start(&order, &step_spec, needs_ticket, self.now);
+                *self.starts.entry(key.pipeline).or_default() += 1;
                 if let Some(run) = worker.runs.get_mut(&order.run) {
                     run.is_failing = is_failing;
                     run.is_stalling = is_stalling && !step_spec.long_running;
--- a/crates/core/src/streaks/state.rs
+++ b/crates/core/src/streaks/state.rs
@@ -11,6 +11,7 @@
     pub(crate) instance: InstanceNumber,
     /// When the run was placed.
     pub(crate) placed_at: Duration,
+    pub(crate) failed_at: Duration,
 }
 
 /// Failures of a task in a row.
--- a/crates/core/src/streaks/tests.rs
+++ b/crates/core/src/streaks/tests.rs
@@ -10,6 +10,7 @@
         worker: worker.into(),
         instance: 1,
         placed_at: Duration::from_secs(placed_s),
+        failed_at: Duration::from_secs(placed_s),
     }
 }
 
