Bound the searches for steps behind many others during probations

Cause, by reading: while a worker is on probation, each step that has waited for 2 s examined its workers before it could be skipped, also the thousands that wait behind others of their queue for a full service; all steps with failed tasks were sorted and tried while a turn was left; and the failed tasks of a step were tried once for each worker on which they had failed, also without room.

--- a/crates/core/src/instances/reliability.rs
+++ b/crates/core/src/instances/reliability.rs
@@ -80,7 +80,8 @@
     }
 
     /// Records that a run succeeded, or has not failed for [`PROBE_TIME`]. It ends a probation if it was
-    /// placed after all runs that failed: a worker that fails what it starts may still finish what it has started before.
+    /// placed after all runs that failed: a worker that fails what it starts may still finish what it
+    /// has started before.
     pub(crate) fn record_success(&mut self, placed_at: Duration) {
         let latest = self.succeeded_placed_at.max(Some(placed_at));
         if placed_at > self.failed_placed_at {
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -37,7 +37,7 @@
     usable_cpu_milli: u64,
     /// Whether rows are marked as headroom.
     has_headroom: bool,
-    /// Number of workers that were open to all when the pass began.
+    /// Number of workers, except for those on probation whose turn had not come when the pass began.
     open_count: usize,
     /// Number of workers on probation.
     probation_count: usize,
@@ -286,6 +286,11 @@
         self.probation_count
     }
 
+    /// Returns whether at least half of all workers are on probation.
+    pub(super) const fn is_half_on_probation(&self) -> bool {
+        self.probation_count * 2 >= self.rows.len()
+    }
+
     /// Returns whether a worker on probation may get a run in its turn.
     pub(super) fn has_turn(&self) -> bool {
         let mut rows = self.rows.iter();
--- a/crates/core/src/pipelines/probation.rs
+++ b/crates/core/src/pipelines/probation.rs
@@ -11,6 +11,7 @@
     messages::PipelineNote,
     place::PlacementTable,
     progress::StepProgress,
+    proven::ProvenUse,
     schedule::{PlacementPass, StepSearch},
     spec::{RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
@@ -27,6 +28,9 @@
 /// Time for which other workers are preferred to one with consecutive failures.
 const FAILURE_PENALTY: Duration = Duration::from_secs(4);
 
+/// Maximum number of steps with failed tasks that get the turns which others have left, in a pass.
+const MAX_RETRIES: usize = 64;
+
 /// How a search for workers treats those on probation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum ProbationUse {
@@ -154,19 +158,26 @@
         !failing.is_empty() && (step_spec.gang || waiting.all(|index| failing.contains_key(&index)))
     }
 
-    /// Returns how a step uses workers on probation.
+    /// Returns how a step uses workers on probation. `is_behind` tells whether many steps of its queue
+    /// wait before it.
     pub(super) fn probation_use(
         &self,
         key: StepKey,
         step_spec: &StepSpec,
+        is_behind: bool,
         table: &PlacementTable,
         now: Duration,
     ) -> ProbationUse {
+        if table.probation_count() == 0 {
+            return ProbationUse::InTurn;
+        }
+        let has_waited = self.waited_time(key, now) >= MAX_PROBATION_WAIT;
         match () {
-            () if table.probation_count() == 0 => ProbationUse::InTurn,
-            () if self.waited_time(key, now) >= MAX_PROBATION_WAIT
-                && self.needs_probation(key, step_spec, table) =>
-            {
+            // Thousands of steps may be behind, so their own workers are not looked up.
+            () if has_waited && is_behind && table.is_half_on_probation() => {
+                ProbationUse::Unrestricted
+            }
+            () if has_waited && !is_behind && self.needs_probation(key, step_spec, table) => {
                 ProbationUse::Unrestricted
             }
             () if self.are_all_failing(key, step_spec) => ProbationUse::Excluded,
@@ -231,7 +242,12 @@
                 avoided: Some(worker),
                 ..*search
             };
-            placed_count += self.place_waiting(&retry, &tasks, pass);
+            let count = self.place_waiting(&retry, &tasks, pass);
+            placed_count += count;
+            // The avoided worker is used as well, so there is no room for the others either.
+            if count < tasks.len() && search.proven_use == ProvenUse::Indifferent {
+                break;
+            }
         }
         placed_count
     }
@@ -241,7 +257,7 @@
     pub(super) fn place_retries(&mut self, pass: &mut PlacementPass, now: Duration) {
         let mut retries = std::mem::take(&mut pass.retries);
         retries.sort_by_cached_key(|key| (Reverse(self.waited_time(*key, now)), *key));
-        for key in retries {
+        for key in retries.into_iter().take(MAX_RETRIES) {
             if !pass.table.has_turn() {
                 return;
             }
--- a/crates/core/src/pipelines/restoration.rs
+++ b/crates/core/src/pipelines/restoration.rs
@@ -86,8 +86,11 @@
         self.remove_paused_tasks(key, step_spec, &mut waiting, now);
         waiting.truncate(room);
         self.limit_by_quota(&spec, step_spec, &mut waiting);
+        if waiting.is_empty() {
+            return;
+        }
         let search = StepSearch {
-            probation_use: self.probation_use(key, step_spec, &pass.table, now),
+            probation_use: self.probation_use(key, step_spec, false, &pass.table, now),
             ..StepSearch::new(key, &spec, step_spec, now)
         };
         let placed_count = self.place_by_suspicion(&search, &waiting, pass);
@@ -121,7 +124,7 @@
             return;
         }
         let search = StepSearch {
-            probation_use: self.probation_use(key, step_spec, &pass.table, now),
+            probation_use: self.probation_use(key, step_spec, false, &pass.table, now),
             ..StepSearch::new(key, &spec, step_spec, now)
         };
         let candidates = self.rank_for_holding(&search, &pass.table);
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -306,9 +306,9 @@
         else {
             return StepOutcome::Considered;
         };
-        let probation_use = self.probation_use(key, step_spec, &pass.table, now);
         let backlog = pass.backlog(&spec.policy.queue);
         let is_behind = backlog.steps >= MAX_UNPLACED_STEPS_PER_QUEUE;
+        let probation_use = self.probation_use(key, step_spec, is_behind, &pass.table, now);
         if backlog.unticketed_steps >= MAX_UNTICKETED_STEPS_PER_QUEUE
             || (is_behind
                 && pass
