Show failing tasks and workers on probation to operators

A job that fails in a loop, and a worker that gets one run at a time, could be seen in single log lines only.

Tests: a_worker_on_probation_is_in_the_metrics_and_the_dump; the test of the pauses checks the number of failing tasks.

--- a/crates/core/src/pipelines/overview.rs
+++ b/crates/core/src/pipelines/overview.rs
@@ -30,6 +30,10 @@
     pub preempted_runs: u64,
     /// Number of steps that are deferred, as not all waiting steps can be in time.
     pub deferred_steps: u64,
+    /// Number of tasks that have failed three times in a row or more, within moments of their starts.
+    pub failing_tasks: u64,
+    /// Number of workers that get one run at a time, as runs of several jobs have failed there.
+    pub workers_on_probation: u64,
 }
 
 impl PipelineState {
@@ -40,6 +44,10 @@
             .workers
             .values()
             .filter(|record| record.can_accept_tasks());
+        let on_probation = self.workers.values().filter(|record| {
+            let instance = record.instance.as_ref();
+            instance.is_some_and(|instance| instance.reliability.is_on_probation())
+        });
         PipelineLoad {
             pipelines: self.pipelines.len() as u64,
             ready_steps: self.ready.len() as u64,
@@ -56,6 +64,8 @@
             visited_steps: self.visited_steps,
             preempted_runs: self.preemptions.total,
             deferred_steps: self.scarcity.deferred.len() as u64,
+            failing_tasks: self.count_failing_tasks(),
+            workers_on_probation: on_probation.count() as u64,
         }
     }
 
@@ -71,12 +81,17 @@
                 None => key.to_string(),
             });
             let ready: Vec<String> = ready.collect();
-            format!("job {id:016x} {queue} {phase} ready {ready:?} progress {progress:?}")
+            let failing = self.describe_failing_tasks(*id);
+            format!(
+                "job {id:016x} {queue} {phase} ready {ready:?} failing {failing:?} progress {progress:?}"
+            )
         });
         let workers = self.workers.iter().map(|(worker, record)| {
             let (contact, used) = (record.contact, record.used);
             let runs: Vec<String> = record.runs.keys().map(|run| run.task.to_string()).collect();
-            format!("worker {worker} {contact:?} used {used:?} runs {runs:?}")
+            let instance = record.instance.as_ref();
+            let standing = instance.map(|instance| instance.reliability.standing());
+            format!("worker {worker} {contact:?} {standing:?} used {used:?} runs {runs:?}")
         });
         let teams = self.teams.iter().map(|(team, terms)| {
             let TeamTerms { weight, cap } = terms;
--- a/crates/core/src/pipelines/pauses.rs
+++ b/crates/core/src/pipelines/pauses.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::{
-    spec::{StepKey, StepSpec, TaskKey},
+    spec::{PipelineId, StepKey, StepSpec, TaskKey},
     state::PipelineState,
 };
 
@@ -29,6 +29,31 @@
 }
 
 impl PipelineState {
+    /// Returns the number of tasks that have failed more often in a row than they are started again
+    /// at once.
+    pub(super) fn count_failing_tasks(&self) -> u64 {
+        let streaks = self.streaks.streaks();
+        let failing = streaks.filter(|(_, streak)| streak.failures > FREE_RESTARTS);
+        failing.count() as u64
+    }
+
+    /// Describes the failures in a row of the tasks of a job.
+    pub(super) fn describe_failing_tasks(&self, id: PipelineId) -> Vec<String> {
+        let first = TaskKey {
+            step: StepKey::first_of(id),
+            index: 0,
+        };
+        let streaks = self.streaks.streaks_from(first);
+        let streaks = streaks.take_while(|(task, _)| task.step.pipeline == id);
+        let lines = streaks.map(|(task, streak)| {
+            let (failures, worker) = (streak.failures, &streak.latest.worker);
+            let at = streak.latest.failed_at;
+            let fault = if streak.is_at_fault { ", at fault" } else { "" };
+            format!("{task} {failures} in a row, the latest on {worker} at {at:?}{fault}")
+        });
+        lines.collect()
+    }
+
     /// Removes the tasks of a step that are not started again yet. The attempts of tasks that do not last
     /// are limited instead.
     pub(super) fn remove_paused_tasks(
--- a/crates/core/src/pipelines/tests/failing_jobs.rs
+++ b/crates/core/src/pipelines/tests/failing_jobs.rs
@@ -370,6 +370,7 @@
             }
         }
 
+        assert_eq!(service.owner.load().failing_tasks, jobs);
         let starts: Vec<u32> = ids.map(|id| service.starts[&id]).collect();
         assert!(
             starts.iter().all(|starts| *starts <= MAX_STARTS),
--- a/crates/core/src/pipelines/tests/probation.rs
+++ b/crates/core/src/pipelines/tests/probation.rs
@@ -120,6 +120,21 @@
     }
 }
 
+/// Guards against operators who cannot see why a worker gets one run at a time.
+#[test]
+fn a_worker_on_probation_is_in_the_metrics_and_the_dump() {
+    let owner = owner_of_worker_on_probation();
+
+    let load = owner.state.load();
+    let lines = owner.state.describe();
+
+    assert_eq!(load.workers_on_probation, 1);
+    assert!(
+        lines.iter().any(|line| line.contains("OnProbation")),
+        "{lines:?}"
+    );
+}
+
 /// Guards against a worker that is idle for longer and longer, although each failure on probation was
 /// that of a job which fails everywhere.
 #[test]
--- a/crates/core/src/streaks/state.rs
+++ b/crates/core/src/streaks/state.rs
@@ -85,6 +85,11 @@
         streaks.map(|(task, streak)| (*task, streak))
     }
 
+    /// Returns all streaks.
+    pub(crate) fn streaks(&self) -> impl Iterator<Item = (K, &FailureStreak)> {
+        self.streaks.iter().map(|(task, streak)| (*task, streak))
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.streaks.is_empty()
     }
--- a/crates/daemon/src/cell/metrics.rs
+++ b/crates/daemon/src/cell/metrics.rs
@@ -143,6 +143,8 @@
                         ("visited_steps", load.visited_steps),
                         ("preempted_runs", load.preempted_runs),
                         ("deferred_steps", load.deferred_steps),
+                        ("failing_tasks", load.failing_tasks),
+                        ("workers_on_probation", load.workers_on_probation),
                     ] {
                         let service = KeyValue::new("service", service.to_string());
                         observer.observe(value, &[service, KeyValue::new("kind", kind)]);
