Keep where a task failed last across changes of the owner

What callers would see: a sound job ends failed although another worker is free. Both attempts of its task ran on the one worker that fails all, the second under a successor of the first owner.

Cause: where a task failed was known to its owner only. A successor sees all workers as proven, and places the last attempt on the first one that it claims, before the others have answered.

Change: the worker instance on which a task with limited attempts failed is kept with its progress, in the field that has the holder of a lasting task, so the format of the records is as before. The successor takes it for a failure on that instance. A worker is told apart by its name within one ownership and by its start time across owners.

--- a/crates/core/src/pipelines/pauses.rs
+++ b/crates/core/src/pipelines/pauses.rs
@@ -46,10 +46,10 @@
         let streaks = self.streaks.streaks_from(first);
         let streaks = streaks.take_while(|(task, _)| task.step.pipeline == id);
         let lines = streaks.map(|(task, streak)| {
-            let (failures, worker) = (streak.failures, &streak.latest.worker);
-            let at = streak.latest.failed_at;
+            let failures = streak.failures;
+            let (place, at) = (&streak.latest.place, streak.latest.failed_at);
             let fault = if streak.is_at_fault { ", at fault" } else { "" };
-            format!("{task} {failures} in a row, the latest on {worker} at {at:?}{fault}")
+            format!("{task} {failures} in a row, the latest on {place:?} at {at:?}{fault}")
         });
         lines.collect()
     }
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -10,6 +10,7 @@
 use super::{advice::TicketCache, probation::ProbationUse, spec::StepSpec, worker::WorkerRecord};
 use crate::{
     instances::{InstanceNumber, WorkerStanding},
+    streaks::FailurePlace,
     types::{RackId, ResourceVector, WorkerId},
 };
 
@@ -65,14 +66,13 @@
     }
 }
 
-/// Order in which a step prefers workers.
+/// Why a step prefers other workers; the lowest is preferred.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum WorkerPreference {
-    Usual,
-    /// Others are preferred, as starts or runs have failed or are slow on the worker.
-    Penalized,
+struct WorkerPreference {
     /// The tasks have failed on the worker.
-    Avoided,
+    is_avoided: bool,
+    /// Starts or runs have failed or are slow on the worker.
+    is_penalized: bool,
 }
 
 /// A worker and its free resources.
@@ -80,6 +80,8 @@
 pub(super) struct TableRow {
     pub(super) worker: WorkerId,
     pub(super) instance: InstanceNumber,
+    /// Start time of the instance in ms since 1970.
+    started_unix_ms: u64,
     rack: Option<RackId>,
     capacity: ResourceVector,
     /// Resources that long-running tasks do not occupy.
@@ -129,6 +131,7 @@
             let row = can_accept.then(|| TableRow {
                 worker: WorkerId::clone(worker),
                 instance: instance.number,
+                started_unix_ms: instance.started_unix_ms,
                 rack: listing.rack.clone(),
                 capacity: listing.capacity,
                 reclaimable: record.reclaimable_resources(),
@@ -261,10 +264,9 @@
             free: self.free[row_index],
             best_effort_cpu_milli: row.best_effort_cpu_milli,
             task_allowance,
-            preference: if row.is_penalized {
-                WorkerPreference::Penalized
-            } else {
-                WorkerPreference::Usual
+            preference: WorkerPreference {
+                is_avoided: false,
+                is_penalized: row.is_penalized,
             },
             is_remote: home.is_some_and(|home| row.rack.as_deref() != Some(home)),
             is_mixed: if step.fills {
@@ -305,18 +307,14 @@
     /// Makes proven workers preferred among these candidates.
     pub(super) fn penalize_unproven(&self, candidates: &mut [PlaceCandidate]) {
         for candidate in candidates {
-            if !self.row(candidate).is_proven() {
-                candidate.preference = candidate.preference.max(WorkerPreference::Penalized);
-            }
+            candidate.preference.is_penalized |= !self.row(candidate).is_proven();
         }
     }
 
-    /// Makes all other workers preferred to this one among these candidates.
-    pub(super) fn avoid_worker(&self, candidates: &mut [PlaceCandidate], worker: &WorkerId) {
+    /// Makes all other workers preferred among these candidates to the one on which a run failed.
+    pub(super) fn avoid_worker(&self, candidates: &mut [PlaceCandidate], place: &FailurePlace) {
         for candidate in candidates {
-            if self.row(candidate).worker == *worker {
-                candidate.preference = WorkerPreference::Avoided;
-            }
+            candidate.preference.is_avoided |= self.row(candidate).is_at(place);
         }
     }
 
@@ -456,6 +454,11 @@
         self.standing == WorkerStanding::Proven
     }
 
+    /// Returns whether a run failed on the worker.
+    pub(super) fn is_at(&self, place: &FailurePlace) -> bool {
+        place.is_on(&self.worker, self.started_unix_ms)
+    }
+
     pub(super) fn is_on_probation(&self) -> bool {
         self.turn != ProbationTurn::Unlimited
     }
--- a/crates/core/src/pipelines/probation.rs
+++ b/crates/core/src/pipelines/probation.rs
@@ -10,13 +10,17 @@
 use super::{
     messages::PipelineNote,
     place::PlacementTable,
-    progress::StepProgress,
+    progress::{StepProgress, TaskPlace},
     proven::ProvenUse,
     schedule::{PlacementPass, StepSearch},
-    spec::{RunKey, StepKey, StepSpec, TaskKey},
+    spec::{PipelineId, RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
 };
-use crate::{instances::WorkerInstance, streaks::RunFailure, types::WorkerId};
+use crate::{
+    instances::WorkerInstance,
+    streaks::{FailurePlace, RunFailure},
+    types::WorkerId,
+};
 
 /// Longest time for which a step leaves workers unused that are on probation, if they are at least half
 /// of those that it may use. A job must not be without a run for 3 s while capacity for it is idle.
@@ -88,19 +92,23 @@
         let Some(instance) = self.instance_mut(worker) else {
             return;
         };
+        let started_unix_ms = instance.started_unix_ms;
         let failure = RunFailure {
-            worker: WorkerId::clone(worker),
-            instance: instance.number,
+            place: FailurePlace::Worker(WorkerId::clone(worker), instance.number),
             placed_at,
             failed_at: now,
         };
+        self.record_failed_instance(run, started_unix_ms);
         let was_at_fault = self.streaks.streak(key).is_some_and(|it| it.is_at_fault);
         let workers = &self.workers;
         let is_sound_since = |failure: &RunFailure| {
-            let record = workers.get(&failure.worker);
+            let FailurePlace::Worker(worker, number) = &failure.place else {
+                return false;
+            };
+            let record = workers.get(worker);
             let instance = record.and_then(|record| record.instance.as_ref());
             instance.is_some_and(|instance| {
-                instance.number == failure.instance
+                instance.number == *number
                     && instance.reliability.has_succeeded_since(failure.placed_at)
             })
         };
@@ -128,20 +136,58 @@
         }
     }
 
+    /// Keeps with the progress of a task whose attempts are limited on which worker instance it failed,
+    /// so that a successor does not use up the others there.
+    fn record_failed_instance(&mut self, run: RunKey, started_unix_ms: u64) {
+        let step_spec = self.step_spec(run.task.step);
+        let is_limited = step_spec.is_some_and(|step_spec| !step_spec.long_running);
+        let pipeline = self.pipelines.get_mut(&run.task.step.pipeline);
+        let task = pipeline.and_then(|pipeline| pipeline.progress.task_mut(run.task));
+        match task {
+            Some(task) if is_limited && task.attempt == run.attempt => {
+                task.holder = Some(started_unix_ms);
+            }
+            _ => {}
+        }
+    }
+
+    /// Adds the tasks of a job that have failed under an earlier owner.
+    pub(super) fn inherit_failures(&mut self, id: PipelineId, now: Duration) {
+        let Some(record) = self.pipelines.get(&id) else {
+            return;
+        };
+        for (task, _, started_unix_ms) in record.progress.holders(id) {
+            let step_spec = record.spec.steps.get(task.step.step as usize);
+            let is_gang = step_spec.is_some_and(|step_spec| step_spec.gang);
+            let is_limited = step_spec.is_some_and(|step_spec| !step_spec.long_running);
+            let progress = record.progress.task(task);
+            let is_waiting = progress.is_some_and(|task| task.place == TaskPlace::Waiting);
+            if is_limited && is_waiting {
+                let failure = RunFailure {
+                    place: FailurePlace::StartedAt(started_unix_ms),
+                    placed_at: now,
+                    failed_at: now,
+                };
+                let key = streak_key(task, is_gang);
+                self.streaks.inherit_failure(key, failure);
+            }
+        }
+    }
+
     pub(super) fn instance_mut(&mut self, worker: &WorkerId) -> Option<&mut WorkerInstance> {
         self.workers.get_mut(worker)?.instance.as_mut()
     }
 
-    /// Returns the tasks of a step that have failed since a run of them held, with the worker of the
-    /// latest failure; for a gang, its first task.
-    fn failing_tasks(&self, key: StepKey) -> impl Iterator<Item = (u32, &WorkerId)> {
+    /// Returns the tasks of a step that have failed since a run of them held, with where the
+    /// latest of them failed; for a gang, its first task.
+    fn failing_tasks(&self, key: StepKey) -> impl Iterator<Item = (u32, &FailurePlace)> {
         let first = TaskKey {
             step: key,
             index: 0,
         };
         let streaks = self.streaks.streaks_from(first);
         let streaks = streaks.take_while(move |(task, _)| task.step == key);
-        streaks.map(|(task, streak)| (task.index, &streak.latest.worker))
+        streaks.map(|(task, streak)| (task.index, &streak.latest.place))
     }
 
     /// Returns whether a task of a step has failed since a run of it held.
@@ -151,7 +197,7 @@
 
     /// Returns whether all waiting tasks of a step have failed since a run of them held.
     fn are_all_failing(&self, key: StepKey, step_spec: &StepSpec) -> bool {
-        let failing: BTreeMap<u32, &WorkerId> = self.failing_tasks(key).collect();
+        let failing: BTreeMap<u32, &FailurePlace> = self.failing_tasks(key).collect();
         let pipeline = self.pipelines.get(&key.pipeline);
         let progress = pipeline.and_then(|pipeline| pipeline.progress.step(key));
         let mut waiting = progress.into_iter().flat_map(StepProgress::waiting_tasks);
@@ -217,29 +263,29 @@
     ) -> usize {
         let is_gang = search.step_spec.gang;
         let failing = self.failing_tasks(search.key);
-        let failing = failing.map(|(index, worker)| (index, WorkerId::clone(worker)));
-        let failing: BTreeMap<u32, WorkerId> = failing.collect();
+        let failing = failing.map(|(index, place)| (index, FailurePlace::clone(place)));
+        let failing: BTreeMap<u32, FailurePlace> = failing.collect();
         if failing.is_empty() {
             return self.place_waiting(search, waiting, pass);
         }
         let mut others = Vec::new();
-        let mut by_worker: BTreeMap<&WorkerId, Vec<u32>> = BTreeMap::new();
+        let mut by_place: BTreeMap<&FailurePlace, Vec<u32>> = BTreeMap::new();
         for index in waiting {
             let streak_index = if is_gang { 0 } else { *index };
             match failing.get(&streak_index) {
-                Some(worker) => by_worker.entry(worker).or_default().push(*index),
+                Some(place) => by_place.entry(place).or_default().push(*index),
                 None => others.push(*index),
             }
         }
         let mut placed_count = self.place_waiting(search, &others, pass);
-        for (worker, tasks) in by_worker {
+        for (place, tasks) in by_place {
             let probation_use = match search.probation_use {
                 ProbationUse::InTurn if !search.is_retry => ProbationUse::Excluded,
                 probation_use => probation_use,
             };
             let retry = StepSearch {
                 probation_use,
-                avoided: Some(worker),
+                avoided: Some(place),
                 ..*search
             };
             let count = self.place_waiting(&retry, &tasks, pass);
@@ -279,7 +325,7 @@
         };
         let mut waiting: Vec<u32> = progress.waiting_tasks().collect();
         if !step_spec.gang {
-            let failing: BTreeMap<u32, &WorkerId> = self.failing_tasks(key).collect();
+            let failing: BTreeMap<u32, &FailurePlace> = self.failing_tasks(key).collect();
             waiting.retain(|index| failing.contains_key(index));
         }
         self.remove_paused_tasks(key, step_spec, &mut waiting, now);
--- a/crates/core/src/pipelines/progress.rs
+++ b/crates/core/src/pipelines/progress.rs
@@ -81,8 +81,8 @@
     #[serde(skip)]
     pub suspicion: u32,
     /// Worker instance that is known to hold the latest run, for no longer than the leases that
-    /// owners have granted on its clock. Kept for tasks that last, as that costs a commit; its
-    /// encoding is up to the caller.
+    /// owners have granted on its clock. Kept for tasks that last, as that costs a commit. Of another
+    /// task that waits, the instance on which its latest run failed. Its encoding is up to the caller.
     #[serde(skip)]
     pub holder: Option<RunHolder>,
 }
--- a/crates/core/src/pipelines/proven.rs
+++ b/crates/core/src/pipelines/proven.rs
@@ -13,7 +13,7 @@
     spec::{PipelineSpec, StepKey, StepSpec},
     state::PipelineState,
 };
-use crate::types::WorkerId;
+use crate::{streaks::FailurePlace, types::WorkerId};
 
 /// Longest time for which a step with a last attempt leaves workers unused that are not proven. A
 /// job must not be without a run for 3 s while capacity for it is idle.
@@ -82,19 +82,29 @@
         self.has_eligible(key, step_spec, table, TableRow::is_proven)
     }
 
-    /// Returns whether a step with a last attempt may leave a worker unused on which its tasks have
-    /// failed: there is another one that may run it, and the step has not waited for long.
+    /// Returns whether a step with a last attempt may leave the worker unused on which its tasks have
+    /// failed: there is another one that may run it, or will once it has answered to this owner, and the
+    /// step has not waited for long.
     pub(super) fn can_await_other(
         &self,
         search: &StepSearch<'_>,
-        worker: &WorkerId,
+        place: &FailurePlace,
         table: &PlacementTable,
     ) -> bool {
+        let (key, step_spec) = (search.key, search.step_spec);
         search.proven_use != ProvenUse::Indifferent
-            && self.waited_time(search.key, search.now) < MAX_PROVEN_WAIT
-            && self.has_eligible(search.key, search.step_spec, table, |row| {
-                row.worker != *worker
-            })
+            && self.waited_time(key, search.now) < MAX_PROVEN_WAIT
+            && (self.has_eligible(key, step_spec, table, |row| !row.is_at(place))
+                || self.has_unmet_worker(step_spec))
+    }
+
+    /// Returns whether a worker with the label of a step has not answered to this owner yet.
+    fn has_unmet_worker(&self, step_spec: &StepSpec) -> bool {
+        self.workers.iter().any(|(worker, record)| {
+            let listing = record.listing.as_ref();
+            let is_listed = listing.is_some_and(|listing| !listing.is_draining);
+            is_listed && record.instance.is_none() && self.has_label(worker, step_spec)
+        })
     }
 
     /// Returns whether one of the selected workers may run a step.
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -25,7 +25,7 @@
     wait::StepWait,
     worker::{RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
 };
-use crate::types::WorkerId;
+use crate::{streaks::FailurePlace, types::WorkerId};
 
 /// Maximum number of steps of one queue that a pass leaves with waiting tasks before it
 /// skips steps that fit on no worker. Those at the head of the queue reserve workers and
@@ -81,8 +81,8 @@
     pub(super) probation_use: ProbationUse,
     /// Whether the search is for tasks that have failed, in the turns that others have left.
     pub(super) is_retry: bool,
-    /// Worker that is used last.
-    pub(super) avoided: Option<&'a WorkerId>,
+    /// Where the tasks have failed; the worker is used last.
+    pub(super) avoided: Option<&'a FailurePlace>,
     pub(super) now: Duration,
 }
 
@@ -486,10 +486,10 @@
             table.penalize_unproven(&mut candidates);
         }
         match search.avoided {
-            Some(worker) if self.can_await_other(search, worker, table) => {
-                candidates.retain(|candidate| table.row(candidate).worker != *worker);
+            Some(place) if self.can_await_other(search, place, table) => {
+                candidates.retain(|candidate| !table.row(candidate).is_at(place));
             }
-            Some(worker) => table.avoid_worker(&mut candidates, worker),
+            Some(place) => table.avoid_worker(&mut candidates, place),
             None => {}
         }
         if search.prefers_idle {
--- a/crates/core/src/pipelines/state.rs
+++ b/crates/core/src/pipelines/state.rs
@@ -335,6 +335,7 @@
         let is_final = record.progress.phase.is_final();
         self.pipelines.insert(id, record);
         self.inherit_runs(id, now);
+        self.inherit_failures(id, now);
         if is_final {
             self.stop_pipeline(id, now);
         }
--- a/crates/core/src/pipelines/tests/simulation.rs
+++ b/crates/core/src/pipelines/tests/simulation.rs
@@ -106,8 +106,9 @@
 impl SimulatedService {
     pub(super) fn new(seed: u64, listings: Vec<WorkerListing>) -> Self {
         let now = Duration::from_secs(100);
-        let workers = listings.into_iter().map(|listing| {
-            let worker = SimulatedWorker::new(listing, INSTANCE_STARTED_MS);
+        let workers = listings.into_iter().zip(0..).map(|(listing, index)| {
+            let started_unix_ms = INSTANCE_STARTED_MS + index * 10_000;
+            let worker = SimulatedWorker::new(listing, started_unix_ms);
             (worker.listing.worker.clone(), worker)
         });
         let mut service = Self {
--- a/crates/core/src/streaks/mod.rs
+++ b/crates/core/src/streaks/mod.rs
@@ -10,4 +10,4 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use state::{RunFailure, StreakTable};
+pub(crate) use state::{FailurePlace, RunFailure, StreakTable};
--- a/crates/core/src/streaks/state.rs
+++ b/crates/core/src/streaks/state.rs
@@ -4,11 +4,28 @@
 
 use crate::{instances::InstanceNumber, types::WorkerId};
 
+/// Where a run failed.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum FailurePlace {
+    Worker(WorkerId, InstanceNumber),
+    /// Under an earlier owner, on a worker instance that started then, in ms since 1970.
+    StartedAt(u64),
+}
+
+impl FailurePlace {
+    /// Returns whether the run failed on this worker, whose present instance started then.
+    pub(crate) fn is_on(&self, worker: &WorkerId, started_unix_ms: u64) -> bool {
+        match self {
+            Self::Worker(known, _) => known == worker,
+            Self::StartedAt(known_ms) => *known_ms == started_unix_ms,
+        }
+    }
+}
+
 /// A run that failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct RunFailure {
-    pub(crate) worker: WorkerId,
-    pub(crate) instance: InstanceNumber,
+    pub(crate) place: FailurePlace,
     /// When the run was placed.
     pub(crate) placed_at: Duration,
     pub(crate) failed_at: Duration,
@@ -61,6 +78,16 @@
         streak
     }
 
+    /// Adds a task that has failed under an earlier owner.
+    pub(crate) fn inherit_failure(&mut self, task: K, failure: RunFailure) {
+        let streak = FailureStreak {
+            failures: 1,
+            latest: failure,
+            is_at_fault: false,
+        };
+        self.streaks.insert(task, streak);
+    }
+
     /// Ends the streak of a task, as a run of it has held.
     pub(crate) fn end_streak(&mut self, task: K) {
         self.streaks.remove(&task);
--- a/crates/core/src/streaks/tests.rs
+++ b/crates/core/src/streaks/tests.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use super::{RunFailure, StreakTable};
+use super::{FailurePlace, RunFailure, StreakTable};
 
 /// Returns a run that was placed on a worker at this time in s and failed.
 fn failure(worker: &str, placed_s: u64) -> RunFailure {
     RunFailure {
-        worker: worker.into(),
-        instance: 1,
+        place: FailurePlace::Worker(worker.into(), 1),
         placed_at: Duration::from_secs(placed_s),
         failed_at: Duration::from_secs(placed_s),
     }
@@ -27,7 +26,8 @@
     ];
     for (workers, sound, is_at_fault) in cases {
         let mut table = StreakTable::default();
-        let is_sound_since = |failure: &RunFailure| Some(&*failure.worker) == sound;
+        let is_sound_since =
+            |failure: &RunFailure| sound.is_some_and(|sound| failure.place.is_on(&sound.into(), 0));
 
         for (worker, placed_s) in workers.into_iter().zip(0..) {
             table.record_failure(7, failure(worker, placed_s), is_sound_since);
