Move evidence, step searches and advice requests to files of their own

The former is in evidence.rs, the search of a step in search.rs, and the choice of the workers that an advice request names beside the requests. No logic changes.

--- a/crates/core/src/pipelines/mod.rs
+++ b/crates/core/src/pipelines/mod.rs
@@ -31,6 +31,7 @@
 mod advice;
 mod commit;
 mod crashes;
+mod evidence;
 mod exhausted;
 mod headroom;
 mod health;
@@ -54,6 +55,7 @@
 mod restoration;
 mod scarcity;
 mod schedule;
+mod search;
 mod spec;
 mod state;
 mod takeover;
--- a/crates/core/src/pipelines/place.rs
+++ b/crates/core/src/pipelines/place.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use super::{advice::TicketCache, probation::ProbationUse, spec::StepSpec, worker::WorkerRecord};
+use super::{probation::ProbationUse, spec::StepSpec, worker::WorkerRecord};
 use crate::{
     instances::{InstanceNumber, WorkerStanding},
     streaks::FailurePlace,
@@ -68,7 +68,7 @@
 
 /// Why a step prefers other workers; the lowest is preferred.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct WorkerPreference {
+pub(super) struct WorkerPreference {
     /// The tasks have failed on the worker.
     is_avoided: bool,
     /// Starts or runs have failed or are slow on the worker.
@@ -107,11 +107,11 @@
     best_effort_cpu_milli: u64,
     /// Number of further tasks of the step that the worker may run.
     task_allowance: usize,
-    preference: WorkerPreference,
+    pub(super) preference: WorkerPreference,
     /// Whether the worker is outside the home rack of the step.
-    is_remote: bool,
+    pub(super) is_remote: bool,
     /// Whether best-effort tasks would run on the same worker as serving tasks.
-    is_mixed: bool,
+    pub(super) is_mixed: bool,
 }
 
 /// Cost of placing a task on a worker; the lowest is preferred: the preference of the worker,
@@ -177,7 +177,11 @@
     }
 
     pub(super) fn row(&self, candidate: &PlaceCandidate) -> &TableRow {
-        &self.rows[candidate.row_index]
+        self.row_at(candidate.row_index)
+    }
+
+    pub(super) fn row_at(&self, index: usize) -> &TableRow {
+        &self.rows[index]
     }
 
     /// Returns the workers on which a task of the step fits now.
@@ -679,97 +683,3 @@
     }
     (uncovered_tasks == 0).then_some(chosen)
 }
-
-/// Position of a worker in an advice request; lower is first: whether no task fits,
-/// whether it did not accept a ticket of the step, whether it is unknown if the worker is
-/// allowed, its preference, whether it is remote or mixed, how many tasks fit now
-/// and beside its long-running tasks, and its row.
-///
-/// Load pattern: the workers that a step may use are full of other tasks. Tickets for
-/// them would expire unused, so workers on which a task fits come first.
-type RequestRank = (
-    bool,
-    bool,
-    bool,
-    WorkerPreference,
-    bool,
-    Reverse<usize>,
-    Reverse<usize>,
-    usize,
-);
-
-/// Largest probability, in parts per million, that the advice service allows none of the workers
-/// that a request names.
-const MAX_EMPTY_ANSWER_PPM: usize = 50_000;
-
-/// Part of the workers that the advice service is expected to allow a queue.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct AllowedShare {
-    /// Expected part, in percent.
-    pub(super) expected_percent: usize,
-    /// Part below which an empty answer need not be unlikely, in percent.
-    pub(super) least_percent: usize,
-}
-
-impl AllowedShare {
-    /// The share of workers that are known to be allowed.
-    const ALL: Self = Self {
-        expected_percent: 100,
-        least_percent: 100,
-    };
-}
-
-/// Returns which of the candidates to name in an advice request, so that enough tickets for
-/// `count` tasks can be expected.
-///
-/// `allowed` is the part of the workers that the advice service is expected to allow.
-pub(super) fn choose_for_advice(
-    table: &PlacementTable,
-    candidates: impl Iterator<Item = PlaceCandidate>,
-    cache: &TicketCache,
-    step: &StepSpec,
-    count: usize,
-    allowed: AllowedShare,
-) -> Vec<(WorkerId, InstanceNumber)> {
-    let mut ranking: BinaryHeap<Reverse<RequestRank>> = candidates
-        .map(|candidate| {
-            let row = table.row(&candidate);
-            let fitting_tasks = candidate.fitting_tasks(step);
-            Reverse((
-                fitting_tasks == 0,
-                cache.has_rejected_ticket(row.instance),
-                !cache.is_allowed(row.instance),
-                candidate.preference,
-                candidate.is_remote || candidate.is_mixed,
-                Reverse(fitting_tasks),
-                Reverse(row.fitting_tasks_when_reclaimed(&candidate, step)),
-                candidate.row_index,
-            ))
-        })
-        .collect();
-    let mut expected = 0;
-    // All tasks that fit on one worker depend on one decision, so a request that names few
-    // workers may yield no ticket although enough are expected.
-    let mut empty_answer_ppm = 1_000_000;
-    let mut chosen = Vec::new();
-    // One task more than needed, in percent of a task.
-    let needed = (count + 1) * 100;
-    while let Some(Reverse((is_full, _, is_unknown, .., Reverse(fitting_tasks), _, row_index))) =
-        ranking.pop()
-    {
-        let is_answer_likely = is_full || empty_answer_ppm <= MAX_EMPTY_ANSWER_PPM;
-        if expected >= needed && is_answer_likely {
-            break;
-        }
-        let share = if is_unknown {
-            allowed
-        } else {
-            AllowedShare::ALL
-        };
-        expected += fitting_tasks.max(1) * share.expected_percent;
-        empty_answer_ppm = empty_answer_ppm * (100 - share.least_percent.min(100)) / 100;
-        let row = &table.rows[row_index];
-        chosen.push((WorkerId::clone(&row.worker), row.instance));
-    }
-    chosen
-}
--- a/crates/core/src/pipelines/proven.rs
+++ b/crates/core/src/pipelines/proven.rs
@@ -9,7 +9,7 @@
 use super::{
     place::{PlacementTable, TableRow},
     probation::ProbationUse,
-    schedule::StepSearch,
+    search::StepSearch,
     spec::{PipelineSpec, StepKey, StepSpec},
     state::PipelineState,
 };
--- a/crates/core/src/pipelines/restoration.rs
+++ b/crates/core/src/pipelines/restoration.rs
@@ -13,7 +13,8 @@
     place::{PlaceCandidate, PlacementTable},
     progress::StepProgress,
     requests::SLOW_DECISION_MS,
-    schedule::{PlacementPass, StepSearch},
+    schedule::PlacementPass,
+    search::StepSearch,
     spec::{AdvicePolicy, StepKey},
     state::PipelineState,
 };
--- a/crates/core/src/pipelines/schedule.rs
+++ b/crates/core/src/pipelines/schedule.rs
@@ -14,18 +14,19 @@
     headroom::{GANG_RESERVATION_PERCENT, HEADROOM_PERCENT, has_slack},
     messages::{PipelineAction, PipelineNote, RenewalOrder},
     place::{PlaceCandidate, PlacementTable},
-    place::{TableRow, choose_for_reservation, choose_for_step, choose_idlest},
+    place::{choose_for_reservation, choose_for_step, choose_idlest},
     probation::ProbationUse,
     progress::{PipelinePhase, StepProgress, TaskPlace},
     proven::ProvenUse,
     queue::QueueRank,
     requests::RequestBudget,
-    spec::{PipelineSpec, RunKey, StepKey, StepSpec, TaskKey},
+    search::StepSearch,
+    spec::{RunKey, StepKey, StepSpec, TaskKey},
     state::PipelineState,
     wait::StepWait,
     worker::{RenewalStatus, ReportStatus, RunPhase, WorkerContact, WorkerRun},
 };
-use crate::{streaks::FailurePlace, types::WorkerId};
+use crate::types::WorkerId;
 
 /// Maximum number of steps of one queue that a pass leaves with waiting tasks before it
 /// skips steps that fit on no worker. Those at the head of the queue reserve workers and
@@ -68,57 +69,6 @@
     unticketed_steps: u32,
 }
 
-/// A ready step with waiting tasks, and which workers it may use.
-pub(super) struct StepSearch<'a> {
-    pub(super) key: StepKey,
-    pub(super) spec: &'a PipelineSpec,
-    pub(super) step_spec: &'a StepSpec,
-    /// Whether the step leaves the headroom free for urgent jobs.
-    pub(super) withholds_headroom: bool,
-    /// Whether workers with the fewest runs are preferred.
-    pub(super) prefers_idle: bool,
-    pub(super) proven_use: ProvenUse,
-    pub(super) probation_use: ProbationUse,
-    /// Whether the search is for tasks that have failed, in the turns that others have left.
-    pub(super) is_retry: bool,
-    /// Where the tasks have failed; the worker is used last.
-    pub(super) avoided: Option<&'a FailurePlace>,
-    pub(super) now: Duration,
-}
-
-impl<'a> StepSearch<'a> {
-    /// Returns the search of a step that uses the headroom.
-    pub(super) const fn new(
-        key: StepKey,
-        spec: &'a PipelineSpec,
-        step_spec: &'a StepSpec,
-        now: Duration,
-    ) -> Self {
-        Self {
-            key,
-            spec,
-            step_spec,
-            withholds_headroom: false,
-            prefers_idle: false,
-            proven_use: ProvenUse::Indifferent,
-            probation_use: ProbationUse::InTurn,
-            is_retry: false,
-            avoided: None,
-            now,
-        }
-    }
-
-    /// Returns whether the step leaves all but proven workers unused.
-    pub(super) fn needs_proven(&self) -> bool {
-        self.proven_use == ProvenUse::Required
-    }
-
-    /// Returns whether the step may use a worker if its queue allows it.
-    pub(super) fn may_use(&self, row: &TableRow) -> bool {
-        !(self.withholds_headroom && row.is_headroom) && (row.is_proven() || !self.needs_proven())
-    }
-}
-
 /// Demands that fit on no worker, of the steps with the same label that may use the same
 /// workers.
 #[derive(Clone, Debug)]
--- a/crates/core/src/pipelines/wait.rs
+++ b/crates/core/src/pipelines/wait.rs
@@ -6,7 +6,7 @@
 use std::{fmt, time::Duration};
 
 use super::{
-    advice::TicketCache, messages::PipelineNote, place::PlacementTable, schedule::StepSearch,
+    advice::TicketCache, messages::PipelineNote, place::PlacementTable, search::StepSearch,
     spec::StepKey, state::PipelineState,
 };
 use crate::types::WorkerId;
